Serve a request end to end through separate daemons

Cause: nothing was there.

Change: an entry daemon, an endpoint daemon, the store over etcd's JSON gateway, the list of hosts as EndpointSlices, engines over vLLM's HTTP interface, and stand-ins for all of them.

--- /dev/null
+++ b/src/endpoint/turn.ts
@@ -0,0 +1,86 @@
+/**
+ * The endpoint daemon's side of turns at the weight store: it keeps the turns when it is the one to
+ * do so, and asks whoever is otherwise.
+ * @module
+ */
+import type * as clock from "../host/clock.js";
+import * as log from "../host/log.js";
+import * as members from "../host/members.js";
+import type * as control from "../link/control.js";
+import type * as hosts from "../platform/hosts.js";
+import type * as gate from "./gate.js";
+import * as turns from "./turns.js";
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: log.Log;
+  readonly name: string;
+  readonly members: members.Members;
+  readonly peer: (m: hosts.Member) => control.Peer;
+  readonly random: () => number;
+}
+
+export class Desk {
+  private turns: turns.Turns;
+  private keeper: hosts.Member | undefined;
+
+  constructor(
+    private readonly opts: turns.Options,
+    private readonly deps: Deps,
+  ) {
+    this.turns = turns.none(opts);
+    deps.members.onChange(() => {
+      const able = deps.members.live().filter((m) => m.role === "endpoint");
+      [this.keeper] = members.first(able, "turn", 1);
+    });
+  }
+
+  /** Answers one question as the keeper. */
+  ask(a: control.TurnAsk): control.TurnAnswer {
+    const { turns: next, answer } = turns.ask(this.turns, a, this.deps.clock.mono());
+    this.turns = next;
+    return answer;
+  }
+
+  end(endpoint: string): void {
+    this.turns = turns.end(this.turns, endpoint, this.deps.clock.mono());
+  }
+
+  /** This endpoint's own turn, from whoever keeps them. */
+  own(): gate.Turn {
+    const { name, peer } = this.deps;
+    return {
+      ask: async (target, score) => {
+        const ask = { endpoint: name, target, score };
+        const keeper = this.keeper;
+        if (!keeper || keeper.name === name) return this.ask(ask);
+        try {
+          return await peer(keeper).askTurn.mutate(ask);
+        } catch (err) {
+          return this.alone(keeper, err);
+        }
+      },
+      end: () => {
+        const keeper = this.keeper;
+        if (!keeper || keeper.name === name) {
+          this.end(name);
+          return;
+        }
+        // A turn that is not ended is free again after `holdMs`.
+        peer(keeper)
+          .endTurn.mutate({ endpoint: name })
+          .catch((err: unknown) => {
+            this.deps.log.debug(`${keeper.name} was not told the end of a turn: ${log.why(err)}`);
+          });
+      },
+    };
+  }
+
+  /** Without a keeper, loads are spread out by chance: slower together, never stopped. */
+  private alone(keeper: hosts.Member, err: unknown): control.TurnAnswer {
+    this.deps.log.debug(`${keeper.name} did not answer for turns: ${log.why(err)}`);
+    const { askMinMs, askMaxMs } = this.opts;
+    if (this.deps.random() < askMinMs / askMaxMs) return { kind: "go" };
+    return { kind: "wait", askAgainMs: askMinMs };
+  }
+}
--- /dev/null
+++ b/src/host/log.ts
@@ -0,0 +1,79 @@
+/**
+ * Logs: short sentences behind a fixed prefix for each part, as text or as JSON lines.
+ * @module
+ */
+import * as consola from "consola";
+
+/** Where a part writes what an operator should know. */
+export interface Log {
+  readonly debug: (sentence: string) => void;
+  readonly info: (sentence: string) => void;
+  readonly warn: (sentence: string) => void;
+  readonly error: (sentence: string) => void;
+}
+
+const LEVELS = { debug: 4, info: 3, warn: 1, error: 0 } as const;
+/** The least urgent level that is written. */
+export type Level = keyof typeof LEVELS;
+
+function jsonLines(name: string): consola.ConsolaReporter {
+  return {
+    log: (o) => {
+      const line = {
+        at: o.date.toISOString(),
+        level: o.type,
+        name,
+        part: o.tag,
+        msg: o.args.join(" "),
+      };
+      process.stderr.write(`${JSON.stringify(line)}\n`);
+    },
+  };
+}
+
+function plain(name: string): consola.ConsolaReporter {
+  return {
+    log: (o) => {
+      const at = o.date.toISOString();
+      process.stderr.write(`${at} ${o.type} ${name} ${o.tag}: ${o.args.join(" ")}\n`);
+    },
+  };
+}
+
+/** Loggers for the parts of one daemon called `name`. */
+export function logs(name: string, level: Level, format: "text" | "json"): (part: string) => Log {
+  const root = consola.createConsola({
+    level: LEVELS[level],
+    reporters: [format === "json" ? jsonLines(name) : plain(name)],
+  });
+  return (part) => {
+    const tagged = root.withTag(part);
+    return {
+      debug: (s) => {
+        tagged.debug(s);
+      },
+      info: (s) => {
+        tagged.info(s);
+      },
+      warn: (s) => {
+        tagged.warn(s);
+      },
+      error: (s) => {
+        tagged.error(s);
+      },
+    };
+  };
+}
+
+/** Says nothing; for tests and tools. */
+export const silent: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+/** An error's text for a log line. */
+export function why(err: unknown): string {
+  return err instanceof Error ? err.message : String(err);
+}
--- /dev/null
+++ b/src/link/body.ts
@@ -0,0 +1,50 @@
+/**
+ * Reading a body within a bound, and answering with a failure.
+ * @module
+ */
+import type * as http from "node:http";
+import * as outcome from "../request/outcome.js";
+import * as wire from "./wire.js";
+
+const MS_PER_S = 1000;
+
+/** Reads a whole body of at most `limit` bytes; throws a `StepError` of step `read` otherwise. */
+export async function read(
+  req: http.IncomingMessage,
+  limit: number,
+  peer: string,
+): Promise<Buffer> {
+  const tooLarge = outcome.notRun("too_large", "read", peer, `The body is over ${limit} bytes.`);
+  if (Number(req.headers["content-length"] ?? 0) > limit) throw tooLarge;
+  const parts: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const part of req as AsyncIterable<Buffer>) {
+      size += part.length;
+      if (size > limit) throw tooLarge;
+      parts.push(part);
+    }
+  } catch (err) {
+    if (err instanceof outcome.StepError) throw err;
+    throw outcome.notRun("bad_request", "read", peer, "The request broke off before its end.");
+  }
+  return Buffer.concat(parts);
+}
+
+/** Answers with a failure; once an answer has begun, cuts it so that nobody takes it for whole. */
+export function refuse(res: http.ServerResponse, f: outcome.Failure): void {
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  const text = JSON.stringify(outcome.toBody(f));
+  const wait = f.retryAfterMs;
+  res.writeHead(outcome.STATUS[f.code], {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    [wire.HEADER.outcome]: f.outcome,
+    ...(wait !== undefined && { "retry-after": String(Math.max(1, Math.ceil(wait / MS_PER_S))) }),
+    ...(f.code === "too_large" && { connection: "close" }),
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/src/link/control.ts
@@ -0,0 +1,190 @@
+/**
+ * Control calls between daemons, and from the command line to daemons, over tRPC. Each is signed
+ * with the cluster's key, its body included.
+ * @module
+ */
+import type * as http from "node:http";
+import * as client from "@trpc/client";
+import * as server from "@trpc/server";
+import * as standalone from "@trpc/server/adapters/standalone";
+import * as undici from "undici";
+import * as zod from "zod";
+import type * as clock from "../host/clock.js";
+import * as intent from "../contract/intent.js";
+import * as objects from "../contract/objects.js";
+import * as outcome from "../request/outcome.js";
+import * as body from "./body.js";
+import * as keys from "./keys.js";
+import * as wire from "./wire.js";
+
+/** Changesets newer than a revision, or the whole intent where the log no longer reaches back. */
+export const page = zod.discriminatedUnion("kind", [
+  zod.object({ kind: zod.literal("changes"), changes: zod.array(intent.changeset).readonly() }),
+  zod.object({
+    kind: zod.literal("whole"),
+    revision: zod.int(),
+    id: zod.string(),
+    objects: zod.array(objects.schema).readonly(),
+  }),
+]);
+export type Page = zod.infer<typeof page>;
+
+/** What became of an attempt, as the endpoint daemon that was meant to take it says. */
+export type Fate =
+  /** It was not dispatched and never will be. */
+  | { readonly kind: "not_run" }
+  /** It was dispatched; whether it still runs is not said. */
+  | { readonly kind: "dispatched" }
+  /** This daemon's life began after the attempt; only the former life knew. */
+  | { readonly kind: "unknown_epoch" };
+
+/** Figures of one daemon, for `sumacfield status`. */
+export interface Status {
+  readonly name: string;
+  readonly role: "entry" | "endpoint";
+  readonly failureDomain: string;
+  readonly state: string;
+  readonly revision: number;
+  readonly running: number;
+  readonly waiting: number;
+  readonly loaded: readonly string[];
+  readonly storeCalls: number;
+  readonly storeRefused: number;
+  readonly watching: boolean;
+  readonly controlBytes: number;
+  readonly rssBytes: number;
+  readonly cpuMs: number;
+  readonly histograms: readonly {
+    readonly name: string;
+    readonly caller: string;
+    readonly class: string;
+    readonly count: number;
+    readonly p50: number;
+    readonly p95: number;
+    readonly p99: number;
+  }[];
+}
+
+/** Asks for the deployment's turn at the weight store. */
+export const turnAsk = zod.object({
+  endpoint: zod.string(),
+  /** `adapter@version`. */
+  target: zod.string(),
+  /** Larger goes first. */
+  score: zod.number(),
+});
+export type TurnAsk = zod.infer<typeof turnAsk>;
+
+/** Whether an endpoint may load now. */
+export type TurnAnswer =
+  { readonly kind: "go" } | { readonly kind: "wait"; readonly askAgainMs: number };
+
+/** What a daemon does when it is called. */
+export interface Handler {
+  readonly news: () => wire.News | undefined;
+  readonly status: () => Status;
+  readonly changesAfter: (revision: number) => Page;
+  /** Takes news of the intent; answers the revision in force here after it. */
+  readonly learn: (page: Page) => number;
+  readonly cancel: (attempt: string, epoch: string) => Fate;
+  readonly askTurn: (ask: TurnAsk) => TurnAnswer;
+  readonly endTurn: (endpoint: string) => void;
+  readonly explain: (caller: string, model: string) => readonly string[];
+}
+
+const t = server.initTRPC.context<{ readonly handler: Handler }>().create();
+
+const router = t.router({
+  news: t.procedure.query(({ ctx }) => ctx.handler.news() ?? null),
+  status: t.procedure.query(({ ctx }) => ctx.handler.status()),
+  changesAfter: t.procedure
+    .input(zod.object({ revision: zod.int() }))
+    .query(({ ctx, input }) => ctx.handler.changesAfter(input.revision)),
+  learn: t.procedure.input(page).mutation(({ ctx, input }) => ctx.handler.learn(input)),
+  cancel: t.procedure
+    .input(zod.object({ attempt: zod.string(), epoch: zod.string() }))
+    .mutation(({ ctx, input }) => ctx.handler.cancel(input.attempt, input.epoch)),
+  askTurn: t.procedure.input(turnAsk).mutation(({ ctx, input }) => ctx.handler.askTurn(input)),
+  endTurn: t.procedure.input(zod.object({ endpoint: zod.string() })).mutation(({ ctx, input }) => {
+    ctx.handler.endTurn(input.endpoint);
+  }),
+  explain: t.procedure
+    .input(zod.object({ caller: zod.string(), model: zod.string() }))
+    .query(({ ctx, input }) => ctx.handler.explain(input.caller, input.model)),
+});
+type Router = typeof router;
+
+/** Control calls to one peer. They throw a `StepError`; a lost reply has the outcome `unknown`. */
+export type Peer = client.TRPCClient<Router>;
+
+/** Bytes of control that went through this daemon, both ways. */
+export interface Traffic {
+  bytes: number;
+}
+
+/** Largest control body, in bytes: the whole intent at the size to come, with room to spare. */
+const BODY_LIMIT = 32 * 1024 * 1024;
+/** Rough size of a control call's line and headers on the wire, in bytes. */
+const HEAD_BYTES = 400;
+
+/** Serves control calls under {@link wire.CONTROL_PATH}; a call without a good signature gets 401. */
+export function serve(
+  name: string,
+  handler: Handler,
+  verify: ReturnType<typeof keys.verifier>,
+  traffic: Traffic,
+): (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void> {
+  const handle = standalone.createHTTPHandler({
+    router,
+    basePath: `${wire.CONTROL_PATH}/`,
+    createContext: () => ({ handler }),
+  });
+  return async (req, res) => {
+    const peer = req.socket.remoteAddress ?? "gone";
+    try {
+      const text = await body.read(req, BODY_LIMIT, peer);
+      const method = req.method ?? "";
+      const path = req.url ?? "";
+      const covers = [keys.sha256(text)];
+      verify(req.headers.authorization, { method, path, audience: name, covers }, peer);
+      traffic.bytes += HEAD_BYTES + path.length + text.length;
+      handle(Object.assign(req, { body: text.toString() }), res);
+    } catch (err) {
+      body.refuse(res, outcome.toFailure(err, "control", peer, "not_run"));
+    }
+  };
+}
+
+/** A client for the daemon `name` at `address` (`ip:port`). */
+export function connect(
+  address: string,
+  name: string,
+  ring: keys.Keys,
+  clk: clock.Clock,
+  timeoutMs: number,
+  traffic: Traffic,
+): Peer {
+  const signed: typeof fetch = async (input, init) => {
+    const url = new URL(input instanceof Request ? input.url : input);
+    const method = init?.method ?? "GET";
+    const path = url.pathname + url.search;
+    const text = typeof init?.body === "string" ? init.body : "";
+    const covers = [keys.sha256(text)];
+    const headers = {
+      "content-type": "application/json",
+      authorization: keys.sign(ring, { method, path, audience: name, covers }, clk),
+    };
+    const res = await undici.fetch(url, {
+      method,
+      headers,
+      body: text === "" ? null : text,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    traffic.bytes += HEAD_BYTES + path.length + text.length;
+    traffic.bytes += Number(res.headers.get("content-length") ?? 0);
+    return res as unknown as Response;
+  };
+  return client.createTRPCClient<Router>({
+    links: [client.httpLink({ url: `http://${address}${wire.CONTROL_PATH}`, fetch: signed })],
+  });
+}
--- /dev/null
+++ b/test/path.test.ts
@@ -0,0 +1,61 @@
+import * as chai from "chai";
+import * as site from "./site.js";
+
+const { expect } = chai;
+
+describe("whole path", () => {
+  let s: site.Site;
+  before(async () => {
+    s = await site.Site.start({ engines: 3, entries: 2, service: true });
+  });
+  after(() => s.stop());
+
+  it("answers on the adapter and version named", async () => {
+    const a = await s.ask("captions@2", { prompt: "hello", tokens: 2 });
+    expect(a.status).equal(200);
+    expect(site.textOf(a)).equal("captions@2:hello:0 captions@2:hello:1 ");
+    expect((JSON.parse(a.text) as { model: string }).model).equal("captions@2");
+  });
+
+  it("fixes the current version at acceptance", async () => {
+    const a = await s.ask("captions", { prompt: "p", tokens: 1, at: 1 });
+    expect(site.textOf(a)).equal("captions@1:p:0 ");
+    expect(a.headers["sumacfield-model"]).equal("captions@1");
+  });
+
+  it("streams to the end mark", async () => {
+    const a = await s.ask("notes", { prompt: "p", tokens: 3, stream: true });
+    expect(a.headers["content-type"]).equal("text/event-stream");
+    expect(a.broken).equal(false);
+    expect(a.text.match(/"text":"notes@1:p:\d "/g)).length(3);
+    expect(a.text.endsWith("data: [DONE]\n\n")).equal(true);
+  });
+
+  it("passes a call to a plain service", async () => {
+    const a = await s.call("POST", "/services/cutover/confirm?n=7", "number 7");
+    expect(a.status).equal(200);
+    expect(s.services?.service.ran.at(-1)).eql({
+      method: "POST",
+      path: "/confirm?n=7",
+      body: "number 7",
+    });
+  });
+
+  it("refuses a key it does not know", async () => {
+    const a = await s.ask("captions", { by: "stranger" });
+    expect(a.status).equal(401);
+    expect(site.errorOf(a)).include({ code: "unauthorized", outcome: "not_run" });
+  });
+
+  it("refuses a model it does not have", async () => {
+    const a = await s.ask("captions@9");
+    expect(a.status).equal(404);
+    expect(site.errorOf(a)).include({ code: "not_found", outcome: "not_run" });
+  });
+
+  it("lists the models a caller may use", async () => {
+    const a = await s.call("GET", "/v1/models", "");
+    const { data } = JSON.parse(a.text) as { data: readonly { id: string }[] };
+    expect(data.map((m) => m.id)).include.members(["captions", "captions@1", "captions@2"]);
+  });
+});
--- /dev/null
+++ b/test/site.ts
@@ -0,0 +1,406 @@
+/**
+ * A small site in one process: stand-ins, daemons and an intent, built from a few words.
+ * @module
+ */
+import * as crypto from "node:crypto";
+import * as undici from "undici";
+import type * as objects from "../src/contract/objects.js";
+import * as endpoint from "../src/endpoint/daemon.js";
+import * as entry from "../src/entry/daemon.js";
+import * as clock from "../src/host/clock.js";
+import * as settings from "../src/host/settings.js";
+import * as control from "../src/link/control.js";
+import * as keys from "../src/link/keys.js";
+import * as change from "../src/operator/change.js";
+import * as etcd from "../src/platform/etcd.js";
+import * as hosts from "../src/platform/hosts.js";
+import * as engines from "../src/standin/engine.js";
+import * as hostLists from "../src/standin/hosts.js";
+import * as services from "../src/standin/service.js";
+import * as stores from "../src/standin/store.js";
+import * as weightStores from "../src/standin/weights.js";
+
+export const KEY = "test-cluster-key-0001";
+export const BASE = "base-7b";
+const V = "sumacfield/v1";
+
+export const callerKey = (name: string): string => `key-of-${name}`;
+
+export const domain = (name: string, labels = {}): objects.Obj => ({
+  apiVersion: V,
+  kind: "FailureDomain",
+  metadata: { name, labels },
+  spec: {},
+});
+
+export const host = (name: string, failureDomain: string, labels = {}): objects.Obj => ({
+  apiVersion: V,
+  kind: "Host",
+  metadata: { name, labels },
+  spec: { failureDomain },
+});
+
+export const engineAt = (
+  name: string,
+  hostName: string,
+  spec: Partial<objects.Endpoint["spec"]> = {},
+  labels = {},
+): objects.Obj => ({
+  apiVersion: V,
+  kind: "Endpoint",
+  metadata: { name, labels },
+  spec: {
+    host: hostName,
+    serves: "engine",
+    baseModel: BASE,
+    slots: 4,
+    seats: 4,
+    fencing: "ignored",
+    ...spec,
+  },
+});
+
+export const serviceAt = (name: string, hostName: string, service: string): objects.Obj => ({
+  apiVersion: V,
+  kind: "Endpoint",
+  metadata: { name, labels: {} },
+  spec: { host: hostName, serves: "service", service, slots: 1, seats: 8, fencing: "ignored" },
+});
+
+export const adapter = (
+  name: string,
+  source: string,
+  versions: readonly string[] = ["1", "2"],
+  current = versions[0] ?? "1",
+  labels = {},
+): objects.Obj => ({
+  apiVersion: V,
+  kind: "Adapter",
+  metadata: { name, labels },
+  spec: {
+    baseModel: BASE,
+    versions: versions.map((version) => ({ version, source: `${source}/${name}/${version}` })),
+    current,
+  },
+});
+
+export const service = (name: string): objects.Obj => ({
+  apiVersion: V,
+  kind: "Service",
+  metadata: { name, labels: {} },
+  spec: { repeatable: ["GET", "HEAD", "OPTIONS"] },
+});
+
+export const caller = (name: string, cls = "standard", labels = {}): objects.Obj => ({
+  apiVersion: V,
+  kind: "Caller",
+  metadata: { name, labels },
+  spec: { keys: [keys.sha256(callerKey(name))], class: cls },
+});
+
+export const grant = (name: string, spec: Partial<objects.Grant["spec"]> = {}): objects.Obj => ({
+  apiVersion: V,
+  kind: "Grant",
+  metadata: { name, labels: {} },
+  spec: {
+    callers: {},
+    limits: {},
+    ...(spec.services ? {} : { adapters: {} }),
+    ...spec,
+  },
+});
+
+export const placement = (
+  name: string,
+  spec: Partial<objects.Placement["spec"]> = {},
+): objects.Obj => ({
+  apiVersion: V,
+  kind: "Placement",
+  metadata: { name, labels: {} },
+  spec: { endpoints: {}, ...(spec.services ? {} : { adapters: {} }), ...spec },
+});
+
+/** Settings that make daemons quick enough for tests. */
+const QUICK = {
+  clusterKeys: KEY,
+  linkAddress: "127.0.0.1:0",
+  callersAddress: "127.0.0.1:0",
+  logLevel: "error",
+  hostsEveryMs: "50",
+  syncEveryMs: "100",
+  storeCheckMs: "200",
+  askEveryMs: "50",
+  engineEveryMs: "50",
+  engineLagMs: "100",
+  drainMs: "150",
+  guessLoadMs: "20",
+  guessServiceMs: "50",
+  retryLoadMs: "100",
+  retryAfterMs: "50",
+  storeTimeoutMs: "400",
+  controlTimeoutMs: "400",
+  storeCallsPerS: "1000",
+};
+
+/** An answer as a caller got it; `broken` when it was cut before its end. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly text: string;
+  readonly broken: boolean;
+}
+
+/** What a test may set of a site. */
+export interface Plan {
+  readonly engines?: number;
+  readonly entries?: number;
+  readonly domains?: readonly string[];
+  readonly slots?: number;
+  readonly seats?: number;
+  readonly stepMs?: number;
+  readonly loadMs?: number;
+  readonly fencing?: "honoured" | "ignored";
+  readonly adapters?: readonly string[];
+  readonly service?: boolean;
+  readonly objects?: readonly objects.Obj[];
+  readonly settings?: Readonly<Record<string, string>>;
+}
+
+export class Site {
+  readonly engines: Awaited<ReturnType<typeof engines.start>>[] = [];
+  readonly endpoints: endpoint.Running[] = [];
+  readonly entries: entry.Running[] = [];
+  services: Awaited<ReturnType<typeof services.start>> | undefined;
+
+  private constructor(
+    readonly plan: Plan,
+    readonly store: Awaited<ReturnType<typeof stores.start>>,
+    readonly list: Awaited<ReturnType<typeof hostLists.start>>,
+    readonly weights: Awaited<ReturnType<typeof weightStores.start>>,
+  ) {}
+
+  /** Starts everything and waits until every daemon serves. */
+  static async start(plan: Plan = {}): Promise<Site> {
+    const site = new Site(
+      plan,
+      await stores.start(),
+      await hostLists.start(),
+      await weightStores.start(plan.loadMs ?? 10),
+    );
+    await site.declare(site.objects());
+    for (let i = 0; i < (plan.engines ?? 2); i++) await site.addEngine(i);
+    if (plan.service) await site.addService();
+    for (let i = 0; i < (plan.entries ?? 1); i++) await site.addEntry(i);
+    await site.settle();
+    return site;
+  }
+
+  domainOf(i: number): string {
+    const domains = this.plan.domains ?? ["qld-se-a", "qld-se-b", "qld-se-c"];
+    return domains[i % domains.length] ?? "";
+  }
+
+  private objects(): readonly objects.Obj[] {
+    const { plan } = this;
+    const spec = {
+      slots: plan.slots ?? 4,
+      seats: plan.seats ?? 4,
+      fencing: plan.fencing ?? ("ignored" as const),
+    };
+    const domains = plan.domains ?? ["qld-se-a", "qld-se-b", "qld-se-c"];
+    const count = plan.engines ?? 2;
+    const numbers = Array.from({ length: count }, (_, i) => i);
+    const names = plan.adapters ?? ["captions", "summaries", "notes"];
+    return [
+      ...domains.map((d) => domain(d)),
+      ...numbers.map((i) => host(`host-${i}`, this.domainOf(i))),
+      ...numbers.map((i) => engineAt(`engine-${i}`, `host-${i}`, spec)),
+      ...names.map((n) => adapter(n, this.weights.url)),
+      caller("wattle", "captions"),
+      caller("levant", "disputes"),
+      grant("all"),
+      placement("anywhere"),
+      ...(plan.service
+        ? [
+            service("cutover"),
+            host("host-service", this.domainOf(0)),
+            serviceAt("service-0", "host-service", "cutover"),
+            grant("cutover", { services: {} }),
+            placement("cutover", { services: {} }),
+          ]
+        : []),
+      ...(plan.objects ?? []),
+    ];
+  }
+
+  config(name: string, failureDomain: string, more: Readonly<Record<string, string>>) {
+    return {
+      ...QUICK,
+      name,
+      failureDomain,
+      storeUrl: this.store.url,
+      hostsUrl: this.list.url,
+      ...this.plan.settings,
+      ...more,
+    };
+  }
+
+  async addEngine(i: number): Promise<void> {
+    this.engines[i] ??= await engines.start({
+      slots: this.plan.slots ?? 4,
+      seats: this.plan.seats ?? 4,
+      stepMs: this.plan.stepMs ?? 1,
+      baseModel: BASE,
+      fencing: this.plan.fencing === "honoured",
+    });
+    await this.addEndpoint(i);
+  }
+
+  /** Starts (again) the endpoint daemon beside engine `i`. */
+  async addEndpoint(i: number): Promise<endpoint.Running> {
+    const backendUrl = this.engines[i]?.url ?? "";
+    const cfg = this.config(`engine-${i}`, this.domainOf(i), { backendUrl });
+    const running = await endpoint.start(settings.read(endpoint.SETTINGS, cfg, {}));
+    this.endpoints[i] = running;
+    this.listEndpoint(`engine-${i}`, running, this.domainOf(i));
+    return running;
+  }
+
+  listEndpoint(name: string, at: endpoint.Running, failureDomain: string, leaving = false): void {
+    const address = at.linkAddress;
+    this.list.hosts.put({ name, role: "endpoint", failureDomain, address, leaving });
+  }
+
+  private async addService(): Promise<void> {
+    this.services = await services.start();
+    const cfg = this.config("service-0", this.domainOf(0), { backendUrl: this.services.url });
+    const running = await endpoint.start(settings.read(endpoint.SETTINGS, cfg, {}));
+    this.endpoints.push(running);
+    this.listEndpoint("service-0", running, this.domainOf(0));
+  }
+
+  async addEntry(i: number): Promise<entry.Running> {
+    const failureDomain = this.domainOf(i);
+    const cfg = this.config(`entry-${i}`, failureDomain, {});
+    const running = await entry.start(settings.read(entry.SETTINGS, cfg, {}));
+    this.entries[i] = running;
+    const address = running.linkAddress;
+    const name = `entry-${i}`;
+    this.list.hosts.put({ name, role: "entry", failureDomain, address, leaving: false });
+    return running;
+  }
+
+  /** The operator's hands. */
+  operator(waitMs = 3000, by = "operator"): change.Deps {
+    const spend = (): void => undefined;
+    const traffic = { bytes: 0 };
+    return {
+      clock: clock.system,
+      store: etcd.open({ url: this.store.url, timeoutMs: 400, spend }),
+      hosts: hosts.endpointSlices(this.list.url, 400),
+      peer: (m) => control.connect(m.address, m.name, [KEY], clock.system, 400, traffic),
+      by,
+      waitMs,
+      lookMs: 20,
+    };
+  }
+
+  declare(puts: readonly objects.Obj[], deletes: readonly string[] = []): Promise<change.Applied> {
+    return change.apply({ puts, deletes }, this.operator());
+  }
+
+  /** Waits until every daemon has the newest intent, serves, and is known to every entry daemon. */
+  async settle(): Promise<void> {
+    await until(() => {
+      const want = Math.max(...this.daemons().map((d) => d.parts.feed.intent().revision));
+      return (
+        this.daemons().every((d) => d.parts.feed.intent().revision === want) &&
+        this.endpoints.every((e) => e.gate()?.news().state === "serving") &&
+        this.entries.every((e) =>
+          this.endpoints.every((p) => e.views.get(p.parts.cfg.name)?.news?.epoch === p.parts.epoch),
+        )
+      );
+    });
+  }
+
+  private daemons() {
+    return [...this.endpoints, ...this.entries];
+  }
+
+  /** One request for a model through entry `at`. */
+  ask(
+    model: string,
+    more: {
+      readonly by?: string;
+      readonly at?: number;
+      readonly prompt?: string;
+      readonly tokens?: number;
+      readonly stream?: boolean;
+      readonly headers?: Readonly<Record<string, string>>;
+    } = {},
+  ): Promise<Answer> {
+    const body = JSON.stringify({
+      model,
+      prompt: more.prompt ?? crypto.randomUUID(),
+      max_tokens: more.tokens ?? 4,
+      stream: more.stream ?? false,
+    });
+    return this.call("POST", "/v1/completions", body, more);
+  }
+
+  async call(
+    method: string,
+    path: string,
+    body: string,
+    more: {
+      readonly by?: string;
+      readonly at?: number;
+      readonly headers?: Readonly<Record<string, string>>;
+    } = {},
+  ): Promise<Answer> {
+    const at = this.entries[more.at ?? 0]?.callersAddress ?? "";
+    const res = await undici.request(`http://${at}${path}`, {
+      method: method,
+      headers: { authorization: `Bearer ${callerKey(more.by ?? "wattle")}`, ...more.headers },
+      body: body === "" ? null : body,
+      headersTimeout: 15_000,
+      bodyTimeout: 15_000,
+    });
+    let text = "";
+    let broken = false;
+    try {
+      for await (const part of res.body as AsyncIterable<Buffer>) text += part.toString();
+    } catch {
+      broken = true;
+    }
+    return { status: res.statusCode, headers: res.headers, text, broken };
+  }
+
+  /** Everything the engines did, one after the other. */
+  journal(): readonly engines.Event[] {
+    return this.engines.flatMap((e) => e.engine.journal);
+  }
+
+  async stop(): Promise<void> {
+    for (const e of this.entries) e.kill();
+    for (const e of this.endpoints) e.kill();
+    const standIns = [...this.engines, this.services, this.store, this.list, this.weights];
+    await Promise.all(standIns.map(async (s) => s?.close()));
+  }
+}
+
+/** Waits until `holds`; a test that waits in vain fails by mocha's own limit. */
+export async function until(holds: () => boolean, everyMs = 10): Promise<void> {
+  while (!holds()) await new Promise((r) => setTimeout(r, everyMs));
+}
+
+/** The failure in an answer's body. */
+export function errorOf(a: Answer): Readonly<Record<string, unknown>> {
+  return (JSON.parse(a.text) as { error: Record<string, unknown> }).error;
+}
+
+/** The text of a whole answer that is not a stream. */
+export function textOf(a: Answer): string {
+  const { choices } = JSON.parse(a.text) as { choices: readonly { text: string }[] };
+  return choices[0]?.text ?? "";
+}
