--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -1,5 +1,5 @@
 import * as chai from "chai";
-import * as site from "./site.js";
+import * as site from "../bench/site.js";
 
 const { expect } = chai;
 
