--- /dev/null
+++ b/bench/red/switches.ts
@@ -0,0 +1,265 @@
+/**
+ * The mechanisms that proofs rest on, each with the edit that switches it off.
+ * @module
+ */
+
+/** One mechanism switched off, and the scenario that must fail then. */
+export interface Switch {
+  /** The mechanism. */
+  readonly name: string;
+  /** Compiled file, below `dist/src`. */
+  readonly file: string;
+  /** Text that stands there once, and what replaces it. */
+  readonly find: string;
+  readonly put: string;
+  /** Title of the scenario or test that proves the mechanism. */
+  readonly proof: string;
+}
+
+export const SWITCHES: readonly Switch[] = [
+  {
+    name: "the answer's model is checked",
+    file: "endpoint/answer.js",
+    find: "if (fields.model !== e.name)",
+    put: "if (false)",
+    proof: "an engine answers for another model",
+  },
+  {
+    name: "the answer's id is checked",
+    file: "endpoint/answer.js",
+    find: 'typeof fields.id !== "string" || !fields.id.includes(e.id)',
+    put: "false",
+    proof: "an engine answers with another request's id",
+  },
+  {
+    name: "the version is fixed at acceptance",
+    file: "endpoint/gate.js",
+    find: "? `${work.adapter}@${work.version}`",
+    put: "? `${work.adapter}@1`",
+    proof: "a version is replaced while requests run",
+  },
+  {
+    name: "an adapter missing on the engine is loaded again",
+    file: "endpoint/server.js",
+    find: "place.seat = await seat.again();",
+    put: "break;",
+    proof: "an engine comes back cold between requests",
+  },
+  {
+    name: "pins keep adapters in use",
+    file: "endpoint/slot.js",
+    find: "pins: slot.pins + 1",
+    put: "pins: slot.pins",
+    proof: "another adapter is wanted by an engine of one slot",
+  },
+  {
+    name: "the place of a cancelled attempt is kept until the engine's counts show it gone",
+    file: "endpoint/gate.js",
+    find: "if (this.deps.engine)\n                    this.ghosts.set(id, this.deps.clock.mono());\n                else\n                    this.release(id);",
+    put: "this.release(id);",
+    proof: "a caller goes away, and the engine goes on for a while",
+  },
+  {
+    name: "a name is never used twice on an engine",
+    file: "endpoint/gate.js",
+    find: "${EPOCH_MARK}${this.opts.epoch}.${this.names}`",
+    put: "${EPOCH_MARK}${this.opts.epoch}.0`",
+    proof: "an unload takes effect late, after its reply was lost",
+  },
+  {
+    name: "a daemon without the hold on its engine takes no work",
+    file: "platform/lease.js",
+    find: 'this.life.send({ type: "beaten" });',
+    put: "",
+    proof: "a second endpoint daemon is started on an engine that ignores fencing numbers",
+  },
+  {
+    name: "orders carry the fencing number",
+    file: "platform/lease.js",
+    find: "this.number = done.revision;",
+    put: "this.number = 1;",
+    proof: "the holder pauses, and orders with its old number afterwards",
+  },
+  {
+    name: "names of a holder that did not hand over are not used",
+    file: "platform/lease.js",
+    find: "return mark.handedOver ?",
+    put: "return true ?",
+    proof: "a daemon is killed, and its successor finds its adapters",
+  },
+  {
+    name: "a stream without its end mark is cut",
+    file: "endpoint/answer.js",
+    find: "throw broken(e, `The engine's stream broke off",
+    put: "return; throw broken(e, `The engine's stream broke off",
+    proof: "a stream breaks in the middle",
+  },
+  {
+    name: "an answer cut on the link between daemons is cut for its caller",
+    file: "entry/server.js",
+    find: "() => res.destroy());",
+    put: "() => res.end());",
+    proof: "the endpoint daemon is killed in the middle of a stream",
+  },
+  {
+    name: "a repeatable request is tried elsewhere before its first byte",
+    file: "request/trail.js",
+    find: "c.repeatable || c.doubts === 0",
+    put: "c.doubts === 0",
+    proof: "the endpoint daemon is killed before the first byte",
+  },
+  {
+    name: "a broken attempt leaves a doubt",
+    file: "request/trail.js",
+    find: "({ context: c }) => c.doubts + 1",
+    put: "({ context: c }) => c.doubts",
+    proof: "the endpoint daemon dies between acceptance and dispatch",
+  },
+  {
+    name: "an attempt given up is refused when it arrives",
+    file: "endpoint/register.js",
+    find: 'this.stages.set(id, "given_up");',
+    put: "",
+    proof: "a request that is given up arrives late",
+  },
+  {
+    name: "an attempt is not dispatched after its deadline",
+    file: "endpoint/plan.js",
+    find: "s.waiting.filter((w) => w.dueAt <= now)",
+    put: "[]",
+    proof: "the deadline passes while the adapter is loaded",
+  },
+  {
+    name: "the queue is bounded",
+    file: "endpoint/plan.js",
+    find: "s.waiting.length >= s.opts.queue",
+    put: "false",
+    proof: "more than the site can hold",
+  },
+  {
+    name: "an idempotency key is claimed in the store",
+    file: "entry/server.js",
+    find: "if (key !== undefined)\n",
+    put: "if (false)\n",
+    proof: "the same key through two entry hosts at once",
+  },
+  {
+    name: "a request not to be repeated is sent once after a doubt",
+    file: "request/trail.js",
+    find: "c.repeatable || c.doubts === 0",
+    put: "true",
+    proof: "the endpoint daemon is killed in the middle",
+  },
+  {
+    name: "calls to a service that may not be repeated are not",
+    file: "entry/server.js",
+    find: "a.wishes.repeatable && target.spec.repeatable.includes(method)",
+    put: "true",
+    proof: "the service's reply is lost",
+  },
+  {
+    name: "a claim whose reply was lost is asked for again",
+    file: "request/claims.js",
+    find: "return this.deps.store.create(puts);\n        }\n    }",
+    put: "throw err;\n        }\n    }",
+    proof: "the store loses the reply to a claim",
+  },
+  {
+    name: "without the store, nothing with a key runs",
+    file: "request/claims.js",
+    find: "p.reject(unproved(err));",
+    put: "p.resolve();",
+    proof: "the store is down",
+  },
+  {
+    name: "a claim is given back when its request did not run",
+    file: "entry/server.js",
+    find: 'if (claim && f.outcome === "not_run")',
+    put: "if (false)",
+    proof: "a request that did not run can be sent again with its key",
+  },
+  {
+    name: "a leaving daemon refuses work and says so",
+    file: "endpoint/gate.js",
+    find: 'this.life.send({ type: "drain" });',
+    put: "",
+    proof: "the daemon is told to stop while the list of hosts lags",
+  },
+  {
+    name: "entry daemons heed the list of hosts",
+    file: "entry/view.js",
+    find: "if (v.leaving)",
+    put: "if (false)",
+    proof: "the list of hosts says so",
+  },
+  {
+    name: "the drain label keeps work away",
+    file: "contract/intent.js",
+    find: 'return labelsOf(intent, e)[DRAIN_LABEL] === "true";',
+    put: "return false;",
+    proof: "an operator drains it",
+  },
+  {
+    name: "a stopping endpoint daemon waits for what runs",
+    file: "endpoint/daemon.js",
+    find: "await Promise.all([at?.gate.quiet(), clock.sleep(clk, cfg.drainMs)]);",
+    put: "link.closeAllConnections();",
+    proof: "an endpoint daemon stops while it streams",
+  },
+  {
+    name: "a stopping entry daemon waits for what runs",
+    file: "entry/daemon.js",
+    find: "await daemon.close(callers, clk);",
+    put: "callers.closeAllConnections();",
+    proof: "an entry daemon stops while it streams",
+  },
+  {
+    name: "a stopping endpoint daemon hands back what waits",
+    file: "endpoint/gate.js",
+    find: 'this.withdrawAll("leaving", "The endpoint is leaving.");',
+    put: "",
+    proof: "an endpoint daemon stops with work in its queue",
+  },
+  {
+    name: "daemons pass changes on to each other",
+    file: "host/feed.js",
+    find: "if (changes.length > 0)\n            this.passOn(from);",
+    put: "",
+    proof: "a change reaches peers at once",
+  },
+  {
+    name: "daemons ask each other for what they lack",
+    file: "host/feed.js",
+    find: "this.learn(await this.deps.peer(m).changesAfter.query({ revision: this.current.revision }));",
+    put: "",
+    proof: "a daemon starts while the store is down",
+  },
+  {
+    name: "an operator's lost reply is settled by reading",
+    file: "platform/journal.js",
+    find: 'return settle(st, change).catch(() => ({ kind: "unknown", why: err.message }));',
+    put: 'return { kind: "unknown", why: err.message };',
+    proof: "the store loses the reply to the change",
+  },
+  {
+    name: "a change is compared with the head it follows",
+    file: "platform/journal.js",
+    find: "compares: [{ key: HEAD, revision }],\n            puts: [\n                { key: HEAD",
+    put: "compares: [],\n            puts: [\n                { key: HEAD",
+    proof: "two operators change the same object at once",
+  },
+  {
+    name: "older intent is never put in force",
+    file: "host/feed.js",
+    find: "if (head.revision < was.revision) {",
+    put: "if (head.revision < was.revision) { this.current = { revision: 0, id: '', objects: new Map() }; return this.catchUp();",
+    proof: "the store is restored from a backup",
+  },
+  {
+    name: "a revoked grant is gone",
+    file: "contract/intent.js",
+    find: "for (const key of change.deletes)",
+    put: "for (const key of [])",
+    proof: "a grant is revoked",
+  },
+];
--- a/bench/site.ts
+++ b/bench/site.ts
@@ -123,6 +123,7 @@
 /** Settings that make daemons quick enough for tests. */
 const QUICK = {
   clusterKeys: KEY,
+  leaseMs: "1000",
   linkAddress: "127.0.0.1:0",
   callersAddress: "127.0.0.1:0",
   logLevel: "error",
@@ -150,6 +151,19 @@
   readonly broken: boolean;
 }
 
+/** Adapters of a site that names none; enough for each engine to have some on the ring. */
+export const ADAPTERS: readonly string[] = [
+  "captions",
+  "summaries",
+  "notes",
+  "listings",
+  "rulings",
+  "holds",
+  "claims",
+  "bulletins",
+];
+const SERVICE_ENDPOINTS = 2;
+
 /** What a test may set of a site. */
 export interface Plan {
   readonly engines?: number;
@@ -210,7 +224,7 @@
     const domains = plan.domains ?? ["qld-se-a", "qld-se-b", "qld-se-c"];
     const count = plan.engines ?? 2;
     const numbers = Array.from({ length: count }, (_, i) => i);
-    const names = plan.adapters ?? ["captions", "summaries", "notes"];
+    const names = plan.adapters ?? ADAPTERS;
     return [
       ...domains.map((d) => domain(d)),
       ...numbers.map((i) => host(`host-${i}`, this.domainOf(i))),
@@ -224,7 +238,9 @@
         ? [
             service("cutover"),
             host("host-service", this.domainOf(0)),
-            serviceAt("service-0", "host-service", "cutover"),
+            ...Array.from({ length: SERVICE_ENDPOINTS }, (_, i) =>
+              serviceAt(`service-${i}`, "host-service", "cutover"),
+            ),
             grant("cutover", { services: {} }),
             placement("cutover", { services: {} }),
           ]
@@ -256,11 +272,12 @@
     await this.addEndpoint(i);
   }
 
-  /** Starts (again) the endpoint daemon beside engine `i`. */
-  async addEndpoint(i: number): Promise<endpoint.Running> {
+  /** Starts (again) the endpoint daemon beside engine `i`; `extra` ones are not listed. */
+  async addEndpoint(i: number, extra = false): Promise<endpoint.Running> {
     const backendUrl = this.engines[i]?.url ?? "";
     const cfg = this.config(`engine-${i}`, this.domainOf(i), { backendUrl });
     const running = await endpoint.start(settings.read(endpoint.SETTINGS, cfg, {}));
+    if (extra) return running;
     this.endpoints[i] = running;
     this.listEndpoint(`engine-${i}`, running, this.domainOf(i));
     return running;
@@ -273,10 +290,13 @@
 
   private async addService(): Promise<void> {
     this.services = await services.start();
-    const cfg = this.config("service-0", this.domainOf(0), { backendUrl: this.services.url });
-    const running = await endpoint.start(settings.read(endpoint.SETTINGS, cfg, {}));
-    this.endpoints.push(running);
-    this.listEndpoint("service-0", running, this.domainOf(0));
+    for (let i = 0; i < SERVICE_ENDPOINTS; i++) {
+      const name = `service-${i}`;
+      const cfg = this.config(name, this.domainOf(0), { backendUrl: this.services.url });
+      const running = await endpoint.start(settings.read(endpoint.SETTINGS, cfg, {}));
+      this.endpoints.push(running);
+      this.listEndpoint(name, running, this.domainOf(0));
+    }
   }
 
   async addEntry(i: number): Promise<entry.Running> {
@@ -317,7 +337,10 @@
         this.daemons().every((d) => d.parts.feed.intent().revision === want) &&
         this.endpoints.every((e) => e.gate()?.news().state === "serving") &&
         this.entries.every((e) =>
-          this.endpoints.every((p) => e.views.get(p.parts.cfg.name)?.news?.epoch === p.parts.epoch),
+          this.endpoints.every((p) => {
+            const news = e.views.get(p.parts.cfg.name)?.news;
+            return news?.epoch === p.parts.epoch && news.state === "serving";
+          }),
         )
       );
     });
@@ -376,6 +399,21 @@
     return { status: res.statusCode, headers: res.headers, text, broken };
   }
 
+  /** Asks, and goes away as soon as `when` holds. */
+  async askAndLeave(model: string, tokens: number, when: () => boolean): Promise<void> {
+    const gone = new AbortController();
+    const asked = undici.request(`http://${this.entries[0]?.callersAddress ?? ""}/v1/completions`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${callerKey("wattle")}` },
+      body: JSON.stringify({ model, prompt: "p", max_tokens: tokens }),
+      signal: gone.signal,
+    });
+    const ended = asked.catch(() => undefined);
+    await until(when);
+    gone.abort();
+    await ended;
+  }
+
   /** Everything the engines did, one after the other. */
   journal(): readonly engines.Event[] {
     return this.engines.flatMap((e) => e.engine.journal);
@@ -389,9 +427,16 @@
   }
 }
 
-/** Waits until `holds`; a test that waits in vain fails by mocha's own limit. */
+/** Looks at a condition at most; more would outlast any test. */
+const LOOKS = 800;
+
+/** Waits until `holds`; throws after {@link LOOKS} looks in vain. */
 export async function until(holds: () => boolean, everyMs = 10): Promise<void> {
-  while (!holds()) await new Promise((r) => setTimeout(r, everyMs));
+  for (let i = 0; i < LOOKS; i++) {
+    if (holds()) return;
+    await new Promise((r) => setTimeout(r, everyMs));
+  }
+  throw new Error(`waited in vain until ${holds.toString()}`);
 }
 
 /** The failure in an answer's body. */
--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -73,8 +73,8 @@
     default: "1000",
   }),
   turnHoldMs: settings.int("turnHoldMs", 1, {
-    help: "Time after which a turn that was not given back is free, in ms.",
-    default: "10000",
+    help: "Time after which a turn that was neither kept nor given back is free, in ms.",
+    default: "2000",
   }),
   guessLoadMs: settings.int("guessLoadMs", 0, {
     help: "First guess of one load, in ms, until some were measured.",
@@ -281,7 +281,7 @@
       at?.gate.drain();
       await Promise.all([at?.gate.quiet(), clock.sleep(clk, cfg.drainMs)]);
       stop.abort();
-      await daemon.close(link);
+      await daemon.close(link, clk);
       await holder.handOver().catch((err: unknown) => {
         lg.warn(`The engine was not handed over: ${log.why(err)}`);
       });
--- a/src/endpoint/gate.ts
+++ b/src/endpoint/gate.ts
@@ -77,8 +77,8 @@
   readonly end: () => void;
   /** Cancelled: the place is kept until the engine's counts show that it stopped. */
   readonly abandon: () => void;
-  /** The engine said it does not hold the adapter. */
-  readonly missing: () => void;
+  /** The engine said it does not hold the adapter, so nothing ran: waits for another place. */
+  readonly again: () => Promise<Seat>;
 }
 
 interface Offer {
@@ -139,7 +139,7 @@
       endpoint: this.opts.name,
       epoch: this.opts.epoch,
       seq: this.seq,
-      state: this.life.state(),
+      state: this.deps.hold.lost() ? "learning" : this.life.state(),
       running: this.state.running.size,
       waiting: this.state.waiting.length,
       seats: this.state.opts.seats,
@@ -356,10 +356,17 @@
     if (waited.needsAdapter) this.deps.metrics.observe("load_stall", stallMs, labels);
     const fill = (100 * this.state.running.size) / this.state.opts.seats;
     this.deps.metrics.observe("batch_fill", fill, labels);
-    offer.resolve(this.seat(id, name, stallMs, now));
+    offer.resolve(this.seat(offer, waited, name, stallMs, now));
   }
 
-  private seat(id: string, name: string, stallMs: number, dispatchedAt: number): Seat {
+  private seat(
+    offer: Offer,
+    waited: plan.Waiting,
+    name: string,
+    stallMs: number,
+    dispatchedAt: number,
+  ): Seat {
+    const { id } = waited;
     let open = true;
     const once = (run: () => void) => () => {
       if (!open) return;
@@ -378,13 +385,26 @@
         if (this.deps.engine) this.ghosts.set(id, this.deps.clock.mono());
         else this.release(id);
       }),
-      missing: once(() => {
-        this.release(id);
-        this.forget(name);
-      }),
+      again: () => {
+        once(() => {
+          this.state = plan.end(this.state, id);
+          this.forget(name);
+        })();
+        return this.readmit(offer, waited);
+      },
     };
   }
 
+  /** An attempt that the engine certainly did not run waits again, as long ago as it came. */
+  private readmit(offer: Offer, waited: plan.Waiting): Promise<Seat> {
+    this.register.undispatched(waited.id);
+    return new Promise((resolve, reject) => {
+      this.offers.set(waited.id, { ...offer, resolve, reject });
+      this.state = { ...this.state, waiting: [...this.state.waiting, waited] };
+      this.tick();
+    });
+  }
+
   private release(id: string): void {
     this.state = plan.end(this.state, id);
     this.settled();
@@ -395,7 +415,6 @@
   private forget(name: string): void {
     if (!this.state.slots.byName.has(name)) return;
     this.move(name, { type: "unloaded" });
-    this.tick();
   }
 
   private move(name: string, event: slot.SlotEvent): void {
@@ -495,6 +514,7 @@
     const { engine: eng, clock: clk } = this.deps;
     if (!eng) return;
     const began = clk.mono();
+    const known = new Set(this.state.slots.byName.keys());
     let health: engine.Health;
     let names: readonly string[];
     try {
@@ -506,7 +526,7 @@
     }
     this.misses = 0;
     if (health.startedAt !== this.engineStart) await this.coldStart(health.startedAt, names, began);
-    else await this.reconcile(names, began);
+    else await this.reconcile(names, known, began);
     this.releaseGhosts(health, began);
     if (this.life.state() === "learning") this.life.send({ type: "learned" });
     this.tick();
@@ -562,7 +582,12 @@
     this.state = { ...this.state, slots };
   }
 
-  private async reconcile(names: readonly string[], began: number): Promise<void> {
+  /** Holds what this daemon knew before it asked (`known`) against what the engine listed. */
+  private async reconcile(
+    names: readonly string[],
+    known: ReadonlySet<string>,
+    began: number,
+  ): Promise<void> {
     const listed = new Set(names);
     for (const s of this.state.slots.byName.values()) {
       if (s.since >= began) continue;
@@ -574,7 +599,7 @@
       if (s.phase === "doubtful") await this.settleDoubt(s, listed.has(s.name), began);
     }
     for (const name of names) {
-      if (!this.state.slots.byName.has(name)) this.adopt(name, false, began);
+      if (!known.has(name) && !this.state.slots.byName.has(name)) this.adopt(name, false, began);
     }
   }
 
--- a/src/endpoint/register.ts
+++ b/src/endpoint/register.ts
@@ -40,6 +40,11 @@
     this.stages.set(id, "dispatched");
   }
 
+  /** Opens a dispatched attempt again, when the engine said that it ran nothing. */
+  undispatched(id: string): void {
+    this.stages.set(id, "open");
+  }
+
   /** Gives up an attempt, also one that has not arrived; tells when it is too late for that. */
   giveUp(id: string): "given_up" | "dispatched" {
     if (this.stages.get(id) === "dispatched") return "dispatched";
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -37,6 +37,8 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_SERVER_ERROR = 500;
 const SHOWN = 300;
+/** Calls to the engine for one attempt, when it keeps losing the adapter. */
+const DISPATCHES = 3;
 
 /** Makes the server; the caller listens and closes. */
 export function create(opts: Options, deps: Deps): http.Server {
@@ -54,6 +56,11 @@
   return server;
 }
 
+/** Where the attempt is on the engine now. */
+interface Place {
+  seat: gate.Seat | undefined;
+}
+
 async function run(
   opts: Options,
   deps: Deps,
@@ -74,26 +81,26 @@
     return;
   }
   res.setHeader(wire.HEADER.attempt, a.id);
-  let seat: gate.Seat | undefined;
+  const place: Place = { seat: undefined };
   try {
     const at = deps.gate();
     if (!at) throw outcome.notRun("not_ready", "run", opts.name, "The intent is not known yet.");
     switch (a.work.kind) {
       case "model": {
         const fields = parse(await body.read(req, opts.requestLimit, peer), peer);
-        seat = await at.admit(a, gone.signal);
-        await runModel(opts, deps, a, a.work, fields, seat, gone.signal, res);
+        place.seat = await at.admit(a, gone.signal);
+        await runModel(opts, deps, a, a.work, fields, place, gone.signal, res);
         break;
       }
       case "service":
-        seat = await at.admit(a, gone.signal);
-        await runService(deps, a, a.work, req, seat, gone.signal, res);
+        place.seat = await at.admit(a, gone.signal);
+        await runService(deps, a, a.work, req, place.seat, gone.signal, res);
         break;
     }
   } catch (err) {
-    seat?.abandon();
+    place.seat?.abandon();
     if (!req.readableEnded) req.resume();
-    tell(deps, res, outcome.toFailure(err, "run", opts.name, seat ? "unknown" : "not_run"));
+    tell(deps, res, outcome.toFailure(err, "run", opts.name, place.seat ? "unknown" : "not_run"));
   }
 }
 
@@ -141,23 +148,11 @@
   a: wire.Attempt,
   work: ModelWork,
   fields: Readonly<Record<string, unknown>>,
-  seat: gate.Seat,
+  place: Place,
   signal: AbortSignal,
   res: http.ServerResponse,
 ): Promise<void> {
-  if (!deps.engine) throw outcome.notRun("not_found", "run", opts.name, "There is no engine here.");
-  const call: engine.Call = {
-    name: seat.name,
-    id: a.id,
-    path: work.path,
-    fields,
-    priority: -Math.round(a.worth),
-  };
-  const got = await deps.engine.run(call, signal);
-  if (got.status !== 200) {
-    await engineRefused(opts, got, seat);
-    return;
-  }
+  const { seat, got } = await dispatch(opts, deps, a, work, fields, place, signal);
   const expected: answer.Expected = {
     name: seat.name,
     id: a.id,
@@ -207,24 +202,57 @@
   });
 }
 
-async function engineRefused(opts: Options, got: engine.Answer, seat: gate.Seat): Promise<never> {
+/** Calls the engine; one that has lost the adapter has run nothing, and is called again when it has it. */
+async function dispatch(
+  opts: Options,
+  deps: Deps,
+  a: wire.Attempt,
+  work: ModelWork,
+  fields: Readonly<Record<string, unknown>>,
+  place: Place,
+  signal: AbortSignal,
+): Promise<{ readonly seat: gate.Seat; readonly got: engine.Answer }> {
+  if (!deps.engine) throw outcome.notRun("not_found", "run", opts.name, "There is no engine here.");
+  for (let n = 0; n < DISPATCHES && place.seat; n++) {
+    const { seat } = place;
+    const call: engine.Call = {
+      name: seat.name,
+      id: a.id,
+      path: work.path,
+      fields,
+      priority: -Math.round(a.worth),
+    };
+    const got = await deps.engine.run(call, signal);
+    if (got.status === 200) return { seat, got };
+    const why = `The engine answered ${got.status}: ${await start(got)}`;
+    if (got.status !== STATUS_NOT_FOUND) {
+      seat.end();
+      throw engineFailed(opts, got.status, why);
+    }
+    place.seat = undefined;
+    place.seat = await seat.again();
+  }
+  place.seat?.end();
+  throw outcome.notRun("not_ready", "engine", opts.name, "The engine keeps losing the adapter.", 0);
+}
+
+/** The first characters of an engine's refusal. */
+async function start(got: engine.Answer): Promise<string> {
   let text = "";
   got.body.setEncoding("utf8");
   for await (const part of got.body as AsyncIterable<string>) {
     if (text.length < SHOWN) text += part;
   }
-  const why = `The engine answered ${got.status}: ${text.slice(0, SHOWN)}`;
-  if (got.status === STATUS_NOT_FOUND) {
-    seat.missing();
-    throw outcome.notRun("not_ready", "engine", opts.name, why, 0);
-  }
-  seat.end();
-  throw new outcome.StepError({
-    code: got.status < STATUS_SERVER_ERROR ? "engine_refused" : "engine_failed",
+  return text.slice(0, SHOWN);
+}
+
+function engineFailed(opts: Options, status: number, message: string): outcome.StepError {
+  return new outcome.StepError({
+    code: status < STATUS_SERVER_ERROR ? "engine_refused" : "engine_failed",
     outcome: "failed",
     step: "engine",
     peer: opts.name,
-    message: why,
+    message,
   });
 }
 
--- a/src/endpoint/slot.ts
+++ b/src/endpoint/slot.ts
@@ -44,11 +44,10 @@
 
 /** The phase after `event`. Throws RangeError where the life has no such step. */
 export function advance(phase: Phase, event: SlotEvent): Phase {
-  const [next] = xstate.transition(machine, snapshots[phase], event);
-  if (next === snapshots[phase] || !snapshots[phase].can(event)) {
-    throw new RangeError(`a slot that is ${phase} cannot be ${event.type}`);
+  if (!snapshots[phase].can(event)) {
+    throw new RangeError(`a slot that is ${phase} cannot take the event ${event.type}`);
   }
-  return next.value;
+  return xstate.transition(machine, snapshots[phase], event)[0].value;
 }
 
 /** One adapter and version on the engine. */
--- a/src/endpoint/turn.ts
+++ b/src/endpoint/turn.ts
@@ -20,6 +20,9 @@
   readonly random: () => number;
 }
 
+/** Times that a turn is kept alive within its hold. */
+const KEEPS = 3;
+
 export class Desk {
   private turns: turns.Turns;
   private keeper: hosts.Member | undefined;
@@ -49,18 +52,31 @@
   /** This endpoint's own turn, from whoever keeps them. */
   own(): gate.Turn {
     const { name, peer } = this.deps;
+    let keeping: clock.Timer | undefined;
+    const ask = async (a: control.TurnAsk): Promise<control.TurnAnswer> => {
+      const keeper = this.keeper;
+      if (!keeper || keeper.name === name) return this.ask(a);
+      try {
+        return await peer(keeper).askTurn.mutate(a);
+      } catch (err) {
+        return this.alone(keeper, err);
+      }
+    };
+    const keep = (a: control.TurnAsk): void => {
+      keeping = this.deps.clock.after(this.opts.holdMs / KEEPS, () => {
+        void ask(a);
+        keep(a);
+      });
+    };
     return {
       ask: async (target, score) => {
-        const ask = { endpoint: name, target, score };
-        const keeper = this.keeper;
-        if (!keeper || keeper.name === name) return this.ask(ask);
-        try {
-          return await peer(keeper).askTurn.mutate(ask);
-        } catch (err) {
-          return this.alone(keeper, err);
-        }
+        const a = { endpoint: name, target, score };
+        const answer = await ask(a);
+        if (answer.kind === "go") keep(a);
+        return answer;
       },
       end: () => {
+        keeping?.cancel();
         const keeper = this.keeper;
         if (!keeper || keeper.name === name) {
           this.end(name);
--- a/src/endpoint/turns.ts
+++ b/src/endpoint/turns.ts
@@ -9,7 +9,7 @@
 export interface Options {
   /** Loads that the weight store runs at full speed. */
   readonly parallel: number;
-  /** Milliseconds after which a turn that was not ended is free again. */
+  /** Milliseconds after which a turn that was neither ended nor asked for again is free. */
   readonly holdMs: number;
   /** Shortest and longest wait told, in ms. */
   readonly askMinMs: number;
@@ -46,7 +46,7 @@
 }
 
 /**
- * One question: "go" for the most wanted load when a turn is free. Others are told when to ask again,
+ * One question: "go" for whoever has a turn already and keeps it alive by asking; "go" for the most wanted load when a turn is free. Others are told when to ask again,
  * the later the more loads go before theirs, so that questions stay few however many wait.
  */
 export function ask(
@@ -55,6 +55,10 @@
   now: number,
 ): { readonly turns: Turns; readonly answer: control.TurnAnswer } {
   const at = current(t, now);
+  if (at.holders.has(a.endpoint)) {
+    const holders = new Map(at.holders).set(a.endpoint, now);
+    return { turns: { ...at, holders }, answer: { kind: "go" } };
+  }
   const asks = new Map(at.asks).set(a.endpoint, { ...a, at: now });
   const ahead = [...asks.values()].filter((o) => before(o, a)).length;
   const free = at.opts.parallel - at.holders.size;
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -270,10 +270,10 @@
       leaving = true;
       lg.info("Leaving: the balancer is told by /readyz.");
       await clock.sleep(clk, cfg.drainMs);
-      await daemon.close(callers);
+      await daemon.close(callers, clk);
       stop.abort();
       await Promise.all(tasks);
-      await daemon.close(link);
+      await daemon.close(link, clk);
       await dispatcher.close();
       parts.metrics.close();
       lg.info("Stopped; nothing was cut off.");
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -39,8 +39,8 @@
   readonly members: members.Members;
   readonly peer: (m: hosts.Member) => control.Peer;
   readonly dispatcher: undici.Dispatcher;
-  /** Takes one retry from the budget, or says no. */
-  readonly retry: () => boolean;
+  /** Takes a retry of some cost from the budget, or says no. */
+  readonly retry: (cost: number) => boolean;
 }
 
 /** A request that was let in. */
@@ -76,6 +76,8 @@
   return work.kind === "model" ? `${work.adapter}@${work.version}` : work.service;
 }
 
+/** Part of a retry that one after a refusal counts as: it took no engine's time. */
+const REFUSED_COST = 0.25;
 const JSON_TYPE = "application/json";
 
 /** Codes of errors that arise before a connection stood. */
@@ -120,8 +122,10 @@
   throw final(at, last, opts);
 }
 
+/** Another attempt after a refusal costs little; one after a doubt may run the work twice. */
 function mayRetry(job: Job, at: trail.Trail, deps: Deps): boolean {
-  return trail.maySend(at) && Buffer.isBuffer(job.body) && deps.retry();
+  if (!trail.maySend(at) || !Buffer.isBuffer(job.body)) return false;
+  return deps.retry(at.context.doubts === 0 ? REFUSED_COST : 1);
 }
 
 function final(
@@ -288,8 +292,8 @@
       const at = budget.fill(bucket, clk.mono());
       bucket = { ...at, tokens: Math.min(at.size * 2, at.tokens + share) };
     },
-    take: (): boolean => {
-      const taken = budget.take(bucket, clk.mono());
+    take: (cost: number): boolean => {
+      const taken = budget.take(bucket, clk.mono(), cost);
       if (taken.ok) bucket = taken.bucket;
       return taken.ok;
     },
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -13,7 +13,7 @@
 import * as etcd from "../platform/etcd.js";
 import * as hosts from "../platform/hosts.js";
 import type * as store from "../platform/store.js";
-import type * as clock from "./clock.js";
+import * as clock from "./clock.js";
 import * as feed from "./feed.js";
 import * as log from "./log.js";
 import * as members from "./members.js";
@@ -103,6 +103,7 @@
   readonly peer: (m: hosts.Member) => control.Peer;
 }
 
+const CLOSE_LOOK_MS = 50;
 const EPOCH_BYTES = 6;
 const MICROS_PER_MS = 1000;
 
@@ -195,11 +196,14 @@
 }
 
 /** Closes a server once its last answer is out; idle connections are closed at once. */
-export function close(server: http.Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => {
-      resolve();
-    });
-    server.closeIdleConnections();
+export async function close(server: http.Server, clk: clock.Clock): Promise<void> {
+  const done = new AbortController();
+  server.close(() => {
+    done.abort();
   });
+  // A connection falls idle when its answer ends, which may be after the close.
+  while (!done.signal.aborted) {
+    server.closeIdleConnections();
+    await clock.sleep(clk, CLOSE_LOOK_MS, done.signal);
+  }
 }
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -33,6 +33,8 @@
   breakAnswers: number;
   /** Milliseconds by which counts lag. */
   lagMs: number;
+  /** Milliseconds that a cancelled request still runs. */
+  slowCancelMs: number;
   /** Steps stand still. */
   frozen: boolean;
 }
@@ -80,6 +82,7 @@
     wrongIds: 0,
     breakAnswers: 0,
     lagMs: 0,
+    slowCancelMs: 0,
     frozen: false,
   };
   readonly journal: Event[] = [];
@@ -114,6 +117,11 @@
     this.loaded.set(name, "");
   }
 
+  /** Drops every adapter, as a hand at the engine would. */
+  forgetAll(): void {
+    this.loaded.clear();
+  }
+
   names(): readonly string[] {
     return [...this.loaded.keys()];
   }
@@ -273,9 +281,13 @@
     this.journal.push({ kind: "run", id, name });
     res.on("close", () => {
       this.responses.delete(res);
-      this.running = this.running.filter((s) => s !== sequence);
-      this.waiting = this.waiting.filter((s) => s !== sequence);
-      this.count();
+      const stop = (): void => {
+        this.running = this.running.filter((s) => s !== sequence);
+        this.waiting = this.waiting.filter((s) => s !== sequence);
+        this.count();
+      };
+      if (this.faults.slowCancelMs === 0 || res.writableFinished) stop();
+      else setTimeout(stop, this.faults.slowCancelMs);
     });
     this.waiting.push(sequence);
     this.waiting.sort((a, b) => a.priority - b.priority);
--- /dev/null
+++ b/test/steps/failures.ts
@@ -0,0 +1,196 @@
+/** Steps in which something fails or leaves. */
+import * as chai from "chai";
+import type * as endpoint from "../../src/endpoint/daemon.js";
+import * as site from "../../bench/site.js";
+import * as world from "./world.js";
+
+const { expect } = chai;
+
+function endpointAt(w: world.World, n: number): endpoint.Running {
+  const e = w.at.endpoints[n - 1];
+  if (!e) throw new Error(`there is no endpoint daemon ${n}`);
+  return e;
+}
+
+function engineAt(w: world.World, n: number) {
+  const e = w.at.engines[n - 1]?.engine;
+  if (!e) throw new Error(`there is no engine ${n}`);
+  return e;
+}
+
+const pause = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+
+/** The number of the engine that runs something now. */
+function busy(w: world.World): number {
+  const at = w.at.endpoints.findIndex((e) => (e.gate()?.news().running ?? 0) > 0);
+  if (at < 0) throw new Error("no engine runs anything");
+  return at + 1;
+}
+
+/** The number of the endpoint daemon where something waits now. */
+async function waitingAt(w: world.World): Promise<number> {
+  const find = (): number => w.at.endpoints.findIndex((e) => (e.gate()?.news().waiting ?? 0) > 0);
+  await site.until(() => find() >= 0);
+  return find() + 1;
+}
+
+// The store.
+world.step("the store is down", (w) => {
+  w.at.store.store.faults.down = true;
+  w.at.store.store.cutWatches();
+});
+world.step("the store is back", (w) => {
+  w.at.store.store.faults.down = false;
+});
+world.step("the store takes {int} ms for each call", (w, ms: number) => {
+  w.at.store.store.faults.delayMs = ms;
+});
+world.step("the store loses the reply to the next {int} write(s)", (w, n: number) => {
+  w.at.store.store.faults.loseReplies = n;
+});
+world.step("the store is backed up", (w) => {
+  w.notes.set("backup", w.at.store.store.backup());
+});
+world.step("the store is restored from the backup", (w) => {
+  w.at.store.store.restore(w.notes.get("backup") as ReturnType<typeof w.at.store.store.backup>);
+});
+
+// Engines.
+world.step("every engine answers the next request for another model", (w) => {
+  for (const e of w.at.engines) e.engine.faults.wrongModels = 1;
+});
+world.step("engine {int} answers the next request for another model", (w, n: number) => {
+  engineAt(w, n).faults.wrongModels = 1;
+});
+world.step("every engine answers the next request with another request's id", (w) => {
+  for (const e of w.at.engines) e.engine.faults.wrongIds = 1;
+});
+world.step("the engine that runs it breaks its answer off half-way", (w) => {
+  for (const e of w.at.engines) e.engine.faults.breakAnswers = 0;
+  engineAt(w, busy(w)).restart();
+});
+world.step("every engine breaks its next answer off half-way", (w) => {
+  for (const e of w.at.engines) e.engine.faults.breakAnswers = 1;
+});
+world.step("every engine restarts cold", (w) => {
+  for (const e of w.at.engines) e.engine.restart();
+});
+world.step("the engine that runs it restarts cold", (w) => {
+  engineAt(w, busy(w)).restart();
+});
+world.step("every engine refuses loads", (w) => {
+  for (const e of w.at.engines) e.engine.faults.refuseLoads = true;
+});
+world.step("engine {int} refuses loads", (w, n: number) => {
+  engineAt(w, n).faults.refuseLoads = true;
+});
+world.step("every engine loses the reply to its next order", (w) => {
+  for (const e of w.at.engines) e.engine.faults.loseReplies = 1;
+});
+world.step(
+  "engine {int} loses the reply to its next order, which takes effect {int} ms late",
+  (w, n: number, ms: number) => {
+    engineAt(w, n).faults.loseReplies = 1;
+    engineAt(w, n).faults.delayOrderMs = ms;
+  },
+);
+world.step("engine {int} takes {int} ms to begin its next order", (w, n: number, ms: number) => {
+  engineAt(w, n).faults.delayOrderMs = ms;
+});
+world.step("engine {int}'s counts lag by {int} ms", (w, n: number, ms: number) => {
+  engineAt(w, n).faults.lagMs = ms;
+});
+world.step("engine {int} is unloaded by hand", (w, n: number) => {
+  engineAt(w, n).forgetAll();
+});
+world.step("the weight store refuses loads", (w) => {
+  w.at.weights.weights.faults.refuse = true;
+});
+world.step("the weight store is back", (w) => {
+  w.at.weights.weights.faults.refuse = false;
+});
+world.step("the weight store is {int} times slower", (w, n: number) => {
+  w.at.weights.weights.faults.slow = n;
+});
+world.step("the service loses the reply to its next call", (w) => {
+  if (w.at.services) w.at.services.service.loseReplies = 1;
+});
+
+// Daemons and links.
+world.step("the endpoint daemon that runs it is killed", (w) => {
+  endpointAt(w, busy(w)).kill();
+});
+world.step("the endpoint daemon where it waits is killed", async (w) => {
+  endpointAt(w, await waitingAt(w)).kill();
+});
+world.step("it waits at an endpoint daemon", async (w) => {
+  await waitingAt(w);
+});
+world.step("entry host {int} is killed", (w, n: number) => {
+  w.at.entries[n - 1]?.kill();
+});
+world.step("endpoint daemon {int} is killed", (w, n: number) => {
+  endpointAt(w, n).kill();
+});
+world.step("endpoint daemon {int} is started again", async (w, n: number) => {
+  await w.at.addEndpoint(n - 1);
+  await w.at.settle();
+});
+world.step("endpoint daemon {int} is stopped gracefully", async (w, n: number) => {
+  await endpointAt(w, n).stop();
+});
+world.step("endpoint daemon {int} begins to stop", (w, n: number) => {
+  w.notes.set("stopping", endpointAt(w, n).stop());
+});
+world.step("the endpoint daemon that runs it begins to stop", (w) => {
+  w.notes.set("stopping", endpointAt(w, busy(w)).stop());
+});
+world.step("entry host {int} begins to stop", (w, n: number) => {
+  w.notes.set("stopping", w.at.entries[n - 1]?.stop());
+});
+world.step("it stops", async (w) => {
+  await (w.notes.get("stopping") as Promise<void>);
+});
+world.step("the list of hosts says that endpoint daemon {int} is leaving", (w, n: number) => {
+  w.at.listEndpoint(`engine-${n - 1}`, endpointAt(w, n), w.at.domainOf(n - 1), true);
+});
+world.step("the list of hosts is down", (w) => {
+  w.at.list.hosts.down = true;
+});
+world.step("the list of hosts lags by {int} ms", (w, ms: number) => {
+  w.at.list.hosts.lagMs = ms;
+});
+world.step("{int} ms pass", (_w, ms: number) => pause(ms));
+
+/** Asks for every adapter a few times at once. */
+function askAll(w: world.World, times: number): Promise<readonly site.Answer[]> {
+  const models = Array.from({ length: times }, () => site.ADAPTERS).flat();
+  return Promise.all(models.map((m) => w.at.ask(m)));
+}
+
+const ranAt = (w: world.World, n: number): number =>
+  engineAt(w, n).journal.filter((e) => e.kind === "run").length;
+
+world.step("endpoint daemon {int} has had work", async (w, n: number) => {
+  await askAll(w, 2);
+  expect(ranAt(w, n)).above(0);
+});
+
+world.step("endpoint daemon {int} gets no work from now on", async (w, n: number) => {
+  const before = ranAt(w, n);
+  const answers = await askAll(w, 4);
+  expect(answers.map((a) => a.status)).eql(answers.map(() => 200));
+  expect(ranAt(w, n)).equal(before);
+});
+
+world.step("every engine is out", (w) => {
+  for (const e of w.at.engines) e.engine.down = true;
+});
+
+world.step("the endpoint daemon where they wait begins to stop", async (w) => {
+  w.notes.set("stopping", endpointAt(w, await waitingAt(w)).stop());
+});
+
+world.step("engine {int} goes on for {int} ms after a cancel", (w, n: number, ms: number) => {
+  engineAt(w, n).faults.slowCancelMs = ms;
+});
