--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -156,7 +156,7 @@
           seats: object.spec.seats,
           queue: cfg.queue,
           loads: cfg.loads,
-          evict: "coldest",
+          evict: { kind: "coldest" },
           order: "worth",
           ageMs: cfg.ageMs,
         },
--- a/src/endpoint/plan.ts
+++ b/src/endpoint/plan.ts
@@ -27,6 +27,15 @@
   readonly dispatchedAt: number;
 }
 
+/** What an adapter that nobody uses is worth keeping for; the least goes first. */
+export type Eviction =
+  /** Its popularity. */
+  | { readonly kind: "coldest" }
+  /** How lately it was wanted; the usual baseline. */
+  | { readonly kind: "least-recent" }
+  /** Whatever a measurement says, such as perfect knowledge of the future. */
+  | { readonly kind: "ranked"; readonly value: (target: string, now: number) => number };
+
 /** Figures that steer the plan. */
 export interface Options {
   /** Attempts on the engine at once; its batch. */
@@ -35,7 +44,7 @@
   readonly queue: number;
   /** Loads under way at once on this engine. */
   readonly loads: number;
-  readonly evict: "coldest" | "least-recent";
+  readonly evict: Eviction;
   readonly order: "worth" | "first-come";
   /** Milliseconds of waiting that count as much as one unit of worth; ages a load's score. */
   readonly ageMs: number;
@@ -233,10 +242,12 @@
 
 function valueOf(s: State, c: slot.Slot, now: number): number {
   if (c.target === undefined) return -1;
-  switch (s.opts.evict) {
+  switch (s.opts.evict.kind) {
     case "coldest":
       return popularity.heat(s.popularity, c.target, now);
     case "least-recent":
       return s.popularity.byTarget.get(c.target)?.at ?? c.since;
+    case "ranked":
+      return s.opts.evict.value(c.target, now);
   }
 }
--- a/src/endpoint/register.ts
+++ b/src/endpoint/register.ts
@@ -18,9 +18,9 @@
 export class Register {
   private readonly stages: lru.LRUCache<string, Stage>;
 
-  constructor(clk: clock.Clock) {
+  constructor(clk: clock.Clock, limit = LIMIT) {
     this.stages = new lru.LRUCache({
-      max: LIMIT,
+      max: limit,
       ttl: KEEP_MS,
       ttlResolution: 0,
       perf: { now: clk.mono },
