--- a/src/endpoint/popularity.ts
+++ b/src/endpoint/popularity.ts
@@ -33,7 +33,9 @@
 export function hit(p: Popularity, target: string, worth: number, now: number): Popularity {
   const byTarget = new Map(p.byTarget);
   byTarget.set(target, { value: heat(p, target, now) + worth, at: now });
-  if (byTarget.size > p.limit) byTarget.delete(coldest(p, byTarget.keys(), now) ?? "");
+  if (byTarget.size <= p.limit) return { ...p, byTarget };
+  const others = [...byTarget.keys()].filter((t) => t !== target);
+  byTarget.delete(coldest(p, others, now) ?? "");
   return { ...p, byTarget };
 }
 
