Cut the cost of a request and of a control call on the daemons

Cause, by a CPU profile of an entry daemon under 64 connections: the trail's state machine took 14 % of the samples (two or three steps for each request, each through the library's whole machinery); reading a body made an error with its stack, in case it were too large; `pipeline` made a signal and an abort error for each answer; the key's short name was hashed each time. Control calls went through a fetch on one side and the library's HTTP adapter on the other.

Change: steps of a trail are remembered (trails are few); the error is made when it is thrown; a pump of our own passes bodies on; tRPC procedures are called straight, over a link of our own with undici; without a StatsD server no client is made, whose mock kept every line for good. `npm run cost` measures decisions, control calls and an entry daemon against a bare pass-through.

--- /dev/null
+++ b/bench/cost/main.ts
@@ -0,0 +1,67 @@
+/**
+ * `npm run cost`: the slopes that docs/CAPACITY.md is worked out from.
+ * @module
+ */
+import * as command from "../../src/cli/command.js";
+import * as decision from "./decision.js";
+import * as link from "./link.js";
+import * as throughput from "./throughput.js";
+
+const out = command.out;
+const n = (v: number, digits = 1): string => v.toFixed(digits);
+const parts = process.argv[2]?.split(",") ?? ["decision", "link", "throughput"];
+
+if (parts.includes("decision")) {
+  const rows = [["ENDPOINTS", "ADAPTERS", "ROUTING US", "BYTES"]];
+  for (const endpoints of [6, 60, 600]) {
+    for (const adapters of [3000, 28_000, 280_000]) {
+      const c = await decision.routing(endpoints, adapters);
+      rows.push([String(endpoints), String(adapters), n(c.us), n(c.bytes, 0)]);
+    }
+  }
+  out(command.table(rows));
+  const plans = [0, 16, 256].map((w) => {
+    const c = decision.planning(w);
+    return [String(w), n(c.us), n(c.bytes, 0)];
+  });
+  out(command.table([["WAITING", "PLAN US", "BYTES"], ...plans]));
+  const changes = [3000, 28_000, 280_000].map((a) => {
+    const c = decision.change(a);
+    return [String(a), n(c.mb), n(c.ms)];
+  });
+  out(command.table([["ADAPTERS", "INTENT MB", "CHANGE MS"], ...changes]));
+  const news = decision.news();
+  out(`news: ${news.wire} bytes, ${n(news.us)} us to write and read`);
+}
+if (parts.includes("link")) {
+  out(`signing and checking: ${n(link.signing().us)} us`);
+  const costs = await link.calls();
+  const rows = Object.entries(costs).map(([name, c]) => [name, n(c.cpuUs, 0), n(c.bytes, 0)]);
+  out(command.table([["CONTROL CALL", "CPU US, BOTH ENDS", "BYTES"], ...rows]));
+}
+if (parts.includes("throughput")) {
+  const head = [
+    "CONNECTIONS",
+    "STREAM",
+    "ENTRY /S",
+    "BARE /S",
+    "RATIO",
+    "ADDED P50 MS",
+    "ADDED P95 MS",
+    "ENTRY CPU US",
+    "BARE CPU US",
+  ];
+  const rows = (await throughput.run()).map((p) => [
+    String(p.connections),
+    p.streamed ? "yes" : "no",
+    n(p.entry.perS, 0),
+    n(p.bare.perS, 0),
+    n(p.entry.perS / p.bare.perS, 2),
+    n(p.entry.p50Ms - p.bare.p50Ms, 2),
+    n(p.entry.p95Ms - p.bare.p95Ms, 2),
+    n(p.entry.cpuUs, 0),
+    n(p.bare.cpuUs, 0),
+  ]);
+  out(command.table([head, ...rows]));
+}
+process.exit(0);
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import * as http from "node:http";
-import * as stream from "node:stream/promises";
 import type * as clock from "../host/clock.js";
 import * as log from "../host/log.js";
 import * as body from "../link/body.js";
 import type * as keys from "../link/keys.js";
+import * as pump from "../link/pump.js";
 import * as wire from "../link/wire.js";
 import * as outcome from "../request/outcome.js";
 import * as answer from "./answer.js";
@@ -281,6 +281,7 @@
     [wire.HEADER.outcome]: "ran",
     ...newsHeader(deps),
   });
-  await stream.pipeline(got.body, res);
+  await pump.pump(got.body, res);
   seat.end();
+  res.end();
 }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -5,7 +5,6 @@
  */
 import * as crypto from "node:crypto";
 import * as http from "node:http";
-import * as stream from "node:stream/promises";
 import * as intents from "../contract/intent.js";
 import type * as objects from "../contract/objects.js";
 import * as service from "../endpoint/service.js";
@@ -14,6 +13,7 @@
 import type * as metrics from "../host/metrics.js";
 import * as body from "../link/body.js";
 import * as keys from "../link/keys.js";
+import * as pump from "../link/pump.js";
 import * as wire from "../link/wire.js";
 import type * as claims from "../request/claims.js";
 import * as outcome from "../request/outcome.js";
@@ -309,7 +309,7 @@
     first(deps.clock.mono());
   });
   try {
-    await stream.pipeline(begun.res.body, res, { end: false });
+    await pump.pump(begun.res.body, res);
     res.end();
     begun.done(true);
   } catch (err) {
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -41,16 +41,19 @@
 export const SYSTEM: Labels = { caller: "system", class: "system" };
 const HIGHEST = 3_600_000;
 
-/** Sends to the StatsD server at `address` (`ip:port`); without one, figures are only kept here. */
-export function open(daemon: string, address: string | undefined): Metrics {
-  const [host, port] = address?.split(":") ?? [];
-  const client = new hotShots.StatsD({
+function connect(daemon: string, address: string): hotShots.StatsD {
+  const [host, port] = address.split(":");
+  return new hotShots.StatsD({
     prefix: "sumacfield.",
     globalTags: { daemon },
-    mock: address === undefined,
     ...(host && { host, port: Number(port) }),
     errorHandler: () => undefined,
   });
+}
+
+/** Sends to the StatsD server at `address` (`ip:port`); without one, figures are only kept here. */
+export function open(daemon: string, address: string | undefined): Metrics {
+  const client = address === undefined ? undefined : connect(daemon, address);
   const known = new Map<string, Labels>();
   const kept = new Map<string, { labels: Labels; name: Histogram; values: hdr.Histogram }>();
 
@@ -66,7 +69,7 @@
   return {
     observe: (name, value, labels) => {
       const l = bounded(labels);
-      client.histogram(name, value, { caller: l.caller, class: l.class });
+      client?.histogram(name, value, { caller: l.caller, class: l.class });
       const key = `${name}/${l.caller}/${l.class}`;
       let at = kept.get(key);
       if (!at) {
@@ -81,7 +84,7 @@
     },
     count: (name, labels) => {
       const l = bounded(labels);
-      client.increment(name, 1, { caller: l.caller, class: l.class });
+      client?.increment(name, 1, { caller: l.caller, class: l.class });
     },
     summaries: () =>
       [...kept.values()].map(({ labels, name, values }) => ({
@@ -93,7 +96,7 @@
         p99: values.getValueAtPercentile(99),
       })),
     close: () => {
-      client.close(() => undefined);
+      client?.close(() => undefined);
     },
   };
 }
--- a/src/link/body.ts
+++ b/src/link/body.ts
@@ -14,14 +14,16 @@
   limit: number,
   peer: string,
 ): Promise<Buffer> {
-  const tooLarge = outcome.notRun("too_large", "read", peer, `The body is over ${limit} bytes.`);
-  if (Number(req.headers["content-length"] ?? 0) > limit) throw tooLarge;
+  // An error takes its stack as it is made, which costs more than all the rest.
+  const tooLarge = (): outcome.StepError =>
+    outcome.notRun("too_large", "read", peer, `The body is over ${limit} bytes.`);
+  if (Number(req.headers["content-length"] ?? 0) > limit) throw tooLarge();
   const parts: Buffer[] = [];
   let size = 0;
   try {
     for await (const part of req as AsyncIterable<Buffer>) {
       size += part.length;
-      if (size > limit) throw tooLarge;
+      if (size > limit) throw tooLarge();
       parts.push(part);
     }
   } catch (err) {
--- a/src/link/control.ts
+++ b/src/link/control.ts
@@ -6,7 +6,7 @@
 import type * as http from "node:http";
 import * as client from "@trpc/client";
 import * as server from "@trpc/server";
-import * as standalone from "@trpc/server/adapters/standalone";
+import * as observables from "@trpc/server/observable";
 import * as undici from "undici";
 import * as zod from "zod";
 import type * as clock from "../host/clock.js";
@@ -134,11 +134,7 @@
   verify: ReturnType<typeof keys.verifier>,
   traffic: Traffic,
 ): (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void> {
-  const handle = standalone.createHTTPHandler({
-    router,
-    basePath: `${wire.CONTROL_PATH}/`,
-    createContext: () => ({ handler }),
-  });
+  const procedures = t.createCallerFactory(router)({ handler });
   return async (req, res) => {
     const peer = req.socket.remoteAddress ?? "gone";
     try {
@@ -147,14 +143,34 @@
       const path = req.url ?? "";
       const covers = [keys.sha256(text)];
       verify(req.headers.authorization, { method, path, audience: name, covers }, peer);
-      traffic.bytes += HEAD_BYTES + path.length + text.length;
-      handle(Object.assign(req, { body: text.toString() }), res);
+      const out = JSON.stringify(await call(procedures, path, text.toString()));
+      traffic.bytes += HEAD_BYTES + path.length + text.length + out.length;
+      const size = Buffer.byteLength(out);
+      res.writeHead(200, { "content-type": "application/json", "content-length": size });
+      res.end(out);
     } catch (err) {
       body.refuse(res, outcome.toFailure(err, "control", peer, "not_run"));
     }
   };
 }
 
+type Procedures = Readonly<Record<string, (input: unknown) => Promise<unknown>>>;
+
+/** Calls one procedure straight, without the library's HTTP adapter, whose cost is most of a call's. */
+async function call(procedures: object, path: string, text: string): Promise<Envelope> {
+  const name = path.slice(wire.CONTROL_PATH.length + 1);
+  if (!Object.hasOwn(router._def.procedures, name)) {
+    throw outcome.notRun("not_found", "control", name, "There is no such call.");
+  }
+  const procedure = (procedures as Procedures)[name];
+  const input: unknown = text === "" ? undefined : JSON.parse(text);
+  return { result: { data: await procedure?.(input) } };
+}
+
+interface Envelope {
+  readonly result: { readonly data: unknown };
+}
+
 /** A client for the daemon `name` at `address` (`ip:port`). */
 export function connect(
   address: string,
@@ -164,27 +180,35 @@
   timeoutMs: number,
   traffic: Traffic,
 ): Peer {
-  const signed: typeof fetch = async (input, init) => {
-    const url = new URL(input instanceof Request ? input.url : input);
-    const method = init?.method ?? "GET";
-    const path = url.pathname + url.search;
-    const text = typeof init?.body === "string" ? init.body : "";
-    const covers = [keys.sha256(text)];
-    const headers = {
-      "content-type": "application/json",
-      authorization: keys.sign(ring, { method, path, audience: name, covers }, clk),
-    };
-    const res = await undici.fetch(url, {
-      method,
-      headers,
-      body: text === "" ? null : text,
+  const ask = async (procedure: string, input: unknown): Promise<unknown> => {
+    const path = `${wire.CONTROL_PATH}/${procedure}`;
+    const text = input === undefined ? "" : JSON.stringify(input);
+    const signed = { method: "POST", path, audience: name, covers: [keys.sha256(text)] };
+    const res = await undici.request(`http://${address}${path}`, {
+      method: "POST",
+      headers: { authorization: keys.sign(ring, signed, clk) },
+      body: text,
       signal: AbortSignal.timeout(timeoutMs),
     });
-    traffic.bytes += HEAD_BYTES + path.length + text.length;
-    traffic.bytes += Number(res.headers.get("content-length") ?? 0);
-    return res as unknown as Response;
+    const out = await res.body.text();
+    traffic.bytes += HEAD_BYTES + path.length + text.length + out.length;
+    if (res.statusCode === 200) return (JSON.parse(out) as Envelope).result.data;
+    const told = outcome.fromBody(out);
+    throw told ? new outcome.StepError(told) : new Error(`status ${res.statusCode}`);
   };
-  return client.createTRPCClient<Router>({
-    links: [client.httpLink({ url: `http://${address}${wire.CONTROL_PATH}`, fetch: signed })],
-  });
+  const link: client.TRPCLink<Router> = () => (opts) =>
+    observables.observable((observer) => {
+      ask(opts.op.path, opts.op.input).then(
+        (data) => {
+          observer.next({ result: { type: "data", data } });
+          observer.complete();
+        },
+        (err: unknown) => {
+          observer.error(
+            client.TRPCClientError.from(err instanceof Error ? err : new Error("lost")),
+          );
+        },
+      );
+    });
+  return client.createTRPCClient<Router>({ links: [link] });
 }
--- a/src/link/keys.ts
+++ b/src/link/keys.ts
@@ -41,8 +41,15 @@
   return crypto.createHmac("sha256", key).update(JSON.stringify(parts)).digest("base64url");
 }
 
+const ids = new Map<string, string>();
+
+/** A short name of a key, which tells nothing about it. */
 function idOf(key: string): string {
-  return sha256(key).slice(0, ID_LENGTH);
+  const known = ids.get(key);
+  if (known !== undefined) return known;
+  const id = sha256(key).slice(0, ID_LENGTH);
+  ids.set(key, id);
+  return id;
 }
 
 /** The value of the `Authorization` header for one request. */
--- a/src/request/trail.ts
+++ b/src/request/trail.ts
@@ -63,20 +63,39 @@
 /** A request's attempts so far. */
 export type Trail = xstate.SnapshotFrom<typeof machine>;
 
+const starts = {
+  repeatable: xstate.initialTransition(machine, { repeatable: true })[0],
+  single: xstate.initialTransition(machine, { repeatable: false })[0],
+} as const;
+
 /** No attempt yet. */
 export function start(repeatable: boolean): Trail {
-  return xstate.initialTransition(machine, { repeatable })[0];
+  return repeatable ? starts.repeatable : starts.single;
+}
+
+/** Steps taken before; trails are few, since attempts are, and the machine is slow to ask. */
+const steps = new WeakMap<Trail, Map<TrailEvent["type"], Trail | undefined>>();
+
+/** The trail after `type`; undefined where that may not happen. */
+function after(t: Trail, type: TrailEvent["type"]): Trail | undefined {
+  const known = steps.get(t) ?? new Map<TrailEvent["type"], Trail | undefined>();
+  steps.set(t, known);
+  if (known.has(type)) return known.get(type);
+  const next = t.can({ type }) ? xstate.transition(machine, t, { type })[0] : undefined;
+  known.set(type, next);
+  return next;
 }
 
 /** Whether another attempt may be sent. */
 export function maySend(t: Trail): boolean {
-  return t.can({ type: "send" });
+  return after(t, "send") !== undefined;
 }
 
 /** The trail after `type`. Throws RangeError where that may not happen. */
 export function step(t: Trail, type: TrailEvent["type"]): Trail {
-  if (!t.can({ type })) throw new RangeError(`a request that is ${t.value} cannot be ${type}`);
-  return xstate.transition(machine, t, { type })[0];
+  const next = after(t, type);
+  if (!next) throw new RangeError(`a request that is ${t.value} cannot be ${type}`);
+  return next;
 }
 
 /** What may be told of a request that got no whole answer. */
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -42,7 +42,7 @@
 /** One thing the engine did or suffered. */
 export type Event =
   | { readonly kind: "load" | "unload"; readonly name: string }
-  | { readonly kind: "run"; readonly id: string; readonly name: string }
+  | { readonly kind: "run"; readonly id: string; readonly name: string; readonly prompt: string }
   | { readonly kind: "finish"; readonly id: string }
   /** An adapter was unloaded under a request: what must never happen. */
   | { readonly kind: "evicted-in-use"; readonly name: string; readonly id: string };
@@ -278,7 +278,7 @@
         server.json(res, 200, { ...shown, object, choices });
       },
     };
-    this.journal.push({ kind: "run", id, name });
+    this.journal.push({ kind: "run", id, name, prompt });
     res.on("close", () => {
       this.responses.delete(res);
       const stop = (): void => {
