Kill and freeze real processes, and knock on every door

Cause: scenarios ran daemons in one process, where nothing can be frozen; and nothing showed what hostile input does.

Change: endpoint daemons as processes, killed, frozen and stopped under a request; control calls without the cluster's key; property tests of bodies, paths, methods and raw bytes at callers' and link ports.

Red first, and mended: - the path "//" made the URL parser throw, and the caller got no answer; the target is now split as it stands; - a caller that sent no headers was kept for up to 30 s, since the platform looks for slow ones no more often; it now looks twice in the time allowed.

--- a/bench/site.ts
+++ b/bench/site.ts
@@ -16,6 +16,7 @@
 import * as hosts from "../src/platform/hosts.js";
 import * as engines from "../src/standin/engine.js";
 import * as hostLists from "../src/standin/hosts.js";
+import type * as server from "../src/standin/server.js";
 import * as services from "../src/standin/service.js";
 import * as stores from "../src/standin/store.js";
 import * as weightStores from "../src/standin/weights.js";
@@ -261,7 +262,8 @@
     };
   }
 
-  async addEngine(i: number): Promise<void> {
+  /** Starts engine `i` without a daemon beside it. */
+  async engineAlone(i: number): Promise<server.Running> {
     this.engines[i] ??= await engines.start({
       slots: this.plan.slots ?? 4,
       seats: this.plan.seats ?? 4,
@@ -269,6 +271,11 @@
       baseModel: BASE,
       fencing: this.plan.fencing === "honoured",
     });
+    return this.engines[i];
+  }
+
+  async addEngine(i: number): Promise<void> {
+    await this.engineAlone(i);
     await this.addEndpoint(i);
   }
 
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -62,6 +62,8 @@
     {
       headersTimeout: opts.headersMs,
       requestTimeout: opts.requestMs,
+      // The platform looks for slow callers every 30 s unless told otherwise.
+      connectionsCheckingInterval: Math.max(1, opts.headersMs / 2),
       maxHeaderSize: HEADER_BYTES,
       requireHostHeader: true,
     },
@@ -89,7 +91,7 @@
 ): Promise<void> {
   const id = crypto.randomUUID();
   res.setHeader("x-request-id", id);
-  const url = new URL(req.url ?? "/", "http://caller");
+  const url = targetOf(req.url ?? "/");
   switch (url.pathname) {
     case "/healthz":
       say(res, 200, { status: "ok" });
@@ -154,6 +156,20 @@
   return { object: "list", data };
 }
 
+/** What a request line asks for. */
+interface Target {
+  readonly pathname: string;
+  /** With its question mark; empty when there is none. */
+  readonly search: string;
+}
+
+/** Splits a request's target as it stands; a URL parser would refuse or rewrite some. */
+function targetOf(text: string): Target {
+  const at = text.indexOf("?");
+  if (at < 0) return { pathname: text, search: "" };
+  return { pathname: text.slice(0, at), search: text.slice(at) };
+}
+
 /** A request whose caller is known. */
 interface Asked {
   readonly id: string;
@@ -161,7 +177,7 @@
   readonly now: intents.Intent;
   readonly wishes: ask.Wishes;
   readonly caller: objects.Caller;
-  readonly url: URL;
+  readonly url: Target;
 }
 
 async function serveModel(
--- /dev/null
+++ b/test/doors.test.ts
@@ -0,0 +1,120 @@
+import * as net from "node:net";
+import * as chai from "chai";
+import * as fc from "fast-check";
+import * as site from "../bench/site.js";
+
+const { expect } = chai;
+
+const JSON_TYPE = "application/json";
+
+/** Sends raw bytes and reads until the other side ends or `ms` pass. */
+function raw(address: string, bytes: Buffer, ms = 300): Promise<string> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    let out = "";
+    const socket = net.connect(Number(port), host, () => socket.write(bytes));
+    socket.on("data", (part) => (out += part.toString()));
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      resolve(out);
+    });
+    setTimeout(() => socket.destroy(), ms);
+  });
+}
+
+describe("doors", () => {
+  let s: site.Site;
+  before(async () => {
+    s = await site.Site.start({ engines: 1, settings: { requestLimit: "2000", headersMs: "500" } });
+  });
+  after(() => s.stop());
+
+  const sane = async (): Promise<void> => {
+    expect((await s.ask("captions@1", { tokens: 1 })).status).equal(200);
+  };
+
+  it("answer any body with an error of the usual shape", async () => {
+    const body = fc.oneof(
+      fc.json(),
+      fc.string(),
+      fc.json().map((j) => `{"model":${j}}`),
+    );
+    await fc.assert(
+      fc.asyncProperty(body, async (text) => {
+        const a = await s.call("POST", "/v1/completions", text === "" ? " " : text);
+        expect(a.status).oneOf([400, 404]);
+        expect(site.errorOf(a)).include.keys("message", "code", "step", "peer", "outcome");
+      }),
+      { numRuns: 60 },
+    );
+    await sane();
+  });
+
+  it("answer any path and method", async () => {
+    const method = fc.constantFrom("GET", "POST", "PUT", "DELETE", "PATCH", "OPTIONS");
+    await fc.assert(
+      fc.asyncProperty(method, fc.webPath(), async (m, path) => {
+        const a = await s.call(m, path === "" ? "/" : path, "");
+        expect(a.status).oneOf([200, 400, 404]);
+        if (a.status !== 200) expect(a.headers["content-type"]).equal(JSON_TYPE);
+      }),
+      { numRuns: 60 },
+    );
+    await sane();
+  });
+
+  it("outlive any bytes", async () => {
+    const at = s.entries[0]?.callersAddress ?? "";
+    const link = s.endpoints[0]?.linkAddress ?? "";
+    await fc.assert(
+      fc.asyncProperty(fc.uint8Array({ maxLength: 300 }), fc.boolean(), async (bytes, callers) => {
+        await raw(callers ? at : link, Buffer.from(bytes), 20);
+      }),
+      { numRuns: 60 },
+    );
+    await sane();
+  });
+
+  it("refuse what is too large, told or not", async () => {
+    const told = await s.call("POST", "/v1/completions", "x".repeat(3000));
+    expect(told.status).equal(413);
+    const auth = `Authorization: Bearer ${site.callerKey("wattle")}`;
+    const head = `POST /v1/completions HTTP/1.1\r\nHost: a\r\n${auth}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+    const chunk = `${(3000).toString(16)}\r\n${"x".repeat(3000)}\r\n`;
+    const out = await raw(s.entries[0]?.callersAddress ?? "", Buffer.from(head + chunk));
+    expect(out).include("413");
+    await sane();
+  });
+
+  it("refuse headers that could smuggle another request", async () => {
+    const at = s.entries[0]?.callersAddress ?? "";
+    const both =
+      "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    expect(await raw(at, Buffer.from(both))).match(/^HTTP\/1.1 400/);
+    const twice =
+      "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd";
+    expect(await raw(at, Buffer.from(twice))).match(/^HTTP\/1.1 400/);
+    const key = `Authorization: Bearer ${site.callerKey("wattle")}\r\n`;
+    const keys = `GET /v1/models HTTP/1.1\r\nHost: a\r\n${key}${key}\r\n`;
+    expect(await raw(at, Buffer.from(keys))).include("stands twice");
+    await sane();
+  });
+
+  it("do not wait for a caller that sends no headers", async () => {
+    const at = s.entries[0]?.callersAddress ?? "";
+    const slow = Buffer.from("POST /v1/completions HTTP/1.1\r\nHost: a\r\n");
+    const began = performance.now();
+    await raw(at, slow, 15_000);
+    expect(performance.now() - began).below(15_000);
+    await sane();
+  });
+
+  it("tell no caller of another's key or content", async () => {
+    const a = await s.ask("captions@9", { by: "levant", prompt: "a secret of levant" });
+    const b = await s.ask("captions@9", { by: "wattle" });
+    for (const text of [a.text, b.text]) {
+      expect(text).not.include("secret");
+      expect(text).not.include(site.callerKey("levant"));
+    }
+  });
+});
--- /dev/null
+++ b/test/processes.test.ts
@@ -0,0 +1,140 @@
+import * as chai from "chai";
+import * as undici from "undici";
+import * as site from "../bench/site.js";
+import * as processes from "../src/demo/process.js";
+import * as control from "../src/link/control.js";
+import * as clock from "../src/host/clock.js";
+
+const { expect } = chai;
+
+/** A site whose endpoint daemons are processes of their own, so that they can be killed and frozen. */
+async function start(): Promise<{ readonly s: site.Site; readonly daemons: processes.Running[] }> {
+  const s = await site.Site.start({ engines: 0, objects: objects() });
+  const daemons: processes.Running[] = [];
+  for (let i = 0; i < 2; i++) {
+    const engine = await s.engineAlone(i);
+    const backendUrl = engine.url;
+    const cfg = s.config(`engine-${i}`, s.domainOf(i), { backendUrl });
+    const env = Object.fromEntries(
+      Object.entries(cfg).map(([k, v]) => [
+        `SUMACFIELD_${k.replaceAll(/[A-Z]/g, (c) => `_${c}`).toUpperCase()}`,
+        v,
+      ]),
+    );
+    const at = await processes.daemon("endpoint", `engine-${i}`, {
+      ...env,
+      SUMACFIELD_LOG_LEVEL: "info",
+    });
+    daemons.push(at);
+    const address = at.addresses[0] ?? "";
+    const name = `engine-${i}`;
+    s.list.hosts.put({
+      name,
+      role: "endpoint",
+      failureDomain: s.domainOf(i),
+      address,
+      leaving: false,
+    });
+  }
+  await site.until(() =>
+    daemons.every((d) => s.entries[0]?.views.get(d.name)?.news?.state === "serving"),
+  );
+  return { s, daemons };
+}
+
+function objects() {
+  return [0, 1].flatMap((i) => [
+    site.host(`host-${i}`, ["qld-se-a", "qld-se-b"][i] ?? ""),
+    site.engineAt(`engine-${i}`, `host-${i}`),
+  ]);
+}
+
+/** The daemon whose engine runs something. */
+async function busy(
+  s: site.Site,
+  daemons: readonly processes.Running[],
+): Promise<processes.Running> {
+  const at = (): number =>
+    s.engines.findIndex((e) => e.engine.journal.some((j) => j.kind === "run"));
+  await site.until(() => at() >= 0);
+  const found = daemons[at()];
+  if (!found) throw new Error("no daemon there");
+  return found;
+}
+
+describe("processes", () => {
+  let s: site.Site;
+  let daemons: readonly processes.Running[];
+  beforeEach(async () => {
+    ({ s, daemons } = await start());
+  });
+  afterEach(async () => {
+    await processes.endAll();
+    await s.stop();
+  });
+
+  it("a killed endpoint daemon costs no repeatable request", async () => {
+    const asked = s.ask("captions@1", { tokens: 300, prompt: "p" });
+    (await busy(s, daemons)).signal("SIGKILL");
+    const a = await asked;
+    expect(a.status, a.text).equal(200);
+    expect(site.textOf(a).startsWith("captions@1:p:0 ")).equal(true);
+  });
+
+  it("a frozen endpoint daemon costs no repeatable request", async () => {
+    const asked = s.ask("captions@1", { tokens: 300, prompt: "p" });
+    (await busy(s, daemons)).signal("SIGSTOP");
+    const a = await asked;
+    expect(a.status, a.text).equal(200);
+  });
+
+  it("a frozen endpoint daemon leaves a request not to be repeated unknown, and run once", async () => {
+    const headers = { "sumacfield-repeat": "never" };
+    const asked = s.ask("captions@1", { tokens: 300, prompt: "p", headers });
+    const frozen = await busy(s, daemons);
+    frozen.signal("SIGSTOP");
+    const a = await asked;
+    expect(site.errorOf(a).outcome).equal("unknown");
+    frozen.signal("SIGCONT");
+    await site.until(() => s.journal().some((e) => e.kind === "finish" || e.kind === "run"));
+    expect(s.journal().filter((e) => e.kind === "run")).length(1);
+  });
+
+  it("a daemon that was told to stop ends by itself, and a second signal ends it at once", async () => {
+    const asked = s.ask("captions@1", { tokens: 300, prompt: "p", stream: true });
+    const leaving = await busy(s, daemons);
+    const other = daemons.find((d) => d !== leaving);
+    leaving.signal("SIGTERM");
+    const a = await asked;
+    expect(a.text.endsWith("data: [DONE]\n\n")).equal(true);
+    expect(await leaving.ended).equal(0);
+    other?.signal("SIGTERM");
+    await new Promise((r) => setTimeout(r, 20));
+    other?.signal("SIGTERM");
+    expect(await other?.ended).oneOf([0, 1]);
+  });
+});
+
+describe("control", () => {
+  it("takes no order without the cluster's key", async () => {
+    const s = await site.Site.start({ engines: 1 });
+    try {
+      const at = s.endpoints[0]?.linkAddress ?? "";
+      const stranger = control.connect(at, "engine-0", ["another-key-00001"], clock.system, 500, {
+        bytes: 0,
+      });
+      const epoch = s.endpoints[0]?.parts.epoch ?? "";
+      const refused: unknown = await stranger.cancel
+        .mutate({ attempt: "a", epoch })
+        .catch((err: unknown) => err);
+      expect(String(refused)).include("signed with another key");
+      for (const path of ["/run", "/control/news", "/control/learn", "/other"]) {
+        const res = await undici.request(`http://${at}${path}`, { method: "POST", body: "{}" });
+        await res.body.dump();
+        expect(res.statusCode, path).equal(401);
+      }
+    } finally {
+      await s.stop();
+    }
+  });
+});
