Pass over a keeper of turns that does not answer

Cause: when the endpoint daemon that keeps the turns at the weight store was frozen, others asked it again each time they wanted to load, waited out their patience, and loaded on their own only one time in fifty.

Change: three keepers by rendezvous hashing, each passed over for ten of the longest waits once it does not answer; with none left, a load goes at once.

Red first: without the step to the next keeper, "is asked of the next keeper at once when one is silent" fails (`npm run red`).

--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -255,6 +255,13 @@
     put: "if (head.revision < was.revision) { this.current = { revision: 0, id: '', objects: new Map() }; return this.catchUp();",
     proof: "the store is restored from a backup",
   },
+  {
+    name: "a silent keeper of turns is passed over",
+    file: "endpoint/turn.js",
+    find: "return ask(a);",
+    put: 'return { kind: "wait", askAgainMs: 20 };',
+    proof: "is asked of the next keeper at once when one is silent, and not of that one again",
+  },
   {
     name: "a revoked grant is gone",
     file: "contract/intent.js",
--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -133,7 +133,6 @@
       name: cfg.name,
       members: parts.members,
       peer: parts.peer,
-      random,
     },
   );
   let at: { readonly gate: gate.Gate; readonly object: objects.Endpoint } | undefined;
--- a/src/endpoint/turn.ts
+++ b/src/endpoint/turn.ts
@@ -17,15 +17,21 @@
   readonly name: string;
   readonly members: members.Members;
   readonly peer: (m: hosts.Member) => control.Peer;
-  readonly random: () => number;
 }
 
+/** Endpoint daemons that may keep the turns, one after the other as they fall silent. */
+const KEEPERS = 3;
+/** Longest waits for which a silent keeper is passed over. */
+const SILENT = 10;
 /** Times that a turn is kept alive within its hold. */
 const KEEPS = 3;
 
 export class Desk {
   private turns: turns.Turns;
-  private keeper: hosts.Member | undefined;
+  /** Who may keep the turns, first choice first. */
+  private keepers: readonly hosts.Member[] = [];
+  /** Keepers that did not answer, and until when they are passed over. */
+  private readonly silent = new Map<string, number>();
 
   constructor(
     private readonly opts: turns.Options,
@@ -34,10 +40,15 @@
     this.turns = turns.none(opts);
     deps.members.onChange(() => {
       const able = deps.members.live().filter((m) => m.role === "endpoint");
-      [this.keeper] = members.first(able, "turn", 1);
+      this.keepers = members.first(able, "turn", KEEPERS);
     });
   }
 
+  private keeper(): hosts.Member | undefined {
+    const now = this.deps.clock.mono();
+    return this.keepers.find((m) => (this.silent.get(m.name) ?? 0) <= now);
+  }
+
   /** Answers one question as the keeper. */
   ask(a: control.TurnAsk): control.TurnAnswer {
     const { turns: next, answer } = turns.ask(this.turns, a, this.deps.clock.mono());
@@ -53,13 +64,18 @@
   own(): gate.Turn {
     const { name, peer } = this.deps;
     let keeping: clock.Timer | undefined;
+    // Each keeper that does not answer is passed over for the next; the last resort is to load at
+    // once, which is slower together but never stops.
     const ask = async (a: control.TurnAsk): Promise<control.TurnAnswer> => {
-      const keeper = this.keeper;
-      if (!keeper || keeper.name === name) return this.ask(a);
+      const keeper = this.keeper();
+      if (!keeper) return { kind: "go" };
+      if (keeper.name === name) return this.ask(a);
       try {
         return await peer(keeper).askTurn.mutate(a);
       } catch (err) {
-        return this.alone(keeper, err);
+        this.deps.log.info(`${keeper.name} does not keep the turns: ${log.why(err)}`);
+        this.silent.set(keeper.name, this.deps.clock.mono() + SILENT * this.opts.askMaxMs);
+        return ask(a);
       }
     };
     const keep = (a: control.TurnAsk): void => {
@@ -77,7 +93,7 @@
       },
       end: () => {
         keeping?.cancel();
-        const keeper = this.keeper;
+        const keeper = this.keeper();
         if (!keeper || keeper.name === name) {
           this.end(name);
           return;
@@ -91,12 +107,4 @@
       },
     };
   }
-
-  /** Without a keeper, loads are spread out by chance: slower together, never stopped. */
-  private alone(keeper: hosts.Member, err: unknown): control.TurnAnswer {
-    this.deps.log.debug(`${keeper.name} did not answer for turns: ${log.why(err)}`);
-    const { askMinMs, askMaxMs } = this.opts;
-    if (this.deps.random() < askMinMs / askMaxMs) return { kind: "go" };
-    return { kind: "wait", askAgainMs: askMinMs };
-  }
 }
