Bound the questions for news, and let answers' bytes prove life

Cause: an entry daemon asked every endpoint with an attempt of its own under way once a second. At the size to come it has about 145 attempts under way (5.8 requests/s of 348 tokens at 72 ms), on as many endpoints: at 760 bytes a call that is 110 KB/s, over the 17 KB/s that control may take.

Change: a bounded number of endpoints is asked in a turn: those that missed a question, then those quiet longest with attempts under way, then the next in turn. Bytes of an answer count as life.

Before: 145 calls, 110 KB/s, worked out. After: 16 calls a second at most, 12.2 KB/s, at any size. 122 tests passed, 0 failed, with the bound.

--- a/bench/cost/decision.ts
+++ b/bench/cost/decision.ts
@@ -77,6 +77,7 @@
   const known = new views.Views(
     {
       asked: 16,
+      quietMs: 1000,
       misses: 3,
       candidates: 6,
       holders: 8,
--- a/bench/cost/main.ts
+++ b/bench/cost/main.ts
@@ -5,11 +5,12 @@
 import * as command from "../../src/cli/command.js";
 import * as decision from "./decision.js";
 import * as link from "./link.js";
+import * as memory from "./memory.js";
 import * as throughput from "./throughput.js";
 
 const out = command.out;
 const n = (v: number, digits = 1): string => v.toFixed(digits);
-const parts = process.argv[2]?.split(",") ?? ["decision", "link", "throughput"];
+const parts = process.argv[2]?.split(",") ?? ["decision", "link", "memory", "throughput"];
 
 if (parts.includes("decision")) {
   const rows = [["ENDPOINTS", "ADAPTERS", "ROUTING US", "BYTES"]];
@@ -39,6 +40,14 @@
   const rows = Object.entries(costs).map(([name, c]) => [name, n(c.cpuUs, 0), n(c.bytes, 0)]);
   out(command.table([["CONTROL CALL", "CPU US, BOTH ENDS", "BYTES"], ...rows]));
 }
+if (parts.includes("memory")) {
+  const rows = [["ADAPTERS", "ENTRY DAEMON RSS MB", "STORE CALLS TO START"]];
+  for (const adapters of [100, 28_000]) {
+    const s = await memory.start(adapters);
+    rows.push([String(adapters), n(s.rssMb, 0), String(s.storeCalls)]);
+  }
+  out(command.table(rows));
+}
 if (parts.includes("throughput")) {
   const head = [
     "CONNECTIONS",
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -48,8 +48,8 @@
     help: "Time between questions to endpoints for news, in ms.",
     default: "1000",
   }),
-  asked: settings.int("asked", 0, {
-    help: "Endpoints asked for news at a time, besides those with requests under way.",
+  asked: settings.int("asked", 1, {
+    help: "Endpoints asked for news at a time, those first that may be silent.",
     default: "16",
   }),
   misses: settings.int("misses", 1, {
@@ -137,6 +137,7 @@
   const known = new views.Views(
     {
       asked: cfg.asked,
+      quietMs: cfg.askEveryMs,
       misses: cfg.misses,
       candidates: cfg.candidates,
       holders: HOLDERS,
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -67,6 +67,8 @@
   readonly endpoint: string;
   readonly attempts: number;
   readonly res: undici.Dispatcher.ResponseData;
+  /** To be called when bytes of the body come. */
+  readonly alive: () => void;
   /** Tells whether the body came to its end. */
   readonly done: (whole: boolean) => void;
 }
@@ -221,7 +223,10 @@
     hearNews(res, deps);
     if (res.headers[wire.HEADER.attempt] === attempt.id) {
       if (res.headers[wire.HEADER.outcome] === "ran") {
-        const begun = { endpoint: to.name, attempts, res, done: over };
+        const alive = (): void => {
+          deps.views.alive(to.name);
+        };
+        const begun = { endpoint: to.name, attempts, res, alive, done: over };
         return { kind: "begun", begun };
       }
     }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -324,6 +324,7 @@
   begun.res.body.once("data", () => {
     first(deps.clock.mono());
   });
+  begun.res.body.on("data", begun.alive);
   try {
     await pump.pump(begun.res.body, res);
     res.end();
--- a/src/entry/views.ts
+++ b/src/entry/views.ts
@@ -18,8 +18,10 @@
 import * as view from "./view.js";
 
 export interface Options {
-  /** Endpoints asked for news in one turn, besides those with attempts of this daemon. */
+  /** Endpoints asked for news in one turn; bounds what control costs, however many there are. */
   readonly asked: number;
+  /** Milliseconds without a byte after which an endpoint with attempts under way is asked. */
+  readonly quietMs: number;
   /** Questions without an answer, in a row, after which an endpoint counts as silent. */
   readonly misses: number;
   /** Endpoints of the ring weighed for one request. */
@@ -45,6 +47,8 @@
   private readonly holders = new Map<string, Set<string>>();
   private readonly underWay = new Map<string, Set<AbortController>>();
   private readonly missed = new Map<string, number>();
+  /** Monotonic ms at which bytes of an answer last came from an endpoint. */
+  private readonly lastBytes = new Map<string, number>();
   private readonly rings = new lru.LRUCache<string, ring.Ring>({ max: RINGS });
   private readonly ringOf = new WeakMap<readonly objects.Endpoint[], ring.Ring>();
   private turn = 0;
@@ -95,6 +99,7 @@
     this.set({ ...v, news: undefined });
     this.views.delete(name);
     this.missed.delete(name);
+    this.lastBytes.delete(name);
   }
 
   get(name: string): view.View | undefined {
@@ -192,19 +197,41 @@
     return made;
   }
 
-  /** Asks those with attempts under way, and the next few in turn, how they are. */
+  /** Bytes of an answer came from `name`: it lives, and need not be asked. */
+  alive(name: string): void {
+    this.lastBytes.set(name, this.deps.clock.mono());
+    this.missed.delete(name);
+  }
+
+  /** Milliseconds since anything came from `name`. */
+  private quietMs(name: string): number {
+    const heard = Math.max(this.lastBytes.get(name) ?? 0, this.views.get(name)?.heardAt ?? 0);
+    return this.deps.clock.mono() - heard;
+  }
+
+  /**
+   * Asks a bounded number of endpoints how they are: first those that missed a question, then those
+   * with attempts under way that have been quiet longest, then the next few in turn.
+   */
   async ask(): Promise<void> {
     const all = this.deps.members.all().filter((m) => m.role === "endpoint");
-    const asked = new Map<string, hosts.Member>();
-    for (const m of all) {
-      if ((this.underWay.get(m.name)?.size ?? 0) > 0) asked.set(m.name, m);
-    }
-    for (let i = 0; i < Math.min(this.opts.asked, all.length); i++) {
-      const m = all[(this.turn + i) % all.length];
-      if (m) asked.set(m.name, m);
-    }
-    this.turn += this.opts.asked;
-    await Promise.all([...asked.values()].map((m) => this.askOne(m)));
+    const doubted = all.filter((m) => {
+      const misses = this.missed.get(m.name) ?? 0;
+      return misses > 0 && misses < this.opts.misses;
+    });
+    const quiet = all
+      .filter((m) => this.busy(m.name) && this.quietMs(m.name) >= this.opts.quietMs)
+      .sort((a, b) => this.quietMs(b.name) - this.quietMs(a.name));
+    const next = all
+      .map((_, i) => all[(this.turn + i) % all.length])
+      .filter((m) => m !== undefined);
+    const chosen = [...new Set([...doubted, ...quiet, ...next])].slice(0, this.opts.asked);
+    this.turn += Math.max(1, chosen.length - doubted.length - quiet.length);
+    await Promise.all(chosen.map((m) => this.askOne(m)));
+  }
+
+  private busy(name: string): boolean {
+    return (this.underWay.get(name)?.size ?? 0) > 0;
   }
 
   private async askOne(m: hosts.Member): Promise<void> {
