--- a/bench/cost/decision.ts
+++ b/bench/cost/decision.ts
@@ -4,6 +4,7 @@
  */
 import * as intents from "../../src/contract/intent.js";
 import * as objects from "../../src/contract/objects.js";
+import * as answer from "../../src/endpoint/answer.js";
 import * as plan from "../../src/endpoint/plan.js";
 import * as slot from "../../src/endpoint/slot.js";
 import * as route from "../../src/entry/route.js";
@@ -207,6 +208,17 @@
   return { mb, ms: times.sort((a, b) => a - b)[RUNS >> 1] ?? NaN };
 }
 
+/** The check of one event of a streamed answer. */
+export function checking(): Cost {
+  const choices = [{ index: 0, text: " word", logprobs: null, finish_reason: null }];
+  const head = { id: "cmpl-attempt-1", object: "text_completion", created: 1_796_200_000 };
+  const event = JSON.stringify({ ...head, model: "a@1~x.1", choices });
+  const expected = { name: "a@1~x.1", id: "attempt-1", target: "a@1", endpoint: "e" };
+  return measure(20_000, () => {
+    answer.check(event, expected);
+  });
+}
+
 /** Bytes of one endpoint's news on the wire, and the cost to write and read it. */
 export function news(): Cost & { readonly wire: number } {
   const one = newsOf(1, 28_000, workload.randomOf(1));
--- a/bench/cost/main.ts
+++ b/bench/cost/main.ts
@@ -31,6 +31,7 @@
     return [String(a), n(c.mb), n(c.ms)];
   });
   out(command.table([["ADAPTERS", "INTENT MB", "CHANGE MS"], ...changes]));
+  out(`checking one event of a stream: ${n(decision.checking().us)} us`);
   const news = decision.news();
   out(`news: ${news.wire} bytes, ${n(news.us)} us to write and read`);
 }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -294,8 +294,12 @@
       deps.job,
     );
     if (begun.attempts > 1) deps.metrics.count("retries", labels);
-    await pass(deps, w.work, begun, res, (ms) => {
-      deps.metrics.observe("first_token", ms - began, labels);
+    const streamed = w.work.kind === "model" && w.work.stream;
+    let last = began;
+    await pass(deps, w.work, begun, res, (at) => {
+      const name = last === began ? "first_token" : "between_tokens";
+      if (streamed || last === began) deps.metrics.observe(name, at - last, labels);
+      last = at;
     });
   } catch (err) {
     const f = outcome.toFailure(err, "serve", opts.name, "unknown");
@@ -313,7 +317,7 @@
   work: wire.Attempt["work"],
   begun: job.Begun,
   res: http.ServerResponse,
-  first: (at: number) => void,
+  arrived: (at: number) => void,
 ): Promise<void> {
   const headers: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(begun.res.headers)) {
@@ -321,10 +325,10 @@
     headers[name] = value;
   }
   res.writeHead(begun.res.statusCode, { ...headers, "sumacfield-attempts": begun.attempts });
-  begun.res.body.once("data", () => {
-    first(deps.clock.mono());
+  begun.res.body.on("data", () => {
+    begun.alive();
+    arrived(deps.clock.mono());
   });
-  begun.res.body.on("data", begun.alive);
   try {
     await pump.pump(begun.res.body, res);
     res.end();
