Split the gate, the test site and the measuring run

The test site mixed declared objects with a running site; the measuring run mixed its givens with the run.

Change: `holdings` alone gives the engine orders and shares the plan's state with the gate; `setup` holds what both are given; `declare` and `given` hold the builders. Behaviour as before.

--- a/bench/measure/run.ts
+++ b/bench/measure/run.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import * as intents from "../../src/contract/intent.js";
-import * as objects from "../../src/contract/objects.js";
 import * as gate from "../../src/endpoint/gate.js";
 import type * as plan from "../../src/endpoint/plan.js";
+import type * as setup from "../../src/endpoint/setup.js";
 import * as turns from "../../src/endpoint/turns.js";
 import * as route from "../../src/entry/route.js";
 import * as views from "../../src/entry/views.js";
@@ -15,8 +15,8 @@
 import type * as metrics from "../../src/host/metrics.js";
 import type * as wire from "../../src/link/wire.js";
 import * as outcome from "../../src/request/outcome.js";
-import * as site from "../site.js";
 import * as fakes from "./fakes.js";
+import * as given from "./given.js";
 import type * as policies from "./policy.js";
 import * as time from "./time.js";
 import * as workload from "./workload.js";
@@ -68,45 +68,6 @@
   close: () => undefined,
 };
 
-function declare(d: workload.Deployment): intents.Intent {
-  const numbers = Array.from({ length: d.engines }, (_, i) => i);
-  const domainOf = (i: number): string => d.failureDomains[i % d.failureDomains.length] ?? "";
-  const spec = { slots: d.slots, seats: d.seats };
-  const puts = [
-    ...d.failureDomains.map((name) => site.domain(name)),
-    ...numbers.map((i) => site.host(`host-${i}`, domainOf(i))),
-    ...numbers.map((i) => site.engineAt(`engine-${i}`, `host-${i}`, spec)),
-    ...Array.from({ length: d.adapters }, (_, i) => site.adapter(`a${i}`, "weights", ["1"])),
-    site.placement("anywhere"),
-  ];
-  const found = new Map(puts.map((o) => [objects.keyOf(o), o]));
-  return { revision: 1, id: "measured", objects: found };
-}
-
-/** Times at which each adapter is wanted, for the policy that knows the future. */
-function futureOf(requests: readonly workload.Request[]): ReadonlyMap<string, readonly number[]> {
-  const out = new Map<string, number[]>();
-  for (const r of requests) {
-    const target = `${r.adapter}@1`;
-    const times = out.get(target);
-    if (times) times.push(r.at);
-    else out.set(target, [r.at]);
-  }
-  return out;
-}
-
-function nextUse(times: readonly number[] | undefined, now: number): number {
-  if (!times) return Infinity;
-  let low = 0;
-  let high = times.length;
-  while (low < high) {
-    const mid = (low + high) >>> 1;
-    if ((times[mid] ?? 0) <= now) low = mid + 1;
-    else high = mid;
-  }
-  return times[low] ?? Infinity;
-}
-
 class Bench {
   readonly clk = new time.Time();
   readonly samples: Sample[] = [];
@@ -127,9 +88,9 @@
   ) {
     const d = p.deployment;
     this.weights = new fakes.Weights(this.clk, 1000 / d.loadsPerS);
-    this.intent = declare(d);
+    this.intent = given.intentOf(d);
     this.random = workload.randomOf(p.seed + 1);
-    this.future = futureOf(requests);
+    this.future = given.futureOf(requests);
     this.turns = turns.none({
       parallel: 1,
       holdMs: 1e9,
@@ -206,10 +167,10 @@
   private eviction(): plan.Eviction {
     const kind = this.p.policy.evict;
     if (kind !== "ranked") return { kind };
-    return { kind, value: (target, now) => -nextUse(this.future.get(target), now) };
+    return { kind, value: (target, now) => -given.nextUse(this.future.get(target), now) };
   }
 
-  private turn(endpoint: string): gate.Turn {
+  private turn(endpoint: string): setup.Turn {
     if (!this.p.policy.turns)
       return { ask: () => Promise.resolve({ kind: "go" }), end: () => undefined };
     return {
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -54,14 +54,14 @@
   },
   {
     name: "the place of a cancelled attempt is kept until the engine's counts show it gone",
-    file: "endpoint/gate.js",
-    find: "if (this.deps.engine)\n                    this.ghosts.set(id, this.deps.clock.mono());\n                else\n                    this.release(id);",
-    put: "this.release(id);",
+    file: "endpoint/holdings.js",
+    find: "if (this.deps.engine)\n            this.ghosts.set(id, this.deps.clock.mono());\n        else\n            this.client.release(id);",
+    put: "this.client.release(id);",
     proof: "a caller goes away, and the engine goes on for a while",
   },
   {
     name: "a name is never used twice on an engine",
-    file: "endpoint/gate.js",
+    file: "endpoint/holdings.js",
     find: "${EPOCH_MARK}${this.opts.epoch}.${this.names}`",
     put: "${EPOCH_MARK}${this.opts.epoch}.0`",
     proof: "an unload takes effect late, after its reply was lost",
--- a/bench/site.ts
+++ b/bench/site.ts
@@ -4,13 +4,13 @@
  */
 import * as crypto from "node:crypto";
 import * as undici from "undici";
+import * as declare from "./declare.js";
 import type * as objects from "../src/contract/objects.js";
 import * as endpoint from "../src/endpoint/daemon.js";
 import * as entry from "../src/entry/daemon.js";
 import * as clock from "../src/host/clock.js";
 import * as settings from "../src/host/settings.js";
 import * as control from "../src/link/control.js";
-import * as keys from "../src/link/keys.js";
 import * as change from "../src/operator/change.js";
 import * as etcd from "../src/platform/etcd.js";
 import * as hosts from "../src/platform/hosts.js";
@@ -21,105 +21,10 @@
 import * as stores from "../src/standin/store.js";
 import * as weightStores from "../src/standin/weights.js";
 
-export const KEY = "test-cluster-key-0001";
-export const BASE = "base-7b";
-const V = "sumacfield/v1";
-
-export const callerKey = (name: string): string => `key-of-${name}`;
-
-export const domain = (name: string, labels = {}): objects.Obj => ({
-  apiVersion: V,
-  kind: "FailureDomain",
-  metadata: { name, labels },
-  spec: {},
-});
-
-export const host = (name: string, failureDomain: string, labels = {}): objects.Obj => ({
-  apiVersion: V,
-  kind: "Host",
-  metadata: { name, labels },
-  spec: { failureDomain },
-});
-
-export const engineAt = (
-  name: string,
-  hostName: string,
-  spec: Partial<objects.Endpoint["spec"]> = {},
-  labels = {},
-): objects.Obj => ({
-  apiVersion: V,
-  kind: "Endpoint",
-  metadata: { name, labels },
-  spec: {
-    host: hostName,
-    serves: "engine",
-    baseModel: BASE,
-    slots: 4,
-    seats: 4,
-    fencing: "ignored",
-    ...spec,
-  },
-});
-
-export const serviceAt = (name: string, hostName: string, service: string): objects.Obj => ({
-  apiVersion: V,
-  kind: "Endpoint",
-  metadata: { name, labels: {} },
-  spec: { host: hostName, serves: "service", service, slots: 1, seats: 8, fencing: "ignored" },
-});
+export * from "./declare.js";
 
-export const adapter = (
-  name: string,
-  source: string,
-  versions: readonly string[] = ["1", "2"],
-  current = versions[0] ?? "1",
-  labels = {},
-): objects.Obj => ({
-  apiVersion: V,
-  kind: "Adapter",
-  metadata: { name, labels },
-  spec: {
-    baseModel: BASE,
-    versions: versions.map((version) => ({ version, source: `${source}/${name}/${version}` })),
-    current,
-  },
-});
-
-export const service = (name: string): objects.Obj => ({
-  apiVersion: V,
-  kind: "Service",
-  metadata: { name, labels: {} },
-  spec: { repeatable: ["GET", "HEAD", "OPTIONS"] },
-});
-
-export const caller = (name: string, cls = "standard", labels = {}): objects.Obj => ({
-  apiVersion: V,
-  kind: "Caller",
-  metadata: { name, labels },
-  spec: { keys: [keys.sha256(callerKey(name))], class: cls },
-});
-
-export const grant = (name: string, spec: Partial<objects.Grant["spec"]> = {}): objects.Obj => ({
-  apiVersion: V,
-  kind: "Grant",
-  metadata: { name, labels: {} },
-  spec: {
-    callers: {},
-    limits: {},
-    ...(spec.services ? {} : { adapters: {} }),
-    ...spec,
-  },
-});
-
-export const placement = (
-  name: string,
-  spec: Partial<objects.Placement["spec"]> = {},
-): objects.Obj => ({
-  apiVersion: V,
-  kind: "Placement",
-  metadata: { name, labels: {} },
-  spec: { endpoints: {}, ...(spec.services ? {} : { adapters: {} }), ...spec },
-});
+/** The cluster's key on every site. */
+export const KEY = "test-cluster-key-0001";
 
 /** Settings that make daemons quick enough for tests. */
 const QUICK = {
@@ -227,23 +132,23 @@
     const numbers = Array.from({ length: count }, (_, i) => i);
     const names = plan.adapters ?? ADAPTERS;
     return [
-      ...domains.map((d) => domain(d)),
-      ...numbers.map((i) => host(`host-${i}`, this.domainOf(i))),
-      ...numbers.map((i) => engineAt(`engine-${i}`, `host-${i}`, spec)),
-      ...names.map((n) => adapter(n, this.weights.url)),
-      caller("wattle", "captions"),
-      caller("levant", "disputes"),
-      grant("all"),
-      placement("anywhere"),
+      ...domains.map((d) => declare.domain(d)),
+      ...numbers.map((i) => declare.host(`host-${i}`, this.domainOf(i))),
+      ...numbers.map((i) => declare.engineAt(`engine-${i}`, `host-${i}`, spec)),
+      ...names.map((n) => declare.adapter(n, this.weights.url)),
+      declare.caller("wattle", "captions"),
+      declare.caller("levant", "disputes"),
+      declare.grant("all"),
+      declare.placement("anywhere"),
       ...(plan.service
         ? [
-            service("cutover"),
-            host("host-service", this.domainOf(0)),
+            declare.service("cutover"),
+            declare.host("host-service", this.domainOf(0)),
             ...Array.from({ length: SERVICE_ENDPOINTS }, (_, i) =>
-              serviceAt(`service-${i}`, "host-service", "cutover"),
+              declare.serviceAt(`service-${i}`, "host-service", "cutover"),
             ),
-            grant("cutover", { services: {} }),
-            placement("cutover", { services: {} }),
+            declare.grant("cutover", { services: {} }),
+            declare.placement("cutover", { services: {} }),
           ]
         : []),
       ...(plan.objects ?? []),
@@ -268,7 +173,7 @@
       slots: this.plan.slots ?? 4,
       seats: this.plan.seats ?? 4,
       stepMs: this.plan.stepMs ?? 1,
-      baseModel: BASE,
+      baseModel: declare.BASE,
       fencing: this.plan.fencing === "honoured",
     });
     return this.engines[i];
@@ -391,7 +296,10 @@
     const at = this.entries[more.at ?? 0]?.callersAddress ?? "";
     const res = await undici.request(`http://${at}${path}`, {
       method: method,
-      headers: { authorization: `Bearer ${callerKey(more.by ?? "wattle")}`, ...more.headers },
+      headers: {
+        authorization: `Bearer ${declare.callerKey(more.by ?? "wattle")}`,
+        ...more.headers,
+      },
       body: body === "" ? null : body,
       headersTimeout: 15_000,
       bodyTimeout: 15_000,
@@ -411,7 +319,7 @@
     const gone = new AbortController();
     const asked = undici.request(`http://${this.entries[0]?.callersAddress ?? ""}/v1/completions`, {
       method: "POST",
-      headers: { authorization: `Bearer ${callerKey("wattle")}` },
+      headers: { authorization: `Bearer ${declare.callerKey("wattle")}` },
       body: JSON.stringify({ model, prompt: "p", max_tokens: tokens }),
       signal: gone.signal,
     });
--- a/src/endpoint/turn.ts
+++ b/src/endpoint/turn.ts
@@ -8,7 +8,7 @@
 import * as members from "../host/members.js";
 import type * as control from "../link/control.js";
 import type * as hosts from "../platform/hosts.js";
-import type * as gate from "./gate.js";
+import type * as setup from "./setup.js";
 import * as turns from "./turns.js";
 
 export interface Deps {
@@ -61,7 +61,7 @@
   }
 
   /** This endpoint's own turn, from whoever keeps them. */
-  own(): gate.Turn {
+  own(): setup.Turn {
     const { name, peer } = this.deps;
     let keeping: clock.Timer | undefined;
     // Each keeper that does not answer is passed over for the next; the last resort is to load at
