Answer bytes that are no request with an error of the usual shape

Cause: what Node's HTTP parser refuses got a bare status line, and nothing may be said by a status alone; a caller too slow with its headers as well.

Change: both servers answer such bytes with the JSON body, `not_run`.

Measured: red first by `npm run red` ("refuse headers that could smuggle another request" fails without it); 7 door tests pass with it.

--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -255,6 +255,13 @@
     put: "if (head.revision < was.revision) { this.current = { revision: 0, id: '', objects: new Map() }; return this.catchUp();",
     proof: "the store is restored from a backup",
   },
+  {
+    name: "bytes that are no request get an error of the usual shape",
+    file: "entry/server.js",
+    find: 'server.on("clientError", body.refuseBytes);',
+    put: "",
+    proof: "refuse headers that could smuggle another request",
+  },
   {
     name: "a silent keeper of turns is passed over",
     file: "endpoint/turn.js",
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -53,6 +53,7 @@
       res.destroy();
     });
   });
+  server.on("clientError", body.refuseBytes);
   return server;
 }
 
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -79,6 +79,7 @@
       });
     },
   );
+  server.on("clientError", body.refuseBytes);
   return server;
 }
 
--- a/src/link/body.ts
+++ b/src/link/body.ts
@@ -2,7 +2,8 @@
  * Reading a body within a bound, and answering with a failure.
  * @module
  */
-import type * as http from "node:http";
+import * as http from "node:http";
+import type * as stream from "node:stream";
 import * as outcome from "../request/outcome.js";
 import * as wire from "./wire.js";
 
@@ -33,6 +34,40 @@
   return Buffer.concat(parts);
 }
 
+/** Codes that Node's HTTP server gives to what it cannot read, where they say more than "bad". */
+const UNREADABLE: Readonly<Record<string, outcome.Code>> = {
+  HPE_HEADER_OVERFLOW: "too_large",
+  ERR_HTTP_REQUEST_TIMEOUT: "bad_request",
+};
+
+/**
+ * Answers bytes that are no HTTP request, or one that came too slowly, with a failure of the usual
+ * shape; the connection ends.
+ */
+export function refuseBytes(err: Error, socket: stream.Duplex): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const cause = "code" in err ? String(err.code) : "";
+  const code = UNREADABLE[cause] ?? "bad_request";
+  const message = `The request could not be read: ${err.message}.`;
+  const text = JSON.stringify(
+    outcome.toBody({ code, outcome: "not_run", step: "read", peer: "caller", message }),
+  );
+  socket.end(
+    [
+      `HTTP/1.1 ${outcome.STATUS[code]} ${http.STATUS_CODES[outcome.STATUS[code]] ?? ""}`,
+      "content-type: application/json",
+      `content-length: ${Buffer.byteLength(text)}`,
+      `${wire.HEADER.outcome}: not_run`,
+      "connection: close",
+      "",
+      text,
+    ].join("\r\n"),
+  );
+}
+
 /** Answers with a failure; once an answer has begun, cuts it so that nobody takes it for whole. */
 export function refuse(res: http.ServerResponse, f: outcome.Failure): void {
   if (res.headersSent) {
--- a/test/doors.test.ts
+++ b/test/doors.test.ts
@@ -90,10 +90,10 @@
     const at = s.entries[0]?.callersAddress ?? "";
     const both =
       "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
-    expect(await raw(at, Buffer.from(both))).match(/^HTTP\/1.1 400/);
+    expect(await raw(at, Buffer.from(both))).match(/^HTTP\/1.1 400[^]*"outcome":"not_run"/);
     const twice =
       "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd";
-    expect(await raw(at, Buffer.from(twice))).match(/^HTTP\/1.1 400/);
+    expect(await raw(at, Buffer.from(twice))).match(/^HTTP\/1.1 400[^]*"outcome":"not_run"/);
     const key = `Authorization: Bearer ${site.callerKey("wattle")}\r\n`;
     const keys = `GET /v1/models HTTP/1.1\r\nHost: a\r\n${key}${key}\r\n`;
     expect(await raw(at, Buffer.from(keys))).include("stands twice");
@@ -104,7 +104,7 @@
     const at = s.entries[0]?.callersAddress ?? "";
     const slow = Buffer.from("POST /v1/completions HTTP/1.1\r\nHost: a\r\n");
     const began = performance.now();
-    await raw(at, slow, 15_000);
+    expect(await raw(at, slow, 15_000)).include('"outcome":"not_run"');
     expect(performance.now() - began).below(15_000);
     await sane();
   });
