Mend two evictions in use that chaos found, and retry what was spoiled

An engine restarted, and its daemon, before it had looked, met a 404 and loaded the adapter again. The look then saw the new start time, voided all it knew, and took the adapter's own new name for a stranger's, whose work the daemon's own live attempts hid in the counts; so it was evicted. Cause 2, found in the same reading: the place of a cancelled attempt was given back when the counts showed no more than the daemon's attempts, though some of those had not arrived and so stood in for the one still running. Cause 3: an engine's wrong answer failed a request that could be run again.

Change: after a restart the list decides, and names loaded since are kept; only attempts sent longer ago than the lag count, in two looks in a row, or 30 s pass (`--engine-cancel-ms`), since under steady work counts never agree; a repeatable request that was spoiled is tried elsewhere.

Each of the three fails again when its mechanism is switched off.

--- a/bench/measure/run.ts
+++ b/bench/measure/run.ts
@@ -144,6 +144,7 @@
         halfLifeMs: policy.halfLifeMs,
         healthMs: LOOK_MS,
         lagMs: 1000,
+        cancelMs: 30_000,
         orderMs: 60_000,
         retryLoadMs: 2000,
         fencing: "ignored",
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -262,6 +262,27 @@
     put: "",
     proof: "refuse headers that could smuggle another request",
   },
+  {
+    name: "a repeatable request that an engine spoiled is tried elsewhere",
+    file: "entry/job.js",
+    find: 'if (!job.repeatable || sent.failure.code === "engine_refused")',
+    put: "if (true)",
+    proof: "one engine answers for another model, and another gives the answer",
+  },
+  {
+    name: "after a cold start, what was loaded since is kept",
+    file: "endpoint/holdings.js",
+    find: "if (first)\n            await this.learn(names, began);",
+    put: "if (first || health.startedAt !== this.lastStart) { this.lastStart = health.startedAt; this.cell.state = { ...this.cell.state, slots: slot.empty(this.opts.slots) }; await this.learn(names, began); }",
+    proof: "an engine restarts, and loads again before its daemon has looked",
+  },
+  {
+    name: "an attempt on its way does not stand in for a cancelled one",
+    file: "endpoint/holdings.js",
+    find: "if (!this.ghosts.has(r.id) && now - r.dispatchedAt >= this.opts.lagMs)",
+    put: "if (!this.ghosts.has(r.id))",
+    proof: "another request begins while a cancelled one still runs",
+  },
   {
     name: "a silent keeper of turns is passed over",
     file: "endpoint/turn.js",
--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -48,6 +48,10 @@
     help: "How far the engine's counts may lag, in ms.",
     default: "2000",
   }),
+  engineCancelMs: settings.int("engineCancelMs", 0, {
+    help: "Time after which a cancelled request has surely ended, whatever the counts say, in ms.",
+    default: "30000",
+  }),
   orderMs: settings.int("orderMs", 1, {
     help: "Patience with a load or unload, in ms.",
     default: "60000",
@@ -163,6 +167,7 @@
         halfLifeMs: cfg.halfLifeMs,
         healthMs: cfg.engineEveryMs,
         lagMs: cfg.engineLagMs,
+        cancelMs: cfg.engineCancelMs,
         orderMs: cfg.orderMs,
         retryLoadMs: cfg.retryLoadMs,
         fencing: object.spec.fencing,
--- a/src/endpoint/holdings.ts
+++ b/src/endpoint/holdings.ts
@@ -37,6 +37,8 @@
 
 /** Looks at the engine that must fail before it counts as out. */
 const MISSES = 2;
+/** Looks that must agree that nothing but this daemon's work is on the engine. */
+const QUIET_LOOKS = 2;
 const EPOCH_MARK = "~";
 
 export class Holdings {
@@ -47,6 +49,8 @@
   private readonly failedLoads = new Map<string, number>();
   private engineStart = 0;
   private misses = 0;
+  /** Looks in a row whose counts showed no work but this daemon's. */
+  private quietLooks = 0;
   private loading = 0;
   private names = 0;
   private typicalMs: number;
@@ -193,7 +197,13 @@
       return;
     }
     this.misses = 0;
-    if (health.startedAt !== this.engineStart) await this.coldStart(health.startedAt, names, began);
+    const first = this.engineStart === 0;
+    if (!first && health.startedAt !== this.engineStart) {
+      this.deps.log.warn("The engine came back cold.");
+    }
+    this.engineStart = health.startedAt;
+    // After a cold start too: what was loaded since, and is in use, is in the list by its own name.
+    if (first) await this.learn(names, began);
     else await this.reconcile(names, known, began);
     this.releaseGhosts(health, began);
     this.client.learned();
@@ -208,15 +218,9 @@
     this.client.engineOut();
   }
 
-  /** The engine began a new life: what this daemon knew of the former one is void. */
-  private async coldStart(start: number, names: readonly string[], now: number): Promise<void> {
-    const first = this.engineStart === 0;
-    this.engineStart = start;
-    this.client.lost();
-    this.strangers.clear();
-    this.cell.state = { ...this.cell.state, slots: slot.empty(this.opts.slots) };
-    if (!first) this.deps.log.warn("The engine came back cold.");
-    const barred = first && (await this.barOthers());
+  /** The first look at an engine: what others left there is taken over. */
+  private async learn(names: readonly string[], now: number): Promise<void> {
+    const barred = await this.barOthers();
     for (const name of names) this.adopt(name, barred, now);
   }
 
@@ -279,20 +283,34 @@
 
   /**
    * Gives back the places of cancelled attempts, and strangers' slots, once the engine's counts show
-   * no more work than this daemon has there. Counts lag, so they must be younger than the cancel.
+   * no more work than this daemon surely has there. Counts lag, and do not tell requests apart: what
+   * was sent lately may not be in them and must not stand in for a cancelled one, and two looks in a
+   * row must agree.
    */
   private releaseGhosts(health: engine.Health, now: number): void {
-    const own = this.cell.state.running.size - this.ghosts.size;
-    if (health.running + health.waiting > own) return;
+    const quiet = health.running + health.waiting <= this.surelyThere(now);
+    this.quietLooks = quiet ? this.quietLooks + 1 : 0;
+    const agreed = this.quietLooks >= QUIET_LOOKS;
     for (const [id, at] of this.ghosts) {
-      if (now - at < this.opts.lagMs) continue;
+      // Under steady work the counts never agree; then only time tells that a cancel took effect.
+      if (now - at < (agreed ? this.opts.lagMs : this.opts.cancelMs)) continue;
       this.ghosts.delete(id);
       this.client.release(id);
     }
+    if (!agreed) return;
     for (const [name, at] of this.strangers) {
       if (now - at < this.opts.lagMs) continue;
       this.strangers.delete(name);
       this.cell.state = { ...this.cell.state, slots: slot.unpin(this.cell.state.slots, name) };
     }
   }
+
+  /** Attempts of this daemon that the engine's counts of a look at `now` surely hold. */
+  private surelyThere(now: number): number {
+    let count = 0;
+    for (const r of this.cell.state.running.values()) {
+      if (!this.ghosts.has(r.id) && now - r.dispatchedAt >= this.opts.lagMs) count++;
+    }
+    return count;
+  }
 }
--- a/src/endpoint/setup.ts
+++ b/src/endpoint/setup.ts
@@ -36,6 +36,8 @@
   readonly healthMs: number;
   /** How far the engine's counts may lag, in ms. */
   readonly lagMs: number;
+  /** Milliseconds after which a cancelled request has surely ended, whatever the counts say. */
+  readonly cancelMs: number;
   /** Milliseconds an order may still be on its way after its reply was lost. */
   readonly orderMs: number;
   /** Milliseconds after a failed load before the next try of that adapter here. */
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -112,7 +112,13 @@
         if (sent.failure.code === "stale_epoch") tried.delete(chosen.name);
         break;
       case "failed":
-        throw new outcome.StepError(sent.failure);
+        // What the engine itself refused, it would refuse elsewhere too.
+        if (!job.repeatable || sent.failure.code === "engine_refused") {
+          throw new outcome.StepError(sent.failure);
+        }
+        at = trail.step(at, "spoiled");
+        last = sent.failure;
+        break;
       case "broke":
         at = trail.step(at, "broke");
         if (await provedNotRun(chosen, sent.attempt, deps)) at = trail.step(at, "proved");
@@ -127,7 +133,8 @@
 /** Another attempt after a refusal costs little; one after a doubt may run the work twice. */
 function mayRetry(job: Job, at: trail.Trail, deps: Deps): boolean {
   if (!trail.maySend(at) || !Buffer.isBuffer(job.body)) return false;
-  return deps.retry(at.context.doubts === 0 ? REFUSED_COST : 1);
+  const ran = at.context.doubts + at.context.spoiled > 0;
+  return deps.retry(ran ? 1 : REFUSED_COST);
 }
 
 function final(
--- a/src/request/trail.ts
+++ b/src/request/trail.ts
@@ -15,8 +15,10 @@
   | { readonly type: "broke" }
   /** The endpoint of a broken attempt says that it did not and will not run. */
   | { readonly type: "proved" }
-  /** It ran and failed. */
+  /** It ran and failed, for good. */
   | { readonly type: "failed" }
+  /** It ran and failed, and may be run again elsewhere. */
+  | { readonly type: "spoiled" }
   /** The first byte of its answer went to the caller. */
   | { readonly type: "begun" }
   | { readonly type: "finished" };
@@ -24,19 +26,24 @@
 const machine = xstate
   .setup({
     types: {
-      context: {} as { readonly repeatable: boolean; readonly doubts: number },
+      context: {} as {
+        readonly repeatable: boolean;
+        readonly doubts: number;
+        readonly spoiled: number;
+      },
       events: {} as TrailEvent,
       input: {} as { readonly repeatable: boolean },
     },
     guards: { maySend: ({ context: c }) => c.repeatable || c.doubts === 0 },
     actions: {
       doubt: xstate.assign({ doubts: ({ context: c }) => c.doubts + 1 }),
+      spoil: xstate.assign({ spoiled: ({ context: c }) => c.spoiled + 1 }),
       clear: xstate.assign({ doubts: ({ context: c }) => c.doubts - 1 }),
     },
   })
   .createMachine({
     id: "trail",
-    context: ({ input }) => ({ repeatable: input.repeatable, doubts: 0 }),
+    context: ({ input }) => ({ repeatable: input.repeatable, doubts: 0, spoiled: 0 }),
     initial: "waiting",
     states: {
       waiting: {
@@ -50,6 +57,11 @@
           refused: "waiting",
           broke: { target: "waiting", actions: "doubt" },
           failed: "failed",
+          spoiled: {
+            guard: ({ context: c }) => c.repeatable,
+            target: "waiting",
+            actions: "spoil",
+          },
           begun: "answering",
         },
       },
@@ -102,6 +114,7 @@
 export function verdict(t: Trail): outcome.Outcome {
   switch (t.value) {
     case "waiting":
+      if (t.context.spoiled > 0) return "failed";
       return t.context.doubts === 0 ? "not_run" : "unknown";
     case "out":
     case "answering":
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -35,6 +35,8 @@
   lagMs: number;
   /** Milliseconds that a cancelled request still runs. */
   slowCancelMs: number;
+  /** Milliseconds that a request is on its way before the engine has it. */
+  slowArrivalMs: number;
   /** Steps stand still. */
   frozen: boolean;
 }
@@ -83,6 +85,7 @@
     breakAnswers: 0,
     lagMs: 0,
     slowCancelMs: 0,
+    slowArrivalMs: 0,
     frozen: false,
   };
   readonly journal: Event[] = [];
@@ -151,6 +154,9 @@
         return;
       case "/v1/completions":
       case "/v1/chat/completions":
+        if (this.faults.slowArrivalMs > 0) {
+          await new Promise((r) => setTimeout(r, this.faults.slowArrivalMs));
+        }
         this.generate(JSON.parse(body) as Asked, req, res);
         return;
       default:
--- a/test/request.test.ts
+++ b/test/request.test.ts
@@ -18,6 +18,7 @@
   "broke",
   "proved",
   "failed",
+  "spoiled",
   "begun",
   "finished",
 ];
@@ -42,7 +43,11 @@
             open++;
           }
           if (type === "refused" || type === "proved") open--;
-          if (type === "failed" || type === "begun") touched = true;
+          if (type === "failed" || type === "begun" || type === "spoiled") touched = true;
+          if (type === "spoiled") {
+            expect(repeatable).equal(true);
+            open--;
+          }
           if (trail.verdict(t) === "not_run") expect([open, touched]).eql([0, false]);
           if (open > 0 && !touched) expect(trail.verdict(t)).equal("unknown");
         }
--- a/test/scenarios/1-exact-adapter.feature
+++ b/test/scenarios/1-exact-adapter.feature
@@ -6,6 +6,15 @@
     And a caller asks captions@2 for 4 tokens
     Then the caller is told failed, with the code answer_mismatch
 
+  Scenario: one engine answers for another model, and another gives the answer
+    Given a site with 2 engines
+    When engine 1 answers the next request for another model
+    And 6 callers ask captions@1 for 4 tokens each
+    And 6 callers ask notes@1 for 4 tokens each
+    And 6 callers ask rulings@1 for 4 tokens each
+    And 6 callers ask bulletins@1 for 4 tokens each
+    Then every caller gets a whole answer of its own
+
   Scenario: an engine streams for another model
     Given a site with 1 engine
     When every engine answers the next request for another model
--- a/test/scenarios/2-no-eviction-in-use.feature
+++ b/test/scenarios/2-no-eviction-in-use.feature
@@ -92,3 +92,24 @@
     And a caller asks notes@1 for 4 tokens
     Then the answer is on notes@1
     And no adapter was evicted in use
+
+  Scenario: an engine restarts, and loads again before its daemon has looked
+    Given a site with 1 engine of 1 slot that is looked at every 300 ms, and steps of 10 ms
+    When a caller asks captions@1 for 4 tokens
+    Then every caller gets a whole answer of its own
+    When every engine restarts cold
+    And a caller asks captions@1 for 200 tokens
+    And a caller asks notes@1 for 4 tokens
+    Then every caller gets a whole answer of its own
+    And no adapter was evicted in use
+
+  Scenario: another request begins while a cancelled one still runs
+    Given a site with 1 engine of 1 slot that is looked at every 50 ms, and steps of 10 ms
+    When engine 1 goes on for 1500 ms after a cancel
+    And a caller asks captions@1 for 300 tokens and goes away
+    And 300 ms pass
+    And engine 1's requests take 80 ms to arrive
+    And 8 callers ask captions@1 for 4 tokens each
+    And a caller asks notes@1 for 4 tokens
+    Then every caller gets a whole answer of its own
+    And no adapter was evicted in use
--- a/test/steps/failures.ts
+++ b/test/steps/failures.ts
@@ -194,3 +194,7 @@
 world.step("engine {int} goes on for {int} ms after a cancel", (w, n: number, ms: number) => {
   engineAt(w, n).faults.slowCancelMs = ms;
 });
+
+world.step("engine {int}'s requests take {int} ms to arrive", (w, n: number, ms: number) => {
+  engineAt(w, n).faults.slowArrivalMs = ms;
+});
--- a/test/steps/given.ts
+++ b/test/steps/given.ts
@@ -51,3 +51,9 @@
   (w, engines: number, s: number) =>
     start(w, { engines, settings: { syncEveryMs: String(s * 1000) } }),
 );
+
+world.step(
+  "a site with {int} engine(s) of {int} slot(s) that is looked at every {int} ms, and steps of {int} ms",
+  (w, engines: number, slots: number, everyMs: number, stepMs: number) =>
+    start(w, { engines, slots, stepMs, settings: { engineEveryMs: String(everyMs) } }),
+);
