--- a/bench/cost/memory.ts
+++ b/bench/cost/memory.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import * as fs from "node:fs/promises";
-import * as etcd from "../../src/platform/etcd.js";
-import * as journal from "../../src/platform/journal.js";
+import * as etcd from "../../src/store/etcd.js";
+import * as journal from "../../src/store/journal.js";
 import * as hostLists from "../../src/standin/hosts.js";
 import * as stores from "../../src/standin/store.js";
 import * as decision from "./decision.js";
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -7,7 +7,7 @@
 export interface Switch {
   /** The mechanism. */
   readonly name: string;
-  /** Compiled file, below `dist/src`. */
+  /** Compiled file, below `target/src`. */
   readonly file: string;
   /** Text that stands there once, and what replaces it. */
   readonly find: string;
@@ -68,21 +68,21 @@
   },
   {
     name: "a daemon without the hold on its engine takes no work",
-    file: "platform/lease.js",
+    file: "store/lease.js",
     find: 'this.life.send({ type: "beaten" });',
     put: "",
     proof: "a second endpoint daemon is started on an engine that ignores fencing numbers",
   },
   {
     name: "orders carry the fencing number",
-    file: "platform/lease.js",
+    file: "store/lease.js",
     find: "this.number = done.revision;",
     put: "this.number = 1;",
     proof: "the holder pauses, and orders with its old number afterwards",
   },
   {
     name: "names of a holder that did not hand over are not used",
-    file: "platform/lease.js",
+    file: "store/lease.js",
     find: "return mark.handedOver ?",
     put: "return true ?",
     proof: "a daemon is killed, and its successor finds its adapters",
@@ -236,14 +236,14 @@
   },
   {
     name: "an operator's lost reply is settled by reading",
-    file: "platform/journal.js",
+    file: "store/journal.js",
     find: 'return settle(st, change).catch(() => ({ kind: "unknown", why: err.message }));',
     put: 'return { kind: "unknown", why: err.message };',
     proof: "the store loses the reply to the change",
   },
   {
     name: "a change is compared with the head it follows",
-    file: "platform/journal.js",
+    file: "store/journal.js",
     find: "compares: [{ key: HEAD, revision }],\n            puts: [\n                { key: HEAD",
     put: "compares: [],\n            puts: [\n                { key: HEAD",
     proof: "two operators change the same object at once",
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import eslint from "@eslint/js";
 import * as tseslint from "typescript-eslint";
 
-export default tseslint.config({ ignores: ["dist/", "out*/"] }, eslint.configs.recommended, {
+export default tseslint.config({ ignores: ["target/", "out*/"] }, eslint.configs.recommended, {
   files: ["**/*.ts"],
   extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
   languageOptions: {
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -9,8 +9,8 @@
 import * as controls from "../link/control.js";
 import * as keys from "../link/keys.js";
 import type * as change from "../operator/change.js";
-import * as etcd from "../platform/etcd.js";
-import * as hosts from "../platform/hosts.js";
+import * as etcd from "../store/etcd.js";
+import * as hosts from "../store/hosts.js";
 
 /** Exit codes, the same for every command; docs/operators/commands.md explains them. */
 export const EXIT = {
--- a/src/cli/intent.ts
+++ b/src/cli/intent.ts
@@ -7,7 +7,7 @@
 import * as objects from "../contract/objects.js";
 import * as change from "../operator/change.js";
 import * as files from "../operator/files.js";
-import * as journal from "../platform/journal.js";
+import * as journal from "../store/journal.js";
 import * as command from "./command.js";
 
 const FILES = { file: { type: "string", shortFlag: "f", isMultiple: true } } as const;
--- a/src/cli/look.ts
+++ b/src/cli/look.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type * as control from "../link/control.js";
-import type * as hosts from "../platform/hosts.js";
+import type * as hosts from "../store/hosts.js";
 import * as command from "./command.js";
 
 const MB = 1024 * 1024;
--- a/src/contract/limits.ts
+++ b/src/contract/limits.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type * as objects from "./objects.js";
-import * as budget from "../platform/budget.js";
+import * as budget from "../store/budget.js";
 
 export type Limits = objects.Grant["spec"]["limits"];
 
--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -10,7 +10,7 @@
 import * as settings from "../host/settings.js";
 import type * as control from "../link/control.js";
 import * as controls from "../link/control.js";
-import * as lease from "../platform/lease.js";
+import * as lease from "../store/lease.js";
 import * as gate from "./gate.js";
 import * as server from "./server.js";
 import * as service from "./service.js";
--- a/src/endpoint/turn.ts
+++ b/src/endpoint/turn.ts
@@ -7,7 +7,7 @@
 import * as log from "../host/log.js";
 import * as members from "../host/members.js";
 import type * as control from "../link/control.js";
-import type * as hosts from "../platform/hosts.js";
+import type * as hosts from "../store/hosts.js";
 import type * as setup from "./setup.js";
 import * as turns from "./turns.js";
 
--- a/src/entry/views.ts
+++ b/src/entry/views.ts
@@ -13,7 +13,7 @@
 import * as circuit from "../link/circuit.js";
 import type * as control from "../link/control.js";
 import type * as wire from "../link/wire.js";
-import type * as hosts from "../platform/hosts.js";
+import type * as hosts from "../store/hosts.js";
 import type * as route from "./route.js";
 import * as view from "./view.js";
 
--- a/src/host/members.ts
+++ b/src/host/members.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import * as clock from "./clock.js";
-import type * as hosts from "../platform/hosts.js";
+import type * as hosts from "../store/hosts.js";
 import * as hash from "./hash.js";
 import * as log from "./log.js";
 
--- a/src/operator/change.ts
+++ b/src/operator/change.ts
@@ -8,9 +8,9 @@
 import * as objects from "../contract/objects.js";
 import * as clock from "../host/clock.js";
 import type * as control from "../link/control.js";
-import type * as hosts from "../platform/hosts.js";
-import * as journal from "../platform/journal.js";
-import type * as store from "../platform/store.js";
+import type * as hosts from "../store/hosts.js";
+import * as journal from "../store/journal.js";
+import type * as store from "../store/store.js";
 
 /** What an operator wants: objects to be as given, and keys to be gone. */
 export interface Wish {
--- a/src/request/claims.ts
+++ b/src/request/claims.ts
@@ -7,8 +7,8 @@
 import * as clock from "../host/clock.js";
 import * as log from "../host/log.js";
 import * as keys from "../link/keys.js";
-import * as journal from "../platform/journal.js";
-import type * as store from "../platform/store.js";
+import * as journal from "../store/journal.js";
+import type * as store from "../store/store.js";
 import * as outcome from "./outcome.js";
 
 export interface Options {
--- /dev/null
+++ b/src/serving/catalog.ts
@@ -0,0 +1,192 @@
+/**
+ * What a host knows of routes, services, adapters' versions and endpoints, as one read-only value
+ * that changes by steps. The platform's adapter makes the steps; the decisions read the value.
+ * @module
+ */
+import * as selector from "../contract/selector.js";
+
+/** What may be repeated. A `stream` is a series of events; it counts as `once` unless resumable. */
+export type RequestKind = "idempotent" | "once" | "stream";
+
+/** One of the services that a route's requests are spread over. */
+export interface Share {
+  readonly service: string;
+  /** Part of the requests, against the sum of the route's weights. */
+  readonly weight: number;
+}
+
+/** Which requests go to which service, and within which bounds. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Path prefix; begins and ends with a slash. */
+  readonly prefix: string;
+  readonly kind: RequestKind;
+  /** Whether a broken stream may go on at another endpoint. */
+  readonly resumable: boolean;
+  /** Longest time that the operator wants a caller kept waiting, in ms. */
+  readonly timeoutMs: number;
+  /** Time within which an answer is on time, in ms; to the first event for streams. */
+  readonly targetMs: number;
+  /** Longest pause between two events of a stream that is on time, in ms. */
+  readonly gapMs: number;
+  /** Endpoints that one request may run on at most. */
+  readonly attempts: number;
+  /** Urgency; 0 goes first. */
+  readonly rank: number;
+  readonly shares: readonly Share[];
+}
+
+/** A base model that engines of a service run. */
+export interface Model {
+  readonly name: string;
+  readonly sizeMb: number;
+  readonly loadMs: number;
+}
+
+/** What the engines of a service have room for. */
+export interface EngineSpec {
+  /** Requests batched at once. */
+  readonly seats: number;
+  /** Tokens of prompts and answers that fit into an engine's cache. */
+  readonly cacheTokens: number;
+  /** Memory for weights, in MB. */
+  readonly memoryMb: number;
+  /** Adapters held at once. */
+  readonly places: number;
+  /** Loads of base models that the weight store allows a second, over all engines. */
+  readonly loadsPerS: number;
+  readonly models: readonly Model[];
+}
+
+/** A group of endpoints that serve the same requests. */
+export interface Service {
+  readonly name: string;
+  /** Picks the endpoints of this service by their labels. */
+  readonly endpoints: selector.Selector;
+  /** Where an endpoint answers whether it is well. */
+  readonly healthPath: string;
+  /** Connections that one endpoint takes from all hosts together. */
+  readonly connections: number;
+  /** Present for language-model engines. */
+  readonly engine?: EngineSpec | undefined;
+}
+
+/** Bounds on what callers send, and on how long they stay idle. */
+export interface Limits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headersMs: number;
+  readonly idleMs: number;
+}
+
+/** One incarnation of a worker, as it registered itself. */
+export interface Endpoint {
+  /** New with every start of the worker. */
+  readonly id: string;
+  /** `ip:port`. */
+  readonly address: string;
+  readonly domain: string;
+  readonly labels: selector.Labels;
+  /** Requests it takes at once. */
+  readonly seats: number;
+  readonly leaving: boolean;
+}
+
+/** The configuration in force: routes and services at one version. */
+export interface Config {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, Service>;
+  readonly limits: Limits;
+}
+
+export interface Catalog {
+  readonly config: Config | undefined;
+  /** Newest declared version of an adapter, by {@link adapterKey}. */
+  readonly versions: ReadonlyMap<string, number>;
+  /** By id. */
+  readonly endpoints: ReadonlyMap<string, Endpoint>;
+  /** Revision of the store that this value is as new as. */
+  readonly revision: number;
+}
+
+/** The catalog of a host that has heard nothing yet. */
+export const EMPTY: Catalog = {
+  config: undefined,
+  versions: new Map(),
+  endpoints: new Map(),
+  revision: 0,
+};
+
+/** Label that names the service an endpoint registered for. */
+export const SERVICE_LABEL = "sumacfield/service";
+/** Label that names an endpoint's failure domain. */
+export const DOMAIN_LABEL = "sumacfield/failure-domain";
+
+/** The key of an adapter of a model. */
+export function adapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
+
+/** One change of the catalog. */
+export type Step =
+  | { readonly kind: "config"; readonly config: Config }
+  | { readonly kind: "version"; readonly key: string; readonly version: number }
+  | { readonly kind: "endpoint"; readonly endpoint: Endpoint }
+  | { readonly kind: "endpoint_gone"; readonly id: string };
+
+/** The catalog after one step. An older configuration or adapter version changes nothing. */
+export function step(at: Catalog, change: Step): Catalog {
+  switch (change.kind) {
+    case "config":
+      if (at.config && at.config.version >= change.config.version) return at;
+      return { ...at, config: change.config };
+    case "version": {
+      if ((at.versions.get(change.key) ?? 0) >= change.version) return at;
+      return { ...at, versions: new Map(at.versions).set(change.key, change.version) };
+    }
+    case "endpoint":
+      return {
+        ...at,
+        endpoints: new Map(at.endpoints).set(change.endpoint.id, change.endpoint),
+      };
+    case "endpoint_gone": {
+      if (!at.endpoints.has(change.id)) return at;
+      const endpoints = new Map(at.endpoints);
+      endpoints.delete(change.id);
+      return { ...at, endpoints };
+    }
+  }
+}
+
+/** The endpoints that a service's selector picks. */
+export function endpointsOf(at: Catalog, service: Service): readonly Endpoint[] {
+  return [...at.endpoints.values()].filter((e) => selector.matches(service.endpoints, e.labels));
+}
+
+/** The route with the longest prefix of `path`, among those of `host`. */
+export function routeOf(config: Config, host: string, path: string): Route | undefined {
+  let best: Route | undefined;
+  for (const r of config.routes) {
+    if (r.host !== host || !path.startsWith(r.prefix)) continue;
+    if (!best || r.prefix.length > best.prefix.length) best = r;
+  }
+  return best;
+}
+
+/** The service one request goes to. `random` gives numbers from 0 up to 1. */
+export function serviceOf(config: Config, route: Route, random: () => number): Service | undefined {
+  const total = route.shares.reduce((sum, s) => sum + s.weight, 0);
+  let at = random() * total;
+  for (const s of route.shares) {
+    at -= s.weight;
+    if (at < 0) return config.services.get(s.service);
+  }
+  return config.services.get(route.shares.at(-1)?.service ?? "");
+}
+
+/** Whether a request of this route may run more than once. */
+export function repeatable(r: Route): boolean {
+  return r.kind === "idempotent" || (r.kind === "stream" && r.resumable);
+}
--- /dev/null
+++ b/src/serving/desk.ts
@@ -0,0 +1,83 @@
+/**
+ * The endpoint daemon's door: takes entry daemons' connections and hands their messages to the
+ * keeper.
+ * @module
+ */
+import * as net from "node:net";
+import type * as clock from "../host/clock.js";
+import type * as record from "../host/record.js";
+import type * as keeper from "./keeper.js";
+import * as lines from "./lines.js";
+import * as seat from "./seat.js";
+
+/** Milliseconds between two words to an entry daemon at most. */
+const SPEAK_MS = 1000;
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Log;
+  readonly keeper: keeper.Keeper;
+}
+
+/** Listens at `ip:port` until closed. */
+export async function open(address: string, deps: Deps): Promise<{ readonly close: () => void }> {
+  const sockets = new Set<net.Socket>();
+  let count = 0;
+  const server = net.createServer((socket) => {
+    count++;
+    sockets.add(socket);
+    take(socket, count, deps, () => sockets.delete(socket));
+  });
+  const [host, port] = address.split(":");
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port: Number(port) }, resolve);
+  });
+  return {
+    close: () => {
+      server.close();
+      for (const s of sockets) s.destroy();
+    },
+  };
+}
+
+function take(socket: net.Socket, count: number, deps: Deps, over: () => void): void {
+  let client: keeper.Client | undefined;
+  let last: seat.State | undefined;
+  let timer: clock.Timer | undefined;
+  const speak = (m: seat.State): void => {
+    last = m;
+    channel.send(m);
+    timer?.cancel();
+    timer = deps.clock.after(SPEAK_MS, () => {
+      if (last) speak(last);
+    });
+  };
+  const channel = lines.channel<seat.FromEntry, seat.FromEndpoint>(socket, seat.fromEntry, {
+    message: (m) => {
+      switch (m.kind) {
+        case "hello":
+          client = { host: `${m.host}.${count}`, send: channel.send, sendState: speak };
+          deps.keeper.join(client);
+          deps.log.info("An entry daemon is connected.", { peer: m.host });
+          break;
+        case "ask":
+          if (client) deps.keeper.ask(client, m);
+          break;
+        case "began":
+          if (client) deps.keeper.began(client, m.seat, m.ms);
+          break;
+        case "over":
+          if (client) deps.keeper.end(client, m.seat, m.how);
+          break;
+      }
+    },
+    closed: (why) => {
+      over();
+      timer?.cancel();
+      if (!client) return;
+      deps.keeper.leave(client);
+      deps.log.info("An entry daemon is lost.", { peer: client.host, why });
+    },
+  });
+}
--- /dev/null
+++ b/src/serving/dispatch.ts
@@ -0,0 +1,439 @@
+/**
+ * The task of one request: finds an endpoint, asks for a seat where one is needed, sends the request,
+ * passes the answer on, and goes to a further endpoint only where that is allowed and safe.
+ * @module
+ */
+import * as clock from "../host/clock.js";
+import type * as record from "../host/record.js";
+import type * as ask from "./ask.js";
+import * as catalog from "./catalog.js";
+import * as choice from "./choice.js";
+import type * as endpoints from "./endpoints.js";
+import * as events from "./events.js";
+import type * as link from "./link.js";
+import type * as meters from "./meters.js";
+import * as retries from "./retries.js";
+import * as upstream from "./upstream.js";
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** The caller's side of a request. Nothing is passed on before {@link Outlet.begin}. */
+export interface Outlet {
+  /** Aborts when the caller goes away. */
+  readonly gone: AbortSignal;
+  readonly begin: (status: number, headers: Headers) => void;
+  /** Passes bytes on; resolves when the caller takes more. */
+  readonly write: (bytes: Buffer) => Promise<void> | undefined;
+  readonly end: () => void;
+  /** Breaks an answer off that has begun, so that it does not look whole. */
+  readonly breakOff: () => void;
+  readonly answer: (status: number, headers: Headers, body: Buffer) => void;
+  /** Refuses; `comeBackMs` is told where the request was not run. */
+  readonly refuse: (status: number, message: string, comeBackMs?: number) => void;
+}
+
+export interface Options {
+  readonly domain: string;
+  readonly retries: retries.Options;
+}
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Log;
+  readonly meters: meters.Meters;
+  readonly endpoints: endpoints.Endpoints;
+  readonly upstream: upstream.Upstream;
+  readonly catalog: () => catalog.Catalog;
+  readonly random: () => number;
+}
+
+/** Part of its target that a request without an endpoint waits for one; refusals must come early. */
+const WAIT_PART = 0.2;
+/** Milliseconds between looks for an endpoint while there is none. */
+const LOOK_MS = 15;
+/** Milliseconds left below which a further send makes no sense. */
+const LEAST_MS = 20;
+/** Bytes of an answer that is no stream; the users' services answer with some 5,000 at most. */
+const ANSWER_LIMIT = 8_388_608;
+/** Endpoints that one request is sent to at most, counting those that did not run it. */
+const SENDS = 4;
+/** Part of the time left after which a refused caller is told to come back, at most. */
+const COME_BACK_PART = 0.3;
+/** Milliseconds after which a refused caller is told to come back at least. */
+const COME_BACK_MS = 120;
+/**
+ * Estimated first event, as a part of the target, above which a request is refused at once instead
+ * of being late: a rank that is less urgent gives way sooner.
+ */
+const LATEST_BY_RANK = [4, 1.5, 1.0] as const;
+const SERVED = 200;
+
+/** How a request ended, for the log and the meters. */
+export type Ending =
+  "whole" | "late" | "refused" | "failed" | "unknown" | "broken" | "left" | "passed_failure";
+
+/** One request under way. */
+interface Progress {
+  sends: number;
+  /** Sends that ran or may have run. */
+  runs: number;
+  readonly tried: Set<string>;
+  begun: boolean;
+  lastId: string | undefined;
+  why: string;
+  firstAt: number | undefined;
+  endpoint: string;
+}
+
+export class Dispatch {
+  private windows = new Map<string, retries.Window>();
+
+  constructor(
+    private readonly opts: Options,
+    private readonly deps: Deps,
+  ) {}
+
+  /** Serves one request to its end. */
+  async serve(a: ask.Ask, out: Outlet): Promise<void> {
+    const { service } = a;
+    const now = this.deps.clock.mono();
+    const window = this.windows.get(service.name) ?? retries.EMPTY;
+    this.windows.set(service.name, retries.request(window, now, this.opts.retries));
+    const p: Progress = {
+      sends: 0,
+      runs: 0,
+      tried: new Set(),
+      begun: false,
+      lastId: a.meta.resumeAfter,
+      why: "no endpoint is there",
+      firstAt: undefined,
+      endpoint: "",
+    };
+    const cut = new AbortController();
+    const stop = (): void => {
+      cut.abort();
+    };
+    out.gone.addEventListener("abort", stop, { once: true });
+    const timer = this.deps.clock.after(Math.max(0, a.dueAt - now), stop);
+    let ending: Ending = "failed";
+    try {
+      ending = await this.attempts(a, out, p, cut.signal);
+    } finally {
+      timer.cancel();
+      out.gone.removeEventListener("abort", stop);
+      this.tell(a, p, ending);
+    }
+  }
+
+  private tell(a: ask.Ask, p: Progress, ending: Ending): void {
+    const now = this.deps.clock.mono();
+    const firstMs = p.firstAt === undefined ? undefined : Math.round(p.firstAt - a.arrivedAt);
+    const tookMs = Math.round(now - a.arrivedAt);
+    this.deps.meters.request(a.route.name, ending, firstMs, tookMs);
+    this.deps.log.info("A request is over.", {
+      request: a.meta.id,
+      route: a.route.name,
+      ending,
+      endpoint: p.endpoint,
+      sends: p.sends,
+      runs: p.runs,
+      firstMs,
+      tookMs,
+      why: ending === "whole" ? undefined : p.why,
+    });
+  }
+
+  private async attempts(a: ask.Ask, out: Outlet, p: Progress, cut: AbortSignal): Promise<Ending> {
+    for (;;) {
+      if (out.gone.aborted) return "left";
+      const left = a.dueAt - this.deps.clock.mono();
+      if (left < LEAST_MS) return this.giveUp(a, out, p, true);
+      if (p.runs > 0 && p.runs >= a.route.attempts) return this.giveUp(a, out, p, false);
+      if (p.sends >= SENDS) return this.giveUp(a, out, p, false);
+      const best = await this.pick(a, p, cut);
+      if (!best) return this.giveUp(a, out, p, false);
+      if (p.sends === 0 && this.tooLate(a, best)) {
+        p.why = `the first event would come in ${Math.round(best.firstMs)} ms`;
+        return this.giveUp(a, out, p, false);
+      }
+      const seat = a.service.engine ? await this.seat(a, best, p, cut) : undefined;
+      if (seat === "none") continue;
+      if (p.sends > 0 && !this.mayRetry(a)) {
+        seat?.over("left");
+        p.why = "the allowance of further sends is used up";
+        return this.giveUp(a, out, p, false);
+      }
+      const ending = await this.send(a, out, p, best, seat, cut);
+      if (ending) return ending;
+    }
+  }
+
+  private tooLate(a: ask.Ask, best: choice.Estimate): boolean {
+    const factor = LATEST_BY_RANK[a.route.rank] ?? LATEST_BY_RANK[2];
+    return a.service.engine !== undefined && best.firstMs > a.route.targetMs * factor;
+  }
+
+  private mayRetry(a: ask.Ask): boolean {
+    const hosts = this.deps.endpoints.hosts() ?? retries.HOSTS;
+    const window = this.windows.get(a.service.name) ?? retries.EMPTY;
+    const next = retries.take(window, this.deps.clock.mono(), hosts, this.opts.retries);
+    if (next) this.windows.set(a.service.name, next);
+    return next !== undefined;
+  }
+
+  /** The best endpoint; waits a little for one where there is none. */
+  private async pick(
+    a: ask.Ask,
+    p: Progress,
+    cut: AbortSignal,
+  ): Promise<choice.Estimate | undefined> {
+    const until = Math.min(a.dueAt, a.arrivedAt + a.route.targetMs * WAIT_PART);
+    for (;;) {
+      const best = this.candidates(a, p)[0];
+      if (best || cut.aborted) return best;
+      // Where all were tried, the least bad of them may have come back.
+      if (this.deps.clock.mono() >= until) return undefined;
+      p.tried.clear();
+      await clock.sleep(this.deps.clock, LOOK_MS, cut);
+    }
+  }
+
+  private candidates(a: ask.Ask, p: Progress): readonly choice.Estimate[] {
+    const views = this.deps.endpoints.views(a.service);
+    const { target } = a.meta;
+    const { domain } = this.opts;
+    if (!a.service.engine || !target) {
+      return choice.plain(views, { domain, tried: p.tried }, this.deps.random);
+    }
+    return choice.engines(views, {
+      model: target.model,
+      key: target.adapter && catalog.adapterKey(target.model, target.adapter),
+      promptTokens: a.meta.promptTokens,
+      rank: a.route.rank,
+      domain,
+      tried: p.tried,
+    });
+  }
+
+  /** A seat on an engine; "none" when it cannot be had there, undefined to go without. */
+  private async seat(
+    a: ask.Ask,
+    best: choice.Estimate,
+    p: Progress,
+    cut: AbortSignal,
+  ): Promise<Granted | "none" | undefined> {
+    const { endpoint } = best.view;
+    const { target } = a.meta;
+    if (!target) return undefined;
+    const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
+    const asked = this.deps.endpoints.link(endpoint).ask({
+      request: a.meta.id,
+      model: target.model,
+      ...(target.adapter !== undefined && { adapter: target.adapter }),
+      version: key === undefined ? 0 : (this.deps.catalog().versions.get(key) ?? 0),
+      promptTokens: a.meta.promptTokens,
+      answerTokens: a.meta.answerTokens,
+      rank: a.route.rank,
+      leftMs: Math.max(1, a.dueAt - this.deps.clock.mono()),
+    });
+    const left = (): void => {
+      asked.over("left");
+    };
+    cut.addEventListener("abort", left, { once: true });
+    const answer = await asked.answer;
+    cut.removeEventListener("abort", left);
+    switch (answer.kind) {
+      case "grant":
+        return { ...asked, version: answer.version, instance: answer.instance };
+      case "deny":
+        p.tried.add(endpoint.id);
+        p.why = `the engine's seat was denied: ${answer.reason}`;
+        return "none";
+      case "unreachable":
+        if (cut.aborted) return "none";
+        p.why = "the endpoint daemon is not reached";
+        p.tried.add(endpoint.id);
+        return "none";
+    }
+  }
+
+  /** Sends to one endpoint; undefined when a further one is to be tried. */
+  private async send(
+    a: ask.Ask,
+    out: Outlet,
+    p: Progress,
+    best: choice.Estimate,
+    seat: Granted | undefined,
+    cut: AbortSignal,
+  ): Promise<Ending | undefined> {
+    const { endpoint } = best.view;
+    const sentAt = this.deps.clock.mono();
+    const leftMs = Math.max(1, Math.floor(a.dueAt - sentAt));
+    p.sends++;
+    p.endpoint = endpoint.id;
+    this.deps.endpoints.sent(endpoint.id);
+    const marks = {
+      instance: seat?.instance ?? endpoint.id,
+      version: seat?.version,
+      rank: a.route.rank,
+      leftMs,
+      resumeAfter: p.lastId,
+    };
+    const sent = await this.deps.upstream.send(a, endpoint, marks, cut);
+    const run: Run = { a, out, p, endpoint, seat, sentAt, cut };
+    switch (sent.kind) {
+      case "not_run":
+        p.why = `${endpoint.id} did not run it: ${sent.why}`;
+        p.tried.add(endpoint.id);
+        this.over(run, sent.absent ? "absent" : "not_run", sent.absent ? undefined : false);
+        this.note(run, "It was not run there.");
+        return undefined;
+      case "unknown":
+        p.runs++;
+        return this.broke(run, sent.why);
+      case "answer":
+        p.runs++;
+        return this.pass(run, sent);
+    }
+  }
+
+  private note(r: Run, sentence: string): void {
+    this.deps.log.warn(sentence, {
+      request: r.a.meta.id,
+      endpoint: r.endpoint.id,
+      send: r.p.sends,
+      why: r.p.why,
+    });
+  }
+
+  private over(r: Run, how: Parameters<link.Seat["over"]>[0], good: boolean | undefined): void {
+    r.seat?.over(how);
+    const tookMs = how === "whole" ? this.deps.clock.mono() - r.sentAt : undefined;
+    this.deps.endpoints.done(r.endpoint.id, good, tookMs);
+  }
+
+  /** A send that may have run came to nothing. */
+  private broke(r: Run, why: string): Ending | undefined {
+    const { a, out, p } = r;
+    p.why = `${r.endpoint.id} broke off: ${why}`;
+    if (out.gone.aborted || r.cut.aborted) {
+      this.over(r, "left", undefined);
+      return out.gone.aborted ? "left" : this.giveUp(a, out, p, true);
+    }
+    p.tried.add(r.endpoint.id);
+    this.over(r, "failed", false);
+    this.note(r, "A send broke off.");
+    if (catalog.repeatable(a.route)) return undefined;
+    return this.giveUp(a, out, p, false);
+  }
+
+  private async pass(r: Run, sent: Answer): Promise<Ending | undefined> {
+    const { a, p } = r;
+    if (sent.status >= 500 && catalog.repeatable(a.route) && this.another(a, p)) {
+      await upstream.dump(sent.body);
+      return this.broke(r, `status ${sent.status}`);
+    }
+    if (a.route.kind === "stream" && sent.status === SERVED) return this.passStream(r, sent);
+    return this.passWhole(r, sent);
+  }
+
+  /** Whether a further send is allowed after one that ran. */
+  private another(a: ask.Ask, p: Progress): boolean {
+    return p.runs < a.route.attempts && p.sends < SENDS;
+  }
+
+  private async passWhole(r: Run, sent: Answer): Promise<Ending | undefined> {
+    const { out, p } = r;
+    let body: Buffer;
+    try {
+      body = await upstream.whole(sent.body, ANSWER_LIMIT);
+    } catch (err) {
+      return this.broke(r, err instanceof Error ? err.message : String(err));
+    }
+    if (p.begun) return this.broke(r, `status ${sent.status} instead of the rest of a stream`);
+    p.firstAt = this.deps.clock.mono();
+    const failed = sent.status >= 500;
+    this.over(r, failed ? "failed" : "whole", !failed);
+    out.answer(sent.status, sent.headers, body);
+    if (!failed) return "whole";
+    p.why = `${r.endpoint.id} answered with status ${sent.status}`;
+    return "passed_failure";
+  }
+
+  private async passStream(r: Run, sent: Answer): Promise<Ending | undefined> {
+    const { out, p } = r;
+    const cutter = new events.Cutter();
+    const resumed = p.lastId;
+    let first = true;
+    try {
+      for await (const chunk of sent.body as AsyncIterable<Buffer>) {
+        const ready: Buffer[] = [];
+        for (const e of cutter.take(chunk)) {
+          if (p.begun && resumed !== undefined && isPassed(e.id, resumed)) continue;
+          if (e.id !== undefined) p.lastId = e.id;
+          ready.push(e.bytes);
+        }
+        if (ready.length === 0) continue;
+        if (first) {
+          first = false;
+          r.seat?.began(this.deps.clock.mono() - r.sentAt);
+        }
+        if (!p.begun) {
+          p.begun = true;
+          p.firstAt = this.deps.clock.mono();
+          out.begin(sent.status, sent.headers);
+        }
+        const room = out.write(ready.length === 1 && ready[0] ? ready[0] : Buffer.concat(ready));
+        if (room) await room;
+      }
+    } catch (err) {
+      return this.broke(r, err instanceof Error ? err.message : String(err));
+    }
+    if (!p.begun) out.begin(sent.status, sent.headers);
+    if (cutter.tail().length > 0) void out.write(cutter.tail());
+    this.over(r, "whole", true);
+    out.end();
+    return "whole";
+  }
+
+  /** The final answer to a request that is given up. */
+  private giveUp(a: ask.Ask, out: Outlet, p: Progress, late: boolean): Ending {
+    if (out.gone.aborted) return "left";
+    if (p.begun) {
+      out.breakOff();
+      return "broken";
+    }
+    if (p.runs > 0) {
+      out.refuse(late ? 504 : 502, p.why);
+      return late ? "late" : "unknown";
+    }
+    const left = Math.max(0, a.dueAt - this.deps.clock.mono());
+    const wanted = Math.max(COME_BACK_MS, a.route.targetMs * WAIT_PART);
+    out.refuse(503, p.why, Math.min(left * COME_BACK_PART, wanted));
+    return "refused";
+  }
+}
+
+type Answer = Extract<upstream.Sent, { kind: "answer" }>;
+
+/** A seat that was given. */
+interface Granted extends link.Seat {
+  readonly version: number | undefined;
+  readonly instance: string;
+}
+
+/** One send under way. */
+interface Run {
+  readonly a: ask.Ask;
+  readonly out: Outlet;
+  readonly p: Progress;
+  readonly endpoint: catalog.Endpoint;
+  readonly seat: Granted | undefined;
+  readonly sentAt: number;
+  readonly cut: AbortSignal;
+}
+
+/** Whether an event of a resumed stream was passed on before. */
+function isPassed(id: string | undefined, last: string): boolean {
+  return id !== undefined && Number(id) <= Number(last);
+}
--- /dev/null
+++ b/src/serving/engine.ts
@@ -0,0 +1,67 @@
+/**
+ * The port from an endpoint daemon to the engine on its host.
+ * @module
+ */
+
+/** An adapter as an engine lists it. */
+export interface Held {
+  readonly adapter: string;
+  readonly version: number;
+}
+
+/** What an engine says of itself. */
+export interface Report {
+  /** Base models held, each with its adapters. */
+  readonly models: readonly {
+    readonly name: string;
+    readonly version: number;
+    readonly adapters: readonly Held[];
+  }[];
+  /** Adapters on their way in. */
+  readonly pending: readonly (Held & { readonly model: string })[];
+  /** Adapters whose weights are in host memory, by key; they load fast. */
+  readonly warm: readonly string[];
+  /** A change of base models is under way. */
+  readonly busy: boolean;
+  /** Orders accepted since the engine started. */
+  readonly sequence: number;
+  readonly queued: number;
+  readonly active: number;
+}
+
+/** A change of what an engine holds. */
+export interface Order {
+  readonly kind: "load" | "unload";
+  readonly model: string;
+  /** Left out for the base model itself. */
+  readonly adapter?: string | undefined;
+  readonly version?: number | undefined;
+  /** The order counts only while the engine has accepted this many. */
+  readonly sequence: number;
+  /** The order counts only for this incarnation. */
+  readonly instance: string;
+  /** Fencing number. */
+  readonly epoch: number;
+}
+
+/** What became of an order. */
+export type OrderResult =
+  /** It is being carried out, or is done. */
+  | { readonly kind: "accepted"; readonly done: boolean }
+  /** Another order came first; what the engine holds must be read again. */
+  | { readonly kind: "conflict" }
+  /** The fencing number is too low. */
+  | { readonly kind: "fenced" }
+  /** Another incarnation is there now. */
+  | { readonly kind: "moved"; readonly instance: string | undefined }
+  | { readonly kind: "refused"; readonly status: number }
+  /** No answer; it may still be carried out while the sequence stands. */
+  | { readonly kind: "unanswered"; readonly why: string };
+
+export interface Engine {
+  /** Throws when the engine does not answer. */
+  readonly report: () => Promise<Report>;
+  readonly order: (o: Order) => Promise<OrderResult>;
+  /** The incarnation that is there now. Throws when the engine does not tell. */
+  readonly identify: (healthPath: string) => Promise<string>;
+}
--- /dev/null
+++ b/src/serving/entry-host.ts
@@ -0,0 +1,138 @@
+/**
+ * Puts an entry daemon together and runs it: the callers' server, the feed, the connections to
+ * endpoint daemons, and an orderly end.
+ * @module
+ */
+import * as http from "node:http";
+import * as clock from "../host/clock.js";
+import * as record from "../host/record.js";
+import type * as source from "../store/source.js";
+import * as dispatch from "./dispatch.js";
+import * as endpoints from "./endpoints.js";
+import * as feed from "./feed.js";
+import * as front from "./front.js";
+import * as meters from "./meters.js";
+import type * as catalog from "./catalog.js";
+import type * as protocol from "./protocol.js";
+import type * as retries from "./retries.js";
+import * as upstream from "./upstream.js";
+
+export interface Options {
+  readonly host: string;
+  readonly domain: string;
+  /** `ip:port` for callers, and for the balancer's question whether it is ready. */
+  readonly callers: string;
+  readonly readiness: string;
+  /** Milliseconds from the signal to stop until the process is killed. */
+  readonly graceMs: number;
+  readonly retries: retries.Options;
+  readonly daemonOf: (e: catalog.Endpoint) => string;
+}
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Open;
+  readonly source: source.Source;
+  readonly decoder: feed.Decoder;
+  readonly protocol: protocol.Protocol;
+  readonly metricsAddress: string;
+  readonly random: () => number;
+}
+
+/**
+ * Milliseconds for which a leaving daemon still takes connections: the balancer asks once a second,
+ * and goes elsewhere after two refusals.
+ */
+const NOTICED_MS = 2600;
+/** Milliseconds before the kill at which the rest is broken off. */
+const BREAK_OFF_MS = 300;
+
+/** Starts the daemon; resolves once it listens. */
+export async function start(
+  opts: Options,
+  deps: Deps,
+): Promise<{ readonly stop: () => Promise<void> }> {
+  const figures = meters.open();
+  const up = new upstream.Upstream(deps.protocol);
+  let leaving = false;
+  const fed = new feed.Feed({
+    clock: deps.clock,
+    log: deps.log("feed"),
+    source: deps.source,
+    decoder: deps.decoder,
+    random: deps.random,
+    changed: (at) => {
+      if (at.config) callers.configure(at.config.limits);
+      known.refresh();
+      up.keep(new Set(at.endpoints.keys()));
+    },
+  });
+  const known = new endpoints.Endpoints(
+    {
+      clock: deps.clock,
+      log: deps.log("link"),
+      host: opts.host,
+      changed: () => undefined,
+      catalog: () => fed.catalog,
+      daemonOf: opts.daemonOf,
+    },
+    deps.clock,
+  );
+  const dispatcher = new dispatch.Dispatch(
+    { domain: opts.domain, retries: opts.retries },
+    {
+      clock: deps.clock,
+      log: deps.log("request"),
+      meters: figures,
+      endpoints: known,
+      upstream: up,
+      catalog: () => fed.catalog,
+      random: deps.random,
+    },
+  );
+  const callers = new front.Front({
+    clock: deps.clock,
+    log: deps.log("front"),
+    protocol: deps.protocol,
+    catalog: () => fed.catalog,
+    dispatch: dispatcher,
+    random: deps.random,
+  });
+  figures.gauge("sumacfield_requests_open", "Requests under way.", () => callers.count());
+  figures.gauge("sumacfield_store_revision", "Store revision known.", () => fed.catalog.revision);
+  await callers.listen(opts.callers);
+  const readiness = await answerReadiness(
+    opts.readiness,
+    () => fed.catalog.config !== undefined && !leaving,
+  );
+  await meters.tryServe(figures, deps.metricsAddress, deps.log("metrics"));
+  void fed.run();
+  return {
+    stop: async () => {
+      leaving = true;
+      callers.leave();
+      const until = deps.clock.mono() + opts.graceMs - BREAK_OFF_MS;
+      await clock.sleep(deps.clock, Math.min(NOTICED_MS, opts.graceMs / 2));
+      const late = clock.sleep(deps.clock, until - deps.clock.mono());
+      await Promise.race([callers.close(), late]);
+      readiness.close();
+      fed.stop();
+      known.close();
+      up.close();
+    },
+  };
+}
+
+/** Answers the balancer's question on an address of its own. */
+async function answerReadiness(address: string, ready: () => boolean): Promise<http.Server> {
+  const server = http.createServer((_req, res) => {
+    res.writeHead(ready() ? 200 : 503, { "content-length": 0 });
+    res.end();
+  });
+  const [host, port] = address.split(":");
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port: Number(port) }, resolve);
+  });
+  return server;
+}
--- /dev/null
+++ b/src/serving/feed.ts
@@ -0,0 +1,210 @@
+/**
+ * The task that keeps a host's catalog as new as the store: reads it whole once, then follows its
+ * changes by revision, and reads it whole again when the store has forgotten them.
+ * @module
+ */
+import * as clock from "../host/clock.js";
+import * as log from "../host/log.js";
+import type * as record from "../host/record.js";
+import type * as source from "../store/source.js";
+import * as catalog from "./catalog.js";
+
+/**
+ * Milliseconds that one wait for changes lasts. A wait is a call that costs, but one that hangs on a
+ * dead connection hides changes for as long: a change must be in force 2 s after it was accepted.
+ */
+const WAIT_MS = 2500;
+/** Milliseconds until the next try after the store failed, at first and at most. */
+const RETRY_MS = 60;
+const RETRY_MAX_MS = 400;
+/** Milliseconds within which workers are back whose entries lapsed during an outage, by the letter. */
+const BACK_WITHIN_MS = 2200;
+
+/** Milliseconds from one call for changes to the next at least, so that many changes share a call. */
+const PACE_MS = 600;
+
+/** How documents become steps of the catalog; the platform's adapter knows. */
+export interface Decoder {
+  /** Prefixes of the documents that matter. */
+  readonly prefixes: readonly string[];
+  /** A prefix of all of these. */
+  readonly common: string;
+  readonly written: (key: string, text: string) => catalog.Step | undefined;
+  readonly deleted: (key: string) => catalog.Step | undefined;
+}
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Log;
+  readonly source: source.Source;
+  readonly decoder: Decoder;
+  /** The catalog changed. */
+  readonly changed: (at: catalog.Catalog) => void;
+  readonly random: () => number;
+}
+
+export class Feed {
+  private at = catalog.EMPTY;
+  private synced = false;
+  private out = false;
+  private backAt = -Infinity;
+  private askedAt = -Infinity;
+  private retryMs = RETRY_MS;
+  private readonly abort = new AbortController();
+
+  constructor(private readonly deps: Deps) {}
+
+  get catalog(): catalog.Catalog {
+    return this.at;
+  }
+
+  /** Follows the store until {@link stop}. */
+  async run(): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      try {
+        if (this.synced) await this.follow();
+        else await this.readAll();
+        this.regained();
+      } catch (err) {
+        this.lost(err);
+        const ms = this.retryMs * (0.5 + this.deps.random());
+        this.retryMs = Math.min(RETRY_MAX_MS, this.retryMs * 2);
+        await clock.sleep(this.deps.clock, ms, this.abort.signal);
+      }
+    }
+  }
+
+  stop(): void {
+    this.abort.abort();
+  }
+
+  private regained(): void {
+    this.retryMs = RETRY_MS;
+    if (!this.out) return;
+    this.out = false;
+    this.backAt = this.deps.clock.mono();
+    this.deps.log.info("The store answers again.", { revision: this.at.revision });
+  }
+
+  private lost(err: unknown): void {
+    if (this.out) return;
+    this.out = true;
+    this.deps.log.warn("The store does not answer.", {
+      revision: this.at.revision,
+      why: log.why(err),
+    });
+  }
+
+  /** Whether entries may be missing only because the store was away. */
+  private doubtful(): boolean {
+    return this.out || this.deps.clock.mono() - this.backAt < BACK_WITHIN_MS;
+  }
+
+  private async readAll(): Promise<void> {
+    const lists = await Promise.all(
+      this.deps.decoder.prefixes.map((p) => this.deps.source.list(p)),
+    );
+    const revision = Math.min(...lists.map((l) => l.revision));
+    const documents = lists.flatMap((l) => l.documents);
+    const there = new Set<string>();
+    const steps = documents.flatMap((d) => {
+      const step = this.decode(d.key, d.text);
+      if (step?.kind === "endpoint") there.add(step.endpoint.id);
+      return step ? [step] : [];
+    });
+    const missing = [...this.at.endpoints.keys()].filter((id) => !there.has(id));
+    if (this.out) this.backAt = this.deps.clock.mono();
+    this.synced = true;
+    this.deps.log.info("The store was read whole.", {
+      revision,
+      documents: documents.length,
+      missing,
+    });
+    this.apply(
+      [...steps, ...missing.flatMap((id) => this.gone({ kind: "endpoint_gone", id }))],
+      revision,
+    );
+  }
+
+  private async follow(): Promise<void> {
+    const now = this.deps.clock.mono();
+    await clock.sleep(this.deps.clock, this.askedAt + PACE_MS - now, this.abort.signal);
+    this.askedAt = this.deps.clock.mono();
+    const { common } = this.deps.decoder;
+    const got = await this.deps.source.changes(common, this.at.revision, WAIT_MS);
+    if (got.kind === "compacted") {
+      this.synced = false;
+      this.deps.log.warn("The store has forgotten its history.", { revision: this.at.revision });
+      return;
+    }
+    const steps = got.changes.flatMap((c) => {
+      if (c.kind === "written") {
+        const step = this.decode(c.document.key, c.document.text);
+        return step ? [step] : [];
+      }
+      const step = this.deps.decoder.deleted(c.key);
+      return step ? this.gone(step) : [];
+    });
+    this.apply(steps, got.revision);
+  }
+
+  private decode(key: string, text: string): catalog.Step | undefined {
+    try {
+      return this.deps.decoder.written(key, text);
+    } catch (err) {
+      this.deps.log.error("A document cannot be read; the one before stays in force.", {
+        key,
+        why: log.why(err),
+      });
+      return undefined;
+    }
+  }
+
+  /** A removal now, or later when the store's absence may be the only reason for it. */
+  private gone(step: catalog.Step): readonly catalog.Step[] {
+    if (step.kind !== "endpoint_gone" || !this.doubtful()) return [step];
+    const known = this.at.endpoints.get(step.id);
+    if (!known) return [];
+    this.deps.log.warn("An endpoint's entry is missing after an outage; it is kept for now.", {
+      endpoint: step.id,
+    });
+    this.deps.clock.after(BACK_WITHIN_MS, () => {
+      // An entry that was written since is a new value.
+      if (this.at.endpoints.get(step.id) === known) this.apply([step], this.at.revision);
+    });
+    return [];
+  }
+
+  private apply(steps: readonly catalog.Step[], revision: number): void {
+    const before = this.at;
+    let at = steps.reduce(catalog.step, before);
+    for (const s of steps) this.tell(s);
+    if (revision > at.revision) at = { ...at, revision };
+    this.at = at;
+    if (steps.length > 0) this.deps.changed(at);
+  }
+
+  private tell(s: catalog.Step): void {
+    switch (s.kind) {
+      case "config":
+        this.deps.log.info("A configuration is in force.", {
+          version: s.config.version,
+          routes: s.config.routes.length,
+        });
+        break;
+      case "version":
+        this.deps.log.info("A version was declared.", { adapter: s.key, version: s.version });
+        break;
+      case "endpoint":
+        this.deps.log.info("An endpoint is registered.", {
+          endpoint: s.endpoint.id,
+          address: s.endpoint.address,
+          leaving: s.endpoint.leaving,
+        });
+        break;
+      case "endpoint_gone":
+        this.deps.log.info("An endpoint is gone.", { endpoint: s.id });
+        break;
+    }
+  }
+}
--- /dev/null
+++ b/src/serving/front.ts
@@ -0,0 +1,308 @@
+/**
+ * The callers' side of routed requests: reads each request whole, finds its route, and carries the
+ * dispatcher's answer to the caller's connection.
+ * @module
+ */
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as clock from "../host/clock.js";
+import type * as record from "../host/record.js";
+import type * as ask from "./ask.js";
+import * as catalog from "./catalog.js";
+import type * as dispatch from "./dispatch.js";
+import type * as protocol from "./protocol.js";
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Log;
+  readonly protocol: protocol.Protocol;
+  readonly catalog: () => catalog.Catalog;
+  readonly dispatch: dispatch.Dispatch;
+  readonly random: () => number;
+}
+
+/** Bytes of headers that the server reads at all; a configuration allows fewer. */
+const HEADER_BYTES = 65_536;
+/** Bounds until a configuration is known. */
+const UNCONFIGURED: catalog.Limits = {
+  headerBytes: HEADER_BYTES,
+  bodyBytes: 1_048_576,
+  headersMs: 5000,
+  idleMs: 15_000,
+};
+/** Milliseconds after which a caller is told to come back while no configuration is known. */
+const UNREADY_MS = 300;
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "transfer-encoding",
+  "te",
+  "trailer",
+  "upgrade",
+  "expect",
+  "content-length",
+]);
+
+export class Front {
+  private readonly server: http.Server;
+  private leaving = false;
+  private underWay = 0;
+  private idle: (() => void) | undefined;
+
+  constructor(private readonly deps: Deps) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: HEADER_BYTES,
+        requireHostHeader: true,
+        keepAliveTimeout: UNCONFIGURED.idleMs,
+        headersTimeout: UNCONFIGURED.headersMs,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (req, res) => {
+        this.take(req, res);
+      },
+    );
+    this.server.on("clientError", refuseBytes);
+  }
+
+  async listen(address: string): Promise<void> {
+    const [host, port] = address.split(":");
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen({ host, port: Number(port), backlog: 1024 }, resolve);
+    });
+  }
+
+  /** Requests under way. */
+  count(): number {
+    return this.underWay;
+  }
+
+  /** Takes over the bounds of a new configuration. */
+  configure(limits: catalog.Limits): void {
+    this.server.keepAliveTimeout = limits.idleMs;
+    this.server.headersTimeout = limits.headersMs;
+  }
+
+  /** Tells callers on kept connections to go elsewhere after their next answer. */
+  leave(): void {
+    this.leaving = true;
+  }
+
+  /** Takes no new connections, and resolves once the last request is over. */
+  async close(): Promise<void> {
+    this.leaving = true;
+    this.server.close();
+    this.server.closeIdleConnections();
+    if (this.underWay === 0) return;
+    await new Promise<void>((resolve) => {
+      this.idle = resolve;
+    });
+  }
+
+  private take(req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.underWay++;
+    res.once("close", () => {
+      this.underWay--;
+      if (this.underWay > 0) return;
+      this.idle?.();
+    });
+    if (this.leaving) res.setHeader("connection", "close");
+    this.handle(req, res).catch((err: unknown) => {
+      this.deps.log.error("A request broke off.", {
+        why: err instanceof Error ? (err.stack ?? err.message) : String(err),
+      });
+      res.destroy();
+    });
+  }
+
+  private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const arrivedAt = this.deps.clock.mono();
+    const out = outlet(req, res, this.deps.protocol);
+    const { config } = this.deps.catalog();
+    const limits = config?.limits ?? UNCONFIGURED;
+    let body: Buffer | undefined;
+    try {
+      body = await read(req, limits.bodyBytes);
+    } catch (err) {
+      // The caller broke off; there is nobody to answer.
+      this.deps.log.info("A request was not read whole.", { why: String(err) });
+      res.destroy();
+      return;
+    }
+    const refuse = (status: number, message: string, comeBackMs?: number): void => {
+      this.deps.log.info("A request was refused.", { path: req.url, status, why: message });
+      out.refuse(status, message, comeBackMs);
+    };
+    if (!body) {
+      refuse(413, "the body is too large");
+      return;
+    }
+    if (headerBytes(req) > limits.headerBytes) {
+      refuse(431, "the headers are too large");
+      return;
+    }
+    if (!config) {
+      refuse(503, "no configuration is known yet", UNREADY_MS);
+      return;
+    }
+    const path = req.url ?? "";
+    if (!path.startsWith("/")) {
+      refuse(400, "the path is not absolute");
+      return;
+    }
+    const route = catalog.routeOf(config, hostOf(req), pathOnly(path));
+    const service = route && catalog.serviceOf(config, route, this.deps.random);
+    if (!route || !service) {
+      refuse(404, "no route matches");
+      return;
+    }
+    let meta: ask.Meta;
+    try {
+      meta = this.deps.protocol.read(req.headers);
+    } catch (err) {
+      refuse(400, err instanceof Error ? err.message : String(err));
+      return;
+    }
+    const a: ask.Ask = {
+      meta,
+      route,
+      service,
+      method: req.method ?? "GET",
+      path,
+      headers: passable(req, this.deps.protocol.replaced),
+      body,
+      arrivedAt,
+      dueAt: arrivedAt + Math.min(meta.waitMs, route.timeoutMs),
+    };
+    await this.deps.dispatch.serve(a, out);
+  }
+}
+
+/** Reads a body whole; undefined when it is over `limit` bytes. Throws when it breaks off. */
+async function read(req: http.IncomingMessage, limit: number): Promise<Buffer | undefined> {
+  if (Number(req.headers["content-length"] ?? 0) > limit) return undefined;
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > limit) return undefined;
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
+
+function headerBytes(req: http.IncomingMessage): number {
+  return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+function hostOf(req: http.IncomingMessage): string {
+  return (req.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
+}
+
+function pathOnly(path: string): string {
+  const at = path.indexOf("?");
+  return at < 0 ? path : path.slice(0, at);
+}
+
+/** The headers to pass on, but for those of one connection and those the system sets itself. */
+function passable(
+  req: http.IncomingMessage,
+  replaced: ReadonlySet<string>,
+): Record<string, string | string[]> {
+  const named = new Set(
+    (req.headers.connection ?? "").split(",").map((n) => n.trim().toLowerCase()),
+  );
+  const out: Record<string, string | string[]> = {};
+  for (const [name, values] of Object.entries(req.headersDistinct)) {
+    if (HOP_BY_HOP.has(name) || named.has(name) || replaced.has(name) || !values) continue;
+    out[name] = values.length === 1 ? (values[0] ?? "") : values;
+  }
+  return out;
+}
+
+/** Answers bytes that are no request; the connection ends. */
+function refuseBytes(err: Error, socket: net.Socket): void {
+  if (!socket.writable || socket.destroyed) {
+    socket.destroy();
+    return;
+  }
+  const code = "code" in err ? String(err.code) : "";
+  const status = code === "HPE_HEADER_OVERFLOW" ? 431 : 400;
+  const reason = http.STATUS_CODES[status] ?? "";
+  socket.end(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** Headers of an endpoint's answer that concern its connection alone. */
+function answerHeaders(headers: Headers): Record<string, string | readonly string[]> {
+  const out: Record<string, string | readonly string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    out[name] = value;
+  }
+  return out;
+}
+
+/** The caller's connection as the dispatcher sees it. */
+function outlet(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  wire: protocol.Protocol,
+): dispatch.Outlet {
+  const gone = new AbortController();
+  res.once("close", () => {
+    if (!res.writableFinished) gone.abort();
+  });
+  return {
+    gone: gone.signal,
+    begin: (status, headers) => {
+      res.writeHead(status, answerHeaders(headers) as http.OutgoingHttpHeaders);
+    },
+    write: (bytes) => {
+      if (res.destroyed || res.write(bytes)) return undefined;
+      return new Promise((resolve) => {
+        const done = (): void => {
+          res.off("drain", done);
+          res.off("close", done);
+          resolve();
+        };
+        res.on("drain", done);
+        res.on("close", done);
+      });
+    },
+    end: () => {
+      res.end();
+    },
+    breakOff: () => {
+      res.destroy();
+    },
+    answer: (status, headers, body) => {
+      const length = req.method === "HEAD" ? {} : { "content-length": body.length };
+      res.writeHead(status, {
+        ...(answerHeaders(headers) as http.OutgoingHttpHeaders),
+        ...length,
+      });
+      res.end(body);
+    },
+    refuse: (status, message, comeBackMs) => {
+      if (res.headersSent || res.destroyed) {
+        res.destroy();
+        return;
+      }
+      const text = JSON.stringify({ error: message });
+      // What was not read of the request must not be taken for the next one.
+      const close = req.complete ? {} : { connection: "close" };
+      res.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...(comeBackMs === undefined ? {} : wire.comeBack(comeBackMs)),
+        ...close,
+      });
+      res.end(text);
+    },
+  };
+}
--- /dev/null
+++ b/src/serving/keeper.ts
@@ -0,0 +1,471 @@
+/**
+ * The task of an endpoint daemon: it alone orders what the engine beside it holds, and gives seats
+ * on it to entry daemons. One order is under way at a time, each bound to the engine's incarnation
+ * and to the count of orders that the daemon last read, so that an order that is carried out late
+ * changes nothing that was decided since.
+ * @module
+ */
+import type * as clock from "../host/clock.js";
+import type * as record from "../host/record.js";
+import * as backlog from "./backlog.js";
+import * as catalog from "./catalog.js";
+import type * as engine from "./engine.js";
+import * as residency from "./residency.js";
+import type * as seat from "./seat.js";
+
+/** Milliseconds between looks at an engine that changes nothing; the look is free on its own host. */
+const LOOK_MS = 250;
+/** Milliseconds between looks while adapters are on their way; a load takes 25 ms or more. */
+const LOADING_LOOK_MS = 15;
+/** Milliseconds until the next try after an engine did not answer. */
+const RETRY_MS = 100;
+/** Looks in a row without an answer after which the engine counts as out. */
+const MISSES = 2;
+/** Milliseconds between two states sent, so that many changes make one message. */
+const STATE_MS = 30;
+/** Weight of the latest run in the part of runs that fail. */
+const LATEST_FAILURE = 0.12;
+/** Weight of the latest run in the time that a seat is held. */
+const LATEST_HOLD = 0.1;
+/** Milliseconds that a seat is held, until runs tell: a short answer of the users' sheet. */
+const USUAL_HOLD_MS = 600;
+
+/** Figures for adapters: see {@link residency.Options}. */
+const LOADS_AT_ONCE = 4;
+const CLOSE_AFTER_MS = 120;
+const OUTDATED_MS = 1500;
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Log;
+  readonly engine: engine.Engine;
+  /** What this host knows of the configuration. */
+  readonly catalog: () => catalog.Catalog;
+  /** Name of the service that the engine belongs to. */
+  readonly service: string;
+  /** Waits for a turn to load a base model from the weight store; false when none is to be had. */
+  readonly modelTurn: () => Promise<boolean>;
+}
+
+/** An entry daemon's connection. */
+export interface Client {
+  readonly host: string;
+  readonly send: (m: seat.FromEndpoint) => void;
+  readonly sendState: (m: seat.State) => void;
+}
+
+interface Seat {
+  readonly client: Client;
+  readonly n: number;
+  readonly request: string;
+  readonly key: string;
+  readonly askedAt: number;
+  readonly givenAt: number | undefined;
+}
+
+export class Keeper {
+  private state = residency.empty();
+  private load = backlog.IDLE;
+  private readonly seats = new Map<string, Seat>();
+  private readonly clients = new Set<Client>();
+  private instance = "";
+  private sequence = 0;
+  private misses = 0;
+  private lookedAt = -Infinity;
+  private failing = 0;
+  private holdMs = USUAL_HOLD_MS;
+  private wake: (() => void) | undefined;
+  private stateTimer: clock.Timer | undefined;
+  private stopped = false;
+
+  constructor(private readonly deps: Deps) {}
+
+  /** Looks after the engine until {@link stop}. */
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      const now = this.deps.clock.mono();
+      if (this.instance === "" || now - this.lookedAt >= this.lookEveryMs()) await this.look();
+      if (this.instance === "") {
+        this.denyAll("out");
+        await this.pause(RETRY_MS);
+        continue;
+      }
+      this.settle();
+      const next = residency.order(this.state, this.deps.clock.mono(), this.options());
+      if (next) await this.carryOut(next);
+      else if (!(await this.loadModel())) await this.pause(this.idleMs());
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.wake?.();
+  }
+
+  /** The catalog changed. */
+  heard(): void {
+    const now = this.deps.clock.mono();
+    for (const [key, version] of this.deps.catalog().versions) {
+      this.state = residency.declare(this.state, key, version, now);
+    }
+    this.wake?.();
+  }
+
+  join(c: Client): void {
+    this.clients.add(c);
+    c.sendState(this.snapshot());
+    this.changed();
+  }
+
+  /** A connection is over; its seats are, too. */
+  leave(c: Client): void {
+    this.clients.delete(c);
+    for (const [id, s] of this.seats) if (s.client === c) this.over(id, "left");
+    this.changed();
+  }
+
+  ask(c: Client, m: Extract<seat.FromEntry, { kind: "ask" }>): void {
+    const now = this.deps.clock.mono();
+    const key = m.adapter === undefined ? m.model : catalog.adapterKey(m.model, m.adapter);
+    const id = `${c.host}#${m.seat}`;
+    if (m.version > 0) this.state = residency.declare(this.state, key, m.version, now);
+    this.seats.set(id, {
+      client: c,
+      n: m.seat,
+      request: m.request,
+      key,
+      askedAt: now,
+      givenAt: undefined,
+    });
+    this.load = backlog.asked(this.load, id, m.promptTokens, m.rank);
+    const { model, adapter, rank } = m;
+    const waiter = { seat: id, key, model, adapter, rank, since: now, dueAt: now + m.leftMs };
+    this.state = residency.ask(this.state, waiter, now);
+    if (this.instance === "") this.deny(id, "out");
+    else this.settle();
+    this.wake?.();
+    this.changed();
+  }
+
+  began(c: Client, n: number, ms: number): void {
+    this.load = backlog.began(this.load, `${c.host}#${n}`, ms);
+    this.changed();
+  }
+
+  /** A seat is not needed any more. */
+  end(c: Client, n: number, how: Extract<seat.FromEntry, { kind: "over" }>["how"]): void {
+    this.over(`${c.host}#${n}`, how);
+    if (how === "absent") this.lookedAt = -Infinity;
+    this.wake?.();
+    this.changed();
+  }
+
+  /** Seats given or asked for. */
+  count(): number {
+    return this.seats.size;
+  }
+
+  private over(id: string, how: Extract<seat.FromEntry, { kind: "over" }>["how"]): void {
+    const s = this.seats.get(id);
+    if (!s) return;
+    this.seats.delete(id);
+    this.load = backlog.over(this.load, id);
+    if (s.givenAt === undefined) {
+      this.state = residency.answered(this.state, id);
+      return;
+    }
+    this.state = residency.pin(this.state, s.key, -1);
+    const held = this.deps.clock.mono() - s.givenAt;
+    this.holdMs += (held - this.holdMs) * LATEST_HOLD;
+    if (how === "failed") this.failing += (1 - this.failing) * LATEST_FAILURE;
+    if (how === "whole") this.failing -= this.failing * LATEST_FAILURE;
+  }
+
+  private options(): residency.Options {
+    const spec = this.spec();
+    return {
+      places: spec?.places ?? 1,
+      loads: LOADS_AT_ONCE,
+      closeAfterMs: CLOSE_AFTER_MS,
+      outdatedMs: OUTDATED_MS,
+    };
+  }
+
+  private spec(): catalog.EngineSpec | undefined {
+    return this.deps.catalog().config?.services.get(this.deps.service)?.engine;
+  }
+
+  /** Gives and takes back seats as the state allows. */
+  private settle(): void {
+    for (const a of residency.seats(this.state, this.deps.clock.mono(), this.options())) {
+      switch (a.kind) {
+        case "grant":
+          this.grant(a.waiter, a.version);
+          break;
+        case "expire":
+          this.deny(a.waiter.seat, "full");
+          break;
+        case "load":
+        case "unload":
+        case "close":
+          break;
+      }
+    }
+  }
+
+  private grant(w: residency.Waiter, version: number | undefined): void {
+    const s = this.seats.get(w.seat);
+    this.state = residency.answered(this.state, w.seat);
+    if (!s) return;
+    const now = this.deps.clock.mono();
+    this.state = residency.pin(this.state, w.key, 1);
+    this.load = backlog.given(this.load, w.seat);
+    this.seats.set(w.seat, { ...s, givenAt: now });
+    s.client.send({ kind: "grant", seat: s.n, instance: this.instance, version });
+    const waitedMs = now - s.askedAt;
+    this.deps.log.info("A seat was given.", {
+      request: s.request,
+      adapter: w.key,
+      version,
+      instance: this.instance,
+      waitedMs,
+    });
+    this.changed();
+  }
+
+  private deny(id: string, reason: seat.Deny): void {
+    const s = this.seats.get(id);
+    this.state = residency.answered(this.state, id);
+    if (!s) return;
+    this.seats.delete(id);
+    this.load = backlog.over(this.load, id);
+    s.client.send({ kind: "deny", seat: s.n, reason });
+    const waitedMs = this.deps.clock.mono() - s.askedAt;
+    this.deps.log.info("A seat was denied.", {
+      request: s.request,
+      adapter: s.key,
+      reason,
+      waitedMs,
+    });
+    this.changed();
+  }
+
+  private denyAll(reason: seat.Deny): void {
+    for (const w of this.state.waiting) this.deny(w.seat, reason);
+  }
+
+  /** Milliseconds between two looks at present. */
+  private lookEveryMs(): number {
+    const loading = [...this.state.places.values()].some((p) => p.phase === "loading");
+    return loading ? LOADING_LOOK_MS : LOOK_MS;
+  }
+
+  /** Milliseconds until something may have to be done though nothing happens. */
+  private idleMs(): number {
+    const now = this.deps.clock.mono();
+    const look = this.lookedAt + this.lookEveryMs() - now;
+    const timed = residency.wakeIn(this.state, now, this.options()) ?? Infinity;
+    return Math.max(1, Math.min(look, timed));
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const done = (): void => {
+        t.cancel();
+        this.wake = undefined;
+        resolve();
+      };
+      const t = this.deps.clock.after(ms, done);
+      this.wake = done;
+    });
+  }
+
+  /** Reads what the engine holds. */
+  private async look(): Promise<void> {
+    const askedAt = this.deps.clock.mono();
+    try {
+      if (this.instance === "") await this.meet();
+      const report = await this.deps.engine.report();
+      this.lookedAt = askedAt;
+      this.misses = 0;
+      if (report.sequence < this.sequence) {
+        this.deps.log.warn("The engine started anew.", { instance: this.instance });
+        this.lost();
+        return;
+      }
+      this.sequence = report.sequence;
+      this.learn(report, askedAt);
+    } catch (err) {
+      this.lookedAt = askedAt;
+      this.missed(err);
+    }
+  }
+
+  /** Learns which incarnation of the engine is there. */
+  private async meet(): Promise<void> {
+    const service = this.deps.catalog().config?.services.get(this.deps.service);
+    if (!service) throw new Error(`the configuration has no service ${this.deps.service}`);
+    this.instance = await this.deps.engine.identify(service.healthPath);
+    this.sequence = 0;
+    this.deps.log.info("The engine answers.", { instance: this.instance });
+  }
+
+  private missed(err: unknown): void {
+    this.misses++;
+    if (this.misses % 100 !== MISSES) return;
+    const why = err instanceof Error ? err.message : String(err);
+    this.deps.log.warn("The engine does not answer.", { instance: this.instance, why });
+    this.lost();
+  }
+
+  /** What the engine holds is not known any more. */
+  private lost(): void {
+    this.instance = "";
+    this.sequence = 0;
+    const { newest, heat, waiting } = this.state;
+    this.state = { ...residency.empty(), newest, heat, waiting };
+    this.denyAll("out");
+    this.changed();
+  }
+
+  private warm: readonly string[] = [];
+
+  private learn(report: engine.Report, askedAt: number): void {
+    const listed = report.models.flatMap((m) =>
+      m.adapters.map((a) => ({
+        key: catalog.adapterKey(m.name, a.adapter),
+        model: m.name,
+        adapter: a.adapter,
+        version: a.version,
+        pending: false,
+      })),
+    );
+    const pending = report.pending.map((p) => ({
+      key: catalog.adapterKey(p.model, p.adapter),
+      model: p.model,
+      adapter: p.adapter,
+      version: p.version,
+      pending: true,
+    }));
+    const models = report.models.map((m) => m.name);
+    const before = this.state;
+    this.state = residency.reconcile(this.state, models, [...listed, ...pending], askedAt);
+    this.warm = report.warm;
+    if (before.places.size !== this.state.places.size) this.changed();
+    this.changed();
+  }
+
+  private async carryOut(a: residency.Action): Promise<void> {
+    const now = this.deps.clock.mono();
+    switch (a.kind) {
+      case "grant":
+      case "expire":
+        return;
+      case "close":
+        this.state = residency.put(this.state, { ...a.place, phase: "closing", since: now });
+        this.deps.log.info("An adapter in use is given out no more.", {
+          adapter: a.place.key,
+          pins: a.place.pins,
+        });
+        return;
+      case "load": {
+        const { key, model, adapter, version } = a;
+        const old = this.state.places.get(key);
+        const place: residency.Place = {
+          key,
+          model,
+          adapter,
+          version: version ?? 0,
+          phase: "loading",
+          pins: old?.pins ?? 0,
+          since: now,
+        };
+        this.state = residency.put(this.state, place);
+        await this.give({ kind: "load", model, adapter, version });
+        return;
+      }
+      case "unload":
+        this.state = residency.put(this.state, { ...a.place, phase: "unsure", since: now });
+        await this.give({ kind: "unload", model: a.place.model, adapter: a.place.adapter });
+        return;
+    }
+  }
+
+  /** Gives one order, and reads what came of it. */
+  private async give(
+    o: Pick<engine.Order, "kind" | "model" | "adapter" | "version">,
+  ): Promise<void> {
+    const began = this.deps.clock.mono();
+    const { instance, sequence } = this;
+    const epoch = this.deps.catalog().revision;
+    const result = await this.deps.engine.order({ ...o, instance, sequence, epoch });
+    const tookMs = this.deps.clock.mono() - began;
+    this.deps.log.info("An order was given.", {
+      order: o.kind,
+      model: o.model,
+      adapter: o.adapter,
+      version: o.version,
+      sequence,
+      epoch,
+      tookMs,
+      result: result.kind,
+    });
+    if (result.kind === "moved") {
+      this.lost();
+      return;
+    }
+    await this.look();
+  }
+
+  /** Loads the base model into an engine that has none; whether an order was given. */
+  private async loadModel(): Promise<boolean> {
+    const spec = this.spec();
+    const wanted = spec?.models[0];
+    if (!wanted || this.state.models.length > 0) return false;
+    if (this.modelAskedAt + wanted.loadMs > this.deps.clock.mono()) return false;
+    if (!(await this.deps.modelTurn())) return false;
+    this.modelAskedAt = this.deps.clock.mono();
+    await this.give({ kind: "load", model: wanted.name });
+    return true;
+  }
+
+  private modelAskedAt = -Infinity;
+
+  private snapshot(): seat.State {
+    const usable = [...this.state.places.values()].filter(
+      (p) => p.phase === "resident" || p.phase === "loading",
+    );
+    return {
+      kind: "state",
+      instance: this.instance,
+      models: this.state.models,
+      resident: usable.map((p) => p.key),
+      warm: this.warm,
+      waitMs: backlog.waits(this.load),
+      placeMs: Math.round(this.placeMs()),
+      seats: this.seats.size,
+      failing: Math.round(this.failing * 100) / 100,
+      entries: this.clients.size,
+    };
+  }
+
+  /** Estimated ms until a place for another adapter is free. */
+  private placeMs(): number {
+    const { places } = this.options();
+    const all = [...this.state.places.values()];
+    const waiting = new Set(
+      this.state.waiting.filter((w) => !this.state.places.has(w.key)).map((w) => w.key),
+    ).size;
+    const free = places - all.length + all.filter((p) => p.pins === 0).length;
+    return free > waiting ? 0 : ((waiting - free + 1) * this.holdMs) / places;
+  }
+
+  /** Tells the entry daemons, soon and once for many changes. */
+  private changed(): void {
+    this.stateTimer ??= this.deps.clock.after(STATE_MS, () => {
+      this.stateTimer = undefined;
+      const m = this.snapshot();
+      for (const c of this.clients) c.sendState(m);
+    });
+  }
+}
--- /dev/null
+++ b/src/serving/link.ts
@@ -0,0 +1,202 @@
+/**
+ * An entry daemon's connection to one endpoint daemon: asks for seats, and hears the engine's state.
+ * @module
+ */
+import * as net from "node:net";
+import type * as clock from "../host/clock.js";
+import type * as record from "../host/record.js";
+import * as lines from "./lines.js";
+import * as seat from "./seat.js";
+
+/** Milliseconds to connect; the other side of a failure domain answers within a few. */
+const CONNECT_MS = 600;
+/** Milliseconds until the next try, at first and at most. */
+const RETRY_MS = 150;
+const RETRY_MAX_MS = 1500;
+/**
+ * Milliseconds after which an endpoint daemon that said nothing since it was asked counts as silent;
+ * it says something within some 30 ms of each question.
+ */
+const SILENT_MS = 350;
+/** Milliseconds without a word after which the connection is made anew; it speaks every second. */
+const QUIET_MS = 2500;
+/** Milliseconds between checks for silence. */
+const CHECK_MS = 50;
+
+/** What came of asking for a seat. */
+export type Answer =
+  | { readonly kind: "grant"; readonly instance: string; readonly version: number | undefined }
+  | { readonly kind: "deny"; readonly reason: seat.Deny }
+  /** The endpoint daemon cannot be reached, or fell silent. */
+  | { readonly kind: "unreachable" };
+
+export type Wish = Omit<Extract<seat.FromEntry, { kind: "ask" }>, "kind" | "seat">;
+
+/** A seat that was asked for. */
+export interface Seat {
+  readonly answer: Promise<Answer>;
+  readonly began: (ms: number) => void;
+  readonly over: (how: Extract<seat.FromEntry, { kind: "over" }>["how"]) => void;
+}
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: record.Log;
+  /** Name of this host. */
+  readonly host: string;
+  /** The engine's state changed, or the connection was lost. */
+  readonly changed: () => void;
+}
+
+interface Asked {
+  readonly at: number;
+  readonly resolve: (a: Answer) => void;
+}
+
+export class Link {
+  private channel: lines.Channel<seat.FromEntry> | undefined;
+  private last: seat.State | undefined;
+  private heardAt = -Infinity;
+  private tokens = 0;
+  private next = 0;
+  private readonly asked = new Map<number, Asked>();
+  private retryMs = RETRY_MS;
+  private timer: clock.Timer | undefined;
+  private check: clock.Timer | undefined;
+  private closed = false;
+
+  constructor(
+    /** `ip:port` of the endpoint daemon. */
+    readonly address: string,
+    private readonly deps: Deps,
+  ) {
+    this.connect();
+  }
+
+  /** The engine's state as last heard; undefined while there is no connection. */
+  get state(): seat.State | undefined {
+    return this.last;
+  }
+
+  /** Prompt tokens asked for since the state was heard. */
+  get tokensSince(): number {
+    return this.tokens;
+  }
+
+  /** Asks for a seat. */
+  ask(wish: Wish): Seat {
+    const n = this.next++;
+    const { channel } = this;
+    if (!channel) return { answer: Promise.resolve({ kind: "unreachable" }), ...NOBODY };
+    const answer = new Promise<Answer>((resolve) => {
+      this.asked.set(n, { at: this.deps.clock.mono(), resolve });
+    });
+    this.tokens += wish.promptTokens;
+    channel.send({ kind: "ask", seat: n, ...wish });
+    this.watch();
+    return {
+      answer,
+      began: (ms) => {
+        channel.send({ kind: "began", seat: n, ms });
+      },
+      over: (how) => {
+        this.settle(n, { kind: "unreachable" });
+        channel.send({ kind: "over", seat: n, how });
+      },
+    };
+  }
+
+  close(): void {
+    this.closed = true;
+    this.timer?.cancel();
+    this.check?.cancel();
+    this.channel?.close();
+  }
+
+  private connect(): void {
+    const [host, port] = this.address.split(":");
+    const socket = net.connect({ host, port: Number(port) });
+    const limit = this.deps.clock.after(CONNECT_MS, () => {
+      socket.destroy(new Error("no connection in time"));
+    });
+    let stood = false;
+    socket.once("connect", () => {
+      limit.cancel();
+      stood = true;
+      this.retryMs = RETRY_MS;
+      this.channel = channel;
+      this.heardAt = this.deps.clock.mono();
+      channel.send({ kind: "hello", host: this.deps.host });
+      this.deps.log.info("An endpoint daemon is reached.", { peer: this.address });
+      this.watch();
+    });
+    const channel = lines.channel<seat.FromEndpoint, seat.FromEntry>(socket, seat.fromEndpoint, {
+      message: (m) => {
+        this.hear(m);
+      },
+      closed: (why) => {
+        limit.cancel();
+        this.lost(stood, why);
+      },
+    });
+  }
+
+  private lost(stood: boolean, why: string): void {
+    if (stood && !this.closed) {
+      this.deps.log.warn("An endpoint daemon is lost.", { peer: this.address, why });
+    }
+    this.channel = undefined;
+    this.last = undefined;
+    this.tokens = 0;
+    for (const n of [...this.asked.keys()]) this.settle(n, { kind: "unreachable" });
+    this.deps.changed();
+    if (this.closed) return;
+    this.timer = this.deps.clock.after(this.retryMs, () => {
+      this.connect();
+    });
+    this.retryMs = Math.min(RETRY_MAX_MS, this.retryMs * 2);
+  }
+
+  private hear(m: seat.FromEndpoint): void {
+    this.heardAt = this.deps.clock.mono();
+    switch (m.kind) {
+      case "state":
+        this.last = m;
+        this.tokens = 0;
+        this.deps.changed();
+        break;
+      case "grant":
+        this.settle(m.seat, { kind: "grant", instance: m.instance, version: m.version });
+        break;
+      case "deny":
+        this.settle(m.seat, { kind: "deny", reason: m.reason });
+        break;
+    }
+  }
+
+  private settle(n: number, a: Answer): void {
+    this.asked.get(n)?.resolve(a);
+    this.asked.delete(n);
+  }
+
+  /** Checks for silence while there is a connection. */
+  private watch(): void {
+    this.check ??= this.deps.clock.after(CHECK_MS, () => {
+      this.check = undefined;
+      const now = this.deps.clock.mono();
+      if (now - this.heardAt > QUIET_MS) {
+        this.channel?.close();
+        return;
+      }
+      for (const [n, a] of this.asked) {
+        if (now - a.at > SILENT_MS && this.heardAt < a.at) {
+          this.last = undefined;
+          this.settle(n, { kind: "unreachable" });
+        }
+      }
+      if (this.channel) this.watch();
+    });
+  }
+}
+
+const NOBODY = { began: () => undefined, over: () => undefined };
--- /dev/null
+++ b/src/serving/meters.ts
@@ -0,0 +1,107 @@
+/**
+ * Counters and latency histograms, in the text form that Prometheus reads.
+ * @module
+ */
+import * as http from "node:http";
+import * as prom from "prom-client";
+import * as log from "../host/log.js";
+import type * as record from "../host/record.js";
+
+/** Upper bounds of the histograms, in ms: around the targets of 150 to 1,000 ms. */
+const BUCKETS_MS = [10, 25, 50, 100, 150, 250, 400, 600, 1000, 1500, 2500, 5000, 10_000];
+/** Routes told apart; others share one label, so that the set stays bounded. */
+const ROUTES = 64;
+
+/** What is counted of one daemon. */
+export interface Meters {
+  readonly request: (
+    route: string,
+    ending: string,
+    firstMs: number | undefined,
+    tookMs: number,
+  ) => void;
+  readonly gauge: (name: string, help: string, read: () => number) => void;
+  /** The figures as text. */
+  readonly text: () => Promise<string>;
+}
+
+export function open(): Meters {
+  const registry = new prom.Registry();
+  const requests = new prom.Counter({
+    name: "sumacfield_requests_total",
+    help: "Requests over, by route and ending.",
+    labelNames: ["route", "ending"],
+    registers: [registry],
+  });
+  const first = new prom.Histogram({
+    name: "sumacfield_first_event_ms",
+    help: "Milliseconds until the first byte of the answer, by route.",
+    labelNames: ["route"],
+    buckets: BUCKETS_MS,
+    registers: [registry],
+  });
+  const took = new prom.Histogram({
+    name: "sumacfield_request_ms",
+    help: "Milliseconds until a request was over, by route.",
+    labelNames: ["route"],
+    buckets: BUCKETS_MS,
+    registers: [registry],
+  });
+  const known = new Set<string>();
+  const bounded = (route: string): string => {
+    if (known.has(route)) return route;
+    if (known.size >= ROUTES) return "other";
+    known.add(route);
+    return route;
+  };
+  return {
+    request: (name, ending, firstMs, tookMs) => {
+      const route = bounded(name);
+      requests.inc({ route, ending });
+      if (firstMs !== undefined) first.observe({ route }, firstMs);
+      took.observe({ route }, tookMs);
+    },
+    gauge: (name, help, read) => {
+      new prom.Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+          this.set(read());
+        },
+      });
+    },
+    text: () => registry.metrics(),
+  };
+}
+
+/** Serves the figures at `ip:port`; resolves once it listens. */
+export async function serve(meters: Meters, address: string): Promise<http.Server> {
+  const server = http.createServer((_req, res) => {
+    meters.text().then(
+      (text) => {
+        res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+        res.end(text);
+      },
+      (err: unknown) => {
+        res.writeHead(500);
+        res.end(String(err));
+      },
+    );
+  });
+  const [host, port] = address.split(":");
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port: Number(port) }, resolve);
+  });
+  return server;
+}
+
+/** Serves the figures, or says why that cannot be; requests go on without them. */
+export async function tryServe(meters: Meters, address: string, lg: record.Log): Promise<void> {
+  try {
+    await serve(meters, address);
+  } catch (err) {
+    lg.error("The figures cannot be served.", { address, why: log.why(err) });
+  }
+}
--- /dev/null
+++ b/src/serving/protocol.ts
@@ -0,0 +1,43 @@
+/**
+ * The port to a wire: how requests, answers and refusals are marked in headers. The platform's
+ * adapter implements it; nothing else names a header of the platform.
+ * @module
+ */
+import type * as http from "node:http";
+import type * as ask from "./ask.js";
+
+/** What the system adds to a request that it sends to an endpoint. */
+export interface Marks {
+  /** Incarnation that alone may run the request. */
+  readonly instance: string;
+  /** Version of the adapter that alone may serve the request. */
+  readonly version?: number | undefined;
+  /** Urgency; 0 goes first. */
+  readonly rank: number;
+  /** Milliseconds left for the answer. */
+  readonly leftMs: number;
+  /** Last event already passed on; the endpoint goes on after it. */
+  readonly resumeAfter?: string | undefined;
+  /** Address of the endpoint that holds a copy of the run's memory, with the copy's name. */
+  readonly copy?: string | undefined;
+}
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+export interface Protocol {
+  /** Reads a request's headers; throws a RangeError that says which one is wrong. */
+  readonly read: (headers: http.IncomingHttpHeaders) => ask.Meta;
+  /** Headers of a caller that the system replaces by its own. */
+  readonly replaced: ReadonlySet<string>;
+  readonly marks: (m: Marks) => Record<string, string>;
+  /** Which request an answer says it belongs to. */
+  readonly answered: (headers: Headers) => string | undefined;
+  /** Whether an answer vouches that the request was not run and never will be. */
+  readonly notRun: (status: number, headers: Headers) => boolean;
+  /** Whether an answer bears an endpoint's signature. */
+  readonly signed: (headers: Headers) => boolean;
+  /** The incarnation that an answer names. */
+  readonly instance: (headers: Headers) => string | undefined;
+  /** Headers that tell a refused caller when to come back, in ms. */
+  readonly comeBack: (ms: number) => Record<string, string>;
+}
--- /dev/null
+++ b/src/serving/residency.ts
@@ -0,0 +1,289 @@
+/**
+ * Which adapters an engine holds, who waits for which, and what to do next. Pure: the endpoint daemon
+ * carries the actions out, and tests run the same code without an engine.
+ * @module
+ */
+import * as popularity from "../endpoint/popularity.js";
+
+/** An adapter in one of the engine's places. */
+export interface Place {
+  /** Key of model and adapter. */
+  readonly key: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly version: number;
+  /**
+   * `loading` until the engine lists it. `unsure`: an order was not answered, so it counts as a place
+   * taken and is not given out. `closing`: given out no more, and unloaded once nobody uses it.
+   */
+  readonly phase: "loading" | "resident" | "closing" | "unsure";
+  /** Seats that use it. */
+  readonly pins: number;
+  /** Monotonic ms of the last change of phase. */
+  readonly since: number;
+}
+
+/** A seat that is asked for and not yet given. */
+export interface Waiter {
+  readonly seat: string;
+  readonly key: string;
+  readonly model: string;
+  /** Left out for the base model itself. */
+  readonly adapter?: string | undefined;
+  readonly rank: number;
+  readonly since: number;
+  readonly dueAt: number;
+}
+
+export interface Options {
+  /** Adapters held at once. */
+  readonly places: number;
+  /** Loads of adapters on their way at once. */
+  readonly loads: number;
+  /** Milliseconds that a waiter bears before an adapter in use is closed for it. */
+  readonly closeAfterMs: number;
+  /** Milliseconds for which an outdated adapter in use is still given out. */
+  readonly outdatedMs: number;
+}
+
+/** The value that changes by the functions below. */
+export interface State {
+  /** Base models that the engine holds. */
+  readonly models: readonly string[];
+  readonly places: ReadonlyMap<string, Place>;
+  readonly waiting: readonly Waiter[];
+  /** Newest version of each adapter by key, with the monotonic ms at which it was learnt. */
+  readonly newest: ReadonlyMap<string, { readonly version: number; readonly at: number }>;
+  readonly heat: popularity.Popularity;
+}
+
+/** Half-life of an adapter's popularity: demand shifts within some seconds on the sites so far. */
+const HALF_LIFE_MS = 10_000;
+/** Adapters whose popularity is remembered: many times what an engine holds. */
+const REMEMBERED = 256;
+
+/** The state of an engine of which nothing is known. */
+export function empty(): State {
+  return {
+    models: [],
+    places: new Map(),
+    waiting: [],
+    newest: new Map(),
+    heat: popularity.cold(HALF_LIFE_MS, REMEMBERED),
+  };
+}
+
+export type Action =
+  | { readonly kind: "grant"; readonly waiter: Waiter; readonly version: number | undefined }
+  | { readonly kind: "expire"; readonly waiter: Waiter }
+  | {
+      readonly kind: "load";
+      readonly model: string;
+      readonly adapter: string;
+      readonly key: string;
+      readonly version: number | undefined;
+    }
+  | { readonly kind: "unload"; readonly place: Place }
+  | { readonly kind: "close"; readonly place: Place };
+
+function outdated(s: State, p: Place): boolean {
+  return (s.newest.get(p.key)?.version ?? 0) > p.version;
+}
+
+/** Whether a place may be given to one more seat. */
+function usable(s: State, p: Place, now: number, opts: Options): boolean {
+  if (p.phase !== "resident") return false;
+  const newest = s.newest.get(p.key);
+  return !newest || newest.version <= p.version || now - newest.at < opts.outdatedMs;
+}
+
+/** Waiters in the order they are served: the more urgent first, then the earlier. */
+function inOrder(waiting: readonly Waiter[]): readonly Waiter[] {
+  return [...waiting].sort((a, b) => a.rank - b.rank || a.since - b.since);
+}
+
+/** Seats to give and to take back at `now`. */
+export function seats(s: State, now: number, opts: Options): readonly Action[] {
+  const out: Action[] = [];
+  for (const w of inOrder(s.waiting)) {
+    const p = s.places.get(w.key);
+    if (w.adapter === undefined && s.models.includes(w.model)) {
+      out.push({ kind: "grant", waiter: w, version: undefined });
+    } else if (p && usable(s, p, now, opts)) {
+      out.push({ kind: "grant", waiter: w, version: p.version });
+    } else if (now >= w.dueAt) {
+      out.push({ kind: "expire", waiter: w });
+    }
+  }
+  return out;
+}
+
+/** The next order to the engine at `now`; orders are given one at a time. */
+export function order(s: State, now: number, opts: Options): Action | undefined {
+  const stale = staleIdle(s);
+  if (stale) return load(s, stale);
+  const wanted = wantedKeys(s);
+  const loading = [...s.places.values()].filter((p) => p.phase === "loading").length;
+  for (const w of wanted) {
+    if (loading >= opts.loads) return undefined;
+    if (s.places.size < opts.places) return load(s, w);
+    const victim = idlest(s, wanted, now);
+    if (victim) return { kind: "unload", place: victim };
+    break;
+  }
+  return closing(s, wanted, now, opts);
+}
+
+function load(s: State, of: Pick<Place, "key" | "model" | "adapter">): Action {
+  const version = s.newest.get(of.key)?.version;
+  return { kind: "load", model: of.model, adapter: of.adapter, key: of.key, version };
+}
+
+/** An outdated adapter that nobody uses. */
+function staleIdle(s: State): Place | undefined {
+  for (const p of s.places.values()) {
+    if (p.phase !== "loading" && p.phase !== "unsure" && p.pins === 0 && outdated(s, p)) return p;
+  }
+  return undefined;
+}
+
+interface Wanted {
+  readonly key: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly since: number;
+}
+
+/** Adapters waited for that are in no place, in the order of their first waiter. */
+function wantedKeys(s: State): readonly Wanted[] {
+  const out = new Map<string, Wanted>();
+  for (const w of inOrder(s.waiting)) {
+    if (w.adapter === undefined || s.places.has(w.key) || out.has(w.key)) continue;
+    if (!s.models.includes(w.model)) continue;
+    out.set(w.key, { key: w.key, model: w.model, adapter: w.adapter, since: w.since });
+  }
+  return [...out.values()];
+}
+
+/** The place to empty first among those that nobody uses or waits for. */
+function idlest(s: State, wanted: readonly Wanted[], now: number): Place | undefined {
+  const waited = new Set(s.waiting.map((w) => w.key));
+  const free = [...s.places.values()].filter(
+    (p) => p.pins === 0 && (p.phase === "closing" || p.phase === "resident") && !waited.has(p.key),
+  );
+  if (wanted.length === 0) return undefined;
+  const closed = free.find((p) => p.phase === "closing");
+  return closed ?? coldest(s, free, now);
+}
+
+function coldest(s: State, of: readonly Place[], now: number): Place | undefined {
+  const key = popularity.coldest(
+    s.heat,
+    of.map((p) => p.key),
+    now,
+  );
+  return key === undefined ? undefined : s.places.get(key);
+}
+
+/** An adapter in use to close, when some waiter has waited too long for a place. */
+function closing(
+  s: State,
+  wanted: readonly Wanted[],
+  now: number,
+  opts: Options,
+): Action | undefined {
+  const overdue = wanted.filter((w) => now - w.since >= opts.closeAfterMs).length;
+  const places = [...s.places.values()];
+  const under = places.filter((p) => p.phase === "closing" || p.phase === "unsure").length;
+  if (under >= overdue) return undefined;
+  const open = places.filter((p) => p.phase === "resident" && p.pins > 0);
+  const place = coldest(s, open, now);
+  return place && { kind: "close", place };
+}
+
+/** Milliseconds from `now` until time alone makes something to do; undefined when it does not. */
+export function wakeIn(s: State, now: number, opts: Options): number | undefined {
+  const times = s.waiting.flatMap((w) => [w.dueAt - now, w.since + opts.closeAfterMs - now]);
+  for (const p of s.places.values()) {
+    const newest = s.newest.get(p.key);
+    if (newest && newest.version > p.version) times.push(newest.at + opts.outdatedMs - now);
+  }
+  const ahead = times.filter((t) => t > 0);
+  return ahead.length === 0 ? undefined : Math.min(...ahead);
+}
+
+/** Somebody asks for a seat. */
+export function ask(s: State, w: Waiter, now: number): State {
+  const heat = popularity.hit(s.heat, w.key, 1, now);
+  return { ...s, waiting: [...s.waiting, w], heat };
+}
+
+/** A seat is given or no longer asked for. */
+export function answered(s: State, seat: string): State {
+  return { ...s, waiting: s.waiting.filter((w) => w.seat !== seat) };
+}
+
+/** One seat more or less uses a place. */
+export function pin(s: State, key: string, by: 1 | -1): State {
+  const p = s.places.get(key);
+  if (!p) return s;
+  return put(s, { ...p, pins: Math.max(0, p.pins + by) });
+}
+
+/** Puts a place as it is now known. */
+export function put(s: State, p: Place): State {
+  return { ...s, places: new Map(s.places).set(p.key, p) };
+}
+
+/** A place is known to be empty. */
+export function drop(s: State, key: string): State {
+  if (!s.places.has(key)) return s;
+  const places = new Map(s.places);
+  places.delete(key);
+  return { ...s, places };
+}
+
+/** A version was declared; older ones change nothing. */
+export function declare(s: State, key: string, version: number, now: number): State {
+  if ((s.newest.get(key)?.version ?? 0) >= version) return s;
+  return { ...s, newest: new Map(s.newest).set(key, { version, at: now }) };
+}
+
+/** An adapter that a report lists. */
+export interface Listed {
+  readonly key: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly version: number;
+  /** On its way in, and not yet to be used. */
+  readonly pending: boolean;
+}
+
+/**
+ * The state after a report that was asked for at `askedAt`: what it lists is there. A place that
+ * changed after the question stays as it is; other places that it does not list are empty.
+ */
+export function reconcile(
+  s: State,
+  models: readonly string[],
+  listed: readonly Listed[],
+  askedAt: number,
+): State {
+  let at: State = { ...s, models };
+  const seen = new Set(listed.map((l) => l.key));
+  for (const p of s.places.values()) {
+    if (!seen.has(p.key) && p.since < askedAt) at = drop(at, p.key);
+  }
+  for (const l of listed) {
+    const p = s.places.get(l.key);
+    if (p && p.since >= askedAt) continue;
+    at = put(at, placeOf(l, p, askedAt));
+  }
+  return at;
+}
+
+function placeOf(l: Listed, p: Place | undefined, now: number): Place {
+  const phase = l.pending ? "loading" : p?.phase === "closing" ? "closing" : "resident";
+  const { key, model, adapter, version } = l;
+  return { key, model, adapter, version, phase, pins: p?.pins ?? 0, since: p?.since ?? now };
+}
--- /dev/null
+++ b/src/serving/seat.ts
@@ -0,0 +1,89 @@
+/**
+ * The messages between entry and endpoint daemons about seats: an entry daemon asks for a seat on
+ * an engine for one request, sends the request straight to the engine once it is granted, and says
+ * when the first event came and when the run is over. One JSON message a line, over TCP.
+ * @module
+ */
+import * as zod from "zod";
+
+/** From an entry daemon. */
+export const fromEntry = zod.discriminatedUnion("kind", [
+  zod.object({ kind: zod.literal("hello"), host: zod.string() }).readonly(),
+  zod
+    .object({
+      kind: zod.literal("ask"),
+      /** Names the seat on this connection. */
+      seat: zod.int(),
+      /** The request's id, for the log. */
+      request: zod.string(),
+      model: zod.string(),
+      adapter: zod.string().optional(),
+      /** Newest version that the entry daemon knows of; 0 for none. */
+      version: zod.int(),
+      promptTokens: zod.number(),
+      answerTokens: zod.number(),
+      rank: zod.number(),
+      /** Milliseconds after which the seat is of no use. */
+      leftMs: zod.number(),
+    })
+    .readonly(),
+  /** The first event came, `ms` after the request was sent. */
+  zod.object({ kind: zod.literal("began"), seat: zod.int(), ms: zod.number() }).readonly(),
+  zod
+    .object({
+      kind: zod.literal("over"),
+      seat: zod.int(),
+      how: zod.enum(["whole", "failed", "not_run", "left", "absent"]),
+    })
+    .readonly(),
+]);
+export type FromEntry = zod.infer<typeof fromEntry>;
+
+/** State of an engine, as its endpoint daemon knows it. */
+export const state = zod
+  .object({
+    kind: zod.literal("state"),
+    /** Empty while the engine is out or not yet known. */
+    instance: zod.string(),
+    models: zod.array(zod.string()).readonly(),
+    /** Adapters that can be used at once or are about to, by key. */
+    resident: zod.array(zod.string()).readonly(),
+    /** Adapters that load fast, by key. */
+    warm: zod.array(zod.string()).readonly(),
+    /** Estimated ms until a prompt that arrives now begins to be read, by rank. */
+    waitMs: zod.array(zod.number()).readonly(),
+    /** Estimated ms until a place for another adapter is free. */
+    placeMs: zod.number(),
+    /** Seats given and not over. */
+    seats: zod.number(),
+    /** Part of the latest runs that failed, 0 to 1. */
+    failing: zod.number(),
+    /** Entry daemons connected. */
+    entries: zod.number(),
+  })
+  .readonly();
+export type State = zod.infer<typeof state>;
+
+/** From an endpoint daemon. */
+export const fromEndpoint = zod.discriminatedUnion("kind", [
+  state,
+  zod
+    .object({
+      kind: zod.literal("grant"),
+      seat: zod.int(),
+      instance: zod.string(),
+      /** Version of the adapter that is held. */
+      version: zod.int().optional(),
+    })
+    .readonly(),
+  /** The engine will not serve the request; nothing was run. */
+  zod
+    .object({
+      kind: zod.literal("deny"),
+      seat: zod.int(),
+      reason: zod.enum(["out", "full", "no_model", "load_failed", "stopping"]),
+    })
+    .readonly(),
+]);
+export type FromEndpoint = zod.infer<typeof fromEndpoint>;
+export type Deny = Extract<FromEndpoint, { kind: "deny" }>["reason"];
--- /dev/null
+++ b/src/serving/upstream.ts
@@ -0,0 +1,162 @@
+/**
+ * Sends one request to one endpoint, and sorts what comes back by what is certain about it.
+ * @module
+ */
+import * as undici from "undici";
+import type * as ask from "./ask.js";
+import type * as catalog from "./catalog.js";
+import type * as protocol from "./protocol.js";
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** What came of a send before any byte of it was passed on. */
+export type Sent =
+  /** An answer of the endpoint to this very request; the body is still to come. */
+  | {
+      readonly kind: "answer";
+      readonly status: number;
+      readonly headers: Headers;
+      readonly body: undici.Dispatcher.ResponseData["body"];
+    }
+  /** It was not run and will not be. `absent`: the endpoint is not the one meant, or lacks the adapter. */
+  | { readonly kind: "not_run"; readonly why: string; readonly absent: boolean }
+  /** Nobody knows whether it ran. */
+  | { readonly kind: "unknown"; readonly why: string };
+
+/** Milliseconds to connect to an endpoint; the other side of a failure domain answers within a few. */
+const CONNECT_MS = 700;
+/** Milliseconds that a kept connection is let go before the endpoint would close it. */
+const KEEP_MARGIN_MS = 300;
+/** Milliseconds that a connection is kept whose endpoint names no time. */
+const KEEP_MS = 3000;
+/** Milliseconds that a connection is kept at most. */
+const KEEP_MAX_MS = 60_000;
+/** Parts of an endpoint's connections that one host uses, where it does not know the other hosts. */
+const HOSTS = 8;
+/** Bytes of headers that an endpoint may send. */
+const HEADER_BYTES = 65_536;
+const MISDIRECTED = 421;
+
+/** Codes of errors that arise before a connection stood, so that nothing was sent. */
+const UNCONNECTED = new Set([
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
+
+/** Connections to the endpoints, one pool for each incarnation. */
+export class Upstream {
+  private readonly pools = new Map<string, undici.Pool>();
+
+  constructor(private readonly wire: protocol.Protocol) {}
+
+  private pool(e: catalog.Endpoint, connections: number): undici.Pool {
+    const known = this.pools.get(e.id);
+    if (known) return known;
+    const made = new undici.Pool(`http://${e.address}`, {
+      connections: Math.max(2, Math.floor(connections / HOSTS)),
+      pipelining: 1,
+      connect: { timeout: CONNECT_MS, autoSelectFamily: false },
+      keepAliveTimeout: KEEP_MS,
+      keepAliveMaxTimeout: KEEP_MAX_MS,
+      keepAliveTimeoutThreshold: KEEP_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxHeaderSize: HEADER_BYTES,
+    });
+    this.pools.set(e.id, made);
+    return made;
+  }
+
+  /** Sends `a` to `e`. An abort of `signal` closes the connection, so that the endpoint stops. */
+  async send(
+    a: ask.Ask,
+    e: catalog.Endpoint,
+    marks: protocol.Marks,
+    signal: AbortSignal,
+  ): Promise<Sent> {
+    let res: undici.Dispatcher.ResponseData;
+    try {
+      res = await this.pool(e, a.service.connections).request({
+        method: a.method,
+        path: a.path,
+        headers: { ...a.headers, ...this.wire.marks(marks) } as Record<string, string | string[]>,
+        body: a.body.length > 0 ? a.body : null,
+        signal,
+      });
+    } catch (err) {
+      const code = err instanceof Error && "code" in err ? String(err.code) : "";
+      const why = err instanceof Error ? err.message : String(err);
+      if (UNCONNECTED.has(code)) return { kind: "not_run", why, absent: false };
+      return { kind: "unknown", why };
+    }
+    return this.sort(a, res);
+  }
+
+  private async sort(a: ask.Ask, res: undici.Dispatcher.ResponseData): Promise<Sent> {
+    const { statusCode: status, headers, body } = res;
+    const answered = this.wire.answered(headers);
+    const claimsNotRun = this.wire.notRun(status, headers);
+    if (answered !== a.meta.id && !(answered === undefined && claimsNotRun)) {
+      // The bytes belong to another request; the connection cannot be trusted any more.
+      drop(body);
+      return { kind: "unknown", why: "the answer names another request" };
+    }
+    if (claimsNotRun) {
+      await dump(body);
+      const why = `status ${status}`;
+      return { kind: "not_run", why, absent: status === MISDIRECTED };
+    }
+    if (status >= 200 && status < 300 && !this.wire.signed(headers)) {
+      drop(body);
+      return { kind: "unknown", why: "the answer bears no signature" };
+    }
+    return { kind: "answer", status, headers, body };
+  }
+
+  /** Lets go of the connections to endpoints that are there no more. */
+  keep(ids: ReadonlySet<string>): void {
+    for (const [id, pool] of this.pools) {
+      if (ids.has(id)) continue;
+      this.pools.delete(id);
+      // Requests under way end by themselves; a failure to close concerns nobody else.
+      void pool.close();
+    }
+  }
+
+  close(): void {
+    for (const pool of this.pools.values()) void pool.destroy();
+  }
+}
+
+/** Gives up an answer, and its connection with it. */
+export function drop(body: undici.Dispatcher.ResponseData["body"]): void {
+  body.on("error", () => undefined);
+  body.destroy();
+}
+
+/** Reads an answer that is not needed, so that its connection can be used again. */
+export async function dump(body: undici.Dispatcher.ResponseData["body"]): Promise<void> {
+  try {
+    await body.dump();
+  } catch {
+    // What was left of it is not needed; the connection is closed by the error.
+    body.destroy();
+  }
+}
+
+/** Reads a body of at most `limit` bytes whole; throws when it breaks off or is longer. */
+export async function whole(
+  body: undici.Dispatcher.ResponseData["body"],
+  limit: number,
+): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of body as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > limit) throw new RangeError(`the answer is over ${limit} bytes`);
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
--- a/src/standin/hosts.ts
+++ b/src/standin/hosts.ts
@@ -3,7 +3,7 @@
  * lags as it is told to.
  * @module
  */
-import type * as hosts from "../platform/hosts.js";
+import type * as hosts from "../store/hosts.js";
 import * as server from "./server.js";
 
 export class Hosts {
--- a/test/steps/orders.ts
+++ b/test/steps/orders.ts
@@ -5,7 +5,7 @@
 import * as log from "../../src/host/log.js";
 import * as keys from "../../src/link/keys.js";
 import * as wire from "../../src/link/wire.js";
-import * as lease from "../../src/platform/lease.js";
+import * as lease from "../../src/store/lease.js";
 import * as vllm from "../../src/endpoint/vllm.js";
 import * as outcome from "../../src/request/outcome.js";
 import type * as endpoint from "../../src/endpoint/daemon.js";
--- a/test/turn.test.ts
+++ b/test/turn.test.ts
@@ -4,7 +4,7 @@
 import * as log from "../src/host/log.js";
 import * as members from "../src/host/members.js";
 import type * as control from "../src/link/control.js";
-import type * as hosts from "../src/platform/hosts.js";
+import type * as hosts from "../src/store/hosts.js";
 
 const { expect } = chai;
 
