Take an answer whose connection is reset as cut, and end kept connections of a leaving host

Ruled out: a FIN inside a chunked answer (undici's parser finds that by itself). Change: resets get a code of their own before undici sees them; a leaving host ends each connection after its answer.

--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -110,6 +110,10 @@
       this.idle?.();
     });
     if (this.leaving) res.setHeader("connection", "close");
+    res.once("finish", () => {
+      // The headers of an answer that began before were sent without word of the end.
+      if (this.leaving) req.socket.end();
+    });
     this.handle(req, res).catch((err: unknown) => {
       this.deps.log.error("A request broke off.", {
         why: err instanceof Error ? (err.stack ?? err.message) : String(err),
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -45,6 +45,30 @@
   "ENETUNREACH",
 ]);
 
+/** Code that a reset connection's error gets here. */
+const RESET = "SUMACFIELD_RESET";
+
+/**
+ * Connects as undici does, but for one thing: it takes an answer without a length as whole when its
+ * connection is reset, since some platforms report a plain end so. Here such an answer was cut, and a
+ * reset under another code is an error like any other.
+ */
+function connector(): undici.buildConnector.connector {
+  const plain = undici.buildConnector({ timeout: CONNECT_MS, autoSelectFamily: false });
+  return (opts, done) => {
+    plain(opts, (...[err, socket]) => {
+      if (err) {
+        done(err, null);
+        return;
+      }
+      socket.prependListener("error", (e: NodeJS.ErrnoException) => {
+        if (e.code === "ECONNRESET") e.code = RESET;
+      });
+      done(null, socket);
+    });
+  };
+}
+
 /** Connections to the endpoints, one pool for each incarnation. */
 export class Upstream {
   private readonly pools = new Map<string, undici.Pool>();
@@ -57,7 +81,7 @@
     const made = new undici.Pool(`http://${e.address}`, {
       connections: Math.max(2, Math.floor(connections / HOSTS)),
       pipelining: 1,
-      connect: { timeout: CONNECT_MS, autoSelectFamily: false },
+      connect: connector(),
       keepAliveTimeout: KEEP_MS,
       keepAliveMaxTimeout: KEEP_MAX_MS,
       keepAliveTimeoutThreshold: KEEP_MARGIN_MS,
