--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -12,10 +12,14 @@
   readonly endpoint: catalog.Endpoint;
   /** The last state its endpoint daemon sent; undefined while none is connected. */
   readonly state: seat.State | undefined;
+  /** What the engine held when its endpoint daemon was last heard. */
+  readonly holdings: seat.Holdings | undefined;
   /** This host's requests under way there. */
   readonly own: number;
   /** Prompt tokens that this host asked seats for since the state was sent. */
   readonly ownTokens: number;
+  /** Adapters that this host asked for since the state was sent and the engine did not hold. */
+  readonly ownPlaces: number;
   /** Part of this host's latest requests there that failed, 0 to 1. */
   readonly failing: number;
   /** Milliseconds that this host's latest requests there took. */
@@ -61,6 +65,17 @@
 /** Milliseconds that an engine of which nothing was heard is weighed down by. */
 const UNHEARD_MS = 700;
 
+/** Milliseconds that each adapter asked for since the state was heard is taken to add. */
+const PLACE_MS = 120;
+
+/** An engine whose endpoint daemon is not reached: of use for what it held when last heard alone. */
+function unheard(view: View, need: Need, extraMs: number): Estimate {
+  const usable =
+    view.holdings?.models.includes(need.model) && holding(view, need.key) === "resident";
+  const firstMs = usable ? backlog.readMs(need.promptTokens) : Infinity;
+  return { view, firstMs, extraMs: extraMs + UNHEARD_MS };
+}
+
 /** Candidates that can serve a request on an engine, best first. */
 export function engines(views: readonly View[], need: Need): readonly Estimate[] {
   const usable = views.filter((v) => !v.endpoint.leaving && !need.tried.has(v.endpoint.id));
@@ -72,10 +87,10 @@
     .sort((a, b) => a.firstMs + a.extraMs - (b.firstMs + b.extraMs));
 }
 
-/** Whether an engine has an adapter at hand. */
-function holding(v: View, key: string | undefined): "resident" | "warm" | "absent" {
-  if (key === undefined || v.state?.resident.includes(key)) return "resident";
-  return v.state?.warm.includes(key) ? "warm" : "absent";
+/** Whether an engine has an adapter at hand, as last heard. */
+export function holding(v: View, key: string | undefined): "resident" | "warm" | "absent" {
+  if (key === undefined || v.holdings?.resident.includes(key)) return "resident";
+  return v.holdings?.warm.includes(key) ? "warm" : "absent";
 }
 
 /** Each endpoint's place in the order in which all hosts try engines for one adapter. */
@@ -88,26 +103,27 @@
 }
 
 function estimate(view: View, need: Need, elsewhere: boolean, place: number): Estimate {
-  const { state } = view;
+  const { state, holdings } = view;
   const far = view.endpoint.domain === need.domain ? 0 : DOMAIN_MS;
   const failingMs = Math.max(view.failing, state?.failing ?? 0) ** 2 * FAILING_MS;
   const extraMs = far + failingMs;
-  if (!state) return { view, firstMs: COLD_LOAD_MS, extraMs: extraMs + UNHEARD_MS };
-  if (state.instance === "" || !state.models.includes(need.model)) {
+  if (!state) return unheard(view, need, extraMs);
+  if (state.instance === "" || !holdings?.models.includes(need.model)) {
     return { view, firstMs: Infinity, extraMs };
   }
   const rank = Math.min(backlog.RANKS - 1, Math.max(0, Math.round(need.rank)));
   const queueMs = (state.waitMs[rank] ?? 0) + backlog.readMs(view.ownTokens);
   const ownMs = backlog.readMs(need.promptTokens);
+  const placeMs = state.placeMs + view.ownPlaces * PLACE_MS;
   switch (holding(view, need.key)) {
     case "resident":
       return { view, firstMs: queueMs + ownMs, extraMs };
     case "warm": {
-      const firstMs = Math.max(queueMs, state.placeMs + WARM_LOAD_MS) + ownMs;
+      const firstMs = Math.max(queueMs, placeMs + WARM_LOAD_MS) + ownMs;
       return { view, firstMs, extraMs: extraMs + place * ORDER_MS };
     }
     case "absent": {
-      const firstMs = Math.max(queueMs, state.placeMs + COLD_LOAD_MS) + ownMs;
+      const firstMs = Math.max(queueMs, placeMs + COLD_LOAD_MS) + ownMs;
       const copyMs = elsewhere ? COPY_MS : 0;
       return { view, firstMs, extraMs: extraMs + copyMs + place * ORDER_MS };
     }
--- a/src/serving/desk.ts
+++ b/src/serving/desk.ts
@@ -57,7 +57,12 @@
     message: (m) => {
       switch (m.kind) {
         case "hello":
-          client = { host: `${m.host}.${count}`, send: channel.send, sendState: speak };
+          client = {
+            host: `${m.host}.${count}`,
+            send: channel.send,
+            sendState: speak,
+            sendHoldings: channel.send,
+          };
           deps.keeper.join(client);
           deps.log.info("An entry daemon is connected.", { peer: m.host });
           break;
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -53,6 +53,15 @@
 const LOOK_MS = 15;
 /** Milliseconds left below which a further send makes no sense. */
 const LEAST_MS = 20;
+/**
+ * Callers leave a stream that is silent for the longest of these: some time, some targets, some of
+ * the pauses that are on time. By the users' pages.
+ */
+const PATIENCE_MS = 2000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** Part of its time that a request is held at most for a seat: over half of it counts as lost. */
+const HOLD_PART = 0.42;
 /** Bytes of an answer that is no stream; the users' services answer with some 5,000 at most. */
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
@@ -234,7 +243,8 @@
       promptTokens: a.meta.promptTokens,
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
-      leftMs: Math.max(1, a.dueAt - this.deps.clock.mono()),
+      targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - this.deps.clock.mono()),
+      leftMs: Math.max(1, holdUntil(a) - this.deps.clock.mono()),
     });
     const left = (): void => {
       asked.over("left");
@@ -252,6 +262,8 @@
       case "unreachable":
         if (cut.aborted) return "none";
         p.why = "the endpoint daemon is not reached";
+        // What the engine held may still be there, and it refuses what it does not hold.
+        if (choice.holding(best.view, key) === "resident") return undefined;
         p.tried.add(endpoint.id);
         return "none";
     }
@@ -433,6 +445,14 @@
   readonly cut: AbortSignal;
 }
 
+/** Monotonic ms up to which a request is held for a seat; then its caller is better told to come back. */
+function holdUntil(a: ask.Ask): number {
+  const { targetMs, gapMs } = a.route;
+  const gaps = Number.isFinite(gapMs) ? PATIENCE_GAPS * gapMs : 0;
+  const patienceMs = Math.max(PATIENCE_MS, PATIENCE_TARGETS * targetMs, gaps);
+  return a.arrivedAt + HOLD_PART * Math.min(a.dueAt - a.arrivedAt, patienceMs);
+}
+
 /** Whether an event of a resumed stream was passed on before. */
 function isPassed(id: string | undefined, last: string): boolean {
   return id !== undefined && Number(id) <= Number(last);
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -12,8 +12,6 @@
 const LATEST = 0.12;
 /** Milliseconds after which half of the remembered failures are forgotten, so that it is tried again. */
 const FORGET_MS = 3000;
-/** Milliseconds for which an endpoint that disappeared during an outage of the store is still used. */
-const BACK_WITHIN_MS = 2000;
 
 interface Own {
   readonly under: number;
@@ -49,8 +47,10 @@
       return {
         endpoint,
         state: gone ? { ...at.state, instance: "" } : state,
+        holdings: at?.holdings,
         own: own.under,
         ownTokens: at?.tokensSince ?? 0,
+        ownPlaces: at?.placesSince ?? 0,
         failing: own.failing * 2 ** (-(this.clk.mono() - own.failedAt) / FORGET_MS),
         tookMs: own.tookMs,
       };
@@ -119,5 +119,3 @@
     for (const l of this.links.values()) l.close();
   }
 }
-
-export { BACK_WITHIN_MS };
--- a/src/serving/engine.ts
+++ b/src/serving/engine.ts
@@ -19,8 +19,6 @@
   }[];
   /** Adapters on their way in. */
   readonly pending: readonly (Held & { readonly model: string })[];
-  /** Adapters whose weights are in host memory, by key; they load fast. */
-  readonly warm: readonly string[];
   /** A change of base models is under way. */
   readonly busy: boolean;
   /** Orders accepted since the engine started. */
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -5,6 +5,7 @@
  * changes nothing that was decided since.
  * @module
  */
+import * as util from "node:util";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import * as backlog from "./backlog.js";
@@ -12,6 +13,7 @@
 import type * as engine from "./engine.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
+import * as warmth from "./warmth.js";
 
 /** Milliseconds between looks at an engine that changes nothing; the look is free on its own host. */
 const LOOK_MS = 250;
@@ -22,7 +24,7 @@
 /** Looks in a row without an answer after which the engine counts as out. */
 const MISSES = 2;
 /** Milliseconds between two states sent, so that many changes make one message. */
-const STATE_MS = 30;
+const STATE_MS = 20;
 /** Weight of the latest run in the part of runs that fail. */
 const LATEST_FAILURE = 0.12;
 /** Weight of the latest run in the time that a seat is held. */
@@ -52,6 +54,7 @@
   readonly host: string;
   readonly send: (m: seat.FromEndpoint) => void;
   readonly sendState: (m: seat.State) => void;
+  readonly sendHoldings: (m: seat.Holdings) => void;
 }
 
 interface Seat {
@@ -113,6 +116,7 @@
 
   join(c: Client): void {
     this.clients.add(c);
+    c.sendHoldings(this.holdings());
     c.sendState(this.snapshot());
     this.changed();
   }
@@ -139,7 +143,16 @@
     });
     this.load = backlog.asked(this.load, id, m.promptTokens, m.rank);
     const { model, adapter, rank } = m;
-    const waiter = { seat: id, key, model, adapter, rank, since: now, dueAt: now + m.leftMs };
+    const waiter = {
+      seat: id,
+      key,
+      model,
+      adapter,
+      rank,
+      since: now,
+      targetAt: now + m.targetMs,
+      dueAt: now + m.leftMs,
+    };
     this.state = residency.ask(this.state, waiter, now);
     if (this.instance === "") this.deny(id, "out");
     else this.settle();
@@ -328,7 +341,8 @@
     this.changed();
   }
 
-  private warm: readonly string[] = [];
+  private warmth = warmth.UNKNOWN;
+  private told: seat.Holdings | undefined;
 
   private learn(report: engine.Report, askedAt: number): void {
     const listed = report.models.flatMap((m) =>
@@ -350,8 +364,14 @@
     const models = report.models.map((m) => m.name);
     const before = this.state;
     this.state = residency.reconcile(this.state, models, [...listed, ...pending], askedAt);
-    this.warm = report.warm;
-    if (before.places.size !== this.state.places.size) this.changed();
+    for (const p of this.state.places.values()) {
+      const old = before.places.get(p.key);
+      if (p.phase !== "resident" || old?.phase !== "loading") continue;
+      this.warmth = warmth.loaded(this.warmth, p.key, askedAt - old.since);
+    }
+    for (const p of before.places.values()) {
+      if (!this.state.places.has(p.key)) this.warmth = warmth.held(this.warmth, p.key);
+    }
     this.changed();
   }
 
@@ -431,16 +451,22 @@
 
   private modelAskedAt = -Infinity;
 
-  private snapshot(): seat.State {
+  private holdings(): seat.Holdings {
     const usable = [...this.state.places.values()].filter(
       (p) => p.phase === "resident" || p.phase === "loading",
     );
     return {
-      kind: "state",
-      instance: this.instance,
+      kind: "holdings",
       models: this.state.models,
       resident: usable.map((p) => p.key),
-      warm: this.warm,
+      warm: warmth.warm(this.warmth),
+    };
+  }
+
+  private snapshot(): seat.State {
+    return {
+      kind: "state",
+      instance: this.instance,
       waitMs: backlog.waits(this.load),
       placeMs: Math.round(this.placeMs()),
       seats: this.seats.size,
@@ -452,18 +478,19 @@
   /** Estimated ms until a place for another adapter is free. */
   private placeMs(): number {
     const { places } = this.options();
-    const all = [...this.state.places.values()];
-    const waiting = new Set(
-      this.state.waiting.filter((w) => !this.state.places.has(w.key)).map((w) => w.key),
-    ).size;
-    const free = places - all.length + all.filter((p) => p.pins === 0).length;
-    return free > waiting ? 0 : ((waiting - free + 1) * this.holdMs) / places;
+    const { free, wanted } = residency.room(this.state, places);
+    return free > wanted ? 0 : ((wanted - free + 1) * this.holdMs) / places;
   }
 
   /** Tells the entry daemons, soon and once for many changes. */
   private changed(): void {
     this.stateTimer ??= this.deps.clock.after(STATE_MS, () => {
       this.stateTimer = undefined;
+      const held = this.holdings();
+      if (!util.isDeepStrictEqual(held, this.told)) {
+        this.told = held;
+        for (const c of this.clients) c.sendHoldings(held);
+      }
       const m = this.snapshot();
       for (const c of this.clients) c.sendState(m);
     });
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -5,6 +5,7 @@
 import * as net from "node:net";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
+import * as catalog from "./catalog.js";
 import * as lines from "./lines.js";
 import * as seat from "./seat.js";
 
@@ -56,8 +57,10 @@
 export class Link {
   private channel: lines.Channel<seat.FromEntry> | undefined;
   private last: seat.State | undefined;
+  private held: seat.Holdings | undefined;
   private heardAt = -Infinity;
   private tokens = 0;
+  private places = 0;
   private next = 0;
   private readonly asked = new Map<number, Asked>();
   private retryMs = RETRY_MS;
@@ -78,11 +81,21 @@
     return this.last;
   }
 
+  /** What the engine holds, as last heard; it outlives a connection. */
+  get holdings(): seat.Holdings | undefined {
+    return this.held;
+  }
+
   /** Prompt tokens asked for since the state was heard. */
   get tokensSince(): number {
     return this.tokens;
   }
 
+  /** Adapters asked for since the state was heard that the engine did not hold. */
+  get placesSince(): number {
+    return this.places;
+  }
+
   /** Asks for a seat. */
   ask(wish: Wish): Seat {
     const n = this.next++;
@@ -92,6 +105,7 @@
       this.asked.set(n, { at: this.deps.clock.mono(), resolve });
     });
     this.tokens += wish.promptTokens;
+    if (wish.adapter !== undefined && !this.holds(wish.model, wish.adapter)) this.places++;
     channel.send({ kind: "ask", seat: n, ...wish });
     this.watch();
     return {
@@ -106,6 +120,10 @@
     };
   }
 
+  private holds(model: string, adapter: string): boolean {
+    return this.held?.resident.includes(catalog.adapterKey(model, adapter)) ?? false;
+  }
+
   close(): void {
     this.closed = true;
     this.timer?.cancel();
@@ -163,8 +181,12 @@
       case "state":
         this.last = m;
         this.tokens = 0;
+        this.places = 0;
         this.deps.changed();
         break;
+      case "holdings":
+        this.held = m;
+        break;
       case "grant":
         this.settle(m.seat, { kind: "grant", instance: m.instance, version: m.version });
         break;
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -32,6 +32,8 @@
   readonly adapter?: string | undefined;
   readonly rank: number;
   readonly since: number;
+  /** Monotonic ms after which its answer is late, and after which the seat is of no use. */
+  readonly targetAt: number;
   readonly dueAt: number;
 }
 
@@ -97,15 +99,23 @@
   return !newest || newest.version <= p.version || now - newest.at < opts.outdatedMs;
 }
 
-/** Waiters in the order they are served: the more urgent first, then the earlier. */
-function inOrder(waiting: readonly Waiter[]): readonly Waiter[] {
-  return [...waiting].sort((a, b) => a.rank - b.rank || a.since - b.since);
+/**
+ * Milliseconds of waiting that one step of urgency counts as. Places are what is scarce, and urgent
+ * answers may hold one ten times as long as others, so urgency goes before age by a little only.
+ */
+const RANK_MS = 100;
+
+/** Waiters in the order they are served: those not yet late first, then the earlier. */
+function inOrder(waiting: readonly Waiter[], now: number): readonly Waiter[] {
+  const key = (w: Waiter): number => w.since + w.rank * RANK_MS;
+  const late = (w: Waiter): number => (now > w.targetAt ? 1 : 0);
+  return [...waiting].sort((a, b) => late(a) - late(b) || key(a) - key(b));
 }
 
 /** Seats to give and to take back at `now`. */
 export function seats(s: State, now: number, opts: Options): readonly Action[] {
   const out: Action[] = [];
-  for (const w of inOrder(s.waiting)) {
+  for (const w of inOrder(s.waiting, now)) {
     const p = s.places.get(w.key);
     if (w.adapter === undefined && s.models.includes(w.model)) {
       out.push({ kind: "grant", waiter: w, version: undefined });
@@ -122,7 +132,7 @@
 export function order(s: State, now: number, opts: Options): Action | undefined {
   const stale = staleIdle(s);
   if (stale) return load(s, stale);
-  const wanted = wantedKeys(s);
+  const wanted = wantedKeys(s, now);
   const loading = [...s.places.values()].filter((p) => p.phase === "loading").length;
   for (const w of wanted) {
     if (loading >= opts.loads) return undefined;
@@ -155,9 +165,9 @@
 }
 
 /** Adapters waited for that are in no place, in the order of their first waiter. */
-function wantedKeys(s: State): readonly Wanted[] {
+function wantedKeys(s: State, now: number): readonly Wanted[] {
   const out = new Map<string, Wanted>();
-  for (const w of inOrder(s.waiting)) {
+  for (const w of inOrder(s.waiting, now)) {
     if (w.adapter === undefined || s.places.has(w.key) || out.has(w.key)) continue;
     if (!s.models.includes(w.model)) continue;
     out.set(w.key, { key: w.key, model: w.model, adapter: w.adapter, since: w.since });
@@ -165,12 +175,23 @@
   return [...out.values()];
 }
 
+/** Places that another adapter could take at once, and adapters that wait for one. */
+export function room(s: State, places: number): { readonly free: number; readonly wanted: number } {
+  const waited = new Set(s.waiting.map((w) => w.key));
+  const wanted = [...waited].filter((key) => !s.places.has(key)).length;
+  const idle = [...s.places.values()].filter((p) => isIdle(p, waited)).length;
+  return { free: places - s.places.size + idle, wanted };
+}
+
+function isIdle(p: Place, waited: ReadonlySet<string>): boolean {
+  const settled = p.phase === "closing" || p.phase === "resident";
+  return settled && p.pins === 0 && !waited.has(p.key);
+}
+
 /** The place to empty first among those that nobody uses or waits for. */
 function idlest(s: State, wanted: readonly Wanted[], now: number): Place | undefined {
   const waited = new Set(s.waiting.map((w) => w.key));
-  const free = [...s.places.values()].filter(
-    (p) => p.pins === 0 && (p.phase === "closing" || p.phase === "resident") && !waited.has(p.key),
-  );
+  const free = [...s.places.values()].filter((p) => isIdle(p, waited));
   if (wanted.length === 0) return undefined;
   const closed = free.find((p) => p.phase === "closing");
   return closed ?? coldest(s, free, now);
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -23,6 +23,8 @@
       promptTokens: zod.number(),
       answerTokens: zod.number(),
       rank: zod.number(),
+      /** Milliseconds until the first event is late. */
+      targetMs: zod.number(),
       /** Milliseconds after which the seat is of no use. */
       leftMs: zod.number(),
     })
@@ -39,17 +41,12 @@
 ]);
 export type FromEntry = zod.infer<typeof fromEntry>;
 
-/** State of an engine, as its endpoint daemon knows it. */
+/** How busy an engine is, as its endpoint daemon knows it; sent more often than its holdings. */
 export const state = zod
   .object({
     kind: zod.literal("state"),
     /** Empty while the engine is out or not yet known. */
     instance: zod.string(),
-    models: zod.array(zod.string()).readonly(),
-    /** Adapters that can be used at once or are about to, by key. */
-    resident: zod.array(zod.string()).readonly(),
-    /** Adapters that load fast, by key. */
-    warm: zod.array(zod.string()).readonly(),
     /** Estimated ms until a prompt that arrives now begins to be read, by rank. */
     waitMs: zod.array(zod.number()).readonly(),
     /** Estimated ms until a place for another adapter is free. */
@@ -64,9 +61,23 @@
   .readonly();
 export type State = zod.infer<typeof state>;
 
+/** What an engine holds, as its endpoint daemon knows it. */
+export const holdings = zod
+  .object({
+    kind: zod.literal("holdings"),
+    models: zod.array(zod.string()).readonly(),
+    /** Adapters that can be used at once or are about to, by key. */
+    resident: zod.array(zod.string()).readonly(),
+    /** Adapters that load fast, by key. */
+    warm: zod.array(zod.string()).readonly(),
+  })
+  .readonly();
+export type Holdings = zod.infer<typeof holdings>;
+
 /** From an endpoint daemon. */
 export const fromEndpoint = zod.discriminatedUnion("kind", [
   state,
+  holdings,
   zod
     .object({
       kind: zod.literal("grant"),
