Tell a reset from an end of an answer without a length, by a write

Ruled out: undici's handling of ECONNRESET alone (mended before; the reset never reached it). Change: an end is passed on once a write has succeeded; on a reset connection it fails at once.

--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -2,6 +2,7 @@
  * Sends one request to one endpoint, and sorts what comes back by what is certain about it.
  * @module
  */
+import type * as net from "node:net";
 import * as undici from "undici";
 import type * as ask from "./ask.js";
 import type * as catalog from "./catalog.js";
@@ -47,11 +48,15 @@
 
 /** Code that a reset connection's error gets here. */
 const RESET = "SUMACFIELD_RESET";
+/** What is written to learn whether a connection was reset; HTTP servers pass over an empty line. */
+const PROBE = "\r\n";
 
 /**
- * Connects as undici does, but for one thing: it takes an answer without a length as whole when its
- * connection is reset, since some platforms report a plain end so. Here such an answer was cut, and a
- * reset under another code is an error like any other.
+ * Connects as undici does, but tells a reset from a plain end. An answer without a length is whole
+ * only if its connection ended plainly, and two layers hide that: libuv reports a reset that comes
+ * together with the last bytes as an end, and undici takes a reset for the end of such an answer. So
+ * an end is passed on only once a write has shown that the connection was not reset, and a reset's
+ * error gets a code that undici does not know.
  */
 function connector(): undici.buildConnector.connector {
   const plain = undici.buildConnector({ timeout: CONNECT_MS, autoSelectFamily: false });
@@ -62,13 +67,28 @@
         return;
       }
       socket.prependListener("error", (e: NodeJS.ErrnoException) => {
-        if (e.code === "ECONNRESET") e.code = RESET;
+        if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET;
       });
+      probeAtEnd(socket);
       done(null, socket);
     });
   };
 }
 
+/** Holds a socket's `end` event back until a write has succeeded; a failed one destroys the socket. */
+function probeAtEnd(socket: net.Socket): void {
+  const emit = socket.emit.bind(socket);
+  let ended = false;
+  socket.emit = (name: string | symbol, ...args: unknown[]): boolean => {
+    if (name !== "end" || ended || socket.destroyed) return emit(name, ...args);
+    ended = true;
+    socket.write(PROBE, (err) => {
+      if (!err) emit("end");
+    });
+    return true;
+  };
+}
+
 /** Connections to the endpoints, one pool for each incarnation. */
 export class Upstream {
   private readonly pools = new Map<string, undici.Pool>();
