--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -53,7 +53,7 @@
   /** Memory for weights, in MB. */
   readonly memoryMb: number;
   /** Adapters held at once. */
-  readonly places: number;
+  readonly slots: number;
   /** Loads of base models that the weight store allows a second, over all engines. */
   readonly loadsPerS: number;
   readonly models: readonly Model[];
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -19,7 +19,7 @@
   /** Prompt tokens that this host asked seats for since the state was sent. */
   readonly ownTokens: number;
   /** Adapters that this host asked for since the state was sent and the engine did not hold. */
-  readonly ownPlaces: number;
+  readonly ownSlots: number;
   /** Part of this host's latest requests there that failed, 0 to 1. */
   readonly failing: number;
   /** Milliseconds that this host's latest requests there took. */
@@ -56,7 +56,7 @@
  * adapter: on the users' sites such a load costs about as much as half of a short answer is worth.
  */
 const COPY_MS = 500;
-/** Milliseconds that each place down an adapter's own order of engines costs, to keep it at one. */
+/** Milliseconds that each step down an adapter's own order of engines costs, to keep it at one. */
 const ORDER_MS = 12;
 /** Milliseconds that another failure domain is away, both ways, and what its bytes cost. */
 const DOMAIN_MS = 6;
@@ -66,7 +66,7 @@
 const UNHEARD_MS = 700;
 
 /** Milliseconds that each adapter asked for since the state was heard is taken to add. */
-const PLACE_MS = 120;
+const SLOT_MS = 120;
 
 /** An engine whose endpoint daemon is not reached: of use for what it held when last heard alone. */
 function unheard(view: View, need: Need, extraMs: number): Estimate {
@@ -93,7 +93,7 @@
   return v.holdings?.warm.includes(key) ? "warm" : "absent";
 }
 
-/** Each endpoint's place in the order in which all hosts try engines for one adapter. */
+/** Where each endpoint stands in the order in which all hosts try engines for one adapter. */
 function ownOrder(views: readonly View[], key: string | undefined): ReadonlyMap<string, number> {
   if (key === undefined) return new Map();
   const ranked = views
@@ -102,7 +102,7 @@
   return new Map(ranked.map(({ id }, i) => [id, i]));
 }
 
-function estimate(view: View, need: Need, elsewhere: boolean, place: number): Estimate {
+function estimate(view: View, need: Need, elsewhere: boolean, order: number): Estimate {
   const { state, holdings } = view;
   const far = view.endpoint.domain === need.domain ? 0 : DOMAIN_MS;
   const failingMs = Math.max(view.failing, state?.failing ?? 0) ** 2 * FAILING_MS;
@@ -114,18 +114,18 @@
   const rank = Math.min(backlog.RANKS - 1, Math.max(0, Math.round(need.rank)));
   const queueMs = (state.waitMs[rank] ?? 0) + backlog.readMs(view.ownTokens);
   const ownMs = backlog.readMs(need.promptTokens);
-  const placeMs = state.placeMs + view.ownPlaces * PLACE_MS;
+  const slotMs = state.slotMs + view.ownSlots * SLOT_MS;
   switch (holding(view, need.key)) {
     case "resident":
       return { view, firstMs: queueMs + ownMs, extraMs };
     case "warm": {
-      const firstMs = Math.max(queueMs, placeMs + WARM_LOAD_MS) + ownMs;
-      return { view, firstMs, extraMs: extraMs + place * ORDER_MS };
+      const firstMs = Math.max(queueMs, slotMs + WARM_LOAD_MS) + ownMs;
+      return { view, firstMs, extraMs: extraMs + order * ORDER_MS };
     }
     case "absent": {
-      const firstMs = Math.max(queueMs, placeMs + COLD_LOAD_MS) + ownMs;
+      const firstMs = Math.max(queueMs, slotMs + COLD_LOAD_MS) + ownMs;
       const copyMs = elsewhere ? COPY_MS : 0;
-      return { view, firstMs, extraMs: extraMs + copyMs + place * ORDER_MS };
+      return { view, firstMs, extraMs: extraMs + copyMs + order * ORDER_MS };
     }
   }
 }
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -50,7 +50,7 @@
         holdings: at?.holdings,
         own: own.under,
         ownTokens: at?.tokensSince ?? 0,
-        ownPlaces: at?.placesSince ?? 0,
+        ownSlots: at?.slotsSince ?? 0,
         failing: own.failing * 2 ** (-(this.clk.mono() - own.failedAt) / FORGET_MS),
         tookMs: own.tookMs,
       };
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -197,7 +197,7 @@
   private options(): residency.Options {
     const spec = this.spec();
     return {
-      places: spec?.places ?? 1,
+      slots: spec?.slots ?? 1,
       loads: LOADS_AT_ONCE,
       closeAfterMs: CLOSE_AFTER_MS,
       outdatedMs: OUTDATED_MS,
@@ -269,7 +269,7 @@
 
   /** Milliseconds between two looks at present. */
   private lookEveryMs(): number {
-    const loading = [...this.state.places.values()].some((p) => p.phase === "loading");
+    const loading = [...this.state.slots.values()].some((p) => p.phase === "loading");
     return loading ? LOADING_LOOK_MS : LOOK_MS;
   }
 
@@ -364,13 +364,13 @@
     const models = report.models.map((m) => m.name);
     const before = this.state;
     this.state = residency.reconcile(this.state, models, [...listed, ...pending], askedAt);
-    for (const p of this.state.places.values()) {
-      const old = before.places.get(p.key);
+    for (const p of this.state.slots.values()) {
+      const old = before.slots.get(p.key);
       if (p.phase !== "resident" || old?.phase !== "loading") continue;
       this.warmth = warmth.loaded(this.warmth, p.key, askedAt - old.since);
     }
-    for (const p of before.places.values()) {
-      if (!this.state.places.has(p.key)) this.warmth = warmth.held(this.warmth, p.key);
+    for (const p of before.slots.values()) {
+      if (!this.state.slots.has(p.key)) this.warmth = warmth.held(this.warmth, p.key);
     }
     this.changed();
   }
@@ -382,16 +382,16 @@
       case "expire":
         return;
       case "close":
-        this.state = residency.put(this.state, { ...a.place, phase: "closing", since: now });
+        this.state = residency.put(this.state, { ...a.slot, phase: "closing", since: now });
         this.deps.log.info("An adapter in use is given out no more.", {
-          adapter: a.place.key,
-          pins: a.place.pins,
+          adapter: a.slot.key,
+          pins: a.slot.pins,
         });
         return;
       case "load": {
         const { key, model, adapter, version } = a;
-        const old = this.state.places.get(key);
-        const place: residency.Place = {
+        const old = this.state.slots.get(key);
+        const slot: residency.Slot = {
           key,
           model,
           adapter,
@@ -400,13 +400,13 @@
           pins: old?.pins ?? 0,
           since: now,
         };
-        this.state = residency.put(this.state, place);
+        this.state = residency.put(this.state, slot);
         await this.give({ kind: "load", model, adapter, version });
         return;
       }
       case "unload":
-        this.state = residency.put(this.state, { ...a.place, phase: "unsure", since: now });
-        await this.give({ kind: "unload", model: a.place.model, adapter: a.place.adapter });
+        this.state = residency.put(this.state, { ...a.slot, phase: "unsure", since: now });
+        await this.give({ kind: "unload", model: a.slot.model, adapter: a.slot.adapter });
         return;
     }
   }
@@ -452,7 +452,7 @@
   private modelAskedAt = -Infinity;
 
   private holdings(): seat.Holdings {
-    const usable = [...this.state.places.values()].filter(
+    const usable = [...this.state.slots.values()].filter(
       (p) => p.phase === "resident" || p.phase === "loading",
     );
     return {
@@ -468,18 +468,18 @@
       kind: "state",
       instance: this.instance,
       waitMs: backlog.waits(this.load),
-      placeMs: Math.round(this.placeMs()),
+      slotMs: Math.round(this.slotMs()),
       seats: this.seats.size,
       failing: Math.round(this.failing * 100) / 100,
       entries: this.clients.size,
     };
   }
 
-  /** Estimated ms until a place for another adapter is free. */
-  private placeMs(): number {
-    const { places } = this.options();
-    const { free, wanted } = residency.room(this.state, places);
-    return free > wanted ? 0 : ((wanted - free + 1) * this.holdMs) / places;
+  /** Estimated ms until a slot for another adapter is free. */
+  private slotMs(): number {
+    const { slots } = this.options();
+    const { free, wanted } = residency.room(this.state, slots);
+    return free > wanted ? 0 : ((wanted - free + 1) * this.holdMs) / slots;
   }
 
   /** Tells the entry daemons, soon and once for many changes. */
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -60,7 +60,7 @@
   private held: seat.Holdings | undefined;
   private heardAt = -Infinity;
   private tokens = 0;
-  private places = 0;
+  private slots = 0;
   private next = 0;
   private readonly asked = new Map<number, Asked>();
   private retryMs = RETRY_MS;
@@ -92,8 +92,8 @@
   }
 
   /** Adapters asked for since the state was heard that the engine did not hold. */
-  get placesSince(): number {
-    return this.places;
+  get slotsSince(): number {
+    return this.slots;
   }
 
   /** Asks for a seat. */
@@ -105,7 +105,7 @@
       this.asked.set(n, { at: this.deps.clock.mono(), resolve });
     });
     this.tokens += wish.promptTokens;
-    if (wish.adapter !== undefined && !this.holds(wish.model, wish.adapter)) this.places++;
+    if (wish.adapter !== undefined && !this.holds(wish.model, wish.adapter)) this.slots++;
     channel.send({ kind: "ask", seat: n, ...wish });
     this.watch();
     return {
@@ -181,7 +181,7 @@
       case "state":
         this.last = m;
         this.tokens = 0;
-        this.places = 0;
+        this.slots = 0;
         this.deps.changed();
         break;
       case "holdings":
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -5,15 +5,15 @@
  */
 import * as popularity from "../endpoint/popularity.js";
 
-/** An adapter in one of the engine's places. */
-export interface Place {
+/** An adapter in one of the engine's slots. */
+export interface Slot {
   /** Key of model and adapter. */
   readonly key: string;
   readonly model: string;
   readonly adapter: string;
   readonly version: number;
   /**
-   * `loading` until the engine lists it. `unsure`: an order was not answered, so it counts as a place
+   * `loading` until the engine lists it. `unsure`: an order was not answered, so it counts as a slot
    * taken and is not given out. `closing`: given out no more, and unloaded once nobody uses it.
    */
   readonly phase: "loading" | "resident" | "closing" | "unsure";
@@ -39,7 +39,7 @@
 
 export interface Options {
   /** Adapters held at once. */
-  readonly places: number;
+  readonly slots: number;
   /** Loads of adapters on their way at once. */
   readonly loads: number;
   /** Milliseconds that a waiter bears before an adapter in use is closed for it. */
@@ -52,7 +52,7 @@
 export interface State {
   /** Base models that the engine holds. */
   readonly models: readonly string[];
-  readonly places: ReadonlyMap<string, Place>;
+  readonly slots: ReadonlyMap<string, Slot>;
   readonly waiting: readonly Waiter[];
   /** Newest version of each adapter by key, with the monotonic ms at which it was learnt. */
   readonly newest: ReadonlyMap<string, { readonly version: number; readonly at: number }>;
@@ -68,7 +68,7 @@
 export function empty(): State {
   return {
     models: [],
-    places: new Map(),
+    slots: new Map(),
     waiting: [],
     newest: new Map(),
     heat: popularity.cold(HALF_LIFE_MS, REMEMBERED),
@@ -85,15 +85,15 @@
       readonly key: string;
       readonly version: number | undefined;
     }
-  | { readonly kind: "unload"; readonly place: Place }
-  | { readonly kind: "close"; readonly place: Place };
+  | { readonly kind: "unload"; readonly slot: Slot }
+  | { readonly kind: "close"; readonly slot: Slot };
 
-function outdated(s: State, p: Place): boolean {
+function outdated(s: State, p: Slot): boolean {
   return (s.newest.get(p.key)?.version ?? 0) > p.version;
 }
 
-/** Whether a place may be given to one more seat. */
-function usable(s: State, p: Place, now: number, opts: Options): boolean {
+/** Whether a slot may be given to one more seat. */
+function usable(s: State, p: Slot, now: number, opts: Options): boolean {
   if (p.phase !== "resident") return false;
   const newest = s.newest.get(p.key);
   return !newest || newest.version <= p.version || now - newest.at < opts.outdatedMs;
@@ -116,7 +116,7 @@
 export function seats(s: State, now: number, opts: Options): readonly Action[] {
   const out: Action[] = [];
   for (const w of inOrder(s.waiting, now)) {
-    const p = s.places.get(w.key);
+    const p = s.slots.get(w.key);
     if (w.adapter === undefined && s.models.includes(w.model)) {
       out.push({ kind: "grant", waiter: w, version: undefined });
     } else if (p && usable(s, p, now, opts)) {
@@ -133,25 +133,25 @@
   const stale = staleIdle(s);
   if (stale) return load(s, stale);
   const wanted = wantedKeys(s, now);
-  const loading = [...s.places.values()].filter((p) => p.phase === "loading").length;
+  const loading = [...s.slots.values()].filter((p) => p.phase === "loading").length;
   for (const w of wanted) {
     if (loading >= opts.loads) return undefined;
-    if (s.places.size < opts.places) return load(s, w);
+    if (s.slots.size < opts.slots) return load(s, w);
     const victim = idlest(s, wanted, now);
-    if (victim) return { kind: "unload", place: victim };
+    if (victim) return { kind: "unload", slot: victim };
     break;
   }
   return closing(s, wanted, now, opts);
 }
 
-function load(s: State, of: Pick<Place, "key" | "model" | "adapter">): Action {
+function load(s: State, of: Pick<Slot, "key" | "model" | "adapter">): Action {
   const version = s.newest.get(of.key)?.version;
   return { kind: "load", model: of.model, adapter: of.adapter, key: of.key, version };
 }
 
 /** An outdated adapter that nobody uses. */
-function staleIdle(s: State): Place | undefined {
-  for (const p of s.places.values()) {
+function staleIdle(s: State): Slot | undefined {
+  for (const p of s.slots.values()) {
     if (p.phase !== "loading" && p.phase !== "unsure" && p.pins === 0 && outdated(s, p)) return p;
   }
   return undefined;
@@ -164,11 +164,11 @@
   readonly since: number;
 }
 
-/** Adapters waited for that are in no place, in the order of their first waiter. */
+/** Adapters waited for that are in no slot, in the order of their first waiter. */
 function wantedKeys(s: State, now: number): readonly Wanted[] {
   const out = new Map<string, Wanted>();
   for (const w of inOrder(s.waiting, now)) {
-    if (w.adapter === undefined || s.places.has(w.key) || out.has(w.key)) continue;
+    if (w.adapter === undefined || s.slots.has(w.key) || out.has(w.key)) continue;
     if (!s.models.includes(w.model)) continue;
     out.set(w.key, { key: w.key, model: w.model, adapter: w.adapter, since: w.since });
   }
@@ -176,37 +176,37 @@
 }
 
 /** Places that another adapter could take at once, and adapters that wait for one. */
-export function room(s: State, places: number): { readonly free: number; readonly wanted: number } {
+export function room(s: State, slots: number): { readonly free: number; readonly wanted: number } {
   const waited = new Set(s.waiting.map((w) => w.key));
-  const wanted = [...waited].filter((key) => !s.places.has(key)).length;
-  const idle = [...s.places.values()].filter((p) => isIdle(p, waited)).length;
-  return { free: places - s.places.size + idle, wanted };
+  const wanted = [...waited].filter((key) => !s.slots.has(key)).length;
+  const idle = [...s.slots.values()].filter((p) => isIdle(p, waited)).length;
+  return { free: slots - s.slots.size + idle, wanted };
 }
 
-function isIdle(p: Place, waited: ReadonlySet<string>): boolean {
+function isIdle(p: Slot, waited: ReadonlySet<string>): boolean {
   const settled = p.phase === "closing" || p.phase === "resident";
   return settled && p.pins === 0 && !waited.has(p.key);
 }
 
-/** The place to empty first among those that nobody uses or waits for. */
-function idlest(s: State, wanted: readonly Wanted[], now: number): Place | undefined {
+/** The slot to empty first among those that nobody uses or waits for. */
+function idlest(s: State, wanted: readonly Wanted[], now: number): Slot | undefined {
   const waited = new Set(s.waiting.map((w) => w.key));
-  const free = [...s.places.values()].filter((p) => isIdle(p, waited));
+  const free = [...s.slots.values()].filter((p) => isIdle(p, waited));
   if (wanted.length === 0) return undefined;
   const closed = free.find((p) => p.phase === "closing");
   return closed ?? coldest(s, free, now);
 }
 
-function coldest(s: State, of: readonly Place[], now: number): Place | undefined {
+function coldest(s: State, of: readonly Slot[], now: number): Slot | undefined {
   const key = popularity.coldest(
     s.heat,
     of.map((p) => p.key),
     now,
   );
-  return key === undefined ? undefined : s.places.get(key);
+  return key === undefined ? undefined : s.slots.get(key);
 }
 
-/** An adapter in use to close, when some waiter has waited too long for a place. */
+/** An adapter in use to close, when some waiter has waited too long for a slot. */
 function closing(
   s: State,
   wanted: readonly Wanted[],
@@ -214,18 +214,18 @@
   opts: Options,
 ): Action | undefined {
   const overdue = wanted.filter((w) => now - w.since >= opts.closeAfterMs).length;
-  const places = [...s.places.values()];
-  const under = places.filter((p) => p.phase === "closing" || p.phase === "unsure").length;
+  const slots = [...s.slots.values()];
+  const under = slots.filter((p) => p.phase === "closing" || p.phase === "unsure").length;
   if (under >= overdue) return undefined;
-  const open = places.filter((p) => p.phase === "resident" && p.pins > 0);
-  const place = coldest(s, open, now);
-  return place && { kind: "close", place };
+  const open = slots.filter((p) => p.phase === "resident" && p.pins > 0);
+  const slot = coldest(s, open, now);
+  return slot && { kind: "close", slot };
 }
 
 /** Milliseconds from `now` until time alone makes something to do; undefined when it does not. */
 export function wakeIn(s: State, now: number, opts: Options): number | undefined {
   const times = s.waiting.flatMap((w) => [w.dueAt - now, w.since + opts.closeAfterMs - now]);
-  for (const p of s.places.values()) {
+  for (const p of s.slots.values()) {
     const newest = s.newest.get(p.key);
     if (newest && newest.version > p.version) times.push(newest.at + opts.outdatedMs - now);
   }
@@ -244,24 +244,24 @@
   return { ...s, waiting: s.waiting.filter((w) => w.seat !== seat) };
 }
 
-/** One seat more or less uses a place. */
+/** One seat more or less uses a slot. */
 export function pin(s: State, key: string, by: 1 | -1): State {
-  const p = s.places.get(key);
+  const p = s.slots.get(key);
   if (!p) return s;
   return put(s, { ...p, pins: Math.max(0, p.pins + by) });
 }
 
-/** Puts a place as it is now known. */
-export function put(s: State, p: Place): State {
-  return { ...s, places: new Map(s.places).set(p.key, p) };
+/** Puts a slot as it is now known. */
+export function put(s: State, p: Slot): State {
+  return { ...s, slots: new Map(s.slots).set(p.key, p) };
 }
 
-/** A place is known to be empty. */
+/** A slot is known to be empty. */
 export function drop(s: State, key: string): State {
-  if (!s.places.has(key)) return s;
-  const places = new Map(s.places);
-  places.delete(key);
-  return { ...s, places };
+  if (!s.slots.has(key)) return s;
+  const slots = new Map(s.slots);
+  slots.delete(key);
+  return { ...s, slots };
 }
 
 /** A version was declared; older ones change nothing. */
@@ -281,8 +281,8 @@
 }
 
 /**
- * The state after a report that was asked for at `askedAt`: what it lists is there. A place that
- * changed after the question stays as it is; other places that it does not list are empty.
+ * The state after a report that was asked for at `askedAt`: what it lists is there. A slot that
+ * changed after the question stays as it is; other slots that it does not list are empty.
  */
 export function reconcile(
   s: State,
@@ -292,18 +292,18 @@
 ): State {
   let at: State = { ...s, models };
   const seen = new Set(listed.map((l) => l.key));
-  for (const p of s.places.values()) {
+  for (const p of s.slots.values()) {
     if (!seen.has(p.key) && p.since < askedAt) at = drop(at, p.key);
   }
   for (const l of listed) {
-    const p = s.places.get(l.key);
+    const p = s.slots.get(l.key);
     if (p && p.since >= askedAt) continue;
-    at = put(at, placeOf(l, p, askedAt));
+    at = put(at, slotOf(l, p, askedAt));
   }
   return at;
 }
 
-function placeOf(l: Listed, p: Place | undefined, now: number): Place {
+function slotOf(l: Listed, p: Slot | undefined, now: number): Slot {
   const phase = l.pending ? "loading" : p?.phase === "closing" ? "closing" : "resident";
   const { key, model, adapter, version } = l;
   return { key, model, adapter, version, phase, pins: p?.pins ?? 0, since: p?.since ?? now };
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -49,8 +49,8 @@
     instance: zod.string(),
     /** Estimated ms until a prompt that arrives now begins to be read, by rank. */
     waitMs: zod.array(zod.number()).readonly(),
-    /** Estimated ms until a place for another adapter is free. */
-    placeMs: zod.number(),
+    /** Estimated ms until a slot for another adapter is free. */
+    slotMs: zod.number(),
     /** Seats given and not over. */
     seats: zod.number(),
     /** Part of the latest runs that failed, 0 to 1. */
--- /dev/null
+++ b/test/serving/decisions.test.ts
@@ -0,0 +1,235 @@
+import * as chai from "chai";
+import * as fc from "fast-check";
+import * as backlog from "../../src/serving/backlog.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as choice from "../../src/serving/choice.js";
+import * as events from "../../src/serving/events.js";
+import * as retries from "../../src/serving/retries.js";
+import type * as seat from "../../src/serving/seat.js";
+import * as warmth from "../../src/serving/warmth.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+const BUDGET: retries.Options = { ratio: 0.2, slack: 40, windowMs: 10_000 };
+
+describe("retries", () => {
+  it("keep all hosts together within the ratio and the slack of any window", () => {
+    const host = fc.integer({ min: 0, max: 3 });
+    const tries = fc.array(fc.tuple(host, fc.boolean(), fc.integer({ min: 0, max: 200 })), {
+      maxLength: 600,
+    });
+    fc.assert(
+      fc.property(tries, (steps) => {
+        const hosts = Array.from({ length: 4 }, () => retries.EMPTY);
+        const asked: number[] = [];
+        const taken: number[] = [];
+        let now = 0;
+        for (const [h, isRequest, ms] of steps) {
+          now += ms;
+          const w = hosts[h] ?? retries.EMPTY;
+          if (isRequest) {
+            asked.push(now);
+            hosts[h] = retries.request(w, now, BUDGET);
+            continue;
+          }
+          const next = retries.take(w, now, 4, BUDGET);
+          if (!next) continue;
+          hosts[h] = next;
+          taken.push(now);
+        }
+        for (const end of taken) {
+          const within = (t: number): boolean => t > end - BUDGET.windowMs && t <= end;
+          // A take counts requests of the window before it, so those of two windows may matter.
+          const owed = asked.filter((t) => t > end - 2 * BUDGET.windowMs && t <= end).length;
+          const limit = BUDGET.ratio * owed + BUDGET.slack;
+          expect(taken.filter(within).length).most(limit);
+        }
+      }),
+    );
+  });
+});
+
+describe("events", () => {
+  it("come whole and in order however the stream is cut", () => {
+    const line = fc.stringMatching(/^[a-z0-9 ]{0,20}$/);
+    const one = fc.record({ id: fc.nat(), data: line, crlf: fc.boolean() });
+    fc.assert(
+      fc.property(
+        fc.array(one, { maxLength: 12 }),
+        fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }),
+        (list, cuts) => {
+          const texts = list.map(({ id, data, crlf }) => {
+            const end = crlf ? "\r\n" : "\n";
+            return `id: ${id}${end}data: ${data}${end}${end}`;
+          });
+          const whole = Buffer.from(texts.join(""));
+          const cutter = new events.Cutter();
+          const got: events.Event[] = [];
+          for (let at = 0, i = 0; at < whole.length; i++) {
+            const next = at + (cuts[i % cuts.length] ?? 1);
+            got.push(...cutter.take(whole.subarray(at, next)));
+            at = next;
+          }
+          expect(got.map((e) => e.bytes.toString())).deep.equal(texts);
+          expect(got.map((e) => e.id)).deep.equal(list.map((l) => String(l.id)));
+          expect(cutter.tail().length).equal(0);
+        },
+      ),
+    );
+  });
+
+  it("hold an event back until it is whole", () => {
+    const cutter = new events.Cutter();
+    expect(cutter.take(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"))).length(1);
+    expect(cutter.tail().toString()).equal("id: 2\nda");
+  });
+});
+
+describe("catalog", () => {
+  it("never goes back to an older configuration or version", () => {
+    const newer: catalog.Config = { ...fixtures.CONFIG, version: 5 };
+    let at = catalog.step(catalog.EMPTY, { kind: "config", config: newer });
+    at = catalog.step(at, { kind: "config", config: fixtures.CONFIG });
+    at = catalog.step(at, { kind: "version", key: "m/a", version: 3 });
+    at = catalog.step(at, { kind: "version", key: "m/a", version: 2 });
+    expect(at.config?.version).equal(5);
+    expect(at.versions.get("m/a")).equal(3);
+  });
+
+  it("takes the longest prefix of the host", () => {
+    const routes = ["/", "/c/", "/c/d/"].map((prefix) => ({ ...fixtures.ROUTE, prefix }));
+    const config = { ...fixtures.CONFIG, routes };
+    expect(catalog.routeOf(config, "a.example", "/c/d/e")?.prefix).equal("/c/d/");
+    expect(catalog.routeOf(config, "a.example", "/c/de")?.prefix).equal("/c/");
+    expect(catalog.routeOf(config, "b.example", "/c/d/e")).equal(undefined);
+  });
+
+  it("spreads a route over its services by weight", () => {
+    const other = { ...fixtures.SERVICE, name: "other" };
+    const services = new Map([...fixtures.CONFIG.services, [other.name, other]]);
+    const shares = [
+      { service: "guide", weight: 90 },
+      { service: "other", weight: 10 },
+    ];
+    const route = { ...fixtures.ROUTE, shares };
+    const config = { ...fixtures.CONFIG, services };
+    expect(catalog.serviceOf(config, route, () => 0.89)?.name).equal("guide");
+    expect(catalog.serviceOf(config, route, () => 0.91)?.name).equal("other");
+  });
+});
+
+describe("backlog", () => {
+  it("counts prompts not yet begun, of the same rank or more urgent", () => {
+    let b = backlog.IDLE;
+    b = backlog.asked(b, "a", 1920, 0);
+    b = backlog.asked(b, "b", 1920, 2);
+    expect(backlog.waitMs(b, 0)).closeTo(100, 0.01);
+    expect(backlog.waitMs(b, 2)).closeTo(200, 0.01);
+    expect(backlog.waits(b).slice(0, 3)).deep.equal([100, 100, 200]);
+    b = backlog.began(b, "a", 150);
+    expect(backlog.waitMs(b, 0)).equal(0);
+  });
+
+  it("learns that an engine is slow", () => {
+    let b = backlog.IDLE;
+    for (let i = 0; i < 30; i++) {
+      b = backlog.given(backlog.asked(b, `s${i}`, 1920, 0), `s${i}`);
+      b = backlog.over(backlog.began(b, `s${i}`, 1000), `s${i}`);
+    }
+    expect(b.slowness).above(3);
+  });
+});
+
+describe("warmth", () => {
+  it("learns how many adapters load fast", () => {
+    let w = warmth.UNKNOWN;
+    for (let i = 0; i < 60; i++) w = warmth.held(w, `a${i}`);
+    expect(warmth.warm(w)).include("a59").not.include("a0");
+    w = warmth.loaded(w, "a20", 25);
+    expect(warmth.warm(w)).include("a30");
+    w = warmth.loaded(w, "a50", 300);
+    expect(warmth.warm(w)).not.include("a49");
+  });
+});
+
+const STATE: seat.State = {
+  kind: "state",
+  instance: "x",
+  waitMs: new Array<number>(10).fill(0),
+  slotMs: 0,
+  seats: 0,
+  failing: 0,
+  entries: 1,
+};
+
+function view(id: string, over: Partial<choice.View> = {}): choice.View {
+  return {
+    endpoint: fixtures.endpoint(id, `10.0.0.${id}:1`),
+    state: { ...STATE, instance: id },
+    holdings: { kind: "holdings", models: ["m"], resident: [], warm: [] },
+    own: 0,
+    ownTokens: 0,
+    ownSlots: 0,
+    failing: 0,
+    tookMs: 0,
+    ...over,
+  };
+}
+
+const NEED: choice.Need = {
+  model: "m",
+  key: "m/a",
+  promptTokens: 1920,
+  rank: 1,
+  domain: "d1",
+  tried: new Set(),
+};
+
+function holds(id: string, over: Partial<choice.View> = {}): choice.View {
+  const holdings = { kind: "holdings" as const, models: ["m"], resident: ["m/a"], warm: [] };
+  return view(id, { holdings, ...over });
+}
+
+describe("choice", () => {
+  it("prefers the engine that holds the adapter", () => {
+    const best = choice.engines([view("1"), holds("2"), view("3")], NEED)[0];
+    expect(best?.view.endpoint.id).equal("2");
+  });
+
+  it("loads a second copy only where the first engine is far behind", () => {
+    const behind = (ms: number): choice.View =>
+      holds("2", { state: { ...STATE, instance: "2", waitMs: new Array<number>(10).fill(ms) } });
+    expect(choice.engines([view("1"), behind(500)], NEED)[0]?.view.endpoint.id).equal("2");
+    expect(choice.engines([view("1"), behind(1500)], NEED)[0]?.view.endpoint.id).equal("1");
+  });
+
+  it("leaves out engines that are leaving, out, or were tried", () => {
+    const leaving = view("1", {
+      endpoint: { ...fixtures.endpoint("1", "10.0.0.1:1"), leaving: true },
+    });
+    const out = view("2", { state: { ...STATE, instance: "" } });
+    const need = { ...NEED, tried: new Set(["3"]) };
+    expect(choice.engines([leaving, out, view("3")], need)).deep.equal([]);
+  });
+
+  it("uses an engine not heard of for what it held alone", () => {
+    expect(choice.engines([view("1", { state: undefined })], NEED)).deep.equal([]);
+    expect(choice.engines([holds("1", { state: undefined })], NEED)).length(1);
+  });
+
+  it("is the same on every host for an adapter that nobody holds", () => {
+    const views = ["1", "2", "3", "4"].map((id) => view(id));
+    const first = choice.engines(views, NEED)[0]?.view.endpoint.id;
+    const again = choice.engines([...views].reverse(), NEED)[0]?.view.endpoint.id;
+    expect(again).equal(first);
+  });
+
+  it("takes a plain service's endpoint with fewer requests and fewer failures", () => {
+    const need = { domain: "d1", tried: new Set<string>() };
+    const busy = view("1", { own: 4 });
+    const failing = view("2", { failing: 0.5 });
+    const best = choice.plain([busy, failing, view("3")], need, () => 0)[0];
+    expect(best?.view.endpoint.id).equal("3");
+  });
+});
--- /dev/null
+++ b/test/serving/fixtures.ts
@@ -0,0 +1,130 @@
+/**
+ * Small values and servers for the tests of routed requests.
+ * @module
+ */
+import * as http from "node:http";
+import * as net from "node:net";
+import type * as ask from "../../src/serving/ask.js";
+import type * as catalog from "../../src/serving/catalog.js";
+import type * as protocol from "../../src/serving/protocol.js";
+
+export const ROUTE: catalog.Route = {
+  name: "captions",
+  host: "a.example",
+  prefix: "/c/",
+  kind: "once",
+  resumable: false,
+  timeoutMs: 2000,
+  targetMs: 400,
+  gapMs: 400,
+  attempts: 2,
+  rank: 1,
+  shares: [{ service: "guide", weight: 1 }],
+};
+
+export const SERVICE: catalog.Service = {
+  name: "guide",
+  endpoints: { matchLabels: { "sumacfield/service": "guide" } },
+  healthPath: "/healthz",
+  connections: 100,
+};
+
+export const CONFIG: catalog.Config = {
+  version: 1,
+  routes: [ROUTE],
+  services: new Map([[SERVICE.name, SERVICE]]),
+  limits: { headerBytes: 4096, bodyBytes: 1000, headersMs: 2000, idleMs: 5000 },
+};
+
+/** A wire with headers of its own, so that the product is tested apart from any platform. */
+export const WIRE: protocol.Protocol = {
+  read: (h) => ({
+    id: String(h["test-id"] ?? ""),
+    waitMs: Number(h["test-wait"] ?? Infinity),
+    promptTokens: 0,
+    answerTokens: 0,
+    parts: [],
+  }),
+  replaced: new Set(["test-wait", "test-instance", "last-event-id"]),
+  marks: (m) => ({
+    "test-instance": m.instance,
+    "test-left": String(m.leftMs),
+    ...(m.resumeAfter !== undefined && { "last-event-id": m.resumeAfter }),
+  }),
+  answered: (h) => text(h["test-id"]),
+  notRun: (status, h) => status === 421 || text(h["test-not-run"]) !== undefined,
+  signed: (h) => text(h["test-signed"]) !== undefined,
+  instance: (h) => text(h["test-instance"]),
+  comeBack: (ms) => ({ "retry-after": String(ms / 1000) }),
+};
+
+function text(value: string | readonly string[] | undefined): string | undefined {
+  return typeof value === "string" ? value : value?.[0];
+}
+
+export function endpoint(id: string, address: string): catalog.Endpoint {
+  return {
+    id,
+    address,
+    domain: "d1",
+    labels: { "sumacfield/service": SERVICE.name },
+    seats: 4,
+    leaving: false,
+  };
+}
+
+export function request(over: Partial<ask.Ask> = {}): ask.Ask {
+  const now = performance.now();
+  return {
+    meta: { id: "r1", waitMs: 1000, promptTokens: 0, answerTokens: 0, parts: [] },
+    route: ROUTE,
+    service: SERVICE,
+    method: "POST",
+    path: "/c/x",
+    headers: { "test-id": "r1" },
+    body: Buffer.from("body"),
+    arrivedAt: now,
+    dueAt: now + 1000,
+    ...over,
+  };
+}
+
+/** A worker that answers each connection with raw bytes. */
+export async function rawWorker(answer: (socket: net.Socket) => void) {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      answer(socket);
+    });
+  });
+  return listen(server);
+}
+
+/** A worker that speaks HTTP. */
+export async function worker(
+  answer: (req: http.IncomingMessage, res: http.ServerResponse) => void,
+) {
+  return listen(
+    http.createServer((req, res) => {
+      req.resume();
+      answer(req, res);
+    }),
+  );
+}
+
+/** The headers of a good answer to the request `id`. */
+export function good(id = "r1"): Record<string, string> {
+  return { "test-id": id, "test-signed": "1" };
+}
+
+async function listen(server: net.Server) {
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const close = (): void => {
+    server.close();
+    if (server instanceof http.Server) server.closeAllConnections();
+  };
+  return { address: `127.0.0.1:${port}`, close };
+}
--- /dev/null
+++ b/test/serving/upstream.test.ts
@@ -0,0 +1,91 @@
+import * as chai from "chai";
+import type * as net from "node:net";
+import * as upstream from "../../src/serving/upstream.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+const MARKS = { instance: "e", rank: 1, leftMs: 500 };
+const HEAD = "HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signed: 1\r\n";
+
+/** Sends one request to a worker that answers with raw bytes, and reads what comes of it. */
+async function outcomeOf(answer: (socket: net.Socket) => void): Promise<string> {
+  const w = await fixtures.rawWorker(answer);
+  const up = new upstream.Upstream(fixtures.WIRE);
+  try {
+    const e = fixtures.endpoint("e", w.address);
+    const sent = await up.send(fixtures.request(), e, MARKS, new AbortController().signal);
+    if (sent.kind !== "answer") return sent.kind;
+    return (await upstream.whole(sent.body, 1000)).toString();
+  } catch {
+    return "broke off";
+  } finally {
+    up.close();
+    w.close();
+  }
+}
+
+describe("upstream", () => {
+  it("takes an answer without a length as whole at a plain end", async () => {
+    expect(await outcomeOf((s) => s.end(`${HEAD}connection: close\r\n\r\nabc`))).equal("abc");
+  });
+
+  it("takes an answer without a length as cut at a reset with its last bytes", async () => {
+    const cut = await outcomeOf((s) => {
+      s.write(`${HEAD}connection: close\r\n\r\nabc`);
+      s.resetAndDestroy();
+    });
+    expect(cut).equal("broke off");
+  });
+
+  it("takes an answer without a length as cut at a later reset", async () => {
+    const cut = await outcomeOf((s) => {
+      s.write(`${HEAD}connection: close\r\n\r\nabc`);
+      setTimeout(() => s.resetAndDestroy(), 30);
+    });
+    expect(cut).equal("broke off");
+  });
+
+  it("takes a chunked answer that ends early as cut", async () => {
+    const head = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n`;
+    expect(await outcomeOf((s) => s.end(`${head}3\r\nabc\r\n`))).equal("broke off");
+  });
+
+  it("takes an answer shorter than its length as cut", async () => {
+    expect(await outcomeOf((s) => s.end(`${HEAD}content-length: 9\r\n\r\nabc`))).equal("broke off");
+  });
+
+  it("does not trust an answer to another request", async () => {
+    const other = HEAD.replace("r1", "r2");
+    expect(await outcomeOf((s) => s.end(`${other}content-length: 3\r\n\r\nabc`))).equal("unknown");
+  });
+
+  it("does not trust a success without a signature", async () => {
+    const bare = HEAD.replace("test-signed: 1\r\n", "");
+    expect(await outcomeOf((s) => s.end(`${bare}content-length: 3\r\n\r\nabc`))).equal("unknown");
+  });
+
+  it("believes an endpoint that says it did not run the request", async () => {
+    const head = "HTTP/1.1 503 Full\r\ntest-id: r1\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    expect(await outcomeOf((s) => s.end(head))).equal("not_run");
+  });
+
+  it("does not believe a 503 that says nothing of the run", async () => {
+    const head = "HTTP/1.1 503 Full\r\ntest-id: r1\r\ncontent-length: 0\r\n\r\n";
+    expect(await outcomeOf((s) => s.end(head))).equal("");
+  });
+
+  it("knows that nothing ran where no connection stood", async () => {
+    const w = await fixtures.rawWorker(() => undefined);
+    w.close();
+    const up = new upstream.Upstream(fixtures.WIRE);
+    const e = fixtures.endpoint("e", w.address);
+    const sent = await up.send(fixtures.request(), e, MARKS, new AbortController().signal);
+    up.close();
+    expect(sent.kind).equal("not_run");
+  });
+
+  it("does not know what ran behind bytes that are no answer", async () => {
+    expect(await outcomeOf((s) => s.end("rubbish\r\n\r\n"))).equal("unknown");
+  });
+});
