Go on elsewhere when an engine is gone or silent, and prove seats and sends

Change: endpoint daemons' word that an engine is gone ends the repeatable sends to it, which go on elsewhere; a repeatable request without a sign of an answer for much longer than expected is sent elsewhere too, within the budget. A resumed stream waits for a seat anew.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -62,6 +62,13 @@
 const PATIENCE_GAPS = 8;
 /** Part of its time that a request is held at most for a seat: over half of it counts as lost. */
 const HOLD_PART = 0.42;
+/**
+ * Milliseconds without a sign of an answer after which a repeatable request is sent elsewhere, and
+ * the same as a multiple of the time expected: above what engines and services take when full.
+ */
+const SILENT_STREAM_MS = 1600;
+const SILENT_CALL_MS = 220;
+const SILENT_FACTOR = 4;
 /** Bytes of an answer that is no stream; the users' services answer with some 5,000 at most. */
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
@@ -196,7 +203,8 @@
     p: Progress,
     cut: AbortSignal,
   ): Promise<choice.Estimate | undefined> {
-    const until = Math.min(a.dueAt, a.arrivedAt + a.route.targetMs * WAIT_PART);
+    const from = p.sends === 0 ? a.arrivedAt : this.deps.clock.mono();
+    const until = Math.min(a.dueAt, from + a.route.targetMs * WAIT_PART);
     for (;;) {
       const best = this.candidates(a, p)[0];
       if (best || cut.aborted) return best;
@@ -244,7 +252,7 @@
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
       targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - this.deps.clock.mono()),
-      leftMs: Math.max(1, holdUntil(a) - this.deps.clock.mono()),
+      leftMs: Math.max(1, holdMs(a, p, this.deps.clock.mono())),
     });
     const left = (): void => {
       asked.over("left");
@@ -291,8 +299,18 @@
       leftMs,
       resumeAfter: p.lastId,
     };
-    const sent = await this.deps.upstream.send(a, endpoint, marks, cut);
-    const run: Run = { a, out, p, endpoint, seat, sentAt, cut };
+    const watch = this.watch(a, p, best, cut);
+    const run: Run = { a, out, p, endpoint, seat, sentAt, cut, watch };
+    try {
+      const sent = await this.deps.upstream.send(a, endpoint, marks, watch.signal);
+      return await this.sort(run, sent);
+    } finally {
+      watch.end();
+    }
+  }
+
+  private sort(run: Run, sent: upstream.Sent): Promise<Ending | undefined> | Ending | undefined {
+    const { p, endpoint } = run;
     switch (sent.kind) {
       case "not_run":
         p.why = `${endpoint.id} did not run it: ${sent.why}`;
@@ -309,6 +327,35 @@
     }
   }
 
+  /**
+   * Watches one send. One that may be repeated is broken off when its engine is known to be gone, or
+   * when it gets no sign of an answer for much longer than expected and another endpoint may have it.
+   */
+  private watch(a: ask.Ask, p: Progress, best: choice.Estimate, cut: AbortSignal): Watch {
+    const { id } = best.view.endpoint;
+    if (!catalog.repeatable(a.route)) {
+      return { signal: cut, answered: () => undefined, end: () => undefined };
+    }
+    const own = new AbortController();
+    const stop = (): void => {
+      own.abort();
+    };
+    const unwatch = this.deps.endpoints.watch(id, stop);
+    const silentMs = a.service.engine
+      ? Math.max(SILENT_STREAM_MS, SILENT_FACTOR * best.firstMs)
+      : Math.max(SILENT_CALL_MS, SILENT_FACTOR * best.firstMs);
+    const more = p.runs + 1 < a.route.attempts && !p.begun;
+    const timer = more ? this.deps.clock.after(silentMs, stop) : undefined;
+    return {
+      signal: AbortSignal.any([cut, own.signal]),
+      answered: () => timer?.cancel(),
+      end: () => {
+        timer?.cancel();
+        unwatch();
+      },
+    };
+  }
+
   private note(r: Run, sentence: string): void {
     this.deps.log.warn(sentence, {
       request: r.a.meta.id,
@@ -388,6 +435,7 @@
         if (ready.length === 0) continue;
         if (first) {
           first = false;
+          r.watch.answered();
           r.seat?.began(this.deps.clock.mono() - r.sentAt);
         }
         if (!p.begun) {
@@ -443,14 +491,24 @@
   readonly seat: Granted | undefined;
   readonly sentAt: number;
   readonly cut: AbortSignal;
+  readonly watch: Watch;
+}
+
+/** What may break one send off. */
+interface Watch {
+  readonly signal: AbortSignal;
+  /** The first bytes that matter came. */
+  readonly answered: () => void;
+  readonly end: () => void;
 }
 
-/** Monotonic ms up to which a request is held for a seat; then its caller is better told to come back. */
-function holdUntil(a: ask.Ask): number {
+/** Milliseconds for which a request is held for a seat; then its caller is better told to come back. */
+function holdMs(a: ask.Ask, p: Progress, now: number): number {
   const { targetMs, gapMs } = a.route;
   const gaps = Number.isFinite(gapMs) ? PATIENCE_GAPS * gapMs : 0;
   const patienceMs = Math.max(PATIENCE_MS, PATIENCE_TARGETS * targetMs, gaps);
-  return a.arrivedAt + HOLD_PART * Math.min(a.dueAt - a.arrivedAt, patienceMs);
+  const from = p.sends === 0 ? a.arrivedAt : now;
+  return from + HOLD_PART * Math.min(a.dueAt - from, patienceMs) - now;
 }
 
 /** Whether an event of a resumed stream was passed on before. */
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -22,7 +22,7 @@
 
 const NEW: Own = { under: 0, failing: 0, failedAt: 0, tookMs: 0 };
 
-export interface Deps extends link.Deps {
+export interface Deps extends Omit<link.Deps, "lost"> {
   readonly catalog: () => catalog.Catalog;
   /** `ip:port` of the endpoint daemon beside an endpoint. */
   readonly daemonOf: (e: catalog.Endpoint) => string;
@@ -31,6 +31,7 @@
 export class Endpoints {
   private readonly links = new Map<string, link.Link>();
   private readonly own = new Map<string, Own>();
+  private readonly watchers = new Map<string, Set<() => void>>();
 
   constructor(
     private readonly deps: Deps,
@@ -62,7 +63,13 @@
     const address = this.deps.daemonOf(e);
     let at = this.links.get(address);
     if (!at) {
-      at = new link.Link(address, this.deps);
+      at = new link.Link(address, {
+        ...this.deps,
+        lost: (instance) => {
+          this.deps.log.warn("An engine is gone.", { endpoint: instance });
+          for (const tell of this.watchers.get(instance) ?? []) tell();
+        },
+      });
       this.links.set(address, at);
     }
     return at;
@@ -94,6 +101,17 @@
     return counts.length === 0 ? undefined : Math.max(...counts);
   }
 
+  /** Calls `tell` if the engine `id` goes while it is watched; returns what ends the watch. */
+  watch(id: string, tell: () => void): () => void {
+    const at = this.watchers.get(id) ?? new Set();
+    this.watchers.set(id, at);
+    at.add(tell);
+    return () => {
+      at.delete(tell);
+      if (at.size === 0) this.watchers.delete(id);
+    };
+  }
+
   sent(id: string): void {
     const own = this.own.get(id) ?? NEW;
     this.own.set(id, { ...own, under: own.under + 1 });
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -72,7 +72,6 @@
       clock: deps.clock,
       log: deps.log("link"),
       host: opts.host,
-      changed: () => undefined,
       catalog: () => fed.catalog,
       daemonOf: opts.daemonOf,
     },
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -45,8 +45,8 @@
   readonly log: record.Log;
   /** Name of this host. */
   readonly host: string;
-  /** The engine's state changed, or the connection was lost. */
-  readonly changed: () => void;
+  /** An incarnation of the engine is no longer there, as its endpoint daemon says. */
+  readonly lost: (instance: string) => void;
 }
 
 interface Asked {
@@ -58,6 +58,7 @@
   private channel: lines.Channel<seat.FromEntry> | undefined;
   private last: seat.State | undefined;
   private held: seat.Holdings | undefined;
+  private instance = "";
   private heardAt = -Infinity;
   private tokens = 0;
   private slots = 0;
@@ -167,7 +168,6 @@
     this.last = undefined;
     this.tokens = 0;
     for (const n of [...this.asked.keys()]) this.settle(n, { kind: "unreachable" });
-    this.deps.changed();
     if (this.closed) return;
     this.timer = this.deps.clock.after(this.retryMs, () => {
       this.connect();
@@ -179,10 +179,11 @@
     this.heardAt = this.deps.clock.mono();
     switch (m.kind) {
       case "state":
+        if (this.instance !== "" && m.instance !== this.instance) this.deps.lost(this.instance);
+        this.instance = m.instance;
         this.last = m;
         this.tokens = 0;
         this.slots = 0;
-        this.deps.changed();
         break;
       case "holdings":
         this.held = m;
--- /dev/null
+++ b/test/serving/fake-engine.ts
@@ -0,0 +1,92 @@
+/**
+ * An engine in memory whose orders can get lost, come late, or meet a restart.
+ * @module
+ */
+import type * as engine from "../../src/serving/engine.js";
+
+/** Milliseconds that a load takes. */
+const LOAD_MS = 15;
+
+/** What becomes of the next orders. */
+export type Mood = "well" | "answer lost" | "late" | "out";
+
+export class FakeEngine implements engine.Engine {
+  mood: Mood = "well";
+  instance = "i1";
+  sequence = 0;
+  /** Most adapters ever held or on their way at once. */
+  most = 0;
+  readonly held = new Map<string, { version: number; ready: boolean }>();
+  readonly orders: string[] = [];
+  newest = 1;
+
+  report = (): Promise<engine.Report> => {
+    if (this.mood === "out") return Promise.reject(new Error("connection refused"));
+    const list = [...this.held];
+    return Promise.resolve({
+      models: [
+        {
+          name: "m",
+          version: 1,
+          adapters: list
+            .filter(([, a]) => a.ready)
+            .map(([adapter, a]) => ({ adapter, version: a.version })),
+        },
+      ],
+      pending: list
+        .filter(([, a]) => !a.ready)
+        .map(([adapter, a]) => ({ model: "m", adapter, version: a.version })),
+      busy: false,
+      sequence: this.sequence,
+      queued: 0,
+      active: 0,
+    });
+  };
+
+  identify = (): Promise<string> =>
+    this.mood === "out"
+      ? Promise.reject(new Error("connection refused"))
+      : Promise.resolve(this.instance);
+
+  order = (o: engine.Order): Promise<engine.OrderResult> => {
+    this.orders.push(`${o.kind} ${o.adapter ?? ""}`);
+    switch (this.mood) {
+      case "out":
+        return Promise.resolve({ kind: "unanswered", why: "out" });
+      case "late":
+        setTimeout(() => this.carryOut(o), 100);
+        return Promise.resolve({ kind: "unanswered", why: "late" });
+      case "answer lost":
+        this.carryOut(o);
+        return Promise.resolve({ kind: "unanswered", why: "lost" });
+      case "well":
+        return Promise.resolve(this.carryOut(o));
+    }
+  };
+
+  /** The engine crashes and starts anew. */
+  restart(): void {
+    this.instance = `${this.instance}+`;
+    this.sequence = 0;
+    this.held.clear();
+  }
+
+  private carryOut(o: engine.Order): engine.OrderResult {
+    if (o.instance !== this.instance) return { kind: "moved", instance: undefined };
+    if (o.sequence !== this.sequence) return { kind: "conflict" };
+    this.sequence++;
+    const { adapter } = o;
+    if (adapter === undefined) return { kind: "accepted", done: false };
+    if (o.kind === "unload") {
+      this.held.delete(adapter);
+      return { kind: "accepted", done: true };
+    }
+    const made = { version: o.version ?? this.newest, ready: false };
+    this.held.set(adapter, made);
+    this.most = Math.max(this.most, this.held.size);
+    setTimeout(() => {
+      made.ready = true;
+    }, LOAD_MS);
+    return { kind: "accepted", done: false };
+  }
+}
