--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -81,7 +81,7 @@
  * Estimated first event, as a part of the target, above which a request is refused at once instead
  * of being late: a rank that is less urgent gives way sooner.
  */
-const LATEST_BY_RANK = [4, 1.5, 1.0] as const;
+const LATEST_BY_RANK = [1.4, 1.3, 1.0] as const;
 const SERVED = 200;
 
 /** How a request ended, for the log and the meters. */
@@ -97,6 +97,8 @@
   begun: boolean;
   lastId: string | undefined;
   why: string;
+  /** When a refused caller should come back, as far as known. */
+  comeBackMs: number;
   firstAt: number | undefined;
   endpoint: string;
 }
@@ -122,6 +124,7 @@
       begun: false,
       lastId: a.meta.resumeAfter,
       why: "no endpoint is there",
+      comeBackMs: Math.max(COME_BACK_MS, a.route.targetMs * WAIT_PART),
       firstAt: undefined,
       endpoint: "",
     };
@@ -169,6 +172,7 @@
       const best = await this.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
       if (p.sends === 0 && this.tooLate(a, best)) {
+        p.comeBackMs = best.firstMs;
         p.why = `the first event would come in ${Math.round(best.firstMs)} ms`;
         return this.giveUp(a, out, p, false);
       }
@@ -468,8 +472,7 @@
       return late ? "late" : "unknown";
     }
     const left = Math.max(0, a.dueAt - this.deps.clock.mono());
-    const wanted = Math.max(COME_BACK_MS, a.route.targetMs * WAIT_PART);
-    out.refuse(503, p.why, Math.min(left * COME_BACK_PART, wanted));
+    out.refuse(503, p.why, Math.min(left * COME_BACK_PART, p.comeBackMs));
     return "refused";
   }
 }
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -7,6 +7,7 @@
 import * as clock from "../host/clock.js";
 import * as record from "../host/record.js";
 import type * as source from "../store/source.js";
+import type * as door from "./door.js";
 import * as dispatch from "./dispatch.js";
 import * as endpoints from "./endpoints.js";
 import * as feed from "./feed.js";
@@ -20,8 +21,7 @@
 export interface Options {
   readonly host: string;
   readonly domain: string;
-  /** `ip:port` for callers, and for the balancer's question whether it is ready. */
-  readonly callers: string;
+  /** `ip:port` for the balancer's question whether it is ready. */
   readonly readiness: string;
   /** Milliseconds from the signal to stop until the process is killed. */
   readonly graceMs: number;
@@ -30,6 +30,8 @@
 }
 
 export interface Deps {
+  /** The callers' port, open already. */
+  readonly door: door.Door;
   readonly clock: clock.Clock;
   readonly log: record.Open;
   readonly source: source.Source;
@@ -89,7 +91,7 @@
       random: deps.random,
     },
   );
-  const callers = new front.Front({
+  const callers = new front.Front(deps.door, {
     clock: deps.clock,
     log: deps.log("front"),
     protocol: deps.protocol,
@@ -99,7 +101,6 @@
   });
   figures.gauge("sumacfield_requests_open", "Requests under way.", () => callers.count());
   figures.gauge("sumacfield_store_revision", "Store revision known.", () => fed.catalog.revision);
-  await callers.listen(opts.callers);
   const readiness = await answerReadiness(
     opts.readiness,
     () => fed.catalog.config !== undefined && !leaving,
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -3,13 +3,13 @@
  * dispatcher's answer to the caller's connection.
  * @module
  */
-import * as http from "node:http";
-import type * as net from "node:net";
-import type * as clock from "../host/clock.js";
+import type * as http from "node:http";
+import * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import type * as ask from "./ask.js";
 import * as catalog from "./catalog.js";
 import type * as dispatch from "./dispatch.js";
+import type * as door from "./door.js";
 import type * as protocol from "./protocol.js";
 
 export interface Deps {
@@ -21,17 +21,18 @@
   readonly random: () => number;
 }
 
-/** Bytes of headers that the server reads at all; a configuration allows fewer. */
-const HEADER_BYTES = 65_536;
 /** Bounds until a configuration is known. */
 const UNCONFIGURED: catalog.Limits = {
-  headerBytes: HEADER_BYTES,
+  headerBytes: Infinity,
   bodyBytes: 1_048_576,
   headersMs: 5000,
   idleMs: 15_000,
 };
 /** Milliseconds after which a caller is told to come back while no configuration is known. */
 const UNREADY_MS = 300;
+/** Milliseconds that a request waits for the first configuration: within an early refusal's bound. */
+const FIRST_CONFIG_MS = 200;
+const LOOK_MS = 10;
 const HOP_BY_HOP = new Set([
   "connection",
   "keep-alive",
@@ -50,28 +51,13 @@
   private underWay = 0;
   private idle: (() => void) | undefined;
 
-  constructor(private readonly deps: Deps) {
-    this.server = http.createServer(
-      {
-        maxHeaderSize: HEADER_BYTES,
-        requireHostHeader: true,
-        keepAliveTimeout: UNCONFIGURED.idleMs,
-        headersTimeout: UNCONFIGURED.headersMs,
-        requestTimeout: 0,
-        noDelay: true,
-      },
-      (req, res) => {
-        this.take(req, res);
-      },
-    );
-    this.server.on("clientError", refuseBytes);
-  }
-
-  async listen(address: string): Promise<void> {
-    const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen({ host, port: Number(port), backlog: 1024 }, resolve);
+  constructor(
+    at: door.Door,
+    private readonly deps: Deps,
+  ) {
+    this.server = at.server;
+    at.attach((req, res) => {
+      this.take(req, res);
     });
   }
 
@@ -122,10 +108,20 @@
     });
   }
 
+  /** The configuration; a daemon that has just started waits a little for its first one. */
+  private async configured(): Promise<catalog.Config | undefined> {
+    for (let waitedMs = 0; waitedMs < FIRST_CONFIG_MS; waitedMs += LOOK_MS) {
+      const { config } = this.deps.catalog();
+      if (config) return config;
+      await clock.sleep(this.deps.clock, LOOK_MS);
+    }
+    return this.deps.catalog().config;
+  }
+
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const arrivedAt = this.deps.clock.mono();
     const out = outlet(req, res, this.deps.protocol);
-    const { config } = this.deps.catalog();
+    const config = await this.configured();
     const limits = config?.limits ?? UNCONFIGURED;
     let body: Buffer | undefined;
     try {
@@ -227,18 +223,6 @@
   return out;
 }
 
-/** Answers bytes that are no request; the connection ends. */
-function refuseBytes(err: Error, socket: net.Socket): void {
-  if (!socket.writable || socket.destroyed) {
-    socket.destroy();
-    return;
-  }
-  const code = "code" in err ? String(err.code) : "";
-  const status = code === "HPE_HEADER_OVERFLOW" ? 431 : 400;
-  const reason = http.STATUS_CODES[status] ?? "";
-  socket.end(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-}
-
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
 
 /** Headers of an endpoint's answer that concern its connection alone. */
