Take a figure that an engine leaves out as missing, not as zero

Change: figures are undefined where they are missing; whether an engine was looked at is its own flag; counts that are not given never stand for silence. Looked for the same habit in src: no other sentinel is a value that an engine can give.

--- a/src/endpoint/engine.ts
+++ b/src/endpoint/engine.ts
@@ -4,12 +4,12 @@
  */
 import type * as stream from "node:stream";
 
-/** How an engine says it is. Its counts lag. */
+/** How an engine says it is. Its counts lag; a figure that it does not give is undefined. */
 export interface Health {
   /** Start of the engine's process, in seconds since 1970; another value means a cold start. */
-  readonly startedAt: number;
-  readonly running: number;
-  readonly waiting: number;
+  readonly startedAt: number | undefined;
+  readonly running: number | undefined;
+  readonly waiting: number | undefined;
 }
 
 /** One generation asked of the engine. */
--- a/src/endpoint/holdings.ts
+++ b/src/endpoint/holdings.ts
@@ -47,7 +47,9 @@
   /** Names of other holders that may be in use, and when they were found. */
   private readonly strangers = new Map<string, number>();
   private readonly failedLoads = new Map<string, number>();
-  private engineStart = 0;
+  /** Whether the engine was looked at before, and when it said then that it had started. */
+  private looked = false;
+  private engineStart: number | undefined;
   private misses = 0;
   /** Looks in a row whose counts showed no work but this daemon's. */
   private quietLooks = 0;
@@ -197,7 +199,8 @@
       return;
     }
     this.misses = 0;
-    const first = this.engineStart === 0;
+    const first = !this.looked;
+    this.looked = true;
     if (!first && health.startedAt !== this.engineStart) {
       this.deps.log.warn("The engine came back cold.");
     }
@@ -288,7 +291,10 @@
    * row must agree.
    */
   private releaseGhosts(health: engine.Health, now: number): void {
-    const quiet = health.running + health.waiting <= this.surelyThere(now);
+    const { running, waiting } = health;
+    // Counts that are not given never show that a cancelled attempt stopped.
+    const counted = running !== undefined && waiting !== undefined;
+    const quiet = counted && running + waiting <= this.surelyThere(now);
     this.quietLooks = quiet ? this.quietLooks + 1 : 0;
     const agreed = this.quietLooks >= QUIET_LOOKS;
     for (const [id, at] of this.ghosts) {
--- a/src/endpoint/vllm.ts
+++ b/src/endpoint/vllm.ts
@@ -133,13 +133,14 @@
   };
 }
 
-/** Sums one gauge over its label sets in Prometheus' text format; 0 where it is missing. */
-function gauge(text: string, name: string): number {
-  let sum = 0;
+/** Sums one gauge over its label sets in Prometheus' text format; undefined where it is missing. */
+function gauge(text: string, name: string): number | undefined {
+  let sum: number | undefined;
   for (const line of text.split("\n")) {
     const rest = line.startsWith(name) ? line.slice(name.length) : "";
-    if (rest.startsWith(" ") || rest.startsWith("{"))
-      sum += Number(rest.slice(rest.lastIndexOf(" ")));
+    if (!rest.startsWith(" ") && !rest.startsWith("{")) continue;
+    const value = Number(rest.slice(rest.lastIndexOf(" ")));
+    if (Number.isFinite(value)) sum = (sum ?? 0) + value;
   }
   return sum;
 }
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -39,6 +39,8 @@
   slowArrivalMs: number;
   /** Steps stand still. */
   frozen: boolean;
+  /** The start of the process is left out of the metrics, as engines of several processes do. */
+  noStartTime: boolean;
 }
 
 /** One thing the engine did or suffered. */
@@ -87,6 +89,7 @@
     slowCancelMs: 0,
     slowArrivalMs: 0,
     frozen: false,
+    noStartTime: false,
   };
   readonly journal: Event[] = [];
   /** Seats used in each step that ran. */
@@ -176,7 +179,7 @@
 
   private metrics(): string {
     return [
-      `process_start_time_seconds ${this.startedAt}`,
+      ...(this.faults.noStartTime ? [] : [`process_start_time_seconds ${this.startedAt}`]),
       `vllm:num_requests_running{model_name="${this.opts.baseModel}"} ${this.counts.running}`,
       `vllm:num_requests_waiting{model_name="${this.opts.baseModel}"} ${this.counts.waiting}`,
       "",
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -59,3 +59,28 @@
     expect(data.map((m) => m.id)).include.members(["captions", "captions@1", "captions@2"]);
   });
 });
+
+describe("an engine that does not tell when it started", () => {
+  let s: site.Site;
+  before(async () => {
+    s = await site.Site.start({ engines: 1, entries: 1 });
+    for (const e of s.engines) e.engine.faults.noStartTime = true;
+  });
+  after(() => s.stop());
+
+  it("keeps what is in use through many looks, and answers each request", async () => {
+    const names = ["captions@1", "captions@2", "notes", "captions@1", "captions@2", "notes"];
+    const answers = await Promise.all(
+      names.map((name) => s.ask(name, { prompt: "p", tokens: 40, stream: true })),
+    );
+    expect(answers.map((a) => a.status)).deep.equal(names.map(() => 200));
+    expect(answers.filter((a) => a.text.endsWith("data: [DONE]\n\n"))).length(names.length);
+    expect(s.journal().filter((e) => e.kind === "evicted-in-use")).deep.equal([]);
+  });
+
+  it("is seen to come back cold by what it lists", async () => {
+    for (const e of s.engines) e.engine.restart();
+    const a = await s.ask("captions@2", { prompt: "p", tokens: 2 });
+    expect(a.status).equal(200);
+  });
+});
