--- /dev/null
+++ b/test/platform/platform.test.ts
@@ -0,0 +1,233 @@
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as chai from "chai";
+import * as fc from "fast-check";
+import * as documents from "../../platform/documents.js";
+import * as settings from "../../platform/settings.js";
+import * as wire from "../../platform/wire.js";
+
+const { expect } = chai;
+
+const SETTINGS = `
+nodeName: "entry-1"
+machineClass: "edge"
+ip: "10.1.0.38"
+zone: "a"
+listen: { front: "10.1.0.38:8149", ready: "10.1.0.38:8141" }
+internalPorts: [7380, 7395]
+newField: { nested: true }
+bounds:
+  graceS: 8
+  drainTimeoutMs: 2000
+  retryBudgetRatio: 0.2
+  budgetWindowS: 10
+  budgetSlack: 58
+  contactMs: 3000
+platform: { address: "10.200.1.7:8142", form: "kv" }
+`;
+
+const CONFIG = {
+  version: 7,
+  routes: [
+    {
+      name: "r",
+      host: "A.Example",
+      prefix: "/p/",
+      kind: "streaming",
+      timeoutMs: 6000,
+      targetLatencyMs: 1000,
+      priority: 1,
+      trafficSplit: [
+        { service: "llm", weight: 90 },
+        { service: "other", weight: 10 },
+      ],
+      attempts: 2,
+      resumable: true,
+      targetGapMs: 400,
+    },
+  ],
+  services: [
+    {
+      name: "llm",
+      healthPath: "/healthz",
+      maxConnections: 500,
+      engine: {
+        slots: 96,
+        kvCapacity: 122543,
+        models: [{ name: "m", weightsMb: 16100, loadTimeS: 0.6, adapters: 3000, adapterMb: 14 }],
+        weightsMb: 16500,
+        maxAdapters: 6,
+        loadsPerS: 2.1,
+      },
+    },
+  ],
+  limits: {
+    maxHeaderBytes: 16384,
+    maxBodyBytes: 4194304,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15000,
+  },
+};
+
+describe("platform settings", () => {
+  it("are decoded, whatever fields come with them", () => {
+    const s = settings.parse(SETTINGS, "file");
+    expect(s).include({ host: "entry-1", domain: "a", seatPort: 7380, graceMs: 8000 });
+    expect(s.retries).deep.equal({ ratio: 0.2, slack: 58, windowMs: 10_000 });
+    expect(s.engine).equal(undefined);
+  });
+
+  it("name the engine on hosts beside one", () => {
+    const s = settings.parse(`${SETTINGS}app: "10.1.0.40:8145"\nservice: "llm"\n`, "file");
+    expect(s.engine).deep.equal({ address: "10.1.0.40:8145", service: "llm" });
+  });
+
+  it("are refused by the name of the field that is wrong or missing", () => {
+    const bad = SETTINGS.replace('nodeName: "entry-1"', "").replace("graceS: 8", "graceS: no");
+    expect(() => settings.parse(bad, "file"))
+      .throw(settings.SettingsError)
+      .with.property("message")
+      .that.matches(/nodeName.*bounds\.graceS/);
+    expect(() => settings.parse("a: [", "file")).throw(settings.SettingsError, "not YAML");
+    expect(() => settings.read(undefined)).throw(settings.SettingsError);
+    expect(() => settings.read("/nowhere/boot.yaml")).throw(settings.SettingsError, "/nowhere");
+  });
+
+  it("never crash on any text", () => {
+    fc.assert(
+      fc.property(fc.string(), (text) => {
+        expect(() => settings.parse(text, "file")).throw(settings.SettingsError);
+      }),
+    );
+  });
+});
+
+describe("platform documents", () => {
+  it("decode a configuration", () => {
+    const step = documents.stepOf("op/config", JSON.stringify(CONFIG));
+    if (step?.kind !== "config") throw new Error("no configuration");
+    const [route] = step.config.routes;
+    expect(route).include({ host: "a.example", kind: "stream", rank: 1, targetMs: 1000 });
+    const llm = step.config.services.get("llm");
+    expect(llm?.engine).include({ slots: 6, seats: 96, loadsPerS: 2.1 });
+    expect(llm?.engine?.models).deep.equal([{ name: "m", sizeMb: 16100, loadMs: 600 }]);
+  });
+
+  it("decode a worker's entry and its end", () => {
+    const entry = {
+      service: "llm",
+      address: "10.0.0.1:80",
+      zone: "a",
+      slots: 96,
+      state: "draining",
+    };
+    const step = documents.stepOf("servers/i-1", JSON.stringify(entry));
+    if (step?.kind !== "endpoint") throw new Error("no endpoint");
+    expect(step.endpoint).include({ id: "i-1", domain: "a", leaving: true });
+    expect(documents.goneStep("servers/i-1")).deep.equal({ kind: "endpoint_gone", id: "i-1" });
+    expect(documents.goneStep("other/i-1")).equal(undefined);
+  });
+
+  it("decode a version", () => {
+    const text = JSON.stringify({ model: "m", adapter: "a7", version: 2 });
+    expect(documents.stepOf("op/version/m.a7", text)).deep.equal({
+      kind: "version",
+      key: "m/a7",
+      version: 2,
+    });
+  });
+
+  it("refuse torn and foreign values, and leave other keys alone", () => {
+    const whole = JSON.stringify(CONFIG);
+    fc.assert(
+      fc.property(fc.integer({ min: 0, max: whole.length - 1 }), (end) => {
+        expect(() => documents.stepOf("op/config", whole.slice(0, end))).throw();
+      }),
+    );
+    fc.assert(
+      fc.property(fc.json(), (text) => {
+        expect(() => documents.stepOf("servers/x", text)).throw();
+        expect(documents.stepOf("sumacfield/turns/0", text)).equal(undefined);
+      }),
+    );
+  });
+});
+
+describe("platform wire", () => {
+  it("reads what a request says", () => {
+    const meta = wire.PROTOCOL.read({
+      "x-sumacfield-attempt-id": "9c41",
+      "last-event-id": "12",
+      "x-sumacfield-model": "m/a7",
+      "x-sumacfield-token-usage": "1460,80",
+      "x-sumacfield-prompt-prefix": "5c1e:800,91bd:410",
+      "x-sumacfield-deadline-ms": "5000",
+    });
+    expect(meta).deep.equal({
+      id: "9c41",
+      waitMs: 5000,
+      target: { model: "m", adapter: "a7" },
+      promptTokens: 1460,
+      answerTokens: 80,
+      parts: [
+        { id: "5c1e", tokens: 800 },
+        { id: "91bd", tokens: 410 },
+      ],
+      resumeAfter: "12",
+    });
+  });
+
+  it("reads any headers or says which one is wrong", () => {
+    const names = [
+      "x-sumacfield-attempt-id",
+      "x-sumacfield-model",
+      "x-sumacfield-token-usage",
+      "x-sumacfield-prompt-prefix",
+      "x-sumacfield-deadline-ms",
+    ];
+    fc.assert(
+      fc.property(fc.dictionary(fc.constantFrom(...names), fc.string()), (headers) => {
+        try {
+          const meta = wire.PROTOCOL.read(headers);
+          expect(Number.isNaN(meta.promptTokens) || Number.isNaN(meta.waitMs)).equal(false);
+        } catch (err) {
+          expect(err).instanceOf(RangeError);
+        }
+      }),
+    );
+  });
+
+  it("marks a request with what the endpoint must hold to", () => {
+    const marks = wire.PROTOCOL.marks({ instance: "i-1", version: 3, rank: 12, leftMs: 700 });
+    expect(marks).deep.equal({
+      "x-sumacfield-expect-instance": "i-1",
+      "x-sumacfield-deadline-ms": "700",
+      "x-sumacfield-request-priority": "9",
+      "x-sumacfield-expect-version": "3",
+    });
+  });
+
+  it("believes only what vouches that nothing ran", () => {
+    const { notRun } = wire.PROTOCOL;
+    expect(notRun(421, {})).equal(true);
+    expect(notRun(503, { "x-sumacfield-not-executed": "1" })).equal(true);
+    expect(notRun(503, {})).equal(false);
+    expect(notRun(500, {})).equal(false);
+  });
+
+  it("is named nowhere else", () => {
+    const names =
+      /x-sumacfield-|kv-(txn|watch|range|lease)|op\/config|fencingToken|SUMACFIELD_CONFIG/i;
+    const found = sources("src").filter((f) => names.test(fs.readFileSync(f, "utf8")));
+    expect(found).deep.equal([]);
+  });
+});
+
+/** The TypeScript files below a folder. */
+function sources(folder: string): readonly string[] {
+  return fs.readdirSync(folder, { withFileTypes: true }).flatMap((f) => {
+    const at = path.join(folder, f.name);
+    if (f.isDirectory()) return sources(at);
+    return at.endsWith(".ts") ? [at] : [];
+  });
+}
--- /dev/null
+++ b/test/serving/feed.test.ts
@@ -0,0 +1,206 @@
+import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
+import * as record from "../../src/host/record.js";
+import * as sink from "../../src/host/sink.js";
+import type * as catalog from "../../src/serving/catalog.js";
+import * as feed from "../../src/serving/feed.js";
+import type * as source from "../../src/store/source.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+/** A store in memory that can be away or forget its history. */
+class FakeSource implements source.Source {
+  readonly documents = new Map<string, source.Document>();
+  private readonly log: source.Change[] = [];
+  private revision = 0;
+  private forgotten = 0;
+  away = false;
+  calls = 0;
+
+  put(key: string, text: string): void {
+    const document = { key, text, revision: ++this.revision };
+    this.documents.set(key, document);
+    this.log.push({ kind: "written", document });
+  }
+
+  remove(key: string): void {
+    this.documents.delete(key);
+    this.log.push({ kind: "deleted", key, revision: ++this.revision });
+  }
+
+  forget(): void {
+    this.forgotten = this.revision;
+  }
+
+  list = (prefix: string) => {
+    this.answer();
+    const documents = [...this.documents.values()].filter((d) => d.key.startsWith(prefix));
+    return Promise.resolve({ documents, revision: this.revision });
+  };
+
+  changes = async (_prefix: string, after: number): Promise<source.Changes> => {
+    this.answer();
+    if (after < this.forgotten) return { kind: "compacted" };
+    await clock.sleep(clock.system, 10);
+    this.answer();
+    const changes = this.log.filter((c) => revisionOf(c) > after);
+    return { kind: "changes", changes, revision: this.revision };
+  };
+
+  claim = (): Promise<boolean> => Promise.resolve(true);
+
+  private answer(): void {
+    this.calls++;
+    if (this.away) throw new Error("away");
+  }
+}
+
+function revisionOf(c: source.Change): number {
+  return c.kind === "written" ? c.document.revision : c.revision;
+}
+
+/** Documents named `e/ID` are endpoints, `c` is a configuration's version. */
+const DECODER: feed.Decoder = {
+  prefixes: ["e/", "c"],
+  common: "",
+  written: (key, text): catalog.Step | undefined => {
+    if (text === "torn") throw new Error("not readable");
+    if (key === "c") {
+      return { kind: "config", config: { ...fixtures.CONFIG, version: Number(text) } };
+    }
+    return { kind: "endpoint", endpoint: fixtures.endpoint(key.slice(2), text) };
+  },
+  deleted: (key) => ({ kind: "endpoint_gone", id: key.slice(2) }),
+};
+
+const running: feed.Feed[] = [];
+
+function follow(from: FakeSource): feed.Feed {
+  const f = new feed.Feed({
+    clock: clock.system,
+    log: record.silent,
+    source: from,
+    decoder: DECODER,
+    changed: () => undefined,
+    random: () => 0,
+  });
+  running.push(f);
+  void f.run();
+  return f;
+}
+
+async function until(what: () => boolean): Promise<void> {
+  for (let i = 0; i < 400; i++) {
+    if (what()) return;
+    await clock.sleep(clock.system, 10);
+  }
+  throw new Error("it did not come about within 4 s");
+}
+
+describe("feed", () => {
+  afterEach(() => {
+    for (const f of running.splice(0)) f.stop();
+  });
+
+  it("reads everything, and follows what changes", async () => {
+    const s = new FakeSource();
+    s.put("c", "1");
+    s.put("e/a", "10.0.0.1:1");
+    const f = follow(s);
+    await until(() => f.catalog.endpoints.has("a"));
+    s.put("c", "2");
+    s.remove("e/a");
+    await until(() => f.catalog.config?.version === 2);
+    expect(f.catalog.endpoints.size).equal(0);
+  });
+
+  it("makes few calls while much changes", async () => {
+    const s = new FakeSource();
+    const f = follow(s);
+    for (let i = 1; i <= 50; i++) {
+      s.put("c", String(i));
+      await clock.sleep(clock.system, 20);
+    }
+    await until(() => f.catalog.config?.version === 50);
+    expect(s.calls).most(8);
+  });
+
+  it("reads everything again when the store has forgotten its history", async () => {
+    const s = new FakeSource();
+    s.put("e/a", "10.0.0.1:1");
+    const f = follow(s);
+    await until(() => f.catalog.endpoints.has("a"));
+    s.remove("e/a");
+    s.put("e/b", "10.0.0.2:1");
+    s.forget();
+    await until(() => f.catalog.endpoints.has("b"));
+    expect(f.catalog.endpoints.has("a")).equal(false);
+  });
+
+  it("keeps what it knows while the store is away", async () => {
+    const s = new FakeSource();
+    s.put("c", "1");
+    const f = follow(s);
+    await until(() => f.catalog.config?.version === 1);
+    s.away = true;
+    await clock.sleep(clock.system, 100);
+    expect(f.catalog.config?.version).equal(1);
+    s.away = false;
+    s.put("c", "2");
+    await until(() => f.catalog.config?.version === 2);
+  });
+
+  it("keeps endpoints for a while whose entries lapsed while the store was away", async () => {
+    const s = new FakeSource();
+    s.put("e/back", "10.0.0.1:1");
+    s.put("e/gone", "10.0.0.2:1");
+    const f = follow(s);
+    await until(() => f.catalog.endpoints.size === 2);
+    s.away = true;
+    await clock.sleep(clock.system, 800);
+    s.remove("e/back");
+    s.remove("e/gone");
+    s.away = false;
+    await clock.sleep(clock.system, 1000);
+    expect(f.catalog.endpoints.size).equal(2);
+    s.put("e/back", "10.0.0.1:1");
+    await until(() => f.catalog.endpoints.size === 1);
+    expect(f.catalog.endpoints.has("back")).equal(true);
+  }).timeout(10_000);
+
+  it("keeps the configuration in force when the next cannot be read", async () => {
+    const s = new FakeSource();
+    s.put("c", "1");
+    const f = follow(s);
+    await until(() => f.catalog.config?.version === 1);
+    s.put("c", "torn");
+    s.put("e/a", "10.0.0.1:1");
+    await until(() => f.catalog.endpoints.has("a"));
+    expect(f.catalog.config?.version).equal(1);
+  });
+});
+
+describe("sink", () => {
+  it("never blocks, and tells how many lines it dropped", () => {
+    const writes: string[] = [];
+    let done: (() => void) | undefined;
+    const s = new sink.Sink(
+      (text, written) => {
+        writes.push(text);
+        done = () => {
+          written(null);
+        };
+      },
+      (n) => `dropped ${n}`,
+    );
+    s.line("first");
+    s.flush();
+    for (let i = 0; i < 10_000; i++) s.line("x".repeat(100));
+    expect(writes).deep.equal(["first\n"]);
+    expect(s.lost()).above(7000);
+    done?.();
+    expect(writes[1]?.endsWith(`dropped ${s.lost()}\n`)).equal(true);
+    done?.();
+  });
+});
