Move a waiting request to an engine that would take it sooner

Ruled out: refusing sooner (a request expected in 900 ms is still on time in half of the cases). Change: while a seat is waited for, the entry daemon looks every 60 ms whether another engine's estimate is 200 ms better; the log of each request carries the first estimate.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -69,6 +69,12 @@
 const SILENT_STREAM_MS = 1600;
 const SILENT_CALL_MS = 220;
 const SILENT_FACTOR = 4;
+/**
+ * Milliseconds between looks for an engine that would take a waiting request sooner, and by how much
+ * sooner it must be: more than what an estimate is off by at the median.
+ */
+const MOVE_LOOK_MS = 60;
+const MOVE_GAIN_MS = 200;
 /** Bytes of an answer that is no stream; the users' services answer with some 5,000 at most. */
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
@@ -100,6 +106,8 @@
   /** When a refused caller should come back, as far as known. */
   comeBackMs: number;
   firstAt: number | undefined;
+  /** What the first choice's first event was expected to take, in ms. */
+  expectedMs: number | undefined;
   endpoint: string;
 }
 
@@ -126,6 +134,7 @@
       why: "no endpoint is there",
       comeBackMs: Math.max(COME_BACK_MS, a.route.targetMs * WAIT_PART),
       firstAt: undefined,
+      expectedMs: undefined,
       endpoint: "",
     };
     const cut = new AbortController();
@@ -156,6 +165,7 @@
       endpoint: p.endpoint,
       sends: p.sends,
       runs: p.runs,
+      expectedMs: p.expectedMs,
       firstMs,
       tookMs,
       why: ending === "whole" ? undefined : p.why,
@@ -171,6 +181,7 @@
       if (p.sends >= SENDS) return this.giveUp(a, out, p, false);
       const best = await this.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
+      p.expectedMs ??= Math.round(best.firstMs);
       if (p.sends === 0 && this.tooLate(a, best)) {
         p.comeBackMs = best.firstMs;
         p.why = `the first event would come in ${Math.round(best.firstMs)} ms`;
@@ -262,9 +273,11 @@
       asked.over("left");
     };
     cut.addEventListener("abort", left, { once: true });
-    const answer = await asked.answer;
+    const answer = await this.answerOrMove(a, p, best, asked);
     cut.removeEventListener("abort", left);
     switch (answer.kind) {
+      case "moved":
+        return "none";
       case "grant":
         return { ...asked, version: answer.version, instance: answer.instance };
       case "deny":
@@ -281,6 +294,39 @@
     }
   }
 
+  /** Waits for the answer to a wish; gives it up when another engine could take the request sooner. */
+  private async answerOrMove(
+    a: ask.Ask,
+    p: Progress,
+    best: choice.Estimate,
+    asked: link.Seat,
+  ): Promise<link.Answer | { readonly kind: "moved" }> {
+    let answer: link.Answer | undefined;
+    const settled = asked.answer.then((got) => {
+      answer = got;
+    });
+    for (;;) {
+      const woken = new AbortController();
+      await Promise.race([settled, clock.sleep(this.deps.clock, MOVE_LOOK_MS, woken.signal)]);
+      woken.abort();
+      if (answer) return answer;
+      if (!this.soonerElsewhere(a, p, best.view.endpoint.id)) continue;
+      asked.over("left");
+      return { kind: "moved" };
+    }
+  }
+
+  /** Whether another engine than `id` would now take a request much sooner. */
+  private soonerElsewhere(a: ask.Ask, p: Progress, id: string): boolean {
+    const list = this.candidates(a, p);
+    const top = list[0];
+    const here = list.find((e) => e.view.endpoint.id === id);
+    if (!top || top === here) return false;
+    if (!here) return true;
+    const sooner = here.firstMs + here.extraMs - (top.firstMs + top.extraMs);
+    return sooner > MOVE_GAIN_MS;
+  }
+
   /** Sends to one endpoint; undefined when a further one is to be tried. */
   private async send(
     a: ask.Ask,
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -12,8 +12,8 @@
 /** Milliseconds to connect; the other side of a failure domain answers within a few. */
 const CONNECT_MS = 600;
 /** Milliseconds until the next try, at first and at most. */
-const RETRY_MS = 150;
-const RETRY_MAX_MS = 1500;
+const RETRY_MS = 100;
+const RETRY_MAX_MS = 800;
 /**
  * Milliseconds after which an endpoint daemon that said nothing since it was asked counts as silent;
  * it says something within some 30 ms of each question.
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -107,7 +107,7 @@
 
 /** Waiters in the order they are served: those not yet late first, then the earlier. */
 function inOrder(waiting: readonly Waiter[], now: number): readonly Waiter[] {
-  const key = (w: Waiter): number => w.since + w.rank * RANK_MS;
+  const key = (w: Waiter): number => w.targetAt + w.rank * RANK_MS;
   const late = (w: Waiter): number => (now > w.targetAt ? 1 : 0);
   return [...waiting].sort((a, b) => late(a) - late(b) || key(a) - key(b));
 }
--- /dev/null
+++ b/test/serving/engines.ts
@@ -0,0 +1,121 @@
+/**
+ * Keepers over fake engines, each with its door and a link to it.
+ * @module
+ */
+import * as net from "node:net";
+import * as clock from "../../src/host/clock.js";
+import * as record from "../../src/host/record.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as desk from "../../src/serving/desk.js";
+import * as keeper from "../../src/serving/keeper.js";
+import * as link from "../../src/serving/link.js";
+import * as fakes from "./fake-engine.js";
+import * as fixtures from "./fixtures.js";
+
+/** What ends the sites of the test at hand, also when it fails. */
+const ends: (() => void)[] = [];
+
+/** Ends all sites; to be called after each test. */
+export function endAll(): void {
+  for (const end of ends.splice(0)) end();
+}
+
+/** A configuration whose only service has engines of some slots. */
+export function configOf(slots: number): catalog.Config {
+  const engine: catalog.EngineSpec = {
+    seats: 8,
+    cacheTokens: 1000,
+    memoryMb: 1000,
+    slots,
+    loadsPerS: 1,
+    models: [{ name: "m", sizeMb: 100, loadMs: 50 }],
+  };
+  const service: catalog.Service = { ...fixtures.SERVICE, engine };
+  return { ...fixtures.CONFIG, services: new Map([[service.name, service]]) };
+}
+
+/** A keeper over a fake engine, with its door open, and one entry daemon's link to it. */
+export async function site(instance = "i1", slots = 2) {
+  const engine = new fakes.FakeEngine();
+  engine.instance = instance;
+  let at: catalog.Catalog = {
+    ...catalog.EMPTY,
+    config: configOf(slots),
+  };
+  const kept = new keeper.Keeper({
+    clock: clock.system,
+    log: record.silent,
+    engine,
+    catalog: () => at,
+    service: fixtures.SERVICE.name,
+    modelTurn: () => Promise.resolve(true),
+  });
+  const port = await freePort();
+  const address = `127.0.0.1:${port}`;
+  const open = () => desk.open(address, { clock: clock.system, log: record.silent, keeper: kept });
+  let door = await open();
+  const lost: string[] = [];
+  const made = new link.Link(address, {
+    clock: clock.system,
+    log: record.silent,
+    host: "entry",
+    lost: (id) => lost.push(id),
+  });
+  void kept.run();
+  ends.push(() => {
+    made.close();
+    door.close();
+    kept.stop();
+  });
+  await until(() => made.state?.instance === engine.instance);
+  return {
+    engine,
+    address,
+    keeper: kept,
+    link: made,
+    lost,
+    declare: (adapter: string, version: number) => {
+      at = catalog.step(at, { kind: "version", key: `m/${adapter}`, version });
+      engine.newest = version;
+      kept.heard();
+    },
+    closeDoor: () => {
+      door.close();
+    },
+    openDoor: async () => {
+      door = await open();
+    },
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+export async function until(what: () => boolean): Promise<void> {
+  for (let i = 0; i < 400; i++) {
+    if (what()) return;
+    await clock.sleep(clock.system, 10);
+  }
+  throw new Error("it did not come about within 4 s");
+}
+
+export function wish(adapter: string, leftMs = 3000): link.Wish {
+  return {
+    request: adapter,
+    model: "m",
+    adapter,
+    version: 0,
+    promptTokens: 100,
+    answerTokens: 10,
+    rank: 1,
+    targetMs: 1000,
+    leftMs,
+  };
+}
--- /dev/null
+++ b/test/serving/moves.test.ts
@@ -0,0 +1,115 @@
+import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
+import * as record from "../../src/host/record.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as dispatch from "../../src/serving/dispatch.js";
+import * as endpoints from "../../src/serving/endpoints.js";
+import * as link from "../../src/serving/link.js";
+import * as meters from "../../src/serving/meters.js";
+import * as upstream from "../../src/serving/upstream.js";
+import * as engines from "./engines.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+const ROUTE: catalog.Route = { ...fixtures.ROUTE, kind: "stream", targetMs: 2000, timeoutMs: 4000 };
+
+describe("a waiting request", () => {
+  afterEach(engines.endAll);
+
+  it("moves to an engine that would take it sooner", async () => {
+    const sites = [await engines.site("i1", 1), await engines.site("i2", 1)];
+    const workers = await Promise.all(
+      sites.map(() =>
+        fixtures.worker((_req, res) => {
+          res.writeHead(200, fixtures.good());
+          res.end("id: 1\ndata: x\n\n");
+        }),
+      ),
+    );
+    const list = workers.map((w, i) => fixtures.endpoint(`i${i + 1}`, w.address));
+    const at: catalog.Catalog = {
+      ...catalog.EMPTY,
+      config: engines.configOf(1),
+      endpoints: new Map(list.map((e) => [e.id, e])),
+    };
+    // Other hosts use the only slot of each engine.
+    const others = sites.map((s) => s.link.ask(engines.wish("other")));
+    await Promise.all(others.map((o) => o.answer));
+    const known = new endpoints.Endpoints(
+      {
+        clock: clock.system,
+        log: record.silent,
+        host: "entry",
+        catalog: () => at,
+        daemonOf: (e) => sites[list.indexOf(e)]?.address ?? "",
+      },
+      clock.system,
+    );
+    known.refresh();
+    const up = new upstream.Upstream(fixtures.WIRE);
+    const d = new dispatch.Dispatch(
+      { domain: "d1", retries: { ratio: 0.2, slack: 58, windowMs: 10_000 } },
+      {
+        clock: clock.system,
+        log: record.silent,
+        meters: meters.open(),
+        endpoints: known,
+        upstream: up,
+        catalog: () => at,
+        random: () => 0,
+      },
+    );
+    const service = at.config?.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
+    await engines.until(() => known.views(service).every((v) => v.state !== undefined));
+    const seen: string[] = [];
+    const served = d.serve(
+      fixtures.request({
+        route: ROUTE,
+        service,
+        meta: {
+          id: "r1",
+          waitMs: 4000,
+          target: { model: "m", adapter: "a" },
+          promptTokens: 100,
+          answerTokens: 10,
+          parts: [],
+        },
+        dueAt: performance.now() + 4000,
+      }),
+      {
+        gone: new AbortController().signal,
+        begin: (status) => seen.push(`begin ${status}`),
+        write: () => undefined,
+        end: () => seen.push("end"),
+        breakOff: () => seen.push("broken"),
+        answer: (status) => seen.push(`answer ${status}`),
+        refuse: (status) => seen.push(`refuse ${status}`),
+      },
+    );
+    await engines.until(() => sites.some((s) => s.keeper.count() === 2));
+    // The engine where the request does not wait becomes free.
+    const free = sites.findIndex((s) => s.keeper.count() === 1);
+    others[free]?.over("whole");
+    await served;
+    expect(seen).deep.equal(["begin 200", "end"]);
+    expect([...(sites[free]?.engine.held.keys() ?? [])]).deep.equal(["a"]);
+    known.close();
+    up.close();
+    for (const w of workers) w.close();
+  });
+});
+
+describe("a link", () => {
+  afterEach(engines.endAll);
+
+  it("forgets the state, but not the holdings, of a daemon that is away", async () => {
+    const s = await engines.site("i1", 2);
+    const seat: link.Seat = s.link.ask(engines.wish("a"));
+    await seat.answer;
+    await engines.until(() => s.link.holdings?.resident.includes("m/a") ?? false);
+    s.closeDoor();
+    await engines.until(() => s.link.state === undefined);
+    expect(s.link.holdings?.resident).deep.equal(["m/a"]);
+  });
+});
