Split the dispatcher and the keeper by what they own

Cause: dispatch.ts (566 lines) and keeper.ts (498) each did several jobs. Change: seeker.ts finds an endpoint and a seat; progress.ts holds a request's state and the caller's side; ledger.ts the seats of an engine and what they tell; announcer.ts what entry daemons hear. Behaviour stays as it is.

--- a/src/serving/desk.ts
+++ b/src/serving/desk.ts
@@ -6,6 +6,7 @@
 import * as net from "node:net";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
+import type * as announcer from "./announcer.js";
 import type * as keeper from "./keeper.js";
 import * as lines from "./lines.js";
 import * as seat from "./seat.js";
@@ -42,7 +43,7 @@
 }
 
 function take(socket: net.Socket, count: number, deps: Deps, over: () => void): void {
-  let client: keeper.Client | undefined;
+  let client: announcer.Client | undefined;
   let last: seat.State | undefined;
   let timer: clock.Timer | undefined;
   const speak = (m: seat.State): void => {
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -1,67 +1,33 @@
 /**
- * The task of one request: finds an endpoint, asks for a seat where one is needed, sends the request,
- * passes the answer on, and goes to a further endpoint only where that is allowed and safe.
+ * The task of one request: sends it to the endpoint that was found for it, passes the answer on, and
+ * goes to a further endpoint only where that is allowed and safe.
  * @module
  */
-import * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import type * as ask from "./ask.js";
 import * as catalog from "./catalog.js";
-import * as choice from "./choice.js";
-import type * as endpoints from "./endpoints.js";
+import type * as choice from "./choice.js";
 import * as events from "./events.js";
 import type * as link from "./link.js";
 import type * as meters from "./meters.js";
+import type * as progress from "./progress.js";
 import * as retries from "./retries.js";
+import * as seeker from "./seeker.js";
 import * as upstream from "./upstream.js";
 
-type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
-
-/** The caller's side of a request. Nothing is passed on before {@link Outlet.begin}. */
-export interface Outlet {
-  /** Aborts when the caller goes away. */
-  readonly gone: AbortSignal;
-  readonly begin: (status: number, headers: Headers) => void;
-  /** Passes bytes on; resolves when the caller takes more. */
-  readonly write: (bytes: Buffer) => Promise<void> | undefined;
-  readonly end: () => void;
-  /** Breaks an answer off that has begun, so that it does not look whole. */
-  readonly breakOff: () => void;
-  readonly answer: (status: number, headers: Headers, body: Buffer) => void;
-  /** Refuses; `comeBackMs` is told where the request was not run. */
-  readonly refuse: (status: number, message: string, comeBackMs?: number) => void;
-}
-
 export interface Options {
   readonly domain: string;
   readonly retries: retries.Options;
 }
 
-export interface Deps {
-  readonly clock: clock.Clock;
+export interface Deps extends seeker.Deps {
   readonly log: record.Log;
   readonly meters: meters.Meters;
-  readonly endpoints: endpoints.Endpoints;
   readonly upstream: upstream.Upstream;
-  readonly catalog: () => catalog.Catalog;
-  readonly random: () => number;
 }
 
-/** Part of its target that a request without an endpoint waits for one; refusals must come early. */
-const WAIT_PART = 0.2;
-/** Milliseconds between looks for an endpoint while there is none. */
-const LOOK_MS = 15;
 /** Milliseconds left below which a further send makes no sense. */
 const LEAST_MS = 20;
-/**
- * Callers leave a stream that is silent for the longest of these: some time, some targets, some of
- * the pauses that are on time. By the users' pages.
- */
-const PATIENCE_MS = 2000;
-const PATIENCE_TARGETS = 4;
-const PATIENCE_GAPS = 8;
-/** Part of its time that a request is held at most for a seat: over half of it counts as lost. */
-const HOLD_PART = 0.42;
 /**
  * Milliseconds without a sign of an answer after which a repeatable request is sent elsewhere, and
  * the same as a multiple of the time expected: above what engines and services take when full.
@@ -69,12 +35,6 @@
 const SILENT_STREAM_MS = 1600;
 const SILENT_CALL_MS = 220;
 const SILENT_FACTOR = 4;
-/**
- * Milliseconds between looks for an engine that would take a waiting request sooner, and by how much
- * sooner it must be: more than what an estimate is off by at the median.
- */
-const MOVE_LOOK_MS = 60;
-const MOVE_GAIN_MS = 200;
 /** Bytes of an answer that is no stream; the users' services answer with some 5,000 at most. */
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
@@ -83,56 +43,34 @@
 const COME_BACK_PART = 0.3;
 /** Milliseconds after which a refused caller is told to come back at least. */
 const COME_BACK_MS = 120;
-/**
- * Estimated first event, as a part of the target, above which a request is refused at once instead
- * of being late: a rank that is less urgent gives way sooner.
- */
-const LATEST_BY_RANK = [1.4, 1.3, 1.0] as const;
 const SERVED = 200;
 
-/** How a request ended, for the log and the meters. */
-export type Ending =
-  "whole" | "late" | "refused" | "failed" | "unknown" | "broken" | "left" | "passed_failure";
-
-/** One request under way. */
-interface Progress {
-  sends: number;
-  /** Sends that ran or may have run. */
-  runs: number;
-  readonly tried: Set<string>;
-  begun: boolean;
-  lastId: string | undefined;
-  why: string;
-  /** When a refused caller should come back, as far as known. */
-  comeBackMs: number;
-  firstAt: number | undefined;
-  /** What the first choice's first event was expected to take, in ms. */
-  expectedMs: number | undefined;
-  endpoint: string;
-}
-
 export class Dispatch {
   private windows = new Map<string, retries.Window>();
 
+  private readonly seeker: seeker.Seeker;
+
   constructor(
     private readonly opts: Options,
     private readonly deps: Deps,
-  ) {}
+  ) {
+    this.seeker = new seeker.Seeker(opts.domain, deps);
+  }
 
   /** Serves one request to its end. */
-  async serve(a: ask.Ask, out: Outlet): Promise<void> {
+  async serve(a: ask.Ask, out: progress.Outlet): Promise<void> {
     const { service } = a;
     const now = this.deps.clock.mono();
     const window = this.windows.get(service.name) ?? retries.EMPTY;
     this.windows.set(service.name, retries.request(window, now, this.opts.retries));
-    const p: Progress = {
+    const p: progress.Progress = {
       sends: 0,
       runs: 0,
       tried: new Set(),
       begun: false,
       lastId: a.meta.resumeAfter,
       why: "no endpoint is there",
-      comeBackMs: Math.max(COME_BACK_MS, a.route.targetMs * WAIT_PART),
+      comeBackMs: Math.max(COME_BACK_MS, a.route.targetMs * seeker.WAIT_PART),
       firstAt: undefined,
       expectedMs: undefined,
       endpoint: "",
@@ -143,7 +81,7 @@
     };
     out.gone.addEventListener("abort", stop, { once: true });
     const timer = this.deps.clock.after(Math.max(0, a.dueAt - now), stop);
-    let ending: Ending = "failed";
+    let ending: progress.Ending = "failed";
     try {
       ending = await this.attempts(a, out, p, cut.signal);
     } finally {
@@ -153,7 +91,7 @@
     }
   }
 
-  private tell(a: ask.Ask, p: Progress, ending: Ending): void {
+  private tell(a: ask.Ask, p: progress.Progress, ending: progress.Ending): void {
     const now = this.deps.clock.mono();
     const firstMs = p.firstAt === undefined ? undefined : Math.round(p.firstAt - a.arrivedAt);
     const tookMs = Math.round(now - a.arrivedAt);
@@ -172,22 +110,27 @@
     });
   }
 
-  private async attempts(a: ask.Ask, out: Outlet, p: Progress, cut: AbortSignal): Promise<Ending> {
+  private async attempts(
+    a: ask.Ask,
+    out: progress.Outlet,
+    p: progress.Progress,
+    cut: AbortSignal,
+  ): Promise<progress.Ending> {
     for (;;) {
       if (out.gone.aborted) return "left";
       const left = a.dueAt - this.deps.clock.mono();
       if (left < LEAST_MS) return this.giveUp(a, out, p, true);
       if (p.runs > 0 && p.runs >= a.route.attempts) return this.giveUp(a, out, p, false);
       if (p.sends >= SENDS) return this.giveUp(a, out, p, false);
-      const best = await this.pick(a, p, cut);
+      const best = await this.seeker.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
       p.expectedMs ??= Math.round(best.firstMs);
-      if (p.sends === 0 && this.tooLate(a, best)) {
+      if (p.sends === 0 && this.seeker.tooLate(a, best)) {
         p.comeBackMs = best.firstMs;
         p.why = `the first event would come in ${Math.round(best.firstMs)} ms`;
         return this.giveUp(a, out, p, false);
       }
-      const seat = a.service.engine ? await this.seat(a, best, p, cut) : undefined;
+      const seat = a.service.engine ? await this.seeker.seat(a, best, p, cut) : undefined;
       if (seat === "none") continue;
       if (p.sends > 0 && !this.mayRetry(a)) {
         seat?.over("left");
@@ -199,11 +142,6 @@
     }
   }
 
-  private tooLate(a: ask.Ask, best: choice.Estimate): boolean {
-    const factor = LATEST_BY_RANK[a.route.rank] ?? LATEST_BY_RANK[2];
-    return a.service.engine !== undefined && best.firstMs > a.route.targetMs * factor;
-  }
-
   private mayRetry(a: ask.Ask): boolean {
     const hosts = this.deps.endpoints.hosts() ?? retries.HOSTS;
     const window = this.windows.get(a.service.name) ?? retries.EMPTY;
@@ -212,130 +150,15 @@
     return next !== undefined;
   }
 
-  /** The best endpoint; waits a little for one where there is none. */
-  private async pick(
-    a: ask.Ask,
-    p: Progress,
-    cut: AbortSignal,
-  ): Promise<choice.Estimate | undefined> {
-    const from = p.sends === 0 ? a.arrivedAt : this.deps.clock.mono();
-    const until = Math.min(a.dueAt, from + a.route.targetMs * WAIT_PART);
-    for (;;) {
-      const best = this.candidates(a, p)[0];
-      if (best || cut.aborted) return best;
-      // Where all were tried, the least bad of them may have come back.
-      if (this.deps.clock.mono() >= until) return undefined;
-      p.tried.clear();
-      await clock.sleep(this.deps.clock, LOOK_MS, cut);
-    }
-  }
-
-  private candidates(a: ask.Ask, p: Progress): readonly choice.Estimate[] {
-    const views = this.deps.endpoints.views(a.service);
-    const { target } = a.meta;
-    const { domain } = this.opts;
-    if (!a.service.engine || !target) {
-      return choice.plain(views, { domain, tried: p.tried }, this.deps.random);
-    }
-    return choice.engines(views, {
-      model: target.model,
-      key: target.adapter && catalog.adapterKey(target.model, target.adapter),
-      promptTokens: a.meta.promptTokens,
-      rank: a.route.rank,
-      domain,
-      tried: p.tried,
-    });
-  }
-
-  /** A seat on an engine; "none" when it cannot be had there, undefined to go without. */
-  private async seat(
-    a: ask.Ask,
-    best: choice.Estimate,
-    p: Progress,
-    cut: AbortSignal,
-  ): Promise<Granted | "none" | undefined> {
-    const { endpoint } = best.view;
-    const { target } = a.meta;
-    if (!target) return undefined;
-    const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
-    const asked = this.deps.endpoints.link(endpoint).ask({
-      request: a.meta.id,
-      model: target.model,
-      ...(target.adapter !== undefined && { adapter: target.adapter }),
-      version: key === undefined ? 0 : (this.deps.catalog().versions.get(key) ?? 0),
-      promptTokens: a.meta.promptTokens,
-      answerTokens: a.meta.answerTokens,
-      rank: a.route.rank,
-      targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - this.deps.clock.mono()),
-      leftMs: Math.max(1, holdMs(a, p, this.deps.clock.mono())),
-    });
-    const left = (): void => {
-      asked.over("left");
-    };
-    cut.addEventListener("abort", left, { once: true });
-    const answer = await this.answerOrMove(a, p, best, asked);
-    cut.removeEventListener("abort", left);
-    switch (answer.kind) {
-      case "moved":
-        return "none";
-      case "grant":
-        return { ...asked, version: answer.version, instance: answer.instance };
-      case "deny":
-        p.tried.add(endpoint.id);
-        p.why = `the engine's seat was denied: ${answer.reason}`;
-        return "none";
-      case "unreachable":
-        if (cut.aborted) return "none";
-        p.why = "the endpoint daemon is not reached";
-        // What the engine held may still be there, and it refuses what it does not hold.
-        if (choice.holding(best.view, key) === "resident") return undefined;
-        p.tried.add(endpoint.id);
-        return "none";
-    }
-  }
-
-  /** Waits for the answer to a wish; gives it up when another engine could take the request sooner. */
-  private async answerOrMove(
-    a: ask.Ask,
-    p: Progress,
-    best: choice.Estimate,
-    asked: link.Seat,
-  ): Promise<link.Answer | { readonly kind: "moved" }> {
-    let answer: link.Answer | undefined;
-    const settled = asked.answer.then((got) => {
-      answer = got;
-    });
-    for (;;) {
-      const woken = new AbortController();
-      await Promise.race([settled, clock.sleep(this.deps.clock, MOVE_LOOK_MS, woken.signal)]);
-      woken.abort();
-      if (answer) return answer;
-      if (!this.soonerElsewhere(a, p, best.view.endpoint.id)) continue;
-      asked.over("left");
-      return { kind: "moved" };
-    }
-  }
-
-  /** Whether another engine than `id` would now take a request much sooner. */
-  private soonerElsewhere(a: ask.Ask, p: Progress, id: string): boolean {
-    const list = this.candidates(a, p);
-    const top = list[0];
-    const here = list.find((e) => e.view.endpoint.id === id);
-    if (!top || top === here) return false;
-    if (!here) return true;
-    const sooner = here.firstMs + here.extraMs - (top.firstMs + top.extraMs);
-    return sooner > MOVE_GAIN_MS;
-  }
-
   /** Sends to one endpoint; undefined when a further one is to be tried. */
   private async send(
     a: ask.Ask,
-    out: Outlet,
-    p: Progress,
+    out: progress.Outlet,
+    p: progress.Progress,
     best: choice.Estimate,
-    seat: Granted | undefined,
+    seat: seeker.Granted | undefined,
     cut: AbortSignal,
-  ): Promise<Ending | undefined> {
+  ): Promise<progress.Ending | undefined> {
     const { endpoint } = best.view;
     const sentAt = this.deps.clock.mono();
     const leftMs = Math.max(1, Math.floor(a.dueAt - sentAt));
@@ -359,7 +182,10 @@
     }
   }
 
-  private sort(run: Run, sent: upstream.Sent): Promise<Ending | undefined> | Ending | undefined {
+  private sort(
+    run: Run,
+    sent: upstream.Sent,
+  ): Promise<progress.Ending | undefined> | progress.Ending | undefined {
     const { p, endpoint } = run;
     switch (sent.kind) {
       case "not_run":
@@ -381,7 +207,7 @@
    * Watches one send. One that may be repeated is broken off when its engine is known to be gone, or
    * when it gets no sign of an answer for much longer than expected and another endpoint may have it.
    */
-  private watch(a: ask.Ask, p: Progress, best: choice.Estimate, cut: AbortSignal): Watch {
+  private watch(a: ask.Ask, p: progress.Progress, best: choice.Estimate, cut: AbortSignal): Watch {
     const { id } = best.view.endpoint;
     if (!catalog.repeatable(a.route)) {
       return { signal: cut, answered: () => undefined, end: () => undefined };
@@ -422,7 +248,7 @@
   }
 
   /** A send that may have run came to nothing. */
-  private broke(r: Run, why: string): Ending | undefined {
+  private broke(r: Run, why: string): progress.Ending | undefined {
     const { a, out, p } = r;
     p.why = `${r.endpoint.id} broke off: ${why}`;
     if (out.gone.aborted || r.cut.aborted) {
@@ -436,7 +262,7 @@
     return this.giveUp(a, out, p, false);
   }
 
-  private async pass(r: Run, sent: Answer): Promise<Ending | undefined> {
+  private async pass(r: Run, sent: Answer): Promise<progress.Ending | undefined> {
     const { a, p } = r;
     if (sent.status >= 500 && catalog.repeatable(a.route) && this.another(a, p)) {
       await upstream.dump(sent.body);
@@ -447,11 +273,11 @@
   }
 
   /** Whether a further send is allowed after one that ran. */
-  private another(a: ask.Ask, p: Progress): boolean {
+  private another(a: ask.Ask, p: progress.Progress): boolean {
     return p.runs < a.route.attempts && p.sends < SENDS;
   }
 
-  private async passWhole(r: Run, sent: Answer): Promise<Ending | undefined> {
+  private async passWhole(r: Run, sent: Answer): Promise<progress.Ending | undefined> {
     const { out, p } = r;
     let body: Buffer;
     try {
@@ -469,7 +295,7 @@
     return "passed_failure";
   }
 
-  private async passStream(r: Run, sent: Answer): Promise<Ending | undefined> {
+  private async passStream(r: Run, sent: Answer): Promise<progress.Ending | undefined> {
     const { out, p } = r;
     const cutter = new events.Cutter();
     const resumed = p.lastId;
@@ -507,7 +333,12 @@
   }
 
   /** The final answer to a request that is given up. */
-  private giveUp(a: ask.Ask, out: Outlet, p: Progress, late: boolean): Ending {
+  private giveUp(
+    a: ask.Ask,
+    out: progress.Outlet,
+    p: progress.Progress,
+    late: boolean,
+  ): progress.Ending {
     if (out.gone.aborted) return "left";
     if (p.begun) {
       out.breakOff();
@@ -525,19 +356,13 @@
 
 type Answer = Extract<upstream.Sent, { kind: "answer" }>;
 
-/** A seat that was given. */
-interface Granted extends link.Seat {
-  readonly version: number | undefined;
-  readonly instance: string;
-}
-
 /** One send under way. */
 interface Run {
   readonly a: ask.Ask;
-  readonly out: Outlet;
-  readonly p: Progress;
+  readonly out: progress.Outlet;
+  readonly p: progress.Progress;
   readonly endpoint: catalog.Endpoint;
-  readonly seat: Granted | undefined;
+  readonly seat: seeker.Granted | undefined;
   readonly sentAt: number;
   readonly cut: AbortSignal;
   readonly watch: Watch;
@@ -551,15 +376,6 @@
   readonly end: () => void;
 }
 
-/** Milliseconds for which a request is held for a seat; then its caller is better told to come back. */
-function holdMs(a: ask.Ask, p: Progress, now: number): number {
-  const { targetMs, gapMs } = a.route;
-  const gaps = Number.isFinite(gapMs) ? PATIENCE_GAPS * gapMs : 0;
-  const patienceMs = Math.max(PATIENCE_MS, PATIENCE_TARGETS * targetMs, gaps);
-  const from = p.sends === 0 ? a.arrivedAt : now;
-  return from + HOLD_PART * Math.min(a.dueAt - from, patienceMs) - now;
-}
-
 /** Whether an event of a resumed stream was passed on before. */
 function isPassed(id: string | undefined, last: string): boolean {
   return id !== undefined && Number(id) <= Number(last);
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -10,6 +10,7 @@
 import * as catalog from "./catalog.js";
 import type * as dispatch from "./dispatch.js";
 import type * as door from "./door.js";
+import type * as progress from "./progress.js";
 import type * as protocol from "./protocol.js";
 
 export interface Deps {
@@ -240,7 +241,7 @@
   req: http.IncomingMessage,
   res: http.ServerResponse,
   wire: protocol.Protocol,
-): dispatch.Outlet {
+): progress.Outlet {
   const gone = new AbortController();
   res.once("close", () => {
     if (!res.writableFinished) gone.abort();
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -5,12 +5,12 @@
  * changes nothing that was decided since.
  * @module
  */
-import * as util from "node:util";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
-import * as backlog from "./backlog.js";
+import * as announcer from "./announcer.js";
 import * as catalog from "./catalog.js";
 import type * as engine from "./engine.js";
+import * as ledger from "./ledger.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
 import * as warmth from "./warmth.js";
@@ -23,15 +23,6 @@
 const RETRY_MS = 100;
 /** Looks in a row without an answer after which the engine counts as out. */
 const MISSES = 2;
-/** Milliseconds between two states sent, so that many changes make one message. */
-const STATE_MS = 20;
-/** Weight of the latest run in the part of runs that fail. */
-const LATEST_FAILURE = 0.12;
-/** Weight of the latest run in the time that a seat is held. */
-const LATEST_HOLD = 0.1;
-/** Milliseconds that a seat is held, until runs tell: a short answer of the users' sheet. */
-const USUAL_HOLD_MS = 600;
-
 /** Figures for adapters: see {@link residency.Options}. */
 const LOADS_AT_ONCE = 4;
 const CLOSE_AFTER_MS = 120;
@@ -49,39 +40,24 @@
   readonly modelTurn: () => Promise<boolean>;
 }
 
-/** An entry daemon's connection. */
-export interface Client {
-  readonly host: string;
-  readonly send: (m: seat.FromEndpoint) => void;
-  readonly sendState: (m: seat.State) => void;
-  readonly sendHoldings: (m: seat.Holdings) => void;
-}
-
-interface Seat {
-  readonly client: Client;
-  readonly n: number;
-  readonly request: string;
-  readonly key: string;
-  readonly askedAt: number;
-  readonly givenAt: number | undefined;
-}
-
 export class Keeper {
   private state = residency.empty();
-  private load = backlog.IDLE;
-  private readonly seats = new Map<string, Seat>();
-  private readonly clients = new Set<Client>();
+  private readonly ledger = new ledger.Ledger();
+  private readonly news: announcer.Announcer;
   private instance = "";
   private sequence = 0;
   private misses = 0;
   private lookedAt = -Infinity;
-  private failing = 0;
-  private holdMs = USUAL_HOLD_MS;
   private wake: (() => void) | undefined;
-  private stateTimer: clock.Timer | undefined;
   private stopped = false;
 
-  constructor(private readonly deps: Deps) {}
+  constructor(private readonly deps: Deps) {
+    this.news = new announcer.Announcer(
+      deps.clock,
+      () => this.snapshot(),
+      () => this.holdings(),
+    );
+  }
 
   /** Looks after the engine until {@link stop}. */
   async run(): Promise<void> {
@@ -114,34 +90,23 @@
     this.wake?.();
   }
 
-  join(c: Client): void {
-    this.clients.add(c);
-    c.sendHoldings(this.holdings());
-    c.sendState(this.snapshot());
-    this.changed();
+  join(c: announcer.Client): void {
+    this.news.join(c);
   }
 
   /** A connection is over; its seats are, too. */
-  leave(c: Client): void {
-    this.clients.delete(c);
-    for (const [id, s] of this.seats) if (s.client === c) this.over(id, "left");
-    this.changed();
+  leave(c: announcer.Client): void {
+    for (const id of this.ledger.of(c)) this.over(id, "left");
+    this.news.leave(c);
   }
 
-  ask(c: Client, m: Extract<seat.FromEntry, { kind: "ask" }>): void {
+  ask(c: announcer.Client, m: Extract<seat.FromEntry, { kind: "ask" }>): void {
     const now = this.deps.clock.mono();
     const key = m.adapter === undefined ? m.model : catalog.adapterKey(m.model, m.adapter);
     const id = `${c.host}#${m.seat}`;
     if (m.version > 0) this.state = residency.declare(this.state, key, m.version, now);
-    this.seats.set(id, {
-      client: c,
-      n: m.seat,
-      request: m.request,
-      key,
-      askedAt: now,
-      givenAt: undefined,
-    });
-    this.load = backlog.asked(this.load, id, m.promptTokens, m.rank);
+    const asked = { client: c, n: m.seat, request: m.request, key, askedAt: now };
+    this.ledger.ask(id, { ...asked, givenAt: undefined }, m.promptTokens, m.rank);
     const { model, adapter, rank } = m;
     const waiter = {
       seat: id,
@@ -160,13 +125,13 @@
     this.changed();
   }
 
-  began(c: Client, n: number, ms: number): void {
-    this.load = backlog.began(this.load, `${c.host}#${n}`, ms);
+  began(c: announcer.Client, n: number, ms: number): void {
+    this.ledger.began(`${c.host}#${n}`, ms);
     this.changed();
   }
 
   /** A seat is not needed any more. */
-  end(c: Client, n: number, how: Extract<seat.FromEntry, { kind: "over" }>["how"]): void {
+  end(c: announcer.Client, n: number, how: ledger.End): void {
     this.over(`${c.host}#${n}`, how);
     if (how === "absent") this.lookedAt = -Infinity;
     this.wake?.();
@@ -175,23 +140,18 @@
 
   /** Seats given or asked for. */
   count(): number {
-    return this.seats.size;
+    return this.ledger.count;
   }
 
-  private over(id: string, how: Extract<seat.FromEntry, { kind: "over" }>["how"]): void {
-    const s = this.seats.get(id);
+  private over(id: string, how: ledger.End): void {
+    const s = this.ledger.remove(id);
     if (!s) return;
-    this.seats.delete(id);
-    this.load = backlog.over(this.load, id);
     if (s.givenAt === undefined) {
       this.state = residency.answered(this.state, id);
       return;
     }
     this.state = residency.pin(this.state, s.key, -1);
-    const held = this.deps.clock.mono() - s.givenAt;
-    this.holdMs += (held - this.holdMs) * LATEST_HOLD;
-    if (how === "failed") this.failing += (1 - this.failing) * LATEST_FAILURE;
-    if (how === "whole") this.failing -= this.failing * LATEST_FAILURE;
+    this.ledger.learn(how, this.deps.clock.mono() - s.givenAt);
   }
 
   private options(): residency.Options {
@@ -227,13 +187,11 @@
   }
 
   private grant(w: residency.Waiter, version: number | undefined): void {
-    const s = this.seats.get(w.seat);
+    const now = this.deps.clock.mono();
+    const s = this.ledger.give(w.seat, now);
     this.state = residency.answered(this.state, w.seat);
     if (!s) return;
-    const now = this.deps.clock.mono();
     this.state = residency.pin(this.state, w.key, 1);
-    this.load = backlog.given(this.load, w.seat);
-    this.seats.set(w.seat, { ...s, givenAt: now });
     s.client.send({ kind: "grant", seat: s.n, instance: this.instance, version });
     const waitedMs = now - s.askedAt;
     this.deps.log.info("A seat was given.", {
@@ -247,11 +205,9 @@
   }
 
   private deny(id: string, reason: seat.Deny): void {
-    const s = this.seats.get(id);
+    const s = this.ledger.remove(id);
     this.state = residency.answered(this.state, id);
     if (!s) return;
-    this.seats.delete(id);
-    this.load = backlog.over(this.load, id);
     s.client.send({ kind: "deny", seat: s.n, reason });
     const waitedMs = this.deps.clock.mono() - s.askedAt;
     this.deps.log.info("A seat was denied.", {
@@ -342,7 +298,6 @@
   }
 
   private warmth = warmth.UNKNOWN;
-  private told: seat.Holdings | undefined;
 
   private learn(report: engine.Report, askedAt: number): void {
     const listed = report.models.flatMap((m) =>
@@ -467,11 +422,11 @@
     return {
       kind: "state",
       instance: this.instance,
-      waitMs: backlog.waits(this.load),
+      waitMs: this.ledger.waits,
       slotMs: Math.round(this.slotMs()),
-      seats: this.seats.size,
-      failing: Math.round(this.failing * 100) / 100,
-      entries: this.clients.size,
+      seats: this.ledger.count,
+      failing: Math.round(this.ledger.failing * 100) / 100,
+      entries: this.news.count(),
     };
   }
 
@@ -479,20 +434,10 @@
   private slotMs(): number {
     const { slots } = this.options();
     const { free, wanted } = residency.room(this.state, slots);
-    return free > wanted ? 0 : ((wanted - free + 1) * this.holdMs) / slots;
+    return free > wanted ? 0 : ((wanted - free + 1) * this.ledger.holdMs) / slots;
   }
 
-  /** Tells the entry daemons, soon and once for many changes. */
   private changed(): void {
-    this.stateTimer ??= this.deps.clock.after(STATE_MS, () => {
-      this.stateTimer = undefined;
-      const held = this.holdings();
-      if (!util.isDeepStrictEqual(held, this.told)) {
-        this.told = held;
-        for (const c of this.clients) c.sendHoldings(held);
-      }
-      const m = this.snapshot();
-      for (const c of this.clients) c.sendState(m);
-    });
+    this.news.changed();
   }
 }
--- /dev/null
+++ b/src/serving/progress.ts
@@ -0,0 +1,42 @@
+/**
+ * One request under way: the caller's side of it, and how far it has come.
+ * @module
+ */
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** The caller's side of a request. Nothing is passed on before {@link Outlet.begin}. */
+export interface Outlet {
+  /** Aborts when the caller goes away. */
+  readonly gone: AbortSignal;
+  readonly begin: (status: number, headers: Headers) => void;
+  /** Passes bytes on; resolves when the caller takes more. */
+  readonly write: (bytes: Buffer) => Promise<void> | undefined;
+  readonly end: () => void;
+  /** Breaks an answer off that has begun, so that it does not look whole. */
+  readonly breakOff: () => void;
+  readonly answer: (status: number, headers: Headers, body: Buffer) => void;
+  /** Refuses; `comeBackMs` is told where the request was not run. */
+  readonly refuse: (status: number, message: string, comeBackMs?: number) => void;
+}
+
+/** How a request ended, for the log and the meters. */
+export type Ending =
+  "whole" | "late" | "refused" | "failed" | "unknown" | "broken" | "left" | "passed_failure";
+
+/** How far a request has come. */
+export interface Progress {
+  sends: number;
+  /** Sends that ran or may have run. */
+  runs: number;
+  readonly tried: Set<string>;
+  begun: boolean;
+  lastId: string | undefined;
+  why: string;
+  /** When a refused caller should come back, as far as known. */
+  comeBackMs: number;
+  firstAt: number | undefined;
+  /** What the first choice's first event was expected to take, in ms. */
+  expectedMs: number | undefined;
+  endpoint: string;
+}
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -6,6 +6,7 @@
 import * as dispatch from "../../src/serving/dispatch.js";
 import * as endpoints from "../../src/serving/endpoints.js";
 import * as meters from "../../src/serving/meters.js";
+import type * as progress from "../../src/serving/progress.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
 
@@ -19,7 +20,7 @@
   end: "whole" | "broken" | "open";
 }
 
-function outlet(gone: AbortSignal, seen: Seen): dispatch.Outlet {
+function outlet(gone: AbortSignal, seen: Seen): progress.Outlet {
   return {
     gone,
     begin: (status) => {
