--- /dev/null
+++ b/test/platform/processes.test.ts
@@ -0,0 +1,196 @@
+import * as child from "node:child_process";
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as chai from "chai";
+import * as undici from "undici";
+import * as yaml from "yaml";
+import * as standin from "./standin.js";
+
+const { expect } = chai;
+
+const MAIN = path.join(import.meta.dirname, "../../platform/main.js");
+
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+async function until(what: () => boolean | Promise<boolean>): Promise<void> {
+  for (let i = 0; i < 500; i++) {
+    if (await what()) return;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  throw new Error("it did not come about within 10 s");
+}
+
+interface Daemon {
+  readonly process: child.ChildProcess;
+  readonly lines: () => readonly Readonly<Record<string, unknown>>[];
+  readonly exited: Promise<number | null>;
+}
+
+function run(role: string, file: string): Daemon {
+  const env = { ...process.env, SUMACFIELD_CONFIG: file };
+  const started = child.spawn(process.execPath, [MAIN, role], { env });
+  let text = "";
+  started.stdout.on("data", (part: Buffer) => {
+    text += part.toString();
+  });
+  return {
+    process: started,
+    lines: () =>
+      text
+        .split("\n")
+        .filter((l) => l.startsWith("{"))
+        .map((l) => JSON.parse(l) as Readonly<Record<string, unknown>>),
+    exited: new Promise((resolve) => started.once("exit", resolve)),
+  };
+}
+
+describe("daemons on the platform", () => {
+  const store = new standin.Store();
+  const worker = new standin.Worker();
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
+  let ports: readonly number[] = [];
+  let entry: Daemon;
+  let endpoint: Daemon;
+
+  function settingsFile(name: string, more: object): string {
+    const file = path.join(folder, `${name}.yaml`);
+    const bounds = {
+      graceS: 4,
+      drainTimeoutMs: 2000,
+      retryBudgetRatio: 0.2,
+      budgetWindowS: 10,
+      budgetSlack: 58,
+      contactMs: 3000,
+    };
+    const common = {
+      nodeName: name,
+      machineClass: "any",
+      ip: "127.0.0.1",
+      zone: "a",
+      listen: {},
+      internalPorts: [ports[2], ports[2]],
+      bounds,
+      platform: { address: store.address },
+    };
+    fs.writeFileSync(file, yaml.stringify({ ...common, ...more }));
+    return file;
+  }
+
+  function ask(id: string, adapter: string, at = "/c/x") {
+    return undici.request(`http://127.0.0.1:${ports[0]}${at}`, {
+      method: "POST",
+      headers: {
+        host: "a.example",
+        "x-sumacfield-attempt-id": id,
+        "x-sumacfield-model": `m/${adapter}`,
+        "x-sumacfield-token-usage": "100,10",
+        "x-sumacfield-deadline-ms": "4000",
+      },
+      body: "prompt",
+    });
+  }
+
+  before(async () => {
+    await store.start();
+    await worker.start();
+    store.put("op/config", standin.configOf(1, "/c/"));
+    const beat = { service: "llm", address: worker.address, zone: "a", slots: 8, state: "ready" };
+    store.put(`servers/${worker.instance}`, beat);
+    ports = await Promise.all([freePort(), freePort(), freePort()]);
+    const listen = { front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}` };
+    entry = run("entry", settingsFile("entry-1", { listen }));
+    endpoint = run("endpoint", settingsFile("side-1", { app: worker.address, service: "llm" }));
+    await until(async () => {
+      const res = await undici.request(`http://${listen.ready}/-/readyz`).catch(() => undefined);
+      await res?.body.dump();
+      return res?.statusCode === 200;
+    });
+    await until(() => entry.lines().some((l) => l.msg === "An endpoint daemon is reached."));
+  });
+
+  after(() => {
+    entry.process.kill("SIGKILL");
+    endpoint.process.kill("SIGKILL");
+    store.stop();
+    worker.stop();
+    fs.rmSync(folder, { recursive: true });
+  });
+
+  it("serve a stream on the adapter that the request names", async () => {
+    const res = await ask("r1", "a1");
+    expect(res.statusCode).equal(200);
+    expect(res.headers["x-sumacfield-server-signature"]).equal("signed");
+    const text = await res.body.text();
+    expect(text.match(/data: a1-\d/g)).length(5);
+    expect(worker.held.has("a1")).equal(true);
+  });
+
+  it("serve more adapters than the engine has slots, one after the other", async () => {
+    for (const adapter of ["a1", "a2", "a3", "a4"]) {
+      const res = await ask(`s-${adapter}`, adapter);
+      expect(await res.body.text()).include(`${adapter}-5`);
+    }
+    expect(worker.held.size).most(2);
+  });
+
+  it("put a new configuration in force within two seconds", async () => {
+    store.put("op/config", standin.configOf(2, "/d/"));
+    const began = performance.now();
+    await until(async () => {
+      const res = await ask("probe", "a1", "/d/x");
+      await res.body.dump();
+      return res.statusCode === 200;
+    });
+    expect(performance.now() - began).below(2000);
+    const old = await ask("old", "a1", "/c/x");
+    await old.body.dump();
+    expect(old.statusCode).equal(404);
+  });
+
+  it("count what they serve, and write a line for each request", async () => {
+    await until(() =>
+      entry.lines().some((l) => l.msg === "A request is over." && l.request === "r1"),
+    );
+    const over = entry.lines().find((l) => l.request === "r1");
+    expect(over).include({ ending: "whole", endpoint: worker.instance, sends: 1 });
+    await until(() => endpoint.lines().some((l) => l.request === "r1"));
+  });
+
+  it("reload their settings when told to, and keep them when the file is broken", async () => {
+    const file = path.join(folder, "entry-1.yaml");
+    const whole = fs.readFileSync(file, "utf8");
+    entry.process.kill("SIGHUP");
+    await until(() => entry.lines().some((l) => l.msg === "The settings were read again."));
+    fs.writeFileSync(file, "nodeName: [");
+    entry.process.kill("SIGHUP");
+    await until(() => entry.lines().some((l) => String(l.msg).startsWith("The settings cannot")));
+    fs.writeFileSync(file, whole);
+  });
+
+  it("refuse to start with settings that cannot be used, and say why", async () => {
+    const file = path.join(folder, "broken.yaml");
+    fs.writeFileSync(file, "nodeName: x");
+    const broken = run("entry", file);
+    expect(await broken.exited).equal(2);
+  });
+
+  it("end what they serve before they stop", async () => {
+    worker.eventMs = 150;
+    const res = await ask("last", "a1", "/d/x");
+    entry.process.kill("SIGTERM");
+    const text = await res.body.text();
+    expect(text.match(/data: a1-\d/g)).length(5);
+    expect(await entry.exited).equal(0);
+    expect(entry.lines().at(-1)).include({ msg: "Stopped." });
+  }).timeout(10_000);
+});
