Hear of an endpoint only when something about it changed, and let the figures' port be set

And tests ran daemons with a fixed port for the figures. Ruled out: keeping the test for entries that are back after an outage by the identity of the value (it failed at once in its test); endpoints that are missing are now remembered by id. Change: an entry without a change makes no step; SUMACFIELD_METRICS_PORT sets the port, 0 a free one.

--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -3,6 +3,7 @@
  * that changes by steps. The platform's adapter makes the steps; the decisions read the value.
  * @module
  */
+import * as util from "node:util";
 import * as selector from "../contract/selector.js";
 
 /** What may be repeated. A `stream` is a series of events; it counts as `once` unless resumable. */
@@ -147,6 +148,8 @@
       return { ...at, versions: new Map(at.versions).set(change.key, change.version) };
     }
     case "endpoint":
+      // Workers write their entries again and again, mostly without a change that matters here.
+      if (util.isDeepStrictEqual(at.endpoints.get(change.endpoint.id), change.endpoint)) return at;
       return {
         ...at,
         endpoints: new Map(at.endpoints).set(change.endpoint.id, change.endpoint),
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -48,6 +48,8 @@
   private synced = false;
   private out = false;
   private backAt = -Infinity;
+  /** Endpoints whose entries are missing, and may be back soon. */
+  private readonly missing = new Set<string>();
   private askedAt = -Infinity;
   private retryMs = RETRY_MS;
   private readonly abort = new AbortController();
@@ -163,25 +165,28 @@
   /** A removal now, or later when the store's absence may be the only reason for it. */
   private gone(step: catalog.Step): readonly catalog.Step[] {
     if (step.kind !== "endpoint_gone" || !this.doubtful()) return [step];
-    const known = this.at.endpoints.get(step.id);
-    if (!known) return [];
+    if (!this.at.endpoints.has(step.id) || this.missing.has(step.id)) return [];
+    this.missing.add(step.id);
     this.deps.log.warn("An endpoint's entry is missing after an outage; it is kept for now.", {
       endpoint: step.id,
     });
     this.deps.clock.after(BACK_WITHIN_MS, () => {
-      // An entry that was written since is a new value.
-      if (this.at.endpoints.get(step.id) === known) this.apply([step], this.at.revision);
+      if (this.missing.delete(step.id)) this.apply([step], this.at.revision);
     });
     return [];
   }
 
   private apply(steps: readonly catalog.Step[], revision: number): void {
-    const before = this.at;
-    let at = steps.reduce(catalog.step, before);
-    for (const s of steps) this.tell(s);
-    if (revision > at.revision) at = { ...at, revision };
-    this.at = at;
-    if (steps.length > 0) this.deps.changed(at);
+    let at = this.at;
+    for (const s of steps) {
+      if (s.kind === "endpoint") this.missing.delete(s.endpoint.id);
+      const next = catalog.step(at, s);
+      if (next !== at) this.tell(s);
+      at = next;
+    }
+    const changed = at !== this.at;
+    this.at = revision > at.revision ? { ...at, revision } : at;
+    if (changed) this.deps.changed(this.at);
   }
 
   private tell(s: catalog.Step): void {
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as prom from "prom-client";
 import * as log from "../host/log.js";
 import type * as record from "../host/record.js";
@@ -100,7 +101,9 @@
 /** Serves the figures, or says why that cannot be; requests go on without them. */
 export async function tryServe(meters: Meters, address: string, lg: record.Log): Promise<void> {
   try {
-    await serve(meters, address);
+    const server = await serve(meters, address);
+    const { port } = server.address() as net.AddressInfo;
+    lg.info("The figures are served.", { port });
   } catch (err) {
     lg.error("The figures cannot be served.", { address, why: log.why(err) });
   }
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -37,7 +37,7 @@
 }
 
 function run(role: string, file: string): Daemon {
-  const env = { ...process.env, SUMACFIELD_CONFIG: file };
+  const env = { ...process.env, SUMACFIELD_CONFIG: file, SUMACFIELD_METRICS_PORT: "0" };
   const started = child.spawn(process.execPath, [MAIN, role], { env });
   let text = "";
   started.stdout.on("data", (part: Buffer) => {
@@ -158,6 +158,11 @@
   });
 
   it("count what they serve, and write a line for each request", async () => {
+    const served = entry.lines().find((l) => l.msg === "The figures are served.");
+    const figures = await undici.request(`http://127.0.0.1:${String(served?.port)}/metrics`);
+    const text = await figures.body.text();
+    expect(text).match(/sumacfield_requests_total\{route="captions",ending="whole"\} \d/);
+    expect(text).match(/sumacfield_first_event_ms_bucket\{le="1000",route="captions"\} \d/);
     await until(() =>
       entry.lines().some((l) => l.msg === "A request is over." && l.request === "r1"),
     );
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -115,6 +115,18 @@
     expect(f.catalog.endpoints.size).equal(0);
   });
 
+  it("tells of an endpoint once, however often its entry is written again", async () => {
+    const s = new FakeSource();
+    s.put("e/a", "10.0.0.1:1");
+    const f = follow(s);
+    await until(() => f.catalog.endpoints.has("a"));
+    const before = f.catalog.endpoints;
+    const { revision } = f.catalog;
+    s.put("e/a", "10.0.0.1:1");
+    await until(() => f.catalog.revision > revision);
+    expect(f.catalog.endpoints).equal(before);
+  });
+
   it("makes few calls while much changes", async () => {
     const s = new FakeSource();
     const f = follow(s);
