Wait in the process test until the path stands

Shown by a run: with a worker whose liveness answer takes 500 ms the old test fails in the same two places on a quiet machine, and the new one passes. The refusal was right, and says when to come back. Ruled out: load by itself; it only made the worker's first answer late. Change: the test asks until the path stands before it begins; what it demands after is the same.

--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -115,7 +115,12 @@
       await res?.body.dump();
       return res?.statusCode === 200;
     });
-    await until(() => entry.lines().some((l) => l.msg === "An endpoint daemon is reached."));
+    // The endpoint daemon has yet to meet its worker, and the entry daemon to hear of it.
+    await until(async () => {
+      const res = await ask("first", "a1");
+      await res.body.dump();
+      return res.statusCode === 200;
+    });
   });
 
   after(() => {
