--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -1,27 +1,17 @@
 import * as child from "node:child_process";
 import * as fs from "node:fs";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as chai from "chai";
 import * as undici from "undici";
 import * as yaml from "yaml";
+import * as freePorts from "../ports.js";
 import * as standin from "./standin.js";
 
 const { expect } = chai;
 
 const MAIN = path.join(import.meta.dirname, "../../platform/main.js");
 
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 async function until(what: () => boolean | Promise<boolean>): Promise<void> {
   for (let i = 0; i < 500; i++) {
     if (await what()) return;
@@ -106,7 +96,7 @@
     store.put("op/config", standin.configOf(1, "/c/"));
     const beat = { service: "llm", address: worker.address, zone: "a", slots: 8, state: "ready" };
     store.put(`servers/${worker.instance}`, beat);
-    ports = await Promise.all([freePort(), freePort(), freePort()]);
+    ports = await Promise.all([freePorts.free(), freePorts.free(), freePorts.free()]);
     const listen = { front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}` };
     entry = run("entry", settingsFile("entry-1", { listen }));
     endpoint = run("endpoint", settingsFile("side-1", { app: worker.address, service: "llm" }));
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -1,13 +1,9 @@
 import * as chai from "chai";
 import * as clock from "../../src/host/clock.js";
-import * as record from "../../src/host/record.js";
 import type * as ask from "../../src/serving/ask.js";
 import * as catalog from "../../src/serving/catalog.js";
-import * as dispatch from "../../src/serving/dispatch.js";
-import * as endpoints from "../../src/serving/endpoints.js";
-import * as meters from "../../src/serving/meters.js";
 import type * as progress from "../../src/serving/progress.js";
-import * as upstream from "../../src/serving/upstream.js";
+import * as dispatching from "./dispatching.js";
 import * as fixtures from "./fixtures.js";
 
 const { expect } = chai;
@@ -61,35 +57,12 @@
     config: fixtures.CONFIG,
     endpoints: new Map(list.map((e) => [e.id, e])),
   };
-  const known = new endpoints.Endpoints(
-    {
-      clock: clock.system,
-      log: record.silent,
-      host: "test",
-      catalog: () => at,
-      daemonOf: (e) => e.address,
-    },
-    clock.system,
-  );
-  const up = new upstream.Upstream(fixtures.WIRE);
-  const d = new dispatch.Dispatch(
-    { domain: "d1", retries: { ratio: 0.2, slack: 58, windowMs: 10_000 } },
-    {
-      clock: clock.system,
-      log: record.silent,
-      meters: meters.open(),
-      endpoints: known,
-      upstream: up,
-      catalog: () => at,
-      random: () => 0,
-    },
-  );
+  const made = dispatching.open(at);
   const seen: Seen = { status: 0, body: "", comeBackMs: undefined, end: "open" };
   try {
-    await d.serve(fixtures.request(over), outlet(gone, seen));
+    await made.dispatcher.serve(fixtures.request(over), outlet(gone, seen));
   } finally {
-    up.close();
-    known.close();
+    made.close();
   }
   return seen;
 }
--- /dev/null
+++ b/test/serving/dispatching.ts
@@ -0,0 +1,50 @@
+/**
+ * A dispatcher with its connections, over endpoints that a test gives.
+ * @module
+ */
+import * as clock from "../../src/host/clock.js";
+import * as record from "../../src/host/record.js";
+import type * as catalog from "../../src/serving/catalog.js";
+import * as dispatch from "../../src/serving/dispatch.js";
+import * as endpoints from "../../src/serving/endpoints.js";
+import * as meters from "../../src/serving/meters.js";
+import * as upstream from "../../src/serving/upstream.js";
+import * as fixtures from "./fixtures.js";
+
+/** Makes it; `daemonOf` tells where an engine's endpoint daemon listens. */
+export function open(
+  at: catalog.Catalog,
+  daemonOf: (e: catalog.Endpoint) => string = (e) => e.address,
+) {
+  const known = new endpoints.Endpoints(
+    {
+      clock: clock.system,
+      log: record.silent,
+      host: "entry",
+      catalog: () => at,
+      daemonOf,
+    },
+    clock.system,
+  );
+  const up = new upstream.Upstream(fixtures.WIRE);
+  const dispatcher = new dispatch.Dispatch(
+    { domain: "d1", retries: { ratio: 0.2, slack: 58, windowMs: 10_000 } },
+    {
+      clock: clock.system,
+      log: record.silent,
+      meters: meters.open(),
+      endpoints: known,
+      upstream: up,
+      catalog: () => at,
+      random: () => 0,
+    },
+  );
+  return {
+    known,
+    dispatcher,
+    close: (): void => {
+      up.close();
+      known.close();
+    },
+  };
+}
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -2,13 +2,13 @@
  * Keepers over fake engines, each with its door and a link to it.
  * @module
  */
-import * as net from "node:net";
 import * as clock from "../../src/host/clock.js";
 import * as record from "../../src/host/record.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as desk from "../../src/serving/desk.js";
 import * as keeper from "../../src/serving/keeper.js";
 import * as link from "../../src/serving/link.js";
+import * as ports from "../ports.js";
 import * as fakes from "./fake-engine.js";
 import * as fixtures from "./fixtures.js";
 
@@ -50,7 +50,7 @@
     service: fixtures.SERVICE.name,
     modelTurn: () => Promise.resolve(true),
   });
-  const port = await freePort();
+  const port = await ports.free();
   const address = `127.0.0.1:${port}`;
   const open = () => desk.open(address, { clock: clock.system, log: record.silent, keeper: kept });
   let door = await open();
@@ -88,16 +88,6 @@
   };
 }
 
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 export async function until(what: () => boolean): Promise<void> {
   for (let i = 0; i < 400; i++) {
     if (what()) return;
--- a/test/serving/moves.test.ts
+++ b/test/serving/moves.test.ts
@@ -1,12 +1,7 @@
 import * as chai from "chai";
-import * as clock from "../../src/host/clock.js";
-import * as record from "../../src/host/record.js";
 import * as catalog from "../../src/serving/catalog.js";
-import * as dispatch from "../../src/serving/dispatch.js";
-import * as endpoints from "../../src/serving/endpoints.js";
 import * as link from "../../src/serving/link.js";
-import * as meters from "../../src/serving/meters.js";
-import * as upstream from "../../src/serving/upstream.js";
+import * as dispatching from "./dispatching.js";
 import * as engines from "./engines.js";
 import * as fixtures from "./fixtures.js";
 
@@ -36,34 +31,12 @@
     // Other hosts use the only slot of each engine.
     const others = sites.map((s) => s.link.ask(engines.wish("other")));
     await Promise.all(others.map((o) => o.answer));
-    const known = new endpoints.Endpoints(
-      {
-        clock: clock.system,
-        log: record.silent,
-        host: "entry",
-        catalog: () => at,
-        daemonOf: (e) => sites[list.indexOf(e)]?.address ?? "",
-      },
-      clock.system,
-    );
-    known.refresh();
-    const up = new upstream.Upstream(fixtures.WIRE);
-    const d = new dispatch.Dispatch(
-      { domain: "d1", retries: { ratio: 0.2, slack: 58, windowMs: 10_000 } },
-      {
-        clock: clock.system,
-        log: record.silent,
-        meters: meters.open(),
-        endpoints: known,
-        upstream: up,
-        catalog: () => at,
-        random: () => 0,
-      },
-    );
+    const made = dispatching.open(at, (e) => sites[list.indexOf(e)]?.address ?? "");
+    made.known.refresh();
     const service = at.config?.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
-    await engines.until(() => known.views(service).every((v) => v.state !== undefined));
+    await engines.until(() => made.known.views(service).every((v) => v.state !== undefined));
     const seen: string[] = [];
-    const served = d.serve(
+    const served = made.dispatcher.serve(
       fixtures.request({
         route: ROUTE,
         service,
@@ -94,8 +67,7 @@
     await served;
     expect(seen).deep.equal(["begin 200", "end"]);
     expect([...(sites[free]?.engine.held.keys() ?? [])]).deep.equal(["a"]);
-    known.close();
-    up.close();
+    made.close();
     for (const w of workers) w.close();
   });
 });
