--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -4,6 +4,7 @@
  */
 import * as intents from "../contract/intent.js";
 import type * as objects from "../contract/objects.js";
+import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
 import * as daemon from "../host/daemon.js";
 import * as log from "../host/log.js";
@@ -235,7 +236,7 @@
       service: service.open(cfg.backendUrl, cfg.queue),
     },
   );
-  const linkAddress = await daemon.listen(link, cfg.linkAddress);
+  const linkAddress = await addresses.listen(link, cfg.linkAddress);
   lg.info(`Listening on ${linkAddress}.`);
 
   await parts.members.refresh();
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import * as undici from "undici";
+import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
 import * as daemon from "../host/daemon.js";
 import * as log from "../host/log.js";
@@ -244,8 +245,8 @@
       body.refuse(res, outcome.toFailure(err, "control", cfg.name, "not_run"));
     });
   });
-  const linkAddress = await daemon.listen(link, cfg.linkAddress);
-  const callersAddress = await daemon.listen(callers, cfg.callersAddress);
+  const linkAddress = await addresses.listen(link, cfg.linkAddress);
+  const callersAddress = await addresses.listen(callers, cfg.callersAddress);
   lg.info(`Listening for callers on ${callersAddress}, for daemons on ${linkAddress}.`);
 
   await parts.members.refresh();
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -5,7 +5,6 @@
  */
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
-import type * as net from "node:net";
 import type * as control from "../link/control.js";
 import * as controls from "../link/control.js";
 import * as keys from "../link/keys.js";
@@ -183,18 +182,6 @@
   };
 }
 
-/** Listens on `address` (`ip:port`) and resolves with the address that was taken. */
-export function listen(server: http.Server, address: string): Promise<string> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(Number(port), host, () => {
-      const at = server.address() as net.AddressInfo;
-      resolve(`${at.address}:${at.port}`);
-    });
-  });
-}
-
 /** Closes a server once its last answer is out; idle connections are closed at once. */
 export async function close(server: http.Server, clk: clock.Clock): Promise<void> {
   const done = new AbortController();
--- a/src/serving/desk.ts
+++ b/src/serving/desk.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as net from "node:net";
+import * as addresses from "../host/address.js";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import type * as announcer from "./announcer.js";
@@ -29,11 +30,7 @@
     sockets.add(socket);
     take(socket, count, deps, () => sockets.delete(socket));
   });
-  const [host, port] = address.split(":");
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port) }, resolve);
-  });
+  await addresses.listen(server, address);
   return {
     close: () => {
       server.close();
--- a/src/serving/door.ts
+++ b/src/serving/door.ts
@@ -5,6 +5,7 @@
  */
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as addresses from "../host/address.js";
 
 /** Bytes of headers that the server reads at all; a configuration allows fewer. */
 const HEADER_BYTES = 65_536;
@@ -45,11 +46,7 @@
     },
   );
   server.on("clientError", refuseBytes);
-  const [host, port] = address.split(":");
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port), backlog: BACKLOG }, resolve);
-  });
+  await addresses.listen(server, address, BACKLOG);
   return {
     server,
     attach: (h) => {
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as http from "node:http";
+import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
 import * as record from "../host/record.js";
 import type * as source from "../store/source.js";
@@ -129,10 +130,6 @@
     res.writeHead(ready() ? 200 : 503, { "content-length": 0 });
     res.end();
   });
-  const [host, port] = address.split(":");
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port) }, resolve);
-  });
+  await addresses.listen(server, address);
   return server;
 }
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as net from "node:net";
+import * as addresses from "../host/address.js";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import * as catalog from "./catalog.js";
@@ -133,8 +134,7 @@
   }
 
   private connect(): void {
-    const [host, port] = this.address.split(":");
-    const socket = net.connect({ host, port: Number(port) });
+    const socket = net.connect(addresses.parse(this.address));
     const limit = this.deps.clock.after(CONNECT_MS, () => {
       socket.destroy(new Error("no connection in time"));
     });
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as prom from "prom-client";
+import * as addresses from "../host/address.js";
 import * as log from "../host/log.js";
 import type * as record from "../host/record.js";
 
@@ -90,11 +91,7 @@
       },
     );
   });
-  const [host, port] = address.split(":");
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port) }, resolve);
-  });
+  await addresses.listen(server, address);
   return server;
 }
 
