Soak real daemons under random troubles, and check every promise from outside

Change: bench/soak runs entry and endpoint daemons as processes, stand-ins for the store and the workers, and a loopback proxy on each link; troubles are drawn from a seed, in series and overlapping; a checker that shares no code with the daemons judges what callers and workers saw. The stand-ins are one copy now, in bench/platform, which the process test uses too. Traced: a worker ended as it had said while the store was silent, so nobody could have known; the checker lacks that the worker broke off, mended there and kept in regressions.ts. Not there: jumps of the time of day (the daemons use it for log lines alone).

--- /dev/null
+++ b/bench/platform/documents.ts
@@ -0,0 +1,81 @@
+/**
+ * The documents that an operator of the platform writes, for tests and the soak.
+ * @module
+ */
+
+/** The only base model. */
+export const MODEL = "m";
+/** Host that every route belongs to. */
+export const HOST = "a.example";
+
+/** One route, in the words of the product's tests. */
+export interface Route {
+  readonly name: string;
+  readonly prefix: string;
+  readonly kind: "idempotent" | "non_idempotent" | "streaming";
+  readonly service: string;
+  readonly attempts?: number;
+  readonly resumable?: boolean;
+  readonly timeoutMs?: number;
+}
+
+const LIMITS = {
+  maxHeaderBytes: 8192,
+  maxBodyBytes: 100_000,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 5000,
+};
+
+/** A service of model workers with some slots for adapters. */
+export function engines(name: string, slots: number): object {
+  return {
+    name,
+    healthPath: "/healthz",
+    maxConnections: 100,
+    engine: {
+      slots: 8,
+      kvCapacity: 10_000,
+      models: [{ name: MODEL, weightsMb: 100, loadTimeS: 0.1 }],
+      weightsMb: 200,
+      maxAdapters: slots,
+      loadsPerS: 2,
+    },
+  };
+}
+
+/** A service of plain workers. */
+export function plain(name: string): object {
+  return { name, healthPath: "/healthz", maxConnections: 100 };
+}
+
+/** A configuration. */
+export function config(
+  version: number,
+  routes: readonly Route[],
+  services: readonly object[],
+): object {
+  return {
+    version,
+    routes: routes.map((r) => ({
+      host: HOST,
+      timeoutMs: 4000,
+      targetLatencyMs: 1000,
+      priority: 1,
+      attempts: 1,
+      resumable: false,
+      ...r,
+      ...(r.kind === "streaming" && { targetGapMs: 400 }),
+    })),
+    services,
+    limits: LIMITS,
+  };
+}
+
+/** A worker's own entry. */
+export function entry(
+  service: string,
+  address: string,
+  state: "ready" | "draining" = "ready",
+): object {
+  return { service, address, zone: "a", slots: 8, state };
+}
--- /dev/null
+++ b/bench/platform/store.ts
@@ -0,0 +1,158 @@
+/**
+ * A stand-in for the platform's key-value store, by its published protocol: reads, ranges, watches
+ * and conditional writes. Leases never end by themselves. It can fail as the platform's store does.
+ * @module
+ */
+import type * as http from "node:http";
+import * as servers from "./http.js";
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+  readonly created: number;
+  readonly lease: number;
+}
+
+interface Event {
+  readonly revision: number;
+  readonly body: object;
+}
+
+/** How the store behaves. */
+export interface Faults {
+  /** `busy` refuses; `silent` takes calls and does not answer. */
+  mode: "well" | "busy" | "silent";
+  /** Milliseconds that each answer is held back. */
+  delayMs: number;
+  /** Part of the conditional writes that are done and not answered. */
+  loseWrites: number;
+}
+
+/** Milliseconds after which a call that the store does not answer is cut. */
+const SILENT_MS = 5000;
+
+export class Store {
+  readonly items = new Map<string, Item>();
+  readonly faults: Faults = { mode: "well", delayMs: 0, loseWrites: 0 };
+  private history: Event[] = [];
+  /** Changes up to this revision are forgotten. */
+  private forgotten = 0;
+  private revision = 0;
+  private waiting: (() => void)[] = [];
+  private readonly listener = new servers.Listener((req, res) => this.answer(req, res));
+
+  get address(): string {
+    return this.listener.address;
+  }
+
+  async start(host?: string): Promise<void> {
+    await this.listener.start(host);
+  }
+
+  stop(): void {
+    this.listener.stop();
+  }
+
+  put(key: string, value: object): void {
+    const revision = ++this.revision;
+    const created = this.items.get(key)?.created ?? revision;
+    const text = Buffer.from(JSON.stringify(value)).toString("base64");
+    const item: Item = { key, value: text, revision, created, lease: 0 };
+    this.items.set(key, item);
+    this.note({ revision, body: item });
+  }
+
+  remove(key: string): void {
+    if (!this.items.delete(key)) return;
+    const revision = ++this.revision;
+    this.note({ revision, body: { key, revision, tombstone: true } });
+  }
+
+  /** Forgets all changes so far, and cuts the watches that wait. */
+  compact(): void {
+    this.history = [];
+    this.forgotten = this.revision;
+    this.wake();
+  }
+
+  private note(e: Event): void {
+    this.history.push(e);
+    this.wake();
+  }
+
+  private wake(): void {
+    for (const wake of this.waiting.splice(0)) wake();
+  }
+
+  private async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const { mode, delayMs } = this.faults;
+    if (delayMs > 0) await sleep(delayMs);
+    if (mode === "silent") {
+      await sleep(SILENT_MS);
+      res.destroy();
+      return;
+    }
+    if (mode === "busy") {
+      servers.say(res, 503, {});
+      return;
+    }
+    const url = new URL(req.url ?? "/", "http://store");
+    switch (url.pathname) {
+      case "/-/kv-range":
+        this.range(url.searchParams, res);
+        return;
+      case "/-/kv-watch":
+        await this.watch(url.searchParams, res);
+        return;
+      case "/-/kv-lease":
+        servers.say(res, 200, { lease: 1, ttlMs: 1000 });
+        return;
+      case "/-/kv-txn":
+        this.write(await servers.json(req), res);
+        return;
+      default:
+        servers.say(res, 404, {});
+    }
+  }
+
+  private range(query: URLSearchParams, res: http.ServerResponse): void {
+    const prefix = query.get("prefix") ?? "";
+    const items = [...this.items.values()].filter((i) => i.key.startsWith(prefix));
+    servers.say(res, 200, { items, truncated: false, currentRev: this.revision });
+  }
+
+  private write(body: servers.Body, res: http.ServerResponse): void {
+    const expected = body.expected as readonly { key: string; revision: number }[];
+    const held = expected.every((e) => (this.items.get(e.key)?.revision ?? 0) === e.revision);
+    if (!held) {
+      servers.say(res, 412, { items: [] });
+      return;
+    }
+    for (const w of body.writes as readonly { key: string }[]) this.put(w.key, {});
+    if (Math.random() < this.faults.loseWrites) res.destroy();
+    else servers.say(res, 200, { revision: this.revision });
+  }
+
+  private async watch(query: URLSearchParams, res: http.ServerResponse): Promise<void> {
+    const after = Number(query.get("after"));
+    if (this.revision <= after && after >= this.forgotten) {
+      await new Promise<void>((resolve) => {
+        this.waiting.push(resolve);
+        setTimeout(resolve, Number(query.get("waitMs")));
+      });
+    }
+    if (after < this.forgotten) {
+      servers.say(res, 410, {});
+      return;
+    }
+    const events = this.history.filter((e) => e.revision > after).map((e) => e.body);
+    servers.say(res, 200, { events, currentRev: this.revision });
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/bench/platform/worker.ts
@@ -0,0 +1,362 @@
+/**
+ * Stand-ins for the platform's workers, by their published protocol: a model worker whose streams
+ * tell which request, adapter and version they belong to, and a plain one. Each writes down what it
+ * ran, and can fail as the platform's workers do.
+ * @module
+ */
+import type * as http from "node:http";
+import * as documents from "./documents.js";
+import * as servers from "./http.js";
+
+/** How a worker behaves. */
+export type Mood =
+  | "well"
+  /** Answers a part of its requests with its own failure. */
+  | "failing"
+  /** Takes requests and answers nothing. */
+  | "hanging"
+  /** Ten times as slow. */
+  | "slow"
+  /** Breaks a part of its answers off in the middle. */
+  | "breaking"
+  /** Sends a second answer after a part of its answers. */
+  | "doubling"
+  /** Runs a part of its requests, and their answers are lost. */
+  | "losing"
+  /** Leaves orders unanswered and carries them out later. */
+  | "late";
+
+/** Part of its requests or orders that a worker in a bad mood treats badly. */
+const BAD_PART = 0.4;
+const SLOW_FACTOR = 10;
+/** Milliseconds after which an order that was not answered is carried out. */
+const LATE_MS = 2000;
+/** Milliseconds that a load takes. */
+const LOAD_MS = 30;
+/** Events of a stream. */
+export const EVENTS = 5;
+
+/** One run of a request, as its worker saw it. */
+export interface Run {
+  readonly id: string;
+  readonly service: string;
+  readonly instance: string;
+  readonly adapter: string;
+  readonly version: number;
+  /** Milliseconds that the worker was told are left. */
+  readonly leftMs: number;
+  readonly at: number;
+  /** When the worker stopped work on it. */
+  endedAt: number | undefined;
+}
+
+/** What a stand-in tells about itself. */
+export interface Journal {
+  readonly runs: Run[];
+  /** Orders that no worker may be given, as text. */
+  readonly faults: string[];
+}
+
+export function journal(): Journal {
+  return { runs: [], faults: [] };
+}
+
+/** The `n`th event of a stream. */
+export function event(id: string, adapter: string, version: number, n: number): string {
+  return `id: ${n}\ndata: ${id} ${adapter}@${version} ${n} of ${EVENTS}\n\n`;
+}
+
+const one = (v: string | readonly string[] | undefined): string => String(v ?? "");
+
+abstract class Base {
+  mood: Mood = "well";
+  protected readonly listener = new servers.Listener((req, res) => this.answer(req, res));
+
+  constructor(
+    readonly service: string,
+    public instance: string,
+    protected readonly kept: Journal,
+  ) {}
+
+  get address(): string {
+    return this.listener.address;
+  }
+
+  async start(host?: string, port?: number): Promise<void> {
+    await this.listener.start(host, port);
+  }
+
+  /** Ends at once, as in a crash. */
+  stop(): void {
+    this.listener.stop();
+  }
+
+  protected abstract answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void>;
+
+  protected bad(): boolean {
+    return Math.random() < BAD_PART;
+  }
+
+  protected reject(res: http.ServerResponse, status: number, id: string): void {
+    const vouch = status === 421 ? {} : { "x-sumacfield-not-executed": "1" };
+    res.writeHead(status, { "x-sumacfield-attempt-id": id, "content-length": 0, ...vouch });
+    res.end();
+  }
+
+  /** Writes a run down; it ends with its connection. */
+  protected begin(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    adapter: string,
+    version: number,
+  ): Run {
+    const run: Run = {
+      id: one(req.headers["x-sumacfield-attempt-id"]),
+      service: this.service,
+      instance: this.instance,
+      adapter,
+      version,
+      leftMs: Number(one(req.headers["x-sumacfield-deadline-ms"])),
+      at: performance.now(),
+      endedAt: undefined,
+    };
+    this.kept.runs.push(run);
+    res.once("close", () => {
+      run.endedAt = performance.now();
+    });
+    return run;
+  }
+
+  protected signed(id: string): Record<string, string> {
+    return { "x-sumacfield-attempt-id": id, "x-sumacfield-server-signature": this.instance };
+  }
+
+  /** Sends a second answer that belongs to no request. */
+  protected double(res: http.ServerResponse): void {
+    const { socket } = res;
+    res.once("finish", () => {
+      const extra = "HTTP/1.1 200 OK\r\nx-sumacfield-attempt-id: other\r\n";
+      socket?.write(`${extra}x-sumacfield-server-signature: x\r\ncontent-length: 1\r\n\r\nx`);
+    });
+  }
+}
+
+interface Held {
+  version: number;
+  ready: boolean;
+  runs: number;
+  closing: boolean;
+}
+
+/** A model worker with some slots for adapters, of which it holds none at its start. */
+export class Engine extends Base {
+  readonly held = new Map<string, Held>();
+  /** Milliseconds between two events. */
+  eventMs = 5;
+  private sequence = 0;
+
+  constructor(
+    service: string,
+    instance: string,
+    kept: Journal,
+    private readonly slots: number,
+    /** Newest version of each adapter in the weight store. */
+    private readonly newest: ReadonlyMap<string, number> = new Map(),
+  ) {
+    super(service, instance, kept);
+  }
+
+  protected async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    switch (req.url ?? "") {
+      case "/healthz":
+        res.writeHead(200, { "x-sumacfield-instance-id": this.instance });
+        res.end();
+        return;
+      case "/-/report":
+        servers.say(res, 200, this.report());
+        return;
+      case "/-/order":
+        await this.take(req, res);
+        return;
+      default:
+        await servers.text(req);
+        await this.run(req, res);
+    }
+  }
+
+  private report(): object {
+    const all = [...this.held].map(([name, h]) => ({ text: `${name}@${h.version}`, ...h }));
+    const adapters = all.filter((h) => h.ready).map((h) => h.text);
+    const coming = all.filter((h) => !h.ready).map((h) => `${documents.MODEL}/${h.text}`);
+    return {
+      stage: "colocated",
+      models: [{ name: documents.MODEL, version: 1, adapters }],
+      pending: coming,
+      busy: false,
+      sequence: this.sequence,
+      queued: 0,
+      active: 0,
+    };
+  }
+
+  private async take(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const body = await servers.json(req);
+    if (this.mood === "late" && this.bad()) {
+      setTimeout(() => this.carryOut(body), LATE_MS);
+      return;
+    }
+    if (req.headers["x-sumacfield-expect-instance"] !== this.instance) {
+      servers.say(res, 421, {});
+      return;
+    }
+    servers.say(res, this.carryOut(body), {});
+  }
+
+  /** Carries an order out if it still holds; the status of its answer. */
+  private carryOut(body: servers.Body): number {
+    if (body.holder === undefined || body.fencingToken === undefined) return 400;
+    if (body.expected !== undefined && body.expected !== this.sequence) return 409;
+    const adapter = String(body.adapter);
+    this.sequence++;
+    if (body.operation === "model_load") return this.load(adapter, Number(body.version ?? 0));
+    const h = this.held.get(adapter);
+    if (h) h.closing = true;
+    this.settle(adapter);
+    return 200;
+  }
+
+  private load(adapter: string, version: number): number {
+    const wanted = version > 0 ? version : (this.newest.get(adapter) ?? 1);
+    const old = this.held.get(adapter);
+    if (!old && this.held.size >= this.slots) {
+      this.kept.faults.push(`${this.instance} was ordered to hold more than ${this.slots}`);
+    }
+    this.held.set(adapter, { version: wanted, ready: false, runs: old?.runs ?? 0, closing: false });
+    setTimeout(() => {
+      const h = this.held.get(adapter);
+      if (h) h.ready = true;
+    }, LOAD_MS);
+    return 202;
+  }
+
+  /** Drops an adapter that is to go once nothing runs on it. */
+  private settle(adapter: string): void {
+    const h = this.held.get(adapter);
+    if (h?.closing && h.runs === 0) this.held.delete(adapter);
+  }
+
+  private async run(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const id = one(req.headers["x-sumacfield-attempt-id"]);
+    const [, adapter = ""] = one(req.headers["x-sumacfield-model"]).split("/");
+    const h = this.held.get(adapter);
+    const version = req.headers["x-sumacfield-expect-version"];
+    const meant = req.headers["x-sumacfield-expect-instance"];
+    const other = version !== undefined && Number(version) !== h?.version;
+    if ((meant !== undefined && meant !== this.instance) || !h?.ready || other) {
+      this.reject(res, 421, id);
+      return;
+    }
+    if (h.closing) {
+      this.reject(res, 503, id);
+      return;
+    }
+    const run = this.begin(req, res, adapter, h.version);
+    h.runs++;
+    res.once("close", () => {
+      h.runs--;
+      this.settle(adapter);
+    });
+    await this.stream(run, req, res);
+  }
+
+  private async stream(
+    run: Run,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const { mood } = this;
+    const bad = mood !== "well" && this.bad();
+    if (mood === "hanging" && bad) return;
+    if (mood === "losing" && bad) {
+      await sleep(this.eventMs * EVENTS);
+      res.destroy();
+      return;
+    }
+    if (mood === "failing" && bad) {
+      res.writeHead(500, { ...this.signed(run.id), "content-length": 0 });
+      res.end();
+      return;
+    }
+    if (mood === "doubling" && bad) this.double(res);
+    res.writeHead(200, { ...this.signed(run.id), "content-type": "text/event-stream" });
+    const ms = this.eventMs * (mood === "slow" ? SLOW_FACTOR : 1);
+    const from = Number(one(req.headers["last-event-id"]) || 0) + 1;
+    const due = run.at + run.leftMs;
+    for (let n = from; n <= EVENTS; n++) {
+      await sleep(ms);
+      if (res.destroyed) return;
+      const text = event(run.id, run.adapter, run.version, n);
+      if (performance.now() > due || (mood === "breaking" && bad && n === 3)) {
+        res.write(text.slice(0, text.length / 2));
+        await sleep(1);
+        res.destroy();
+        return;
+      }
+      res.write(text);
+    }
+    res.end();
+  }
+}
+
+/** A plain worker, whose answer names the request and its body. */
+export class Plain extends Base {
+  /** Milliseconds that a call takes. */
+  callMs = 15;
+
+  protected async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    if (req.url === "/healthz") {
+      res.writeHead(200, { "x-sumacfield-instance-id": this.instance });
+      res.end();
+      return;
+    }
+    const body = await servers.text(req);
+    const id = one(req.headers["x-sumacfield-attempt-id"]);
+    const meant = req.headers["x-sumacfield-expect-instance"];
+    if (meant !== undefined && meant !== this.instance) {
+      this.reject(res, 421, id);
+      return;
+    }
+    const run = this.begin(req, res, "", 0);
+    const { mood } = this;
+    const bad = mood !== "well" && this.bad();
+    if (mood === "hanging" && bad) return;
+    await sleep(this.callMs * (mood === "slow" ? SLOW_FACTOR : 1));
+    if (res.destroyed) return;
+    if (mood === "losing" && bad) {
+      res.destroy();
+      return;
+    }
+    const status = mood === "failing" && bad ? 500 : 200;
+    const text = answerOf(run.id, body);
+    if (mood === "doubling" && bad) this.double(res);
+    res.writeHead(status, { ...this.signed(id), "content-length": text.length });
+    if (mood === "breaking" && bad) {
+      res.write(text.slice(0, 3));
+      await sleep(1);
+      res.destroy();
+      return;
+    }
+    res.end(text);
+  }
+}
+
+/** The whole answer of a plain worker. */
+export function answerOf(id: string, body: string): string {
+  return `${id} got ${body}`;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/bench/soak/caller.ts
@@ -0,0 +1,120 @@
+/**
+ * A caller: keeps one connection to an entry daemon for as long as it lasts, sends one request after
+ * the other over it, and writes down what came of each.
+ * @module
+ */
+import * as undici from "undici";
+import * as documents from "../platform/documents.js";
+import type * as history from "./history.js";
+
+/** What a caller may ask for. */
+export interface Wish {
+  readonly kind: history.Kind;
+  readonly path: string;
+  readonly adapter: string;
+  readonly waitMs: number;
+  /** Newest version of the adapter declared some time ago. */
+  readonly version: number;
+  /** Milliseconds after which the caller goes away; undefined when it stays. */
+  readonly leaveMs: number | undefined;
+}
+
+export interface World {
+  readonly wish: () => Wish;
+  /** An entry daemon as the balancer gives it out: its name and `ip:port`. */
+  readonly entry: () => { readonly name: string; readonly address: string } | undefined;
+  readonly pauseMs: () => number;
+  readonly saw: (s: history.Seen) => void;
+  readonly nextId: () => string;
+}
+
+/** Milliseconds until a caller without an entry daemon looks for one again. */
+const LOOK_MS = 50;
+/** Milliseconds past its time after which a caller gives up an answer that does not come. */
+const BORNE_MS = 4000;
+
+/** Sends requests until `signal` aborts; resolves once its last one is over. */
+export async function run(w: World, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    const to = w.entry();
+    if (!to) {
+      await sleep(LOOK_MS);
+      continue;
+    }
+    const client = new undici.Client(`http://${to.address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: 1000 },
+    });
+    const ended = new AbortController();
+    client.once("disconnect", () => {
+      ended.abort();
+    });
+    const over = AbortSignal.any([ended.signal, signal]);
+    while (!over.aborted) {
+      if (!(await ask(w, client, to.name))) break;
+      await sleep(w.pauseMs());
+    }
+    await client.destroy();
+  }
+}
+
+/** Sends one request; whether its connection can be used again. */
+async function ask(w: World, client: undici.Client, entry: string): Promise<boolean> {
+  const wish = w.wish();
+  const id = w.nextId();
+  const body = `body of ${id}`;
+  const sentAt = performance.now();
+  const gone = new AbortController();
+  const leaveMs = wish.leaveMs ?? wish.waitMs + BORNE_MS;
+  const timer = setTimeout(() => {
+    gone.abort();
+  }, leaveMs);
+  let text = "";
+  let end: history.Seen["end"];
+  let passedOn = true;
+  try {
+    const res = await client.request({
+      method: "POST",
+      path: `${wish.path}${id}`,
+      headers: {
+        host: documents.HOST,
+        "x-sumacfield-attempt-id": id,
+        "x-sumacfield-deadline-ms": String(wish.waitMs),
+        ...(wish.adapter !== "" && {
+          "x-sumacfield-model": `${documents.MODEL}/${wish.adapter}`,
+          "x-sumacfield-token-usage": "200,40",
+        }),
+      },
+      body,
+      signal: gone.signal,
+    });
+    for await (const part of res.body as AsyncIterable<Buffer>) text += part.toString();
+    const by = String(res.headers["x-sumacfield-server-signature"] ?? "");
+    end = { kind: "answer", status: res.statusCode, by, text };
+  } catch (err) {
+    const why = err instanceof Error ? err.message : String(err);
+    passedOn = !(err instanceof undici.errors.ConnectTimeoutError) && !isRefusal(err);
+    const left = gone.signal.aborted && wish.leaveMs !== undefined;
+    end = left ? { kind: "left" } : { kind: "broken", text, why };
+  }
+  clearTimeout(timer);
+  const endedAt = performance.now();
+  const { kind, path, adapter, waitMs, version } = wish;
+  // A connection that never stood is the balancer's to mend, and no request.
+  if (passedOn) {
+    w.saw({ id, kind, entry, path, adapter, body, waitMs, sentAt, endedAt, version, end });
+  }
+  return end.kind === "answer";
+}
+
+function isRefusal(err: unknown): boolean {
+  return err instanceof Error && "code" in err && err.code === "ECONNREFUSED";
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/bench/soak/faults.ts
@@ -0,0 +1,285 @@
+/**
+ * The troubles of the soak: each strikes something, lasts a while and is mended. Which come when is
+ * drawn from the seed.
+ * @module
+ */
+import * as workers from "../platform/worker.js";
+import type * as daemons from "./daemon.js";
+import * as history from "./history.js";
+import type * as site from "./site.js";
+
+/** Draws from the seed. */
+export interface Draw {
+  /** From 0 up to 1. */
+  readonly part: () => number;
+  /** From `min` up to `max`. */
+  readonly between: (min: number, max: number) => number;
+  readonly one: <T>(list: readonly T[]) => T;
+}
+
+export interface Deps {
+  readonly site: site.Site;
+  readonly draw: Draw;
+  readonly history: history.History;
+}
+
+/** A trouble that struck: on what, and how it is mended. */
+export interface Struck {
+  readonly on: readonly string[];
+  readonly end: () => Promise<void> | void;
+}
+
+export interface Fault {
+  readonly name: string;
+  /** Milliseconds that it lasts, at least and at most. */
+  readonly lasts: readonly [number, number];
+  /** Undefined when there is nothing that it could strike now. */
+  readonly begin: (d: Deps) => Struck | undefined;
+}
+
+const nothing = (): undefined => undefined;
+
+/** A daemon that runs, of those given. */
+function running(d: Deps, of: readonly daemons.Daemon[]): daemons.Daemon | undefined {
+  const up = of.filter((x) => x.running);
+  return up.length === 0 ? undefined : d.draw.one(up);
+}
+
+function killed(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
+  return {
+    name: `${name} killed`,
+    lasts: [100, 1500],
+    begin: (d) => {
+      const at = running(d, of(d.site));
+      if (!at) return undefined;
+      const gone = at.kill();
+      return {
+        on: [at.plan.name],
+        end: async () => {
+          await gone;
+          at.start();
+        },
+      };
+    },
+  };
+}
+
+function frozen(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
+  return {
+    name: `${name} frozen`,
+    lasts: [200, 3000],
+    begin: (d) => {
+      const at = running(d, of(d.site));
+      if (!at) return undefined;
+      at.freeze();
+      return {
+        on: [at.plan.name],
+        end: () => {
+          at.thaw();
+        },
+      };
+    },
+  };
+}
+
+function stopped(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
+  return {
+    name: `${name} asked to stop`,
+    lasts: [100, 500],
+    begin: (d) => {
+      const at = running(d, of(d.site));
+      if (!at) return undefined;
+      const gone = at.stop();
+      return {
+        on: [at.plan.name],
+        end: async () => {
+          await gone;
+          at.start();
+        },
+      };
+    },
+  };
+}
+
+function mood(m: workers.Mood): Fault {
+  return {
+    name: `worker ${m}`,
+    lasts: [500, 4000],
+    begin: (d) => {
+      const able = (p: site.Place): boolean => m !== "late" || p.worker instanceof workers.Engine;
+      const at = d.draw.one(d.site.places.filter(able));
+      const { worker } = at;
+      worker.mood = m;
+      return {
+        on: [worker.instance],
+        end: () => {
+          worker.mood = "well";
+        },
+      };
+    },
+  };
+}
+
+/** Trouble on the links to a worker and to the daemon beside it. */
+function link(name: string, begin: (d: Deps, p: site.Place) => void): Fault {
+  return {
+    name: `link ${name}`,
+    lasts: [300, 3000],
+    begin: (d) => {
+      const at = d.draw.one(d.site.places);
+      begin(d, at);
+      return {
+        on: [at.worker.instance, at.name],
+        end: () => {
+          for (const p of [at.proxy, at.seats]) p?.set({ kind: "none" });
+        },
+      };
+    },
+  };
+}
+
+function store(name: string, begin: (d: Deps) => void): Fault {
+  return {
+    name: `store ${name}`,
+    lasts: [500, 5000],
+    begin: (d) => {
+      begin(d);
+      return {
+        on: ["store"],
+        end: () => {
+          const { faults } = d.site.store;
+          Object.assign(faults, { mode: "well", delayMs: 0, loseWrites: 0 });
+        },
+      };
+    },
+  };
+}
+
+const entries = (s: site.Site): readonly daemons.Daemon[] => s.entries;
+const endpoints = (s: site.Site): readonly daemons.Daemon[] => s.endpoints;
+
+/** Adapters that callers ask for. */
+export const ADAPTERS = Array.from({ length: 14 }, (_, i) => `a${i + 1}`);
+/** Routes that come and go. */
+export const PATHS = ["/p1/", "/p2/", "/p3/"];
+
+export const FAULTS: readonly Fault[] = [
+  killed("entry daemon", entries),
+  killed("endpoint daemon", endpoints),
+  frozen("entry daemon", entries),
+  frozen("endpoint daemon", endpoints),
+  stopped("entry daemon", entries),
+  stopped("endpoint daemon", endpoints),
+  {
+    name: "settings changed",
+    lasts: [10, 50],
+    begin: (d) => {
+      const at = running(d, [...d.site.entries, ...d.site.endpoints]);
+      at?.reload();
+      return at && { on: [at.plan.name], end: nothing };
+    },
+  },
+  ...(["failing", "hanging", "slow", "breaking", "doubling", "losing", "late"] as const).map(mood),
+  {
+    name: "worker crashes",
+    lasts: [200, 2000],
+    begin: (d) => {
+      const at = d.draw.one(d.site.places);
+      const { instance } = at.worker;
+      at.worker.stop();
+      return {
+        on: [instance],
+        end: () => d.site.restart(at, instance),
+      };
+    },
+  },
+  {
+    name: "worker leaves",
+    lasts: [3500, 5000],
+    begin: (d) => {
+      const at = d.draw.one(d.site.places);
+      const { instance } = at.worker;
+      d.site.leave(at);
+      d.history.changes.push({ kind: "leaving", instance, at: performance.now() });
+      return {
+        on: [],
+        end: async () => {
+          const now = performance.now();
+          // Those that could not hear that it leaves may have sent to it until now.
+          d.history.disturbances.push({ kind: "worker ends", on: instance, from: now, to: now });
+          await d.site.restart(at, instance);
+        },
+      };
+    },
+  },
+  link("delays", (d, p) => {
+    const ms = d.draw.between(20, 250);
+    for (const x of [p.proxy, p.seats]) x?.set({ kind: "delay", ms });
+  }),
+  link("is silent", (_d, p) => {
+    for (const x of [p.proxy, p.seats]) x?.set({ kind: "silence" });
+  }),
+  link("is cut one way", (d, p) => {
+    const hold = d.draw.one(["requests", "answers"] as const);
+    for (const x of [p.proxy, p.seats]) x?.set({ kind: "one_way", hold });
+  }),
+  link("is reset", (d, p) => {
+    for (const x of [p.proxy, p.seats]) x?.reset(0.6, d.draw.part);
+  }),
+  store("is busy", (d) => {
+    d.site.store.faults.mode = "busy";
+  }),
+  store("is silent", (d) => {
+    d.site.store.faults.mode = "silent";
+  }),
+  store("is slow", (d) => {
+    d.site.store.faults.delayMs = d.draw.between(50, 400);
+  }),
+  store("loses answers", (d) => {
+    d.site.store.faults.loseWrites = 0.5;
+  }),
+  store("forgets its history", (d) => {
+    d.site.store.compact();
+  }),
+  {
+    name: "store out of reach of one",
+    lasts: [500, 5000],
+    begin: (d) => {
+      const [name, at] = d.draw.one([...d.site.storeLinks]);
+      at.set({ kind: "silence" });
+      return {
+        on: [history.storeLink(name)],
+        end: () => {
+          at.set({ kind: "none" });
+        },
+      };
+    },
+  },
+  {
+    name: "entries lapse",
+    lasts: [500, 2500],
+    begin: (d) => {
+      d.site.store.faults.mode = "busy";
+      const lost = d.site.places.filter(() => d.draw.part() < 0.5);
+      for (const p of lost) d.site.store.remove(`servers/${p.worker.instance}`);
+      return {
+        on: ["store"],
+        end: () => {
+          d.site.store.faults.mode = "well";
+          for (const p of lost) d.site.register(p);
+        },
+      };
+    },
+  },
+];
+
+/** Changes that an operator makes; they are no trouble and excuse nothing. */
+export function operate(d: Deps): void {
+  if (d.draw.part() < 0.5) {
+    d.site.declare(d.draw.one(ADAPTERS));
+    return;
+  }
+  const path = d.draw.one(PATHS);
+  const kind = d.site.toggle(path) ? "route_added" : "route_removed";
+  d.history.changes.push({ kind, path, at: performance.now() });
+}
--- /dev/null
+++ b/bench/soak/proxy.ts
@@ -0,0 +1,133 @@
+/**
+ * A loopback proxy on one address, through which connections are delayed, reset, silenced or cut in
+ * one direction.
+ * @module
+ */
+import * as net from "node:net";
+
+/** What happens to the bytes of a link. */
+export type Trouble =
+  | { readonly kind: "none" }
+  /** Each part is held back so long. */
+  | { readonly kind: "delay"; readonly ms: number }
+  /** Nothing passes, new connections included. */
+  | { readonly kind: "silence" }
+  /** Only what the server sends, or only what the client sends, is held. */
+  | { readonly kind: "one_way"; readonly hold: "requests" | "answers" };
+
+interface Pair {
+  readonly near: net.Socket;
+  readonly far: net.Socket;
+}
+
+/** Passes connections to one port on to another address. */
+export class Proxy {
+  private trouble: Trouble = { kind: "none" };
+  private readonly pairs = new Set<Pair>();
+  private readonly resumed = new Set<() => void>();
+  private readonly server = net.createServer((near) => {
+    this.pass(near);
+  });
+
+  constructor(private target: () => string) {}
+
+  async start(host: string, port = 0): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, resolve);
+    });
+    return `${host}:${(this.server.address() as net.AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.server.close();
+    for (const p of this.pairs) {
+      p.near.destroy();
+      p.far.destroy();
+    }
+  }
+
+  set(trouble: Trouble): void {
+    this.trouble = trouble;
+    for (const go of this.resumed) go();
+  }
+
+  /** Resets a part of the connections. */
+  reset(part: number, random: () => number): void {
+    for (const p of this.pairs) {
+      if (random() >= part) continue;
+      p.near.resetAndDestroy();
+      p.far.resetAndDestroy();
+    }
+  }
+
+  private pass(near: net.Socket): void {
+    const [host, port] = this.target().split(":");
+    const far = net.connect({ host, port: Number(port) });
+    const pair = { near, far };
+    this.pairs.add(pair);
+    near.setNoDelay(true);
+    far.setNoDelay(true);
+    void this.pump(near, far, "requests");
+    void this.pump(far, near, "answers");
+    const over = (): void => {
+      this.pairs.delete(pair);
+    };
+    near.once("close", over);
+    far.once("close", over);
+  }
+
+  private held(which: "requests" | "answers"): boolean {
+    const t = this.trouble;
+    switch (t.kind) {
+      case "silence":
+        return true;
+      case "one_way":
+        return t.hold === which;
+      case "none":
+      case "delay":
+        return false;
+    }
+  }
+
+  /** Waits until bytes of one direction may pass; false once the connection is over. */
+  private async mayPass(which: "requests" | "answers", socket: net.Socket): Promise<boolean> {
+    if (this.trouble.kind === "delay") await sleep(this.trouble.ms);
+    while (this.held(which) && !socket.destroyed) {
+      await new Promise<void>((resolve) => {
+        const go = (): void => {
+          this.resumed.delete(go);
+          socket.off("close", go);
+          resolve();
+        };
+        this.resumed.add(go);
+        socket.once("close", go);
+      });
+    }
+    return !socket.destroyed;
+  }
+
+  /** Passes one direction on, with its end or its reset. */
+  private async pump(
+    from: net.Socket,
+    to: net.Socket,
+    which: "requests" | "answers",
+  ): Promise<void> {
+    try {
+      for await (const part of from as AsyncIterable<Buffer>) {
+        if (!(await this.mayPass(which, to))) return;
+        if (!to.write(part)) await new Promise((resolve) => to.once("drain", resolve));
+      }
+      if (await this.mayPass(which, to)) to.end();
+    } catch {
+      // A reset on one side is a reset on the other; that is the trouble this proxy is for.
+      to.resetAndDestroy();
+    }
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/bench/soak/regressions.ts
@@ -0,0 +1,21 @@
+/**
+ * Seeds of the soak that ever failed, each with its cause. CI and every session run them again.
+ * @module
+ */
+
+export interface Regression {
+  readonly seed: number;
+  readonly minutes: number;
+  /** What was broken, and where the cause was. */
+  readonly cause: string;
+}
+
+export const REGRESSIONS: readonly Regression[] = [
+  {
+    seed: 102,
+    minutes: 0.4,
+    cause:
+      "broken: a worker that had said it leaves ended while the store was silent, so that nobody " +
+      "could have heard of it. The checker did not know that the worker broke off; mended there.",
+  },
+];
--- /dev/null
+++ b/bench/soak/run.ts
@@ -0,0 +1,158 @@
+/**
+ * One run of the soak: a site, callers, troubles in series and overlapping, and a calm end.
+ * @module
+ */
+import * as caller from "./caller.js";
+import * as faults from "./faults.js";
+import * as history from "./history.js";
+import * as site from "./site.js";
+
+export type Draw = faults.Draw;
+
+export interface Plan {
+  readonly size: site.Size;
+  readonly callers: number;
+  readonly ms: number;
+  /** Draws of their own for callers, troubles and the operator. */
+  readonly draw: (n: number) => Draw;
+  /** The daemons' program. */
+  readonly main: string;
+  /** Where settings and logs go. */
+  readonly folder: string;
+}
+
+/** Milliseconds from one trouble to the next. */
+const PAUSE_MS: readonly [number, number] = [100, 1600];
+/** Troubles at the same time, at most. */
+const TOGETHER = 4;
+/** Milliseconds from one change by the operator to the next. */
+const OPERATE_MS: readonly [number, number] = [700, 3000];
+/** Milliseconds at the end without trouble, and the part of them in which all must be well again. */
+const CALM_MS = 9000;
+const WELL_MS = 4000;
+/** Part of the requests that must be served once all is well again. */
+const SERVED = 0.9;
+/** Part of the callers that go away early. */
+const LEAVING = 0.05;
+
+export async function run(plan: Plan): Promise<history.History> {
+  const wrong: string[] = [];
+  const s = new site.Site(plan.size, plan.main, plan.folder, (what) => wrong.push(what));
+  const h: history.History = {
+    seen: [],
+    kept: s.kept,
+    disturbances: [],
+    changes: [],
+    faults: wrong,
+  };
+  const deps = (n: number): faults.Deps => ({ site: s, draw: plan.draw(n), history: h });
+  const declared: { adapter: string; version: number; at: number }[] = [];
+  await s.start();
+  const over = new AbortController();
+  const world = worldOf(s, plan.draw(0), h, declared);
+  const callers = Array.from({ length: plan.callers }, () => caller.run(world, over.signal));
+  const until = performance.now() + plan.ms;
+  await Promise.all([trouble(deps(1), until), operate(deps(2), until, declared)]);
+  await sleep(CALM_MS);
+  const well = performance.now() - WELL_MS;
+  over.abort();
+  await Promise.all(callers);
+  await s.stop();
+  const part = history.served(h, well);
+  if (part < SERVED) wrong.push(`recovery: ${Math.round(part * 100)} of 100 served at the end`);
+  return h;
+}
+
+function worldOf(
+  s: site.Site,
+  draw: Draw,
+  h: history.History,
+  declared: readonly { adapter: string; version: number; at: number }[],
+): caller.World {
+  let count = 0;
+  const wish = (): caller.Wish => {
+    const kind = draw.one(["stream", "stream", "stream_once", "call", "call_once"] as const);
+    const adapter = kind.startsWith("stream") ? popular(draw) : "";
+    const extra = kind === "call" && draw.part() < 0.3;
+    const path = extra ? draw.one(faults.PATHS) : PATH_OF[kind];
+    const sure = performance.now() - history.VERSION_MS;
+    const versions = declared.filter((d) => d.adapter === adapter && d.at < sure);
+    return {
+      kind,
+      adapter,
+      path,
+      waitMs: Math.round(draw.between(1500, 4000)),
+      version: Math.max(0, ...versions.map((d) => d.version)),
+      leaveMs: draw.part() < LEAVING ? draw.between(10, 200) : undefined,
+    };
+  };
+  return {
+    wish,
+    entry: () => {
+      const at = draw.one(s.inRotation());
+      return { name: at.plan.name, address: at.callers };
+    },
+    pauseMs: () => draw.between(20, 200),
+    saw: (seen) => h.seen.push(seen),
+    nextId: () => `r${count++}`,
+  };
+}
+
+const PATH_OF: Readonly<Record<history.Kind, string>> = {
+  stream: "/s/",
+  stream_once: "/o/",
+  call: "/c/",
+  call_once: "/n/",
+};
+
+/** An adapter; a few are asked for most of the time. */
+function popular(draw: Draw): string {
+  const n = Math.floor(draw.part() ** 3 * faults.ADAPTERS.length);
+  return faults.ADAPTERS[n] ?? "a1";
+}
+
+/** Troubles come and go until `until`; resolves once the last is mended. */
+async function trouble(d: faults.Deps, until: number): Promise<void> {
+  const on = new Map<string, Promise<void>>();
+  while (performance.now() < until) {
+    await sleep(d.draw.between(...PAUSE_MS));
+    if (on.size >= TOGETHER) continue;
+    const fault = d.draw.one(faults.FAULTS);
+    if (on.has(fault.name)) continue;
+    const struck = fault.begin(d);
+    if (!struck) continue;
+    const from = performance.now();
+    const notes = struck.on.map((name) => ({ kind: fault.name, on: name, from, to: Infinity }));
+    d.history.disturbances.push(...notes);
+    const mended = (async () => {
+      await sleep(d.draw.between(...fault.lasts));
+      await struck.end();
+      for (const n of notes) n.to = performance.now();
+      on.delete(fault.name);
+    })();
+    on.set(fault.name, mended);
+  }
+  await Promise.all(on.values());
+}
+
+async function operate(
+  d: faults.Deps,
+  until: number,
+  declared: { adapter: string; version: number; at: number }[],
+): Promise<void> {
+  while (performance.now() < until) {
+    await sleep(d.draw.between(...OPERATE_MS));
+    const before = new Map(d.site.newest);
+    faults.operate(d);
+    for (const [adapter, version] of d.site.newest) {
+      if (before.get(adapter) !== version)
+        declared.push({ adapter, version, at: performance.now() });
+    }
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/bench/soak/site.ts
@@ -0,0 +1,274 @@
+/**
+ * A site on loopback: real entry and endpoint daemons as processes, stand-ins for the store and the
+ * workers, a proxy on every link between them, and a balancer's view of the entry daemons.
+ * @module
+ */
+import * as net from "node:net";
+import * as undici from "undici";
+import * as documents from "../platform/documents.js";
+import * as stores from "../platform/store.js";
+import * as workers from "../platform/worker.js";
+import * as daemons from "./daemon.js";
+import * as proxies from "./proxy.js";
+
+const ENGINES = "llm";
+const PLAIN = "guide";
+/** Milliseconds between two events of a stream. */
+const EVENT_MS = 20;
+/** Slots of an engine. */
+const SLOTS = 3;
+/** Milliseconds between the balancer's questions, and misses after which it goes elsewhere. */
+const ASK_MS = 1000;
+const MISSES = 2;
+
+const ROUTES: readonly documents.Route[] = [
+  { name: "s", prefix: "/s/", kind: "streaming", service: ENGINES, attempts: 2, resumable: true },
+  { name: "o", prefix: "/o/", kind: "streaming", service: ENGINES },
+  { name: "c", prefix: "/c/", kind: "idempotent", service: PLAIN, attempts: 2 },
+  { name: "n", prefix: "/n/", kind: "non_idempotent", service: PLAIN },
+];
+
+export interface Size {
+  readonly entries: number;
+  readonly engines: number;
+  readonly plain: number;
+}
+
+/** One worker with what stands before and beside it. */
+export interface Place<W extends workers.Engine | workers.Plain = workers.Engine | workers.Plain> {
+  readonly name: string;
+  worker: W;
+  /** Before the worker itself. */
+  readonly proxy: proxies.Proxy;
+  /** Before the endpoint daemon; plain workers have none. */
+  readonly seats: proxies.Proxy | undefined;
+  /** Where entry daemons reach it. */
+  readonly address: string;
+}
+
+export class Site {
+  readonly store = new stores.Store();
+  readonly kept = workers.journal();
+  readonly newest = new Map<string, number>();
+  readonly places: Place[] = [];
+  readonly entries: daemons.Daemon[] = [];
+  readonly endpoints: daemons.Daemon[] = [];
+  /** The proxy before the store for each daemon, by its name. */
+  readonly storeLinks = new Map<string, proxies.Proxy>();
+  private extra: readonly documents.Route[] = [];
+  private version = 0;
+  private started = 0;
+  private readonly misses = new Map<string, number>();
+  private timer: NodeJS.Timeout | undefined;
+  private readonly leaving = new Set<string>();
+  private hosts = 0;
+
+  constructor(
+    private readonly size: Size,
+    private readonly main: string,
+    private readonly folder: string,
+    private readonly fault: (what: string) => void,
+  ) {}
+
+  /** An address of its own for one host. The process's id keeps runs apart. */
+  private ip(): string {
+    this.hosts++;
+    const n = process.pid % 50_000;
+    return `127.${10 + (n >> 8)}.${n & 255}.${this.hosts}`;
+  }
+
+  async start(): Promise<void> {
+    await this.store.start();
+    this.configure([]);
+    const seatPort = await free("127.0.0.1");
+    for (let i = 0; i < this.size.engines; i++) await this.addEngine(i, seatPort);
+    for (let i = 0; i < this.size.plain; i++) await this.addPlain(i);
+    for (let i = 0; i < this.size.entries; i++) await this.addEntry(i, seatPort);
+    for (const d of [...this.endpoints, ...this.entries]) d.start();
+    this.timer = setInterval(() => void this.askAll(), ASK_MS);
+    await this.untilReady();
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    const all = [...this.entries, ...this.endpoints];
+    for (const d of all) d.thaw();
+    await Promise.all(all.map((d) => d.kill()));
+    for (const d of all) d.close();
+    for (const p of this.places) {
+      p.worker.stop();
+      p.proxy.stop();
+      p.seats?.stop();
+    }
+    for (const p of this.storeLinks.values()) p.stop();
+    this.store.stop();
+  }
+
+  /** Puts a configuration in force with the usual routes and `extra` ones. */
+  configure(extra: readonly documents.Route[]): void {
+    this.extra = extra;
+    this.version += 1 + (this.version % 3);
+    const services = [documents.engines(ENGINES, SLOTS), documents.plain(PLAIN)];
+    this.store.put("op/config", documents.config(this.version, [...ROUTES, ...extra], services));
+  }
+
+  /** Adds or takes away a route for calls; whether it is there now. */
+  toggle(prefix: string): boolean {
+    const there = this.extra.some((r) => r.prefix === prefix);
+    const route: documents.Route = {
+      name: prefix,
+      prefix,
+      kind: "idempotent",
+      service: PLAIN,
+      attempts: 2,
+    };
+    this.configure(there ? this.extra.filter((r) => r.prefix !== prefix) : [...this.extra, route]);
+    return !there;
+  }
+
+  /** Declares a new version of an adapter. */
+  declare(adapter: string): number {
+    const version = (this.newest.get(adapter) ?? 1) + 1;
+    this.newest.set(adapter, version);
+    const key = `op/version/${documents.MODEL}.${adapter}`;
+    this.store.put(key, { model: documents.MODEL, adapter, version });
+    return version;
+  }
+
+  /** Writes a worker's entry. */
+  register(p: Place): void {
+    const { service, instance } = p.worker;
+    const state = this.leaving.has(instance) ? "draining" : "ready";
+    this.store.put(`servers/${instance}`, documents.entry(service, p.address, state));
+  }
+
+  /** A worker says that it leaves. */
+  leave(p: Place): void {
+    this.leaving.add(p.worker.instance);
+    this.register(p);
+  }
+
+  /**
+   * Starts a worker anew at the same address, unless that was done to `instance` before; it holds
+   * nothing, and has a new name.
+   */
+  async restart(p: Place, instance: string): Promise<void> {
+    if (p.worker.instance !== instance) return;
+    const [host, port] = p.worker.address.split(":");
+    p.worker.stop();
+    this.store.remove(`servers/${p.worker.instance}`);
+    p.worker = this.made(p.name, p.worker instanceof workers.Engine);
+    await p.worker.start(host, Number(port));
+    this.register(p);
+  }
+
+  private made(name: string, engine: boolean): workers.Engine | workers.Plain {
+    const instance = `${name}.${this.started++}`;
+    if (!engine) return new workers.Plain(PLAIN, instance, this.kept);
+    const made = new workers.Engine(ENGINES, instance, this.kept, SLOTS, this.newest);
+    made.eventMs = EVENT_MS;
+    return made;
+  }
+
+  private async storeFor(name: string): Promise<string> {
+    const link = new proxies.Proxy(() => this.store.address);
+    this.storeLinks.set(name, link);
+    return link.start(this.ip());
+  }
+
+  private async addEngine(i: number, seatPort: number): Promise<void> {
+    const name = `engine-${i}`;
+    const ip = this.ip();
+    const before = this.ip();
+    const worker = this.made(name, true);
+    await worker.start(ip);
+    const proxy = new proxies.Proxy(() => place.worker.address);
+    const seats = new proxies.Proxy(() => `${ip}:${seatPort}`);
+    await seats.start(before, seatPort);
+    const address = await proxy.start(before);
+    const place: Place = { name, worker, proxy, seats, address };
+    this.places.push(place);
+    this.register(place);
+    const plan: daemons.Plan = {
+      name: `endpoint-${i}`,
+      role: "endpoint",
+      ip,
+      seatPort,
+      store: await this.storeFor(`endpoint-${i}`),
+      engine: worker.address,
+      service: ENGINES,
+    };
+    this.endpoints.push(new daemons.Daemon(plan, this.main, this.folder, this.fault));
+  }
+
+  private async addPlain(i: number): Promise<void> {
+    const name = `plain-${i}`;
+    const worker = this.made(name, false);
+    await worker.start(this.ip());
+    const proxy = new proxies.Proxy(() => place.worker.address);
+    const address = await proxy.start(this.ip());
+    const place: Place = { name, worker, proxy, seats: undefined, address };
+    this.places.push(place);
+    this.register(place);
+  }
+
+  private async addEntry(i: number, seatPort: number): Promise<void> {
+    const ip = this.ip();
+    const plan: daemons.Plan = {
+      name: `entry-${i}`,
+      role: "entry",
+      ip,
+      seatPort,
+      store: await this.storeFor(`entry-${i}`),
+      ports: [await free(ip), await free(ip)],
+    };
+    this.entries.push(new daemons.Daemon(plan, this.main, this.folder, this.fault));
+  }
+
+  /** The entry daemons that the balancer gives out. */
+  inRotation(): readonly daemons.Daemon[] {
+    const ready = this.entries.filter((d) => (this.misses.get(d.plan.name) ?? 0) < MISSES);
+    return ready.length * 2 < this.entries.length ? this.entries : ready;
+  }
+
+  private async askAll(): Promise<void> {
+    await Promise.all(
+      this.entries.map(async (d) => {
+        const ready = await isReady(d);
+        const misses = this.misses.get(d.plan.name) ?? 0;
+        this.misses.set(d.plan.name, ready ? 0 : misses + 1);
+      }),
+    );
+  }
+
+  private async untilReady(): Promise<void> {
+    for (let i = 0; i < 200; i++) {
+      const ready = await Promise.all(this.entries.map((d) => isReady(d)));
+      if (ready.every(Boolean)) return;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    throw new Error("the daemons are not ready after 10 s");
+  }
+}
+
+async function isReady(d: daemons.Daemon): Promise<boolean> {
+  try {
+    const res = await undici.request(d.readiness, { signal: AbortSignal.timeout(ASK_MS) });
+    await res.body.dump();
+    return res.statusCode === 200;
+  } catch {
+    // No answer is a miss, as for the platform's balancer.
+    return false;
+  }
+}
+
+/** A port that nobody listens at on `ip`. */
+async function free(ip: string): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, ip, resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -6,7 +6,9 @@
 import * as undici from "undici";
 import * as yaml from "yaml";
 import * as freePorts from "../ports.js";
-import * as standin from "./standin.js";
+import * as documents from "../../bench/platform/documents.js";
+import * as stores from "../../bench/platform/store.js";
+import * as workers from "../../bench/platform/worker.js";
 
 const { expect } = chai;
 
@@ -20,6 +22,12 @@
   throw new Error("it did not come about within 10 s");
 }
 
+/** A configuration with one route to the worker's service. */
+function configOf(version: number, prefix: string): object {
+  const route = { name: "captions", prefix, kind: "streaming" as const, service: "llm" };
+  return documents.config(version, [route], [documents.engines("llm", 2)]);
+}
+
 interface Daemon {
   readonly process: child.ChildProcess;
   readonly lines: () => readonly Readonly<Record<string, unknown>>[];
@@ -45,8 +53,9 @@
 }
 
 describe("daemons on the platform", () => {
-  const store = new standin.Store();
-  const worker = new standin.Worker();
+  const store = new stores.Store();
+  const kept = workers.journal();
+  const worker = new workers.Engine("llm", "i-1", kept, 2);
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
   let ports: readonly number[] = [];
   let entry: Daemon;
@@ -93,9 +102,8 @@
   before(async () => {
     await store.start();
     await worker.start();
-    store.put("op/config", standin.configOf(1, "/c/"));
-    const beat = { service: "llm", address: worker.address, zone: "a", slots: 8, state: "ready" };
-    store.put(`servers/${worker.instance}`, beat);
+    store.put("op/config", configOf(1, "/c/"));
+    store.put(`servers/${worker.instance}`, documents.entry("llm", worker.address));
     ports = await Promise.all([freePorts.free(), freePorts.free(), freePorts.free()]);
     const listen = { front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}` };
     entry = run("entry", settingsFile("entry-1", { listen }));
@@ -124,22 +132,22 @@
   it("serve a stream on the adapter that the request names", async () => {
     const res = await ask("r1", "a1");
     expect(res.statusCode).equal(200);
-    expect(res.headers["x-sumacfield-server-signature"]).equal("signed");
+    expect(res.headers["x-sumacfield-server-signature"]).equal(worker.instance);
     const text = await res.body.text();
-    expect(text.match(/data: a1-\d/g)).length(5);
+    expect(text.match(/data: r1 a1@1 \d/g)).length(5);
     expect(worker.held.has("a1")).equal(true);
   });
 
   it("serve more adapters than the engine has slots, one after the other", async () => {
     for (const adapter of ["a1", "a2", "a3", "a4"]) {
       const res = await ask(`s-${adapter}`, adapter);
-      expect(await res.body.text()).include(`${adapter}-5`);
+      expect(await res.body.text()).include(`${adapter}@1 5 of 5`);
     }
     expect(worker.held.size).most(2);
   });
 
   it("put a new configuration in force within two seconds", async () => {
-    store.put("op/config", standin.configOf(2, "/d/"));
+    store.put("op/config", configOf(2, "/d/"));
     const began = performance.now();
     await until(async () => {
       const res = await ask("probe", "a1", "/d/x");
@@ -189,7 +197,7 @@
     const res = await ask("last", "a1", "/d/x");
     entry.process.kill("SIGTERM");
     const text = await res.body.text();
-    expect(text.match(/data: a1-\d/g)).length(5);
+    expect(text.match(/data: last a1@1 \d/g)).length(5);
     expect(await entry.exited).equal(0);
     expect(entry.lines().at(-1)).include({ msg: "Stopped." });
   }).timeout(10_000);
