Tell entry daemons of engines by interest, at a pace that slackens with their number

Change: one that asks for a seat hears in the next round of 20 ms, all hear at once that an engine came or went, and the rest hear every 10 ms times their number. The state names the longest silence, which the link checks against. The endpoints that a selector picks are kept for as long as the catalog's endpoints are the same.

--- a/src/serving/announcer.ts
+++ b/src/serving/announcer.ts
@@ -1,31 +1,60 @@
 /**
- * Tells the entry daemons that are connected how busy an engine is and what it holds: soon, and once
- * for many changes.
+ * Tells the entry daemons that are connected how busy an engine is and what it holds. One that has
+ * just asked for a seat hears soon; the others hear of changes at a pace that slackens as they grow
+ * in number, so that what is sent and heard does not grow with hosts times engines times requests.
  * @module
  */
 import * as util from "node:util";
 import type * as clock from "../host/clock.js";
+import * as lines from "./lines.js";
 import type * as seat from "./seat.js";
 
-/** Milliseconds between two states sent, so that many changes make one message. */
-const STATE_MS = 20;
+/** Milliseconds between two rounds of words, so that many changes make one message. */
+const ROUND_MS = 20;
+/**
+ * Milliseconds by which the pace of those that ask for nothing slackens with each entry daemon: all
+ * of them together then hear 100 states a second of one engine. At 360 entry daemons and 600 engines
+ * each hears some 170 a second.
+ */
+const PACE_MS_EACH = 10;
+/** Milliseconds between two words at most, for few entry daemons, and by how much each adds to it. */
+const SILENCE_MS = 1000;
+const SILENCE_MS_EACH = 20;
 
 /** An entry daemon's connection. */
 export interface Client {
   readonly host: string;
   readonly send: (m: seat.FromEndpoint) => void;
-  readonly sendState: (m: seat.State) => void;
-  readonly sendHoldings: (m: seat.Holdings) => void;
+  /** Sends a message that is encoded already. */
+  readonly sendLine: (line: string) => void;
+}
+
+/** What one entry daemon was told last. */
+interface Told {
+  /** Count of changes that the last word included. */
+  readonly changes: number;
+  /** Count of changes of the holdings that it was told. */
+  readonly held: number;
+  /** Monotonic ms of the last word. */
+  readonly at: number;
+  /** It is to hear in the next round. */
+  readonly soon: boolean;
 }
 
+const NOTHING: Told = { changes: -1, held: -1, at: -Infinity, soon: true };
+
 export class Announcer {
-  private readonly clients = new Set<Client>();
-  private told: seat.Holdings | undefined;
+  private readonly clients = new Map<Client, Told>();
+  private changes = 0;
+  private heldChanges = 0;
+  private held: seat.Holdings | undefined;
+  private roundAt = -Infinity;
   private timer: clock.Timer | undefined;
+  private timerAt = Infinity;
 
   constructor(
     private readonly clk: clock.Clock,
-    private readonly state: () => seat.State,
+    private readonly state: (silenceMs: number) => seat.State,
     private readonly holdings: () => seat.Holdings,
   ) {}
 
@@ -35,9 +64,7 @@
   }
 
   join(c: Client): void {
-    this.clients.add(c);
-    c.sendHoldings(this.holdings());
-    c.sendState(this.state());
+    this.clients.set(c, NOTHING);
     this.changed();
   }
 
@@ -46,21 +73,80 @@
     this.changed();
   }
 
+  /** An entry daemon asked for something; its next word comes in the next round. */
+  asked(c: Client): void {
+    const told = this.clients.get(c);
+    if (told) this.clients.set(c, { ...told, soon: true });
+    this.changed();
+  }
+
   /** Something changed that entry daemons should know. */
   changed(): void {
-    this.timer ??= this.clk.after(STATE_MS, () => {
+    this.changes++;
+    this.plan();
+  }
+
+  /** Something changed that all entry daemons must know soon: the engine came or went. */
+  changedMuch(): void {
+    for (const [c, told] of this.clients) this.clients.set(c, { ...told, soon: true });
+    this.changed();
+  }
+
+  close(): void {
+    this.timer?.cancel();
+    this.clients.clear();
+  }
+
+  private paceMs(): number {
+    return Math.max(ROUND_MS, PACE_MS_EACH * this.clients.size);
+  }
+
+  private silenceMs(): number {
+    return Math.max(SILENCE_MS, SILENCE_MS_EACH * this.clients.size);
+  }
+
+  /** Monotonic ms at which a client is to hear the next word. */
+  private due(told: Told): number {
+    if (told.soon) return this.roundAt + ROUND_MS;
+    const ms = told.changes < this.changes ? this.paceMs() : this.silenceMs();
+    return Math.max(told.at + ms, this.roundAt + ROUND_MS);
+  }
+
+  /** Sets the timer for the next round. */
+  private plan(): void {
+    if (this.clients.size === 0) return;
+    const now = this.clk.mono();
+    let at = Infinity;
+    for (const told of this.clients.values()) at = Math.min(at, this.due(told));
+    at = Math.max(at, now);
+    if (this.timer && this.timerAt <= at) return;
+    this.timer?.cancel();
+    this.timerAt = at;
+    this.timer = this.clk.after(at - now, () => {
       this.timer = undefined;
-      this.tell();
+      this.round();
+      this.plan();
     });
   }
 
-  private tell(): void {
+  /** Tells those whose turn it is. */
+  private round(): void {
+    const now = this.clk.mono();
+    const due = [...this.clients].filter(([, told]) => this.due(told) <= now);
+    // A timer may fire a little early.
+    if (due.length === 0) return;
+    this.roundAt = now;
     const held = this.holdings();
-    if (!util.isDeepStrictEqual(held, this.told)) {
-      this.told = held;
-      for (const c of this.clients) c.sendHoldings(held);
+    if (!util.isDeepStrictEqual(held, this.held)) {
+      this.held = held;
+      this.heldChanges++;
+    }
+    const heldLine = lines.encode(held);
+    const stateLine = lines.encode(this.state(this.silenceMs()));
+    for (const [c, told] of due) {
+      if (told.held < this.heldChanges) c.sendLine(heldLine);
+      c.sendLine(stateLine);
+      this.clients.set(c, { changes: this.changes, held: this.heldChanges, at: now, soon: false });
     }
-    const m = this.state();
-    for (const c of this.clients) c.sendState(m);
   }
 }
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -163,9 +163,19 @@
   }
 }
 
+/** What selectors picked, remembered for as long as the endpoints and the service are the same. */
+const picked = new WeakMap<Catalog["endpoints"], WeakMap<Service, readonly Endpoint[]>>();
+
 /** The endpoints that a service's selector picks. */
 export function endpointsOf(at: Catalog, service: Service): readonly Endpoint[] {
-  return [...at.endpoints.values()].filter((e) => selector.matches(service.endpoints, e.labels));
+  const byService = picked.get(at.endpoints) ?? new WeakMap<Service, readonly Endpoint[]>();
+  picked.set(at.endpoints, byService);
+  const known = byService.get(service);
+  if (known) return known;
+  const all = [...at.endpoints.values()];
+  const list = all.filter((e) => selector.matches(service.endpoints, e.labels));
+  byService.set(service, list);
+  return list;
 }
 
 /** The route with the longest prefix of `path`, among those of `host`. */
--- a/src/serving/desk.ts
+++ b/src/serving/desk.ts
@@ -5,18 +5,13 @@
  */
 import * as net from "node:net";
 import * as addresses from "../host/address.js";
-import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import type * as announcer from "./announcer.js";
 import type * as keeper from "./keeper.js";
 import * as lines from "./lines.js";
 import * as seat from "./seat.js";
 
-/** Milliseconds between two words to an entry daemon at most. */
-const SPEAK_MS = 1000;
-
 export interface Deps {
-  readonly clock: clock.Clock;
   readonly log: record.Log;
   readonly keeper: keeper.Keeper;
 }
@@ -41,16 +36,6 @@
 
 function take(socket: net.Socket, count: number, deps: Deps, over: () => void): void {
   let client: announcer.Client | undefined;
-  let last: seat.State | undefined;
-  let timer: clock.Timer | undefined;
-  const speak = (m: seat.State): void => {
-    last = m;
-    channel.send(m);
-    timer?.cancel();
-    timer = deps.clock.after(SPEAK_MS, () => {
-      if (last) speak(last);
-    });
-  };
   const channel = lines.channel<seat.FromEntry, seat.FromEndpoint>(socket, seat.fromEntry, {
     message: (m) => {
       switch (m.kind) {
@@ -58,8 +43,7 @@
           client = {
             host: `${m.host}.${count}`,
             send: channel.send,
-            sendState: speak,
-            sendHoldings: channel.send,
+            sendLine: channel.sendLine,
           };
           deps.keeper.join(client);
           deps.log.info("An entry daemon is connected.", { peer: m.host });
@@ -77,7 +61,6 @@
     },
     closed: (why) => {
       over();
-      timer?.cancel();
       if (!client) return;
       deps.keeper.leave(client);
       deps.log.info("An entry daemon is lost.", { peer: client.host, why });
--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -65,7 +65,6 @@
     modelTurn: () => takeTurn(opts, deps, fed, lg),
   });
   const door = await desk.open(opts.seats, {
-    clock: deps.clock,
     log: deps.log("desk"),
     keeper: kept,
   });
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -54,7 +54,7 @@
   constructor(private readonly deps: Deps) {
     this.news = new announcer.Announcer(
       deps.clock,
-      () => this.snapshot(),
+      (silenceMs) => this.snapshot(silenceMs),
       () => this.holdings(),
     );
   }
@@ -78,6 +78,7 @@
 
   stop(): void {
     this.stopped = true;
+    this.news.close();
     this.wake?.();
   }
 
@@ -122,7 +123,7 @@
     if (this.instance === "") this.deny(id, "out");
     else this.settle();
     this.wake?.();
-    this.changed();
+    this.news.asked(c);
   }
 
   began(c: announcer.Client, n: number, ms: number): void {
@@ -276,6 +277,7 @@
     if (!service) throw new Error(`the configuration has no service ${this.deps.service}`);
     this.instance = await this.deps.engine.identify(service.healthPath);
     this.sequence = 0;
+    this.news.changedMuch();
     this.deps.log.info("The engine answers.", { instance: this.instance });
   }
 
@@ -294,7 +296,7 @@
     const { newest, heat, waiting } = this.state;
     this.state = { ...residency.empty(), newest, heat, waiting };
     this.denyAll("out");
-    this.changed();
+    this.news.changedMuch();
   }
 
   private warmth = warmth.UNKNOWN;
@@ -418,7 +420,7 @@
     };
   }
 
-  private snapshot(): seat.State {
+  private snapshot(silenceMs: number): seat.State {
     return {
       kind: "state",
       instance: this.instance,
@@ -427,6 +429,7 @@
       seats: this.ledger.count,
       failing: Math.round(this.ledger.failing * 100) / 100,
       entries: this.news.count(),
+      silenceMs,
     };
   }
 
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -20,8 +20,12 @@
  * it says something within some 30 ms of each question.
  */
 const SILENT_MS = 350;
-/** Milliseconds without a word after which the connection is made anew; it speaks every second. */
+/**
+ * Milliseconds without a word after which the connection is made anew, until the endpoint daemon has
+ * said how long it may be silent; and by how much longer than that it is borne with.
+ */
 const QUIET_MS = 2500;
+const QUIET_FACTOR = 2.5;
 /** Milliseconds between checks for silence. */
 const CHECK_MS = 50;
 
@@ -207,7 +211,8 @@
     this.check ??= this.deps.clock.after(CHECK_MS, () => {
       this.check = undefined;
       const now = this.deps.clock.mono();
-      if (now - this.heardAt > QUIET_MS) {
+      const quietMs = this.last ? QUIET_FACTOR * this.last.silenceMs : QUIET_MS;
+      if (now - this.heardAt > quietMs) {
         this.channel?.close();
         return;
       }
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -57,6 +57,8 @@
     failing: zod.number(),
     /** Entry daemons connected. */
     entries: zod.number(),
+    /** Milliseconds within which the next word comes; longer silence means the link is broken. */
+    silenceMs: zod.number(),
   })
   .readonly();
 export type State = zod.infer<typeof state>;
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -161,6 +161,7 @@
   seats: 0,
   failing: 0,
   entries: 1,
+  silenceMs: 1000,
 };
 
 function view(id: string, over: Partial<choice.View> = {}): choice.View {
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -52,7 +52,7 @@
   });
   const port = await ports.free();
   const address = `127.0.0.1:${port}`;
-  const open = () => desk.open(address, { clock: clock.system, log: record.silent, keeper: kept });
+  const open = () => desk.open(address, { log: record.silent, keeper: kept });
   let door = await open();
   const lost: string[] = [];
   const made = new link.Link(address, {
