Follow the store as closely as each daemon needs

Every daemon waited 2.5 s and asked again 0.6 s after each change, though endpoint daemons hear of versions with each question for a seat. Change: endpoint daemons wait 25 s, and 1.5 s from one call to the next; entry daemons let 0.3 of the time pass in which a change must be in force, which the settings name, instead of a fixed 0.6 s.

--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -51,6 +51,7 @@
     log: deps.log("feed"),
     source: deps.source,
     decoder: deps.decoder,
+    pace: feed.LOOSE,
     random: deps.random,
     changed: () => {
       kept.heard();
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -24,6 +24,8 @@
   readonly domain: string;
   /** `ip:port` for the balancer's question whether it is ready. */
   readonly readiness: string;
+  /** Milliseconds within which a change in the store must be in force. */
+  readonly inForceMs: number;
   /** Milliseconds from the signal to stop until the process is killed. */
   readonly graceMs: number;
   readonly retries: retries.Options;
@@ -63,6 +65,7 @@
     log: deps.log("feed"),
     source: deps.source,
     decoder: deps.decoder,
+    pace: feed.close(opts.inForceMs),
     random: deps.random,
     changed: (at) => {
       if (at.config) callers.configure(at.config.limits);
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -9,20 +9,36 @@
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
 
+/** How closely a daemon follows the store. Each wait for changes is a call that costs. */
+export interface Pace {
+  /** Milliseconds that one wait lasts; one that hangs on a dead connection hides changes as long. */
+  readonly waitMs: number;
+  /** Milliseconds from one wait to the next at least, so that many changes share a call. */
+  readonly everyMs: number;
+}
+
+/** Milliseconds that an entry daemon's wait for changes lasts: about what makes a host out of touch. */
+const CLOSE_WAIT_MS = 2500;
+/** Part of the time allowed for a change that passes between two waits, so that one may be lost. */
+const CLOSE_PART = 0.3;
+
+/** For those who put changes in force, `inForceMs` after they were accepted at the latest. */
+export function close(inForceMs: number): Pace {
+  return { waitMs: CLOSE_WAIT_MS, everyMs: CLOSE_PART * inForceMs };
+}
+
 /**
- * Milliseconds that one wait for changes lasts. A wait is a call that costs, but one that hangs on a
- * dead connection hides changes for as long: a change must be in force 2 s after it was accepted.
+ * For endpoint daemons, which also hear of versions with each question for a seat: an adapter's
+ * version must be in force after 5 s. They are many, and the store's rates grow more slowly.
  */
-const WAIT_MS = 2500;
+export const LOOSE: Pace = { waitMs: 25_000, everyMs: 1500 };
+
 /** Milliseconds until the next try after the store failed, at first and at most. */
 const RETRY_MS = 60;
 const RETRY_MAX_MS = 400;
 /** Milliseconds within which workers are back whose entries lapsed during an outage, by the letter. */
 const BACK_WITHIN_MS = 2200;
 
-/** Milliseconds from one call for changes to the next at least, so that many changes share a call. */
-const PACE_MS = 600;
-
 /** How documents become steps of the catalog; the platform's adapter knows. */
 export interface Decoder {
   /** Prefixes of the documents that matter. */
@@ -38,6 +54,7 @@
   readonly log: record.Log;
   readonly source: source.Source;
   readonly decoder: Decoder;
+  readonly pace: Pace;
   /** The catalog changed. */
   readonly changed: (at: catalog.Catalog) => void;
   readonly random: () => number;
@@ -130,10 +147,14 @@
 
   private async follow(): Promise<void> {
     const now = this.deps.clock.mono();
-    await clock.sleep(this.deps.clock, this.askedAt + PACE_MS - now, this.abort.signal);
+    await clock.sleep(
+      this.deps.clock,
+      this.askedAt + this.deps.pace.everyMs - now,
+      this.abort.signal,
+    );
     this.askedAt = this.deps.clock.mono();
     const { common } = this.deps.decoder;
-    const got = await this.deps.source.changes(common, this.at.revision, WAIT_MS);
+    const got = await this.deps.source.changes(common, this.at.revision, this.deps.pace.waitMs);
     if (got.kind === "compacted") {
       this.synced = false;
       this.deps.log.warn("The store has forgotten its history.", { revision: this.at.revision });
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -73,6 +73,9 @@
   it("are decoded, whatever fields come with them", () => {
     const s = settings.parse(SETTINGS, "file");
     expect(s).include({ host: "entry-1", domain: "a", seatPort: 7380, graceMs: 8000 });
+    expect(s.inForceMs).equal(2000);
+    const sooner = SETTINGS.replace("graceS: 8", "graceS: 8\n  configApplyMs: 1500");
+    expect(settings.parse(sooner, "file").inForceMs).equal(1500);
     expect(s.retries).deep.equal({ ratio: 0.2, slack: 58, windowMs: 10_000 });
     expect(s.engine).equal(undefined);
   });
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -76,12 +76,13 @@
 
 const running: feed.Feed[] = [];
 
-function follow(from: FakeSource): feed.Feed {
+function follow(from: FakeSource, pace: feed.Pace = feed.close(2000)): feed.Feed {
   const f = new feed.Feed({
     clock: clock.system,
     log: record.silent,
     source: from,
     decoder: DECODER,
+    pace,
     changed: () => undefined,
     random: () => 0,
   });
@@ -138,6 +139,17 @@
     expect(s.calls).most(8);
   });
 
+  it("makes fewer calls still for those that need not be prompt", async () => {
+    const s = new FakeSource();
+    const f = follow(s, feed.LOOSE);
+    for (let i = 1; i <= 50; i++) {
+      s.put("c", String(i));
+      await clock.sleep(clock.system, 40);
+    }
+    await until(() => f.catalog.config?.version === 50);
+    expect(s.calls).most(8);
+  });
+
   it("reads everything again when the store has forgotten its history", async () => {
     const s = new FakeSource();
     s.put("e/a", "10.0.0.1:1");
