Make the soak fail for six mechanisms that are switched off

Cause: with all kinds of trouble in every run, each excused what another would have shown: without three of six mechanisms the soak passed. Change: each run draws some of the kinds; workers leave more often; one adapter's streams last long enough for callers to leave; calls that must not be repeated may use two attempts, so that the rule and not the count holds them back. npm run red runs the soak for switches marked so.

--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -153,6 +153,8 @@
   readonly held = new Map<string, Held>();
   /** Milliseconds between two events. */
   eventMs = 5;
+  /** The same for one adapter. */
+  slow: { readonly adapter: string; readonly eventMs: number } | undefined;
   private sequence = 0;
 
   constructor(
@@ -289,7 +291,8 @@
     }
     if (mood === "doubling" && bad) this.double(res);
     res.writeHead(200, { ...this.signed(run.id), "content-type": "text/event-stream" });
-    const ms = this.eventMs * (mood === "slow" ? SLOW_FACTOR : 1);
+    const usual = run.adapter === this.slow?.adapter ? this.slow.eventMs : this.eventMs;
+    const ms = usual * (mood === "slow" ? SLOW_FACTOR : 1);
     const from = Number(one(req.headers["last-event-id"]) || 0) + 1;
     const due = run.at + run.leftMs;
     for (let n = from; n <= EVENTS; n++) {
--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -11,6 +11,8 @@
 const ROOT = new URL("../../../", import.meta.url).pathname;
 const TOGETHER = 4;
 const TIMEOUT_MS = 9000;
+/** Seeds of the soak that may find a mechanism missing. */
+const SOAK_SEEDS = 3;
 
 type Seen = "fails" | "PASSES" | "NOT APPLIED" | "NO SUCH PROOF";
 
@@ -39,6 +41,23 @@
   });
 }
 
+/** Runs the soak on the edited daemons; it must find what it is to find. */
+function soak(dir: string, what: string): Promise<Seen> {
+  const main = path.join(dir, "platform/main.js");
+  const args = [path.join(dir, "bench/soak/main.js"), "--main", main, "--out", `${dir}/soak`];
+  return new Promise((resolve) => {
+    child.execFile(
+      process.execPath,
+      [...args, "--seed", "1", "--seeds", String(SOAK_SEEDS)],
+      { cwd: ROOT },
+      (_err, stdout) => {
+        if (!/^Requests: /m.test(stdout)) resolve("NO SUCH PROOF");
+        else resolve(stdout.includes(`\n  ${what}`) ? "fails" : "PASSES");
+      },
+    );
+  });
+}
+
 async function judge(s: switches.Switch, n: number): Promise<Seen> {
   const dir = path.join(ROOT, `out-red-${n}`);
   await fs.rm(dir, { recursive: true, force: true });
@@ -51,6 +70,7 @@
       file,
       text.replace(s.find, () => s.put),
     );
+    if (s.bySoak) return await soak(dir, s.proof);
     const out = await run(dir, s.proof);
     if (/[1-9]\d* failing/.test(out)) return "fails";
     return /[1-9]\d* passing/.test(out) ? "PASSES" : "NO SUCH PROOF";
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -12,8 +12,10 @@
   /** Text that stands there once, and what replaces it. */
   readonly find: string;
   readonly put: string;
-  /** Title of the scenario or test that proves the mechanism. */
+  /** Title of the scenario or test that proves the mechanism; for the soak, what it must find. */
   readonly proof: string;
+  /** The proof is a run of the soak instead of a test. */
+  readonly bySoak?: true;
 }
 
 export const SWITCHES: readonly Switch[] = [
@@ -353,4 +355,52 @@
     put: "return ROUND_MS;",
     proof: "sends no more states for many entry daemons than for few",
   },
+  {
+    name: "soak: what must not be repeated is sent once",
+    file: "serving/dispatch.js",
+    find: "if (catalog.repeatable(a.route))\n            return undefined;",
+    put: "if (true)\n            return undefined;",
+    proof: "once",
+    bySoak: true,
+  },
+  {
+    name: "soak: what may have run is not called not run",
+    file: "serving/dispatch.js",
+    find: "if (p.runs > 0) {",
+    put: "if (false) {",
+    proof: "notRun",
+    bySoak: true,
+  },
+  {
+    name: "soak: a stream that broke does not end as if whole",
+    file: "serving/dispatch.js",
+    find: "out.breakOff();",
+    put: "out.end();",
+    proof: "whole",
+    bySoak: true,
+  },
+  {
+    name: "soak: an endpoint that leaves gets no new work",
+    file: "../platform/documents.js",
+    find: 'leaving: s.state !== "ready"',
+    put: "leaving: false",
+    proof: "leaving",
+    bySoak: true,
+  },
+  {
+    name: "soak: an engine is told when the caller leaves",
+    file: "serving/dispatch.js",
+    find: 'out.gone.addEventListener("abort", stop, { once: true });',
+    put: "",
+    proof: "gone",
+    bySoak: true,
+  },
+  {
+    name: "soak: a place on its way in counts as taken",
+    file: "serving/residency.js",
+    find: "if (s.slots.size < opts.slots)",
+    put: 'if ([...s.slots.values()].filter((p) => p.phase !== "loading").length < opts.slots)',
+    proof: "engine-",
+    bySoak: true,
+  },
 ];
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -163,7 +163,31 @@
 /** Routes that come and go. */
 export const PATHS = ["/p1/", "/p2/", "/p3/"];
 
+const workerLeaves: Fault = {
+  name: "worker leaves",
+  lasts: [3500, 5000],
+  begin: (d) => {
+    const at = d.draw.one(d.site.places);
+    const { instance } = at.worker;
+    d.site.leave(at);
+    d.history.changes.push({ kind: "leaving", instance, at: performance.now() });
+    return {
+      on: [],
+      end: async () => {
+        const now = performance.now();
+        // Those that could not hear that it leaves may have sent to it until now.
+        d.history.disturbances.push({ kind: "worker ends", on: instance, from: now, to: now });
+        await d.site.restart(at, instance);
+      },
+    };
+  },
+};
+
 export const FAULTS: readonly Fault[] = [
+  // Planned, and more frequent than any one trouble.
+  workerLeaves,
+  workerLeaves,
+  workerLeaves,
   killed("entry daemon", entries),
   killed("endpoint daemon", endpoints),
   frozen("entry daemon", entries),
@@ -193,25 +217,6 @@
       };
     },
   },
-  {
-    name: "worker leaves",
-    lasts: [3500, 5000],
-    begin: (d) => {
-      const at = d.draw.one(d.site.places);
-      const { instance } = at.worker;
-      d.site.leave(at);
-      d.history.changes.push({ kind: "leaving", instance, at: performance.now() });
-      return {
-        on: [],
-        end: async () => {
-          const now = performance.now();
-          // Those that could not hear that it leaves may have sent to it until now.
-          d.history.disturbances.push({ kind: "worker ends", on: instance, from: now, to: now });
-          await d.site.restart(at, instance);
-        },
-      };
-    },
-  },
   link("delays", (d, p) => {
     const ms = d.draw.between(20, 250);
     for (const x of [p.proxy, p.seats]) x?.set({ kind: "delay", ms });
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -77,6 +77,8 @@
 const AFTER_MS = 3500;
 /** Milliseconds by which an answer may be late against the caller's time, on a busy machine. */
 const LATE_MS = 700;
+/** Milliseconds before the caller's time at which an answer may be given up. */
+const EARLY_MS = 60;
 /** Milliseconds after a caller left within which its worker must know. */
 const LEFT_MS = 900;
 /** Planned work, which may cut nothing off. */
@@ -132,8 +134,8 @@
     return isWhole(s, s.end.text) ? undefined : `not its whole answer: ${s.end.text.slice(0, 200)}`;
   },
   function once(s, runs) {
-    const most = s.kind === "call_once" || s.kind === "stream_once" ? 1 : Infinity;
-    return runs.length > most ? `ran ${runs.length} times` : undefined;
+    const only = s.kind === "call_once" || s.kind === "stream_once";
+    return only && runs.length > 1 ? `ran ${runs.length} times` : undefined;
   },
   function attempts(s, runs, h) {
     const ends = runs.some((r) => disturbed(h, r.at, r.at + s.waitMs, (d) => d.on === r.instance));
@@ -160,6 +162,8 @@
     if (s.end.kind !== "broken") return undefined;
     // A request may cross the close of an idle connection, if it is not passed on.
     if (runs.length === 0 && s.end.text === "") return undefined;
+    // At its deadline a stream is broken off, since it must not look whole.
+    if (s.endedAt - s.sentAt >= s.waitMs - EARLY_MS) return undefined;
     const struck = (d: Disturbance): boolean =>
       (d.on === s.entry && !PLANNED.test(d.kind)) || runs.some((r) => r.instance === d.on);
     return disturbed(h, s.sentAt, s.endedAt, struck) ? undefined : `was cut off: ${s.end.why}`;
--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -16,6 +16,7 @@
     minutes: 0.4,
     cause:
       "broken: a worker that had said it leaves ended while the store was silent, so that nobody " +
-      "could have heard of it. The checker did not know that the worker broke off; mended there.",
+      "could have heard of it. The checker did not know that the worker broke off; mended there. " +
+      "The kinds of trouble of a run are drawn since, so this seed draws others now.",
   },
 ];
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -23,6 +23,8 @@
 
 /** Milliseconds from one trouble to the next. */
 const PAUSE_MS: readonly [number, number] = [100, 1600];
+/** Part of the kinds of trouble that one run has. */
+const KINDS = 0.35;
 /** Troubles at the same time, at most. */
 const TOGETHER = 4;
 /** Milliseconds from one change by the operator to the next. */
@@ -34,6 +36,7 @@
 const SERVED = 0.9;
 /** Part of the callers that go away early. */
 const LEAVING = 0.05;
+const LEAVING_SLOW = 0.4;
 
 export async function run(plan: Plan): Promise<history.History> {
   const wrong: string[] = [];
@@ -75,6 +78,7 @@
     const adapter = kind.startsWith("stream") ? popular(draw) : "";
     const extra = kind === "call" && draw.part() < 0.3;
     const path = extra ? draw.one(faults.PATHS) : PATH_OF[kind];
+    const leaving = adapter === site.SLOW_ADAPTER ? LEAVING_SLOW : LEAVING;
     const sure = performance.now() - history.VERSION_MS;
     const versions = declared.filter((d) => d.adapter === adapter && d.at < sure);
     return {
@@ -83,7 +87,7 @@
       path,
       waitMs: Math.round(draw.between(1500, 4000)),
       version: Math.max(0, ...versions.map((d) => d.version)),
-      leaveMs: draw.part() < LEAVING ? draw.between(10, 200) : undefined,
+      leaveMs: draw.part() < leaving ? draw.between(10, 200) : undefined,
     };
   };
   return {
@@ -114,10 +118,13 @@
 /** Troubles come and go until `until`; resolves once the last is mended. */
 async function trouble(d: faults.Deps, until: number): Promise<void> {
   const on = new Map<string, Promise<void>>();
+  // Each run has some kinds alone: where all come, each excuses what another would show.
+  const drawn = faults.FAULTS.filter(() => d.draw.part() < KINDS);
+  const kinds = drawn.length > 0 ? drawn : faults.FAULTS;
   while (performance.now() < until) {
     await sleep(d.draw.between(...PAUSE_MS));
     if (on.size >= TOGETHER) continue;
-    const fault = d.draw.one(faults.FAULTS);
+    const fault = d.draw.one(kinds);
     if (on.has(fault.name)) continue;
     const struck = fault.begin(d);
     if (!struck) continue;
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -15,6 +15,9 @@
 const PLAIN = "guide";
 /** Milliseconds between two events of a stream. */
 const EVENT_MS = 20;
+/** An adapter whose streams last long, so that there is time for a caller to leave. */
+export const SLOW_ADAPTER = "a14";
+const SLOW_EVENT_MS = 300;
 /** Slots of an engine. */
 const SLOTS = 3;
 /** Milliseconds between the balancer's questions, and misses after which it goes elsewhere. */
@@ -23,9 +26,9 @@
 
 const ROUTES: readonly documents.Route[] = [
   { name: "s", prefix: "/s/", kind: "streaming", service: ENGINES, attempts: 2, resumable: true },
-  { name: "o", prefix: "/o/", kind: "streaming", service: ENGINES },
+  { name: "o", prefix: "/o/", kind: "streaming", service: ENGINES, attempts: 2 },
   { name: "c", prefix: "/c/", kind: "idempotent", service: PLAIN, attempts: 2 },
-  { name: "n", prefix: "/n/", kind: "non_idempotent", service: PLAIN },
+  { name: "n", prefix: "/n/", kind: "non_idempotent", service: PLAIN, attempts: 2 },
 ];
 
 export interface Size {
@@ -167,6 +170,7 @@
     if (!engine) return new workers.Plain(PLAIN, instance, this.kept);
     const made = new workers.Engine(ENGINES, instance, this.kept, SLOTS, this.newest);
     made.eventMs = EVENT_MS;
+    made.slow = { adapter: SLOW_ADAPTER, eventMs: SLOW_EVENT_MS };
     return made;
   }
 
