Put what both daemons share in one place, and split the keeper

Gone: Marks.copy, Protocol.instance (the adapter's own now), EngineSpec.seats, cacheTokens and memoryMb. The test of a configuration's decoding names every field of an engine instead of three. Behaviour is the same.

--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -47,12 +47,6 @@
 
 /** What the engines of a service have room for. */
 export interface EngineSpec {
-  /** Requests batched at once. */
-  readonly seats: number;
-  /** Tokens of prompts and answers that fit into an engine's cache. */
-  readonly cacheTokens: number;
-  /** Memory for weights, in MB. */
-  readonly memoryMb: number;
   /** Adapters held at once. */
   readonly slots: number;
   /** Loads of base models that the weight store allows a second, over all engines. */
--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -6,10 +6,10 @@
 import * as clock from "../host/clock.js";
 import * as log from "../host/log.js";
 import type * as record from "../host/record.js";
-import type * as source from "../store/source.js";
 import * as desk from "./desk.js";
 import type * as engine from "./engine.js";
 import * as feed from "./feed.js";
+import * as host from "./host.js";
 import * as keeper from "./keeper.js";
 import * as meters from "./meters.js";
 
@@ -20,14 +20,8 @@
   readonly service: string;
 }
 
-export interface Deps {
-  readonly clock: clock.Clock;
-  readonly log: record.Open;
-  readonly source: source.Source;
-  readonly decoder: feed.Decoder;
+export interface Deps extends host.Deps {
   readonly engine: engine.Engine;
-  readonly metricsAddress: string;
-  readonly random: () => number;
 }
 
 /** Key under which turns to load a base model are claimed in the store. */
@@ -46,16 +40,8 @@
 ): Promise<{ readonly stop: () => Promise<void> }> {
   const figures = meters.open();
   const lg = deps.log("keeper");
-  const fed = new feed.Feed({
-    clock: deps.clock,
-    log: deps.log("feed"),
-    source: deps.source,
-    decoder: deps.decoder,
-    pace: feed.LOOSE,
-    random: deps.random,
-    changed: () => {
-      kept.heard();
-    },
+  const fed = host.openFeed(deps, feed.LOOSE, () => {
+    kept.heard();
   });
   const kept = new keeper.Keeper({
     clock: deps.clock,
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -20,6 +20,11 @@
   readonly tookMs: number;
 }
 
+/** Part of the latest requests that failed, as far as it is not forgotten by now. */
+function failingNow(own: Own, now: number): number {
+  return own.failing * 2 ** (-(now - own.failedAt) / FORGET_MS);
+}
+
 const NEW: Own = { under: 0, failing: 0, failedAt: 0, tookMs: 0 };
 
 export interface Deps extends Omit<link.Deps, "lost"> {
@@ -52,7 +57,7 @@
         own: own.under,
         ownTokens: at?.tokensSince ?? 0,
         ownSlots: at?.slotsSince ?? 0,
-        failing: own.failing * 2 ** (-(this.clk.mono() - own.failedAt) / FORGET_MS),
+        failing: failingNow(own, this.clk.mono()),
         tookMs: own.tookMs,
       };
     });
@@ -121,7 +126,7 @@
   done(id: string, good: boolean | undefined, tookMs: number | undefined): void {
     const own = this.own.get(id) ?? NEW;
     const now = this.clk.mono();
-    const faded = own.failing * 2 ** (-(now - own.failedAt) / FORGET_MS);
+    const faded = failingNow(own, now);
     const failing =
       good === undefined ? own.failing : faded + ((good ? 0 : 1) - faded) * (LATEST * 2);
     const took = tookMs ?? own.tookMs;
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -6,13 +6,12 @@
 import * as http from "node:http";
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
-import * as record from "../host/record.js";
-import type * as source from "../store/source.js";
 import type * as door from "./door.js";
 import * as dispatch from "./dispatch.js";
 import * as endpoints from "./endpoints.js";
 import * as feed from "./feed.js";
 import * as front from "./front.js";
+import * as host from "./host.js";
 import * as meters from "./meters.js";
 import type * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
@@ -32,16 +31,10 @@
   readonly daemonOf: (e: catalog.Endpoint) => string;
 }
 
-export interface Deps {
+export interface Deps extends host.Deps {
   /** The callers' port, open already. */
   readonly door: door.Door;
-  readonly clock: clock.Clock;
-  readonly log: record.Open;
-  readonly source: source.Source;
-  readonly decoder: feed.Decoder;
   readonly protocol: protocol.Protocol;
-  readonly metricsAddress: string;
-  readonly random: () => number;
 }
 
 /**
@@ -60,18 +53,10 @@
   const figures = meters.open();
   const up = new upstream.Upstream(deps.protocol);
   let leaving = false;
-  const fed = new feed.Feed({
-    clock: deps.clock,
-    log: deps.log("feed"),
-    source: deps.source,
-    decoder: deps.decoder,
-    pace: feed.close(opts.inForceMs),
-    random: deps.random,
-    changed: (at) => {
-      if (at.config) callers.configure(at.config.limits);
-      known.refresh();
-      up.keep(new Set(at.endpoints.keys()));
-    },
+  const fed = host.openFeed(deps, feed.close(opts.inForceMs), (at) => {
+    if (at.config) callers.configure(at.config.limits);
+    known.refresh();
+    up.keep(new Set(at.endpoints.keys()));
   });
   const known = new endpoints.Endpoints(
     {
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -7,10 +7,12 @@
  */
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
+import * as waker from "../host/waker.js";
 import * as announcer from "./announcer.js";
 import * as catalog from "./catalog.js";
 import type * as engine from "./engine.js";
 import * as ledger from "./ledger.js";
+import * as listing from "./listing.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
 import * as warmth from "./warmth.js";
@@ -44,18 +46,21 @@
   private state = residency.empty();
   private readonly ledger = new ledger.Ledger();
   private readonly news: announcer.Announcer;
+  private warmth = warmth.UNKNOWN;
+  private modelAskedAt = -Infinity;
   private instance = "";
   private sequence = 0;
   private misses = 0;
   private lookedAt = -Infinity;
-  private wake: (() => void) | undefined;
+  private readonly waker: waker.Waker;
   private stopped = false;
 
   constructor(private readonly deps: Deps) {
+    this.waker = new waker.Waker(deps.clock);
     this.news = new announcer.Announcer(
       deps.clock,
       (silenceMs) => this.snapshot(silenceMs),
-      () => this.holdings(),
+      () => listing.holdings(this.state, warmth.warm(this.warmth)),
     );
   }
 
@@ -66,20 +71,20 @@
       if (this.instance === "" || now - this.lookedAt >= this.lookEveryMs()) await this.look();
       if (this.instance === "") {
         this.denyAll("out");
-        await this.pause(RETRY_MS);
+        await this.waker.pause(RETRY_MS);
         continue;
       }
       this.settle();
       const next = residency.order(this.state, this.deps.clock.mono(), this.options());
       if (next) await this.carryOut(next);
-      else if (!(await this.loadModel())) await this.pause(this.idleMs());
+      else if (!(await this.loadModel())) await this.waker.pause(this.idleMs());
     }
   }
 
   stop(): void {
     this.stopped = true;
     this.news.close();
-    this.wake?.();
+    this.waker.wake();
   }
 
   /** The catalog changed. */
@@ -88,7 +93,7 @@
     for (const [key, version] of this.deps.catalog().versions) {
       this.state = residency.declare(this.state, key, version, now);
     }
-    this.wake?.();
+    this.waker.wake();
   }
 
   join(c: announcer.Client): void {
@@ -122,7 +127,7 @@
     this.state = residency.ask(this.state, waiter, now);
     if (this.instance === "") this.deny(id, "out");
     else this.settle();
-    this.wake?.();
+    this.waker.wake();
     this.news.asked(c);
   }
 
@@ -135,7 +140,7 @@
   end(c: announcer.Client, n: number, how: ledger.End): void {
     this.over(`${c.host}#${n}`, how);
     if (how === "absent") this.lookedAt = -Infinity;
-    this.wake?.();
+    this.waker.wake();
     this.changed();
   }
 
@@ -238,18 +243,6 @@
     return Math.max(1, Math.min(look, timed));
   }
 
-  private pause(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      const done = (): void => {
-        t.cancel();
-        this.wake = undefined;
-        resolve();
-      };
-      const t = this.deps.clock.after(ms, done);
-      this.wake = done;
-    });
-  }
-
   /** Reads what the engine holds. */
   private async look(): Promise<void> {
     const askedAt = this.deps.clock.mono();
@@ -299,28 +292,10 @@
     this.news.changedMuch();
   }
 
-  private warmth = warmth.UNKNOWN;
-
   private learn(report: engine.Report, askedAt: number): void {
-    const listed = report.models.flatMap((m) =>
-      m.adapters.map((a) => ({
-        key: catalog.adapterKey(m.name, a.adapter),
-        model: m.name,
-        adapter: a.adapter,
-        version: a.version,
-        pending: false,
-      })),
-    );
-    const pending = report.pending.map((p) => ({
-      key: catalog.adapterKey(p.model, p.adapter),
-      model: p.model,
-      adapter: p.adapter,
-      version: p.version,
-      pending: true,
-    }));
     const models = report.models.map((m) => m.name);
     const before = this.state;
-    this.state = residency.reconcile(this.state, models, [...listed, ...pending], askedAt);
+    this.state = residency.reconcile(this.state, models, listing.adapters(report), askedAt);
     for (const p of this.state.slots.values()) {
       const old = before.slots.get(p.key);
       if (p.phase !== "resident" || old?.phase !== "loading") continue;
@@ -346,18 +321,8 @@
         });
         return;
       case "load": {
-        const { key, model, adapter, version } = a;
-        const old = this.state.slots.get(key);
-        const slot: residency.Slot = {
-          key,
-          model,
-          adapter,
-          version: version ?? 0,
-          phase: "loading",
-          pins: old?.pins ?? 0,
-          since: now,
-        };
-        this.state = residency.put(this.state, slot);
+        const { model, adapter, version } = a;
+        this.state = residency.loading(this.state, a, now);
         await this.give({ kind: "load", model, adapter, version });
         return;
       }
@@ -406,20 +371,6 @@
     return true;
   }
 
-  private modelAskedAt = -Infinity;
-
-  private holdings(): seat.Holdings {
-    const usable = [...this.state.slots.values()].filter(
-      (p) => p.phase === "resident" || p.phase === "loading",
-    );
-    return {
-      kind: "holdings",
-      models: this.state.models,
-      resident: usable.map((p) => p.key),
-      warm: warmth.warm(this.warmth),
-    };
-  }
-
   private snapshot(silenceMs: number): seat.State {
     return {
       kind: "state",
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -18,8 +18,6 @@
   readonly leftMs: number;
   /** Last event already passed on; the endpoint goes on after it. */
   readonly resumeAfter?: string | undefined;
-  /** Address of the endpoint that holds a copy of the run's memory, with the copy's name. */
-  readonly copy?: string | undefined;
 }
 
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -36,8 +34,6 @@
   readonly notRun: (status: number, headers: Headers) => boolean;
   /** Whether an answer bears an endpoint's signature. */
   readonly signed: (headers: Headers) => boolean;
-  /** The incarnation that an answer names. */
-  readonly instance: (headers: Headers) => string | undefined;
   /** Headers that tell a refused caller when to come back, in ms. */
   readonly comeBack: (ms: number) => Record<string, string>;
 }
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -256,6 +256,16 @@
   return { ...s, slots: new Map(s.slots).set(p.key, p) };
 }
 
+/** A load is ordered; the slot counts as taken from now on. */
+export function loading(
+  s: State,
+  { key, model, adapter, version = 0 }: Extract<Action, { kind: "load" }>,
+  now: number,
+): State {
+  const pins = s.slots.get(key)?.pins ?? 0;
+  return put(s, { key, model, adapter, version, phase: "loading", pins, since: now });
+}
+
 /** A slot is known to be empty. */
 export function drop(s: State, key: string): State {
   if (!s.slots.has(key)) return s;
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -112,7 +112,11 @@
     const [route] = step.config.routes;
     expect(route).include({ host: "a.example", kind: "stream", rank: 1, targetMs: 1000 });
     const llm = step.config.services.get("llm");
-    expect(llm?.engine).include({ slots: 6, seats: 96, loadsPerS: 2.1 });
+    expect(llm?.engine).deep.equal({
+      slots: 6,
+      loadsPerS: 2.1,
+      models: [{ name: "m", sizeMb: 16100, loadMs: 600 }],
+    });
     expect(llm?.engine?.models).deep.equal([{ name: "m", sizeMb: 16100, loadMs: 600 }]);
   });
 
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -23,9 +23,6 @@
 /** A configuration whose only service has engines of some slots. */
 export function configOf(slots: number): catalog.Config {
   const engine: catalog.EngineSpec = {
-    seats: 8,
-    cacheTokens: 1000,
-    memoryMb: 1000,
     slots,
     loadsPerS: 1,
     models: [{ name: "m", sizeMb: 100, loadMs: 50 }],
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -54,7 +54,6 @@
   answered: (h) => text(h["test-id"]),
   notRun: (status, h) => status === 421 || text(h["test-not-run"]) !== undefined,
   signed: (h) => text(h["test-signed"]) !== undefined,
-  instance: (h) => text(h["test-instance"]),
   comeBack: (ms) => ({ "retry-after": String(ms / 1000) }),
 };
 
