--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -6,6 +6,7 @@
 import * as child from "node:child_process";
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
+import * as soakSwitches from "./soak-switches.js";
 import * as switches from "./switches.js";
 
 const ROOT = new URL("../../../", import.meta.url).pathname;
@@ -79,7 +80,8 @@
   }
 }
 
-const wanted = switches.SWITCHES.filter((s) => s.name.includes(process.argv[2] ?? ""));
+const all = [...switches.SWITCHES, ...soakSwitches.SOAK_SWITCHES];
+const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
 const queue = [...wanted.entries()];
 let bad = 0;
 
