Wait by Node's own timers in the soak and the stand-ins

Cause: the same sleep was written out in five files of this change. Change: each uses node:timers/promises, which also keeps the soak free of the daemons' code.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -3,6 +3,7 @@
  * and conditional writes. Leases never end by themselves. It can fail as the platform's store does.
  * @module
  */
+import * as timers from "node:timers/promises";
 import type * as http from "node:http";
 import * as servers from "./http.js";
 
@@ -87,9 +88,9 @@
 
   private async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { mode, delayMs } = this.faults;
-    if (delayMs > 0) await sleep(delayMs);
+    if (delayMs > 0) await timers.setTimeout(delayMs);
     if (mode === "silent") {
-      await sleep(SILENT_MS);
+      await timers.setTimeout(SILENT_MS);
       res.destroy();
       return;
     }
@@ -150,9 +151,3 @@
     servers.say(res, 200, { events, currentRev: this.revision });
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -4,6 +4,7 @@
  * ran, and can fail as the platform's workers do.
  * @module
  */
+import * as timers from "node:timers/promises";
 import type * as http from "node:http";
 import * as documents from "./documents.js";
 import * as servers from "./http.js";
@@ -280,7 +281,7 @@
     const bad = mood !== "well" && this.bad();
     if (mood === "hanging" && bad) return;
     if (mood === "losing" && bad) {
-      await sleep(this.eventMs * EVENTS);
+      await timers.setTimeout(this.eventMs * EVENTS);
       res.destroy();
       return;
     }
@@ -296,12 +297,12 @@
     const from = Number(one(req.headers["last-event-id"]) || 0) + 1;
     const due = run.at + run.leftMs;
     for (let n = from; n <= EVENTS; n++) {
-      await sleep(ms);
+      await timers.setTimeout(ms);
       if (res.destroyed) return;
       const text = event(run.id, run.adapter, run.version, n);
       if (performance.now() > due || (mood === "breaking" && bad && n === 3)) {
         res.write(text.slice(0, text.length / 2));
-        await sleep(1);
+        await timers.setTimeout(1);
         res.destroy();
         return;
       }
@@ -333,7 +334,7 @@
     const { mood } = this;
     const bad = mood !== "well" && this.bad();
     if (mood === "hanging" && bad) return;
-    await sleep(this.callMs * (mood === "slow" ? SLOW_FACTOR : 1));
+    await timers.setTimeout(this.callMs * (mood === "slow" ? SLOW_FACTOR : 1));
     if (res.destroyed) return;
     if (mood === "losing" && bad) {
       res.destroy();
@@ -345,7 +346,7 @@
     res.writeHead(status, { ...this.signed(id), "content-length": text.length });
     if (mood === "breaking" && bad) {
       res.write(text.slice(0, 3));
-      await sleep(1);
+      await timers.setTimeout(1);
       res.destroy();
       return;
     }
@@ -357,9 +358,3 @@
 export function answerOf(id: string, body: string): string {
   return `${id} got ${body}`;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -3,6 +3,7 @@
  * the other over it, and writes down what came of each.
  * @module
  */
+import * as timers from "node:timers/promises";
 import * as undici from "undici";
 import * as documents from "../platform/documents.js";
 import type * as history from "./history.js";
@@ -38,7 +39,7 @@
   while (!signal.aborted) {
     const to = w.entry();
     if (!to) {
-      await sleep(LOOK_MS);
+      await timers.setTimeout(LOOK_MS);
       continue;
     }
     const client = new undici.Client(`http://${to.address}`, {
@@ -54,7 +55,7 @@
     const over = AbortSignal.any([ended.signal, signal]);
     while (!over.aborted) {
       if (!(await ask(w, client, to.name))) break;
-      await sleep(w.pauseMs());
+      await timers.setTimeout(w.pauseMs());
     }
     await client.destroy();
   }
@@ -112,9 +113,3 @@
 function isRefusal(err: unknown): boolean {
   return err instanceof Error && "code" in err && err.code === "ECONNREFUSED";
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -3,6 +3,7 @@
  * one direction.
  * @module
  */
+import * as timers from "node:timers/promises";
 import * as net from "node:net";
 
 /** What happens to the bytes of a link. */
@@ -92,7 +93,7 @@
 
   /** Waits until bytes of one direction may pass; false once the connection is over. */
   private async mayPass(which: "requests" | "answers", socket: net.Socket): Promise<boolean> {
-    if (this.trouble.kind === "delay") await sleep(this.trouble.ms);
+    if (this.trouble.kind === "delay") await timers.setTimeout(this.trouble.ms);
     while (this.held(which) && !socket.destroyed) {
       await new Promise<void>((resolve) => {
         const go = (): void => {
@@ -125,9 +126,3 @@
     }
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -2,6 +2,7 @@
  * One run of the soak: a site, callers, troubles in series and overlapping, and a calm end.
  * @module
  */
+import * as timers from "node:timers/promises";
 import * as caller from "./caller.js";
 import * as faults from "./faults.js";
 import * as history from "./history.js";
@@ -56,7 +57,7 @@
   const callers = Array.from({ length: plan.callers }, () => caller.run(world, over.signal));
   const until = performance.now() + plan.ms;
   await Promise.all([trouble(deps(1), until), operate(deps(2), until, declared)]);
-  await sleep(CALM_MS);
+  await timers.setTimeout(CALM_MS);
   const well = performance.now() - WELL_MS;
   over.abort();
   await Promise.all(callers);
@@ -122,7 +123,7 @@
   const drawn = faults.FAULTS.filter(() => d.draw.part() < KINDS);
   const kinds = drawn.length > 0 ? drawn : faults.FAULTS;
   while (performance.now() < until) {
-    await sleep(d.draw.between(...PAUSE_MS));
+    await timers.setTimeout(d.draw.between(...PAUSE_MS));
     if (on.size >= TOGETHER) continue;
     const fault = d.draw.one(kinds);
     if (on.has(fault.name)) continue;
@@ -132,7 +133,7 @@
     const notes = struck.on.map((name) => ({ kind: fault.name, on: name, from, to: Infinity }));
     d.history.disturbances.push(...notes);
     const mended = (async () => {
-      await sleep(d.draw.between(...fault.lasts));
+      await timers.setTimeout(d.draw.between(...fault.lasts));
       await struck.end();
       for (const n of notes) n.to = performance.now();
       on.delete(fault.name);
@@ -148,7 +149,7 @@
   declared: { adapter: string; version: number; at: number }[],
 ): Promise<void> {
   while (performance.now() < until) {
-    await sleep(d.draw.between(...OPERATE_MS));
+    await timers.setTimeout(d.draw.between(...OPERATE_MS));
     const before = new Map(d.site.newest);
     faults.operate(d);
     for (const [adapter, version] of d.site.newest) {
@@ -157,9 +158,3 @@
     }
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
