Drop what only the system may ask of an engine from callers' headers

Ruled out: the product's door. It passes on what the wire does not name; the list is the wire's. Change: one list in the adapter, and one module for which headers go on; a property test with odd spellings and repeats, which failed first. One type for headers in place of five.

--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -10,6 +10,7 @@
 import * as catalog from "./catalog.js";
 import type * as dispatch from "./dispatch.js";
 import type * as door from "./door.js";
+import * as headers from "./headers.js";
 import type * as progress from "./progress.js";
 import type * as protocol from "./protocol.js";
 
@@ -34,17 +35,6 @@
 /** Milliseconds that a request waits for the first configuration: within an early refusal's bound. */
 const FIRST_CONFIG_MS = 200;
 const LOOK_MS = 10;
-const HOP_BY_HOP = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "transfer-encoding",
-  "te",
-  "trailer",
-  "upgrade",
-  "expect",
-  "content-length",
-]);
 
 export class Front {
   private readonly server: http.Server;
@@ -173,7 +163,7 @@
       service,
       method: req.method ?? "GET",
       path,
-      headers: passable(req, this.deps.protocol.replaced),
+      headers: headers.forRequest(req.headersDistinct, this.deps.protocol.reserved),
       body,
       arrivedAt,
       dueAt: arrivedAt + Math.min(meta.waitMs, route.timeoutMs),
@@ -208,34 +198,6 @@
   return at < 0 ? path : path.slice(0, at);
 }
 
-/** The headers to pass on, but for those of one connection and those the system sets itself. */
-function passable(
-  req: http.IncomingMessage,
-  replaced: ReadonlySet<string>,
-): Record<string, string | string[]> {
-  const named = new Set(
-    (req.headers.connection ?? "").split(",").map((n) => n.trim().toLowerCase()),
-  );
-  const out: Record<string, string | string[]> = {};
-  for (const [name, values] of Object.entries(req.headersDistinct)) {
-    if (HOP_BY_HOP.has(name) || named.has(name) || replaced.has(name) || !values) continue;
-    out[name] = values.length === 1 ? (values[0] ?? "") : values;
-  }
-  return out;
-}
-
-type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
-
-/** Headers of an endpoint's answer that concern its connection alone. */
-function answerHeaders(headers: Headers): Record<string, string | readonly string[]> {
-  const out: Record<string, string | readonly string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name)) continue;
-    out[name] = value;
-  }
-  return out;
-}
-
 /** The caller's connection as the dispatcher sees it. */
 function outlet(
   req: http.IncomingMessage,
@@ -248,8 +210,8 @@
   });
   return {
     gone: gone.signal,
-    begin: (status, headers) => {
-      res.writeHead(status, answerHeaders(headers) as http.OutgoingHttpHeaders);
+    begin: (status, received) => {
+      res.writeHead(status, headers.forAnswer(received) as http.OutgoingHttpHeaders);
     },
     write: (bytes) => {
       if (res.destroyed || res.write(bytes)) return undefined;
@@ -269,10 +231,10 @@
     breakOff: () => {
       res.destroy();
     },
-    answer: (status, headers, body) => {
+    answer: (status, received, body) => {
       const length = req.method === "HEAD" ? {} : { "content-length": body.length };
       res.writeHead(status, {
-        ...(answerHeaders(headers) as http.OutgoingHttpHeaders),
+        ...(headers.forAnswer(received) as http.OutgoingHttpHeaders),
         ...length,
       });
       res.end(body);
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -2,20 +2,19 @@
  * One request under way: the caller's side of it, and how far it has come.
  * @module
  */
-
-type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+import type * as headers from "./headers.js";
 
 /** The caller's side of a request. Nothing is passed on before {@link Outlet.begin}. */
 export interface Outlet {
   /** Aborts when the caller goes away. */
   readonly gone: AbortSignal;
-  readonly begin: (status: number, headers: Headers) => void;
+  readonly begin: (status: number, headers: headers.Headers) => void;
   /** Passes bytes on; resolves when the caller takes more. */
   readonly write: (bytes: Buffer) => Promise<void> | undefined;
   readonly end: () => void;
   /** Breaks an answer off that has begun, so that it does not look whole. */
   readonly breakOff: () => void;
-  readonly answer: (status: number, headers: Headers, body: Buffer) => void;
+  readonly answer: (status: number, headers: headers.Headers, body: Buffer) => void;
   /** Refuses; `comeBackMs` is told where the request was not run. */
   readonly refuse: (status: number, message: string, comeBackMs?: number) => void;
 }
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as ask from "./ask.js";
+import type * as headers from "./headers.js";
 
 /** What the system adds to a request that it sends to an endpoint. */
 export interface Marks {
@@ -20,20 +21,18 @@
   readonly resumeAfter?: string | undefined;
 }
 
-type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
-
 export interface Protocol {
   /** Reads a request's headers; throws a RangeError that says which one is wrong. */
   readonly read: (headers: http.IncomingHttpHeaders) => ask.Meta;
-  /** Headers of a caller that the system replaces by its own. */
-  readonly replaced: ReadonlySet<string>;
+  /** Headers, in lower case, that only the system sets; what a caller sent under them is dropped. */
+  readonly reserved: ReadonlySet<string>;
   readonly marks: (m: Marks) => Record<string, string>;
   /** Which request an answer says it belongs to. */
-  readonly answered: (headers: Headers) => string | undefined;
+  readonly answered: (headers: headers.Headers) => string | undefined;
   /** Whether an answer vouches that the request was not run and never will be. */
-  readonly notRun: (status: number, headers: Headers) => boolean;
+  readonly notRun: (status: number, headers: headers.Headers) => boolean;
   /** Whether an answer bears an endpoint's signature. */
-  readonly signed: (headers: Headers) => boolean;
+  readonly signed: (headers: headers.Headers) => boolean;
   /** Headers that tell a refused caller when to come back, in ms. */
   readonly comeBack: (ms: number) => Record<string, string>;
 }
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -6,17 +6,16 @@
 import * as undici from "undici";
 import type * as ask from "./ask.js";
 import type * as catalog from "./catalog.js";
+import type * as headers from "./headers.js";
 import type * as protocol from "./protocol.js";
 
-type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
-
 /** What came of a send before any byte of it was passed on. */
 export type Sent =
   /** An answer of the endpoint to this very request; the body is still to come. */
   | {
       readonly kind: "answer";
       readonly status: number;
-      readonly headers: Headers;
+      readonly headers: headers.Headers;
       readonly body: undici.Dispatcher.ResponseData["body"];
     }
   /** It was not run and will not be. `absent`: the endpoint is not the one meant, or lacks the adapter. */
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -5,6 +5,7 @@
 import * as documents from "../../platform/documents.js";
 import * as settings from "../../platform/settings.js";
 import * as wire from "../../platform/wire.js";
+import * as headers from "../../src/serving/headers.js";
 
 const { expect } = chai;
 
@@ -214,6 +215,24 @@
     });
   });
 
+  it("drops what only the system may ask of an engine, however a caller spells it", () => {
+    const names = ["X-Sumacfield-Hold", "X-Sumacfield-Pin-Ms", "X-Sumacfield-Kv-Backup"];
+    const own = fc.constantFrom(...names, "Kv-From", "Kv-Fetch", "X-Sumacfield-Expect-Version");
+    const spelling = fc.func(fc.boolean());
+    const values = fc.array(fc.string(), { minLength: 1, maxLength: 3 });
+    fc.assert(
+      fc.property(fc.array(fc.tuple(own, spelling, values)), (sent) => {
+        const spelt = sent.map(([name, upper, v]): [string, readonly string[]] => [
+          Array.from(name, (c, i) => (upper(i) ? c.toUpperCase() : c.toLowerCase())).join(""),
+          v,
+        ]);
+        const all = { ...Object.fromEntries(spelt), "x-sumacfield-model": ["m/a"] };
+        const passed = headers.forRequest(all, wire.PROTOCOL.reserved);
+        expect(passed).deep.equal({ "x-sumacfield-model": "m/a" });
+      }),
+    );
+  });
+
   it("believes only what vouches that nothing ran", () => {
     const { notRun } = wire.PROTOCOL;
     expect(notRun(421, {})).equal(true);
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -45,7 +45,7 @@
     answerTokens: 0,
     parts: [],
   }),
-  replaced: new Set(["test-wait", "test-instance", "last-event-id"]),
+  reserved: new Set(["test-wait", "test-instance", "last-event-id"]),
   marks: (m) => ({
     "test-instance": m.instance,
     "test-left": String(m.leftMs),
