Keep missing entries by the bounds in force, and forget callers that left while a daemon loads

And a caller that left while a daemon was still loading was handed over and served with nobody to stop the work: GONE. Ruled out: the watch; the host heard of the deletion 0.6 s after it. Change: an entry is kept until lapsed ones should be back, counted from the store's return, and no longer than 0.55 of the time allowed for a change, unless more than half of all are missing at once, which no workers that leave do. Requests whose callers left are dropped at the start.

--- a/src/serving/door.ts
+++ b/src/serving/door.ts
@@ -51,7 +51,8 @@
     server,
     attach: (h) => {
       handler = h;
-      for (const [req, res] of waiting) h(req, res);
+      // One that left meanwhile must not be served: nobody would ever stop its work.
+      for (const [req, res] of waiting) if (!req.socket.destroyed) h(req, res);
       waiting = [];
     },
   };
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -15,29 +15,45 @@
   readonly waitMs: number;
   /** Milliseconds from one wait to the next at least, so that many changes share a call. */
   readonly everyMs: number;
+  /** Milliseconds for which a few endpoints are kept at most after they were heard to be gone. */
+  readonly keepMs: number;
 }
 
 /** Milliseconds that an entry daemon's wait for changes lasts: about what makes a host out of touch. */
 const CLOSE_WAIT_MS = 2500;
 /** Part of the time allowed for a change that passes between two waits, so that one may be lost. */
 const CLOSE_PART = 0.3;
+/**
+ * Part of the time allowed for a change for which an endpoint is kept whose entry may only have lapsed;
+ * with {@link CLOSE_PART} and the way through the store it must leave some of that time over.
+ */
+const KEEP_PART = 0.55;
 
 /** For those who put changes in force, `inForceMs` after they were accepted at the latest. */
 export function close(inForceMs: number): Pace {
-  return { waitMs: CLOSE_WAIT_MS, everyMs: CLOSE_PART * inForceMs };
+  return {
+    waitMs: CLOSE_WAIT_MS,
+    everyMs: CLOSE_PART * inForceMs,
+    keepMs: KEEP_PART * inForceMs,
+  };
 }
 
 /**
  * For endpoint daemons, which also hear of versions with each question for a seat: an adapter's
  * version must be in force after 5 s. They are many, and the store's rates grow more slowly.
  */
-export const LOOSE: Pace = { waitMs: 25_000, everyMs: 1500 };
+export const LOOSE: Pace = { waitMs: 25_000, everyMs: 1500, keepMs: 0 };
 
 /** Milliseconds until the next try after the store failed, at first and at most. */
 const RETRY_MS = 60;
 const RETRY_MAX_MS = 400;
 /** Milliseconds within which workers are back whose entries lapsed during an outage, by the letter. */
 const BACK_WITHIN_MS = 2200;
+/**
+ * Part of the endpoints that must be missing at once to be sure that their entries lapsed: workers
+ * that leave do so a few at a time.
+ */
+const LAPSED_PART = 0.5;
 
 /** How documents become steps of the catalog; the platform's adapter knows. */
 export interface Decoder {
@@ -188,15 +204,34 @@
     if (step.kind !== "endpoint_gone" || !this.doubtful()) return [step];
     if (!this.at.endpoints.has(step.id) || this.missing.has(step.id)) return [];
     this.missing.add(step.id);
+    const backInMs = this.backInMs();
+    const keepMs = Math.min(this.deps.pace.keepMs, backInMs);
     this.deps.log.warn("An endpoint's entry is missing after an outage; it is kept for now.", {
       endpoint: step.id,
+      keepMs: Math.round(keepMs),
     });
-    this.deps.clock.after(BACK_WITHIN_MS, () => {
-      if (this.missing.delete(step.id)) this.apply([step], this.at.revision);
+    this.deps.clock.after(keepMs, () => {
+      const lapsed = this.missing.size > LAPSED_PART * this.at.endpoints.size;
+      if (lapsed)
+        this.deps.clock.after(backInMs - keepMs, () => {
+          this.drop(step);
+        });
+      else this.drop(step);
     });
     return [];
   }
 
+  /** Milliseconds until entries that lapsed during the last outage should be back. */
+  private backInMs(): number {
+    const backAt = this.out ? this.deps.clock.mono() : this.backAt;
+    return Math.max(0, backAt + BACK_WITHIN_MS - this.deps.clock.mono());
+  }
+
+  /** Carries out a removal that was put off, unless the entry is back. */
+  private drop(step: Extract<catalog.Step, { kind: "endpoint_gone" }>): void {
+    if (this.missing.delete(step.id)) this.apply([step], this.at.revision);
+  }
+
   private apply(steps: readonly catalog.Step[], revision: number): void {
     let at = this.at;
     for (const s of steps) {
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -193,6 +193,21 @@
     expect(f.catalog.endpoints.has("back")).equal(true);
   }).timeout(10_000);
 
+  it("lets an endpoint go in the time allowed when it leaves soon after an outage", async () => {
+    const s = new FakeSource();
+    for (const id of ["a", "b", "c"]) s.put(`e/${id}`, "10.0.0.1:1");
+    const f = follow(s);
+    await until(() => f.catalog.endpoints.size === 3);
+    s.away = true;
+    await clock.sleep(clock.system, 800);
+    s.away = false;
+    await clock.sleep(clock.system, 1000);
+    const from = performance.now();
+    s.remove("e/a");
+    await until(() => f.catalog.endpoints.size === 2);
+    expect(performance.now() - from).below(1900);
+  }).timeout(10_000);
+
   it("keeps the configuration in force when the next cannot be read", async () => {
     const s = new FakeSource();
     s.put("c", "1");
