Order a replacement once, and take no turn for a base model that the engine has

And after a fault all base models came back one after the other through the turns at the weight store, though engines load them from their own disks. Ruled out: the engine's refusals; it accepted the repeats. Change: a slot whose order was accepted keeps waiting for the new version; what callers wait for goes first; a model that the report names as near is loaded without a turn. How long an outdated adapter is given out comes from the bound in force.

--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -18,6 +18,8 @@
   readonly seats: string;
   /** Service of the engine beside this daemon. */
   readonly service: string;
+  /** Milliseconds after which a declared version must be the only one in use. */
+  readonly versionMs: number;
 }
 
 export interface Deps extends host.Deps {
@@ -49,6 +51,7 @@
     engine: deps.engine,
     catalog: () => fed.catalog,
     service: opts.service,
+    versionMs: opts.versionMs,
     modelTurn: () => takeTurn(opts, deps, fed, lg),
   });
   const door = await desk.open(opts.seats, {
--- a/src/serving/engine.ts
+++ b/src/serving/engine.ts
@@ -17,6 +17,8 @@
     readonly version: number;
     readonly adapters: readonly Held[];
   }[];
+  /** Base models that load from the engine's own memory or disk, without the weight store. */
+  readonly nearby: readonly string[];
   /** Adapters on their way in. */
   readonly pending: readonly (Held & { readonly model: string })[];
   /** A change of base models is under way. */
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -13,6 +13,7 @@
 import type * as engine from "./engine.js";
 import * as ledger from "./ledger.js";
 import * as listing from "./listing.js";
+import * as reading from "./reading.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
 import * as warmth from "./warmth.js";
@@ -28,7 +29,8 @@
 /** Figures for adapters: see {@link residency.Options}. */
 const LOADS_AT_ONCE = 4;
 const CLOSE_AFTER_MS = 120;
-const OUTDATED_MS = 1500;
+/** Part of the time in which a version must be in force for which an outdated one is given out. */
+const OUTDATED_PART = 0.3;
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -38,6 +40,8 @@
   readonly catalog: () => catalog.Catalog;
   /** Name of the service that the engine belongs to. */
   readonly service: string;
+  /** Milliseconds after which a declared version must be the only one in use. */
+  readonly versionMs: number;
   /** Waits for a turn to load a base model from the weight store; false when none is to be had. */
   readonly modelTurn: () => Promise<boolean>;
 }
@@ -48,6 +52,8 @@
   private readonly news: announcer.Announcer;
   private warmth = warmth.UNKNOWN;
   private modelAskedAt = -Infinity;
+  /** Base models that the engine loads without the weight store. */
+  private nearby: readonly string[] = [];
   private instance = "";
   private sequence = 0;
   private misses = 0;
@@ -132,7 +138,7 @@
   }
 
   began(c: announcer.Client, n: number, ms: number): void {
-    this.ledger.began(`${c.host}#${n}`, ms);
+    this.ledger.began(`${c.host}#${n}`, ms, this.deps.clock.mono());
     this.changed();
   }
 
@@ -166,7 +172,7 @@
       slots: spec?.slots ?? 1,
       loads: LOADS_AT_ONCE,
       closeAfterMs: CLOSE_AFTER_MS,
-      outdatedMs: OUTDATED_MS,
+      outdatedMs: OUTDATED_PART * this.deps.versionMs,
     };
   }
 
@@ -295,6 +301,7 @@
   private learn(report: engine.Report, askedAt: number): void {
     const models = report.models.map((m) => m.name);
     const before = this.state;
+    this.nearby = report.nearby;
     this.state = residency.reconcile(this.state, models, listing.adapters(report), askedAt);
     for (const p of this.state.slots.values()) {
       const old = before.slots.get(p.key);
@@ -356,6 +363,9 @@
       this.lost();
       return;
     }
+    if (result.kind === "accepted" && o.kind === "load" && o.adapter !== undefined) {
+      this.state = residency.accepted(this.state, catalog.adapterKey(o.model, o.adapter));
+    }
     await this.look();
   }
 
@@ -365,7 +375,8 @@
     const wanted = spec?.models[0];
     if (!wanted || this.state.models.length > 0) return false;
     if (this.modelAskedAt + wanted.loadMs > this.deps.clock.mono()) return false;
-    if (!(await this.deps.modelTurn())) return false;
+    // Turns share out the weight store; what the engine has itself needs none.
+    if (!this.nearby.includes(wanted.name) && !(await this.deps.modelTurn())) return false;
     this.modelAskedAt = this.deps.clock.mono();
     await this.give({ kind: "load", model: wanted.name });
     return true;
@@ -375,8 +386,13 @@
     return {
       kind: "state",
       instance: this.instance,
-      waitMs: this.ledger.waits,
+      waitMs: this.ledger.waits(this.deps.clock.mono()),
+      msPerToken: rounded(reading.msPerToken(this.ledger.reading)),
+      firstMs: Math.round(reading.firstMs(this.ledger.reading)),
       slotMs: Math.round(this.slotMs()),
+      eachSlotMs: Math.round(this.eachSlotMs()),
+      coldMs: Math.round(this.warmth.coldMs),
+      warmMs: Math.round(this.warmth.warmMs),
       seats: this.ledger.count,
       failing: Math.round(this.ledger.failing * 100) / 100,
       entries: this.news.count(),
@@ -388,10 +404,22 @@
   private slotMs(): number {
     const { slots } = this.options();
     const { free, wanted } = residency.room(this.state, slots);
-    return free > wanted ? 0 : ((wanted - free + 1) * this.ledger.holdMs) / slots;
+    return free > wanted ? 0 : (wanted - free + 1) * this.eachSlotMs();
+  }
+
+  /** Estimated ms between two slots that come free. */
+  private eachSlotMs(): number {
+    return this.ledger.holdMs / this.options().slots;
   }
 
   private changed(): void {
     this.news.changed();
   }
 }
+
+/** Decimals of a millisecond a token that are told. */
+const DECIMALS = 4;
+
+function rounded(msPerToken: number): number {
+  return Number(msPerToken.toFixed(DECIMALS));
+}
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -17,6 +17,8 @@
    * taken and is not given out. `closing`: given out no more, and unloaded once nobody uses it.
    */
   readonly phase: "loading" | "resident" | "closing" | "unsure";
+  /** The engine took the order to load this version. */
+  readonly accepted?: boolean;
   /** Seats that use it. */
   readonly pins: number;
   /** Monotonic ms of the last change of phase. */
@@ -130,9 +132,10 @@
 
 /** The next order to the engine at `now`; orders are given one at a time. */
 export function order(s: State, now: number, opts: Options): Action | undefined {
-  const stale = staleIdle(s);
-  if (stale) return load(s, stale);
   const wanted = wantedKeys(s, now);
+  const stale = staleIdle(s);
+  // What callers wait for goes first; an outdated adapter in no use is replaced ahead of its next use.
+  if (stale && (wanted.length === 0 || isWaitedFor(s, stale.key))) return load(s, stale);
   const loading = [...s.slots.values()].filter((p) => p.phase === "loading").length;
   for (const w of wanted) {
     if (loading >= opts.loads) return undefined;
@@ -144,6 +147,10 @@
   return closing(s, wanted, now, opts);
 }
 
+function isWaitedFor(s: State, key: string): boolean {
+  return s.waiting.some((w) => w.key === key);
+}
+
 function load(s: State, of: Pick<Slot, "key" | "model" | "adapter">): Action {
   const version = s.newest.get(of.key)?.version;
   return { kind: "load", model: of.model, adapter: of.adapter, key: of.key, version };
@@ -266,6 +273,12 @@
   return put(s, { key, model, adapter, version, phase: "loading", pins, since: now });
 }
 
+/** The engine took the order that {@link loading} noted. */
+export function accepted(s: State, key: string): State {
+  const p = s.slots.get(key);
+  return p?.phase === "loading" ? put(s, { ...p, accepted: true }) : s;
+}
+
 /** A slot is known to be empty. */
 export function drop(s: State, key: string): State {
   if (!s.slots.has(key)) return s;
@@ -313,7 +326,20 @@
   return at;
 }
 
+/**
+ * Milliseconds for which an engine may go on listing an adapter's old version after it took the order
+ * for the new one: it first ends its runs, and brings the new one from the store. Some times both.
+ */
+const REPLACED_WITHIN_MS = 3000;
+
+/** Whether an engine lists the version that it is about to replace. */
+function isBeingReplaced(l: Listed, p: Slot, now: number): boolean {
+  if (p.phase !== "loading" || !p.accepted || l.version >= p.version) return false;
+  return now - p.since < REPLACED_WITHIN_MS;
+}
+
 function slotOf(l: Listed, p: Slot | undefined, now: number): Slot {
+  if (p && isBeingReplaced(l, p, now)) return p;
   const phase = l.pending ? "loading" : p?.phase === "closing" ? "closing" : "resident";
   const { key, model, adapter, version } = l;
   return { key, model, adapter, version, phase, pins: p?.pins ?? 0, since: p?.since ?? now };
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -35,6 +35,7 @@
 export async function site(instance = "i1", slots = 2) {
   const engine = new fakes.FakeEngine();
   engine.instance = instance;
+  let turns = 0;
   let at: catalog.Catalog = {
     ...catalog.EMPTY,
     config: configOf(slots),
@@ -45,7 +46,11 @@
     engine,
     catalog: () => at,
     service: fixtures.SERVICE.name,
-    modelTurn: () => Promise.resolve(true),
+    versionMs: 5000,
+    modelTurn: () => {
+      turns++;
+      return Promise.resolve(true);
+    },
   });
   const port = await ports.free();
   const address = `127.0.0.1:${port}`;
@@ -71,6 +76,7 @@
     keeper: kept,
     link: made,
     lost,
+    turns: () => turns,
     declare: (adapter: string, version: number) => {
       at = catalog.step(at, { kind: "version", key: `m/${adapter}`, version });
       engine.newest = version;
--- a/test/serving/fake-engine.ts
+++ b/test/serving/fake-engine.ts
@@ -19,19 +19,30 @@
   readonly held = new Map<string, { version: number; ready: boolean }>();
   readonly orders: string[] = [];
   newest = 1;
+  /** The base model is in its place. */
+  hasModel = true;
+  /** Base models that it loads by itself. */
+  nearby: readonly string[] = [];
+  /** Milliseconds for which a replaced version is still listed. */
+  replaceMs = 0;
 
   report = (): Promise<engine.Report> => {
     if (this.mood === "out") return Promise.reject(new Error("connection refused"));
     const list = [...this.held];
     return Promise.resolve({
+      nearby: this.nearby,
       models: [
-        {
-          name: "m",
-          version: 1,
-          adapters: list
-            .filter(([, a]) => a.ready)
-            .map(([adapter, a]) => ({ adapter, version: a.version })),
-        },
+        ...(this.hasModel
+          ? [
+              {
+                name: "m",
+                version: 1,
+                adapters: list
+                  .filter(([, a]) => a.ready)
+                  .map(([adapter, a]) => ({ adapter, version: a.version })),
+              },
+            ]
+          : []),
       ],
       pending: list
         .filter(([, a]) => !a.ready)
@@ -76,11 +87,21 @@
     if (o.sequence !== this.sequence) return { kind: "conflict" };
     this.sequence++;
     const { adapter } = o;
-    if (adapter === undefined) return { kind: "accepted", done: false };
+    if (adapter === undefined) {
+      this.hasModel = true;
+      return { kind: "accepted", done: false };
+    }
     if (o.kind === "unload") {
       this.held.delete(adapter);
       return { kind: "accepted", done: true };
     }
+    if (this.held.has(adapter) && this.replaceMs > 0) {
+      setTimeout(
+        () => this.held.set(adapter, { version: this.newest, ready: true }),
+        this.replaceMs,
+      );
+      return { kind: "accepted", done: false };
+    }
     const made = { version: o.version ?? this.newest, ready: false };
     this.held.set(adapter, made);
     this.most = Math.max(this.most, this.held.size);
--- a/test/serving/seats.test.ts
+++ b/test/serving/seats.test.ts
@@ -70,6 +70,28 @@
     expect(await s.link.ask(engines.wish("a")).answer).include({ kind: "grant", version: 2 });
   });
 
+  it("order an outdated adapter's new version once, however long its replacement takes", async () => {
+    const s = await engines.site();
+    const old = s.link.ask(engines.wish("a"));
+    await old.answer;
+    old.over("whole");
+    s.engine.replaceMs = 300;
+    s.declare("a", 2);
+    await engines.until(() => s.engine.held.get("a")?.version === 2);
+    expect(s.engine.orders).deep.equal(["load a", "load a"]);
+  });
+
+  it("take no turn at the weight store for a base model that the engine has itself", async () => {
+    const s = await engines.site();
+    s.engine.nearby = ["m"];
+    s.engine.hasModel = false;
+    await engines.until(() => s.engine.orders.includes("load "));
+    expect(s.turns()).equal(0);
+    s.engine.nearby = [];
+    s.engine.hasModel = false;
+    await engines.until(() => s.turns() === 1);
+  });
+
   it("tell the endpoint daemon of a version that it has not heard of", async () => {
     const s = await engines.site();
     const old = s.link.ask(engines.wish("a"));
