Learn how fast an engine reads and loads, and refuse for waiting alone

Cause: a read rate of 19.2 tokens a ms, load times and a call's time stood as constants of other sites. Ruled out: the slowness that was learnt beside the constant; it was bounded, and never reached the estimate of a request's own time. Change: reading (a line through the latest runs), warmth (both kinds of load) and slots are learnt at the endpoint and told with its state; admission is a module of its own that refuses for waiting or for a missed deadline alone, waits for engines on their way, and says when the wait is over. npm run explain reads the daemons' lines.

--- /dev/null
+++ b/bench/explain/lines.ts
@@ -0,0 +1,90 @@
+/**
+ * The daemons' log lines, read back into what explains a day: what became of each request, which seats
+ * it was given, and which orders engines got.
+ * @module
+ */
+import * as zod from "zod";
+
+const over = zod.object({
+  msg: zod.literal("A request is over."),
+  request: zod.string(),
+  route: zod.string(),
+  ending: zod.string(),
+  targetMs: zod.number(),
+  expectedMs: zod.number().optional(),
+  firstMs: zod.number().optional(),
+  tookMs: zod.number(),
+  why: zod.string().optional(),
+});
+const given = zod.object({
+  msg: zod.literal("A seat was given."),
+  request: zod.string(),
+  waitedMs: zod.number(),
+});
+const ordered = zod.object({
+  msg: zod.literal("An order was given."),
+  daemon: zod.string(),
+  order: zod.enum(["load", "unload"]),
+  model: zod.string(),
+  adapter: zod.string().optional(),
+  version: zod.number().optional(),
+  result: zod.string(),
+});
+const line = zod.discriminatedUnion("msg", [over, given, ordered]);
+
+export type Over = zod.infer<typeof over> & {
+  /** Seconds from the first line of the log to its end. */
+  readonly atS: number;
+  /** Milliseconds that it waited for the seats that it was given. */
+  readonly seatMs: number;
+};
+export type Order = zod.infer<typeof ordered>;
+
+export interface Day {
+  readonly requests: readonly Over[];
+  readonly orders: readonly Order[];
+}
+
+const MS_PER_S = 1000;
+
+/** Reads log lines; whatever stands before the first brace of a line is passed over. */
+export function read(text: string): Day {
+  const requests: Over[] = [];
+  const orders: Order[] = [];
+  const waited = new Map<string, number>();
+  let from: number | undefined;
+  for (const row of text.split("\n")) {
+    const start = row.indexOf("{");
+    if (start < 0) continue;
+    const fields = parse(row.slice(start));
+    if (!fields) continue;
+    const at = Date.parse(String(fields.at));
+    if (Number.isFinite(at)) from ??= at;
+    const known = line.safeParse(fields);
+    if (!known.success) continue;
+    const said = known.data;
+    switch (said.msg) {
+      case "A request is over.": {
+        const atS = (at - (from ?? at)) / MS_PER_S;
+        requests.push({ ...said, atS, seatMs: waited.get(said.request) ?? 0 });
+        break;
+      }
+      case "A seat was given.":
+        waited.set(said.request, (waited.get(said.request) ?? 0) + said.waitedMs);
+        break;
+      case "An order was given.":
+        orders.push(said);
+        break;
+    }
+  }
+  return { requests, orders };
+}
+
+/** The fields of a line; undefined where the line is none of the daemons', or was cut. */
+function parse(text: string): Readonly<Record<string, unknown>> | undefined {
+  try {
+    return JSON.parse(text) as Readonly<Record<string, unknown>>;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/serving/backlog.ts
+++ b/src/serving/backlog.ts
@@ -1,88 +1,99 @@
 /**
- * How long an engine will take to begin a prompt, estimated from the seats given and what their runs
- * took. Pure.
+ * How long an engine will take to begin a prompt, estimated from the seats asked for and given, and
+ * from how fast it has read lately. Pure.
  * @module
  */
+import * as reading from "./reading.js";
 
 /** One seat that was asked for and is not over. */
 export interface Load {
   readonly tokens: number;
   readonly rank: number;
+  /** Monotonic ms at which the seat was given; undefined until then. */
+  readonly givenAt: number | undefined;
+  /** Prompt tokens to be read until its first event, its own included, when it was given. */
+  readonly toRead: number;
   /** The first event came. */
   readonly began: boolean;
-  /** Estimate made when the seat was given, in ms; 0 until then. */
-  readonly expectedMs: number;
 }
 
 export interface Backlog {
   readonly loads: ReadonlyMap<string, Load>;
-  /** How much slower than estimated the engine has been lately; 1 for as expected. */
-  readonly slowness: number;
+  readonly reading: reading.Reading;
+  /** Monotonic ms of the latest first event. */
+  readonly beganAt: number;
 }
 
-/** Prompt tokens that an engine reads in a millisecond: the users' sheet gives 19.2 for each site. */
-const TOKENS_PER_MS = 19.2;
-/** Milliseconds from the reading of a prompt to its first event: measured on an idle engine. */
-const FIRST_EVENT_MS = 90;
-/** Weight of the latest run in the slowness: about ten runs are remembered. */
-const LATEST = 0.1;
-/** Bounds of the slowness, so that one odd run does not shut an engine out. */
-const SLOWEST = 6;
-const FASTEST = 0.5;
 /** Ranks told apart; larger ones count as the last. */
 export const RANKS = 10;
+/** Part of a prompt that counts as read at most before its first event tells. */
+const READ_PART = 0.9;
 
 /** Nothing asked for yet. */
-export const IDLE: Backlog = { loads: new Map(), slowness: 1 };
+export const IDLE: Backlog = { loads: new Map(), reading: reading.UNKNOWN, beganAt: -Infinity };
 
-/** Milliseconds until a prompt of `rank` that arrives now begins to be read. */
-export function waitMs(b: Backlog, rank: number): number {
-  let tokens = 0;
-  for (const l of b.loads.values()) if (!l.began && l.rank <= rank) tokens += l.tokens;
-  return (tokens / TOKENS_PER_MS) * b.slowness;
+/** The place of a rank among those told apart. */
+export function place(rank: number): number {
+  return Math.min(RANKS - 1, Math.max(0, Math.round(rank)));
 }
 
-/** {@link waitMs} of each rank, in whole ms. */
-export function waits(b: Backlog): readonly number[] {
+/** Prompt tokens to be read at `now` before one of each rank that arrives now. */
+function ahead(b: Backlog, now: number): readonly number[] {
   const tokens = new Array<number>(RANKS).fill(0);
   for (const l of b.loads.values()) {
-    if (l.began) continue;
-    const rank = Math.min(RANKS - 1, Math.max(0, Math.round(l.rank)));
-    tokens[rank] = (tokens[rank] ?? 0) + l.tokens;
+    if (!l.began) tokens[place(l.rank)] = (tokens[place(l.rank)] ?? 0) + l.tokens;
   }
+  const head = headOf(b);
+  if (head) tokens[place(head.rank)] = (tokens[place(head.rank)] ?? 0) - readOf(b, head, now);
   let sum = 0;
   return tokens.map((t) => {
     sum += t;
-    return Math.round((sum / TOKENS_PER_MS) * b.slowness);
+    return sum;
   });
 }
 
-/** Milliseconds that reading `tokens` takes on an engine that does nothing else. */
-export function readMs(tokens: number): number {
-  return tokens / TOKENS_PER_MS;
+/** The prompt that the engine is reading: the most urgent one that has a seat, then the oldest. */
+function headOf(b: Backlog): Load | undefined {
+  let head: Load | undefined;
+  for (const l of b.loads.values()) {
+    if (l.began || l.givenAt === undefined) continue;
+    if (!head || place(l.rank) < place(head.rank)) head = l;
+  }
+  return head;
+}
+
+/** Tokens of the prompt being read that were read by `now`, as far as time tells. */
+function readOf(b: Backlog, head: Load, now: number): number {
+  const since = Math.max(b.beganAt, head.givenAt ?? now);
+  const read = Math.max(0, now - since) / reading.msPerToken(b.reading);
+  return Math.min(READ_PART * head.tokens, read);
+}
+
+/** Milliseconds until a prompt that arrives now begins to be read, by rank, in whole ms. */
+export function waits(b: Backlog, now: number): readonly number[] {
+  const ms = reading.msPerToken(b.reading);
+  return ahead(b, now).map((tokens) => Math.round(tokens * ms));
 }
 
 /** A seat is asked for. */
 export function asked(b: Backlog, seat: string, tokens: number, rank: number): Backlog {
-  return put(b, seat, { tokens, rank, began: false, expectedMs: 0 });
+  return put(b, seat, { tokens, rank, givenAt: undefined, toRead: tokens, began: false });
 }
 
-/** A seat is given; remembers what was to be expected of it. */
-export function given(b: Backlog, seat: string): Backlog {
+/** A seat is given at `now`; remembers what is to be read until its first event. */
+export function given(b: Backlog, seat: string, now: number): Backlog {
   const l = b.loads.get(seat);
   if (!l) return b;
-  const expectedMs = waitMs(b, l.rank) / b.slowness + FIRST_EVENT_MS;
-  return put(b, seat, { ...l, expectedMs });
+  // Its own tokens are among those ahead of the next of its rank.
+  return put(b, seat, { ...l, givenAt: now, toRead: ahead(b, now)[place(l.rank)] ?? l.tokens });
 }
 
-/** The first event of a run came `ms` after the request was sent. */
-export function began(b: Backlog, seat: string, ms: number): Backlog {
+/** The first event of a run came, `ms` after the request was sent. */
+export function began(b: Backlog, seat: string, ms: number, now: number): Backlog {
   const l = b.loads.get(seat);
   if (!l || l.began) return b;
-  const now = l.expectedMs > 0 ? ms / l.expectedMs : b.slowness;
-  const slowness = b.slowness + (now - b.slowness) * LATEST;
-  const bounded = Math.min(SLOWEST, Math.max(FASTEST, slowness));
-  return { ...put(b, seat, { ...l, began: true }), slowness: bounded };
+  const learnt = reading.seen(b.reading, l.toRead, ms);
+  return { ...put(b, seat, { ...l, began: true }), reading: learnt, beganAt: now };
 }
 
 /** A seat is over. */
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -5,6 +5,7 @@
 import * as hash from "../host/hash.js";
 import * as backlog from "./backlog.js";
 import type * as catalog from "./catalog.js";
+import * as reading from "./reading.js";
 import type * as seat from "./seat.js";
 
 /** One endpoint as an entry daemon knows it. */
@@ -24,6 +25,8 @@
   readonly failing: number;
   /** Milliseconds that this host's latest requests there took. */
   readonly tookMs: number;
+  /** Its engine is known to be on its way: alive without its model, or not heard of yet at all. */
+  readonly coming: boolean;
 }
 
 /** What a request needs. */
@@ -43,19 +46,17 @@
   readonly view: View;
   /** Until the first event, as far as known. */
   readonly firstMs: number;
+  /** The part of it that the request itself takes, however idle the endpoint is. */
+  readonly ownMs: number;
   /** What the choice weighs besides: loads that cost others, failures, distance. */
   readonly extraMs: number;
 }
 
-/** Milliseconds that a load from an engine's host memory takes: a tenth of one from the store. */
-const WARM_LOAD_MS = 25;
-/** Milliseconds that a load from the weight store takes at full speed, by the users' letter. */
-const COLD_LOAD_MS = 250;
 /**
- * Milliseconds of waiting that a load from the store is weighed as, where another engine has the
- * adapter: on the users' sites such a load costs about as much as half of a short answer is worth.
+ * Loads from the weight store that one of them is weighed as, where another engine has the adapter: it
+ * takes its own time, and holds up the next one that the store has to serve.
  */
-const COPY_MS = 500;
+const COPY_LOADS = 2;
 /** Milliseconds that each step down an adapter's own order of engines costs, to keep it at one. */
 const ORDER_MS = 12;
 /** Milliseconds that another failure domain is away, both ways, and what its bytes cost. */
@@ -65,15 +66,12 @@
 /** Milliseconds that an engine of which nothing was heard is weighed down by. */
 const UNHEARD_MS = 700;
 
-/** Milliseconds that each adapter asked for since the state was heard is taken to add. */
-const SLOT_MS = 120;
-
 /** An engine whose endpoint daemon is not reached: of use for what it held when last heard alone. */
 function unheard(view: View, need: Need, extraMs: number): Estimate {
   const usable =
     view.holdings?.models.includes(need.model) && holding(view, need.key) === "resident";
-  const firstMs = usable ? backlog.readMs(need.promptTokens) : Infinity;
-  return { view, firstMs, extraMs: extraMs + UNHEARD_MS };
+  const ownMs = reading.expectedMs(reading.UNKNOWN, need.promptTokens);
+  return { view, firstMs: usable ? ownMs : Infinity, ownMs, extraMs: extraMs + UNHEARD_MS };
 }
 
 /** Candidates that can serve a request on an engine, best first. */
@@ -108,30 +106,29 @@
   const failingMs = Math.max(view.failing, state?.failing ?? 0) ** 2 * FAILING_MS;
   const extraMs = far + failingMs;
   if (!state) return unheard(view, need, extraMs);
+  const ownMs = state.firstMs + need.promptTokens * state.msPerToken;
   if (state.instance === "" || !holdings?.models.includes(need.model)) {
-    return { view, firstMs: Infinity, extraMs };
+    return { view, firstMs: Infinity, ownMs, extraMs };
   }
-  const rank = Math.min(backlog.RANKS - 1, Math.max(0, Math.round(need.rank)));
-  const queueMs = (state.waitMs[rank] ?? 0) + backlog.readMs(view.ownTokens);
-  const ownMs = backlog.readMs(need.promptTokens);
-  const slotMs = state.slotMs + view.ownSlots * SLOT_MS;
+  const queueMs = (state.waitMs[backlog.place(need.rank)] ?? 0) + view.ownTokens * state.msPerToken;
+  const slotMs = state.slotMs + view.ownSlots * state.eachSlotMs;
   switch (holding(view, need.key)) {
     case "resident":
-      return { view, firstMs: queueMs + ownMs, extraMs };
+      return { view, firstMs: queueMs + ownMs, ownMs, extraMs };
     case "warm": {
-      const firstMs = Math.max(queueMs, slotMs + WARM_LOAD_MS) + ownMs;
-      return { view, firstMs, extraMs: extraMs + order * ORDER_MS };
+      const firstMs = Math.max(queueMs, slotMs + state.warmMs) + ownMs;
+      return { view, firstMs, ownMs, extraMs: extraMs + order * ORDER_MS };
     }
     case "absent": {
-      const firstMs = Math.max(queueMs, slotMs + COLD_LOAD_MS) + ownMs;
-      const copyMs = elsewhere ? COPY_MS : 0;
-      return { view, firstMs, extraMs: extraMs + copyMs + order * ORDER_MS };
+      const firstMs = Math.max(queueMs, slotMs + state.coldMs) + ownMs;
+      const copyMs = elsewhere ? COPY_LOADS * state.coldMs : 0;
+      return { view, firstMs, ownMs, extraMs: extraMs + copyMs + order * ORDER_MS };
     }
   }
 }
 
-/** Milliseconds that a plain service's call takes until one was seen. */
-const USUAL_CALL_MS = 45;
+/** Milliseconds that a call of a plain service takes until one was seen at any of its endpoints. */
+const UNSEEN_CALL_MS = 50;
 
 /** Candidates for a request to a plain service, best first. `random` breaks ties. */
 export function plain(
@@ -139,14 +136,22 @@
   need: Pick<Need, "domain" | "tried">,
   random: () => number,
 ): readonly Estimate[] {
+  const usualMs = usualCallMs(views);
   return views
     .filter((v) => !v.endpoint.leaving && !need.tried.has(v.endpoint.id))
     .map((view) => {
       const far = view.endpoint.domain === need.domain ? 0 : DOMAIN_MS;
-      const tookMs = view.tookMs > 0 ? view.tookMs : USUAL_CALL_MS;
-      const firstMs = tookMs * (1 + (2 * view.own) / Math.max(1, view.endpoint.seats));
+      const ownMs = view.tookMs > 0 ? view.tookMs : usualMs;
+      const firstMs = ownMs * (1 + (2 * view.own) / Math.max(1, view.endpoint.seats));
       const failingMs = view.failing ** 2 * FAILING_MS;
-      return { view, firstMs, extraMs: far + failingMs + random() * DOMAIN_MS };
+      return { view, firstMs, ownMs, extraMs: far + failingMs + random() * DOMAIN_MS };
     })
     .sort((a, b) => a.firstMs + a.extraMs - (b.firstMs + b.extraMs));
 }
+
+/** Mean of what calls took at the endpoints that were called. */
+function usualCallMs(views: readonly View[]): number {
+  const seen = views.filter((v) => v.tookMs > 0).map((v) => v.tookMs);
+  if (seen.length === 0) return UNSEEN_CALL_MS;
+  return seen.reduce((sum, ms) => sum + ms, 0) / seen.length;
+}
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as record from "../host/record.js";
+import * as admission from "./admission.js";
 import type * as ask from "./ask.js";
 import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
@@ -29,21 +30,19 @@
 /** Milliseconds left below which a further send makes no sense. */
 const LEAST_MS = 20;
 /**
- * Milliseconds without a sign of an answer after which a repeatable request is sent elsewhere, and
- * the same as a multiple of the time expected: above what engines and services take when full.
+ * Time without a sign of an answer after which a repeatable request is sent elsewhere: as a multiple of
+ * the time expected, above what endpoints take when full, and as a part of the target, before which
+ * nothing is lost.
  */
-const SILENT_STREAM_MS = 1600;
-const SILENT_CALL_MS = 220;
 const SILENT_FACTOR = 4;
-/** Bytes of an answer that is no stream; the users' services answer with some 5,000 at most. */
+const SILENT_STREAM_TARGETS = 2;
+const SILENT_CALL_TARGETS = 0.75;
+/** Bytes of an answer that is no stream, above which it is not held in memory. */
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
 const SENDS = 4;
-/** Part of the time left after which a refused caller is told to come back, at most. */
-const COME_BACK_PART = 0.3;
-/** Milliseconds after which a refused caller is told to come back at least. */
-const COME_BACK_MS = 120;
 const SERVED = 200;
+const SERVE: admission.Verdict = { kind: "serve" };
 
 export class Dispatch {
   private windows = new Map<string, retries.Window>();
@@ -70,7 +69,7 @@
       begun: false,
       lastId: a.meta.resumeAfter,
       why: "no endpoint is there",
-      comeBackMs: Math.max(COME_BACK_MS, a.route.targetMs * seeker.WAIT_PART),
+      comeBackMs: admission.UNKNOWN_MS,
       firstAt: undefined,
       expectedMs: undefined,
       endpoint: "",
@@ -103,6 +102,7 @@
       endpoint: p.endpoint,
       sends: p.sends,
       runs: p.runs,
+      targetMs: a.route.targetMs,
       expectedMs: p.expectedMs,
       firstMs,
       tookMs,
@@ -125,9 +125,10 @@
       const best = await this.seeker.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
       p.expectedMs ??= Math.round(best.firstMs);
-      if (p.sends === 0 && this.seeker.tooLate(a, best)) {
-        p.comeBackMs = best.firstMs;
-        p.why = `the first event would come in ${Math.round(best.firstMs)} ms`;
+      const verdict = p.sends === 0 ? this.seeker.judge(a, best) : SERVE;
+      if (verdict.kind === "refuse") {
+        p.comeBackMs = verdict.comeBackMs;
+        p.why = verdict.why;
         return this.giveUp(a, out, p, false);
       }
       const seat = a.service.engine ? await this.seeker.seat(a, best, p, cut) : undefined;
@@ -217,9 +218,8 @@
       own.abort();
     };
     const unwatch = this.deps.endpoints.watch(id, stop);
-    const silentMs = a.service.engine
-      ? Math.max(SILENT_STREAM_MS, SILENT_FACTOR * best.firstMs)
-      : Math.max(SILENT_CALL_MS, SILENT_FACTOR * best.firstMs);
+    const targets = a.service.engine ? SILENT_STREAM_TARGETS : SILENT_CALL_TARGETS;
+    const silentMs = Math.max(targets * a.route.targetMs, SILENT_FACTOR * best.firstMs);
     const more = p.runs + 1 < a.route.attempts && !p.begun;
     const timer = more ? this.deps.clock.after(silentMs, stop) : undefined;
     return {
@@ -348,8 +348,8 @@
       out.refuse(late ? 504 : 502, p.why);
       return late ? "late" : "unknown";
     }
-    const left = Math.max(0, a.dueAt - this.deps.clock.mono());
-    out.refuse(503, p.why, Math.min(left * COME_BACK_PART, p.comeBackMs));
+    const leftMs = a.dueAt - this.deps.clock.mono();
+    out.refuse(503, p.why, admission.comeBack(p.comeBackMs, leftMs));
     return "refused";
   }
 }
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -59,6 +59,7 @@
         ownSlots: at?.slotsSince ?? 0,
         failing: failingNow(own, this.clk.mono()),
         tookMs: own.tookMs,
+        coming: !endpoint.leaving && (at?.coming ?? false),
       };
     });
   }
--- a/src/serving/ledger.ts
+++ b/src/serving/ledger.ts
@@ -5,13 +5,14 @@
  */
 import type * as announcer from "./announcer.js";
 import * as backlog from "./backlog.js";
+import type * as reading from "./reading.js";
 import type * as seat from "./seat.js";
 
 /** Weight of the latest run in the part of runs that fail. */
 const LATEST_FAILURE = 0.12;
 /** Weight of the latest run in the time that a seat is held. */
 const LATEST_HOLD = 0.1;
-/** Milliseconds that a seat is held, until runs tell: a short answer of the users' sheet. */
+/** Milliseconds that a seat is held, until runs tell: some tens of tokens. */
 const USUAL_HOLD_MS = 600;
 
 /** How a seat ended, as the entry daemon says. */
@@ -49,9 +50,14 @@
     return this.heldMs;
   }
 
-  /** Estimated milliseconds until a prompt that arrives now begins to be read, by rank. */
-  get waits(): readonly number[] {
-    return backlog.waits(this.load);
+  /** How fast the engine reads, as far as its runs tell. */
+  get reading(): reading.Reading {
+    return this.load.reading;
+  }
+
+  /** Estimated milliseconds until a prompt that arrives at `now` begins to be read, by rank. */
+  waits(now: number): readonly number[] {
+    return backlog.waits(this.load, now);
   }
 
   ask(id: string, s: Seat, promptTokens: number, rank: number): void {
@@ -63,14 +69,14 @@
   give(id: string, now: number): Seat | undefined {
     const s = this.seats.get(id);
     if (!s) return undefined;
-    this.load = backlog.given(this.load, id);
+    this.load = backlog.given(this.load, id, now);
     this.seats.set(id, { ...s, givenAt: now });
     return s;
   }
 
-  /** The first event of a run came `ms` after the request was sent. */
-  began(id: string, ms: number): void {
-    this.load = backlog.began(this.load, id, ms);
+  /** The first event of a run came, `ms` after the request was sent. */
+  began(id: string, ms: number, now: number): void {
+    this.load = backlog.began(this.load, id, ms, now);
   }
 
   /** A seat is over, or not given after all. */
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -26,6 +26,11 @@
  */
 const QUIET_MS = 2500;
 const QUIET_FACTOR = 2.5;
+/**
+ * Milliseconds after which an endpoint daemon that was never reached counts as away: when a whole site
+ * starts, all daemons are up within about a second.
+ */
+const FIRST_REACH_MS = 2000;
 /** Milliseconds between checks for silence. */
 const CHECK_MS = 50;
 
@@ -73,12 +78,14 @@
   private timer: clock.Timer | undefined;
   private check: clock.Timer | undefined;
   private closed = false;
+  private readonly madeAt: number;
 
   constructor(
     /** `ip:port` of the endpoint daemon. */
     readonly address: string,
     private readonly deps: Deps,
   ) {
+    this.madeAt = deps.clock.mono();
     this.connect();
   }
 
@@ -92,6 +99,12 @@
     return this.held;
   }
 
+  /** An engine is on its way: its daemon is not reached for the first time yet, or it has no model. */
+  get coming(): boolean {
+    if (this.last) return this.last.instance !== "" && (this.held?.models.length ?? 0) === 0;
+    return this.held === undefined && this.deps.clock.mono() - this.madeAt < FIRST_REACH_MS;
+  }
+
   /** Prompt tokens asked for since the state was heard. */
   get tokensSince(): number {
     return this.tokens;
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -49,8 +49,15 @@
     instance: zod.string(),
     /** Estimated ms until a prompt that arrives now begins to be read, by rank. */
     waitMs: zod.array(zod.number()).readonly(),
-    /** Estimated ms until a slot for another adapter is free. */
+    /** What its runs tell: ms that a prompt token takes, and from the last one to the first event. */
+    msPerToken: zod.number(),
+    firstMs: zod.number(),
+    /** Estimated ms until a slot for another adapter is free, and until each further one. */
     slotMs: zod.number(),
+    eachSlotMs: zod.number(),
+    /** What its loads tell: ms that one from the weight store takes, and one from memory. */
+    coldMs: zod.number(),
+    warmMs: zod.number(),
     /** Seats given and not over. */
     seats: zod.number(),
     /** Part of the latest runs that failed, 0 to 1. */
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as clock from "../host/clock.js";
+import * as admission from "./admission.js";
 import type * as ask from "./ask.js";
 import * as catalog from "./catalog.js";
 import * as choice from "./choice.js";
@@ -17,30 +18,14 @@
   readonly random: () => number;
 }
 
-/** Part of its target that a request without an endpoint waits for one; refusals must come early. */
-export const WAIT_PART = 0.2;
 /** Milliseconds between looks for an endpoint while there is none. */
 const LOOK_MS = 15;
-/**
- * Callers leave a stream that is silent for the longest of these: some time, some targets, some of
- * the pauses that are on time. By the users' pages.
- */
-const PATIENCE_MS = 2000;
-const PATIENCE_TARGETS = 4;
-const PATIENCE_GAPS = 8;
-/** Part of its time that a request is held at most for a seat: over half of it counts as lost. */
-const HOLD_PART = 0.42;
 /**
  * Milliseconds between looks for an engine that would take a waiting request sooner, and by how much
  * sooner it must be: more than what an estimate is off by at the median.
  */
 const MOVE_LOOK_MS = 60;
 const MOVE_GAIN_MS = 200;
-/**
- * Estimated first event, as a part of the target, above which a request is refused at once instead
- * of being late: a rank that is less urgent gives way sooner.
- */
-const LATEST_BY_RANK = [1.4, 1.3, 1.0] as const;
 /** A seat that was given. */
 export interface Granted extends link.Seat {
   readonly version: number | undefined;
@@ -54,10 +39,10 @@
     private readonly deps: Deps,
   ) {}
 
-  /** Whether a request should be refused at once instead of being late. */
-  tooLate(a: ask.Ask, best: choice.Estimate): boolean {
-    const factor = LATEST_BY_RANK[a.route.rank] ?? LATEST_BY_RANK[2];
-    return a.service.engine !== undefined && best.firstMs > a.route.targetMs * factor;
+  /** Whether a request is let in, as things stand at its best endpoint. */
+  judge(a: ask.Ask, best: choice.Estimate): admission.Verdict {
+    if (!a.service.engine) return { kind: "serve" };
+    return admission.judge(standing(a, this.deps.clock.mono()), best);
   }
 
   /** The best endpoint; waits a little for one where there is none. */
@@ -67,19 +52,24 @@
     cut: AbortSignal,
   ): Promise<choice.Estimate | undefined> {
     const from = p.sends === 0 ? a.arrivedAt : this.deps.clock.mono();
-    const until = Math.min(a.dueAt, from + a.route.targetMs * WAIT_PART);
     for (;;) {
-      const best = this.candidates(a, p)[0];
+      const views = this.deps.endpoints.views(a.service);
+      const best = this.candidates(a, p, views)[0];
       if (best || cut.aborted) return best;
       // Where all were tried, the least bad of them may have come back.
+      const coming = views.some((v) => v.coming);
+      const until = Math.min(a.dueAt, from + admission.absentMs(standing(a, from), coming));
       if (this.deps.clock.mono() >= until) return undefined;
       p.tried.clear();
       await clock.sleep(this.deps.clock, LOOK_MS, cut);
     }
   }
 
-  private candidates(a: ask.Ask, p: progress.Progress): readonly choice.Estimate[] {
-    const views = this.deps.endpoints.views(a.service);
+  private candidates(
+    a: ask.Ask,
+    p: progress.Progress,
+    views: readonly choice.View[],
+  ): readonly choice.Estimate[] {
     const { target } = a.meta;
     const { domain } = this;
     if (!a.service.engine || !target) {
@@ -106,6 +96,8 @@
     const { target } = a.meta;
     if (!target) return undefined;
     const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
+    const now = this.deps.clock.mono();
+    const from = p.sends === 0 ? a.arrivedAt : now;
     const asked = this.deps.endpoints.link(endpoint).ask({
       request: a.meta.id,
       model: target.model,
@@ -114,8 +106,8 @@
       promptTokens: a.meta.promptTokens,
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
-      targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - this.deps.clock.mono()),
-      leftMs: Math.max(1, holdMs(a, p, this.deps.clock.mono())),
+      targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - now),
+      leftMs: Math.max(1, from + admission.holdMs(standing(a, from)) - now),
     });
     const left = (): void => {
       asked.over("left");
@@ -127,6 +119,12 @@
       case "moved":
         return "none";
       case "grant":
+        // It may have begun to leave while the request waited.
+        if (this.deps.catalog().endpoints.get(endpoint.id)?.leaving !== false) {
+          asked.over("left");
+          p.tried.add(endpoint.id);
+          return "none";
+        }
         return { ...asked, version: answer.version, instance: answer.instance };
       case "deny":
         p.tried.add(endpoint.id);
@@ -166,7 +164,7 @@
 
   /** Whether another engine than `id` would now take a request much sooner. */
   private soonerElsewhere(a: ask.Ask, p: progress.Progress, id: string): boolean {
-    const list = this.candidates(a, p);
+    const list = this.candidates(a, p, this.deps.endpoints.views(a.service));
     const top = list[0];
     const here = list.find((e) => e.view.endpoint.id === id);
     if (!top || top === here) return false;
@@ -176,11 +174,8 @@
   }
 }
 
-/** Milliseconds for which a request is held for a seat; then its caller is better told to come back. */
-function holdMs(a: ask.Ask, p: progress.Progress, now: number): number {
-  const { targetMs, gapMs } = a.route;
-  const gaps = Number.isFinite(gapMs) ? PATIENCE_GAPS * gapMs : 0;
-  const patienceMs = Math.max(PATIENCE_MS, PATIENCE_TARGETS * targetMs, gaps);
-  const from = p.sends === 0 ? a.arrivedAt : now;
-  return from + HOLD_PART * Math.min(a.dueAt - from, patienceMs) - now;
+/** How a request stands at the monotonic ms `at`. */
+function standing(a: ask.Ask, at: number): admission.Standing {
+  const { rank, targetMs, gapMs } = a.route;
+  return { rank, targetMs, gapMs, leftMs: a.dueAt - at };
 }
--- /dev/null
+++ b/test/explain.test.ts
@@ -0,0 +1,59 @@
+import * as chai from "chai";
+import * as lines from "../bench/explain/lines.js";
+import * as tables from "../bench/explain/tables.js";
+
+const { expect } = chai;
+
+const AT = "2026-01-01T00:00:0";
+
+function over(second: number, more: object): string {
+  const fields = {
+    msg: "A request is over.",
+    request: "r",
+    route: "a",
+    targetMs: 500,
+    tookMs: 900,
+  };
+  return `${second}.0 entry-1 ${JSON.stringify({ at: `${AT}${second}.000Z`, ...fields, ...more })}`;
+}
+
+const LOG = [
+  "0.0 entry-1 no line of a daemon",
+  `{"at":"${AT}0.000Z","msg":"A seat was given.","request":"r1","waitedMs":300}`,
+  over(0, { request: "r1", ending: "whole", firstMs: 800, expectedMs: 400 }),
+  over(1, { request: "r2", ending: "whole", firstMs: 100 }),
+  over(4, { request: "r3", ending: "refused", why: "it would wait 812 ms", tookMs: 2 }),
+  over(4, { request: "r4", ending: "refused", why: "it would wait 700 ms", tookMs: 4 }),
+  '{"msg":"An order was given.","daemon":"d1","order":"load","model":"m","adapter":"a","result":"accepted"}',
+  '{"msg":"An order was given.","daemon":"d1","order":"load","model":"m","adapter":"a","result":"conflict"}',
+  '{"msg":"A request is ov',
+].join("\n");
+
+describe("explain", () => {
+  const day = lines.read(LOG);
+
+  it("counts what became of the requests of a route", () => {
+    expect(tables.byRoute(day)[0]).include({ requests: 4, "on time": 1, late: 1, refused: 2 });
+  });
+
+  it("tells when it was", () => {
+    expect(tables.byTime(day).map((r) => [r["from s"], r.requests])).deep.equal([
+      [0, 2],
+      [4, 2],
+    ]);
+  });
+
+  it("puts reasons together that differ in their numbers alone", () => {
+    const rows = tables.byReason(day);
+    expect(rows).length(1);
+    expect(rows[0]).include({ ending: "refused", requests: 2, why: "it would wait # ms" });
+  });
+
+  it("splits what late answers waited for into their seat and the rest", () => {
+    expect(tables.late(day)[0]).include({ late: 1, "seat p50": 300, "rest p50": 500 });
+  });
+
+  it("counts orders that repeat another", () => {
+    expect(tables.orders(day)[0]).include({ orders: 2, "distinct adapters": 1, "not accepted": 1 });
+  });
+});
