Give seats as an engine reads, those that can still be on time first

Requests that had waited were judged again after each move and refused after 0.2 to 1.4 s in vain (92 short and 40 long ones), and moved without need: a waiting request's own tokens were counted as ahead of it at the engine where it waited. Ruled out: rank at the engine; it orders admission, and places are not what is scarce. Change: an endpoint daemon gives the next seat when its engine has about 40 ms left to read, in the order of who must begin soonest to be on time; what will be late whatever is done comes after. A request is judged once. Another copy of an adapter is made where its holder would be late and another engine not.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -55,7 +55,7 @@
 const PATIENCE_TARGETS = 4;
 const PATIENCE_GAPS = 8;
 /** Part of its time for which a request is held at most: what is left must be enough to come back. */
-const HOLD_PART = 0.42;
+const HOLD_PART = 0.6;
 
 /** Milliseconds for which a request waits while no endpoint is there; longer if one is on its way. */
 export function absentMs(r: Standing, coming: boolean): number {
--- a/src/serving/backlog.ts
+++ b/src/serving/backlog.ts
@@ -1,6 +1,7 @@
 /**
  * How long an engine will take to begin a prompt, estimated from the seats asked for and given, and
- * from how fast it has read lately. Pure.
+ * from how fast it has read lately. An engine reads prompts one after the other, in the order in which
+ * it gets them, whatever their rank; so what has a seat goes before all that waits for one. Pure.
  * @module
  */
 import * as reading from "./reading.js";
@@ -9,8 +10,8 @@
 export interface Load {
   readonly tokens: number;
   readonly rank: number;
-  /** Monotonic ms at which the seat was given; undefined until then. */
-  readonly givenAt: number | undefined;
+  /** It has its seat. */
+  readonly given: boolean;
   /** Prompt tokens to be read until its first event, its own included, when it was given. */
   readonly toRead: number;
   /** The first event came. */
@@ -20,72 +21,59 @@
 export interface Backlog {
   readonly loads: ReadonlyMap<string, Load>;
   readonly reading: reading.Reading;
-  /** Monotonic ms of the latest first event. */
-  readonly beganAt: number;
+  /** Monotonic ms at which the engine will have read all prompts that have seats, as far as known. */
+  readonly readUntil: number;
 }
 
 /** Ranks told apart; larger ones count as the last. */
 export const RANKS = 10;
-/** Part of a prompt that counts as read at most before its first event tells. */
-const READ_PART = 0.9;
 
 /** Nothing asked for yet. */
-export const IDLE: Backlog = { loads: new Map(), reading: reading.UNKNOWN, beganAt: -Infinity };
+export const IDLE: Backlog = { loads: new Map(), reading: reading.UNKNOWN, readUntil: -Infinity };
 
 /** The place of a rank among those told apart. */
 export function place(rank: number): number {
   return Math.min(RANKS - 1, Math.max(0, Math.round(rank)));
 }
 
-/** Prompt tokens to be read at `now` before one of each rank that arrives now. */
-function ahead(b: Backlog, now: number): readonly number[] {
-  const tokens = new Array<number>(RANKS).fill(0);
-  for (const l of b.loads.values()) {
-    if (!l.began) tokens[place(l.rank)] = (tokens[place(l.rank)] ?? 0) + l.tokens;
-  }
-  const head = headOf(b);
-  if (head) tokens[place(head.rank)] = (tokens[place(head.rank)] ?? 0) - readOf(b, head, now);
-  let sum = 0;
-  return tokens.map((t) => {
-    sum += t;
-    return sum;
-  });
-}
-
-/** The prompt that the engine is reading: the most urgent one that has a seat, then the oldest. */
-function headOf(b: Backlog): Load | undefined {
-  let head: Load | undefined;
-  for (const l of b.loads.values()) {
-    if (l.began || l.givenAt === undefined) continue;
-    if (!head || place(l.rank) < place(head.rank)) head = l;
-  }
-  return head;
+/** Milliseconds that the engine will still read prompts that have seats. */
+export function readingMs(b: Backlog, now: number): number {
+  return Math.max(0, b.readUntil - now);
 }
 
-/** Tokens of the prompt being read that were read by `now`, as far as time tells. */
-function readOf(b: Backlog, head: Load, now: number): number {
-  const since = Math.max(b.beganAt, head.givenAt ?? now);
-  const read = Math.max(0, now - since) / reading.msPerToken(b.reading);
-  return Math.min(READ_PART * head.tokens, read);
+/** Prompts that have seats and no first event yet. */
+export function unbegun(b: Backlog): number {
+  let n = 0;
+  for (const l of b.loads.values()) if (l.given && !l.began) n++;
+  return n;
 }
 
 /** Milliseconds until a prompt that arrives now begins to be read, by rank, in whole ms. */
 export function waits(b: Backlog, now: number): readonly number[] {
-  const ms = reading.msPerToken(b.reading);
-  return ahead(b, now).map((tokens) => Math.round(tokens * ms));
+  const tokens = new Array<number>(RANKS).fill(0);
+  for (const l of b.loads.values()) {
+    if (!l.given) tokens[place(l.rank)] = (tokens[place(l.rank)] ?? 0) + l.tokens;
+  }
+  const perToken = reading.msPerToken(b.reading);
+  let sum = readingMs(b, now);
+  return tokens.map((t) => {
+    sum += t * perToken;
+    return Math.round(sum);
+  });
 }
 
 /** A seat is asked for. */
 export function asked(b: Backlog, seat: string, tokens: number, rank: number): Backlog {
-  return put(b, seat, { tokens, rank, givenAt: undefined, toRead: tokens, began: false });
+  return put(b, seat, { tokens, rank, given: false, toRead: tokens, began: false });
 }
 
 /** A seat is given at `now`; remembers what is to be read until its first event. */
 export function given(b: Backlog, seat: string, now: number): Backlog {
   const l = b.loads.get(seat);
   if (!l) return b;
-  // Its own tokens are among those ahead of the next of its rank.
-  return put(b, seat, { ...l, givenAt: now, toRead: ahead(b, now)[place(l.rank)] ?? l.tokens });
+  const perToken = reading.msPerToken(b.reading);
+  const toRead = l.tokens + readingMs(b, now) / perToken;
+  return { ...put(b, seat, { ...l, given: true, toRead }), readUntil: now + toRead * perToken };
 }
 
 /** The first event of a run came, `ms` after the request was sent. */
@@ -93,15 +81,22 @@
   const l = b.loads.get(seat);
   if (!l || l.began) return b;
   const learnt = reading.seen(b.reading, l.toRead, ms);
-  return { ...put(b, seat, { ...l, began: true }), reading: learnt, beganAt: now };
+  const at = { ...put(b, seat, { ...l, began: true }), reading: learnt };
+  // Its prompt was read some time before its first event; what has a seat since is read after it.
+  let tokens = 0;
+  for (const other of at.loads.values()) if (other.given && !other.began) tokens += other.tokens;
+  const readUntil = now - reading.firstMs(learnt) + tokens * reading.msPerToken(learnt);
+  return { ...at, readUntil };
 }
 
 /** A seat is over. */
 export function over(b: Backlog, seat: string): Backlog {
-  if (!b.loads.has(seat)) return b;
+  const l = b.loads.get(seat);
+  if (!l) return b;
   const loads = new Map(b.loads);
   loads.delete(seat);
-  return { ...b, loads };
+  const unread = l.given && !l.began ? l.tokens * reading.msPerToken(b.reading) : 0;
+  return { ...b, loads, readUntil: b.readUntil - unread };
 }
 
 function put(b: Backlog, seat: string, l: Load): Backlog {
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -39,6 +39,10 @@
   readonly domain: string;
   /** Endpoints that this request has been to. */
   readonly tried: ReadonlySet<string>;
+  /** Milliseconds left until its first event is late. */
+  readonly targetMs: number;
+  /** Endpoint at which it waits for a seat, and is counted in the engine's backlog. */
+  readonly waitsAt?: string | undefined;
 }
 
 /** A candidate's estimate, in ms; the smallest total is chosen. */
@@ -57,6 +61,11 @@
  * takes its own time, and holds up the next one that the store has to serve.
  */
 const COPY_LOADS = 2;
+/**
+ * Loads from the weight store that being late is weighed as: more than another copy, so that one is
+ * made where the engine that has the adapter would be late and another one would not.
+ */
+const LATE_LOADS = 3;
 /** Milliseconds that each step down an adapter's own order of engines costs, to keep it at one. */
 const ORDER_MS = 12;
 /** Milliseconds that another failure domain is away, both ways, and what its bytes cost. */
@@ -110,19 +119,34 @@
   if (state.instance === "" || !holdings?.models.includes(need.model)) {
     return { view, firstMs: Infinity, ownMs, extraMs };
   }
-  const queueMs = (state.waitMs[backlog.place(need.rank)] ?? 0) + view.ownTokens * state.msPerToken;
+  // A request that waits there is counted in that engine's backlog already.
+  const counted = need.waitsAt === view.endpoint.id ? need.promptTokens : 0;
+  const aheadMs = (view.ownTokens - counted) * state.msPerToken;
+  const queueMs = Math.max(0, (state.waitMs[backlog.place(need.rank)] ?? 0) + aheadMs);
+  const lateMs = (firstMs: number): number =>
+    firstMs > need.targetMs ? LATE_LOADS * state.coldMs : 0;
   const slotMs = state.slotMs + view.ownSlots * state.eachSlotMs;
   switch (holding(view, need.key)) {
     case "resident":
-      return { view, firstMs: queueMs + ownMs, ownMs, extraMs };
+      return {
+        view,
+        firstMs: queueMs + ownMs,
+        ownMs,
+        extraMs: extraMs + lateMs(queueMs + ownMs),
+      };
     case "warm": {
       const firstMs = Math.max(queueMs, slotMs + state.warmMs) + ownMs;
-      return { view, firstMs, ownMs, extraMs: extraMs + order * ORDER_MS };
+      return { view, firstMs, ownMs, extraMs: extraMs + lateMs(firstMs) + order * ORDER_MS };
     }
     case "absent": {
       const firstMs = Math.max(queueMs, slotMs + state.coldMs) + ownMs;
       const copyMs = elsewhere ? COPY_LOADS * state.coldMs : 0;
-      return { view, firstMs, ownMs, extraMs: extraMs + copyMs + order * ORDER_MS };
+      return {
+        view,
+        firstMs,
+        ownMs,
+        extraMs: extraMs + lateMs(firstMs) + copyMs + order * ORDER_MS,
+      };
     }
   }
 }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -67,6 +67,7 @@
       runs: 0,
       tried: new Set(),
       begun: false,
+      judged: false,
       lastId: a.meta.resumeAfter,
       why: "no endpoint is there",
       comeBackMs: admission.UNKNOWN_MS,
@@ -125,7 +126,9 @@
       const best = await this.seeker.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
       p.expectedMs ??= Math.round(best.firstMs);
-      const verdict = p.sends === 0 ? this.seeker.judge(a, best) : SERVE;
+      // Judged once: what was let in and waited is not turned away for what came after it.
+      const verdict = p.judged ? SERVE : this.seeker.judge(a, best);
+      p.judged = true;
       if (verdict.kind === "refuse") {
         p.comeBackMs = verdict.comeBackMs;
         p.why = verdict.why;
@@ -221,7 +224,16 @@
     const targets = a.service.engine ? SILENT_STREAM_TARGETS : SILENT_CALL_TARGETS;
     const silentMs = Math.max(targets * a.route.targetMs, SILENT_FACTOR * best.firstMs);
     const more = p.runs + 1 < a.route.attempts && !p.begun;
-    const timer = more ? this.deps.clock.after(silentMs, stop) : undefined;
+    const silent = (): void => {
+      this.deps.log.warn("An endpoint stays silent; its connections are made anew.", {
+        request: a.meta.id,
+        endpoint: id,
+        silentMs: Math.round(silentMs),
+      });
+      this.deps.upstream.renew(id);
+      stop();
+    };
+    const timer = more ? this.deps.clock.after(silentMs, silent) : undefined;
     return {
       signal: AbortSignal.any([cut, own.signal]),
       answered: () => timer?.cancel(),
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -9,6 +9,7 @@
 import type * as record from "../host/record.js";
 import * as waker from "../host/waker.js";
 import * as announcer from "./announcer.js";
+import * as backlog from "./backlog.js";
 import * as catalog from "./catalog.js";
 import type * as engine from "./engine.js";
 import * as ledger from "./ledger.js";
@@ -20,8 +21,10 @@
 
 /** Milliseconds between looks at an engine that changes nothing; the look is free on its own host. */
 const LOOK_MS = 250;
-/** Milliseconds between looks while adapters are on their way; a load takes 25 ms or more. */
+/** Milliseconds between looks while an adapter is about to be in its place. */
 const LOADING_LOOK_MS = 15;
+/** Part of the time that loads take after which an adapter may be in its place. */
+const LOADED_PART = 0.8;
 /** Milliseconds until the next try after an engine did not answer. */
 const RETRY_MS = 100;
 /** Looks in a row without an answer after which the engine counts as out. */
@@ -74,7 +77,7 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       const now = this.deps.clock.mono();
-      if (this.instance === "" || now - this.lookedAt >= this.lookEveryMs()) await this.look();
+      if (this.instance === "" || now >= this.lookAt()) await this.look();
       if (this.instance === "") {
         this.denyAll("out");
         await this.waker.pause(RETRY_MS);
@@ -118,7 +121,10 @@
     const id = `${c.host}#${m.seat}`;
     if (m.version > 0) this.state = residency.declare(this.state, key, m.version, now);
     const asked = { client: c, n: m.seat, request: m.request, key, askedAt: now };
-    this.ledger.ask(id, { ...asked, givenAt: undefined }, m.promptTokens, m.rank);
+    const ownMs = reading.expectedMs(this.ledger.reading, m.promptTokens);
+    // What will be late whatever is done gives way, so nobody waits for it.
+    const place = ownMs > m.targetMs ? backlog.RANKS : m.rank;
+    this.ledger.ask(id, { ...asked, givenAt: undefined }, m.promptTokens, place);
     const { model, adapter, rank } = m;
     const waiter = {
       seat: id,
@@ -127,6 +133,7 @@
       adapter,
       rank,
       since: now,
+      ownMs,
       targetAt: now + m.targetMs,
       dueAt: now + m.leftMs,
     };
@@ -139,6 +146,7 @@
 
   began(c: announcer.Client, n: number, ms: number): void {
     this.ledger.began(`${c.host}#${n}`, ms, this.deps.clock.mono());
+    this.waker.wake();
     this.changed();
   }
 
@@ -182,7 +190,8 @@
 
   /** Gives and takes back seats as the state allows. */
   private settle(): void {
-    for (const a of residency.seats(this.state, this.deps.clock.mono(), this.options())) {
+    const now = this.deps.clock.mono();
+    for (const a of residency.seats(this.state, now, this.options(), this.reading(now))) {
       switch (a.kind) {
         case "grant":
           this.grant(a.waiter, a.version);
@@ -235,18 +244,30 @@
     for (const w of this.state.waiting) this.deny(w.seat, reason);
   }
 
-  /** Milliseconds between two looks at present. */
-  private lookEveryMs(): number {
-    const loading = [...this.state.slots.values()].some((p) => p.phase === "loading");
-    return loading ? LOADING_LOOK_MS : LOOK_MS;
+  /** Monotonic ms of the next look: as soon as a load may be done, or after a while. */
+  private lookAt(): number {
+    const warm = new Set(warmth.warm(this.warmth));
+    let at = this.lookedAt + LOOK_MS;
+    for (const p of this.state.slots.values()) {
+      if (p.phase !== "loading") continue;
+      const takesMs = warm.has(p.key) ? this.warmth.warmMs : this.warmth.coldMs;
+      const loadedAt = p.since + LOADED_PART * takesMs;
+      at = Math.min(at, Math.max(loadedAt, this.lookedAt + LOADING_LOOK_MS));
+    }
+    return at;
   }
 
   /** Milliseconds until something may have to be done though nothing happens. */
   private idleMs(): number {
     const now = this.deps.clock.mono();
-    const look = this.lookedAt + this.lookEveryMs() - now;
+    const look = this.lookAt() - now;
     const timed = residency.wakeIn(this.state, now, this.options()) ?? Infinity;
-    return Math.max(1, Math.min(look, timed));
+    const read = residency.readIn(this.state, now, this.options(), this.reading(now)) ?? Infinity;
+    return Math.max(1, Math.min(look, timed, read));
+  }
+
+  private reading(now: number): residency.Reading {
+    return { ms: this.ledger.readingMs(now), unbegun: this.ledger.unbegun };
   }
 
   /** Reads what the engine holds. */
--- a/src/serving/ledger.ts
+++ b/src/serving/ledger.ts
@@ -55,6 +55,16 @@
     return this.load.reading;
   }
 
+  /** Milliseconds that the engine will still read prompts that have seats. */
+  readingMs(now: number): number {
+    return backlog.readingMs(this.load, now);
+  }
+
+  /** Prompts that have seats and no first event yet. */
+  get unbegun(): number {
+    return backlog.unbegun(this.load);
+  }
+
   /** Estimated milliseconds until a prompt that arrives at `now` begins to be read, by rank. */
   waits(now: number): readonly number[] {
     return backlog.waits(this.load, now);
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -30,6 +30,8 @@
   runs: number;
   readonly tried: Set<string>;
   begun: boolean;
+  /** It was decided whether it is let in. */
+  judged: boolean;
   lastId: string | undefined;
   why: string;
   /** When a refused caller should come back, as far as known. */
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -34,6 +34,8 @@
   readonly adapter?: string | undefined;
   readonly rank: number;
   readonly since: number;
+  /** Milliseconds that the engine will read its prompt, until its first event. */
+  readonly ownMs: number;
   /** Monotonic ms after which its answer is late, and after which the seat is of no use. */
   readonly targetAt: number;
   readonly dueAt: number;
@@ -50,6 +52,27 @@
   readonly outdatedMs: number;
 }
 
+/** What an engine has to read already. */
+export interface Reading {
+  /** Milliseconds that it will still read prompts that have seats. */
+  readonly ms: number;
+  /** Prompts that have seats and no first event yet. */
+  readonly unbegun: number;
+}
+
+/** An engine that reads nothing. */
+export const IDLE: Reading = { ms: 0, unbegun: 0 };
+
+/**
+ * Milliseconds before an engine has read what it has at which the next seat is given: about what its
+ * grant takes to the entry daemon and the request to the engine, so that the engine is never idle
+ * while somebody waits. More would put requests into the engine's own line, where a short or urgent
+ * one cannot overtake a long one any more.
+ */
+const AHEAD_MS = 40;
+/** Prompts without a first event at most, for engines that are slower than they are believed to be. */
+const UNBEGUN = 8;
+
 /** The value that changes by the functions below. */
 export interface State {
   /** Base models that the engine holds. */
@@ -107,22 +130,45 @@
  */
 const RANK_MS = 100;
 
-/** Waiters in the order they are served: those not yet late first, then the earlier. */
+/** Monotonic ms until which a waiter must be begun to be on time. */
+function startBy(w: Waiter): number {
+  return w.targetAt - w.ownMs;
+}
+
+/**
+ * Waiters in the order they are served: those that can still be on time by how soon they must be begun
+ * for it, then the others by their deadline. This answers engines with more to read than they can: a
+ * late answer is worth the same a little later, so it gives way to what would be late because of it.
+ */
 function inOrder(waiting: readonly Waiter[], now: number): readonly Waiter[] {
-  const key = (w: Waiter): number => w.targetAt + w.rank * RANK_MS;
-  const late = (w: Waiter): number => (now > w.targetAt ? 1 : 0);
+  const late = (w: Waiter): number => (now > startBy(w) ? 1 : 0);
+  const key = (w: Waiter): number => (late(w) ? w.dueAt : startBy(w) + w.rank * RANK_MS);
   return [...waiting].sort((a, b) => late(a) - late(b) || key(a) - key(b));
 }
 
-/** Seats to give and to take back at `now`. */
-export function seats(s: State, now: number, opts: Options): readonly Action[] {
+/** Whether a waiter's adapter can be used now. */
+function isReady(s: State, w: Waiter, now: number, opts: Options): boolean {
+  if (w.adapter === undefined) return s.models.includes(w.model);
+  const p = s.slots.get(w.key);
+  return p !== undefined && usable(s, p, now, opts);
+}
+
+/** Seats to give and to take back at `now`, on an engine that has something to read already. */
+export function seats(
+  s: State,
+  now: number,
+  opts: Options,
+  engine: Reading = IDLE,
+): readonly Action[] {
   const out: Action[] = [];
+  let { ms, unbegun } = engine;
   for (const w of inOrder(s.waiting, now)) {
-    const p = s.slots.get(w.key);
-    if (w.adapter === undefined && s.models.includes(w.model)) {
-      out.push({ kind: "grant", waiter: w, version: undefined });
-    } else if (p && usable(s, p, now, opts)) {
-      out.push({ kind: "grant", waiter: w, version: p.version });
+    const ready = isReady(s, w, now, opts);
+    if (ready && ms <= AHEAD_MS && unbegun < UNBEGUN) {
+      ms += w.ownMs;
+      unbegun++;
+      const version = w.adapter === undefined ? undefined : s.slots.get(w.key)?.version;
+      out.push({ kind: "grant", waiter: w, version });
     } else if (now >= w.dueAt) {
       out.push({ kind: "expire", waiter: w });
     }
@@ -130,6 +176,12 @@
   return out;
 }
 
+/** Milliseconds until the engine can be given another prompt; undefined while none waits for that. */
+export function readIn(s: State, now: number, opts: Options, engine: Reading): number | undefined {
+  if (!s.waiting.some((w) => isReady(s, w, now, opts))) return undefined;
+  return Math.max(1, engine.ms - AHEAD_MS);
+}
+
 /** The next order to the engine at `now`; orders are given one at a time. */
 export function order(s: State, now: number, opts: Options): Action | undefined {
   const wanted = wantedKeys(s, now);
@@ -191,8 +243,9 @@
 }
 
 function isIdle(p: Slot, waited: ReadonlySet<string>): boolean {
-  const settled = p.phase === "closing" || p.phase === "resident";
-  return settled && p.pins === 0 && !waited.has(p.key);
+  if (p.pins > 0) return false;
+  // One that is given out no more is emptied all the same; who waits for it has it loaded again.
+  return p.phase === "closing" || (p.phase === "resident" && !waited.has(p.key));
 }
 
 /** The slot to empty first among those that nobody uses or waits for. */
@@ -224,7 +277,8 @@
   const slots = [...s.slots.values()];
   const under = slots.filter((p) => p.phase === "closing" || p.phase === "unsure").length;
   if (under >= overdue) return undefined;
-  const open = slots.filter((p) => p.phase === "resident" && p.pins > 0);
+  const waited = new Set(s.waiting.map((w) => w.key));
+  const open = slots.filter((p) => p.phase === "resident" && p.pins > 0 && !waited.has(p.key));
   const slot = coldest(s, open, now);
   return slot && { kind: "close", slot };
 }
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -69,6 +69,7 @@
     a: ask.Ask,
     p: progress.Progress,
     views: readonly choice.View[],
+    waitsAt?: string,
   ): readonly choice.Estimate[] {
     const { target } = a.meta;
     const { domain } = this;
@@ -82,6 +83,8 @@
       rank: a.route.rank,
       domain,
       tried: p.tried,
+      targetMs: a.arrivedAt + a.route.targetMs - this.deps.clock.mono(),
+      waitsAt,
     });
   }
 
@@ -164,7 +167,7 @@
 
   /** Whether another engine than `id` would now take a request much sooner. */
   private soonerElsewhere(a: ask.Ask, p: progress.Progress, id: string): boolean {
-    const list = this.candidates(a, p, this.deps.endpoints.views(a.service));
+    const list = this.candidates(a, p, this.deps.endpoints.views(a.service), id);
     const top = list[0];
     const here = list.find((e) => e.view.endpoint.id === id);
     if (!top || top === here) return false;
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -158,6 +158,17 @@
     return { kind: "answer", status, headers, body };
   }
 
+  /**
+   * Uses new connections to an endpoint from now on. Those that stand may have gone silent for good,
+   * which no reset tells; requests under way on them end by themselves.
+   */
+  renew(id: string): void {
+    const pool = this.pools.get(id);
+    if (!pool) return;
+    this.pools.delete(id);
+    void pool.close();
+  }
+
   /** Lets go of the connections to endpoints that are there no more. */
   keep(ids: ReadonlySet<string>): void {
     for (const [id, pool] of this.pools) {
--- /dev/null
+++ b/test/serving/queue.test.ts
@@ -0,0 +1,131 @@
+import * as chai from "chai";
+import * as generators from "pure-rand/generator/xoroshiro128plus";
+import * as uniform from "pure-rand/distribution/uniformFloat64";
+import * as backlog from "../../src/serving/backlog.js";
+import * as reading from "../../src/serving/reading.js";
+import * as residency from "../../src/serving/residency.js";
+
+const { expect } = chai;
+
+const OPTS: residency.Options = { slots: 4, loads: 2, closeAfterMs: 100, outdatedMs: 500 };
+const MODEL = "base";
+/** Milliseconds from the end of a prompt to its first event. */
+const FIRST_MS = 30;
+const PLAYED_MS = 40_000;
+
+interface Kind {
+  readonly perS: number;
+  readonly tokens: number;
+  readonly targetMs: number;
+}
+
+interface Request {
+  readonly id: string;
+  readonly kind: string;
+  readonly at: number;
+  readonly tokens: number;
+  readonly targetMs: number;
+}
+
+/** Short questions beside few long prompts, for an engine that reads `perMs` tokens a ms. */
+function kinds(perMs: number): Readonly<Record<string, Kind>> {
+  return {
+    short: { perS: 6, tokens: 20 * perMs, targetMs: 500 },
+    long: { perS: 2.6, tokens: 260 * perMs, targetMs: 1000 },
+  };
+}
+
+function arrivals(perMs: number, seed: number): readonly Request[] {
+  const rng = generators.xoroshiro128plus(seed);
+  const part = (): number => 1 - uniform.uniformFloat64(rng);
+  const list: Request[] = [];
+  for (const [kind, k] of Object.entries(kinds(perMs))) {
+    for (let at = 0, n = 0; at < PLAYED_MS; n++) {
+      at += (-Math.log(part()) * 1000) / k.perS;
+      const tokens = k.tokens * (0.4 + 0.6 * -Math.log(part()));
+      list.push({ id: `${kind}${n}`, kind, at, tokens, targetMs: k.targetMs });
+    }
+  }
+  return list.sort((a, b) => a.at - b.at);
+}
+
+/** Part of each kind whose first event came in time, and the part that got one at all. */
+type Outcome = Readonly<Record<string, { readonly onTime: number; readonly served: number }>>;
+
+/** Plays the load on an engine that reads prompts one after the other, as it gets them. */
+function play(perMs: number, seed: number, atOnce: boolean): Outcome {
+  const queue = [...arrivals(perMs, seed)];
+  const byId = new Map(queue.map((r) => [r.id, r]));
+  const firsts = new Map<string, number>();
+  const events: { at: number; id: string; sentAt: number }[] = [];
+  let state: residency.State = { ...residency.empty(), models: [MODEL] };
+  let load = backlog.IDLE;
+  let engineFree = 0;
+  const send = (id: string, now: number): void => {
+    const r = byId.get(id);
+    if (!r) return;
+    load = backlog.given(load, id, now);
+    engineFree = Math.max(now, engineFree) + r.tokens / perMs;
+    events.push({ at: engineFree + FIRST_MS, id, sentAt: now });
+  };
+  for (let now = 0; now < PLAYED_MS + 8000; now += 2) {
+    while (queue[0] && queue[0].at <= now) {
+      const r = queue.shift();
+      if (!r) break;
+      load = backlog.asked(load, r.id, r.tokens, 1);
+      if (atOnce) {
+        send(r.id, now);
+        continue;
+      }
+      const waiter: residency.Waiter = {
+        seat: r.id,
+        key: MODEL,
+        model: MODEL,
+        rank: 1,
+        since: now,
+        ownMs: reading.expectedMs(load.reading, r.tokens),
+        targetAt: r.at + r.targetMs,
+        dueAt: r.at + 6000,
+      };
+      state = residency.ask(state, waiter, now);
+    }
+    for (const e of events.filter((x) => x.at <= now)) {
+      events.splice(events.indexOf(e), 1);
+      firsts.set(e.id, now);
+      load = backlog.over(backlog.began(load, e.id, now - e.sentAt, now), e.id);
+    }
+    const engine = { ms: backlog.readingMs(load, now), unbegun: backlog.unbegun(load) };
+    for (const a of residency.seats(state, now, OPTS, engine)) {
+      if (a.kind !== "grant" && a.kind !== "expire") continue;
+      state = residency.answered(state, a.waiter.seat);
+      if (a.kind === "grant") send(a.waiter.seat, now);
+      else load = backlog.over(load, a.waiter.seat);
+    }
+  }
+  return outcomeOf([...byId.values()], firsts);
+}
+
+function outcomeOf(list: readonly Request[], firsts: ReadonlyMap<string, number>): Outcome {
+  const shares = Object.keys(kinds(1)).map((kind) => {
+    const of = list.filter((r) => r.kind === kind);
+    const onTime = of.filter((r) => (firsts.get(r.id) ?? Infinity) - r.at <= r.targetMs).length;
+    const served = of.filter((r) => firsts.has(r.id)).length;
+    return [kind, { onTime: onTime / of.length, served: served / of.length }] as const;
+  });
+  return Object.fromEntries(shares);
+}
+
+describe("an engine with long and short prompts", () => {
+  for (const perMs of [10, 40, 120]) {
+    it(`serves more of both in time when seats are given as it reads (${perMs} tokens/ms)`, () => {
+      for (const seed of [1, 2, 3]) {
+        const line = play(perMs, seed, true);
+        const seats = play(perMs, seed, false);
+        expect(seats.short?.onTime).above((line.short?.onTime ?? 0) + 0.1);
+        expect(seats.long?.onTime).above((line.long?.onTime ?? 0) - 0.02);
+        expect(seats.short?.served).above(0.97);
+        expect(seats.long?.served).above(0.9);
+      }
+    });
+  }
+});
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -15,6 +15,7 @@
     adapter,
     rank: 1,
     since,
+    ownMs: 100,
     targetAt: since + 1000,
     dueAt: since + 5000,
   };
