Split who waits, when to look, and what is told out of the keeper

Change: waiting (who waits, in which order), looks (when an engine is looked at, with a test) and listing.state (what entry daemons are told) are pure modules of their own. No behaviour changes. Ruled out, measured: nothing to measure; the tests of seats, residency, moves and the queue pass.

--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -15,16 +15,12 @@
 import * as ledger from "./ledger.js";
 import * as listing from "./listing.js";
 import * as reading from "./reading.js";
+import * as looks from "./looks.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
+import type * as waiting from "./waiting.js";
 import * as warmth from "./warmth.js";
 
-/** Milliseconds between looks at an engine that changes nothing; the look is free on its own host. */
-const LOOK_MS = 250;
-/** Milliseconds between looks while an adapter is about to be in its place. */
-const LOADING_LOOK_MS = 15;
-/** Part of the time that loads take after which an adapter may be in its place. */
-const LOADED_PART = 0.8;
 /** Milliseconds until the next try after an engine did not answer. */
 const RETRY_MS = 100;
 /** Looks in a row without an answer after which the engine counts as out. */
@@ -77,7 +73,8 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       const now = this.deps.clock.mono();
-      if (this.instance === "" || now >= this.lookAt()) await this.look();
+      if (this.instance === "" || now >= looks.next(this.state, this.warmth, this.lookedAt))
+        await this.look();
       if (this.instance === "") {
         this.denyAll("out");
         await this.waker.pause(RETRY_MS);
@@ -147,7 +144,7 @@
   began(c: announcer.Client, n: number, ms: number): void {
     this.ledger.began(`${c.host}#${n}`, ms, this.deps.clock.mono());
     this.waker.wake();
-    this.changed();
+    this.news.changed();
   }
 
   /** A seat is not needed any more. */
@@ -155,7 +152,7 @@
     this.over(`${c.host}#${n}`, how);
     if (how === "absent") this.lookedAt = -Infinity;
     this.waker.wake();
-    this.changed();
+    this.news.changed();
   }
 
   /** Seats given or asked for. */
@@ -207,7 +204,7 @@
     }
   }
 
-  private grant(w: residency.Waiter, version: number | undefined): void {
+  private grant(w: waiting.Waiter, version: number | undefined): void {
     const now = this.deps.clock.mono();
     const s = this.ledger.give(w.seat, now);
     this.state = residency.answered(this.state, w.seat);
@@ -222,7 +219,7 @@
       instance: this.instance,
       waitedMs,
     });
-    this.changed();
+    this.news.changed();
   }
 
   private deny(id: string, reason: seat.Deny): void {
@@ -237,30 +234,17 @@
       reason,
       waitedMs,
     });
-    this.changed();
+    this.news.changed();
   }
 
   private denyAll(reason: seat.Deny): void {
     for (const w of this.state.waiting) this.deny(w.seat, reason);
   }
 
-  /** Monotonic ms of the next look: as soon as a load may be done, or after a while. */
-  private lookAt(): number {
-    const warm = new Set(warmth.warm(this.warmth));
-    let at = this.lookedAt + LOOK_MS;
-    for (const p of this.state.slots.values()) {
-      if (p.phase !== "loading") continue;
-      const takesMs = warm.has(p.key) ? this.warmth.warmMs : this.warmth.coldMs;
-      const loadedAt = p.since + LOADED_PART * takesMs;
-      at = Math.min(at, Math.max(loadedAt, this.lookedAt + LOADING_LOOK_MS));
-    }
-    return at;
-  }
-
   /** Milliseconds until something may have to be done though nothing happens. */
   private idleMs(): number {
     const now = this.deps.clock.mono();
-    const look = this.lookAt() - now;
+    const look = looks.next(this.state, this.warmth, this.lookedAt) - now;
     const timed = residency.wakeIn(this.state, now, this.options()) ?? Infinity;
     const read = residency.readIn(this.state, now, this.options(), this.reading(now)) ?? Infinity;
     return Math.max(1, Math.min(look, timed, read));
@@ -332,7 +316,7 @@
     for (const p of before.slots.values()) {
       if (!this.state.slots.has(p.key)) this.warmth = warmth.held(this.warmth, p.key);
     }
-    this.changed();
+    this.news.changed();
   }
 
   private async carryOut(a: residency.Action): Promise<void> {
@@ -404,43 +388,15 @@
   }
 
   private snapshot(silenceMs: number): seat.State {
-    return {
-      kind: "state",
+    return listing.state({
       instance: this.instance,
-      waitMs: this.ledger.waits(this.deps.clock.mono()),
-      msPerToken: rounded(reading.msPerToken(this.ledger.reading)),
-      firstMs: Math.round(reading.firstMs(this.ledger.reading)),
-      slotMs: Math.round(this.slotMs()),
-      eachSlotMs: Math.round(this.eachSlotMs()),
-      coldMs: Math.round(this.warmth.coldMs),
-      warmMs: Math.round(this.warmth.warmMs),
-      seats: this.ledger.count,
-      failing: Math.round(this.ledger.failing * 100) / 100,
+      seats: this.ledger,
+      held: this.state,
+      warmth: this.warmth,
+      slots: this.options().slots,
       entries: this.news.count(),
       silenceMs,
-    };
-  }
-
-  /** Estimated ms until a slot for another adapter is free. */
-  private slotMs(): number {
-    const { slots } = this.options();
-    const { free, wanted } = residency.room(this.state, slots);
-    return free > wanted ? 0 : (wanted - free + 1) * this.eachSlotMs();
-  }
-
-  /** Estimated ms between two slots that come free. */
-  private eachSlotMs(): number {
-    return this.ledger.holdMs / this.options().slots;
-  }
-
-  private changed(): void {
-    this.news.changed();
+      now: this.deps.clock.mono(),
+    });
   }
 }
-
-/** Decimals of a millisecond a token that are told. */
-const DECIMALS = 4;
-
-function rounded(msPerToken: number): number {
-  return Number(msPerToken.toFixed(DECIMALS));
-}
--- a/src/serving/listing.ts
+++ b/src/serving/listing.ts
@@ -5,8 +5,15 @@
  */
 import * as catalog from "./catalog.js";
 import type * as engine from "./engine.js";
-import type * as residency from "./residency.js";
+import type * as ledger from "./ledger.js";
+import * as reading from "./reading.js";
+import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
+import type * as warmth from "./warmth.js";
+
+/** Decimals that are told of the milliseconds a token takes, and of the part of runs that fail. */
+const TOKEN_DECIMALS = 4;
+const FAILING_DECIMALS = 2;
 
 function listed(model: string, held: engine.Held, pending: boolean): residency.Listed {
   const { adapter, version } = held;
@@ -27,3 +34,41 @@
   );
   return { kind: "holdings", models: s.models, resident: usable.map((p) => p.key), reach };
 }
+
+/** What an endpoint daemon knows of its engine. */
+export interface Known {
+  readonly instance: string;
+  readonly seats: ledger.Ledger;
+  readonly held: residency.State;
+  readonly warmth: warmth.Warmth;
+  /** Adapters that the engine holds at once. */
+  readonly slots: number;
+  /** Entry daemons connected. */
+  readonly entries: number;
+  /** Milliseconds within which the next word comes. */
+  readonly silenceMs: number;
+  /** Monotonic ms. */
+  readonly now: number;
+}
+
+/** How busy an engine is, as entry daemons are told. */
+export function state(k: Known): seat.State {
+  const { reading: learnt } = k.seats;
+  const { free, wanted } = residency.room(k.held, k.slots);
+  const eachSlotMs = k.seats.holdMs / k.slots;
+  return {
+    kind: "state",
+    instance: k.instance,
+    waitMs: k.seats.waits(k.now),
+    msPerToken: Number(reading.msPerToken(learnt).toFixed(TOKEN_DECIMALS)),
+    firstMs: Math.round(reading.firstMs(learnt)),
+    slotMs: Math.round(free > wanted ? 0 : (wanted - free + 1) * eachSlotMs),
+    eachSlotMs: Math.round(eachSlotMs),
+    coldMs: Math.round(k.warmth.coldMs),
+    warmMs: Math.round(k.warmth.warmMs),
+    seats: k.seats.count,
+    failing: Number(k.seats.failing.toFixed(FAILING_DECIMALS)),
+    entries: k.entries,
+    silenceMs: k.silenceMs,
+  };
+}
--- /dev/null
+++ b/src/serving/looks.ts
@@ -0,0 +1,26 @@
+/**
+ * When an endpoint daemon looks at its engine next. Pure.
+ * @module
+ */
+import type * as residency from "./residency.js";
+import * as warmth from "./warmth.js";
+
+/** Milliseconds between looks at an engine that changes nothing; the look is free on its own host. */
+const LOOK_MS = 250;
+/** Milliseconds between looks while an adapter is about to be in its place. */
+const LOADING_LOOK_MS = 15;
+/** Part of the time that loads take after which an adapter may be in its place. */
+const LOADED_PART = 0.8;
+
+/** Monotonic ms of the look after the one at `lookedAt`: when a load may be done, or after a while. */
+export function next(s: residency.State, w: warmth.Warmth, lookedAt: number): number {
+  const warm = new Set(warmth.warm(w));
+  let at = lookedAt + LOOK_MS;
+  for (const p of s.slots.values()) {
+    if (p.phase !== "loading") continue;
+    const takesMs = warm.has(p.key) ? w.warmMs : w.coldMs;
+    const loadedAt = p.since + LOADED_PART * takesMs;
+    at = Math.min(at, Math.max(loadedAt, lookedAt + LOADING_LOOK_MS));
+  }
+  return at;
+}
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as popularity from "../endpoint/popularity.js";
+import * as waiting from "./waiting.js";
 
 /** An adapter in one of the engine's slots. */
 export interface Slot {
@@ -25,22 +26,6 @@
   readonly since: number;
 }
 
-/** A seat that is asked for and not yet given. */
-export interface Waiter {
-  readonly seat: string;
-  readonly key: string;
-  readonly model: string;
-  /** Left out for the base model itself. */
-  readonly adapter?: string | undefined;
-  readonly rank: number;
-  readonly since: number;
-  /** Milliseconds that the engine will read its prompt, until its first event. */
-  readonly ownMs: number;
-  /** Monotonic ms after which its answer is late, and after which the seat is of no use. */
-  readonly targetAt: number;
-  readonly dueAt: number;
-}
-
 export interface Options {
   /** Adapters held at once. */
   readonly slots: number;
@@ -78,7 +63,7 @@
   /** Base models that the engine holds. */
   readonly models: readonly string[];
   readonly slots: ReadonlyMap<string, Slot>;
-  readonly waiting: readonly Waiter[];
+  readonly waiting: readonly waiting.Waiter[];
   /** Newest version of each adapter by key, with the monotonic ms at which it was learnt. */
   readonly newest: ReadonlyMap<string, { readonly version: number; readonly at: number }>;
   readonly heat: popularity.Popularity;
@@ -101,8 +86,12 @@
 }
 
 export type Action =
-  | { readonly kind: "grant"; readonly waiter: Waiter; readonly version: number | undefined }
-  | { readonly kind: "expire"; readonly waiter: Waiter }
+  | {
+      readonly kind: "grant";
+      readonly waiter: waiting.Waiter;
+      readonly version: number | undefined;
+    }
+  | { readonly kind: "expire"; readonly waiter: waiting.Waiter }
   | {
       readonly kind: "load";
       readonly model: string;
@@ -124,30 +113,8 @@
   return !newest || newest.version <= p.version || now - newest.at < opts.outdatedMs;
 }
 
-/**
- * Milliseconds of waiting that one step of urgency counts as. Places are what is scarce, and urgent
- * answers may hold one ten times as long as others, so urgency goes before age by a little only.
- */
-const RANK_MS = 100;
-
-/** Monotonic ms until which a waiter must be begun to be on time. */
-function startBy(w: Waiter): number {
-  return w.targetAt - w.ownMs;
-}
-
-/**
- * Waiters in the order they are served: those that can still be on time by how soon they must be begun
- * for it, then the others by their deadline. This answers engines with more to read than they can: a
- * late answer is worth the same a little later, so it gives way to what would be late because of it.
- */
-function inOrder(waiting: readonly Waiter[], now: number): readonly Waiter[] {
-  const late = (w: Waiter): number => (now > startBy(w) ? 1 : 0);
-  const key = (w: Waiter): number => (late(w) ? w.dueAt : startBy(w) + w.rank * RANK_MS);
-  return [...waiting].sort((a, b) => late(a) - late(b) || key(a) - key(b));
-}
-
 /** Whether a waiter's adapter can be used now. */
-function isReady(s: State, w: Waiter, now: number, opts: Options): boolean {
+function isReady(s: State, w: waiting.Waiter, now: number, opts: Options): boolean {
   if (w.adapter === undefined) return s.models.includes(w.model);
   const p = s.slots.get(w.key);
   return p !== undefined && usable(s, p, now, opts);
@@ -162,7 +129,7 @@
 ): readonly Action[] {
   const out: Action[] = [];
   let { ms, unbegun } = engine;
-  for (const w of inOrder(s.waiting, now)) {
+  for (const w of waiting.inOrder(s.waiting, now)) {
     const ready = isReady(s, w, now, opts);
     if (ready && ms <= AHEAD_MS && unbegun < UNBEGUN) {
       ms += w.ownMs;
@@ -226,7 +193,7 @@
 /** Adapters waited for that are in no slot, in the order of their first waiter. */
 function wantedKeys(s: State, now: number): readonly Wanted[] {
   const out = new Map<string, Wanted>();
-  for (const w of inOrder(s.waiting, now)) {
+  for (const w of waiting.inOrder(s.waiting, now)) {
     if (w.adapter === undefined || s.slots.has(w.key) || out.has(w.key)) continue;
     if (!s.models.includes(w.model)) continue;
     out.set(w.key, { key: w.key, model: w.model, adapter: w.adapter, since: w.since });
@@ -295,7 +262,7 @@
 }
 
 /** Somebody asks for a seat. */
-export function ask(s: State, w: Waiter, now: number): State {
+export function ask(s: State, w: waiting.Waiter, now: number): State {
   const heat = popularity.hit(s.heat, w.key, 1, now);
   return { ...s, waiting: [...s.waiting, w], heat };
 }
--- a/test/serving/queue.test.ts
+++ b/test/serving/queue.test.ts
@@ -4,6 +4,7 @@
 import * as backlog from "../../src/serving/backlog.js";
 import * as reading from "../../src/serving/reading.js";
 import * as residency from "../../src/serving/residency.js";
+import type * as waiting from "../../src/serving/waiting.js";
 
 const { expect } = chai;
 
@@ -77,7 +78,7 @@
         send(r.id, now);
         continue;
       }
-      const waiter: residency.Waiter = {
+      const waiter: waiting.Waiter = {
         seat: r.id,
         key: MODEL,
         model: MODEL,
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -1,13 +1,16 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
+import * as looks from "../../src/serving/looks.js";
 import * as residency from "../../src/serving/residency.js";
+import type * as waiting from "../../src/serving/waiting.js";
+import * as warmth from "../../src/serving/warmth.js";
 
 const { expect } = chai;
 
 const OPTS: residency.Options = { slots: 3, loads: 2, closeAfterMs: 100, outdatedMs: 500 };
 const MODEL = "base";
 
-function waiter(seat: string, adapter: string | undefined, since: number): residency.Waiter {
+function waiter(seat: string, adapter: string | undefined, since: number): waiting.Waiter {
   return {
     seat,
     key: adapter === undefined ? MODEL : `${MODEL}/${adapter}`,
@@ -191,3 +194,15 @@
     expect(residency.room(s, 3)).deep.equal({ free: 1, wanted: 0 });
   });
 });
+
+describe("looks", () => {
+  it("come when a load may be done, and seldom while nothing changes", () => {
+    const calm = looks.next(holding(slot("a")), warmth.UNKNOWN, 1000);
+    const state = holding(slot("a"), slot("b", { phase: "loading", since: 990 }));
+    const w = { ...warmth.UNKNOWN, coldMs: 200, warmMs: 20 };
+    expect(looks.next(state, w, 1000)).within(1120, 1190);
+    expect(looks.next(state, warmth.held(w, `${MODEL}/b`), 1000)).within(1005, 1030);
+    expect(looks.next(state, w, 1180)).within(1185, 1200);
+    expect(calm).above(1200);
+  });
+});
