--- a/src/serving/backlog.ts
+++ b/src/serving/backlog.ts
@@ -10,8 +10,8 @@
 export interface Load {
   readonly tokens: number;
   readonly rank: number;
-  /** It has its seat. */
-  readonly given: boolean;
+  /** Monotonic ms at which its seat was given; undefined until then. */
+  readonly givenAt: number | undefined;
   /** Prompt tokens to be read until its first event, its own included, when it was given. */
   readonly toRead: number;
   /** The first event came. */
@@ -41,10 +41,18 @@
   return Math.max(0, b.readUntil - now);
 }
 
-/** Prompts that have seats and no first event yet. */
-export function unbegun(b: Backlog): number {
+/**
+ * Milliseconds after which a seat without a first event counts no more as one that is being read: its
+ * host may be frozen or gone, and must not keep the engine from others.
+ */
+const UNHEARD_MS = 1500;
+
+/** Prompts that have got their seats lately and have no first event yet. */
+export function unbegun(b: Backlog, now: number): number {
   let n = 0;
-  for (const l of b.loads.values()) if (l.given && !l.began) n++;
+  for (const l of b.loads.values()) {
+    if (l.givenAt !== undefined && !l.began && now - l.givenAt < UNHEARD_MS) n++;
+  }
   return n;
 }
 
@@ -52,7 +60,7 @@
 export function waits(b: Backlog, now: number): readonly number[] {
   const tokens = new Array<number>(RANKS).fill(0);
   for (const l of b.loads.values()) {
-    if (!l.given) tokens[place(l.rank)] = (tokens[place(l.rank)] ?? 0) + l.tokens;
+    if (l.givenAt === undefined) tokens[place(l.rank)] = (tokens[place(l.rank)] ?? 0) + l.tokens;
   }
   const perToken = reading.msPerToken(b.reading);
   let sum = readingMs(b, now);
@@ -64,7 +72,7 @@
 
 /** A seat is asked for. */
 export function asked(b: Backlog, seat: string, tokens: number, rank: number): Backlog {
-  return put(b, seat, { tokens, rank, given: false, toRead: tokens, began: false });
+  return put(b, seat, { tokens, rank, givenAt: undefined, toRead: tokens, began: false });
 }
 
 /** A seat is given at `now`; remembers what is to be read until its first event. */
@@ -73,7 +81,7 @@
   if (!l) return b;
   const perToken = reading.msPerToken(b.reading);
   const toRead = l.tokens + readingMs(b, now) / perToken;
-  return { ...put(b, seat, { ...l, given: true, toRead }), readUntil: now + toRead * perToken };
+  return { ...put(b, seat, { ...l, givenAt: now, toRead }), readUntil: now + toRead * perToken };
 }
 
 /** The first event of a run came, `ms` after the request was sent. */
@@ -84,7 +92,10 @@
   const at = { ...put(b, seat, { ...l, began: true }), reading: learnt };
   // Its prompt was read some time before its first event; what has a seat since is read after it.
   let tokens = 0;
-  for (const other of at.loads.values()) if (other.given && !other.began) tokens += other.tokens;
+  for (const other of at.loads.values()) {
+    if (other.givenAt === undefined || other.began || now - other.givenAt >= UNHEARD_MS) continue;
+    tokens += other.tokens;
+  }
   const readUntil = now - reading.firstMs(learnt) + tokens * reading.msPerToken(learnt);
   return { ...at, readUntil };
 }
@@ -95,7 +106,7 @@
   if (!l) return b;
   const loads = new Map(b.loads);
   loads.delete(seat);
-  const unread = l.given && !l.began ? l.tokens * reading.msPerToken(b.reading) : 0;
+  const unread = l.givenAt !== undefined && !l.began ? l.tokens * reading.msPerToken(b.reading) : 0;
   return { ...b, loads, readUntil: b.readUntil - unread };
 }
 
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -18,7 +18,7 @@
 import * as looks from "./looks.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
-import type * as waiting from "./waiting.js";
+import * as waiting from "./waiting.js";
 import * as warmth from "./warmth.js";
 
 /** Milliseconds until the next try after an engine did not answer. */
@@ -112,28 +112,16 @@
     this.news.leave(c);
   }
 
-  ask(c: announcer.Client, m: Extract<seat.FromEntry, { kind: "ask" }>): void {
+  ask(c: announcer.Client, m: seat.Ask): void {
     const now = this.deps.clock.mono();
     const key = m.adapter === undefined ? m.model : catalog.adapterKey(m.model, m.adapter);
     const id = `${c.host}#${m.seat}`;
     if (m.version > 0) this.state = residency.declare(this.state, key, m.version, now);
-    const asked = { client: c, n: m.seat, request: m.request, key, askedAt: now };
     const ownMs = reading.expectedMs(this.ledger.reading, m.promptTokens);
+    const waiter = waiting.from(id, key, m, ownMs, now);
     // What will be late whatever is done gives way, so nobody waits for it.
-    const place = ownMs > m.targetMs ? backlog.RANKS : m.rank;
-    this.ledger.ask(id, { ...asked, givenAt: undefined }, m.promptTokens, place);
-    const { model, adapter, rank } = m;
-    const waiter = {
-      seat: id,
-      key,
-      model,
-      adapter,
-      rank,
-      since: now,
-      ownMs,
-      targetAt: now + m.targetMs,
-      dueAt: now + m.leftMs,
-    };
+    const place = waiting.isLate(waiter, now) ? backlog.RANKS : m.rank;
+    this.ledger.ask(id, ledger.asked(c, key, m, now), m.promptTokens, place);
     this.state = residency.ask(this.state, waiter, now);
     if (this.instance === "") this.deny(id, "out");
     else this.settle();
@@ -168,7 +156,7 @@
       return;
     }
     this.state = residency.pin(this.state, s.key, -1);
-    this.ledger.learn(how, this.deps.clock.mono() - s.givenAt);
+    this.ledger.learn(s, how, this.deps.clock.mono());
   }
 
   private options(): residency.Options {
@@ -251,7 +239,7 @@
   }
 
   private reading(now: number): residency.Reading {
-    return { ms: this.ledger.readingMs(now), unbegun: this.ledger.unbegun };
+    return { ms: this.ledger.readingMs(now), unbegun: this.ledger.unbegun(now) };
   }
 
   /** Reads what the engine holds. */
--- a/src/serving/ledger.ts
+++ b/src/serving/ledger.ts
@@ -15,6 +15,13 @@
 /** Milliseconds that a seat is held, until runs tell: some tens of tokens. */
 const USUAL_HOLD_MS = 600;
 
+/** Weight of the latest run in the time that answers take. */
+const LATEST_ANSWER = 0.1;
+/** Milliseconds that a token of an answer takes, until runs tell. */
+const USUAL_TOKEN_MS = 10;
+/** A run counts as this many times the usual at most, so that one odd run changes little. */
+const ODD = 4;
+
 /** How a seat ended, as the entry daemon says. */
 export type End = Extract<seat.FromEntry, { kind: "over" }>["how"];
 
@@ -27,6 +34,17 @@
   readonly key: string;
   readonly askedAt: number;
   readonly givenAt: number | undefined;
+  /** Monotonic ms of the first event of its run. */
+  readonly beganAt: number | undefined;
+  /** Tokens that its answer has at most. */
+  readonly answerTokens: number;
+}
+
+/** A seat that a client asks for at `now`, for the adapter `key`. */
+export function asked(client: announcer.Client, key: string, m: seat.Ask, now: number): Seat {
+  const { seat: n, request, answerTokens } = m;
+  const open = { givenAt: undefined, beganAt: undefined };
+  return { client, n, request, key, answerTokens, askedAt: now, ...open };
 }
 
 export class Ledger {
@@ -34,6 +52,7 @@
   private load = backlog.IDLE;
   private failed = 0;
   private heldMs = USUAL_HOLD_MS;
+  private tokenMs = USUAL_TOKEN_MS;
 
   /** Seats asked for and not over. */
   get count(): number {
@@ -50,6 +69,14 @@
     return this.heldMs;
   }
 
+  /**
+   * Smoothed milliseconds that answers take from their first event, for each token that they may have.
+   * Answers are shorter than that, so it compares engines and does not foretell one answer.
+   */
+  get msPerAnswerToken(): number {
+    return this.tokenMs;
+  }
+
   /** How fast the engine reads, as far as its runs tell. */
   get reading(): reading.Reading {
     return this.load.reading;
@@ -61,8 +88,8 @@
   }
 
   /** Prompts that have seats and no first event yet. */
-  get unbegun(): number {
-    return backlog.unbegun(this.load);
+  unbegun(now: number): number {
+    return backlog.unbegun(this.load, now);
   }
 
   /** Estimated milliseconds until a prompt that arrives at `now` begins to be read, by rank. */
@@ -87,6 +114,8 @@
   /** The first event of a run came, `ms` after the request was sent. */
   began(id: string, ms: number, now: number): void {
     this.load = backlog.began(this.load, id, ms, now);
+    const s = this.seats.get(id);
+    if (s) this.seats.set(id, { ...s, beganAt: now });
   }
 
   /** A seat is over, or not given after all. */
@@ -97,11 +126,16 @@
     return s;
   }
 
-  /** What a run that held its seat for `ms` tells. */
-  learn(how: End, ms: number): void {
-    this.heldMs += (ms - this.heldMs) * LATEST_HOLD;
+  /** What a seat that ended at `now` tells. */
+  learn(s: Seat, how: End, now: number): void {
+    const heldMs = now - (s.givenAt ?? now);
+    this.heldMs += (heldMs - this.heldMs) * LATEST_HOLD;
     if (how === "failed") this.failed += (1 - this.failed) * LATEST_FAILURE;
-    if (how === "whole") this.failed -= this.failed * LATEST_FAILURE;
+    if (how !== "whole") return;
+    this.failed -= this.failed * LATEST_FAILURE;
+    if (s.beganAt === undefined || s.answerTokens <= 0) return;
+    const tokenMs = Math.min(ODD * this.tokenMs, (now - s.beganAt) / s.answerTokens);
+    this.tokenMs += (tokenMs - this.tokenMs) * LATEST_ANSWER;
   }
 
   /** Ids of a client's seats. */
--- a/src/serving/lines.ts
+++ b/src/serving/lines.ts
@@ -10,6 +10,9 @@
 /** Unsent bytes at which a peer counts as stuck, and the connection is closed. */
 const UNSENT_LIMIT = 1_048_576;
 
+/** Milliseconds of silence after which the peer's host is probed, ten times within as many seconds. */
+const KEEP_ALIVE_MS = 1000;
+
 export interface Handlers<In> {
   readonly message: (m: In) => void;
   /** The connection is over; `why` tells what ended it. */
@@ -38,6 +41,8 @@
   let rest = "";
   let why = "the peer closed";
   socket.setNoDelay(true);
+  // A host without power says nothing; without this, its seats would be held for good.
+  socket.setKeepAlive(true, KEEP_ALIVE_MS);
   socket.setEncoding("utf8");
   socket.on("data", (chunk: string) => {
     const lines = (rest + chunk).split("\n");
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -40,6 +40,7 @@
     .readonly(),
 ]);
 export type FromEntry = zod.infer<typeof fromEntry>;
+export type Ask = Extract<FromEntry, { kind: "ask" }>;
 
 /** How busy an engine is, as its endpoint daemon knows it; sent more often than its holdings. */
 export const state = zod
@@ -55,6 +56,8 @@
     /** Estimated ms until a slot for another adapter is free, and until each further one. */
     slotMs: zod.number(),
     eachSlotMs: zod.number(),
+    /** Ms by which each token of an answer puts off the next slot: its time over the slots there are. */
+    answerSlotMs: zod.number(),
     /** What its loads tell: ms that one from the weight store takes, and one from memory. */
     coldMs: zod.number(),
     warmMs: zod.number(),
--- a/src/serving/waiting.ts
+++ b/src/serving/waiting.ts
@@ -2,6 +2,7 @@
  * Who waits for a seat on an engine, and in which order they are served. Pure.
  * @module
  */
+import type * as seat from "./seat.js";
 
 /** A seat that is asked for and not yet given. */
 export interface Waiter {
@@ -25,6 +26,13 @@
  */
 const RANK_MS = 100;
 
+/** The waiter that an ask for the adapter `key` makes at `now`. */
+export function from(seatId: string, key: string, m: seat.Ask, ownMs: number, now: number): Waiter {
+  const { model, adapter, rank } = m;
+  const times = { since: now, targetAt: now + m.targetMs, dueAt: now + m.leftMs };
+  return { seat: seatId, key, model, adapter, rank, ownMs, ...times };
+}
+
 /** Monotonic ms until which a waiter must be begun to be on time. */
 function startBy(w: Waiter): number {
   return w.targetAt - w.ownMs;
@@ -36,7 +44,12 @@
  * late answer is worth the same a little later, so it gives way to what would be late because of it.
  */
 export function inOrder(waiting: readonly Waiter[], now: number): readonly Waiter[] {
-  const late = (w: Waiter): number => (now > startBy(w) ? 1 : 0);
+  const late = (w: Waiter): number => (isLate(w, now) ? 1 : 0);
   const key = (w: Waiter): number => (late(w) ? w.dueAt : startBy(w) + w.rank * RANK_MS);
   return [...waiting].sort((a, b) => late(a) - late(b) || key(a) - key(b));
 }
+
+/** Whether a waiter would be late even if it were begun at `now`. */
+export function isLate(w: Waiter, now: number): boolean {
+  return now > startBy(w);
+}
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -147,6 +147,20 @@
   });
 });
 
+describe("prompts that a host has seats for and does not send", () => {
+  it("do not keep an engine from others for good", () => {
+    let b = backlog.IDLE;
+    for (let i = 0; i < 20; i++) {
+      b = backlog.given(backlog.asked(b, `s${i}`, 2000, 1), `s${i}`, 0);
+    }
+    expect(backlog.unbegun(b, 100)).equal(20);
+    expect(backlog.unbegun(b, 3000)).equal(0);
+    b = backlog.given(backlog.asked(b, "good", 2000, 1), "good", 3000);
+    b = backlog.began(b, "good", 160, 3160);
+    expect(backlog.readingMs(b, 3160)).equal(0);
+  });
+});
+
 describe("reading", () => {
   it("learns any engine's speed from some runs, however odd a few of them were", () => {
     const perMs = fc.double({ min: 4, max: 200, noNaN: true });
@@ -228,6 +242,7 @@
   firstMs: 60,
   slotMs: 0,
   eachSlotMs: 100,
+  answerSlotMs: 1,
   coldMs: 250,
   warmMs: 25,
   seats: 0,
@@ -255,6 +270,7 @@
   model: "m",
   key: "m/a",
   promptTokens: 1920,
+  answerTokens: 40,
   rank: 1,
   domain: "d1",
   tried: new Set(),
@@ -279,6 +295,17 @@
     expect(choice.engines([view("1"), behind(1500)], NEED)[0]?.view.endpoint.id).equal("1");
   });
 
+  it("sends long answers to engines that generate fast, and short ones where they begin soonest", () => {
+    const state = (id: string, over: object): choice.View =>
+      holds(id, { state: { ...STATE, instance: id, ...over } });
+    const fast = state("1", { answerSlotMs: 0.5, waitMs: new Array<number>(10).fill(150) });
+    const slow = state("2", { answerSlotMs: 2 });
+    const best = (answerTokens: number): string | undefined =>
+      choice.engines([fast, slow], { ...NEED, answerTokens })[0]?.view.endpoint.id;
+    expect(best(400)).equal("1");
+    expect(best(30)).equal("2");
+  });
+
   it("leaves out engines that are leaving, out, or were tried", () => {
     const leaving = view("1", {
       endpoint: { ...fixtures.endpoint("1", "10.0.0.1:1"), leaving: true },
--- a/test/serving/queue.test.ts
+++ b/test/serving/queue.test.ts
@@ -95,7 +95,7 @@
       firsts.set(e.id, now);
       load = backlog.over(backlog.began(load, e.id, now - e.sentAt, now), e.id);
     }
-    const engine = { ms: backlog.readingMs(load, now), unbegun: backlog.unbegun(load) };
+    const engine = { ms: backlog.readingMs(load, now), unbegun: backlog.unbegun(load, now) };
     for (const a of residency.seats(state, now, OPTS, engine)) {
       if (a.kind !== "grant" && a.kind !== "expire") continue;
       state = residency.answered(state, a.waiter.seat);
