--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -44,8 +44,6 @@
   /** Key of the adapter, or undefined for the base model. */
   readonly key: string | undefined;
   readonly promptTokens: number;
-  /** Tokens that its answer has at most. */
-  readonly answerTokens: number;
   readonly rank: number;
   readonly domain: string;
   /** Endpoints that this request has been to. */
@@ -124,11 +122,9 @@
   const { state, holdings } = view;
   const far = view.endpoint.domain === need.domain ? 0 : DOMAIN_MS;
   const failingMs = Math.max(view.failing, state?.failing ?? 0) ** 2 * FAILING_MS;
-  if (!state) return unheard(view, need, far + failingMs);
+  const extraMs = far + failingMs;
+  if (!state) return unheard(view, need, extraMs);
   const ownMs = state.firstMs + need.promptTokens * state.msPerToken;
-  // A long answer holds its slot for long, and the longer where prompts are read beside it.
-  const heldMs = need.answerTokens * state.answerSlotMs;
-  const extraMs = far + failingMs + heldMs;
   if (state.instance === "" || !holdings?.models.includes(need.model)) {
     return { view, firstMs: Infinity, ownMs, extraMs };
   }
--- a/src/serving/ledger.ts
+++ b/src/serving/ledger.ts
@@ -15,13 +15,6 @@
 /** Milliseconds that a seat is held, until runs tell: some tens of tokens. */
 const USUAL_HOLD_MS = 600;
 
-/** Weight of the latest run in the time that answers take. */
-const LATEST_ANSWER = 0.1;
-/** Milliseconds that a token of an answer takes, until runs tell. */
-const USUAL_TOKEN_MS = 10;
-/** A run counts as this many times the usual at most, so that one odd run changes little. */
-const ODD = 4;
-
 /** How a seat ended, as the entry daemon says. */
 export type End = Extract<seat.FromEntry, { kind: "over" }>["how"];
 
@@ -34,17 +27,12 @@
   readonly key: string;
   readonly askedAt: number;
   readonly givenAt: number | undefined;
-  /** Monotonic ms of the first event of its run. */
-  readonly beganAt: number | undefined;
-  /** Tokens that its answer has at most. */
-  readonly answerTokens: number;
 }
 
 /** A seat that a client asks for at `now`, for the adapter `key`. */
 export function asked(client: announcer.Client, key: string, m: seat.Ask, now: number): Seat {
-  const { seat: n, request, answerTokens } = m;
-  const open = { givenAt: undefined, beganAt: undefined };
-  return { client, n, request, key, answerTokens, askedAt: now, ...open };
+  const { seat: n, request } = m;
+  return { client, n, request, key, askedAt: now, givenAt: undefined };
 }
 
 export class Ledger {
@@ -52,7 +40,6 @@
   private load = backlog.IDLE;
   private failed = 0;
   private heldMs = USUAL_HOLD_MS;
-  private tokenMs = USUAL_TOKEN_MS;
 
   /** Seats asked for and not over. */
   get count(): number {
@@ -69,14 +56,6 @@
     return this.heldMs;
   }
 
-  /**
-   * Smoothed milliseconds that answers take from their first event, for each token that they may have.
-   * Answers are shorter than that, so it compares engines and does not foretell one answer.
-   */
-  get msPerAnswerToken(): number {
-    return this.tokenMs;
-  }
-
   /** How fast the engine reads, as far as its runs tell. */
   get reading(): reading.Reading {
     return this.load.reading;
@@ -114,8 +93,6 @@
   /** The first event of a run came, `ms` after the request was sent. */
   began(id: string, ms: number, now: number): void {
     this.load = backlog.began(this.load, id, ms, now);
-    const s = this.seats.get(id);
-    if (s) this.seats.set(id, { ...s, beganAt: now });
   }
 
   /** A seat is over, or not given after all. */
@@ -131,11 +108,7 @@
     const heldMs = now - (s.givenAt ?? now);
     this.heldMs += (heldMs - this.heldMs) * LATEST_HOLD;
     if (how === "failed") this.failed += (1 - this.failed) * LATEST_FAILURE;
-    if (how !== "whole") return;
-    this.failed -= this.failed * LATEST_FAILURE;
-    if (s.beganAt === undefined || s.answerTokens <= 0) return;
-    const tokenMs = Math.min(ODD * this.tokenMs, (now - s.beganAt) / s.answerTokens);
-    this.tokenMs += (tokenMs - this.tokenMs) * LATEST_ANSWER;
+    if (how === "whole") this.failed -= this.failed * LATEST_FAILURE;
   }
 
   /** Ids of a client's seats. */
--- a/src/serving/listing.ts
+++ b/src/serving/listing.ts
@@ -64,7 +64,6 @@
     firstMs: Math.round(reading.firstMs(learnt)),
     slotMs: Math.round(free > wanted ? 0 : (wanted - free + 1) * eachSlotMs),
     eachSlotMs: Math.round(eachSlotMs),
-    answerSlotMs: Number((k.seats.msPerAnswerToken / k.slots).toFixed(TOKEN_DECIMALS)),
     coldMs: Math.round(k.warmth.coldMs),
     warmMs: Math.round(k.warmth.warmMs),
     seats: k.seats.count,
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -56,8 +56,6 @@
     /** Estimated ms until a slot for another adapter is free, and until each further one. */
     slotMs: zod.number(),
     eachSlotMs: zod.number(),
-    /** Ms by which each token of an answer puts off the next slot: its time over the slots there are. */
-    answerSlotMs: zod.number(),
     /** What its loads tell: ms that one from the weight store takes, and one from memory. */
     coldMs: zod.number(),
     warmMs: zod.number(),
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -80,7 +80,6 @@
       model: target.model,
       key: target.adapter && catalog.adapterKey(target.model, target.adapter),
       promptTokens: a.meta.promptTokens,
-      answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
       domain,
       tried: p.tried,
