--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -6,6 +6,7 @@
 import * as child from "node:child_process";
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
+import * as servingSwitches from "./serving-switches.js";
 import * as soakSwitches from "./soak-switches.js";
 import * as switches from "./switches.js";
 
@@ -80,7 +81,11 @@
   }
 }
 
-const all = [...switches.SWITCHES, ...soakSwitches.SOAK_SWITCHES];
+const all = [
+  ...switches.SWITCHES,
+  ...servingSwitches.SERVING_SWITCHES,
+  ...soakSwitches.SOAK_SWITCHES,
+];
 const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
 const queue = [...wanted.entries()];
 let bad = 0;
--- a/test/serving/admission.test.ts
+++ b/test/serving/admission.test.ts
@@ -9,17 +9,7 @@
 const STANDING: admission.Standing = { rank: 1, targetMs: 800, gapMs: 250, leftMs: 5000 };
 
 function estimate(waitMs: number, ownMs: number): choice.Estimate {
-  const view: choice.View = {
-    endpoint: fixtures.endpoint("1", "10.0.0.1:1"),
-    state: undefined,
-    holdings: undefined,
-    own: 0,
-    ownTokens: 0,
-    ownSlots: 0,
-    failing: 0,
-    tookMs: 0,
-    coming: false,
-  };
+  const view = fixtures.view("1");
   return { view, firstMs: waitMs + ownMs, ownMs, extraMs: 0 };
 }
 
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -7,7 +7,6 @@
 import * as choice from "../../src/serving/choice.js";
 import * as events from "../../src/serving/events.js";
 import * as retries from "../../src/serving/retries.js";
-import type * as seat from "../../src/serving/seat.js";
 import * as warmth from "../../src/serving/warmth.js";
 import * as reading from "../../src/serving/reading.js";
 import * as fixtures from "./fixtures.js";
@@ -234,37 +233,6 @@
   });
 });
 
-const STATE: seat.State = {
-  kind: "state",
-  instance: "x",
-  waitMs: new Array<number>(10).fill(0),
-  msPerToken: 0.05,
-  firstMs: 60,
-  slotMs: 0,
-  eachSlotMs: 100,
-  coldMs: 250,
-  warmMs: 25,
-  seats: 0,
-  failing: 0,
-  entries: 1,
-  silenceMs: 1000,
-};
-
-function view(id: string, over: Partial<choice.View> = {}): choice.View {
-  return {
-    endpoint: fixtures.endpoint(id, `10.0.0.${id}:1`),
-    state: { ...STATE, instance: id },
-    holdings: { models: ["m"], resident: [], warm: [] },
-    own: 0,
-    ownTokens: 0,
-    ownSlots: 0,
-    failing: 0,
-    tookMs: 0,
-    coming: false,
-    ...over,
-  };
-}
-
 const NEED: choice.Need = {
   model: "m",
   key: "m/a",
@@ -277,38 +245,42 @@
 
 function holds(id: string, over: Partial<choice.View> = {}): choice.View {
   const holdings = { models: ["m"], resident: ["m/a"], warm: [] };
-  return view(id, { holdings, ...over });
+  return fixtures.view(id, { holdings, ...over });
 }
 
 describe("choice", () => {
   it("prefers the engine that holds the adapter", () => {
-    const best = choice.engines([view("1"), holds("2"), view("3")], NEED)[0];
+    const best = choice.engines([fixtures.view("1"), holds("2"), fixtures.view("3")], NEED)[0];
     expect(best?.view.endpoint.id).equal("2");
   });
 
   it("loads a second copy only where the first engine is far behind", () => {
     const behind = (ms: number): choice.View =>
-      holds("2", { state: { ...STATE, instance: "2", waitMs: new Array<number>(10).fill(ms) } });
-    expect(choice.engines([view("1"), behind(500)], NEED)[0]?.view.endpoint.id).equal("2");
-    expect(choice.engines([view("1"), behind(1500)], NEED)[0]?.view.endpoint.id).equal("1");
+      holds("2", {
+        state: { ...fixtures.STATE, instance: "2", waitMs: new Array<number>(10).fill(ms) },
+      });
+    expect(choice.engines([fixtures.view("1"), behind(500)], NEED)[0]?.view.endpoint.id).equal("2");
+    expect(choice.engines([fixtures.view("1"), behind(1500)], NEED)[0]?.view.endpoint.id).equal(
+      "1",
+    );
   });
 
   it("leaves out engines that are leaving, out, or were tried", () => {
-    const leaving = view("1", {
+    const leaving = fixtures.view("1", {
       endpoint: { ...fixtures.endpoint("1", "10.0.0.1:1"), leaving: true },
     });
-    const out = view("2", { state: { ...STATE, instance: "" } });
+    const out = fixtures.view("2", { state: { ...fixtures.STATE, instance: "" } });
     const need = { ...NEED, tried: new Set(["3"]) };
-    expect(choice.engines([leaving, out, view("3")], need)).deep.equal([]);
+    expect(choice.engines([leaving, out, fixtures.view("3")], need)).deep.equal([]);
   });
 
   it("uses an engine not heard of for what it held alone", () => {
-    expect(choice.engines([view("1", { state: undefined })], NEED)).deep.equal([]);
+    expect(choice.engines([fixtures.view("1", { state: undefined })], NEED)).deep.equal([]);
     expect(choice.engines([holds("1", { state: undefined })], NEED)).length(1);
   });
 
   it("is the same on every host for an adapter that nobody holds", () => {
-    const views = ["1", "2", "3", "4"].map((id) => view(id));
+    const views = ["1", "2", "3", "4"].map((id) => fixtures.view(id));
     const first = choice.engines(views, NEED)[0]?.view.endpoint.id;
     const again = choice.engines([...views].reverse(), NEED)[0]?.view.endpoint.id;
     expect(again).equal(first);
@@ -316,9 +288,9 @@
 
   it("takes a plain service's endpoint with fewer requests and fewer failures", () => {
     const need = { domain: "d1", tried: new Set<string>() };
-    const busy = view("1", { own: 4 });
-    const failing = view("2", { failing: 0.5 });
-    const best = choice.plain([busy, failing, view("3")], need, () => 0)[0];
+    const busy = fixtures.view("1", { own: 4 });
+    const failing = fixtures.view("2", { failing: 0.5 });
+    const best = choice.plain([busy, failing, fixtures.view("3")], need, () => 0)[0];
     expect(best?.view.endpoint.id).equal("3");
   });
 });
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -6,7 +6,9 @@
 import * as net from "node:net";
 import type * as ask from "../../src/serving/ask.js";
 import type * as catalog from "../../src/serving/catalog.js";
+import type * as choice from "../../src/serving/choice.js";
 import type * as protocol from "../../src/serving/protocol.js";
+import type * as seat from "../../src/serving/seat.js";
 
 export const ROUTE: catalog.Route = {
   name: "captions",
@@ -72,6 +74,39 @@
   };
 }
 
+/** An engine that has nothing to do. */
+export const STATE: seat.State = {
+  kind: "state",
+  instance: "x",
+  waitMs: new Array<number>(10).fill(0),
+  msPerToken: 0.05,
+  firstMs: 60,
+  slotMs: 0,
+  eachSlotMs: 100,
+  coldMs: 250,
+  warmMs: 25,
+  seats: 0,
+  failing: 0,
+  entries: 1,
+  silenceMs: 1000,
+};
+
+/** An endpoint as an entry daemon knows it. */
+export function view(id: string, over: Partial<choice.View> = {}): choice.View {
+  return {
+    endpoint: endpoint(id, `10.0.0.${id}:1`),
+    state: { ...STATE, instance: id },
+    holdings: { models: ["m"], resident: [], warm: [] },
+    own: 0,
+    ownTokens: 0,
+    ownSlots: 0,
+    failing: 0,
+    tookMs: 0,
+    coming: false,
+    ...over,
+  };
+}
+
 export function request(over: Partial<ask.Ask> = {}): ask.Ask {
   const now = performance.now();
   return {
