Use the tests' one idle engine in the announcer's test as well

Cause: the state of an idle engine was written out in two test files. Change: the announcer's test takes it from the fixtures; its assertions are as they were. Ruled out: one state for both programs' tests beyond these; the others give values that matter to them.

--- a/test/serving/announcer.test.ts
+++ b/test/serving/announcer.test.ts
@@ -2,6 +2,7 @@
 import * as time from "../../bench/measure/time.js";
 import * as announcer from "../../src/serving/announcer.js";
 import type * as seat from "../../src/serving/seat.js";
+import * as fixtures from "./fixtures.js";
 
 const { expect } = chai;
 
@@ -12,17 +13,8 @@
   const news = new announcer.Announcer(
     clk,
     (silenceMs): seat.State => ({
-      kind: "state",
+      ...fixtures.STATE,
       instance: "i1",
-      waitMs: [],
-      msPerToken: 0.05,
-      firstMs: 60,
-      slotMs: 0,
-      eachSlotMs: 100,
-      coldMs: 250,
-      warmMs: 25,
-      seats: 0,
-      failing: 0,
       entries,
       silenceMs,
     }),
