Look at few engines for a request, and ask none when its time for a seat is over

All entry hosts chose the best of all engines by news of the same age, and knew nothing of adapters that came and went between two words.

Ruled out: a longer hold (the engines were full for others as well); asking two engines at once (each ask heats the adapter and may order a load).

Change: a search looks at the engines that are known to have the adapter and at 4, then 16, in the adapter's own order on a ring; what an engine said ages towards the mean of the others; an endpoint daemon sends a request back at once, with its news, when it would be late for waiting there; a request whose time for a seat is over is refused with the wait that is known; looks at other engines double in time; silence is timed, not polled; endpoint daemons tell which adapters left since their last word; an order that the engine took is not read back before the next one.

--- a/src/contract/ring.ts
+++ b/src/contract/ring.ts
@@ -23,16 +23,23 @@
 /** Points looked at for one answer, for each place wanted. */
 const LOOK = 16;
 
+/** Above any number of places: a point and its owner share one double, so that sorting stays native. */
+const OWNERS = 2 ** 20;
+
 /** The ring of some endpoints, whatever their order. */
 export function build(places: readonly Place[]): Ring {
-  const made = places.flatMap((p, owner) =>
-    Array.from({ length: POINTS }, (_, i) => ({ point: hash.of32(`${p.name}#${i}`), owner })),
-  );
-  made.sort((a, b) => a.point - b.point);
+  const made = new Float64Array(places.length * POINTS);
+  for (const [owner, p] of places.entries()) {
+    const name = hash.of32(p.name);
+    for (let i = 0; i < POINTS; i++) {
+      made[owner * POINTS + i] = hash.mix32(name, i + 1) * OWNERS + owner;
+    }
+  }
+  made.sort();
   return {
     places,
-    points: Uint32Array.from(made, (m) => m.point),
-    owners: Uint32Array.from(made, (m) => m.owner),
+    points: Uint32Array.from(made, (m) => Math.floor(m / OWNERS)),
+    owners: Uint32Array.from(made, (m) => m % OWNERS),
   };
 }
 
--- a/src/serving/announcer.ts
+++ b/src/serving/announcer.ts
@@ -6,6 +6,7 @@
  */
 import type * as clock from "../host/clock.js";
 import * as lines from "./lines.js";
+import type * as listing from "./listing.js";
 import type * as seat from "./seat.js";
 
 /** Milliseconds between two rounds of words, so that many changes make one message. */
@@ -40,14 +41,24 @@
   readonly soon: boolean;
 }
 
+/** An adapter that left the engine, and the count of changes of the holdings when it did. */
+interface Departure {
+  readonly key: string;
+  readonly held: number;
+}
+
+/** Departures remembered: more than an engine has between two words to one entry daemon. */
+const DEPARTURES = 64;
+
 const NOTHING: Told = { changes: -1, held: -1, at: -Infinity, soon: true };
 
 export class Announcer {
   private readonly clients = new Map<Client, Told>();
   private changes = 0;
   private heldChanges = 0;
-  /** The holdings that were told last, as they stand on the wire. */
-  private heldLine = "";
+  /** The holdings that were told last, as text. */
+  private heldText = "";
+  private departures: readonly Departure[] = [];
   private roundAt = -Infinity;
   private timer: clock.Timer | undefined;
   private timerAt = Infinity;
@@ -55,7 +66,9 @@
   constructor(
     private readonly clk: clock.Clock,
     private readonly state: (silenceMs: number) => seat.State,
-    private readonly holdings: () => seat.Holdings,
+    private readonly holdings: () => listing.Holdings,
+    /** Adapters that the engine has in its host's memory, the latest first. */
+    private readonly recent: () => readonly string[],
   ) {}
 
   /** Entry daemons connected. */
@@ -92,6 +105,19 @@
     this.changed();
   }
 
+  /** An adapter is in its place no more. */
+  departed(key: string): void {
+    this.heldChanges++;
+    const at = { key, held: this.heldChanges };
+    this.departures = [...this.departures.slice(1 - DEPARTURES), at];
+  }
+
+  /** Tells one entry daemon at once how things stand. */
+  tell(c: Client): void {
+    const told = this.clients.get(c);
+    if (told) this.say(c, told, this.word());
+  }
+
   close(): void {
     this.timer?.cancel();
     this.clients.clear();
@@ -136,16 +162,47 @@
     // A timer may fire a little early.
     if (due.length === 0) return;
     this.roundAt = now;
-    const heldLine = lines.encode(this.holdings());
-    if (heldLine !== this.heldLine) {
-      this.heldLine = heldLine;
+    const word = this.word();
+    for (const [c, told] of due) this.say(c, told, word);
+  }
+
+  /** How things stand, as text. */
+  private word(): Word {
+    const held = this.holdings();
+    const heldText = lines.encode(held);
+    if (heldText !== this.heldText) {
+      this.heldText = heldText;
       this.heldChanges++;
     }
-    const stateLine = lines.encode(this.state(this.silenceMs()));
-    for (const [c, told] of due) {
-      if (told.held < this.heldChanges) c.sendLine(heldLine);
-      c.sendLine(stateLine);
-      this.clients.set(c, { changes: this.changes, held: this.heldChanges, at: now, soon: false });
-    }
+    return { held, heldLines: new Map(), state: lines.encode(this.state(this.silenceMs())) };
+  }
+
+  private say(c: Client, told: Told, word: Word): void {
+    const held = told.held < this.heldChanges ? this.heldLine(told.held, word) : "";
+    c.sendLine(held + word.state);
+    const at = this.clk.mono();
+    this.clients.set(c, { changes: this.changes, held: this.heldChanges, at, soon: false });
   }
+
+  /** The holdings for those who heard of them last at the count `since`. */
+  private heldLine(since: number, word: Word): string {
+    const known = word.heldLines.get(since);
+    if (known !== undefined) return known;
+    const left =
+      since < 0
+        ? [...this.recent()].reverse()
+        : this.departures.filter((d) => d.held > since).map((d) => d.key);
+    const gone = [...new Set(left)].filter((key) => !word.held.resident.includes(key));
+    const line = lines.encode({ ...word.held, gone });
+    word.heldLines.set(since, line);
+    return line;
+  }
+}
+
+/** What is said in one round. */
+interface Word {
+  readonly held: listing.Holdings;
+  /** The holdings as they stand on the wire, by the count of changes that their hearers know. */
+  readonly heldLines: Map<number, string>;
+  readonly state: string;
 }
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -2,7 +2,6 @@
  * Which endpoint a request goes to. Pure.
  * @module
  */
-import * as hash from "../host/hash.js";
 import * as backlog from "./backlog.js";
 import type * as catalog from "./catalog.js";
 import * as reading from "./reading.js";
@@ -36,6 +35,10 @@
   readonly tookMs: number;
   /** Its engine is known to be on its way: alive without its model, or not heard of yet at all. */
   readonly coming: boolean;
+  /** Where it stands in the order in which all hosts try engines for the adapter; 0 goes first. */
+  readonly place: number;
+  /** Milliseconds since its state was heard. */
+  readonly ageMs: number;
 }
 
 /** What a request needs. */
@@ -96,31 +99,59 @@
 /** Candidates that can serve a request on an engine, best first. */
 export function engines(views: readonly View[], need: Need): readonly Estimate[] {
   const usable = views.filter((v) => !v.endpoint.leaving && !need.tried.has(v.endpoint.id));
-  const elsewhere = usable.some((v) => holding(v, need.key) !== "absent");
-  const order = ownOrder(usable, need.key);
+  const around: Around = {
+    elsewhere: usable.some((v) => holding(v, need.key) !== "absent"),
+    usualMs: usualWaitMs(usable, need.rank),
+  };
   return usable
-    .map((view) => estimate(view, need, elsewhere, order.get(view.endpoint.id) ?? 0))
+    .map((view) => estimate(view, need, around))
     .filter((e) => Number.isFinite(e.firstMs))
     .sort((a, b) => a.firstMs + a.extraMs - (b.firstMs + b.extraMs));
 }
 
+/** What the other candidates tell of one. */
+interface Around {
+  /** Some candidate has the adapter at hand. */
+  readonly elsewhere: boolean;
+  /** Mean of what the candidates say that a prompt waits. */
+  readonly usualMs: number;
+}
+
+/**
+ * Milliseconds after which half of what sets an engine's queue apart from the others' is forgotten. Each
+ * engine of the large fleet is sent some four prompts a second of 120 ms each, so half a second changes its
+ * queue by about as much as queues differ, and what was short is what the other hosts filled since.
+ */
+const AGE_HALF_MS = 500;
+
+function waitMsOf(state: seat.State, rank: number): number {
+  return state.waitMs[backlog.place(rank)] ?? 0;
+}
+
+function usualWaitMs(views: readonly View[], rank: number): number {
+  let sum = 0;
+  let count = 0;
+  for (const { state } of views) {
+    if (!state || state.instance === "") continue;
+    sum += waitMsOf(state, rank);
+    count++;
+  }
+  return count === 0 ? 0 : sum / count;
+}
+
+/** What an engine's queue is expected to be now, from what it said some time ago. */
+function agedWaitMs(saidMs: number, ageMs: number, usualMs: number): number {
+  return usualMs + (saidMs - usualMs) * 2 ** (-ageMs / AGE_HALF_MS);
+}
+
 /** Whether an engine has an adapter at hand, as last heard. */
 export function holding(v: View, key: string | undefined): "resident" | "warm" | "absent" {
   if (key === undefined || v.holdings?.resident.includes(key)) return "resident";
   return v.holdings?.warm.includes(key) ? "warm" : "absent";
 }
 
-/** Where each endpoint stands in the order in which all hosts try engines for one adapter. */
-function ownOrder(views: readonly View[], key: string | undefined): ReadonlyMap<string, number> {
-  if (key === undefined) return new Map();
-  const ranked = views
-    .map((v) => ({ id: v.endpoint.id, rank: hash.of32(`${key}@${v.endpoint.address}`) }))
-    .sort((a, b) => a.rank - b.rank);
-  return new Map(ranked.map(({ id }, i) => [id, i]));
-}
-
-function estimate(view: View, need: Need, elsewhere: boolean, order: number): Estimate {
-  const { state, holdings } = view;
+function estimate(view: View, need: Need, around: Around): Estimate {
+  const { state, holdings, place } = view;
   const far = view.endpoint.domain === need.domain ? 0 : DOMAIN_MS;
   const failingMs = Math.max(view.failing, state?.failing ?? 0) ** 2 * FAILING_MS;
   const extraMs = far + failingMs;
@@ -132,7 +163,8 @@
   // A request that waits there is counted in that engine's backlog already.
   const counted = need.waitsAt === view.endpoint.id ? need.promptTokens : 0;
   const aheadMs = (view.ownTokens - counted) * state.msPerToken;
-  const queueMs = Math.max(0, (state.waitMs[backlog.place(need.rank)] ?? 0) + aheadMs);
+  const saidMs = agedWaitMs(waitMsOf(state, need.rank), view.ageMs, around.usualMs);
+  const queueMs = Math.max(0, saidMs + aheadMs);
   const lateMs = (firstMs: number): number =>
     firstMs > need.targetMs ? LATE_LOADS * state.coldMs : 0;
   const slotMs = state.slotMs + view.ownSlots * state.eachSlotMs;
@@ -146,16 +178,16 @@
       };
     case "warm": {
       const firstMs = Math.max(queueMs, slotMs + state.warmMs) + ownMs;
-      return { view, firstMs, ownMs, extraMs: extraMs + lateMs(firstMs) + order * ORDER_MS };
+      return { view, firstMs, ownMs, extraMs: extraMs + lateMs(firstMs) + place * ORDER_MS };
     }
     case "absent": {
       const firstMs = Math.max(queueMs, slotMs + state.coldMs) + ownMs;
-      const copyMs = elsewhere ? COPY_LOADS * state.coldMs : 0;
+      const copyMs = around.elsewhere ? COPY_LOADS * state.coldMs : 0;
       return {
         view,
         firstMs,
         ownMs,
-        extraMs: extraMs + lateMs(firstMs) + copyMs + order * ORDER_MS,
+        extraMs: extraMs + lateMs(firstMs) + copyMs + place * ORDER_MS,
       };
     }
   }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -43,6 +43,7 @@
 const SENDS = 4;
 const SERVED = 200;
 const SERVE: admission.Verdict = { kind: "serve" };
+const SEATLESS: seeker.Found = { kind: "seatless" };
 
 export class Dispatch {
   private windows = new Map<string, retries.Window>();
@@ -66,6 +67,8 @@
       sends: 0,
       runs: 0,
       tried: new Set(),
+      diverted: new Set(),
+      waitsFrom: a.arrivedAt,
       begun: false,
       judged: false,
       lastId: a.meta.resumeAfter,
@@ -125,17 +128,23 @@
       if (p.sends >= SENDS) return this.giveUp(a, out, p, false);
       const best = await this.seeker.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
+      // Asked for a seat now, it would be denied at once by each engine in turn.
+      if (a.service.engine && this.seeker.heldMs(a, p) < LEAST_MS) {
+        p.comeBackMs = best.firstMs - best.ownMs;
+        return this.giveUp(a, out, p, false);
+      }
       p.expectedMs ??= Math.round(best.firstMs);
       // Judged once: what was let in and waited is not turned away for what came after it.
       const verdict = p.judged ? SERVE : this.seeker.judge(a, best);
-      p.judged = true;
       if (verdict.kind === "refuse") {
         p.comeBackMs = verdict.comeBackMs;
         p.why = verdict.why;
         return this.giveUp(a, out, p, false);
       }
-      const seat = a.service.engine ? await this.seeker.seat(a, best, p, cut) : undefined;
-      if (seat === "none") continue;
+      const found = a.service.engine ? await this.seeker.seat(a, best, p, cut) : SEATLESS;
+      p.judged ||= found.kind !== "diverted";
+      if (found.kind === "diverted" || found.kind === "elsewhere") continue;
+      const seat = found.kind === "seat" ? found.seat : undefined;
       if (p.sends > 0 && !this.mayRetry(a)) {
         seat?.over("left");
         p.why = "the allowance of further sends is used up";
@@ -195,6 +204,7 @@
       case "not_run":
         p.why = `${endpoint.id} did not run it: ${sent.why}`;
         p.tried.add(endpoint.id);
+        p.waitsFrom = this.deps.clock.mono();
         this.over(run, sent.absent ? "absent" : "not_run", sent.absent ? undefined : false);
         this.note(run, "It was not run there.");
         return undefined;
@@ -268,6 +278,7 @@
       return out.gone.aborted ? "left" : this.giveUp(a, out, p, true);
     }
     p.tried.add(r.endpoint.id);
+    p.waitsFrom = this.deps.clock.mono();
     this.over(r, "failed", false);
     this.note(r, "A send broke off.");
     if (catalog.repeatable(a.route)) return undefined;
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -3,10 +3,14 @@
  * own requests.
  * @module
  */
+import type * as ring from "../contract/ring.js";
 import type * as clock from "../host/clock.js";
 import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
+import * as fleet from "./fleet.js";
+import * as holders from "./holders.js";
 import * as link from "./link.js";
+import type * as search from "./search.js";
 
 /** Weight of the latest request in what is remembered of an endpoint. */
 const LATEST = 0.12;
@@ -27,16 +31,25 @@
 
 const NEW: Own = { under: 0, failing: 0, failedAt: 0, tookMs: 0 };
 
-export interface Deps extends Omit<link.Deps, "lost"> {
+/** Rings kept: those of a few services, and of a fleet before and after an engine came or went. */
+const RINGS = 8;
+
+export interface Deps extends Omit<link.Deps, "lost" | "holds" | "came"> {
   readonly catalog: () => catalog.Catalog;
   /** `ip:port` of the endpoint daemon beside an endpoint. */
   readonly daemonOf: (e: catalog.Endpoint) => string;
+  /** From 0 up to 1. */
+  readonly random: () => number;
 }
 
 export class Endpoints {
   private readonly links = new Map<string, link.Link>();
   private readonly own = new Map<string, Own>();
   private readonly watchers = new Map<string, Set<() => void>>();
+  private readonly holders = new holders.Holders();
+  private readonly arranged = new WeakMap<readonly catalog.Endpoint[], fleet.Arrangement>();
+  private rings: readonly ring.Ring[] = [];
+  private readonly waiting = new Set<() => void>();
 
   constructor(
     private readonly deps: Deps,
@@ -45,23 +58,63 @@
 
   /** The endpoints of a service, as known now. */
   views(service: catalog.Service): readonly choice.View[] {
-    return catalog.endpointsOf(this.deps.catalog(), service).map((endpoint) => {
-      const at = service.engine && this.link(endpoint);
-      const own = this.own.get(endpoint.id) ?? NEW;
-      const state = at?.state?.instance === endpoint.id ? at.state : undefined;
-      const gone = at?.state !== undefined && state === undefined;
-      return {
-        endpoint,
-        state: gone ? { ...at.state, instance: "" } : state,
-        holdings: at?.holdings,
-        own: own.under,
-        ownTokens: at?.tokensSince ?? 0,
-        ownSlots: at?.slotsSince ?? 0,
-        failing: failingNow(own, this.clk.mono()),
-        tookMs: own.tookMs,
-        coming: !endpoint.leaving && (at?.coming ?? false),
-      };
-    });
+    const list = catalog.endpointsOf(this.deps.catalog(), service);
+    return list.map((e) => this.view(service, e, 0));
+  }
+
+  /** The engines of a service, for a search among them. */
+  fleet(service: catalog.Service): search.Fleet {
+    const arranged = this.arrange(catalog.endpointsOf(this.deps.catalog(), service));
+    const viewOf = (e: catalog.Endpoint, place: number): choice.View =>
+      this.view(service, e, place);
+    return fleet.of(arranged, this.holders, viewOf, this.deps.random);
+  }
+
+  /** Whether an engine of a service is on its way. */
+  coming(service: catalog.Service): boolean {
+    if (!service.engine) return false;
+    const list = catalog.endpointsOf(this.deps.catalog(), service);
+    return list.some((e) => !e.leaving && this.link(e).coming);
+  }
+
+  /** Calls `tell` once an endpoint may be of use that was not; returns what takes that back. */
+  whenSomeCome(tell: () => void): () => void {
+    this.waiting.add(tell);
+    return () => this.waiting.delete(tell);
+  }
+
+  private came(): void {
+    for (const tell of this.waiting) tell();
+  }
+
+  private arrange(list: readonly catalog.Endpoint[]): fleet.Arrangement {
+    const known = this.arranged.get(list);
+    if (known) return known;
+    const made = fleet.arrange(list, this.deps.daemonOf, this.rings);
+    this.arranged.set(list, made);
+    const others = this.rings.filter((r) => r !== made.ring);
+    this.rings = [made.ring, ...others.slice(0, RINGS - 1)];
+    return made;
+  }
+
+  private view(service: catalog.Service, endpoint: catalog.Endpoint, place: number): choice.View {
+    const at = service.engine && this.link(endpoint);
+    const own = this.own.get(endpoint.id) ?? NEW;
+    const state = at?.state?.instance === endpoint.id ? at.state : undefined;
+    const gone = at?.state !== undefined && state === undefined;
+    return {
+      endpoint,
+      state: gone ? { ...at.state, instance: "" } : state,
+      holdings: at?.holdings,
+      own: own.under,
+      ownTokens: at?.tokensSince ?? 0,
+      ownSlots: at?.slotsSince ?? 0,
+      failing: failingNow(own, this.clk.mono()),
+      tookMs: own.tookMs,
+      coming: !endpoint.leaving && (at?.coming ?? false),
+      place,
+      ageMs: at?.ageMs ?? 0,
+    };
   }
 
   /** The connection to the endpoint daemon beside an endpoint. */
@@ -75,6 +128,12 @@
           this.deps.log.warn("An engine is gone.", { endpoint: instance });
           for (const tell of this.watchers.get(instance) ?? []) tell();
         },
+        holds: (before, now) => {
+          this.holders.changed(address, before, now);
+        },
+        came: () => {
+          this.came();
+        },
       });
       this.links.set(address, at);
     }
@@ -96,9 +155,11 @@
     for (const [address, at] of this.links) {
       if (wanted.has(address)) continue;
       at.close();
+      this.holders.changed(address, at.hand, new Set());
       this.links.delete(address);
     }
     for (const id of this.own.keys()) if (!endpoints.has(id)) this.own.delete(id);
+    this.came();
   }
 
   /** Entry daemons there are, as endpoint daemons count them. */
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -65,6 +65,7 @@
       host: opts.host,
       catalog: () => fed.catalog,
       daemonOf: opts.daemonOf,
+      random: deps.random,
     },
     deps.clock,
   );
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -11,6 +11,7 @@
 import * as announcer from "./announcer.js";
 import * as backlog from "./backlog.js";
 import * as catalog from "./catalog.js";
+import * as diversion from "./diversion.js";
 import type * as engine from "./engine.js";
 import * as ledger from "./ledger.js";
 import * as listing from "./listing.js";
@@ -54,7 +55,9 @@
   /** Base models that the engine loads without the weight store. */
   private nearby: readonly string[] = [];
   private instance = "";
+  /** Orders that the engine accepted, as it last said, and with those that it took since. */
   private sequence = 0;
+  private expected = 0;
   private misses = 0;
   private lookedAt = -Infinity;
   private readonly waker: waker.Waker;
@@ -66,6 +69,7 @@
       deps.clock,
       (silenceMs) => this.snapshot(silenceMs),
       () => listing.holdings(this.state, this.warmth.reach),
+      () => warmth.warm(this.warmth),
     );
   }
 
@@ -118,6 +122,10 @@
     const id = `${c.host}#${m.seat}`;
     if (m.version > 0) this.state = residency.declare(this.state, key, m.version, now);
     const ownMs = reading.expectedMs(this.ledger.reading, m.promptTokens);
+    if (!m.firm && this.isDiverted(m, key, ownMs, now)) {
+      this.divert(c, m, key);
+      return;
+    }
     const waiter = waiting.from(id, key, m, ownMs, now);
     // What will be late whatever is done gives way, so nobody waits for it.
     const place = waiting.isLate(waiter, now) ? backlog.RANKS : m.rank;
@@ -129,6 +137,32 @@
     this.news.asked(c);
   }
 
+  /** Whether a request is better looked after by another engine. */
+  private isDiverted(m: seat.Ask, key: string, ownMs: number, now: number): boolean {
+    if (this.instance === "") return false;
+    const queueMs = this.ledger.waits(now)[backlog.place(m.rank)] ?? 0;
+    const { slots } = this.options();
+    const isHeld = m.adapter === undefined || this.state.slots.has(key);
+    const slotMs = isHeld ? 0 : listing.slotMs(this.state, slots, this.ledger.holdMs / slots);
+    return diversion.isDiverted({
+      waitMs: Math.max(queueMs, slotMs),
+      ownMs,
+      targetMs: m.targetMs,
+    });
+  }
+
+  /** Sends a request back, with what is to be known to find a better engine. */
+  private divert(c: announcer.Client, m: seat.Ask, adapter: string): void {
+    this.news.tell(c);
+    c.send({ kind: "deny", seat: m.seat, reason: "busy" });
+    this.deps.log.info("A seat was denied.", {
+      request: m.request,
+      adapter,
+      reason: "busy",
+      waitedMs: 0,
+    });
+  }
+
   began(c: announcer.Client, n: number, ms: number): void {
     this.ledger.began(`${c.host}#${n}`, ms, this.deps.clock.mono());
     this.waker.wake();
@@ -256,6 +290,7 @@
         return;
       }
       this.sequence = report.sequence;
+      this.expected = report.sequence;
       this.learn(report, askedAt);
     } catch (err) {
       this.lookedAt = askedAt;
@@ -269,6 +304,7 @@
     if (!service) throw new Error(`the configuration has no service ${this.deps.service}`);
     this.instance = await this.deps.engine.identify(service.healthPath);
     this.sequence = 0;
+    this.expected = 0;
     this.news.changedMuch();
     this.deps.log.info("The engine answers.", { instance: this.instance });
   }
@@ -285,6 +321,8 @@
   private lost(): void {
     this.instance = "";
     this.sequence = 0;
+    this.expected = 0;
+    this.warmth = warmth.emptied(this.warmth);
     const { newest, heat, waiting } = this.state;
     this.state = { ...residency.empty(), newest, heat, waiting };
     this.denyAll("out");
@@ -302,11 +340,17 @@
       this.warmth = warmth.loaded(this.warmth, p.key, askedAt - old.since);
     }
     for (const p of before.slots.values()) {
-      if (!this.state.slots.has(p.key)) this.warmth = warmth.held(this.warmth, p.key);
+      if (!this.state.slots.has(p.key)) this.left(p.key);
     }
     this.news.changed();
   }
 
+  /** An adapter is in its place no more; the engine's host keeps it in memory for a while. */
+  private left(key: string): void {
+    this.warmth = warmth.held(this.warmth, key);
+    this.news.departed(key);
+  }
+
   private async carryOut(a: residency.Action): Promise<void> {
     const now = this.deps.clock.mono();
     switch (a.kind) {
@@ -338,7 +382,7 @@
     o: Pick<engine.Order, "kind" | "model" | "adapter" | "version">,
   ): Promise<void> {
     const began = this.deps.clock.mono();
-    const { instance, sequence } = this;
+    const { instance, expected: sequence } = this;
     const epoch = this.deps.catalog().revision;
     const result = await this.deps.engine.order({ ...o, instance, sequence, epoch });
     const tookMs = this.deps.clock.mono() - began;
@@ -356,10 +400,24 @@
       this.lost();
       return;
     }
-    if (result.kind === "accepted" && o.kind === "load" && o.adapter !== undefined) {
-      this.state = residency.accepted(this.state, catalog.adapterKey(o.model, o.adapter));
+    if (result.kind !== "accepted" || o.adapter === undefined) {
+      await this.look();
+      return;
+    }
+    const key = catalog.adapterKey(o.model, o.adapter);
+    // Each order that the engine takes counts; a wrong guess is refused, and the engine read again.
+    if (o.kind === "load") {
+      this.state = residency.accepted(this.state, key);
+      if (result.done) await this.look();
+      else this.expected++;
+    } else if (result.done) {
+      this.expected++;
+      this.state = residency.drop(this.state, key);
+      this.left(key);
+      this.news.changed();
+    } else {
+      await this.look();
     }
-    await this.look();
   }
 
   /** Loads the base model into an engine that has none; whether an order was given. */
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -33,8 +33,6 @@
  * starts, all daemons are up within about a second.
  */
 const FIRST_REACH_MS = 2000;
-/** Milliseconds between checks for silence. */
-const CHECK_MS = 50;
 
 /** What came of asking for a seat. */
 export type Answer =
@@ -59,6 +57,10 @@
   readonly host: string;
   /** An incarnation of the engine is no longer there, as its endpoint daemon says. */
   readonly lost: (instance: string) => void;
+  /** The engine has other adapters at hand than it had. */
+  readonly holds: (before: ReadonlySet<string>, now: ReadonlySet<string>) => void;
+  /** An engine may be of use that was not. */
+  readonly came: () => void;
 }
 
 interface Asked {
@@ -72,8 +74,12 @@
   private held: choice.Holdings | undefined;
   /** Adapters that the engine held before, the latest first. */
   private recent: readonly string[] = [];
+  private atHand: ReadonlySet<string> = new Set();
   private instance = "";
   private heardAt = -Infinity;
+  private stateAt = -Infinity;
+  /** Monotonic ms of the first question since the last word; undefined while there is none. */
+  private unheardSince: number | undefined;
   private tokens = 0;
   private slots = 0;
   private next = 0;
@@ -81,6 +87,8 @@
   private retryMs = RETRY_MS;
   private timer: clock.Timer | undefined;
   private check: clock.Timer | undefined;
+  /** Monotonic ms at which {@link check} fires. */
+  private checkAt = Infinity;
   private closed = false;
   private readonly madeAt: number;
 
@@ -98,11 +106,21 @@
     return this.last;
   }
 
+  /** Milliseconds since the state was heard. */
+  get ageMs(): number {
+    return this.deps.clock.mono() - this.stateAt;
+  }
+
   /** What the engine holds, as last heard; it outlives a connection. */
   get holdings(): choice.Holdings | undefined {
     return this.held;
   }
 
+  /** Keys of the adapters that the engine has at hand, as last heard. */
+  get hand(): ReadonlySet<string> {
+    return this.atHand;
+  }
+
   /** An engine is on its way: its daemon is not reached for the first time yet, or it has no model. */
   get coming(): boolean {
     if (this.last) return this.last.instance !== "" && (this.held?.models.length ?? 0) === 0;
@@ -124,9 +142,11 @@
     const n = this.next++;
     const { channel } = this;
     if (!channel) return { answer: Promise.resolve({ kind: "unreachable" }), ...NOBODY };
+    const now = this.deps.clock.mono();
     const answer = new Promise<Answer>((resolve) => {
-      this.asked.set(n, { at: this.deps.clock.mono(), resolve });
+      this.asked.set(n, { at: now, resolve });
     });
+    this.unheardSince ??= now;
     this.tokens += wish.promptTokens;
     if (wish.adapter !== undefined && !this.holds(wish.model, wish.adapter)) this.slots++;
     channel.send({ kind: "ask", seat: n, ...wish });
@@ -187,6 +207,7 @@
     }
     this.channel = undefined;
     this.last = undefined;
+    this.unheardSince = undefined;
     this.tokens = 0;
     for (const n of [...this.asked.keys()]) this.settle(n, { kind: "unreachable" });
     if (this.closed) return;
@@ -198,13 +219,10 @@
 
   private hear(m: seat.FromEndpoint): void {
     this.heardAt = this.deps.clock.mono();
+    this.unheardSince = undefined;
     switch (m.kind) {
       case "state":
-        if (this.instance !== "" && m.instance !== this.instance) this.forget();
-        this.instance = m.instance;
-        this.last = m;
-        this.tokens = 0;
-        this.slots = 0;
+        this.take(m);
         break;
       case "holdings":
         this.hold(m);
@@ -218,19 +236,42 @@
     }
   }
 
+  private take(m: seat.State): void {
+    const known = this.last?.instance === m.instance;
+    if (this.instance !== "" && m.instance !== this.instance) this.forget();
+    this.instance = m.instance;
+    this.last = m;
+    this.stateAt = this.heardAt;
+    this.tokens = 0;
+    this.slots = 0;
+    if (!known && m.instance !== "") this.deps.came();
+  }
+
   /** Remembers what the engine holds, and what it held until now. */
   private hold(m: seat.Holdings): void {
     const gone = (this.held?.resident ?? []).filter((key) => !m.resident.includes(key));
-    this.recent = gone.reduce(warmth.remember, this.recent);
+    this.recent = [...m.gone, ...gone.filter((key) => !m.gone.includes(key))].reduce(
+      warmth.remember,
+      this.recent,
+    );
     const { models, resident } = m;
-    this.held = { models, resident, warm: this.recent.slice(0, m.reach) };
+    const came = models.some((name) => !this.held?.models.includes(name));
+    this.keep({ models, resident, warm: this.recent.slice(0, m.reach) });
+    if (came) this.deps.came();
+  }
+
+  private keep(held: choice.Holdings): void {
+    const now = new Set([...held.resident, ...held.warm]);
+    this.deps.holds(this.atHand, now);
+    this.atHand = now;
+    this.held = held;
   }
 
   /** The engine's incarnation is gone, and with it what it had in memory. */
   private forget(): void {
     this.deps.lost(this.instance);
     this.recent = [];
-    if (this.held) this.held = { ...this.held, warm: [] };
+    if (this.held) this.keep({ ...this.held, warm: [] });
   }
 
   private settle(n: number, a: Answer): void {
@@ -238,25 +279,44 @@
     this.asked.delete(n);
   }
 
-  /** Checks for silence while there is a connection. */
+  /** Sets the timer for when silence, or silence after a question, will have lasted too long. */
   private watch(): void {
-    this.check ??= this.deps.clock.after(CHECK_MS, () => {
+    const now = this.deps.clock.mono();
+    const at = Math.min(this.heardAt + this.quietMs(), (this.unheardSince ?? Infinity) + SILENT_MS);
+    // A timer that fires too soon sets the next one; timers for each word would cost more.
+    if (this.check && this.checkAt <= at) return;
+    this.check?.cancel();
+    this.checkAt = at;
+    this.check = this.deps.clock.after(Math.max(1, at - now), () => {
       this.check = undefined;
-      const now = this.deps.clock.mono();
-      const quietMs = this.last ? QUIET_FACTOR * this.last.silenceMs : QUIET_MS;
-      if (now - this.heardAt > quietMs) {
-        this.channel?.close();
-        return;
-      }
-      for (const [n, a] of this.asked) {
-        if (now - a.at > SILENT_MS && this.heardAt < a.at) {
-          this.last = undefined;
-          this.settle(n, { kind: "unreachable" });
-        }
-      }
-      if (this.channel) this.watch();
+      this.checkSilence();
     });
   }
+
+  private quietMs(): number {
+    return this.last ? QUIET_FACTOR * this.last.silenceMs : QUIET_MS;
+  }
+
+  private checkSilence(): void {
+    if (!this.channel) return;
+    const now = this.deps.clock.mono();
+    if (now - this.heardAt >= this.quietMs()) {
+      this.channel.close();
+      return;
+    }
+    let next = Infinity;
+    for (const [n, a] of this.asked) {
+      if (a.at < this.heardAt) continue;
+      if (now - a.at < SILENT_MS) {
+        next = Math.min(next, a.at);
+        continue;
+      }
+      this.last = undefined;
+      this.settle(n, { kind: "unreachable" });
+    }
+    this.unheardSince = next === Infinity ? undefined : next;
+    this.watch();
+  }
 }
 
 const NOBODY = { began: () => undefined, over: () => undefined };
--- a/src/serving/listing.ts
+++ b/src/serving/listing.ts
@@ -28,7 +28,9 @@
 }
 
 /** What entry daemons are told of the adapters that an engine holds, and how many others load fast. */
-export function holdings(s: residency.State, reach: number): seat.Holdings {
+export type Holdings = Omit<seat.Holdings, "gone">;
+
+export function holdings(s: residency.State, reach: number): Holdings {
   const usable = [...s.slots.values()].filter(
     (p) => p.phase === "resident" || p.phase === "loading",
   );
@@ -51,10 +53,15 @@
   readonly now: number;
 }
 
+/** Estimated milliseconds until a place for another adapter is free, when each is used `eachMs`. */
+export function slotMs(held: residency.State, slots: number, eachMs: number): number {
+  const { free, wanted } = residency.room(held, slots);
+  return free > wanted ? 0 : (wanted - free + 1) * eachMs;
+}
+
 /** How busy an engine is, as entry daemons are told. */
 export function state(k: Known): seat.State {
   const { reading: learnt } = k.seats;
-  const { free, wanted } = residency.room(k.held, k.slots);
   const eachSlotMs = k.seats.holdMs / k.slots;
   return {
     kind: "state",
@@ -62,7 +69,7 @@
     waitMs: k.seats.waits(k.now),
     msPerToken: Number(reading.msPerToken(learnt).toFixed(TOKEN_DECIMALS)),
     firstMs: Math.round(reading.firstMs(learnt)),
-    slotMs: Math.round(free > wanted ? 0 : (wanted - free + 1) * eachSlotMs),
+    slotMs: Math.round(slotMs(k.held, k.slots, eachSlotMs)),
     eachSlotMs: Math.round(eachSlotMs),
     coldMs: Math.round(k.warmth.coldMs),
     warmMs: Math.round(k.warmth.warmMs),
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -29,6 +29,10 @@
   /** Sends that ran or may have run. */
   runs: number;
   readonly tried: Set<string>;
+  /** Engines that sent it back at once for their queue. */
+  readonly diverted: Set<string>;
+  /** Monotonic ms from which it waits for an endpoint: its arrival, or the end of its last send. */
+  waitsFrom: number;
   begun: boolean;
   /** It was decided whether it is let in. */
   judged: boolean;
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -27,6 +27,8 @@
       targetMs: zod.number(),
       /** Milliseconds after which the seat is of no use. */
       leftMs: zod.number(),
+      /** It waits here however long; else it is denied at once where another engine may be sooner. */
+      firm: zod.boolean(),
     })
     .readonly(),
   /** The first event came, `ms` after the request was sent. */
@@ -78,6 +80,8 @@
     models: zod.array(zod.string()).readonly(),
     /** Adapters that can be used at once or are about to, by key. */
     resident: zod.array(zod.string()).readonly(),
+    /** Adapters that left since the last word to this entry daemon, the latest last. */
+    gone: zod.array(zod.string()).readonly(),
     /** How many of the adapters that were resident last load fast; entry daemons remember which. */
     reach: zod.int(),
   })
@@ -102,7 +106,7 @@
     .object({
       kind: zod.literal("deny"),
       seat: zod.int(),
-      reason: zod.enum(["out", "full", "no_model", "load_failed", "stopping"]),
+      reason: zod.enum(["out", "full", "busy", "no_model", "load_failed", "stopping"]),
     })
     .readonly(),
 ]);
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -10,6 +10,7 @@
 import type * as endpoints from "./endpoints.js";
 import type * as link from "./link.js";
 import type * as progress from "./progress.js";
+import * as search from "./search.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -18,20 +19,40 @@
   readonly random: () => number;
 }
 
-/** Milliseconds between looks for an endpoint while there is none. */
-const LOOK_MS = 15;
 /**
- * Milliseconds between looks for an engine that would take a waiting request sooner, and by how much
- * sooner it must be: more than what an estimate is off by at the median.
+ * Milliseconds until those that did not take a request are tried again, where there is no other; an
+ * endpoint that comes meanwhile is tried at once.
+ */
+const AGAIN_MS = 100;
+/**
+ * Milliseconds until the first look for an engine that would take a waiting request sooner; each further
+ * one comes after twice the time, so that a long wait costs few looks. By how much sooner it must be: more
+ * than what an estimate is off by at the median.
  */
 const MOVE_LOOK_MS = 60;
 const MOVE_GAIN_MS = 200;
+/**
+ * Times that a request may be sent back by engines with too long a queue. Each time costs a way to an
+ * engine; a third engine that knows no better is no surprise but a full fleet.
+ */
+const DIVERSIONS = 2;
+
 /** A seat that was given. */
 export interface Granted extends link.Seat {
   readonly version: number | undefined;
   readonly instance: string;
 }
 
+/** What came of looking for a seat. */
+export type Found =
+  | { readonly kind: "seat"; readonly seat: Granted }
+  /** The request goes to the engine without a seat: its daemon is away, what it held may be there. */
+  | { readonly kind: "seatless" }
+  /** Not there; another engine may have one. */
+  | { readonly kind: "elsewhere" }
+  /** It was sent back at once, before it waited. */
+  | { readonly kind: "diverted" };
+
 export class Seeker {
   constructor(
     /** Failure domain of this host. */
@@ -51,32 +72,44 @@
     p: progress.Progress,
     cut: AbortSignal,
   ): Promise<choice.Estimate | undefined> {
-    const from = p.sends === 0 ? a.arrivedAt : this.deps.clock.mono();
     for (;;) {
-      const views = this.deps.endpoints.views(a.service);
-      const best = this.candidates(a, p, views)[0];
+      const best = this.candidates(a, p)[0];
       if (best || cut.aborted) return best;
       // Where all were tried, the least bad of them may have come back.
-      const coming = views.some((v) => v.coming);
-      const until = Math.min(a.dueAt, from + admission.absentMs(standing(a, from), coming));
-      if (this.deps.clock.mono() >= until) return undefined;
+      const coming = this.deps.endpoints.coming(a.service);
+      const until = p.waitsFrom + admission.absentMs(standing(a, p.waitsFrom), coming);
+      const leftMs = Math.min(a.dueAt, until) - this.deps.clock.mono();
+      if (leftMs <= 0) return undefined;
+      await this.someCome(Math.min(leftMs, AGAIN_MS), cut);
       p.tried.clear();
-      await clock.sleep(this.deps.clock, LOOK_MS, cut);
     }
   }
 
+  /** Resolves once an endpoint may be of use that was not, after `ms`, or when `cut` aborts. */
+  private async someCome(ms: number, cut: AbortSignal): Promise<void> {
+    const woken = new AbortController();
+    const wake = (): void => {
+      woken.abort();
+    };
+    const forget = this.deps.endpoints.whenSomeCome(wake);
+    cut.addEventListener("abort", wake, { once: true });
+    await clock.sleep(this.deps.clock, ms, woken.signal);
+    cut.removeEventListener("abort", wake);
+    forget();
+  }
+
   private candidates(
     a: ask.Ask,
     p: progress.Progress,
-    views: readonly choice.View[],
     waitsAt?: string,
   ): readonly choice.Estimate[] {
     const { target } = a.meta;
     const { domain } = this;
     if (!a.service.engine || !target) {
+      const views = this.deps.endpoints.views(a.service);
       return choice.plain(views, { domain, tried: p.tried }, this.deps.random);
     }
-    return choice.engines(views, {
+    const need: choice.Need = {
       model: target.model,
       key: target.adapter && catalog.adapterKey(target.model, target.adapter),
       promptTokens: a.meta.promptTokens,
@@ -85,22 +118,27 @@
       tried: p.tried,
       targetMs: a.arrivedAt + a.route.targetMs - this.deps.clock.mono(),
       waitsAt,
-    });
+    };
+    return search.find(this.deps.endpoints.fleet(a.service), need, a.meta.id);
+  }
+
+  /** Milliseconds for which a request may still be held for a seat. */
+  heldMs(a: ask.Ask, p: progress.Progress): number {
+    return p.waitsFrom + admission.holdMs(standing(a, p.waitsFrom)) - this.deps.clock.mono();
   }
 
-  /** A seat on an engine; "none" when it cannot be had there, undefined to go without. */
+  /** A seat on an engine. */
   async seat(
     a: ask.Ask,
     best: choice.Estimate,
     p: progress.Progress,
     cut: AbortSignal,
-  ): Promise<Granted | "none" | undefined> {
+  ): Promise<Found> {
     const { endpoint } = best.view;
     const { target } = a.meta;
-    if (!target) return undefined;
+    if (!target) return { kind: "seatless" };
     const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
     const now = this.deps.clock.mono();
-    const from = p.sends === 0 ? a.arrivedAt : now;
     const asked = this.deps.endpoints.link(endpoint).ask({
       request: a.meta.id,
       model: target.model,
@@ -110,7 +148,8 @@
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
       targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - now),
-      leftMs: Math.max(1, from + admission.holdMs(standing(a, from)) - now),
+      leftMs: Math.max(1, this.heldMs(a, p)),
+      firm: p.diverted.has(endpoint.id) || p.diverted.size >= DIVERSIONS,
     });
     const left = (): void => {
       asked.over("left");
@@ -120,26 +159,33 @@
     cut.removeEventListener("abort", left);
     switch (answer.kind) {
       case "moved":
-        return "none";
+        return { kind: "elsewhere" };
       case "grant":
         // It may have begun to leave while the request waited.
         if (this.deps.catalog().endpoints.get(endpoint.id)?.leaving !== false) {
           asked.over("left");
           p.tried.add(endpoint.id);
-          return "none";
+          return { kind: "elsewhere" };
         }
-        return { ...asked, version: answer.version, instance: answer.instance };
+        return {
+          kind: "seat",
+          seat: { ...asked, version: answer.version, instance: answer.instance },
+        };
       case "deny":
-        p.tried.add(endpoint.id);
         p.why = `the engine's seat was denied: ${answer.reason}`;
-        return "none";
+        if (answer.reason === "busy") {
+          p.diverted.add(endpoint.id);
+          return { kind: "diverted" };
+        }
+        p.tried.add(endpoint.id);
+        return { kind: "elsewhere" };
       case "unreachable":
-        if (cut.aborted) return "none";
+        if (cut.aborted) return { kind: "elsewhere" };
         p.why = "the endpoint daemon is not reached";
         // What the engine held may still be there, and it refuses what it does not hold.
-        if (choice.holding(best.view, key) === "resident") return undefined;
+        if (choice.holding(best.view, key) === "resident") return { kind: "seatless" };
         p.tried.add(endpoint.id);
-        return "none";
+        return { kind: "elsewhere" };
     }
   }
 
@@ -154,9 +200,9 @@
     const settled = asked.answer.then((got) => {
       answer = got;
     });
-    for (;;) {
+    for (let lookMs = MOVE_LOOK_MS; ; lookMs *= 2) {
       const woken = new AbortController();
-      await Promise.race([settled, clock.sleep(this.deps.clock, MOVE_LOOK_MS, woken.signal)]);
+      await Promise.race([settled, clock.sleep(this.deps.clock, lookMs, woken.signal)]);
       woken.abort();
       if (answer) return answer;
       if (!this.soonerElsewhere(a, p, best.view.endpoint.id)) continue;
@@ -167,7 +213,7 @@
 
   /** Whether another engine than `id` would now take a request much sooner. */
   private soonerElsewhere(a: ask.Ask, p: progress.Progress, id: string): boolean {
-    const list = this.candidates(a, p, this.deps.endpoints.views(a.service), id);
+    const list = this.candidates(a, p, id);
     const top = list[0];
     const here = list.find((e) => e.view.endpoint.id === id);
     if (!top || top === here) return false;
--- a/src/serving/warmth.ts
+++ b/src/serving/warmth.ts
@@ -46,6 +46,11 @@
   return w.recent.slice(0, w.reach);
 }
 
+/** The engine started anew: nothing is in its host's memory, and loads take as long as they did. */
+export function emptied(w: Warmth): Warmth {
+  return { ...w, recent: [] };
+}
+
 /** An adapter was held just now. */
 export function held(w: Warmth, key: string): Warmth {
   return { ...w, recent: remember(w.recent, key) };
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -23,6 +23,7 @@
       host: "entry",
       catalog: () => at,
       daemonOf,
+      random: () => 0,
     },
     clock.system,
   );
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -62,6 +62,8 @@
     log: record.silent,
     host: "entry",
     lost: (id) => lost.push(id),
+    holds: () => undefined,
+    came: () => undefined,
   });
   void kept.run();
   ends.push(() => {
@@ -110,5 +112,6 @@
     rank: 1,
     targetMs: 1000,
     leftMs,
+    firm: true,
   };
 }
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -103,6 +103,8 @@
     failing: 0,
     tookMs: 0,
     coming: false,
+    place: 0,
+    ageMs: 0,
     ...over,
   };
 }
--- a/test/serving/moves.test.ts
+++ b/test/serving/moves.test.ts
@@ -72,6 +72,64 @@
   });
 });
 
+describe("a request whose time for a seat is over", () => {
+  afterEach(engines.endAll);
+
+  it("is refused once, and asks no further engines", async () => {
+    const sites = await Promise.all(["i1", "i2", "i3", "i4", "i5"].map((i) => engines.site(i, 1)));
+    const list = sites.map((s, i) => fixtures.endpoint(`i${i + 1}`, s.address));
+    const at: catalog.Catalog = {
+      ...catalog.EMPTY,
+      config: engines.configOf(1),
+      endpoints: new Map(list.map((e) => [e.id, e])),
+    };
+    const others = sites.map((s) => s.link.ask(engines.wish("other")));
+    await Promise.all(others.map((o) => o.answer));
+    let asks = 0;
+    for (const { keeper } of sites) {
+      const ask = keeper.ask.bind(keeper);
+      keeper.ask = (...args) => {
+        asks++;
+        ask(...args);
+      };
+    }
+    const made = dispatching.open(at);
+    made.known.refresh();
+    const service = at.config?.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
+    await engines.until(() => made.known.views(service).every((v) => v.state !== undefined));
+    const refused: (number | undefined)[] = [];
+    const began = performance.now();
+    await made.dispatcher.serve(
+      fixtures.request({
+        route: { ...ROUTE, targetMs: 300, timeoutMs: 1000 },
+        service,
+        meta: {
+          id: "r1",
+          waitMs: 1000,
+          target: { model: "m", adapter: "a" },
+          promptTokens: 100,
+          answerTokens: 10,
+          parts: [],
+        },
+      }),
+      {
+        gone: new AbortController().signal,
+        begin: () => undefined,
+        write: () => undefined,
+        end: () => undefined,
+        breakOff: () => undefined,
+        answer: () => undefined,
+        refuse: (status) => refused.push(status),
+      },
+    );
+    expect(refused).deep.equal([503]);
+    expect(performance.now() - began).below(800);
+    // Two engines may send it back and one holds it; a look for a better one may move it once.
+    expect(asks).most(4);
+    made.close();
+  });
+});
+
 describe("a link", () => {
   afterEach(engines.endAll);
 
