--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -7,7 +7,7 @@
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
 import * as daemon from "../host/daemon.js";
-import * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import * as settings from "../host/settings.js";
 import type * as control from "../link/control.js";
 import * as controls from "../link/control.js";
@@ -250,7 +250,7 @@
       stop.signal,
       () => (isEngine() ? holder.step() : undefined),
       (err) => {
-        lg.warn(`The hold on the engine was not renewed: ${log.why(err)}`);
+        lg.warn(`The hold on the engine was not renewed: ${errors.why(err)}`);
       },
     ),
     look(),
@@ -263,7 +263,7 @@
       await clock.sleep(clk, cfg.engineEveryMs, stop.signal);
     }
     await holder.step().catch((err: unknown) => {
-      lg.warn(`Starting without a hold on the engine: ${log.why(err)}`);
+      lg.warn(`Starting without a hold on the engine: ${errors.why(err)}`);
     });
     await clock.every(
       clk,
@@ -271,7 +271,7 @@
       stop.signal,
       () => at?.gate.look(),
       (err) => {
-        lg.error(`A look at the engine broke off: ${log.why(err)}`);
+        lg.error(`A look at the engine broke off: ${errors.why(err)}`);
       },
     );
   }
@@ -288,7 +288,7 @@
       stop.abort();
       await daemon.close(link, clk);
       await holder.handOver().catch((err: unknown) => {
-        lg.warn(`The engine was not handed over: ${log.why(err)}`);
+        lg.warn(`The engine was not handed over: ${errors.why(err)}`);
       });
       await Promise.all(tasks);
       at?.gate.stop();
--- a/src/endpoint/holdings.ts
+++ b/src/endpoint/holdings.ts
@@ -3,7 +3,7 @@
  * state with the gate; both change it by the plan's and the slots' steps alone.
  * @module
  */
-import * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import * as metrics from "../host/metrics.js";
 import * as outcome from "../request/outcome.js";
 import type * as engine from "./engine.js";
@@ -120,7 +120,7 @@
         this.deps.turn.end();
       }
     } catch (err) {
-      this.deps.log.error(`A load broke off: ${log.why(err)}.`);
+      this.deps.log.error(`A load broke off: ${errors.why(err)}.`);
     } finally {
       this.loading--;
       this.client.changed();
@@ -216,7 +216,7 @@
   private missed(err: unknown): void {
     this.misses++;
     if (this.misses !== MISSES) return;
-    this.deps.log.warn(`The engine is out: ${log.why(err)}`);
+    this.deps.log.warn(`The engine is out: ${errors.why(err)}`);
     this.client.lost();
     this.client.engineOut();
   }
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import type * as clock from "../host/clock.js";
+import * as errors from "../host/why.js";
 import * as log from "../host/log.js";
 import * as body from "../link/body.js";
 import type * as keys from "../link/keys.js";
@@ -49,7 +50,7 @@
       return;
     }
     run(opts, deps, req, res).catch((err: unknown) => {
-      deps.log.error(`An attempt broke off: ${log.why(err)}`);
+      deps.log.error(`An attempt broke off: ${errors.why(err)}`);
       res.destroy();
     });
   });
@@ -116,7 +117,7 @@
   try {
     return wire.decode(wire.attempt, header);
   } catch (err) {
-    throw outcome.notRun("bad_request", "accept", peer, `No such attempt: ${log.why(err)}.`);
+    throw outcome.notRun("bad_request", "accept", peer, `No such attempt: ${errors.why(err)}.`);
   }
 }
 
--- a/src/endpoint/turn.ts
+++ b/src/endpoint/turn.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as clock from "../host/clock.js";
+import * as errors from "../host/why.js";
 import * as log from "../host/log.js";
 import * as members from "../host/members.js";
 import type * as control from "../link/control.js";
@@ -73,7 +74,7 @@
       try {
         return await peer(keeper).askTurn.mutate(a);
       } catch (err) {
-        this.deps.log.info(`${keeper.name} does not keep the turns: ${log.why(err)}`);
+        this.deps.log.info(`${keeper.name} does not keep the turns: ${errors.why(err)}`);
         this.silent.set(keeper.name, this.deps.clock.mono() + SILENT * this.opts.askMaxMs);
         return ask(a);
       }
@@ -102,7 +103,9 @@
         peer(keeper)
           .endTurn.mutate({ endpoint: name })
           .catch((err: unknown) => {
-            this.deps.log.debug(`${keeper.name} was not told the end of a turn: ${log.why(err)}`);
+            this.deps.log.debug(
+              `${keeper.name} was not told the end of a turn: ${errors.why(err)}`,
+            );
           });
       },
     };
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -7,7 +7,7 @@
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
 import * as daemon from "../host/daemon.js";
-import * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import * as settings from "../host/settings.js";
 import * as body from "../link/body.js";
 import type * as control from "../link/control.js";
@@ -259,7 +259,7 @@
       stop.signal,
       () => known.ask(),
       (err) => {
-        lg.error(`Asking for news broke off: ${log.why(err)}`);
+        lg.error(`Asking for news broke off: ${errors.why(err)}`);
       },
     ),
   ];
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -9,6 +9,7 @@
 import type * as intents from "../contract/intent.js";
 import type * as objects from "../contract/objects.js";
 import type * as clock from "../host/clock.js";
+import * as errors from "../host/why.js";
 import * as log from "../host/log.js";
 import type * as members from "../host/members.js";
 import type * as control from "../link/control.js";
@@ -261,7 +262,7 @@
   try {
     deps.views.hear(wire.decode(wire.news, res.headers[wire.HEADER.news]));
   } catch (err) {
-    deps.log.debug(`An answer carried no news: ${log.why(err)}`);
+    deps.log.debug(`An answer carried no news: ${errors.why(err)}`);
   }
 }
 
@@ -290,7 +291,7 @@
     const fate = await deps.peer(m).cancel.mutate({ attempt, epoch: to.epoch });
     return fate.kind === "not_run";
   } catch (err) {
-    deps.log.debug(`${to.name} did not tell the fate of an attempt: ${log.why(err)}`);
+    deps.log.debug(`${to.name} did not tell the fate of an attempt: ${errors.why(err)}`);
     return false;
   }
 }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -9,6 +9,7 @@
 import type * as objects from "../contract/objects.js";
 import * as service from "../endpoint/service.js";
 import type * as clock from "../host/clock.js";
+import * as errors from "../host/why.js";
 import * as log from "../host/log.js";
 import type * as metrics from "../host/metrics.js";
 import * as body from "../link/body.js";
@@ -74,7 +75,7 @@
         underWay--;
       });
       handle(opts, deps, req, res, underWay).catch((err: unknown) => {
-        deps.log.error(`A request broke off: ${log.why(err)}`);
+        deps.log.error(`A request broke off: ${errors.why(err)}`);
         res.destroy();
       });
     },
@@ -336,7 +337,7 @@
     begun.done(true);
   } catch (err) {
     begun.done(false);
-    const message = `The answer broke off: ${log.why(err)}.`;
+    const message = `The answer broke off: ${errors.why(err)}.`;
     const code = "link_broken";
     const f: outcome.Failure = {
       code,
--- a/src/host/feed.ts
+++ b/src/host/feed.ts
@@ -11,6 +11,7 @@
 import * as journal from "../store/journal.js";
 import type * as store from "../store/store.js";
 import * as clock from "./clock.js";
+import * as errors from "./why.js";
 import * as log from "./log.js";
 import * as members from "./members.js";
 import * as metrics from "./metrics.js";
@@ -132,7 +133,7 @@
     try {
       this.adopt(fresh.reduce(intent.step, this.current), fresh);
     } catch (err) {
-      this.deps.log.error(`News of the intent was refused: ${log.why(err)}.`);
+      this.deps.log.error(`News of the intent was refused: ${errors.why(err)}.`);
     }
   }
 
@@ -155,7 +156,7 @@
         .peer(m)
         .learn.mutate(this.after(from))
         .catch((err: unknown) => {
-          this.deps.log.debug(`${m.name} was not told of the change: ${log.why(err)}`);
+          this.deps.log.debug(`${m.name} was not told of the change: ${errors.why(err)}`);
         });
     }
   }
@@ -171,7 +172,7 @@
     try {
       this.learn(await this.deps.peer(m).changesAfter.query({ revision: this.current.revision }));
     } catch (err) {
-      this.deps.log.debug(`${m.name} did not answer: ${log.why(err)}`);
+      this.deps.log.debug(`${m.name} did not answer: ${errors.why(err)}`);
     }
   }
 
@@ -249,7 +250,7 @@
         }
       } catch (err) {
         this.life.send({ type: "cut" });
-        this.deps.log.warn(`The store is out: ${log.why(err)}`);
+        this.deps.log.warn(`The store is out: ${errors.why(err)}`);
         wait = Math.min(wait * 2, this.opts.retryMs * BACKOFF);
       }
       const jitter = 0.5 + this.deps.random();
--- a/src/host/log.ts
+++ b/src/host/log.ts
@@ -72,8 +72,3 @@
   warn: () => undefined,
   error: () => undefined,
 };
-
-/** An error's text for a log line. */
-export function why(err: unknown): string {
-  return err instanceof Error ? err.message : String(err);
-}
--- a/src/host/members.ts
+++ b/src/host/members.ts
@@ -5,6 +5,7 @@
 import * as clock from "./clock.js";
 import type * as hosts from "../store/hosts.js";
 import * as hash from "./hash.js";
+import * as errors from "./why.js";
 import * as log from "./log.js";
 
 /** The list as last read; it outlives an outage of the platform. */
@@ -28,7 +29,7 @@
       this.members = read;
       for (const tell of this.listeners) tell();
     } catch (err) {
-      if (!this.out) this.lg.warn(log.why(err));
+      if (!this.out) this.lg.warn(errors.why(err));
       this.out = true;
     }
   }
--- a/src/request/claims.ts
+++ b/src/request/claims.ts
@@ -5,7 +5,8 @@
  */
 import * as zod from "zod";
 import * as clock from "../host/clock.js";
-import * as log from "../host/log.js";
+import type * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import * as keys from "../link/keys.js";
 import * as journal from "../store/journal.js";
 import type * as store from "../store/store.js";
@@ -104,7 +105,7 @@
     try {
       return await this.createOnce(mine);
     } catch (err) {
-      this.deps.log.debug(`Claims are asked for again: ${log.why(err)}`);
+      this.deps.log.debug(`Claims are asked for again: ${errors.why(err)}`);
       return this.createOnce(mine);
     }
   }
@@ -140,7 +141,7 @@
         await this.deps.store.commit({ compares, puts: [], deletes: [claim.key] });
         return;
       } catch (err) {
-        this.deps.log.debug(`A claim was not given back yet: ${log.why(err)}`);
+        this.deps.log.debug(`A claim was not given back yet: ${errors.why(err)}`);
         await clock.sleep(this.deps.clock, RELEASE_WAIT_MS * 2 ** i);
       }
     }
@@ -162,7 +163,7 @@
     "claim_unproved",
     "claim",
     "store",
-    `That the request has not run before cannot be proved now: ${log.why(err)}`,
+    `That the request has not run before cannot be proved now: ${errors.why(err)}`,
     RELEASE_WAIT_MS,
   );
 }
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -3,7 +3,6 @@
  * that changes by steps. The platform's adapter makes the steps; the decisions read the value.
  * @module
  */
-import * as util from "node:util";
 import * as selector from "../contract/selector.js";
 
 /** What may be repeated. A `stream` is a series of events; it counts as `once` unless resumable. */
@@ -133,28 +132,55 @@
 
 /** The catalog after one step. An older configuration or adapter version changes nothing. */
 export function step(at: Catalog, change: Step): Catalog {
-  switch (change.kind) {
-    case "config":
-      if (at.config && at.config.version >= change.config.version) return at;
-      return { ...at, config: change.config };
-    case "version": {
-      if ((at.versions.get(change.key) ?? 0) >= change.version) return at;
-      return { ...at, versions: new Map(at.versions).set(change.key, change.version) };
-    }
-    case "endpoint":
-      // Workers write their entries again and again, mostly without a change that matters here.
-      if (util.isDeepStrictEqual(at.endpoints.get(change.endpoint.id), change.endpoint)) return at;
-      return {
-        ...at,
-        endpoints: new Map(at.endpoints).set(change.endpoint.id, change.endpoint),
-      };
-    case "endpoint_gone": {
-      if (!at.endpoints.has(change.id)) return at;
-      const endpoints = new Map(at.endpoints);
-      endpoints.delete(change.id);
-      return { ...at, endpoints };
+  return steps(at, [change]).at;
+}
+
+/** The catalog after some steps, and those of them that changed it. */
+export function steps(
+  from: Catalog,
+  changes: readonly Step[],
+): { readonly at: Catalog; readonly taken: readonly Step[] } {
+  const versions = copied(from.versions);
+  const endpoints = copied(from.endpoints);
+  let { config } = from;
+  const taken = changes.filter((c) => {
+    switch (c.kind) {
+      case "config":
+        if (config && config.version >= c.config.version) return false;
+        config = c.config;
+        return true;
+      case "version":
+        if ((versions.now().get(c.key) ?? 0) >= c.version) return false;
+        versions.change().set(c.key, c.version);
+        return true;
+      case "endpoint":
+        // Workers write their entries again and again, mostly without a change that matters here.
+        if (isSame(endpoints.now().get(c.endpoint.id), c.endpoint)) return false;
+        endpoints.change().set(c.endpoint.id, c.endpoint);
+        return true;
+      case "endpoint_gone":
+        return endpoints.now().has(c.id) && endpoints.change().delete(c.id);
     }
-  }
+  });
+  if (taken.length === 0) return { at: from, taken };
+  return { at: { ...from, config, versions: versions.now(), endpoints: endpoints.now() }, taken };
+}
+
+/** A map that is copied at its first change, once for any number of them. */
+function copied<K, V>(from: ReadonlyMap<K, V>) {
+  let copy: Map<K, V> | undefined;
+  return {
+    now: (): ReadonlyMap<K, V> => copy ?? from,
+    change: (): Map<K, V> => (copy ??= new Map(from)),
+  };
+}
+
+function isSame(a: Endpoint | undefined, b: Endpoint): boolean {
+  if (a?.address !== b.address || a.domain !== b.domain) return false;
+  if (a.seats !== b.seats || a.leaving !== b.leaving) return false;
+  const names = Object.keys(b.labels);
+  if (names.length !== Object.keys(a.labels).length) return false;
+  return names.every((name) => a.labels[name] === b.labels[name]);
 }
 
 /** What selectors picked, remembered for as long as the endpoints and the service are the same. */
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -174,11 +174,16 @@
         view,
         firstMs: queueMs + ownMs,
         ownMs,
-        extraMs: extraMs + lateMs(queueMs + ownMs),
+        extraMs: extraMs + lateMs(queueMs + ownMs) + place * ORDER_MS,
       };
     case "warm": {
       const firstMs = Math.max(queueMs, slotMs + state.warmMs) + ownMs;
-      return { view, firstMs, ownMs, extraMs: extraMs + lateMs(firstMs) + place * ORDER_MS };
+      return {
+        view,
+        firstMs,
+        ownMs,
+        extraMs: extraMs + lateMs(firstMs) + place * ORDER_MS,
+      };
     }
     case "absent": {
       const firstMs = Math.max(queueMs, slotMs + state.coldMs) + ownMs;
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -9,6 +9,7 @@
 import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import * as events from "./events.js";
+import * as exchange from "./exchange.js";
 import type * as link from "./link.js";
 import type * as meters from "./meters.js";
 import type * as progress from "./progress.js";
@@ -231,6 +232,8 @@
       own.abort();
     };
     const unwatch = this.deps.endpoints.watch(id, stop);
+    cut.addEventListener("abort", stop, { once: true });
+    if (cut.aborted) stop();
     const targets = a.service.engine ? SILENT_STREAM_TARGETS : SILENT_CALL_TARGETS;
     const silentMs = Math.max(targets * a.route.targetMs, SILENT_FACTOR * best.firstMs);
     const more = p.runs + 1 < a.route.attempts && !p.begun;
@@ -245,10 +248,11 @@
     };
     const timer = more ? this.deps.clock.after(silentMs, silent) : undefined;
     return {
-      signal: AbortSignal.any([cut, own.signal]),
+      signal: own.signal,
       answered: () => timer?.cancel(),
       end: () => {
         timer?.cancel();
+        cut.removeEventListener("abort", stop);
         unwatch();
       },
     };
@@ -304,7 +308,7 @@
     const { out, p } = r;
     let body: Buffer;
     try {
-      body = await upstream.whole(sent.body, ANSWER_LIMIT);
+      body = await exchange.whole(sent.body, ANSWER_LIMIT);
     } catch (err) {
       return this.broke(r, err instanceof Error ? err.message : String(err));
     }
@@ -324,14 +328,14 @@
     const resumed = p.lastId;
     let first = true;
     try {
-      for await (const chunk of sent.body as AsyncIterable<Buffer>) {
+      await sent.body.pump((chunk) => {
         const ready: Buffer[] = [];
         for (const e of cutter.take(chunk)) {
           if (p.begun && resumed !== undefined && isPassed(e.id, resumed)) continue;
           if (e.id !== undefined) p.lastId = e.id;
           ready.push(e.bytes);
         }
-        if (ready.length === 0) continue;
+        if (ready.length === 0) return undefined;
         if (first) {
           first = false;
           r.watch.answered();
@@ -342,9 +346,8 @@
           p.firstAt = this.deps.clock.mono();
           out.begin(sent.status, sent.headers);
         }
-        const room = out.write(ready.length === 1 && ready[0] ? ready[0] : Buffer.concat(ready));
-        if (room) await room;
-      }
+        return out.write(ready.length === 1 && ready[0] ? ready[0] : Buffer.concat(ready));
+      });
     } catch (err) {
       return this.broke(r, err instanceof Error ? err.message : String(err));
     }
--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as clock from "../host/clock.js";
-import * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import type * as record from "../host/record.js";
 import * as desk from "./desk.js";
 import type * as engine from "./engine.js";
@@ -95,7 +95,7 @@
       if (await deps.source.claim(key, TURN_MS)) return true;
     }
   } catch (err) {
-    lg.warn("A turn to load a model could not be taken.", { why: log.why(err) });
+    lg.warn("A turn to load a model could not be taken.", { why: errors.why(err) });
   }
   await clock.sleep(deps.clock, TURN_RETRY_MS * (1 + deps.random()));
   return false;
--- a/src/serving/engine.ts
+++ b/src/serving/engine.ts
@@ -42,6 +42,8 @@
   readonly instance: string;
   /** Fencing number. */
   readonly epoch: number;
+  /** Milliseconds that the answer is awaited. */
+  readonly waitMs: number;
 }
 
 /** What became of an order. */
--- a/src/serving/events.ts
+++ b/src/serving/events.ts
@@ -8,6 +8,7 @@
 const EVENT_LIMIT = 1_048_576;
 const LF = 0x0a;
 const CR = 0x0d;
+const ID_LINE = "id:";
 
 /** One whole event as it came, with its id if it names one. */
 export interface Event {
@@ -51,6 +52,13 @@
   return 0;
 }
 
+/** The id that an event names; most name it in their first line, which is read without the others. */
 function idOf(event: Buffer): string | undefined {
+  if (event.indexOf(ID_LINE) === 0) {
+    const end = event.indexOf(LF);
+    return event
+      .toString("latin1", ID_LINE.length, event[end - 1] === CR ? end - 1 : end)
+      .trimStart();
+  }
   return /^id: ?(.*?)\r?$/m.exec(event.toString("latin1"))?.[1];
 }
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -4,15 +4,17 @@
  * @module
  */
 import * as clock from "../host/clock.js";
-import * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import type * as record from "../host/record.js";
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
 
 /** How closely a daemon follows the store. Each wait for changes is a call that costs. */
 export interface Pace {
-  /** Milliseconds that one wait lasts; one that hangs on a dead connection hides changes as long. */
+  /** Milliseconds that one wait lasts at most; one that hangs on a dead connection hides changes as long. */
   readonly waitMs: number;
+  /** Milliseconds that one wait lasts at least, where changes are usually there at once. */
+  readonly leastWaitMs: number;
   /** Milliseconds from one wait to the next at least, so that many changes share a call. */
   readonly everyMs: number;
   /** Milliseconds for which a few endpoints are kept at most after they were heard to be gone. */
@@ -21,18 +23,32 @@
 
 /** Milliseconds that an entry daemon's wait for changes lasts: about what makes a host out of touch. */
 const CLOSE_WAIT_MS = 2500;
-/** Part of the time allowed for a change that passes between two waits, so that one may be lost. */
-const CLOSE_PART = 0.3;
+/**
+ * Milliseconds that it lasts at least. In a large fleet some worker's entry has always changed, so that a
+ * wait without an answer is one that hangs, and is soon given up for another.
+ */
+const CLOSE_LEAST_WAIT_MS = 800;
+/** How many times the usual time until an answer a wait lasts. */
+const WAIT_FACTOR = 4;
+/** Weight of the latest wait in the usual time until an answer. */
+const LATEST = 0.3;
+/**
+ * Part of the time allowed for a change that passes between two waits. In a large fleet each wait is
+ * answered at once, so this is how often each entry host calls the store; with the shortest wait after it,
+ * one that hangs included, a change is still in force within the time allowed.
+ */
+const CLOSE_PART = 0.5;
 /**
  * Part of the time allowed for a change for which an endpoint is kept whose entry may only have lapsed;
  * with {@link CLOSE_PART} and the way through the store it must leave some of that time over.
  */
-const KEEP_PART = 0.55;
+const KEEP_PART = 0.35;
 
 /** For those who put changes in force, `inForceMs` after they were accepted at the latest. */
 export function close(inForceMs: number): Pace {
   return {
     waitMs: CLOSE_WAIT_MS,
+    leastWaitMs: CLOSE_LEAST_WAIT_MS,
     everyMs: CLOSE_PART * inForceMs,
     keepMs: KEEP_PART * inForceMs,
   };
@@ -42,7 +58,7 @@
  * For endpoint daemons, which also hear of versions with each question for a seat: an adapter's
  * version must be in force after 5 s. They are many, and the store's rates grow more slowly.
  */
-export const LOOSE: Pace = { waitMs: 25_000, everyMs: 1500, keepMs: 0 };
+export const LOOSE: Pace = { waitMs: 25_000, leastWaitMs: 25_000, everyMs: 1500, keepMs: 0 };
 
 /** Milliseconds until the next try after the store failed, at first and at most. */
 const RETRY_MS = 60;
@@ -84,6 +100,8 @@
   /** Endpoints whose entries are missing, and may be back soon. */
   private readonly missing = new Set<string>();
   private askedAt = -Infinity;
+  /** Smoothed milliseconds until a wait for changes is answered. */
+  private usualMs = Infinity;
   private retryMs = RETRY_MS;
   private readonly abort = new AbortController();
 
@@ -126,7 +144,7 @@
     this.out = true;
     this.deps.log.warn("The store does not answer.", {
       revision: this.at.revision,
-      why: log.why(err),
+      why: errors.why(err),
     });
   }
 
@@ -170,13 +188,14 @@
     );
     this.askedAt = this.deps.clock.mono();
     const { common } = this.deps.decoder;
-    const got = await this.deps.source.changes(common, this.at.revision, this.deps.pace.waitMs);
+    const got = await this.deps.source.changes(common, this.at.revision, this.waitMs());
+    this.answered(this.deps.clock.mono() - this.askedAt);
     if (got.kind === "compacted") {
       this.synced = false;
       this.deps.log.warn("The store has forgotten its history.", { revision: this.at.revision });
       return;
     }
-    const steps = got.changes.flatMap((c) => {
+    const steps = latest(got.changes).flatMap((c) => {
       if (c.kind === "written") {
         const step = this.decode(c.document.key, c.document.text);
         return step ? [step] : [];
@@ -187,13 +206,23 @@
     this.apply(steps, got.revision);
   }
 
+  private waitMs(): number {
+    const { waitMs, leastWaitMs } = this.deps.pace;
+    return Math.min(waitMs, Math.max(leastWaitMs, Math.round(WAIT_FACTOR * this.usualMs)));
+  }
+
+  private answered(ms: number): void {
+    const usual = this.usualMs === Infinity ? ms : this.usualMs;
+    this.usualMs = usual + (ms - usual) * LATEST;
+  }
+
   private decode(key: string, text: string): catalog.Step | undefined {
     try {
       return this.deps.decoder.written(key, text);
     } catch (err) {
       this.deps.log.error("A document cannot be read; the one before stays in force.", {
         key,
-        why: log.why(err),
+        why: errors.why(err),
       });
       return undefined;
     }
@@ -233,13 +262,11 @@
   }
 
   private apply(steps: readonly catalog.Step[], revision: number): void {
-    let at = this.at;
-    for (const s of steps) {
-      if (s.kind === "endpoint") this.missing.delete(s.endpoint.id);
-      const next = catalog.step(at, s);
-      if (next !== at) this.tell(s);
-      at = next;
-    }
+    for (const s of steps) if (s.kind === "endpoint") this.missing.delete(s.endpoint.id);
+    const { at, taken } = catalog.steps(this.at, steps);
+    // A daemon that starts hears of all endpoints at once; the count of documents says as much.
+    const isFirst = this.at.config === undefined;
+    for (const s of taken) if (!isFirst || s.kind === "config") this.tell(s);
     const changed = at !== this.at;
     this.at = revision > at.revision ? { ...at, revision } : at;
     if (changed) this.deps.changed(this.at);
@@ -269,3 +296,14 @@
     }
   }
 }
+
+/** The last change of each document, in their order; the ones before it say nothing any more. */
+function latest(changes: readonly source.Change[]): readonly source.Change[] {
+  const last = new Map<string, source.Change>();
+  for (const c of changes) {
+    const key = c.kind === "written" ? c.document.key : c.key;
+    last.delete(key);
+    last.set(key, c);
+  }
+  return [...last.values()];
+}
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -17,6 +17,7 @@
 import * as listing from "./listing.js";
 import * as reading from "./reading.js";
 import * as looks from "./looks.js";
+import * as orders from "./orders.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
 import * as waiting from "./waiting.js";
@@ -55,9 +56,7 @@
   /** Base models that the engine loads without the weight store. */
   private nearby: readonly string[] = [];
   private instance = "";
-  /** Orders that the engine accepted, as it last said, and with those that it took since. */
-  private sequence = 0;
-  private expected = 0;
+  private readonly orders: orders.Orders;
   private misses = 0;
   private lookedAt = -Infinity;
   private readonly waker: waker.Waker;
@@ -65,6 +64,7 @@
 
   constructor(private readonly deps: Deps) {
     this.waker = new waker.Waker(deps.clock);
+    this.orders = new orders.Orders(deps.clock, deps.log, deps.engine);
     this.news = new announcer.Announcer(
       deps.clock,
       (silenceMs) => this.snapshot(silenceMs),
@@ -85,12 +85,18 @@
         continue;
       }
       this.settle();
-      const next = residency.order(this.state, this.deps.clock.mono(), this.options());
+      const next = this.nextOrder();
       if (next) await this.carryOut(next);
       else if (!(await this.loadModel())) await this.waker.pause(this.idleMs());
     }
   }
 
+  private nextOrder(): residency.Action | undefined {
+    const now = this.deps.clock.mono();
+    if (this.orders.busyMs(now) > 0) return undefined;
+    return residency.order(this.state, now, this.options());
+  }
+
   stop(): void {
     this.stopped = true;
     this.news.close();
@@ -269,7 +275,8 @@
     const look = looks.next(this.state, this.warmth, this.lookedAt) - now;
     const timed = residency.wakeIn(this.state, now, this.options()) ?? Infinity;
     const read = residency.readIn(this.state, now, this.options(), this.reading(now)) ?? Infinity;
-    return Math.max(1, Math.min(look, timed, read));
+    const busy = this.orders.busyMs(now) || Infinity;
+    return Math.max(1, Math.min(look, timed, read, busy));
   }
 
   private reading(now: number): residency.Reading {
@@ -284,13 +291,11 @@
       const report = await this.deps.engine.report();
       this.lookedAt = askedAt;
       this.misses = 0;
-      if (report.sequence < this.sequence) {
+      if (!this.orders.heard(report.sequence)) {
         this.deps.log.warn("The engine started anew.", { instance: this.instance });
         this.lost();
         return;
       }
-      this.sequence = report.sequence;
-      this.expected = report.sequence;
       this.learn(report, askedAt);
     } catch (err) {
       this.lookedAt = askedAt;
@@ -303,8 +308,7 @@
     const service = this.deps.catalog().config?.services.get(this.deps.service);
     if (!service) throw new Error(`the configuration has no service ${this.deps.service}`);
     this.instance = await this.deps.engine.identify(service.healthPath);
-    this.sequence = 0;
-    this.expected = 0;
+    this.orders.reset();
     this.news.changedMuch();
     this.deps.log.info("The engine answers.", { instance: this.instance });
   }
@@ -320,8 +324,7 @@
   /** What the engine holds is not known any more. */
   private lost(): void {
     this.instance = "";
-    this.sequence = 0;
-    this.expected = 0;
+    this.orders.reset();
     this.warmth = warmth.emptied(this.warmth);
     const { newest, heat, waiting } = this.state;
     this.state = { ...residency.empty(), newest, heat, waiting };
@@ -377,41 +380,26 @@
     }
   }
 
-  /** Gives one order, and reads what came of it. */
-  private async give(
-    o: Pick<engine.Order, "kind" | "model" | "adapter" | "version">,
-  ): Promise<void> {
-    const began = this.deps.clock.mono();
-    const { instance, expected: sequence } = this;
-    const epoch = this.deps.catalog().revision;
-    const result = await this.deps.engine.order({ ...o, instance, sequence, epoch });
-    const tookMs = this.deps.clock.mono() - began;
-    this.deps.log.info("An order was given.", {
-      order: o.kind,
-      model: o.model,
-      adapter: o.adapter,
-      version: o.version,
-      sequence,
-      epoch,
-      tookMs,
-      result: result.kind,
-    });
+  /** Gives one order, and notes or reads what came of it. */
+  private async give(o: orders.Change): Promise<void> {
+    const { count } = this.orders;
+    const result = await this.orders.give(o, this.instance, this.deps.catalog().revision);
     if (result.kind === "moved") {
       this.lost();
       return;
     }
     if (result.kind !== "accepted" || o.adapter === undefined) {
       await this.look();
+      if (result.kind === "conflict") this.orders.refused(count);
       return;
     }
     const key = catalog.adapterKey(o.model, o.adapter);
-    // Each order that the engine takes counts; a wrong guess is refused, and the engine read again.
     if (o.kind === "load") {
       this.state = residency.accepted(this.state, key);
       if (result.done) await this.look();
-      else this.expected++;
+      else this.orders.taken();
     } else if (result.done) {
-      this.expected++;
+      this.orders.taken();
       this.state = residency.drop(this.state, key);
       this.left(key);
       this.news.changed();
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -6,7 +6,7 @@
 import type * as net from "node:net";
 import * as prom from "prom-client";
 import * as addresses from "../host/address.js";
-import * as log from "../host/log.js";
+import * as errors from "../host/why.js";
 import type * as record from "../host/record.js";
 
 /** Upper bounds of the histograms, in ms: around the targets of 150 to 1,000 ms. */
@@ -102,6 +102,6 @@
     const { port } = server.address() as net.AddressInfo;
     lg.info("The figures are served.", { port });
   } catch (err) {
-    lg.error("The figures cannot be served.", { address, why: log.why(err) });
+    lg.error("The figures cannot be served.", { address, why: errors.why(err) });
   }
 }
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -2,7 +2,7 @@
  * Finds an endpoint for a request, and a seat on it where it is an engine.
  * @module
  */
-import * as clock from "../host/clock.js";
+import type * as clock from "../host/clock.js";
 import * as admission from "./admission.js";
 import type * as ask from "./ask.js";
 import * as catalog from "./catalog.js";
@@ -86,16 +86,18 @@
   }
 
   /** Resolves once an endpoint may be of use that was not, after `ms`, or when `cut` aborts. */
-  private async someCome(ms: number, cut: AbortSignal): Promise<void> {
-    const woken = new AbortController();
-    const wake = (): void => {
-      woken.abort();
-    };
-    const forget = this.deps.endpoints.whenSomeCome(wake);
-    cut.addEventListener("abort", wake, { once: true });
-    await clock.sleep(this.deps.clock, ms, woken.signal);
-    cut.removeEventListener("abort", wake);
-    forget();
+  private someCome(ms: number, cut: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        timer.cancel();
+        forget();
+        cut.removeEventListener("abort", wake);
+        resolve();
+      };
+      const timer = this.deps.clock.after(ms, wake);
+      const forget = this.deps.endpoints.whenSomeCome(wake);
+      cut.addEventListener("abort", wake, { once: true });
+    });
   }
 
   private candidates(
@@ -190,25 +192,29 @@
   }
 
   /** Waits for the answer to a wish; gives it up when another engine could take the request sooner. */
-  private async answerOrMove(
+  private answerOrMove(
     a: ask.Ask,
     p: progress.Progress,
     best: choice.Estimate,
     asked: link.Seat,
   ): Promise<link.Answer | { readonly kind: "moved" }> {
-    let answer: link.Answer | undefined;
-    const settled = asked.answer.then((got) => {
-      answer = got;
+    return new Promise((resolve) => {
+      let lookMs = MOVE_LOOK_MS;
+      const look = (): void => {
+        if (this.soonerElsewhere(a, p, best.view.endpoint.id)) {
+          resolve({ kind: "moved" });
+          asked.over("left");
+          return;
+        }
+        lookMs *= 2;
+        timer = this.deps.clock.after(lookMs, look);
+      };
+      let timer = this.deps.clock.after(lookMs, look);
+      void asked.answer.then((answer) => {
+        timer.cancel();
+        resolve(answer);
+      });
     });
-    for (let lookMs = MOVE_LOOK_MS; ; lookMs *= 2) {
-      const woken = new AbortController();
-      await Promise.race([settled, clock.sleep(this.deps.clock, lookMs, woken.signal)]);
-      woken.abort();
-      if (answer) return answer;
-      if (!this.soonerElsewhere(a, p, best.view.endpoint.id)) continue;
-      asked.over("left");
-      return { kind: "moved" };
-    }
   }
 
   /** Whether another engine than `id` would now take a request much sooner. */
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -6,6 +6,7 @@
 import * as undici from "undici";
 import type * as ask from "./ask.js";
 import type * as catalog from "./catalog.js";
+import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
 import type * as protocol from "./protocol.js";
 
@@ -16,7 +17,7 @@
       readonly kind: "answer";
       readonly status: number;
       readonly headers: headers.Headers;
-      readonly body: undici.Dispatcher.ResponseData["body"];
+      readonly body: exchange.Body;
     }
   /** It was not run and will not be. `absent`: the endpoint is not the one meant, or lacks the adapter. */
   | { readonly kind: "not_run"; readonly why: string; readonly absent: boolean }
@@ -119,31 +120,35 @@
     marks: protocol.Marks,
     signal: AbortSignal,
   ): Promise<Sent> {
-    let res: undici.Dispatcher.ResponseData;
+    const sent = new exchange.Exchange(signal);
+    let head: exchange.Head;
     try {
-      res = await this.pool(e, a.service.connections).request({
-        method: a.method,
-        path: a.path,
-        headers: { ...a.headers, ...this.wire.marks(marks) } as Record<string, string | string[]>,
-        body: a.body.length > 0 ? a.body : null,
-        signal,
-      });
+      this.pool(e, a.service.connections).dispatch(
+        {
+          method: a.method as undici.Dispatcher.HttpMethod,
+          path: a.path,
+          headers: { ...a.headers, ...this.wire.marks(marks) } as Record<string, string | string[]>,
+          body: a.body.length > 0 ? a.body : null,
+        },
+        sent,
+      );
+      head = await sent.head;
     } catch (err) {
       const code = err instanceof Error && "code" in err ? String(err.code) : "";
       const why = err instanceof Error ? err.message : String(err);
       if (UNCONNECTED.has(code)) return { kind: "not_run", why, absent: false };
       return { kind: "unknown", why };
     }
-    return this.sort(a, res);
+    return this.sort(a, head, sent);
   }
 
-  private async sort(a: ask.Ask, res: undici.Dispatcher.ResponseData): Promise<Sent> {
-    const { statusCode: status, headers, body } = res;
+  private async sort(a: ask.Ask, head: exchange.Head, body: exchange.Body): Promise<Sent> {
+    const { status, headers } = head;
     const answered = this.wire.answered(headers);
     const claimsNotRun = this.wire.notRun(status, headers);
     if (answered !== a.meta.id && !(answered === undefined && claimsNotRun)) {
       // The bytes belong to another request; the connection cannot be trusted any more.
-      drop(body);
+      body.drop();
       return { kind: "unknown", why: "the answer names another request" };
     }
     if (claimsNotRun) {
@@ -152,7 +157,7 @@
       return { kind: "not_run", why, absent: status === MISDIRECTED };
     }
     if (status >= 200 && status < 300 && !this.wire.signed(headers)) {
-      drop(body);
+      body.drop();
       return { kind: "unknown", why: "the answer bears no signature" };
     }
     return { kind: "answer", status, headers, body };
@@ -184,33 +189,11 @@
   }
 }
 
-/** Gives up an answer, and its connection with it. */
-export function drop(body: undici.Dispatcher.ResponseData["body"]): void {
-  body.on("error", () => undefined);
-  body.destroy();
-}
-
 /** Reads an answer that is not needed, so that its connection can be used again. */
-export async function dump(body: undici.Dispatcher.ResponseData["body"]): Promise<void> {
+export async function dump(body: exchange.Body): Promise<void> {
   try {
-    await body.dump();
+    await body.pump(() => undefined);
   } catch {
     // What was left of it is not needed; the connection is closed by the error.
-    body.destroy();
-  }
-}
-
-/** Reads a body of at most `limit` bytes whole; throws when it breaks off or is longer. */
-export async function whole(
-  body: undici.Dispatcher.ResponseData["body"],
-  limit: number,
-): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of body as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > limit) throw new RangeError(`the answer is over ${limit} bytes`);
-    parts.push(part);
   }
-  return Buffer.concat(parts);
 }
--- a/test/serving/announcer.test.ts
+++ b/test/serving/announcer.test.ts
@@ -21,7 +21,9 @@
     () => ({ kind: "holdings", models: ["m"], resident, reach: 0 }),
     () => [],
   );
-  const heard = Array.from({ length: entries }, () => ({ states: [] as number[], holdings: 0 }));
+  const heard = Array.from({ length: entries }, () => {
+    return { states: [] as number[], holdings: 0, gone: [] as string[] };
+  });
   const clients = heard.map((h, i): announcer.Client => {
     return {
       host: `e${i}`,
@@ -29,7 +31,10 @@
       sendLine: (text) => {
         for (const line of text.trimEnd().split("\n")) {
           if (line.includes('"state"')) h.states.push(clk.mono());
-          else h.holdings++;
+          else {
+            h.holdings++;
+            h.gone.push(...(JSON.parse(line) as seat.Holdings).gone);
+          }
         }
       },
     };
@@ -43,11 +48,16 @@
       });
     await clk.runUntil(ms);
   };
+  const leave = (key: string): void => {
+    resident = resident.filter((k) => k !== key);
+    news.departed(key);
+    news.changed();
+  };
   const hold = (key: string): void => {
     resident = [...resident, key];
     news.changed();
   };
-  return { clk, news, clients, heard, busy, hold };
+  return { clk, news, clients, heard, busy, hold, leave };
 }
 
 const sum = (list: readonly number[]): number => list.reduce((a, b) => a + b, 0);
@@ -90,6 +100,15 @@
     expect(Math.max(...gaps)).most(1020);
   });
 
+  it("tells each once of an adapter that came and went between two words", async () => {
+    const s = site(60);
+    await s.clk.runUntil(2000);
+    s.hold("m/a");
+    s.leave("m/a");
+    await s.clk.runUntil(4000);
+    for (const h of s.heard) expect(h.gone).deep.equal(["m/a"]);
+  });
+
   it("sends holdings only when they changed", async () => {
     const s = site(2);
     await s.busy(500);
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -249,6 +249,21 @@
 }
 
 describe("choice", () => {
+  it("trusts what an engine said the less the older it is", () => {
+    const said = (id: string, ms: number, ageMs: number): choice.View =>
+      holds(id, {
+        state: { ...fixtures.STATE, instance: id, waitMs: new Array<number>(10).fill(ms) },
+        ageMs,
+      });
+    const firstMs = (ageMs: number): number | undefined =>
+      choice
+        .engines([said("1", 0, ageMs), said("2", 400, 0)], NEED)
+        .find((e) => e.view.endpoint.id === "1")?.firstMs;
+    const own = firstMs(0) ?? 0;
+    expect((firstMs(500) ?? 0) - own).closeTo(100, 1);
+    expect((firstMs(5000) ?? 0) - own).closeTo(200, 1);
+  });
+
   it("prefers the engine that holds the adapter", () => {
     const best = choice.engines([fixtures.view("1"), holds("2"), fixtures.view("3")], NEED)[0];
     expect(best?.view.endpoint.id).equal("2");
--- a/test/serving/fake-engine.ts
+++ b/test/serving/fake-engine.ts
@@ -25,6 +25,8 @@
   nearby: readonly string[] = [];
   /** Milliseconds for which a replaced version is still listed. */
   replaceMs = 0;
+  /** Monotonic ms until which it refuses orders, since it is busy with another. */
+  busyUntil = 0;
 
   report = (): Promise<engine.Report> => {
     if (this.mood === "out") return Promise.reject(new Error("connection refused"));
@@ -85,6 +87,7 @@
   private carryOut(o: engine.Order): engine.OrderResult {
     if (o.instance !== this.instance) return { kind: "moved", instance: undefined };
     if (o.sequence !== this.sequence) return { kind: "conflict" };
+    if (performance.now() < this.busyUntil) return { kind: "conflict" };
     this.sequence++;
     const { adapter } = o;
     if (adapter === undefined) {
--- a/test/serving/fleet-load.ts
+++ b/test/serving/fleet-load.ts
@@ -40,7 +40,10 @@
 const PROMPT_TOKENS = 2300;
 const MS_PER_TOKEN = 0.052;
 const FIRST_MS = 80;
-const ANSWER_MS = 700;
+/** What short and long answers take after their first event, and the part that is long. */
+const SHORT_MS = 450;
+const LONG_MS = 3400;
+const LONG_PART = 0.2;
 const COLD_MS = 250;
 const WARM_MS = 25;
 const SLOTS = 6;
@@ -60,6 +63,7 @@
 interface Heard {
   at: number;
   waitMs: number;
+  slotMs: number;
   resident: readonly string[];
   warm: readonly string[];
   keys: ReadonlySet<string>;
@@ -100,12 +104,17 @@
   type Host = (typeof hosts)[number];
 
   const waitOf = (e: Engine): number => Math.max(0, e.readFreeAt - now);
+  const slotMsOf = (e: Engine): number => {
+    if (e.slots.size < SLOTS) return 0;
+    return Math.max(0, Math.min(...[...e.slots.values()].map((s) => s.busyUntil)) - now);
+  };
   const tell = (e: Engine, h: Host): void => {
     const resident = [...e.slots.keys()];
     const keys = new Set([...resident, ...e.memory.keys()]);
     h.having.changed(e.id, h.heard.get(e.id)?.keys ?? new Set(), keys);
     const warm = [...e.memory.keys()];
-    h.heard.set(e.id, { at: now, waitMs: waitOf(e), resident, warm, keys, tokens: 0 });
+    const slotMs = slotMsOf(e);
+    h.heard.set(e.id, { at: now, waitMs: waitOf(e), slotMs, resident, warm, keys, tokens: 0 });
   };
   const viewOf = (h: Host, id: string, place: number): choice.View => {
     looks++;
@@ -119,6 +128,7 @@
         waitMs,
         msPerToken: MS_PER_TOKEN,
         firstMs: FIRST_MS,
+        slotMs: k.slotMs,
       },
       holdings: { models: ["m"], resident: k.resident, warm: k.warm },
       ownTokens: k.tokens,
@@ -167,7 +177,10 @@
     // What is at hand is read while an adapter loads.
     e.readFreeAt = Math.max(now, e.readFreeAt) + PROMPT_TOKENS * MS_PER_TOKEN;
     const first = begun + PROMPT_TOKENS * MS_PER_TOKEN + FIRST_MS;
-    const busyUntil = Math.max(at?.busyUntil ?? 0, first + ANSWER_MS);
+    const busyUntil = Math.max(
+      at?.busyUntil ?? 0,
+      first + (random() < LONG_PART ? LONG_MS : SHORT_MS),
+    );
     e.slots.delete(key);
     e.slots.set(key, { readyAt, busyUntil });
     return first;
@@ -180,7 +193,7 @@
     if (!e) return;
     after(WAY_MS, () => {
       const standing = {
-        waitMs: waitOf(e),
+        waitMs: Math.max(waitOf(e), e.slots.has(key) ? 0 : slotMsOf(e)),
         ownMs: PROMPT_TOKENS * MS_PER_TOKEN + FIRST_MS,
         targetMs: dueAt - now,
       };
@@ -235,7 +248,7 @@
 }
 
 function nothing(): Heard {
-  return { at: 0, waitMs: 0, resident: [], warm: [], keys: new Set(), tokens: 0 };
+  return { at: 0, waitMs: 0, slotMs: 0, resident: [], warm: [], keys: new Set(), tokens: 0 };
 }
 
 /** Draws a number from 1 to `n`, small ones far more often. */
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -205,4 +205,8 @@
     expect(looks.next(state, w, 1180)).within(1185, 1200);
     expect(calm).above(1200);
   });
+
+  it("are close while the engine has no base model, which all wait for after a power cut", () => {
+    expect(looks.next(residency.empty(), warmth.UNKNOWN, 1000)).within(1010, 1050);
+  });
 });
--- a/test/serving/seats.test.ts
+++ b/test/serving/seats.test.ts
@@ -70,6 +70,31 @@
     expect(await s.link.ask(engines.wish("a")).answer).include({ kind: "grant", version: 2 });
   });
 
+  it("are denied at once where they would be late for waiting, unless asked for firmly", async () => {
+    const s = await engines.site("i1", 1);
+    const other = s.link.ask(engines.wish("other"));
+    await other.answer;
+    const asked = { ...engines.wish("a"), targetMs: 320 };
+    const from = performance.now();
+    expect(await s.link.ask({ ...asked, firm: false }).answer).include({ reason: "busy" });
+    expect(performance.now() - from).below(200);
+    const firm = s.link.ask({ ...asked, firm: true });
+    other.over("whole");
+    expect(await firm.answer).include({ kind: "grant" });
+  });
+
+  it("leave an engine alone for a while that is busy with another order", async () => {
+    const s = await engines.site("i1", 1);
+    const other = s.link.ask(engines.wish("other"));
+    await other.answer;
+    other.over("whole");
+    s.engine.busyUntil = performance.now() + 400;
+    const next = s.link.ask(engines.wish("a"));
+    expect(await next.answer).include({ kind: "grant" });
+    // One refused order in each 25 ms at most, and those that were taken.
+    expect(s.engine.orders.length).below(24);
+  });
+
   it("order an outdated adapter's new version once, however long its replacement takes", async () => {
     const s = await engines.site();
     const old = s.link.ask(engines.wish("a"));
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import type * as net from "node:net";
+import * as exchange from "../../src/serving/exchange.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
 
@@ -16,7 +17,7 @@
     const e = fixtures.endpoint("e", w.address);
     const sent = await up.send(fixtures.request(), e, MARKS, new AbortController().signal);
     if (sent.kind !== "answer") return sent.kind;
-    return (await upstream.whole(sent.body, 1000)).toString();
+    return (await exchange.whole(sent.body, 1000)).toString();
   } catch {
     return "broke off";
   } finally {
