Split watches, base models and estimates out of the two long modules, and switch nine mechanisms off

Change: `watch` breaks sends off, `base-model` says what an empty engine loads, `listing` estimates a wait for both who tells it and who sends requests back; nothing else changes. Nine switches in `npm run red`, and two moved with their code.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -5,6 +5,69 @@
 import type * as switches from "./switches.js";
 
 export const SERVING_SWITCHES: readonly switches.Switch[] = [
+  {
+    name: "a request whose time for a seat is over asks no further engine",
+    file: "serving/dispatch.js",
+    find: "this.seeker.heldMs(a, p) < LEAST_MS",
+    put: "false",
+    proof: "is refused once, and asks no further engines",
+  },
+  {
+    name: "a search looks at few engines",
+    file: "serving/search.js",
+    find: "const WIDTHS = [4, 16, Infinity];",
+    put: "const WIDTHS = [Infinity, Infinity, Infinity];",
+    proof: "costs the same for 300 engines as for 30",
+  },
+  {
+    name: "a search waits for engines that are reached for the first time",
+    file: "serving/search.js",
+    find: "if (!best && isWorthWaiting(views, width))",
+    put: "if (false)",
+    proof: "reaches for a few engines alone while an entry host has just started",
+  },
+  {
+    name: "what an engine said counts less the older it is",
+    file: "serving/choice.js",
+    find: "2 ** (-ageMs / AGE_HALF_MS)",
+    put: "1",
+    proof: "trusts what an engine said the less the older it is",
+  },
+  {
+    name: "a full engine's daemon sends a request back",
+    file: "serving/keeper.js",
+    find: 'if (!m.firm && this.instance !== "" && ',
+    put: "if (false && ",
+    proof: "are denied at once where they would be late for waiting, unless asked for firmly",
+  },
+  {
+    name: "a busy engine is left alone for a while",
+    file: "serving/orders.js",
+    find: "const BUSY_MS = 25;",
+    put: "const BUSY_MS = 0;",
+    proof: "leave an engine alone for a while that is busy with another order",
+  },
+  {
+    name: "adapters that came and went between two words are told",
+    file: "serving/announcer.js",
+    find: "this.departures = [...this.departures.slice(1 - DEPARTURES), at];",
+    put: "void at;",
+    proof: "tells each once of an adapter that came and went between two words",
+  },
+  {
+    name: "loads slow down over a full weight store",
+    file: "serving/warmth.js",
+    find: "return Math.floor(w.limit);",
+    put: "return 4;",
+    proof: "have adapters sooner than with as many loads as fit (55, store 32)",
+  },
+  {
+    name: "a word that says nothing new is not said",
+    file: "serving/announcer.js",
+    find: "if (this.isNews(told, word, now))",
+    put: "if (true)",
+    proof: "says nothing while nothing changes but that it is there",
+  },
   {
     name: "an answer that names another request is not trusted",
     file: "serving/upstream.js",
@@ -91,9 +154,9 @@
   },
   {
     name: "a base model that the engine has takes no turn",
-    file: "serving/keeper.js",
-    find: "!this.nearby.includes(wanted.name) && ",
-    put: "",
+    file: "serving/base-model.js",
+    find: "return !this.nearby.includes(m.name);",
+    put: "return true;",
     proof: "take no turn at the weight store for a base model that the engine has itself",
   },
   {
@@ -112,8 +175,8 @@
   },
   {
     name: "connections to a silent endpoint are made anew",
-    file: "serving/dispatch.js",
-    find: "this.deps.upstream.renew(id);",
+    file: "serving/watch.js",
+    find: "deps.upstream.renew(id);",
     put: "",
     proof: "uses new connections where those that stand have gone silent for good",
   },
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -16,6 +16,7 @@
 import * as retries from "./retries.js";
 import * as seeker from "./seeker.js";
 import * as upstream from "./upstream.js";
+import * as watches from "./watch.js";
 
 export interface Options {
   readonly domain: string;
@@ -30,14 +31,6 @@
 
 /** Milliseconds left below which a further send makes no sense. */
 const LEAST_MS = 20;
-/**
- * Time without a sign of an answer after which a repeatable request is sent elsewhere: as a multiple of
- * the time expected, above what endpoints take when full, and as a part of the target, before which
- * nothing is lost.
- */
-const SILENT_FACTOR = 4;
-const SILENT_STREAM_TARGETS = 2;
-const SILENT_CALL_TARGETS = 0.75;
 /** Bytes of an answer that is no stream, above which it is not held in memory. */
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
@@ -186,7 +179,7 @@
       leftMs,
       resumeAfter: p.lastId,
     };
-    const watch = this.watch(a, p, best, cut);
+    const watch = watches.open(a, p, best, cut, this.deps);
     const run: Run = { a, out, p, endpoint, seat, sentAt, cut, watch };
     try {
       const sent = await this.deps.upstream.send(a, endpoint, marks, watch.signal);
@@ -218,46 +211,6 @@
     }
   }
 
-  /**
-   * Watches one send. One that may be repeated is broken off when its engine is known to be gone, or
-   * when it gets no sign of an answer for much longer than expected and another endpoint may have it.
-   */
-  private watch(a: ask.Ask, p: progress.Progress, best: choice.Estimate, cut: AbortSignal): Watch {
-    const { id } = best.view.endpoint;
-    if (!catalog.repeatable(a.route)) {
-      return { signal: cut, answered: () => undefined, end: () => undefined };
-    }
-    const own = new AbortController();
-    const stop = (): void => {
-      own.abort();
-    };
-    const unwatch = this.deps.endpoints.watch(id, stop);
-    cut.addEventListener("abort", stop, { once: true });
-    if (cut.aborted) stop();
-    const targets = a.service.engine ? SILENT_STREAM_TARGETS : SILENT_CALL_TARGETS;
-    const silentMs = Math.max(targets * a.route.targetMs, SILENT_FACTOR * best.firstMs);
-    const more = p.runs + 1 < a.route.attempts && !p.begun;
-    const silent = (): void => {
-      this.deps.log.warn("An endpoint stays silent; its connections are made anew.", {
-        request: a.meta.id,
-        endpoint: id,
-        silentMs: Math.round(silentMs),
-      });
-      this.deps.upstream.renew(id);
-      stop();
-    };
-    const timer = more ? this.deps.clock.after(silentMs, silent) : undefined;
-    return {
-      signal: own.signal,
-      answered: () => timer?.cancel(),
-      end: () => {
-        timer?.cancel();
-        cut.removeEventListener("abort", stop);
-        unwatch();
-      },
-    };
-  }
-
   private note(r: Run, sentence: string): void {
     this.deps.log.warn(sentence, {
       request: r.a.meta.id,
@@ -391,15 +344,7 @@
   readonly seat: seeker.Granted | undefined;
   readonly sentAt: number;
   readonly cut: AbortSignal;
-  readonly watch: Watch;
-}
-
-/** What may break one send off. */
-interface Watch {
-  readonly signal: AbortSignal;
-  /** The first bytes that matter came. */
-  readonly answered: () => void;
-  readonly end: () => void;
+  readonly watch: watches.Watch;
 }
 
 /** Whether an event of a resumed stream was passed on before. */
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -10,6 +10,7 @@
 import * as waker from "../host/waker.js";
 import * as announcer from "./announcer.js";
 import * as backlog from "./backlog.js";
+import * as baseModel from "./base-model.js";
 import * as catalog from "./catalog.js";
 import * as diversion from "./diversion.js";
 import type * as engine from "./engine.js";
@@ -52,9 +53,7 @@
   private readonly ledger = new ledger.Ledger();
   private readonly news: announcer.Announcer;
   private warmth = warmth.UNKNOWN;
-  private modelAskedAt = -Infinity;
-  /** Base models that the engine loads without the weight store. */
-  private nearby: readonly string[] = [];
+  private readonly model = new baseModel.BaseModel();
   private instance = "";
   private readonly orders: orders.Orders;
   private misses = 0;
@@ -128,7 +127,7 @@
     const id = `${c.host}#${m.seat}`;
     if (m.version > 0) this.state = residency.declare(this.state, key, m.version, now);
     const ownMs = reading.expectedMs(this.ledger.reading, m.promptTokens);
-    if (!m.firm && this.isDiverted(m, key, ownMs, now)) {
+    if (!m.firm && this.instance !== "" && this.isDiverted(m, key, ownMs, now)) {
       this.divert(c, m, key);
       return;
     }
@@ -143,30 +142,21 @@
     this.news.asked(c);
   }
 
-  /** Whether a request is better looked after by another engine. */
   private isDiverted(m: seat.Ask, key: string, ownMs: number, now: number): boolean {
-    if (this.instance === "") return false;
-    const queueMs = this.ledger.waits(now)[backlog.place(m.rank)] ?? 0;
-    const { slots } = this.options();
     const isHeld = m.adapter === undefined || this.state.slots.has(key);
-    const slotMs = isHeld ? 0 : listing.slotMs(this.state, slots, this.ledger.holdMs / slots);
-    return diversion.isDiverted({
-      waitMs: Math.max(queueMs, slotMs),
-      ownMs,
-      targetMs: m.targetMs,
-    });
+    const waitMs = listing.waitMs(this.known(now), m.rank, isHeld);
+    return diversion.isDiverted({ waitMs, ownMs, targetMs: m.targetMs });
   }
 
   /** Sends a request back, with what is to be known to find a better engine. */
   private divert(c: announcer.Client, m: seat.Ask, adapter: string): void {
     this.news.tell(c);
     c.send({ kind: "deny", seat: m.seat, reason: "busy" });
-    this.deps.log.info("A seat was denied.", {
-      request: m.request,
-      adapter,
-      reason: "busy",
-      waitedMs: 0,
-    });
+    this.tellDenied(m.request, adapter, "busy", 0);
+  }
+
+  private tellDenied(request: string, adapter: string, reason: seat.Deny, waitedMs: number): void {
+    this.deps.log.info("A seat was denied.", { request, adapter, reason, waitedMs });
   }
 
   began(c: announcer.Client, n: number, ms: number): void {
@@ -257,13 +247,7 @@
     this.state = residency.answered(this.state, id);
     if (!s) return;
     s.client.send({ kind: "deny", seat: s.n, reason });
-    const waitedMs = this.deps.clock.mono() - s.askedAt;
-    this.deps.log.info("A seat was denied.", {
-      request: s.request,
-      adapter: s.key,
-      reason,
-      waitedMs,
-    });
+    this.tellDenied(s.request, s.key, reason, this.deps.clock.mono() - s.askedAt);
     this.news.changed();
   }
 
@@ -337,16 +321,12 @@
   private learn(report: engine.Report, askedAt: number): void {
     const models = report.models.map((m) => m.name);
     const before = this.state;
-    this.nearby = report.nearby;
+    this.model.heard(report.nearby);
     this.state = residency.reconcile(this.state, models, listing.adapters(report), askedAt);
-    for (const p of this.state.slots.values()) {
-      const old = before.slots.get(p.key);
-      if (p.phase !== "resident" || old?.phase !== "loading") continue;
-      this.warmth = warmth.loaded(this.warmth, p.key, askedAt - old.since);
-    }
-    for (const p of before.slots.values()) {
-      if (!this.state.slots.has(p.key)) this.left(p.key);
+    for (const { key, since } of residency.loaded(before, this.state)) {
+      this.warmth = warmth.loaded(this.warmth, key, askedAt - since);
     }
+    for (const key of before.slots.keys()) if (!this.state.slots.has(key)) this.left(key);
     this.news.changed();
   }
 
@@ -412,27 +392,20 @@
 
   /** Loads the base model into an engine that has none; whether an order was given. */
   private async loadModel(): Promise<boolean> {
-    const spec = this.spec();
-    const wanted = spec?.models[0];
-    if (!wanted || this.state.models.length > 0) return false;
-    if (this.modelAskedAt + wanted.loadMs > this.deps.clock.mono()) return false;
-    // Turns share out the weight store; what the engine has itself needs none.
-    if (!this.nearby.includes(wanted.name) && !(await this.deps.modelTurn())) return false;
-    this.modelAskedAt = this.deps.clock.mono();
+    const wanted = this.model.wanted(this.spec(), this.state.models, this.deps.clock.mono());
+    if (!wanted) return false;
+    if (this.model.needsTurn(wanted) && !(await this.deps.modelTurn())) return false;
+    this.model.asked(this.deps.clock.mono());
     await this.give({ kind: "load", model: wanted.name });
     return true;
   }
 
   private snapshot(silenceMs: number): seat.State {
-    return listing.state({
-      instance: this.instance,
-      seats: this.ledger,
-      held: this.state,
-      warmth: this.warmth,
-      slots: this.options().slots,
-      entries: this.news.count(),
-      silenceMs,
-      now: this.deps.clock.mono(),
-    });
+    return listing.state(this.known(this.deps.clock.mono()), this.news.count(), silenceMs);
+  }
+
+  private known(now: number): listing.Known {
+    const { instance, ledger: seats, state: held, warmth } = this;
+    return { instance, seats, held, warmth, slots: this.options().slots, now };
   }
 }
--- a/src/serving/listing.ts
+++ b/src/serving/listing.ts
@@ -3,6 +3,7 @@
  * Pure.
  * @module
  */
+import * as backlog from "./backlog.js";
 import * as catalog from "./catalog.js";
 import type * as engine from "./engine.js";
 import type * as ledger from "./ledger.js";
@@ -45,10 +46,6 @@
   readonly warmth: warmth.Warmth;
   /** Adapters that the engine holds at once. */
   readonly slots: number;
-  /** Entry daemons connected. */
-  readonly entries: number;
-  /** Milliseconds within which the next word comes. */
-  readonly silenceMs: number;
   /** Monotonic ms. */
   readonly now: number;
 }
@@ -59,8 +56,20 @@
   return free > wanted ? 0 : (wanted - free + 1) * eachMs;
 }
 
-/** How busy an engine is, as entry daemons are told. */
-export function state(k: Known): seat.State {
+/**
+ * Estimated milliseconds until a prompt that arrives now is begun, for the rank given; `isHeld` says whether
+ * its adapter has a place.
+ */
+export function waitMs(k: Known, rank: number, isHeld: boolean): number {
+  const queueMs = k.seats.waits(k.now)[backlog.place(rank)] ?? 0;
+  return isHeld ? queueMs : Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots));
+}
+
+/**
+ * How busy an engine is, as entry daemons are told: `entries` of them are connected, and the next word comes
+ * within `silenceMs`.
+ */
+export function state(k: Known, entries: number, silenceMs: number): seat.State {
   const { reading: learnt } = k.seats;
   const eachSlotMs = k.seats.holdMs / k.slots;
   return {
@@ -75,7 +84,7 @@
     warmMs: Math.round(k.warmth.warmMs),
     seats: k.seats.count,
     failing: Number(k.seats.failing.toFixed(FAILING_DECIMALS)),
-    entries: k.entries,
-    silenceMs: k.silenceMs,
+    entries,
+    silenceMs,
   };
 }
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -349,6 +349,13 @@
   return at;
 }
 
+/** The slots that were loading before and are there now, as they were before. */
+export function loaded(before: State, now: State): readonly Slot[] {
+  return [...before.slots.values()].filter(
+    (p) => p.phase === "loading" && now.slots.get(p.key)?.phase === "resident",
+  );
+}
+
 /**
  * Milliseconds for which an engine may go on listing an adapter's old version after it took the order
  * for the new one: it first ends its runs, and brings the new one from the store. Some times both.
