--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -167,7 +167,9 @@
   const queueMs = Math.max(0, saidMs + aheadMs);
   const lateMs = (firstMs: number): number =>
     firstMs > need.targetMs ? LATE_LOADS * state.coldMs : 0;
-  const slotMs = state.slotMs + view.ownSlots * state.eachSlotMs;
+  // Likewise for the place that it waits for; else it would move from engine to engine at each look.
+  const countedMs = need.waitsAt === view.endpoint.id ? state.eachSlotMs : 0;
+  const slotMs = Math.max(0, state.slotMs + view.ownSlots * state.eachSlotMs - countedMs);
   switch (holding(view, need.key)) {
     case "resident":
       return {
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -62,6 +62,7 @@
       runs: 0,
       tried: new Set(),
       diverted: new Set(),
+      moves: 0,
       waitsFrom: a.arrivedAt,
       begun: false,
       judged: false,
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -31,6 +31,8 @@
   readonly tried: Set<string>;
   /** Engines that sent it back at once for their queue. */
   readonly diverted: Set<string>;
+  /** Times that it left an engine's queue for a shorter one. */
+  moves: number;
   /** Monotonic ms from which it waits for an endpoint: its arrival, or the end of its last send. */
   waitsFrom: number;
   begun: boolean;
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -199,9 +199,10 @@
     asked: link.Seat,
   ): Promise<link.Answer | { readonly kind: "moved" }> {
     return new Promise((resolve) => {
-      let lookMs = MOVE_LOOK_MS;
+      let lookMs = MOVE_LOOK_MS * 2 ** p.moves;
       const look = (): void => {
         if (this.soonerElsewhere(a, p, best.view.endpoint.id)) {
+          p.moves++;
           resolve({ kind: "moved" });
           asked.over("left");
           return;
