--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -384,7 +384,6 @@
     }
     // A place counts as empty only once the engine says so: it may still run what its caller has left.
     await this.look();
-    if (this.state.slots.has(key)) this.orders.busy();
   }
 
   /** Loads the base model into an engine that has none; whether an order was given. */
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -88,12 +88,7 @@
 
   /** The engine refused an order for the count `sequence`, and was read since. */
   refused(sequence: number): void {
-    if (this.expected === sequence) this.busy();
-  }
-
-  /** The engine is still busy with what it was ordered. */
-  busy(): void {
-    this.busyUntil = this.clk.mono() + BUSY_MS;
+    if (this.expected === sequence) this.busyUntil = this.clk.mono() + BUSY_MS;
   }
 
   /** The count that binds the next order. */
--- a/test/serving/fake-engine.ts
+++ b/test/serving/fake-engine.ts
@@ -75,7 +75,12 @@
         this.carryOut(o);
         return Promise.resolve({ kind: "unanswered", why: "lost" });
       case "well":
-        return Promise.resolve(this.carryOut(o));
+        // As over a connection: other events come between an order and its answer.
+        return new Promise((resolve) => {
+          setImmediate(() => {
+            resolve(this.carryOut(o));
+          });
+        });
     }
   };
 
