Bound how old an entry host's news can be when a call to the store hangs

Cause: a wait for changes of its own length (2,500 ms, and 700 beyond) and a pause after it add up to more than a change may take; what hid it was that answers usually come at once. Class: a timeout that is not derived from the promise it serves.

Change: calls are hedged on a new connection after 0.25 of the time allowed. Whether an endpoint leaves is asked last before each send, with and without a seat. A removal that comes with a leaving mark is sure. Request lines and a figure say how old the host's news is; figures list gauges first, since the collector cut them off.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -27,6 +27,8 @@
   readonly log: record.Log;
   readonly meters: meters.Meters;
   readonly upstream: upstream.Upstream;
+  /** Milliseconds since the catalog was as new as the store. */
+  readonly newsAgeMs: () => number;
 }
 
 /** Milliseconds left below which a further send makes no sense. */
@@ -71,6 +73,7 @@
       comeBackMs: admission.UNKNOWN_MS,
       firstAt: undefined,
       expectedMs: undefined,
+      newsMs: undefined,
       endpoint: "",
     };
     const cut = new AbortController();
@@ -103,6 +106,7 @@
       runs: p.runs,
       targetMs: a.route.targetMs,
       expectedMs: p.expectedMs,
+      newsMs: p.newsMs,
       firstMs,
       tookMs,
       why: ending === "whole" ? undefined : p.why,
@@ -140,6 +144,11 @@
       p.judged ||= found.kind !== "diverted";
       if (found.kind === "diverted" || found.kind === "elsewhere") continue;
       const seat = found.kind === "seat" ? found.seat : undefined;
+      if (this.hasLeft(best.view.endpoint)) {
+        seat?.over("left");
+        p.tried.add(best.view.endpoint.id);
+        continue;
+      }
       if (p.sends > 0 && !this.mayRetry(a)) {
         seat?.over("left");
         p.why = "the allowance of further sends is used up";
@@ -150,6 +159,14 @@
     }
   }
 
+  /**
+   * Whether an endpoint began to leave, or is gone, since it was chosen. Asked last, for requests with and
+   * without a seat: a wait for one lasts as long as the request may, and its daemon goes when its host does.
+   */
+  private hasLeft(e: catalog.Endpoint): boolean {
+    return this.deps.catalog().endpoints.get(e.id)?.leaving !== false;
+  }
+
   private mayRetry(a: ask.Ask): boolean {
     const hosts = this.deps.endpoints.hosts() ?? retries.HOSTS;
     const window = this.windows.get(a.service.name) ?? retries.EMPTY;
@@ -172,6 +189,7 @@
     const leftMs = Math.max(1, Math.floor(a.dueAt - sentAt));
     p.sends++;
     p.endpoint = endpoint.id;
+    p.newsMs = Math.round(this.deps.newsAgeMs());
     this.deps.endpoints.sent(endpoint.id);
     const marks = {
       instance: seat?.instance ?? endpoint.id,
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -78,6 +78,7 @@
       endpoints: known,
       upstream: up,
       catalog: () => fed.catalog,
+      newsAgeMs: () => fed.newsAgeMs,
       random: deps.random,
     },
   );
@@ -91,6 +92,9 @@
   });
   figures.gauge("sumacfield_requests_open", "Requests under way.", () => callers.count());
   figures.gauge("sumacfield_store_revision", "Store revision known.", () => fed.catalog.revision);
+  figures.gauge("sumacfield_store_news_age_ms", "Milliseconds since as new as the store.", () =>
+    Math.round(fed.newsAgeMs),
+  );
   const readiness = await answerReadiness(
     opts.readiness,
     () => fed.catalog.config !== undefined && !leaving,
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as clock from "../host/clock.js";
+import * as hedge from "../host/hedge.js";
 import * as errors from "../host/why.js";
 import type * as record from "../host/record.js";
 import type * as source from "../store/source.js";
@@ -11,45 +12,43 @@
 
 /** How closely a daemon follows the store. Each wait for changes is a call that costs. */
 export interface Pace {
-  /** Milliseconds that one wait lasts at most; one that hangs on a dead connection hides changes as long. */
+  /** Milliseconds that one wait lasts at most. */
   readonly waitMs: number;
-  /** Milliseconds that one wait lasts at least, where changes are usually there at once. */
-  readonly leastWaitMs: number;
+  /** Milliseconds after which a call that is not answered gets another beside it; undefined for never. */
+  readonly overdueMs: number | undefined;
   /** Milliseconds from one wait to the next at least, so that many changes share a call. */
   readonly everyMs: number;
   /** Milliseconds for which a few endpoints are kept at most after they were heard to be gone. */
   readonly keepMs: number;
 }
 
-/** Milliseconds that an entry daemon's wait for changes lasts: about what makes a host out of touch. */
-const CLOSE_WAIT_MS = 2500;
-/**
- * Milliseconds that it lasts at least. In a large fleet some worker's entry has always changed, so that a
- * wait without an answer is one that hangs, and is soon given up for another.
- */
-const CLOSE_LEAST_WAIT_MS = 800;
-/** How many times the usual time until an answer a wait lasts. */
-const WAIT_FACTOR = 4;
-/** Weight of the latest wait in the usual time until an answer. */
-const LATEST = 0.3;
-/**
- * Part of the time allowed for a change that passes between two waits. In a large fleet each wait is
- * answered at once, so this is how often each entry host calls the store; with the shortest wait after it,
- * one that hangs included, a change is still in force within the time allowed.
+/*
+ * Parts of the time allowed for a change. Their sum is what bounds the age of what an entry daemon knows: a
+ * change that comes right after an answer waits for the next call, that call may hang, and the one beside it
+ * brings the change: 0.5 + 0.25 of the time, the rest is for the answer's way. It guards against a call that
+ * hangs, whatever else changes in the store: with a wait of its own length, a mark that an endpoint leaves
+ * came 3,258 ms after the store had it, of 2,000 allowed; now 507 ms (following.test.ts).
  */
-const CLOSE_PART = 0.5;
+/** From one wait to the next. In a large fleet each wait is answered at once, so this is the calls' pace. */
+const EVERY_PART = 0.5;
+/** Of one wait. Changes that come meanwhile are heard at once. */
+const WAIT_PART = 0.15;
+/** Until a call is overdue: beyond its wait, a slow store's answer (some 300 ms) has its time as well. */
+const OVERDUE_PART = 0.25;
 /**
- * Part of the time allowed for a change for which an endpoint is kept whose entry may only have lapsed;
- * with {@link CLOSE_PART} and the way through the store it must leave some of that time over.
+ * For which an endpoint is kept whose entry may only have lapsed; with {@link EVERY_PART} and the way through
+ * the store it must leave some of the time over.
  */
 const KEEP_PART = 0.35;
+/** Calls under way at once: two that hang in a row are borne, and a store in trouble is not pressed. */
+const CALLS = 3;
 
 /** For those who put changes in force, `inForceMs` after they were accepted at the latest. */
 export function close(inForceMs: number): Pace {
   return {
-    waitMs: CLOSE_WAIT_MS,
-    leastWaitMs: CLOSE_LEAST_WAIT_MS,
-    everyMs: CLOSE_PART * inForceMs,
+    waitMs: Math.round(WAIT_PART * inForceMs),
+    overdueMs: OVERDUE_PART * inForceMs,
+    everyMs: EVERY_PART * inForceMs,
     keepMs: KEEP_PART * inForceMs,
   };
 }
@@ -58,7 +57,7 @@
  * For endpoint daemons, which also hear of versions with each question for a seat: an adapter's
  * version must be in force after 5 s. They are many, and the store's rates grow more slowly.
  */
-export const LOOSE: Pace = { waitMs: 25_000, leastWaitMs: 25_000, everyMs: 1500, keepMs: 0 };
+export const LOOSE: Pace = { waitMs: 25_000, overdueMs: undefined, everyMs: 1500, keepMs: 0 };
 
 /** Milliseconds until the next try after the store failed, at first and at most. */
 const RETRY_MS = 60;
@@ -100,8 +99,13 @@
   /** Endpoints whose entries are missing, and may be back soon. */
   private readonly missing = new Set<string>();
   private askedAt = -Infinity;
-  /** Smoothed milliseconds until a wait for changes is answered. */
-  private usualMs = Infinity;
+  /** Monotonic ms at which the last call began, hedges left out. */
+  private calledAt = -Infinity;
+  /** Monotonic ms that the catalog is as new as: those of the last call that was answered. */
+  private newsAt = -Infinity;
+  private outAt = 0;
+  private tries = 0;
+  private toldOverdue = false;
   private retryMs = RETRY_MS;
   private readonly abort = new AbortController();
 
@@ -111,6 +115,11 @@
     return this.at;
   }
 
+  /** Milliseconds since the catalog was as new as the store. */
+  get newsAgeMs(): number {
+    return this.deps.clock.mono() - this.newsAt;
+  }
+
   /** Follows the store until {@link stop}. */
   async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
@@ -133,29 +142,58 @@
 
   private regained(): void {
     this.retryMs = RETRY_MS;
+    this.newsAt = this.calledAt;
+    this.toldOverdue = false;
     if (!this.out) return;
     this.out = false;
     this.backAt = this.deps.clock.mono();
-    this.deps.log.info("The store answers again.", { revision: this.at.revision });
+    this.deps.log.info("The store answers again.", {
+      revision: this.at.revision,
+      outMs: Math.round(this.backAt - this.outAt),
+      tries: this.tries,
+    });
   }
 
   private lost(err: unknown): void {
+    this.tries++;
     if (this.out) return;
     this.out = true;
+    this.outAt = this.deps.clock.mono();
+    this.tries = 1;
     this.deps.log.warn("The store does not answer.", {
       revision: this.at.revision,
+      newsMs: Math.round(this.newsAgeMs),
       why: errors.why(err),
     });
   }
 
+  /** Calls the store; a call that is overdue gets another beside it, on a new connection. */
+  private call<T>(call: (signal?: AbortSignal) => Promise<T>): Promise<T> {
+    this.calledAt = this.deps.clock.mono();
+    const { overdueMs } = this.deps.pace;
+    if (overdueMs === undefined) return call();
+    const overdue = (): void => {
+      this.deps.source.renew();
+      if (this.toldOverdue) return;
+      this.toldOverdue = true;
+      this.deps.log.warn("A call to the store is overdue; another is made beside it.", {
+        overdueMs,
+        newsMs: Math.round(this.newsAgeMs),
+      });
+    };
+    const { clock } = this.deps;
+    return hedge.first(call, { overdueMs, most: CALLS }, { clock, overdue });
+  }
+
   /** Whether entries may be missing only because the store was away. */
   private doubtful(): boolean {
     return this.out || this.deps.clock.mono() - this.backAt < BACK_WITHIN_MS;
   }
 
   private async readAll(): Promise<void> {
-    const lists = await Promise.all(
-      this.deps.decoder.prefixes.map((p) => this.deps.source.list(p)),
+    const { source, decoder } = this.deps;
+    const lists = await this.call((signal) =>
+      Promise.all(decoder.prefixes.map((p) => source.list(p, signal))),
     );
     const revision = Math.min(...lists.map((l) => l.revision));
     const documents = lists.flatMap((l) => l.documents);
@@ -187,33 +225,27 @@
       this.abort.signal,
     );
     this.askedAt = this.deps.clock.mono();
-    const { common } = this.deps.decoder;
-    const got = await this.deps.source.changes(common, this.at.revision, this.waitMs());
-    this.answered(this.deps.clock.mono() - this.askedAt);
+    const { source, decoder, pace } = this.deps;
+    const { revision } = this.at;
+    const got = await this.call((signal) =>
+      source.changes(decoder.common, revision, pace.waitMs, signal),
+    );
     if (got.kind === "compacted") {
       this.synced = false;
       this.deps.log.warn("The store has forgotten its history.", { revision: this.at.revision });
       return;
     }
-    const steps = latest(got.changes).flatMap((c) => {
-      if (c.kind === "written") {
-        const step = this.decode(c.document.key, c.document.text);
-        return step ? [step] : [];
-      }
-      const step = this.deps.decoder.deleted(c.key);
-      return step ? this.gone(step) : [];
-    });
+    const steps = latest(got.changes).flatMap((l) => this.stepsOf(l));
     this.apply(steps, got.revision);
   }
 
-  private waitMs(): number {
-    const { waitMs, leastWaitMs } = this.deps.pace;
-    return Math.min(waitMs, Math.max(leastWaitMs, Math.round(WAIT_FACTOR * this.usualMs)));
-  }
-
-  private answered(ms: number): void {
-    const usual = this.usualMs === Infinity ? ms : this.usualMs;
-    this.usualMs = usual + (ms - usual) * LATEST;
+  private stepsOf({ change, undone }: Latest): readonly catalog.Step[] {
+    if (change.kind === "written") {
+      const step = this.decode(change.document.key, change.document.text);
+      return step ? [step] : [];
+    }
+    const step = this.deps.decoder.deleted(change.key);
+    return step ? this.gone(step, undone && this.decode(undone.key, undone.text)) : [];
   }
 
   private decode(key: string, text: string): catalog.Step | undefined {
@@ -228,9 +260,14 @@
     }
   }
 
-  /** A removal now, or later when the store's absence may be the only reason for it. */
-  private gone(step: catalog.Step): readonly catalog.Step[] {
+  /**
+   * A removal now, or later when the store's absence may be the only reason for it. An endpoint that said that
+   * it leaves, also in the entry `undone` that came with the removal, does not come back: its removal is sure.
+   */
+  private gone(step: catalog.Step, undone?: catalog.Step): readonly catalog.Step[] {
     if (step.kind !== "endpoint_gone" || !this.doubtful()) return [step];
+    const last = undone?.kind === "endpoint" ? undone.endpoint : this.at.endpoints.get(step.id);
+    if (last?.leaving) return [step];
     if (!this.at.endpoints.has(step.id) || this.missing.has(step.id)) return [];
     this.missing.add(step.id);
     const backInMs = this.backInMs();
@@ -297,13 +334,20 @@
   }
 }
 
+/** The last change of a document, and for a deletion the write before it among the same changes. */
+interface Latest {
+  readonly change: source.Change;
+  readonly undone: source.Document | undefined;
+}
+
 /** The last change of each document, in their order; the ones before it say nothing any more. */
-function latest(changes: readonly source.Change[]): readonly source.Change[] {
-  const last = new Map<string, source.Change>();
-  for (const c of changes) {
-    const key = c.kind === "written" ? c.document.key : c.key;
+function latest(changes: readonly source.Change[]): readonly Latest[] {
+  const last = new Map<string, Latest>();
+  for (const change of changes) {
+    const key = change.kind === "written" ? change.document.key : change.key;
+    const before = last.get(key)?.change;
     last.delete(key);
-    last.set(key, c);
+    last.set(key, { change, undone: before?.kind === "written" ? before.document : undefined });
   }
   return [...last.values()];
 }
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -29,6 +29,7 @@
 
 export function open(): Meters {
   const registry = new prom.Registry();
+  const gauges = new prom.Registry();
   const requests = new prom.Counter({
     name: "sumacfield_requests_total",
     help: "Requests over, by route and ending.",
@@ -67,13 +68,14 @@
       new prom.Gauge({
         name,
         help,
-        registers: [registry],
+        registers: [gauges],
         collect() {
           this.set(read());
         },
       });
     },
-    text: () => registry.metrics(),
+    // Gauges first: they are few, and a collector that cuts a long text keeps them.
+    text: async () => `${await gauges.metrics()}\n${await registry.metrics()}`,
   };
 }
 
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -45,5 +45,7 @@
   firstAt: number | undefined;
   /** What the first choice's first event was expected to take, in ms. */
   expectedMs: number | undefined;
+  /** Milliseconds since what the host knew at the last send was as new as the store. */
+  newsMs: number | undefined;
   endpoint: string;
 }
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -163,12 +163,6 @@
       case "moved":
         return { kind: "elsewhere" };
       case "grant":
-        // It may have begun to leave while the request waited.
-        if (this.deps.catalog().endpoints.get(endpoint.id)?.leaving !== false) {
-          asked.over("left");
-          p.tried.add(endpoint.id);
-          return { kind: "elsewhere" };
-        }
         return {
           kind: "seat",
           seat: { ...asked, version: answer.version, instance: answer.instance },
--- a/src/store/source.ts
+++ b/src/store/source.ts
@@ -22,14 +22,25 @@
   /** The store no longer has the changes asked for; everything must be read again. */
   | { readonly kind: "compacted" };
 
-/** Every call throws a `StepError` of step `store` when the store does not answer as it should. */
+/**
+ * Every call throws a `StepError` of step `store` when the store does not answer as it should, or when its
+ * `signal` aborts it.
+ */
 export interface Source {
   /** All documents whose keys begin with `prefix`, at a revision that is not newer than any of them. */
   readonly list: (
     prefix: string,
+    signal?: AbortSignal,
   ) => Promise<{ readonly documents: readonly Document[]; readonly revision: number }>;
   /** Waits up to `waitMs` for changes after a revision of keys that begin with `prefix`. */
-  readonly changes: (prefix: string, after: number, waitMs: number) => Promise<Changes>;
+  readonly changes: (
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ) => Promise<Changes>;
+  /** Makes further calls on new connections; those that stand may have gone silent. */
+  readonly renew: () => void;
   /**
    * Creates a key that vanishes after `ttlMs`; whether it was not there before. With an outcome in
    * doubt it throws, and the key may be there.
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -41,6 +41,7 @@
       endpoints: known,
       upstream: up,
       catalog: inForce,
+      newsAgeMs: () => 0,
       random: () => 0,
     },
   );
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -48,6 +48,8 @@
     return { kind: "changes", changes, revision: this.revision };
   };
 
+  renew = (): void => undefined;
+
   claim = (): Promise<boolean> => Promise.resolve(true);
 
   private answer(): void {
