Know each start of a worker by its name and its start, and let an unreadable entry name no worker

Cause: a worker may start again under its name, and holds nothing then; a start was told by its name alone, or by a count of orders that fell. An entry that cannot be read kept the one before in force, and one with an address that is none ended the watch again and again: connecting to it threw.

Change: an incarnation's id holds the worker's name and the start that it tells (src/serving/incarnation.ts); catalog, connections, learned figures, watches and the endpoint daemon remember by it, so a new start drops all. An entry of an older start changes nothing. The platform's calls name the worker alone. Entries are checked whole; one that cannot be read is told of once for each content and counted (sumacfield_documents_unreadable).

--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as selector from "../contract/selector.js";
+import * as incarnation from "./incarnation.js";
 
 /** What may be repeated. A `stream` is a series of events; it counts as `once` unless resumable. */
 export type RequestKind = "idempotent" | "once" | "stream";
@@ -76,7 +77,7 @@
 
 /** One incarnation of a worker, as it registered itself. */
 export interface Endpoint {
-  /** New with every start of the worker. */
+  /** New with every start of the worker that tells its start: see {@link incarnation.idOf}. */
   readonly id: string;
   /** `ip:port`. */
   readonly address: string;
@@ -99,7 +100,7 @@
   readonly config: Config | undefined;
   /** Newest declared version of an adapter, by {@link adapterKey}. */
   readonly versions: ReadonlyMap<string, number>;
-  /** By id. */
+  /** The newest incarnation of each worker, by the worker's name. */
   readonly endpoints: ReadonlyMap<string, Endpoint>;
   /** Revision of the store that this value is as new as. */
   readonly revision: number;
@@ -128,9 +129,12 @@
   | { readonly kind: "config"; readonly config: Config }
   | { readonly kind: "version"; readonly key: string; readonly version: number }
   | { readonly kind: "endpoint"; readonly endpoint: Endpoint }
-  | { readonly kind: "endpoint_gone"; readonly id: string };
+  | { readonly kind: "endpoint_gone"; readonly worker: string };
 
-/** The catalog after one step. An older configuration or adapter version changes nothing. */
+/**
+ * The catalog after one step. An older configuration or adapter version, and an entry of an older start of a
+ * worker, changes nothing.
+ */
 export function step(at: Catalog, change: Step): Catalog {
   return steps(at, [change]).at;
 }
@@ -153,13 +157,17 @@
         if ((versions.now().get(c.key) ?? 0) >= c.version) return false;
         versions.change().set(c.key, c.version);
         return true;
-      case "endpoint":
+      case "endpoint": {
+        const worker = incarnation.workerOf(c.endpoint.id);
+        const known = endpoints.now().get(worker);
         // Workers write their entries again and again, mostly without a change that matters here.
-        if (isSame(endpoints.now().get(c.endpoint.id), c.endpoint)) return false;
-        endpoints.change().set(c.endpoint.id, c.endpoint);
+        if (isSame(known, c.endpoint)) return false;
+        if (known && incarnation.isOlder(c.endpoint.id, known.id)) return false;
+        endpoints.change().set(worker, c.endpoint);
         return true;
+      }
       case "endpoint_gone":
-        return endpoints.now().has(c.id) && endpoints.change().delete(c.id);
+        return endpoints.now().has(c.worker) && endpoints.change().delete(c.worker);
     }
   });
   if (taken.length === 0) return { at: from, taken };
@@ -176,13 +184,19 @@
 }
 
 function isSame(a: Endpoint | undefined, b: Endpoint): boolean {
-  if (a?.address !== b.address || a.domain !== b.domain) return false;
+  if (a?.id !== b.id || a.address !== b.address || a.domain !== b.domain) return false;
   if (a.seats !== b.seats || a.leaving !== b.leaving) return false;
   const names = Object.keys(b.labels);
   if (names.length !== Object.keys(a.labels).length) return false;
   return names.every((name) => a.labels[name] === b.labels[name]);
 }
 
+/** Whether this very incarnation of an endpoint is there and does not leave. */
+export function isInUse(at: Catalog, e: Endpoint): boolean {
+  const known = at.endpoints.get(incarnation.workerOf(e.id));
+  return known?.id === e.id && !known.leaving;
+}
+
 /** What selectors picked, remembered for as long as the endpoints and the service are the same. */
 const picked = new WeakMap<Catalog["endpoints"], WeakMap<Service, readonly Endpoint[]>>();
 
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -144,7 +144,9 @@
       p.judged ||= found.kind !== "diverted";
       if (found.kind === "diverted" || found.kind === "elsewhere") continue;
       const seat = found.kind === "seat" ? found.seat : undefined;
-      if (this.hasLeft(best.view.endpoint)) {
+      // Asked last, for requests with and without a seat: a wait for one lasts as long as the request may, and
+      // an endpoint may begin to leave, or start anew, meanwhile; its daemon goes when its host does.
+      if (!catalog.isInUse(this.deps.catalog(), best.view.endpoint)) {
         seat?.over("left");
         p.tried.add(best.view.endpoint.id);
         continue;
@@ -159,14 +161,6 @@
     }
   }
 
-  /**
-   * Whether an endpoint began to leave, or is gone, since it was chosen. Asked last, for requests with and
-   * without a seat: a wait for one lasts as long as the request may, and its daemon goes when its host does.
-   */
-  private hasLeft(e: catalog.Endpoint): boolean {
-    return this.deps.catalog().endpoints.get(e.id)?.leaving !== false;
-  }
-
   private mayRetry(a: ask.Ask): boolean {
     const hosts = this.deps.endpoints.hosts() ?? retries.HOSTS;
     const window = this.windows.get(a.service.name) ?? retries.EMPTY;
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -9,6 +9,7 @@
 import type * as choice from "./choice.js";
 import * as fleet from "./fleet.js";
 import * as holders from "./holders.js";
+import * as incarnation from "./incarnation.js";
 import * as link from "./link.js";
 import type * as search from "./search.js";
 
@@ -110,7 +111,8 @@
   private view(service: catalog.Service, endpoint: catalog.Endpoint, place: number): choice.View {
     const at = service.engine && this.link(endpoint);
     const own = this.own.get(endpoint.id) ?? NEW;
-    const state = at?.state?.instance === endpoint.id ? at.state : undefined;
+    const isThere = at?.state && incarnation.isSame(at.state.instance, endpoint.id);
+    const state = isThere ? at.state : undefined;
     const gone = at?.state !== undefined && state === undefined;
     return {
       endpoint,
@@ -136,7 +138,7 @@
         ...this.deps,
         lost: (instance) => {
           this.deps.log.warn("An engine is gone.", { endpoint: instance });
-          for (const tell of this.watchers.get(instance) ?? []) tell();
+          for (const tell of this.watchers.get(incarnation.workerOf(instance)) ?? []) tell();
         },
         holds: (before, now) => {
           this.holders.changed(address, before, now);
@@ -173,7 +175,8 @@
     }
     this.unlinked = new Map(this.rotated([...wanted].filter(([at]) => !this.links.has(at))));
     this.linkSome();
-    for (const id of this.own.keys()) if (!endpoints.has(id)) this.own.delete(id);
+    const there = new Set([...endpoints.values()].map((e) => e.id));
+    for (const id of this.own.keys()) if (!there.has(id)) this.own.delete(id);
     this.came();
   }
 
@@ -200,12 +203,13 @@
 
   /** Calls `tell` if the engine `id` goes while it is watched; returns what ends the watch. */
   watch(id: string, tell: () => void): () => void {
-    const at = this.watchers.get(id) ?? new Set();
-    this.watchers.set(id, at);
+    const worker = incarnation.workerOf(id);
+    const at = this.watchers.get(worker) ?? new Set();
+    this.watchers.set(worker, at);
     at.add(tell);
     return () => {
       at.delete(tell);
-      if (at.size === 0) this.watchers.delete(id);
+      if (at.size === 0) this.watchers.delete(worker);
     };
   }
 
--- a/src/serving/engine.ts
+++ b/src/serving/engine.ts
@@ -23,6 +23,8 @@
   readonly pending: readonly (Held & { readonly model: string })[];
   /** A change of base models is under way. */
   readonly busy: boolean;
+  /** Unix ms of the engine's start, where it tells it. */
+  readonly born?: number | undefined;
   /** Orders accepted since the engine started. */
   readonly sequence: number;
   readonly queued: number;
@@ -64,6 +66,6 @@
   /** Throws when the engine does not answer. */
   readonly report: () => Promise<Report>;
   readonly order: (o: Order) => Promise<OrderResult>;
-  /** The incarnation that is there now. Throws when the engine does not tell. */
+  /** The name of the worker that is there now. Throws when the engine does not tell. */
   readonly identify: (healthPath: string) => Promise<string>;
 }
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -56,7 +56,7 @@
   const fed = host.openFeed(deps, feed.close(opts.inForceMs), (at) => {
     if (at.config) callers.configure(at.config.limits);
     known.refresh();
-    up.keep(new Set(at.endpoints.keys()));
+    up.keep(new Set([...at.endpoints.values()].map((e) => e.id)));
   });
   const known = new endpoints.Endpoints(
     {
@@ -95,6 +95,11 @@
   figures.gauge("sumacfield_store_news_age_ms", "Milliseconds since as new as the store.", () =>
     Math.round(fed.newsAgeMs),
   );
+  figures.gauge(
+    "sumacfield_documents_unreadable",
+    "Documents that could not be read.",
+    () => fed.unreadable,
+  );
   const readiness = await answerReadiness(
     opts.readiness,
     () => fed.catalog.config !== undefined && !leaving,
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -9,6 +9,7 @@
 import type * as record from "../host/record.js";
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
+import * as incarnation from "./incarnation.js";
 
 /** How closely a daemon follows the store. Each wait for changes is a call that costs. */
 export interface Pace {
@@ -70,6 +71,10 @@
  */
 const LAPSED_PART = 0.5;
 
+/** Unreadable documents remembered, so that each is told of once; and letters of a reason that are told. */
+const TORN_KEPT = 256;
+const WHY_LENGTH = 300;
+
 /** How documents become steps of the catalog; the platform's adapter knows. */
 export interface Decoder {
   /** Prefixes of the documents that matter. */
@@ -96,7 +101,10 @@
   private synced = false;
   private out = false;
   private backAt = -Infinity;
-  /** Endpoints whose entries are missing, and may be back soon. */
+  /** Documents that cannot be read, each by its key; the same text is told of once. */
+  private readonly torn = new Map<string, string>();
+  private tornCount = 0;
+  /** Workers whose entries are missing, and may be back soon. */
   private readonly missing = new Set<string>();
   private askedAt = -Infinity;
   /** Monotonic ms at which the last call began, hedges left out. */
@@ -115,6 +123,11 @@
     return this.at;
   }
 
+  /** Documents that could not be read, each content counted once. */
+  get unreadable(): number {
+    return this.tornCount;
+  }
+
   /** Milliseconds since the catalog was as new as the store. */
   get newsAgeMs(): number {
     return this.deps.clock.mono() - this.newsAt;
@@ -200,10 +213,10 @@
     const there = new Set<string>();
     const steps = documents.flatMap((d) => {
       const step = this.decode(d.key, d.text);
-      if (step?.kind === "endpoint") there.add(step.endpoint.id);
+      if (step?.kind === "endpoint") there.add(incarnation.workerOf(step.endpoint.id));
       return step ? [step] : [];
     });
-    const missing = [...this.at.endpoints.keys()].filter((id) => !there.has(id));
+    const missing = [...this.at.endpoints.keys()].filter((worker) => !there.has(worker));
     if (this.out) this.backAt = this.deps.clock.mono();
     this.synced = true;
     this.deps.log.info("The store was read whole.", {
@@ -212,7 +225,7 @@
       missing,
     });
     this.apply(
-      [...steps, ...missing.flatMap((id) => this.gone({ kind: "endpoint_gone", id }))],
+      [...steps, ...missing.flatMap((worker) => this.gone({ kind: "endpoint_gone", worker }))],
       revision,
     );
   }
@@ -248,32 +261,45 @@
     return step ? this.gone(step, undone && this.decode(undone.key, undone.text)) : [];
   }
 
+  /**
+   * The step that a document makes. An endpoint's entry that cannot be read names none to use, and what it said
+   * before is over; of what the operator wrote, the one before stays in force.
+   */
   private decode(key: string, text: string): catalog.Step | undefined {
     try {
-      return this.deps.decoder.written(key, text);
+      const step = this.deps.decoder.written(key, text);
+      this.torn.delete(key);
+      return step;
     } catch (err) {
-      this.deps.log.error("A document cannot be read; the one before stays in force.", {
-        key,
-        why: errors.why(err),
-      });
-      return undefined;
+      this.tellTorn(key, text, errors.why(err));
+      return this.deps.decoder.deleted(key);
     }
   }
 
+  private tellTorn(key: string, text: string, why: string): void {
+    if (this.torn.get(key) === text) return;
+    if (this.torn.size >= TORN_KEPT) this.torn.clear();
+    this.torn.set(key, text);
+    this.tornCount++;
+    const count = this.tornCount;
+    const reason = why.slice(0, WHY_LENGTH);
+    this.deps.log.error("A document cannot be read.", { key, count, why: reason });
+  }
+
   /**
    * A removal now, or later when the store's absence may be the only reason for it. An endpoint that said that
    * it leaves, also in the entry `undone` that came with the removal, does not come back: its removal is sure.
    */
   private gone(step: catalog.Step, undone?: catalog.Step): readonly catalog.Step[] {
     if (step.kind !== "endpoint_gone" || !this.doubtful()) return [step];
-    const last = undone?.kind === "endpoint" ? undone.endpoint : this.at.endpoints.get(step.id);
+    const last = undone?.kind === "endpoint" ? undone.endpoint : this.at.endpoints.get(step.worker);
     if (last?.leaving) return [step];
-    if (!this.at.endpoints.has(step.id) || this.missing.has(step.id)) return [];
-    this.missing.add(step.id);
+    if (!this.at.endpoints.has(step.worker) || this.missing.has(step.worker)) return [];
+    this.missing.add(step.worker);
     const backInMs = this.backInMs();
     const keepMs = Math.min(this.deps.pace.keepMs, backInMs);
     this.deps.log.warn("An endpoint's entry is missing after an outage; it is kept for now.", {
-      endpoint: step.id,
+      endpoint: step.worker,
       keepMs: Math.round(keepMs),
     });
     this.deps.clock.after(keepMs, () => {
@@ -295,11 +321,13 @@
 
   /** Carries out a removal that was put off, unless the entry is back. */
   private drop(step: Extract<catalog.Step, { kind: "endpoint_gone" }>): void {
-    if (this.missing.delete(step.id)) this.apply([step], this.at.revision);
+    if (this.missing.delete(step.worker)) this.apply([step], this.at.revision);
   }
 
   private apply(steps: readonly catalog.Step[], revision: number): void {
-    for (const s of steps) if (s.kind === "endpoint") this.missing.delete(s.endpoint.id);
+    for (const s of steps) {
+      if (s.kind === "endpoint") this.missing.delete(incarnation.workerOf(s.endpoint.id));
+    }
     const { at, taken } = catalog.steps(this.at, steps);
     // A daemon that starts hears of all endpoints at once; the count of documents says as much.
     const isFirst = this.at.config === undefined;
@@ -328,7 +356,7 @@
         });
         break;
       case "endpoint_gone":
-        this.deps.log.info("An endpoint is gone.", { endpoint: s.id });
+        this.deps.log.info("An endpoint is gone.", { endpoint: s.worker });
         break;
     }
   }
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -14,6 +14,7 @@
 import * as catalog from "./catalog.js";
 import * as diversion from "./diversion.js";
 import type * as engine from "./engine.js";
+import * as incarnation from "./incarnation.js";
 import * as ledger from "./ledger.js";
 import * as listing from "./listing.js";
 import * as reading from "./reading.js";
@@ -273,11 +274,13 @@
   private async look(): Promise<void> {
     const askedAt = this.deps.clock.mono();
     try {
-      if (this.instance === "") await this.meet();
+      const met = this.instance === "" ? await this.identify() : undefined;
       const report = await this.deps.engine.report();
       this.lookedAt = askedAt;
       this.misses = 0;
-      if (!this.orders.heard(report.sequence)) {
+      if (met !== undefined) this.meet(incarnation.idOf(met, report.born));
+      const isOther = incarnation.bornOf(this.instance) !== report.born;
+      if (isOther || !this.orders.heard(report.sequence)) {
         this.deps.log.warn("The engine started anew.", { instance: this.instance });
         this.lost();
         return;
@@ -289,14 +292,19 @@
     }
   }
 
-  /** Learns which incarnation of the engine is there. */
-  private async meet(): Promise<void> {
+  /** Asks which worker is there. */
+  private identify(): Promise<string> {
     const service = this.deps.catalog().config?.services.get(this.deps.service);
     if (!service) throw new Error(`the configuration has no service ${this.deps.service}`);
-    this.instance = await this.deps.engine.identify(service.healthPath);
+    return this.deps.engine.identify(service.healthPath);
+  }
+
+  /** An incarnation of the engine is there. */
+  private meet(instance: string): void {
+    this.instance = instance;
     this.orders.reset();
     this.news.changedMuch();
-    this.deps.log.info("The engine answers.", { instance: this.instance });
+    this.deps.log.info("The engine answers.", { instance });
   }
 
   private missed(err: unknown): void {
--- /dev/null
+++ b/test/platform/entries.test.ts
@@ -0,0 +1,155 @@
+import * as chai from "chai";
+import * as fc from "fast-check";
+import * as standin from "../../bench/platform/documents.js";
+import * as platform from "../../platform/documents.js";
+import * as clock from "../../src/host/clock.js";
+import type * as record from "../../src/host/record.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as feed from "../../src/serving/feed.js";
+import type * as source from "../../src/store/source.js";
+
+const { expect } = chai;
+
+const GOOD = standin.entry("llm", "10.0.0.1:80") as Readonly<Record<string, unknown>>;
+const GOOD_KEY = `${platform.SERVERS}good`;
+const BAD_KEY = `${platform.SERVERS}bad`;
+
+/** Entries that name no worker to use, by what is wrong with them. */
+const BAD: Readonly<Record<string, string>> = {
+  "no JSON": "{",
+  "no UTF-8": Buffer.from([0xff, 0xfe, 0x00]).toString(),
+  "no object": "[]",
+  null: "null",
+  "deeply nested": "[".repeat(100_000),
+  "very long": JSON.stringify({ ...GOOD, service: 1, more: "x".repeat(900_000) }),
+  "a missing field": JSON.stringify({ ...GOOD, address: undefined }),
+  "another type": JSON.stringify({ ...GOOD, slots: "8" }),
+  "a number out of range": JSON.stringify({ ...GOOD }).replace('"slots":8', '"slots":1e999'),
+  "no places": JSON.stringify({ ...GOOD, slots: -1 }),
+  "an unknown state": JSON.stringify({ ...GOOD, state: "resting" }),
+  "an address without a port": JSON.stringify({ ...GOOD, address: "10.0.0.1" }),
+  "an address out of range": JSON.stringify({ ...GOOD, address: "10.0.0.1:99999" }),
+  "a name for an address": JSON.stringify({ ...GOOD, address: "worker:80" }),
+  "a start as text": JSON.stringify({ ...GOOD, born: "1700000000000" }),
+  "a start with a fraction": JSON.stringify({ ...GOOD, born: 1.5 }),
+  "a negative start": JSON.stringify({ ...GOOD, born: -1 }),
+  "a start that is null": JSON.stringify({ ...GOOD, born: null }),
+};
+
+/** A store that gives one set of changes after the other. */
+class Scripted implements source.Source {
+  private revision = 1;
+  constructor(private readonly batches: (readonly (readonly [string, string])[])[]) {}
+
+  list = (prefix: string) => {
+    const document = { key: GOOD_KEY, text: JSON.stringify(GOOD), revision: 1 };
+    const documents = GOOD_KEY.startsWith(prefix) ? [document] : [];
+    return Promise.resolve({ documents, revision: 1 });
+  };
+
+  changes = async (): Promise<source.Changes> => {
+    await clock.sleep(clock.system, 1);
+    const batch = this.batches.shift() ?? [];
+    const changes = batch.map(([key, text]): source.Change => {
+      this.revision++;
+      return { kind: "written", document: { key, text, revision: this.revision } };
+    });
+    return { kind: "changes", changes, revision: this.revision };
+  };
+
+  renew = (): void => undefined;
+  claim = (): Promise<boolean> => Promise.resolve(true);
+}
+
+/** What a daemon knows, and what it wrote of documents that it could not read, after the batches. */
+async function follow(batches: (readonly (readonly [string, string])[])[]) {
+  const lines: string[] = [];
+  const told = (sentence: string): void => {
+    if (sentence.startsWith("A document")) lines.push(sentence);
+  };
+  const log: record.Log = { info: told, warn: told, error: told };
+  let changedTo = catalog.EMPTY;
+  const f = new feed.Feed({
+    clock: clock.system,
+    log,
+    source: new Scripted(batches),
+    decoder: {
+      written: platform.stepOf,
+      deleted: platform.goneStep,
+      prefixes: [platform.SERVERS],
+      common: platform.SERVERS,
+    },
+    pace: { ...feed.close(2000), everyMs: 1 },
+    changed: (at) => {
+      changedTo = at;
+    },
+    random: () => 0,
+  });
+  const running = f.run();
+  for (let i = 0; i < 200 && batches.length > 0; i++) await clock.sleep(clock.system, 2);
+  await clock.sleep(clock.system, 10);
+  f.stop();
+  await running;
+  expect(changedTo.endpoints).equal(f.catalog.endpoints);
+  return { at: f.catalog, lines, unreadable: f.unreadable };
+}
+
+describe("an entry by another writer", () => {
+  for (const [wrong, text] of Object.entries(BAD)) {
+    it(`names no worker, and the others hold: ${wrong}`, async () => {
+      const { at, lines, unreadable } = await follow([
+        [[BAD_KEY, JSON.stringify({ ...GOOD, address: "10.0.0.2:80" })]],
+        [[BAD_KEY, text]],
+        [[BAD_KEY, text]],
+      ]);
+      expect([...at.endpoints.keys()]).deep.equal(["good"]);
+      expect(lines.length).equal(1);
+      expect(unreadable).equal(1);
+    });
+  }
+
+  it("does not outlast the next good one", async () => {
+    const { at } = await follow([[[BAD_KEY, "{"]], [[BAD_KEY, JSON.stringify(GOOD)]]]);
+    expect([...at.endpoints.keys()]).deep.equal(["good", "bad"]);
+  });
+
+  it("is a worker to use or none, whatever it holds", () => {
+    const entry = fc.record(
+      {
+        service: fc.oneof(fc.string(), fc.anything()),
+        address: fc.oneof(fc.constant("10.0.0.1:80"), fc.string(), fc.anything()),
+        zone: fc.oneof(fc.string(), fc.anything()),
+        slots: fc.oneof(fc.integer(), fc.double(), fc.anything()),
+        state: fc.oneof(fc.constantFrom("ready", "draining"), fc.anything()),
+        born: fc.oneof(fc.nat(), fc.double(), fc.anything()),
+      },
+      { requiredKeys: [] },
+    );
+    fc.assert(
+      fc.property(fc.oneof(fc.json(), entry.map(textOf), fc.string()), (text) => {
+        let step: catalog.Step | undefined;
+        try {
+          step = platform.stepOf(BAD_KEY, text);
+        } catch {
+          return;
+        }
+        if (step?.kind !== "endpoint") throw new Error(`taken as ${step?.kind ?? "nothing"}`);
+        expect(step.endpoint.address).match(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/);
+        expect(step.endpoint.seats).above(0);
+      }),
+    );
+  });
+
+  it("leaves the configuration before it in force, where the operator's cannot be read", () => {
+    expect(platform.goneStep(`${platform.OPERATOR}config`)).equal(undefined);
+  });
+});
+
+/** A value as JSON, as far as JSON has it. */
+function textOf(value: unknown): string {
+  try {
+    return JSON.stringify(value);
+  } catch {
+    return "not JSON";
+  }
+}
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -132,7 +132,7 @@
     const step = documents.stepOf("servers/i-1", JSON.stringify(entry));
     if (step?.kind !== "endpoint") throw new Error("no endpoint");
     expect(step.endpoint).include({ id: "i-1", domain: "a", leaving: true });
-    expect(documents.goneStep("servers/i-1")).deep.equal({ kind: "endpoint_gone", id: "i-1" });
+    expect(documents.goneStep("servers/i-1")).deep.equal({ kind: "endpoint_gone", worker: "i-1" });
     expect(documents.goneStep("other/i-1")).equal(undefined);
   });
 
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -161,6 +161,20 @@
     expect(old.statusCode).equal(404);
   });
 
+  it("lose nothing beside entries that cannot be read", async () => {
+    const bad = [{ address: "nowhere" }, { ...documents.entry("llm", "10.0.0.1"), born: null }, []];
+    for (const [n, entry] of bad.entries()) store.put(`servers/i-bad-${n}`, entry);
+    // A configuration that comes after them is in force, so they were read.
+    store.put("op/config", configOf(3, "/d/"));
+    const began = performance.now();
+    await until(() => entry.lines().some((l) => l.part === "feed" && l.version === 3));
+    expect(performance.now() - began).below(2000);
+    const all = await Promise.all(Array.from({ length: 10 }, (_, i) => ask(`f${i}`, "a1", "/d/x")));
+    expect(all.map((res) => res.statusCode)).deep.equal(new Array<number>(10).fill(200));
+    await Promise.all(all.map((res) => res.body.dump()));
+    expect(entry.lines().filter((l) => l.msg === "A document cannot be read.")).length(bad.length);
+  });
+
   it("count what they serve, and write a line for each request", async () => {
     const served = entry.lines().find((l) => l.msg === "The figures are served.");
     const figures = await undici.request(`http://127.0.0.1:${String(served?.port)}/metrics`);
--- a/test/serving/fake-engine.ts
+++ b/test/serving/fake-engine.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type * as engine from "../../src/serving/engine.js";
+import * as incarnation from "../../src/serving/incarnation.js";
 
 /** Milliseconds that a load takes. */
 const LOAD_MS = 15;
@@ -13,6 +14,8 @@
 export class FakeEngine implements engine.Engine {
   mood: Mood = "well";
   instance = "i1";
+  /** Its start, where it tells it. */
+  born: number | undefined;
   sequence = 0;
   /** Most adapters ever held or on their way at once. */
   most = 0;
@@ -51,6 +54,7 @@
       pending: list
         .filter(([, a]) => !a.ready)
         .map(([adapter, a]) => ({ model: "m", adapter, version: a.version })),
+      born: this.born,
       busy: false,
       sequence: this.sequence,
       queued: 0,
@@ -92,7 +96,7 @@
   }
 
   private carryOut(o: engine.Order): engine.OrderResult {
-    if (o.instance !== this.instance) return { kind: "moved", instance: undefined };
+    if (incarnation.workerOf(o.instance) !== this.instance) return { kind: "moved", instance: undefined };
     if (o.sequence !== this.sequence) return { kind: "conflict" };
     if (performance.now() < this.busyUntil) return { kind: "conflict" };
     this.sequence++;
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -78,7 +78,7 @@
     const endpoint = fixtures.endpoint(key.slice(2), leaving ? text.slice(LEAVING.length) : text);
     return { kind: "endpoint", endpoint: { ...endpoint, leaving } };
   },
-  deleted: (key) => ({ kind: "endpoint_gone", id: key.slice(2) }),
+  deleted: (key) => ({ kind: "endpoint_gone", worker: key.slice(2) }),
 };
 
 const running: feed.Feed[] = [];
--- /dev/null
+++ b/test/serving/incarnation.test.ts
@@ -0,0 +1,110 @@
+import * as chai from "chai";
+import * as fc from "fast-check";
+import * as clock from "../../src/host/clock.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as incarnation from "../../src/serving/incarnation.js";
+import * as engines from "./engines.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+const name = fc.string({ minLength: 1 });
+const born = fc.option(fc.nat(), { nil: undefined });
+
+/** An entry of the worker `w` that started at `start`. */
+function entry(start: number, leaving = false): catalog.Step {
+  const endpoint = fixtures.endpoint(incarnation.idOf("w", start), "10.0.0.1:1");
+  return { kind: "endpoint", endpoint: { ...endpoint, leaving } };
+}
+
+/** News of two starts of one worker: each ready, then leaving. */
+const NEWS = [entry(1), entry(1, true), entry(2), entry(2, true)];
+
+describe("an incarnation", () => {
+  it("tells its worker and its start, whatever the worker's name is", () => {
+    fc.assert(
+      fc.property(name, born, (worker, start) => {
+        const id = incarnation.idOf(worker, start);
+        expect(incarnation.workerOf(id)).equal(worker);
+        expect(incarnation.bornOf(id)).equal(start);
+      }),
+    );
+  });
+
+  it("is another with another start, and the same where a start is not told", () => {
+    const [old, next] = [incarnation.idOf("w", 1), incarnation.idOf("w", 2)];
+    expect(incarnation.isSame(old, next)).equal(false);
+    expect(incarnation.isSame(old, "w")).equal(true);
+    expect(incarnation.isSame(old, incarnation.idOf("v", 1))).equal(false);
+    expect(incarnation.isOlder(old, next)).equal(true);
+    expect(incarnation.isOlder(next, old)).equal(false);
+    expect(incarnation.isOlder("w", next)).equal(false);
+  });
+});
+
+describe("a catalog", () => {
+  it("never goes back to an older start, in whatever order entries come, late or twice", () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat(NEWS.length - 1), { minLength: 1 }), (order) => {
+        let at = catalog.EMPTY;
+        let newest = 0;
+        for (const n of order) {
+          const news = NEWS[n];
+          if (news?.kind !== "endpoint") continue;
+          at = catalog.step(at, news);
+          newest = Math.max(newest, incarnation.bornOf(news.endpoint.id) ?? 0);
+          expect(at.endpoints.size).equal(1);
+          expect(at.endpoints.get("w")?.id).equal(incarnation.idOf("w", newest));
+        }
+      }),
+    );
+  });
+
+  it("takes a new start of a leaving worker as ready when it says so", () => {
+    const left = catalog.steps(catalog.EMPTY, [entry(1), entry(1, true)]).at;
+    const old = left.endpoints.get("w");
+    const { at } = catalog.steps(left, [entry(2)]);
+    const next = at.endpoints.get("w");
+    expect(old && catalog.isInUse(at, old)).equal(false);
+    expect(next && catalog.isInUse(at, next)).equal(true);
+    expect(catalog.step(at, entry(1, true))).equal(at);
+  });
+
+  it("uses no start whose entry is gone", () => {
+    const there = catalog.step(catalog.EMPTY, entry(1));
+    const old = there.endpoints.get("w");
+    const at = catalog.step(there, { kind: "endpoint_gone", worker: "w" });
+    expect(old && catalog.isInUse(at, old)).equal(false);
+  });
+});
+
+describe("an engine that starts again under its name", () => {
+  afterEach(engines.endAll);
+
+  it("is met anew though its count of orders has not fallen, and holds what it then says", async () => {
+    const s = await engines.site("i1", 2);
+    s.engine.born = 1;
+    await engines.until(() => s.link.state?.instance === incarnation.idOf("i1", 1));
+    const first = s.link.ask(engines.wish("a"));
+    expect(await first.answer).include({ kind: "grant" });
+    first.over("whole");
+    // The new start has taken as many orders as the old one, and holds another adapter.
+    s.engine.held.clear();
+    s.engine.held.set("b", { version: 1, ready: true });
+    s.engine.born = 2;
+    await engines.until(() => s.link.state?.instance === incarnation.idOf("i1", 2));
+    expect(s.lost).include(incarnation.idOf("i1", 1));
+    await engines.until(() => s.link.holdings?.resident.includes("m/b") ?? false);
+    expect(s.link.holdings?.resident).not.include("m/a");
+    await clock.sleep(clock.system, 50);
+    expect(await s.link.ask(engines.wish("a")).answer).include({ kind: "grant" });
+    expect(s.engine.most).most(2);
+  });
+
+  it("is met anew when it begins to tell its start", async () => {
+    const s = await engines.site("i1", 2);
+    s.engine.born = 7;
+    await engines.until(() => s.link.state?.instance === incarnation.idOf("i1", 7));
+    expect(await s.link.ask(engines.wish("a")).answer).include({ kind: "grant" });
+  });
+});
