--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -22,6 +22,7 @@
 import * as orders from "./orders.js";
 import * as residency from "./residency.js";
 import type * as seat from "./seat.js";
+import * as slotOptions from "./slot-options.js";
 import * as waiting from "./waiting.js";
 import * as warmth from "./warmth.js";
 
@@ -29,12 +30,6 @@
 const RETRY_MS = 100;
 /** Looks in a row without an answer after which the engine counts as out. */
 const MISSES = 2;
-/** Figures for adapters: see {@link residency.Options}. */
-const LOADS_AT_ONCE = 4;
-const CLOSE_AFTER_MS = 120;
-/** Part of the time in which a version must be in force for which an outdated one is given out. */
-const OUTDATED_PART = 0.3;
-
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: record.Log;
@@ -67,7 +62,7 @@
     this.orders = new orders.Orders(deps.clock, deps.log, deps.engine);
     this.news = new announcer.Announcer(
       deps.clock,
-      (silenceMs) => this.snapshot(silenceMs),
+      (silenceMs) => listing.state(this.known(deps.clock.mono()), this.news.count(), silenceMs),
       () => listing.holdings(this.state, this.warmth.reach),
       () => warmth.warm(this.warmth),
     );
@@ -191,15 +186,7 @@
   }
 
   private options(): residency.Options {
-    const spec = this.spec();
-    return {
-      slots: spec?.slots ?? 1,
-      loads: LOADS_AT_ONCE,
-      coldLoads: warmth.coldAtOnce(this.warmth),
-      isWarm: (key) => warmth.isWarm(this.warmth, key),
-      closeAfterMs: CLOSE_AFTER_MS,
-      outdatedMs: OUTDATED_PART * this.deps.versionMs,
-    };
+    return slotOptions.of(this.spec(), this.warmth, this.deps.versionMs);
   }
 
   private spec(): catalog.EngineSpec | undefined {
@@ -404,10 +391,6 @@
     return true;
   }
 
-  private snapshot(silenceMs: number): seat.State {
-    return listing.state(this.known(this.deps.clock.mono()), this.news.count(), silenceMs);
-  }
-
   private known(now: number): listing.Known {
     const { instance, ledger: seats, state: held, warmth } = this;
     return { instance, seats, held, warmth, slots: this.options().slots, now };
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -87,4 +87,17 @@
     store.faults.mode = "well";
     expect(await heardAfter()).below(IN_FORCE_MS - SPARE_MS);
   }).timeout(12_000);
+
+  it("hears so though the mark comes right after an answer, and the next call hangs", async () => {
+    const { revision } = followed.catalog;
+    store.put("other", {});
+    await until(() => followed.catalog.revision > revision);
+    const from = performance.now();
+    store.faults.mode = "silent";
+    store.put(KEY, documents.entry("llm", "127.0.0.1:1", "draining"));
+    await until(() => store.unanswered > 0);
+    store.faults.mode = "well";
+    await until(leaving);
+    expect(performance.now() - from).below(IN_FORCE_MS - SPARE_MS);
+  }).timeout(12_000);
 });
