--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -14,6 +14,9 @@
 /** Of these, milliseconds left to a daemon for the way of a change to a request. */
 const SPARE_MS = 100;
 
+/** Calls that a daemon has under way at most. */
+const CALLS_AT_ONCE = 3;
+
 const ENDPOINT = "i-1";
 const KEY = `${platform.SERVERS}${ENDPOINT}`;
 
@@ -100,4 +103,13 @@
     await until(leaving);
     expect(performance.now() - from).below(IN_FORCE_MS - SPARE_MS);
   }).timeout(12_000);
+
+  it("hears so after an outage in which all calls hung", async () => {
+    store.faults.mode = "silent";
+    store.put("other", {});
+    await until(() => store.unanswered >= CALLS_AT_ONCE);
+    // All calls that may be under way hang now, so that it takes their timeouts to go on.
+    store.faults.mode = "well";
+    expect(await heardAfter()).below(IN_FORCE_MS - SPARE_MS);
+  }).timeout(12_000);
 });
