Keep one recorded caller's side for the tests of requests

Cause: the same outlet and request stood in two tests.

Change: both moved into dispatching.ts; the assertions are as they were.

Measured: the tests of leaving and moves pass.

--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -4,10 +4,12 @@
  */
 import * as clock from "../../src/host/clock.js";
 import * as record from "../../src/host/record.js";
+import type * as ask from "../../src/serving/ask.js";
 import type * as catalog from "../../src/serving/catalog.js";
 import * as dispatch from "../../src/serving/dispatch.js";
 import * as endpoints from "../../src/serving/endpoints.js";
 import * as meters from "../../src/serving/meters.js";
+import type * as progress from "../../src/serving/progress.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
 
@@ -54,3 +56,35 @@
     },
   };
 }
+
+/** A caller's side that writes down what it is told. */
+export function recorded(): { readonly outlet: progress.Outlet; readonly seen: readonly string[] } {
+  const seen: string[] = [];
+  const outlet: progress.Outlet = {
+    gone: new AbortController().signal,
+    begin: (status) => seen.push(`begin ${status}`),
+    write: () => undefined,
+    end: () => seen.push("end"),
+    breakOff: () => seen.push("broken"),
+    answer: (status) => seen.push(`answer ${status}`),
+    refuse: (status) => seen.push(`refuse ${status}`),
+  };
+  return { outlet, seen };
+}
+
+/** A request of a stream for the adapter `a` of the model `m`, with `waitMs` from now on. */
+export function streamed(service: catalog.Service, route: catalog.Route, waitMs: number): ask.Ask {
+  return fixtures.request({
+    route,
+    service,
+    meta: {
+      id: "r1",
+      waitMs,
+      target: { model: "m", adapter: "a" },
+      promptTokens: 100,
+      answerTokens: 10,
+      parts: [],
+    },
+    dueAt: performance.now() + waitMs,
+  });
+}
--- a/test/serving/leaving.test.ts
+++ b/test/serving/leaving.test.ts
@@ -75,31 +75,14 @@
     made.known.refresh();
     const service = at.config?.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
     await engines.until(() => made.known.views(service).every((v) => v.holdings !== undefined));
-    const seen: string[] = [];
-    const served = made.dispatcher.serve(
-      fixtures.request({
-        route: { ...fixtures.ROUTE, kind: "stream", targetMs: 1000, timeoutMs: 1500 },
-        service,
-        meta: {
-          id: "r1",
-          waitMs: 1500,
-          target: { model: "m", adapter: "a" },
-          promptTokens: 100,
-          answerTokens: 10,
-          parts: [],
-        },
-        dueAt: performance.now() + 1500,
-      }),
-      {
-        gone: new AbortController().signal,
-        begin: (status) => seen.push(`begin ${status}`),
-        write: () => undefined,
-        end: () => seen.push("end"),
-        breakOff: () => seen.push("broken"),
-        answer: (status) => seen.push(`answer ${status}`),
-        refuse: (status) => seen.push(`refuse ${status}`),
-      },
-    );
+    const route: catalog.Route = {
+      ...fixtures.ROUTE,
+      kind: "stream",
+      targetMs: 1000,
+      timeoutMs: 1500,
+    };
+    const { outlet, seen } = dispatching.recorded();
+    const served = made.dispatcher.serve(dispatching.streamed(service, route, 1500), outlet);
     await engines.until(() => daemon.asked() > 0);
     at = catalog.step(at, { kind: "endpoint", endpoint: { ...endpoint, leaving: true } });
     await served;
--- a/test/serving/moves.test.ts
+++ b/test/serving/moves.test.ts
@@ -35,31 +35,8 @@
     made.known.refresh();
     const service = at.config?.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
     await engines.until(() => made.known.views(service).every((v) => v.state !== undefined));
-    const seen: string[] = [];
-    const served = made.dispatcher.serve(
-      fixtures.request({
-        route: ROUTE,
-        service,
-        meta: {
-          id: "r1",
-          waitMs: 4000,
-          target: { model: "m", adapter: "a" },
-          promptTokens: 100,
-          answerTokens: 10,
-          parts: [],
-        },
-        dueAt: performance.now() + 4000,
-      }),
-      {
-        gone: new AbortController().signal,
-        begin: (status) => seen.push(`begin ${status}`),
-        write: () => undefined,
-        end: () => seen.push("end"),
-        breakOff: () => seen.push("broken"),
-        answer: (status) => seen.push(`answer ${status}`),
-        refuse: (status) => seen.push(`refuse ${status}`),
-      },
-    );
+    const { outlet, seen } = dispatching.recorded();
+    const served = made.dispatcher.serve(dispatching.streamed(service, ROUTE, 4000), outlet);
     await engines.until(() => sites.some((s) => s.keeper.count() === 2));
     // The engine where the request does not wait becomes free.
     const free = sites.findIndex((s) => s.keeper.count() === 1);
