Prove from both sides that a worker's new start is used once its entry and daemon agree

Cause: the order in which entry, daemon and late news arrive was proved for the catalog alone.

Change: a test with an endpoint daemon that tells what the test gives it, which the test of leaving endpoints uses as well.

--- a/test/serving/fake-engine.ts
+++ b/test/serving/fake-engine.ts
@@ -96,7 +96,8 @@
   }
 
   private carryOut(o: engine.Order): engine.OrderResult {
-    if (incarnation.workerOf(o.instance) !== this.instance) return { kind: "moved", instance: undefined };
+    if (incarnation.workerOf(o.instance) !== this.instance)
+      return { kind: "moved", instance: undefined };
     if (o.sequence !== this.sequence) return { kind: "conflict" };
     if (performance.now() < this.busyUntil) return { kind: "conflict" };
     this.sequence++;
--- a/test/serving/incarnation.test.ts
+++ b/test/serving/incarnation.test.ts
@@ -3,8 +3,11 @@
 import * as clock from "../../src/host/clock.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as incarnation from "../../src/serving/incarnation.js";
+import * as choice from "../../src/serving/choice.js";
+import * as dispatching from "./dispatching.js";
 import * as engines from "./engines.js";
 import * as fixtures from "./fixtures.js";
+import * as telling from "./telling.js";
 
 const { expect } = chai;
 
@@ -108,3 +111,44 @@
     expect(await s.link.ask(engines.wish("a")).answer).include({ kind: "grant" });
   });
 });
+
+describe("an entry daemon", () => {
+  it("uses a worker that starts again once its entry and its daemon name the same start", async () => {
+    const [old, next] = [incarnation.idOf("w", 1), incarnation.idOf("w", 2)];
+    const daemon = await telling.open(telling.state(old), telling.holdings("m/a"));
+    let at: catalog.Catalog = { ...catalog.EMPTY, config: engines.configOf(2) };
+    const made = dispatching.open(
+      () => at,
+      () => daemon.address,
+    );
+    const service = at.config?.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
+    const need = { model: "m", key: "m/a", promptTokens: 100, rank: 1, domain: "d1" };
+    const usable = (): readonly string[] =>
+      choice
+        .engines(made.known.views(service), { ...need, tried: new Set(), targetMs: 1000 })
+        .map((e) => `${e.view.endpoint.id} ${choice.holding(e.view, need.key)}`);
+    let lost = 0;
+    try {
+      at = catalog.step(at, entry(1));
+      made.known.refresh();
+      made.known.watch(old, () => lost++);
+      await engines.until(() => usable().includes(`${old} resident`));
+      // Its daemon is the first to know of the new start.
+      daemon.tell(telling.state(next), telling.holdings());
+      await engines.until(() => lost === 1);
+      expect(usable()).deep.equal([]);
+      at = catalog.step(at, entry(2));
+      expect(usable()).deep.equal([`${next} absent`]);
+      // Late news of the old start, from the store and from its daemon.
+      at = catalog.step(at, entry(1, true));
+      expect(usable()).deep.equal([`${next} absent`]);
+      daemon.tell(telling.state(old));
+      await engines.until(() => usable().length === 0);
+      daemon.tell(telling.state(next), telling.holdings());
+      await engines.until(() => usable().includes(`${next} absent`));
+    } finally {
+      made.close();
+      daemon.close();
+    }
+  });
+});
--- a/test/serving/leaving.test.ts
+++ b/test/serving/leaving.test.ts
@@ -1,44 +1,14 @@
-import * as net from "node:net";
 import * as chai from "chai";
-import * as addresses from "../../src/host/address.js";
 import * as catalog from "../../src/serving/catalog.js";
-import type * as seat from "../../src/serving/seat.js";
 import * as dispatching from "./dispatching.js";
 import * as engines from "./engines.js";
 import * as fixtures from "./fixtures.js";
+import * as telling from "./telling.js";
 
 const { expect } = chai;
 
 const ADAPTER = "m/a";
 
-/** An endpoint daemon that tells of its engine once, and answers no question. */
-async function mute(instance: string) {
-  let asked = 0;
-  const sockets = new Set<net.Socket>();
-  const state = { ...fixtures.STATE, instance, silenceMs: 10_000 };
-  const holdings: seat.Holdings = {
-    kind: "holdings",
-    models: ["m"],
-    resident: [ADAPTER],
-    gone: [],
-    reach: 0,
-  };
-  const server = net.createServer((socket) => {
-    sockets.add(socket);
-    socket.on("data", (part: Buffer) => {
-      if (part.toString().includes('"kind":"ask"')) asked++;
-    });
-    socket.on("error", () => socket.destroy());
-    socket.write(`${JSON.stringify(state)}\n${JSON.stringify(holdings)}\n`);
-  });
-  const address = await addresses.listen(server, "127.0.0.1:0");
-  const close = (): void => {
-    server.close();
-    for (const s of sockets) s.destroy();
-  };
-  return { address, asked: () => asked, close };
-}
-
 /** What ends the parts of the test at hand, also when it fails. */
 const ends: (() => void)[] = [];
 
@@ -60,7 +30,7 @@
       res.writeHead(200, fixtures.good());
       res.end("id: 1\ndata: x\n\n");
     });
-    const daemon = await mute("i1");
+    const daemon = await telling.open(telling.state("i1"), telling.holdings(ADAPTER));
     const endpoint = fixtures.endpoint("i1", worker.address);
     let at: catalog.Catalog = {
       ...catalog.EMPTY,
