--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -47,6 +47,13 @@
     put: "false",
     proof: "is met anew though its count of orders has not fallen, and holds what it then says",
   },
+  {
+    name: "a seat given up for silence is given back",
+    file: "serving/link.js",
+    find: 'this.channel.send({ kind: "over", seat: n, how: "left" });',
+    put: "",
+    proof: "gives back a seat that it no longer waits for, since its daemon fell silent",
+  },
   {
     name: "a search looks at few engines",
     file: "serving/search.js",
