Let half of the soak's workers start again under their name

Cause: the soak's workers had a new name with each start, so that a start under the same name was proved by single tests alone.

Change: every other place's workers tell their start and keep their name.

--- a/bench/platform/documents.ts
+++ b/bench/platform/documents.ts
@@ -76,6 +76,7 @@
   service: string,
   address: string,
   state: "ready" | "draining" = "ready",
+  born?: number,
 ): object {
-  return { service, address, zone: "a", slots: 8, state };
+  return { service, address, zone: "a", slots: 8, state, ...(born !== undefined && { born }) };
 }
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -71,13 +71,19 @@
 
 abstract class Base {
   mood: Mood = "well";
+  /** What it calls itself; a new start may have the name of the one before. */
+  name: string;
+  /** Unix ms of its start, where it tells it. */
+  born: number | undefined;
   protected readonly listener = new servers.Listener((req, res) => this.answer(req, res));
 
   constructor(
     readonly service: string,
     public instance: string,
     protected readonly kept: Journal,
-  ) {}
+  ) {
+    this.name = instance;
+  }
 
   get address(): string {
     return this.listener.address;
@@ -172,7 +178,7 @@
   protected async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     switch (req.url ?? "") {
       case "/healthz":
-        res.writeHead(200, { "x-sumacfield-instance-id": this.instance });
+        res.writeHead(200, { "x-sumacfield-instance-id": this.name });
         res.end();
         return;
       case "/-/report":
@@ -195,6 +201,7 @@
       stage: "colocated",
       models: [{ name: documents.MODEL, version: 1, adapters }],
       pending: coming,
+      ...(this.born !== undefined && { born: this.born }),
       busy: false,
       sequence: this.sequence,
       queued: 0,
@@ -208,7 +215,7 @@
       setTimeout(() => this.carryOut(body), LATE_MS);
       return;
     }
-    if (req.headers["x-sumacfield-expect-instance"] !== this.instance) {
+    if (req.headers["x-sumacfield-expect-instance"] !== this.name) {
       servers.say(res, 421, {});
       return;
     }
@@ -255,7 +262,7 @@
     const version = req.headers["x-sumacfield-expect-version"];
     const meant = req.headers["x-sumacfield-expect-instance"];
     const other = version !== undefined && Number(version) !== h?.version;
-    if ((meant !== undefined && meant !== this.instance) || !h?.ready || other) {
+    if ((meant !== undefined && meant !== this.name) || !h?.ready || other) {
       this.reject(res, 421, id);
       return;
     }
@@ -319,14 +326,14 @@
 
   protected async answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     if (req.url === "/healthz") {
-      res.writeHead(200, { "x-sumacfield-instance-id": this.instance });
+      res.writeHead(200, { "x-sumacfield-instance-id": this.name });
       res.end();
       return;
     }
     const body = await servers.text(req);
     const id = one(req.headers["x-sumacfield-attempt-id"]);
     const meant = req.headers["x-sumacfield-expect-instance"];
-    if (meant !== undefined && meant !== this.instance) {
+    if (meant !== undefined && meant !== this.name) {
       this.reject(res, 421, id);
       return;
     }
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -266,7 +266,7 @@
     begin: (d) => {
       d.site.store.faults.mode = "busy";
       const lost = d.site.places.filter(() => d.draw.part() < 0.5);
-      for (const p of lost) d.site.store.remove(`servers/${p.worker.instance}`);
+      for (const p of lost) d.site.store.remove(`servers/${p.worker.name}`);
       return {
         on: ["store"],
         end: () => {
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -140,9 +140,9 @@
 
   /** Writes a worker's entry. */
   register(p: Place): void {
-    const { service, instance } = p.worker;
+    const { service, instance, name, born } = p.worker;
     const state = this.leaving.has(instance) ? "draining" : "ready";
-    this.store.put(`servers/${instance}`, documents.entry(service, p.address, state));
+    this.store.put(`servers/${name}`, documents.entry(service, p.address, state, born));
   }
 
   /** A worker says that it leaves. */
@@ -153,20 +153,27 @@
 
   /**
    * Starts a worker anew at the same address, unless that was done to `instance` before; it holds
-   * nothing, and has a new name.
+   * nothing. One that tells its start keeps its name, another has a new one.
    */
   async restart(p: Place, instance: string): Promise<void> {
     if (p.worker.instance !== instance) return;
     const [host, port] = p.worker.address.split(":");
     p.worker.stop();
-    this.store.remove(`servers/${p.worker.instance}`);
+    const { name, born } = p.worker;
     p.worker = this.made(p.name, p.worker instanceof workers.Engine);
+    if (born === undefined) this.store.remove(`servers/${name}`);
+    else p.worker.name = name;
     await p.worker.start(host, Number(port));
     this.register(p);
   }
 
   private made(name: string, engine: boolean): workers.Engine | workers.Plain {
-    const instance = `${name}.${this.started++}`;
+    const made = this.madeAnew(`${name}.${this.started++}`, engine);
+    if (tellsStart(name)) made.born = Date.now();
+    return made;
+  }
+
+  private madeAnew(instance: string, engine: boolean): workers.Engine | workers.Plain {
     if (!engine) return new workers.Plain(PLAIN, instance, this.kept);
     const made = new workers.Engine(ENGINES, instance, this.kept, SLOTS, this.newest);
     made.eventMs = EVENT_MS;
@@ -276,3 +283,8 @@
   await new Promise((resolve) => server.close(resolve));
   return port;
 }
+
+/** Whether the workers at a place tell their start: every other one of `KIND-N`. */
+function tellsStart(place: string): boolean {
+  return Number(place.split("-").at(-1)) % 2 === 0;
+}
