Make the test of turns wait for the engine's own model, and put a few statements right

Cause: the fake engine notes an order before it carries it out. The test took the model away in between; the order brought it back, and no turn was asked for.

Ruled out as mere load by a run in which the model is taken away at that very moment: it fails as the run beside load did.

Change: the test also waits until the model is there; its checks stand.

Measured: the test, with seats, feed and following, passes; lint and format are clean. The whole of the checks was not run on this commit.

--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -41,7 +41,7 @@
  * the store it must leave some of the time over.
  */
 const KEEP_PART = 0.35;
-/** Calls under way at once: two that hang in a row are borne, and a store in trouble is not pressed. */
+/** Calls under way at once. One that hangs is borne in time, two are borne late; more would press the store. */
 const CALLS = 3;
 
 /** For those who put changes in force, `inForceMs` after they were accepted at the latest. */
--- a/test/serving/seats.test.ts
+++ b/test/serving/seats.test.ts
@@ -121,6 +121,8 @@
     s.engine.nearby = ["m"];
     s.engine.hasModel = false;
     await engines.until(() => s.engine.orders.includes("load "));
+    // The order is carried out after it is noted; taken away before that, the model would come back.
+    await engines.until(() => s.engine.hasModel);
     expect(s.turns()).equal(0);
     s.engine.nearby = [];
     s.engine.hasModel = false;
