--- a/bench/measure/time.ts
+++ b/bench/measure/time.ts
@@ -17,6 +17,7 @@
   private readonly queue = new queues.default<Event>([], (a, b) => a.at - b.at || a.n - b.n);
 
   readonly mono = (): number => this.at;
+  readonly steady = (): number => this.at;
   readonly now = (): Date => new Date(this.at);
   readonly after = (ms: number, run: () => void): clock.Timer => {
     this.count++;
--- a/src/endpoint/register.ts
+++ b/src/endpoint/register.ts
@@ -23,7 +23,7 @@
       max: limit,
       ttl: KEEP_MS,
       ttlResolution: 0,
-      perf: { now: clk.mono },
+      perf: { now: () => clk.mono() },
     });
   }
 
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -41,7 +41,7 @@
   enter(grant: objects.Grant, caller: objects.Caller): () => void {
     const key = `${grant.metadata.name}/${caller.metadata.name}`;
     const usage = this.usages.get(key) ?? limits.UNUSED;
-    const now = this.clk.mono();
+    const now = this.clk.steady();
     const l = grant.spec.limits;
     const verdict = limits.enter(usage, l, this.position(), now, this.opts.busyMs);
     if (!verdict.ok) {
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -298,15 +298,15 @@
 
 /** Retries allowed: a share of the requests, so that a failure does not multiply the load. */
 export function retryBudget(share: number, least: number, clk: clock.Clock) {
-  let bucket = budget.full(least, least, clk.mono());
+  let bucket = budget.full(least, least, clk.steady());
   return {
     /** One request was let in; a share of it flows into the budget. */
     request: (): void => {
-      const at = budget.fill(bucket, clk.mono());
+      const at = budget.fill(bucket, clk.steady());
       bucket = { ...at, tokens: Math.min(at.size * 2, at.tokens + share) };
     },
     take: (cost: number): boolean => {
-      const taken = budget.take(bucket, clk.mono(), cost);
+      const taken = budget.take(bucket, clk.steady(), cost);
       if (taken.ok) bucket = taken.bucket;
       return taken.ok;
     },
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -62,7 +62,8 @@
     const { service } = a;
     const now = this.deps.clock.mono();
     const window = this.windows.get(service.name) ?? retries.EMPTY;
-    this.windows.set(service.name, retries.request(window, now, this.opts.retries));
+    const at = this.deps.clock.steady();
+    this.windows.set(service.name, retries.request(window, at, this.opts.retries));
     const p = progress.start(a);
     const cut = new AbortController();
     const stop = (): void => {
@@ -167,7 +168,7 @@
   private mayRetry(a: ask.Ask): boolean {
     const hosts = this.deps.endpoints.hosts() ?? retries.HOSTS;
     const window = this.windows.get(a.service.name) ?? retries.EMPTY;
-    const next = retries.take(window, this.deps.clock.mono(), hosts, this.opts.retries);
+    const next = retries.take(window, this.deps.clock.steady(), hosts, this.opts.retries);
     if (next) this.windows.set(a.service.name, next);
     return next !== undefined;
   }
--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -30,7 +30,7 @@
   return first < 0 ? [] : times.slice(first);
 }
 
-/** A request was let in at `now`, on the monotonic clock in ms. */
+/** A request was let in at `now`, on the steady clock in ms. */
 export function request(w: Window, now: number, opts: Options): Window {
   return { ...w, requests: [...within(w.requests, now - opts.windowMs), now] };
 }
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -14,7 +14,7 @@
   /** Tokens it holds at most. */
   readonly size: number;
   readonly tokens: number;
-  /** Reading of the monotonic clock, in ms, that `tokens` holds for. */
+  /** Reading of the steady clock, in ms, that `tokens` holds for. */
   readonly at: number;
 }
 
@@ -53,10 +53,10 @@
 
 /** A budget of calls a second to one peer, with its running count. */
 export function meter(clk: clock.Clock, rate: number, peer: string) {
-  let bucket = full(rate, rate, clk.mono());
+  let bucket = full(rate, rate, clk.steady());
   let count: Count = { spent: 0, refused: 0 };
   const spend: Spend = (what) => {
-    const taken = take(bucket, clk.mono());
+    const taken = take(bucket, clk.steady());
     if (taken.ok) {
       bucket = taken.bucket;
       count = { ...count, spent: count.spent + 1 };
--- a/test/serving/suspicion.test.ts
+++ b/test/serving/suspicion.test.ts
@@ -57,6 +57,9 @@
     mono() {
       return this.at;
     },
+    steady() {
+      return this.at;
+    },
     after: () => ({ cancel: () => undefined }),
   };
 }
