--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -56,4 +56,11 @@
       "88 and 89 of 100 served at the end, in two of three runs: as seed 3001, at three daemons, two of " +
       "which had stood still. Not traced apart; it passed in one run after the mend.",
   },
+  {
+    seed: 77103,
+    minutes: 0.3,
+    cause:
+      "a daemon ended by itself: two of its ports and its worker's were one, since each was let go " +
+      "before the next was asked for. Mended in the soak, whose ports come from a row of its own.",
+  },
 ];
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -3,9 +3,9 @@
  * workers, a proxy on every link between them, and a balancer's view of the entry daemons.
  * @module
  */
-import * as net from "node:net";
 import * as undici from "undici";
 import * as documents from "../platform/documents.js";
+import * as freePorts from "../platform/ports.js";
 import * as stores from "../platform/store.js";
 import * as workers from "../platform/worker.js";
 import * as daemons from "./daemon.js";
@@ -88,7 +88,7 @@
   async start(): Promise<void> {
     await this.store.start();
     this.configure([]);
-    const seatPort = await free("127.0.0.1");
+    const seatPort = await freePorts.free();
     for (let i = 0; i < this.size.engines; i++) await this.addEngine(i, seatPort);
     for (let i = 0; i < this.size.plain; i++) await this.addPlain(i);
     for (let i = 0; i < this.size.entries; i++) await this.addEntry(i, seatPort);
@@ -259,7 +259,7 @@
       ip,
       seatPort,
       store: await this.storeFor(`entry-${i}`),
-      ports: [await free(ip), await free(ip)],
+      ports: [await freePorts.free(ip), await freePorts.free(ip)],
     };
     this.entries.push(new daemons.Daemon(plan, this.main, this.folder, this.fault));
   }
@@ -302,17 +302,6 @@
   }
 }
 
-/** A port that nobody listens at on `ip`. */
-async function free(ip: string): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, ip, resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 /** Whether the workers at a place tell their start: every other one of `KIND-N`. */
 function tellsStart(place: string): boolean {
   return Number(place.split("-").at(-1)) % 2 === 0;
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -5,7 +5,7 @@
 import * as chai from "chai";
 import * as undici from "undici";
 import * as yaml from "yaml";
-import * as freePorts from "../ports.js";
+import * as freePorts from "../../bench/platform/ports.js";
 import * as documents from "../../bench/platform/documents.js";
 import * as stores from "../../bench/platform/store.js";
 import * as workers from "../../bench/platform/worker.js";
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -9,7 +9,7 @@
 import * as keeper from "../../src/serving/keeper.js";
 import * as link from "../../src/serving/link.js";
 import * as relay from "../../src/serving/relay.js";
-import * as ports from "../ports.js";
+import * as ports from "../../bench/platform/ports.js";
 import * as fakes from "./fake-engine.js";
 import * as fixtures from "./fixtures.js";
 
