Do not take a forgotten history for news of the store

Cause: an answer that the store has dropped its history tells nothing of what changed before, but set the age of what a host knows to that of the call. Ruled out: bounding the age by the whole reading alone, since watches are what is made anyway.

--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -137,8 +137,8 @@
   async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
       try {
-        if (this.synced) await this.follow();
-        else await this.readAll();
+        if (!this.synced) await this.readAll();
+        else if (!(await this.follow())) continue;
         this.regained();
       } catch (err) {
         this.lost(err);
@@ -236,7 +236,8 @@
     );
   }
 
-  private async follow(): Promise<void> {
+  /** Waits for changes once; whether the catalog is as new as the call, which it is not where history is forgotten. */
+  private async follow(): Promise<boolean> {
     const now = this.deps.clock.mono();
     await clock.sleep(
       this.deps.clock,
@@ -252,10 +253,11 @@
     if (got.kind === "compacted") {
       this.synced = false;
       this.deps.log.warn("The store has forgotten its history.", { revision: this.at.revision });
-      return;
+      return false;
     }
     const steps = latest(got.changes).flatMap((l) => this.stepsOf(l));
     this.apply(steps, got.revision);
+    return true;
   }
 
   private stepsOf({ change, undone }: Latest): readonly catalog.Step[] {
@@ -349,6 +351,9 @@
         this.deps.log.info("A configuration is in force.", {
           version: s.config.version,
           routes: s.config.routes.length,
+          teams: s.config.teams?.all.length,
+          keys: s.config.teams?.byDigest.size,
+          malformedTeams: s.config.teams?.malformed,
         });
         break;
       case "version":
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -16,6 +16,8 @@
   private revision = 0;
   private forgotten = 0;
   away = false;
+  /** It answers that it has forgotten its history, and cannot be read whole. */
+  unlisted = false;
   calls = 0;
 
   put(key: string, text: string): void {
@@ -35,6 +37,7 @@
 
   list = (prefix: string) => {
     this.answer();
+    if (this.unlisted) throw new Error("away");
     const documents = [...this.documents.values()].filter((d) => d.key.startsWith(prefix));
     return Promise.resolve({ documents, revision: this.revision });
   };
@@ -44,6 +47,7 @@
     if (after < this.forgotten) return { kind: "compacted" };
     await clock.sleep(clock.system, 10);
     this.answer();
+    if (after < this.forgotten) return { kind: "compacted" };
     const changes = this.log.filter((c) => revisionOf(c) > after);
     return { kind: "changes", changes, revision: this.revision };
   };
@@ -135,6 +139,27 @@
     expect(f.catalog.endpoints).equal(before);
   });
 
+  /*
+   * What would go wrong: a watch is cut since the store has dropped its history, which tells nothing of what changed, and
+   * the store cannot be read whole for a while. Taken for news, the answer would let keys in that were taken away before.
+   */
+  it("does not take it for news that the store has forgotten its history", async () => {
+    const s = new FakeSource();
+    s.put("c", "1");
+    const f = follow(s, { ...feed.close(2000), everyMs: 20 });
+    await until(() => f.catalog.config !== undefined);
+    s.away = true;
+    const awayAt = performance.now();
+    await clock.sleep(clock.system, 200);
+    s.put("c", "2");
+    s.forget();
+    s.unlisted = true;
+    s.away = false;
+    await clock.sleep(clock.system, 400);
+    expect(f.catalog.config?.version).equal(1);
+    expect(f.newsAgeMs).least(performance.now() - awayAt - 1);
+  });
+
   it("makes few calls while much changes", async () => {
     const s = new FakeSource();
     const f = follow(s);
