Let the soak rotate keys and change a cap under its troubles

Change: two teams, one with a cap; the operator takes keys away and lowers or raises the cap, callers use keys in force, taken away and unknown. Checked from the workers' side: the team that they are told, that no key reaches them, no run 5 s after its key was taken away whatever the trouble, no denial of a key in force, and the cap's windows.

--- a/bench/platform/documents.ts
+++ b/bench/platform/documents.ts
@@ -53,6 +53,7 @@
   version: number,
   routes: readonly Route[],
   services: readonly object[],
+  teams?: readonly object[],
 ): object {
   return {
     version,
@@ -68,6 +69,7 @@
     })),
     services,
     limits: LIMITS,
+    ...(teams && { tenants: teams }),
   };
 }
 
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -46,6 +46,9 @@
   readonly version: number;
   /** Milliseconds that the worker was told are left. */
   readonly leftMs: number;
+  /** Team that the worker was told, and whether it was shown a key. */
+  readonly team: string | undefined;
+  readonly sawKey: boolean;
   readonly at: number;
   /** When the worker stopped work on it. */
   endedAt: number | undefined;
@@ -85,6 +88,11 @@
 
 const one = (v: string | readonly string[] | undefined): string => String(v ?? "");
 
+function teamOf(req: http.IncomingMessage): string | undefined {
+  const team = req.headers["x-sumacfield-tenant"];
+  return team === undefined ? undefined : one(team);
+}
+
 abstract class Base {
   mood: Mood = "well";
   /** What it calls itself; a new start may have the name of the one before. */
@@ -143,6 +151,8 @@
       adapter,
       version,
       leftMs: Number(one(req.headers["x-sumacfield-deadline-ms"])),
+      team: teamOf(req),
+      sawKey: req.headers.authorization !== undefined,
       at: performance.now(),
       endedAt: undefined,
     };
--- a/bench/soak/daemon.ts
+++ b/bench/soak/daemon.ts
@@ -7,6 +7,7 @@
 import * as path from "node:path";
 import * as yaml from "yaml";
 import * as script from "../../deploy/script.cjs";
+import * as teams from "./teams.js";
 
 /** Milliseconds from SIGTERM to SIGKILL, and of the other bounds that the daemons are told. */
 export const GRACE_MS = 5000;
@@ -18,6 +19,7 @@
   budgetWindowS: 10,
   budgetSlack: 58,
   contactMs: 3000,
+  ...teams.BOUNDS,
 };
 
 /** Where a daemon runs and whom it meets. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -7,6 +7,7 @@
 import * as faults from "./faults.js";
 import * as history from "./history.js";
 import * as site from "./site.js";
+import * as teams from "./teams.js";
 
 export type Draw = faults.Draw;
 
@@ -42,6 +43,12 @@
 const FATAL = 0.5;
 const FATAL_PAUSE_MS: readonly [number, number] = [500, 4000];
 const FATAL_DRAWS = 3;
+/** Rows of draws for the keys that requests carry, and for what the operator does with keys and caps. */
+const KEY_DRAWS = 4;
+const TEAM_DRAWS = 5;
+/** Milliseconds from one change of keys or caps to the next, and part of them that change a cap. */
+const ROTATE_MS: readonly [number, number] = [1500, 5000];
+const CAP_PART = 0.35;
 /** First draws of a row that hardly differ from one seed to the next. */
 const ALIKE = 2;
 /** Part of the callers that go away early. */
@@ -56,6 +63,7 @@
     kept: s.kept,
     disturbances: [],
     changes: [],
+    teams: s.teams,
     faults: wrong,
   };
   const declared: { adapter: string; version: number; at: number }[] = [];
@@ -65,12 +73,16 @@
   };
   await s.start();
   const over = new AbortController();
-  const world = worldOf(s, plan.draw(0), h, declared);
+  const world = worldOf(s, plan.draw(0), plan.draw(KEY_DRAWS), h, declared);
   const deps = (n: number): faults.Deps => ({ site: s, draw: plan.draw(n), history: h, world });
   const callers = Array.from({ length: plan.callers }, () => caller.run(world, over.signal));
   const until = performance.now() + plan.ms;
   const all = [trouble(deps(1), until), operate(deps(2), until, declared)];
-  await Promise.all([...all, crash(deps(FATAL_DRAWS), until)]);
+  await Promise.all([
+    ...all,
+    crash(deps(FATAL_DRAWS), until),
+    rotate(s, plan.draw(TEAM_DRAWS), until),
+  ]);
   await timers.setTimeout(CALM_MS);
   const well = performance.now() - WELL_MS;
   over.abort();
@@ -84,6 +96,7 @@
 function worldOf(
   s: site.Site,
   draw: Draw,
+  keys: Draw,
   h: history.History,
   declared: readonly { adapter: string; version: number; at: number }[],
 ): caller.World {
@@ -114,6 +127,7 @@
     pauseMs: () => draw.between(20, 200),
     saw: (seen) => h.seen.push(seen),
     nextId: () => `r${count++}`,
+    key: () => teams.keyFor(s.teams, keys),
   };
 }
 
@@ -167,6 +181,17 @@
   }
 }
 
+/** The operator takes keys away, gives others, and changes a cap, until `until`. */
+async function rotate(s: site.Site, draw: Draw, until: number): Promise<void> {
+  while (performance.now() < until) {
+    await timers.setTimeout(draw.between(...ROTATE_MS));
+    const now = performance.now();
+    if (draw.part() < CAP_PART) teams.toggleCap(s.teams, now);
+    else teams.rotate(s.teams, draw.one, now);
+    s.configure();
+  }
+}
+
 async function operate(
   d: faults.Deps,
   until: number,
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -10,6 +10,7 @@
 import * as workers from "../platform/worker.js";
 import * as daemons from "./daemon.js";
 import * as proxies from "./proxy.js";
+import * as teams from "./teams.js";
 
 const ENGINES = "llm";
 const PLAIN = "guide";
@@ -60,6 +61,7 @@
   readonly endpoints: daemons.Daemon[] = [];
   /** The proxy before the store for each daemon, by its name. */
   readonly storeLinks = new Map<string, proxies.Proxy>();
+  readonly teams = teams.begin(performance.now());
   private extra: readonly documents.Route[] = [];
   private version = 0;
   private started = 0;
@@ -114,11 +116,14 @@
   }
 
   /** Puts a configuration in force with the usual routes and `extra` ones. */
-  configure(extra: readonly documents.Route[]): void {
+  configure(extra: readonly documents.Route[] = this.extra): void {
     this.extra = extra;
     this.version += 1 + (this.version % 3);
     const services = [documents.engines(ENGINES, SLOTS), documents.plain(PLAIN)];
-    this.store.put("op/config", documents.config(this.version, [...ROUTES, ...extra], services));
+    this.store.put(
+      "op/config",
+      documents.config(this.version, [...ROUTES, ...extra], services, teams.listed(this.teams)),
+    );
   }
 
   /** Adds or takes away a route for calls; whether it is there now. */
--- /dev/null
+++ b/bench/soak/teams.ts
@@ -0,0 +1,161 @@
+/**
+ * The teams of a soak: their keys, which come and go, and the cap of one of them; and what workers must then have seen.
+ * @module
+ */
+import type * as worker from "../platform/worker.js";
+import type * as history from "./history.js";
+
+/** A key, and when the operator put it in force and took it away. */
+export interface Key {
+  readonly key: string;
+  readonly team: string;
+  readonly from: number;
+  until: number;
+}
+
+/** A cap of {@link CAPPED} from a moment on. */
+interface Cap {
+  readonly perS: number;
+  readonly at: number;
+}
+
+/** What the operator did with teams. */
+export interface Teams {
+  readonly keys: Key[];
+  readonly caps: Cap[];
+}
+
+/** Bounds that the daemons are told, as the platform names them. */
+export const BOUNDS = {
+  strictRevoke: true,
+  revokeMs: 5000,
+  quotaSlack: 2000,
+} as const;
+const OVERAGE = 0.1;
+const WINDOW_MS = 8000;
+const MS_PER_S = 1000;
+/** Milliseconds within which a change is in force on hosts in touch. */
+const IN_FORCE_MS = 2000;
+
+const FREE = "news";
+const CAPPED = "sport";
+/** Tokens a second of the cap while it is high and while it is low; its burst is as large. */
+const HIGH = 6000;
+const LOW = 600;
+/** Tokens of a request on an adapter, and of a call. */
+export const STREAM_USAGE = "200,40";
+const STREAM_TOKENS = 240;
+const CALL_TOKENS = 20;
+/** A key that no configuration ever held. */
+const UNKNOWN = "k-unknown";
+
+export function begin(now: number): Teams {
+  const key = (team: string, n: number): Key => ({
+    key: `k-${team}-${n}`,
+    team,
+    from: now,
+    until: Infinity,
+  });
+  return {
+    keys: [FREE, CAPPED].flatMap((t) => [key(t, 1), key(t, 2)]),
+    caps: [{ perS: HIGH, at: now }],
+  };
+}
+
+/** The teams as a configuration lists them. */
+export function listed(t: Teams): readonly object[] {
+  const perS = t.caps.at(-1)?.perS ?? HIGH;
+  const cap = { unit: "token_rate", plainTokens: CALL_TOKENS, ratePerS: perS, burst: perS };
+  return [FREE, CAPPED].map((name) => ({
+    name,
+    apiKeys: t.keys.filter((k) => k.team === name && k.until === Infinity).map((k) => k.key),
+    ...(name === CAPPED && cap),
+  }));
+}
+
+/** Takes a key away and gives its team another. */
+export function rotate(t: Teams, draw: <T>(list: readonly T[]) => T, now: number): void {
+  const old = draw(t.keys.filter((k) => k.until === Infinity));
+  old.until = now;
+  const key = `k-${old.team}-${t.keys.length + 1}`;
+  t.keys.push({ key, team: old.team, from: now, until: Infinity });
+}
+
+/** Lowers the cap, or raises it again. */
+export function toggleCap(t: Teams, now: number): void {
+  const perS = t.caps.at(-1)?.perS === HIGH ? LOW : HIGH;
+  t.caps.push({ perS, at: now });
+}
+
+/** Parts of the requests with a key in force; of the rest, most have one that was taken away. */
+const IN_FORCE = 0.88;
+const TAKEN_AWAY = 0.8;
+
+/** A key for a request, of a team or of none. */
+export function keyFor(
+  t: Teams,
+  draw: { readonly part: () => number; readonly one: <T>(list: readonly T[]) => T },
+): string {
+  const over = t.keys.filter((k) => k.until < Infinity);
+  const inForce = t.keys.filter((k) => k.until === Infinity);
+  if (draw.part() < IN_FORCE) return draw.one(inForce).key;
+  if (draw.part() < TAKEN_AWAY && over.length > 0) return draw.one(over).key;
+  return UNKNOWN;
+}
+
+/** What is wrong with how a request was treated, by its key. */
+export function check(t: Teams, s: history.Seen, runs: readonly worker.Run[]): string | undefined {
+  const key = t.keys.find((k) => k.key === s.key);
+  const foreign = runs.find((r) => r.team !== key?.team);
+  if (foreign) return `ran for ${foreign.team ?? "no team"}, with a key of ${key?.team ?? "none"}`;
+  if (runs.some((r) => r.sawKey)) return "its worker was shown its key";
+  if (!key) return undefined;
+  if (runs.length > 0 && s.sentAt > key.until + BOUNDS.revokeMs) {
+    return `ran ${Math.round(s.sentAt - key.until)} ms after its key was taken away`;
+  }
+  const denied = s.end.kind === "answer" && s.end.status === 401;
+  if (denied && key.from + IN_FORCE_MS < s.sentAt && key.until > s.endedAt) {
+    return "its key was denied, which is in force";
+  }
+  return undefined;
+}
+
+/** Windows in which the capped team ran more than its cap allows, a line each. */
+export function beyondCap(
+  t: Teams,
+  seen: readonly history.Seen[],
+  runs: ReadonlyMap<string, readonly worker.Run[]>,
+  outOfTouch: (from: number, to: number) => boolean,
+): readonly string[] {
+  const own = new Set(t.keys.filter((k) => k.team === CAPPED).map((k) => k.key));
+  const ran = seen.flatMap((s) => {
+    const at = Math.min(...(runs.get(s.id) ?? []).map((r) => r.at));
+    if (!own.has(s.key) || at === Infinity) return [];
+    return [{ sentAt: s.sentAt, at, tokens: s.adapter === "" ? CALL_TOKENS : STREAM_TOKENS }];
+  });
+  return ran.flatMap(({ at: to }) => {
+    const from = to - WINDOW_MS;
+    const used = ran
+      .filter((r) => r.sentAt >= from && r.at <= to)
+      .reduce((sum, r) => sum + r.tokens, 0);
+    const perS = capBefore(t, from, to, outOfTouch);
+    const allowed = perS * (WINDOW_MS / MS_PER_S + 1) * (1 + OVERAGE) + BOUNDS.quotaSlack;
+    if (used <= allowed) return [];
+    return [`cap: ${CAPPED} ran ${used} tokens in a window of ${Math.round(allowed)}`];
+  });
+}
+
+/** The highest cap that a window may go by: a lowered one binds a window after it is in force on all hosts in touch. */
+function capBefore(
+  t: Teams,
+  from: number,
+  to: number,
+  outOfTouch: (from: number, to: number) => boolean,
+): number {
+  const since = from - IN_FORCE_MS;
+  const may = t.caps.filter((c, i) => {
+    const until = t.caps[i + 1]?.at ?? Infinity;
+    return c.at <= to && (until >= since || outOfTouch(until, to));
+  });
+  return Math.max(...may.map((c) => c.perS));
+}
