--- a/src/serving/announcer.ts
+++ b/src/serving/announcer.ts
@@ -13,10 +13,8 @@
 const ROUND_MS = 20;
 /**
  * Milliseconds by which the pace of those that ask for nothing slackens with each of the first entry daemons,
- * how many these are, and with each further one. Words were three fifths of what an entry daemon took that had
- * no request, in a profile of its first half minute with 24 engines and 8 entry daemons. In virtual time
- * with 55 engines, 68 entry hosts and 260 requests a second, words 1.36 s apart in place of 0.68 s left 0.966
- * of the first events in time in place of 0.981. At 360 entry daemons and 600 engines each hears 70 a second.
+ * how many these are, and with each further one. Words are most
+ * of what an entry daemon without requests spends, and older words make for worse choices.
  */
 const PACE_MS_EACH = 10;
 const FEW = 20;
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -75,8 +75,7 @@
 const COPY_LOADS = 2;
 /**
  * Loads from the weight store that being late is weighed as. With it, another copy is made sooner where
- * the engine that has the adapter would be late and another one would not; at three of them, copies
- * that were made in vain took more than they gave (docs/DECISIONS.md).
+ * the engine that has the adapter would be late and another one would not.
  */
 const LATE_LOADS = 1;
 /** Milliseconds that each step down an adapter's own order of engines costs, to keep it at one. */
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -27,8 +27,7 @@
  * Parts of the time allowed for a change. Their sum is what bounds the age of what an entry daemon knows: a
  * change that comes right after an answer waits for the next call, that call may hang, and the one beside it
  * brings the change: 0.5 + 0.25 of the time, the rest is for the answer's way. It guards against a call that
- * hangs, whatever else changes in the store: with a wait of its own length, a mark that an endpoint leaves
- * came 3,258 ms after the store had it, of 2,000 allowed; now 507 ms (following.test.ts).
+ * hangs, whatever else changes in the store.
  */
 /** From one wait to the next. In a large fleet each wait is answered at once, so this is the calls' pace. */
 const EVERY_PART = 0.5;
@@ -63,7 +62,7 @@
 /** Milliseconds until the next try after the store failed, at first and at most. */
 const RETRY_MS = 60;
 const RETRY_MAX_MS = 400;
-/** Milliseconds within which workers are back whose entries lapsed during an outage, by the letter. */
+/** Milliseconds within which workers are back whose entries lapsed during an outage. */
 const BACK_WITHIN_MS = 2200;
 /**
  * Part of the endpoints that must be missing at once to be sure that their entries lapsed: workers
--- a/src/serving/identity.ts
+++ b/src/serving/identity.ts
@@ -19,9 +19,8 @@
  * after which a stream goes on, since they differ from one attempt to the next; and the connection, since callers
  * come from several addresses, and the same body ends a worker whoever sends it.
  *
- * It can't be read back to a prompt. It takes 8 us for 6 KB when warm and 61 us for the first twenty of a process (3,000 in
- * a row, one run), so it is computed only for sends that broke off and while some request is under suspicion, and
- * once for each.
+ * It can't be read back to a prompt. It is computed only for sends that broke off and while some request is under
+ * suspicion, and once for each.
  */
 export function of(a: ask.Ask): string {
   const before = known.get(a);
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -12,8 +12,7 @@
 
 /**
  * Milliseconds that an answer is awaited, at least and at most, and as a multiple of what answers usually
- * take. An engine answers at once from its own host, in 2 ms at the median and 20 ms at most over 837
- * orders of one played day; what takes far longer is lost, and while it is awaited no adapter that callers
+ * take. An engine answers at once from its own host; what takes far longer is lost, and while it is awaited no adapter that callers
  * wait for is ordered. An order that is given again is harmless.
  */
 const LEAST_MS = 25;
--- a/src/serving/search.ts
+++ b/src/serving/search.ts
@@ -7,10 +7,6 @@
  * adapter, and at a few in the adapter's own order, which is the same on all hosts: an adapter that nobody
  * has goes to the same few engines whoever asks. It looks at more of them only while the best would be
  * late. Consistent hashing, with the power of a few choices; pure.
- *
- * Measured in virtual time with 55 engines, 68 entry hosts, news up to 0.7 s old and 340 requests a second:
- * 0.97 of the first events in time against 0.89 by the best of the last words, and 8 engines looked at for a
- * request in place of 55.
  * @module
  */
 import * as choice from "./choice.js";
@@ -25,14 +21,12 @@
 
 /**
  * Engines looked at in an adapter's own order: at first, while the best of them would be late, and while
- * none of them can be used at all. With four first, 7 to 9 views are looked at for a request at 200 to 340
- * requests a second in the load above; a stricter first look (a best engine at half of the target) looked at
- * 10 to 14 and had no more in time. Sixteen cover small fleets whole.
+ * none of them can be used at all. Sixteen cover small fleets whole.
  */
 const WIDTHS: readonly number[] = [4, 16, Infinity];
 /**
- * Engines looked at among those that have an adapter. News is up to 0.7 s old with 68 entry hosts: the best
- * of all by old news is what every other host sends to as well, the best of a few drawn ones is not.
+ * Engines looked at among those that have an adapter. The best of all by
+ * old news is what every other host sends to as well, the best of a few drawn ones is not.
  */
 export const HOLDERS = 8;
 /** Place of an engine that has an adapter and is not among the first in its order. */
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -27,7 +27,7 @@
 /**
  * Milliseconds until the first look for an engine that would take a waiting request sooner; each further
  * one comes after twice the time, so that a long wait costs few looks. By how much sooner it must be: more
- * than what an estimate is off by at the median.
+ * than what an estimate is mostly off by.
  */
 const MOVE_LOOK_MS = 60;
 const MOVE_GAIN_MS = 200;
--- a/src/serving/suspicion.ts
+++ b/src/serving/suspicion.ts
@@ -89,8 +89,7 @@
 /**
  * Milliseconds around an end in which the ends of other workers tell how often workers ended by themselves then; the
  * highest rate counts. The shortest is for ends that come in crowds, as when a failure domain is lost. Over a minute alone,
- * and with the chance worked out once, workers that had begun to end lately seemed calm: innocent requests were held for the
- * cause in five of the twelve cases that outbreak.test.ts plays in virtual time; with these, in none.
+ * workers that have begun to end lately seem calm, and innocent requests are held for the cause.
  */
 const WINDOWS_MS = [500, 5000, 20_000, 60_000] as const;
 /** Ends a millisecond that are taken for granted on a calm fleet: one in five minutes. */
--- a/src/serving/warmth.ts
+++ b/src/serving/warmth.ts
@@ -111,10 +111,6 @@
  * in place of one after the other. Nobody counts the loads of all engines, so each slows down by what its
  * own loads take, as congestion control by delay does it: one more for each round of loads that were fast,
  * half as many after one that was slow.
- *
- * Measured in virtual time with 55 engines, six adapters each, and a store that serves 32 loads at full speed:
- * the first 55 adapters are there within 0.5 s and the mean one after 1.6 s, in place of 2.0 s for all at
- * four loads each. Engines that start over a store that is not full lose 0.3 s.
  */
 export function coldAtOnce(w: Warmth): number {
   return Math.floor(w.limit);
