Follow the store closely enough for the operator's bound on keys, and refuse one that can't be kept

Cause: a bound shorter than that on configurations would have had keys refused between two waits for changes, and a strict bound without a figure would have bound nothing. Result: settings with either are refused by the field's name (test/platform/platform.test.ts).

--- a/src/serving/authentication.ts
+++ b/src/serving/authentication.ts
@@ -36,13 +36,17 @@
 /** Milliseconds from the judgment of a request to its arrival at a worker, where nothing makes it wait. */
 const WAY_MS = 500;
 
+/** Milliseconds for which knowledge must be good at least, so that a host can hear of changes meanwhile. */
+const LEAST_TRUST_MS = 300;
+/** Milliseconds after which a key that was taken away can be kept out at the earliest. */
+export const LEAST_REVOKED_MS = SILENT_WATCH_MS + WAY_MS + LEAST_TRUST_MS;
+
 /**
  * The bounds by which all hosts keep to the operator's: a change is in force after `inForceMs`, and a key that was
  * taken away lets nothing in after `revokedMs`, or at some time where that is undefined.
  */
 export function bounds(inForceMs: number, revokedMs: number | undefined): Bounds {
-  const trustMs =
-    revokedMs === undefined ? Infinity : Math.max(0, revokedMs - SILENT_WATCH_MS - WAY_MS);
+  const trustMs = revokedMs === undefined ? Infinity : revokedMs - SILENT_WATCH_MS - WAY_MS;
   return { trustMs, refuseMs: inForceMs };
 }
 
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -64,7 +64,10 @@
   let leaving = false;
   const decoder = quarantine.decoding(deps.decoder);
   let before = catalog.EMPTY;
-  const fed = host.openFeed({ ...deps, decoder }, feed.close(opts.inForceMs), (at) => {
+  const bounds = authentication.bounds(opts.inForceMs, opts.revokedMs);
+  // Followed closely enough that keys can be judged while the store answers.
+  const pace = feed.close(Math.min(opts.inForceMs, bounds.trustMs));
+  const fed = host.openFeed({ ...deps, decoder }, pace, (at) => {
     if (at.config) callers.configure(at.config.limits);
     for (const id of before.quarantined) if (!at.quarantined.has(id)) suspected.released(id);
     before = at;
@@ -105,7 +108,6 @@
     hosts: () => known.hosts(),
     overdraft: opts.overdraft,
   });
-  const bounds = authentication.bounds(opts.inForceMs, opts.revokedMs);
   const dispatcher = new dispatch.Dispatch(
     { domain: opts.domain, retries: opts.retries },
     {
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -97,6 +97,18 @@
     expect(() => settings.read("/nowhere/boot.yaml")).throw(settings.SettingsError, "/nowhere");
   });
 
+  it("bound how long keys that were taken away may be let in, and are refused where that can't be kept", () => {
+    const withBounds = (text: string): settings.Settings =>
+      settings.parse(SETTINGS.replace("graceS: 8", `graceS: 8\n${text}`), "file");
+    const strict = withBounds("  strictRevoke: true\n  revokeMs: 5000\n  quotaSlack: 17000");
+    expect(strict).include({ revokedMs: 5000, capSlack: 17_000 });
+    expect(withBounds("  strictRevoke: false\n  revokeMs: 5000").revokedMs).equal(undefined);
+    expect(() => withBounds("  strictRevoke: true")).throw(/bounds\.revokeMs/);
+    expect(() => withBounds("  strictRevoke: true\n  revokeMs: 1000")).throw(/bounds\.revokeMs/);
+    expect(() => withBounds("  strictRevoke: yes please")).throw(/bounds\.strictRevoke/);
+    expect(() => withBounds("  quotaSlack: -1")).throw(/bounds\.quotaSlack/);
+  });
+
   it("never crash on any text", () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
