--- a/bench/explain/lines.ts
+++ b/bench/explain/lines.ts
@@ -9,6 +9,8 @@
   msg: zod.literal("A request is over."),
   request: zod.string(),
   route: zod.string(),
+  team: zod.string().optional(),
+  units: zod.number().optional(),
   ending: zod.string(),
   targetMs: zod.number(),
   expectedMs: zod.number().optional(),
@@ -38,7 +40,17 @@
   endpoint: zod.string(),
   verdict: zod.string(),
 });
-const line = zod.discriminatedUnion("msg", [over, given, ordered, ended]);
+const refused = zod.object({
+  msg: zod.literal("A request was refused."),
+  status: zod.number(),
+  team: zod.string().optional(),
+});
+const capped = zod.object({
+  msg: zod.literal("A team is at its cap."),
+  team: zod.string(),
+  perS: zod.number(),
+});
+const line = zod.discriminatedUnion("msg", [over, given, ordered, ended, refused, capped]);
 
 export type Over = zod.infer<typeof over> & {
   /** Seconds from the first line of the log to its end. */
@@ -48,12 +60,18 @@
 };
 export type Order = zod.infer<typeof ordered>;
 export type End = zod.infer<typeof ended>;
+export type Refused = zod.infer<typeof refused>;
+export type Capped = zod.infer<typeof capped>;
 
 export interface Day {
   readonly requests: readonly Over[];
   readonly orders: readonly Order[];
   /** Ends of workers, one for each request that was on one. */
   readonly ends: readonly End[];
+  /** Requests that were not let in. */
+  readonly refusals: readonly Refused[];
+  /** Moments at which a team was at its cap. */
+  readonly capped: readonly Capped[];
 }
 
 const MS_PER_S = 1000;
@@ -63,6 +81,8 @@
   const requests: Over[] = [];
   const orders: Order[] = [];
   const ends: End[] = [];
+  const refusals: Refused[] = [];
+  const caps: Capped[] = [];
   const waited = new Map<string, number>();
   let from: number | undefined;
   for (const row of text.split("\n")) {
@@ -90,9 +110,15 @@
       case "A worker ended under a request.":
         ends.push(said);
         break;
+      case "A request was refused.":
+        refusals.push(said);
+        break;
+      case "A team is at its cap.":
+        caps.push(said);
+        break;
     }
   }
-  return { requests, orders, ends };
+  return { requests, orders, ends, refusals, capped: caps };
 }
 
 /** The fields of a line; undefined where the line is none of the daemons', or was cut. */
--- a/bench/explain/main.ts
+++ b/bench/explain/main.ts
@@ -23,6 +23,7 @@
 const day = lines.read(cli.input.map((file) => fs.readFileSync(file, "utf8")).join("\n"));
 const all: readonly (readonly [string, readonly tables.Row[]])[] = [
   ["By route", tables.byRoute(day)],
+  ["By team", tables.byTeam(day)],
   ["By time", tables.byTime(day)],
   ["Not answered whole", tables.byReason(day)],
   ["Late", tables.late(day)],
--- a/bench/explain/tables.ts
+++ b/bench/explain/tables.ts
@@ -55,6 +55,27 @@
   }));
 }
 
+const NO_TEAM = "-";
+const OVER_CAP = 429;
+
+/** What became of the requests of each team, what it used, and how many of its requests its cap turned away. */
+export function byTeam(day: lines.Day): readonly Row[] {
+  const groups = grouped(day.requests, (r) => r.team ?? NO_TEAM);
+  const refused = day.refusals.map((r) => r.team ?? NO_TEAM);
+  return [...new Set([...groups.keys(), ...refused])].sort().map((team) => {
+    const list = groups.get(team) ?? [];
+    const away = day.refusals.filter((r) => (r.team ?? NO_TEAM) === team);
+    return {
+      team,
+      ...counts(list),
+      units: list.reduce((sum, r) => sum + (r.units ?? 0), 0),
+      "cap a second": day.capped.findLast((c) => c.team === team)?.perS ?? "",
+      "over the cap": away.filter((r) => r.status === OVER_CAP).length,
+      "not let in": away.length,
+    };
+  });
+}
+
 /** The same over time. */
 export function byTime(day: lines.Day): readonly Row[] {
   const spans = [...grouped(day.requests, (r) => Math.floor(r.atS / SPAN_S) * SPAN_S)];
--- a/src/serving/ask.ts
+++ b/src/serving/ask.ts
@@ -36,6 +36,8 @@
   readonly team: catalog.Team;
   /** SHA-256 of its key, in hex. */
   readonly digest: string;
+  /** What the request counts against its team's cap; 0 without one. */
+  readonly units: number;
 }
 
 /** A request that was read whole and matched to a route. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -96,6 +96,7 @@
       request: a.meta.id,
       route: a.route.name,
       team: a.caller?.team.name,
+      units: a.caller?.units,
       ending,
       endpoint: p.endpoint,
       sends: p.sends,
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -130,7 +130,8 @@
       return;
     }
     const ran = await this.serve(req, res, out, entered, arrivedAt);
-    if (!ran && entered.caller) this.deps.caps.refund(entered.caller.team, entered.units);
+    const { caller } = entered;
+    if (!ran && caller) this.deps.caps.refund(caller.team, caller.units);
   }
 
   private match(req: http.IncomingMessage, config: catalog.Config): match.Matched | match.Refused {
@@ -148,13 +149,14 @@
 
   /** Lets a request in under the cap of its team, if it has one. */
   private async admit(m: match.Matched): Promise<match.Matched | match.Refused> {
-    const { team, digest } = m.caller ?? {};
-    if (!team?.cap || digest === undefined) return m;
-    const verdict = await this.deps.caps.admit(team, m.units);
+    if (!m.caller) return m;
+    const { team, digest, units } = m.caller;
+    if (!team.cap) return m;
+    const verdict = await this.deps.caps.admit(team, units);
     const said = { team: team.name, digest: match.shortened(digest) };
     switch (verdict.kind) {
       case "in":
-        this.deps.meters.used(team.name, m.units);
+        this.deps.meters.used(team.name, units);
         return m;
       case "over": {
         const { perS, burst, unit } = team.cap;
--- a/src/serving/match.ts
+++ b/src/serving/match.ts
@@ -20,8 +20,6 @@
   readonly service: catalog.Service;
   readonly meta: ask.Meta;
   readonly caller?: ask.Caller;
-  /** What it counts against its team's cap. */
-  readonly units: number;
 }
 
 /** A request that was not let in, and has not run. */
@@ -88,7 +86,7 @@
   } catch (err) {
     return { ...refused(400, errors.why(err)), digest };
   }
-  const found = { kind: "matched", config, route, service, meta, units: 0 } as const;
+  const found = { kind: "matched", config, route, service, meta } as const;
   if (verdict.kind === "open" || shown.kind !== "key") return found;
   return { ...found, ...asTeam(route, verdict.team, shown.digest, meta) };
 }
@@ -99,11 +97,10 @@
   team: catalog.Team,
   digest: string,
   meta: ask.Meta,
-): Pick<Matched, "route" | "caller" | "units"> {
+): Pick<Matched, "route" | "caller"> {
   return {
     route: team.rank === undefined ? route : { ...route, rank: team.rank },
-    caller: { team, digest },
-    units: team.cap ? caps.unitsOf(team.cap, meta) : 0,
+    caller: { team, digest, units: team.cap ? caps.unitsOf(team.cap, meta) : 0 },
   };
 }
 
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -41,6 +41,11 @@
   ended("d1", "r6", "company", "i-1", "suspected"),
   ended("d2", "r7", "cause", "i-2", "suspected"),
   ended("d1", "r7", "cause", "i-2", "quarantined"),
+  over(4, { request: "r8", ending: "whole", firstMs: 100, route: "b", team: "news", units: 240 }),
+  over(4, { request: "r9", ending: "whole", firstMs: 100, route: "b", team: "news", units: 20 }),
+  '{"msg":"A request was refused.","status":429,"team":"news"}',
+  '{"msg":"A request was refused.","status":401}',
+  '{"msg":"A team is at its cap.","team":"news","perS":300}',
   '{"msg":"A request is ov',
 ].join("\n");
 
@@ -51,10 +56,16 @@
     expect(tables.byRoute(day)[0]).include({ requests: 4, "on time": 1, late: 1, refused: 2 });
   });
 
+  it("tells what each team used and what its cap turned away", () => {
+    const [none, news] = tables.byTeam(day);
+    expect(none).include({ team: "-", requests: 4, "not let in": 1, "over the cap": 0 });
+    expect(news).include({ team: "news", units: 260, "cap a second": 300, "over the cap": 1 });
+  });
+
   it("tells when it was", () => {
     expect(tables.byTime(day).map((r) => [r["from s"], r.requests])).deep.equal([
       [0, 2],
-      [4, 2],
+      [4, 4],
     ]);
   });
 
