--- a/src/serving/allowance.ts
+++ b/src/serving/allowance.ts
@@ -13,7 +13,7 @@
   readonly burst: number;
 }
 
-/** What is left at a moment; below 0 after a request that was larger than what was left. */
+/** What is left at a moment; below 0 where the overdraft is used. */
 export interface Allowance {
   readonly level: number;
   /** Steady ms that `level` holds for. */
@@ -55,9 +55,9 @@
 }
 
 /**
- * Asks for requests that count `wants` units each. One that is larger than what is left is let in where that exceeds
- * the cap by `overdraft` at most, and what it owes is made up for by those after it; so a team whose cap is hardly
- * larger than one request is not shut out.
+ * Asks for requests that count `wants` units each. What they exceed the cap by is `overdraft` at most, over all places
+ * together, and is made up for by those after them; so a team whose cap is hardly larger than one request, and whose
+ * requests come a few at once, is not shut out.
  */
 export function draw(
   a: Allowance,
@@ -82,7 +82,7 @@
 /** What must be there for a request of `units`; undefined where a place with `part` never has as much. */
 function neededFor(units: number, cap: Cap, part: number, overdraft: number): number | undefined {
   if (part <= 0) return undefined;
-  const needed = Math.max(Math.min(units, 1), units - overdraft * part);
+  const needed = units - overdraft * part;
   const size = sizeOf(cap, part);
   if (needed <= size) return needed;
   return part > MOST ? size : undefined;
--- a/src/serving/cap-place.ts
+++ b/src/serving/cap-place.ts
@@ -35,7 +35,7 @@
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: record.Log;
-  /** Units by which one request may exceed what is left of a cap. */
+  /** Units by which a team may exceed its cap at once. */
   readonly overdraft: number;
 }
 
--- a/src/serving/caps.ts
+++ b/src/serving/caps.ts
@@ -70,7 +70,7 @@
   readonly places: (key: string, n: number) => readonly Place[];
   /** Entry daemons there are, as far as known. */
   readonly hosts: () => number | undefined;
-  /** Units by which one request may exceed what is left of a cap. */
+  /** Units by which a team may exceed its cap at once. */
   readonly overdraft: number;
 }
 
--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -22,7 +22,7 @@
   readonly service: string;
   /** Milliseconds after which a declared version must be the only one in use. */
   readonly versionMs: number;
-  /** Units by which one request may exceed what is left of its team's cap. */
+  /** Units by which a team may exceed its cap at once. */
   readonly overdraft: number;
 }
 
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -32,7 +32,7 @@
   readonly inForceMs: number;
   /** Milliseconds after which a key that was taken away lets nothing in; undefined where that is not asked. */
   readonly revokedMs: number | undefined;
-  /** Units by which one request may exceed what is left of its team's cap. */
+  /** Units by which a team may exceed its cap at once. */
   readonly overdraft: number;
   /** Milliseconds from the signal to stop until the process is killed. */
   readonly graceMs: number;
