--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -375,8 +375,12 @@
     }
     for (const [n, d] of this.draws) {
       if (d.at < this.heardAt) continue;
-      if (now - d.at < SILENT_MS) next = Math.min(next, d.at);
-      else this.settleDraw(n, undefined);
+      if (now - d.at < SILENT_MS) {
+        next = Math.min(next, d.at);
+        continue;
+      }
+      this.last = undefined;
+      this.settleDraw(n, undefined);
     }
     this.unheardSince = next === Infinity ? undefined : next;
     this.watch();
--- /dev/null
+++ b/test/serving/cap-link.test.ts
@@ -0,0 +1,74 @@
+import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
+import * as record from "../../src/host/record.js";
+import * as link from "../../src/serving/link.js";
+import * as engines from "./engines.js";
+import * as telling from "./telling.js";
+
+const { expect } = chai;
+
+/** What ends the parts of the test at hand, also when it fails. */
+const ends: (() => void)[] = [];
+
+/** A connection to an endpoint daemon that answers as the test says. */
+async function connected() {
+  const daemon = await telling.open(telling.state("i1"), telling.holdings());
+  const made = new link.Link(daemon.address, {
+    clock: clock.system,
+    log: record.silent,
+    host: "entry",
+    lost: () => undefined,
+    holds: () => undefined,
+    came: () => undefined,
+    suspicion: () => undefined,
+    greeting: () => [{ kind: "attach", version: 1, hosts: 1, caps: [] }],
+  });
+  ends.push(() => {
+    made.close();
+    daemon.close();
+  });
+  await engines.until(() => made.state !== undefined);
+  return { daemon, made };
+}
+
+describe("a connection to the place of a cap", () => {
+  afterEach(() => {
+    for (const end of ends.splice(0)) end();
+  });
+
+  it("says which caps are kept there before anything else", async () => {
+    const { daemon } = await connected();
+    await engines.until(() => daemon.heard.length >= 2);
+    expect(daemon.heard).deep.equal(["hello", "attach"]);
+  });
+
+  it("brings each answer to its question", async () => {
+    const { daemon, made } = await connected();
+    const first = made.draw("news", [10]);
+    const second = made.draw("news", [20]);
+    await engines.until(() => daemon.heard.filter((k) => k === "draw").length === 2);
+    daemon.tell(
+      { kind: "drawn", draw: 1, granted: 0, waitMs: 70 },
+      { kind: "drawn", draw: 0, granted: 1, waitMs: 0 },
+    );
+    expect((await first)?.granted).equal(1);
+    expect(await second).include({ granted: 0, waitMs: 70 });
+  });
+
+  it("answers nothing where the place is silent, and does not take it for one that knows", async () => {
+    const { made } = await connected();
+    expect(await made.draw("news", [10])).equal(undefined);
+    expect(made.isForgotten).equal(false);
+    expect(made.state).equal(undefined);
+  });
+
+  it("answers nothing where the place ends, which then counts this host no more", async () => {
+    const { daemon, made } = await connected();
+    const asked = made.draw("news", [10]);
+    await engines.until(() => daemon.heard.includes("draw"));
+    daemon.close();
+    expect(await asked).equal(undefined);
+    expect(made.isForgotten).equal(true);
+    expect(await made.draw("news", [10])).equal(undefined);
+  });
+});
