Keep the windows of further sends in retries, and name a request's default tokens in the product's words

dispatch.ts had grown by the check of keys; its budget of further sends is the module's own concern. No change of what is sent: dispatch, decisions, callers and revoked tests pass unchanged.

--- a/bench/caps/fleet.ts
+++ b/bench/caps/fleet.ts
@@ -319,7 +319,7 @@
 
 /** A catalog whose only team has a cap in tokens. */
 function withCap(cap: allowance.Cap, version: number): catalog.Catalog {
-  const team: catalog.Team = { name: TEAM, cap: { ...cap, unit: "tokens", plainTokens: 1 } };
+  const team: catalog.Team = { name: TEAM, cap: { ...cap, unit: "tokens", defaultTokens: 1 } };
   return {
     ...catalog.EMPTY,
     config: {
--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -82,11 +82,11 @@
     default: "2000",
   }),
   guessLoadMs: settings.int("guessLoadMs", 0, {
-    help: "First guess of one load, in ms, until some were measured.",
+    help: "First guess of one load, in ms, until some were seen.",
     default: "500",
   }),
   guessServiceMs: settings.int("guessServiceMs", 0, {
-    help: "First guess of one answer, in ms, until some were measured.",
+    help: "First guess of one answer, in ms, until some were seen.",
     default: "1000",
   }),
   requestLimit: settings.int("requestLimit", 1, {
--- a/src/endpoint/setup.ts
+++ b/src/endpoint/setup.ts
@@ -44,7 +44,7 @@
   readonly retryLoadMs: number;
   /** Whether the engine refuses orders with an old fencing number. */
   readonly fencing: "honoured" | "ignored";
-  /** First guess of a load and of an answer, in ms, until some were measured. */
+  /** First guess of a load and of an answer, in ms, until some were seen. */
   readonly guessLoadMs: number;
   readonly guessServiceMs: number;
 }
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -6,7 +6,7 @@
 import * as hotShots from "hot-shots";
 import * as hdr from "hdr-histogram-js";
 
-/** What is measured, in milliseconds but for `batch_fill`, which is seats used in 100. */
+/** What is observed, in milliseconds but for `batch_fill`, which is seats used in 100. */
 export type Histogram =
   "first_token" | "between_tokens" | "load_stall" | "queue_wait" | "batch_fill" | "in_force";
 export type Counter =
--- a/src/serving/caps.ts
+++ b/src/serving/caps.ts
@@ -41,7 +41,7 @@
 export function unitsOf(cap: catalog.Cap, meta: ask.Meta): number {
   if (cap.unit === "requests") return 1;
   const tokens = meta.promptTokens + meta.answerTokens;
-  return tokens > 0 ? tokens : cap.plainTokens;
+  return tokens > 0 ? tokens : cap.defaultTokens;
 }
 
 /** A request that waits for its team's place. */
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -48,7 +48,7 @@
   readonly perS: number;
   readonly burst: number;
   /** Tokens of a request that does not say how many it has. */
-  readonly plainTokens: number;
+  readonly defaultTokens: number;
 }
 
 /** Callers that share their keys, their rank and their cap. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -51,24 +51,21 @@
 const SEATLESS: seeker.Found = { kind: "seatless" };
 
 export class Dispatch {
-  private windows = new Map<string, retries.Window>();
-
+  private readonly budget: retries.Budget;
   private readonly seeker: seeker.Seeker;
 
   constructor(
-    private readonly opts: Options,
+    opts: Options,
     private readonly deps: Deps,
   ) {
+    this.budget = new retries.Budget(opts.retries, () => deps.clock.steady());
     this.seeker = new seeker.Seeker(opts.domain, deps);
   }
 
   /** Serves one request to its end; whether it ran, or may have run, anywhere. */
   async serve(a: ask.Ask, out: progress.Outlet): Promise<boolean> {
-    const { service } = a;
     const now = this.deps.clock.mono();
-    const window = this.windows.get(service.name) ?? retries.EMPTY;
-    const at = this.deps.clock.steady();
-    this.windows.set(service.name, retries.request(window, at, this.opts.retries));
+    this.budget.request(a.service.name);
     const p = progress.start(a);
     const cut = new AbortController();
     const stop = (): void => {
@@ -159,7 +156,7 @@
         seat?.over("left");
         return this.giveUp(a, out, p, false);
       }
-      if (p.sends > 0 && !this.mayRetry(a)) {
+      if (p.sends > 0 && !this.budget.take(a.service.name, this.deps.endpoints.hosts())) {
         seat?.over("left");
         p.why = "the allowance of further sends is used up";
         return this.giveUp(a, out, p, false);
@@ -194,14 +191,6 @@
     return true;
   }
 
-  private mayRetry(a: ask.Ask): boolean {
-    const hosts = this.deps.endpoints.hosts() ?? retries.HOSTS;
-    const window = this.windows.get(a.service.name) ?? retries.EMPTY;
-    const next = retries.take(window, this.deps.clock.steady(), hosts, this.opts.retries);
-    if (next) this.windows.set(a.service.name, next);
-    return next !== undefined;
-  }
-
   /** Sends to one endpoint; undefined when a further one is to be tried. */
   private async send(
     a: ask.Ask,
--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -44,3 +44,28 @@
   if (further.length + 1 > part * USED) return undefined;
   return { requests, further: [...further, now] };
 }
+
+/** What one host has sent for each service, against its part of the allowances. */
+export class Budget {
+  private readonly windows = new Map<string, Window>();
+
+  constructor(
+    private readonly opts: Options,
+    /** Steady ms. */
+    private readonly now: () => number,
+  ) {}
+
+  /** A request for a service was let in. */
+  request(service: string): void {
+    const window = this.windows.get(service) ?? EMPTY;
+    this.windows.set(service, request(window, this.now(), this.opts));
+  }
+
+  /** Whether one further send is allowed to this host, one of `hosts` that share the allowance; it is counted if so. */
+  take(service: string, hosts: number | undefined): boolean {
+    const window = this.windows.get(service) ?? EMPTY;
+    const next = take(window, this.now(), hosts ?? HOSTS, this.opts);
+    if (next) this.windows.set(service, next);
+    return next !== undefined;
+  }
+}
