Do not take an engine for gone because its daemon has just started

Cause: an endpoint daemon that starts says that it knows no engine until it has read the configuration and its engine; an entry daemon took that for the end of the engine that was there, and broke off what ran on it. Ruled out: the worker, which ran on until its connection was closed. Change: until a daemon has named an engine on its connection, for 1.5 s, the engine known before stays.

--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -71,4 +71,12 @@
       "said how its engine was and heard nothing, on a link cut one way, and the question was waited for " +
       "until it was whole. Mended in the link; test/serving/cap-link.test.ts has the case by itself.",
   },
+  {
+    seed: 8104,
+    minutes: 0.3,
+    cause:
+      "a stream was cut off with its worker well: its endpoint daemon had been killed and started anew while the " +
+      "store was away, and said that it knew no engine, which was taken for an engine that is gone. Mended in the " +
+      "link; test/serving/restarted.test.ts has the case by itself.",
+  },
 ];
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -36,6 +36,12 @@
  */
 const FIRST_REACH_MS = 2000;
 
+/**
+ * Milliseconds for which an endpoint daemon that has just been reached may not know its engine: it reads the
+ * configuration and the engine first. Until then the engine that was known before is not taken for gone.
+ */
+const UNACQUAINTED_MS = 1500;
+
 /** What came of asking for a seat. */
 export type Answer =
   | { readonly kind: "grant"; readonly instance: string; readonly version: number | undefined }
@@ -101,6 +107,9 @@
   private checkAt = Infinity;
   private closed = false;
   private forgotten = true;
+  /** Monotonic ms at which the connection stood, and whether an engine was named on it. */
+  private reachedAt = -Infinity;
+  private isAcquainted = false;
   private readonly madeAt: number;
 
   constructor(
@@ -231,6 +240,8 @@
       this.retryMs = RETRY_MS;
       this.channel = channel;
       this.heardAt = this.deps.clock.mono();
+      this.reachedAt = this.heardAt;
+      this.isAcquainted = false;
       channel.send({ kind: "hello", host: this.deps.host });
       for (const m of this.deps.greeting(this.address)) channel.send(m);
       this.deps.log.info("An endpoint daemon is reached.", { peer: this.address });
@@ -292,8 +303,11 @@
 
   private take(m: seat.State): void {
     const known = this.last?.instance === m.instance;
-    if (this.instance !== "" && m.instance !== this.instance) this.forget();
-    this.instance = m.instance;
+    this.isAcquainted ||= m.instance !== "";
+    if (this.isAcquainted || this.heardAt - this.reachedAt >= UNACQUAINTED_MS) {
+      if (this.instance !== "" && m.instance !== this.instance) this.forget();
+      this.instance = m.instance;
+    }
     this.last = m;
     this.stateAt = this.heardAt;
     this.tokens = 0;
--- a/test/serving/telling.ts
+++ b/test/serving/telling.ts
@@ -22,6 +22,7 @@
 
 /** Opens one; each new connection is told `first`. */
 export async function open(...first: readonly seat.FromEndpoint[]) {
+  let greeting = first;
   const heard: string[] = [];
   const sockets = new Set<net.Socket>();
   const server = net.createServer((socket) => {
@@ -31,7 +32,7 @@
       heard.push(...messages.map((m) => (JSON.parse(m) as seat.FromEntry).kind));
     });
     socket.on("error", () => socket.destroy());
-    socket.write(text(first));
+    socket.write(text(greeting));
   });
   const address = await addresses.listen(server, "127.0.0.1:0");
   return {
@@ -41,6 +42,12 @@
     tell: (...messages: readonly seat.FromEndpoint[]): void => {
       for (const s of sockets) s.write(text(messages));
     },
+    /** Ends all connections, as a restart does; each new one is told `again`. */
+    restart: (...again: readonly seat.FromEndpoint[]): void => {
+      greeting = again;
+      for (const s of sockets) s.destroy();
+      sockets.clear();
+    },
     close: (): void => {
       server.close();
       for (const s of sockets) s.destroy();
