--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -57,13 +57,14 @@
 
 export async function run(plan: Plan): Promise<history.History> {
   const wrong: string[] = [];
-  const s = new site.Site(plan.size, plan.main, plan.folder, (what) => wrong.push(what));
+  const given = teams.begin(performance.now());
+  const s = new site.Site(plan.size, plan.main, plan.folder, (what) => wrong.push(what), given);
   const h: history.History = {
     seen: [],
     kept: s.kept,
     disturbances: [],
     changes: [],
-    teams: s.teams,
+    teams: given,
     faults: wrong,
   };
   const declared: { adapter: string; version: number; at: number }[] = [];
@@ -81,7 +82,7 @@
   await Promise.all([
     ...all,
     crash(deps(FATAL_DRAWS), until),
-    rotate(s, plan.draw(TEAM_DRAWS), until),
+    rotate(s, given, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
   const well = performance.now() - WELL_MS;
@@ -127,7 +128,7 @@
     pauseMs: () => draw.between(20, 200),
     saw: (seen) => h.seen.push(seen),
     nextId: () => `r${count++}`,
-    key: () => teams.keyFor(s.teams, keys),
+    key: () => teams.keyFor(h.teams, keys),
   };
 }
 
@@ -182,12 +183,12 @@
 }
 
 /** The operator takes keys away, gives others, and changes a cap, until `until`. */
-async function rotate(s: site.Site, draw: Draw, until: number): Promise<void> {
+async function rotate(s: site.Site, given: teams.Teams, draw: Draw, until: number): Promise<void> {
   while (performance.now() < until) {
     await timers.setTimeout(draw.between(...ROTATE_MS));
     const now = performance.now();
-    if (draw.part() < CAP_PART) teams.toggleCap(s.teams, now);
-    else teams.rotate(s.teams, draw.one, now);
+    if (draw.part() < CAP_PART) teams.toggleCap(given, now);
+    else teams.rotate(given, draw.one, now);
     s.configure();
   }
 }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -61,7 +61,6 @@
   readonly endpoints: daemons.Daemon[] = [];
   /** The proxy before the store for each daemon, by its name. */
   readonly storeLinks = new Map<string, proxies.Proxy>();
-  readonly teams = teams.begin(performance.now());
   private extra: readonly documents.Route[] = [];
   private version = 0;
   private started = 0;
@@ -78,6 +77,8 @@
     private readonly main: string,
     private readonly folder: string,
     private readonly fault: (what: string) => void,
+    /** Whose keys requests must carry; left out where they need none. */
+    private readonly teams?: teams.Teams,
   ) {}
 
   /** An address of its own for one host. The process's id keeps runs apart. */
@@ -122,7 +123,12 @@
     const services = [documents.engines(ENGINES, SLOTS), documents.plain(PLAIN)];
     this.store.put(
       "op/config",
-      documents.config(this.version, [...ROUTES, ...extra], services, teams.listed(this.teams)),
+      documents.config(
+        this.version,
+        [...ROUTES, ...extra],
+        services,
+        this.teams && teams.listed(this.teams),
+      ),
     );
   }
 
