--- a/bench/caps/fleet.ts
+++ b/bench/caps/fleet.ts
@@ -206,7 +206,7 @@
 /** A host's connection to a place; what is on its way while it is cut comes once that is over. */
 class Wire implements caps.Place {
   readonly address: string;
-  state: seat.State | undefined;
+  isHeard = false;
   private client: announcer.Client | undefined;
   private isCut = false;
   private held: (() => void)[] = [];
@@ -221,12 +221,8 @@
     this.address = `place-${p}`;
   }
 
-  get isReached(): boolean {
-    return this.client !== undefined;
-  }
-
   get isForgotten(): boolean {
-    return !this.isReached;
+    return this.client === undefined;
   }
 
   connect(): void {
@@ -240,7 +236,7 @@
       sendLine: () => undefined,
     };
     this.client = client;
-    this.state = STATE;
+    this.isHeard = true;
     this.fleet.at(this.p)?.join(client);
     for (const m of this.fleet.of(this.h)?.greeting(this.address) ?? []) this.send(m);
   }
@@ -248,7 +244,7 @@
   lose(): void {
     if (this.client) this.fleet.at(this.p)?.leave(this.client);
     this.client = undefined;
-    this.state = undefined;
+    this.isHeard = false;
     this.held = [];
     for (const answer of this.asked.values()) answer(undefined);
   }
@@ -256,7 +252,7 @@
   cut(on: boolean): void {
     this.isCut = on;
     if (on) return;
-    this.state = STATE;
+    this.isHeard = true;
     for (const run of this.held.splice(0)) run();
   }
 
@@ -289,7 +285,7 @@
       this.asked.set(n, settle);
       this.fleet.clk.after(SILENT_MS, () => {
         if (!this.asked.has(n)) return;
-        this.state = undefined;
+        this.isHeard = false;
         settle(undefined);
       });
       this.cross(() => {
@@ -301,22 +297,6 @@
   };
 }
 
-const STATE: seat.State = {
-  kind: "state",
-  instance: "x",
-  waitMs: [],
-  msPerToken: 0,
-  firstMs: 0,
-  slotMs: 0,
-  eachSlotMs: 0,
-  coldMs: 0,
-  warmMs: 0,
-  seats: 0,
-  failing: 0,
-  entries: 1,
-  silenceMs: 1000,
-};
-
 /** A catalog whose only team has a cap in tokens. */
 function withCap(cap: allowance.Cap, version: number): catalog.Catalog {
   const team: catalog.Team = { name: TEAM, cap: { ...cap, unit: "tokens", defaultTokens: 1 } };
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -23,8 +23,8 @@
   {
     name: "keys are judged again before a send",
     file: "serving/dispatch.js",
-    find: "if (!this.isStillLetIn(a, p))",
-    put: "if (false)",
+    find: "!this.isStillLetIn(a, p) || ",
+    put: "",
     proof: "is not sent once its key is taken away",
   },
   {
@@ -254,7 +254,7 @@
   {
     name: "an older configuration changes nothing",
     file: "serving/catalog.js",
-    find: "if (at.config && at.config.version >= change.config.version)",
+    find: "if (config && config.version >= c.config.version)",
     put: "if (false)",
     proof: "never goes back to an older configuration or version",
   },
@@ -275,8 +275,8 @@
   {
     name: "what only the system may ask of an engine is dropped",
     file: "serving/headers.js",
-    find: " || reserved.has(name)",
-    put: "",
+    find: "kept.some((names) => names.has(name))",
+    put: "false",
     proof: "drops what only the system may ask of an engine, however a caller spells it",
   },
   {
--- a/src/host/clock.ts
+++ b/src/host/clock.ts
@@ -38,13 +38,13 @@
 const DRIFT_MS = 100;
 
 /** How far the time of day is ahead of the steady clock, and the sum of its leaps ahead; both in ms. */
-export interface Lead {
+interface Lead {
   readonly aheadMs: number;
   readonly leaptMs: number;
 }
 
 /** The lead after both clocks were read: `aheadMs` is how far the time of day is ahead of the steady one now. */
-export function lead(before: Lead, aheadMs: number): Lead {
+function lead(before: Lead, aheadMs: number): Lead {
   const leapMs = aheadMs - before.aheadMs;
   if (Math.abs(leapMs) <= DRIFT_MS) return before;
   return { aheadMs, leaptMs: before.leaptMs + Math.max(0, leapMs) };
--- a/src/serving/allowance.ts
+++ b/src/serving/allowance.ts
@@ -6,8 +6,9 @@
  * the cap allows. A place that is new begins with nothing, so a restart gives neither burst nor overdraft anew. Pure.
  * @module
  */
+import * as budget from "../store/budget.js";
 
-/** A cap in units of whatever it counts. */
+/** A cap in units of whatever it counts: those a second, and those that may come at once besides. */
 export interface Cap {
   readonly perS: number;
   readonly burst: number;
@@ -44,14 +45,18 @@
   return part * Math.max(cap.burst, (cap.perS * LEAST_BURST_MS) / MS_PER_S);
 }
 
+/** An allowance as the bucket of a place with `part` of the hosts. */
+function bucketOf(a: Allowance, cap: Cap, part: number): budget.Bucket {
+  return { rate: cap.perS * part, size: sizeOf(cap, part), tokens: a.level, at: a.at };
+}
+
 /**
  * The allowance at `now`, with what flowed in while the place had `part` of the hosts. What is there beyond that part
  * stays: hosts that all reconnect must not take it away.
  */
 export function flow(a: Allowance, cap: Cap, part: number, now: number): Allowance {
-  const inflow = (Math.max(0, now - a.at) / MS_PER_S) * cap.perS * part;
-  const level = Math.max(a.level, Math.min(sizeOf(cap, part), a.level + inflow));
-  return { level: Math.min(level, sizeOf(cap, 1)), at: Math.max(a.at, now) };
+  const { tokens, at } = budget.fill(bucketOf(a, cap, part), now);
+  return { level: Math.min(Math.max(a.level, tokens), sizeOf(cap, 1)), at };
 }
 
 /**
@@ -66,17 +71,15 @@
   wants: readonly number[],
   overdraft: number,
 ): Drawn {
-  let { level } = a;
+  let left = a;
   for (const [granted, units] of wants.entries()) {
     const needed = neededFor(units, cap, part, overdraft);
-    if (needed === undefined) return { left: { ...a, level }, granted, waitMs: undefined };
-    if (level < needed) {
-      const waitMs = Math.ceil(((needed - level) / (cap.perS * part)) * MS_PER_S);
-      return { left: { ...a, level }, granted, waitMs };
-    }
-    level -= units;
+    if (needed === undefined) return { left, granted, waitMs: undefined };
+    const there = budget.take(bucketOf(left, cap, part), left.at, needed);
+    if (!there.ok) return { left, granted, waitMs: there.waitMs };
+    left = { ...left, level: left.level - units };
   }
-  return { left: { ...a, level }, granted: wants.length, waitMs: 0 };
+  return { left, granted: wants.length, waitMs: 0 };
 }
 
 /** What must be there for a request of `units`; undefined where a place with `part` never has as much. */
--- a/src/serving/caps.ts
+++ b/src/serving/caps.ts
@@ -57,10 +57,13 @@
 }
 
 /** An endpoint daemon that may be the place of a cap, as an entry daemon reaches it. */
-export type Place = Pick<
-  link.Link,
-  "address" | "isReached" | "isForgotten" | "state" | "draw" | "send"
->;
+export type Place = Pick<link.Link, "address" | "isHeard" | "isForgotten" | "draw" | "send">;
+
+/** What a place was told last, as text, and the steady ms of the last word to it. */
+interface Told {
+  readonly text: string;
+  readonly at: number;
+}
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -80,10 +83,8 @@
   private readonly homes = new Map<string, Place>();
   /** Steady ms until which a place is passed over, by its address. */
   private readonly avoided = new Map<string, number>();
-  /** What each place was told last, by its address. */
-  private readonly told = new Map<string, string>();
-  /** Steady ms of the last word to each place, by its address. */
-  private readonly saidAt = new Map<string, number>();
+  /** By the address of each place. */
+  private readonly told = new Map<string, Told>();
   private readonly own = new Map<string, allowance.Allowance>();
   private timer: clock.Timer | undefined;
 
@@ -115,7 +116,7 @@
     const caps = this.capped.filter((t) => this.homes.get(t.name)?.address === address);
     if (caps.length === 0) return [];
     const m = this.attaching(caps);
-    this.note(address, m);
+    this.note(address, JSON.stringify(m));
     return [m];
   }
 
@@ -164,46 +165,44 @@
   }
 
   private freeInMs(home: Place): number {
-    const saidAt = this.saidAt.get(home.address) ?? -Infinity;
-    return saidAt + messages.LEASE_MS + WAY_MS - this.deps.clock.steady();
+    const at = this.told.get(home.address)?.at ?? -Infinity;
+    return at + messages.LEASE_MS + WAY_MS - this.deps.clock.steady();
   }
 
   private answers(place: Place): boolean {
     const avoidedUntil = this.avoided.get(place.address) ?? -Infinity;
-    return place.isReached && place.state !== undefined && avoidedUntil <= this.deps.clock.steady();
+    return place.isHeard && avoidedUntil <= this.deps.clock.steady();
+  }
+
+  /** Endpoint daemons that may be the place of a team's cap, the first one first. */
+  private places(team: string): readonly Place[] {
+    return this.deps.places(`caps/${hash.of32(team) % GROUPS}`, PLACES);
   }
 
   /** The first endpoint daemon in a team's order that is reached and answers. */
   private place(team: string): Place | undefined {
-    const group = hash.of32(team) % GROUPS;
-    return this.deps.places(`caps/${group}`, PLACES).find((p) => this.answers(p));
+    return this.places(team).find((p) => this.answers(p));
   }
 
   /** Places that were told of caps which they keep no more. */
   private left(kept: ReadonlyMap<Place, unknown>): readonly Place[] {
+    const all = new Set(this.capped.flatMap((t) => this.places(t.name)));
     const addresses = new Set([...kept.keys()].map((p) => p.address));
-    const all = this.capped.flatMap((t) => {
-      return this.deps.places(`caps/${hash.of32(t.name) % GROUPS}`, PLACES);
-    });
-    return [...new Set(all)].filter((p) => this.told.has(p.address) && !addresses.has(p.address));
+    return [...all].filter((p) => this.told.has(p.address) && !addresses.has(p.address));
   }
 
   private tell(place: Place, teams: readonly catalog.Team[]): void {
     if (!this.answers(place)) return;
     const m = this.attaching(teams);
-    if (this.told.get(place.address) === JSON.stringify(m)) {
-      if (teams.length === 0) return;
-      place.send({ kind: "keep" });
-      this.saidAt.set(place.address, this.deps.clock.steady());
-      return;
-    }
-    place.send(m);
-    this.note(place.address, m);
+    const text = JSON.stringify(m);
+    const isKnown = this.told.get(place.address)?.text === text;
+    if (isKnown && teams.length === 0) return;
+    place.send(isKnown ? { kind: "keep" } : m);
+    this.note(place.address, text);
   }
 
-  private note(address: string, m: messages.Attach): void {
-    this.told.set(address, JSON.stringify(m));
-    this.saidAt.set(address, this.deps.clock.steady());
+  private note(address: string, text: string): void {
+    this.told.set(address, { text, at: this.deps.clock.steady() });
   }
 
   private attaching(teams: readonly catalog.Team[]): messages.Attach {
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as selector from "../contract/selector.js";
+import type * as allowance from "./allowance.js";
 import * as incarnation from "./incarnation.js";
 
 /** What may be repeated. A `stream` is a series of events; it counts as `once` unless resumable. */
@@ -41,12 +42,9 @@
 }
 
 /** What the requests of a team may use, over all hosts together. */
-export interface Cap {
+export interface Cap extends allowance.Cap {
   /** What a request counts as: itself, or its tokens. */
   readonly unit: "requests" | "tokens";
-  /** Units a second, and those that may come at once besides. */
-  readonly perS: number;
-  readonly burst: number;
   /** Tokens of a request that does not say how many it has. */
   readonly defaultTokens: number;
 }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -146,26 +146,24 @@
         p.tried.add(best.view.endpoint.id);
         continue;
       }
-      // Its key may have been taken away during such a wait.
-      if (!this.isStillLetIn(a, p)) {
+      if (!this.mayBeSent(a, p)) {
         seat?.over("left");
         return this.giveUp(a, out, p, false);
       }
-      // A worker may have ended under the same request, sent by another host, during such a wait.
-      if (this.isQuarantined(a, p)) {
-        seat?.over("left");
-        return this.giveUp(a, out, p, false);
-      }
-      if (p.sends > 0 && !this.budget.take(a.service.name, this.deps.endpoints.hosts())) {
-        seat?.over("left");
-        p.why = "the allowance of further sends is used up";
-        return this.giveUp(a, out, p, false);
-      }
       const ending = await this.send(a, out, p, best, seat, cut);
       if (ending) return ending;
     }
   }
 
+  /** Whether a request may be sent now: much may have been learnt of it while it waited, and a further send counts. */
+  private mayBeSent(a: ask.Ask, p: progress.Progress): boolean {
+    if (!this.isStillLetIn(a, p) || this.isQuarantined(a, p)) return false;
+    if (p.sends === 0 || this.budget.take(a.service.name, this.deps.endpoints.hosts())) return true;
+    p.why = "the allowance of further sends is used up";
+    return false;
+  }
+
+  /** Whether its key still lets it in: it may have been taken away during a wait. */
   private isStillLetIn(a: ask.Ask, p: progress.Progress): boolean {
     const verdict = this.deps.authenticate(a);
     switch (verdict.kind) {
--- a/src/serving/front.ts
+++ b/src/serving/front.ts
@@ -6,6 +6,8 @@
 import type * as http from "node:http";
 import * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
+import * as bodies from "../link/body.js";
+import * as outcome from "../request/outcome.js";
 import type * as authentication from "./authentication.js";
 import type * as caps from "./caps.js";
 import type * as catalog from "./catalog.js";
@@ -38,6 +40,8 @@
 /** Milliseconds that a request waits for the first configuration: within an early refusal's bound. */
 const FIRST_CONFIG_MS = 200;
 const LOOK_MS = 10;
+/** The peer that errors of reading name. */
+const CALLER = "caller";
 
 const UNKNOWN_CONFIG: match.Refused = {
   kind: "refused",
@@ -179,19 +183,19 @@
     arrivedAt: number,
   ): Promise<boolean> {
     const { meta, route, service, config } = m;
-    let body: Buffer | undefined;
+    let body: Buffer;
     try {
-      body = await outlet.read(req, config.limits.bodyBytes);
+      body = await bodies.read(req, config.limits.bodyBytes, CALLER);
     } catch (err) {
+      if (err instanceof outcome.StepError && err.failure.code === "too_large") {
+        this.refuse(req, out, { kind: "refused", status: 413, why: "the body is too large" });
+        return false;
+      }
       // The caller broke off; there is nobody to answer.
       this.deps.log.info("A request was not read whole.", { why: String(err) });
       res.destroy();
       return false;
     }
-    if (!body) {
-      this.refuse(req, out, { kind: "refused", status: 413, why: "the body is too large" });
-      return false;
-    }
     const { reserved, credentials } = this.deps.protocol;
     const kept = config.teams ? [reserved, credentials] : [reserved];
     return this.deps.dispatch.serve(
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -162,6 +162,11 @@
     return this.channel !== undefined;
   }
 
+  /** Whether the endpoint daemon is reached, and did not fall silent since it was asked something. */
+  get isHeard(): boolean {
+    return this.last !== undefined;
+  }
+
   /** Whether the endpoint daemon surely knows that the connection to it is over: it ended it, or it ended. */
   get isForgotten(): boolean {
     return !this.isReached && this.forgotten;
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -38,38 +38,36 @@
 export function open(): Meters {
   const registry = new prom.Registry();
   const gauges = new prom.Registry();
-  const requests = new prom.Counter({
-    name: "sumacfield_requests_total",
-    help: "Requests over, by route and ending.",
-    labelNames: ["route", "ending"],
-    registers: [registry],
-  });
-  const first = new prom.Histogram({
-    name: "sumacfield_first_event_ms",
-    help: "Milliseconds until the first byte of the answer, by route.",
-    labelNames: ["route"],
-    buckets: BUCKETS_MS,
-    registers: [registry],
-  });
-  const took = new prom.Histogram({
-    name: "sumacfield_request_ms",
-    help: "Milliseconds until a request was over, by route.",
-    labelNames: ["route"],
-    buckets: BUCKETS_MS,
-    registers: [registry],
-  });
-  const refusals = new prom.Counter({
-    name: "sumacfield_refusals_total",
-    help: "Requests refused before they were served, by team and status.",
-    labelNames: ["team", "status"],
-    registers: [registry],
-  });
-  const units = new prom.Counter({
-    name: "sumacfield_team_units_total",
-    help: "Units of its cap that a team used at this host, requests or tokens.",
-    labelNames: ["team"],
-    registers: [registry],
-  });
+  const registers = [registry];
+  const counter = (name: string, help: string, ...labelNames: readonly string[]) =>
+    new prom.Counter({ name, help, labelNames, registers });
+  const histogram = (name: string, help: string) =>
+    new prom.Histogram({ name, help, labelNames: ["route"], buckets: BUCKETS_MS, registers });
+  const requests = counter(
+    "sumacfield_requests_total",
+    "Requests over, by route and ending.",
+    "route",
+    "ending",
+  );
+  const first = histogram(
+    "sumacfield_first_event_ms",
+    "Milliseconds until the first byte of the answer, by route.",
+  );
+  const took = histogram(
+    "sumacfield_request_ms",
+    "Milliseconds until a request was over, by route.",
+  );
+  const refusals = counter(
+    "sumacfield_refusals_total",
+    "Requests refused before they were served, by team and status.",
+    "team",
+    "status",
+  );
+  const units = counter(
+    "sumacfield_team_units_total",
+    "Units of its cap that a team used at this host, requests or tokens.",
+    "team",
+  );
   const routeLabel = bounded(ROUTES);
   const teamLabel = bounded(TEAMS);
   return {
--- a/src/serving/outlet.ts
+++ b/src/serving/outlet.ts
@@ -1,5 +1,5 @@
 /**
- * A caller's connection: its request's body, and its answer as the dispatcher gives it.
+ * A caller's connection as the dispatcher sees it, and what is left of a request that is refused early.
  * @module
  */
 import type * as http from "node:http";
@@ -10,19 +10,6 @@
 /** Bytes of a body that are read and thrown away after an early refusal. */
 const UNREAD_BYTES = 65_536;
 
-/** Reads a body whole; undefined when it is over `limit` bytes. Throws when it breaks off. */
-export async function read(req: http.IncomingMessage, limit: number): Promise<Buffer | undefined> {
-  if (Number(req.headers["content-length"] ?? 0) > limit) return undefined;
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of req as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > limit) return undefined;
-    parts.push(part);
-  }
-  return Buffer.concat(parts);
-}
-
 /**
  * Reads what is left of a request and throws it away, so that its caller can read the answer: closing a connection with
  * unread bytes resets it. False where too much is announced; a body that turns out to be long ends its connection.
--- a/test/serving/cap-link.test.ts
+++ b/test/serving/cap-link.test.ts
@@ -1,8 +1,6 @@
 import * as chai from "chai";
-import * as clock from "../../src/host/clock.js";
-import * as record from "../../src/host/record.js";
-import * as link from "../../src/serving/link.js";
 import * as engines from "./engines.js";
+import * as links from "./links.js";
 import * as telling from "./telling.js";
 
 const { expect } = chai;
@@ -13,16 +11,7 @@
 /** A connection to an endpoint daemon that answers as the test says. */
 async function connected() {
   const daemon = await telling.open(telling.state("i1"), telling.holdings());
-  const made = new link.Link(daemon.address, {
-    clock: clock.system,
-    log: record.silent,
-    host: "entry",
-    lost: () => undefined,
-    holds: () => undefined,
-    came: () => undefined,
-    suspicion: () => undefined,
-    greeting: () => [{ kind: "attach", version: 1, hosts: 1, caps: [] }],
-  });
+  const { made } = links.open(daemon.address, [{ kind: "attach", version: 1, hosts: 1, caps: [] }]);
   ends.push(() => {
     made.close();
     daemon.close();
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -8,11 +8,12 @@
 import * as catalog from "../../src/serving/catalog.js";
 import * as desk from "../../src/serving/desk.js";
 import * as keeper from "../../src/serving/keeper.js";
-import * as link from "../../src/serving/link.js";
+import type * as link from "../../src/serving/link.js";
 import * as relay from "../../src/serving/relay.js";
 import * as ports from "../../bench/platform/ports.js";
 import * as fakes from "./fake-engine.js";
 import * as fixtures from "./fixtures.js";
+import * as links from "./links.js";
 
 /** What ends the sites of the test at hand, also when it fails. */
 const ends: (() => void)[] = [];
@@ -71,17 +72,7 @@
   const caps = new capPlace.CapPlace({ clock: clock.system, log: record.silent, overdraft: 0 });
   const open = () => desk.open(address, { log: record.silent, keeper: kept, relay: relayed, caps });
   let door = await open();
-  const lost: string[] = [];
-  const made = new link.Link(address, {
-    clock: clock.system,
-    log: record.silent,
-    host: "entry",
-    lost: (id) => lost.push(id),
-    holds: () => undefined,
-    came: () => undefined,
-    suspicion: () => undefined,
-    greeting: () => [],
-  });
+  const { made, lost } = links.open(address);
   void kept.run();
   ends.push(() => {
     made.close();
--- /dev/null
+++ b/test/serving/links.ts
@@ -0,0 +1,23 @@
+/**
+ * An entry daemon's connection to an endpoint daemon, by itself.
+ * @module
+ */
+import * as clock from "../../src/host/clock.js";
+import * as record from "../../src/host/record.js";
+import * as link from "../../src/serving/link.js";
+
+/** Opens one to `ip:port`, and notes the engines that it takes for gone. */
+export function open(address: string, greeting: ReturnType<link.Deps["greeting"]> = []) {
+  const lost: string[] = [];
+  const made = new link.Link(address, {
+    clock: clock.system,
+    log: record.silent,
+    host: "entry",
+    lost: (id) => lost.push(id),
+    holds: () => undefined,
+    came: () => undefined,
+    suspicion: () => undefined,
+    greeting: () => greeting,
+  });
+  return { made, lost };
+}
--- a/test/serving/moves.test.ts
+++ b/test/serving/moves.test.ts
@@ -1,11 +1,10 @@
 import * as chai from "chai";
-import * as clock from "../../src/host/clock.js";
-import * as record from "../../src/host/record.js";
 import * as catalog from "../../src/serving/catalog.js";
-import * as link from "../../src/serving/link.js";
+import type * as link from "../../src/serving/link.js";
 import * as dispatching from "./dispatching.js";
 import * as engines from "./engines.js";
 import * as fixtures from "./fixtures.js";
+import * as links from "./links.js";
 import * as telling from "./telling.js";
 
 const { expect } = chai;
@@ -124,16 +123,7 @@
    */
   it("gives back a seat that it no longer waits for, since its daemon fell silent", async () => {
     const daemon = await telling.open(telling.state("i1"), telling.holdings());
-    const made = new link.Link(daemon.address, {
-      clock: clock.system,
-      log: record.silent,
-      host: "entry",
-      lost: () => undefined,
-      holds: () => undefined,
-      came: () => undefined,
-      suspicion: () => undefined,
-      greeting: () => [],
-    });
+    const { made } = links.open(daemon.address);
     try {
       await engines.until(() => made.state !== undefined);
       const asked = made.ask(engines.wish("a"));
--- a/test/serving/restarted.test.ts
+++ b/test/serving/restarted.test.ts
@@ -1,8 +1,6 @@
 import * as chai from "chai";
-import * as clock from "../../src/host/clock.js";
-import * as record from "../../src/host/record.js";
-import * as link from "../../src/serving/link.js";
 import * as engines from "./engines.js";
+import * as links from "./links.js";
 import * as telling from "./telling.js";
 
 const { expect } = chai;
@@ -13,17 +11,7 @@
 /** An entry daemon's connection, and the engines that it took for gone. */
 async function connected() {
   const daemon = await telling.open(telling.state("i1"), telling.holdings());
-  const lost: string[] = [];
-  const made = new link.Link(daemon.address, {
-    clock: clock.system,
-    log: record.silent,
-    host: "entry",
-    lost: (id) => lost.push(id),
-    holds: () => undefined,
-    came: () => undefined,
-    suspicion: () => undefined,
-    greeting: () => [],
-  });
+  const { made, lost } = links.open(daemon.address);
   ends.push(() => {
     made.close();
     daemon.close();
