Check that each switch finds its line

Cause: a switch whose line has changed is told of only when npm run red is run, which no check does; two had been lost.

--- /dev/null
+++ b/test/red.test.ts
@@ -0,0 +1,23 @@
+import * as fs from "node:fs";
+import * as chai from "chai";
+import * as servingSwitches from "../bench/red/serving-switches.js";
+import * as soakSwitches from "../bench/red/soak-switches.js";
+import * as switches from "../bench/red/switches.js";
+
+const { expect } = chai;
+
+const ALL = [
+  ...switches.SWITCHES,
+  ...servingSwitches.SERVING_SWITCHES,
+  ...soakSwitches.SOAK_SWITCHES,
+];
+
+describe("a switch that turns a mechanism off", () => {
+  it("finds its line, and that one alone", () => {
+    const lost = ALL.filter((s) => {
+      const text = fs.readFileSync(new URL(`../src/${s.file}`, import.meta.url), "utf8");
+      return text.split(s.find).length !== 2;
+    });
+    expect(lost.map((s) => s.name)).deep.equal([]);
+  });
+});
