Log each retry and each one over the budget, with what decided it

Change: a log line for each retry and each denied one, and a counter by service. No decision changes. Measured: tests of dispatch and retries pass.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -158,9 +158,18 @@
   /** Whether a request may be sent now: much may have been learnt of it while it waited, and a further send counts. */
   private mayBeSent(a: ask.Ask, p: progress.Progress): boolean {
     if (!this.isStillLetIn(a, p) || this.isQuarantined(a, p)) return false;
-    if (p.sends === 0 || this.budget.take(a.service.name, this.deps.endpoints.hosts())) return true;
-    p.why = "the allowance of further sends is used up";
-    return false;
+    return p.sends === 0 || this.mayBeRetried(a, p);
+  }
+
+  /** Whether the retry budget allows one more send. */
+  private mayBeRetried(a: ask.Ask, p: progress.Progress): boolean {
+    const service = a.service.name;
+    const { allowed, ...why } = this.budget.take(service, this.deps.endpoints.hosts());
+    this.deps.meters.retry(service, allowed);
+    const sentence = allowed ? "A request is retried." : "A retry is over the budget.";
+    this.deps.log.info(sentence, { request: a.meta.id, service, send: p.sends + 1, ...why });
+    if (!allowed) p.why = "the allowance of further sends is used up";
+    return allowed;
   }
 
   /** Whether its key still lets it in: it may have been taken away during a wait. */
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -26,6 +26,8 @@
     firstMs: number | undefined,
     tookMs: number,
   ) => void;
+  /** A retry was wanted for a service, and allowed or not. */
+  readonly retry: (service: string, allowed: boolean) => void;
   /** A request was refused before it was served; its team where it is known. */
   readonly refused: (team: string | undefined, status: number) => void;
   /** A team used some units of its cap. */
@@ -63,6 +65,12 @@
     "team",
     "status",
   );
+  const retries = counter(
+    "sumacfield_retries_total",
+    "Retries that were wanted, by service and whether the budget allowed them.",
+    "service",
+    "allowed",
+  );
   const units = counter(
     "sumacfield_team_units_total",
     "Units of its cap that a team used at this host, requests or tokens.",
@@ -77,6 +85,9 @@
       if (firstMs !== undefined) first.observe({ route }, firstMs);
       took.observe({ route }, tookMs);
     },
+    retry: (service, allowed) => {
+      retries.inc({ service, allowed: String(allowed) });
+    },
     refused: (team, status) => {
       refusals.inc({ team: team === undefined ? NO_TEAM : teamLabel(team), status });
     },
--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -45,6 +45,17 @@
   return { requests, further: [...further, now] };
 }
 
+/** What came of asking for a further send, and what decided it. */
+export interface Verdict {
+  readonly allowed: boolean;
+  /** Further sends of this host in the window, this one included if it is allowed. */
+  readonly used: number;
+  /** Requests of this host in the window. */
+  readonly requests: number;
+  /** Hosts that share the slack, as far as known. */
+  readonly hosts: number | undefined;
+}
+
 /** What one host has sent for each service, against its part of the allowances. */
 export class Budget {
   private readonly windows = new Map<string, Window>();
@@ -62,10 +73,16 @@
   }
 
   /** Whether one further send is allowed to this host, one of `hosts` that share the allowance; it is counted if so. */
-  take(service: string, hosts: number | undefined): boolean {
+  take(service: string, hosts: number | undefined): Verdict {
     const window = this.windows.get(service) ?? EMPTY;
     const next = take(window, this.now(), hosts ?? HOSTS, this.opts);
     if (next) this.windows.set(service, next);
-    return next !== undefined;
+    const { further, requests } = next ?? window;
+    return {
+      allowed: next !== undefined,
+      used: further.length,
+      requests: requests.length,
+      hosts,
+    };
   }
 }
