Show that hosts that start anew exceed the retry budget together

What callers saw: a service that turned requests away got 395 retries in ten seconds where 210 are allowed. A test in virtual time: hosts retry whatever their budget allows, and all are killed again and again.

--- /dev/null
+++ b/test/serving/retrying.ts
@@ -0,0 +1,180 @@
+/**
+ * Entry hosts in virtual time that retry whatever their budget allows, and how far that exceeds what the budget allows
+ * all of them together.
+ * @module
+ */
+import * as generators from "pure-rand/generator/xoroshiro128plus";
+import * as uniform from "pure-rand/distribution/uniformInt";
+import * as retries from "../../src/serving/retries.js";
+
+/** What happens to a host at `at`; all times in ms. */
+export type Event =
+  /** Its process is killed; another starts `downMs` later. */
+  | { readonly kind: "kill"; readonly at: number; readonly host: number; readonly downMs: number }
+  /** Its process is told to stop, and serves on for `graceMs` beside the one that takes its place. */
+  | { readonly kind: "stop"; readonly at: number; readonly host: number; readonly graceMs: number }
+  /** It is gone for good. */
+  | { readonly kind: "gone"; readonly at: number; readonly host: number }
+  /** Its process stands still for `ms`, while requests wait for it. */
+  | { readonly kind: "freeze"; readonly at: number; readonly host: number; readonly ms: number }
+  /** From now on all requests come to these hosts. */
+  | { readonly kind: "move"; readonly at: number; readonly to: readonly number[] };
+
+export interface Plan {
+  readonly opts: retries.Options;
+  readonly hosts: number;
+  readonly ms: number;
+  /** Requests a second at all hosts together. */
+  readonly perS: number;
+  /** When retries are wanted: as many as the budget allows. */
+  readonly wanted: readonly (readonly [from: number, to: number])[];
+  readonly events: readonly Event[];
+  /** What a process hears of how many hosts there are. */
+  readonly told: (alive: number, ageMs: number) => number | undefined;
+  readonly stepMs: number;
+  readonly seed: number;
+}
+
+/** When requests came, and when retries were made. */
+export interface Record {
+  readonly asked: readonly number[];
+  readonly retried: readonly number[];
+}
+
+interface Process {
+  readonly budget: retries.Budget;
+  readonly startedAt: number;
+  readonly endsAt: number;
+}
+
+interface Host {
+  /** Those that run, the one that takes requests last. */
+  processes: readonly Process[];
+  startsAt: number;
+  frozenUntil: number;
+  /** Requests that wait for it. */
+  waiting: number;
+}
+
+const SERVICE = "llm";
+
+/** Plays a plan. */
+export function play(plan: Plan): Record {
+  let now = 0;
+  const asked: number[] = [];
+  const retried: number[] = [];
+  const rng = generators.xoroshiro128plus(plan.seed);
+  const begin = (): Process => ({
+    budget: new retries.Budget(plan.opts, () => now),
+    startedAt: now,
+    endsAt: Infinity,
+  });
+  const hosts: Host[] = Array.from({ length: plan.hosts }, () => ({
+    processes: [begin()],
+    startsAt: Infinity,
+    frozenUntil: 0,
+    waiting: 0,
+  }));
+  let to: readonly number[] = hosts.map((_, i) => i);
+  let owed = 0;
+  const due = [...plan.events].sort((a, b) => a.at - b.at);
+  for (; now < plan.ms; now += plan.stepMs) {
+    for (; due[0] && due[0].at <= now; due.shift()) {
+      const [e] = due;
+      const struck = e.kind === "move" ? undefined : hosts[e.host];
+      if (e.kind === "move") to = e.to;
+      else if (struck) strike(struck, e, now, begin);
+    }
+    for (const h of hosts) age(h, now, begin);
+    for (owed += (plan.perS * plan.stepMs) / 1000; owed >= 1; owed--) {
+      asked.push(now);
+      const h = hosts[to[uniform.uniformInt(rng, 0, to.length - 1)] ?? 0];
+      if (h) h.waiting++;
+    }
+    const alive = hosts.filter((h) => h.processes.length > 0).length;
+    const isWanted = plan.wanted.some(([from, until]) => now >= from && now < until);
+    for (const h of hosts) if (h.frozenUntil <= now) serve(h, alive, isWanted);
+  }
+  return { asked, retried };
+
+  function serve(h: Host, alive: number, isWanted: boolean): void {
+    const newest = h.processes.at(-1);
+    if (!newest) return;
+    for (; h.waiting > 0; h.waiting--) newest.budget.request(SERVICE);
+    if (!isWanted) return;
+    for (const p of h.processes) {
+      const told = plan.told(alive, now - p.startedAt);
+      while (p.budget.take(SERVICE, told).allowed) retried.push(now);
+    }
+  }
+}
+
+function strike(
+  h: Host,
+  e: Exclude<Event, { kind: "move" }>,
+  now: number,
+  begin: () => Process,
+): void {
+  switch (e.kind) {
+    case "kill":
+      h.processes = [];
+      h.startsAt = now + e.downMs;
+      break;
+    case "gone":
+      h.processes = [];
+      h.startsAt = Infinity;
+      break;
+    case "stop":
+      h.processes = [...h.processes.map((p) => ({ ...p, endsAt: now + e.graceMs })), begin()];
+      break;
+    case "freeze":
+      h.frozenUntil = now + e.ms;
+      break;
+  }
+}
+
+/** Processes end and start as planned; what waits where none runs is lost. */
+function age(h: Host, now: number, begin: () => Process): void {
+  h.processes = h.processes.filter((p) => p.endsAt > now);
+  if (h.startsAt <= now) {
+    h.processes = [begin()];
+    h.startsAt = Infinity;
+  }
+  if (h.processes.length === 0) h.waiting = 0;
+}
+
+/** The number of `times`, which are in order, from `from` to `to`, both included. */
+function within(times: readonly number[], from: number, to: number): number {
+  return firstAfter(times, to) - firstAfter(times, from - 1e-9);
+}
+
+/** Index of the first of `times` that is later than `t`. */
+function firstAfter(times: readonly number[], t: number): number {
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const mid = (low + high) >> 1;
+    if ((times[mid] ?? Infinity) > t) high = mid;
+    else low = mid + 1;
+  }
+  return low;
+}
+
+/**
+ * By how many retries the worst window exceeds the budget; 0 or less where it is kept. A window's requests are those in
+ * it, in the one before, or in the one half a window before, whichever has most.
+ */
+export function excess(r: Record, opts: retries.Options): number {
+  let worst = -Infinity;
+  const w = opts.windowMs;
+  for (const t of new Set(r.retried)) {
+    const requests = Math.max(
+      within(r.asked, t, t + w),
+      within(r.asked, t - w, t),
+      within(r.asked, t - w / 2, t + w / 2),
+    );
+    const allowed = opts.ratio * requests + opts.slack;
+    worst = Math.max(worst, within(r.retried, t, t + w) - allowed);
+  }
+  return worst;
+}
