Keep the retry budget over starts, stops and lost hosts

Cause: each process kept its part of the budget in a window of its own. A process that started had the whole part again, and the part grew with each host that died, since it was reckoned by the hosts that are connected, or by six where none had told. Also found: requests that move from one host to another counted at both, and a window as long as the rule's was too short for retries that arrive later than they were decided on. Why this works: tokens that requests earn last for a part of a window, and are worth so little that those of that part and of the window add up to the ratio; that needs no count of hosts, and a start begins with none. The slack is used only by processes that have run for a window, by the most hosts heard of in a minute: all that use it in one window ran at its start and counted one another. A process that is to stop leaves it to its successor.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -5,6 +5,34 @@
 import type * as switches from "./switches.js";
 
 export const SERVING_SWITCHES: readonly switches.Switch[] = [
+  {
+    name: "a process that starts leaves the retry budget's slack alone for a window",
+    file: "serving/retries.js",
+    find: "if (now - this.startedAt < apartMs(this.opts))",
+    put: "if (false)",
+    proof: "while all hosts are killed again and again: 4 hosts",
+  },
+  {
+    name: "a process that is to stop leaves the slack to its successor",
+    file: "serving/retries.js",
+    find: "hosts === undefined || this.isLeaving",
+    put: "hosts === undefined",
+    proof: "while all hosts are stopped and serve on: 4 hosts",
+  },
+  {
+    name: "tokens for retries expire",
+    file: "serving/retries.js",
+    find: "now - e.at < lifetimeMs(opts))",
+    put: "true)",
+    proof: "while requests move from some hosts to others: 4 hosts",
+  },
+  {
+    name: "hosts that are gone still count for a while",
+    file: "serving/peak.js",
+    find: "if (!p || now - p.at >= 2 * spanMs)",
+    put: "if (true)",
+    proof: "while most hosts go at once: 4 hosts",
+  },
   {
     name: "keys are judged by knowledge that is young enough",
     file: "serving/authentication.js",
--- a/src/serving/cap-place.ts
+++ b/src/serving/cap-place.ts
@@ -8,6 +8,7 @@
 import * as allowance from "./allowance.js";
 import type * as announcer from "./announcer.js";
 import * as messages from "./cap-messages.js";
+import * as peak from "./peak.js";
 
 /** Milliseconds for which an entry daemon that left still counts as one of the hosts. */
 const REMEMBERED_MS = 10_000;
@@ -43,10 +44,8 @@
   private readonly hosts = new Map<announcer.Client, Host>();
   private readonly kept = new Map<string, Kept>();
   private readonly toldAt = new Map<string, number>();
-  /** Most entry daemons connected at once in this stretch of {@link REMEMBERED_MS}, and in the one before. */
-  private most = 0;
-  private mostBefore = 0;
-  private stretchAt = -Infinity;
+  /** Entry daemons connected at once, over {@link REMEMBERED_MS}. */
+  private counts: peak.Peak | undefined;
 
   constructor(private readonly deps: Deps) {}
 
@@ -169,14 +168,8 @@
 
   /** Entry daemons there are, or were a while ago. */
   private count(): number {
-    const now = this.deps.clock.steady();
-    if (now - this.stretchAt >= REMEMBERED_MS) {
-      this.mostBefore = now - this.stretchAt < 2 * REMEMBERED_MS ? this.most : this.hosts.size;
-      this.most = this.hosts.size;
-      this.stretchAt = now;
-    }
-    this.most = Math.max(this.most, this.hosts.size);
-    return Math.max(this.most, this.mostBefore);
+    this.counts = peak.read(this.counts, this.hosts.size, this.deps.clock.steady(), REMEMBERED_MS);
+    return peak.highest(this.counts);
   }
 
   private forget(): void {
--- a/src/serving/caps.ts
+++ b/src/serving/caps.ts
@@ -12,7 +12,6 @@
 import * as messages from "./cap-messages.js";
 import type * as catalog from "./catalog.js";
 import type * as link from "./link.js";
-import * as retries from "./retries.js";
 
 /** Endpoint daemons that may be the place of one team's cap. */
 const PLACES = 3;
@@ -24,6 +23,8 @@
 const KEEP_MS = 650;
 /** Milliseconds that a word to a place may be on its way, after which its lease begins. */
 const WAY_MS = 300;
+/** Hosts taken for granted until told. */
+const HOSTS = 6;
 /** Milliseconds after which a caller is told to come back where nobody can tell whether it is let in. */
 const UNKNOWN_MS = 400;
 
@@ -217,7 +218,7 @@
   }
 
   private hosts(): number {
-    return Math.max(1, this.deps.hosts() ?? retries.HOSTS);
+    return Math.max(1, this.deps.hosts() ?? HOSTS);
   }
 
   /** Asks for all that wait, until none does. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -58,10 +58,15 @@
     opts: Options,
     private readonly deps: Deps,
   ) {
-    this.budget = new retries.Budget(opts.retries, () => deps.clock.steady());
+    this.budget = new retries.Budget(opts.retries, deps.clock);
     this.seeker = new seeker.Seeker(opts.domain, deps);
   }
 
+  /** The process is to stop, and serves what it has to the end. */
+  leave(): void {
+    this.budget.leave();
+  }
+
   /** Serves one request to its end; whether it ran, or may have run, anywhere. */
   async serve(a: ask.Ask, out: progress.Outlet): Promise<boolean> {
     const now = this.deps.clock.mono();
@@ -164,12 +169,13 @@
   /** Whether the retry budget allows one more send. */
   private mayBeRetried(a: ask.Ask, p: progress.Progress): boolean {
     const service = a.service.name;
-    const { allowed, ...why } = this.budget.take(service, this.deps.endpoints.hosts());
-    this.deps.meters.retry(service, allowed);
-    const sentence = allowed ? "A request is retried." : "A retry is over the budget.";
-    this.deps.log.info(sentence, { request: a.meta.id, service, send: p.sends + 1, ...why });
-    if (!allowed) p.why = "the allowance of further sends is used up";
-    return allowed;
+    const verdict = this.budget.take(service, this.deps.endpoints.mostHosts());
+    this.deps.meters.retry(service, verdict.from);
+    const sentence = verdict.from ? "A request is retried." : "A retry is over the budget.";
+    this.deps.log.info(sentence, { request: a.meta.id, service, send: p.sends + 1, ...verdict });
+    if (verdict.from) return true;
+    p.why = "the retry budget is used up";
+    return false;
   }
 
   /** Whether its key still lets it in: it may have been taken away during a wait. */
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -13,6 +13,7 @@
 import * as holders from "./holders.js";
 import * as incarnation from "./incarnation.js";
 import * as link from "./link.js";
+import * as peak from "./peak.js";
 import type * as search from "./search.js";
 
 /** Weight of the latest request in what is remembered of an endpoint. */
@@ -46,6 +47,11 @@
  * it though one is the daemon of a host that is lost and another has just started.
  */
 const RELAYS = 3;
+/**
+ * Milliseconds for which a count of entry daemons is remembered: longer than hosts are cut off from one another by most
+ * failures, and than a window of what they share.
+ */
+export const HOSTS_MS = 60_000;
 /** Rings kept: those of a few services, and of a fleet before and after an engine came or went. */
 const RINGS = 8;
 
@@ -59,7 +65,7 @@
 
 const NOWHERE: fleet.Arrangement = { ring: ring.build([]), at: new Map() };
 
-export interface Deps extends Omit<link.Deps, "lost" | "holds" | "came"> {
+export interface Deps extends Omit<link.Deps, "lost" | "holds" | "came" | "counted"> {
   readonly catalog: () => catalog.Catalog;
   /** `ip:port` of the endpoint daemon beside an endpoint. */
   readonly daemonOf: (e: catalog.Endpoint) => string;
@@ -80,6 +86,8 @@
   /** Engines without a connection yet, by the address of their endpoint daemon. */
   private unlinked = new Map<string, catalog.Endpoint>();
   private linking: clock.Timer | undefined;
+  /** Entry daemons there are, as endpoint daemons count them. */
+  private counts: peak.Peak | undefined;
 
   constructor(
     private readonly deps: Deps,
@@ -165,6 +173,9 @@
         came: () => {
           this.came();
         },
+        counted: (entries) => {
+          this.counts = peak.read(this.counts, entries, this.clk.steady(), HOSTS_MS);
+        },
       });
       this.links.set(address, at);
       this.unlinked.delete(address);
@@ -220,6 +231,11 @@
     return counts.length === 0 ? undefined : Math.max(...counts);
   }
 
+  /** The most there were in the last {@link HOSTS_MS}; undefined until an endpoint daemon has told. */
+  mostHosts(): number | undefined {
+    return this.counts && peak.highest(this.counts);
+  }
+
   /**
    * Connections to up to `n` endpoint daemons that keep what belongs to `key`, the first one first: the same on all
    * hosts that know the same engines.
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -165,6 +165,7 @@
     stop: async () => {
       leaving = true;
       callers.leave();
+      dispatcher.leave();
       const until = deps.clock.mono() + opts.graceMs - BREAK_OFF_MS;
       await clock.sleep(deps.clock, Math.min(NOTICED_MS, opts.graceMs / 2));
       const late = clock.sleep(deps.clock, until - deps.clock.mono());
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -69,6 +69,8 @@
   readonly holds: (before: ReadonlySet<string>, now: ReadonlySet<string>) => void;
   /** An engine may be of use that was not. */
   readonly came: () => void;
+  /** The endpoint daemon tells how many entry daemons are connected to it. */
+  readonly counted: (entries: number) => void;
   /** The endpoint daemon tells of requests that end their workers. */
   readonly suspicion: (m: hearsay.Message, peer: string) => void;
   /** What the endpoint daemon at an address is told when it is reached. */
@@ -314,6 +316,7 @@
       this.instance = m.instance;
     }
     this.last = m;
+    this.deps.counted(m.entries);
     this.stateAt = this.heardAt;
     this.tokens = 0;
     this.slots = 0;
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -26,8 +26,8 @@
     firstMs: number | undefined,
     tookMs: number,
   ) => void;
-  /** A retry was wanted for a service, and allowed or not. */
-  readonly retry: (service: string, allowed: boolean) => void;
+  /** A retry was wanted for a service; what it was charged to, if it was allowed. */
+  readonly retry: (service: string, from: string | undefined) => void;
   /** A request was refused before it was served; its team where it is known. */
   readonly refused: (team: string | undefined, status: number) => void;
   /** A team used some units of its cap. */
@@ -67,9 +67,9 @@
   );
   const retries = counter(
     "sumacfield_retries_total",
-    "Retries that were wanted, by service and whether the budget allowed them.",
+    "Retries that were wanted, by service and what they were charged to.",
     "service",
-    "allowed",
+    "from",
   );
   const units = counter(
     "sumacfield_team_units_total",
@@ -85,8 +85,8 @@
       if (firstMs !== undefined) first.observe({ route }, firstMs);
       took.observe({ route }, tookMs);
     },
-    retry: (service, allowed) => {
-      retries.inc({ service, allowed: String(allowed) });
+    retry: (service, from = "denied") => {
+      retries.inc({ service, from });
     },
     refused: (team, status) => {
       refusals.inc({ team: team === undefined ? NO_TEAM : teamLabel(team), status });
--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -1,88 +1,167 @@
 /**
- * How many requests may be sent to a further endpoint. All hosts share one allowance for each
- * service, without a counter on the path: each keeps to its part by itself.
+ * How many requests may be retried, that is, sent to a further endpoint. All hosts share one budget for each service,
+ * without a counter on the path: each keeps to its part by itself.
+ *
+ * Tokens: each request earns a fraction of one, which expires after part of a window. What all hosts spend in a window was
+ * earned in it or shortly before, so tokens need no count of hosts, and a process that starts has none.
+ *
+ * Slack: each host has an equal part of it, by the highest count of hosts in a while. A process uses it only once it has
+ * run for a whole window. So all that use it within one window were running when that window began: each has counted all
+ * the others, and none has taken another's place on its host.
  * @module
  */
+import type * as clock from "../host/clock.js";
 
+/** The budget of all hosts together for one service. */
 export interface Options {
-  /** Further sends allowed for each request, over a window. */
+  /** Retries for each request, over a window. */
   readonly ratio: number;
-  /** Further sends allowed in a window besides, over all hosts. */
+  /** Retries in a window besides. */
   readonly slack: number;
   readonly windowMs: number;
 }
 
-/** Part of its allowance that a host uses, since hosts count one another late. */
+/** Part of a window for which tokens last: longer allows larger bursts, and less in the long run. */
+const LASTING = 0.5;
+/** Part of the slack that is used; the rest is for requests that a host reads late, since it stood still. */
 const USED = 0.8;
-/** Hosts taken for granted until told. */
-export const HOSTS = 6;
+/** Milliseconds that a retry may take to arrive, most of them to connect. */
+const ARRIVAL_MS = 800;
+/** Slices of a token's lifetime: tokens earned within one expire together. */
+const SLICES = 16;
+/** What sums of fractions may be off by. */
+const ROUNDING = 1e-9;
 
-/** What one host sent for one service in the window. */
-export interface Window {
-  readonly requests: readonly number[];
-  readonly further: readonly number[];
+/** Tokens earned from `at` on, for a slice of their lifetime; monotonic ms. */
+interface Earned {
+  readonly at: number;
+  readonly tokens: number;
 }
 
-export const EMPTY: Window = { requests: [], further: [] };
+/** What one process has earned and spent for one service. */
+export interface Account {
+  /** Oldest first. */
+  readonly earned: readonly Earned[];
+  /** Steady ms of each retry that the slack was used for, oldest first. */
+  readonly fromSlack: readonly number[];
+}
+
+export const EMPTY: Account = { earned: [], fromSlack: [] };
+
+/** Milliseconds for which a token lasts. */
+function lifetimeMs(opts: Options): number {
+  return Math.max(0, LASTING * opts.windowMs - ARRIVAL_MS);
+}
+
+/** Milliseconds that two processes of one host must lie apart to be in no window together. */
+function apartMs(opts: Options): number {
+  return opts.windowMs + ARRIVAL_MS;
+}
+
+function unexpired(earned: readonly Earned[], now: number, opts: Options): readonly Earned[] {
+  const first = earned.findIndex((e) => now - e.at < lifetimeMs(opts));
+  return first < 0 ? [] : earned.slice(first);
+}
 
-function within(times: readonly number[], after: number): readonly number[] {
-  const first = times.findIndex((t) => t > after);
-  return first < 0 ? [] : times.slice(first);
+function sum(earned: readonly Earned[]): number {
+  return earned.reduce((n, e) => n + e.tokens, 0);
 }
 
-/** A request was let in at `now`, on the steady clock in ms. */
-export function request(w: Window, now: number, opts: Options): Window {
-  return { ...w, requests: [...within(w.requests, now - opts.windowMs), now] };
+/** A request came at the monotonic ms `now`. */
+export function earn(a: Account, now: number, opts: Options): Account {
+  const tokens = opts.ratio / (1 + LASTING);
+  const earned = unexpired(a.earned, now, opts);
+  const last = earned.at(-1);
+  const isSameSlice = last && now - last.at < lifetimeMs(opts) / SLICES;
+  return {
+    ...a,
+    earned: isSameSlice
+      ? [...earned.slice(0, -1), { at: last.at, tokens: last.tokens + tokens }]
+      : [...earned, { at: now, tokens }],
+  };
 }
 
-/** The window with one further send in it; undefined when it is not allowed. */
-export function take(w: Window, now: number, hosts: number, opts: Options): Window | undefined {
-  const after = now - opts.windowMs;
-  const requests = within(w.requests, after);
-  const further = within(w.further, after);
-  const part = opts.ratio * requests.length + opts.slack / Math.max(1, hosts);
-  if (further.length + 1 > part * USED) return undefined;
-  return { requests, further: [...further, now] };
+/** The account after one token was spent, the oldest ones first; undefined where there is none. */
+export function spend(a: Account, now: number, opts: Options): Account | undefined {
+  const earned = unexpired(a.earned, now, opts);
+  if (sum(earned) < 1 - ROUNDING) return undefined;
+  let owed = 1;
+  const left = earned.map((e) => {
+    const taken = Math.min(owed, e.tokens);
+    owed -= taken;
+    return { at: e.at, tokens: e.tokens - taken };
+  });
+  return { ...a, earned: left.filter((e) => e.tokens > 0) };
 }
 
-/** What came of asking for a further send, and what decided it. */
+/** The account after the slack was used once, at the steady ms `now`; undefined where `hosts` leave none. */
+export function useSlack(
+  a: Account,
+  now: number,
+  hosts: number,
+  opts: Options,
+): Account | undefined {
+  const fromSlack = a.fromSlack.filter((t) => now - t < apartMs(opts));
+  const part = (USED * opts.slack) / Math.max(1, hosts);
+  if (fromSlack.length + 1 > part) return undefined;
+  return { ...a, fromSlack: [...fromSlack, now] };
+}
+
+/** What came of asking for a retry, and what decided it. */
 export interface Verdict {
-  readonly allowed: boolean;
-  /** Further sends of this host in the window, this one included if it is allowed. */
-  readonly used: number;
-  /** Requests of this host in the window. */
-  readonly requests: number;
+  /** What the retry was charged to; undefined where it is over the budget. */
+  readonly from: "tokens" | "slack" | undefined;
+  /** Tokens that are left. */
+  readonly tokens: number;
+  /** Retries charged to the slack in the last window. */
+  readonly fromSlack: number;
   /** Hosts that share the slack, as far as known. */
   readonly hosts: number | undefined;
 }
 
-/** What one host has sent for each service, against its part of the allowances. */
+/** The part of each service's budget that one process keeps to. */
 export class Budget {
-  private readonly windows = new Map<string, Window>();
+  private readonly accounts = new Map<string, Account>();
+  private readonly startedAt: number;
+  private isLeaving = false;
 
   constructor(
     private readonly opts: Options,
-    /** Steady ms. */
-    private readonly now: () => number,
-  ) {}
+    private readonly clk: Pick<clock.Clock, "mono" | "steady">,
+  ) {
+    this.startedAt = clk.steady();
+  }
 
   /** A request for a service was let in. */
   request(service: string): void {
-    const window = this.windows.get(service) ?? EMPTY;
-    this.windows.set(service, request(window, this.now(), this.opts));
+    const account = this.accounts.get(service) ?? EMPTY;
+    this.accounts.set(service, earn(account, this.clk.mono(), this.opts));
   }
 
-  /** Whether one further send is allowed to this host, one of `hosts` that share the allowance; it is counted if so. */
+  /** Asks for one retry, on one of at most `hosts` hosts; it is charged if it is allowed. */
   take(service: string, hosts: number | undefined): Verdict {
-    const window = this.windows.get(service) ?? EMPTY;
-    const next = take(window, this.now(), hosts ?? HOSTS, this.opts);
-    if (next) this.windows.set(service, next);
-    const { further, requests } = next ?? window;
+    const before = this.accounts.get(service) ?? EMPTY;
+    const spent = spend(before, this.clk.mono(), this.opts);
+    const after = spent ?? this.useSlack(before, hosts);
+    if (after) this.accounts.set(service, after);
+    const { earned, fromSlack } = after ?? before;
     return {
-      allowed: next !== undefined,
-      used: further.length,
-      requests: requests.length,
+      from: spent ? "tokens" : after && "slack",
+      tokens: sum(unexpired(earned, this.clk.mono(), this.opts)),
+      fromSlack: fromSlack.length,
       hosts,
     };
   }
+
+  /** The process is to stop; from now on the slack is that of the one that takes its place. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  private useSlack(a: Account, hosts: number | undefined): Account | undefined {
+    const now = this.clk.steady();
+    if (hosts === undefined || this.isLeaving) return undefined;
+    if (now - this.startedAt < apartMs(this.opts)) return undefined;
+    return useSlack(a, now, hosts, this.opts);
+  }
 }
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -23,22 +23,19 @@
     });
     fc.assert(
       fc.property(tries, (steps) => {
-        const hosts = Array.from({ length: 4 }, () => retries.EMPTY);
+        let now = 0;
+        const clk = { mono: () => now, steady: () => now };
+        const hosts = Array.from({ length: 4 }, () => new retries.Budget(BUDGET, clk));
         const asked: number[] = [];
         const taken: number[] = [];
-        let now = 0;
         for (const [h, isRequest, ms] of steps) {
           now += ms;
-          const w = hosts[h] ?? retries.EMPTY;
           if (isRequest) {
             asked.push(now);
-            hosts[h] = retries.request(w, now, BUDGET);
+            hosts[h]?.request("s");
             continue;
           }
-          const next = retries.take(w, now, 4, BUDGET);
-          if (!next) continue;
-          hosts[h] = next;
-          taken.push(now);
+          if (hosts[h]?.take("s", 4).from) taken.push(now);
         }
         for (const end of taken) {
           const within = (t: number): boolean => t > end - BUDGET.windowMs && t <= end;
--- a/test/serving/links.ts
+++ b/test/serving/links.ts
@@ -16,6 +16,7 @@
     lost: (id) => lost.push(id),
     holds: () => undefined,
     came: () => undefined,
+    counted: () => undefined,
     suspicion: () => undefined,
     greeting: () => greeting,
   });
--- a/test/serving/retry-budget.test.ts
+++ b/test/serving/retry-budget.test.ts
@@ -42,8 +42,76 @@
   );
 }
 
+/** Hosts are stopped one after the other; each process serves on beside its successor. */
+function stoppedInTurn(f: Fleet): readonly retrying.Event[] {
+  return all(f).map(
+    (host) =>
+      ({ kind: "stop", at: 8000 + (host * 10_000) / f.hosts, host, graceMs: 8000 }) as const,
+  );
+}
+
+/** Half of the hosts go, one after the other. */
+function goneInTurn(f: Fleet): readonly retrying.Event[] {
+  return all(f)
+    .slice(f.hosts / 2)
+    .map((host, i) => ({ kind: "gone", at: 8000 + (i * 10_000) / f.hosts, host }) as const);
+}
+
+/** Three quarters of the hosts go at once, and their requests move to the others. */
+function mostGo(f: Fleet): readonly retrying.Event[] {
+  const stay = Math.ceil(f.hosts / 4);
+  const gone = all(f).slice(stay);
+  return [
+    { kind: "move", at: 21_000, to: all(f).slice(0, stay) },
+    ...gone.map((host) => ({ kind: "gone", at: 21_000, host }) as const),
+  ];
+}
+
+/** All hosts are stopped at once; each process serves on beside its successor. */
+function stoppedTogether(f: Fleet): readonly retrying.Event[] {
+  return all(f).map((host) => ({ kind: "stop", at: 20_000, host, graceMs: 8000 }) as const);
+}
+
+/** The requests move on from one half of the hosts to the other. */
+function movedOn(f: Fleet): readonly retrying.Event[] {
+  const half = f.hosts / 2;
+  return [
+    { kind: "move", at: 0, to: all(f).slice(0, half) },
+    { kind: "move", at: 10_000, to: all(f).slice(half) },
+  ];
+}
+
+/** A quarter of the hosts stand still, one after the other. */
+function frozenInTurn(f: Fleet): readonly retrying.Event[] {
+  return all(f)
+    .slice(0, Math.ceil(f.hosts / 4))
+    .map((host, i) => ({ kind: "freeze", at: 8000 + i * 100, host, ms: 4000 }) as const);
+}
+
 const CASES: Readonly<Record<string, (f: Fleet) => Partial<retrying.Plan>>> = {
+  "in calm": () => ({}),
   "while all hosts are killed again and again": (f) => ({ events: killedTogether(f) }),
+  "while hosts are stopped in turn and serve on": (f) => ({ events: stoppedInTurn(f) }),
+  "while all hosts are stopped and serve on": (f) => ({
+    events: stoppedTogether(f),
+    ms: 40_000,
+    wanted: [[27_500, 40_000]],
+  }),
+  "while hosts go for good": (f) => ({ events: goneInTurn(f) }),
+  "while most hosts go at once": (f) => ({ events: mostGo(f), wanted: [[20_000, 34_000]] }),
+  "while requests move from some hosts to others": (f) => ({
+    events: movedOn(f),
+    wanted: [
+      [9900, 10_000],
+      [19_900, 20_000],
+    ],
+  }),
+  "while hosts stand still": (f) => ({ events: frozenInTurn(f) }),
+  "where the number of hosts is never known": () => ({ told: () => undefined }),
+  "where hosts that start hear of few others": (f) => ({
+    events: killedTogether(f),
+    told: (alive, ageMs) => Math.min(alive, 1 + Math.floor(ageMs / 50)),
+  }),
 };
 
 describe("the retry budget of all hosts together is kept", () => {
--- a/test/serving/retrying.ts
+++ b/test/serving/retrying.ts
@@ -5,6 +5,8 @@
  */
 import * as generators from "pure-rand/generator/xoroshiro128plus";
 import * as uniform from "pure-rand/distribution/uniformInt";
+import * as endpoints from "../../src/serving/endpoints.js";
+import * as peak from "../../src/serving/peak.js";
 import * as retries from "../../src/serving/retries.js";
 
 /** What happens to a host at `at`; all times in ms. */
@@ -45,6 +47,8 @@
   readonly budget: retries.Budget;
   readonly startedAt: number;
   readonly endsAt: number;
+  /** How many hosts it heard of. */
+  counts: peak.Peak | undefined;
 }
 
 interface Host {
@@ -65,9 +69,10 @@
   const retried: number[] = [];
   const rng = generators.xoroshiro128plus(plan.seed);
   const begin = (): Process => ({
-    budget: new retries.Budget(plan.opts, () => now),
+    budget: new retries.Budget(plan.opts, { mono: () => now, steady: () => now }),
     startedAt: now,
     endsAt: Infinity,
+    counts: undefined,
   });
   const hosts: Host[] = Array.from({ length: plan.hosts }, () => ({
     processes: [begin()],
@@ -101,10 +106,11 @@
     const newest = h.processes.at(-1);
     if (!newest) return;
     for (; h.waiting > 0; h.waiting--) newest.budget.request(SERVICE);
-    if (!isWanted) return;
     for (const p of h.processes) {
       const told = plan.told(alive, now - p.startedAt);
-      while (p.budget.take(SERVICE, told).allowed) retried.push(now);
+      if (told !== undefined) p.counts = peak.read(p.counts, told, now, endpoints.HOSTS_MS);
+      const most = p.counts && peak.highest(p.counts);
+      while (isWanted && p.budget.take(SERVICE, most).from) retried.push(now);
     }
   }
 }
@@ -125,6 +131,7 @@
       h.startsAt = Infinity;
       break;
     case "stop":
+      for (const p of h.processes) p.budget.leave();
       h.processes = [...h.processes.map((p) => ({ ...p, endsAt: now + e.graceMs })), begin()];
       break;
     case "freeze":
