Keep usage caps where hosts start out of reach of all endpoint daemons

What callers saw: nothing reported. Cause: an entry daemon that reaches no place of a team's cap keeps its own part of it, by the number of entry daemons that those it reaches tell, and by six where none does: so always by six, and at 29 hosts nearly five caps are given out. The number that places are told fell as soon as hosts were lost, so the halves of a fleet that is cut in two each gave out a cap. Why this works: the number is the highest heard of in a minute, and outlives the connections; a host that has heard of none since its start lets nothing in by itself where an endpoint daemon could tell, and says 503.

--- a/bench/caps/fleet.ts
+++ b/bench/caps/fleet.ts
@@ -119,6 +119,8 @@
   private readonly places: capPlace.CapPlace[];
   private readonly links: Wire[][];
   private readonly hosts: caps.Caps[];
+  /** Hosts that have heard how many there are since they started. */
+  private readonly told = new Set<number>();
   private catalog: catalog.Catalog;
   private sent = 0;
 
@@ -149,7 +151,7 @@
       log: record.silent,
       catalog: () => this.catalog,
       places: (_team, n) => (this.links[h] ?? []).slice(0, n),
-      hosts: () => this.opts.hosts,
+      hosts: () => (this.told.has(h) ? this.opts.hosts : undefined),
       overdraft: this.opts.overdraft,
     });
   }
@@ -166,6 +168,11 @@
     this.sent++;
   }
 
+  /** A host hears how many there are. */
+  tell(host: number): void {
+    this.told.add(host);
+  }
+
   admit(host: number, units: number): Promise<caps.Verdict> | caps.Verdict {
     const [team] = this.catalog.config?.teams?.all ?? [];
     const at = this.hosts[host];
@@ -193,6 +200,7 @@
   restart(host: number): void {
     this.hosts[host]?.close();
     for (const l of this.links[host] ?? []) l.lose();
+    this.told.delete(host);
     this.hosts[host] = this.host(host);
     for (const l of this.links[host] ?? []) l.connect();
     this.hosts[host].refresh();
@@ -209,6 +217,8 @@
   isHeard = false;
   private client: announcer.Client | undefined;
   private isCut = false;
+  /** It is to be connected once it is no longer cut. */
+  private isAwaited = false;
   private held: (() => void)[] = [];
   private next = 0;
   private readonly asked = new Map<number, (a: seat.FromEndpoint | undefined) => void>();
@@ -226,6 +236,9 @@
   }
 
   connect(): void {
+    this.isAwaited = this.isCut;
+    if (this.isCut) return;
+    this.fleet.tell(this.h);
     const client: announcer.Client = {
       host: `host-${this.h}`,
       send: (m) => {
@@ -252,6 +265,10 @@
   cut(on: boolean): void {
     this.isCut = on;
     if (on) return;
+    if (this.isAwaited) {
+      this.connect();
+      return;
+    }
     this.isHeard = true;
     for (const run of this.held.splice(0)) run();
   }
--- a/bench/caps/play.ts
+++ b/bench/caps/play.ts
@@ -42,6 +42,7 @@
   "hot_cut",
   "hot_calls_once_cut",
   "hot_restarts",
+  "hot_restarts_while_cut",
 ] as const;
 export type Load = (typeof LOADS)[number];
 
@@ -163,6 +164,12 @@
         });
       }
       return;
+    case "hot_restarts_while_cut":
+      cut(hosts, made, clk);
+      clk.after(FIRST_MS + 1, () => {
+        for (const h of hosts) made.restart(h);
+      });
+      return;
   }
 }
 
--- a/src/serving/caps.ts
+++ b/src/serving/caps.ts
@@ -1,7 +1,7 @@
 /**
  * An entry daemon's part in keeping usage caps: it asks the place of a team's cap to let requests in. The place is an
  * endpoint daemon that all entry daemons choose alike; where it is not reached the next one in their order is taken,
- * and where none is, this host keeps to its own part of the cap.
+ * and where none is, this host keeps to its own part of the cap, if it has heard how many hosts there are.
  * @module
  */
 import type * as clock from "../host/clock.js";
@@ -23,7 +23,7 @@
 const KEEP_MS = 650;
 /** Milliseconds that a word to a place may be on its way, after which its lease begins. */
 const WAY_MS = 300;
-/** Hosts taken for granted until told. */
+/** Hosts taken for granted where there is no endpoint daemon that could tell. */
 const HOSTS = 6;
 /** Milliseconds after which a caller is told to come back where nobody can tell whether it is let in. */
 const UNKNOWN_MS = 400;
@@ -72,7 +72,7 @@
   readonly catalog: () => catalog.Catalog;
   /** Connections to the endpoint daemons that may keep what belongs to a key, the first one first. */
   readonly places: (key: string, n: number) => readonly Place[];
-  /** Entry daemons there are, as far as known. */
+  /** The most entry daemons there were in a while; undefined where none was heard of since the start. */
   readonly hosts: () => number | undefined;
   /** Units by which a team may exceed its cap at once. */
   readonly overdraft: number;
@@ -107,8 +107,9 @@
     const { name, cap } = team;
     if (!cap) return;
     const home = this.homes.get(name);
+    const left = this.own.get(name);
     if (home) home.send({ kind: "refund", team: name, units });
-    else this.own.set(name, allowance.refund(this.ownLeft(name, cap), cap, units));
+    else if (left) this.own.set(name, allowance.refund(left, cap, units));
   }
 
   /** What a place must know before it is asked, when it is reached. */
@@ -258,17 +259,24 @@
     return { granted: 0, refusal: unsure(UNKNOWN_MS) };
   }
 
-  private ownLeft(name: string, cap: catalog.Cap): allowance.Allowance {
+  /** This host's part of a team's cap where it keeps that by itself; undefined where it can't tell. */
+  private ownPart(team: string): number | undefined {
+    if (this.deps.hosts() === undefined && this.places(team).length > 0) return undefined;
+    return 1 / this.hosts();
+  }
+
+  private ownLeft(name: string, cap: catalog.Cap, part: number): allowance.Allowance {
     const now = this.deps.clock.steady();
-    const part = 1 / this.hosts();
     const left = this.own.get(name) ?? allowance.begun(now, part * this.deps.overdraft);
     return allowance.flow(left, cap, part, now);
   }
 
   private ownDraw({ name, cap }: catalog.Team, wants: readonly number[]): Drawn {
     if (!cap) return { granted: wants.length, refusal: IN };
-    const part = 1 / this.hosts();
-    const got = allowance.draw(this.ownLeft(name, cap), cap, part, wants, this.deps.overdraft);
+    const part = this.ownPart(name);
+    if (part === undefined) return { granted: 0, refusal: unsure(UNKNOWN_MS) };
+    const left = this.ownLeft(name, cap, part);
+    const got = allowance.draw(left, cap, part, wants, this.deps.overdraft);
     this.own.set(name, got.left);
     return { granted: got.granted, refusal: refused(got.waitMs) };
   }
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -225,13 +225,10 @@
     return [...list.slice(from), ...list.slice(0, from)];
   }
 
-  /** Entry daemons there are, as endpoint daemons count them. */
-  hosts(): number | undefined {
-    const counts = [...this.links.values()].flatMap((l) => (l.state ? [l.state.entries] : []));
-    return counts.length === 0 ? undefined : Math.max(...counts);
-  }
-
-  /** The most there were in the last {@link HOSTS_MS}; undefined until an endpoint daemon has told. */
+  /**
+   * The most entry daemons that an endpoint daemon counted in the last {@link HOSTS_MS}, or before none was reached;
+   * undefined until one has told.
+   */
   mostHosts(): number | undefined {
     return this.counts && peak.highest(this.counts);
   }
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -105,7 +105,7 @@
     log: deps.log("caps"),
     catalog: () => fed.catalog,
     places: (team, n) => known.keepers(team, n),
-    hosts: () => known.hosts(),
+    hosts: () => known.mostHosts(),
     overdraft: opts.overdraft,
   });
   const dispatcher = new dispatch.Dispatch(
--- /dev/null
+++ b/test/serving/host-count.test.ts
@@ -0,0 +1,41 @@
+import * as chai from "chai";
+import * as catalog from "../../src/serving/catalog.js";
+import * as dispatching from "./dispatching.js";
+import * as engines from "./engines.js";
+import * as fixtures from "./fixtures.js";
+import * as telling from "./telling.js";
+
+const { expect } = chai;
+
+/** Entry daemons of the site, and those left once most are lost. */
+const MANY = 29;
+const FEW = 3;
+
+describe("the number of hosts that share a total", () => {
+  it("is not known to be small while no endpoint daemon has told it, nor once none is reached", async () => {
+    const counting = (entries: number) => ({ ...telling.state("e0"), entries });
+    const daemon = await telling.open(counting(MANY), telling.holdings());
+    const e = fixtures.endpoint("e0", "127.0.0.1:1");
+    const at: catalog.Catalog = {
+      ...catalog.EMPTY,
+      config: fixtures.CONFIG,
+      endpoints: new Map([[e.id, e]]),
+    };
+    const { known, close } = dispatching.open(at, () => daemon.address);
+    try {
+      expect(known.mostHosts()).equal(undefined);
+      const link = known.link(e);
+      await engines.until(() => link.isHeard);
+      expect(known.mostHosts()).equal(MANY);
+      daemon.tell(counting(FEW));
+      await engines.until(() => link.state?.entries === FEW);
+      expect(known.mostHosts()).equal(MANY);
+      daemon.close();
+      await engines.until(() => !link.isReached);
+      expect(known.mostHosts()).equal(MANY);
+    } finally {
+      close();
+      daemon.close();
+    }
+  });
+});
