Play load shedding beside lost entry hosts in the soak, and check the retry budget there

Change: in some runs the workers of a service shed load while entry daemons are killed or stopped one after the other; what reaches workers again is held against the budget of the settings. The misplaced comment on planned work is put right.

--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -12,6 +12,8 @@
 /** How a worker behaves. */
 export type Mood =
   | "well"
+  /** Turns most of its requests away before it runs them. */
+  | "shedding"
   /** Answers a part of its requests with its own failure. */
   | "failing"
   /** Takes requests and answers nothing. */
@@ -29,6 +31,8 @@
 
 /** Part of its requests or orders that a worker in a bad mood treats badly. */
 const BAD_PART = 0.4;
+/** Part of its requests that a worker turns away that sheds load. */
+const SHED_PART = 0.9;
 const SLOW_FACTOR = 10;
 /** Milliseconds after which an order that was not answered is carried out. */
 const LATE_MS = 2000;
@@ -59,6 +63,13 @@
 /** Milliseconds from the begin of such a request to the worker's end. */
 const FATAL_MS = 10;
 
+/** A request that reached a worker, whether that ran it or not. */
+export interface Arrival {
+  readonly id: string;
+  readonly service: string;
+  readonly at: number;
+}
+
 /** The end of a worker under a request. */
 export interface Crash {
   readonly id: string;
@@ -70,6 +81,7 @@
 
 /** What a stand-in tells about itself. */
 export interface Journal {
+  readonly arrivals: Arrival[];
   readonly runs: Run[];
   /** Workers that ended under a request. */
   readonly crashes: Crash[];
@@ -78,7 +90,7 @@
 }
 
 export function journal(): Journal {
-  return { runs: [], crashes: [], faults: [] };
+  return { arrivals: [], runs: [], crashes: [], faults: [] };
 }
 
 /** The `n`th event of a stream. */
@@ -137,6 +149,14 @@
     res.end();
   }
 
+  /** Writes down that a request arrived; whether it was turned away at once. */
+  protected turnsAway(res: http.ServerResponse, id: string): boolean {
+    this.kept.arrivals.push({ id, service: this.service, at: performance.now() });
+    if (this.mood !== "shedding" || Math.random() >= SHED_PART) return false;
+    this.reject(res, 503, id);
+    return true;
+  }
+
   /** Writes a run down; it ends with its connection. */
   protected begin(
     req: http.IncomingMessage,
@@ -301,6 +321,7 @@
     res: http.ServerResponse,
   ): Promise<void> {
     const id = one(req.headers["x-sumacfield-attempt-id"]);
+    if (this.turnsAway(res, id)) return;
     const [, adapter = ""] = one(req.headers["x-sumacfield-model"]).split("/");
     const h = this.held.get(adapter);
     const version = req.headers["x-sumacfield-expect-version"];
@@ -377,6 +398,7 @@
     }
     const body = await servers.text(req);
     const id = one(req.headers["x-sumacfield-attempt-id"]);
+    if (this.turnsAway(res, id)) return;
     const meant = req.headers["x-sumacfield-expect-instance"];
     if (meant !== undefined && meant !== this.name) {
       this.reject(res, 421, id);
--- a/bench/soak/daemon.ts
+++ b/bench/soak/daemon.ts
@@ -9,15 +9,18 @@
 import * as script from "../../deploy/script.cjs";
 import * as teams from "./teams.js";
 
+/** What all entry daemons together may retry of the requests for a service: a part of them, and some besides. */
+export const RETRIES = { ratio: 0.2, slack: 58, windowS: 10 };
+
 /** Milliseconds from SIGTERM to SIGKILL, and of the other bounds that the daemons are told. */
 export const GRACE_MS = 5000;
 export const DRAIN_MS = 2000;
 const BOUNDS = {
   graceS: GRACE_MS / 1000,
   drainTimeoutMs: DRAIN_MS,
-  retryBudgetRatio: 0.2,
-  budgetWindowS: 10,
-  budgetSlack: 58,
+  retryBudgetRatio: RETRIES.ratio,
+  budgetWindowS: RETRIES.windowS,
+  budgetSlack: RETRIES.slack,
   contactMs: 3000,
   ...teams.BOUNDS,
 };
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -213,6 +213,28 @@
   await Promise.all(attempts);
 }
 
+/** Entry daemons that go while a service sheds load, and milliseconds from one to the next. */
+const GO = 6;
+const GO_MS: readonly [number, number] = [200, 1500];
+const GONE = [killed("entry daemon", entries), stopped("entry daemon", entries)];
+
+/** All workers of one service shed load, while entry daemons are killed or asked to stop, one after the other. */
+export async function shedding(
+  d: Deps,
+  strike: (f: Fault) => Promise<void> | undefined,
+): Promise<void> {
+  const { service } = d.draw.one(d.site.places).worker;
+  const struck = d.site.places.map((p) => p.worker).filter((w) => w.service === service);
+  for (const w of struck) w.mood = "shedding";
+  const going: Promise<void>[] = [];
+  for (let n = 0; n < GO; n++) {
+    await timers.setTimeout(d.draw.between(...GO_MS));
+    going.push(strike(d.draw.one(GONE)) ?? Promise.resolve());
+  }
+  await Promise.all(going);
+  for (const w of struck) if (w.mood === "shedding") w.mood = "well";
+}
+
 export const FAULTS: readonly Fault[] = [
   // Planned, and more frequent than any one trouble.
   workerLeaves,
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -5,6 +5,8 @@
  */
 import type * as worker from "../platform/worker.js";
 import * as workers from "../platform/worker.js";
+import * as retries from "./retries.js";
+import * as site from "./site.js";
 import * as teams from "./teams.js";
 
 /** Kinds of requests, and what each of them promises. */
@@ -85,11 +87,11 @@
 const EARLY_MS = 60;
 /** Milliseconds after a caller left within which its worker must know. */
 const LEFT_MS = 900;
-/** Planned work, which may cut nothing off. */
 /** Workers that end under a request before all hosts must know, and sends beyond them that are borne, by the pages. */
 const PROOFS = 3;
 const BORNE = 3;
 const CONTACT_MS = 3000;
+/** Planned work, which may cut nothing off. */
 const PLANNED = /asked to stop|settings changed/;
 const REFUSALS = new Set([408, 421, 429, 503]);
 
@@ -244,7 +246,21 @@
   const anyOutOfTouch = (from: number, to: number): boolean =>
     disturbed(h, from, to, (d) => d.on === "store" || d.on.startsWith("entry"));
   const beyond = teams.beyondCap(h.teams, h.seen, runs, anyOutOfTouch);
-  return [...h.faults, ...h.kept.faults, ...ran, ...fatal(h, runs), ...beyond, ...found];
+  const sent = h.seen.map((s) => ({ service: serviceOf(s), at: s.sentAt }));
+  const retried = retries.beyondBudget(sent, h.kept.arrivals);
+  return [
+    ...h.faults,
+    ...h.kept.faults,
+    ...ran,
+    ...fatal(h, runs),
+    ...beyond,
+    ...retried,
+    ...found,
+  ];
+}
+
+function serviceOf(s: Seen): string {
+  return s.kind === "stream" || s.kind === "stream_once" ? site.ENGINES : site.PLAIN;
 }
 
 /** How a request ended, in a word. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -43,6 +43,10 @@
 const FATAL = 0.5;
 const FATAL_PAUSE_MS: readonly [number, number] = [500, 4000];
 const FATAL_DRAWS = 3;
+/** Part of the runs in which services shed load, the pause between, and the row of draws for it. */
+const SHED = 0.4;
+const SHED_PAUSE_MS: readonly [number, number] = [500, 4000];
+const SHED_DRAWS = 6;
 /** Rows of draws for the keys that requests carry, and for what the operator does with keys and caps. */
 const KEY_DRAWS = 4;
 const TEAM_DRAWS = 5;
@@ -82,6 +86,7 @@
   await Promise.all([
     ...all,
     crash(deps(FATAL_DRAWS), until),
+    shed(deps(SHED_DRAWS), until),
     rotate(s, given, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
@@ -156,22 +161,42 @@
     if (on.size >= TOGETHER) continue;
     const fault = d.draw.one(kinds);
     if (on.has(fault.name)) continue;
-    const struck = fault.begin(d);
-    if (!struck) continue;
-    const from = performance.now();
-    const notes = struck.on.map((name) => ({ kind: fault.name, on: name, from, to: Infinity }));
-    d.history.disturbances.push(...notes);
-    const mended = (async () => {
-      await timers.setTimeout(d.draw.between(...fault.lasts));
-      await struck.end();
-      for (const n of notes) n.to = performance.now();
-      on.delete(fault.name);
-    })();
-    on.set(fault.name, mended);
+    const mended = strike(d, fault);
+    if (!mended) continue;
+    on.set(
+      fault.name,
+      mended.then(() => {
+        on.delete(fault.name);
+      }),
+    );
   }
   await Promise.all(on.values());
 }
 
+/** Begins a trouble; resolves once it is mended. Undefined where there is nothing to strike. */
+function strike(d: faults.Deps, fault: faults.Fault): Promise<void> | undefined {
+  const struck = fault.begin(d);
+  if (!struck) return undefined;
+  const from = performance.now();
+  const notes = struck.on.map((name) => ({ kind: fault.name, on: name, from, to: Infinity }));
+  d.history.disturbances.push(...notes);
+  return (async () => {
+    await timers.setTimeout(d.draw.between(...fault.lasts));
+    await struck.end();
+    for (const n of notes) n.to = performance.now();
+  })();
+}
+
+/** In some runs, services shed load while entry daemons go, again and again until `until`. */
+async function shed(d: faults.Deps, until: number): Promise<void> {
+  for (let i = 0; i < ALIKE; i++) d.draw.part();
+  if (d.draw.part() >= SHED) return;
+  while (performance.now() < until) {
+    await faults.shedding(d, (fault) => strike(d, fault));
+    await timers.setTimeout(d.draw.between(...SHED_PAUSE_MS));
+  }
+}
+
 /** In some runs, requests that end their workers come one after the other until `until`. */
 async function crash(d: faults.Deps, until: number): Promise<void> {
   for (let i = 0; i < ALIKE; i++) d.draw.part();
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -12,8 +12,8 @@
 import * as proxies from "./proxy.js";
 import * as teams from "./teams.js";
 
-const ENGINES = "llm";
-const PLAIN = "guide";
+export const ENGINES = "llm";
+export const PLAIN = "guide";
 /** Milliseconds between two events of a stream. */
 const EVENT_MS = 20;
 /** An adapter whose streams last long, so that there is time for a caller to leave. */
