--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -22,7 +22,7 @@
 }
 
 /** Part of a window for which tokens last: longer allows larger bursts, and less in the long run. */
-const LASTING = 0.5;
+const LASTING = 0.25;
 /** Part of the slack that is used; the rest is for requests that a host reads late, since it stood still. */
 const USED = 0.8;
 /** Milliseconds that a retry may take to arrive, most of them to connect. */
