Earn no retries by requests that came while a process stood still

What callers saw: nothing reported. Found by asking whether the retry budget's bound holds over a freeze. Evidence: all hosts frozen for 4 s in virtual time exceed the budget at 29 hosts without this (npm run red: the switch's proof fails). Retries now reach their endpoints up to 700 ms late in the play, and a property plays kills, stops, losses, freezes, moves and bursts in any order. Why this works: a process beats every 500 ms; a beat that is late by as much says that it stood still, and what it reads then and in the next half second earns nothing.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -26,6 +26,13 @@
     put: "true)",
     proof: "while requests move from some hosts to others: 4 hosts",
   },
+  {
+    name: "requests that came while a process stood still earn no tokens",
+    file: "serving/retries.js",
+    find: "standstill.isCatchingUp(this.pulse, this.clk.mono())",
+    put: "false",
+    proof: "while all hosts stand still at once: 29 hosts",
+  },
   {
     name: "hosts that are gone still count for a while",
     file: "serving/peak.js",
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -67,6 +67,10 @@
     this.budget.leave();
   }
 
+  close(): void {
+    this.budget.close();
+  }
+
   /** Serves one request to its end; whether it ran, or may have run, anywhere. */
   async serve(a: ask.Ask, out: progress.Outlet): Promise<boolean> {
     const now = this.deps.clock.mono();
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -173,6 +173,7 @@
       readiness.close();
       fed.stop();
       capped.close();
+      dispatcher.close();
       known.close();
       up.close();
     },
--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -3,7 +3,8 @@
  * without a counter on the path: each keeps to its part by itself.
  *
  * Tokens: each request earns a fraction of one, which expires after part of a window. What all hosts spend in a window was
- * earned in it or shortly before, so tokens need no count of hosts, and a process that starts has none.
+ * earned in it or shortly before, so tokens need no count of hosts, and a process that starts has none. Requests that came
+ * while a process stood still earn it nothing: they belong to an earlier window.
  *
  * Slack: each host has an equal part of it, by the highest count of hosts in a while. A process uses it only once it has
  * run for a whole window. So all that use it within one window were running when that window began: each has counted all
@@ -11,6 +12,7 @@
  * @module
  */
 import type * as clock from "../host/clock.js";
+import * as standstill from "./standstill.js";
 
 /** The budget of all hosts together for one service. */
 export interface Options {
@@ -23,7 +25,7 @@
 
 /** Part of a window for which tokens last: longer allows larger bursts, and less in the long run. */
 const LASTING = 0.25;
-/** Part of the slack that is used; the rest is for requests that a host reads late, since it stood still. */
+/** Part of the slack that is used; the rest is for requests that a host reads late. */
 const USED = 0.8;
 /** Milliseconds that a retry may take to arrive, most of them to connect. */
 const ARRIVAL_MS = 800;
@@ -124,16 +126,21 @@
   private readonly accounts = new Map<string, Account>();
   private readonly startedAt: number;
   private isLeaving = false;
+  private pulse: standstill.Pulse;
+  private timer: clock.Timer | undefined;
 
   constructor(
     private readonly opts: Options,
-    private readonly clk: Pick<clock.Clock, "mono" | "steady">,
+    private readonly clk: Pick<clock.Clock, "mono" | "steady" | "after">,
   ) {
     this.startedAt = clk.steady();
+    this.pulse = standstill.begin(clk.mono());
+    this.beat();
   }
 
   /** A request for a service was let in. */
   request(service: string): void {
+    if (standstill.isCatchingUp(this.pulse, this.clk.mono())) return;
     const account = this.accounts.get(service) ?? EMPTY;
     this.accounts.set(service, earn(account, this.clk.mono(), this.opts));
   }
@@ -158,6 +165,17 @@
     this.isLeaving = true;
   }
 
+  close(): void {
+    this.timer?.cancel();
+  }
+
+  private beat(): void {
+    this.pulse = standstill.beat(this.pulse, this.clk.mono());
+    this.timer = this.clk.after(standstill.BEAT_MS, () => {
+      this.beat();
+    });
+  }
+
   private useSlack(a: Account, hosts: number | undefined): Account | undefined {
     const now = this.clk.steady();
     if (hosts === undefined || this.isLeaving) return undefined;
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -10,6 +10,7 @@
 import * as warmth from "../../src/serving/warmth.js";
 import * as reading from "../../src/serving/reading.js";
 import * as fixtures from "./fixtures.js";
+import * as retrying from "./retrying.js";
 
 const { expect } = chai;
 
@@ -24,12 +25,13 @@
     fc.assert(
       fc.property(tries, (steps) => {
         let now = 0;
-        const clk = { mono: () => now, steady: () => now };
+        const clk = new retrying.ProcessClock(() => now);
         const hosts = Array.from({ length: 4 }, () => new retries.Budget(BUDGET, clk));
         const asked: number[] = [];
         const taken: number[] = [];
         for (const [h, isRequest, ms] of steps) {
           now += ms;
+          clk.run();
           if (isRequest) {
             asked.push(now);
             hosts[h]?.request("s");
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -13,10 +13,14 @@
 import * as meters from "../../src/serving/meters.js";
 import type * as protocol from "../../src/serving/protocol.js";
 import type * as progress from "../../src/serving/progress.js";
+import type * as retries from "../../src/serving/retries.js";
 import * as suspects from "../../src/serving/suspects.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
 
+/** A budget that lets even the first request be retried a few times. */
+const RETRIES: retries.Options = { ratio: 16, slack: 0, windowMs: 10_000 };
+
 /**
  * Makes it, over a catalog or what reads the one in force; `daemonOf` tells where an engine's endpoint
  * daemon listens.
@@ -56,7 +60,7 @@
   });
   const up = new upstream.Upstream(wire);
   const dispatcher = new dispatch.Dispatch(
-    { domain: "d1", retries: { ratio: 0.2, slack: 58, windowMs: 10_000 } },
+    { domain: "d1", retries: RETRIES },
     {
       clock: clk,
       log: record.silent,
@@ -75,6 +79,7 @@
     dispatcher,
     suspects: suspected,
     close: (): void => {
+      dispatcher.close();
       up.close();
       known.close();
     },
--- a/test/serving/retry-budget.test.ts
+++ b/test/serving/retry-budget.test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as fc from "fast-check";
 import type * as retries from "../../src/serving/retries.js";
 import * as retrying from "./retrying.js";
 
@@ -22,9 +23,11 @@
     ...f,
     opts: OPTS,
     ms: 34_000,
+    bursts: [],
     wanted: [[6000, 34_000]],
     events: [],
     told: (alive, ageMs) => (ageMs < KNOWN_MS ? undefined : alive),
+    arrivesInMs: 0,
     seed: 1,
     ...over,
   };
@@ -106,6 +109,11 @@
       [19_900, 20_000],
     ],
   }),
+  "while all hosts stand still at once": (f) => ({
+    events: all(f).map((host) => ({ kind: "freeze", at: 16_000, host, ms: 4000 }) as const),
+    wanted: [[20_000, 34_000]],
+  }),
+  "while retries reach their endpoints late": () => ({ arrivesInMs: 700 }),
   "while hosts stand still": (f) => ({ events: frozenInTurn(f) }),
   "where the number of hosts is never known": () => ({ told: () => undefined }),
   "where hosts that start hear of few others": (f) => ({
@@ -123,4 +131,45 @@
       }).timeout(30_000);
     }
   }
+
+  it("whatever happens to hosts, in any order", () => {
+    const [few, more] = FLEETS;
+    const at = fc.integer({ min: 0, max: 40_000 });
+    const ms = fc.integer({ min: 100, max: 9000 });
+    const event = (host: fc.Arbitrary<number>): fc.Arbitrary<retrying.Event> =>
+      fc.oneof(
+        fc.record({ kind: fc.constant("kill" as const), at, host, downMs: ms }),
+        fc.record({ kind: fc.constant("stop" as const), at, host, graceMs: ms }),
+        fc.record({ kind: fc.constant("gone" as const), at, host }),
+        fc.record({ kind: fc.constant("freeze" as const), at, host, ms }),
+        fc.record({
+          kind: fc.constant("move" as const),
+          at,
+          to: fc.array(host, { minLength: 1, maxLength: 4 }),
+        }),
+      );
+    const wanted = fc.array(
+      fc.tuple(at, ms).map(([from, lasts]) => [from, from + lasts] as const),
+      { minLength: 1, maxLength: 4 },
+    );
+    const burst = fc
+      .tuple(at, ms, fc.constantFrom(0, 0.2, 3, 6))
+      .map(([from, lasts, times]) => [from, from + lasts, times] as const);
+    const days = fc.constantFrom(few, more).chain((f) =>
+      fc.record({
+        f: fc.constant(f),
+        events: fc.array(event(fc.nat(f.hosts - 1)), { maxLength: 40 }),
+        bursts: fc.array(burst, { maxLength: 4 }),
+        wanted,
+        seed: fc.nat(1000),
+      }),
+    );
+    fc.assert(
+      fc.property(days, ({ f, ...over }) => {
+        const p = plan(f, { ...over, ms: 45_000, arrivesInMs: 700, stepMs: 50 });
+        expect(retrying.excess(retrying.play(p), p.opts)).most(0);
+      }),
+      { numRuns: 100 },
+    );
+  }).timeout(60_000);
 });
--- a/test/serving/retrying.ts
+++ b/test/serving/retrying.ts
@@ -5,10 +5,37 @@
  */
 import * as generators from "pure-rand/generator/xoroshiro128plus";
 import * as uniform from "pure-rand/distribution/uniformInt";
+import type * as clock from "../../src/host/clock.js";
 import * as endpoints from "../../src/serving/endpoints.js";
 import * as peak from "../../src/serving/peak.js";
 import * as retries from "../../src/serving/retries.js";
 
+/** The clock of one process, which reads `now`; its timers run when the process does. */
+export class ProcessClock {
+  private timers: readonly { readonly at: number; readonly run: () => void }[] = [];
+
+  constructor(private readonly now: () => number) {}
+
+  readonly mono = (): number => this.now();
+  readonly steady = (): number => this.now();
+  readonly after = (ms: number, run: () => void): clock.Timer => {
+    const timer = { at: this.now() + ms, run };
+    this.timers = [...this.timers, timer];
+    return {
+      cancel: () => {
+        this.timers = this.timers.filter((t) => t !== timer);
+      },
+    };
+  };
+
+  /** Runs the timers that are due. */
+  run(): void {
+    const due = this.timers.filter((t) => t.at <= this.now());
+    this.timers = this.timers.filter((t) => t.at > this.now());
+    for (const t of due) t.run();
+  }
+}
+
 /** What happens to a host at `at`; all times in ms. */
 export type Event =
   /** Its process is killed; another starts `downMs` later. */
@@ -28,12 +55,16 @@
   readonly ms: number;
   /** Requests a second at all hosts together. */
   readonly perS: number;
+  /** When there are how many times as many. */
+  readonly bursts: readonly (readonly [from: number, to: number, times: number])[];
   /** When retries are wanted: as many as the budget allows. */
   readonly wanted: readonly (readonly [from: number, to: number])[];
   readonly events: readonly Event[];
   /** What a process hears of how many hosts there are. */
   readonly told: (alive: number, ageMs: number) => number | undefined;
   readonly stepMs: number;
+  /** Milliseconds after which a retry reaches its endpoint, at most. */
+  readonly arrivesInMs: number;
   readonly seed: number;
 }
 
@@ -44,6 +75,7 @@
 }
 
 interface Process {
+  readonly clk: ProcessClock;
   readonly budget: retries.Budget;
   readonly startedAt: number;
   readonly endsAt: number;
@@ -68,12 +100,11 @@
   const asked: number[] = [];
   const retried: number[] = [];
   const rng = generators.xoroshiro128plus(plan.seed);
-  const begin = (): Process => ({
-    budget: new retries.Budget(plan.opts, { mono: () => now, steady: () => now }),
-    startedAt: now,
-    endsAt: Infinity,
-    counts: undefined,
-  });
+  const begin = (): Process => {
+    const clk = new ProcessClock(() => now);
+    const budget = new retries.Budget(plan.opts, clk);
+    return { clk, budget, startedAt: now, endsAt: Infinity, counts: undefined };
+  };
   const hosts: Host[] = Array.from({ length: plan.hosts }, () => ({
     processes: [begin()],
     startsAt: Infinity,
@@ -91,7 +122,7 @@
       else if (struck) strike(struck, e, now, begin);
     }
     for (const h of hosts) age(h, now, begin);
-    for (owed += (plan.perS * plan.stepMs) / 1000; owed >= 1; owed--) {
+    for (owed += (perSNow() * plan.stepMs) / 1000; owed >= 1; owed--) {
       asked.push(now);
       const h = hosts[to[uniform.uniformInt(rng, 0, to.length - 1)] ?? 0];
       if (h) h.waiting++;
@@ -100,8 +131,18 @@
     const isWanted = plan.wanted.some(([from, until]) => now >= from && now < until);
     for (const h of hosts) if (h.frozenUntil <= now) serve(h, alive, isWanted);
   }
+  retried.sort((a, b) => a - b);
   return { asked, retried };
 
+  function perSNow(): number {
+    const [, , times = 1] = plan.bursts.find(([from, until]) => now >= from && now < until) ?? [];
+    return plan.perS * times;
+  }
+
+  function arrivesInMs(): number {
+    return plan.arrivesInMs === 0 ? 0 : uniform.uniformInt(rng, 0, plan.arrivesInMs);
+  }
+
   function serve(h: Host, alive: number, isWanted: boolean): void {
     const newest = h.processes.at(-1);
     if (!newest) return;
@@ -110,7 +151,9 @@
       const told = plan.told(alive, now - p.startedAt);
       if (told !== undefined) p.counts = peak.read(p.counts, told, now, endpoints.HOSTS_MS);
       const most = p.counts && peak.highest(p.counts);
-      while (isWanted && p.budget.take(SERVICE, most).from) retried.push(now);
+      while (isWanted && p.budget.take(SERVICE, most).from) retried.push(now + arrivesInMs());
+      // What waited for a process is read before its timers run.
+      p.clk.run();
     }
   }
 }
