Let tokens for retries last a window, and be worth half of the ratio

What callers saw: nothing reported. Found by asking whether the retry budget's bound holds for bursts of requests. Evidence: bursts in virtual time exceed the budget by 36, 165 and 1,074 retries at 4, 29 and 360 hosts. The test failed before. Why this works: what is spent in a window was earned in it or in the window before, and each of the two counts half; this needs nothing of how requests come.

--- a/src/serving/retries.ts
+++ b/src/serving/retries.ts
@@ -2,9 +2,9 @@
  * How many requests may be retried, that is, sent to a further endpoint. All hosts share one budget for each service,
  * without a counter on the path: each keeps to its part by itself.
  *
- * Tokens: each request earns a fraction of one, which expires after part of a window. What all hosts spend in a window was
- * earned in it or shortly before, so tokens need no count of hosts, and a process that starts has none. Requests that came
- * while a process stood still earn it nothing: they belong to an earlier window.
+ * Tokens: each request earns half of what the ratio allows, and that expires after a window. What all hosts spend in a
+ * window was earned in it or in the one before, so it needs no count of hosts, and a process that starts has none. Requests
+ * that came while a process stood still earn it nothing: they belong to an earlier window.
  *
  * Slack: each host has an equal part of it, by the highest count of hosts in a while. A process uses it only once it has
  * run for a whole window. So all that use it within one window were running when that window began: each has counted all
@@ -23,14 +23,14 @@
   readonly windowMs: number;
 }
 
-/** Part of a window for which tokens last: longer allows larger bursts, and less in the long run. */
-const LASTING = 0.25;
+/** Windows in which the tokens that are spent in one were earned. */
+const EARNED_IN = 2;
 /** Part of the slack that is used; the rest is for requests that a host reads late. */
 const USED = 0.8;
 /** Milliseconds that a retry may take to arrive, most of them to connect. */
 const ARRIVAL_MS = 800;
 /** Slices of a token's lifetime: tokens earned within one expire together. */
-const SLICES = 16;
+const SLICES = 32;
 /** What sums of fractions may be off by. */
 const ROUNDING = 1e-9;
 
@@ -52,7 +52,7 @@
 
 /** Milliseconds for which a token lasts. */
 function lifetimeMs(opts: Options): number {
-  return Math.max(0, LASTING * opts.windowMs - ARRIVAL_MS);
+  return Math.max(0, opts.windowMs - ARRIVAL_MS);
 }
 
 /** Milliseconds that two processes of one host must lie apart to be in no window together. */
@@ -71,7 +71,7 @@
 
 /** A request came at the monotonic ms `now`. */
 export function earn(a: Account, now: number, opts: Options): Account {
-  const tokens = opts.ratio / (1 + LASTING);
+  const tokens = opts.ratio / EARNED_IN;
   const earned = unexpired(a.earned, now, opts);
   const last = earned.at(-1);
   const isSameSlice = last && now - last.at < lifetimeMs(opts) / SLICES;
--- a/test/serving/retry-budget.test.ts
+++ b/test/serving/retry-budget.test.ts
@@ -114,6 +114,15 @@
     wanted: [[20_000, 34_000]],
   }),
   "while retries reach their endpoints late": () => ({ arrivesInMs: 700 }),
+  "while requests come in bursts": () => ({
+    bursts: [
+      [0, 17_500, 0.1],
+      [17_500, 19_900, 5],
+      [19_900, 27_500, 0.1],
+      [27_500, 30_000, 5],
+    ],
+    wanted: [[19_900, 34_000]],
+  }),
   "while hosts stand still": (f) => ({ events: frozenInTurn(f) }),
   "where the number of hosts is never known": () => ({ told: () => undefined }),
   "where hosts that start hear of few others": (f) => ({
