--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -7,6 +7,7 @@
 import * as timers from "node:timers/promises";
 import type * as http from "node:http";
 import * as documents from "./documents.js";
+import type * as journals from "./journal.js";
 import * as servers from "./http.js";
 
 /** How a worker behaves. */
@@ -41,58 +42,11 @@
 /** Events of a stream. */
 export const EVENTS = 5;
 
-/** One run of a request, as its worker saw it. */
-export interface Run {
-  readonly id: string;
-  readonly service: string;
-  readonly instance: string;
-  readonly adapter: string;
-  readonly version: number;
-  /** Milliseconds that the worker was told are left. */
-  readonly leftMs: number;
-  /** Team that the worker was told, and whether it was shown a key. */
-  readonly team: string | undefined;
-  readonly sawKey: boolean;
-  readonly at: number;
-  /** When the worker stopped work on it. */
-  endedAt: number | undefined;
-}
-
 /** A body that holds this text ends its worker some ms after it is begun. */
 export const FATAL = "ends its worker";
 /** Milliseconds from the begin of such a request to the worker's end. */
 const FATAL_MS = 10;
 
-/** A request that reached a worker, whether that ran it or not. */
-export interface Arrival {
-  readonly id: string;
-  readonly service: string;
-  readonly at: number;
-}
-
-/** The end of a worker under a request. */
-export interface Crash {
-  readonly id: string;
-  /** What the request said; the same in each of its attempts. */
-  readonly body: string;
-  readonly instance: string;
-  readonly at: number;
-}
-
-/** What a stand-in tells about itself. */
-export interface Journal {
-  readonly arrivals: Arrival[];
-  readonly runs: Run[];
-  /** Workers that ended under a request. */
-  readonly crashes: Crash[];
-  /** Orders that no worker may be given, as text. */
-  readonly faults: string[];
-}
-
-export function journal(): Journal {
-  return { arrivals: [], runs: [], crashes: [], faults: [] };
-}
-
 /** The `n`th event of a stream. */
 export function event(id: string, adapter: string, version: number, n: number): string {
   return `id: ${n}\ndata: ${id} ${adapter}@${version} ${n} of ${EVENTS}\n\n`;
@@ -119,7 +73,7 @@
   constructor(
     readonly service: string,
     public instance: string,
-    protected readonly kept: Journal,
+    protected readonly kept: journals.Journal,
   ) {
     this.name = instance;
   }
@@ -163,8 +117,8 @@
     res: http.ServerResponse,
     adapter: string,
     version: number,
-  ): Run {
-    const run: Run = {
+  ): journals.Run {
+    const run: journals.Run = {
       id: one(req.headers["x-sumacfield-attempt-id"]),
       service: this.service,
       instance: this.instance,
@@ -188,7 +142,7 @@
   }
 
   /** Ends the worker where the request that it begins to run is such a one; whether it did. */
-  protected async endsUnder(run: Run, body: string): Promise<boolean> {
+  protected async endsUnder(run: journals.Run, body: string): Promise<boolean> {
     if (!body.includes(FATAL)) return false;
     await timers.setTimeout(FATAL_MS);
     if (this.isOver) return true;
@@ -228,7 +182,7 @@
   constructor(
     service: string,
     instance: string,
-    kept: Journal,
+    kept: journals.Journal,
     private readonly slots: number,
     /** Newest version of each adapter in the weight store. */
     private readonly newest: ReadonlyMap<string, number> = new Map(),
@@ -346,7 +300,7 @@
   }
 
   private async stream(
-    run: Run,
+    run: journals.Run,
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -3,7 +3,7 @@
  * promises and shares no code with the daemons.
  * @module
  */
-import type * as worker from "../platform/worker.js";
+import type * as journals from "../platform/journal.js";
 import * as workers from "../platform/worker.js";
 import * as retries from "./retries.js";
 import * as site from "./site.js";
@@ -57,7 +57,7 @@
 
 export interface History {
   readonly seen: Seen[];
-  readonly kept: worker.Journal;
+  readonly kept: journals.Journal;
   readonly disturbances: Disturbance[];
   readonly changes: Change[];
   readonly teams: teams.Teams;
@@ -134,7 +134,7 @@
   return events.every((e, i) => e.startsWith(`id: ${i + 1}\ndata: ${s.id} ${s.adapter}@`));
 }
 
-type Check = (s: Seen, runs: readonly worker.Run[], h: History) => string | undefined;
+type Check = (s: Seen, runs: readonly journals.Run[], h: History) => string | undefined;
 
 const CHECKS: readonly Check[] = [
   function whole(s) {
@@ -215,7 +215,7 @@
 ];
 
 /** Requests that ended their workers and were sent on and on. */
-function fatal(h: History, runs: ReadonlyMap<string, readonly worker.Run[]>): readonly string[] {
+function fatal(h: History, runs: ReadonlyMap<string, readonly journals.Run[]>): readonly string[] {
   return [...new Set(h.kept.crashes.map((c) => c.body))].flatMap((body) => {
     const ends = h.kept.crashes.filter((c) => c.body === body);
     const third = ends[PROOFS - 1];
@@ -232,7 +232,7 @@
 
 /** Every broken promise, a line each; none when all held. */
 export function violations(h: History): readonly string[] {
-  const runs = new Map<string, worker.Run[]>();
+  const runs = new Map<string, journals.Run[]>();
   for (const r of h.kept.runs) runs.set(r.id, [...(runs.get(r.id) ?? []), r]);
   const asked = new Set(h.seen.map((s) => s.id));
   const unasked = [...runs.keys()].filter((id) => !asked.has(id));
--- a/bench/soak/retries.ts
+++ b/bench/soak/retries.ts
@@ -2,7 +2,7 @@
  * Whether all entry daemons together kept to the retry budget, from what callers sent and what reached workers.
  * @module
  */
-import type * as worker from "../platform/worker.js";
+import type * as journals from "../platform/journal.js";
 import * as daemons from "./daemon.js";
 
 const MS_PER_S = 1000;
@@ -17,7 +17,7 @@
 /** Every service that got more arrivals beyond the first of each request than allowed in some window, a line each. */
 export function beyondBudget(
   sent: readonly Sent[],
-  arrivals: readonly worker.Arrival[],
+  arrivals: readonly journals.Arrival[],
 ): readonly string[] {
   const services = [...new Set(arrivals.map((a) => a.service))];
   return services.flatMap((service) => {
@@ -31,7 +31,7 @@
 }
 
 /** When requests reached a worker again that had reached one before. */
-function beyondFirst(arrivals: readonly worker.Arrival[]): readonly number[] {
+function beyondFirst(arrivals: readonly journals.Arrival[]): readonly number[] {
   const known = new Set<string>();
   return arrivals.flatMap((a) => {
     const isFirst = !known.has(a.id);
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -6,6 +6,7 @@
 import * as undici from "undici";
 import * as documents from "../platform/documents.js";
 import * as freePorts from "../platform/ports.js";
+import * as journals from "../platform/journal.js";
 import * as stores from "../platform/store.js";
 import * as workers from "../platform/worker.js";
 import * as daemons from "./daemon.js";
@@ -54,7 +55,7 @@
 
 export class Site {
   readonly store = new stores.Store();
-  readonly kept = workers.journal();
+  readonly kept = journals.journal();
   readonly newest = new Map<string, number>();
   readonly places: Place[] = [];
   readonly entries: daemons.Daemon[] = [];
--- a/bench/soak/teams.ts
+++ b/bench/soak/teams.ts
@@ -2,7 +2,7 @@
  * The teams of a soak: their keys, which come and go, and the cap of one of them; and what workers must then have seen.
  * @module
  */
-import type * as worker from "../platform/worker.js";
+import type * as journals from "../platform/journal.js";
 import type * as history from "./history.js";
 
 /** A key, and when the operator put it in force and took it away. */
@@ -104,7 +104,11 @@
 }
 
 /** What is wrong with how a request was treated, by its key. */
-export function check(t: Teams, s: history.Seen, runs: readonly worker.Run[]): string | undefined {
+export function check(
+  t: Teams,
+  s: history.Seen,
+  runs: readonly journals.Run[],
+): string | undefined {
   const key = t.keys.find((k) => k.key === s.key);
   const foreign = runs.find((r) => r.team !== key?.team);
   if (foreign) return `ran for ${foreign.team ?? "no team"}, with a key of ${key?.team ?? "none"}`;
@@ -124,7 +128,7 @@
 export function beyondCap(
   t: Teams,
   seen: readonly history.Seen[],
-  runs: ReadonlyMap<string, readonly worker.Run[]>,
+  runs: ReadonlyMap<string, readonly journals.Run[]>,
   outOfTouch: (from: number, to: number) => boolean,
 ): readonly string[] {
   const own = new Set(t.keys.filter((k) => k.team === CAPPED).map((k) => k.key));
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -8,6 +8,7 @@
 import * as freePorts from "../../bench/platform/ports.js";
 import * as documents from "../../bench/platform/documents.js";
 import * as stores from "../../bench/platform/store.js";
+import * as journals from "../../bench/platform/journal.js";
 import * as workers from "../../bench/platform/worker.js";
 import * as script from "../../deploy/script.cjs";
 
@@ -55,7 +56,7 @@
 
 describe("daemons on the platform", () => {
   const store = new stores.Store();
-  const kept = workers.journal();
+  const kept = journals.journal();
   const worker = new workers.Engine("llm", "i-1", kept, 2);
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
   let ports: readonly number[] = [];
