Serve what is under way though a daemon is asked to stop twice

What callers saw: streams were cut off while an entry daemon stopped in order; their workers were well. Cause: the listener for SIGTERM was taken off with the first signal, so that a second one, which a platform may send, ended the process at once. The new test failed before (other side closed).

--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -71,6 +71,14 @@
       "said how its engine was and heard nothing, on a link cut one way, and the question was waited for " +
       "until it was whole. Mended in the link; test/serving/cap-link.test.ts has the case by itself.",
   },
+  {
+    seed: 738,
+    minutes: 0.15,
+    cause:
+      "three streams were cut off, with their workers well: their entry daemon was asked to stop a second time while it " +
+      "served them to the end, which ended it at once. Mended in platform/daemon.ts; test/platform/processes.test.ts has " +
+      "the case by itself.",
+  },
   {
     seed: 8104,
     minutes: 0.3,
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -60,6 +60,8 @@
   const worker = new workers.Engine("llm", "i-1", kept, 2);
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
   let ports: readonly number[] = [];
+  /** Where a request is served, by the configuration in force. */
+  let route = "/c/x";
   let entry: Daemon;
   let endpoint: Daemon;
 
@@ -101,26 +103,32 @@
     });
   }
 
-  before(async () => {
-    await store.start();
-    await worker.start();
-    store.put("op/config", configOf(1, "/c/"));
-    store.put(`servers/${worker.instance}`, documents.entry("llm", worker.address));
-    ports = await Promise.all([freePorts.free(), freePorts.free(), freePorts.free()]);
-    const listen = { front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}` };
-    entry = run("entry", settingsFile("entry-1", { listen }));
-    endpoint = run("endpoint", settingsFile("side-1", { app: worker.address, service: "llm" }));
+  /** Waits until the entry daemon serves. */
+  async function untilServed(): Promise<void> {
     await until(async () => {
-      const res = await undici.request(`http://${listen.ready}/-/readyz`).catch(() => undefined);
+      const ready = `http://127.0.0.1:${ports[1]}/-/readyz`;
+      const res = await undici.request(ready).catch(() => undefined);
       await res?.body.dump();
       return res?.statusCode === 200;
     });
     // The endpoint daemon has yet to meet its worker, and the entry daemon to hear of it.
     await until(async () => {
-      const res = await ask("first", "a1");
+      const res = await ask("first", "a1", route);
       await res.body.dump();
       return res.statusCode === 200;
     });
+  }
+
+  before(async () => {
+    await store.start();
+    await worker.start();
+    store.put("op/config", configOf(1, "/c/"));
+    store.put(`servers/${worker.instance}`, documents.entry("llm", worker.address));
+    ports = await Promise.all([freePorts.free(), freePorts.free(), freePorts.free()]);
+    const listen = { front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}` };
+    entry = run("entry", settingsFile("entry-1", { listen }));
+    endpoint = run("endpoint", settingsFile("side-1", { app: worker.address, service: "llm" }));
+    await untilServed();
   });
 
   after(() => {
@@ -217,6 +225,20 @@
     expect(await entry.exited).equal(0);
     expect(entry.lines().at(-1)).include({ msg: "Stopped." });
   }).timeout(10_000);
+
+  it("end what they serve though they are asked to stop again meanwhile", async () => {
+    entry = run("entry", path.join(folder, "entry-1.yaml"));
+    route = "/d/x";
+    await untilServed();
+    worker.eventMs = 150;
+    const res = await ask("again", "a1", route);
+    entry.process.kill("SIGTERM");
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    entry.process.kill("SIGTERM");
+    const text = await res.body.text();
+    expect(text.match(/data: again a1@1 \d/g)).length(5);
+    expect(await entry.exited).equal(0);
+  }).timeout(10_000);
 });
 
 describe("the bundle", () => {
