Break a run off only where the request may be sent on

What callers saw: streams that were running well were cut off by their entry daemon. Cause: a send is broken off when its engine is thought gone, or says nothing for long, so that the request can go elsewhere. Whether it may be sent on, by its route's attempts and the retry budget, was asked afterwards. Since a process that has just started has no retries, this came about more often than before. Why this works: the retry is charged before the run is broken off, and is not charged again when it is made; where there is none, a stream that has begun goes on, and so does a send that only says nothing. A request of which nothing was passed on still ends at once when its engine is gone.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -170,16 +170,17 @@
     return p.sends === 0 || this.mayBeRetried(a, p);
   }
 
-  /** Whether the retry budget allows one more send. */
+  /** Whether the retry budget allows one more send, which is charged once. */
   private mayBeRetried(a: ask.Ask, p: progress.Progress): boolean {
+    if (p.retryIsCharged) return true;
     const service = a.service.name;
     const verdict = this.budget.take(service, this.deps.endpoints.mostHosts());
     this.deps.meters.retry(service, verdict.from);
-    const sentence = verdict.from ? "A request is retried." : "A retry is over the budget.";
+    const sentence = verdict.from ? "A request may be retried." : "A retry is over the budget.";
     this.deps.log.info(sentence, { request: a.meta.id, service, send: p.sends + 1, ...verdict });
-    if (verdict.from) return true;
-    p.why = "the retry budget is used up";
-    return false;
+    p.retryIsCharged = verdict.from !== undefined;
+    if (!p.retryIsCharged) p.why = "the retry budget is used up";
+    return p.retryIsCharged;
   }
 
   /** Whether its key still lets it in: it may have been taken away during a wait. */
@@ -232,7 +233,9 @@
       resumeAfter: p.lastId,
       team: a.caller?.team.name,
     };
-    const watch = watches.open(a, p, best, cut, this.deps);
+    p.retryIsCharged = false;
+    const mayGoOn = (): boolean => this.another(a, p) && this.mayBeRetried(a, p);
+    const watch = watches.open(a, p, best, cut, { ...this.deps, mayGoOn });
     const run: Run = { a, out, p, endpoint, seat, sentAt, cut, watch };
     try {
       const sent = await this.deps.upstream.send(a, endpoint, marks, watch.signal);
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -37,6 +37,8 @@
   moves: number;
   /** Monotonic ms from which it waits for an endpoint: its arrival, or the end of its last send. */
   waitsFrom: number;
+  /** A retry was charged to the budget that is not made yet. */
+  retryIsCharged: boolean;
   begun: boolean;
   /** It was decided whether it is let in. */
   judged: boolean;
@@ -65,6 +67,7 @@
     diverted: new Set(),
     moves: 0,
     waitsFrom: a.arrivedAt,
+    retryIsCharged: false,
     begun: false,
     judged: false,
     lastId: a.meta.resumeAfter,
--- a/src/serving/watch.ts
+++ b/src/serving/watch.ts
@@ -1,6 +1,6 @@
 /**
  * Watches one send. One that may be repeated is broken off when its engine is known to be gone, or when it
- * gets no sign of an answer for much longer than expected and another endpoint may have it.
+ * gets no sign of an answer for much longer than expected; but only where it may be sent on, since it may still be served.
  * @module
  */
 import type * as clock from "../host/clock.js";
@@ -30,6 +30,8 @@
 }
 
 export interface Deps {
+  /** Whether the request may be sent on after this send; a retry is charged for it if so. */
+  readonly mayGoOn: () => boolean;
   readonly clock: clock.Clock;
   readonly log: record.Log;
   readonly endpoints: endpoints.Endpoints;
@@ -52,12 +54,17 @@
   const stop = (): void => {
     own.abort();
   };
-  const unwatch = deps.endpoints.watch(id, stop);
+  const gone = (): void => {
+    // Where nothing was passed on, its caller is better told at once.
+    if (!p.begun || deps.mayGoOn()) stop();
+  };
+  const unwatch = deps.endpoints.watch(id, gone);
   cut.addEventListener("abort", stop, { once: true });
   if (cut.aborted) stop();
   const targets = a.service.engine ? SILENT_STREAM_TARGETS : SILENT_CALL_TARGETS;
   const silentMs = Math.max(targets * a.route.targetMs, SILENT_FACTOR * best.firstMs);
   const silent = (): void => {
+    if (!deps.mayGoOn()) return;
     deps.log.warn("An endpoint stays silent; its connections are made anew.", {
       request: a.meta.id,
       endpoint: id,
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -31,6 +31,7 @@
   clk: clock.Clock = clock.system,
   wire: protocol.Protocol = fixtures.WIRE,
   authenticate: (a: ask.Ask) => authentication.Verdict = () => ({ kind: "open" }),
+  budget: retries.Options = RETRIES,
 ) {
   const inForce = typeof at === "function" ? at : () => at;
   const known = new endpoints.Endpoints(
@@ -60,7 +61,7 @@
   });
   const up = new upstream.Upstream(wire);
   const dispatcher = new dispatch.Dispatch(
-    { domain: "d1", retries: RETRIES },
+    { domain: "d1", retries: budget },
     {
       clock: clk,
       log: record.silent,
--- /dev/null
+++ b/test/serving/kept-run.test.ts
@@ -0,0 +1,57 @@
+import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
+import type * as catalog from "../../src/serving/catalog.js";
+import type * as retries from "../../src/serving/retries.js";
+import * as dispatching from "./dispatching.js";
+import * as engines from "./engines.js";
+import * as fixtures from "./fixtures.js";
+import * as telling from "./telling.js";
+
+const { expect } = chai;
+
+const NONE: retries.Options = { ratio: 0, slack: 0, windowMs: 10_000 };
+const SOME: retries.Options = { ratio: 16, slack: 0, windowMs: 10_000 };
+
+/** What a caller of a stream is told whose engine is thought gone after the first event, and is not. */
+async function told(budget: retries.Options, attempts: number): Promise<readonly string[]> {
+  let goOn = (): void => undefined;
+  const worker = await fixtures.worker((_req, res) => {
+    res.writeHead(200, fixtures.good());
+    res.write("id: 1\ndata: x\n\n");
+    goOn = () => res.end("id: 2\ndata: x\n\n");
+  });
+  const daemon = await telling.open(telling.state("i1"), telling.holdings("m/a"));
+  const { at, service } = engines.known([fixtures.endpoint("i1", worker.address)]);
+  const args = [() => daemon.address, clock.system, fixtures.WIRE] as const;
+  const made = dispatching.open(at, ...args, () => ({ kind: "open" }), budget);
+  try {
+    made.known.refresh();
+    await engines.until(() => made.known.views(service).every((v) => v.holdings !== undefined));
+    const { outlet, seen } = dispatching.recorded();
+    const kind = { kind: "stream", resumable: true, timeoutMs: 2000, attempts } as const;
+    const route: catalog.Route = { ...fixtures.ROUTE, ...kind };
+    const served = made.dispatcher.serve(dispatching.streamed(service, route, 2000), outlet);
+    await engines.until(() => daemon.heard.includes("ask"));
+    daemon.tell({ kind: "grant", seat: 0, instance: "i1", version: 1 });
+    await engines.until(() => seen.length > 0);
+    daemon.tell(telling.state(""));
+    await engines.until(() => made.known.views(service).every((v) => v.state?.instance === ""));
+    goOn();
+    await served;
+    return seen;
+  } finally {
+    made.close();
+    daemon.close();
+    worker.close();
+  }
+}
+
+describe("a stream whose engine is thought gone", () => {
+  it("is not broken off where the retry budget is used up", async () => {
+    expect(await told(NONE, 2)).deep.equal(["begin 200", "end"]);
+  });
+
+  it("is not broken off where its route allows no further attempt", async () => {
+    expect(await told(SOME, 1)).deep.equal(["begin 200", "end"]);
+  });
+});
