Prove anew that tokens expire and that a freeze earns none

Cause: the proofs of two switches were written for tokens of a quarter of a window, and passed without their mechanisms since tokens last a whole one: npm run red said so. Change: a case in which no retry was wanted for long, and one long after all hosts stood still; a switch for runs that are broken off only where they may be sent on. The cases before stay.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -24,14 +24,21 @@
     file: "serving/retries.js",
     find: "now - e.at < lifetimeMs(opts))",
     put: "true)",
-    proof: "while requests move from some hosts to others: 4 hosts",
+    proof: "where none was wanted for long: 4 hosts",
   },
   {
     name: "requests that came while a process stood still earn no tokens",
     file: "serving/retries.js",
     find: "standstill.isCatchingUp(this.pulse, this.clk.mono())",
     put: "false",
-    proof: "while all hosts stand still at once: 29 hosts",
+    proof: "long after all hosts stood still: 29 hosts",
+  },
+  {
+    name: "a stream is broken off only where it may be sent on",
+    file: "serving/watch.js",
+    find: "if (!p.begun || deps.mayGoOn())",
+    put: "if (true)",
+    proof: "is not broken off where the retry budget is used up",
   },
   {
     name: "hosts that are gone still count for a while",
--- a/test/serving/retry-budget.test.ts
+++ b/test/serving/retry-budget.test.ts
@@ -93,6 +93,7 @@
 
 const CASES: Readonly<Record<string, (f: Fleet) => Partial<retrying.Plan>>> = {
   "in calm": () => ({}),
+  "where none was wanted for long": () => ({ wanted: [[30_000, 34_000]] }),
   "while all hosts are killed again and again": (f) => ({ events: killedTogether(f) }),
   "while hosts are stopped in turn and serve on": (f) => ({ events: stoppedInTurn(f) }),
   "while all hosts are stopped and serve on": (f) => ({
@@ -113,6 +114,11 @@
     events: all(f).map((host) => ({ kind: "freeze", at: 16_000, host, ms: 4000 }) as const),
     wanted: [[20_000, 34_000]],
   }),
+  "long after all hosts stood still": (f) => ({
+    events: all(f).map((host) => ({ kind: "freeze", at: 16_000, host, ms: 4000 }) as const),
+    ms: 40_000,
+    wanted: [[29_000, 40_000]],
+  }),
   "while retries reach their endpoints late": () => ({ arrivesInMs: 700 }),
   "while requests come in bursts": () => ({
     bursts: [
