Read the limit that a worker names in its answers, and log when it is named, changed and withdrawn

Cause: no source reads the header, so nothing tells when a host learnt of a limit, on which worker and start, from which answer, or what it sent there since; the hypotheses of the incident can't be told apart. Change: answers are read for a limit; a line for each change with worker, start, value, request and ages; one for a value that can't be read; figures for the workers that name one and the requests sent to them. No request is treated otherwise than before.

--- a/bench/platform/journal.ts
+++ b/bench/platform/journal.ts
@@ -24,6 +24,9 @@
 export interface Arrival {
   readonly id: string;
   readonly service: string;
+  readonly instance: string;
+  /** Requests a second that the worker named as its limit then. */
+  readonly limitPerS: number | undefined;
   readonly at: number;
 }
 
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -61,6 +61,8 @@
 
 abstract class Base {
   mood: Mood = "well";
+  /** Requests a second that it names as its limit. */
+  limitPerS: number | undefined;
   /** What it calls itself; a new start may have the name of the one before. */
   name: string;
   /** Unix ms of its start, where it tells it. */
@@ -99,13 +101,15 @@
 
   protected reject(res: http.ServerResponse, status: number, id: string): void {
     const vouch = status === 421 ? {} : { "x-sumacfield-not-executed": "1" };
-    res.writeHead(status, { "x-sumacfield-attempt-id": id, "content-length": 0, ...vouch });
+    const said = { "x-sumacfield-attempt-id": id, ...this.limit() };
+    res.writeHead(status, { ...said, "content-length": 0, ...vouch });
     res.end();
   }
 
   /** Writes down that a request arrived; whether it was turned away at once. */
   protected turnsAway(res: http.ServerResponse, id: string): boolean {
-    this.kept.arrivals.push({ id, service: this.service, at: performance.now() });
+    const { service, instance, limitPerS } = this;
+    this.kept.arrivals.push({ id, service, instance, limitPerS, at: performance.now() });
     if (this.mood !== "shedding" || Math.random() >= SHED_PART) return false;
     this.reject(res, 503, id);
     return true;
@@ -138,7 +142,12 @@
   }
 
   protected signed(id: string): Record<string, string> {
-    return { "x-sumacfield-attempt-id": id, "x-sumacfield-server-signature": this.instance };
+    const signature = { "x-sumacfield-server-signature": this.instance };
+    return { "x-sumacfield-attempt-id": id, ...signature, ...this.limit() };
+  }
+
+  private limit(): Record<string, string> {
+    return this.limitPerS === undefined ? {} : { "server-limit": String(this.limitPerS) };
   }
 
   /** Ends the worker where the request that it begins to run is such a one; whether it did. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -21,6 +21,7 @@
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as watches from "./watch.js";
+import type * as workerLimits from "./worker-limits.js";
 
 export interface Options {
   readonly domain: string;
@@ -34,6 +35,7 @@
   /** Milliseconds since the catalog was as new as the store. */
   readonly newsAgeMs: () => number;
   readonly suspects: suspects.Suspects;
+  readonly limits: workerLimits.WorkerLimits;
   /** Whether a request that was let in may still be sent, by its key. */
   readonly authenticate: (a: ask.Ask) => authentication.Verdict;
 }
@@ -225,6 +227,8 @@
     p.endpoint = endpoint.id;
     p.newsMs = Math.round(this.deps.newsAgeMs());
     this.deps.endpoints.sent(endpoint.id);
+    if (this.deps.limits.of(endpoint) !== undefined)
+      this.deps.meters.limited(a.service.name, "sent");
     const marks = {
       instance: seat?.instance ?? endpoint.id,
       version: seat?.version,
@@ -250,6 +254,7 @@
     sent: upstream.Sent,
   ): Promise<progress.Ending | undefined> | progress.Ending | undefined {
     const { p, endpoint } = run;
+    if (sent.kind !== "unknown") this.heard(run, sent);
     switch (sent.kind) {
       case "not_run":
         p.why = `${endpoint.id} did not run it: ${sent.why}`;
@@ -267,6 +272,12 @@
     }
   }
 
+  /** Takes note of what an answer says of its worker's limit. */
+  private heard({ a, endpoint, sentAt }: Run, sent: Exclude<upstream.Sent, Unknown>): void {
+    const ran = sent.kind === "answer" && sent.status < 500;
+    this.deps.limits.heard(endpoint, { request: a.meta.id, said: sent.limit, sentAt, ran });
+  }
+
   private note(r: Run, sentence: string): void {
     this.deps.log.warn(sentence, {
       request: r.a.meta.id,
@@ -415,6 +426,7 @@
   }
 }
 
+type Unknown = Extract<upstream.Sent, { kind: "unknown" }>;
 type Answer = Extract<upstream.Sent, { kind: "answer" }>;
 
 /** One send under way. */
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -22,6 +22,7 @@
 import type * as retries from "./retries.js";
 import * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
+import * as workerLimits from "./worker-limits.js";
 
 export interface Options {
   readonly host: string;
@@ -73,8 +74,11 @@
     before = at;
     known.refresh();
     capped.refresh();
-    up.keep(new Set([...at.endpoints.values()].map((e) => e.id)));
+    const ids = new Set([...at.endpoints.values()].map((e) => e.id));
+    up.keep(ids);
+    limits.keep(ids);
   });
+  const limits = new workerLimits.WorkerLimits({ clock: deps.clock, log: deps.log("limits") });
   const suspected = new suspects.Suspects({
     clock: deps.clock,
     log: deps.log("suspicion"),
@@ -119,6 +123,7 @@
       catalog: () => fed.catalog,
       newsAgeMs: () => fed.newsAgeMs,
       suspects: suspected,
+      limits,
       authenticate: ({ route, caller }) => {
         const { config } = fed.catalog;
         if (!config || !caller) return { kind: "open" };
@@ -150,6 +155,7 @@
     "Documents that could not be read.",
     () => fed.unreadable,
   );
+  figures.gauge("sumacfield_workers_limited", "Workers that name a limit.", () => limits.size);
   figures.gauge(
     "sumacfield_requests_suspected",
     "Requests under which workers ended lately.",
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -18,6 +18,9 @@
 /** Label of requests whose team is not known. */
 const NO_TEAM = "none";
 
+/** It was sent to such a worker, it went on to another, or it was refused. */
+export type Limited = "sent" | "elsewhere" | "refused";
+
 /** What is counted of one daemon. */
 export interface Meters {
   readonly request: (
@@ -32,6 +35,8 @@
   readonly refused: (team: string | undefined, status: number) => void;
   /** A team used some units of its cap. */
   readonly used: (team: string, units: number) => void;
+  /** What became of a request that a worker with a limit might have run. */
+  readonly limited: (service: string, what: Limited) => void;
   readonly gauge: (name: string, help: string, read: () => number) => void;
   /** The figures as text. */
   readonly text: () => Promise<string>;
@@ -76,6 +81,12 @@
     "Units of its cap that a team used at this host, requests or tokens.",
     "team",
   );
+  const limited = counter(
+    "sumacfield_limited_total",
+    "Requests that a worker which names a limit might have run, by service and what became of them.",
+    "service",
+    "what",
+  );
   const routeLabel = bounded(ROUTES);
   const teamLabel = bounded(TEAMS);
   return {
@@ -94,6 +105,9 @@
     used: (team, n) => {
       units.inc({ team: teamLabel(team) }, n);
     },
+    limited: (service, what) => {
+      limited.inc({ service, what });
+    },
     gauge: (name, help, read) => {
       new prom.Gauge({
         name,
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -15,6 +15,7 @@
 import type * as progress from "../../src/serving/progress.js";
 import type * as retries from "../../src/serving/retries.js";
 import * as suspects from "../../src/serving/suspects.js";
+import * as workerLimits from "../../src/serving/worker-limits.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
 
@@ -71,6 +72,7 @@
       catalog: inForce,
       newsAgeMs: () => 0,
       suspects: suspected,
+      limits: new workerLimits.WorkerLimits({ clock: clk, log: record.silent }),
       authenticate,
       random: () => 0,
     },
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -64,6 +64,12 @@
   answered: (h) => text(h["test-id"]),
   notRun: (status, h) => status === 421 || text(h["test-not-run"]) !== undefined,
   signed: (h) => text(h["test-signed"]) !== undefined,
+  limit: (h) => {
+    const said = text(h["test-limit"]);
+    if (said === undefined) return { kind: "none" };
+    const perS = Number(said);
+    return Number.isNaN(perS) ? { kind: "unreadable", text: said } : { kind: "named", perS };
+  },
   comeBack: (ms) => ({ "retry-after": String(ms / 1000) }),
 };
 
