--- a/bench/caps/fleet.ts
+++ b/bench/caps/fleet.ts
@@ -5,23 +5,20 @@
  */
 import * as record from "../../src/host/record.js";
 import * as allowance from "../../src/serving/allowance.js";
-import type * as announcer from "../../src/serving/announcer.js";
-import * as capPlace from "../../src/serving/cap-place.js";
 import * as caps from "../../src/serving/caps.js";
 import * as catalog from "../../src/serving/catalog.js";
-import type * as seat from "../../src/serving/seat.js";
+import * as limiter from "../../src/serving/limiter.js";
+import * as limiterPlace from "../../src/serving/limiter-place.js";
 import type * as time from "../measure/time.js";
+import * as wire from "./wire.js";
 
 export const TEAM = "team";
-/** Milliseconds that a message takes, and after which a silent place is given up. */
-const WAY_MS = 1;
-const SILENT_MS = 350;
 /** Milliseconds between two exchanges of what each host is asked for, where shares follow demand. */
 const EXCHANGE_MS = 1000;
 
 /** A way to keep a cap, as requests meet it at a host. */
 export interface Fleet {
-  readonly admit: (host: number, units: number) => Promise<caps.Verdict> | caps.Verdict;
+  readonly admit: (host: number, units: number) => Promise<limiter.Verdict> | limiter.Verdict;
   /** A new cap at all hosts. */
   readonly change: (cap: allowance.Cap) => void;
   /** Cuts a host from all places, or ends that. */
@@ -62,9 +59,10 @@
       const part = partOf(host);
       const before = left.get(host) ?? allowance.begun(0, part * opts.overdraft);
       const now = allowance.flow(before, cap, part, clk.steady());
-      const got = allowance.draw(now, cap, part, [units], opts.overdraft);
+      const wish = { wants: [units], patienceMs: 0 };
+      const got = allowance.draw(now, cap, part, wish, opts.overdraft);
       left.set(host, got.left);
-      if (got.granted > 0) return { kind: "in" };
+      if (got.granted > 0) return { kind: "in", delayMs: 0 };
       return got.waitMs === undefined
         ? { kind: "unsure", comeBackMs: 0 }
         : { kind: "over", comeBackMs: got.waitMs };
@@ -114,11 +112,11 @@
   };
 }
 
-/** The product's own way: {@link caps.Caps} at the hosts and {@link capPlace.CapPlace} at the places. */
+/** The product's own way: {@link limiter.Limiter} at the hosts and {@link limiterPlace.LimiterPlace} at the places. */
 class Places implements Fleet {
-  private readonly places: capPlace.CapPlace[];
-  private readonly links: Wire[][];
-  private readonly hosts: caps.Caps[];
+  private readonly places: wire.Place[];
+  private readonly links: wire.Wire[][];
+  private readonly hosts: limiter.Limiter[];
   /** Hosts that have heard how many there are since they started. */
   private readonly told = new Set<number>();
   private catalog: catalog.Catalog;
@@ -131,7 +129,7 @@
     this.catalog = withCap(opts.cap, 1);
     this.places = Array.from({ length: opts.places }, () => this.place());
     this.links = Array.from({ length: opts.hosts }, (_, h) =>
-      this.places.map((_place, p) => new Wire(this, h, p)),
+      this.places.map((_place, p) => this.wire(h, p)),
     );
     this.hosts = this.links.map((_links, h) => this.host(h));
     this.links.flat().forEach((l) => {
@@ -140,43 +138,41 @@
     for (const h of this.hosts) h.refresh();
   }
 
-  private place(): capPlace.CapPlace {
-    const { clk, opts } = this;
-    return new capPlace.CapPlace({ clock: clk, log: record.silent, overdraft: opts.overdraft });
+  private place(): wire.Place {
+    return placeOf(new limiterPlace.LimiterPlace({ clock: this.clk, log: record.silent }));
   }
 
-  private host(h: number): caps.Caps {
-    return new caps.Caps({
+  private wire(h: number, p: number): wire.Wire {
+    return new wire.Wire({
+      clk: this.clk,
+      name: `host-${h}`,
+      address: `place-${p}`,
+      place: () => this.places[p],
+      host: () => {
+        const at = this.hosts[h];
+        return at && { greeting: (address) => at.greeting(address), hear: () => undefined };
+      },
+      stands: () => this.told.add(h),
+      sent: () => {
+        this.sent++;
+      },
+    });
+  }
+
+  private host(h: number): limiter.Limiter {
+    return new limiter.Limiter({
       clock: this.clk,
       log: record.silent,
-      catalog: () => this.catalog,
-      places: (_team, n) => (this.links[h] ?? []).slice(0, n),
+      totals: () => caps.totals(this.catalog.config, this.opts.overdraft),
+      places: (_key, n) => (this.links[h] ?? []).slice(0, n),
       hosts: () => (this.told.has(h) ? this.opts.hosts : undefined),
-      overdraft: this.opts.overdraft,
     });
   }
 
-  at(p: number): capPlace.CapPlace | undefined {
-    return this.places[p];
-  }
-
-  of(h: number): caps.Caps | undefined {
-    return this.hosts[h];
-  }
-
-  count(): void {
-    this.sent++;
-  }
-
-  /** A host hears how many there are. */
-  tell(host: number): void {
-    this.told.add(host);
-  }
-
-  admit(host: number, units: number): Promise<caps.Verdict> | caps.Verdict {
-    const [team] = this.catalog.config?.teams?.all ?? [];
+  admit(host: number, units: number): Promise<limiter.Verdict> | limiter.Verdict {
+    const [total] = caps.totals(this.catalog.config, this.opts.overdraft);
     const at = this.hosts[host];
-    return team && at ? at.admit(team, units) : { kind: "in" };
+    return total && at ? at.admit(total, units, 0) : { kind: "in", delayMs: 0 };
   }
 
   change(cap: allowance.Cap): void {
@@ -211,106 +207,21 @@
   }
 }
 
-/** A host's connection to a place; what is on its way while it is cut comes once that is over. */
-class Wire implements caps.Place {
-  readonly address: string;
-  isHeard = false;
-  private client: announcer.Client | undefined;
-  private isCut = false;
-  /** It is to be connected once it is no longer cut. */
-  private isAwaited = false;
-  private held: (() => void)[] = [];
-  private next = 0;
-  private readonly asked = new Map<number, (a: seat.FromEndpoint | undefined) => void>();
-
-  constructor(
-    private readonly fleet: Places,
-    private readonly h: number,
-    private readonly p: number,
-  ) {
-    this.address = `place-${p}`;
-  }
-
-  get isForgotten(): boolean {
-    return this.client === undefined;
-  }
-
-  connect(): void {
-    this.isAwaited = this.isCut;
-    if (this.isCut) return;
-    this.fleet.tell(this.h);
-    const client: announcer.Client = {
-      host: `host-${this.h}`,
-      send: (m) => {
-        this.cross(() => {
-          if (m.kind === "drawn") this.asked.get(m.draw)?.(m);
-        });
-      },
-      sendLine: () => undefined,
-    };
-    this.client = client;
-    this.isHeard = true;
-    this.fleet.at(this.p)?.join(client);
-    for (const m of this.fleet.of(this.h)?.greeting(this.address) ?? []) this.send(m);
-  }
-
-  lose(): void {
-    if (this.client) this.fleet.at(this.p)?.leave(this.client);
-    this.client = undefined;
-    this.isHeard = false;
-    this.held = [];
-    for (const answer of this.asked.values()) answer(undefined);
-  }
-
-  cut(on: boolean): void {
-    this.isCut = on;
-    if (on) return;
-    if (this.isAwaited) {
-      this.connect();
-      return;
-    }
-    this.isHeard = true;
-    for (const run of this.held.splice(0)) run();
-  }
-
-  private cross(run: () => void): void {
-    this.fleet.count();
-    if (this.isCut) this.held.push(run);
-    else this.fleet.clk.after(WAY_MS, run);
-  }
-
-  send: caps.Place["send"] = (m) => {
-    const { client } = this;
-    if (!client) return;
-    this.cross(() => {
-      const place = this.fleet.at(this.p);
-      if (this.client !== client) return;
-      if (m.kind === "attach") place?.attach(client, m);
-      if (m.kind === "keep") place?.keep(client);
-      if (m.kind === "refund") place?.refund(client, m);
-    });
-  };
-
-  draw: caps.Place["draw"] = (team, wants) => {
-    const { client } = this;
-    const n = this.next++;
-    return new Promise((resolve) => {
-      const settle = (a: seat.FromEndpoint | undefined): void => {
-        this.asked.delete(n);
-        resolve(a?.kind === "drawn" ? a : undefined);
-      };
-      this.asked.set(n, settle);
-      this.fleet.clk.after(SILENT_MS, () => {
-        if (!this.asked.has(n)) return;
-        this.isHeard = false;
-        settle(undefined);
-      });
-      this.cross(() => {
-        if (client && this.client === client) {
-          this.fleet.at(this.p)?.draw(client, { kind: "draw", draw: n, team, wants });
-        }
-      });
-    });
+/** An endpoint daemon that keeps totals, as a connection meets it. */
+export function placeOf(at: limiterPlace.LimiterPlace): wire.Place {
+  return {
+    join: (c) => {
+      at.join(c);
+    },
+    leave: (c) => {
+      at.leave(c);
+    },
+    hear: (c, m) => {
+      if (m.kind === "attach") at.attach(c, m);
+      if (m.kind === "keep") at.keep(c);
+      if (m.kind === "draw") at.draw(c, m);
+      if (m.kind === "refund") at.refund(c, m);
+    },
   };
 }
 
--- a/bench/explain/lines.ts
+++ b/bench/explain/lines.ts
@@ -45,12 +45,12 @@
   status: zod.number(),
   team: zod.string().optional(),
 });
-const capped = zod.object({
-  msg: zod.literal("A team is at its cap."),
-  team: zod.string(),
+const usedUp = zod.object({
+  msg: zod.literal("A total is used up."),
+  total: zod.string(),
   perS: zod.number(),
 });
-const line = zod.discriminatedUnion("msg", [over, given, ordered, ended, refused, capped]);
+const line = zod.discriminatedUnion("msg", [over, given, ordered, ended, refused, usedUp]);
 
 export type Over = zod.infer<typeof over> & {
   /** Seconds from the first line of the log to its end. */
@@ -61,7 +61,7 @@
 export type Order = zod.infer<typeof ordered>;
 export type End = zod.infer<typeof ended>;
 export type Refused = zod.infer<typeof refused>;
-export type Capped = zod.infer<typeof capped>;
+export type UsedUp = zod.infer<typeof usedUp>;
 
 export interface Day {
   readonly requests: readonly Over[];
@@ -70,8 +70,8 @@
   readonly ends: readonly End[];
   /** Requests that were not let in. */
   readonly refusals: readonly Refused[];
-  /** Moments at which a team was at its cap. */
-  readonly capped: readonly Capped[];
+  /** Moments at which a total over all hosts was used up: a team's cap, or a worker's limit. */
+  readonly usedUp: readonly UsedUp[];
 }
 
 const MS_PER_S = 1000;
@@ -82,7 +82,7 @@
   const orders: Order[] = [];
   const ends: End[] = [];
   const refusals: Refused[] = [];
-  const caps: Capped[] = [];
+  const used: UsedUp[] = [];
   const waited = new Map<string, number>();
   let from: number | undefined;
   for (const row of text.split("\n")) {
@@ -113,12 +113,12 @@
       case "A request was refused.":
         refusals.push(said);
         break;
-      case "A team is at its cap.":
-        caps.push(said);
+      case "A total is used up.":
+        used.push(said);
         break;
     }
   }
-  return { requests, orders, ends, refusals, capped: caps };
+  return { requests, orders, ends, refusals, usedUp: used };
 }
 
 /** The fields of a line; undefined where the line is none of the daemons', or was cut. */
--- a/bench/explain/tables.ts
+++ b/bench/explain/tables.ts
@@ -69,7 +69,7 @@
       team,
       ...counts(list),
       units: list.reduce((sum, r) => sum + (r.units ?? 0), 0),
-      "cap a second": day.capped.findLast((c) => c.team === team)?.perS ?? "",
+      "cap a second": day.usedUp.findLast((t) => t.total === `team/${team}`)?.perS ?? "",
       "over the cap": away.filter((r) => r.status === OVER_CAP).length,
       "not let in": away.length,
     };
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -5,6 +5,35 @@
 import type * as switches from "./switches.js";
 
 export const SERVING_SWITCHES: readonly switches.Switch[] = [
+  {
+    name: "a total that moves flows nowhere while what was promised before may go on",
+    file: "serving/limiter.js",
+    find: "if (wasKept && aheadMs > 0)",
+    put: "if (false)",
+    proof: "is kept: the place is killed again and again, 29 hosts",
+  },
+  {
+    name: "hosts tell each other of the limits that workers name",
+    file: "serving/limit-relay.js",
+    find: "if (c !== from)",
+    put: "if (false)",
+    proof: "is known at all hosts at once: 29 hosts",
+  },
+  {
+    name: "an answer that was on its way does not lift a limit",
+    file: "serving/named-limits.js",
+    find: "|| !a.ran || a.sentAt < known.at)",
+    put: ")",
+    proof: "is withdrawn by an answer without it whose request was sent after it was named",
+  },
+  {
+    name: "a request that may wait too long for its turn goes elsewhere",
+    file: "serving/choice.js",
+    find: "v.limitedMs <= admission.TURN_MS ||",
+    put: "true ||",
+    proof:
+      "passes over one whose next turn is far off, and has its adapter loaded elsewhere at no extra cost",
+  },
   {
     name: "a process that starts leaves the retry budget's slack alone for a window",
     file: "serving/retries.js",
@@ -64,7 +93,7 @@
   },
   {
     name: "keys are judged again before a send",
-    file: "serving/dispatch.js",
+    file: "serving/permits.js",
     find: "!this.isStillLetIn(a, p) || ",
     put: "",
     proof: "is not sent once its key is taken away",
@@ -78,7 +107,7 @@
   },
   {
     name: "a cap's next place waits for the lease of the one before",
-    file: "serving/caps.js",
+    file: "serving/limiter.js",
     find: "(home && !this.isFree(home))",
     put: "false",
     proof: "is never passed beyond what the rule allows, nor given out twice: hot_calls_once_cut",
@@ -106,7 +135,7 @@
   },
   {
     name: "a request that ended three workers is sent to none",
-    file: "serving/dispatch.js",
+    file: "serving/permits.js",
     find: 'if (verdict.kind !== "quarantined")',
     put: "if (true)",
     proof: "ends no more than three of the workers that there are, though it may be sent to more",
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -45,6 +45,9 @@
   return { kind: "refuse", why, comeBackMs: waitMs };
 }
 
+/** Milliseconds for which a request may wait for its turn under a worker's limit; beyond, it goes elsewhere. */
+export const TURN_MS = 500;
+
 /** Part of its target that a request waits while there is no endpoint; refusals must come early. */
 const WAIT_PART = 0.2;
 /**
--- a/src/serving/allowance.ts
+++ b/src/serving/allowance.ts
@@ -1,7 +1,8 @@
 /**
- * What is left of a team's usage cap at one place that keeps it: a token bucket of which each place has a part.
+ * What is left of a total over all hosts at one place that keeps it, be it a team's usage cap or a worker's limit: a token
+ * bucket of which each place has a part.
  *
- * The load that this answers is a team that asks for many times its cap at any number of hosts, while hosts and places
+ * The load that this answers is callers that ask for many times the total at any number of hosts, while hosts and places
  * come and go. The parts of all places add up to one at most, so however the hosts are split, no more flows in than
  * the cap allows. A place that is new begins with nothing, so a restart gives neither burst nor overdraft anew. Pure.
  * @module
@@ -26,7 +27,9 @@
   readonly left: Allowance;
   /** Requests that are let in, from the first on. */
   readonly granted: number;
-  /** Milliseconds until the next of them would be; undefined where this place can't ever tell. */
+  /** Milliseconds until each of them may go on. */
+  readonly delaysMs: readonly number[];
+  /** Milliseconds until the next of them would be let in; undefined where this place can't ever tell. */
   readonly waitMs: number | undefined;
 }
 
@@ -59,27 +62,38 @@
   return { level: Math.min(Math.max(a.level, tokens), sizeOf(cap, 1)), at };
 }
 
+/** What is asked for. */
+export interface Wish {
+  /** What each request counts, in the order in which they are to be let in. */
+  readonly wants: readonly number[];
+  /** Milliseconds for which a request may wait for what flows in by then; it is taken at once. */
+  readonly patienceMs: number;
+}
+
 /**
- * Asks for requests that count `wants` units each. What they exceed the cap by is `overdraft` at most, over all places
- * together, and is made up for by those after them; so a team whose cap is hardly larger than one request, and whose
- * requests come a few at once, is not shut out.
+ * Asks for requests. What they exceed the cap by is `overdraft` at most, over all places together, and is made up for by
+ * those after them; so a team whose cap is hardly larger than one request, and whose requests come a few at once, is not
+ * shut out.
  */
 export function draw(
   a: Allowance,
   cap: Cap,
   part: number,
-  wants: readonly number[],
+  { wants, patienceMs }: Wish,
   overdraft: number,
 ): Drawn {
   let left = a;
+  const delaysMs: number[] = [];
   for (const [granted, units] of wants.entries()) {
     const needed = neededFor(units, cap, part, overdraft);
-    if (needed === undefined) return { left, granted, waitMs: undefined };
+    if (needed === undefined) return { left, granted, delaysMs, waitMs: undefined };
     const there = budget.take(bucketOf(left, cap, part), left.at, needed);
-    if (!there.ok) return { left, granted, waitMs: there.waitMs };
+    const waitMs = there.ok ? 0 : there.waitMs;
+    if (waitMs > patienceMs) return { left, granted, delaysMs, waitMs };
+    delaysMs.push(waitMs);
     left = { ...left, level: left.level - units };
   }
-  return { left, granted: wants.length, waitMs: 0 };
+  return { left, granted: wants.length, delaysMs, waitMs: 0 };
 }
 
 /** What must be there for a request of `units`; undefined where a place with `part` never has as much. */
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -2,6 +2,7 @@
  * Which endpoint a request goes to. Pure.
  * @module
  */
+import * as admission from "./admission.js";
 import * as backlog from "./backlog.js";
 import type * as catalog from "./catalog.js";
 import * as reading from "./reading.js";
@@ -39,6 +40,8 @@
   readonly place: number;
   /** Milliseconds since its state was heard. */
   readonly ageMs: number;
+  /** Milliseconds until the limit that it names lets one more request in; 0 where it has none. */
+  readonly limitedMs: number;
 }
 
 /** What a request needs. */
@@ -97,7 +100,7 @@
 
 /** Candidates that can serve a request on an engine, best first. */
 export function engines(views: readonly View[], need: Need): readonly Estimate[] {
-  const usable = views.filter((v) => !v.endpoint.leaving && !need.tried.has(v.endpoint.id));
+  const usable = views.filter((v) => isUsable(v, need));
   const around: Around = {
     elsewhere: usable.some((v) => holding(v, need.key) !== "absent"),
     usualMs: usualWaitMs(usable, need.rank),
@@ -108,6 +111,12 @@
     .sort((a, b) => a.firstMs + a.extraMs - (b.firstMs + b.extraMs));
 }
 
+/** Whether a request may go to an endpoint: its turn under the limit there comes soon, or it waits there already. */
+function isUsable(v: View, need: Pick<Need, "tried" | "waitsAt">): boolean {
+  if (v.endpoint.leaving || need.tried.has(v.endpoint.id)) return false;
+  return v.limitedMs <= admission.TURN_MS || need.waitsAt === v.endpoint.id;
+}
+
 /** What the other candidates tell of one. */
 interface Around {
   /** Some candidate has the adapter at hand. */
@@ -163,7 +172,8 @@
   const counted = need.waitsAt === view.endpoint.id ? need.promptTokens : 0;
   const aheadMs = (view.ownTokens - counted) * state.msPerToken;
   const saidMs = agedWaitMs(waitMsOf(state, need.rank), view.ageMs, around.usualMs);
-  const queueMs = Math.max(0, saidMs + aheadMs);
+  const limitedMs = need.waitsAt === view.endpoint.id ? 0 : view.limitedMs;
+  const queueMs = Math.max(0, saidMs + aheadMs, limitedMs);
   const lateMs = (firstMs: number): number =>
     firstMs > need.targetMs ? LATE_LOADS * state.coldMs : 0;
   // Likewise for the place that it waits for; else it would move from engine to engine at each look.
@@ -210,11 +220,12 @@
 ): readonly Estimate[] {
   const usualMs = usualCallMs(views);
   return views
-    .filter((v) => !v.endpoint.leaving && !need.tried.has(v.endpoint.id))
+    .filter((v) => isUsable(v, need))
     .map((view) => {
       const far = view.endpoint.domain === need.domain ? 0 : DOMAIN_MS;
       const ownMs = view.tookMs > 0 ? view.tookMs : usualMs;
-      const firstMs = ownMs * (1 + (2 * view.own) / Math.max(1, view.endpoint.seats));
+      const busyMs = ownMs * (1 + (2 * view.own) / Math.max(1, view.endpoint.seats));
+      const firstMs = view.limitedMs + busyMs;
       const failingMs = view.failing ** 2 * FAILING_MS;
       return { view, firstMs, ownMs, extraMs: far + failingMs + random() * DOMAIN_MS };
     })
--- a/src/serving/desk.ts
+++ b/src/serving/desk.ts
@@ -7,8 +7,9 @@
 import * as addresses from "../host/address.js";
 import type * as record from "../host/record.js";
 import type * as announcer from "./announcer.js";
-import type * as capPlace from "./cap-place.js";
 import type * as keeper from "./keeper.js";
+import type * as limiterPlace from "./limiter-place.js";
+import type * as limitRelay from "./limit-relay.js";
 import * as lines from "./lines.js";
 import type * as relay from "./relay.js";
 import * as seat from "./seat.js";
@@ -17,7 +18,8 @@
   readonly log: record.Log;
   readonly keeper: keeper.Keeper;
   readonly relay: relay.Relay;
-  readonly caps: capPlace.CapPlace;
+  readonly limiter: limiterPlace.LimiterPlace;
+  readonly limits: limitRelay.LimitRelay;
 }
 
 /** Listens at `ip:port` until closed. */
@@ -51,7 +53,8 @@
           };
           deps.keeper.join(client);
           deps.relay.join(client);
-          deps.caps.join(client);
+          deps.limiter.join(client);
+          deps.limits.join(client);
           deps.log.info("An entry daemon is connected.", { peer: m.host });
           break;
         case "ask":
@@ -67,16 +70,19 @@
           if (client) deps.relay.hear(client, m);
           break;
         case "attach":
-          if (client) deps.caps.attach(client, m);
+          if (client) deps.limiter.attach(client, m);
           break;
         case "keep":
-          if (client) deps.caps.keep(client);
+          if (client) deps.limiter.keep(client);
           break;
         case "draw":
-          if (client) deps.caps.draw(client, m);
+          if (client) deps.limiter.draw(client, m);
           break;
         case "refund":
-          if (client) deps.caps.refund(client, m);
+          if (client) deps.limiter.refund(client, m);
+          break;
+        case "limit":
+          if (client) deps.limits.hear(client, m);
           break;
       }
     },
@@ -85,7 +91,8 @@
       if (!client) return;
       deps.keeper.leave(client);
       deps.relay.leave(client);
-      deps.caps.leave(client);
+      deps.limiter.leave(client);
+      deps.limits.leave(client);
       deps.log.info("An entry daemon is lost.", { peer: client.host, why });
     },
   });
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import type * as record from "../host/record.js";
+import * as clock from "../host/clock.js";
 import * as errors from "../host/why.js";
 import * as admission from "./admission.js";
 import type * as ask from "./ask.js";
-import type * as authentication from "./authentication.js";
 import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import * as identity from "./identity.js";
@@ -15,6 +15,7 @@
 import * as exchange from "./exchange.js";
 import type * as link from "./link.js";
 import type * as meters from "./meters.js";
+import * as permits from "./permits.js";
 import * as progress from "./progress.js";
 import * as retries from "./retries.js";
 import * as seeker from "./seeker.js";
@@ -37,7 +38,7 @@
   readonly suspects: suspects.Suspects;
   readonly limits: workerLimits.WorkerLimits;
   /** Whether a request that was let in may still be sent, by its key. */
-  readonly authenticate: (a: ask.Ask) => authentication.Verdict;
+  readonly authenticate: permits.Deps["authenticate"];
 }
 
 /** Milliseconds left below which a further send makes no sense. */
@@ -46,14 +47,16 @@
 const ANSWER_LIMIT = 8_388_608;
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
 const SENDS = 4;
+/** Times that a request asks for leave under workers' limits in vain. */
+const LIMITED = 6;
 const SERVED = 200;
-const UNAUTHORIZED = 401;
 const UNAVAILABLE = 503;
 const SERVE: admission.Verdict = { kind: "serve" };
 const SEATLESS: seeker.Found = { kind: "seatless" };
 
 export class Dispatch {
   private readonly budget: retries.Budget;
+  private readonly permits: permits.Permits;
   private readonly seeker: seeker.Seeker;
 
   constructor(
@@ -61,6 +64,7 @@
     private readonly deps: Deps,
   ) {
     this.budget = new retries.Budget(opts.retries, deps.clock);
+    this.permits = new permits.Permits(this.budget, deps);
     this.seeker = new seeker.Seeker(opts.domain, deps);
   }
 
@@ -129,8 +133,9 @@
       const left = a.dueAt - this.deps.clock.mono();
       if (left < LEAST_MS) return this.giveUp(a, out, p, true);
       if (p.runs > 0 && p.runs >= a.route.attempts) return this.giveUp(a, out, p, false);
+      if (p.limited > LIMITED) return this.giveUp(a, out, p, false);
       if (p.sends >= SENDS) return this.giveUp(a, out, p, false);
-      if (this.isQuarantined(a, p)) return this.giveUp(a, out, p, false);
+      if (this.permits.isQuarantined(a, p)) return this.giveUp(a, out, p, false);
       const best = await this.seeker.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
       // Asked for a seat now, it would be denied at once by each engine in turn.
@@ -146,19 +151,32 @@
         p.why = verdict.why;
         return this.giveUp(a, out, p, false);
       }
+      const leave = await this.leaveFor(a, p, best.view, cut);
+      if (!leave) continue;
       const found = a.service.engine ? await this.seeker.seat(a, best, p, cut) : SEATLESS;
       p.judged ||= found.kind !== "diverted";
-      if (found.kind === "diverted" || found.kind === "elsewhere") continue;
+      if (found.kind === "diverted" || found.kind === "elsewhere") {
+        leave.giveBack();
+        continue;
+      }
       const seat = found.kind === "seat" ? found.seat : undefined;
       // Asked last, for requests with and without a seat: a wait for one lasts as long as the request may, and
       // an endpoint may begin to leave, or start anew, meanwhile; its daemon goes when its host does.
       if (!catalog.isInUse(this.deps.catalog(), best.view.endpoint)) {
         seat?.over("left");
+        leave.giveBack();
         p.tried.add(best.view.endpoint.id);
         continue;
       }
-      if (!this.mayBeSent(a, p)) {
+      if (!leave.isGood()) {
+        seat?.over("left");
+        leave.giveBack();
+        p.limited++;
+        continue;
+      }
+      if (!this.permits.mayBeSent(a, p)) {
         seat?.over("left");
+        leave.giveBack();
         return this.giveUp(a, out, p, false);
       }
       const ending = await this.send(a, out, p, best, seat, cut);
@@ -166,49 +184,34 @@
     }
   }
 
-  /** Whether a request may be sent now: much may have been learnt of it while it waited, and a further send counts. */
-  private mayBeSent(a: ask.Ask, p: progress.Progress): boolean {
-    if (!this.isStillLetIn(a, p) || this.isQuarantined(a, p)) return false;
-    return p.sends === 0 || this.mayBeRetried(a, p);
-  }
-
-  /** Whether the retry budget allows one more send, which is charged once. */
-  private mayBeRetried(a: ask.Ask, p: progress.Progress): boolean {
-    if (p.retryIsCharged) return true;
-    const service = a.service.name;
-    const verdict = this.budget.take(service, this.deps.endpoints.mostHosts());
-    this.deps.meters.retry(service, verdict.from);
-    const sentence = verdict.from ? "A request may be retried." : "A retry is over the budget.";
-    this.deps.log.info(sentence, { request: a.meta.id, service, send: p.sends + 1, ...verdict });
-    p.retryIsCharged = verdict.from !== undefined;
-    if (!p.retryIsCharged) p.why = "the retry budget is used up";
-    return p.retryIsCharged;
-  }
-
-  /** Whether its key still lets it in: it may have been taken away during a wait. */
-  private isStillLetIn(a: ask.Ask, p: progress.Progress): boolean {
-    const verdict = this.deps.authenticate(a);
-    switch (verdict.kind) {
-      case "open":
-      case "team":
-        return true;
-      case "unknown":
-        p.why = verdict.why;
-        p.refusal = UNAUTHORIZED;
-        return false;
-      case "unsure":
-        p.why = verdict.why;
-        return false;
+  /**
+   * Leave to send to an endpoint under the limit that it names, once its turn has come; undefined where it lets nothing
+   * more in for now.
+   */
+  private async leaveFor(
+    a: ask.Ask,
+    p: progress.Progress,
+    { endpoint }: choice.View,
+    cut: AbortSignal,
+  ): Promise<Granted | undefined> {
+    const leave = await this.deps.limits.admit(endpoint);
+    if (leave.kind === "out") {
+      p.limited++;
+      p.comeBackMs = leave.waitMs;
+      p.why = `${endpoint.id} is at the limit that it names`;
+      this.deps.meters.limited(a.service.name, "elsewhere");
+      this.deps.log.info("A worker's limit lets a request in no more.", {
+        request: a.meta.id,
+        endpoint: endpoint.id,
+        perS: this.deps.limits.of(endpoint.id),
+        waitMs: Math.round(leave.waitMs),
+      });
+      return undefined;
     }
-  }
-
-  /** Whether a request ends the workers that run it, as all hosts know together. */
-  private isQuarantined(a: ask.Ask, p: progress.Progress): boolean {
-    const verdict = this.deps.suspects.judge(a);
-    if (verdict.kind !== "quarantined") return false;
-    p.why = `workers end under the request ${identity.of(a)}`;
-    p.releaseMs = verdict.releaseMs;
-    return true;
+    if (leave.delayMs > 0) await clock.sleep(this.deps.clock, leave.delayMs, cut);
+    if (!cut.aborted) return leave;
+    leave.giveBack();
+    return undefined;
   }
 
   /** Sends to one endpoint; undefined when a further one is to be tried. */
@@ -227,7 +230,7 @@
     p.endpoint = endpoint.id;
     p.newsMs = Math.round(this.deps.newsAgeMs());
     this.deps.endpoints.sent(endpoint.id);
-    if (this.deps.limits.of(endpoint) !== undefined)
+    if (this.deps.limits.of(endpoint.id) !== undefined)
       this.deps.meters.limited(a.service.name, "sent");
     const marks = {
       instance: seat?.instance ?? endpoint.id,
@@ -238,7 +241,7 @@
       team: a.caller?.team.name,
     };
     p.retryIsCharged = false;
-    const mayGoOn = (): boolean => this.another(a, p) && this.mayBeRetried(a, p);
+    const mayGoOn = (): boolean => this.another(a, p) && this.permits.mayBeRetried(a, p);
     const watch = watches.open(a, p, best, cut, { ...this.deps, mayGoOn });
     const run: Run = { a, out, p, endpoint, seat, sentAt, cut, watch };
     try {
@@ -426,6 +429,7 @@
   }
 }
 
+type Granted = Extract<workerLimits.Leave, { kind: "in" }>;
 type Unknown = Extract<upstream.Sent, { kind: "unknown" }>;
 type Answer = Extract<upstream.Sent, { kind: "answer" }>;
 
--- a/src/serving/endpoint-host.ts
+++ b/src/serving/endpoint-host.ts
@@ -6,12 +6,13 @@
 import * as clock from "../host/clock.js";
 import * as errors from "../host/why.js";
 import type * as record from "../host/record.js";
-import * as capPlace from "./cap-place.js";
 import * as desk from "./desk.js";
 import type * as engine from "./engine.js";
 import * as feed from "./feed.js";
 import * as host from "./host.js";
 import * as keeper from "./keeper.js";
+import * as limiterPlace from "./limiter-place.js";
+import * as limitRelay from "./limit-relay.js";
 import * as meters from "./meters.js";
 import * as relay from "./relay.js";
 
@@ -22,8 +23,6 @@
   readonly service: string;
   /** Milliseconds after which a declared version must be the only one in use. */
   readonly versionMs: number;
-  /** Units by which a team may exceed its cap at once. */
-  readonly overdraft: number;
 }
 
 export interface Deps extends host.Deps {
@@ -46,6 +45,7 @@
 ): Promise<{ readonly stop: () => Promise<void> }> {
   const figures = meters.open();
   const lg = deps.log("keeper");
+  const limits = new limitRelay.LimitRelay(deps.clock);
   const fed = host.openFeed(deps, feed.LOOSE, () => {
     kept.heard();
   });
@@ -58,20 +58,17 @@
     versionMs: opts.versionMs,
     modelTurn: () => takeTurn(opts, deps, fed, lg),
   });
-  const caps = new capPlace.CapPlace({
-    clock: deps.clock,
-    log: deps.log("caps"),
-    overdraft: opts.overdraft,
-  });
+  const limiter = new limiterPlace.LimiterPlace({ clock: deps.clock, log: deps.log("limiter") });
   const door = await desk.open(opts.seats, {
     log: deps.log("desk"),
     keeper: kept,
     relay: new relay.Relay({ clock: deps.clock, log: deps.log("suspicion") }),
-    caps,
+    limiter,
+    limits,
   });
   await meters.tryServe(figures, deps.metricsAddress, deps.log("metrics"));
   figures.gauge("sumacfield_seats", "Seats given or asked for.", () => kept.count());
-  figures.gauge("sumacfield_caps_kept", "Teams whose caps are kept here.", () => caps.size);
+  figures.gauge("sumacfield_totals_kept", "Totals over all hosts kept here.", () => limiter.size);
   void fed.run();
   void waitForConfig(deps, fed).then(() => kept.run());
   return {
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -12,6 +12,7 @@
 import type * as hearsay from "./hearsay.js";
 import * as holders from "./holders.js";
 import * as incarnation from "./incarnation.js";
+import * as limiter from "./limiter.js";
 import * as link from "./link.js";
 import * as peak from "./peak.js";
 import type * as search from "./search.js";
@@ -69,6 +70,8 @@
   readonly catalog: () => catalog.Catalog;
   /** `ip:port` of the endpoint daemon beside an endpoint. */
   readonly daemonOf: (e: catalog.Endpoint) => string;
+  /** Milliseconds until the limit that an endpoint names lets one more request in. */
+  readonly limitedMs: (id: string) => number;
   /** From 0 up to 1. */
   readonly random: () => number;
 }
@@ -108,6 +111,13 @@
     return fleet.of(arranged, this.holders, viewOf, this.deps.random);
   }
 
+  /** Milliseconds until an endpoint of a service takes one more request, by the limits that they name; 0 where one does. */
+  limitedMs(service: catalog.Service): number {
+    const list = catalog.endpointsOf(this.deps.catalog(), service).filter((e) => !e.leaving);
+    if (list.length === 0) return 0;
+    return Math.min(...list.map((e) => this.deps.limitedMs(e.id)));
+  }
+
   /** Whether an engine of a service is on its way. */
   coming(service: catalog.Service): boolean {
     if (!service.engine) return false;
@@ -153,6 +163,7 @@
       coming: !endpoint.leaving && (at?.coming ?? false),
       place,
       ageMs: at?.ageMs ?? 0,
+      limitedMs: this.deps.limitedMs(endpoint.id),
     };
   }
 
@@ -253,6 +264,17 @@
     });
   }
 
+  /**
+   * Connections to the endpoint daemons that tell all hosts of a worker's limit: those that may keep it, and the one
+   * beside the worker, which each host asks before it sends there.
+   */
+  tellers(id: string): readonly link.Link[] {
+    const keepers = this.keepers(limiter.placeKey(limiter.workerKey(id)), limiter.PLACES);
+    const e = this.deps.catalog().endpoints.get(incarnation.workerOf(id));
+    const beside = e && this.links.get(this.deps.daemonOf(e));
+    return [...new Set([...keepers, ...(beside ? [beside] : [])])];
+  }
+
   /** Tells some endpoint daemons that are reached, the same ones for a key. */
   relay(key: string, m: hearsay.Message): void {
     const reached = [...this.links.values()].filter((l) => l.isReached);
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -15,6 +15,7 @@
 import * as feed from "./feed.js";
 import * as front from "./front.js";
 import * as host from "./host.js";
+import * as limiter from "./limiter.js";
 import * as meters from "./meters.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
@@ -73,12 +74,11 @@
     for (const id of before.quarantined) if (!at.quarantined.has(id)) suspected.released(id);
     before = at;
     known.refresh();
-    capped.refresh();
+    shared.refresh();
     const ids = new Set([...at.endpoints.values()].map((e) => e.id));
     up.keep(ids);
     limits.keep(ids);
   });
-  const limits = new workerLimits.WorkerLimits({ clock: deps.clock, log: deps.log("limits") });
   const suspected = new suspects.Suspects({
     clock: deps.clock,
     log: deps.log("suspicion"),
@@ -99,17 +99,38 @@
       suspicion: (m, peer) => {
         suspected.hear(m, peer);
       },
-      greeting: (address) => [...suspected.retold(), ...capped.greeting(address)],
+      limit: (m, peer) => {
+        limits.learn(m, peer);
+      },
+      greeting: (address) => [
+        ...suspected.retold(),
+        ...limits.retold((id) => known.tellers(id).some((l) => l.address === address)),
+        ...shared.greeting(address),
+      ],
+      limitedMs: (id) => limits.waitMs(id),
       random: deps.random,
     },
     deps.clock,
   );
-  const capped = new caps.Caps({
+  const shared: limiter.Limiter = new limiter.Limiter({
     clock: deps.clock,
-    log: deps.log("caps"),
-    catalog: () => fed.catalog,
-    places: (team, n) => known.keepers(team, n),
+    log: deps.log("limiter"),
+    totals: () => [...caps.totals(fed.catalog.config, opts.overdraft), ...limits.totals()],
+    places: (key, n) => known.keepers(key, n),
     hosts: () => known.mostHosts(),
+  });
+  const limits = new workerLimits.WorkerLimits({
+    clock: deps.clock,
+    log: deps.log("limits"),
+    limiter: shared,
+    tell: (e, m) => {
+      for (const l of known.tellers(e.id)) l.send(m);
+    },
+    random: deps.random,
+  });
+  const capped = new caps.Caps({
+    limiter: shared,
+    catalog: () => fed.catalog,
     overdraft: opts.overdraft,
   });
   const dispatcher = new dispatch.Dispatch(
@@ -178,7 +199,7 @@
       await Promise.race([callers.close(), late]);
       readiness.close();
       fed.stop();
-      capped.close();
+      shared.close();
       dispatcher.close();
       known.close();
       up.close();
--- a/src/serving/cap-place.ts
+++ b/src/serving/limiter-place.ts
@@ -1,26 +1,24 @@
 /**
- * An endpoint daemon's part in keeping usage caps: it is the place of some teams' caps for the entry daemons that say
- * so, and lets in what their part of the cap allows. It outlives the worker beside it.
+ * An endpoint daemon's part in keeping totals over all hosts: it is the place of some totals for the entry daemons that
+ * say so, and lets in what their part of each allows. It outlives the worker beside it.
  * @module
  */
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
 import * as allowance from "./allowance.js";
 import type * as announcer from "./announcer.js";
-import * as messages from "./cap-messages.js";
+import * as messages from "./limiter-messages.js";
 import * as peak from "./peak.js";
 
 /** Milliseconds for which an entry daemon that left still counts as one of the hosts. */
 const REMEMBERED_MS = 10_000;
-/** Milliseconds for which a cap is kept that no entry daemon keeps here. */
+/** Milliseconds for which a total is kept that no entry daemon keeps here. */
 const KEPT_MS = 60_000;
-/** Milliseconds between two log lines on one team that is at its cap. */
+/** Milliseconds between two log lines on one total that is used up. */
 const TELL_MS = 1000;
 
 interface Kept {
-  readonly cap: allowance.Cap;
-  /** Version of the configuration that the cap is from. */
-  readonly version: number;
+  readonly total: messages.Total;
   readonly left: allowance.Allowance;
   readonly attached: ReadonlySet<announcer.Client>;
 }
@@ -36,11 +34,9 @@
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: record.Log;
-  /** Units by which a team may exceed its cap at once. */
-  readonly overdraft: number;
 }
 
-export class CapPlace {
+export class LimiterPlace {
   private readonly hosts = new Map<announcer.Client, Host>();
   private readonly kept = new Map<string, Kept>();
   private readonly toldAt = new Map<string, number>();
@@ -49,7 +45,7 @@
 
   constructor(private readonly deps: Deps) {}
 
-  /** Teams whose caps are kept here. */
+  /** Totals that are kept here. */
   get size(): number {
     return this.kept.size;
   }
@@ -62,7 +58,7 @@
   leave(c: announcer.Client): void {
     this.count();
     this.hosts.delete(c);
-    for (const [team, k] of this.kept) if (k.attached.has(c)) this.attachment(team, k, c, false);
+    for (const [key, k] of this.kept) if (k.attached.has(c)) this.attachment(key, k, c, false);
   }
 
   /** An entry daemon still keeps here what it said last. */
@@ -72,40 +68,42 @@
 
   attach(c: announcer.Client, m: messages.Attach): void {
     this.heard(c, m.hosts);
-    const named = new Map(m.caps.map(({ team, perS, burst }) => [team, { perS, burst }]));
-    for (const [team, k] of this.kept) {
-      if (k.attached.has(c) && !named.has(team)) this.attachment(team, k, c, false);
+    const listed = new Map(m.totals.map((t) => [t.key, t]));
+    for (const [key, k] of this.kept) {
+      if (k.attached.has(c) && !listed.has(key)) this.attachment(key, k, c, false);
     }
-    for (const [team, cap] of named) {
-      const k = this.kept.get(team) ?? this.begun(cap, m.version);
-      const newer = m.version > k.version ? { ...k, cap, version: m.version } : k;
-      this.attachment(team, newer, c, true);
+    for (const [key, total] of listed) {
+      const k = this.kept.get(key) ?? this.begun(total);
+      const newer = total.version > k.total.version ? { ...k, total } : k;
+      this.attachment(key, newer, c, true);
     }
     this.forget();
   }
 
   draw(c: announcer.Client, m: messages.Draw): void {
-    const k = this.flowed(m.team);
+    const k = this.flowed(m.key);
     if (!k?.attached.has(c)) {
-      c.send({ kind: "drawn", draw: m.draw, granted: 0 });
+      c.send({ kind: "drawn", draw: m.draw, delaysMs: [] });
       return;
     }
     const part = this.part(k);
-    const got = allowance.draw(k.left, k.cap, part, m.wants, this.deps.overdraft);
-    this.kept.set(m.team, { ...k, left: got.left });
+    const { overdraft, aheadMs } = k.total;
+    const wish = { ...m, patienceMs: Math.min(m.patienceMs, aheadMs) };
+    const got = allowance.draw(k.left, k.total, part, wish, overdraft);
+    this.kept.set(m.key, { ...k, left: got.left });
     c.send({
       kind: "drawn",
       draw: m.draw,
-      granted: got.granted,
+      delaysMs: got.delaysMs,
       ...(got.waitMs !== undefined && { waitMs: got.waitMs }),
     });
-    if (got.granted < m.wants.length) this.tell(m.team, k, part, got);
+    if (got.granted < m.wants.length) this.tell(k, part, got);
   }
 
   refund(c: announcer.Client, m: messages.Refund): void {
-    const k = this.flowed(m.team);
+    const k = this.flowed(m.key);
     if (!k?.attached.has(c)) return;
-    this.kept.set(m.team, { ...k, left: allowance.refund(k.left, k.cap, m.units) });
+    this.kept.set(m.key, { ...k, left: allowance.refund(k.left, k.total, m.units) });
   }
 
   /** An entry daemon said something; what flowed in until now counts by what was heard until now. */
@@ -113,39 +111,42 @@
     const now = this.deps.clock.mono();
     const lapsed = now - (this.hosts.get(c)?.heardAt ?? -Infinity) > messages.LEASE_MS;
     if (lapsed) {
-      for (const [team, k] of this.kept) {
-        if (k.attached.has(c)) this.kept.set(team, { ...k, left: this.flow(k) });
+      for (const [key, k] of this.kept) {
+        if (k.attached.has(c)) this.kept.set(key, { ...k, left: this.flow(k) });
       }
     }
     this.hosts.set(c, { known, heardAt: now });
   }
 
-  private begun(cap: allowance.Cap, version: number): Kept {
-    const left = allowance.begun(this.deps.clock.steady(), this.deps.overdraft);
-    return { cap, version, left, attached: new Set() };
+  private begun(total: messages.Total): Kept {
+    const left = allowance.begun(this.deps.clock.steady(), total.overdraft);
+    return { total, left, attached: new Set() };
   }
 
-  /** An entry daemon begins or ceases to keep a cap here; what flowed in until now counts by the part until now. */
-  private attachment(team: string, k: Kept, c: announcer.Client, on: boolean): void {
-    const before = this.kept.get(team);
+  /** An entry daemon begins or ceases to keep a total here; what flowed in until now counts by the part until now. */
+  private attachment(key: string, k: Kept, c: announcer.Client, on: boolean): void {
+    const before = this.kept.get(key);
     const left = before ? this.flow(before) : k.left;
     const attached = new Set(k.attached);
     if (on) attached.add(c);
     else attached.delete(c);
-    this.kept.set(team, { ...k, left, attached });
+    // Of a total that is promised ahead, no burst stays at a place that keeps it for nobody.
+    const isIdle = attached.size === 0 && k.total.aheadMs > 0;
+    const level = isIdle ? Math.min(left.level, 0) : left.level;
+    this.kept.set(key, { ...k, left: { ...left, level }, attached });
   }
 
   private flow(k: Kept): allowance.Allowance {
     const now = this.deps.clock.steady();
-    return allowance.flow(k.left, k.cap, this.meanPart(k, now - k.left.at), now);
+    return allowance.flow(k.left, k.total, this.meanPart(k, now - k.left.at), now);
   }
 
-  private flowed(team: string): Kept | undefined {
-    const k = this.kept.get(team);
+  private flowed(key: string): Kept | undefined {
+    const k = this.kept.get(key);
     return k && { ...k, left: this.flow(k) };
   }
 
-  /** The part of all entry daemons for which a cap is kept here now. */
+  /** The part of all entry daemons for which a total is kept here now. */
   private part(k: Kept): number {
     return this.meanPart(k, 1);
   }
@@ -174,21 +175,21 @@
 
   private forget(): void {
     const now = this.deps.clock.steady();
-    for (const [team, k] of this.kept) {
+    for (const [key, k] of this.kept) {
       if (k.attached.size > 0 || now - k.left.at < KEPT_MS) continue;
-      this.kept.delete(team);
-      this.toldAt.delete(team);
+      this.kept.delete(key);
+      this.toldAt.delete(key);
     }
   }
 
-  private tell(team: string, k: Kept, part: number, got: allowance.Drawn): void {
+  private tell({ total }: Kept, part: number, got: allowance.Drawn): void {
     const now = this.deps.clock.steady();
-    if (now - (this.toldAt.get(team) ?? -Infinity) < TELL_MS) return;
-    this.toldAt.set(team, now);
-    this.deps.log.info("A team is at its cap.", {
-      team,
-      perS: k.cap.perS,
-      burst: k.cap.burst,
+    if (now - (this.toldAt.get(total.key) ?? -Infinity) < TELL_MS) return;
+    this.toldAt.set(total.key, now);
+    this.deps.log.info("A total is used up.", {
+      total: total.key,
+      perS: total.perS,
+      burst: total.burst,
       left: Math.round(got.left.level),
       part,
       waitMs: got.waitMs,
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -6,10 +6,11 @@
 import * as addresses from "../host/address.js";
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
-import type * as capMessages from "./cap-messages.js";
 import * as catalog from "./catalog.js";
+import type * as allowance from "./allowance.js";
 import type * as choice from "./choice.js";
 import type * as hearsay from "./hearsay.js";
+import type * as limiterMessages from "./limiter-messages.js";
 import * as lines from "./lines.js";
 import * as seat from "./seat.js";
 import * as warmth from "./warmth.js";
@@ -73,6 +74,8 @@
   readonly counted: (entries: number) => void;
   /** The endpoint daemon tells of requests that end their workers. */
   readonly suspicion: (m: hearsay.Message, peer: string) => void;
+  /** The endpoint daemon tells of the limit that a worker names. */
+  readonly limit: (m: limiterMessages.Limit, peer: string) => void;
   /** What the endpoint daemon at an address is told when it is reached. */
   readonly greeting: (address: string) => readonly seat.FromEntry[];
 }
@@ -82,8 +85,8 @@
   readonly resolve: (a: Answer) => void;
 }
 
-/** Takes the answer to a question to a team's cap: nothing when the endpoint daemon is away or silent. */
-type Drawing = (a: capMessages.Drawn | undefined) => void;
+/** Takes the answer to a question to a total: nothing when the endpoint daemon is away or silent. */
+type Drawing = (a: limiterMessages.Drawn | undefined) => void;
 
 export class Link {
   private channel: lines.Channel<seat.FromEntry> | undefined;
@@ -175,12 +178,12 @@
   }
 
   /** Tells the endpoint daemon something that has no answer. */
-  send(m: hearsay.Message | capMessages.Attach | capMessages.Keep | capMessages.Refund): void {
+  send(m: Exclude<seat.FromEntry, { kind: "hello" | "ask" | "began" | "over" | "draw" }>): void {
     this.channel?.send(m);
   }
 
-  /** Asks for requests of a team; nothing where the endpoint daemon is away or falls silent. */
-  draw(team: string, wants: readonly number[]): Promise<capMessages.Drawn | undefined> {
+  /** Asks for requests of a total; nothing where the endpoint daemon is away or falls silent. */
+  draw(key: string, wish: allowance.Wish): Promise<limiterMessages.Drawn | undefined> {
     const { channel } = this;
     if (!channel) return Promise.resolve(undefined);
     const n = this.next++;
@@ -194,7 +197,7 @@
         timer.cancel();
         resolve(a);
       });
-      channel.send({ kind: "draw", draw: n, team, wants });
+      channel.send({ kind: "draw", draw: n, key, ...wish });
     });
   }
 
@@ -305,6 +308,9 @@
       case "suspicion":
         this.deps.suspicion(m, this.address);
         break;
+      case "limit":
+        this.deps.limit(m, this.address);
+        break;
     }
   }
 
@@ -355,7 +361,7 @@
     this.asked.delete(n);
   }
 
-  private settleDraw(n: number, a: capMessages.Drawn | undefined): void {
+  private settleDraw(n: number, a: limiterMessages.Drawn | undefined): void {
     this.draws.get(n)?.(a);
     this.draws.delete(n);
   }
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -33,6 +33,8 @@
   readonly tried: Set<string>;
   /** Engines that sent it back at once for their queue. */
   readonly diverted: Set<string>;
+  /** Times that it asked in vain for leave under a worker's limit. */
+  limited: number;
   /** Times that it left an engine's queue for a shorter one. */
   moves: number;
   /** Monotonic ms from which it waits for an endpoint: its arrival, or the end of its last send. */
@@ -65,6 +67,7 @@
     runs: 0,
     tried: new Set(),
     diverted: new Set(),
+    limited: 0,
     moves: 0,
     waitsFrom: a.arrivedAt,
     retryIsCharged: false,
--- a/src/serving/seat.ts
+++ b/src/serving/seat.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import * as zod from "zod";
-import * as capMessages from "./cap-messages.js";
 import * as hearsay from "./hearsay.js";
+import * as limiterMessages from "./limiter-messages.js";
 
 /** From an entry daemon. */
 export const fromEntry = zod.discriminatedUnion("kind", [
@@ -43,7 +43,7 @@
     })
     .readonly(),
   hearsay.wire,
-  ...capMessages.fromEntry,
+  ...limiterMessages.fromEntry,
 ]);
 export type FromEntry = zod.infer<typeof fromEntry>;
 export type Ask = Extract<FromEntry, { kind: "ask" }>;
@@ -97,7 +97,8 @@
   state,
   holdings,
   hearsay.wire,
-  capMessages.drawn,
+  limiterMessages.drawn,
+  limiterMessages.limit,
   zod
     .object({
       kind: zod.literal("grant"),
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -75,6 +75,12 @@
     for (;;) {
       const best = this.candidates(a, p)[0];
       if (best || cut.aborted) return best;
+      const limitedMs = this.deps.endpoints.limitedMs(a.service);
+      if (limitedMs > 0 && !this.deps.endpoints.coming(a.service)) {
+        p.comeBackMs = limitedMs;
+        p.why = "all workers that could run it are at the limits that they name";
+        return undefined;
+      }
       // Where all were tried, the least bad of them may have come back.
       const coming = this.deps.endpoints.coming(a.service);
       const until = p.waitsFrom + admission.absentMs(standing(a, p.waitsFrom), coming);
--- a/src/serving/worker-limits.ts
+++ b/src/serving/worker-limits.ts
@@ -1,15 +1,42 @@
 /**
- * What an entry daemon knows of the limits that workers name, from the answers that it passes on.
+ * An entry daemon's part in keeping the limits that workers name: it learns of them from the answers that it passes on and
+ * from other entry daemons, by way of endpoint daemons, and gives leave to send under what all hosts share of each.
+ *
+ * The load that this answers is a worker in need that all hosts would go on sending to: each send, a retry too, takes one
+ * request of the limit before it is made. In any window a worker then gets what flows in during the window, and what was
+ * let in before and arrives late: {@link admission.TURN_MS}, {@link GOOD_MS} and the time of a connection together, and the burst.
  * @module
  */
 import type * as clock from "../host/clock.js";
 import type * as record from "../host/record.js";
+import * as admission from "./admission.js";
 import type * as catalog from "./catalog.js";
+import * as limiter from "./limiter.js";
+import * as relay from "./limit-relay.js";
+import type * as messages from "./limiter-messages.js";
 import * as named from "./named-limits.js";
 
+/** Milliseconds for which leave to send is good; after that it is asked for anew. */
+const GOOD_MS = 600;
+/** Milliseconds by which a turn may come later than this host expects. */
+const MARGIN_MS = 60;
+/** Requests that may come at once after a quiet time. */
+const BURST = 4;
+/** Requests a second that a worker gets at least, so that its answers can tell when its limit is over. */
+const LEAST_PER_S = 0.2;
+/** Milliseconds within which hosts send freely again, one after the other, once a limit is withdrawn. */
+const RELEASE_MS = 1500;
+/** Milliseconds for which a limit is kept whose worker is not registered, or no more. */
+const UNREGISTERED_MS = 60_000;
+
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: record.Log;
+  readonly limiter: limiter.Limiter;
+  /** Tells other entry daemons of a worker's limit. */
+  readonly tell: (e: catalog.Endpoint, m: messages.Limit) => void;
+  /** From 0 up to 1. */
+  readonly random: () => number;
 }
 
 /** One answer of a worker, and the request that it belongs to. */
@@ -20,54 +47,167 @@
   readonly ran: boolean;
 }
 
+/** Whether one request may be sent to a worker. */
+export type Leave =
+  | {
+      readonly kind: "in";
+      readonly delayMs: number;
+      /** Whether it may still be sent; asked right before. */
+      readonly isGood: () => boolean;
+      /** It was not sent. */
+      readonly giveBack: () => void;
+    }
+  | { readonly kind: "out"; readonly waitMs: number };
+
+interface Known {
+  readonly limit: named.Limit;
+  /** Requests a second that it named last. */
+  readonly perS: number;
+  /** Monotonic ms from which this host sends freely again, where the limit was withdrawn. */
+  readonly freeAt: number;
+}
+
 export class WorkerLimits {
-  private readonly known = new Map<string, named.Limit>();
+  private readonly known = new Map<string, Known>();
   /** Workers whose limit could not be read. */
   private readonly unreadable = new Set<string>();
+  /** Monotonic ms until which a worker lets in nothing of this host, as last heard. */
+  private readonly outUntil = new Map<string, number>();
 
   constructor(private readonly deps: Deps) {}
 
   /** Workers that name a limit. */
   get size(): number {
-    return [...this.known.values()].filter((l) => l.perS !== undefined).length;
+    return [...this.known.values()].filter((k) => k.limit.perS !== undefined).length;
   }
 
-  /** Requests a second that a worker takes from all hosts together; undefined where it names no limit. */
-  of(e: catalog.Endpoint): number | undefined {
-    return this.known.get(e.id)?.perS;
+  /** Requests a second that a worker takes from all hosts together; undefined where this host sends freely. */
+  of(id: string): number | undefined {
+    const k = this.known.get(id);
+    if (!k) return undefined;
+    if (k.limit.perS !== undefined) return k.limit.perS;
+    return this.deps.clock.mono() < k.freeAt ? k.perS : undefined;
+  }
+
+  /** Milliseconds until a worker's limit lets one more request in, as last heard; 0 where it does now or has none. */
+  waitMs(id: string): number {
+    if (this.of(id) === undefined) return 0;
+    return Math.max(0, (this.outUntil.get(id) ?? -Infinity) - this.deps.clock.mono());
+  }
+
+  /** The limits, as totals over all hosts. */
+  totals(): readonly messages.Total[] {
+    return [...this.known.keys()].flatMap((id) => this.total(id) ?? []);
+  }
+
+  /** Asks for leave to send one request to a worker now, or after it has waited for its turn. */
+  async admit(e: catalog.Endpoint): Promise<Leave> {
+    const total = this.total(e.id);
+    if (!total) return this.free(e.id);
+    const patienceMs = Math.min(admission.TURN_MS, this.waitMs(e.id) + MARGIN_MS);
+    const verdict = await this.deps.limiter.admit(total, 1, patienceMs);
+    const now = this.deps.clock.mono();
+    if (verdict.kind !== "in") {
+      this.outUntil.set(e.id, now + verdict.comeBackMs);
+      return { kind: "out", waitMs: verdict.comeBackMs };
+    }
+    const goodUntil = now + verdict.delayMs + GOOD_MS;
+    return {
+      kind: "in",
+      delayMs: verdict.delayMs,
+      isGood: () => this.deps.clock.mono() < goodUntil,
+      giveBack: () => {
+        this.deps.limiter.refund(total, 1);
+      },
+    };
   }
 
   /** An answer of a worker came. */
   heard(e: catalog.Endpoint, h: Heard): void {
     if (h.said.kind === "unreadable") this.unread(e, h, h.said.text);
-    const before = this.known.get(e.id);
+    const before = this.known.get(e.id)?.limit;
     const after = named.observe(before, { ...h, at: this.deps.clock.mono() });
     if (!after || after === before) return;
-    this.known.set(e.id, after);
-    if (after.version !== before?.version) this.tell(e, h, before, after);
+    this.note(e.id, after);
+    if (after.version === before?.version) return;
+    this.log(e.id, before, after, {
+      request: h.request,
+      sentMsAgo: Math.round(after.at - h.sentAt),
+    });
+    this.deps.tell(e, relay.messageOf(e.id, after));
   }
 
-  /** Forgets workers that are there no more. */
+  /** Another entry daemon tells of a worker's limit. */
+  learn(m: messages.Limit, peer: string): void {
+    const before = this.known.get(m.worker)?.limit;
+    const after = named.learn(before, m, this.deps.clock.mono());
+    if (after === before) return;
+    this.note(m.worker, after);
+    if (after.perS !== before?.perS) this.log(m.worker, before, after, { peer });
+  }
+
+  /** What is known of limits, for a daemon that has just been reached and is told of the workers that `isOf` picks. */
+  retold(isOf: (id: string) => boolean): readonly messages.Limit[] {
+    return [...this.known]
+      .filter(([id]) => isOf(id))
+      .map(([id, k]) => relay.messageOf(id, k.limit));
+  }
+
+  /** Forgets workers that are there no more; what is told of one may come before it is known here. */
   keep(ids: ReadonlySet<string>): void {
-    for (const id of this.known.keys()) if (!ids.has(id)) this.known.delete(id);
-    for (const id of this.unreadable) if (!ids.has(id)) this.unreadable.delete(id);
+    const now = this.deps.clock.mono();
+    for (const [id, { limit }] of this.known) {
+      if (ids.has(id) || now - limit.at < UNREGISTERED_MS) continue;
+      for (const held of [this.known, this.outUntil, this.unreadable]) held.delete(id);
+    }
   }
 
-  private tell(
-    e: catalog.Endpoint,
-    h: Heard,
+  private note(id: string, limit: named.Limit): void {
+    const before = this.known.get(id);
+    const perS = limit.perS ?? before?.perS ?? 0;
+    const freeAt = limit.at + this.deps.random() * RELEASE_MS;
+    this.known.set(id, { limit, perS, freeAt });
+    if (limit.version !== before?.limit.version) this.deps.limiter.refresh();
+  }
+
+  private total(id: string): messages.Total | undefined {
+    const perS = this.of(id);
+    const version = this.known.get(id)?.limit.version;
+    if (perS === undefined || version === undefined) return undefined;
+    return {
+      key: limiter.workerKey(id),
+      perS: Math.max(perS, LEAST_PER_S),
+      burst: BURST,
+      overdraft: 0,
+      aheadMs: admission.TURN_MS,
+      version,
+    };
+  }
+
+  /** Leave for a worker that names no limit, good for as long as it does not. */
+  private free(id: string): Leave {
+    return {
+      kind: "in",
+      delayMs: 0,
+      isGood: () => this.of(id) === undefined,
+      giveBack: () => undefined,
+    };
+  }
+
+  private log(
+    endpoint: string,
     before: named.Limit | undefined,
     after: named.Limit,
+    from: Readonly<Record<string, unknown>>,
   ): void {
     const sentence =
       after.perS === undefined ? "A worker's limit is withdrawn." : "A worker names a limit.";
     this.deps.log.warn(sentence, {
-      endpoint: e.id,
+      endpoint,
       perS: after.perS,
       before: before?.perS,
       version: after.version,
-      request: h.request,
-      sentMsAgo: Math.round(after.at - h.sentAt),
+      ...from,
       namedMsAgo: before && Math.round(after.at - before.at),
     });
   }
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -45,7 +45,7 @@
   over(4, { request: "r9", ending: "whole", firstMs: 100, route: "b", team: "news", units: 20 }),
   '{"msg":"A request was refused.","status":429,"team":"news"}',
   '{"msg":"A request was refused.","status":401}',
-  '{"msg":"A team is at its cap.","team":"news","perS":300}',
+  '{"msg":"A total is used up.","total":"team/news","perS":300}',
   '{"msg":"A request is ov',
 ].join("\n");
 
--- a/test/platform/callers.test.ts
+++ b/test/platform/callers.test.ts
@@ -9,6 +9,7 @@
 import * as authentication from "../../src/serving/authentication.js";
 import * as caps from "../../src/serving/caps.js";
 import * as catalog from "../../src/serving/catalog.js";
+import * as limiter from "../../src/serving/limiter.js";
 import * as door from "../../src/serving/door.js";
 import * as front from "../../src/serving/front.js";
 import * as meters from "../../src/serving/meters.js";
@@ -84,14 +85,14 @@
   };
   let at = catalog.step(configured(catalog.EMPTY, 1, TEAMS), { kind: "endpoint", endpoint });
   const made = dispatching.open(() => at, undefined, clock.system, wire.PROTOCOL);
-  const capped = new caps.Caps({
+  const shared = new limiter.Limiter({
     clock: clock.system,
     log: record.silent,
-    catalog: () => at,
+    totals: () => caps.totals(at.config, 0),
     places: () => [],
     hosts: () => 1,
-    overdraft: 0,
   });
+  const capped = new caps.Caps({ limiter: shared, catalog: () => at, overdraft: 0 });
   const port = await door.open("127.0.0.1:0");
   const callers = new front.Front(port, {
     clock: clock.system,
@@ -117,7 +118,7 @@
     stop: async (): Promise<void> => {
       port.server.closeAllConnections();
       await callers.close();
-      capped.close();
+      shared.close();
       made.close();
       worker.close();
     },
--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -14,7 +14,14 @@
 const EVERY_MS = 25;
 const PLAY_MS = 10_000;
 const LIMIT_PER_S = 1.4;
+/** Milliseconds for which hosts come back one after the other once a limit is withdrawn. */
+const RELEASED_MS = 3000;
+/** Part of its limit that a worker gets at least while more is asked for. */
+const MOSTLY = 0.6;
+const MS_PER_S = 1000;
 const ENTRIES = 3;
+/** Adapters, few enough that each engine may hold them all. */
+const ADAPTERS = 3;
 
 /** Entry and endpoint daemons as processes, before one engine and one plain worker of which each names a limit. */
 describe("a worker that names a limit", () => {
@@ -23,15 +30,18 @@
   const size = { entries: ENTRIES, engines: 2, plain: 2 };
   const site = new soak.Site(size, MAIN, folder, (what) => faults.push(what));
 
-  async function ask(id: string, entry: number, at: string): Promise<number> {
-    const callers = site.entries[entry % ENTRIES]?.callers ?? "";
+  async function ask(id: string, n: number, at: string): Promise<number> {
+    const callers = site.entries[n % ENTRIES]?.callers ?? "";
     const res = await undici.request(`http://${callers}${at}x`, {
       method: "POST",
       headers: {
         host: "a.example",
         "x-sumacfield-attempt-id": id,
         "x-sumacfield-deadline-ms": "3000",
-        ...(at === "/s/" && { "x-sumacfield-model": "m/a1", "x-sumacfield-token-usage": "100,10" }),
+        ...(at === "/s/" && {
+          "x-sumacfield-model": `m/a${n % ADAPTERS}`,
+          "x-sumacfield-token-usage": "100,10",
+        }),
       },
       body: "ordinary",
     });
@@ -46,6 +56,31 @@
     }
   }
 
+  /** An engine and a plain worker. */
+  function two(): readonly soak.Place[] {
+    return [0, size.engines].flatMap((i) => site.places[i] ?? []);
+  }
+
+  function name(perS: number | undefined, places: readonly soak.Place[]): void {
+    for (const p of places) p.worker.limitPerS = perS;
+  }
+
+  /** Requests to both services for `ms`; the answers' statuses. */
+  async function load(id: string, ms: number): Promise<readonly number[]> {
+    const statuses: Promise<number>[] = [];
+    for (let at = 0, n = 0; at < ms; at += EVERY_MS, n++) {
+      for (const path of ["/s/", "/c/"]) statuses.push(ask(`${id}${path}${n}`, n, path));
+      await timers.setTimeout(EVERY_MS);
+    }
+    return Promise.all(statuses);
+  }
+
+  /** How many requests each of the two got, of those after the first `from`. */
+  function arrived(from: number): readonly number[] {
+    const since = site.kept.arrivals.slice(from);
+    return two().map((p) => since.filter((a) => a.instance === p.worker.instance).length);
+  }
+
   before(async () => {
     await site.start();
     await untilServed("/s/");
@@ -58,16 +93,25 @@
   });
 
   it("gets no more requests from all hosts than it allows, and its callers are served elsewhere", async () => {
-    const named = [0, size.engines].map((i) => site.places[i]?.worker);
-    for (const w of named) if (w) w.limitPerS = LIMIT_PER_S;
-    const statuses: Promise<number>[] = [];
-    for (let ms = 0, n = 0; ms < PLAY_MS; ms += EVERY_MS, n++) {
-      for (const at of ["/s/", "/c/"]) statuses.push(ask(`r${at}${n}`, n, at));
-      await timers.setTimeout(EVERY_MS);
-    }
-    const answers = await Promise.all(statuses);
+    name(LIMIT_PER_S, two());
+    const answers = await load("r", PLAY_MS);
     expect(limits.beyond(site.kept.arrivals)).deep.equal([]);
     expect(answers.filter((s) => s === 200).length / answers.length).above(0.99);
     expect(faults).deep.equal([]);
   }).timeout(40_000);
+
+  it("gets what it allows where all name one, and fills again once it names none", async () => {
+    name(LIMIT_PER_S, site.places);
+    let from = site.kept.arrivals.length;
+    const answers = await load("used", PLAY_MS);
+    for (const n of arrived(from)) expect(n).above(MOSTLY * LIMIT_PER_S * (PLAY_MS / MS_PER_S));
+    expect([...new Set(answers)].sort()).deep.equal([200, 503]);
+    name(undefined, site.places);
+    await load("withdrawn", RELEASED_MS);
+    from = site.kept.arrivals.length;
+    const free = await load("free", RELEASED_MS);
+    expect(free.filter((s) => s === 200).length / free.length).above(0.99);
+    expect(arrived(from)[1]).above(3 * LIMIT_PER_S * (RELEASED_MS / MS_PER_S));
+    expect(limits.beyond(site.kept.arrivals)).deep.equal([]);
+  }).timeout(60_000);
 });
--- a/test/serving/allowance.test.ts
+++ b/test/serving/allowance.test.ts
@@ -7,13 +7,16 @@
 const CAP: allowance.Cap = { perS: 100, burst: 200 };
 const ALONE = 1;
 
+/** Asks for requests that wait for nothing. */
+const atOnce = (...wants: readonly number[]): allowance.Wish => ({ wants, patienceMs: 0 });
+
 describe("an allowance", () => {
   it("begins empty, fills at the cap's rate, and holds the burst at most", () => {
     const a = allowance.begun(0, 0);
     expect(allowance.flow(a, CAP, ALONE, 500).level).equal(50);
     expect(allowance.flow(a, CAP, 0.5, 500).level).equal(25);
     expect(allowance.flow(a, CAP, ALONE, 60_000).level).equal(200);
-    expect(allowance.draw(allowance.begun(0, 30), CAP, ALONE, [1], 30).granted).equal(0);
+    expect(allowance.draw(allowance.begun(0, 30), CAP, ALONE, atOnce(1), 30).granted).equal(0);
   });
 
   it("keeps what is there when its part shrinks, and no more than a lowered cap", () => {
@@ -23,20 +26,25 @@
   });
 
   it("lets in the first that fit, in their order, and says when the next would be", () => {
-    const got = allowance.draw({ level: 100, at: 0 }, CAP, ALONE, [60, 40, 30, 10], 0);
-    expect(got).deep.equal({ left: { level: 0, at: 0 }, granted: 2, waitMs: 300 });
+    const got = allowance.draw({ level: 100, at: 0 }, CAP, ALONE, atOnce(60, 40, 30, 10), 0);
+    expect(got).deep.equal({
+      left: { level: 0, at: 0 },
+      granted: 2,
+      delaysMs: [0, 0],
+      waitMs: 300,
+    });
   });
 
   it("lets a request in that exceeds what is left by the overdraft, and makes up for it", () => {
-    const got = allowance.draw({ level: 30, at: 0 }, CAP, ALONE, [60], 30);
+    const got = allowance.draw({ level: 30, at: 0 }, CAP, ALONE, atOnce(60), 30);
     expect(got.granted).equal(1);
     expect(got.left.level).equal(-30);
-    expect(allowance.draw(got.left, CAP, ALONE, [1], 30).waitMs).equal(10);
+    expect(allowance.draw(got.left, CAP, ALONE, atOnce(1), 30).waitMs).equal(10);
   });
 
   it("lets a request larger than the cap's burst in when it is full, but not where it has a small part", () => {
-    expect(allowance.draw({ level: 200, at: 0 }, CAP, ALONE, [500], 0).granted).equal(1);
-    expect(allowance.draw({ level: 20, at: 0 }, CAP, 0.1, [500], 0).waitMs).equal(undefined);
+    expect(allowance.draw({ level: 200, at: 0 }, CAP, ALONE, atOnce(500), 0).granted).equal(1);
+    expect(allowance.draw({ level: 20, at: 0 }, CAP, 0.1, atOnce(500), 0).waitMs).equal(undefined);
   });
 
   it("gives back what did not run, up to the burst", () => {
@@ -70,7 +78,7 @@
             places[m.place] ?? allowance.begun(now, overdraft),
             CAP,
             part,
-            [m.units],
+            atOnce(m.units),
             overdraft,
           );
           places[m.place] = got.left;
--- a/test/serving/cap-link.test.ts
+++ b/test/serving/cap-link.test.ts
@@ -11,7 +11,7 @@
 /** A connection to an endpoint daemon that answers as the test says. */
 async function connected() {
   const daemon = await telling.open(telling.state("i1"), telling.holdings());
-  const { made } = links.open(daemon.address, [{ kind: "attach", version: 1, hosts: 1, caps: [] }]);
+  const { made } = links.open(daemon.address, [{ kind: "attach", hosts: 1, totals: [] }]);
   ends.push(() => {
     made.close();
     daemon.close();
@@ -33,20 +33,20 @@
 
   it("brings each answer to its question", async () => {
     const { daemon, made } = await connected();
-    const first = made.draw("news", [10]);
-    const second = made.draw("news", [20]);
+    const first = made.draw("news", { wants: [10], patienceMs: 0 });
+    const second = made.draw("news", { wants: [20], patienceMs: 0 });
     await engines.until(() => daemon.heard.filter((k) => k === "draw").length === 2);
     daemon.tell(
-      { kind: "drawn", draw: 1, granted: 0, waitMs: 70 },
-      { kind: "drawn", draw: 0, granted: 1, waitMs: 0 },
+      { kind: "drawn", draw: 1, delaysMs: [], waitMs: 70 },
+      { kind: "drawn", draw: 0, delaysMs: [0], waitMs: 0 },
     );
-    expect((await first)?.granted).equal(1);
-    expect(await second).include({ granted: 0, waitMs: 70 });
+    expect((await first)?.delaysMs).deep.equal([0]);
+    expect(await second).deep.include({ delaysMs: [], waitMs: 70 });
   });
 
   it("answers nothing where the place is silent, and does not take it for one that knows", async () => {
     const { made } = await connected();
-    expect(await made.draw("news", [10])).equal(undefined);
+    expect(await made.draw("news", { wants: [10], patienceMs: 0 })).equal(undefined);
     expect(made.isForgotten).equal(false);
     expect(made.state).equal(undefined);
   });
@@ -64,17 +64,17 @@
       clearInterval(talking);
     });
     const askedAt = performance.now();
-    expect(await made.draw("news", [10])).equal(undefined);
+    expect(await made.draw("news", { wants: [10], patienceMs: 0 })).equal(undefined);
     expect(performance.now() - askedAt).below(1000);
   });
 
   it("answers nothing where the place ends, which then counts this host no more", async () => {
     const { daemon, made } = await connected();
-    const asked = made.draw("news", [10]);
+    const asked = made.draw("news", { wants: [10], patienceMs: 0 });
     await engines.until(() => daemon.heard.includes("draw"));
     daemon.close();
     expect(await asked).equal(undefined);
     expect(made.isForgotten).equal(true);
-    expect(await made.draw("news", [10])).equal(undefined);
+    expect(await made.draw("news", { wants: [10], patienceMs: 0 })).equal(undefined);
   });
 });
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -15,6 +15,7 @@
 import type * as progress from "../../src/serving/progress.js";
 import type * as retries from "../../src/serving/retries.js";
 import * as suspects from "../../src/serving/suspects.js";
+import * as limiter from "../../src/serving/limiter.js";
 import * as workerLimits from "../../src/serving/worker-limits.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
@@ -47,9 +48,27 @@
       },
       greeting: () => suspected.retold(),
       random: () => 0,
+      limit: (m, peer) => {
+        limits.learn(m, peer);
+      },
+      limitedMs: (id) => limits.waitMs(id),
     },
     clk,
   );
+  const shared: limiter.Limiter = new limiter.Limiter({
+    clock: clk,
+    log: record.silent,
+    totals: () => limits.totals(),
+    places: (key, n) => known.keepers(key, n),
+    hosts: () => known.mostHosts() ?? 1,
+  });
+  const limits = new workerLimits.WorkerLimits({
+    clock: clk,
+    log: record.silent,
+    limiter: shared,
+    tell: () => undefined,
+    random: () => 0,
+  });
   const suspected = new suspects.Suspects({
     clock: clk,
     log: record.silent,
@@ -72,17 +91,19 @@
       catalog: inForce,
       newsAgeMs: () => 0,
       suspects: suspected,
-      limits: new workerLimits.WorkerLimits({ clock: clk, log: record.silent }),
+      limits,
       authenticate,
       random: () => 0,
     },
   );
   return {
     known,
+    limits,
     dispatcher,
     suspects: suspected,
     close: (): void => {
       dispatcher.close();
+      shared.close();
       up.close();
       known.close();
     },
--- a/test/serving/engines.ts
+++ b/test/serving/engines.ts
@@ -4,7 +4,8 @@
  */
 import * as clock from "../../src/host/clock.js";
 import * as record from "../../src/host/record.js";
-import * as capPlace from "../../src/serving/cap-place.js";
+import * as limiterPlace from "../../src/serving/limiter-place.js";
+import * as limitRelay from "../../src/serving/limit-relay.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as desk from "../../src/serving/desk.js";
 import * as keeper from "../../src/serving/keeper.js";
@@ -69,8 +70,14 @@
   const port = await ports.free();
   const address = `127.0.0.1:${port}`;
   const relayed = new relay.Relay({ clock: clock.system, log: record.silent });
-  const caps = new capPlace.CapPlace({ clock: clock.system, log: record.silent, overdraft: 0 });
-  const open = () => desk.open(address, { log: record.silent, keeper: kept, relay: relayed, caps });
+  const parts = {
+    log: record.silent,
+    keeper: kept,
+    relay: relayed,
+    limiter: new limiterPlace.LimiterPlace({ clock: clock.system, log: record.silent }),
+    limits: new limitRelay.LimitRelay(clock.system),
+  };
+  const open = () => desk.open(address, parts);
   let door = await open();
   const { made, lost } = links.open(address);
   void kept.run();
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -131,6 +131,7 @@
     coming: false,
     place: 0,
     ageMs: 0,
+    limitedMs: 0,
     ...over,
   };
 }
--- /dev/null
+++ b/test/serving/limited.test.ts
@@ -0,0 +1,193 @@
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as wire from "../../platform/wire.js";
+import * as admission from "../../src/serving/admission.js";
+import type * as ask from "../../src/serving/ask.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as choice from "../../src/serving/choice.js";
+import type * as progress from "../../src/serving/progress.js";
+import * as dispatching from "./dispatching.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+/** What ends the parts of the test at hand, also when it fails. */
+const ends: (() => void)[] = [];
+
+/** A plain worker that names a limit, as text, and counts what arrives. */
+async function limited(id: string, limit: string | undefined) {
+  const seen = { limit, arrivals: 0, down: false };
+  const worker = await fixtures.worker((req, res) => {
+    seen.arrivals++;
+    const said = seen.limit === undefined ? {} : { "test-limit": seen.limit };
+    res.writeHead(200, { ...fixtures.good(String(req.headers["test-id"])), ...said });
+    res.end("whole");
+  });
+  ends.push(worker.close);
+  return { seen, endpoint: fixtures.endpoint(id, worker.address) };
+}
+
+function open(...list: readonly catalog.Endpoint[]) {
+  const config: catalog.Step = { kind: "config", config: fixtures.CONFIG };
+  const entries = list.map((endpoint) => ({ kind: "endpoint", endpoint }) as const);
+  const made = dispatching.open(catalog.steps(catalog.EMPTY, [config, ...entries]).at);
+  ends.push(made.close);
+  return made;
+}
+
+interface End {
+  readonly status: number;
+  readonly comeBackMs: number | undefined;
+  readonly tookMs: number;
+}
+
+let count = 0;
+
+/** Serves one request; how it ended. */
+async function serve(made: ReturnType<typeof open>): Promise<End> {
+  const id = `r${count++}`;
+  const meta: ask.Meta = { id, waitMs: 1000, promptTokens: 0, answerTokens: 0, parts: [] };
+  const sentAt = performance.now();
+  let end: End | undefined;
+  const over = (status: number, comeBackMs?: number): void => {
+    end = { status, comeBackMs, tookMs: performance.now() - sentAt };
+  };
+  const outlet: progress.Outlet = {
+    ...dispatching.recorded().outlet,
+    answer: (status) => {
+      over(status);
+    },
+    refuse: (status, _why, comeBackMs) => {
+      over(status, comeBackMs);
+    },
+  };
+  await made.dispatcher.serve(fixtures.request({ meta, headers: { "test-id": id } }), outlet);
+  return end ?? { status: 0, comeBackMs: undefined, tookMs: 0 };
+}
+
+describe("requests before workers that name limits", () => {
+  afterEach(() => {
+    for (const end of ends.splice(0)) end();
+  });
+
+  it("go to another worker at once when the limit is used up", async () => {
+    const [a, b] = [await limited("w1", "1"), await limited("w2", undefined)];
+    const made = open(a.endpoint, b.endpoint);
+    while (made.limits.size === 0) await serve(made);
+    const before = a.seen.arrivals;
+    for (let n = 0; n < 60; n++) {
+      expect((await serve(made)).status).equal(200);
+      await timers.setTimeout(10);
+    }
+    expect(a.seen.arrivals - before).most(2);
+  });
+
+  it("are refused at once where all are at theirs, with the time until they can be served", async () => {
+    const a = await limited("w1", "2");
+    const made = open(a.endpoint);
+    expect((await serve(made)).status).equal(200);
+    const all = await Promise.all(Array.from({ length: 8 }, () => serve(made)));
+    const refused = all.filter((e) => e.status === 503);
+    expect(refused.length).least(6);
+    expect(Math.max(...refused.map((e) => e.tookMs))).below(200);
+    const [first] = refused;
+    expect(first?.comeBackMs).within(120, 1000);
+    await timers.setTimeout((first?.comeBackMs ?? 0) + admission.TURN_MS);
+    expect((await serve(made)).status).equal(200);
+  });
+
+  it("wait for their turn where it comes soon, and are served then", async () => {
+    const a = await limited("w1", "5");
+    const made = open(a.endpoint);
+    expect((await serve(made)).status).equal(200);
+    await timers.setTimeout(100);
+    const end = await serve(made);
+    expect(end.status).equal(200);
+    expect(end.tookMs).within(50, admission.TURN_MS);
+  });
+
+  it("fill the worker again once it names no limit", async () => {
+    const a = await limited("w1", "4");
+    const made = open(a.endpoint);
+    await serve(made);
+    a.seen.limit = undefined;
+    await timers.setTimeout(400);
+    expect((await serve(made)).status).equal(200);
+    expect(made.limits.size).equal(0);
+    const all = await Promise.all(Array.from({ length: 20 }, () => serve(made)));
+    expect(all.map((e) => e.status)).deep.equal(new Array<number>(20).fill(200));
+  });
+
+  it("are not held up by a limit that cannot be read", async () => {
+    const a = await limited("w1", "some");
+    const made = open(a.endpoint);
+    const all = await Promise.all(Array.from({ length: 20 }, () => serve(made)));
+    expect(all.every((e) => e.status === 200)).equal(true);
+  });
+
+  it("go on reaching a worker whose limit is 0, now and then, so that it is known when it is over", async () => {
+    const a = await limited("w1", "0");
+    const made = open(a.endpoint);
+    await serve(made);
+    expect(made.limits.of("w1")).equal(0);
+    expect(made.limits.totals()[0]?.perS).above(0);
+  });
+});
+
+describe("the choice of an engine before limits", () => {
+  const need: choice.Need = {
+    model: "m",
+    key: "m/a",
+    promptTokens: 100,
+    rank: 1,
+    domain: "d1",
+    tried: new Set(),
+    targetMs: 1000,
+  };
+  const holding = { models: ["m"], resident: ["m/a"], warm: [] };
+
+  it("passes over one whose next turn is far off, and has its adapter loaded elsewhere at no extra cost", () => {
+    const full = fixtures.view("1", { holdings: holding, limitedMs: admission.TURN_MS + 1 });
+    const [best, ...rest] = choice.engines([full, fixtures.view("2")], need);
+    expect(best?.view.endpoint.id).equal("2");
+    expect(best?.extraMs).equal(0);
+    expect(rest).length(0);
+  });
+
+  it("weighs a turn that comes soon as a wait", () => {
+    const soon = fixtures.view("1", { holdings: holding, limitedMs: 100 });
+    const [best] = choice.engines([soon, fixtures.view("2")], need);
+    expect(best?.view.endpoint.id).equal("1");
+    expect(best && best.firstMs - best.ownMs).equal(100);
+  });
+
+  it("does not take a request away from an engine where it has its turn", () => {
+    const full = fixtures.view("1", { holdings: holding, limitedMs: 5000 });
+    const [best] = choice.engines([full, fixtures.view("2")], { ...need, waitsAt: "1" });
+    expect(best?.view.endpoint.id).equal("1");
+  });
+});
+
+describe("the header that names a limit", () => {
+  it("is a decimal number, with and without the platform's prefix", () => {
+    for (const [text, perS] of [
+      ["1.4", 1.4],
+      ["0", 0],
+      [" 12 ", 12],
+      ["0.25", 0.25],
+    ] as const) {
+      expect(wire.PROTOCOL.limit({ "server-limit": text })).deep.equal({ kind: "named", perS });
+      expect(wire.PROTOCOL.limit({ "x-sumacfield-server-limit": text }).kind).equal("named");
+    }
+    expect(wire.PROTOCOL.limit({})).deep.equal({ kind: "none" });
+  });
+
+  it("names nothing where it cannot be read", () => {
+    for (const text of ["", "-1", "1e3", "some", "1,4", "NaN", "Infinity", "1.4 2"]) {
+      expect(wire.PROTOCOL.limit({ "server-limit": text })).deep.equal({
+        kind: "unreadable",
+        text,
+      });
+    }
+  });
+});
--- a/test/serving/links.ts
+++ b/test/serving/links.ts
@@ -18,6 +18,7 @@
     came: () => undefined,
     counted: () => undefined,
     suspicion: () => undefined,
+    limit: () => undefined,
     greeting: () => greeting,
   });
   return { made, lost };
