Let workers name limits in the soak, and check that they hold from the workers' side

In six of ten runs two workers at a time name a limit of 0.5 to 6 a second for 4 to 9 s under all other troubles.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -110,7 +110,9 @@
     });
     for await (const part of res.body as AsyncIterable<Buffer>) text += part.toString();
     const by = String(res.headers["x-sumacfield-server-signature"] ?? "");
-    end = { kind: "answer", status: res.statusCode, by, text };
+    const limit = res.headers["server-limit"];
+    const limitPerS = limit === undefined ? undefined : Number(limit);
+    end = { kind: "answer", status: res.statusCode, by, limitPerS, text };
   } catch (err) {
     const why = err instanceof Error ? err.message : String(err);
     passedOn = !(err instanceof undici.errors.ConnectTimeoutError) && !isRefusal(err);
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -235,6 +235,19 @@
   for (const w of struck) if (w.mood === "shedding") w.mood = "well";
 }
 
+/** Requests a second that a worker in need names, and milliseconds for which it does. */
+const LIMIT_PER_S: readonly [number, number] = [0.5, 6];
+const LIMITED_MS: readonly [number, number] = [4000, 9000];
+
+/** A worker names a limit for a while, and then none; over by `until`. */
+export async function limiting(d: Deps, until: number): Promise<void> {
+  const { worker } = d.draw.one(d.site.places);
+  worker.limitPerS = Math.round(d.draw.between(...LIMIT_PER_S) * 10) / 10;
+  const ms = d.draw.between(...LIMITED_MS);
+  await timers.setTimeout(Math.max(0, Math.min(ms, until - performance.now())));
+  worker.limitPerS = undefined;
+}
+
 export const FAULTS: readonly Fault[] = [
   // Planned, and more frequent than any one trouble.
   workerLeaves,
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -3,6 +3,7 @@
  * promises and shares no code with the daemons.
  * @module
  */
+import * as limits from "../platform/limits.js";
 import type * as journals from "../platform/journal.js";
 import * as workers from "../platform/worker.js";
 import * as retries from "./retries.js";
@@ -33,6 +34,8 @@
         readonly kind: "answer";
         readonly status: number;
         readonly by: string;
+        /** Requests a second that its worker named as its limit. */
+        readonly limitPerS: number | undefined;
         readonly text: string;
       }
     /** The connection ended before the answer did; `text` is what came. */
@@ -207,7 +210,8 @@
   function gone(s, runs, h) {
     if (s.end.kind !== "left") return undefined;
     const on = runs.find((r) => (r.endedAt ?? Infinity) > s.endedAt + LEFT_MS);
-    const parts = new Set([s.entry, on?.instance]);
+    // A link that is cut one way hands what it holds to whichever worker is at its place when it ends.
+    const parts = new Set([s.entry, on?.instance, on && placeOf(on.instance)]);
     if (!on || disturbed(h, s.sentAt, s.endedAt + LEFT_MS, (d) => parts.has(d.on)))
       return undefined;
     return `left, and ${on.instance} worked on`;
@@ -248,6 +252,7 @@
   const beyond = teams.beyondCap(h.teams, h.seen, runs, anyOutOfTouch);
   const sent = h.seen.map((s) => ({ service: serviceOf(s), at: s.sentAt }));
   const retried = retries.beyondBudget(sent, h.kept.arrivals);
+  const limited = limits.beyond(h.kept.arrivals, (a) => isBound(h, a));
   return [
     ...h.faults,
     ...h.kept.faults,
@@ -255,6 +260,7 @@
     ...fatal(h, runs),
     ...beyond,
     ...retried,
+    ...limited,
     ...found,
   ];
 }
@@ -263,6 +269,30 @@
   return s.kind === "stream" || s.kind === "stream_once" ? site.ENGINES : site.PLAIN;
 }
 
+/** The place of a worker, of which the instance there is the `N`th start. */
+function placeOf(instance: string): string {
+  return instance.replace(/\.\d+$/, "");
+}
+
+/** Whether an arrival counts against its worker's limit: its host had passed the limit on, and nothing excuses it. */
+function isBound(h: History, a: journals.Arrival): boolean {
+  const entry = h.seen.find((s) => s.id === a.id)?.entry;
+  if (entry === undefined) return false;
+  const parts = new Set([entry, placeOf(a.instance)]);
+  if (disturbed(h, a.at - limits.BINDS_MS, a.at, (d) => parts.has(d.on))) return false;
+  const before = h.disturbances.filter((d) => d.on === entry && d.to <= a.at).map((d) => d.to);
+  const since = Math.max(0, ...before);
+  return h.seen.some(
+    (s) =>
+      s.entry === entry &&
+      s.sentAt >= since &&
+      s.endedAt + limits.TOLD_MS <= a.at &&
+      s.end.kind === "answer" &&
+      s.end.by === a.instance &&
+      s.end.limitPerS === a.limitPerS,
+  );
+}
+
 /** How a request ended, in a word. */
 export function ending(s: Seen): string {
   return s.end.kind === "answer" ? String(s.end.status) : s.end.kind;
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -47,6 +47,11 @@
 const SHED = 0.4;
 const SHED_PAUSE_MS: readonly [number, number] = [500, 4000];
 const SHED_DRAWS = 6;
+/** Part of the runs in which workers name limits, how many at once, the pause between, and the row of draws for them. */
+const LIMIT = 0.6;
+const LIMITED = 2;
+const LIMIT_PAUSE_MS: readonly [number, number] = [200, 2500];
+const LIMIT_DRAWS = 7;
 /** Rows of draws for the keys that requests carry, and for what the operator does with keys and caps. */
 const KEY_DRAWS = 4;
 const TEAM_DRAWS = 5;
@@ -87,6 +92,7 @@
     ...all,
     crash(deps(FATAL_DRAWS), until),
     shed(deps(SHED_DRAWS), until),
+    limit(deps(LIMIT_DRAWS), until),
     rotate(s, given, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
@@ -207,6 +213,19 @@
   }
 }
 
+/** In some runs, workers name limits, one after the other and some at once, until `until`. */
+async function limit(d: faults.Deps, until: number): Promise<void> {
+  for (let i = 0; i < ALIKE; i++) d.draw.part();
+  if (d.draw.part() >= LIMIT) return;
+  const one = async (): Promise<void> => {
+    while (performance.now() < until) {
+      await faults.limiting(d, until);
+      await timers.setTimeout(d.draw.between(...LIMIT_PAUSE_MS));
+    }
+  };
+  await Promise.all(Array.from({ length: LIMITED }, one));
+}
+
 /** The operator takes keys away, gives others, and changes a cap, until `until`. */
 async function rotate(s: site.Site, given: teams.Teams, draw: Draw, until: number): Promise<void> {
   while (performance.now() < until) {
