Part the send of a request, and its final answer, from the choice of where it goes

Change: dispatch decides, sending makes one send and passes its answer on, ending gives up, permits asks for key, quarantine and retry budget, draws waits for answers to questions; the limiter's switches are a file. Besides: a refused request is counted where all workers are at their limits, and a total that waits after a move asks nothing of places.

--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -6,6 +6,7 @@
 import * as child from "node:child_process";
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
+import * as limiterSwitches from "./limiter-switches.js";
 import * as servingSwitches from "./serving-switches.js";
 import * as soakSwitches from "./soak-switches.js";
 import * as switches from "./switches.js";
@@ -84,6 +85,7 @@
 const all = [
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
+  ...limiterSwitches.LIMITER_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
 ];
 const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -5,35 +5,6 @@
 import type * as switches from "./switches.js";
 
 export const SERVING_SWITCHES: readonly switches.Switch[] = [
-  {
-    name: "a total that moves flows nowhere while what was promised before may go on",
-    file: "serving/limiter.js",
-    find: "if (wasKept && aheadMs > 0)",
-    put: "if (false)",
-    proof: "is kept: the place is killed again and again, 29 hosts",
-  },
-  {
-    name: "hosts tell each other of the limits that workers name",
-    file: "serving/limit-relay.js",
-    find: "if (c !== from)",
-    put: "if (false)",
-    proof: "is known at all hosts at once: 29 hosts",
-  },
-  {
-    name: "an answer that was on its way does not lift a limit",
-    file: "serving/named-limits.js",
-    find: "|| !a.ran || a.sentAt < known.at)",
-    put: ")",
-    proof: "is withdrawn by an answer without it whose request was sent after it was named",
-  },
-  {
-    name: "a request that may wait too long for its turn goes elsewhere",
-    file: "serving/choice.js",
-    find: "v.limitedMs <= admission.TURN_MS ||",
-    put: "true ||",
-    proof:
-      "passes over one whose next turn is far off, and has its adapter loaded elsewhere at no extra cost",
-  },
   {
     name: "a process that starts leaves the retry budget's slack alone for a window",
     file: "serving/retries.js",
@@ -105,20 +76,6 @@
     put: "[reserved]",
     proof: "never reach a worker, nor does a team that the caller names",
   },
-  {
-    name: "a cap's next place waits for the lease of the one before",
-    file: "serving/limiter.js",
-    find: "(home && !this.isFree(home))",
-    put: "false",
-    proof: "is never passed beyond what the rule allows, nor given out twice: hot_calls_once_cut",
-  },
-  {
-    name: "a cap's place that is new has nothing left",
-    file: "serving/allowance.js",
-    find: "return { level: -overdraft, at: now };",
-    put: "return { level: 1e6, at: now };",
-    proof: "begins empty, fills at the cap's rate, and holds the burst at most",
-  },
   {
     name: "a forgotten history is no news",
     file: "serving/feed.js",
@@ -170,7 +127,7 @@
   },
   {
     name: "a request that ran is under suspicion no more",
-    file: "serving/dispatch.js",
+    file: "serving/sending.js",
     find: "this.deps.suspects.ran(a);",
     put: "",
     proof: "is sent on after the first, and under suspicion no more once it ran",
@@ -303,7 +260,7 @@
   },
   {
     name: "what may have run and must not be repeated is not sent again",
-    file: "serving/dispatch.js",
+    file: "serving/sending.js",
     find: "if (catalog.repeatable(a.route))\n            return undefined;",
     put: "if (true)\n            return undefined;",
     proof: "never sends twice what may have run and must not be repeated",
--- a/bench/red/soak-switches.ts
+++ b/bench/red/soak-switches.ts
@@ -7,7 +7,7 @@
 export const SOAK_SWITCHES: readonly switches.Switch[] = [
   {
     name: "soak: what must not be repeated is sent once",
-    file: "serving/dispatch.js",
+    file: "serving/sending.js",
     find: "if (catalog.repeatable(a.route))\n            return undefined;",
     put: "if (true)\n            return undefined;",
     proof: "once",
@@ -15,7 +15,7 @@
   },
   {
     name: "soak: what may have run is not called not run",
-    file: "serving/dispatch.js",
+    file: "serving/ending.js",
     find: "if (p.runs > 0) {",
     put: "if (false) {",
     proof: "notRun",
@@ -23,7 +23,7 @@
   },
   {
     name: "soak: a stream that broke does not end as if whole",
-    file: "serving/dispatch.js",
+    file: "serving/ending.js",
     find: "out.breakOff();",
     put: "out.end();",
     proof: "whole",
--- /dev/null
+++ b/src/serving/ending.ts
@@ -0,0 +1,36 @@
+/**
+ * The final answer to a request that is given up: it says no more than is certain of the request.
+ * @module
+ */
+import type * as clock from "../host/clock.js";
+import * as admission from "./admission.js";
+import type * as ask from "./ask.js";
+import type * as progress from "./progress.js";
+
+const UNAVAILABLE = 503;
+
+/** Ends a request that is given up; `late`: since its time is over. */
+export function giveUp(
+  clk: clock.Clock,
+  a: ask.Ask,
+  out: progress.Outlet,
+  p: progress.Progress,
+  late: boolean,
+): progress.Ending {
+  if (out.gone.aborted) return "left";
+  if (p.begun) {
+    out.breakOff();
+    return "broken";
+  }
+  if (p.runs > 0) {
+    out.refuse(late ? 504 : 502, p.why);
+    return late ? "late" : "unknown";
+  }
+  if (p.refusal !== UNAVAILABLE) {
+    out.refuse(p.refusal, p.why);
+    return "refused";
+  }
+  const leftMs = a.dueAt - clk.mono();
+  out.refuse(UNAVAILABLE, p.why, p.releaseMs ?? admission.comeBack(p.comeBackMs, leftMs));
+  return "refused";
+}
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -9,6 +9,7 @@
 import * as catalog from "./catalog.js";
 import type * as allowance from "./allowance.js";
 import type * as choice from "./choice.js";
+import * as draws from "./draws.js";
 import type * as hearsay from "./hearsay.js";
 import type * as limiterMessages from "./limiter-messages.js";
 import * as lines from "./lines.js";
@@ -85,9 +86,6 @@
   readonly resolve: (a: Answer) => void;
 }
 
-/** Takes the answer to a question to a total: nothing when the endpoint daemon is away or silent. */
-type Drawing = (a: limiterMessages.Drawn | undefined) => void;
-
 export class Link {
   private channel: lines.Channel<seat.FromEntry> | undefined;
   private last: seat.State | undefined;
@@ -104,7 +102,7 @@
   private slots = 0;
   private next = 0;
   private readonly asked = new Map<number, Asked>();
-  private readonly draws = new Map<number, Drawing>();
+  private readonly draws: draws.Draws;
   private retryMs = RETRY_MS;
   private timer: clock.Timer | undefined;
   private check: clock.Timer | undefined;
@@ -123,6 +121,7 @@
     private readonly deps: Deps,
   ) {
     this.madeAt = deps.clock.mono();
+    this.draws = new draws.Draws(deps.clock);
     this.connect();
   }
 
@@ -187,18 +186,12 @@
     const { channel } = this;
     if (!channel) return Promise.resolve(undefined);
     const n = this.next++;
-    return new Promise((resolve) => {
-      // Unlike a seat it is answered at once, so what else the endpoint daemon says meanwhile counts for nothing.
-      const timer = this.deps.clock.after(SILENT_MS, () => {
-        this.last = undefined;
-        this.settleDraw(n, undefined);
-      });
-      this.draws.set(n, (a) => {
-        timer.cancel();
-        resolve(a);
-      });
-      channel.send({ kind: "draw", draw: n, key, ...wish });
+    // Unlike a seat it is answered at once, so what else the endpoint daemon says meanwhile counts for nothing.
+    const answer = this.draws.wait(n, SILENT_MS, () => {
+      this.last = undefined;
     });
+    channel.send({ kind: "draw", draw: n, key, ...wish });
+    return answer;
   }
 
   /** Asks for a seat. */
@@ -278,7 +271,7 @@
     this.unheardSince = undefined;
     this.tokens = 0;
     for (const n of [...this.asked.keys()]) this.settle(n, { kind: "unreachable" });
-    for (const n of [...this.draws.keys()]) this.settleDraw(n, undefined);
+    this.draws.drop();
     if (this.closed) return;
     this.timer = this.deps.clock.after(this.retryMs, () => {
       this.connect();
@@ -303,7 +296,7 @@
         this.settle(m.seat, { kind: "deny", reason: m.reason });
         break;
       case "drawn":
-        this.settleDraw(m.draw, m);
+        this.draws.settle(m.draw, m);
         break;
       case "suspicion":
         this.deps.suspicion(m, this.address);
@@ -361,11 +354,6 @@
     this.asked.delete(n);
   }
 
-  private settleDraw(n: number, a: limiterMessages.Drawn | undefined): void {
-    this.draws.get(n)?.(a);
-    this.draws.delete(n);
-  }
-
   /** Sets the timer for when silence, or silence after a question, will have lasted too long. */
   private watch(): void {
     const now = this.deps.clock.mono();
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -35,6 +35,8 @@
   readonly diverted: Set<string>;
   /** Times that it asked in vain for leave under a worker's limit. */
   limited: number;
+  /** All workers that could run it are at the limits that they name. */
+  isAtLimits: boolean;
   /** Times that it left an engine's queue for a shorter one. */
   moves: number;
   /** Monotonic ms from which it waits for an endpoint: its arrival, or the end of its last send. */
@@ -68,6 +70,7 @@
     tried: new Set(),
     diverted: new Set(),
     limited: 0,
+    isAtLimits: false,
     moves: 0,
     waitsFrom: a.arrivedAt,
     retryIsCharged: false,
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -78,6 +78,7 @@
       const limitedMs = this.deps.endpoints.limitedMs(a.service);
       if (limitedMs > 0 && !this.deps.endpoints.coming(a.service)) {
         p.comeBackMs = limitedMs;
+        p.isAtLimits = true;
         p.why = "all workers that could run it are at the limits that they name";
         return undefined;
       }
--- a/test/red.test.ts
+++ b/test/red.test.ts
@@ -1,5 +1,6 @@
 import * as fs from "node:fs";
 import * as chai from "chai";
+import * as limiterSwitches from "../bench/red/limiter-switches.js";
 import * as servingSwitches from "../bench/red/serving-switches.js";
 import * as soakSwitches from "../bench/red/soak-switches.js";
 import * as switches from "../bench/red/switches.js";
@@ -9,6 +10,7 @@
 const ALL = [
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
+  ...limiterSwitches.LIMITER_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
 ];
 
