--- a/src/serving/permits.ts
+++ b/src/serving/permits.ts
@@ -42,7 +42,13 @@
     const verdict = this.budget.take(service, this.deps.endpoints.mostHosts());
     this.deps.meters.retry(service, verdict.from);
     const sentence = verdict.from ? "A request may be retried." : "A retry is over the budget.";
-    this.deps.log.info(sentence, { request: a.meta.id, service, send: p.sends + 1, ...verdict });
+    this.deps.log.info(sentence, {
+      request: a.meta.id,
+      service,
+      send: p.sends + 1,
+      ...verdict,
+      tokens: Number(verdict.tokens.toFixed(1)),
+    });
     p.retryIsCharged = verdict.from !== undefined;
     if (!p.retryIsCharged) p.why = "the retry budget is used up";
     return p.retryIsCharged;
