Prove the relay of workers' limits, and its need at 360 hosts

npm run red said that the proof at 29 hosts passes without the relay, since hosts learn of a limit by their own answers there; at 360 it fails.

--- a/bench/red/limiter-switches.ts
+++ b/bench/red/limiter-switches.ts
@@ -17,7 +17,7 @@
     file: "serving/limit-relay.js",
     find: "if (c !== from)",
     put: "if (false)",
-    proof: "is known at all hosts at once: 29 hosts",
+    proof: "is known at all hosts at once: 360 hosts",
   },
   {
     name: "an answer that was on its way does not lift a limit",
