--- a/test/platform/crashing.test.ts
+++ b/test/platform/crashing.test.ts
@@ -3,10 +3,10 @@
 import * as path from "node:path";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
-import * as undici from "undici";
 import * as workers from "../../bench/platform/worker.js";
 import * as quarantine from "../../src/serving/quarantine.js";
 import * as soak from "../../bench/soak/site.js";
+import * as asking from "./asking.js";
 
 const { expect } = chai;
 
@@ -36,22 +36,8 @@
   const size = { entries: 2, engines: 6, plain: 4 };
   const site = new soak.Site(size, MAIN, folder, (what) => faults.push(what));
 
-  async function ask(id: string, entry: number, at: string, body: string): Promise<number> {
-    const res = await undici.request(`http://${site.entries[entry % 2]?.callers ?? ""}${at}x`, {
-      method: "POST",
-      headers: {
-        host: "a.example",
-        "x-sumacfield-attempt-id": id,
-        "x-sumacfield-deadline-ms": "3000",
-        ...(at === "/s/" || at === "/o/"
-          ? { "x-sumacfield-model": "m/a1", "x-sumacfield-token-usage": "100,10" }
-          : {}),
-      },
-      body,
-    });
-    await res.body.text();
-    return res.statusCode;
-  }
+  const ask = (id: string, entry: number, at: string, body: string): Promise<number> =>
+    asking.ask(site, { id, entry, at, body, adapter: "a1" });
 
   /** Sends one request again and again, to one entry host after the other; the answers' statuses. */
   async function repeat(at: string, attempts: number): Promise<readonly number[]> {
--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -3,9 +3,9 @@
 import * as path from "node:path";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
-import * as undici from "undici";
 import * as limits from "../../bench/platform/limits.js";
 import * as soak from "../../bench/soak/site.js";
+import * as asking from "./asking.js";
 
 const { expect } = chai;
 
@@ -30,24 +30,8 @@
   const size = { entries: ENTRIES, engines: 2, plain: 2 };
   const site = new soak.Site(size, MAIN, folder, (what) => faults.push(what));
 
-  async function ask(id: string, n: number, at: string): Promise<number> {
-    const callers = site.entries[n % ENTRIES]?.callers ?? "";
-    const res = await undici.request(`http://${callers}${at}x`, {
-      method: "POST",
-      headers: {
-        host: "a.example",
-        "x-sumacfield-attempt-id": id,
-        "x-sumacfield-deadline-ms": "3000",
-        ...(at === "/s/" && {
-          "x-sumacfield-model": `m/a${n % ADAPTERS}`,
-          "x-sumacfield-token-usage": "100,10",
-        }),
-      },
-      body: "ordinary",
-    });
-    await res.body.text();
-    return res.statusCode;
-  }
+  const ask = (id: string, n: number, at: string): Promise<number> =>
+    asking.ask(site, { id, entry: n, at, body: "ordinary", adapter: `a${n % ADAPTERS}` });
 
   async function untilServed(at: string): Promise<void> {
     for (let n = 0, served = 0; served < 2 * ENTRIES; n++) {
