Call a permit a permit, and the checks before a send by their name

Cause: 'leave' stood for the permission to send and, beside it, for clients and processes that go away. Result: the tests of dispatch, limits, keys and switches pass.

--- a/bench/limits/fleet.ts
+++ b/bench/limits/fleet.ts
@@ -187,14 +187,14 @@
     const { clk, random } = this;
     const at = this.processes[h];
     if (!at || at.hasEnded() || this.frozen.has(h)) return;
-    const leave = await at.limits.admit(WORKER);
-    if (leave.kind === "out") {
+    const permit = await at.limits.admit(WORKER);
+    if (permit.kind === "out") {
       this.elsewhere++;
       return;
     }
-    await clk.wait(leave.delayMs + random() * SEAT_MS);
-    if (!leave.isGood() || at.hasEnded()) {
-      leave.giveBack();
+    await clk.wait(permit.delayMs + random() * SEAT_MS);
+    if (!permit.isGood() || at.hasEnded()) {
+      permit.giveBack();
       this.elsewhere++;
       return;
     }
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -64,7 +64,7 @@
   },
   {
     name: "keys are judged again before a send",
-    file: "serving/permits.js",
+    file: "serving/send-checks.js",
     find: "!this.isStillLetIn(a, p) || ",
     put: "",
     proof: "is not sent once its key is taken away",
@@ -92,7 +92,7 @@
   },
   {
     name: "a request that ended three workers is sent to none",
-    file: "serving/permits.js",
+    file: "serving/send-checks.js",
     find: 'if (verdict.kind !== "quarantined")',
     put: "if (true)",
     proof: "ends no more than three of the workers that there are, though it may be sent to more",
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -11,7 +11,7 @@
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
 import type * as meters from "./meters.js";
-import * as permits from "./permits.js";
+import * as sendChecks from "./send-checks.js";
 import * as progress from "./progress.js";
 import * as retries from "./retries.js";
 import * as seeker from "./seeker.js";
@@ -34,19 +34,19 @@
   readonly suspects: suspects.Suspects;
   readonly limits: workerLimits.WorkerLimits;
   /** Whether a request that was let in may still be sent, by its key. */
-  readonly authenticate: permits.Deps["authenticate"];
+  readonly authenticate: sendChecks.Deps["authenticate"];
 }
 
 /** Milliseconds left below which a further send makes no sense. */
 const LEAST_MS = 20;
-/** Times that a request asks for leave under workers' limits in vain. */
+/** Times that a request asks for permits under workers' limits in vain. */
 const LIMITED = 6;
 const SERVE: admission.Verdict = { kind: "serve" };
 const SEATLESS: seeker.Found = { kind: "seatless" };
 
 export class Dispatch {
   private readonly budget: retries.Budget;
-  private readonly permits: permits.Permits;
+  private readonly checks: sendChecks.SendChecks;
   private readonly seeker: seeker.Seeker;
   private readonly sender: sending.Sender;
 
@@ -55,9 +55,9 @@
     private readonly deps: Deps,
   ) {
     this.budget = new retries.Budget(opts.retries, deps.clock);
-    this.permits = new permits.Permits(this.budget, deps);
+    this.checks = new sendChecks.SendChecks(this.budget, deps);
     this.seeker = new seeker.Seeker(opts.domain, deps);
-    this.sender = new sending.Sender({ ...deps, permits: this.permits });
+    this.sender = new sending.Sender({ ...deps, checks: this.checks });
   }
 
   /** The process is to stop, and serves what it has to the end. */
@@ -128,7 +128,7 @@
       if (p.runs > 0 && p.runs >= a.route.attempts) return this.giveUp(a, out, p, false);
       if (p.limited > LIMITED) return this.giveUp(a, out, p, false);
       if (p.sends >= sending.SENDS) return this.giveUp(a, out, p, false);
-      if (this.permits.isQuarantined(a, p)) return this.giveUp(a, out, p, false);
+      if (this.checks.isQuarantined(a, p)) return this.giveUp(a, out, p, false);
       const best = await this.seeker.pick(a, p, cut);
       if (!best) return this.giveUp(a, out, p, false);
       // Asked for a seat now, it would be denied at once by each engine in turn.
@@ -144,12 +144,12 @@
         p.why = verdict.why;
         return this.giveUp(a, out, p, false);
       }
-      const leave = await this.leaveFor(a, p, best.view, cut);
-      if (!leave) continue;
+      const permit = await this.permitFor(a, p, best.view, cut);
+      if (!permit) continue;
       const found = a.service.engine ? await this.seeker.seat(a, best, p, cut) : SEATLESS;
       p.judged ||= found.kind !== "diverted";
       if (found.kind === "diverted" || found.kind === "elsewhere") {
-        leave.giveBack();
+        permit.giveBack();
         continue;
       }
       const seat = found.kind === "seat" ? found.seat : undefined;
@@ -157,19 +157,19 @@
       // an endpoint may begin to leave, or start anew, meanwhile; its daemon goes when its host does.
       if (!catalog.isInUse(this.deps.catalog(), best.view.endpoint)) {
         seat?.over("left");
-        leave.giveBack();
+        permit.giveBack();
         p.tried.add(best.view.endpoint.id);
         continue;
       }
-      if (!leave.isGood()) {
+      if (!permit.isGood()) {
         seat?.over("left");
-        leave.giveBack();
+        permit.giveBack();
         p.limited++;
         continue;
       }
-      if (!this.permits.mayBeSent(a, p)) {
+      if (!this.checks.mayBeSent(a, p)) {
         seat?.over("left");
-        leave.giveBack();
+        permit.giveBack();
         return this.giveUp(a, out, p, false);
       }
       const end = await this.sender.send(a, out, p, best, seat, cut);
@@ -178,32 +178,32 @@
   }
 
   /**
-   * Leave to send to an endpoint under the limit that it names, once its turn has come; undefined where it lets nothing
+   * A permit to send to an endpoint under the limit that it names, once its turn has come; undefined where it lets nothing
    * more in for now.
    */
-  private async leaveFor(
+  private async permitFor(
     a: ask.Ask,
     p: progress.Progress,
     { endpoint }: choice.View,
     cut: AbortSignal,
   ): Promise<Granted | undefined> {
-    const leave = await this.deps.limits.admit(endpoint);
-    if (leave.kind === "out") {
+    const permit = await this.deps.limits.admit(endpoint);
+    if (permit.kind === "out") {
       p.limited++;
-      p.comeBackMs = leave.waitMs;
+      p.comeBackMs = permit.waitMs;
       p.why = `${endpoint.id} is at the limit that it names`;
       this.deps.meters.limited(a.service.name, "elsewhere");
       this.deps.log.info("A worker's limit lets a request in no more.", {
         request: a.meta.id,
         endpoint: endpoint.id,
         perS: this.deps.limits.of(endpoint.id),
-        waitMs: Math.round(leave.waitMs),
+        waitMs: Math.round(permit.waitMs),
       });
       return undefined;
     }
-    if (leave.delayMs > 0) await clock.sleep(this.deps.clock, leave.delayMs, cut);
-    if (!cut.aborted) return leave;
-    leave.giveBack();
+    if (permit.delayMs > 0) await clock.sleep(this.deps.clock, permit.delayMs, cut);
+    if (!cut.aborted) return permit;
+    permit.giveBack();
     return undefined;
   }
 
@@ -217,4 +217,4 @@
   }
 }
 
-type Granted = Extract<workerLimits.Leave, { kind: "in" }>;
+type Granted = Extract<workerLimits.Permit, { kind: "in" }>;
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -33,7 +33,7 @@
   readonly tried: Set<string>;
   /** Engines that sent it back at once for their queue. */
   readonly diverted: Set<string>;
-  /** Times that it asked in vain for leave under a worker's limit. */
+  /** Times that it asked in vain for a permit under a worker's limit. */
   limited: number;
   /** All workers that could run it are at the limits that they name. */
   isAtLimits: boolean;
--- a/src/serving/permits.ts
+++ b/src/serving/send-checks.ts
@@ -23,7 +23,7 @@
 
 const UNAUTHORIZED = 401;
 
-export class Permits {
+export class SendChecks {
   constructor(
     private readonly budget: retries.Budget,
     private readonly deps: Deps,
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -16,7 +16,7 @@
 import * as identity from "./identity.js";
 import type * as link from "./link.js";
 import type * as meters from "./meters.js";
-import type * as permits from "./permits.js";
+import type * as sendChecks from "./send-checks.js";
 import type * as progress from "./progress.js";
 import type * as seeker from "./seeker.js";
 import type * as suspects from "./suspects.js";
@@ -32,7 +32,7 @@
   readonly upstream: upstream.Upstream;
   readonly suspects: suspects.Suspects;
   readonly limits: workerLimits.WorkerLimits;
-  readonly permits: permits.Permits;
+  readonly checks: sendChecks.SendChecks;
   /** Milliseconds since the catalog was as new as the store. */
   readonly newsAgeMs: () => number;
 }
@@ -73,7 +73,7 @@
       team: a.caller?.team.name,
     };
     p.retryIsCharged = false;
-    const mayGoOn = (): boolean => this.another(a, p) && this.deps.permits.mayBeRetried(a, p);
+    const mayGoOn = (): boolean => this.another(a, p) && this.deps.checks.mayBeRetried(a, p);
     const watch = watches.open(a, p, best, cut, { ...this.deps, mayGoOn });
     const run: Run = { a, out, p, endpoint, seat, sentAt, cut, watch };
     try {
--- a/src/serving/worker-limits.ts
+++ b/src/serving/worker-limits.ts
@@ -1,6 +1,6 @@
 /**
  * An entry daemon's part in keeping the limits that workers name: it learns of them from the answers that it passes on and
- * from other entry daemons, by way of endpoint daemons, and gives leave to send under what all hosts share of each.
+ * from other entry daemons, by way of endpoint daemons, and gives permits to send under what all hosts share of each.
  *
  * The load that this answers is a worker in need that all hosts would go on sending to: each send, a retry too, takes one
  * request of the limit before it is made. In any window a worker then gets what flows in during the window, and what was
@@ -16,7 +16,7 @@
 import type * as messages from "./limiter-messages.js";
 import * as named from "./named-limits.js";
 
-/** Milliseconds for which leave to send is good; after that it is asked for anew. */
+/** Milliseconds for which a permit is good; after that it is asked for anew. */
 const GOOD_MS = 600;
 /** Milliseconds by which a turn may come later than this host expects. */
 const MARGIN_MS = 60;
@@ -48,7 +48,7 @@
 }
 
 /** Whether one request may be sent to a worker. */
-export type Leave =
+export type Permit =
   | {
       readonly kind: "in";
       readonly delayMs: number;
@@ -100,8 +100,8 @@
     return [...this.known.keys()].flatMap((id) => this.total(id) ?? []);
   }
 
-  /** Asks for leave to send one request to a worker now, or after it has waited for its turn. */
-  async admit(e: catalog.Endpoint): Promise<Leave> {
+  /** Asks for a permit to send one request to a worker now, or after it has waited for its turn. */
+  async admit(e: catalog.Endpoint): Promise<Permit> {
     const total = this.total(e.id);
     if (!total) return this.free(e.id);
     const patienceMs = Math.min(admission.TURN_MS, this.waitMs(e.id) + MARGIN_MS);
@@ -184,8 +184,8 @@
     };
   }
 
-  /** Leave for a worker that names no limit, good for as long as it does not. */
-  private free(id: string): Leave {
+  /** A permit for a worker that names no limit, good for as long as it does not. */
+  private free(id: string): Permit {
     return {
       kind: "in",
       delayMs: 0,
