Let stopped processes serve on in the plays of workers' limits

Cause: the play of a planned stop sent every further request to the new process, so the old one only finished what it had, and the case said more than it showed. Change: half of the requests to such a host meet the old process until it ends, as on kept connections. The check is the same.

--- a/bench/limits/fleet.ts
+++ b/bench/limits/fleet.ts
@@ -23,6 +23,8 @@
 const WORK_MS = 200;
 /** Milliseconds for which a process that was told to stop serves on. */
 const GRACE_MS = 5000;
+/** Part of the requests to a host that come on connections to such a process. */
+const KEPT_PART = 0.5;
 
 const WORKER: catalog.Endpoint = {
   id: "w1",
@@ -131,6 +133,8 @@
   elsewhere = 0;
   messages = 0;
   private readonly processes: Process[] = [];
+  /** Processes that were told to stop and serve on, by host. */
+  private readonly stopping = new Map<number, Process>();
   private readonly frozen = new Set<number>();
   /** Virtual ms until which what a host met excuses it. */
   private readonly excusedUntil = new Map<number, number>();
@@ -182,10 +186,16 @@
     }
   }
 
+  /** The process that a request to a host meets: one that stops still serves those on its kept connections. */
+  private serving(h: number): Process | undefined {
+    const old = this.stopping.get(h);
+    return old && !old.hasEnded() && this.random() < KEPT_PART ? old : this.processes[h];
+  }
+
   /** A request that only the worker serves well comes to a host. */
   async request(h: number): Promise<void> {
     const { clk, random } = this;
-    const at = this.processes[h];
+    const at = this.serving(h);
     if (!at || at.hasEnded() || this.frozen.has(h)) return;
     const permit = await at.limits.admit(WORKER);
     if (permit.kind === "out") {
@@ -226,6 +236,7 @@
   /** Tells a host's process to stop; it serves on for a while beside the next one. */
   stop(h: number): void {
     const old = this.processes[h];
+    if (old) this.stopping.set(h, old);
     this.start(h);
     this.clk.after(GRACE_MS, () => {
       old?.end();
