Read what workers say of themselves in one place, and log that they leave or ask for a pause

No decision changes. An answer's headers are read once into a notice (limit, leaving, pause), for which one value is kept for each start of a worker; the limit, read before by itself, is a part of it. Lines say when a worker says that it leaves and when it asks for a pause, for how long and in which answer, and once what can't be read; sumacfield_workers_leaving and _paused count them. Times of limits are those of the steady clock now.

--- a/bench/limits/fleet.ts
+++ b/bench/limits/fleet.ts
@@ -8,7 +8,8 @@
 import * as limiter from "../../src/serving/limiter.js";
 import * as limiterPlace from "../../src/serving/limiter-place.js";
 import * as limitRelay from "../../src/serving/limit-relay.js";
-import * as workerLimits from "../../src/serving/worker-limits.js";
+import * as notices from "../../src/serving/notices.js";
+import * as workerNotices from "../../src/serving/worker-notices.js";
 import * as fleet from "../caps/fleet.js";
 import * as wire from "../caps/wire.js";
 import type * as time from "../measure/time.js";
@@ -49,7 +50,7 @@
 /** One life of an entry daemon. */
 class Process {
   readonly wires: readonly wire.Wire[];
-  readonly limits: workerLimits.WorkerLimits;
+  readonly notices: workerNotices.WorkerNotices;
   private readonly shared: limiter.Limiter;
   private hosts: number | undefined;
   toldAt = Infinity;
@@ -63,11 +64,11 @@
     this.shared = new limiter.Limiter({
       clock: clk,
       log: record.silent,
-      totals: () => this.limits.totals(),
+      totals: () => this.notices.totals(),
       places: (_key, n) => this.wires.slice(0, n),
       hosts: () => this.hosts,
     });
-    this.limits = new workerLimits.WorkerLimits({
+    this.notices = new workerNotices.WorkerNotices({
       clock: clk,
       log: record.silent,
       limiter: this.shared,
@@ -96,9 +97,9 @@
   }
 
   private readonly part: wire.Host = {
-    greeting: (address) => [...this.limits.retold(() => true), ...this.shared.greeting(address)],
+    greeting: (address) => [...this.notices.retold(() => true), ...this.shared.greeting(address)],
     hear: (m, address) => {
-      if (m.kind === "limit") this.limits.learn(m, address);
+      if (m.kind === "limit") this.notices.learn(m, address);
     },
   };
 
@@ -197,7 +198,7 @@
     const { clk, random } = this;
     const at = this.serving(h);
     if (!at || at.hasEnded() || this.frozen.has(h)) return;
-    const permit = await at.limits.admit(WORKER);
+    const permit = await at.notices.admit(WORKER);
     if (permit.kind === "out") {
       this.elsewhere++;
       return;
@@ -209,7 +210,7 @@
       return;
     }
     const sentAt = clk.mono();
-    const knew = at.limits.of(WORKER.id) !== undefined;
+    const knew = at.notices.of(WORKER.id) !== undefined;
     await clk.wait(random() * CONNECT_MS);
     if (at.hasEnded()) return;
     const excusedUntil = this.excusedUntil.get(h) ?? -Infinity;
@@ -223,8 +224,9 @@
     await clk.wait(random() * WORK_MS);
     if (at.hasEnded()) return;
     if (perS !== undefined) at.toldAt = Math.min(at.toldAt, clk.mono());
-    const said = perS === undefined ? { kind: "none" as const } : { kind: "named" as const, perS };
-    at.limits.heard(WORKER, { request: "r", said, sentAt, ran: true });
+    const limit = perS === undefined ? notices.UNSAID : { kind: "said" as const, value: perS };
+    const notice = { ...notices.NOTHING, limit };
+    at.notices.heard(WORKER, { request: "r", notice, sentAt, ran: true });
   }
 
   /** Kills a host's process and starts another. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -18,7 +18,7 @@
 import * as sending from "./sending.js";
 import type * as suspects from "./suspects.js";
 import type * as upstream from "./upstream.js";
-import type * as workerLimits from "./worker-limits.js";
+import type * as workerNotices from "./worker-notices.js";
 
 export interface Options {
   readonly domain: string;
@@ -32,7 +32,7 @@
   /** Milliseconds since the catalog was as new as the store. */
   readonly newsAgeMs: () => number;
   readonly suspects: suspects.Suspects;
-  readonly limits: workerLimits.WorkerLimits;
+  readonly notices: workerNotices.WorkerNotices;
   /** Whether a request that was let in may still be sent, by its key. */
   readonly authenticate: sendChecks.Deps["authenticate"];
 }
@@ -187,7 +187,7 @@
     { endpoint }: choice.View,
     cut: AbortSignal,
   ): Promise<Granted | undefined> {
-    const permit = await this.deps.limits.admit(endpoint);
+    const permit = await this.deps.notices.admit(endpoint);
     if (permit.kind === "out") {
       p.limited++;
       p.comeBackMs = permit.waitMs;
@@ -196,7 +196,7 @@
       this.deps.log.info("A worker's limit lets a request in no more.", {
         request: a.meta.id,
         endpoint: endpoint.id,
-        perS: this.deps.limits.of(endpoint.id),
+        perS: this.deps.notices.of(endpoint.id),
         waitMs: Math.round(permit.waitMs),
       });
       return undefined;
@@ -217,4 +217,4 @@
   }
 }
 
-type Granted = Extract<workerLimits.Permit, { kind: "in" }>;
+type Granted = Extract<workerNotices.Permit, { kind: "in" }>;
--- a/src/serving/entry-host.ts
+++ b/src/serving/entry-host.ts
@@ -23,7 +23,7 @@
 import type * as retries from "./retries.js";
 import * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
-import * as workerLimits from "./worker-limits.js";
+import * as workerNotices from "./worker-notices.js";
 
 export interface Options {
   readonly host: string;
@@ -77,7 +77,7 @@
     shared.refresh();
     const ids = new Set([...at.endpoints.values()].map((e) => e.id));
     up.keep(ids);
-    limits.keep(ids);
+    notices.keep(ids);
   });
   const suspected = new suspects.Suspects({
     clock: deps.clock,
@@ -100,14 +100,14 @@
         suspected.hear(m, peer);
       },
       limit: (m, peer) => {
-        limits.learn(m, peer);
+        notices.learn(m, peer);
       },
       greeting: (address) => [
         ...suspected.retold(),
-        ...limits.retold((id) => known.tellers(id).some((l) => l.address === address)),
+        ...notices.retold((id) => known.tellers(id).some((l) => l.address === address)),
         ...shared.greeting(address),
       ],
-      limitedMs: (id) => limits.waitMs(id),
+      limitedMs: (id) => notices.waitMs(id),
       random: deps.random,
     },
     deps.clock,
@@ -115,13 +115,13 @@
   const shared: limiter.Limiter = new limiter.Limiter({
     clock: deps.clock,
     log: deps.log("limiter"),
-    totals: () => [...caps.totals(fed.catalog.config, opts.overdraft), ...limits.totals()],
+    totals: () => [...caps.totals(fed.catalog.config, opts.overdraft), ...notices.totals()],
     places: (key, n) => known.keepers(key, n),
     hosts: () => known.mostHosts(),
   });
-  const limits = new workerLimits.WorkerLimits({
+  const notices = new workerNotices.WorkerNotices({
     clock: deps.clock,
-    log: deps.log("limits"),
+    log: deps.log("notices"),
     limiter: shared,
     tell: (e, m) => {
       for (const l of known.tellers(e.id)) l.send(m);
@@ -144,7 +144,7 @@
       catalog: () => fed.catalog,
       newsAgeMs: () => fed.newsAgeMs,
       suspects: suspected,
-      limits,
+      notices,
       authenticate: ({ route, caller }) => {
         const { config } = fed.catalog;
         if (!config || !caller) return { kind: "open" };
@@ -176,7 +176,17 @@
     "Documents that could not be read.",
     () => fed.unreadable,
   );
-  figures.gauge("sumacfield_workers_limited", "Workers that name a limit.", () => limits.size);
+  figures.gauge("sumacfield_workers_limited", "Workers that name a limit.", () => notices.size);
+  figures.gauge(
+    "sumacfield_workers_leaving",
+    "Workers that say they leave.",
+    () => notices.leaving,
+  );
+  figures.gauge(
+    "sumacfield_workers_paused",
+    "Workers that want nothing from this host for now.",
+    () => notices.paused,
+  );
   figures.gauge(
     "sumacfield_requests_suspected",
     "Requests under which workers ended lately.",
--- a/src/serving/named-limits.ts
+++ b/src/serving/named-limits.ts
@@ -4,12 +4,7 @@
  * request was sent after the limit was last named. Pure.
  * @module
  */
-
-/** What an answer says of its worker's limit. */
-export type Said =
-  | { readonly kind: "named"; readonly perS: number }
-  | { readonly kind: "none" }
-  | { readonly kind: "unreadable"; readonly text: string };
+import type * as notices from "./notices.js";
 
 /** What is known of one worker's limit. */
 export interface Limit {
@@ -17,14 +12,14 @@
   readonly perS: number | undefined;
   /** Grows with each change; of two hosts' knowledge the higher one counts. */
   readonly version: number;
-  /** Monotonic ms at which it was last named, or withdrawn. */
+  /** Steady ms at which it was last named, or withdrawn. */
   readonly at: number;
 }
 
 /** One answer of a worker. */
 export interface Answer {
-  readonly said: Said;
-  /** Monotonic ms at which its request was sent, and at which it came. */
+  readonly said: notices.Said<number>;
+  /** Steady ms at which its request was sent, and at which it came. */
   readonly sentAt: number;
   readonly at: number;
   /** The worker ran the request: only then does silence mean that there is no limit. */
@@ -34,9 +29,9 @@
 /** What is known once an answer has come; the same value where it tells nothing new. */
 export function observe(known: Limit | undefined, a: Answer): Limit | undefined {
   switch (a.said.kind) {
-    case "named":
-      return named(known, a.said.perS, a);
-    case "none":
+    case "said":
+      return named(known, a.said.value, a);
+    case "unsaid":
       if (known?.perS === undefined || !a.ran || a.sentAt < known.at) return known;
       return { perS: undefined, version: known.version + 1, at: a.at };
     case "unreadable":
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -6,7 +6,7 @@
 import type * as http from "node:http";
 import type * as ask from "./ask.js";
 import type * as headers from "./headers.js";
-import type * as named from "./named-limits.js";
+import type * as notices from "./notices.js";
 
 /** What the system adds to a request that it sends to an endpoint. */
 export interface Marks {
@@ -46,8 +46,8 @@
   readonly notRun: (status: number, headers: headers.Headers) => boolean;
   /** Whether an answer bears an endpoint's signature. */
   readonly signed: (headers: headers.Headers) => boolean;
-  /** What an answer says of the requests a second that its worker takes from all hosts together. */
-  readonly limit: (headers: headers.Headers) => named.Said;
+  /** What an answer says of its worker. */
+  readonly notice: (status: number, headers: headers.Headers) => notices.Notice;
   /** Headers that tell a refused caller when to come back, in ms. */
   readonly comeBack: (ms: number) => Record<string, string>;
 }
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -22,7 +22,7 @@
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as watches from "./watch.js";
-import type * as workerLimits from "./worker-limits.js";
+import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -31,7 +31,7 @@
   readonly endpoints: endpoints.Endpoints;
   readonly upstream: upstream.Upstream;
   readonly suspects: suspects.Suspects;
-  readonly limits: workerLimits.WorkerLimits;
+  readonly notices: workerNotices.WorkerNotices;
   readonly checks: sendChecks.SendChecks;
   /** Milliseconds since the catalog was as new as the store. */
   readonly newsAgeMs: () => number;
@@ -57,12 +57,13 @@
   ): Promise<progress.Ending | undefined> {
     const { endpoint } = best.view;
     const sentAt = this.deps.clock.mono();
+    const startedAt = this.deps.clock.steady();
     const leftMs = Math.max(1, Math.floor(a.dueAt - sentAt));
     p.sends++;
     p.endpoint = endpoint.id;
     p.newsMs = Math.round(this.deps.newsAgeMs());
     this.deps.endpoints.sent(endpoint.id);
-    if (this.deps.limits.of(endpoint.id) !== undefined)
+    if (this.deps.notices.of(endpoint.id) !== undefined)
       this.deps.meters.limited(a.service.name, "sent");
     const marks = {
       instance: seat?.instance ?? endpoint.id,
@@ -75,7 +76,7 @@
     p.retryIsCharged = false;
     const mayGoOn = (): boolean => this.another(a, p) && this.deps.checks.mayBeRetried(a, p);
     const watch = watches.open(a, p, best, cut, { ...this.deps, mayGoOn });
-    const run: Run = { a, out, p, endpoint, seat, sentAt, cut, watch };
+    const run: Run = { a, out, p, endpoint, seat, sentAt, startedAt, cut, watch };
     try {
       const sent = await this.deps.upstream.send(a, endpoint, marks, watch.signal);
       return await this.sort(run, sent);
@@ -107,10 +108,11 @@
     }
   }
 
-  /** Takes note of what an answer says of its worker's limit. */
-  private heard({ a, endpoint, sentAt }: Run, sent: Exclude<upstream.Sent, Unknown>): void {
+  /** Takes note of what an answer says of its worker. */
+  private heard({ a, endpoint, startedAt }: Run, sent: Exclude<upstream.Sent, Unknown>): void {
+    const { notice } = sent;
     const ran = sent.kind === "answer" && sent.status < 500;
-    this.deps.limits.heard(endpoint, { request: a.meta.id, said: sent.limit, sentAt, ran });
+    this.deps.notices.heard(endpoint, { request: a.meta.id, notice, sentAt: startedAt, ran });
   }
 
   private note(r: Run, sentence: string): void {
@@ -246,7 +248,9 @@
   readonly p: progress.Progress;
   readonly endpoint: catalog.Endpoint;
   readonly seat: seeker.Granted | undefined;
+  /** Monotonic ms, and steady ms. */
   readonly sentAt: number;
+  readonly startedAt: number;
   readonly cut: AbortSignal;
   readonly watch: watches.Watch;
 }
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -8,7 +8,7 @@
 import type * as catalog from "./catalog.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
-import type * as named from "./named-limits.js";
+import * as notices from "./notices.js";
 import type * as protocol from "./protocol.js";
 
 /** What came of a send before any byte of it was passed on. */
@@ -19,14 +19,14 @@
       readonly status: number;
       readonly headers: headers.Headers;
       readonly body: exchange.Body;
-      readonly limit: named.Said;
+      readonly notice: notices.Notice;
     }
   /** It was not run and will not be. `absent`: the endpoint is not the one meant, or lacks the adapter. */
   | {
       readonly kind: "not_run";
       readonly why: string;
       readonly absent: boolean;
-      readonly limit: named.Said;
+      readonly notice: notices.Notice;
     }
   /** Nobody knows whether it ran. */
   | { readonly kind: "unknown"; readonly why: string };
@@ -44,7 +44,6 @@
 /** Bytes of headers that an endpoint may send. */
 const HEADER_BYTES = 65_536;
 const MISDIRECTED = 421;
-const UNSAID: named.Said = { kind: "none" };
 
 /** Codes of errors that arise before a connection stood, so that nothing was sent. */
 const UNCONNECTED = new Set([
@@ -144,7 +143,8 @@
     } catch (err) {
       const code = err instanceof Error && "code" in err ? String(err.code) : "";
       const why = err instanceof Error ? err.message : String(err);
-      if (UNCONNECTED.has(code)) return { kind: "not_run", why, absent: false, limit: UNSAID };
+      if (UNCONNECTED.has(code))
+        return { kind: "not_run", why, absent: false, notice: notices.NOTHING };
       return { kind: "unknown", why };
     }
     return this.sort(a, head, sent);
@@ -154,7 +154,7 @@
     const { status, headers } = head;
     const answered = this.wire.answered(headers);
     const claimsNotRun = this.wire.notRun(status, headers);
-    const limit = this.wire.limit(headers);
+    const notice = this.wire.notice(status, headers);
     if (answered !== a.meta.id && !(answered === undefined && claimsNotRun)) {
       // The bytes belong to another request; the connection cannot be trusted any more.
       body.drop();
@@ -163,13 +163,13 @@
     if (claimsNotRun) {
       await dump(body);
       const why = `status ${status}`;
-      return { kind: "not_run", why, absent: status === MISDIRECTED, limit };
+      return { kind: "not_run", why, absent: status === MISDIRECTED, notice };
     }
     if (status >= 200 && status < 300 && !this.wire.signed(headers)) {
       body.drop();
       return { kind: "unknown", why: "the answer bears no signature" };
     }
-    return { kind: "answer", status, headers, body, limit };
+    return { kind: "answer", status, headers, body, notice };
   }
 
   /**
--- a/src/serving/worker-limits.ts
+++ b/src/serving/worker-notices.ts
@@ -1,6 +1,6 @@
 /**
- * An entry daemon's part in keeping the limits that workers name: it learns of them from the answers that it passes on and
- * from other entry daemons, by way of endpoint daemons, and gives permits to send under what all hosts share of each.
+ * An entry daemon's part in heeding what workers say of themselves: it learns of it from the answers that it passes on and
+ * from other entry daemons, by way of endpoint daemons, and gives permits to send under the limits that all hosts share.
  *
  * The load that this answers is a worker in need that all hosts would go on sending to: each send, a retry too, takes one
  * request of the limit before it is made. In any window a worker then gets what flows in during the window, and what was
@@ -14,7 +14,9 @@
 import * as limiter from "./limiter.js";
 import * as relay from "./limit-relay.js";
 import type * as messages from "./limiter-messages.js";
+import * as availability from "./availability.js";
 import * as named from "./named-limits.js";
+import type * as notices from "./notices.js";
 
 /** Milliseconds for which a permit is good; after that it is asked for anew. */
 const GOOD_MS = 600;
@@ -42,7 +44,8 @@
 /** One answer of a worker, and the request that it belongs to. */
 export interface Heard {
   readonly request: string;
-  readonly said: named.Said;
+  readonly notice: notices.Notice;
+  /** Steady ms. */
   readonly sentAt: number;
   readonly ran: boolean;
 }
@@ -60,17 +63,19 @@
   | { readonly kind: "out"; readonly waitMs: number };
 
 interface Known {
-  readonly limit: named.Limit;
+  readonly at: availability.Availability;
   /** Requests a second that it named last. */
   readonly perS: number;
-  /** Monotonic ms from which this host sends freely again, where the limit was withdrawn. */
+  /** Steady ms from which this host sends freely again, where the limit was withdrawn. */
   readonly freeAt: number;
+  /** Steady ms at which it last said something of itself. */
+  readonly heardAt: number;
 }
 
-export class WorkerLimits {
+export class WorkerNotices {
   private readonly known = new Map<string, Known>();
-  /** Workers whose limit could not be read. */
-  private readonly unreadable = new Set<string>();
+  /** What workers said that could not be read: a worker's id and which of its notices it was. */
+  private readonly unreadable = new Map<string, Set<string>>();
   /** Monotonic ms until which a worker lets in nothing of this host, as last heard. */
   private readonly outUntil = new Map<string, number>();
 
@@ -78,15 +83,30 @@
 
   /** Workers that name a limit. */
   get size(): number {
-    return [...this.known.values()].filter((k) => k.limit.perS !== undefined).length;
+    return this.count((at) => at.limit?.perS !== undefined);
+  }
+
+  /** Workers that say that they leave. */
+  get leaving(): number {
+    return this.count((at) => at.leavingAt !== undefined);
+  }
+
+  /** Workers that want nothing from this host for now. */
+  get paused(): number {
+    const now = this.deps.clock.steady();
+    return this.count((at) => (at.pause?.until ?? 0) > now);
+  }
+
+  private count(isOne: (at: availability.Availability) => boolean): number {
+    return [...this.known.values()].filter((k) => isOne(k.at)).length;
   }
 
   /** Requests a second that a worker takes from all hosts together; undefined where this host sends freely. */
   of(id: string): number | undefined {
     const k = this.known.get(id);
-    if (!k) return undefined;
-    if (k.limit.perS !== undefined) return k.limit.perS;
-    return this.deps.clock.mono() < k.freeAt ? k.perS : undefined;
+    if (!k?.at.limit) return undefined;
+    if (k.at.limit.perS !== undefined) return k.at.limit.perS;
+    return this.deps.clock.steady() < k.freeAt ? k.perS : undefined;
   }
 
   /** Milliseconds until a worker's limit lets one more request in, as last heard; 0 where it does now or has none. */
@@ -124,55 +144,58 @@
 
   /** An answer of a worker came. */
   heard(e: catalog.Endpoint, h: Heard): void {
-    if (h.said.kind === "unreadable") this.unread(e, h, h.said.text);
-    const before = this.known.get(e.id)?.limit;
-    const after = named.observe(before, { ...h, at: this.deps.clock.mono() });
-    if (!after || after === before) return;
+    this.readable(e, h);
+    const now = this.deps.clock.steady();
+    const before = this.known.get(e.id)?.at ?? availability.UNKNOWN;
+    const after = availability.observe(before, { ...h, at: now });
+    if (after === before) return;
     this.note(e.id, after);
-    if (after.version === before?.version) return;
-    this.log(e.id, before, after, {
-      request: h.request,
-      sentMsAgo: Math.round(after.at - h.sentAt),
-    });
-    this.deps.tell(e, relay.messageOf(e.id, after));
+    const from = { request: h.request, sentMsAgo: Math.round(now - h.sentAt) };
+    this.log(e.id, before, after, from);
+    if (after.limit && after.limit.version !== before.limit?.version) {
+      this.deps.tell(e, relay.messageOf(e.id, after.limit));
+    }
   }
 
   /** Another entry daemon tells of a worker's limit. */
   learn(m: messages.Limit, peer: string): void {
-    const before = this.known.get(m.worker)?.limit;
-    const after = named.learn(before, m, this.deps.clock.mono());
-    if (after === before) return;
+    const before = this.known.get(m.worker)?.at ?? availability.UNKNOWN;
+    const limit = named.learn(before.limit, m, this.deps.clock.steady());
+    if (limit === before.limit) return;
+    const after = { ...before, limit };
     this.note(m.worker, after);
-    if (after.perS !== before?.perS) this.log(m.worker, before, after, { peer });
+    if (limit.perS !== before.limit?.perS) this.log(m.worker, before, after, { peer });
   }
 
   /** What is known of limits, for a daemon that has just been reached and is told of the workers that `isOf` picks. */
   retold(isOf: (id: string) => boolean): readonly messages.Limit[] {
     return [...this.known]
       .filter(([id]) => isOf(id))
-      .map(([id, k]) => relay.messageOf(id, k.limit));
+      .flatMap(([id, k]) => (k.at.limit ? [relay.messageOf(id, k.at.limit)] : []));
   }
 
   /** Forgets workers that are there no more; what is told of one may come before it is known here. */
   keep(ids: ReadonlySet<string>): void {
-    const now = this.deps.clock.mono();
-    for (const [id, { limit }] of this.known) {
-      if (ids.has(id) || now - limit.at < UNREGISTERED_MS) continue;
+    const now = this.deps.clock.steady();
+    for (const [id, { heardAt }] of this.known) {
+      if (ids.has(id) || now - heardAt < UNREGISTERED_MS) continue;
       for (const held of [this.known, this.outUntil, this.unreadable]) held.delete(id);
     }
   }
 
-  private note(id: string, limit: named.Limit): void {
+  private note(id: string, at: availability.Availability): void {
     const before = this.known.get(id);
-    const perS = limit.perS ?? before?.perS ?? 0;
-    const freeAt = limit.at + this.deps.random() * RELEASE_MS;
-    this.known.set(id, { limit, perS, freeAt });
-    if (limit.version !== before?.limit.version) this.deps.limiter.refresh();
+    const heardAt = this.deps.clock.steady();
+    const isChanged = at.limit?.version !== before?.at.limit?.version;
+    const perS = at.limit?.perS ?? before?.perS ?? 0;
+    const freeAt = isChanged ? heardAt + this.deps.random() * RELEASE_MS : (before?.freeAt ?? 0);
+    this.known.set(id, { at, perS, freeAt, heardAt });
+    if (isChanged) this.deps.limiter.refresh();
   }
 
   private total(id: string): messages.Total | undefined {
     const perS = this.of(id);
-    const version = this.known.get(id)?.limit.version;
+    const version = this.known.get(id)?.at.limit?.version;
     if (perS === undefined || version === undefined) return undefined;
     return {
       key: limiter.workerKey(id),
@@ -194,31 +217,50 @@
     };
   }
 
+  /** Logs what is new of a worker. */
   private log(
     endpoint: string,
-    before: named.Limit | undefined,
-    after: named.Limit,
+    before: availability.Availability,
+    after: availability.Availability,
     from: Readonly<Record<string, unknown>>,
   ): void {
-    const sentence =
-      after.perS === undefined ? "A worker's limit is withdrawn." : "A worker names a limit.";
-    this.deps.log.warn(sentence, {
-      endpoint,
-      perS: after.perS,
-      before: before?.perS,
-      version: after.version,
-      ...from,
-      namedMsAgo: before && Math.round(after.at - before.at),
-    });
-  }
-
-  private unread(e: catalog.Endpoint, h: Heard, text: string): void {
-    if (this.unreadable.has(e.id)) return;
-    this.unreadable.add(e.id);
-    this.deps.log.warn("A worker's limit cannot be read.", {
-      endpoint: e.id,
-      request: h.request,
-      text,
-    });
+    const { limit, leavingAt, pause } = after;
+    if (limit && limit.version !== before.limit?.version) {
+      const sentence =
+        limit.perS === undefined ? "A worker's limit is withdrawn." : "A worker names a limit.";
+      this.deps.log.warn(sentence, {
+        endpoint,
+        perS: limit.perS,
+        before: before.limit?.perS,
+        version: limit.version,
+        ...from,
+        namedMsAgo: before.limit && Math.round(limit.at - before.limit.at),
+      });
+    }
+    if (leavingAt !== before.leavingAt) {
+      this.deps.log.warn("A worker says that it leaves.", { endpoint, ...from });
+    }
+    if (pause && pause.until !== before.pause?.until) {
+      const forMs = Math.round(pause.until - this.deps.clock.steady());
+      const until = new Date(this.deps.clock.now().getTime() + forMs).toISOString();
+      this.deps.log.warn("A worker asks for a pause.", { endpoint, forMs, until, ...from });
+    }
+  }
+
+  /** Logs what an answer says that can't be read, once for each worker. */
+  private readable(e: catalog.Endpoint, h: Heard): void {
+    for (const [notice, said] of Object.entries(h.notice) as [string, notices.Said<unknown>][]) {
+      if (said.kind !== "unreadable") continue;
+      const told = this.unreadable.get(e.id) ?? new Set();
+      this.unreadable.set(e.id, told);
+      if (told.has(notice)) continue;
+      told.add(notice);
+      this.deps.log.warn("What a worker says of itself cannot be read.", {
+        endpoint: e.id,
+        notice,
+        request: h.request,
+        text: said.text,
+      });
+    }
   }
 }
--- /dev/null
+++ b/test/serving/availability.test.ts
@@ -0,0 +1,74 @@
+import * as chai from "chai";
+import * as wire from "../../platform/wire.js";
+import * as availability from "../../src/serving/availability.js";
+import * as notices from "../../src/serving/notices.js";
+
+const { expect } = chai;
+
+/** An answer that came at `at`, 10 ms after its request was sent. */
+function answer(at: number, said: Partial<notices.Notice>): availability.Answer {
+  return { notice: { ...notices.NOTHING, ...said }, sentAt: at - 10, at, ran: true };
+}
+
+const LEAVING: Partial<notices.Notice> = { leaving: { kind: "said", value: true } };
+
+const pausing = (value: number): Partial<notices.Notice> => ({
+  retryAfterMs: { kind: "said", value },
+});
+
+function after(...answers: readonly availability.Answer[]): availability.Availability {
+  return answers.reduce(availability.observe, availability.UNKNOWN);
+}
+
+describe("what is known of a worker that speaks of itself", () => {
+  it("is the same value where an answer tells nothing new", () => {
+    const known = after(answer(10, LEAVING));
+    expect(availability.observe(known, answer(20, {}))).equal(known);
+    expect(availability.observe(known, answer(20, LEAVING))).equal(known);
+  });
+
+  it("holds that it leaves, whatever later answers say", () => {
+    expect(after(answer(10, LEAVING), answer(20, {})).leavingAt).equal(10);
+  });
+
+  it("holds the pause that ends last", () => {
+    const until = after(answer(10, pausing(3000))).pause?.until ?? 0;
+    expect(until).within(3010, 3060);
+    expect(after(answer(10, pausing(3000)), answer(500, pausing(800))).pause?.until).equal(until);
+    const later = after(answer(10, pausing(3000)), answer(500, pausing(3000))).pause?.until;
+    expect(later).equal(until + 490);
+  });
+
+  it("holds no pause of no time", () => {
+    expect(after(answer(10, pausing(0)))).equal(availability.UNKNOWN);
+  });
+});
+
+describe("the headers in which workers speak of themselves", () => {
+  it("say that a worker leaves, with and without the platform's prefix", () => {
+    for (const name of ["server-leaving", "x-sumacfield-server-leaving"]) {
+      const { leaving } = wire.PROTOCOL.notice(200, { [name]: "1" });
+      expect(leaving).deep.equal({ kind: "said", value: true });
+    }
+    expect(wire.PROTOCOL.notice(200, { "server-leaving": "0" }).leaving.kind).equal("unsaid");
+    expect(wire.PROTOCOL.notice(200, { "server-leaving": "soon" }).leaving.kind).equal(
+      "unreadable",
+    );
+  });
+
+  it("ask for a pause in seconds, only with a 503", () => {
+    const { retryAfterMs } = wire.PROTOCOL.notice(503, { "retry-after": "1.5" });
+    expect(retryAfterMs).deep.equal({ kind: "said", value: 1500 });
+    for (const status of [200, 429, 500]) {
+      const { retryAfterMs } = wire.PROTOCOL.notice(status, { "retry-after": "3" });
+      expect(retryAfterMs.kind).equal("unsaid");
+    }
+  });
+
+  it("ask for nothing where they cannot be read", () => {
+    for (const text of ["", "-1", "soon", "1e3", "Thu, 03 Dec 2026 12:00:00 GMT"]) {
+      const { retryAfterMs } = wire.PROTOCOL.notice(503, { "retry-after": text });
+      expect(retryAfterMs).deep.equal({ kind: "unreadable", text });
+    }
+  });
+});
--- a/test/serving/dispatching.ts
+++ b/test/serving/dispatching.ts
@@ -16,7 +16,7 @@
 import type * as retries from "../../src/serving/retries.js";
 import * as suspects from "../../src/serving/suspects.js";
 import * as limiter from "../../src/serving/limiter.js";
-import * as workerLimits from "../../src/serving/worker-limits.js";
+import * as workerNotices from "../../src/serving/worker-notices.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
 
@@ -49,20 +49,20 @@
       greeting: () => suspected.retold(),
       random: () => 0,
       limit: (m, peer) => {
-        limits.learn(m, peer);
+        notices.learn(m, peer);
       },
-      limitedMs: (id) => limits.waitMs(id),
+      limitedMs: (id) => notices.waitMs(id),
     },
     clk,
   );
   const shared: limiter.Limiter = new limiter.Limiter({
     clock: clk,
     log: record.silent,
-    totals: () => limits.totals(),
+    totals: () => notices.totals(),
     places: (key, n) => known.keepers(key, n),
     hosts: () => known.mostHosts() ?? 1,
   });
-  const limits = new workerLimits.WorkerLimits({
+  const notices = new workerNotices.WorkerNotices({
     clock: clk,
     log: record.silent,
     limiter: shared,
@@ -91,14 +91,14 @@
       catalog: inForce,
       newsAgeMs: () => 0,
       suspects: suspected,
-      limits,
+      notices,
       authenticate,
       random: () => 0,
     },
   );
   return {
     known,
-    limits,
+    notices,
     dispatcher,
     suspects: suspected,
     close: (): void => {
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -7,6 +7,7 @@
 import type * as ask from "../../src/serving/ask.js";
 import type * as catalog from "../../src/serving/catalog.js";
 import type * as choice from "../../src/serving/choice.js";
+import * as notices from "../../src/serving/notices.js";
 import type * as protocol from "../../src/serving/protocol.js";
 import type * as residency from "../../src/serving/residency.js";
 import type * as seat from "../../src/serving/seat.js";
@@ -64,15 +65,21 @@
   answered: (h) => text(h["test-id"]),
   notRun: (status, h) => status === 421 || text(h["test-not-run"]) !== undefined,
   signed: (h) => text(h["test-signed"]) !== undefined,
-  limit: (h) => {
-    const said = text(h["test-limit"]);
-    if (said === undefined) return { kind: "none" };
-    const perS = Number(said);
-    return Number.isNaN(perS) ? { kind: "unreadable", text: said } : { kind: "named", perS };
-  },
+  notice: (status, h) => ({
+    limit: number(h["test-limit"]),
+    leaving: text(h["test-leaving"]) === "1" ? { kind: "said", value: true } : notices.UNSAID,
+    retryAfterMs: status === 503 ? number(h["test-retry-after-ms"]) : notices.UNSAID,
+  }),
   comeBack: (ms) => ({ "retry-after": String(ms / 1000) }),
 };
 
+function number(value: string | readonly string[] | undefined): notices.Said<number> {
+  const said = text(value);
+  if (said === undefined) return notices.UNSAID;
+  const n = Number(said);
+  return Number.isNaN(n) ? { kind: "unreadable", text: said } : { kind: "said", value: n };
+}
+
 function text(value: string | readonly string[] | undefined): string | undefined {
   return typeof value === "string" ? value : value?.[0];
 }
--- a/test/serving/limited.test.ts
+++ b/test/serving/limited.test.ts
@@ -5,6 +5,7 @@
 import type * as ask from "../../src/serving/ask.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as choice from "../../src/serving/choice.js";
+import type * as notices from "../../src/serving/notices.js";
 import type * as progress from "../../src/serving/progress.js";
 import * as dispatching from "./dispatching.js";
 import * as fixtures from "./fixtures.js";
@@ -73,7 +74,7 @@
   it("go to another worker at once when the limit is used up", async () => {
     const [a, b] = [await limited("w1", "1"), await limited("w2", undefined)];
     const made = open(a.endpoint, b.endpoint);
-    while (made.limits.size === 0) await serve(made);
+    while (made.notices.size === 0) await serve(made);
     const before = a.seen.arrivals;
     for (let n = 0; n < 60; n++) {
       expect((await serve(made)).status).equal(200);
@@ -113,7 +114,7 @@
     a.seen.limit = undefined;
     await timers.setTimeout(400);
     expect((await serve(made)).status).equal(200);
-    expect(made.limits.size).equal(0);
+    expect(made.notices.size).equal(0);
     const all = await Promise.all(Array.from({ length: 20 }, () => serve(made)));
     expect(all.map((e) => e.status)).deep.equal(new Array<number>(20).fill(200));
   });
@@ -129,8 +130,8 @@
     const a = await limited("w1", "0");
     const made = open(a.endpoint);
     await serve(made);
-    expect(made.limits.of("w1")).equal(0);
-    expect(made.limits.totals()[0]?.perS).above(0);
+    expect(made.notices.of("w1")).equal(0);
+    expect(made.notices.totals()[0]?.perS).above(0);
   });
 });
 
@@ -169,6 +170,9 @@
 });
 
 describe("the header that names a limit", () => {
+  const read = (headers: Readonly<Record<string, string>>): notices.Said<number> =>
+    wire.PROTOCOL.notice(200, headers).limit;
+
   it("is a decimal number, with and without the platform's prefix", () => {
     for (const [text, perS] of [
       ["1.4", 1.4],
@@ -176,15 +180,16 @@
       [" 12 ", 12],
       ["0.25", 0.25],
     ] as const) {
-      expect(wire.PROTOCOL.limit({ "server-limit": text })).deep.equal({ kind: "named", perS });
-      expect(wire.PROTOCOL.limit({ "x-sumacfield-server-limit": text }).kind).equal("named");
+      const said = { kind: "said", value: perS };
+      expect(read({ "server-limit": text })).deep.equal(said);
+      expect(read({ "x-sumacfield-server-limit": text })).deep.equal(said);
     }
-    expect(wire.PROTOCOL.limit({})).deep.equal({ kind: "none" });
+    expect(read({})).deep.equal({ kind: "unsaid" });
   });
 
   it("names nothing where it cannot be read", () => {
     for (const text of ["", "-1", "1e3", "some", "1,4", "NaN", "Infinity", "1.4 2"]) {
-      expect(wire.PROTOCOL.limit({ "server-limit": text })).deep.equal({
+      expect(read({ "server-limit": text })).deep.equal({
         kind: "unreadable",
         text,
       });
--- a/test/serving/named-limits.test.ts
+++ b/test/serving/named-limits.test.ts
@@ -1,13 +1,16 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
 import * as named from "../../src/serving/named-limits.js";
+import type * as notices from "../../src/serving/notices.js";
 
 const { expect } = chai;
 
-const saying = (perS: number): named.Said => ({ kind: "named", perS });
-const NONE: named.Said = { kind: "none" };
+type Said = notices.Said<number>;
 
-const answer = (said: named.Said, sentAt: number, at: number, ran = true): named.Answer => ({
+const saying = (value: number): Said => ({ kind: "said", value });
+const NONE: Said = { kind: "unsaid" };
+
+const answer = (said: Said, sentAt: number, at: number, ran = true): named.Answer => ({
   said,
   sentAt,
   at,
@@ -42,7 +45,7 @@
 
   it("is not withdrawn by a refusal, nor by a value that cannot be read", () => {
     expect(named.observe(KNOWN, answer(NONE, 150, 200, false))).equal(KNOWN);
-    const unread: named.Said = { kind: "unreadable", text: "some" };
+    const unread: Said = { kind: "unreadable", text: "some" };
     expect(named.observe(KNOWN, answer(unread, 150, 200))).equal(KNOWN);
     expect(named.observe(undefined, answer(unread, 150, 200))).equal(undefined);
   });
