Show that workers that leave or ask for a pause get more, from daemons as processes

Stand-in workers say in their answers that they leave, and ask for a pause where they turn requests away; bench/platform/notices.ts judges both rules from the workers' side.

What the stand-in workers share is a module of its own.

--- a/bench/platform/journal.ts
+++ b/bench/platform/journal.ts
@@ -27,6 +27,13 @@
   readonly instance: string;
   /** Requests a second that the worker named as its limit then. */
   readonly limitPerS: number | undefined;
+  /** The worker said that it leaves. */
+  readonly leaving: boolean;
+  /** The worker turned it away, and the milliseconds of the pause that it asked for. */
+  readonly sheds: boolean;
+  readonly pauseMs: number | undefined;
+  /** The worker was not the one meant, or had not the adapter. */
+  isMisdirected: boolean;
   readonly at: number;
 }
 
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -9,31 +9,8 @@
 import * as documents from "./documents.js";
 import type * as journals from "./journal.js";
 import * as servers from "./http.js";
+import * as base from "./worker-base.js";
 
-/** How a worker behaves. */
-export type Mood =
-  | "well"
-  /** Turns most of its requests away before it runs them. */
-  | "shedding"
-  /** Answers a part of its requests with its own failure. */
-  | "failing"
-  /** Takes requests and answers nothing. */
-  | "hanging"
-  /** Ten times as slow. */
-  | "slow"
-  /** Breaks a part of its answers off in the middle. */
-  | "breaking"
-  /** Sends a second answer after a part of its answers. */
-  | "doubling"
-  /** Runs a part of its requests, and their answers are lost. */
-  | "losing"
-  /** Leaves orders unanswered and carries them out later. */
-  | "late";
-
-/** Part of its requests or orders that a worker in a bad mood treats badly. */
-const BAD_PART = 0.4;
-/** Part of its requests that a worker turns away that sheds load. */
-const SHED_PART = 0.9;
 const SLOW_FACTOR = 10;
 /** Milliseconds after which an order that was not answered is carried out. */
 const LATE_MS = 2000;
@@ -42,136 +19,11 @@
 /** Events of a stream. */
 export const EVENTS = 5;
 
-/** A body that holds this text ends its worker some ms after it is begun. */
-export const FATAL = "ends its worker";
-/** Milliseconds from the begin of such a request to the worker's end. */
-const FATAL_MS = 10;
-
 /** The `n`th event of a stream. */
 export function event(id: string, adapter: string, version: number, n: number): string {
   return `id: ${n}\ndata: ${id} ${adapter}@${version} ${n} of ${EVENTS}\n\n`;
 }
 
-const one = (v: string | readonly string[] | undefined): string => String(v ?? "");
-
-function teamOf(req: http.IncomingMessage): string | undefined {
-  const team = req.headers["x-sumacfield-tenant"];
-  return team === undefined ? undefined : one(team);
-}
-
-abstract class Base {
-  mood: Mood = "well";
-  /** Requests a second that it names as its limit. */
-  limitPerS: number | undefined;
-  /** What it calls itself; a new start may have the name of the one before. */
-  name: string;
-  /** Unix ms of its start, where it tells it. */
-  born: number | undefined;
-  /** Called once a request has ended it. */
-  ended: () => void = () => undefined;
-  private isOver = false;
-  protected readonly listener = new servers.Listener((req, res) => this.answer(req, res));
-
-  constructor(
-    readonly service: string,
-    public instance: string,
-    protected readonly kept: journals.Journal,
-  ) {
-    this.name = instance;
-  }
-
-  get address(): string {
-    return this.listener.address;
-  }
-
-  async start(host?: string, port?: number): Promise<void> {
-    await this.listener.start(host, port);
-  }
-
-  /** Ends at once, as in a crash. */
-  stop(): void {
-    this.listener.stop();
-  }
-
-  protected abstract answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void>;
-
-  protected bad(): boolean {
-    return Math.random() < BAD_PART;
-  }
-
-  protected reject(res: http.ServerResponse, status: number, id: string): void {
-    const vouch = status === 421 ? {} : { "x-sumacfield-not-executed": "1" };
-    const said = { "x-sumacfield-attempt-id": id, ...this.limit() };
-    res.writeHead(status, { ...said, "content-length": 0, ...vouch });
-    res.end();
-  }
-
-  /** Writes down that a request arrived; whether it was turned away at once. */
-  protected turnsAway(res: http.ServerResponse, id: string): boolean {
-    const { service, instance, limitPerS } = this;
-    this.kept.arrivals.push({ id, service, instance, limitPerS, at: performance.now() });
-    if (this.mood !== "shedding" || Math.random() >= SHED_PART) return false;
-    this.reject(res, 503, id);
-    return true;
-  }
-
-  /** Writes a run down; it ends with its connection. */
-  protected begin(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    adapter: string,
-    version: number,
-  ): journals.Run {
-    const run: journals.Run = {
-      id: one(req.headers["x-sumacfield-attempt-id"]),
-      service: this.service,
-      instance: this.instance,
-      adapter,
-      version,
-      leftMs: Number(one(req.headers["x-sumacfield-deadline-ms"])),
-      team: teamOf(req),
-      sawKey: req.headers.authorization !== undefined,
-      at: performance.now(),
-      endedAt: undefined,
-    };
-    this.kept.runs.push(run);
-    res.once("close", () => {
-      run.endedAt = performance.now();
-    });
-    return run;
-  }
-
-  protected signed(id: string): Record<string, string> {
-    const signature = { "x-sumacfield-server-signature": this.instance };
-    return { "x-sumacfield-attempt-id": id, ...signature, ...this.limit() };
-  }
-
-  private limit(): Record<string, string> {
-    return this.limitPerS === undefined ? {} : { "server-limit": String(this.limitPerS) };
-  }
-
-  /** Ends the worker where the request that it begins to run is such a one; whether it did. */
-  protected async endsUnder(run: journals.Run, body: string): Promise<boolean> {
-    if (!body.includes(FATAL)) return false;
-    await timers.setTimeout(FATAL_MS);
-    if (this.isOver) return true;
-    this.isOver = true;
-    this.kept.crashes.push({ id: run.id, body, instance: this.instance, at: performance.now() });
-    this.stop();
-    this.ended();
-    return true;
-  }
-
-  /** Sends a second answer that belongs to no request. */
-  protected double(res: http.ServerResponse): void {
-    const { socket } = res;
-    res.once("finish", () => {
-      const extra = "HTTP/1.1 200 OK\r\nx-sumacfield-attempt-id: other\r\n";
-      socket?.write(`${extra}x-sumacfield-server-signature: x\r\ncontent-length: 1\r\n\r\nx`);
-    });
-  }
-}
-
 interface Held {
   version: number;
   ready: boolean;
@@ -180,7 +32,7 @@
 }
 
 /** A model worker with some slots for adapters, of which it holds none at its start. */
-export class Engine extends Base {
+export class Engine extends base.Base {
   readonly held = new Map<string, Held>();
   /** Milliseconds between two events. */
   eventMs = 5;
@@ -283,15 +135,19 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
-    const id = one(req.headers["x-sumacfield-attempt-id"]);
-    if (this.turnsAway(res, id)) return;
-    const [, adapter = ""] = one(req.headers["x-sumacfield-model"]).split("/");
+    const id = base.one(req.headers["x-sumacfield-attempt-id"]);
+    const arrival = this.arrived(id);
+    if (arrival.sheds) {
+      this.shed(res, arrival);
+      return;
+    }
+    const [, adapter = ""] = base.one(req.headers["x-sumacfield-model"]).split("/");
     const h = this.held.get(adapter);
     const version = req.headers["x-sumacfield-expect-version"];
     const meant = req.headers["x-sumacfield-expect-instance"];
     const other = version !== undefined && Number(version) !== h?.version;
     if ((meant !== undefined && meant !== this.name) || !h?.ready || other) {
-      this.reject(res, 421, id);
+      this.misdirected(res, arrival);
       return;
     }
     if (h.closing) {
@@ -330,7 +186,7 @@
     res.writeHead(200, { ...this.signed(run.id), "content-type": "text/event-stream" });
     const usual = run.adapter === this.slow?.adapter ? this.slow.eventMs : this.eventMs;
     const ms = usual * (mood === "slow" ? SLOW_FACTOR : 1);
-    const from = Number(one(req.headers["last-event-id"]) || 0) + 1;
+    const from = Number(base.one(req.headers["last-event-id"]) || 0) + 1;
     const due = run.at + run.leftMs;
     for (let n = from; n <= EVENTS; n++) {
       await timers.setTimeout(ms);
@@ -349,7 +205,7 @@
 }
 
 /** A plain worker, whose answer names the request and its body. */
-export class Plain extends Base {
+export class Plain extends base.Base {
   /** Milliseconds that a call takes. */
   callMs = 15;
 
@@ -360,11 +216,15 @@
       return;
     }
     const body = await servers.text(req);
-    const id = one(req.headers["x-sumacfield-attempt-id"]);
-    if (this.turnsAway(res, id)) return;
+    const id = base.one(req.headers["x-sumacfield-attempt-id"]);
+    const arrival = this.arrived(id);
+    if (arrival.sheds) {
+      this.shed(res, arrival);
+      return;
+    }
     const meant = req.headers["x-sumacfield-expect-instance"];
     if (meant !== undefined && meant !== this.name) {
-      this.reject(res, 421, id);
+      this.misdirected(res, arrival);
       return;
     }
     const run = this.begin(req, res, "", 0);
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -6,7 +6,7 @@
 import * as timers from "node:timers/promises";
 import * as undici from "undici";
 import * as documents from "../platform/documents.js";
-import * as workers from "../platform/worker.js";
+import * as bases from "../platform/worker-base.js";
 import type * as history from "./history.js";
 import * as teams from "./teams.js";
 
@@ -81,7 +81,7 @@
   const id = w.nextId();
   const key = w.key();
   const { fatal } = wish;
-  const body = fatal === undefined ? `body of ${id}` : `${fatal} ${workers.FATAL}`;
+  const body = fatal === undefined ? `body of ${id}` : `${fatal} ${bases.FATAL}`;
   const sentAt = performance.now();
   const gone = new AbortController();
   const leaveMs = wish.leaveMs ?? wish.waitMs + BORNE_MS;
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as timers from "node:timers/promises";
+import type * as bases from "../platform/worker-base.js";
 import * as workers from "../platform/worker.js";
 import * as caller from "./caller.js";
 import type * as daemons from "./daemon.js";
@@ -104,7 +105,7 @@
   };
 }
 
-function mood(m: workers.Mood): Fault {
+function mood(m: bases.Mood): Fault {
   return {
     name: `worker ${m}`,
     lasts: [500, 4000],
--- a/test/platform/crashing.test.ts
+++ b/test/platform/crashing.test.ts
@@ -3,7 +3,7 @@
 import * as path from "node:path";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
-import * as workers from "../../bench/platform/worker.js";
+import * as bases from "../../bench/platform/worker-base.js";
 import * as quarantine from "../../src/serving/quarantine.js";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
@@ -43,7 +43,7 @@
   async function repeat(at: string, attempts: number): Promise<readonly number[]> {
     const statuses: number[] = [];
     for (let n = 0; n < attempts; n++) {
-      statuses.push(await ask(`fatal${at}${n}`, n, at, `${workers.FATAL} ${at}`));
+      statuses.push(await ask(`fatal${at}${n}`, n, at, `${bases.FATAL} ${at}`));
       await timers.setTimeout(PAUSE_MS);
     }
     return statuses;
--- /dev/null
+++ b/test/platform/notices.test.ts
@@ -0,0 +1,122 @@
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as notices from "../../bench/platform/notices.js";
+import * as daemons from "../../bench/soak/daemon.js";
+import * as soak from "../../bench/soak/site.js";
+import * as asking from "./asking.js";
+
+const { expect } = chai;
+
+const MAIN = path.join(import.meta.dirname, "../../deploy/launch.cjs");
+/** Milliseconds between two requests to each service. */
+const EVERY_MS = 25;
+const ENTRIES = 3;
+/** Adapters, few enough that each engine may hold them all. */
+const ADAPTERS = 3;
+/** Milliseconds within which a request is answered that can't be served. */
+const AT_ONCE_MS = 400;
+
+/** Entry and endpoint daemons as processes, before two engines and two plain workers. */
+describe("a worker that speaks of itself", () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
+  const faults: string[] = [];
+  const size = { entries: ENTRIES, engines: 2, plain: 2 };
+  let site: soak.Site;
+  let runs = 0;
+
+  const ask = (id: string, n: number, at: string): Promise<asking.Answer> =>
+    asking.answer(site, { id, entry: n, at, body: "ordinary", adapter: `a${n % ADAPTERS}` });
+
+  async function untilServed(at: string): Promise<void> {
+    for (let n = 0, served = 0; served < 2 * ENTRIES; n++) {
+      if (n > 200) throw new Error("it was not served");
+      served = (await ask(`first${at}${n}`, n, at)).status === 200 ? served + 1 : 0;
+    }
+  }
+
+  /** An engine and a plain worker. */
+  function two(): readonly soak.Place[] {
+    return [0, size.engines].flatMap((i) => site.places[i] ?? []);
+  }
+
+  /** Requests to both services for `ms`; `during` runs beside them. */
+  async function load(ms: number, during?: () => Promise<void>): Promise<readonly asking.Answer[]> {
+    const run = runs++;
+    const answers: Promise<asking.Answer>[] = [];
+    const beside = during?.();
+    for (let at = 0, n = 0; at < ms; at += EVERY_MS, n++) {
+      for (const path of ["/s/", "/c/"]) answers.push(ask(`${run}${path}${n}`, n, path));
+      await timers.setTimeout(EVERY_MS);
+    }
+    await beside;
+    return Promise.all(answers);
+  }
+
+  const served = (answers: readonly asking.Answer[]): number =>
+    answers.filter((a) => a.status === 200).length / answers.length;
+
+  const late = (answers: readonly asking.Answer[]): readonly string[] =>
+    notices.reachedLeaving(
+      site.kept.arrivals,
+      asking.sent(answers),
+      asking.told(answers),
+      daemons.DRAIN_MS,
+    );
+
+  beforeEach(async () => {
+    site = new soak.Site(size, MAIN, folder, (what) => faults.push(what));
+    await site.start();
+    await untilServed("/s/");
+    await untilServed("/c/");
+  });
+
+  afterEach(async () => {
+    await site.stop();
+  });
+
+  after(() => {
+    fs.rmSync(folder, { recursive: true });
+  });
+
+  it("gets nothing more once it has said that it leaves, though the store is out", async () => {
+    site.store.faults.mode = "busy";
+    for (const p of two()) p.worker.leaving = true;
+    const answers = await load(6000);
+    expect(late(answers)).deep.equal([]);
+    expect(served(answers)).above(0.99);
+    expect(faults).deep.equal([]);
+  }).timeout(40_000);
+
+  it("gets two requests at most from each host within a pause that it asked that host for", async () => {
+    for (const { worker } of site.places) {
+      worker.mood = "shedding";
+      worker.shedPart = 0.5;
+      worker.pauseS = 1.5;
+    }
+    const answers = await load(6000);
+    expect(notices.reachedPaused(site.kept.arrivals, asking.sent(answers))).deep.equal([]);
+    expect([...new Set(answers.map((a) => a.status))].sort()).deep.equal([200, 503]);
+    expect(faults).deep.equal([]);
+  }).timeout(40_000);
+
+  it("is left alone by all where all ask for a pause, and callers are told at once until when", async () => {
+    for (const { worker } of site.places) {
+      worker.mood = "shedding";
+      worker.shedPart = 1;
+      worker.pauseS = 2.5;
+    }
+    const answers = await load(6000);
+    expect(notices.reachedPaused(site.kept.arrivals, asking.sent(answers))).deep.equal([]);
+    const first = answers[0]?.sentAt ?? 0;
+    const refused = answers.filter((a) => a.sentAt > first + 1000 && a.sentAt < first + 2000);
+    expect([...new Set(refused.map((a) => a.status))]).deep.equal([503]);
+    expect(Math.max(...refused.map((a) => a.endedAt - a.sentAt))).below(AT_ONCE_MS);
+    for (const a of refused) {
+      const backAt = a.endedAt + (a.retryAfterMs ?? 0);
+      expect(backAt).within(first + 2400, first + 4000);
+    }
+  }).timeout(40_000);
+});
