Decide whether a request is sent when its first byte is written

What callers saw: nothing yet, by chance. A request was checked (its endpoint in use, its key, quarantine, limit, retry budget) once it had a seat, and could then wait for a connection: up to 0.7 s for a new one, and without a bound where all of a pool are in use. Cause: the decision was acted on after what it rests on had changed.

Now the HTTP client asks when it has a connection and is about to write. What is withheld goes elsewhere or is refused, gives its seat, permit and retry back, and leaves the connection to the next request. What was not begun is known not to have run, by that and no longer by a list of error codes.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -155,11 +155,18 @@
   },
   {
     name: "whether an endpoint leaves is asked last before a send",
-    file: "serving/dispatch.js",
-    find: "if (!catalog.isInUse(this.deps.catalog(), best.view.endpoint))",
+    file: "serving/send-checks.js",
+    find: "if (!catalog.isInUse(this.deps.catalog(), e))",
     put: "if (false)",
     proof: "gets no request that waited for a seat while its daemon fell silent",
   },
+  {
+    name: "a request that waited for a connection is checked before it is written",
+    file: "serving/exchange.js",
+    find: "if (!this.mayStart())",
+    put: "if (false)",
+    proof: "goes to another worker when the one that it waits for begins to leave",
+  },
   {
     name: "a removal that comes with a leaving mark is sure",
     file: "serving/feed.js",
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -7,7 +7,6 @@
 import * as clock from "../host/clock.js";
 import type * as admission from "./admission.js";
 import type * as ask from "./ask.js";
-import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
 import type * as meters from "./meters.js";
@@ -39,8 +38,8 @@
 
 /** Milliseconds left below which a further send makes no sense. */
 const LEAST_MS = 20;
-/** Times that a request asks for permits under workers' limits in vain. */
-const LIMITED = 6;
+/** Times that a request is withheld from a worker that was chosen for it. */
+const WITHHELD = 6;
 const SERVE: admission.Verdict = { kind: "serve" };
 const SEATLESS: seeker.Found = { kind: "seatless" };
 
@@ -126,7 +125,7 @@
       const left = a.dueAt - this.deps.clock.mono();
       if (left < LEAST_MS) return this.giveUp(a, out, p, true);
       if (p.runs > 0 && p.runs >= a.route.attempts) return this.giveUp(a, out, p, false);
-      if (p.limited > LIMITED) return this.giveUp(a, out, p, false);
+      if (p.withheld > WITHHELD) return this.giveUp(a, out, p, false);
       if (p.sends >= sending.SENDS) return this.giveUp(a, out, p, false);
       if (this.checks.isQuarantined(a, p)) return this.giveUp(a, out, p, false);
       const best = await this.seeker.pick(a, p, cut);
@@ -153,26 +152,7 @@
         continue;
       }
       const seat = found.kind === "seat" ? found.seat : undefined;
-      // Asked last, for requests with and without a seat: a wait for one lasts as long as the request may, and
-      // an endpoint may begin to leave, or start anew, meanwhile; its daemon goes when its host does.
-      if (!catalog.isInUse(this.deps.catalog(), best.view.endpoint)) {
-        seat?.over("left");
-        permit.giveBack();
-        p.tried.add(best.view.endpoint.id);
-        continue;
-      }
-      if (!permit.isGood()) {
-        seat?.over("left");
-        permit.giveBack();
-        p.limited++;
-        continue;
-      }
-      if (!this.checks.mayBeSent(a, p)) {
-        seat?.over("left");
-        permit.giveBack();
-        return this.giveUp(a, out, p, false);
-      }
-      const end = await this.sender.send(a, out, p, best, seat, cut);
+      const end = await this.sender.send(a, out, p, best, { seat, permit }, cut);
       if (end) return end;
     }
   }
@@ -186,10 +166,10 @@
     p: progress.Progress,
     { endpoint }: choice.View,
     cut: AbortSignal,
-  ): Promise<Granted | undefined> {
+  ): Promise<workerNotices.Granted | undefined> {
     const permit = await this.deps.notices.admit(endpoint);
     if (permit.kind === "out") {
-      p.limited++;
+      p.withheld++;
       p.comeBackMs = permit.waitMs;
       p.why = `${endpoint.id} is at the limit that it names`;
       this.deps.meters.limited(a.service.name, "elsewhere");
@@ -216,5 +196,3 @@
     return ending.giveUp(this.deps.clock, a, out, p, late);
   }
 }
-
-type Granted = Extract<workerNotices.Permit, { kind: "in" }>;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -27,6 +27,13 @@
 /** Why an exchange ends that its own side gave up. */
 const GIVEN_UP = "the request was given up";
 
+/** A request was withheld when it could have been written. */
+export class WithheldError extends Error {
+  constructor() {
+    super("the request was withheld");
+  }
+}
+
 export class Exchange implements undici.Dispatcher.DispatchHandler, Body {
   private controller: undici.Dispatcher.DispatchController | undefined;
   private take: Take | undefined;
@@ -36,6 +43,7 @@
   private resolveHead: (head: Head) => void = () => undefined;
   private rejectHead: (err: Error) => void = () => undefined;
   private finish: ((err: Error | undefined) => void) | undefined;
+  private started = false;
   private readonly stop = (): void => {
     this.drop();
   };
@@ -43,8 +51,14 @@
   /** Resolves once the head of the answer came; rejects when there is none. */
   readonly head: Promise<Head>;
 
-  /** An abort of `signal` closes the connection, so that the endpoint stops. */
-  constructor(private readonly signal: AbortSignal) {
+  /**
+   * An abort of `signal` closes the connection, so that the endpoint stops. `mayStart` is asked once a connection is there,
+   * right before the first byte is written.
+   */
+  constructor(
+    private readonly signal: AbortSignal,
+    private readonly mayStart: () => boolean,
+  ) {
     this.head = new Promise((resolve, reject) => {
       this.resolveHead = resolve;
       this.rejectHead = reject;
@@ -53,9 +67,17 @@
     else signal.addEventListener("abort", this.stop, { once: true });
   }
 
+  /** Whether anything of the request may have been written. */
+  get isStarted(): boolean {
+    return this.started;
+  }
+
+  /** Throws where the request is not to be written; its connection is used for the next one. */
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    if (this.over) throw new Error(GIVEN_UP);
+    if (!this.mayStart()) throw new WithheldError();
     this.controller = controller;
-    if (this.over) controller.abort(new Error(GIVEN_UP));
+    this.started = true;
   }
 
   onResponseStart(
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -33,8 +33,8 @@
   readonly tried: Set<string>;
   /** Engines that sent it back at once for their queue. */
   readonly diverted: Set<string>;
-  /** Times that it asked in vain for a permit under a worker's limit. */
-  limited: number;
+  /** Times that it got no permit to be sent to a worker, or was withheld though it had one. */
+  withheld: number;
   /** All workers that could run it are at the limits that they name. */
   isAtLimits: boolean;
   /** Times that it left an engine's queue for a shorter one. */
@@ -69,7 +69,7 @@
     runs: 0,
     tried: new Set(),
     diverted: new Set(),
-    limited: 0,
+    withheld: 0,
     isAtLimits: false,
     moves: 0,
     waitsFrom: a.arrivedAt,
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -1,19 +1,23 @@
 /**
- * Whether a request that was let in may be sent to an endpoint now: much may have been learnt of it while it waited.
+ * Whether a request may be sent to the endpoint that was chosen for it. It may have waited for its turn, a seat or a
+ * connection since it was chosen, and much may have been learnt meanwhile, so this is asked right before it is written.
  * @module
  */
 import type * as record from "../host/record.js";
 import type * as ask from "./ask.js";
 import type * as authentication from "./authentication.js";
+import * as catalog from "./catalog.js";
 import type * as endpoints from "./endpoints.js";
 import * as identity from "./identity.js";
 import type * as meters from "./meters.js";
 import type * as progress from "./progress.js";
 import type * as retries from "./retries.js";
 import type * as suspects from "./suspects.js";
+import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
   readonly log: record.Log;
+  readonly catalog: () => catalog.Catalog;
   readonly meters: meters.Meters;
   readonly endpoints: Pick<endpoints.Endpoints, "mostHosts">;
   readonly suspects: suspects.Suspects;
@@ -23,16 +27,29 @@
 
 const UNAUTHORIZED = 401;
 
+/** Why a request is not sent: another endpoint may serve it, or none may. */
+export type Held = "elsewhere" | "refused";
+
 export class SendChecks {
   constructor(
     private readonly budget: retries.Budget,
     private readonly deps: Deps,
   ) {}
 
-  /** Whether a request may be sent now; a further send counts against the retry budget. */
-  mayBeSent(a: ask.Ask, p: progress.Progress): boolean {
-    if (!this.isStillLetIn(a, p) || this.isQuarantined(a, p)) return false;
-    return p.sends === 0 || this.mayBeRetried(a, p);
+  /** Why a request is not to be sent to an endpoint now; a further send counts against the retry budget. */
+  held(
+    a: ask.Ask,
+    p: progress.Progress,
+    e: catalog.Endpoint,
+    permit: Pick<workerNotices.Granted, "isGood">,
+  ): Held | undefined {
+    if (!catalog.isInUse(this.deps.catalog(), e)) {
+      p.tried.add(e.id);
+      return "elsewhere";
+    }
+    if (!permit.isGood()) return "elsewhere";
+    if (!this.isStillLetIn(a, p) || this.isQuarantined(a, p)) return "refused";
+    return p.sends === 0 || this.mayBeRetried(a, p) ? undefined : "refused";
   }
 
   /** Whether the retry budget allows one more send, which is charged once. */
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -16,6 +16,7 @@
 import * as identity from "./identity.js";
 import type * as link from "./link.js";
 import type * as meters from "./meters.js";
+import type * as notices from "./notices.js";
 import type * as sendChecks from "./send-checks.js";
 import type * as progress from "./progress.js";
 import type * as seeker from "./seeker.js";
@@ -42,6 +43,8 @@
 /** Endpoints that one request is sent to at most, counting those that did not run it. */
 export const SENDS = 4;
 const SERVED = 200;
+/** The first status that says that a request failed at its worker. */
+const FAILED = 500;
 
 export class Sender {
   constructor(private readonly deps: Deps) {}
@@ -52,19 +55,15 @@
     out: progress.Outlet,
     p: progress.Progress,
     best: choice.Estimate,
-    seat: seeker.Granted | undefined,
+    leave: Leave,
     cut: AbortSignal,
   ): Promise<progress.Ending | undefined> {
     const { endpoint } = best.view;
+    const { seat, permit } = leave;
     const sentAt = this.deps.clock.mono();
-    const startedAt = this.deps.clock.steady();
     const leftMs = Math.max(1, Math.floor(a.dueAt - sentAt));
-    p.sends++;
     p.endpoint = endpoint.id;
-    p.newsMs = Math.round(this.deps.newsAgeMs());
     this.deps.endpoints.sent(endpoint.id);
-    if (this.deps.notices.of(endpoint.id) !== undefined)
-      this.deps.meters.limited(a.service.name, "sent");
     const marks = {
       instance: seat?.instance ?? endpoint.id,
       version: seat?.version,
@@ -73,46 +72,91 @@
       resumeAfter: p.lastId,
       team: a.caller?.team.name,
     };
-    p.retryIsCharged = false;
     const mayGoOn = (): boolean => this.another(a, p) && this.deps.checks.mayBeRetried(a, p);
     const watch = watches.open(a, p, best, cut, { ...this.deps, mayGoOn });
-    const run: Run = { a, out, p, endpoint, seat, sentAt, startedAt, cut, watch };
+    const run: Run = { a, out, p, endpoint, leave, sentAt, cut, watch, held: undefined };
+    const mayStart = (): boolean => {
+      run.held = this.deps.checks.held(a, p, endpoint, permit);
+      if (run.held === undefined) this.started(run);
+      return run.held === undefined;
+    };
     try {
-      const sent = await this.deps.upstream.send(a, endpoint, marks, watch.signal);
+      const sent = await this.deps.upstream.send(a, endpoint, marks, watch.signal, mayStart);
       return await this.sort(run, sent);
     } finally {
       watch.end();
     }
   }
 
+  /** A request is written now. */
+  private started(r: Run): void {
+    const { a, p, endpoint } = r;
+    r.sentAt = this.deps.clock.mono();
+    r.startedAt = this.deps.clock.steady();
+    p.sends++;
+    p.newsMs = Math.round(this.deps.newsAgeMs());
+    p.retryIsCharged = false;
+    if (this.deps.notices.of(endpoint.id) !== undefined)
+      this.deps.meters.limited(a.service.name, "sent");
+  }
+
   private sort(
     run: Run,
     sent: upstream.Sent,
   ): Promise<progress.Ending | undefined> | progress.Ending | undefined {
-    const { p, endpoint } = run;
-    if (sent.kind !== "unknown") this.heard(run, sent);
+    const { p } = run;
     switch (sent.kind) {
+      case "withheld":
+        return this.withheld(run);
+      case "unsent":
+        this.unsent(run, sent.why);
+        return undefined;
       case "not_run":
-        p.why = `${endpoint.id} did not run it: ${sent.why}`;
-        p.tried.add(endpoint.id);
-        p.waitsFrom = this.deps.clock.mono();
+        this.heard(run, sent.notice, false);
+        this.notRun(run, sent.why);
         this.over(run, sent.absent ? "absent" : "not_run", sent.absent ? undefined : false);
-        this.note(run, "It was not run there.");
         return undefined;
       case "unknown":
         p.runs++;
         return this.brokeOff(run, sent.why);
       case "answer":
+        this.heard(run, sent.notice, sent.status < FAILED);
         p.runs++;
         return this.pass(run, sent);
     }
   }
 
+  /** It was not to be sent any more, once it could have been. */
+  private withheld(r: Run): progress.Ending | undefined {
+    const { a, out, p } = r;
+    r.leave.permit.giveBack();
+    this.over(r, "left", undefined);
+    p.withheld++;
+    if (r.held === "elsewhere") return undefined;
+    return ending.giveUp(this.deps.clock, a, out, p, false);
+  }
+
+  /** Nothing of it was sent, since no connection came about or it was given up before. */
+  private unsent(r: Run, why: string): void {
+    const isOurs = r.out.gone.aborted || r.cut.aborted;
+    r.leave.permit.giveBack();
+    r.p.sends++;
+    this.notRun(r, why);
+    this.over(r, isOurs ? "left" : "not_run", isOurs ? undefined : false);
+  }
+
+  private notRun(r: Run, why: string): void {
+    const { p, endpoint } = r;
+    p.why = `${endpoint.id} did not run it: ${why}`;
+    p.tried.add(endpoint.id);
+    p.waitsFrom = this.deps.clock.mono();
+    this.note(r, "It was not run there.");
+  }
+
   /** Takes note of what an answer says of its worker. */
-  private heard({ a, endpoint, startedAt }: Run, sent: Exclude<upstream.Sent, Unknown>): void {
-    const { notice } = sent;
-    const ran = sent.kind === "answer" && sent.status < 500;
-    this.deps.notices.heard(endpoint, { request: a.meta.id, notice, sentAt: startedAt, ran });
+  private heard({ a, endpoint, startedAt }: Run, notice: notices.Notice, ran: boolean): void {
+    const sentAt = startedAt ?? this.deps.clock.steady();
+    this.deps.notices.heard(endpoint, { request: a.meta.id, notice, sentAt, ran });
   }
 
   private note(r: Run, sentence: string): void {
@@ -125,7 +169,7 @@
   }
 
   private over(r: Run, how: Parameters<link.Seat["over"]>[0], good: boolean | undefined): void {
-    r.seat?.over(how);
+    r.leave.seat?.over(how);
     const tookMs = how === "whole" ? this.deps.clock.mono() - r.sentAt : undefined;
     this.deps.endpoints.done(r.endpoint.id, good, tookMs);
   }
@@ -168,7 +212,7 @@
 
   private async pass(r: Run, sent: Answer): Promise<progress.Ending | undefined> {
     const { a, p } = r;
-    if (sent.status >= 500 && catalog.repeatable(a.route) && this.another(a, p)) {
+    if (sent.status >= FAILED && catalog.repeatable(a.route) && this.another(a, p)) {
       await upstream.dump(sent.body);
       return this.broke(r, `status ${sent.status}`);
     }
@@ -191,7 +235,7 @@
     }
     if (p.begun) return this.broke(r, `status ${sent.status} instead of the rest of a stream`);
     p.firstAt = this.deps.clock.mono();
-    const failed = sent.status >= 500;
+    const failed = sent.status >= FAILED;
     this.over(r, failed ? "failed" : "whole", !failed);
     this.deps.suspects.ran(a);
     out.answer(sent.status, sent.headers, body);
@@ -217,7 +261,7 @@
         if (first) {
           first = false;
           r.watch.answered();
-          r.seat?.began(this.deps.clock.mono() - r.sentAt);
+          r.leave.seat?.began(this.deps.clock.mono() - r.sentAt);
         }
         if (!p.begun) {
           p.begun = true;
@@ -238,21 +282,30 @@
   }
 }
 
-type Unknown = Extract<upstream.Sent, { kind: "unknown" }>;
 type Answer = Extract<upstream.Sent, { kind: "answer" }>;
 
+/** What a request was given for one send. */
+export interface Leave {
+  /** Undefined for endpoints that give none. */
+  readonly seat: seeker.Granted | undefined;
+  readonly permit: workerNotices.Granted;
+}
+
 /** One send under way. */
 interface Run {
   readonly a: ask.Ask;
   readonly out: progress.Outlet;
   readonly p: progress.Progress;
   readonly endpoint: catalog.Endpoint;
-  readonly seat: seeker.Granted | undefined;
-  /** Monotonic ms, and steady ms. */
-  readonly sentAt: number;
-  readonly startedAt: number;
+  readonly leave: Leave;
+  /** Monotonic ms at which it was given to be sent, and then at which it was written. */
+  sentAt: number;
+  /** Steady ms at which it was written. */
+  startedAt?: number;
   readonly cut: AbortSignal;
   readonly watch: watches.Watch;
+  /** Why it was withheld. */
+  held: sendChecks.Held | undefined;
 }
 
 /** Whether an event of a resumed stream was passed on before. */
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -4,11 +4,12 @@
  */
 import type * as net from "node:net";
 import * as undici from "undici";
+import * as errors from "../host/why.js";
 import type * as ask from "./ask.js";
 import type * as catalog from "./catalog.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
-import * as notices from "./notices.js";
+import type * as notices from "./notices.js";
 import type * as protocol from "./protocol.js";
 
 /** What came of a send before any byte of it was passed on. */
@@ -28,6 +29,10 @@
       readonly absent: boolean;
       readonly notice: notices.Notice;
     }
+  /** Nothing of it was sent: there was no connection, or it was given up before one was there. */
+  | { readonly kind: "unsent"; readonly why: string }
+  /** Nothing of it was sent, as it was not to be once a connection was there. */
+  | { readonly kind: "withheld" }
   /** Nobody knows whether it ran. */
   | { readonly kind: "unknown"; readonly why: string };
 
@@ -45,14 +50,6 @@
 const HEADER_BYTES = 65_536;
 const MISDIRECTED = 421;
 
-/** Codes of errors that arise before a connection stood, so that nothing was sent. */
-const UNCONNECTED = new Set([
-  "ECONNREFUSED",
-  "UND_ERR_CONNECT_TIMEOUT",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-]);
-
 /** Code that a reset connection's error gets here. */
 const RESET = "SUMACFIELD_RESET";
 /** What is written to learn whether a connection was reset; HTTP servers pass over an empty line. */
@@ -120,14 +117,18 @@
     return made;
   }
 
-  /** Sends `a` to `e`. An abort of `signal` closes the connection, so that the endpoint stops. */
+  /**
+   * Sends `a` to `e`, unless `mayStart` says otherwise once there is a connection. An abort of `signal` closes the
+   * connection, so that the endpoint stops.
+   */
   async send(
     a: ask.Ask,
     e: catalog.Endpoint,
     marks: protocol.Marks,
     signal: AbortSignal,
+    mayStart: () => boolean = () => true,
   ): Promise<Sent> {
-    const sent = new exchange.Exchange(signal);
+    const sent = new exchange.Exchange(signal, mayStart);
     let head: exchange.Head;
     try {
       this.pool(e, a.service.connections).dispatch(
@@ -141,11 +142,8 @@
       );
       head = await sent.head;
     } catch (err) {
-      const code = err instanceof Error && "code" in err ? String(err.code) : "";
-      const why = err instanceof Error ? err.message : String(err);
-      if (UNCONNECTED.has(code))
-        return { kind: "not_run", why, absent: false, notice: notices.NOTHING };
-      return { kind: "unknown", why };
+      if (err instanceof exchange.WithheldError) return { kind: "withheld" };
+      return { kind: sent.isStarted ? "unknown" : "unsent", why: errors.why(err) };
     }
     return this.sort(a, head, sent);
   }
--- a/src/serving/worker-notices.ts
+++ b/src/serving/worker-notices.ts
@@ -50,17 +50,18 @@
   readonly ran: boolean;
 }
 
+/** Leave to send one request to a worker. */
+export interface Granted {
+  readonly kind: "in";
+  readonly delayMs: number;
+  /** Whether it may still be sent; asked right before. */
+  readonly isGood: () => boolean;
+  /** It was not sent. */
+  readonly giveBack: () => void;
+}
+
 /** Whether one request may be sent to a worker. */
-export type Permit =
-  | {
-      readonly kind: "in";
-      readonly delayMs: number;
-      /** Whether it may still be sent; asked right before. */
-      readonly isGood: () => boolean;
-      /** It was not sent. */
-      readonly giveBack: () => void;
-    }
-  | { readonly kind: "out"; readonly waitMs: number };
+export type Permit = Granted | { readonly kind: "out"; readonly waitMs: number };
 
 interface Known {
   readonly at: availability.Availability;
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -76,14 +76,14 @@
     expect(await outcomeOf((s) => s.end(head))).equal("");
   });
 
-  it("knows that nothing ran where no connection stood", async () => {
+  it("knows that nothing was sent where no connection stood", async () => {
     const w = await fixtures.rawWorker(() => undefined);
     w.close();
     const up = new upstream.Upstream(fixtures.WIRE);
     const e = fixtures.endpoint("e", w.address);
     const sent = await up.send(fixtures.request(), e, MARKS, new AbortController().signal);
     up.close();
-    expect(sent.kind).equal("not_run");
+    expect(sent.kind).equal("unsent");
   });
 
   it("does not know what ran behind bytes that are no answer", async () => {
