Leave a worker alone for as long as it asks for

What callers saw: an engine that had turned a request away with 503 and asked the entry host for a pause of 3 s got three requests from it in that time; two are allowed. Callers who could be served by no worker were told 1.1 to 1.2 s, the system's own figure, where 2.5 s were asked for.

Now the pause is part of what is kept of each start of a worker, by the clock that does not step, and by its end the latest of several. The choice passes the worker over, what waits for a seat or a connection there goes elsewhere at once, and the check before the first byte asks again. After its end one request each 250 ms is sent until one is answered, so that what was kept away does not return at once. Where no worker takes requests, a request is refused at once with the time at which the first does, also where that is later than it can wait, spread over 250 ms; one that ends within the wait for an endpoint is waited for. Questions of an endpoint daemon to its engine heed a pause as well; asking is a module of its own.

sumacfield_noticed_total counts by reason and takes the place of sumacfield_limited_total; one log line tells of each request that goes elsewhere for what a worker says.

--- a/bench/red/limiter-switches.ts
+++ b/bench/red/limiter-switches.ts
@@ -52,8 +52,8 @@
   {
     name: "a worker that has said that it leaves takes no requests",
     file: "serving/availability.js",
-    find: "leavingAt === undefined ? 0 : Infinity",
-    put: "0",
+    find: "if (leavingAt !== undefined)",
+    put: "if (false)",
     proof: "gets nothing more once an answer has said so, whatever later answers and the store say",
   },
   {
@@ -70,4 +70,32 @@
     put: "return false;",
     proof: "gives no seat and no order more, and tells entry daemons",
   },
+  {
+    name: "a worker takes nothing until the pause that it asked for is over",
+    file: "serving/availability.js",
+    find: "const openAt = Math.max(pause.until,",
+    put: "const openAt = Math.max(-Infinity,",
+    proof: "are refused at once where all ask for one, with the time at which the first is over",
+  },
+  {
+    name: "a worker takes one request at a time after its pause, until one is answered",
+    file: "serving/availability.js",
+    find: "(pause.triedAt ?? -Infinity) + TRY_MS",
+    put: "-Infinity",
+    proof: "do not all go there at once when it is over",
+  },
+  {
+    name: "a pause is counted by the clock that does not step",
+    file: "serving/worker-notices.js",
+    find: "availability.opensInMs(this.at(e.id), this.deps.clock.steady())",
+    put: "availability.opensInMs(this.at(e.id), this.deps.clock.mono())",
+    proof: "are kept away to its end though the time of day steps ahead",
+  },
+  {
+    name: "a time to come back that is known is told as it is",
+    file: "serving/ending.js",
+    find: "p.releaseMs ?? p.opensInMs",
+    put: "p.releaseMs",
+    proof: "are refused at once where all ask for one, with the time at which the first is over",
+  },
 ];
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -72,6 +72,14 @@
   return HOLD_PART * Math.min(r.leftMs, patienceMs);
 }
 
+/** Milliseconds over which those are spread that come back when a worker takes requests again. */
+const RETURN_SPREAD_MS = 250;
+
+/** When a caller should come back, in ms, that can be served `opensInMs` from now; `random` is from 0 up to 1. */
+export function returnMs(opensInMs: number, random: number): number {
+  return opensInMs + random * RETURN_SPREAD_MS;
+}
+
 /** Part of the time left after which a caller still comes back when told to. */
 const COME_BACK_PART = 0.3;
 /** Milliseconds after which a refused caller is told to come back at least. */
--- a/src/serving/availability.ts
+++ b/src/serving/availability.ts
@@ -15,9 +15,11 @@
   readonly pause?: Pause | undefined;
 }
 
-/** It wants nothing from this host for a while. */
+/** It wanted nothing from this host for a while, and has not been seen to take requests again. */
 export interface Pause {
   readonly until: number;
+  /** When a request was last sent to it since. */
+  readonly triedAt?: number | undefined;
 }
 
 /** One answer of a worker. */
@@ -35,6 +37,11 @@
 
 /** Milliseconds by which a pause is kept longer than asked for, as clocks do not run alike. */
 const PAUSE_MARGIN_MS = 20;
+/**
+ * Milliseconds from one request to the next once a pause is over, until one is answered without asking for another: what was
+ * kept away meanwhile does not come back at once, only to be turned away again.
+ */
+const TRY_MS = 250;
 
 /** What is known once an answer has come; the same value where it tells nothing new. */
 export function observe(known: Availability, a: Answer): Availability {
@@ -72,13 +79,24 @@
 }
 
 /** Milliseconds until it takes a request of this host; Infinity where it leaves. A limit is kept apart from that. */
-export function opensInMs({ leavingAt }: Availability): number {
-  return leavingAt === undefined ? 0 : Infinity;
+export function opensInMs({ leavingAt, pause }: Availability, now: number): number {
+  if (leavingAt !== undefined) return Infinity;
+  if (!pause) return 0;
+  const openAt = Math.max(pause.until, (pause.triedAt ?? -Infinity) + TRY_MS);
+  return Math.max(0, openAt - now);
+}
+
+/** What is known once a request is sent to it. */
+export function sent(known: Availability, now: number): Availability {
+  const { pause } = known;
+  return pause ? { ...known, pause: { ...pause, triedAt: now } } : known;
 }
 
 function pauseAfter(known: Pause | undefined, a: Answer): Pause | undefined {
   const { retryAfterMs: said } = a.notice;
-  if (said.kind !== "said" || said.value <= 0) return known;
+  if (said.kind !== "said" || said.value <= 0) {
+    return known && a.sentAt >= known.until ? undefined : known;
+  }
   const until = a.at + said.value + PAUSE_MARGIN_MS;
   return known && known.until >= until ? known : { until };
 }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -95,7 +95,9 @@
     const firstMs = p.firstAt === undefined ? undefined : Math.round(p.firstAt - a.arrivedAt);
     const tookMs = Math.round(now - a.arrivedAt);
     this.deps.meters.request(a.route.name, end, firstMs, tookMs);
-    if (p.isAtLimits && end === "refused") this.deps.meters.limited(a.service.name, "refused");
+    if (p.closedBy && end === "refused") {
+      this.deps.meters.noticed(a.service.name, p.closedBy, "refused");
+    }
     this.deps.log.info("A request is over.", {
       request: a.meta.id,
       route: a.route.name,
@@ -149,6 +151,7 @@
       p.judged ||= found.kind !== "diverted";
       if (found.kind === "diverted" || found.kind === "elsewhere") {
         permit.giveBack();
+        if (!this.checks.takes(best.view.endpoint)) this.checks.turned(a, p, best.view.endpoint);
         continue;
       }
       const seat = found.kind === "seat" ? found.seat : undefined;
@@ -169,21 +172,13 @@
   ): Promise<workerNotices.Granted | undefined> {
     const permit = await this.deps.notices.admit(endpoint);
     if (permit.kind === "out") {
-      p.withheld++;
       p.comeBackMs = permit.waitMs;
-      p.why = `${endpoint.id} is at the limit that it names`;
-      this.deps.meters.limited(a.service.name, "elsewhere");
-      this.deps.log.info("A worker's limit lets a request in no more.", {
-        request: a.meta.id,
-        endpoint: endpoint.id,
-        perS: this.deps.notices.of(endpoint.id),
-        waitMs: Math.round(permit.waitMs),
-      });
+      this.checks.turned(a, p, endpoint, permit.waitMs);
       return undefined;
     }
     if (permit.delayMs > 0) await clock.sleep(this.deps.clock, permit.delayMs, cut);
     if (!cut.aborted && permit.isGood()) return permit;
-    p.withheld++;
+    this.checks.turned(a, p, endpoint);
     permit.giveBack();
     return undefined;
   }
--- a/src/serving/ending.ts
+++ b/src/serving/ending.ts
@@ -30,7 +30,9 @@
     out.refuse(p.refusal, p.why);
     return "refused";
   }
-  const leftMs = a.dueAt - clk.mono();
-  out.refuse(UNAVAILABLE, p.why, p.releaseMs ?? admission.comeBack(p.comeBackMs, leftMs));
+  // What is known is told as it is, also where it is later than the caller can wait.
+  const knownMs = p.releaseMs ?? p.opensInMs;
+  const comeBackMs = knownMs ?? admission.comeBack(p.comeBackMs, a.dueAt - clk.mono());
+  out.refuse(UNAVAILABLE, p.why, comeBackMs);
   return "refused";
 }
--- a/src/serving/endpoints.ts
+++ b/src/serving/endpoints.ts
@@ -14,6 +14,7 @@
 import * as incarnation from "./incarnation.js";
 import * as limiter from "./limiter.js";
 import * as link from "./link.js";
+import type * as meters from "./meters.js";
 import * as peak from "./peak.js";
 import type * as search from "./search.js";
 
@@ -64,6 +65,12 @@
   readonly byKey: Map<string, readonly string[]>;
 }
 
+/** When one of several endpoints takes requests again, and what it said. */
+export interface Opening {
+  readonly inMs: number;
+  readonly reason: meters.Reason;
+}
+
 const NOWHERE: fleet.Arrangement = { ring: ring.build([]), at: new Map() };
 
 export interface Deps extends Omit<link.Deps, "lost" | "holds" | "came" | "counted"> {
@@ -113,13 +120,19 @@
     return fleet.of(arranged, this.holders, viewOf, this.deps.random);
   }
 
-  /** Milliseconds until an endpoint of a service takes one more request, by what they say; 0 where one does or none is there. */
-  opensInMs(service: catalog.Service): number {
-    const list = catalog.endpointsOf(this.deps.catalog(), service);
-    const times = list
-      .map((e) => Math.max(this.deps.opensInMs(e), this.deps.limitedMs(e.id)))
-      .filter((ms) => Number.isFinite(ms));
-    return times.length === 0 ? 0 : Math.min(...times);
+  /** When an endpoint of a service takes one more request, by what they say; undefined where one does or nobody knows. */
+  opens(service: catalog.Service): Opening | undefined {
+    const list = catalog.endpointsOf(this.deps.catalog(), service).map((e): Opening => {
+      const [opensInMs, limitedMs] = [this.deps.opensInMs(e), this.deps.limitedMs(e.id)];
+      return limitedMs > opensInMs
+        ? { inMs: limitedMs, reason: "limit" }
+        : { inMs: opensInMs, reason: "pause" };
+    });
+    const first = list.reduce<Opening | undefined>(
+      (least, o) => (least && least.inMs <= o.inMs ? least : o),
+      undefined,
+    );
+    return first && first.inMs > 0 && Number.isFinite(first.inMs) ? first : undefined;
   }
 
   /** Whether an engine of a service is on its way. */
--- a/src/serving/engine.ts
+++ b/src/serving/engine.ts
@@ -65,10 +65,17 @@
   /** No answer; it may still be carried out while the sequence stands. */
   | { readonly kind: "unanswered"; readonly why: string };
 
+/** An engine turned a question away, and wants none for a while. */
+export class PauseError extends Error {
+  constructor(readonly forMs: number) {
+    super(`the engine asks for a pause of ${forMs} ms`);
+  }
+}
+
 export interface Engine {
-  /** Throws when the engine does not answer. */
+  /** Throws when the engine does not answer, and a {@link PauseError} when it asks for a pause. */
   readonly report: () => Promise<Report>;
   readonly order: (o: Order) => Promise<OrderResult>;
-  /** The name of the worker that is there now. Throws when the engine does not tell. */
+  /** The name of the worker that is there now. Throws when the engine does not tell, as for a report. */
   readonly identify: (healthPath: string) => Promise<string>;
 }
--- a/src/serving/keeper.ts
+++ b/src/serving/keeper.ts
@@ -17,8 +17,8 @@
 import * as incarnation from "./incarnation.js";
 import * as ledger from "./ledger.js";
 import * as listing from "./listing.js";
+import * as probe from "./probe.js";
 import * as reading from "./reading.js";
-import * as looks from "./looks.js";
 import type * as noticeRelay from "./notice-relay.js";
 import * as orders from "./orders.js";
 import * as residency from "./residency.js";
@@ -27,10 +27,6 @@
 import * as waiting from "./waiting.js";
 import * as warmth from "./warmth.js";
 
-/** Milliseconds until the next try after an engine did not answer. */
-const RETRY_MS = 100;
-/** Looks in a row without an answer after which the engine counts as out. */
-const MISSES = 2;
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: record.Log;
@@ -55,13 +51,13 @@
   private readonly model = new baseModel.BaseModel();
   private instance = "";
   private readonly orders: orders.Orders;
-  private misses = 0;
-  private lookedAt = -Infinity;
+  private readonly probe: probe.Probe;
   private readonly waker: waker.Waker;
   private stopped = false;
 
   constructor(private readonly deps: Deps) {
     this.waker = new waker.Waker(deps.clock);
+    this.probe = new probe.Probe(deps.clock, deps.engine);
     this.orders = new orders.Orders(deps.clock, deps.log, deps.engine);
     this.news = new announcer.Announcer(
       deps.clock,
@@ -74,12 +70,10 @@
   /** Looks after the engine until {@link stop}. */
   async run(): Promise<void> {
     while (!this.stopped) {
-      const now = this.deps.clock.mono();
-      if (this.instance === "" || now >= looks.next(this.state, this.warmth, this.lookedAt))
-        await this.look();
+      if (this.lookInMs() === 0) await this.look();
       if (this.instance === "") {
         this.denyAll("out");
-        await this.waker.pause(RETRY_MS);
+        await this.waker.pause(this.probe.retryMs);
         continue;
       }
       if (this.isLeaving()) {
@@ -185,7 +179,7 @@
   /** A seat is not needed any more. */
   end(c: announcer.Client, n: number, how: ledger.End): void {
     this.over(`${c.host}#${n}`, how);
-    if (how === "absent") this.lookedAt = -Infinity;
+    if (how === "absent") this.probe.hurry();
     this.waker.wake();
     this.news.changed();
   }
@@ -267,41 +261,51 @@
   /** Milliseconds until something may have to be done though nothing happens. */
   private idleMs(): number {
     const now = this.deps.clock.mono();
-    const look = looks.next(this.state, this.warmth, this.lookedAt) - now;
     const timed = residency.wakeIn(this.state, now, this.options()) ?? Infinity;
     const read = residency.readIn(this.state, now, this.options(), this.reading(now)) ?? Infinity;
     const busy = this.orders.busyMs(now) || Infinity;
-    return Math.max(1, Math.min(look, timed, read, busy));
+    return Math.max(1, Math.min(this.lookInMs(), timed, read, busy));
   }
 
   private reading(now: number): residency.Reading {
     return { ms: this.ledger.readingMs(now), unbegun: this.ledger.unbegun(now) };
   }
 
+  private lookInMs(): number {
+    return this.probe.dueInMs(this.instance !== "", this.state, this.warmth);
+  }
+
   /** Reads what the engine holds. */
   private async look(): Promise<void> {
-    const askedAt = this.deps.clock.mono();
-    const sentAt = this.deps.clock.steady();
-    try {
-      const met = this.instance === "" ? await this.identify() : undefined;
-      const report = await this.deps.engine.report();
-      this.lookedAt = askedAt;
-      this.misses = 0;
-      if (met !== undefined) this.meet(incarnation.idOf(met, report.born));
-      const isOther = incarnation.bornOf(this.instance) !== report.born;
-      if (isOther || !this.orders.heard(report.sequence)) {
-        this.deps.log.warn("The engine started anew.", { instance: this.instance });
-        this.lost();
+    const isKnown = this.instance !== "";
+    const found = await this.probe.ask(isKnown ? undefined : () => this.identify());
+    switch (found.kind) {
+      case "paused":
+        this.deps.log.warn("The engine asks for a pause.", { forMs: found.forMs });
         return;
-      }
-      const { notice } = report;
-      const at = this.deps.clock.steady();
-      this.deps.notices.observe(this.instance, { notice, sentAt, at, ran: false });
-      this.learn(report, askedAt);
-    } catch (err) {
-      this.lookedAt = askedAt;
-      this.missed(err);
+      case "missed":
+        if (found.isOut) this.missed(found.why);
+        return;
+      case "report":
+        this.read(found);
+    }
+  }
+
+  private read({
+    name,
+    report,
+    askedAt,
+    answer,
+  }: Extract<probe.Finding, { kind: "report" }>): void {
+    if (name !== undefined) this.meet(incarnation.idOf(name, report.born));
+    const isOther = incarnation.bornOf(this.instance) !== report.born;
+    if (isOther || !this.orders.heard(report.sequence)) {
+      this.deps.log.warn("The engine started anew.", { instance: this.instance });
+      this.lost();
+      return;
     }
+    this.deps.notices.observe(this.instance, answer);
+    this.learn(report, askedAt);
   }
 
   /** Asks which worker is there. */
@@ -319,10 +323,7 @@
     this.deps.log.info("The engine answers.", { instance });
   }
 
-  private missed(err: unknown): void {
-    this.misses++;
-    if (this.misses % 100 !== MISSES) return;
-    const why = err instanceof Error ? err.message : String(err);
+  private missed(why: string): void {
     this.deps.log.warn("The engine does not answer.", { instance: this.instance, why });
     this.lost();
   }
--- a/src/serving/meters.ts
+++ b/src/serving/meters.ts
@@ -18,8 +18,10 @@
 /** Label of requests whose team is not known. */
 const NO_TEAM = "none";
 
-/** It was sent to such a worker, it went on to another, or it was refused. */
-export type Limited = "sent" | "elsewhere" | "refused";
+/** Why a worker takes no request of a host now, or only some: what it said of itself. */
+export type Reason = "limit" | "leaving" | "pause";
+/** A request was sent to such a worker, went on to another, or was refused since no other took it. */
+export type Outcome = "sent" | "elsewhere" | "refused";
 
 /** What is counted of one daemon. */
 export interface Meters {
@@ -35,8 +37,8 @@
   readonly refused: (team: string | undefined, status: number) => void;
   /** A team used some units of its cap. */
   readonly used: (team: string, units: number) => void;
-  /** What became of a request that a worker with a limit might have run. */
-  readonly limited: (service: string, what: Limited) => void;
+  /** What became of a request that a worker might have run which takes only some requests, or none for now. */
+  readonly noticed: (service: string, reason: Reason, outcome: Outcome) => void;
   readonly gauge: (name: string, help: string, read: () => number) => void;
   /** The figures as text. */
   readonly text: () => Promise<string>;
@@ -81,11 +83,12 @@
     "Units of its cap that a team used at this host, requests or tokens.",
     "team",
   );
-  const limited = counter(
-    "sumacfield_limited_total",
-    "Requests that a worker which names a limit might have run, by service and what became of them.",
+  const noticed = counter(
+    "sumacfield_noticed_total",
+    "Requests before workers that take only some or none, by service, why, and what became of them.",
     "service",
-    "what",
+    "reason",
+    "outcome",
   );
   const routeLabel = bounded(ROUTES);
   const teamLabel = bounded(TEAMS);
@@ -105,8 +108,8 @@
     used: (team, n) => {
       units.inc({ team: teamLabel(team) }, n);
     },
-    limited: (service, what) => {
-      limited.inc({ service, what });
+    noticed: (service, reason, outcome) => {
+      noticed.inc({ service, reason, outcome });
     },
     gauge: (name, help, read) => {
       new prom.Gauge({
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -5,6 +5,7 @@
 import * as admission from "./admission.js";
 import type * as ask from "./ask.js";
 import type * as headers from "./headers.js";
+import type * as meters from "./meters.js";
 
 /** The caller's side of a request. Nothing is passed on before {@link Outlet.begin}. */
 export interface Outlet {
@@ -35,8 +36,9 @@
   readonly diverted: Set<string>;
   /** Times that it got no permit to be sent to a worker, or was withheld though it had one. */
   withheld: number;
-  /** All workers that could run it are at the limits that they name. */
-  isAtLimits: boolean;
+  /** Why no worker that could run it takes it now, by what they say; and milliseconds until one does. */
+  closedBy: meters.Reason | undefined;
+  opensInMs: number | undefined;
   /** Times that it left an engine's queue for a shorter one. */
   moves: number;
   /** Monotonic ms from which it waits for an endpoint: its arrival, or the end of its last send. */
@@ -70,7 +72,8 @@
     tried: new Set(),
     diverted: new Set(),
     withheld: 0,
-    isAtLimits: false,
+    closedBy: undefined,
+    opensInMs: undefined,
     moves: 0,
     waitsFrom: a.arrivedAt,
     retryIsCharged: false,
--- a/src/serving/seeker.ts
+++ b/src/serving/seeker.ts
@@ -39,6 +39,8 @@
  */
 const DIVERSIONS = 2;
 
+const CLOSED = "all workers that could run it leave, are at their limits or asked for a pause";
+
 /** A seat that was given. */
 export interface Granted extends link.Seat {
   readonly version: number | undefined;
@@ -77,19 +79,19 @@
     for (;;) {
       const best = this.candidates(a, p)[0];
       if (best || cut.aborted) return best;
-      const opensInMs = this.deps.endpoints.opensInMs(a.service);
-      if (opensInMs > 0 && !this.deps.endpoints.coming(a.service)) {
-        p.comeBackMs = opensInMs;
-        p.isAtLimits = true;
-        p.why = "all workers that could run it are at the limits that they name";
-        return undefined;
-      }
-      // Where all were tried, the least bad of them may have come back.
       const coming = this.deps.endpoints.coming(a.service);
       const until = p.waitsFrom + admission.absentMs(standing(a, p.waitsFrom), coming);
       const leftMs = Math.min(a.dueAt, until) - this.deps.clock.mono();
+      const opens = this.deps.endpoints.opens(a.service);
+      if (opens && !coming && opens.inMs > leftMs) {
+        p.opensInMs = admission.returnMs(opens.inMs, this.deps.random());
+        p.closedBy = opens.reason;
+        p.why = CLOSED;
+        return undefined;
+      }
       if (leftMs <= 0) return undefined;
-      await this.someCome(Math.min(leftMs, AGAIN_MS), cut);
+      // Where all were tried, the least bad of them may have come back.
+      await this.someCome(Math.min(leftMs, AGAIN_MS, opens?.inMs ?? Infinity), cut);
       p.tried.clear();
     }
   }
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -21,6 +21,7 @@
   readonly meters: meters.Meters;
   readonly endpoints: Pick<endpoints.Endpoints, "mostHosts">;
   readonly suspects: suspects.Suspects;
+  readonly notices: Pick<workerNotices.WorkerNotices, "of" | "opensInMs" | "reason">;
   /** Whether a request that was let in may still be sent, by its key. */
   readonly authenticate: (a: ask.Ask) => authentication.Verdict;
 }
@@ -45,13 +46,39 @@
   ): Held | undefined {
     if (!catalog.isInUse(this.deps.catalog(), e)) {
       p.tried.add(e.id);
+      p.withheld++;
+      return "elsewhere";
+    }
+    if (!permit.isGood()) {
+      this.turned(a, p, e);
       return "elsewhere";
     }
-    if (!permit.isGood()) return "elsewhere";
     if (!this.isStillLetIn(a, p) || this.isQuarantined(a, p)) return "refused";
     return p.sends === 0 || this.mayBeRetried(a, p) ? undefined : "refused";
   }
 
+  /** Whether an endpoint takes requests of this host now, by what it says of itself. */
+  takes(e: catalog.Endpoint): boolean {
+    return this.deps.notices.opensInMs(e) === 0;
+  }
+
+  /** A request that an endpoint was chosen for does not go there, by what the endpoint says of itself. */
+  turned(a: ask.Ask, p: progress.Progress, e: catalog.Endpoint, limitedMs = 0): void {
+    const { notices, log, meters } = this.deps;
+    const reason = notices.reason(e) ?? "limit";
+    const waitMs = Math.round(Math.max(limitedMs, notices.opensInMs(e)));
+    p.withheld++;
+    p.why = `${e.id} takes no request now: ${reason}`;
+    meters.noticed(a.service.name, reason, "elsewhere");
+    log.info("A worker takes no request now.", {
+      request: a.meta.id,
+      endpoint: e.id,
+      reason,
+      perS: notices.of(e.id),
+      waitMs,
+    });
+  }
+
   /** Whether the retry budget allows one more send, which is charged once. */
   mayBeRetried(a: ask.Ask, p: progress.Progress): boolean {
     if (p.retryIsCharged) return true;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -99,8 +99,11 @@
     p.sends++;
     p.newsMs = Math.round(this.deps.newsAgeMs());
     p.retryIsCharged = false;
-    if (this.deps.notices.of(endpoint.id) !== undefined)
-      this.deps.meters.limited(a.service.name, "sent");
+    const { notices } = this.deps;
+    notices.sent(endpoint);
+    if (notices.of(endpoint.id) !== undefined) {
+      this.deps.meters.noticed(a.service.name, "limit", "sent");
+    }
   }
 
   private sort(
@@ -134,7 +137,7 @@
     const { a, out, p } = r;
     r.leave.permit.giveBack();
     this.over(r, "left", undefined);
-    p.withheld++;
+    if (r.held === undefined) this.deps.checks.turned(a, p, r.endpoint);
     return r.held === "refused" ? ending.giveUp(this.deps.clock, a, out, p, false) : undefined;
   }
 
--- a/src/serving/worker-notices.ts
+++ b/src/serving/worker-notices.ts
@@ -12,6 +12,7 @@
 import * as admission from "./admission.js";
 import type * as catalog from "./catalog.js";
 import * as limiter from "./limiter.js";
+import type * as meters from "./meters.js";
 import type * as messages from "./limiter-messages.js";
 import * as availability from "./availability.js";
 import * as noticeMessages from "./notice-messages.js";
@@ -123,7 +124,26 @@
   /** Milliseconds until an endpoint takes a request of this host, its limit apart; Infinity where it leaves. */
   opensInMs(e: catalog.Endpoint): number {
     if (e.leaving) return Infinity;
-    return availability.opensInMs(this.known.get(e.id)?.at ?? availability.UNKNOWN);
+    return availability.opensInMs(this.at(e.id), this.deps.clock.steady());
+  }
+
+  /** Why an endpoint takes no request of this host now, or how many it takes; undefined where nothing bounds it. */
+  reason(e: catalog.Endpoint): meters.Reason | undefined {
+    if (e.leaving || this.at(e.id).leavingAt !== undefined) return "leaving";
+    if (this.opensInMs(e) > 0) return "pause";
+    return this.of(e.id) === undefined ? undefined : "limit";
+  }
+
+  /** A request is sent to an endpoint. */
+  sent(e: catalog.Endpoint): void {
+    const known = this.known.get(e.id);
+    if (!known) return;
+    const at = availability.sent(known.at, this.deps.clock.steady());
+    this.known.set(e.id, { ...known, at });
+  }
+
+  private at(id: string): availability.Availability {
+    return this.known.get(id)?.at ?? availability.UNKNOWN;
   }
 
   /** Calls `tell` when a worker takes no requests any more, or none for a while; returns what takes that back. */
@@ -168,7 +188,7 @@
   heard(e: catalog.Endpoint, h: Heard): void {
     this.readable(e, h);
     const now = this.deps.clock.steady();
-    const before = this.known.get(e.id)?.at ?? availability.UNKNOWN;
+    const before = this.at(e.id);
     const after = availability.observe(before, { ...h, at: now });
     if (after === before) return;
     this.note(e.id, after);
@@ -179,7 +199,7 @@
 
   /** Another entry daemon tells what a worker says of itself. */
   learn(m: noticeMessages.Notice, peer: string): void {
-    const before = this.known.get(m.worker)?.at ?? availability.UNKNOWN;
+    const before = this.at(m.worker);
     const news = noticeMessages.newsOf(m);
     const after = availability.learn(before, news, this.deps.clock.steady());
     if (after === before) return;
@@ -211,7 +231,8 @@
     const freeAt = isChanged ? heardAt + this.deps.random() * RELEASE_MS : (before?.freeAt ?? 0);
     this.known.set(id, { at, perS, freeAt, heardAt });
     if (isChanged) this.deps.limiter.refresh();
-    if (availability.opensInMs(at) > 0) for (const tell of this.waiting.get(id) ?? []) tell();
+    if (availability.opensInMs(at, heardAt) > 0)
+      for (const tell of this.waiting.get(id) ?? []) tell();
   }
 
   private total(id: string): messages.Total | undefined {
@@ -261,6 +282,7 @@
     if (leavingAt !== before.leavingAt) {
       this.deps.log.warn("A worker says that it leaves.", { endpoint, ...from });
     }
+    if (!pause && before.pause) this.deps.log.info("A worker takes requests again.", { endpoint });
     if (pause && pause.until !== before.pause?.until) {
       const forMs = Math.round(pause.until - this.deps.clock.steady());
       const until = new Date(this.deps.clock.now().getTime() + forMs).toISOString();
--- a/test/platform/notices.test.ts
+++ b/test/platform/notices.test.ts
@@ -120,6 +120,17 @@
     expect(faults).deep.equal([]);
   }).timeout(40_000);
 
+  it("is passed over while it asks for a pause, and callers are served by others", async () => {
+    for (const { worker } of two()) {
+      worker.mood = "shedding";
+      worker.pauseS = 3;
+    }
+    const answers = await load(8000);
+    expect(notices.reachedPaused(site.kept.arrivals, asking.sent(answers))).deep.equal([]);
+    expect(served(answers)).above(0.99);
+    expect(faults).deep.equal([]);
+  }).timeout(40_000);
+
   it("is left alone by all where all ask for a pause, and callers are told at once until when", async () => {
     for (const { worker } of site.places) {
       worker.mood = "shedding";
--- a/test/serving/availability.test.ts
+++ b/test/serving/availability.test.ts
@@ -43,6 +43,45 @@
   it("holds no pause of no time", () => {
     expect(after(answer(10, pausing(0)))).equal(availability.UNKNOWN);
   });
+
+  it("takes nothing once it leaves, and nothing until its pause is over", () => {
+    expect(availability.opensInMs(after(answer(10, LEAVING)), 1e9)).equal(Infinity);
+    const known = after(answer(10, pausing(3000)));
+    const until = known.pause?.until ?? 0;
+    expect(availability.opensInMs(known, 10)).equal(until - 10);
+    expect(availability.opensInMs(known, until)).equal(0);
+  });
+
+  it("takes one request at a time after its pause, until one is answered without asking for another", () => {
+    const known = after(answer(10, pausing(1000)));
+    const until = known.pause?.until ?? 0;
+    const tried = availability.sent(known, until + 5);
+    expect(availability.opensInMs(tried, until + 5)).within(100, 500);
+    expect(availability.opensInMs(tried, until + 505)).equal(0);
+    const again = availability.observe(tried, answer(until + 20, pausing(1000)));
+    expect(availability.opensInMs(again, until + 20)).least(1000);
+    const well = availability.observe(tried, answer(until + 20, {}));
+    expect(availability.opensInMs(well, until + 20)).equal(0);
+  });
+
+  it("is not taken for well by an answer to a request that was sent before its pause was over", () => {
+    const known = after(answer(10, pausing(1000)));
+    expect(availability.observe(known, answer(1035, {}))).equal(known);
+  });
+
+  it("is never open before the end of any pause that it asked for", () => {
+    const heard = fc.record({ at: fc.nat(5000), ms: fc.option(fc.nat(3000), { nil: undefined }) });
+    fc.assert(
+      fc.property(fc.array(heard, { minLength: 1, maxLength: 8 }), fc.nat(9000), (all, now) => {
+        const past = all.filter((h) => h.at <= now).sort((a, b) => a.at - b.at);
+        const known = after(
+          ...past.map((h) => answer(h.at, h.ms === undefined ? {} : pausing(h.ms))),
+        );
+        const asked = past.some((h) => h.ms !== undefined && h.ms > 0 && h.at + h.ms > now);
+        if (asked) expect(availability.opensInMs(known, now)).above(0);
+      }),
+    );
+  });
 });
 
 describe("what hosts tell each other of a worker", () => {
--- /dev/null
+++ b/test/serving/paused.test.ts
@@ -0,0 +1,173 @@
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as wire from "../../platform/wire.js";
+import * as clock from "../../src/host/clock.js";
+import type * as ask from "../../src/serving/ask.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as engines from "./engines.js";
+import * as dispatching from "./dispatching.js";
+import * as fixtures from "./fixtures.js";
+import * as waitingStream from "./waiting-stream.js";
+
+const { expect } = chai;
+
+/** What ends the parts of the test at hand, also when it fails. */
+const ends: (() => void)[] = [];
+
+/** A plain worker that asks for pauses while a test wants it to, and writes down when requests arrive. */
+async function worker(id: string, pauseMs: number | undefined) {
+  const seen: { pauseMs: number | undefined; arrivals: number[] } = { pauseMs, arrivals: [] };
+  const made = await fixtures.worker((req, res) => {
+    seen.arrivals.push(performance.now());
+    const name = { "test-id": String(req.headers["test-id"]) };
+    if (seen.pauseMs === undefined) {
+      res.writeHead(200, fixtures.good(name["test-id"]));
+      res.end("whole");
+      return;
+    }
+    const said = { "test-not-run": "1", "test-retry-after-ms": String(seen.pauseMs) };
+    res.writeHead(503, { ...name, ...said });
+    res.end();
+  });
+  ends.push(made.close);
+  return { seen, endpoint: fixtures.endpoint(id, made.address) };
+}
+
+function open(list: readonly catalog.Endpoint[], clk: clock.Clock = clock.system) {
+  const config: catalog.Step = { kind: "config", config: fixtures.CONFIG };
+  const entries = list.map((endpoint) => ({ kind: "endpoint", endpoint }) as const);
+  const at = catalog.steps(catalog.EMPTY, [config, ...entries]).at;
+  const made = dispatching.open(at, undefined, clk);
+  ends.push(made.close);
+  return made;
+}
+
+interface End {
+  readonly status: number;
+  readonly comeBackMs: number | undefined;
+  readonly tookMs: number;
+}
+
+let count = 0;
+
+async function serve(made: ReturnType<typeof open>, clk: clock.Clock = clock.system): Promise<End> {
+  const id = `r${count++}`;
+  const meta: ask.Meta = { id, waitMs: 1000, promptTokens: 0, answerTokens: 0, parts: [] };
+  const sentAt = performance.now();
+  let end: End = { status: 0, comeBackMs: undefined, tookMs: 0 };
+  const over = (status: number, comeBackMs?: number): void => {
+    end = { status, comeBackMs, tookMs: performance.now() - sentAt };
+  };
+  const now = clk.mono();
+  const a = fixtures.request({
+    meta,
+    headers: { "test-id": id },
+    arrivedAt: now,
+    dueAt: now + 1000,
+  });
+  await made.dispatcher.serve(a, {
+    ...dispatching.recorded().outlet,
+    answer: (status) => {
+      over(status);
+    },
+    refuse: (status, _why, comeBackMs) => {
+      over(status, comeBackMs);
+    },
+  });
+  return end;
+}
+
+describe("requests before a worker that asks for a pause", () => {
+  afterEach(() => {
+    waitingStream.endAll();
+    engines.endAll();
+    for (const end of ends.splice(0)) end();
+  });
+
+  it("go to another worker until it is over, and to it again where that one asks for one", async () => {
+    const [a, b] = [await worker("w1", 600), await worker("w2", undefined)];
+    const made = open([a.endpoint, b.endpoint]);
+    while (a.seen.arrivals.length === 0) expect((await serve(made)).status).equal(200);
+    a.seen.pauseMs = undefined;
+    const [asked = 0] = a.seen.arrivals;
+    while (performance.now() < asked + 580) expect((await serve(made)).status).equal(200);
+    expect(a.seen.arrivals).length(1);
+    b.seen.pauseMs = 3000;
+    await timers.setTimeout(60);
+    expect((await serve(made)).status).equal(200);
+    expect(a.seen.arrivals).length(2);
+  });
+
+  it("are refused at once where all ask for one, with the time at which the first is over", async () => {
+    const [a, b] = [await worker("w1", 2000), await worker("w2", 3000)];
+    const made = open([a.endpoint, b.endpoint]);
+    const began = performance.now();
+    await serve(made);
+    await timers.setTimeout(300);
+    const end = await serve(made);
+    expect(end.status).equal(503);
+    expect(end.tookMs).below(100);
+    const backAt = performance.now() + (end.comeBackMs ?? 0);
+    expect(backAt - began).within(2000, 2400);
+    expect([a.seen.arrivals.length, b.seen.arrivals.length]).deep.equal([1, 1]);
+  });
+
+  it("wait for the end of one that is soon over", async () => {
+    const a = await worker("w1", 100);
+    const made = open([a.endpoint]);
+    expect((await serve(made)).status).equal(503);
+    a.seen.pauseMs = undefined;
+    await timers.setTimeout(50);
+    expect((await serve(made)).status).equal(200);
+  });
+
+  it("do not all go there at once when it is over", async () => {
+    const a = await worker("w1", 400);
+    const made = open([a.endpoint]);
+    await serve(made);
+    await timers.setTimeout(440);
+    const all = await Promise.all(Array.from({ length: 10 }, () => serve(made)));
+    expect(all.map((e) => e.status)).deep.equal(new Array<number>(10).fill(503));
+    expect(a.seen.arrivals).length(2);
+    a.seen.pauseMs = undefined;
+    await timers.setTimeout(440);
+    while ((await serve(made)).status !== 200) await timers.setTimeout(20);
+    const well = await Promise.all(Array.from({ length: 10 }, () => serve(made)));
+    expect(well.map((e) => e.status)).deep.equal(new Array<number>(10).fill(200));
+  });
+
+  it("are kept away to its end though the time of day steps ahead", async () => {
+    const stepped: clock.Clock & { stepMs: number } = {
+      ...clock.system,
+      stepMs: 0,
+      now: () => new Date(Date.now() + stepped.stepMs),
+    };
+    const a = await worker("w1", 2000);
+    const made = open([a.endpoint], stepped);
+    await serve(made, stepped);
+    stepped.stepMs = 5000;
+    expect((await serve(made, stepped)).status).equal(503);
+    expect(a.seen.arrivals).length(1);
+  });
+
+  it("leave it at once while they wait for a seat there", async () => {
+    const waits = await waitingStream.begin({ route: { targetMs: 1000, timeoutMs: 1500 } });
+    const began = performance.now();
+    waits.notices.heard(waits.endpoint, {
+      request: "other",
+      notice: fixtures.WIRE.notice(503, { "test-retry-after-ms": "3000" }),
+      sentAt: began,
+      ran: false,
+    });
+    await engines.until(() => waits.daemon.heard.includes("over"));
+    expect(performance.now() - began).below(100);
+    expect(await waits.over()).include({ runs: 0 });
+  });
+});
+
+describe("the time to come back", () => {
+  it("is told rounded up, so that nobody comes back too soon", () => {
+    expect(wire.PROTOCOL.comeBack(1234.5)).deep.equal({ "retry-after": "1.24" });
+    expect(wire.PROTOCOL.comeBack(800)).deep.equal({ "retry-after": "0.80" });
+  });
+});
