Let workers in the soak leave while the store is out, and ask for pauses

Workers that leave say so in their answers; in six of ten runs they do while the store is out, and in six of ten some workers, or all of a service, shed requests and ask for pauses of 0.3 to 3 s.

What was done to a site, and when it excuses, is a module of its own.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -112,7 +112,8 @@
     const by = String(res.headers["x-sumacfield-server-signature"] ?? "");
     const limit = res.headers["server-limit"];
     const limitPerS = limit === undefined ? undefined : Number(limit);
-    end = { kind: "answer", status: res.statusCode, by, limitPerS, text };
+    const leaving = res.headers["server-leaving"] !== undefined;
+    end = { kind: "answer", status: res.statusCode, by, limitPerS, leaving, text };
   } catch (err) {
     const why = err instanceof Error ? err.message : String(err);
     passedOn = !(err instanceof undici.errors.ConnectTimeoutError) && !isRefusal(err);
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -249,6 +249,49 @@
   worker.limitPerS = undefined;
 }
 
+const storeIsBusy = store("is busy", (d) => {
+  d.site.store.faults.mode = "busy";
+});
+/** Milliseconds from when the store is out until a worker leaves. */
+const UNHEARD_MS: readonly [number, number] = [100, 1200];
+
+/** A worker leaves while the store is out, so that only its answers say so. */
+export async function unheard(
+  d: Deps,
+  strike: (f: Fault) => Promise<void> | undefined,
+): Promise<void> {
+  const out = strike(storeIsBusy);
+  await timers.setTimeout(d.draw.between(...UNHEARD_MS));
+  await Promise.all([out, strike(workerLeaves)]);
+}
+
+/** Part of the times at which all workers of a service ask for a pause. */
+const ALL_PART = 0.3;
+/** Seconds of a pause that a worker in need asks for, part of its requests that it sheds, and milliseconds for which it does. */
+const PAUSE_S: readonly [number, number] = [0.3, 3];
+const SHED_PART: readonly [number, number] = [0.3, 1];
+const IN_NEED_MS: readonly [number, number] = [2000, 6000];
+
+/** Some workers shed requests and ask for pauses for a while; over by `until`. */
+export async function pausing(d: Deps, until: number): Promise<void> {
+  const all = d.draw.part() < ALL_PART;
+  const { service } = d.draw.one(d.site.places).worker;
+  const struck = d.site.places
+    .map((p) => p.worker)
+    .filter((w) => w.service === service && w.mood === "well" && (all || d.draw.part() < 0.5));
+  for (const w of struck) {
+    w.mood = "shedding";
+    w.shedPart = d.draw.between(...SHED_PART);
+    w.pauseS = Math.round(d.draw.between(...PAUSE_S) * 10) / 10;
+  }
+  const ms = d.draw.between(...IN_NEED_MS);
+  await timers.setTimeout(Math.max(0, Math.min(ms, until - performance.now())));
+  for (const w of struck) {
+    if (w.mood === "shedding") w.mood = "well";
+    w.pauseS = undefined;
+  }
+}
+
 export const FAULTS: readonly Fault[] = [
   // Planned, and more frequent than any one trouble.
   workerLeaves,
@@ -297,9 +340,7 @@
   link("is reset", (d, p) => {
     for (const x of [p.proxy, p.seats]) x?.reset(0.6, d.draw.part);
   }),
-  store("is busy", (d) => {
-    d.site.store.faults.mode = "busy";
-  }),
+  storeIsBusy,
   store("is silent", (d) => {
     d.site.store.faults.mode = "silent";
   }),
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -3,9 +3,10 @@
  * promises and shares no code with the daemons.
  * @module
  */
-import * as limits from "../platform/limits.js";
 import type * as journals from "../platform/journal.js";
 import * as workers from "../platform/worker.js";
+import * as disturbances from "./disturbances.js";
+import * as notices from "./notices.js";
 import * as retries from "./retries.js";
 import * as site from "./site.js";
 import * as teams from "./teams.js";
@@ -36,6 +37,8 @@
         readonly by: string;
         /** Requests a second that its worker named as its limit. */
         readonly limitPerS: number | undefined;
+        /** It says that its worker leaves. */
+        readonly leaving: boolean;
         readonly text: string;
       }
     /** The connection ended before the answer did; `text` is what came. */
@@ -44,15 +47,6 @@
     | { readonly kind: "left" };
 }
 
-/** Something that was done to the system, and what it may excuse. */
-export interface Disturbance {
-  readonly kind: string;
-  /** Name of the daemon, worker or store it struck. */
-  readonly on: string;
-  readonly from: number;
-  to: number;
-}
-
 /** A change of what may be, as the operator or a worker declared it. */
 export type Change =
   | { readonly kind: "route_added" | "route_removed"; readonly path: string; readonly at: number }
@@ -61,7 +55,7 @@
 export interface History {
   readonly seen: Seen[];
   readonly kept: journals.Journal;
-  readonly disturbances: Disturbance[];
+  readonly disturbances: disturbances.Disturbance[];
   readonly changes: Change[];
   readonly teams: teams.Teams;
   /** What the soak itself found wrong: a daemon that ended by itself, for one. */
@@ -82,8 +76,6 @@
 const ALWAYS = new Set(["/s/", "/o/", "/c/", "/n/"]);
 /** Milliseconds within which a declared change is in force on hosts in touch, by the pages. */
 const IN_FORCE_MS = 2000;
-/** Milliseconds for which a trouble may show after its end: a host is in touch after three seconds. */
-const AFTER_MS = 3500;
 /** Milliseconds by which an answer may be late against the caller's time, on a busy machine. */
 const LATE_MS = 700;
 /** Milliseconds before the caller's time at which an answer may be given up. */
@@ -98,20 +90,10 @@
 const PLANNED = /asked to stop|settings changed/;
 const REFUSALS = new Set([408, 421, 429, 503]);
 
-/** Whether some part was disturbed, or shortly before, between two moments. */
-function disturbed(
-  h: History,
-  from: number,
-  to: number,
-  which: (d: Disturbance) => boolean,
-): boolean {
-  return h.disturbances.some((d) => d.from < to && d.to + AFTER_MS > from && which(d));
-}
-
 /** Whether an entry daemon was out of touch with what is declared in the store. */
 function outOfTouch(h: History, entry: string, from: number, to: number): boolean {
   const parts = new Set(["store", entry, storeLink(entry)]);
-  return disturbed(h, from, to, (d) => parts.has(d.on));
+  return disturbances.any(h.disturbances, from, to, (d) => parts.has(d.on));
 }
 
 /** Name of the link between a daemon and the store. */
@@ -151,7 +133,9 @@
     return only && runs.length > 1 ? `ran ${runs.length} times` : undefined;
   },
   function attempts(s, runs, h) {
-    const ends = runs.some((r) => disturbed(h, r.at, r.at + s.waitMs, (d) => d.on === r.instance));
+    const ends = runs.some((r) =>
+      disturbances.any(h.disturbances, r.at, r.at + s.waitMs, (d) => d.on === r.instance),
+    );
     return !ends && runs.length > ATTEMPTS[s.kind] ? `ran on ${runs.length} workers` : undefined;
   },
   function notRun(s, runs) {
@@ -162,13 +146,14 @@
   function version(s, runs, h) {
     const old = runs.find((r) => r.adapter !== "" && r.version < s.version);
     if (!old || outOfTouch(h, s.entry, s.sentAt - VERSION_MS, s.endedAt)) return undefined;
-    const there = (d: Disturbance): boolean => old.instance.startsWith(`${d.on}.`);
-    if (disturbed(h, s.sentAt - VERSION_MS, s.endedAt, there)) return undefined;
+    const there = (d: disturbances.Disturbance): boolean => old.instance.startsWith(`${d.on}.`);
+    if (disturbances.any(h.disturbances, s.sentAt - VERSION_MS, s.endedAt, there)) return undefined;
     return `ran on version ${old.version}, though ${s.version} was declared long before`;
   },
   function late(s, _runs, h) {
     if (s.end.kind === "left" || s.endedAt - s.sentAt < s.waitMs + LATE_MS) return undefined;
-    if (disturbed(h, s.sentAt, s.endedAt, (d) => d.on === s.entry)) return undefined;
+    if (disturbances.any(h.disturbances, s.sentAt, s.endedAt, (d) => d.on === s.entry))
+      return undefined;
     return `had its answer after ${Math.round(s.endedAt - s.sentAt)} of ${s.waitMs} ms`;
   },
   function broken(s, runs, h) {
@@ -177,9 +162,11 @@
     if (runs.length === 0 && s.end.text === "") return undefined;
     // At its deadline a stream is broken off, since it must not look whole.
     if (s.endedAt - s.sentAt >= s.waitMs - EARLY_MS) return undefined;
-    const struck = (d: Disturbance): boolean =>
+    const struck = (d: disturbances.Disturbance): boolean =>
       (d.on === s.entry && !PLANNED.test(d.kind)) || runs.some((r) => r.instance === d.on);
-    return disturbed(h, s.sentAt, s.endedAt, struck) ? undefined : `was cut off: ${s.end.why}`;
+    return disturbances.any(h.disturbances, s.sentAt, s.endedAt, struck)
+      ? undefined
+      : `was cut off: ${s.end.why}`;
   },
   function route(s, runs, h) {
     const refused = s.end.kind === "answer" && s.end.status === 404;
@@ -211,8 +198,11 @@
     if (s.end.kind !== "left") return undefined;
     const on = runs.find((r) => (r.endedAt ?? Infinity) > s.endedAt + LEFT_MS);
     // A link that is cut one way hands what it holds to whichever worker is at its place when it ends.
-    const parts = new Set([s.entry, on?.instance, on && placeOf(on.instance)]);
-    if (!on || disturbed(h, s.sentAt, s.endedAt + LEFT_MS, (d) => parts.has(d.on)))
+    const parts = new Set([s.entry, on?.instance, on && disturbances.placeOf(on.instance)]);
+    if (
+      !on ||
+      disturbances.any(h.disturbances, s.sentAt, s.endedAt + LEFT_MS, (d) => parts.has(d.on))
+    )
       return undefined;
     return `left, and ${on.instance} worked on`;
   },
@@ -248,11 +238,10 @@
   );
   const ran = unasked.map((id) => `unasked: ${id} ran`);
   const anyOutOfTouch = (from: number, to: number): boolean =>
-    disturbed(h, from, to, (d) => d.on === "store" || d.on.startsWith("entry"));
+    disturbances.any(h.disturbances, from, to, (d) => d.on === "store" || d.on.startsWith("entry"));
   const beyond = teams.beyondCap(h.teams, h.seen, runs, anyOutOfTouch);
   const sent = h.seen.map((s) => ({ service: serviceOf(s), at: s.sentAt }));
   const retried = retries.beyondBudget(sent, h.kept.arrivals);
-  const limited = limits.beyond(h.kept.arrivals, (a) => isBound(h, a));
   return [
     ...h.faults,
     ...h.kept.faults,
@@ -260,7 +249,7 @@
     ...fatal(h, runs),
     ...beyond,
     ...retried,
-    ...limited,
+    ...notices.violations(h),
     ...found,
   ];
 }
@@ -269,30 +258,6 @@
   return s.kind === "stream" || s.kind === "stream_once" ? site.ENGINES : site.PLAIN;
 }
 
-/** The place of a worker, of which the instance there is the `N`th start. */
-function placeOf(instance: string): string {
-  return instance.replace(/\.\d+$/, "");
-}
-
-/** Whether an arrival counts against its worker's limit: its host had passed the limit on, and nothing excuses it. */
-function isBound(h: History, a: journals.Arrival): boolean {
-  const entry = h.seen.find((s) => s.id === a.id)?.entry;
-  if (entry === undefined) return false;
-  const parts = new Set([entry, placeOf(a.instance)]);
-  if (disturbed(h, a.at - limits.BINDS_MS, a.at, (d) => parts.has(d.on))) return false;
-  const before = h.disturbances.filter((d) => d.on === entry && d.to <= a.at).map((d) => d.to);
-  const since = Math.max(0, ...before);
-  return h.seen.some(
-    (s) =>
-      s.entry === entry &&
-      s.sentAt >= since &&
-      s.endedAt + limits.TOLD_MS <= a.at &&
-      s.end.kind === "answer" &&
-      s.end.by === a.instance &&
-      s.end.limitPerS === a.limitPerS,
-  );
-}
-
 /** How a request ended, in a word. */
 export function ending(s: Seen): string {
   return s.end.kind === "answer" ? String(s.end.status) : s.end.kind;
--- /dev/null
+++ b/bench/soak/notices.ts
@@ -0,0 +1,56 @@
+/**
+ * Whether workers that named a limit, left or asked for a pause got requests against the platform's rules, and what excuses it.
+ * @module
+ */
+import type * as journals from "../platform/journal.js";
+import * as limits from "../platform/limits.js";
+import * as notices from "../platform/notices.js";
+import * as daemons from "./daemon.js";
+import * as disturbances from "./disturbances.js";
+import type * as history from "./history.js";
+
+/** Every broken rule, a line each. */
+export function violations(h: history.History): readonly string[] {
+  const { arrivals } = h.kept;
+  const sent = new Map(h.seen.map((s) => [s.id, { entry: s.entry, at: s.sentAt }]));
+  const told = h.seen.flatMap((s) =>
+    s.end.kind === "answer" && s.end.leaving && s.end.by !== ""
+      ? [{ entry: s.entry, instance: s.end.by, at: s.endedAt }]
+      : [],
+  );
+  return [
+    ...limits.beyond(arrivals, (a) => isBound(h, a)),
+    ...notices.reachedLeaving(arrivals, sent, told, daemons.DRAIN_MS, (entry, _by, from, to) =>
+      servesOn(h, entry, from, to),
+    ),
+    ...notices.reachedPaused(arrivals, sent, (entry, by, from, to) => {
+      const parts = new Set([entry, disturbances.placeOf(by)]);
+      return !disturbances.any(h.disturbances, from, to, (d) => parts.has(d.on));
+    }),
+  ];
+}
+
+/** Whether an entry daemon's process went on from one moment to another: it was not ended, and did not stand still. */
+function servesOn(h: history.History, entry: string, from: number, to: number): boolean {
+  return !h.disturbances.some((d) => d.on === entry && d.from < to && d.to > from);
+}
+
+/** Whether an arrival counts against its worker's limit: its host had passed the limit on, and nothing excuses it. */
+function isBound(h: history.History, a: journals.Arrival): boolean {
+  const entry = h.seen.find((s) => s.id === a.id)?.entry;
+  if (entry === undefined) return false;
+  const parts = new Set([entry, disturbances.placeOf(a.instance)]);
+  if (disturbances.any(h.disturbances, a.at - limits.BINDS_MS, a.at, (d) => parts.has(d.on)))
+    return false;
+  const before = h.disturbances.filter((d) => d.on === entry && d.to <= a.at).map((d) => d.to);
+  const since = Math.max(0, ...before);
+  return h.seen.some(
+    (s) =>
+      s.entry === entry &&
+      s.sentAt >= since &&
+      s.endedAt + limits.TOLD_MS <= a.at &&
+      s.end.kind === "answer" &&
+      s.end.by === a.instance &&
+      s.end.limitPerS === a.limitPerS,
+  );
+}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -52,6 +52,14 @@
 const LIMITED = 2;
 const LIMIT_PAUSE_MS: readonly [number, number] = [200, 2500];
 const LIMIT_DRAWS = 7;
+/** Part of the runs in which workers ask for pauses, the pause between, and the row of draws for them. */
+const PAUSE = 0.6;
+const PAUSE_PAUSE_MS: readonly [number, number] = [300, 3000];
+const PAUSE_DRAWS = 8;
+/** Part of the runs in which workers leave while the store is out, the pause between, and the row of draws for it. */
+const UNHEARD = 0.6;
+const UNHEARD_PAUSE_MS: readonly [number, number] = [500, 4000];
+const UNHEARD_DRAWS = 9;
 /** Rows of draws for the keys that requests carry, and for what the operator does with keys and caps. */
 const KEY_DRAWS = 4;
 const TEAM_DRAWS = 5;
@@ -93,6 +101,8 @@
     crash(deps(FATAL_DRAWS), until),
     shed(deps(SHED_DRAWS), until),
     limit(deps(LIMIT_DRAWS), until),
+    pause(deps(PAUSE_DRAWS), until),
+    leave(deps(UNHEARD_DRAWS), until),
     rotate(s, given, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
@@ -193,10 +203,15 @@
   })();
 }
 
+/** Whether a run is one of a part of all runs. */
+function isOneOf(d: faults.Deps, part: number): boolean {
+  for (let i = 0; i < ALIKE; i++) d.draw.part();
+  return d.draw.part() < part;
+}
+
 /** In some runs, services shed load while entry daemons go, again and again until `until`. */
 async function shed(d: faults.Deps, until: number): Promise<void> {
-  for (let i = 0; i < ALIKE; i++) d.draw.part();
-  if (d.draw.part() >= SHED) return;
+  if (!isOneOf(d, SHED)) return;
   while (performance.now() < until) {
     await faults.shedding(d, (fault) => strike(d, fault));
     await timers.setTimeout(d.draw.between(...SHED_PAUSE_MS));
@@ -205,8 +220,7 @@
 
 /** In some runs, requests that end their workers come one after the other until `until`. */
 async function crash(d: faults.Deps, until: number): Promise<void> {
-  for (let i = 0; i < ALIKE; i++) d.draw.part();
-  if (d.draw.part() >= FATAL) return;
+  if (!isOneOf(d, FATAL)) return;
   while (performance.now() < until) {
     await timers.setTimeout(d.draw.between(...FATAL_PAUSE_MS));
     await faults.fatal(d);
@@ -215,8 +229,7 @@
 
 /** In some runs, workers name limits, one after the other and some at once, until `until`. */
 async function limit(d: faults.Deps, until: number): Promise<void> {
-  for (let i = 0; i < ALIKE; i++) d.draw.part();
-  if (d.draw.part() >= LIMIT) return;
+  if (!isOneOf(d, LIMIT)) return;
   const one = async (): Promise<void> => {
     while (performance.now() < until) {
       await faults.limiting(d, until);
@@ -226,6 +239,24 @@
   await Promise.all(Array.from({ length: LIMITED }, one));
 }
 
+/** In some runs, workers shed requests and ask for pauses, again and again until `until`. */
+async function pause(d: faults.Deps, until: number): Promise<void> {
+  if (!isOneOf(d, PAUSE)) return;
+  while (performance.now() < until) {
+    await faults.pausing(d, until);
+    await timers.setTimeout(d.draw.between(...PAUSE_PAUSE_MS));
+  }
+}
+
+/** In some runs, workers leave while the store is out, again and again until `until`. */
+async function leave(d: faults.Deps, until: number): Promise<void> {
+  if (!isOneOf(d, UNHEARD)) return;
+  while (performance.now() < until) {
+    await faults.unheard(d, (fault) => strike(d, fault));
+    await timers.setTimeout(d.draw.between(...UNHEARD_PAUSE_MS));
+  }
+}
+
 /** The operator takes keys away, gives others, and changes a cap, until `until`. */
 async function rotate(s: site.Site, given: teams.Teams, draw: Draw, until: number): Promise<void> {
   while (performance.now() < until) {
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -163,9 +163,10 @@
     this.store.put(`servers/${name}`, documents.entry(service, p.address, state, born));
   }
 
-  /** A worker says that it leaves. */
+  /** A worker says that it leaves, in its entry and in its answers. */
   leave(p: Place): void {
     this.leaving.add(p.worker.instance);
+    p.worker.leaving = true;
     this.register(p);
   }
 
