Log the store's era, and the revision with which each change came

Cause: in the record, a store that came back from a copy looks like one that compacted its history: the lines name no era, and no line of a configuration, version or entry says with which revision it came. No decision reads it yet.

--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -187,6 +187,11 @@
     "Store revision known.",
     () => catalogFeed.catalog.revision,
   );
+  daemonMetrics.addGauge(
+    "sumacfield_store_era",
+    "Era that the store states; it rises when the store comes back from a copy.",
+    () => deps.source.era,
+  );
   daemonMetrics.addGauge(
     "sumacfield_store_news_age_ms",
     "Milliseconds since as new as the store.",
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -7,6 +7,7 @@
 import * as hedge from "../host/hedge.js";
 import * as errors from "../host/errors.js";
 import type * as structuredLog from "../host/structured-log.js";
+import type * as eras from "../store/era.js";
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
 import * as incarnation from "./incarnation.js";
@@ -134,6 +135,8 @@
   private unreachableSince = 0;
   private failedCalls = 0;
   private hedgeLogged = false;
+  /** The store's era when {@link noteEra} last looked. */
+  private era: eras.Era | undefined;
   private retryMs = RETRY_MS;
   private readonly abort = new AbortController();
 
@@ -165,10 +168,26 @@
         const ms = this.retryMs * (0.5 + this.deps.random());
         this.retryMs = Math.min(RETRY_MAX_MS, this.retryMs * 2);
         await clock.sleep(this.deps.clock, ms, this.abort.signal);
+      } finally {
+        this.noteEra();
       }
     }
   }
 
+  /** Logs that the store states another era than before. */
+  private noteEra(): void {
+    const { era } = this.deps.source;
+    if (this.era !== undefined && era !== this.era) {
+      this.deps.log.warn("A new era of the store has begun; it came back from a copy.", {
+        era,
+        previousEra: this.era,
+        revision: this.current.revision,
+        newsMs: Math.round(this.catalogAgeMs),
+      });
+    }
+    this.era = era;
+  }
+
   stop(): void {
     this.abort.abort();
   }
@@ -181,6 +200,7 @@
     this.unreachable = false;
     this.reachableSince = this.deps.clock.mono();
     this.deps.log.info("The store answers again.", {
+      era: this.deps.source.era,
       revision: this.current.revision,
       outMs: Math.round(this.reachableSince - this.unreachableSince),
       tries: this.failedCalls,
@@ -194,6 +214,7 @@
     this.unreachableSince = this.deps.clock.mono();
     this.failedCalls = 1;
     this.deps.log.warn("The store does not answer.", {
+      era: this.deps.source.era,
       revision: this.current.revision,
       newsMs: Math.round(this.catalogAgeMs),
       why: errors.messageOf(err),
@@ -244,6 +265,7 @@
     if (this.unreachable) this.reachableSince = this.deps.clock.mono();
     this.synced = true;
     this.deps.log.info("Read a full snapshot of the store.", {
+      era: this.deps.source.era,
       revision,
       documents: documents.length,
       missing,
@@ -277,7 +299,8 @@
     );
     if (result.kind === "compacted") {
       this.synced = false;
-      this.deps.log.warn("The store has compacted its history.", {
+      this.deps.log.warn("The store does not have the changes since the last answer.", {
+        era: this.deps.source.era,
         revision: this.current.revision,
       });
       return false;
@@ -380,17 +403,21 @@
     // The first snapshot adds all endpoints and versions at once. They are not logged one by one, since the line for the
     // snapshot already has their number.
     const isFirstSnapshot = this.current.config === undefined;
-    for (const s of applied) if (!isFirstSnapshot || s.kind === "config") this.logUpdate(s);
+    for (const s of applied) {
+      if (!isFirstSnapshot || s.kind === "config") this.logUpdate(s, revision);
+    }
     const changed = updated !== this.current;
     this.current = revision > updated.revision ? { ...updated, revision } : updated;
     if (changed) this.deps.onChange(this.current);
   }
 
-  private logUpdate(s: catalog.Update): void {
+  /** Logs an update that came with an answer of this revision. */
+  private logUpdate(s: catalog.Update, revision: number): void {
     switch (s.kind) {
       case "config":
         this.deps.log.info("A configuration is in force.", {
           version: s.config.version,
+          revision,
           routes: s.config.routes.length,
           teams: s.config.teams?.all.length,
           keys: s.config.teams?.byDigest.size,
@@ -398,17 +425,22 @@
         });
         break;
       case "version":
-        this.deps.log.info("A version was declared.", { adapter: s.key, version: s.version });
+        this.deps.log.info("A version was declared.", {
+          adapter: s.key,
+          version: s.version,
+          revision,
+        });
         break;
       case "endpoint":
         this.deps.log.info("An endpoint is registered.", {
           endpoint: s.endpoint.id,
           address: s.endpoint.address,
           leaving: s.endpoint.leaving,
+          revision,
         });
         break;
       case "endpoint_gone":
-        this.deps.log.info("An endpoint is gone.", { endpoint: s.worker });
+        this.deps.log.info("An endpoint is gone.", { endpoint: s.worker, revision });
         break;
       case "quarantine":
         this.deps.log.warn("A request is in quarantine.", { identity: s.identity });
--- a/src/store/source.ts
+++ b/src/store/source.ts
@@ -3,6 +3,8 @@
  * @module
  */
 
+import type * as eras from "./era.js";
+
 /** One document in the store. */
 export interface Document {
   readonly key: string;
@@ -27,6 +29,8 @@
  * expected, or when its `signal` is aborted.
  */
 export interface Source {
+  /** The newest era that an answer of the store has stated. */
+  readonly era: eras.Era;
   /** Reads all documents whose keys begin with `prefix`, at a revision that is not newer than any of them. */
   readonly list: (
     prefix: string,
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -6,6 +6,7 @@
 import type * as structuredLog from "../../src/host/structured-log.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as feed from "../../src/serving/feed.js";
+import * as eras from "../../src/store/era.js";
 import type * as source from "../../src/store/source.js";
 
 const { expect } = chai;
@@ -57,6 +58,8 @@
     return { kind: "changes", changes, revision: this.revision };
   };
 
+  readonly era = eras.FIRST;
+
   replaceConnections = (): void => undefined;
   claim = (): Promise<boolean> => Promise.resolve(true);
 }
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -4,6 +4,7 @@
 import * as lineSink from "../../src/host/line-sink.js";
 import type * as catalog from "../../src/serving/catalog.js";
 import * as feed from "../../src/serving/feed.js";
+import * as eras from "../../src/store/era.js";
 import type * as source from "../../src/store/source.js";
 import * as fixtures from "./fixtures.js";
 
@@ -52,6 +53,8 @@
     return { kind: "changes", changes, revision: this.revision };
   };
 
+  readonly era = eras.FIRST;
+
   replaceConnections = (): void => undefined;
 
   claim = (): Promise<boolean> => Promise.resolve(true);
