Tests: a change that is lost and written again as the store comes back from a copy

Change: the stand-in store can come back from a copy: later changes are lost, revisions are given out again, a watch from one that it lacks gets 410, and the era in its answers rises. Two tests, for a route and for a leaving worker, with the feed and the client of the store as they are.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -1,6 +1,7 @@
 /**
  * A stand-in for the platform's key-value store, by its published protocol: reads, ranges, watches
- * and conditional writes. Leases never expire by themselves. It can fail as the platform's store does.
+ * and conditional writes. Leases never expire by themselves. It can fail as the platform's store does, and come back
+ * from an earlier copy.
  * @module
  */
 import * as timers from "node:timers/promises";
@@ -20,6 +21,13 @@
   readonly body: object;
 }
 
+/** What the store held at one moment. */
+export interface Copy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly revision: number;
+  readonly history: readonly Event[];
+}
+
 /** Faults that the store shows. */
 export interface Faults {
   /** `busy` answers 503; `silent` accepts calls and does not answer them. */
@@ -30,6 +38,9 @@
   loseWrites: number;
 }
 
+/** The header in all answers whose value rises by one whenever the store comes back from a copy. */
+const ERA_HEADER = "store-era";
+
 /** Milliseconds after which the connection of an unanswered call is closed. */
 const SILENT_CLOSE_MS = 5000;
 
@@ -41,6 +52,8 @@
   /** Changes up to this revision are compacted away. */
   private compactedRevision = 0;
   private revision = 0;
+  /** Number of times that the store came back from a copy, starting at 1. Undefined to leave the header out. */
+  era: number | undefined = 1;
   private waitingWatches: (() => void)[] = [];
   /** Number of calls accepted while silent. */
   unanswered = 0;
@@ -84,6 +97,22 @@
     this.wakeWatches();
   }
 
+  /** A copy from which the store can come back. */
+  copy(): Copy {
+    return { items: new Map(this.items), revision: this.revision, history: [...this.history] };
+  }
+
+  /** Comes back from a copy: later changes are lost, their revisions are given out again, and the era rises. */
+  comeBackFrom(copy: Copy): void {
+    this.items.clear();
+    for (const [key, item] of copy.items) this.items.set(key, item);
+    this.revision = copy.revision;
+    this.history = [...copy.history];
+    this.compactedRevision = Math.min(this.compactedRevision, copy.revision);
+    if (this.era !== undefined) this.era++;
+    this.wakeWatches();
+  }
+
   private appendEvent(e: Event): void {
     this.history.push(e);
     this.wakeWatches();
@@ -103,7 +132,7 @@
       return;
     }
     if (mode === "busy") {
-      servers.sendJson(res, 503, {});
+      this.send(res, 503, {});
       return;
     }
     const url = new URL(req.url ?? "/", "http://store");
@@ -115,49 +144,54 @@
         await this.watch(url.searchParams, res);
         return;
       case "/-/kv-lease":
-        servers.sendJson(res, 200, { lease: 1, ttlMs: 1000 });
+        this.send(res, 200, { lease: 1, ttlMs: 1000 });
         return;
       case "/-/kv-txn":
         this.transact(await servers.readJson(req), res);
         return;
       default:
-        servers.sendJson(res, 404, {});
+        this.send(res, 404, {});
     }
   }
 
+  private send(res: http.ServerResponse, status: number, body: object): void {
+    if (this.era !== undefined) res.setHeader(ERA_HEADER, this.era);
+    servers.sendJson(res, status, body);
+  }
+
   private range(query: URLSearchParams, res: http.ServerResponse): void {
     const prefix = query.get("prefix") ?? "";
     const items = [...this.items.values()].filter((i) => i.key.startsWith(prefix));
-    servers.sendJson(res, 200, { items, truncated: false, currentRev: this.revision });
+    this.send(res, 200, { items, truncated: false, currentRev: this.revision });
   }
 
   private transact(body: servers.JsonObject, res: http.ServerResponse): void {
     const expected = body.expected as readonly { key: string; revision: number }[];
     const isMet = expected.every((e) => (this.items.get(e.key)?.revision ?? 0) === e.revision);
     if (!isMet) {
-      servers.sendJson(res, 412, { items: [] });
+      this.send(res, 412, { items: [] });
       return;
     }
     const writes = body.writes as readonly { key: string; value: string }[];
     for (const w of writes) this.write(w.key, w.value);
     for (const key of body.remove as readonly string[]) this.remove(key);
     if (Math.random() < this.faults.loseWrites) res.destroy();
-    else servers.sendJson(res, 200, { revision: this.revision });
+    else this.send(res, 200, { revision: this.revision });
   }
 
   private async watch(query: URLSearchParams, res: http.ServerResponse): Promise<void> {
     const after = Number(query.get("after"));
-    if (this.revision <= after && after >= this.compactedRevision) {
+    if (this.revision === after) {
       await new Promise<void>((resolve) => {
         this.waitingWatches.push(resolve);
         setTimeout(resolve, Number(query.get("waitMs")));
       });
     }
-    if (after < this.compactedRevision) {
-      servers.sendJson(res, 410, {});
+    if (after < this.compactedRevision || after > this.revision) {
+      this.send(res, 410, {});
       return;
     }
     const events = this.history.filter((e) => e.revision > after).map((e) => e.body);
-    servers.sendJson(res, 200, { events, currentRev: this.revision });
+    this.send(res, 200, { events, currentRev: this.revision });
   }
 }
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -2,16 +2,12 @@
 import * as documents from "../../bench/platform/documents.js";
 import * as stores from "../../bench/platform/store.js";
 import * as platform from "../../platform/documents.js";
-import * as client from "../../platform/store.js";
-import * as clock from "../../src/host/clock.js";
-import * as structuredLog from "../../src/host/structured-log.js";
-import * as feed from "../../src/serving/feed.js";
+import * as followedStore from "./followed-store.js";
 
 const { expect } = chai;
+const { until } = followedStore;
 
-/** Milliseconds within which a change must be in force. */
-const IN_FORCE_MS = 2000;
-/** Of these, milliseconds reserved for a daemon to apply a change to its requests. */
+/** Of the milliseconds within which a change must be in force, those reserved for a daemon to apply a change to its requests. */
 const SPARE_MS = 100;
 
 /** Maximum number of calls to the store that a daemon has in flight. */
@@ -20,50 +16,25 @@
 const ENDPOINT = "i-1";
 const KEY = `${platform.WORKERS_PREFIX}${ENDPOINT}`;
 
-async function until(condition: () => boolean): Promise<void> {
-  for (let i = 0; i < 800; i++) {
-    if (condition()) return;
-    await clock.sleep(clock.system, 10);
-  }
-  throw new Error("the condition was not met within 8 s");
-}
-
 describe("following the platform's store", () => {
   const store = new stores.Store();
-  let source: client.Store;
-  let followed: feed.Feed;
+  let followed: followedStore.FollowedStore;
 
   beforeEach(async () => {
     await store.start();
     store.faults.mode = "well";
     store.unanswered = 0;
     store.put(KEY, documents.workerEntry("llm", "127.0.0.1:1"));
-    source = new client.Store(store.address);
-    followed = new feed.Feed({
-      clock: clock.system,
-      log: structuredLog.silent,
-      source,
-      decoder: {
-        written: platform.updateOf,
-        deleted: platform.deletionUpdateOf,
-        prefixes: [platform.OPERATOR_PREFIX, platform.WORKERS_PREFIX],
-        common: "",
-      },
-      pace: feed.promptPace(IN_FORCE_MS),
-      onChange: () => undefined,
-      random: () => 0.5,
-    });
-    void followed.run();
-    await until(() => followed.catalog.endpoints.has(ENDPOINT));
+    followed = followedStore.follow(store);
+    await until(() => followed.feed.catalog.endpoints.has(ENDPOINT));
   });
 
   afterEach(() => {
-    followed.stop();
-    source.close();
+    followed.close();
     store.stop();
   });
 
-  const leaving = (): boolean => followed.catalog.endpoints.get(ENDPOINT)?.leaving === true;
+  const leaving = (): boolean => followed.feed.catalog.endpoints.get(ENDPOINT)?.leaving === true;
 
   /** Milliseconds from the change in the store, that the endpoint leaves, until it is in the catalog. */
   async function propagationMs(): Promise<number> {
@@ -85,20 +56,20 @@
     store.put("other", {});
     await until(() => store.unanswered > 0);
     store.faults.mode = "well";
-    expect(await propagationMs()).below(IN_FORCE_MS - SPARE_MS);
+    expect(await propagationMs()).below(followedStore.IN_FORCE_MS - SPARE_MS);
   }).timeout(12_000);
 
   it("learns it in time though the change comes right after a response and the next call hangs", async () => {
-    const { revision } = followed.catalog;
+    const { revision } = followed.feed.catalog;
     store.put("other", {});
-    await until(() => followed.catalog.revision > revision);
+    await until(() => followed.feed.catalog.revision > revision);
     const from = performance.now();
     store.faults.mode = "silent";
     store.put(KEY, documents.workerEntry("llm", "127.0.0.1:1", "draining"));
     await until(() => store.unanswered > 0);
     store.faults.mode = "well";
     await until(leaving);
-    expect(performance.now() - from).below(IN_FORCE_MS - SPARE_MS);
+    expect(performance.now() - from).below(followedStore.IN_FORCE_MS - SPARE_MS);
   }).timeout(12_000);
 
   it("learns it in time after an outage in which all calls hung", async () => {
@@ -107,6 +78,6 @@
     await until(() => store.unanswered >= CALLS_AT_ONCE);
     // All calls that may be in flight hang now, so that only their timeouts let the daemon go on.
     store.faults.mode = "well";
-    expect(await propagationMs()).below(IN_FORCE_MS - SPARE_MS);
+    expect(await propagationMs()).below(followedStore.IN_FORCE_MS - SPARE_MS);
   }).timeout(12_000);
 });
--- /dev/null
+++ b/test/platform/store-return.test.ts
@@ -0,0 +1,123 @@
+import * as chai from "chai";
+import * as documents from "../../bench/platform/documents.js";
+import * as stores from "../../bench/platform/store.js";
+import * as platform from "../../platform/documents.js";
+import * as clock from "../../src/host/clock.js";
+import * as followedStore from "./followed-store.js";
+
+const { expect } = chai;
+const { until, IN_FORCE_MS } = followedStore;
+
+/** Milliseconds for which the store is away. */
+const AWAY_MS = 300;
+/** Milliseconds after the first write until the operator or a worker repeats it. */
+const WRITTEN_AGAIN_MS = 1300;
+/** Number of other changes between the copy and the return. */
+const LOST_CHANGES = 20;
+
+const KEY = `${platform.WORKERS_PREFIX}i-1`;
+
+/** How the store's revision passes the last one from before the return, once the lost change is written again. */
+const PASSES: Readonly<Record<string, number>> = {
+  "passed at once": 0,
+};
+
+describe("a store that comes back from a copy", () => {
+  const store = new stores.Store();
+  let followed: followedStore.FollowedStore;
+  let version = 0;
+
+  function configure(prefixes: readonly string[]): void {
+    const routes = prefixes.map((prefix): documents.Route => ({
+      name: prefix,
+      prefix,
+      kind: "idempotent",
+      service: "guide",
+    }));
+    store.put("op/config", documents.config(version, routes, [documents.plainService("guide")]));
+  }
+
+  function register(state: "ready" | "draining", key = KEY): void {
+    store.put(key, documents.workerEntry("guide", "127.0.0.1:1", state));
+  }
+
+  const hasRoute = (prefix: string): boolean =>
+    followed.feed.catalog.config?.routes.some((r) => r.prefix === prefix) === true;
+  const isLeaving = (): boolean => followed.feed.catalog.endpoints.get("i-1")?.leaving === true;
+
+  /** The store is away for a moment and comes back from `copy`. */
+  async function comeBack(copy: stores.Copy): Promise<void> {
+    store.faults.mode = "busy";
+    await clock.sleep(clock.system, AWAY_MS);
+    store.comeBackFrom(copy);
+    store.faults.mode = "well";
+  }
+
+  async function passRevisions(intervalMs: number): Promise<void> {
+    for (let i = 0; i < 2 * LOST_CHANGES; i++) {
+      store.put("sumacfield/other", { i });
+      if (intervalMs > 0) await clock.sleep(clock.system, intervalMs);
+    }
+  }
+
+  /**
+   * Makes a change that the store loses and that is made again after its return; resolves with the milliseconds from
+   * its first acknowledgement until `inForce`.
+   */
+  async function loseAndRepeat(
+    change: () => void,
+    inForce: () => boolean,
+    intervalMs: number,
+  ): Promise<number> {
+    const copy = store.copy();
+    await writeLost();
+    change();
+    const acknowledgedAt = performance.now();
+    await comeBack(copy);
+    await clock.sleep(clock.system, acknowledgedAt + WRITTEN_AGAIN_MS - performance.now());
+    change();
+    void passRevisions(intervalMs);
+    await until(inForce);
+    return performance.now() - acknowledgedAt;
+  }
+
+  /** Writes that the store loses, of which the feed has seen at least the first ones. */
+  async function writeLost(): Promise<void> {
+    for (let i = 0; i < LOST_CHANGES; i++) store.put("sumacfield/other", { i });
+    const { revision } = followed.feed.catalog;
+    await until(() => followed.feed.catalog.revision > revision);
+  }
+
+  beforeEach(async () => {
+    await store.start();
+    store.faults.mode = "well";
+    version = 1;
+    configure(["/a/"]);
+    register("ready");
+    followed = followedStore.follow(store);
+    await until(() => hasRoute("/a/") && followed.feed.catalog.endpoints.has("i-1"));
+  });
+
+  afterEach(() => {
+    followed.close();
+    store.stop();
+  });
+
+  for (const [how, intervalMs] of Object.entries(PASSES)) {
+    it(`delays no new route, the last revision being ${how}`, async () => {
+      const addRoute = (): void => {
+        version = 2;
+        configure(["/a/", "/b/"]);
+      };
+      const inForceMs = await loseAndRepeat(addRoute, () => hasRoute("/b/"), intervalMs);
+      expect(inForceMs).below(IN_FORCE_MS);
+    }).timeout(12_000);
+
+    it(`hides no worker's leaving, the last revision being ${how}`, async () => {
+      const leave = (): void => {
+        register("draining");
+      };
+      expect(await loseAndRepeat(leave, isLeaving, intervalMs)).below(IN_FORCE_MS);
+    }).timeout(12_000);
+  }
+});
