Follow the store by era and revision, so that no change is skipped after its return from a copy

What callers saw: a route that was acknowledged 3.2 s before was refused with 404, and a worker that had said that it leaves got a request 3,017 ms later (3,000 ms allowed). Cause: a store that comes back from a copy gives revisions out again. The feed kept the larger of its own revision and the store's, so its cursor stayed that of the lost history. Change: a Position (era and revision) takes the place of bare revisions in the store's interface, in the catalog and as the cursor; it can't be made from a number alone.

Orders to engines are fenced by era and revision, since a fence made of the revision alone would fall with it and be refused until the old one is passed. After a return, and after a failed call, the feed no longer waits out its usual interval: what is written again must be in force by the time that counts from its first acknowledgement.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -55,6 +55,10 @@
   /** Number of times that the store came back from a copy, starting at 1. Undefined to leave the header out. */
   era: number | undefined = 1;
   private waitingWatches: (() => void)[] = [];
+  /** Maximum number of items in one answer to a range call. */
+  pageSize = 500;
+  /** Number of range calls answered. */
+  answeredPages = 0;
   /** Number of calls accepted while silent. */
   unanswered = 0;
   private readonly listener = new servers.Listener((req, res) => this.answer(req, res));
@@ -161,8 +165,14 @@
 
   private range(query: URLSearchParams, res: http.ServerResponse): void {
     const prefix = query.get("prefix") ?? "";
-    const items = [...this.items.values()].filter((i) => i.key.startsWith(prefix));
-    this.send(res, 200, { items, truncated: false, currentRev: this.revision });
+    const after = query.get("after") ?? "";
+    const matching = [...this.items.values()]
+      .filter((i) => i.key.startsWith(prefix) && i.key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const items = matching.slice(0, this.pageSize);
+    const truncated = items.length < matching.length;
+    this.send(res, 200, { items, truncated, currentRev: this.revision });
+    this.answeredPages++;
   }
 
   private transact(body: servers.JsonObject, res: http.ServerResponse): void {
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as selector from "../contract/selector.js";
+import * as position from "../store/position.js";
 import type * as tokenBalance from "./token-balance.js";
 import * as incarnation from "./incarnation.js";
 
@@ -138,8 +139,8 @@
   readonly endpoints: ReadonlyMap<string, Endpoint>;
   /** Identities of requests that must not be sent to any worker. */
   readonly quarantined: ReadonlySet<string>;
-  /** Store revision of this snapshot. */
-  readonly revision: number;
+  /** The store's position at this snapshot. */
+  readonly position: position.Position;
 }
 
 /** The catalog of a host that has not read the store yet. */
@@ -148,7 +149,7 @@
   versions: new Map(),
   endpoints: new Map(),
   quarantined: new Set(),
-  revision: 0,
+  position: position.Position.START,
 };
 
 /** Label with the name of the service that an endpoint registered for. */
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -431,7 +431,8 @@
   /** Sends one order, and records its result or polls the engine for it. */
   private async sendOrder(o: orderSender.Change): Promise<void> {
     const { sequence } = this.orders;
-    const result = await this.orders.send(o, this.instance, this.deps.catalog().revision);
+    const { fencingNumber } = this.deps.catalog().position;
+    const result = await this.orders.send(o, this.instance, fencingNumber);
     if (result.kind === "moved") {
       this.engineLost();
       return;
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -185,12 +185,12 @@
   daemonMetrics.addGauge(
     "sumacfield_store_revision",
     "Store revision known.",
-    () => catalogFeed.catalog.revision,
+    () => catalogFeed.catalog.position.revision,
   );
   daemonMetrics.addGauge(
     "sumacfield_store_era",
-    "Era that the store states; it rises when the store comes back from a copy.",
-    () => deps.source.era,
+    "Era of that revision; it rises when the store comes back from a copy.",
+    () => catalogFeed.catalog.position.era,
   );
   daemonMetrics.addGauge(
     "sumacfield_store_news_age_ms",
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps a host's catalog up to date with the store: reads a full snapshot once, then watches for changes by revision,
- * and reads a new snapshot when the store has compacted the history that the watch needs.
+ * Keeps a host's catalog up to date with the store: reads a full snapshot once, then watches for changes by position,
+ * and reads a new snapshot when the store does not have the history that the watch needs: it has compacted it, or has come
+ * back from a copy, and so begun a new era.
  * @module
  */
 import * as clock from "../host/clock.js";
@@ -8,6 +9,7 @@
 import * as errors from "../host/errors.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as eras from "../store/era.js";
+import type * as position from "../store/position.js";
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
 import * as incarnation from "./incarnation.js";
@@ -20,6 +22,14 @@
   readonly overdueMs: number | undefined;
   /** Minimum milliseconds from the start of one watch call to the next, so that one call returns many changes. */
   readonly minIntervalMs: number;
+  /**
+   * The same for `catchUpMs` milliseconds after the store has come back from a copy. What it had acknowledged is then
+   * written again, and must be in force by the time that counts from its first acknowledgement.
+   */
+  readonly catchUpIntervalMs: number;
+  readonly catchUpMs: number;
+  /** Milliseconds until a watch call that failed is first retried. The wait doubles with each further failure. */
+  readonly retryMs: number;
   /**
    * Milliseconds for which endpoints are kept at most if their entries are found missing after an outage of the store,
    * unless most endpoints are missing at once.
@@ -35,6 +45,8 @@
  */
 /** Time from the start of one watch call to the next. In a large fleet calls return at once, so this sets their rate. */
 const INTERVAL_FRACTION = 0.5;
+/** The same after the store has come back from a copy. */
+const CATCH_UP_INTERVAL_FRACTION = 0.1;
 /** Longest duration of one watch call. The call returns at once when something changes. */
 const WATCH_FRACTION = 0.15;
 /** Time until a call is hedged: beyond its longest duration, a slow store has time to respond (some 300 ms). */
@@ -50,12 +62,22 @@
  */
 const MAX_CALLS = 3;
 
+/** Milliseconds until the first retry of a call that failed. */
+const RETRY_MS = 60;
+/** Longest wait between retries of reading a snapshot, in ms, before the random factor. */
+const SNAPSHOT_RETRY_MAX_MS = 400;
+/** Range of the random factor of such a wait, so that hosts do not retry at the same moment. */
+const [MIN_JITTER, MAX_JITTER] = [0.5, 1.5];
+
 /** The pace for daemons in which a change must be in force at most `inForceMs` after the store accepted it. */
 export function promptPace(inForceMs: number): WatchPace {
   return {
     watchMs: Math.round(WATCH_FRACTION * inForceMs),
     overdueMs: HEDGE_FRACTION * inForceMs,
     minIntervalMs: INTERVAL_FRACTION * inForceMs,
+    catchUpIntervalMs: CATCH_UP_INTERVAL_FRACTION * inForceMs,
+    catchUpMs: inForceMs,
+    retryMs: RETRY_MS,
     keepMissingMs: KEEP_MISSING_FRACTION * inForceMs,
   };
 }
@@ -69,13 +91,12 @@
   watchMs: 25_000,
   overdueMs: undefined,
   minIntervalMs: 1500,
+  catchUpIntervalMs: 1500,
+  catchUpMs: 0,
+  retryMs: 1500,
   keepMissingMs: 0,
 };
 
-/** Milliseconds until the first retry after a failed call. */
-const RETRY_MS = 60;
-/** Upper bound of the exponential backoff between retries, in ms. */
-const RETRY_MAX_MS = 400;
 /** Milliseconds within which workers register again whose entries expired during an outage of the store. */
 const REREGISTER_MS = 2200;
 /**
@@ -121,6 +142,10 @@
   private unreachable = false;
   /** Monotonic ms at which the last outage of the store ended. */
   private reachableSince = -Infinity;
+  /** The store's last era that was noticed. Undefined until a first snapshot has been read. */
+  private era: eras.Era | undefined;
+  /** Monotonic ms at which the store was last found to have come back from a copy. */
+  private restoredAt = -Infinity;
   /** Texts of unreadable documents, by key, so that the same text is logged once. */
   private readonly unreadableTexts = new Map<string, string>();
   private unreadableTotal = 0;
@@ -135,9 +160,6 @@
   private unreachableSince = 0;
   private failedCalls = 0;
   private hedgeLogged = false;
-  /** The store's era when {@link noteEra} last looked. */
-  private era: eras.Era | undefined;
-  private retryMs = RETRY_MS;
   private readonly abort = new AbortController();
 
   constructor(private readonly deps: Deps) {}
@@ -159,33 +181,35 @@
   /** Keeps the catalog up to date until {@link stop}. */
   async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
+      this.checkEra();
       try {
         if (!this.synced) await this.readSnapshot();
         else if (!(await this.watchOnce())) continue;
         this.callSucceeded();
       } catch (err) {
         this.callFailed(err);
-        const ms = this.retryMs * (0.5 + this.deps.random());
-        this.retryMs = Math.min(RETRY_MAX_MS, this.retryMs * 2);
-        await clock.sleep(this.deps.clock, ms, this.abort.signal);
-      } finally {
-        this.noteEra();
+        await clock.sleep(this.deps.clock, this.retryInMs(), this.abort.signal);
       }
     }
   }
 
-  /** Logs that the store states another era than before. */
-  private noteEra(): void {
+  /** Has a new snapshot read if the store has begun a new era, in which the catalog's position means nothing. */
+  private checkEra(): void {
     const { era } = this.deps.source;
-    if (this.era !== undefined && era !== this.era) {
-      this.deps.log.warn("A new era of the store has begun; it came back from a copy.", {
-        era,
-        previousEra: this.era,
-        revision: this.current.revision,
-        newsMs: Math.round(this.catalogAgeMs),
-      });
-    }
+    if (this.era === undefined || era === this.era) return;
     this.era = era;
+    this.synced = false;
+    this.restoredAt = this.deps.clock.mono();
+    this.deps.log.warn("A new era of the store has begun; it came back from a copy.", {
+      era,
+      ...this.lastPosition(),
+      newsMs: Math.round(this.catalogAgeMs),
+    });
+  }
+
+  private lastPosition(): structuredLog.Fields {
+    const { era, revision } = this.current.position;
+    return { lastEra: era, lastRevision: revision };
   }
 
   stop(): void {
@@ -193,15 +217,13 @@
   }
 
   private callSucceeded(): void {
-    this.retryMs = RETRY_MS;
     this.upToDateAt = this.callStartedAt;
     this.hedgeLogged = false;
     if (!this.unreachable) return;
     this.unreachable = false;
     this.reachableSince = this.deps.clock.mono();
     this.deps.log.info("The store answers again.", {
-      era: this.deps.source.era,
-      revision: this.current.revision,
+      ...this.lastPosition(),
       outMs: Math.round(this.reachableSince - this.unreachableSince),
       tries: this.failedCalls,
     });
@@ -209,18 +231,29 @@
 
   private callFailed(err: unknown): void {
     this.failedCalls++;
+    // A retry is paced by itself.
+    this.watchStartedAt = -Infinity;
     if (this.unreachable) return;
     this.unreachable = true;
     this.unreachableSince = this.deps.clock.mono();
     this.failedCalls = 1;
     this.deps.log.warn("The store does not answer.", {
-      era: this.deps.source.era,
-      revision: this.current.revision,
+      ...this.lastPosition(),
       newsMs: Math.round(this.catalogAgeMs),
       why: errors.messageOf(err),
     });
   }
 
+  /** Milliseconds until the next call after a failed one. */
+  private retryInMs(): number {
+    const { retryMs, minIntervalMs } = this.deps.pace;
+    const [firstMs, mostMs] = this.synced
+      ? [retryMs, minIntervalMs / MAX_JITTER]
+      : [RETRY_MS, SNAPSHOT_RETRY_MAX_MS];
+    const ms = Math.min(mostMs, firstMs * 2 ** (this.failedCalls - 1));
+    return ms * (MIN_JITTER + (MAX_JITTER - MIN_JITTER) * this.deps.random());
+  }
+
   /** Calls the store. An overdue call is hedged by another one on a new connection. */
   private callStore<T>(call: (signal?: AbortSignal) => Promise<T>): Promise<T> {
     this.callStartedAt = this.deps.clock.mono();
@@ -249,7 +282,9 @@
     const lists = await this.callStore((signal) =>
       Promise.all(decoder.prefixes.map((p) => source.list(p, signal))),
     );
-    const revision = Math.min(...lists.map((l) => l.revision));
+    const start = lists.map((l) => l.position).reduce((a, b) => a.earlier(b));
+    if (lists.some((l) => l.position.era !== source.era))
+      throw new Error("the store's era changed while a snapshot was read");
     const documents = lists.flatMap((l) => l.documents);
     const registered = new Set<string>();
     const updates = documents.flatMap((d) => {
@@ -264,9 +299,10 @@
     const released = [...this.current.quarantined].filter((identity) => !quarantined.has(identity));
     if (this.unreachable) this.reachableSince = this.deps.clock.mono();
     this.synced = true;
+    this.era ??= start.era;
     this.deps.log.info("Read a full snapshot of the store.", {
-      era: this.deps.source.era,
-      revision,
+      era: start.era,
+      revision: start.revision,
       documents: documents.length,
       missing,
     });
@@ -276,40 +312,47 @@
         ...missing.flatMap((worker) => this.removalOf({ kind: "endpoint_gone", worker })),
         ...released.map((identity): catalog.Update => ({ kind: "release", identity })),
       ],
-      revision,
+      start,
     );
   }
 
   /**
    * Makes one watch call and applies the changes. Returns whether the catalog is now as new as the call. It is not if
-   * the store has compacted its history, since such a response says nothing about what changed.
+   * the store does not have the history since the last call, as such a response says nothing about what changed.
    */
   private async watchOnce(): Promise<boolean> {
     const now = this.deps.clock.mono();
     await clock.sleep(
       this.deps.clock,
-      this.watchStartedAt + this.deps.pace.minIntervalMs - now,
+      this.watchStartedAt + this.watchIntervalMs(now) - now,
       this.abort.signal,
     );
     this.watchStartedAt = this.deps.clock.mono();
     const { source, decoder, pace } = this.deps;
-    const { revision } = this.current;
+    const after = this.current.position;
     const result = await this.callStore((signal) =>
-      source.waitForChanges(decoder.common, revision, pace.watchMs, signal),
+      source.waitForChanges(decoder.common, after, pace.watchMs, signal),
     );
     if (result.kind === "compacted") {
       this.synced = false;
-      this.deps.log.warn("The store does not have the changes since the last answer.", {
-        era: this.deps.source.era,
-        revision: this.current.revision,
-      });
+      this.deps.log.warn(
+        "The store does not have the changes since the last answer.",
+        this.lastPosition(),
+      );
       return false;
     }
+    if (result.position.era !== after.era) return false;
     const updates = lastPerKey(result.changes).flatMap((l) => this.updatesOf(l));
-    this.apply(updates, result.revision);
+    this.apply(updates, result.position);
     return true;
   }
 
+  /** Minimum milliseconds from the start of the last watch call to the next. */
+  private watchIntervalMs(now: number): number {
+    const { pace } = this.deps;
+    return now - this.restoredAt < pace.catchUpMs ? pace.catchUpIntervalMs : pace.minIntervalMs;
+  }
+
   private updatesOf({ change, previousWrite }: LastChange): readonly catalog.Update[] {
     if (change.kind === "written") {
       const update = this.decode(change.document.key, change.document.text);
@@ -392,10 +435,10 @@
 
   /** Removes an endpoint that was kept, unless it has registered again. */
   private removeKept(update: Extract<catalog.Update, { kind: "endpoint_gone" }>): void {
-    if (this.keptMissing.delete(update.worker)) this.apply([update], this.current.revision);
+    if (this.keptMissing.delete(update.worker)) this.apply([update], this.current.position);
   }
 
-  private apply(updates: readonly catalog.Update[], revision: number): void {
+  private apply(updates: readonly catalog.Update[], at: position.Position): void {
     for (const s of updates) {
       if (s.kind === "endpoint") this.keptMissing.delete(incarnation.workerOf(s.endpoint.id));
     }
@@ -404,10 +447,10 @@
     // snapshot already has their number.
     const isFirstSnapshot = this.current.config === undefined;
     for (const s of applied) {
-      if (!isFirstSnapshot || s.kind === "config") this.logUpdate(s, revision);
+      if (!isFirstSnapshot || s.kind === "config") this.logUpdate(s, at.revision);
     }
     const changed = updated !== this.current;
-    this.current = revision > updated.revision ? { ...updated, revision } : updated;
+    this.current = at.isAfter(updated.position) ? { ...updated, position: at } : updated;
     if (changed) this.deps.onChange(this.current);
   }
 
--- a/src/store/era.ts
+++ b/src/store/era.ts
@@ -14,7 +14,7 @@
 /** Highest number of an era, so that a fencing number made from it is an exact integer. */
 export const MAX = 0x1fff;
 
-/** The text does not name an era. */
+/** An answer does not state an era, or states one that is over. */
 export class EraError extends Error {
   override readonly name = "EraError";
 }
@@ -26,7 +26,7 @@
   throw new EraError(`expected an era from 0 to ${MAX}, not ${text.slice(0, 40)}`);
 }
 
-/** Remembers the newest era that the answers of a store have stated. */
+/** Remembers the newest era that the answers of a store have stated. Answers of different calls may overtake each other. */
 export class EraTracker {
   private seen: Era = FIRST;
 
@@ -35,10 +35,14 @@
     return this.seen;
   }
 
-  /** Records the era that an answer states, if any, and returns it. Throws {@link EraError}. */
+  /**
+   * Records the era that an answer states, if any, and returns it. Throws {@link EraError} if it cannot be parsed, or if
+   * the era is over: such an answer says nothing about what the store holds now.
+   */
   observe(text: string | undefined): Era {
     const era = text === undefined ? FIRST : parse(text);
-    if (era > this.seen) this.seen = era;
+    if (era < this.seen) throw new EraError(`the answer is of era ${era}, before ${this.seen}`);
+    this.seen = era;
     return era;
   }
 }
--- a/src/store/source.ts
+++ b/src/store/source.ts
@@ -1,27 +1,31 @@
 /**
- * The interface to a store of documents whose changes are followed by revision.
+ * The interface to a store of documents whose changes are followed by position.
  * @module
  */
 
 import type * as eras from "./era.js";
+import type * as position from "./position.js";
 
 /** One document in the store. */
 export interface Document {
   readonly key: string;
   readonly text: string;
-  /** Store revision of the document's last write. */
-  readonly revision: number;
 }
 
 /** A write or deletion of one document. */
 export type Change =
   | { readonly kind: "written"; readonly document: Document }
-  | { readonly kind: "deleted"; readonly key: string; readonly revision: number };
+  | { readonly kind: "deleted"; readonly key: string };
 
 /** The result of waiting for changes. */
 export type ChangesResult =
-  | { readonly kind: "changes"; readonly changes: readonly Change[]; readonly revision: number }
-  /** The store no longer has the requested changes; all documents must be read again. */
+  | {
+      readonly kind: "changes";
+      readonly changes: readonly Change[];
+      /** If it is in another era than the position asked for, the changes say nothing about what was missed. */
+      readonly position: position.Position;
+    }
+  /** The store does not have the requested changes, or no longer; all documents must be read again. */
   | { readonly kind: "compacted" };
 
 /**
@@ -31,15 +35,18 @@
 export interface Source {
   /** The newest era that an answer of the store has stated. */
   readonly era: eras.Era;
-  /** Reads all documents whose keys begin with `prefix`, at a revision that is not newer than any of them. */
+  /** Reads all documents whose keys begin with `prefix`, at a position that is not later than any of them. */
   readonly list: (
     prefix: string,
     signal?: AbortSignal,
-  ) => Promise<{ readonly documents: readonly Document[]; readonly revision: number }>;
-  /** Waits up to `waitMs` for changes after revision `after` to keys that begin with `prefix`. */
+  ) => Promise<{
+    readonly documents: readonly Document[];
+    readonly position: position.Position;
+  }>;
+  /** Waits up to `waitMs` for changes after the position `after` to keys that begin with `prefix`. */
   readonly waitForChanges: (
     prefix: string,
-    after: number,
+    after: position.Position,
     waitMs: number,
     signal?: AbortSignal,
   ) => Promise<ChangesResult>;
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -7,6 +7,7 @@
 import * as catalog from "../../src/serving/catalog.js";
 import * as feed from "../../src/serving/feed.js";
 import * as eras from "../../src/store/era.js";
+import * as position from "../../src/store/position.js";
 import type * as source from "../../src/store/source.js";
 
 const { expect } = chai;
@@ -43,9 +44,9 @@
   constructor(private readonly batches: (readonly (readonly [string, string])[])[]) {}
 
   list = (prefix: string) => {
-    const document = { key: GOOD_KEY, text: JSON.stringify(GOOD), revision: 1 };
+    const document = { key: GOOD_KEY, text: JSON.stringify(GOOD) };
     const documents = GOOD_KEY.startsWith(prefix) ? [document] : [];
-    return Promise.resolve({ documents, revision: 1 });
+    return Promise.resolve({ documents, position: position.Position.at(eras.FIRST, 1) });
   };
 
   waitForChanges = async (): Promise<source.ChangesResult> => {
@@ -53,9 +54,9 @@
     const batch = this.batches.shift() ?? [];
     const changes = batch.map(([key, text]): source.Change => {
       this.revision++;
-      return { kind: "written", document: { key, text, revision: this.revision } };
+      return { kind: "written", document: { key, text } };
     });
-    return { kind: "changes", changes, revision: this.revision };
+    return { kind: "changes", changes, position: position.Position.at(eras.FIRST, this.revision) };
   };
 
   readonly era = eras.FIRST;
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -60,9 +60,9 @@
   }).timeout(12_000);
 
   it("learns it in time though the change comes right after a response and the next call hangs", async () => {
-    const { revision } = followed.feed.catalog;
+    const { position } = followed.feed.catalog;
     store.put("other", {});
-    await until(() => followed.feed.catalog.revision > revision);
+    await until(() => followed.feed.catalog.position.isAfter(position));
     const from = performance.now();
     store.faults.mode = "silent";
     store.put(KEY, documents.workerEntry("llm", "127.0.0.1:1", "draining"));
--- a/test/platform/store-return.test.ts
+++ b/test/platform/store-return.test.ts
@@ -18,8 +18,10 @@
 const KEY = `${platform.WORKERS_PREFIX}i-1`;
 
 /** How the store's revision passes the last one from before the return, once the lost change is written again. */
-const PASSES: Readonly<Record<string, number>> = {
+const PASSES: Readonly<Record<string, number | undefined>> = {
+  "not passed": undefined,
   "passed at once": 0,
+  "passed one by one": 60,
 };
 
 describe("a store that comes back from a copy", () => {
@@ -67,7 +69,7 @@
   async function loseAndRepeat(
     change: () => void,
     inForce: () => boolean,
-    intervalMs: number,
+    intervalMs: number | undefined,
   ): Promise<number> {
     const copy = store.copy();
     await writeLost();
@@ -76,7 +78,7 @@
     await comeBack(copy);
     await clock.sleep(clock.system, acknowledgedAt + WRITTEN_AGAIN_MS - performance.now());
     change();
-    void passRevisions(intervalMs);
+    if (intervalMs !== undefined) void passRevisions(intervalMs);
     await until(inForce);
     return performance.now() - acknowledgedAt;
   }
@@ -84,13 +86,15 @@
   /** Writes that the store loses, of which the feed has seen at least the first ones. */
   async function writeLost(): Promise<void> {
     for (let i = 0; i < LOST_CHANGES; i++) store.put("sumacfield/other", { i });
-    const { revision } = followed.feed.catalog;
-    await until(() => followed.feed.catalog.revision > revision);
+    const { position } = followed.feed.catalog;
+    await until(() => followed.feed.catalog.position.isAfter(position));
   }
 
   beforeEach(async () => {
     await store.start();
-    store.faults.mode = "well";
+    Object.assign(store.faults, { mode: "well", delayMs: 0 });
+    store.era = 1;
+    store.pageSize = 500;
     version = 1;
     configure(["/a/"]);
     register("ready");
@@ -120,4 +124,36 @@
       expect(await loseAndRepeat(leave, isLeaving, intervalMs)).below(IN_FORCE_MS);
     }).timeout(12_000);
   }
+
+  it("is not read as one snapshot if it comes back between two pages", async () => {
+    store.pageSize = 1;
+    register("ready", `${KEY}0`);
+    const copy = store.copy();
+    store.answeredPages = 0;
+    store.faults.delayMs = 100;
+    const pages = followed.source.list(platform.WORKERS_PREFIX);
+    await until(() => store.answeredPages === 1);
+    store.comeBackFrom(copy);
+    const outcome = await pages.then(
+      () => "read",
+      (err: unknown) => String(err),
+    );
+    expect(outcome).include("era changed");
+  });
+
+  it("is read again, and then served, after an answer of an era that is over", async () => {
+    const copy = store.copy();
+    store.comeBackFrom(copy);
+    await until(() => followed.source.era === store.era);
+    store.era = 1;
+    const outcome = await followed.source.list(platform.WORKERS_PREFIX).then(
+      () => "read",
+      (err: unknown) => String(err),
+    );
+    expect(outcome).include("before 2");
+    store.era = 2;
+    version = 2;
+    configure(["/a/", "/b/"]);
+    await until(() => hasRoute("/b/"));
+  });
 });
--- a/test/serving/fake-engine.ts
+++ b/test/serving/fake-engine.ts
@@ -33,6 +33,8 @@
   replaceMs = 0;
   /** Monotonic ms until which it refuses orders, as if busy with another. */
   busyUntil = 0;
+  /** Highest fencing number of an order; orders with a lower one are refused. */
+  private highestFence = 0;
   /** Milliseconds for which an adapter is still listed after its unload was accepted. */
   unloadDelayMs = 0;
 
@@ -99,12 +101,15 @@
   restart(): void {
     this.instance = `${this.instance}+`;
     this.sequence = 0;
+    this.highestFence = 0;
     this.held.clear();
   }
 
   private carryOut(o: engine.Order): engine.OrderResult {
     if (incarnation.workerOf(o.instance) !== this.instance)
       return { kind: "moved", instance: undefined };
+    if (o.epoch < this.highestFence) return { kind: "fenced" };
+    this.highestFence = o.epoch;
     if (o.sequence !== this.sequence) return { kind: "conflict" };
     if (performance.now() < this.busyUntil) return { kind: "conflict" };
     this.sequence++;
--- /dev/null
+++ b/test/serving/fake-source.ts
@@ -0,0 +1,123 @@
+/**
+ * An in-memory store of documents that can be unavailable, compact its history, and come back from a copy.
+ * @module
+ */
+import * as clock from "../../src/host/clock.js";
+import * as eras from "../../src/store/era.js";
+import * as position from "../../src/store/position.js";
+import type * as source from "../../src/store/source.js";
+
+/** Milliseconds until a watch is answered if nothing changes. */
+const WATCH_MS = 10;
+
+/** A change and the revision that it made. */
+interface LoggedChange {
+  readonly revision: number;
+  readonly change: source.Change;
+}
+
+/** What the store held at one moment. */
+export interface Copy {
+  readonly documents: ReadonlyMap<string, source.Document>;
+  readonly log: readonly LoggedChange[];
+  readonly revision: number;
+}
+
+/** The store, and the client that a daemon uses. */
+export class FakeSource implements source.Source {
+  readonly documents = new Map<string, source.Document>();
+  private log: LoggedChange[] = [];
+  private revision = 0;
+  private storeEra = 1;
+  private compactedRevision = 0;
+  private readonly tracker = new eras.EraTracker();
+  unavailable = false;
+  /** Whether listing fails while watches are still answered. */
+  listingFails = false;
+  calls = 0;
+  /** Milliseconds from the making of an answer to its arrival, which are drawn for each call. */
+  delayMs: () => number = () => 0;
+
+  constructor(private readonly clk: clock.Clock = clock.system) {}
+
+  /** The newest era that has arrived in an answer. */
+  get era(): eras.Era {
+    return this.tracker.newest;
+  }
+
+  put(key: string, text: string): void {
+    const document = { key, text };
+    this.documents.set(key, document);
+    this.log.push({ revision: ++this.revision, change: { kind: "written", document } });
+  }
+
+  remove(key: string): void {
+    this.documents.delete(key);
+    this.log.push({ revision: ++this.revision, change: { kind: "deleted", key } });
+  }
+
+  compact(): void {
+    this.compactedRevision = this.revision;
+  }
+
+  copy(): Copy {
+    return { documents: new Map(this.documents), log: [...this.log], revision: this.revision };
+  }
+
+  /** Comes back from a copy: later changes are lost, their revisions are given out again, and the era rises. */
+  comeBackFrom(copy: Copy): void {
+    this.documents.clear();
+    for (const [key, document] of copy.documents) this.documents.set(key, document);
+    this.log = [...copy.log];
+    this.revision = copy.revision;
+    this.compactedRevision = Math.min(this.compactedRevision, copy.revision);
+    this.storeEra++;
+  }
+
+  list = (prefix: string) => {
+    this.accept();
+    if (this.listingFails) throw new Error("unavailable");
+    const documents = [...this.documents.values()].filter((d) => d.key.startsWith(prefix));
+    return this.answer(() => ({ documents, position: this.position() }));
+  };
+
+  waitForChanges = async (
+    _prefix: string,
+    after: position.Position,
+  ): Promise<source.ChangesResult> => {
+    this.accept();
+    if (!this.has(after.revision)) return this.answer(() => ({ kind: "compacted" }));
+    await clock.sleep(this.clk, WATCH_MS);
+    this.accept();
+    if (!this.has(after.revision)) return this.answer(() => ({ kind: "compacted" }));
+    const changes = this.log.filter((l) => l.revision > after.revision).map((l) => l.change);
+    return this.answer(() => ({ kind: "changes", changes, position: this.position() }));
+  };
+
+  replaceConnections = (): void => undefined;
+
+  claim = (): Promise<boolean> => Promise.resolve(true);
+
+  private has(revision: number): boolean {
+    return revision >= this.compactedRevision && revision <= this.revision;
+  }
+
+  private accept(): void {
+    this.calls++;
+    if (this.unavailable) throw new Error("unavailable");
+  }
+
+  private position(): position.Position {
+    return position.Position.at(eras.parse(String(this.storeEra)), this.revision);
+  }
+
+  /** Makes an answer now, which arrives after {@link delayMs}. */
+  private async answer<T>(make: () => T): Promise<T> {
+    const made = make();
+    const era = String(this.storeEra);
+    const ms = this.delayMs();
+    if (ms > 0) await clock.sleep(this.clk, ms);
+    this.tracker.observe(era);
+    return made;
+  }
+}
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -4,71 +4,11 @@
 import * as lineSink from "../../src/host/line-sink.js";
 import type * as catalog from "../../src/serving/catalog.js";
 import * as feed from "../../src/serving/feed.js";
-import * as eras from "../../src/store/era.js";
-import type * as source from "../../src/store/source.js";
+import * as fakeSource from "./fake-source.js";
 import * as fixtures from "./fixtures.js";
 
 const { expect } = chai;
 
-/** An in-memory store that can be made unavailable, or compact its history. */
-class FakeSource implements source.Source {
-  readonly documents = new Map<string, source.Document>();
-  private readonly log: source.Change[] = [];
-  private revision = 0;
-  private compactedRevision = 0;
-  unavailable = false;
-  /** Whether listing fails while watches are still answered. */
-  listingFails = false;
-  calls = 0;
-
-  put(key: string, text: string): void {
-    const document = { key, text, revision: ++this.revision };
-    this.documents.set(key, document);
-    this.log.push({ kind: "written", document });
-  }
-
-  remove(key: string): void {
-    this.documents.delete(key);
-    this.log.push({ kind: "deleted", key, revision: ++this.revision });
-  }
-
-  compact(): void {
-    this.compactedRevision = this.revision;
-  }
-
-  list = (prefix: string) => {
-    this.answer();
-    if (this.listingFails) throw new Error("unavailable");
-    const documents = [...this.documents.values()].filter((d) => d.key.startsWith(prefix));
-    return Promise.resolve({ documents, revision: this.revision });
-  };
-
-  waitForChanges = async (_prefix: string, after: number): Promise<source.ChangesResult> => {
-    this.answer();
-    if (after < this.compactedRevision) return { kind: "compacted" };
-    await clock.sleep(clock.system, 10);
-    this.answer();
-    if (after < this.compactedRevision) return { kind: "compacted" };
-    const changes = this.log.filter((c) => revisionOf(c) > after);
-    return { kind: "changes", changes, revision: this.revision };
-  };
-
-  readonly era = eras.FIRST;
-
-  replaceConnections = (): void => undefined;
-
-  claim = (): Promise<boolean> => Promise.resolve(true);
-
-  private answer(): void {
-    this.calls++;
-    if (this.unavailable) throw new Error("unavailable");
-  }
-}
-
-function revisionOf(c: source.Change): number {
-  return c.kind === "written" ? c.document.revision : c.revision;
-}
-
 /** Prefix of the text of an endpoint that is leaving. Its address follows. */
 const LEAVING = "leaving ";
 
@@ -90,7 +30,10 @@
 
 const running: feed.Feed[] = [];
 
-function follow(from: FakeSource, pace: feed.WatchPace = feed.promptPace(2000)): feed.Feed {
+function follow(
+  from: fakeSource.FakeSource,
+  pace: feed.WatchPace = feed.promptPace(2000),
+): feed.Feed {
   const f = new feed.Feed({
     clock: clock.system,
     log: structuredLog.silent,
@@ -119,7 +62,7 @@
   });
 
   it("reads a snapshot, and watches for changes", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("c", "1");
     s.put("e/a", "10.0.0.1:1");
     const f = follow(s);
@@ -131,14 +74,14 @@
   });
 
   it("leaves the catalog as it is when an endpoint's entry is rewritten unchanged", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("e/a", "10.0.0.1:1");
     const f = follow(s);
     await until(() => f.catalog.endpoints.has("a"));
     const before = f.catalog.endpoints;
-    const { revision } = f.catalog;
+    const { position } = f.catalog;
     s.put("e/a", "10.0.0.1:1");
-    await until(() => f.catalog.revision > revision);
+    await until(() => f.catalog.position.isAfter(position));
     expect(f.catalog.endpoints).equal(before);
   });
 
@@ -148,7 +91,7 @@
    * for fresh although it still holds keys that have been revoked.
    */
   it("does not count a compacted history as an update of the catalog", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("c", "1");
     const f = follow(s, { ...feed.promptPace(2000), minIntervalMs: 20 });
     await until(() => f.catalog.config !== undefined);
@@ -165,7 +108,7 @@
   });
 
   it("makes few calls while changes are frequent", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     const f = follow(s);
     for (let i = 1; i <= 50; i++) {
       s.put("c", String(i));
@@ -176,7 +119,7 @@
   });
 
   it("makes even fewer calls at the relaxed pace", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     const f = follow(s, feed.RELAXED_PACE);
     for (let i = 1; i <= 50; i++) {
       s.put("c", String(i));
@@ -187,7 +130,7 @@
   });
 
   it("reads a new snapshot when the store has compacted its history", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("e/a", "10.0.0.1:1");
     const f = follow(s);
     await until(() => f.catalog.endpoints.has("a"));
@@ -199,7 +142,7 @@
   });
 
   it("keeps the catalog while the store is unavailable", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("c", "1");
     const f = follow(s);
     await until(() => f.catalog.config?.version === 1);
@@ -212,7 +155,7 @@
   });
 
   it("keeps endpoints for a while whose entries expired during an outage of the store", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("e/back", "10.0.0.1:1");
     s.put("e/gone", "10.0.0.2:1");
     const f = follow(s);
@@ -230,7 +173,7 @@
   }).timeout(10_000);
 
   it("removes an endpoint in time when it leaves soon after an outage", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     for (const id of ["a", "b", "c"]) s.put(`e/${id}`, "10.0.0.1:1");
     const f = follow(s);
     await until(() => f.catalog.endpoints.size === 3);
@@ -251,22 +194,22 @@
    * keeps the engine as one that stays.
    */
   it("removes an endpoint at once that announced during an outage that it leaves", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     for (const id of ["a", "b", "c"]) s.put(`e/${id}`, "10.0.0.1:1");
     const f = follow(s);
     await until(() => f.catalog.endpoints.size === 3);
-    const { revision } = f.catalog;
+    const { position } = f.catalog;
     s.unavailable = true;
     await clock.sleep(clock.system, 800);
     s.put("e/a", `${LEAVING}10.0.0.1:1`);
     s.remove("e/a");
     s.unavailable = false;
-    await until(() => f.catalog.revision > revision);
+    await until(() => f.catalog.position.isAfter(position));
     expect(f.catalog.endpoints.get("a")?.leaving ?? true).equal(true);
   });
 
   it("keeps the configuration in force when the next one cannot be decoded", async () => {
-    const s = new FakeSource();
+    const s = new fakeSource.FakeSource();
     s.put("c", "1");
     const f = follow(s);
     await until(() => f.catalog.config?.version === 1);
--- a/test/serving/managed-engines.ts
+++ b/test/serving/managed-engines.ts
@@ -11,6 +11,7 @@
 import * as engineManager from "../../src/serving/engine-manager.js";
 import type * as link from "../../src/serving/link.js";
 import * as suspicionRelay from "../../src/serving/suspicion-relay.js";
+import type * as position from "../../src/store/position.js";
 import * as ports from "../../bench/platform/ports.js";
 import * as fakes from "./fake-engine.js";
 import * as fixtures from "./fixtures.js";
@@ -108,6 +109,9 @@
       engine.newestVersion = version;
       manager.catalogChanged();
     },
+    moveTo: (newPosition: position.Position) => {
+      at = { ...at, position: newPosition };
+    },
     closeDoor: () => {
       server.close();
     },
--- a/test/serving/seats.test.ts
+++ b/test/serving/seats.test.ts
@@ -1,6 +1,8 @@
 import * as chai from "chai";
 import * as net from "node:net";
 import * as clock from "../../src/host/clock.js";
+import * as eras from "../../src/store/era.js";
+import * as position from "../../src/store/position.js";
 import * as managedEngines from "./managed-engines.js";
 
 const { expect } = chai;
@@ -17,6 +19,14 @@
     expect(s.engine.held.get("a")?.ready).equal(true);
   });
 
+  it("loads adapters at lower revisions too, once the store has come back from a copy", async () => {
+    const s = await managedEngines.start();
+    s.moveTo(position.Position.at(eras.parse("1"), 500));
+    expect((await s.link.ask(managedEngines.seatRequest("a")).answer).kind).equal("grant");
+    s.moveTo(position.Position.at(eras.parse("2"), 20));
+    expect((await s.link.ask(managedEngines.seatRequest("b")).answer).kind).equal("grant");
+  });
+
   it("makes a request wait for a slot that another adapter uses, and never overfills the engine", async () => {
     const s = await managedEngines.start();
     const held = ["a", "b"].map((name) => s.link.ask(managedEngines.seatRequest(name)));
