Keep what is known until it is written again after the store's return from a copy

After a return it says what was true when the copy was made: missing isn't gone, and older isn't newer. Change: an incarnation that has announced that it leaves stays so, also after its entry is gone. After a return, an endpoint whose entry is absent is kept, and a document whose deletion was known is withheld, until it is written again or the time to register again (2.2 s) is over. A deletion that arrives then is heeded after a tenth of the time in force, since it may be one that the store had lost. These decisions leave the feed for a module of their own (entry-grace); its pace moves to watch-pace.

--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -137,6 +137,8 @@
   readonly versions: ReadonlyMap<string, number>;
   /** The newest incarnation of each worker, by the worker's name. */
   readonly endpoints: ReadonlyMap<string, Endpoint>;
+  /** Ids of incarnations that announced that they leave, and whose entries are gone. They do not come back. */
+  readonly departed: ReadonlySet<string>;
   /** Identities of requests that must not be sent to any worker. */
   readonly quarantined: ReadonlySet<string>;
   /** The store's position at this snapshot. */
@@ -148,6 +150,7 @@
   config: undefined,
   versions: new Map(),
   endpoints: new Map(),
+  departed: new Set(),
   quarantined: new Set(),
   position: position.Position.START,
 };
@@ -172,9 +175,13 @@
   | { readonly kind: "quarantine"; readonly identity: string }
   | { readonly kind: "release"; readonly identity: string };
 
+/** Number of departed incarnations that are remembered. */
+const MAX_DEPARTED = 1024;
+
 /**
  * Returns the catalog after one update. An older configuration, an older adapter version, or an entry from an earlier
- * start of a worker leaves the catalog as it is.
+ * start of a worker leaves the catalog as it is. An incarnation that has announced that it leaves stays so, whatever its
+ * entry says later.
  */
 export function applyUpdate(catalog: Catalog, update: Update): Catalog {
   return applyUpdates(catalog, [update]).updated;
@@ -187,7 +194,7 @@
 ): { readonly updated: Catalog; readonly applied: readonly Update[] } {
   const versions = copyOnWrite(from.versions);
   const endpoints = copyOnWrite(from.endpoints);
-  let { config, quarantined } = from;
+  let { config, departed, quarantined } = from;
   const applied = updates.filter((c) => {
     switch (c.kind) {
       case "config":
@@ -201,14 +208,21 @@
       case "endpoint": {
         const worker = incarnation.workerOf(c.endpoint.id);
         const current = endpoints.read().get(worker);
+        const isLeaving =
+          departed.has(c.endpoint.id) || (current?.id === c.endpoint.id && current.leaving);
+        const endpoint = isLeaving ? { ...c.endpoint, leaving: true } : c.endpoint;
         // Workers rewrite their entries repeatedly, mostly without a change that matters here.
-        if (isSame(current, c.endpoint)) return false;
-        if (current && incarnation.isOlder(c.endpoint.id, current.id)) return false;
-        endpoints.write().set(worker, c.endpoint);
+        if (isSame(current, endpoint)) return false;
+        if (current && incarnation.isOlder(endpoint.id, current.id)) return false;
+        endpoints.write().set(worker, endpoint);
         return true;
       }
-      case "endpoint_gone":
-        return endpoints.read().has(c.worker) && endpoints.write().delete(c.worker);
+      case "endpoint_gone": {
+        const current = endpoints.read().get(c.worker);
+        if (!current) return false;
+        if (current.leaving) departed = new Set([...departed, current.id].slice(-MAX_DEPARTED));
+        return endpoints.write().delete(c.worker);
+      }
       case "quarantine":
         if (quarantined.has(c.identity)) return false;
         quarantined = new Set([...quarantined, c.identity]);
@@ -226,6 +240,7 @@
       config,
       versions: versions.read(),
       endpoints: endpoints.read(),
+      departed,
       quarantined,
     },
     applied,
--- a/src/serving/daemon-base.ts
+++ b/src/serving/daemon-base.ts
@@ -7,6 +7,7 @@
 import type * as source from "../store/source.js";
 import type * as catalog from "./catalog.js";
 import * as feed from "./feed.js";
+import type * as watchPace from "./watch-pace.js";
 
 /** What every daemon needs. */
 export interface Deps {
@@ -22,7 +23,7 @@
 /** Creates a catalog feed for a daemon. It reads the store once {@link feed.Feed.run} is called. */
 export function openFeed(
   deps: Deps,
-  pace: feed.WatchPace,
+  pace: watchPace.WatchPace,
   onChange: (at: catalog.Catalog) => void,
 ): feed.Feed {
   const { clock, source, decoder, random } = deps;
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -9,6 +9,7 @@
 import * as seatServer from "./seat-server.js";
 import type * as engine from "./engine.js";
 import * as feed from "./feed.js";
+import * as watchPace from "./watch-pace.js";
 import * as daemonBase from "./daemon-base.js";
 import * as engineManager from "./engine-manager.js";
 import * as limiterOwner from "./limiter-owner.js";
@@ -48,7 +49,7 @@
   const notices = new noticeRelay.NoticeRelay(deps.clock, () => {
     manager.noticesChanged();
   });
-  const fed = daemonBase.openFeed(deps, feed.RELAXED_PACE, () => {
+  const fed = daemonBase.openFeed(deps, watchPace.RELAXED_PACE, () => {
     manager.catalogChanged();
   });
   const manager = new engineManager.EngineManager({
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -12,7 +12,7 @@
 import type * as earlyListener from "./early-listener.js";
 import * as dispatch from "./dispatch.js";
 import * as endpointRegistry from "./endpoint-registry.js";
-import * as feed from "./feed.js";
+import * as watchPace from "./watch-pace.js";
 import * as callerServer from "./caller-server.js";
 import * as daemonBase from "./daemon-base.js";
 import * as limiter from "./limiter.js";
@@ -71,7 +71,7 @@
   let previous = catalog.EMPTY;
   const bounds = authentication.freshnessBounds(opts.inForceMs, opts.revokedMs);
   // Fast enough that keys can be accepted and rejected as long as the store answers.
-  const pace = feed.promptPace(Math.min(opts.inForceMs, bounds.acceptWithinMs));
+  const pace = watchPace.promptPace(Math.min(opts.inForceMs, bounds.acceptWithinMs));
   const catalogFeed = daemonBase.openFeed({ ...deps, decoder }, pace, (current) => {
     if (current.config) callers.configure(current.config.limits);
     for (const id of previous.quarantined)
@@ -202,6 +202,16 @@
     "Documents that could not be read.",
     () => catalogFeed.unreadableCount,
   );
+  daemonMetrics.addGauge(
+    "sumacfield_endpoints_kept",
+    "Endpoints in use though their entries are missing.",
+    () => catalogFeed.entryGrace.keptCount,
+  );
+  daemonMetrics.addGauge(
+    "sumacfield_documents_withheld",
+    "Deleted documents that are back after the store's return, and not used.",
+    () => catalogFeed.entryGrace.withheldCount,
+  );
   daemonMetrics.addGauge(
     "sumacfield_workers_limited",
     "Workers that name a limit.",
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -12,99 +12,20 @@
 import type * as position from "../store/position.js";
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
+import * as entryGrace from "./entry-grace.js";
 import * as incarnation from "./incarnation.js";
+import * as watchPace from "./watch-pace.js";
 
-/** How often a daemon asks the store for changes. Each watch call is a load on the store. */
-export interface WatchPace {
-  /** Milliseconds that one watch call waits at most for changes. */
-  readonly watchMs: number;
-  /** Milliseconds after which an unanswered call is hedged by a second one. Undefined to never hedge. */
-  readonly overdueMs: number | undefined;
-  /** Minimum milliseconds from the start of one watch call to the next, so that one call returns many changes. */
-  readonly minIntervalMs: number;
-  /**
-   * The same for `catchUpMs` milliseconds after the store has come back from a copy. What it had acknowledged is then
-   * written again, and must be in force by the time that counts from its first acknowledgement.
-   */
-  readonly catchUpIntervalMs: number;
-  readonly catchUpMs: number;
-  /** Milliseconds until a watch call that failed is first retried. The wait doubles with each further failure. */
-  readonly retryMs: number;
-  /**
-   * Milliseconds for which endpoints are kept at most if their entries are found missing after an outage of the store,
-   * unless most endpoints are missing at once.
-   */
-  readonly keepMissingMs: number;
-}
-
-/*
- * The fractions below are parts of the time within which a change must be in force. In the worst case a change is made
- * right after a response, waits for the next call, that call hangs, and its hedge returns the change: after
- * INTERVAL_FRACTION + HEDGE_FRACTION = 0.75 of the time. The rest is left for the response to arrive. This bounds the
- * age of an entry daemon's catalog while a call hangs, whatever else changes in the store.
- */
-/** Time from the start of one watch call to the next. In a large fleet calls return at once, so this sets their rate. */
-const INTERVAL_FRACTION = 0.5;
-/** The same after the store has come back from a copy. */
-const CATCH_UP_INTERVAL_FRACTION = 0.1;
-/** Longest duration of one watch call. The call returns at once when something changes. */
-const WATCH_FRACTION = 0.15;
-/** Time until a call is hedged: beyond its longest duration, a slow store has time to respond (some 300 ms). */
-const HEDGE_FRACTION = 0.25;
-/**
- * Time for which an endpoint is kept if its entry may only have expired in an outage. Its sum with
- * {@link INTERVAL_FRACTION} and the time of the store's response must stay below 1.
- */
-const KEEP_MISSING_FRACTION = 0.35;
 /**
  * Maximum number of calls in flight. With one hanging call, changes still arrive in time, with two they arrive late; more calls
  * would overload the store.
  */
 const MAX_CALLS = 3;
-
-/** Milliseconds until the first retry of a call that failed. */
-const RETRY_MS = 60;
 /** Longest wait between retries of reading a snapshot, in ms, before the random factor. */
 const SNAPSHOT_RETRY_MAX_MS = 400;
 /** Range of the random factor of such a wait, so that hosts do not retry at the same moment. */
 const [MIN_JITTER, MAX_JITTER] = [0.5, 1.5];
 
-/** The pace for daemons in which a change must be in force at most `inForceMs` after the store accepted it. */
-export function promptPace(inForceMs: number): WatchPace {
-  return {
-    watchMs: Math.round(WATCH_FRACTION * inForceMs),
-    overdueMs: HEDGE_FRACTION * inForceMs,
-    minIntervalMs: INTERVAL_FRACTION * inForceMs,
-    catchUpIntervalMs: CATCH_UP_INTERVAL_FRACTION * inForceMs,
-    catchUpMs: inForceMs,
-    retryMs: RETRY_MS,
-    keepMissingMs: KEEP_MISSING_FRACTION * inForceMs,
-  };
-}
-
-/**
- * The pace for endpoint daemons. They need not be faster: an adapter's version must be in force after 5 s, and they also
- * learn of versions with each request for a seat. They are many, and the store's rate limits grow more slowly than
- * their number.
- */
-export const RELAXED_PACE: WatchPace = {
-  watchMs: 25_000,
-  overdueMs: undefined,
-  minIntervalMs: 1500,
-  catchUpIntervalMs: 1500,
-  catchUpMs: 0,
-  retryMs: 1500,
-  keepMissingMs: 0,
-};
-
-/** Milliseconds within which workers register again whose entries expired during an outage of the store. */
-const REREGISTER_MS = 2200;
-/**
- * Fraction of the endpoints above which entries that are missing at once must have expired: workers that really stop
- * do so a few at a time.
- */
-const EXPIRED_FRACTION = 0.5;
-
 /** Number of unreadable documents remembered, so that each is logged once. */
 const UNREADABLE_KEPT = 256;
 /** Characters of a decoding error that are logged at most. */
@@ -128,7 +49,7 @@
   readonly log: structuredLog.Log;
   readonly source: source.Source;
   readonly decoder: Decoder;
-  readonly pace: WatchPace;
+  readonly pace: watchPace.WatchPace;
   /** Called after each change of the catalog. */
   readonly onChange: (at: catalog.Catalog) => void;
   readonly random: () => number;
@@ -140,8 +61,6 @@
   /** Whether {@link current} holds a snapshot whose changes can be watched. */
   private synced = false;
   private unreachable = false;
-  /** Monotonic ms at which the last outage of the store ended. */
-  private reachableSince = -Infinity;
   /** The store's last era that was noticed. Undefined until a first snapshot has been read. */
   private era: eras.Era | undefined;
   /** Monotonic ms at which the store was last found to have come back from a copy. */
@@ -149,8 +68,7 @@
   /** Texts of unreadable documents, by key, so that the same text is logged once. */
   private readonly unreadableTexts = new Map<string, string>();
   private unreadableTotal = 0;
-  /** Workers whose entries are missing, and which are kept since they may register again soon. */
-  private readonly keptMissing = new Set<string>();
+  private readonly grace: entryGrace.EntryGrace;
   /** Monotonic ms at which the last watch call began. */
   private watchStartedAt = -Infinity;
   /** Monotonic ms at which the last call began, not counting hedges. */
@@ -162,7 +80,17 @@
   private hedgeLogged = false;
   private readonly abort = new AbortController();
 
-  constructor(private readonly deps: Deps) {}
+  constructor(private readonly deps: Deps) {
+    this.grace = new entryGrace.EntryGrace({
+      clock: deps.clock,
+      log: deps.log,
+      times: deps.pace,
+      endpoints: () => this.current.endpoints,
+      apply: (updates) => {
+        this.apply(updates, this.current.position);
+      },
+    });
+  }
 
   get catalog(): catalog.Catalog {
     return this.current;
@@ -173,6 +101,11 @@
     return this.unreadableTotal;
   }
 
+  /** Entries that are kept or withheld while the store recovers. */
+  get entryGrace(): Pick<entryGrace.EntryGrace, "keptCount" | "withheldCount"> {
+    return this.grace;
+  }
+
   /** Milliseconds since the catalog was last known to be as new as the store. */
   get catalogAgeMs(): number {
     return this.deps.clock.mono() - this.upToDateAt;
@@ -200,6 +133,7 @@
     this.era = era;
     this.synced = false;
     this.restoredAt = this.deps.clock.mono();
+    this.grace.storeRestored();
     this.deps.log.warn("A new era of the store has begun; it came back from a copy.", {
       era,
       ...this.lastPosition(),
@@ -221,10 +155,10 @@
     this.hedgeLogged = false;
     if (!this.unreachable) return;
     this.unreachable = false;
-    this.reachableSince = this.deps.clock.mono();
+    this.grace.storeAnswers();
     this.deps.log.info("The store answers again.", {
       ...this.lastPosition(),
-      outMs: Math.round(this.reachableSince - this.unreachableSince),
+      outMs: Math.round(this.deps.clock.mono() - this.unreachableSince),
       tries: this.failedCalls,
     });
   }
@@ -235,6 +169,7 @@
     this.watchStartedAt = -Infinity;
     if (this.unreachable) return;
     this.unreachable = true;
+    this.grace.storeLost();
     this.unreachableSince = this.deps.clock.mono();
     this.failedCalls = 1;
     this.deps.log.warn("The store does not answer.", {
@@ -249,7 +184,7 @@
     const { retryMs, minIntervalMs } = this.deps.pace;
     const [firstMs, mostMs] = this.synced
       ? [retryMs, minIntervalMs / MAX_JITTER]
-      : [RETRY_MS, SNAPSHOT_RETRY_MAX_MS];
+      : [watchPace.RETRY_MS, SNAPSHOT_RETRY_MAX_MS];
     const ms = Math.min(mostMs, firstMs * 2 ** (this.failedCalls - 1));
     return ms * (MIN_JITTER + (MAX_JITTER - MIN_JITTER) * this.deps.random());
   }
@@ -272,11 +207,6 @@
     return hedge.firstAnswer(call, { overdueMs, maxCalls: MAX_CALLS }, { clock, onOverdue });
   }
 
-  /** Whether entries may be missing only because they expired in an outage of the store. */
-  private mayHaveExpired(): boolean {
-    return this.unreachable || this.deps.clock.mono() - this.reachableSince < REREGISTER_MS;
-  }
-
   private async readSnapshot(): Promise<void> {
     const { source, decoder } = this.deps;
     const lists = await this.callStore((signal) =>
@@ -289,15 +219,16 @@
     const registered = new Set<string>();
     const updates = documents.flatMap((d) => {
       const update = this.decode(d.key, d.text);
-      if (update?.kind === "endpoint") registered.add(incarnation.workerOf(update.endpoint.id));
-      return update ? [update] : [];
+      if (!update) return [];
+      if (update.kind === "endpoint") registered.add(incarnation.workerOf(update.endpoint.id));
+      return this.grace.found(d.key, update);
     });
     const missing = [...this.current.endpoints.keys()].filter((worker) => !registered.has(worker));
     const quarantined = new Set(
       updates.flatMap((s) => (s.kind === "quarantine" ? [s.identity] : [])),
     );
     const released = [...this.current.quarantined].filter((identity) => !quarantined.has(identity));
-    if (this.unreachable) this.reachableSince = this.deps.clock.mono();
+    this.grace.storeAnswers();
     this.synced = true;
     this.era ??= start.era;
     this.deps.log.info("Read a full snapshot of the store.", {
@@ -309,7 +240,7 @@
     this.apply(
       [
         ...updates,
-        ...missing.flatMap((worker) => this.removalOf({ kind: "endpoint_gone", worker })),
+        ...missing.flatMap((worker) => this.grace.absent(worker)),
         ...released.map((identity): catalog.Update => ({ kind: "release", identity })),
       ],
       start,
@@ -355,13 +286,14 @@
 
   private updatesOf({ change, previousWrite }: LastChange): readonly catalog.Update[] {
     if (change.kind === "written") {
-      const update = this.decode(change.document.key, change.document.text);
-      return update ? [update] : [];
+      const { key, text } = change.document;
+      const update = this.decode(key, text);
+      return update ? this.grace.written(key, update) : [];
     }
     const update = this.deps.decoder.deleted(change.key);
-    return update
-      ? this.removalOf(update, previousWrite && this.decode(previousWrite.key, previousWrite.text))
-      : [];
+    if (!update) return [];
+    const previous = previousWrite && this.decode(previousWrite.key, previousWrite.text);
+    return this.grace.deleted(change.key, update, previous);
   }
 
   /**
@@ -389,58 +321,9 @@
     this.deps.log.error("A document cannot be read.", { key, count, why: reason });
   }
 
-  /**
-   * Removes an endpoint at once, or later if its entry may only have expired in an outage of the store. An endpoint that
-   * was leaving does not register again, so it is removed at once. It may say so in `previousWrite`, the last entry
-   * written before the deletion, which arrived in the same response.
-   */
-  private removalOf(
-    update: catalog.Update,
-    previousWrite?: catalog.Update,
-  ): readonly catalog.Update[] {
-    if (update.kind !== "endpoint_gone" || !this.mayHaveExpired()) return [update];
-    const last =
-      previousWrite?.kind === "endpoint"
-        ? previousWrite.endpoint
-        : this.current.endpoints.get(update.worker);
-    if (last?.leaving) return [update];
-    if (!this.current.endpoints.has(update.worker) || this.keptMissing.has(update.worker))
-      return [];
-    this.keptMissing.add(update.worker);
-    const reregisterLeftMs = this.reregisterLeftMs();
-    const keepMs = Math.min(this.deps.pace.keepMissingMs, reregisterLeftMs);
-    this.deps.log.warn(
-      "An endpoint's entry is missing after an outage; the endpoint is kept for now.",
-      {
-        endpoint: update.worker,
-        keepMs: Math.round(keepMs),
-      },
-    );
-    this.deps.clock.after(keepMs, () => {
-      const mostExpired = this.keptMissing.size > EXPIRED_FRACTION * this.current.endpoints.size;
-      if (mostExpired)
-        this.deps.clock.after(reregisterLeftMs - keepMs, () => {
-          this.removeKept(update);
-        });
-      else this.removeKept(update);
-    });
-    return [];
-  }
-
-  /** Milliseconds left for workers to register again after the last outage. */
-  private reregisterLeftMs(): number {
-    const reachableAt = this.unreachable ? this.deps.clock.mono() : this.reachableSince;
-    return Math.max(0, reachableAt + REREGISTER_MS - this.deps.clock.mono());
-  }
-
-  /** Removes an endpoint that was kept, unless it has registered again. */
-  private removeKept(update: Extract<catalog.Update, { kind: "endpoint_gone" }>): void {
-    if (this.keptMissing.delete(update.worker)) this.apply([update], this.current.position);
-  }
-
   private apply(updates: readonly catalog.Update[], at: position.Position): void {
     for (const s of updates) {
-      if (s.kind === "endpoint") this.keptMissing.delete(incarnation.workerOf(s.endpoint.id));
+      if (s.kind === "endpoint") this.grace.registered(incarnation.workerOf(s.endpoint.id));
     }
     const { updated, applied } = catalog.applyUpdates(this.current, updates);
     // The first snapshot adds all endpoints and versions at once. They are not logged one by one, since the line for the
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -6,6 +6,7 @@
 import type * as structuredLog from "../../src/host/structured-log.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as feed from "../../src/serving/feed.js";
+import * as watchPace from "../../src/serving/watch-pace.js";
 import * as eras from "../../src/store/era.js";
 import * as position from "../../src/store/position.js";
 import type * as source from "../../src/store/source.js";
@@ -83,7 +84,7 @@
       prefixes: [platform.WORKERS_PREFIX],
       common: platform.WORKERS_PREFIX,
     },
-    pace: { ...feed.promptPace(2000), minIntervalMs: 1 },
+    pace: { ...watchPace.promptPace(2000), minIntervalMs: 1 },
     onChange: (at) => {
       lastChange = at;
     },
--- a/test/platform/followed-store.ts
+++ b/test/platform/followed-store.ts
@@ -8,6 +8,7 @@
 import * as clock from "../../src/host/clock.js";
 import * as structuredLog from "../../src/host/structured-log.js";
 import * as feed from "../../src/serving/feed.js";
+import * as watchPace from "../../src/serving/watch-pace.js";
 
 /** Milliseconds within which a change must be in force. */
 export const IN_FORCE_MS = 2000;
@@ -32,7 +33,7 @@
       prefixes: [documents.OPERATOR_PREFIX, documents.WORKERS_PREFIX],
       common: "",
     },
-    pace: feed.promptPace(IN_FORCE_MS),
+    pace: watchPace.promptPace(IN_FORCE_MS),
     onChange: () => undefined,
     random: () => 0.5,
   });
--- a/test/serving/fake-source.ts
+++ b/test/serving/fake-source.ts
@@ -74,7 +74,7 @@
     this.storeEra++;
   }
 
-  list = (prefix: string) => {
+  list = async (prefix: string) => {
     this.accept();
     if (this.listingFails) throw new Error("unavailable");
     const documents = [...this.documents.values()].filter((d) => d.key.startsWith(prefix));
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -4,6 +4,7 @@
 import * as lineSink from "../../src/host/line-sink.js";
 import type * as catalog from "../../src/serving/catalog.js";
 import * as feed from "../../src/serving/feed.js";
+import * as watchPace from "../../src/serving/watch-pace.js";
 import * as fakeSource from "./fake-source.js";
 import * as fixtures from "./fixtures.js";
 
@@ -32,7 +33,7 @@
 
 function follow(
   from: fakeSource.FakeSource,
-  pace: feed.WatchPace = feed.promptPace(2000),
+  pace: watchPace.WatchPace = watchPace.promptPace(2000),
 ): feed.Feed {
   const f = new feed.Feed({
     clock: clock.system,
@@ -93,7 +94,7 @@
   it("does not count a compacted history as an update of the catalog", async () => {
     const s = new fakeSource.FakeSource();
     s.put("c", "1");
-    const f = follow(s, { ...feed.promptPace(2000), minIntervalMs: 20 });
+    const f = follow(s, { ...watchPace.promptPace(2000), minIntervalMs: 20 });
     await until(() => f.catalog.config !== undefined);
     s.unavailable = true;
     const unavailableSince = performance.now();
@@ -120,7 +121,7 @@
 
   it("makes even fewer calls at the relaxed pace", async () => {
     const s = new fakeSource.FakeSource();
-    const f = follow(s, feed.RELAXED_PACE);
+    const f = follow(s, watchPace.RELAXED_PACE);
     for (let i = 1; i <= 50; i++) {
       s.put("c", String(i));
       await clock.sleep(clock.system, 40);
--- /dev/null
+++ b/test/serving/store-return.test.ts
@@ -0,0 +1,305 @@
+import * as chai from "chai";
+import * as fc from "fast-check";
+import * as virtual from "../../bench/measure/time.js";
+import * as structuredLog from "../../src/host/structured-log.js";
+import * as catalog from "../../src/serving/catalog.js";
+import * as feed from "../../src/serving/feed.js";
+import * as watchPace from "../../src/serving/watch-pace.js";
+import * as fakeSource from "./fake-source.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+/** Milliseconds within which a change must be in force. */
+const IN_FORCE_MS = 3000;
+/** Milliseconds after a return by which everything that was lost is written again in these tests. */
+const REWRITTEN_MS = 1500;
+/** Milliseconds after a return by which what is known from before no longer matters. */
+const SETTLED_MS = 6000;
+const LEAVING = "leaving";
+
+/** Decodes `c` as the version of the configuration, and `e/WORKER` as the state of a worker. */
+const DECODER: feed.Decoder = {
+  prefixes: ["e/", "c"],
+  common: "",
+  written: (key, text): catalog.Update => {
+    if (key === "c") {
+      return { kind: "config", config: { ...fixtures.CONFIG, version: Number(text) } };
+    }
+    const endpoint = fixtures.endpoint(key.slice(2), "10.0.0.1:1");
+    return { kind: "endpoint", endpoint: { ...endpoint, leaving: text === LEAVING } };
+  },
+  deleted: (key) => (key === "c" ? undefined : { kind: "endpoint_gone", worker: key.slice(2) }),
+};
+
+/** A feed that follows a fake store in virtual time. */
+function follow(draw: () => number = () => 0.5) {
+  const time = new virtual.Time();
+  const store = new fakeSource.FakeSource(time);
+  const versions: number[] = [];
+  const seenLeaving = new Set<string>();
+  /** Workers that were used again after this host had seen that they leave. */
+  const usedAgain: string[] = [];
+  const f = new feed.Feed({
+    clock: time,
+    log: structuredLog.silent,
+    source: store,
+    decoder: DECODER,
+    pace: watchPace.promptPace(IN_FORCE_MS),
+    onChange: (at) => {
+      versions.push(at.config?.version ?? 0);
+      for (const e of at.endpoints.values()) {
+        if (e.leaving) seenLeaving.add(e.id);
+        else if (seenLeaving.has(e.id)) usedAgain.push(e.id);
+      }
+    },
+    random: draw,
+  });
+  store.put("c", "1");
+  void f.run();
+  const isUsable = (worker: string): boolean => f.catalog.endpoints.get(worker)?.leaving === false;
+  return { time, store, feed: f, versions, usedAgain, isUsable };
+}
+
+describe("what a host knew before the store came back from a copy", () => {
+  it("keeps a worker in use that registered after the copy, until it registers again", async () => {
+    const { time, store, feed: f, isUsable } = follow();
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.put("e/a", "ready");
+    await time.runUntil(4000);
+    expect(isUsable("a")).equal(true);
+    store.comeBackFrom(copy);
+    for (let at = 4000; at < 4000 + IN_FORCE_MS + REWRITTEN_MS; at += 50) {
+      await time.runUntil(at);
+      if (at === 4000 + REWRITTEN_MS) store.put("e/a", "ready");
+      expect(isUsable("a"), `${at} ms`).equal(true);
+    }
+    f.stop();
+  });
+
+  it("drops such a worker if it does not register again", async () => {
+    const { time, store, feed: f } = follow();
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.put("e/a", "ready");
+    await time.runUntil(4000);
+    store.comeBackFrom(copy);
+    await time.runUntil(4000 + SETTLED_MS);
+    expect(f.catalog.endpoints.size).equal(0);
+    f.stop();
+  });
+
+  it("keeps a worker out of use that had said that it leaves, though its older entry is back", async () => {
+    const { time, store, feed: f, isUsable } = follow();
+    store.put("e/a", "ready");
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.put("e/a", LEAVING);
+    await time.runUntil(4000);
+    store.comeBackFrom(copy);
+    store.put("e/a", "ready");
+    for (let at = 4000; at < 4000 + SETTLED_MS; at += 50) {
+      await time.runUntil(at);
+      expect(isUsable("a"), `${at} ms`).equal(false);
+    }
+    f.stop();
+  });
+
+  it("keeps it out of use if it was missing from the copy and registers again as ready", async () => {
+    const { time, store, feed: f, isUsable } = follow();
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.put("e/a", "ready");
+    store.put("e/a", LEAVING);
+    await time.runUntil(4000);
+    store.comeBackFrom(copy);
+    await time.runUntil(6000);
+    store.put("e/a", "ready");
+    for (let at = 6000; at < 6000 + SETTLED_MS; at += 50) {
+      await time.runUntil(at);
+      expect(isUsable("a"), `${at} ms`).equal(false);
+    }
+    f.stop();
+  });
+
+  it("keeps a worker out of use whose entry was deleted after the copy, until it is deleted again", async () => {
+    const { time, store, feed: f, isUsable } = follow();
+    store.put("e/a", "ready");
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.remove("e/a");
+    await time.runUntil(4000);
+    expect(f.catalog.endpoints.size).equal(0);
+    store.comeBackFrom(copy);
+    for (let at = 4000; at < 4000 + SETTLED_MS; at += 50) {
+      await time.runUntil(at);
+      if (at === 4000 + REWRITTEN_MS) store.remove("e/a");
+      expect(isUsable("a"), `${at} ms`).equal(false);
+    }
+    f.stop();
+  });
+
+  it("uses a worker again that registers again after its entry had been deleted", async () => {
+    const { time, store, feed: f, isUsable } = follow();
+    store.put("e/a", "ready");
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.remove("e/a");
+    await time.runUntil(4000);
+    store.comeBackFrom(copy);
+    await time.runUntil(6000);
+    expect(isUsable("a")).equal(false);
+    store.put("e/a", "ready");
+    await time.runUntil(6500);
+    expect(isUsable("a")).equal(true);
+    f.stop();
+  });
+
+  it("stays known if the store comes back twice in a row", async () => {
+    const { time, store, feed: f, isUsable, versions } = follow();
+    await time.runUntil(2000);
+    const copy = store.copy();
+    store.put("e/a", "ready");
+    store.put("c", "2");
+    await time.runUntil(4000);
+    store.comeBackFrom(copy);
+    await time.runUntil(5800);
+    store.put("e/a", "ready");
+    await time.runUntil(5900);
+    store.comeBackFrom(copy);
+    await time.runUntil(5900 + REWRITTEN_MS);
+    expect(isUsable("a")).equal(true);
+    store.put("e/a", "ready");
+    store.put("c", "2");
+    await time.runUntil(5900 + SETTLED_MS);
+    expect(isUsable("a")).equal(true);
+    expect(versions).deep.equal([...versions].sort((a, b) => a - b));
+    f.stop();
+  });
+});
+
+/** A step of a random history. */
+type Step =
+  | { readonly kind: "configure"; readonly ms: number }
+  | {
+      readonly kind: "register" | "leave" | "remove";
+      readonly worker: string;
+      readonly ms: number;
+    }
+  | { readonly kind: "copy" | "compact" | "outage"; readonly ms: number }
+  /** Comes back from the last copy, and writes again what was lost after `ms`. */
+  | { readonly kind: "return"; readonly ms: number };
+
+const MS = fc.nat({ max: 1200 });
+const WORKER = fc.constantFrom("a", "b", "c");
+const STEP: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ kind: fc.constant("configure" as const), ms: MS }),
+  fc.record({
+    kind: fc.constantFrom("register" as const, "leave" as const, "remove" as const),
+    worker: WORKER,
+    ms: MS,
+  }),
+  fc.record({
+    kind: fc.constantFrom("copy" as const, "compact" as const, "outage" as const),
+    ms: MS,
+  }),
+  fc.record({ kind: fc.constant("return" as const), ms: fc.nat({ max: REWRITTEN_MS }) }),
+);
+
+/** Plays a history; resolves once everything lost has been written again and had its time to be in force. */
+async function play(steps: readonly Step[], delays: readonly number[]) {
+  const host = follow(() => 0.5);
+  const { time, store } = host;
+  let calls = 0;
+  store.delayMs = () => delays[calls++ % delays.length] ?? 0;
+  /** What the operator and the workers hold to be written. */
+  const wanted = new Map([["c", "1"]]);
+  const left = new Set<string>();
+  let copy = store.copy();
+  let now = 0;
+  const wait = async (ms: number): Promise<void> => {
+    now += ms;
+    await time.runUntil(now);
+  };
+  const write = (key: string, text: string): void => {
+    wanted.set(key, text);
+    store.put(key, text);
+  };
+  const writeAgain = (): void => {
+    for (const key of store.documents.keys()) if (!wanted.has(key)) store.remove(key);
+    for (const [key, text] of wanted) {
+      if (store.documents.get(key)?.text !== text) store.put(key, text);
+    }
+  };
+  for (const s of steps) {
+    switch (s.kind) {
+      case "configure":
+        write("c", String(Number(wanted.get("c")) + 1));
+        break;
+      case "register":
+        // A worker that has left starts anew under another name.
+        if (left.has(s.worker)) break;
+        write(`e/${s.worker}`, "ready");
+        break;
+      case "leave":
+        if (!wanted.has(`e/${s.worker}`)) break;
+        left.add(s.worker);
+        write(`e/${s.worker}`, LEAVING);
+        break;
+      case "remove":
+        wanted.delete(`e/${s.worker}`);
+        store.remove(`e/${s.worker}`);
+        break;
+      case "copy":
+        copy = store.copy();
+        break;
+      case "compact":
+        store.compact();
+        copy = store.copy();
+        break;
+      case "outage":
+        store.unavailable = true;
+        await wait(s.ms);
+        store.unavailable = false;
+        break;
+      case "return":
+        store.unavailable = true;
+        await wait(s.ms % 400);
+        store.comeBackFrom(copy);
+        store.unavailable = false;
+        await wait(s.ms);
+        writeAgain();
+        break;
+    }
+    await wait(s.ms);
+  }
+  writeAgain();
+  await wait(SETTLED_MS);
+  host.feed.stop();
+  return { ...host, wanted };
+}
+
+describe("a host that follows a store with returns, outages and late answers", () => {
+  it("holds what the store holds once all is written again, and never goes back", async () => {
+    const history = fc.array(STEP, { minLength: 3, maxLength: 14 });
+    const delays = fc.array(fc.constantFrom(0, 4, 40, 300, 900), { minLength: 1, maxLength: 7 });
+    await fc.assert(
+      fc.asyncProperty(history, delays, async (steps, ms) => {
+        const { feed: f, versions, usedAgain, wanted } = await play(steps, ms);
+        expect(String(f.catalog.config?.version)).equal(wanted.get("c"));
+        const entries = [...f.catalog.endpoints.values()].map((e) => [
+          e.id,
+          e.leaving ? LEAVING : "ready",
+        ]);
+        const expected = [...wanted].filter(([key]) => key !== "c");
+        expect(new Map(entries as [string, string][])).deep.equal(
+          new Map(expected.map(([key, text]) => [key.slice(2), text])),
+        );
+        expect(versions).deep.equal([...versions].sort((a, b) => a - b));
+        expect(usedAgain).deep.equal([]);
+      }),
+      { numRuns: 400 },
+    );
+  }).timeout(60_000);
+});
