Write quarantines again that the store loses by coming back from a copy

What callers would have seen: a request that had crashed three workers is refused; after a return, and once all hosts had started anew, it would have run again and crashed three more.

Change: a quarantine that is absent after a return stays in force at all hosts, with its evidence, and is written again with the time that its evidence still counts; hosts spread their writes, so most find it written. Each host also writes again what it has proved itself and the store may have lost unseen. One that was released after the copy is withheld like any deleted document, until the operator releases it again.

--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -9,6 +9,7 @@
 import * as limiterSwitches from "./limiter-switches.js";
 import * as servingSwitches from "./serving-switches.js";
 import * as soakSwitches from "./soak-switches.js";
+import * as storeSwitches from "./store-switches.js";
 import * as switches from "./switches.js";
 
 const ROOT = new URL("../../../", import.meta.url).pathname;
@@ -86,6 +87,7 @@
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
+  ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
 ];
 const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -134,7 +134,7 @@
   {
     name: "requests in quarantine outlast a restart of all daemons",
     file: "serving/quarantine.js",
-    find: 'return { kind: "quarantine", identity };',
+    find: 'return { kind: "quarantine", identity, evidence: text };',
     put: "return undefined;",
     proof: "is in force while its key is in the store, whatever the value, and released with it",
   },
@@ -169,7 +169,7 @@
   },
   {
     name: "a removal that comes with a leaving mark is sure",
-    file: "serving/feed.js",
+    file: "serving/entry-grace.js",
     find: "if (last?.leaving)",
     put: "if (false)",
     proof: "removes an endpoint at once that announced during an outage that it leaves",
@@ -177,7 +177,7 @@
   {
     name: "an entry of an older start changes nothing",
     file: "serving/catalog.js",
-    find: "if (current && incarnation.isOlder(c.endpoint.id, current.id))",
+    find: "if (current && incarnation.isOlder(endpoint.id, current.id))",
     put: "if (false)",
     proof:
       "never goes back to an older incarnation, in whatever order entries arrive, late or repeated",
@@ -299,8 +299,8 @@
   },
   {
     name: "entries that lapsed during an outage are kept for a while",
-    file: "serving/feed.js",
-    find: 'if (update.kind !== "endpoint_gone" || !this.mayHaveExpired())',
+    file: "serving/entry-grace.js",
+    find: 'if (update.kind !== "endpoint_gone" || this.recoveryLeftMs() === 0)',
     put: "if (true)",
     proof: "keeps endpoints for a while whose entries expired during an outage of the store",
   },
@@ -320,9 +320,9 @@
   },
   {
     name: "an endpoint that leaves after an outage goes in the time allowed",
-    file: "serving/feed.js",
-    find: "Math.min(this.deps.pace.keepMissingMs, reregisterLeftMs)",
-    put: "REREGISTER_MS",
+    file: "serving/entry-grace.js",
+    find: "return keepMissingMs;",
+    put: "return REREGISTER_MS;",
     proof: "removes an endpoint in time when it leaves soon after an outage",
   },
   {
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -139,8 +139,8 @@
   readonly endpoints: ReadonlyMap<string, Endpoint>;
   /** Ids of incarnations that announced that they leave, and whose entries are gone. They do not come back. */
   readonly departed: ReadonlySet<string>;
-  /** Identities of requests that must not be sent to any worker. */
-  readonly quarantined: ReadonlySet<string>;
+  /** Evidence against the requests that must not be sent to any worker, by the request's identity. */
+  readonly quarantined: ReadonlyMap<string, string>;
   /** The store's position at this snapshot. */
   readonly position: position.Position;
 }
@@ -151,7 +151,7 @@
   versions: new Map(),
   endpoints: new Map(),
   departed: new Set(),
-  quarantined: new Set(),
+  quarantined: new Map(),
   position: position.Position.START,
 };
 
@@ -172,7 +172,7 @@
   | { readonly kind: "endpoint"; readonly endpoint: Endpoint }
   | { readonly kind: "endpoint_gone"; readonly worker: string }
   /** Requests with this {@link identity.of | identity} must not be sent to any worker. */
-  | { readonly kind: "quarantine"; readonly identity: string }
+  | { readonly kind: "quarantine"; readonly identity: string; readonly evidence: string }
   | { readonly kind: "release"; readonly identity: string };
 
 /** Number of departed incarnations that are remembered. */
@@ -225,11 +225,11 @@
       }
       case "quarantine":
         if (quarantined.has(c.identity)) return false;
-        quarantined = new Set([...quarantined, c.identity]);
+        quarantined = new Map([...quarantined, [c.identity, c.evidence]]);
         return true;
       case "release":
         if (!quarantined.has(c.identity)) return false;
-        quarantined = new Set([...quarantined].filter((i) => i !== c.identity));
+        quarantined = new Map([...quarantined].filter(([identity]) => identity !== c.identity));
         return true;
     }
   });
--- a/src/serving/daemon-base.ts
+++ b/src/serving/daemon-base.ts
@@ -5,7 +5,6 @@
 import type * as clock from "../host/clock.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as source from "../store/source.js";
-import type * as catalog from "./catalog.js";
 import * as feed from "./feed.js";
 import type * as watchPace from "./watch-pace.js";
 
@@ -24,7 +23,7 @@
 export function openFeed(
   deps: Deps,
   pace: watchPace.WatchPace,
-  onChange: (at: catalog.Catalog) => void,
+  listeners: feed.Listeners,
 ): feed.Feed {
   const { clock, source, decoder, random } = deps;
   return new feed.Feed({
@@ -34,6 +33,6 @@
     decoder,
     pace,
     random,
-    onChange,
+    ...listeners,
   });
 }
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -49,8 +49,11 @@
   const notices = new noticeRelay.NoticeRelay(deps.clock, () => {
     manager.noticesChanged();
   });
-  const fed = daemonBase.openFeed(deps, watchPace.RELAXED_PACE, () => {
-    manager.catalogChanged();
+  const fed = daemonBase.openFeed(deps, watchPace.RELAXED_PACE, {
+    onChange: () => {
+      manager.catalogChanged();
+    },
+    onRestored: () => undefined,
   });
   const manager = new engineManager.EngineManager({
     clock: deps.clock,
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -20,6 +20,7 @@
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
 import * as quarantine from "./quarantine.js";
+import * as quarantineRestorer from "./quarantine-restorer.js";
 import type * as retryBudget from "./retry-budget.js";
 import * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
@@ -72,9 +73,9 @@
   const bounds = authentication.freshnessBounds(opts.inForceMs, opts.revokedMs);
   // Fast enough that keys can be accepted and rejected as long as the store answers.
   const pace = watchPace.promptPace(Math.min(opts.inForceMs, bounds.acceptWithinMs));
-  const catalogFeed = daemonBase.openFeed({ ...deps, decoder }, pace, (current) => {
+  const onChange = (current: catalog.Catalog): void => {
     if (current.config) callers.configure(current.config.limits);
-    for (const id of previous.quarantined)
+    for (const id of previous.quarantined.keys())
       if (!current.quarantined.has(id)) suspectTracker.release(id);
     previous = current;
     registry.refresh();
@@ -82,6 +83,13 @@
     const endpointIds = new Set([...current.endpoints.values()].map((e) => e.id));
     upstreams.retain(endpointIds);
     notices.retain(endpointIds);
+  };
+  const catalogFeed = daemonBase.openFeed({ ...deps, decoder }, pace, {
+    onChange,
+    onRestored: () => {
+      restorer.restore();
+      suspectTracker.persistObserved();
+    },
   });
   const suspectTracker = new suspects.Suspects({
     clock: deps.clock,
@@ -126,6 +134,14 @@
     ownerCandidates: (key, n) => registry.ownerCandidates(key, n),
     hostCount: () => registry.mostHosts(),
   });
+  const restorer = new quarantineRestorer.QuarantineRestorer({
+    clock: deps.clock,
+    log: deps.log("suspicion"),
+    lost: () => catalogFeed.lostQuarantines,
+    hostCount: () => registry.mostHosts(),
+    claim: (key, ttlMs, text) => deps.source.claim(key, ttlMs, text),
+    random: deps.random,
+  });
   const notices = new workerNotices.WorkerNotices({
     clock: deps.clock,
     log: deps.log("notices"),
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -14,6 +14,7 @@
 import * as catalog from "./catalog.js";
 import * as entryGrace from "./entry-grace.js";
 import * as incarnation from "./incarnation.js";
+import * as updateLog from "./update-log.js";
 import * as watchPace from "./watch-pace.js";
 
 /**
@@ -43,15 +44,21 @@
   readonly deleted: (key: string) => catalog.Update | undefined;
 }
 
+/** What is called when the catalog or the store's history changes. */
+export interface Listeners {
+  /** Called after each change of the catalog. */
+  readonly onChange: (at: catalog.Catalog) => void;
+  /** Called once a snapshot has been read after the store came back from a copy. */
+  readonly onRestored: () => void;
+}
+
 /** What a {@link Feed} needs. */
-export interface Deps {
+export interface Deps extends Listeners {
   readonly clock: clock.Clock;
   readonly log: structuredLog.Log;
   readonly source: source.Source;
   readonly decoder: Decoder;
   readonly pace: watchPace.WatchPace;
-  /** Called after each change of the catalog. */
-  readonly onChange: (at: catalog.Catalog) => void;
   readonly random: () => number;
 }
 
@@ -69,6 +76,8 @@
   private readonly unreadableTexts = new Map<string, string>();
   private unreadableTotal = 0;
   private readonly grace: entryGrace.EntryGrace;
+  /** Evidence of the quarantines that the store lost when it came back from a copy, by identity. */
+  private readonly lostQuarantine = new Map<string, string>();
   /** Monotonic ms at which the last watch call began. */
   private watchStartedAt = -Infinity;
   /** Monotonic ms at which the last call began, not counting hedges. */
@@ -101,6 +110,11 @@
     return this.unreadableTotal;
   }
 
+  /** Evidence of the quarantines that the store has lost and that are not written again yet, by identity. */
+  get lostQuarantines(): ReadonlyMap<string, string> {
+    return this.lostQuarantine;
+  }
+
   /** Entries that are kept or withheld while the store recovers. */
   get entryGrace(): Pick<entryGrace.EntryGrace, "keptCount" | "withheldCount"> {
     return this.grace;
@@ -224,10 +238,10 @@
       return this.grace.found(d.key, update);
     });
     const missing = [...this.current.endpoints.keys()].filter((worker) => !registered.has(worker));
-    const quarantined = new Set(
-      updates.flatMap((s) => (s.kind === "quarantine" ? [s.identity] : [])),
+    const isRestored = this.era !== undefined && start.era !== this.current.position.era;
+    const released = this.quarantinesAbsentFrom(updates).filter(
+      ([identity, evidence]) => !this.isLost(identity, evidence, isRestored),
     );
-    const released = [...this.current.quarantined].filter((identity) => !quarantined.has(identity));
     this.grace.storeAnswers();
     this.synced = true;
     this.era ??= start.era;
@@ -236,15 +250,28 @@
       revision: start.revision,
       documents: documents.length,
       missing,
+      lostQuarantines: [...this.lostQuarantine.keys()],
     });
     this.apply(
       [
         ...updates,
         ...missing.flatMap((worker) => this.grace.absent(worker)),
-        ...released.map((identity): catalog.Update => ({ kind: "release", identity })),
+        ...released.map(([identity]): catalog.Update => ({ kind: "release", identity })),
       ],
       start,
     );
+    if (isRestored) this.deps.onRestored();
+  }
+
+  private quarantinesAbsentFrom(updates: readonly catalog.Update[]): readonly [string, string][] {
+    const present = new Set(updates.flatMap((s) => (s.kind === "quarantine" ? [s.identity] : [])));
+    return [...this.current.quarantined].filter(([identity]) => !present.has(identity));
+  }
+
+  /** Whether an absent quarantine was lost with the store's history, and not released. It then stays in force. */
+  private isLost(identity: string, evidence: string, isRestored: boolean): boolean {
+    if (isRestored) this.lostQuarantine.set(identity, evidence);
+    return this.lostQuarantine.has(identity);
   }
 
   /**
@@ -324,58 +351,19 @@
   private apply(updates: readonly catalog.Update[], at: position.Position): void {
     for (const s of updates) {
       if (s.kind === "endpoint") this.grace.registered(incarnation.workerOf(s.endpoint.id));
+      if (s.kind === "quarantine" || s.kind === "release") this.lostQuarantine.delete(s.identity);
     }
     const { updated, applied } = catalog.applyUpdates(this.current, updates);
     // The first snapshot adds all endpoints and versions at once. They are not logged one by one, since the line for the
     // snapshot already has their number.
     const isFirstSnapshot = this.current.config === undefined;
     for (const s of applied) {
-      if (!isFirstSnapshot || s.kind === "config") this.logUpdate(s, at.revision);
+      if (!isFirstSnapshot || s.kind === "config") updateLog.write(this.deps.log, s, at.revision);
     }
     const changed = updated !== this.current;
     this.current = at.isAfter(updated.position) ? { ...updated, position: at } : updated;
     if (changed) this.deps.onChange(this.current);
   }
-
-  /** Logs an update that came with an answer of this revision. */
-  private logUpdate(s: catalog.Update, revision: number): void {
-    switch (s.kind) {
-      case "config":
-        this.deps.log.info("A configuration is in force.", {
-          version: s.config.version,
-          revision,
-          routes: s.config.routes.length,
-          teams: s.config.teams?.all.length,
-          keys: s.config.teams?.byDigest.size,
-          malformedTeams: s.config.teams?.malformedCount,
-        });
-        break;
-      case "version":
-        this.deps.log.info("A version was declared.", {
-          adapter: s.key,
-          version: s.version,
-          revision,
-        });
-        break;
-      case "endpoint":
-        this.deps.log.info("An endpoint is registered.", {
-          endpoint: s.endpoint.id,
-          address: s.endpoint.address,
-          leaving: s.endpoint.leaving,
-          revision,
-        });
-        break;
-      case "endpoint_gone":
-        this.deps.log.info("An endpoint is gone.", { endpoint: s.worker, revision });
-        break;
-      case "quarantine":
-        this.deps.log.warn("A request is in quarantine.", { identity: s.identity });
-        break;
-      case "release":
-        this.deps.log.info("A request was released from quarantine.", { identity: s.identity });
-        break;
-    }
-  }
 }
 
 /** The last change of a document, and for a deletion the write right before it in the same response. */
--- a/src/serving/quarantine.ts
+++ b/src/serving/quarantine.ts
@@ -47,7 +47,7 @@
   return key.startsWith(PREFIX) ? key.slice(PREFIX.length) : undefined;
 }
 
-/** Extends a decoder to these keys. Their values are ignored. */
+/** Extends a decoder to these keys. Their values are kept as they are. */
 export function wrapDecoder(inner: feed.Decoder): feed.Decoder {
   return {
     prefixes: [...inner.prefixes, PREFIX],
@@ -55,7 +55,7 @@
     written: (key, text) => {
       const identity = identityOf(key);
       if (identity === undefined) return inner.written(key, text);
-      return { kind: "quarantine", identity };
+      return { kind: "quarantine", identity, evidence: text };
     },
     deleted: (key) => {
       const identity = identityOf(key);
--- a/src/serving/suspects.ts
+++ b/src/serving/suspects.ts
@@ -101,6 +101,13 @@
     if (verdict.kind === "quarantined") void this.persist(id);
   }
 
+  /** Writes the quarantined requests that this host has observed, which the store may have lost. */
+  persistObserved(): void {
+    for (const id of this.observed.records.crashes.keys()) {
+      if (this.isProved(id)) void this.persist(id);
+    }
+  }
+
   /** Writes a quarantined request to the store, where it survives a restart of all hosts. */
   private async persist(id: string): Promise<void> {
     if (this.persisting.has(id)) return;
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -88,6 +88,7 @@
     onChange: (at) => {
       lastChange = at;
     },
+    onRestored: () => undefined,
     random: () => 0,
   });
   const running = f.run();
--- a/test/platform/followed-store.ts
+++ b/test/platform/followed-store.ts
@@ -35,6 +35,7 @@
     },
     pace: watchPace.promptPace(IN_FORCE_MS),
     onChange: () => undefined,
+    onRestored: () => undefined,
     random: () => 0.5,
   });
   void started.run();
--- a/test/red.test.ts
+++ b/test/red.test.ts
@@ -3,6 +3,7 @@
 import * as limiterSwitches from "../bench/red/limiter-switches.js";
 import * as servingSwitches from "../bench/red/serving-switches.js";
 import * as soakSwitches from "../bench/red/soak-switches.js";
+import * as storeSwitches from "../bench/red/store-switches.js";
 import * as switches from "../bench/red/switches.js";
 
 const { expect } = chai;
@@ -11,6 +12,7 @@
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
+  ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
 ];
 
--- a/test/serving/fake-source.ts
+++ b/test/serving/fake-source.ts
@@ -35,6 +35,7 @@
   /** Whether listing fails while watches are still answered. */
   listingFails = false;
   calls = 0;
+  claims = 0;
   /** Milliseconds from the making of an answer to its arrival, which are drawn for each call. */
   delayMs: () => number = () => 0;
 
@@ -96,7 +97,15 @@
 
   replaceConnections = (): void => undefined;
 
-  claim = (): Promise<boolean> => Promise.resolve(true);
+  /** Creates a key, which does not expire by itself. */
+  claim = async (key: string, ttlMs: number, text = ""): Promise<boolean> => {
+    this.accept();
+    if (ttlMs <= 0) throw new RangeError("a key must be claimed for some time");
+    this.claims++;
+    const isNew = !this.documents.has(key);
+    if (isNew) this.put(key, text);
+    return this.answer(() => isNew);
+  };
 
   private has(revision: number): boolean {
     return revision >= this.compactedRevision && revision <= this.revision;
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -42,6 +42,7 @@
     decoder: DECODER,
     pace,
     onChange: () => undefined,
+    onRestored: () => undefined,
     random: () => 0,
   });
   running.push(f);
@@ -181,7 +182,7 @@
     s.unavailable = true;
     await clock.sleep(clock.system, 800);
     s.unavailable = false;
-    await clock.sleep(clock.system, 1000);
+    await clock.sleep(clock.system, 200);
     const from = performance.now();
     s.remove("e/a");
     await until(() => f.catalog.endpoints.size === 2);
--- a/test/serving/quarantine.test.ts
+++ b/test/serving/quarantine.test.ts
@@ -92,7 +92,7 @@
     for (const text of ["", "{}", "no JSON"]) {
       const step = decoder.written(key, text);
       const at = step ? catalog.applyUpdate(catalog.EMPTY, step) : catalog.EMPTY;
-      expect([...at.quarantined]).deep.equal(["some-identity"]);
+      expect([...at.quarantined.keys()]).deep.equal(["some-identity"]);
       const over = decoder.deleted(key);
       expect(over && catalog.applyUpdate(at, over).quarantined.size).equal(0);
     }
--- a/test/serving/store-return.test.ts
+++ b/test/serving/store-return.test.ts
@@ -22,7 +22,8 @@
 const DECODER: feed.Decoder = {
   prefixes: ["e/", "c"],
   common: "",
-  written: (key, text): catalog.Update => {
+  written: (key, text): catalog.Update | undefined => {
+    if (key === "other") return undefined;
     if (key === "c") {
       return { kind: "config", config: { ...fixtures.CONFIG, version: Number(text) } };
     }
@@ -53,6 +54,7 @@
         else if (seenLeaving.has(e.id)) usedAgain.push(e.id);
       }
     },
+    onRestored: () => undefined,
     random: draw,
   });
   store.put("c", "1");
@@ -64,6 +66,7 @@
 describe("what a host knew before the store came back from a copy", () => {
   it("keeps a worker in use that registered after the copy, until it registers again", async () => {
     const { time, store, feed: f, isUsable } = follow();
+    for (const worker of ["b", "c", "d"]) store.put(`e/${worker}`, "ready");
     await time.runUntil(2000);
     const copy = store.copy();
     store.put("e/a", "ready");
@@ -179,6 +182,35 @@
   });
 });
 
+describe("a change that the store lost by coming back from a copy", () => {
+  /** Milliseconds from the change until the store comes back, and until the change is made again. */
+  const [AWAY_MS, AGAIN_MS] = [700, 2400];
+  /** The latest moment of the change that is tried, in ms after another one, and the step between these moments. */
+  const [LATEST_MS, STEP_MS] = [1600, 50];
+
+  it("puts a lost change in force in time that is written again, whenever it was made", async () => {
+    for (let at = 0; at <= LATEST_MS; at += STEP_MS) {
+      const { time, store, feed: f } = follow();
+      await time.runUntil(4000);
+      const copy = store.copy();
+      for (let i = 0; i < 9; i++) store.put("other", String(i));
+      await time.runUntil(4000 + at);
+      store.put("c", "2");
+      store.unavailable = true;
+      await time.runUntil(4000 + at + AWAY_MS);
+      store.comeBackFrom(copy);
+      store.unavailable = false;
+      for (let ms = AWAY_MS; ms < IN_FORCE_MS; ms += 20) {
+        if (ms === AGAIN_MS) store.put("c", "2");
+        else if (ms % 100 === 0) store.put("other", String(ms));
+        await time.runUntil(4000 + at + ms);
+      }
+      expect(f.catalog.config?.version, `made after ${at} ms`).equal(2);
+      f.stop();
+    }
+  });
+});
+
 /** A step of a random history. */
 type Step =
   | { readonly kind: "configure"; readonly ms: number }
