Claim no turn to load a base model while lost ones may be held

What would have happened: more base models begin to load than the weight store allows. Cause: turns are keys with leases; a store that comes back from a copy has lost those claimed since, so they are claimed a second time while their loads run. Change: after a return an endpoint daemon claims no turn for the length of a turn. Turns are a module of their own. A daemon that starts right after a return doesn't know of it and may claim.

--- a/bench/red/store-switches.ts
+++ b/bench/red/store-switches.ts
@@ -97,4 +97,11 @@
     put: "0",
     proof: "stays in force and is written again, with few calls, by 360 hosts",
   },
+  {
+    name: "store: no turn is claimed while lost ones may be held",
+    file: "serving/model-turns.js",
+    find: "heldForMs <= 0 &&",
+    put: "",
+    proof: "is not claimed while turns may be held that the store has lost",
+  },
 ];
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -4,8 +4,6 @@
  * @module
  */
 import * as clock from "../host/clock.js";
-import * as errors from "../host/errors.js";
-import type * as structuredLog from "../host/structured-log.js";
 import * as seatServer from "./seat-server.js";
 import type * as engine from "./engine.js";
 import * as feed from "./feed.js";
@@ -15,6 +13,7 @@
 import * as limiterOwner from "./limiter-owner.js";
 import * as noticeRelay from "./notice-relay.js";
 import * as metrics from "./metrics.js";
+import * as modelTurns from "./model-turns.js";
 import * as suspicionRelay from "./suspicion-relay.js";
 
 export interface Options {
@@ -30,12 +29,6 @@
   readonly engine: engine.Engine;
 }
 
-/** Key prefix in the store under which daemons claim turns to load a base model. */
-const TURNS_PREFIX = "sumacfield/turns/";
-/** Milliseconds for which a turn is claimed: the store's shortest lease. */
-const TURN_LEASE_MS = 1000;
-/** Minimum ms until the next attempt to claim a turn; a random part of up to as much is added. */
-const TURN_RETRY_MS = 150;
 /** Milliseconds between checks for the first configuration. */
 const CONFIG_POLL_MS = 20;
 
@@ -53,7 +46,15 @@
     onChange: () => {
       manager.catalogChanged();
     },
-    onRestored: () => undefined,
+    onRestored: () => {
+      turns.storeRestored();
+    },
+  });
+  const turns = new modelTurns.ModelTurns({
+    clock: deps.clock,
+    log: lg,
+    claim: (key, ttlMs) => deps.source.claim(key, ttlMs),
+    random: deps.random,
   });
   const manager = new engineManager.EngineManager({
     clock: deps.clock,
@@ -62,7 +63,8 @@
     catalog: () => fed.catalog,
     service: opts.service,
     versionMs: opts.versionMs,
-    modelTurn: () => takeTurn(opts, deps, fed, lg),
+    modelTurn: () =>
+      turns.take(opts.service, fed.catalog.config?.services.get(opts.service)?.engine?.loadsPerS),
     notices,
   });
   const limiter = new limiterOwner.LimiterOwner({ clock: deps.clock, log: deps.log("limiter") });
@@ -96,28 +98,3 @@
 async function waitForConfig(deps: Deps, fed: feed.Feed): Promise<void> {
   while (!fed.catalog.config) await clock.sleep(deps.clock, CONFIG_POLL_MS);
 }
-
-/**
- * Claims one of the turns to load a base model from the weight store; the configuration allows a number of them
- * per second. A turn is a key in the store with a lease. Returns false, after a delay, if no turn is free.
- */
-async function takeTurn(
-  opts: Options,
-  deps: Deps,
-  fed: feed.Feed,
-  lg: structuredLog.Log,
-): Promise<boolean> {
-  const perS = fed.catalog.config?.services.get(opts.service)?.engine?.loadsPerS ?? 1;
-  const turnsPerS = Math.max(1, Math.floor(perS));
-  const first = Math.floor(deps.random() * turnsPerS);
-  try {
-    for (let i = 0; i < turnsPerS; i++) {
-      const key = `${TURNS_PREFIX}${opts.service}/${(first + i) % turnsPerS}`;
-      if (await deps.source.claim(key, TURN_LEASE_MS)) return true;
-    }
-  } catch (err) {
-    lg.warn("Could not claim a turn to load a base model.", { why: errors.messageOf(err) });
-  }
-  await clock.sleep(deps.clock, TURN_RETRY_MS * (1 + deps.random()));
-  return false;
-}
