Hold no key that was claimed under a lease of an era that is over

What would have happened: a quarantine ends early, or a turn late, with a lease of somebody else. Cause: a claim is two calls. If the store comes back from a copy between them, the number of the lease may have been given out again, and the key hangs on another lease.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -59,6 +59,8 @@
   pageSize = 500;
   /** Number of range calls answered. */
   answeredPages = 0;
+  /** Number of leases granted. */
+  grantedLeases = 0;
   /** Number of calls accepted while silent. */
   unanswered = 0;
   private readonly listener = new servers.Listener((req, res) => this.answer(req, res));
@@ -149,6 +151,7 @@
         return;
       case "/-/kv-lease":
         this.send(res, 200, { lease: 1, ttlMs: 1000 });
+        this.grantedLeases++;
         return;
       case "/-/kv-txn":
         this.transact(await servers.readJson(req), res);
--- a/test/platform/store-return.test.ts
+++ b/test/platform/store-return.test.ts
@@ -94,6 +94,7 @@
     await store.start();
     Object.assign(store.faults, { mode: "well", delayMs: 0 });
     store.era = 1;
+    store.grantedLeases = 0;
     store.pageSize = 500;
     version = 1;
     configure(["/a/"]);
@@ -141,6 +142,19 @@
     expect(outcome).include("era changed");
   });
 
+  it("holds no key that was claimed under a lease of an era that is over", async () => {
+    store.faults.delayMs = 100;
+    const copy = store.copy();
+    const claim = followed.source.claim("sumacfield/other", 1000).then(
+      () => "claimed",
+      (err: unknown) => String(err),
+    );
+    await until(() => store.grantedLeases === 1);
+    store.comeBackFrom(copy);
+    expect(await claim).include("era changed");
+    expect(store.items.has("sumacfield/other")).equal(false);
+  });
+
   it("is read again, and then served, after an answer of an era that is over", async () => {
     const copy = store.copy();
     store.comeBackFrom(copy);
