Apply no change to a store that may be behind while the hosts cannot be listed

What operators saw: after a restore of the store from a backup, and with the list of hosts down, 'apply' built on the older intent and said that the change was in force everywhere, without asking a daemon. Cause: a list that can't be read counted as an empty one: not found was taken for not there. Evidence: the new scenario got 'in_force' before. Change: 'apply' and 'restore' fail with the step 'hosts'. A change that is stored already and can't be checked counts as accepted and not seen in force. Result: the scenario passes.

--- a/src/operator/change.ts
+++ b/src/operator/change.ts
@@ -7,6 +7,7 @@
 import * as intents from "../contract/intent.js";
 import * as objects from "../contract/objects.js";
 import * as clock from "../host/clock.js";
+import * as errors from "../host/errors.js";
 import type * as control from "../link/control.js";
 import type * as hosts from "../store/hosts.js";
 import * as journal from "../store/journal.js";
@@ -140,9 +141,15 @@
   };
 }
 
-/** The revision in force at each listed daemon, by name; -1 for a daemon that does not answer. */
+/** Stands for the daemons where the list of hosts cannot be read. */
+const UNLISTED = "hosts that could not be listed";
+
+/**
+ * The revision in force at each listed daemon, by name; -1 for a daemon that does not answer. Throws if the hosts cannot
+ * be listed.
+ */
 async function daemonRevisions(deps: Deps): Promise<ReadonlyMap<string, number>> {
-  const members = await deps.hosts.list().catch(() => []);
+  const members = await deps.hosts.list();
   const entries = await Promise.all(
     members.map(async (m) => {
       const status = await deps
@@ -165,8 +172,7 @@
  */
 export async function inForce(revision: number, startedAt: number, deps: Deps): Promise<Applied> {
   for (;;) {
-    const revisions = await daemonRevisions(deps);
-    const missing = [...revisions].filter(([, r]) => r < revision).map(([name]) => name);
+    const missing = await daemonsBehind(revision, deps);
     const ms = deps.clock.mono() - startedAt;
     if (missing.length === 0) return { kind: "in_force", revision, ms: Math.round(ms) };
     if (ms >= deps.waitMs) return { kind: "accepted", revision, missing };
@@ -174,6 +180,16 @@
   }
 }
 
+/** The listed daemons that are behind `revision`; {@link UNLISTED} if the hosts cannot be listed. */
+async function daemonsBehind(revision: number, deps: Deps): Promise<readonly string[]> {
+  try {
+    const revisions = await daemonRevisions(deps);
+    return [...revisions].filter(([, r]) => r < revision).map(([name]) => name);
+  } catch (err) {
+    return [`${UNLISTED}: ${errors.messageOf(err)}`];
+  }
+}
+
 /** Resolves an `unknown` outcome: whether the changeset `id` was stored as `revision`. */
 export async function settle(
   revision: number,
--- a/test/scenarios/8-configuration.feature
+++ b/test/scenarios/8-configuration.feature
@@ -47,6 +47,14 @@
     And captions is at version 2 at every daemon
     And notes is at version 2 at every daemon
 
+  Scenario: the list of hosts is down after the store was restored from a backup
+    Given a site with 2 engines
+    When the store is backed up
+    And an operator makes 2 the current version of captions
+    And the store is restored from the backup
+    And the list of hosts is down
+    Then no change can be applied, since the hosts cannot be listed
+
   Scenario: a daemon starts while the store is down
     Given a site with 2 engines
     When an operator makes 2 the current version of captions
--- a/test/steps/intent.ts
+++ b/test/steps/intent.ts
@@ -3,6 +3,7 @@
 import * as intents from "../../src/contract/intent.js";
 import type * as objects from "../../src/contract/objects.js";
 import * as change from "../../src/operator/change.js";
+import type * as outcome from "../../src/request/outcome.js";
 import * as site from "../../bench/site.js";
 import * as world from "./world.js";
 
@@ -102,6 +103,15 @@
   expect(applied(w).kind).equal("store_behind");
 });
 
+world.step("no change can be applied, since the hosts cannot be listed", async (w) => {
+  const wish = { puts: [adapter(w, "notes", "2")], deletes: [] };
+  const failure = await change.apply(wish, w.site.operator()).then(
+    (done) => done.kind,
+    (err: unknown) => (err as outcome.StepError).failure.step,
+  );
+  expect(failure).equal("hosts");
+});
+
 world.step("the operator restores the store", async (w) => {
   await change.restore(w.site.operator());
 });
