--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -28,6 +28,9 @@
 const PROBE_INTERVAL_MS = 1000;
 const MAX_FAILED_PROBES = 2;
 
+/** Prefix of the keys that the daemons write. */
+const SYSTEM_PREFIX = "sumacfield/";
+
 const ROUTES: readonly documents.Route[] = [
   { name: "s", prefix: "/s/", kind: "streaming", service: ENGINES, attempts: 2, resumable: true },
   { name: "o", prefix: "/o/", kind: "streaming", service: ENGINES, attempts: 2 },
@@ -58,6 +61,8 @@
   readonly store = new stores.Store();
   readonly journal = journals.createJournal();
   readonly newest = new Map<string, number>();
+  /** What the operator and the workers have written and not deleted, by key. */
+  private readonly documents = new Map<string, object>();
   readonly places: Place[] = [];
   readonly entries: daemons.Daemon[] = [];
   readonly endpoints: daemons.Daemon[] = [];
@@ -118,12 +123,31 @@
     this.store.stop();
   }
 
+  /** Writes a document as the operator or a worker. */
+  private write(key: string, value: object): void {
+    this.documents.set(key, value);
+    this.store.put(key, value);
+  }
+
+  /** Deletes a document as the operator or a worker. */
+  private erase(key: string): void {
+    this.documents.delete(key);
+    this.store.remove(key);
+  }
+
+  /** Writes again what the operator and the workers had written or deleted and the store has lost. */
+  writeAgain(): void {
+    const strays = [...this.store.items.keys()].filter((key) => !this.documents.has(key));
+    for (const key of strays) if (!key.startsWith(SYSTEM_PREFIX)) this.store.remove(key);
+    for (const [key, value] of this.documents) this.store.put(key, value);
+  }
+
   /** Writes a new configuration with the static routes and the `extra` ones. */
   configure(extra: readonly documents.Route[] = this.extra): void {
     this.extra = extra;
     this.version += 1 + (this.version % 3);
     const services = [documents.engineService(ENGINES, SLOTS), documents.plainService(PLAIN)];
-    this.store.put(
+    this.write(
       "op/config",
       documents.config(
         this.version,
@@ -153,7 +177,7 @@
     const version = (this.newest.get(adapter) ?? 1) + 1;
     this.newest.set(adapter, version);
     const key = `op/version/${documents.MODEL}.${adapter}`;
-    this.store.put(key, { model: documents.MODEL, adapter, version });
+    this.write(key, { model: documents.MODEL, adapter, version });
     return version;
   }
 
@@ -161,7 +185,7 @@
   register(p: Place): void {
     const { service, instance, name, born } = p.worker;
     const state = this.leaving.has(instance) ? "draining" : "ready";
-    this.store.put(`servers/${name}`, documents.workerEntry(service, p.address, state, born));
+    this.write(`servers/${name}`, documents.workerEntry(service, p.address, state, born));
   }
 
   /** Makes a worker announce that it leaves, in its entry and in its answers. */
@@ -181,7 +205,7 @@
     this.end(p);
     const { name, born } = p.worker;
     p.worker = this.createWorker(p.name, p.worker instanceof workers.Engine);
-    if (born === undefined) this.store.remove(`servers/${name}`);
+    if (born === undefined) this.erase(`servers/${name}`);
     else p.worker.name = name;
     await p.worker.start(host, Number(port));
     const [before = "", beforePort] = p.address.split(":");
