--- a/test/serving/quarantine-return.test.ts
+++ b/test/serving/quarantine-return.test.ts
@@ -65,16 +65,22 @@
   };
 }
 
+/** Hosts that hold a quarantine which the store then loses. */
+async function startAndLose(hosts: number) {
+  const s = start(hosts);
+  await s.time.runUntil(2000);
+  const copy = s.store.copy();
+  s.store.put(KEY, s.evidence);
+  await s.time.runUntil(5000);
+  expect(s.held()).equal(hosts);
+  s.store.comeBackFrom(copy);
+  return { ...s, copy };
+}
+
 describe("a quarantine that the store loses by coming back from a copy", () => {
   for (const hosts of [4, 29, 360]) {
     it(`stays in force and is written again, with few calls, by ${hosts} hosts`, async () => {
-      const s = start(hosts);
-      await s.time.runUntil(2000);
-      const copy = s.store.copy();
-      s.store.put(KEY, s.evidence);
-      await s.time.runUntil(5000);
-      expect(s.held()).equal(hosts);
-      s.store.comeBackFrom(copy);
+      const s = await startAndLose(hosts);
       for (let at = 5000; at < 13_000; at += 250) {
         await s.time.runUntil(at);
         expect(s.held(), `${at} ms`).equal(hosts);
@@ -86,14 +92,9 @@
   }
 
   it("is written again if it is lost twice, and while the store fails", async () => {
-    const s = start(4);
-    await s.time.runUntil(2000);
-    const copy = s.store.copy();
-    s.store.put(KEY, s.evidence);
-    await s.time.runUntil(5000);
-    s.store.comeBackFrom(copy);
+    const s = await startAndLose(4);
     await s.time.runUntil(7000);
-    s.store.comeBackFrom(copy);
+    s.store.comeBackFrom(s.copy);
     await s.time.runUntil(8500);
     s.store.unavailable = true;
     await s.time.runUntil(10_000);
@@ -105,12 +106,7 @@
   });
 
   it("is released at all hosts when an operator releases it after that", async () => {
-    const s = start(4);
-    await s.time.runUntil(2000);
-    const copy = s.store.copy();
-    s.store.put(KEY, s.evidence);
-    await s.time.runUntil(5000);
-    s.store.comeBackFrom(copy);
+    const s = await startAndLose(4);
     await s.time.runUntil(10_000);
     s.store.remove(KEY);
     await s.time.runUntil(13_000);
--- a/test/serving/store-return.test.ts
+++ b/test/serving/store-return.test.ts
@@ -63,118 +63,123 @@
   return { time, store, feed: f, versions, usedAgain, isUsable };
 }
 
+/** Moments, in ms, of the copy and of the store's return in most tests. */
+const [COPIED_AT, RETURNED_AT] = [2000, 4000];
+
+/** A host that has seen what `lost` writes after the copy, from which the store then comes back. */
+async function followReturn(
+  before: (store: fakeSource.FakeSource) => void,
+  lost: (store: fakeSource.FakeSource) => void,
+) {
+  const host = follow();
+  before(host.store);
+  await host.time.runUntil(COPIED_AT);
+  const copy = host.store.copy();
+  lost(host.store);
+  await host.time.runUntil(RETURNED_AT);
+  host.store.comeBackFrom(copy);
+  return { ...host, copy };
+}
+
 describe("what a host knew before the store came back from a copy", () => {
-  it("keeps a worker in use that registered after the copy, until it registers again", async () => {
-    const { time, store, feed: f, isUsable } = follow();
-    for (const worker of ["b", "c", "d"]) store.put(`e/${worker}`, "ready");
-    await time.runUntil(2000);
-    const copy = store.copy();
+  const nothing = (): undefined => undefined;
+  const register = (store: fakeSource.FakeSource): void => {
     store.put("e/a", "ready");
-    await time.runUntil(4000);
-    expect(isUsable("a")).equal(true);
-    store.comeBackFrom(copy);
-    for (let at = 4000; at < 4000 + IN_FORCE_MS + REWRITTEN_MS; at += 50) {
-      await time.runUntil(at);
-      if (at === 4000 + REWRITTEN_MS) store.put("e/a", "ready");
-      expect(isUsable("a"), `${at} ms`).equal(true);
+  };
+  const leave = (store: fakeSource.FakeSource): void => {
+    store.put("e/a", LEAVING);
+  };
+  const remove = (store: fakeSource.FakeSource): void => {
+    store.remove("e/a");
+  };
+  const registerAndLeave = (store: fakeSource.FakeSource): void => {
+    register(store);
+    leave(store);
+  };
+
+  /** Checks whether worker `a` is usable until `untilMs`; `act` is called first at each time. */
+  async function expectUsable(
+    host: Awaited<ReturnType<typeof followReturn>>,
+    usable: boolean,
+    untilMs: number,
+    act: (at: number) => void = nothing,
+  ): Promise<void> {
+    for (let at = host.time.mono(); at < untilMs; at += 50) {
+      act(at);
+      await host.time.runUntil(at);
+      expect(host.isUsable("a"), `${at} ms`).equal(usable);
     }
-    f.stop();
+    host.feed.stop();
+  }
+
+  it("keeps a worker in use that registered after the copy, until it registers again", async () => {
+    const others = (store: fakeSource.FakeSource): void => {
+      for (const worker of ["b", "c", "d"]) store.put(`e/${worker}`, "ready");
+    };
+    const host = await followReturn(others, register);
+    let registered = false;
+    await expectUsable(host, true, RETURNED_AT + IN_FORCE_MS + REWRITTEN_MS, (at) => {
+      if (registered || at < RETURNED_AT + REWRITTEN_MS) return;
+      registered = true;
+      register(host.store);
+    });
+    expect(registered).equal(true);
   });
 
   it("drops such a worker if it does not register again", async () => {
-    const { time, store, feed: f } = follow();
-    await time.runUntil(2000);
-    const copy = store.copy();
-    store.put("e/a", "ready");
-    await time.runUntil(4000);
-    store.comeBackFrom(copy);
-    await time.runUntil(4000 + SETTLED_MS);
+    const { time, feed: f } = await followReturn(nothing, register);
+    await time.runUntil(RETURNED_AT + SETTLED_MS);
     expect(f.catalog.endpoints.size).equal(0);
     f.stop();
   });
 
   it("keeps a worker out of use that had said that it leaves, though its older entry is back", async () => {
-    const { time, store, feed: f, isUsable } = follow();
-    store.put("e/a", "ready");
-    await time.runUntil(2000);
-    const copy = store.copy();
-    store.put("e/a", LEAVING);
-    await time.runUntil(4000);
-    store.comeBackFrom(copy);
-    store.put("e/a", "ready");
-    for (let at = 4000; at < 4000 + SETTLED_MS; at += 50) {
-      await time.runUntil(at);
-      expect(isUsable("a"), `${at} ms`).equal(false);
-    }
-    f.stop();
+    const host = await followReturn(register, leave);
+    register(host.store);
+    await expectUsable(host, false, RETURNED_AT + SETTLED_MS);
   });
 
   it("keeps it out of use if it was missing from the copy and registers again as ready", async () => {
-    const { time, store, feed: f, isUsable } = follow();
-    await time.runUntil(2000);
-    const copy = store.copy();
-    store.put("e/a", "ready");
-    store.put("e/a", LEAVING);
-    await time.runUntil(4000);
-    store.comeBackFrom(copy);
-    await time.runUntil(6000);
-    store.put("e/a", "ready");
-    for (let at = 6000; at < 6000 + SETTLED_MS; at += 50) {
-      await time.runUntil(at);
-      expect(isUsable("a"), `${at} ms`).equal(false);
-    }
-    f.stop();
+    const host = await followReturn(nothing, registerAndLeave);
+    await host.time.runUntil(RETURNED_AT + IN_FORCE_MS);
+    register(host.store);
+    await expectUsable(host, false, RETURNED_AT + IN_FORCE_MS + SETTLED_MS);
   });
 
   it("keeps a worker out of use whose entry was deleted after the copy, until it is deleted again", async () => {
-    const { time, store, feed: f, isUsable } = follow();
-    store.put("e/a", "ready");
-    await time.runUntil(2000);
-    const copy = store.copy();
-    store.remove("e/a");
-    await time.runUntil(4000);
-    expect(f.catalog.endpoints.size).equal(0);
-    store.comeBackFrom(copy);
-    for (let at = 4000; at < 4000 + SETTLED_MS; at += 50) {
-      await time.runUntil(at);
-      if (at === 4000 + REWRITTEN_MS) store.remove("e/a");
-      expect(isUsable("a"), `${at} ms`).equal(false);
-    }
-    f.stop();
+    const host = await followReturn(register, remove);
+    let removed = false;
+    await expectUsable(host, false, RETURNED_AT + SETTLED_MS, (at) => {
+      if (removed || at < RETURNED_AT + REWRITTEN_MS) return;
+      removed = true;
+      remove(host.store);
+    });
+    expect(removed).equal(true);
   });
 
   it("uses a worker again that registers again after its entry had been deleted", async () => {
-    const { time, store, feed: f, isUsable } = follow();
-    store.put("e/a", "ready");
-    await time.runUntil(2000);
-    const copy = store.copy();
-    store.remove("e/a");
-    await time.runUntil(4000);
-    store.comeBackFrom(copy);
+    const { time, store, feed: f, isUsable } = await followReturn(register, remove);
     await time.runUntil(6000);
     expect(isUsable("a")).equal(false);
-    store.put("e/a", "ready");
+    register(store);
     await time.runUntil(6500);
     expect(isUsable("a")).equal(true);
     f.stop();
   });
 
   it("stays known if the store comes back twice in a row", async () => {
-    const { time, store, feed: f, isUsable, versions } = follow();
-    await time.runUntil(2000);
-    const copy = store.copy();
-    store.put("e/a", "ready");
-    store.put("c", "2");
-    await time.runUntil(4000);
-    store.comeBackFrom(copy);
+    const change = (store: fakeSource.FakeSource): void => {
+      register(store);
+      store.put("c", "2");
+    };
+    const { time, store, feed: f, copy, isUsable, versions } = await followReturn(nothing, change);
     await time.runUntil(5800);
-    store.put("e/a", "ready");
+    register(store);
     await time.runUntil(5900);
     store.comeBackFrom(copy);
     await time.runUntil(5900 + REWRITTEN_MS);
     expect(isUsable("a")).equal(true);
-    store.put("e/a", "ready");
-    store.put("c", "2");
+    change(store);
     await time.runUntil(5900 + SETTLED_MS);
     expect(isUsable("a")).equal(true);
     expect(versions).deep.equal([...versions].sort((a, b) => a - b));
