--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -229,6 +229,8 @@
     const start = lists.map((l) => l.position).reduce((a, b) => a.earlier(b));
     if (lists.some((l) => l.position.era !== source.era))
       throw new Error("the store's era changed while a snapshot was read");
+    // The answers may be the first of a new era.
+    this.checkEra();
     const documents = lists.flatMap((l) => l.documents);
     const registered = new Set<string>();
     const updates = documents.flatMap((d) => {
--- a/test/serving/store-return.test.ts
+++ b/test/serving/store-return.test.ts
@@ -14,6 +14,8 @@
 const IN_FORCE_MS = 3000;
 /** Milliseconds after a return by which everything that was lost is written again in these tests. */
 const REWRITTEN_MS = 1500;
+/** Milliseconds after a return within which a worker registers again. */
+const REREGISTERED_MS = 2000;
 /** Milliseconds after a return by which what is known from before no longer matters. */
 const SETTLED_MS = 6000;
 const LEAVING = "leaving";
@@ -118,8 +120,8 @@
     };
     const host = await followReturn(others, register);
     let registered = false;
-    await expectUsable(host, true, RETURNED_AT + IN_FORCE_MS + REWRITTEN_MS, (at) => {
-      if (registered || at < RETURNED_AT + REWRITTEN_MS) return;
+    await expectUsable(host, true, RETURNED_AT + SETTLED_MS, (at) => {
+      if (registered || at < RETURNED_AT + REREGISTERED_MS) return;
       registered = true;
       register(host.store);
     });
@@ -167,6 +169,25 @@
     f.stop();
   });
 
+  it("stays known if the store comes back while a snapshot is due anyway", async () => {
+    const { time, store, feed: f, isUsable } = follow();
+    for (const worker of ["b", "c", "d"]) store.put(`e/${worker}`, "ready");
+    await time.runUntil(COPIED_AT);
+    const copy = store.copy();
+    register(store);
+    await time.runUntil(RETURNED_AT);
+    store.listingFails = true;
+    store.put("other", "1");
+    store.compact();
+    await time.runUntil(RETURNED_AT + IN_FORCE_MS);
+    store.comeBackFrom(copy);
+    store.listingFails = false;
+    await time.runUntil(RETURNED_AT + IN_FORCE_MS + REWRITTEN_MS);
+    expect(f.catalog.position.era).equal(2);
+    expect(isUsable("a")).equal(true);
+    f.stop();
+  });
+
   it("stays known if the store comes back twice in a row", async () => {
     const change = (store: fakeSource.FakeSource): void => {
       register(store);
