Withhold an entry after a return whose deletion was seen by its absence alone

What would have happened: a worker that is gone is used again after a return. Found by reading. Change: the key of each worker's entry is remembered, and counts as deleted once the worker is removed.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -170,8 +170,8 @@
   {
     name: "a removal that comes with a leaving mark is sure",
     file: "serving/entry-grace.js",
-    find: "if (last?.leaving)",
-    put: "if (false)",
+    find: "last?.leaving ||",
+    put: "",
     proof: "removes an endpoint at once that announced during an outage that it leaves",
   },
   {
@@ -300,8 +300,8 @@
   {
     name: "entries that lapsed during an outage are kept for a while",
     file: "serving/entry-grace.js",
-    find: 'if (update.kind !== "endpoint_gone" || this.recoveryLeftMs() === 0)',
-    put: "if (true)",
+    find: "|| this.recoveryLeftMs() === 0",
+    put: "|| true",
     proof: "keeps endpoints for a while whose entries expired during an outage of the store",
   },
   {
--- a/src/serving/entry-grace.ts
+++ b/src/serving/entry-grace.ts
@@ -7,6 +7,7 @@
 import type * as clock from "../host/clock.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as catalog from "./catalog.js";
+import * as incarnation from "./incarnation.js";
 
 /** Milliseconds within which workers register again after the store has answered again, or has come back from a copy. */
 export const REREGISTER_MS = 2200;
@@ -53,6 +54,8 @@
   private restoredAt = -Infinity;
   /** Endpoints whose entries are missing, by worker. */
   private readonly kept = new Map<string, KeptEndpoint>();
+  /** Key of each worker's entry that was last in the store, by worker. */
+  private readonly entryKeys = new Map<string, string>();
   /** Keys whose documents were last seen to be deleted, the oldest deletion first. */
   private readonly deletedKeys = new Set<string>();
   /** Updates for such documents that are in the store again, by key. */
@@ -94,6 +97,7 @@
 
   /** The updates to apply now for a document in a snapshot: none if its deletion was known before the store's return. */
   found(key: string, update: catalog.Update): readonly catalog.Update[] {
+    this.rememberEntry(key, update);
     if (!this.deletedKeys.has(key)) return [update];
     if (this.isRestoring()) {
       this.withheld.set(key, update);
@@ -112,6 +116,7 @@
 
   /** The updates to apply now for a document that was written. */
   written(key: string, update: catalog.Update): readonly catalog.Update[] {
+    this.rememberEntry(key, update);
     this.deletedKeys.delete(key);
     this.withheld.delete(key);
     return [update];
@@ -142,6 +147,19 @@
     this.kept.delete(worker);
   }
 
+  private rememberEntry(key: string, update: catalog.Update): void {
+    if (update.kind === "endpoint")
+      this.entryKeys.set(incarnation.workerOf(update.endpoint.id), key);
+  }
+
+  /** Remembers that the entry of a worker that is removed counts as deleted. */
+  private forgetEntry(worker: string): void {
+    const key = this.entryKeys.get(worker);
+    if (key === undefined) return;
+    this.entryKeys.delete(worker);
+    this.rememberDeleted(key);
+  }
+
   private rememberDeleted(key: string): void {
     this.deletedKeys.delete(key);
     this.deletedKeys.add(key);
@@ -162,10 +180,13 @@
     how: Missing,
     previousWrite?: catalog.Update,
   ): readonly catalog.Update[] {
-    if (update.kind !== "endpoint_gone" || this.recoveryLeftMs() === 0) return [update];
+    if (update.kind !== "endpoint_gone") return [update];
     const current = this.deps.endpoints().get(update.worker);
     const last = previousWrite?.kind === "endpoint" ? previousWrite.endpoint : current;
-    if (last?.leaving) return [update];
+    if (last?.leaving || this.recoveryLeftMs() === 0) {
+      this.forgetEntry(update.worker);
+      return [update];
+    }
     if (current && !this.kept.has(update.worker)) this.keep({ update }, how);
     return [];
   }
@@ -201,6 +222,7 @@
     const { worker } = endpoint.update;
     if (this.kept.get(worker) !== endpoint) return;
     this.kept.delete(worker);
+    this.forgetEntry(worker);
     this.deps.apply([endpoint.update]);
   }
 
--- a/test/serving/store-return.test.ts
+++ b/test/serving/store-return.test.ts
@@ -159,6 +159,14 @@
     expect(removed).equal(true);
   });
 
+  it("keeps it out of use too if its deletion was seen by its absence alone", async () => {
+    const host = await followReturn(register, (store) => {
+      remove(store);
+      store.compact();
+    });
+    await expectUsable(host, false, RETURNED_AT + REREGISTERED_MS);
+  });
+
   it("uses a worker again that registers again after its entry had been deleted", async () => {
     const { time, store, feed: f, isUsable } = await followReturn(register, remove);
     await time.runUntil(6000);
