Say that the store is restored from a backup

Cause: code, tests and pages said that it comes back from a copy, which is no usual term. Change: restore and backup in names, log lines, titles and prose; files are named after them. No behaviour.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -1,7 +1,7 @@
 /**
  * A stand-in for the platform's key-value store, by its published protocol: reads, ranges, watches
- * and conditional writes. Leases never expire by themselves. It can fail as the platform's store does, and come back
- * from an earlier copy.
+ * and conditional writes. Leases never expire by themselves. It can fail as the platform's store does, and be restored
+ * from an earlier backup.
  * @module
  */
 import * as timers from "node:timers/promises";
@@ -22,7 +22,7 @@
 }
 
 /** What the store held at one moment. */
-export interface Copy {
+export interface Backup {
   readonly items: ReadonlyMap<string, Item>;
   readonly revision: number;
   readonly history: readonly Event[];
@@ -38,7 +38,7 @@
   loseWrites: number;
 }
 
-/** The header in all answers whose value rises by one whenever the store comes back from a copy. */
+/** The header in all answers whose value rises by one whenever the store is restored from a backup. */
 const ERA_HEADER = "store-era";
 
 /** Milliseconds after which the connection of an unanswered call is closed. */
@@ -52,7 +52,7 @@
   /** Changes up to this revision are compacted away. */
   private compactedRevision = 0;
   private revision = 0;
-  /** Number of times that the store came back from a copy, starting at 1. Undefined to leave the header out. */
+  /** Number of times that the store was restored from a backup, starting at 1. Undefined to leave the header out. */
   era: number | undefined = 1;
   private waitingWatches: (() => void)[] = [];
   /** Maximum number of items in one answer to a range call. */
@@ -103,18 +103,18 @@
     this.wakeWatches();
   }
 
-  /** A copy from which the store can come back. */
-  copy(): Copy {
+  /** A backup from which the store can be restored. */
+  backup(): Backup {
     return { items: new Map(this.items), revision: this.revision, history: [...this.history] };
   }
 
-  /** Comes back from a copy: later changes are lost, their revisions are given out again, and the era rises. */
-  comeBackFrom(copy: Copy): void {
+  /** Is restored from a backup: later changes are lost, their revisions are given out again, and the era rises. */
+  restore(backup: Backup): void {
     this.items.clear();
-    for (const [key, item] of copy.items) this.items.set(key, item);
-    this.revision = copy.revision;
-    this.history = [...copy.history];
-    this.compactedRevision = Math.min(this.compactedRevision, copy.revision);
+    for (const [key, item] of backup.items) this.items.set(key, item);
+    this.revision = backup.revision;
+    this.history = [...backup.history];
+    this.compactedRevision = Math.min(this.compactedRevision, backup.revision);
     if (this.era !== undefined) this.era++;
     this.wakeWatches();
   }
--- a/bench/red/store-switches.ts
+++ b/bench/red/store-switches.ts
@@ -1,5 +1,5 @@
 /**
- * Mechanisms for a store that comes back from a copy, each with the test that fails without it.
+ * Mechanisms for a store that is restored from a backup, each with the test that fails without it.
  * @module
  */
 import type * as switches from "./switches.js";
@@ -20,7 +20,7 @@
     proof: "holds what the store holds once all is written again, and never goes back",
   },
   {
-    name: "store: the watch is called more often after a return",
+    name: "store: the watch is called more often after a restore",
     file: "serving/feed.js",
     find: "now - this.restoredAt < pace.catchUpMs ? pace.catchUpIntervalMs : pace.minIntervalMs",
     put: "pace.minIntervalMs",
@@ -38,14 +38,14 @@
     file: "../platform/store.js",
     find: "if (start && start.era !== at.era)",
     put: "if (false)",
-    proof: "is not read as one snapshot if it comes back between two pages",
+    proof: "is not read as one snapshot if it is restored between two pages",
   },
   {
     name: "store: orders are fenced by era and revision",
     file: "store/position.js",
     find: "this.era * REVISIONS_PER_ERA + this.revision",
     put: "this.revision",
-    proof: "loads adapters at lower revisions too, once the store has come back from a copy",
+    proof: "loads adapters at lower revisions too, once the store has been restored from a backup",
   },
   {
     name: "store: an incarnation that leaves stays so",
@@ -59,14 +59,14 @@
     file: "serving/catalog.js",
     find: "departed.has(c.endpoint.id) ||",
     put: "",
-    proof: "keeps it out of use if it was missing from the copy and registers again as ready",
+    proof: "keeps it out of use if it was missing from the backup and registers again as ready",
   },
   {
-    name: "store: an endpoint that is missing from the copy is kept",
+    name: "store: an endpoint that is missing from the backup is kept",
     file: "serving/entry-grace.js",
     find: 'return how === "absent" ? REREGISTER_MS : keepDeletedMs;',
     put: "return keepDeletedMs;",
-    proof: "keeps a worker in use that registered after the copy, until it registers again",
+    proof: "keeps a worker in use that registered after the backup, until it registers again",
   },
   {
     name: "store: a deleted document that is back is withheld",
@@ -74,7 +74,7 @@
     find: "if (!this.deletedKeys.has(key))",
     put: "if (true)",
     proof:
-      "keeps a worker out of use whose entry was deleted after the copy, until it is deleted again",
+      "keeps a worker out of use whose entry was deleted after the backup, until it is deleted again",
   },
   {
     name: "store: a lost quarantine stays in force",
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -7,7 +7,7 @@
 import * as faults from "./faults.js";
 import * as history from "./history.js";
 import * as site from "./site.js";
-import * as storeReturn from "./store-return.js";
+import * as storeRestore from "./store-restore.js";
 import * as teams from "./teams.js";
 
 export type Draw = faults.Draw;
@@ -63,10 +63,10 @@
 const OUTAGE_LEAVE_SHARE = 0.6;
 const OUTAGE_LEAVE_INTERVAL_MS: readonly [number, number] = [500, 4000];
 const OUTAGE_LEAVE_DRAWS = 9;
-/** The same for stores that come back from a copy. */
-const RETURN_SHARE = 0.6;
-const RETURN_INTERVAL_MS: readonly [number, number] = [1000, 6000];
-const RETURN_DRAWS = 10;
+/** The same for stores that be restored from a backup. */
+const RESTORE_SHARE = 0.6;
+const RESTORE_INTERVAL_MS: readonly [number, number] = [1000, 6000];
+const RESTORE_DRAWS = 10;
 /** Numbers of the random sequences for the API keys of requests, and for the operator's changes of keys and caps. */
 const KEY_DRAWS = 4;
 const TEAM_DRAWS = 5;
@@ -117,7 +117,7 @@
     limitRepeatedly(deps(LIMIT_DRAWS), until),
     pauseRepeatedly(deps(PAUSE_DRAWS), until),
     leaveRepeatedly(deps(OUTAGE_LEAVE_DRAWS), until),
-    returnRepeatedly(deps(RETURN_DRAWS), until),
+    restoreRepeatedly(deps(RESTORE_DRAWS), until),
     changeTeams(s, teamState, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
@@ -273,12 +273,12 @@
   }
 }
 
-/** In some runs, lets the store come back from a copy, repeatedly until `until`. */
-async function returnRepeatedly(d: faults.Deps, until: number): Promise<void> {
-  if (!isInShare(d, RETURN_SHARE)) return;
+/** In some runs, lets the store be restored from a backup, repeatedly until `until`. */
+async function restoreRepeatedly(d: faults.Deps, until: number): Promise<void> {
+  if (!isInShare(d, RESTORE_SHARE)) return;
   while (performance.now() < until) {
-    await timers.setTimeout(d.draw.between(...RETURN_INTERVAL_MS));
-    await storeReturn.returnFromCopy(d);
+    await timers.setTimeout(d.draw.between(...RESTORE_INTERVAL_MS));
+    await storeRestore.restoreFromBackup(d);
   }
 }
 
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -205,7 +205,7 @@
   );
   daemonMetrics.addGauge(
     "sumacfield_store_era",
-    "Era of that revision; it rises when the store comes back from a copy.",
+    "Era of that revision; it rises when the store is restored from a backup.",
     () => catalogFeed.catalog.position.era,
   );
   daemonMetrics.addGauge(
@@ -225,7 +225,7 @@
   );
   daemonMetrics.addGauge(
     "sumacfield_documents_withheld",
-    "Deleted documents that are back after the store's return, and not used.",
+    "Deleted documents that are back after the store was restored, and not used.",
     () => catalogFeed.entryGrace.withheldCount,
   );
   daemonMetrics.addGauge(
--- a/src/serving/entry-grace.ts
+++ b/src/serving/entry-grace.ts
@@ -1,6 +1,6 @@
 /**
  * Decides how to treat entries that vanish or reappear while the store recovers. Entries may expire in an outage of the store
- * though their workers run. A store that has come back from a copy lacks what was written since the copy, and holds
+ * though their workers run. A store that has been restored from a backup lacks what was written since the backup, and holds
  * what was deleted since. Operators and workers write again soon; until then, what the host knew before holds.
  * @module
  */
@@ -9,7 +9,7 @@
 import type * as catalog from "./catalog.js";
 import * as incarnation from "./incarnation.js";
 
-/** Milliseconds within which workers register again after the store has answered again, or has come back from a copy. */
+/** Milliseconds within which workers register again after the store has answered again, or has been restored from a backup. */
 export const REREGISTER_MS = 2200;
 /**
  * Fraction of the endpoints above which entries that are missing at once must have expired: workers that really stop
@@ -23,7 +23,7 @@
 export interface KeepTimes {
   /** After an outage. */
   readonly keepMissingMs: number;
-  /** If the entry is deleted after the store has come back from a copy. The deletion may be one that the store had lost. */
+  /** If the entry is deleted after the store has been restored from a backup. The deletion may be one that the store had lost. */
   readonly keepDeletedMs: number;
 }
 
@@ -50,7 +50,7 @@
   private unreachable = false;
   /** Monotonic ms at which the last outage of the store ended. */
   private reachableSince = -Infinity;
-  /** Monotonic ms at which the store was last found to have come back from a copy. */
+  /** Monotonic ms at which the store was last found to have be restored from a backup. */
   private restoredAt = -Infinity;
   /** Endpoints whose entries are missing, by worker. */
   private readonly kept = new Map<string, KeptEndpoint>();
@@ -85,7 +85,7 @@
     this.reachableSince = this.deps.clock.mono();
   }
 
-  /** Records that the store has come back from a copy. */
+  /** Records that the store has been restored from a backup. */
   storeRestored(): void {
     const restoredAt = this.deps.clock.mono();
     this.restoredAt = restoredAt;
@@ -95,14 +95,14 @@
     });
   }
 
-  /** The updates to apply now for a document in a snapshot: none if its deletion was known before the store's return. */
+  /** The updates to apply now for a document in a snapshot: none if its deletion was known before the store was restored. */
   found(key: string, update: catalog.Update): readonly catalog.Update[] {
     this.rememberEntry(key, update);
     if (!this.deletedKeys.has(key)) return [update];
     if (this.isRestoring()) {
       this.withheld.set(key, update);
       this.deps.log.warn(
-        "A deleted document is back after the store's return; it is not used for now.",
+        "A deleted document is back after the store was restored; it is not used for now.",
         {
           key,
           forMs: Math.round(this.recoveryLeftMs()),
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps a host's catalog up to date with the store: reads a full snapshot once, then watches for changes by position,
- * and reads a new snapshot when the store does not have the history that the watch needs: it has compacted it, or has come
- * back from a copy, and so begun a new era.
+ * and reads a new snapshot when the store does not have the history that the watch needs: it has compacted it, or was
+ * restored from a backup, and so began a new era.
  * @module
  */
 import * as clock from "../host/clock.js";
@@ -48,7 +48,7 @@
 export interface Listeners {
   /** Called after each change of the catalog. */
   readonly onChange: (at: catalog.Catalog) => void;
-  /** Called once a snapshot has been read after the store came back from a copy. */
+  /** Called once a snapshot has been read after the store was restored from a backup. */
   readonly onRestored: () => void;
 }
 
@@ -70,13 +70,13 @@
   private unreachable = false;
   /** The store's last era that was noticed. Undefined until a first snapshot has been read. */
   private era: eras.Era | undefined;
-  /** Monotonic ms at which the store was last found to have come back from a copy. */
+  /** Monotonic ms at which the store was last found to have be restored from a backup. */
   private restoredAt = -Infinity;
   /** Texts of unreadable documents, by key, so that the same text is logged once. */
   private readonly unreadableTexts = new Map<string, string>();
   private unreadableTotal = 0;
   private readonly grace: entryGrace.EntryGrace;
-  /** Evidence of the quarantines that the store lost when it came back from a copy, by identity. */
+  /** Evidence of the quarantines that the store lost when it was restored from a backup, by identity. */
   private readonly lostQuarantine = new Map<string, string>();
   /** Monotonic ms at which the last watch call began. */
   private watchStartedAt = -Infinity;
@@ -148,7 +148,7 @@
     this.synced = false;
     this.restoredAt = this.deps.clock.mono();
     this.grace.storeRestored();
-    this.deps.log.warn("A new era of the store has begun; it came back from a copy.", {
+    this.deps.log.warn("A new era of the store has begun; it was restored from a backup.", {
       era,
       ...this.lastPosition(),
       newsMs: Math.round(this.catalogAgeMs),
--- a/src/serving/model-turns.ts
+++ b/src/serving/model-turns.ts
@@ -25,12 +25,12 @@
 
 /** Claims turns for one endpoint daemon. */
 export class ModelTurns {
-  /** Steady ms until which turns of before the store's return may still be held. */
+  /** Steady ms until which turns of before the store was restored may still be held. */
   private heldUntil = -Infinity;
 
   constructor(private readonly deps: Deps) {}
 
-  /** Records that the store has come back from a copy: it may have lost turns that other daemons hold. */
+  /** Records that the store has been restored from a backup: it may have lost turns that other daemons hold. */
   storeRestored(): void {
     this.heldUntil = this.deps.clock.steady() + TURN_LEASE_MS;
   }
--- a/src/serving/quarantine-restorer.ts
+++ b/src/serving/quarantine-restorer.ts
@@ -1,5 +1,5 @@
 /**
- * Writes requests in quarantine to the store again that the store has lost by coming back from a copy. Each host holds
+ * Writes requests in quarantine to the store again that the store has lost by being restored from a backup. Each host holds
  * them until then, but a host that starts anew knows only what the store holds.
  * @module
  */
--- a/src/serving/watch-pace.ts
+++ b/src/serving/watch-pace.ts
@@ -13,7 +13,7 @@
   /** Minimum milliseconds from the start of one watch call to the next, so that one call returns many changes. */
   readonly minIntervalMs: number;
   /**
-   * The same for `catchUpMs` milliseconds after the store has come back from a copy. What it had acknowledged is then
+   * The same for `catchUpMs` milliseconds after the store has been restored from a backup. What it had acknowledged is then
    * written again, and must be in force by the time that counts from its first acknowledgement.
    */
   readonly catchUpIntervalMs: number;
@@ -30,7 +30,7 @@
  */
 /** Time from the start of one watch call to the next. In a large fleet calls return at once, so this sets their rate. */
 const INTERVAL_FRACTION = 0.5;
-/** The same after the store has come back from a copy. */
+/** The same after the store has been restored from a backup. */
 const CATCH_UP_INTERVAL_FRACTION = 0.1;
 /** Longest duration of one watch call. The call returns at once when something changes. */
 const WATCH_FRACTION = 0.15;
@@ -41,7 +41,7 @@
  * {@link INTERVAL_FRACTION} and the time of the store's response must stay below 1.
  */
 const KEEP_MISSING_FRACTION = 0.35;
-/** The same after the store has come back from a copy, when the time counts from a deletion that the store had lost. */
+/** The same after the store has been restored from a backup, when the time counts from a deletion that the store had lost. */
 const KEEP_DELETED_FRACTION = 0.1;
 /** Milliseconds until the first retry of a call that failed. */
 export const RETRY_MS = 60;
--- a/src/store/era.ts
+++ b/src/store/era.ts
@@ -1,5 +1,5 @@
 /**
- * Eras of a store. A store that comes back from a copy loses what it acknowledged since, and gives the same revisions out
+ * Eras of a store. A store that is restored from a backup loses what it acknowledged since, and gives the same revisions out
  * again for other changes. It then begins a new era, whose number it states in each answer.
  * @module
  */
--- a/test/platform/store-return-processes.test.ts
+++ b/test/platform/store-restore-processes.test.ts
@@ -13,15 +13,15 @@
 const ENTRIES = 3;
 /** Milliseconds within which a change must be in force. */
 const IN_FORCE_MS = 2000;
-/** Milliseconds for which the store is away, and after the first write until it is repeated. */
-const [AWAY_MS, WRITTEN_AGAIN_MS] = [300, 1200];
-/** Number of other changes that the store loses, and that it makes after its return. */
+/** Milliseconds for which the store is unavailable, and after the first write until it is repeated. */
+const [DOWN_MS, WRITTEN_AGAIN_MS] = [300, 1200];
+/** Number of other changes that the store loses, and that it makes after the restore. */
 const [LOST_CHANGES, LATER_CHANGES] = [30, 60];
 /** Milliseconds between requests, and for which they are sent once a change must be in force. */
 const [EVERY_MS, FOR_MS] = [20, 1500];
 
-/** Entry and endpoint daemons as processes, whose store comes back from a copy. */
-describe("daemons whose store comes back from a copy", () => {
+/** Entry and endpoint daemons as processes, whose store is restored from a backup. */
+describe("daemons whose store is restored from a backup", () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
   const faults: string[] = [];
   let site: soak.Site;
@@ -49,16 +49,16 @@
 
   /** Makes a change that the store loses and that is made again; resolves once it must be in force. */
   async function loseAndRepeat(change: () => void): Promise<void> {
-    const copy: stores.Copy = site.store.copy();
+    const backup: stores.Backup = site.store.backup();
     changeOther(LOST_CHANGES);
     await timers.setTimeout(IN_FORCE_MS);
     change();
     const acknowledgedAt = performance.now();
     site.store.faults.mode = "busy";
-    await timers.setTimeout(AWAY_MS);
-    site.store.comeBackFrom(copy);
+    await timers.setTimeout(DOWN_MS);
+    site.store.restore(backup);
     site.store.faults.mode = "well";
-    await timers.setTimeout(WRITTEN_AGAIN_MS - AWAY_MS);
+    await timers.setTimeout(WRITTEN_AGAIN_MS - DOWN_MS);
     site.writeAgain();
     changeOther(LATER_CHANGES);
     await timers.setTimeout(acknowledgedAt + IN_FORCE_MS - performance.now());
--- a/test/platform/store-return.test.ts
+++ b/test/platform/store-restore.test.ts
@@ -8,23 +8,23 @@
 const { expect } = chai;
 const { until, IN_FORCE_MS } = followedStore;
 
-/** Milliseconds for which the store is away. */
-const AWAY_MS = 300;
+/** Milliseconds for which the store is unavailable. */
+const DOWN_MS = 300;
 /** Milliseconds after the first write until the operator or a worker repeats it. */
 const WRITTEN_AGAIN_MS = 1300;
-/** Number of other changes between the copy and the return. */
+/** Number of other changes between the backup and the restore. */
 const LOST_CHANGES = 20;
 
 const KEY = `${platform.WORKERS_PREFIX}i-1`;
 
-/** How the store's revision passes the last one from before the return, once the lost change is written again. */
+/** How the store's revision passes the last one from before the restore, once the lost change is written again. */
 const PASSES: Readonly<Record<string, number | undefined>> = {
   "not passed": undefined,
   "passed at once": 0,
   "passed one by one": 60,
 };
 
-describe("a store that comes back from a copy", () => {
+describe("a store that is restored from a backup", () => {
   const store = new stores.Store();
   let followed: followedStore.FollowedStore;
   let version = 0;
@@ -47,11 +47,11 @@
     followed.feed.catalog.config?.routes.some((r) => r.prefix === prefix) === true;
   const isLeaving = (): boolean => followed.feed.catalog.endpoints.get("i-1")?.leaving === true;
 
-  /** The store is away for a moment and comes back from `copy`. */
-  async function comeBack(copy: stores.Copy): Promise<void> {
+  /** The store is unavailable for a moment and is restored from `backup`. */
+  async function restoreFrom(backup: stores.Backup): Promise<void> {
     store.faults.mode = "busy";
-    await clock.sleep(clock.system, AWAY_MS);
-    store.comeBackFrom(copy);
+    await clock.sleep(clock.system, DOWN_MS);
+    store.restore(backup);
     store.faults.mode = "well";
   }
 
@@ -63,7 +63,7 @@
   }
 
   /**
-   * Makes a change that the store loses and that is made again after its return; resolves with the milliseconds from
+   * Makes a change that the store loses and that is made again after the restore; resolves with the milliseconds from
    * its first acknowledgement until `inForce`.
    */
   async function loseAndRepeat(
@@ -71,11 +71,11 @@
     inForce: () => boolean,
     intervalMs: number | undefined,
   ): Promise<number> {
-    const copy = store.copy();
+    const backup = store.backup();
     await writeLost();
     change();
     const acknowledgedAt = performance.now();
-    await comeBack(copy);
+    await restoreFrom(backup);
     await clock.sleep(clock.system, acknowledgedAt + WRITTEN_AGAIN_MS - performance.now());
     change();
     if (intervalMs !== undefined) void passRevisions(intervalMs);
@@ -126,15 +126,15 @@
     }).timeout(12_000);
   }
 
-  it("is not read as one snapshot if it comes back between two pages", async () => {
+  it("is not read as one snapshot if it is restored between two pages", async () => {
     store.pageSize = 1;
     register("ready", `${KEY}0`);
-    const copy = store.copy();
+    const backup = store.backup();
     store.answeredPages = 0;
     store.faults.delayMs = 100;
     const pages = followed.source.list(platform.WORKERS_PREFIX);
     await until(() => store.answeredPages === 1);
-    store.comeBackFrom(copy);
+    store.restore(backup);
     const outcome = await pages.then(
       () => "read",
       (err: unknown) => String(err),
@@ -144,20 +144,20 @@
 
   it("holds no key that was claimed under a lease of an era that is over", async () => {
     store.faults.delayMs = 100;
-    const copy = store.copy();
+    const backup = store.backup();
     const claim = followed.source.claim("sumacfield/other", 1000).then(
       () => "claimed",
       (err: unknown) => String(err),
     );
     await until(() => store.grantedLeases === 1);
-    store.comeBackFrom(copy);
+    store.restore(backup);
     expect(await claim).include("era changed");
     expect(store.items.has("sumacfield/other")).equal(false);
   });
 
   it("is read again, and then served, after an answer of an era that is over", async () => {
-    const copy = store.copy();
-    store.comeBackFrom(copy);
+    const backup = store.backup();
+    store.restore(backup);
     await until(() => followed.source.era === store.era);
     store.era = 1;
     const outcome = await followed.source.list(platform.WORKERS_PREFIX).then(
--- a/test/serving/fake-source.ts
+++ b/test/serving/fake-source.ts
@@ -1,5 +1,5 @@
 /**
- * An in-memory store of documents that can be unavailable, compact its history, and come back from a copy.
+ * An in-memory store of documents that can be unavailable, compact its history, and be restored from a backup.
  * @module
  */
 import * as clock from "../../src/host/clock.js";
@@ -17,7 +17,7 @@
 }
 
 /** What the store held at one moment. */
-export interface Copy {
+export interface Backup {
   readonly documents: ReadonlyMap<string, source.Document>;
   readonly log: readonly LoggedChange[];
   readonly revision: number;
@@ -61,17 +61,17 @@
     this.compactedRevision = this.revision;
   }
 
-  copy(): Copy {
+  backup(): Backup {
     return { documents: new Map(this.documents), log: [...this.log], revision: this.revision };
   }
 
-  /** Comes back from a copy: later changes are lost, their revisions are given out again, and the era rises. */
-  comeBackFrom(copy: Copy): void {
+  /** Is restored from a backup: later changes are lost, their revisions are given out again, and the era rises. */
+  restore(backup: Backup): void {
     this.documents.clear();
-    for (const [key, document] of copy.documents) this.documents.set(key, document);
-    this.log = [...copy.log];
-    this.revision = copy.revision;
-    this.compactedRevision = Math.min(this.compactedRevision, copy.revision);
+    for (const [key, document] of backup.documents) this.documents.set(key, document);
+    this.log = [...backup.log];
+    this.revision = backup.revision;
+    this.compactedRevision = Math.min(this.compactedRevision, backup.revision);
     this.storeEra++;
   }
 
--- a/test/serving/quarantine-return.test.ts
+++ b/test/serving/quarantine-restore.test.ts
@@ -69,15 +69,15 @@
 async function startAndLose(hosts: number) {
   const s = start(hosts);
   await s.time.runUntil(2000);
-  const copy = s.store.copy();
+  const backup = s.store.backup();
   s.store.put(KEY, s.evidence);
   await s.time.runUntil(5000);
   expect(s.held()).equal(hosts);
-  s.store.comeBackFrom(copy);
-  return { ...s, copy };
+  s.store.restore(backup);
+  return { ...s, backup };
 }
 
-describe("a quarantine that the store loses by coming back from a copy", () => {
+describe("a quarantine that the store loses by being restored from a backup", () => {
   for (const hosts of [4, 29, 360]) {
     it(`stays in force and is written again, with few calls, by ${hosts} hosts`, async () => {
       const s = await startAndLose(hosts);
@@ -94,7 +94,7 @@
   it("is written again if it is lost twice, and while the store fails", async () => {
     const s = await startAndLose(4);
     await s.time.runUntil(7000);
-    s.store.comeBackFrom(s.copy);
+    s.store.restore(s.backup);
     await s.time.runUntil(8500);
     s.store.unavailable = true;
     await s.time.runUntil(10_000);
@@ -115,14 +115,14 @@
     s.stop();
   });
 
-  it("does not come back at once if it had been released after the copy", async () => {
+  it("does not come back at once if it had been released after the backup", async () => {
     const s = start(4);
     s.store.put(KEY, s.evidence);
     await s.time.runUntil(2000);
-    const copy = s.store.copy();
+    const backup = s.store.backup();
     s.store.remove(KEY);
     await s.time.runUntil(5000);
-    s.store.comeBackFrom(copy);
+    s.store.restore(backup);
     await s.time.runUntil(6500);
     expect(s.held()).equal(0);
     s.store.remove(KEY);
--- a/test/serving/seats.test.ts
+++ b/test/serving/seats.test.ts
@@ -19,7 +19,7 @@
     expect(s.engine.held.get("a")?.ready).equal(true);
   });
 
-  it("loads adapters at lower revisions too, once the store has come back from a copy", async () => {
+  it("loads adapters at lower revisions too, once the store has been restored from a backup", async () => {
     const s = await managedEngines.start();
     s.moveTo(position.Position.at(eras.parse("1"), 500));
     expect((await s.link.ask(managedEngines.seatRequest("a")).answer).kind).equal("grant");
--- a/test/serving/store-return.test.ts
+++ b/test/serving/store-restore.test.ts
@@ -12,11 +12,11 @@
 
 /** Milliseconds within which a change must be in force. */
 const IN_FORCE_MS = 3000;
-/** Milliseconds after a return by which everything that was lost is written again in these tests. */
+/** Milliseconds after a restore by which everything that was lost is written again in these tests. */
 const REWRITTEN_MS = 1500;
-/** Milliseconds after a return within which a worker registers again. */
+/** Milliseconds after a restore within which a worker registers again. */
 const REREGISTERED_MS = 2000;
-/** Milliseconds after a return by which what is known from before no longer matters. */
+/** Milliseconds after a restore by which what is known from before no longer matters. */
 const SETTLED_MS = 6000;
 const LEAVING = "leaving";
 
@@ -65,25 +65,25 @@
   return { time, store, feed: f, versions, usedAgain, isUsable };
 }
 
-/** Moments, in ms, of the copy and of the store's return in most tests. */
-const [COPIED_AT, RETURNED_AT] = [2000, 4000];
+/** Moments, in ms, of the backup and of the restore in most tests. */
+const [BACKED_UP_AT, RESTORED_AT] = [2000, 4000];
 
-/** A host that has seen what `lost` writes after the copy, from which the store then comes back. */
-async function followReturn(
+/** A host that has seen what `lost` writes after the backup, from which the store is then restored. */
+async function followRestore(
   before: (store: fakeSource.FakeSource) => void,
   lost: (store: fakeSource.FakeSource) => void,
 ) {
   const host = follow();
   before(host.store);
-  await host.time.runUntil(COPIED_AT);
-  const copy = host.store.copy();
+  await host.time.runUntil(BACKED_UP_AT);
+  const backup = host.store.backup();
   lost(host.store);
-  await host.time.runUntil(RETURNED_AT);
-  host.store.comeBackFrom(copy);
-  return { ...host, copy };
+  await host.time.runUntil(RESTORED_AT);
+  host.store.restore(backup);
+  return { ...host, backup };
 }
 
-describe("what a host knew before the store came back from a copy", () => {
+describe("what a host knew before the store was restored from a backup", () => {
   const nothing = (): undefined => undefined;
   const register = (store: fakeSource.FakeSource): void => {
     store.put("e/a", "ready");
@@ -101,7 +101,7 @@
 
   /** Checks whether worker `a` is usable until `untilMs`; `act` is called first at each time. */
   async function expectUsable(
-    host: Awaited<ReturnType<typeof followReturn>>,
+    host: Awaited<ReturnType<typeof followRestore>>,
     usable: boolean,
     untilMs: number,
     act: (at: number) => void = nothing,
@@ -114,14 +114,14 @@
     host.feed.stop();
   }
 
-  it("keeps a worker in use that registered after the copy, until it registers again", async () => {
+  it("keeps a worker in use that registered after the backup, until it registers again", async () => {
     const others = (store: fakeSource.FakeSource): void => {
       for (const worker of ["b", "c", "d"]) store.put(`e/${worker}`, "ready");
     };
-    const host = await followReturn(others, register);
+    const host = await followRestore(others, register);
     let registered = false;
-    await expectUsable(host, true, RETURNED_AT + SETTLED_MS, (at) => {
-      if (registered || at < RETURNED_AT + REREGISTERED_MS) return;
+    await expectUsable(host, true, RESTORED_AT + SETTLED_MS, (at) => {
+      if (registered || at < RESTORED_AT + REREGISTERED_MS) return;
       registered = true;
       register(host.store);
     });
@@ -129,30 +129,30 @@
   });
 
   it("drops such a worker if it does not register again", async () => {
-    const { time, feed: f } = await followReturn(nothing, register);
-    await time.runUntil(RETURNED_AT + SETTLED_MS);
+    const { time, feed: f } = await followRestore(nothing, register);
+    await time.runUntil(RESTORED_AT + SETTLED_MS);
     expect(f.catalog.endpoints.size).equal(0);
     f.stop();
   });
 
   it("keeps a worker out of use that had said that it leaves, though its older entry is back", async () => {
-    const host = await followReturn(register, leave);
+    const host = await followRestore(register, leave);
     register(host.store);
-    await expectUsable(host, false, RETURNED_AT + SETTLED_MS);
+    await expectUsable(host, false, RESTORED_AT + SETTLED_MS);
   });
 
-  it("keeps it out of use if it was missing from the copy and registers again as ready", async () => {
-    const host = await followReturn(nothing, registerAndLeave);
-    await host.time.runUntil(RETURNED_AT + IN_FORCE_MS);
+  it("keeps it out of use if it was missing from the backup and registers again as ready", async () => {
+    const host = await followRestore(nothing, registerAndLeave);
+    await host.time.runUntil(RESTORED_AT + IN_FORCE_MS);
     register(host.store);
-    await expectUsable(host, false, RETURNED_AT + IN_FORCE_MS + SETTLED_MS);
+    await expectUsable(host, false, RESTORED_AT + IN_FORCE_MS + SETTLED_MS);
   });
 
-  it("keeps a worker out of use whose entry was deleted after the copy, until it is deleted again", async () => {
-    const host = await followReturn(register, remove);
+  it("keeps a worker out of use whose entry was deleted after the backup, until it is deleted again", async () => {
+    const host = await followRestore(register, remove);
     let removed = false;
-    await expectUsable(host, false, RETURNED_AT + SETTLED_MS, (at) => {
-      if (removed || at < RETURNED_AT + REWRITTEN_MS) return;
+    await expectUsable(host, false, RESTORED_AT + SETTLED_MS, (at) => {
+      if (removed || at < RESTORED_AT + REWRITTEN_MS) return;
       removed = true;
       remove(host.store);
     });
@@ -160,15 +160,15 @@
   });
 
   it("keeps it out of use too if its deletion was seen by its absence alone", async () => {
-    const host = await followReturn(register, (store) => {
+    const host = await followRestore(register, (store) => {
       remove(store);
       store.compact();
     });
-    await expectUsable(host, false, RETURNED_AT + REREGISTERED_MS);
+    await expectUsable(host, false, RESTORED_AT + REREGISTERED_MS);
   });
 
   it("uses a worker again that registers again after its entry had been deleted", async () => {
-    const { time, store, feed: f, isUsable } = await followReturn(register, remove);
+    const { time, store, feed: f, isUsable } = await followRestore(register, remove);
     await time.runUntil(6000);
     expect(isUsable("a")).equal(false);
     register(store);
@@ -177,35 +177,42 @@
     f.stop();
   });
 
-  it("stays known if the store comes back while a snapshot is due anyway", async () => {
+  it("stays known if the store is restored while a snapshot is due anyway", async () => {
     const { time, store, feed: f, isUsable } = follow();
     for (const worker of ["b", "c", "d"]) store.put(`e/${worker}`, "ready");
-    await time.runUntil(COPIED_AT);
-    const copy = store.copy();
+    await time.runUntil(BACKED_UP_AT);
+    const backup = store.backup();
     register(store);
-    await time.runUntil(RETURNED_AT);
+    await time.runUntil(RESTORED_AT);
     store.listingFails = true;
     store.put("other", "1");
     store.compact();
-    await time.runUntil(RETURNED_AT + IN_FORCE_MS);
-    store.comeBackFrom(copy);
+    await time.runUntil(RESTORED_AT + IN_FORCE_MS);
+    store.restore(backup);
     store.listingFails = false;
-    await time.runUntil(RETURNED_AT + IN_FORCE_MS + REWRITTEN_MS);
+    await time.runUntil(RESTORED_AT + IN_FORCE_MS + REWRITTEN_MS);
     expect(f.catalog.position.era).equal(2);
     expect(isUsable("a")).equal(true);
     f.stop();
   });
 
-  it("stays known if the store comes back twice in a row", async () => {
+  it("stays known if the store is restored twice in a row", async () => {
     const change = (store: fakeSource.FakeSource): void => {
       register(store);
       store.put("c", "2");
     };
-    const { time, store, feed: f, copy, isUsable, versions } = await followReturn(nothing, change);
+    const {
+      time,
+      store,
+      feed: f,
+      backup,
+      isUsable,
+      versions,
+    } = await followRestore(nothing, change);
     await time.runUntil(5800);
     register(store);
     await time.runUntil(5900);
-    store.comeBackFrom(copy);
+    store.restore(backup);
     await time.runUntil(5900 + REWRITTEN_MS);
     expect(isUsable("a")).equal(true);
     change(store);
@@ -216,9 +223,9 @@
   });
 });
 
-describe("a change that the store lost by coming back from a copy", () => {
-  /** Milliseconds from the change until the store comes back, and until the change is made again. */
-  const [AWAY_MS, AGAIN_MS] = [700, 2400];
+describe("a change that the store lost by being restored from a backup", () => {
+  /** Milliseconds from the change until the store is restored, and until the change is made again. */
+  const [DOWN_MS, AGAIN_MS] = [700, 2400];
   /** The latest moment of the change that is tried, in ms after another one, and the step between these moments. */
   const [LATEST_MS, STEP_MS] = [1600, 50];
 
@@ -226,15 +233,15 @@
     for (let at = 0; at <= LATEST_MS; at += STEP_MS) {
       const { time, store, feed: f } = follow();
       await time.runUntil(4000);
-      const copy = store.copy();
+      const backup = store.backup();
       for (let i = 0; i < 9; i++) store.put("other", String(i));
       await time.runUntil(4000 + at);
       store.put("c", "2");
       store.unavailable = true;
-      await time.runUntil(4000 + at + AWAY_MS);
-      store.comeBackFrom(copy);
+      await time.runUntil(4000 + at + DOWN_MS);
+      store.restore(backup);
       store.unavailable = false;
-      for (let ms = AWAY_MS; ms < IN_FORCE_MS; ms += 20) {
+      for (let ms = DOWN_MS; ms < IN_FORCE_MS; ms += 20) {
         if (ms === AGAIN_MS) store.put("c", "2");
         else if (ms % 100 === 0) store.put("other", String(ms));
         await time.runUntil(4000 + at + ms);
@@ -253,9 +260,9 @@
       readonly worker: string;
       readonly ms: number;
     }
-  | { readonly kind: "copy" | "compact" | "outage"; readonly ms: number }
-  /** Comes back from the last copy, and writes again what was lost after `ms`. */
-  | { readonly kind: "return"; readonly ms: number };
+  | { readonly kind: "backup" | "compact" | "outage"; readonly ms: number }
+  /** Restores the store from the last backup, and writes again what was lost after `ms`. */
+  | { readonly kind: "restore"; readonly ms: number };
 
 const MS = fc.nat({ max: 1200 });
 const WORKER = fc.constantFrom("a", "b", "c");
@@ -267,10 +274,10 @@
     ms: MS,
   }),
   fc.record({
-    kind: fc.constantFrom("copy" as const, "compact" as const, "outage" as const),
+    kind: fc.constantFrom("backup" as const, "compact" as const, "outage" as const),
     ms: MS,
   }),
-  fc.record({ kind: fc.constant("return" as const), ms: fc.nat({ max: REWRITTEN_MS }) }),
+  fc.record({ kind: fc.constant("restore" as const), ms: fc.nat({ max: REWRITTEN_MS }) }),
 );
 
 /** Plays a history; resolves once everything lost has been written again and had its time to be in force. */
@@ -282,7 +289,7 @@
   /** What the operator and the workers hold to be written. */
   const wanted = new Map([["c", "1"]]);
   const left = new Set<string>();
-  let copy = store.copy();
+  let backup = store.backup();
   let now = 0;
   const wait = async (ms: number): Promise<void> => {
     now += ms;
@@ -317,22 +324,22 @@
         wanted.delete(`e/${s.worker}`);
         store.remove(`e/${s.worker}`);
         break;
-      case "copy":
-        copy = store.copy();
+      case "backup":
+        backup = store.backup();
         break;
       case "compact":
         store.compact();
-        copy = store.copy();
+        backup = store.backup();
         break;
       case "outage":
         store.unavailable = true;
         await wait(s.ms);
         store.unavailable = false;
         break;
-      case "return":
+      case "restore":
         store.unavailable = true;
         await wait(s.ms % 400);
-        store.comeBackFrom(copy);
+        store.restore(backup);
         store.unavailable = false;
         await wait(s.ms);
         writeAgain();
@@ -346,7 +353,7 @@
   return { ...host, wanted };
 }
 
-describe("a host that follows a store with returns, outages and late answers", () => {
+describe("a host that follows a store with restores, outages and late answers", () => {
   it("holds what the store holds once all is written again, and never goes back", async () => {
     const history = fc.array(STEP, { minLength: 3, maxLength: 14 });
     const delays = fc.array(fc.constantFrom(0, 4, 40, 300, 900), { minLength: 1, maxLength: 7 });
