--- a/src/serving/entry-grace.ts
+++ b/src/serving/entry-grace.ts
@@ -50,7 +50,7 @@
   private unreachable = false;
   /** Monotonic ms at which the last outage of the store ended. */
   private reachableSince = -Infinity;
-  /** Monotonic ms at which the store was last found to have be restored from a backup. */
+  /** Monotonic ms at which the store was last found to have been restored from a backup. */
   private restoredAt = -Infinity;
   /** Endpoints whose entries are missing, by worker. */
   private readonly kept = new Map<string, KeptEndpoint>();
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -70,7 +70,7 @@
   private unreachable = false;
   /** The store's last era that was noticed. Undefined until a first snapshot has been read. */
   private era: eras.Era | undefined;
-  /** Monotonic ms at which the store was last found to have be restored from a backup. */
+  /** Monotonic ms at which the store was last found to have been restored from a backup. */
   private restoredAt = -Infinity;
   /** Texts of unreadable documents, by key, so that the same text is logged once. */
   private readonly unreadableTexts = new Map<string, string>();
