Claim a key in the store's restore test that no other test writes

Cause: a test before it goes on writing 'sumacfield/other' for 2.4 s, which this test claimed; the claim then met an existing key and left it alone, as it should. Run by itself the test passed. Change: a key of its own. The expectation is the same.

--- a/test/platform/store-restore.test.ts
+++ b/test/platform/store-restore.test.ts
@@ -15,6 +15,8 @@
 /** Number of other changes between the backup and the restore. */
 const LOST_CHANGES = 20;
 
+/** A key that no other test writes. */
+const CLAIMED_KEY = "sumacfield/claimed";
 const KEY = `${platform.WORKERS_PREFIX}i-1`;
 
 /** How the store's revision passes the last one from before the restore, once the lost change is written again. */
@@ -145,14 +147,14 @@
   it("holds no key that was claimed under a lease of an era that is over", async () => {
     store.faults.delayMs = 100;
     const backup = store.backup();
-    const claim = followed.source.claim("sumacfield/other", 1000).then(
+    const claim = followed.source.claim(CLAIMED_KEY, 1000).then(
       () => "claimed",
       (err: unknown) => String(err),
     );
     await until(() => store.grantedLeases === 1);
     store.restore(backup);
     expect(await claim).include("era changed");
-    expect(store.items.has("sumacfield/other")).equal(false);
+    expect(store.items.has(CLAIMED_KEY)).equal(false);
   });
 
   it("is read again, and then served, after an answer of an era that is over", async () => {
