Soak: correct a comment and a local's name

Cause: the wording of the restore left 'stores that be restored' and a name for the state before as 'away'. Change: one comment, one local. Result: no behaviour; compiler, formatter and linter pass.

--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -63,7 +63,7 @@
 const OUTAGE_LEAVE_SHARE = 0.6;
 const OUTAGE_LEAVE_INTERVAL_MS: readonly [number, number] = [500, 4000];
 const OUTAGE_LEAVE_DRAWS = 9;
-/** The same for stores that be restored from a backup. */
+/** The same for a store that is restored from backups. */
 const RESTORE_SHARE = 0.6;
 const RESTORE_INTERVAL_MS: readonly [number, number] = [1000, 6000];
 const RESTORE_DRAWS = 10;
--- a/bench/soak/store-restore.ts
+++ b/bench/soak/store-restore.ts
@@ -21,10 +21,10 @@
   const { store } = d.site;
   const backup = store.backup();
   await timers.setTimeout(d.draw.between(...BACKUP_AGE_MS));
-  const away = store.faults.mode === "well";
-  if (away) store.faults.mode = "busy";
+  const wasWell = store.faults.mode === "well";
+  if (wasWell) store.faults.mode = "busy";
   await timers.setTimeout(d.draw.between(...DOWN_MS));
-  if (away) store.faults.mode = "well";
+  if (wasWell) store.faults.mode = "well";
   store.restore(backup);
   if (d.draw.part() < TWICE_SHARE) {
     await timers.setTimeout(d.draw.between(...WRITTEN_AGAIN_MS) / 2);
