--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -75,12 +75,24 @@
   readonly loadMs: number;
 }
 
+/** What an engine runs at once, and how it streams. */
+export interface Batch {
+  /** Number of requests that run at once; beyond it, the engine preempts running requests. */
+  readonly requests: number;
+  /** Prompt and answer tokens that the KV cache holds. */
+  readonly cacheTokens: number;
+  /** Answer tokens in one event of a stream. */
+  readonly eventTokens: number;
+}
+
 /** Capacity of the engines of a service, and the base models that they load. */
 export interface EngineSpec {
   /** Number of adapters that an engine holds at once. */
   readonly slots: number;
   /** Base model loads per second that the weight store allows, over all engines together. */
   readonly loadsPerS: number;
+  /** Capacity of the batch; undefined if the configuration does not state it. */
+  readonly batch?: Batch | undefined;
   readonly models: readonly Model[];
 }
 
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -122,7 +122,10 @@
       targetMs: req.route.targetMs,
       expectedMs: p.expectedMs,
       newsMs: p.catalogAgeMs,
+      sentMs: p.firstSentAt === undefined ? undefined : Math.round(p.firstSentAt - req.arrivedAt),
       firstMs,
+      pauseMs: p.pauseMs,
+      writeMs: p.writeMs,
       tookMs,
       why: outcome === "whole" ? undefined : p.why,
     });
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -62,7 +62,10 @@
   /** Reports that the first event came after `ms` milliseconds. */
   readonly began: (ms: number) => void;
   /** Gives the seat back, or withdraws the request for it; `how` tells how the request ended. */
-  readonly release: (how: Extract<seatMessages.FromEntry, { kind: "over" }>["how"]) => void;
+  readonly release: (
+    how: Extract<seatMessages.FromEntry, { kind: "over" }>["how"],
+    stream?: seatMessages.StreamTiming,
+  ) => void;
 }
 
 /** What a connection needs, and the callbacks that it calls. */
@@ -232,9 +235,9 @@
       began: (ms) => {
         channel.send({ kind: "began", seat: n, ms });
       },
-      release: (how) => {
+      release: (how, stream) => {
         this.settle(n, { kind: "unreachable" });
-        channel.send({ kind: "over", seat: n, how });
+        channel.send({ kind: "over", seat: n, how, ...(stream && { stream }) });
       },
     };
   }
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -66,6 +66,12 @@
   releaseMs: number | undefined;
   /** Monotonic ms at which the first event or the whole answer was passed on. */
   firstByteAt: number | undefined;
+  /** Longest pause in ms between two events as they arrived; 0 before the second one. */
+  pauseMs: number;
+  /** Longest time in ms that the caller's connection took to accept what had arrived. */
+  writeMs: number;
+  /** Monotonic ms at which the request was first written to a worker. */
+  firstSentAt: number | undefined;
   /** Expected ms to the first event from the endpoint chosen first. */
   expectedMs: number | undefined;
   /** Milliseconds, at the last send, since the host's catalog was last known to be up to date with the store. */
@@ -95,6 +101,9 @@
     retryAfterMs: admission.DEFAULT_RETRY_AFTER_MS,
     releaseMs: undefined,
     firstByteAt: undefined,
+    pauseMs: 0,
+    writeMs: 0,
+    firstSentAt: undefined,
     expectedMs: undefined,
     catalogAgeMs: undefined,
     endpoint: "",
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -165,6 +165,8 @@
       rank: a.route.rank,
       targetMs: Math.max(0, a.arrivedAt + a.route.targetMs - now),
       leftMs: Math.max(1, this.seatWaitLeftMs(a, p)),
+      ...(a.caller && { team: a.caller.team.name }),
+      ...(Number.isFinite(a.route.gapMs) && { gapMs: a.route.gapMs }),
       firm: p.divertedBy.has(endpoint.id) || p.divertedBy.size >= MAX_DIVERSIONS,
     });
     const withdraw = (): void => {
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -10,6 +10,19 @@
 import * as limiterMessages from "./limiter-messages.js";
 import * as noticeMessages from "./notice-messages.js";
 
+/** Timing of a stream's events as they arrived from the engine, in ms. */
+const streamTiming = zod
+  .object({
+    /** Number of events. */
+    events: zod.int(),
+    /** From the first event to the last one. */
+    spanMs: zod.number(),
+    /** Longest pause between two events. */
+    pauseMs: zod.number(),
+  })
+  .readonly();
+export type StreamTiming = zod.infer<typeof streamTiming>;
+
 /** Messages from an entry daemon. */
 export const fromEntry = zod.discriminatedUnion("kind", [
   zod.object({ kind: zod.literal("hello"), host: zod.string() }).readonly(),
@@ -36,6 +49,10 @@
        * faster.
        */
       firm: zod.boolean(),
+      /** Team of the caller; left out where the configuration has no teams. */
+      team: zod.string().optional(),
+      /** Longest pause between two events, in ms, that is not late; left out where the route sets none. */
+      gapMs: zod.number().positive().optional(),
     })
     .readonly(),
   /** The first event of the run came, `ms` after the request was sent. */
@@ -46,6 +63,8 @@
       kind: zod.literal("over"),
       seat: zod.int(),
       how: zod.enum(["whole", "failed", "not_run", "left", "absent"]),
+      /** Timing of the stream as it arrived; left out if no two events did. */
+      stream: streamTiming.optional(),
     })
     .readonly(),
   suspicionState.wire,
@@ -55,6 +74,9 @@
 export type FromEntry = zod.infer<typeof fromEntry>;
 export type Ask = Extract<FromEntry, { kind: "ask" }>;
 
+/** Teams beyond their share that a state message names at most. */
+export const MAX_OVER_TEAMS = 16;
+
 /** How busy an engine is, as known to its endpoint daemon; sent more often than the holdings. */
 export const state = zod
   .object({
@@ -83,6 +105,15 @@
      * broken.
      */
     silenceMs: zod.number(),
+    /**
+     * Reading of prompts that was granted lately, as a share of what the running streams allow; 1 is full. Left out by
+     * engines without steady streams.
+     */
+    crowding: zod.number().nonnegative().optional(),
+    /** Like `waitMs`, for a team within its share; left out where the configuration has no teams. */
+    fairWaitMs: zod.array(zod.number()).readonly().optional(),
+    /** Teams beyond their share of the engine while others wait, the furthest beyond first. */
+    overTeams: zod.array(zod.string()).max(MAX_OVER_TEAMS).readonly().optional(),
   })
   .readonly();
 export type State = zod.infer<typeof state>;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -11,6 +11,7 @@
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as ending from "./ending.js";
 import * as eventSplitter from "./event-splitter.js";
+import * as streamClock from "./pacing/stream-clock.js";
 import * as exchange from "./exchange.js";
 import * as identity from "./identity.js";
 import type * as link from "./link.js";
@@ -83,6 +84,7 @@
       sentAt,
       stopSignal,
       watchdog,
+      stream: new streamClock.StreamClock(),
       withholdReason: undefined,
     };
     const gate: exchange.Gate = {
@@ -113,6 +115,7 @@
     send.sentAt = this.deps.clock.mono();
     send.startedAt = this.deps.clock.steady();
     p.sends++;
+    p.firstSentAt ??= send.sentAt;
     p.catalogAgeMs = Math.round(this.deps.catalogAgeMs());
     p.isRetryCharged = false;
     const { notices } = this.deps;
@@ -204,7 +207,7 @@
     outcome: Parameters<link.PendingSeat["release"]>[0],
     succeeded: boolean | undefined,
   ): void {
-    send.grants.seat?.release(outcome);
+    send.grants.seat?.release(outcome, send.stream.timing());
     const tookMs = outcome === "whole" ? this.deps.clock.mono() - send.sentAt : undefined;
     this.deps.endpoints.requestEnded(send.endpoint.id, succeeded, tookMs);
   }
@@ -264,6 +267,12 @@
     return this.relayWhole(send, result);
   }
 
+  /** Keeps the longest pause and write of a request's streams, for its log line. */
+  private recordTiming({ p, stream }: SendState): void {
+    p.pauseMs = Math.max(p.pauseMs, stream.timing()?.pauseMs ?? 0);
+    p.writeMs = Math.max(p.writeMs, Math.round(stream.writeMs));
+  }
+
   /** Whether the route's attempts and the limit on sends allow another send after one that ran. */
   private mayResend(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
     return p.runs < req.route.attempts && p.sends < MAX_SENDS;
@@ -299,6 +308,7 @@
     try {
       await result.body.pump((chunk) => {
         const ready: Buffer[] = [];
+        const arrivedAt = this.deps.clock.mono();
         for (const e of splitter.push(chunk)) {
           if (p.hasResponseBegun && resumedAfter !== undefined && wasPassedOn(e.id, resumedAfter))
             continue;
@@ -306,6 +316,7 @@
           ready.push(e.bytes);
         }
         if (ready.length === 0) return undefined;
+        send.stream.recordArrival(ready.length, arrivedAt);
         if (isFirst) {
           isFirst = false;
           send.watchdog.answerBegan();
@@ -316,11 +327,16 @@
           p.firstByteAt = this.deps.clock.mono();
           res.writeHead(result.status, result.headers);
         }
-        return res.write(ready.length === 1 && ready[0] ? ready[0] : Buffer.concat(ready));
+        const drained = res.write(ready.length === 1 && ready[0] ? ready[0] : Buffer.concat(ready));
+        return drained?.then(() => {
+          send.stream.recordWrite(this.deps.clock.mono() - arrivedAt);
+        });
       });
     } catch (err) {
+      this.recordTiming(send);
       return this.handleLostConnection(send, errors.messageOf(err));
     }
+    this.recordTiming(send);
     if (!p.hasResponseBegun) res.writeHead(result.status, result.headers);
     if (splitter.remainder().length > 0) void res.write(splitter.remainder());
     this.settle(send, "whole", true);
@@ -354,6 +370,8 @@
   /** Aborts when the caller goes away or the deadline passes. */
   readonly stopSignal: AbortSignal;
   readonly watchdog: sendWatchdog.Watchdog;
+  /** Timing of the answer, if it is a stream. */
+  readonly stream: streamClock.StreamClock;
   /** Why the request was withheld, if it was. */
   withholdReason: sendChecks.WithholdReason | undefined;
 }
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -128,6 +128,7 @@
     expect(llm?.engine).deep.equal({
       slots: 6,
       loadsPerS: 2.1,
+      batch: { requests: 96, cacheTokens: 122543, eventTokens: 1 },
       models: [{ name: "m", sizeMb: 16100, loadMs: 600 }],
     });
     expect(llm?.engine?.models).deep.equal([{ name: "m", sizeMb: 16100, loadMs: 600 }]);
