Withhold, age and shed requests while an entry host's event loop is behind

Cause: a request and the end of its caller's connection wait in the kernel while the event loop is blocked, or while a connection waits to be accepted (one is accepted in each turn). The request was read and sent one turn before the end was read.

A request that is read late counts as having arrived earlier, and nothing is charged or sent before the loop has polled once more; the same is checked right before the write. The end of the caller's side counts as leaving. Requests that cannot be on time are refused by rank with 503, Retry-After and Connection: close.

--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import type * as http from "node:http";
+import type * as clock from "../host/clock.js";
 import * as headers from "./headers.js";
+import type * as lagMonitor from "./overload/lag-monitor.js";
+import * as presence from "./overload/presence.js";
 import type * as progress from "./progress.js";
 import type * as protocol from "./protocol.js";
 
@@ -27,18 +30,28 @@
   return true;
 }
 
-/** Wraps a caller's request and response for the dispatcher. */
+/**
+ * Wraps a caller's request and response for the dispatcher. A caller that ends its side of the connection has left: Node.js
+ * closes the other side then, so no answer can reach it.
+ */
 export function open(
   req: http.IncomingMessage,
   res: http.ServerResponse,
-  wire: protocol.Protocol,
+  deps: { readonly protocol: protocol.Protocol; readonly clock: clock.Clock },
+  lag: lagMonitor.LagMonitor,
 ): progress.CallerResponse {
   const disconnect = new AbortController();
-  res.once("close", () => {
+  const leave = (): void => {
     if (!res.writableFinished) disconnect.abort();
+  };
+  const unregister = presence.onEnd(req.socket, leave);
+  res.once("close", () => {
+    unregister();
+    leave();
   });
   return {
     disconnected: disconnect.signal,
+    presence: presence.watch(req.socket, deps.clock, lag, leave),
     writeHead: (status, received) => {
       res.writeHead(status, headers.forAnswer(received) as http.OutgoingHttpHeaders);
     },
@@ -78,7 +91,7 @@
       res.writeHead(status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
-        ...(comeBackMs === undefined ? {} : wire.retryAfterHeaders(comeBackMs)),
+        ...(comeBackMs === undefined ? {} : deps.protocol.retryAfterHeaders(comeBackMs)),
         ...close,
       });
       res.end(text);
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -17,6 +17,10 @@
 import * as match from "./match.js";
 import type * as metrics from "./metrics.js";
 import * as callerResponse from "./caller-response.js";
+import * as admission from "./admission.js";
+import * as lagMonitor from "./overload/lag-monitor.js";
+import * as loopLag from "./overload/loop-lag.js";
+import * as shedding from "./overload/shedding.js";
 import type * as progress from "./progress.js";
 import type * as protocol from "./protocol.js";
 
@@ -58,12 +62,17 @@
   private draining = false;
   private activeRequests = 0;
   private onIdle: (() => void) | undefined;
+  private readonly lagMonitor: lagMonitor.LagMonitor;
 
   constructor(
     listener: earlyListener.EarlyListener,
     private readonly deps: Deps,
   ) {
     this.server = listener.server;
+    this.lagMonitor = new lagMonitor.LagMonitor(deps);
+    this.server.on("connection", (socket) => {
+      this.lagMonitor.recordAccept(socket);
+    });
     listener.setHandler((req, res) => {
       this.onRequest(req, res);
     });
@@ -74,6 +83,11 @@
     return this.activeRequests;
   }
 
+  /** Lag of this host's event loop in ms, 0 while no request is open. */
+  lagMs(): number {
+    return this.lagMonitor.lagMs();
+  }
+
   /** Applies the timeouts of a new configuration. */
   configure(limits: catalog.Limits): void {
     this.server.keepAliveTimeout = limits.idleMs;
@@ -98,8 +112,10 @@
 
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
     this.activeRequests++;
+    this.lagMonitor.requestOpened();
     res.once("close", () => {
       this.activeRequests--;
+      this.lagMonitor.requestClosed();
       if (this.activeRequests > 0) return;
       this.onIdle?.();
     });
@@ -127,16 +143,28 @@
   }
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const arrivedAt = this.deps.clock.mono();
-    const response = callerResponse.open(req, res, this.deps.protocol);
+    const reading = this.lagMonitor.read(req.socket);
+    const waitedMs = reading.lag.ms > loopLag.NORMAL_MS ? reading.lag.ms : 0;
+    const arrivedAt = this.deps.clock.mono() - waitedMs;
+    const response = callerResponse.open(req, res, this.deps, this.lagMonitor);
     const config = await this.waitForConfig();
-    const verdict = config ? this.match(req, config) : UNCONFIGURED;
+    const matched = config ? this.match(req, config) : UNCONFIGURED;
+    const verdict =
+      matched.kind === "matched" ? this.shed(req, res, matched, reading.lag, arrivedAt) : matched;
+    // The end of the caller's connection may wait behind the request, so nothing is charged or sent before the next poll.
+    if (reading.isOld && verdict.kind === "matched") await response.presence?.confirm();
+    const isBodyRead = req.complete;
+    if (verdict.kind === "matched" && response.disconnected.aborted) {
+      this.recordLeft(verdict, arrivedAt);
+      return;
+    }
     const admitted = verdict.kind === "matched" ? await this.admit(verdict) : verdict;
     if (admitted.kind === "refused") {
       this.refuse(req, response, admitted);
       return;
     }
-    const mayHaveRun = await this.serve(req, res, response, admitted, arrivedAt);
+    const isPollDue = reading.isOld && !isBodyRead;
+    const mayHaveRun = await this.serve(req, res, response, admitted, arrivedAt, isPollDue);
     const { caller } = admitted;
     if (!mayHaveRun && caller) this.deps.caps.refund(caller.team, caller.units);
   }
@@ -147,6 +175,37 @@
     return match.matchRequest(req, { config, catalogAgeMs, bounds, protocol, random });
   }
 
+  /** Refuses a request because this host's event loop is behind, so that its caller connects to another host. */
+  private shed(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    m: match.Matched,
+    lag: loopLag.Lag,
+    arrivedAt: number,
+  ): match.Matched | match.Refusal {
+    if (lag.ms <= loopLag.NORMAL_MS) return m;
+    const why = shedding.refusalReason(lag, m.route, this.deps.random());
+    if (why === undefined) return m;
+    this.lagMonitor.recordRefusal();
+    this.deps.metrics.recordLagRefusal(m.route.rank);
+    // Closing while a body arrives would reset the connection, and the caller could not read the refusal.
+    if (req.complete) res.setHeader("connection", "close");
+    const leftMs = arrivedAt + Math.min(m.meta.waitMs, m.route.timeoutMs) - this.deps.clock.mono();
+    const retryAfterMs = admission.retryAfterMs(lag.ms, leftMs);
+    return { kind: "refused", status: 503, why, team: m.caller?.team.name, retryAfterMs };
+  }
+
+  /** Records a request whose caller left before anything was done for it. */
+  private recordLeft(m: match.Matched, arrivedAt: number): void {
+    const tookMs = Math.round(this.deps.clock.mono() - arrivedAt);
+    this.deps.metrics.recordRequest(m.route.name, "left", undefined, tookMs);
+    this.deps.log.info("A caller left before its request was served.", {
+      request: m.meta.id,
+      route: m.route.name,
+      tookMs,
+    });
+  }
+
   private refuse(
     req: http.IncomingMessage,
     response: progress.CallerResponse,
@@ -193,13 +252,17 @@
     }
   }
 
-  /** Reads the body of an admitted request and serves it. Returns whether the request may have run. */
+  /**
+   * Reads the body of an admitted request and serves it, after a poll if that is due. Returns whether the request may have
+   * run.
+   */
   private async serve(
     req: http.IncomingMessage,
     res: http.ServerResponse,
     response: progress.CallerResponse,
     m: match.Matched,
     arrivedAt: number,
+    isPollDue: boolean,
   ): Promise<boolean> {
     const { meta, route, service, config } = m;
     let body: Buffer;
@@ -215,6 +278,7 @@
       res.destroy();
       return false;
     }
+    if (isPollDue) await response.presence?.confirm();
     const { reserved, credentials } = this.deps.protocol;
     const stripped = config.teams ? [reserved, credentials] : [reserved];
     return this.deps.dispatcher.serve(
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -198,6 +198,11 @@
   daemonMetrics.addGauge("sumacfield_requests_open", "Requests under way.", () =>
     callers.inFlight(),
   );
+  daemonMetrics.addGauge(
+    "sumacfield_loop_lag_ms",
+    "Milliseconds by which the event loop is behind.",
+    () => Math.round(callers.lagMs()),
+  );
   daemonMetrics.addGauge(
     "sumacfield_store_revision",
     "Store revision known.",
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -41,6 +41,8 @@
   readonly recordUsage: (team: string, units: number) => void;
   /** A request could have gone to a worker that announced to take only some requests, or none for now. */
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
+  /** A request of a route with this rank was refused because the host's event loop was behind. */
+  readonly recordLagRefusal: (rank: number) => void;
   /** Adds a gauge whose value `read` returns. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** The metrics in the Prometheus text format. */
@@ -94,6 +96,11 @@
     "reason",
     "outcome",
   );
+  const lagRefusals = counter(
+    "sumacfield_lag_refusals_total",
+    "Requests refused because the event loop was behind, by rank.",
+    "rank",
+  );
   const routeLabel = boundedLabel(MAX_ROUTE_LABELS);
   const teamLabel = boundedLabel(MAX_TEAM_LABELS);
   return {
@@ -115,6 +122,9 @@
     recordNotice: (service, reason, outcome) => {
       noticed.inc({ service, reason, outcome });
     },
+    recordLagRefusal: (rank) => {
+      lagRefusals.inc({ rank });
+    },
     addGauge: (name, help, read) => {
       new prom.Gauge({
         name,
--- /dev/null
+++ b/src/serving/overload/lag-monitor.ts
@@ -0,0 +1,187 @@
+/**
+ * Measures the lag of this process's event loop while requests are open, and logs when it begins and ends.
+ * @module
+ */
+import type * as net from "node:net";
+import type * as clock from "../../host/clock.js";
+import type * as structuredLog from "../../host/structured-log.js";
+import * as acceptQueue from "./accept-queue.js";
+import * as loopLag from "./loop-lag.js";
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: structuredLog.Log;
+}
+
+/** Milliseconds without lag after which it has ended, so that a busy loop does not log each of its long turns. */
+const CALM_MS = 1000;
+
+/** A time during which the loop lags, for the log. */
+interface Episode {
+  readonly beganAt: number;
+  lastSeenAt: number;
+  highestMs: number;
+  refused: number;
+}
+
+/** A new connection, of which the first request may have waited as long as the connection. */
+interface Accepted {
+  readonly at: number;
+  readonly lag: loopLag.Lag;
+  readonly mostWaitMs: number;
+}
+
+/** What is known of a request when it is read. */
+export interface Reading {
+  readonly lag: loopLag.Lag;
+  /** The request may have waited so long that its caller has left. */
+  readonly isOld: boolean;
+}
+
+/** Measures the lag of the event loop. */
+export class LagMonitor {
+  private beats: loopLag.Beats;
+  private run: acceptQueue.Run;
+  private openRequests = 0;
+  private episode: Episode | undefined;
+  private readonly accepted = new WeakMap<net.Socket, Accepted>();
+  /** Connections accepted since the end of the last poll, and in the poll before. */
+  private newSockets: net.Socket[] = [];
+  private olderSockets: net.Socket[] = [];
+  private isWatchingAccepts = false;
+  private nextPoll: Promise<void> | undefined;
+  private polledAt = -Infinity;
+
+  constructor(private readonly deps: Deps) {}
+
+  /** To be called when a request is read; beats run from then until no request is open. */
+  requestOpened(): void {
+    this.openRequests++;
+    if (this.beats) return;
+    this.beats = loopLag.start(this.deps.clock.mono());
+    this.scheduleBeat();
+  }
+
+  /** To be called when a request has ended. */
+  requestClosed(): void {
+    this.openRequests--;
+  }
+
+  /** The lag of what is read now. */
+  lag(): loopLag.Lag {
+    return loopLag.lagAt(this.beats, this.deps.clock.mono());
+  }
+
+  /** Milliseconds of the lag of what is read now, or of the connections that are accepted now. */
+  lagMs(): number {
+    const now = this.deps.clock.mono();
+    return Math.max(this.lag().ms, this.run ? acceptQueue.lagAt(this.run, now).ms : 0);
+  }
+
+  /** To be called when a connection is accepted. */
+  recordAccept(socket: net.Socket): void {
+    const now = this.deps.clock.mono();
+    this.run = acceptQueue.recordAccept(this.run, now, loopLag.lagAt(this.beats, now));
+    this.newSockets.push(socket);
+    const mostWaitMs = acceptQueue.mostWaitMs(this.run, now);
+    if (mostWaitMs > loopLag.NORMAL_MS) {
+      const lag = acceptQueue.lagAt(this.run, now);
+      this.accepted.set(socket, { at: now, lag, mostWaitMs });
+    }
+    if (this.isWatchingAccepts) return;
+    this.isWatchingAccepts = true;
+    this.watchAccepts();
+  }
+
+  /** What is known of a request that is read from a connection now. */
+  read(socket: net.Socket): Reading {
+    const now = this.deps.clock.mono();
+    const ofLoop = loopLag.lagAt(this.beats, now);
+    const accepted = this.accepted.get(socket);
+    if (!accepted) return this.note({ lag: ofLoop, isOld: ofLoop.ms > loopLag.NORMAL_MS }, now);
+    const ms = accepted.lag.ms + (now - accepted.at);
+    const lag = ms > ofLoop.ms ? { ms, isSingle: accepted.lag.isSingle } : ofLoop;
+    return this.note({ lag, isOld: true }, now);
+  }
+
+  /** Records that a request was refused because of the lag. */
+  recordRefusal(): void {
+    if (this.episode) this.episode.refused++;
+  }
+
+  /** Resolves once the event loop has polled after the current turn, with the monotonic ms of that. */
+  async afterPoll(): Promise<number> {
+    // The first callback runs at the end of this turn, the second after the poll of the next one.
+    this.nextPoll ??= new Promise((resolve) => {
+      setImmediate(() => {
+        this.nextPoll = undefined;
+        setImmediate(() => {
+          this.polledAt = this.deps.clock.mono();
+          resolve();
+        });
+      });
+    });
+    await this.nextPoll;
+    return this.polledAt;
+  }
+
+  private scheduleBeat(): void {
+    this.deps.clock.after(loopLag.BEAT_MS, () => {
+      this.beat();
+    });
+  }
+
+  private beat(): void {
+    const now = this.deps.clock.mono();
+    if (this.openRequests === 0) {
+      this.beats = undefined;
+      this.endEpisode(now);
+      return;
+    }
+    this.beats = loopLag.recordBeat(this.beats, now);
+    const { lag } = this.note({ lag: loopLag.lagAt(this.beats, now), isOld: false }, now);
+    if (lag.ms > 0) {
+      setImmediate(() => {
+        this.beats = loopLag.recordPoll(this.beats);
+      });
+    }
+    if (this.episode && now - this.episode.lastSeenAt > CALM_MS) this.endEpisode(now);
+    this.scheduleBeat();
+  }
+
+  /** Ends the run of accepts after the first poll that accepts none. Data that waited with a connection is read by then. */
+  private watchAccepts(): void {
+    setImmediate(() => {
+      for (const socket of this.olderSockets) this.accepted.delete(socket);
+      this.olderSockets = this.newSockets;
+      this.newSockets = [];
+      this.isWatchingAccepts = this.olderSockets.length > 0;
+      if (this.isWatchingAccepts) this.watchAccepts();
+      else this.run = undefined;
+    });
+  }
+
+  /** Keeps the highest lag, and logs when it begins. */
+  private note(reading: Reading, now: number): Reading {
+    const { ms } = reading.lag;
+    if (ms <= loopLag.NORMAL_MS) return reading;
+    if (!this.episode) {
+      this.episode = { beganAt: now, lastSeenAt: now, highestMs: ms, refused: 0 };
+      this.deps.log.warn("The event loop is behind.", { lagMs: Math.round(ms) });
+    }
+    this.episode.lastSeenAt = now;
+    this.episode.highestMs = Math.max(this.episode.highestMs, ms);
+    return reading;
+  }
+
+  private endEpisode(now: number): void {
+    if (!this.episode) return;
+    const { beganAt, highestMs, refused } = this.episode;
+    this.episode = undefined;
+    this.deps.log.info("The event loop is no longer behind.", {
+      highestMs: Math.round(highestMs),
+      forMs: Math.round(now - beganAt),
+      refused,
+    });
+  }
+}
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -6,11 +6,14 @@
 import type * as callerRequest from "./caller-request.js";
 import type * as headers from "./headers.js";
 import type * as metrics from "./metrics.js";
+import type * as presence from "./overload/presence.js";
 
 /** The response to the caller of a request. Nothing is passed on before {@link CallerResponse.writeHead}. */
 export interface CallerResponse {
   /** Aborts when the caller disconnects. */
   readonly disconnected: AbortSignal;
+  /** Presence of the caller right before a send; undefined where no connection is known. */
+  readonly presence?: presence.Presence | undefined;
   /** Sends the status and the headers of an answer that is passed on in parts. */
   readonly writeHead: (status: number, headers: headers.Headers) => void;
   /** Passes bytes on; a returned promise resolves when the caller can take more. */
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -3,6 +3,7 @@
  * seat or a connection since the choice, and the endpoint, the key or the quarantine may have changed in the meantime.
  * @module
  */
+import type * as clock from "../host/clock.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as authentication from "./authentication.js";
@@ -16,6 +17,7 @@
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
+  readonly clock: clock.Clock;
   readonly log: structuredLog.Log;
   readonly catalog: () => catalog.Catalog;
   readonly metrics: metrics.Metrics;
@@ -28,8 +30,11 @@
 
 const UNAUTHORIZED = 401;
 
-/** Why a request is withheld: this endpoint cannot serve it but another may (`elsewhere`), or none may (`refused`). */
-export type WithholdReason = "elsewhere" | "refused";
+/**
+ * Why a request is withheld: this endpoint cannot serve it but another may (`elsewhere`), none may (`refused`), its caller
+ * has left (`left`), or whether it has left is only known after the next poll of the event loop (`stale`).
+ */
+export type WithholdReason = "elsewhere" | "refused" | "left" | "stale";
 
 /** Decides whether a request may be sent, and records why not. */
 export class SendChecks {
@@ -41,10 +46,17 @@
   /** Returns why a request must not be sent to an endpoint now, if so. Any send but the first is charged to the retry budget. */
   withholdReason(
     req: callerRequest.CallerRequest,
+    res: progress.CallerResponse,
     p: progress.Progress,
     e: catalog.Endpoint,
     permit: Pick<workerNotices.Granted, "isGood">,
   ): WithholdReason | undefined {
+    if (res.presence?.hasLeft()) return "left";
+    if (res.presence?.isStale()) return "stale";
+    if (req.dueAt <= this.deps.clock.mono()) {
+      p.why = "the deadline passed before it could be sent";
+      return "refused";
+    }
     if (!catalog.isUsable(this.deps.catalog(), e)) {
       p.triedEndpoints.add(e.id);
       p.withheld++;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -50,7 +50,10 @@
 export class Sender {
   constructor(private readonly deps: Deps) {}
 
-  /** Sends a request to one endpoint; undefined if another endpoint is to be tried. */
+  /**
+   * Sends a request to one endpoint, once it is known that its caller is still there; undefined if another endpoint is to be
+   * tried.
+   */
   async send(
     req: callerRequest.CallerRequest,
     res: progress.CallerResponse,
@@ -59,6 +62,22 @@
     grants: SendGrants,
     stopSignal: AbortSignal,
   ): Promise<progress.Ending | undefined> {
+    for (;;) {
+      while (!stopSignal.aborted && res.presence?.isStale()) await res.presence.confirm();
+      const outcome = await this.trySend(req, res, p, best, grants, stopSignal);
+      if (outcome !== "stale") return outcome;
+    }
+  }
+
+  /** Sends a request; `stale` if it was withheld until the event loop has polled, with the seat and the permit kept. */
+  private async trySend(
+    req: callerRequest.CallerRequest,
+    res: progress.CallerResponse,
+    p: progress.Progress,
+    best: choice.Estimate,
+    grants: SendGrants,
+    stopSignal: AbortSignal,
+  ): Promise<progress.Ending | "stale" | undefined> {
     const { endpoint } = best.view;
     const { seat, permit } = grants;
     const sentAt = this.deps.clock.mono();
@@ -89,7 +108,7 @@
     };
     const gate: exchange.Gate = {
       mayStart: () => {
-        send.withholdReason = this.deps.checks.withholdReason(req, p, endpoint, permit);
+        send.withholdReason = this.deps.checks.withholdReason(req, res, p, endpoint, permit);
         if (send.withholdReason === undefined) this.recordStart(send);
         return send.withholdReason === undefined;
       },
@@ -103,6 +122,10 @@
         watchdog.signal,
         gate,
       );
+      if (result.kind === "withheld" && send.withholdReason === "stale") {
+        this.deps.endpoints.requestEnded(endpoint.id, undefined, undefined);
+        return "stale";
+      }
       return await this.handleResult(send, result);
     } finally {
       watchdog.close();
@@ -157,6 +180,7 @@
     const { req, res, p } = send;
     send.grants.permit.release();
     this.settle(send, "left", undefined);
+    if (send.withholdReason === "left") return "left";
     if (send.withholdReason === undefined) this.deps.checks.recordDeclined(req, p, send.endpoint);
     return send.withholdReason === "refused"
       ? ending.giveUp(this.deps.clock, req, res, p, false)
