--- a/src/serving/overload/shedding.ts
+++ b/src/serving/overload/shedding.ts
@@ -16,24 +16,27 @@
   readonly targetMs: number;
 }
 
-/** Lags as fractions of a route's target. */
+/** Lags that a request tolerates; the fractions are of its route's target. */
 interface Tolerance {
-  /** Up to this one, all requests are served. */
-  readonly from: number;
-  /** From this one on, all are refused while the lag lasts. A refusal should not come after a quarter of the target. */
+  /**
+   * Fraction from which on all are refused while the lag lasts. Requests wait up to a loop's turn longer than the lag says,
+   * and a refusal should not come after a quarter of the target.
+   */
   readonly to: number;
-  /** From this one on, the answer would be late in any case: what is left of the target is less than workers take. */
+  /** Least ms over which the refused share rises from none to all; about a turn of a busy loop, longer if more urgent. */
+  readonly riseMs: number;
+  /** Fraction from which on the answer would be late in any case: what is left is less than workers take. */
   readonly late: number;
 }
 
 /** By rank; a more urgent request tolerates more lag, since refusals of the less urgent ones reduce it. */
 const TOLERANCE_BY_RANK = [
-  { from: 0.15, to: 0.25, late: 0.9 },
-  { from: 0.1, to: 0.2, late: 0.75 },
-  { from: 0.05, to: 0.15, late: 0.6 },
+  { to: 0.15, riseMs: 100, late: 0.9 },
+  { to: 0.12, riseMs: 70, late: 0.75 },
+  { to: 0.09, riseMs: 40, late: 0.6 },
 ] as const satisfies readonly Tolerance[];
-/** Least milliseconds over which the refused share rises from none to all; about the length of the turns of a busy loop. */
-const MIN_RISE_MS = 50;
+/** Fraction of the target at which refusals begin, if that is more than the normal lag. */
+const FROM_TARGETS = 0.05;
 
 /**
  * Why a request is refused because of the lag, or undefined if it is served; `random` is 0 or more and less than 1. After a
@@ -44,8 +47,8 @@
   const tolerance: Tolerance = TOLERANCE_BY_RANK[r.rank] ?? TOLERANCE_BY_RANK[2];
   if (lag.ms < tolerance.late * r.targetMs) {
     if (lag.isSingle) return undefined;
-    const fromMs = Math.max(loopLag.NORMAL_MS, tolerance.from * r.targetMs);
-    const toMs = Math.max(fromMs + MIN_RISE_MS, tolerance.to * r.targetMs);
+    const fromMs = Math.max(loopLag.NORMAL_MS, FROM_TARGETS * r.targetMs);
+    const toMs = Math.max(fromMs + tolerance.riseMs, tolerance.to * r.targetMs);
     if ((lag.ms - fromMs) / (toMs - fromMs) <= random) return undefined;
   }
   return `this host is overloaded: its event loop is ${Math.round(lag.ms)} ms behind`;
--- a/test/serving/overload.test.ts
+++ b/test/serving/overload.test.ts
@@ -1,6 +1,11 @@
+import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
+import * as catalog from "../../src/serving/catalog.js";
+import * as presence from "../../src/serving/overload/presence.js";
 import * as blockedLoop from "./blocked-loop.js";
+import * as dispatcherFixture from "./dispatcher-fixture.js";
+import * as fixtures from "./fixtures.js";
 
 const { expect } = chai;
 
@@ -27,8 +32,11 @@
   });
 
   /** A site that serves one request already, and has the idle connections `kept`. */
-  async function busySite(kept: readonly string[] = []): Promise<Site> {
-    site = await blockedLoop.open();
+  async function busySite(
+    kept: readonly string[] = [],
+    route: Partial<catalog.Route> = {},
+  ): Promise<Site> {
+    site = await blockedLoop.open(route);
     site.act([stays("held"), ...kept.map((name) => stays(name, "/c/before"))]);
     await timers.setTimeout(SETTLE_MS);
     return site;
@@ -45,4 +53,92 @@
     await timers.setTimeout(SETTLE_MS);
     expect(arrivals.slice(before).map((a) => a.path)).deep.equal([]);
   });
+
+  /* Guards against a body whose end, with the end of the connection behind it, is read after the poll. */
+  it("sends no request whose body ends with its caller's connection", async () => {
+    const { arrivals, actBlocked } = await busySite(["kept"]);
+    const body = "x".repeat(900);
+    const head = `POST /c/post HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${body.length}`;
+    actBlocked([{ name: "kept", text: `${head}\r\n\r\n${body}`, leaves: true }], BLOCK_MS);
+    await timers.setTimeout(SETTLE_MS);
+    expect(arrivals.map((a) => a.path)).not.include("/c/post");
+  });
+
+  /* Guards against a worker that is told to work for longer than the caller waits. */
+  it("takes the time that a request has waited from what its worker may use", async () => {
+    const { arrivals, received, actBlocked } = await busySite(["kept"], { targetMs: 2000 });
+    actBlocked([stays("kept")], BLOCK_MS);
+    await timers.setTimeout(SETTLE_MS);
+    expect(received.get("kept")).contain("200 OK");
+    const sent = arrivals.find((a) => a.path === "/c/kept");
+    expect(sent?.leftMs).within(1, 2000 - BLOCK_MS + 100);
+  });
+
+  /* Guards against a request that is served late instead of by another host, and a caller that comes back. */
+  it("refuses at once what would be late, unsent, and closes its connection", async () => {
+    const { arrivals, received, metrics, actBlocked } = await busySite(["kept"], { targetMs: 200 });
+    actBlocked([stays("kept")], BLOCK_MS);
+    await timers.setTimeout(SETTLE_MS);
+    const refusal = received.get("kept")?.slice(received.get("kept")?.indexOf("HTTP/1.1 503"));
+    expect(refusal?.toLowerCase()).match(/^http.*\r\nconnection: close\r\n/s);
+    expect(refusal?.toLowerCase()).match(/retry-after: 0\.[1-9]/);
+    expect(arrivals.map((a) => a.path)).not.include("/c/kept");
+    expect(await metrics.text()).contain('sumacfield_lag_refusals_total{rank="1"} 1');
+  });
+});
+
+describe("a request that waited while the event loop was blocked", () => {
+  for (const left of [true, false]) {
+    it(`is sent after a poll, ${left ? "unless its caller has left" : "if its caller is there"}`, async () => {
+      let arrivals = 0;
+      const worker = await fixtures.worker((_req, res) => {
+        arrivals++;
+        res.writeHead(200, fixtures.good()).end("whole");
+      });
+      const endpoint = fixtures.endpoint("w1", worker.address);
+      const endpoints = new Map([["w1", endpoint]]);
+      const setup = dispatcherFixture.create({
+        ...catalog.EMPTY,
+        config: fixtures.CONFIG,
+        endpoints,
+      });
+      const gone = new AbortController();
+      // Stale again when the new connection is ready, as after another long turn.
+      const stale = [true, false, true, true];
+      const { response, seen } = dispatcherFixture.recorded();
+      const caller: presence.Presence = {
+        hasLeft: () => gone.signal.aborted,
+        isStale: () => stale.shift() ?? false,
+        confirm: () => {
+          if (left && stale.length === 0) gone.abort();
+          return Promise.resolve();
+        },
+      };
+      await setup.dispatcher.serve(fixtures.request(), {
+        ...response,
+        disconnected: gone.signal,
+        presence: caller,
+      });
+      setup.close();
+      worker.close();
+      expect(arrivals).equal(left ? 0 : 1);
+      expect(seen).deep.equal(left ? [] : ["answer 200"]);
+    });
+  }
+});
+
+describe("the end of a caller's connection", () => {
+  /* Guards against a listener left behind by each request of a kept connection. */
+  it("is told to each open request once, with one listener", () => {
+    const socket = new net.Socket();
+    const before = socket.listenerCount("end");
+    const told: number[] = [];
+    const unregister = Array.from({ length: 20 }, (_, i) =>
+      presence.onEnd(socket, () => told.push(i)),
+    );
+    for (const each of unregister.slice(0, 18)) each();
+    expect(socket.listenerCount("end")).equal(before + 1);
+    socket.emit("end");
+    expect(told).deep.equal([18, 19]);
+  });
 });
