Test the polls of late requests without load shedding in the way

Cause: the tests' target of 400 ms was so short that load shedding refused the requests of callers who had left, so that they passed without the polls.

Change: a target of 2 s; a body of 200 kB, whose end is read several polls after its head; and a check that nothing was charged for callers who had left.

--- a/test/serving/blocked-loop.ts
+++ b/test/serving/blocked-loop.ts
@@ -49,6 +49,7 @@
 `;
 /** Most milliseconds that the event loop is blocked. */
 const MAX_BLOCK_MS = 5000;
+const MAX_BODY_BYTES = 1_000_000;
 
 /** Bytes of a request for `path`, whose caller waits for `waitMs`. */
 export function get(path: string, waitMs = 2000): string {
@@ -64,13 +65,17 @@
     if (path === "/c/held") return;
     res.writeHead(200, fixtures.good(path)).end("whole");
   });
-  const config = { ...fixtures.CONFIG, routes: [{ ...fixtures.ROUTE, timeoutMs: 9000, ...route }] };
+  const limits = { ...fixtures.CONFIG.limits, bodyBytes: MAX_BODY_BYTES };
+  const routes = [{ ...fixtures.ROUTE, timeoutMs: 9000, ...route }];
+  const config = { ...fixtures.CONFIG, routes, limits };
   const current = catalog.applyUpdates(catalog.EMPTY, [
     { kind: "config", config },
     { kind: "endpoint", endpoint: fixtures.endpoint("w1", worker.address) },
   ]).updated;
   const setup = dispatcherFixture.create(current);
-  const deps = { clock: clock.system, log: structuredLog.silent };
+  const logged: string[] = [];
+  const log = { ...structuredLog.silent, info: (sentence: string) => logged.push(sentence) };
+  const deps = { clock: clock.system, log };
   const total = { totals: () => [], ownerCandidates: () => [], hostCount: () => 1 };
   const sharedLimiter = new limiter.Limiter({ ...deps, ...total });
   const listener = await earlyListener.open("127.0.0.1:0");
@@ -96,6 +101,8 @@
   await new Promise((resolve) => thread.once("online", resolve));
   return {
     arrivals,
+    /** Sentences that the server for callers logged. */
+    logged,
     /** What each caller received, by the name of its connection. */
     received,
     metrics: counted,
--- a/test/serving/overload.test.ts
+++ b/test/serving/overload.test.ts
@@ -13,6 +13,8 @@
 
 /** Milliseconds after which all that was sent has been read and served. */
 const SETTLE_MS = 150;
+/** Several times what one read takes, and few enough for the kernel to hold with the end behind them. */
+const BODY_BYTES = 200_000;
 /** Milliseconds for which the event loop is blocked. */
 const BLOCK_MS = 350;
 
@@ -31,12 +33,12 @@
     site = undefined;
   });
 
-  /** A site that serves one request already, and has the idle connections `kept`. */
-  async function busySite(
-    kept: readonly string[] = [],
-    route: Partial<catalog.Route> = {},
-  ): Promise<Site> {
-    site = await blockedLoop.open(route);
+  /**
+   * A site that serves one request already, and has the idle connections `kept`. By default, no request is refused because
+   * of the lag.
+   */
+  async function busySite(kept: readonly string[], targetMs = 2000): Promise<Site> {
+    site = await blockedLoop.open({ targetMs });
     site.act([stays("held"), ...kept.map((name) => stays(name, "/c/before"))]);
     await timers.setTimeout(SETTLE_MS);
     return site;
@@ -47,17 +49,19 @@
    * event loop is blocked, and the end is read one turn of the event loop after the request.
    */
   it("sends no request whose caller has left", async () => {
-    const { arrivals, actBlocked } = await busySite(["kept1", "kept2"]);
+    const { arrivals, logged, actBlocked } = await busySite(["kept1", "kept2"]);
     const before = arrivals.length;
     actBlocked(["kept1", "kept2", "new1", "new2", "new3"].map(leaves), BLOCK_MS);
     await timers.setTimeout(SETTLE_MS);
     expect(arrivals.slice(before).map((a) => a.path)).deep.equal([]);
+    const uncharged = logged.filter((s) => s === "A caller left before its request was served.");
+    expect(uncharged).length(5);
   });
 
   /* Guards against a body whose end, with the end of the connection behind it, is read after the poll. */
   it("sends no request whose body ends with its caller's connection", async () => {
     const { arrivals, actBlocked } = await busySite(["kept"]);
-    const body = "x".repeat(900);
+    const body = "x".repeat(BODY_BYTES);
     const head = `POST /c/post HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${body.length}`;
     actBlocked([{ name: "kept", text: `${head}\r\n\r\n${body}`, leaves: true }], BLOCK_MS);
     await timers.setTimeout(SETTLE_MS);
@@ -66,7 +70,7 @@
 
   /* Guards against a worker that is told to work for longer than the caller waits. */
   it("takes the time that a request has waited from what its worker may use", async () => {
-    const { arrivals, received, actBlocked } = await busySite(["kept"], { targetMs: 2000 });
+    const { arrivals, received, actBlocked } = await busySite(["kept"]);
     actBlocked([stays("kept")], BLOCK_MS);
     await timers.setTimeout(SETTLE_MS);
     expect(received.get("kept")).contain("200 OK");
@@ -76,7 +80,7 @@
 
   /* Guards against a request that is served late instead of by another host, and a caller that comes back. */
   it("refuses at once what would be late, unsent, and closes its connection", async () => {
-    const { arrivals, received, metrics, actBlocked } = await busySite(["kept"], { targetMs: 200 });
+    const { arrivals, received, metrics, actBlocked } = await busySite(["kept"], 200);
     actBlocked([stays("kept")], BLOCK_MS);
     await timers.setTimeout(SETTLE_MS);
     const refusal = received.get("kept")?.slice(received.get("kept")?.indexOf("HTTP/1.1 503"));
