Choose engines by their crowding as well

Cause: a request stayed with the engine that had its adapter until the queue there was some 600 ms long, so engines got 2.5 to 19.7 seats a second by the luck of the ring.

Change: where engines announce their crowding, it costs up to three copies of the adapter at 1; more engines are compared while the best is crowded; an engine without a seat is taken for as fast as the mean after some time. Where no engine announces it, nothing changes.

--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -7,6 +7,8 @@
 import type * as catalog from "./catalog.js";
 import * as prefillSpeed from "./prefill-speed.js";
 import type * as seatMessages from "./seat-messages.js";
+import * as crowding from "./spread/crowding.js";
+import * as idleSpeed from "./spread/idle-speed.js";
 
 /** The models and adapters of an engine, as last reported to an entry daemon. */
 export interface Holdings {
@@ -40,6 +42,8 @@
   readonly orderIndex: number;
   /** Milliseconds since its state was received. */
   readonly stateAgeMs: number;
+  /** Milliseconds since a seat was open on it, by the states received; undefined where that is unknown. */
+  readonly idleMs?: number | undefined;
   /** Milliseconds until the limit that it announced admits one more request; 0 where it has no limit. */
   readonly limitWaitMs: number;
   /** Milliseconds until it accepts a request of this host, regardless of its limit; Infinity where it is leaving. */
@@ -69,8 +73,10 @@
   readonly firstMs: number;
   /** The part of `firstMs` that remains on an idle endpoint, where the request waits for nothing. */
   readonly serviceMs: number;
-  /** Further costs: loads that delay other requests, failures, distance. */
+  /** Further costs: loads that delay other requests, crowding, failures, distance. */
   readonly penaltyMs: number;
+  /** Crowding expected now; undefined where no engine compared announces any. */
+  readonly crowding?: number | undefined;
 }
 
 /**
@@ -114,9 +120,11 @@
   const summary: FleetSummary = {
     hasAdapter: usable.some((v) => adapterState(v, need.key) !== "absent"),
     meanWaitMs: meanWaitMsOf(usable, need.rank),
+    meanCrowding: crowding.meanOf(usable),
+    meanSpeed: idleSpeed.meanOf(usable),
   };
   return usable
-    .map((view) => estimate(view, need, summary))
+    .map((view) => addCrowding(estimate(view, need, summary), need, summary))
     .filter((e) => Number.isFinite(e.firstMs))
     .sort((a, b) => a.firstMs + a.penaltyMs - (b.firstMs + b.penaltyMs));
 }
@@ -136,12 +144,17 @@
   readonly hasAdapter: boolean;
   /** Mean of the waiting times that the candidates reported. */
   readonly meanWaitMs: number;
+  /** Mean of the crowding that they announced; undefined if none did. */
+  readonly meanCrowding: number | undefined;
+  /** Mean speed of the candidates that announced crowding; undefined if none did. */
+  readonly meanSpeed: idleSpeed.Speed | undefined;
 }
 
 /**
- * Half-life, in milliseconds, of the difference between an engine's reported waiting time and the mean of all engines.
- * In a large fleet each engine gets about four prompts of 120 ms a second. Half a second then changes a queue by about
- * as much as queues differ, and the other hosts have meanwhile filled the queue that was reported as short.
+ * Half-life, in milliseconds, of the difference between an engine's reported waiting time, or crowding, and the mean of
+ * all engines. In a large fleet each engine gets about four prompts of 120 ms a second. Half a second then changes a
+ * queue by about as much as queues differ, and the other hosts have meanwhile filled the queue that was reported as
+ * short.
  */
 const WAIT_HALF_LIFE_MS = 500;
 
@@ -160,9 +173,28 @@
   return count === 0 ? 0 : sum / count;
 }
 
-/** The waiting time expected now, from one reported `ageMs` ago: it decays towards the mean of all engines. */
-function decayedWaitMs(reportedMs: number, ageMs: number, meanWaitMs: number): number {
-  return meanWaitMs + (reportedMs - meanWaitMs) * 2 ** (-ageMs / WAIT_HALF_LIFE_MS);
+/** The value expected now, from one reported `ageMs` ago: it decays towards the mean of all engines. */
+function decayed(reported: number, ageMs: number, mean: number): number {
+  return mean + (reported - mean) * 2 ** (-ageMs / WAIT_HALF_LIFE_MS);
+}
+
+/** Adds the cost of the crowding that is expected on an engine now. */
+function addCrowding(e: Estimate, need: Need, summary: FleetSummary): Estimate {
+  const { state, stateAgeMs } = e.view;
+  const { meanCrowding: mean } = summary;
+  if (!state || mean === undefined) return e;
+  // An engine that announces none, as before an update of its daemon, counts as the mean.
+  const announced = decayed(state.crowding ?? mean, stateAgeMs, mean);
+  const own = crowding.ofReading(pendingTokensOf(e.view, need) * state.msPerToken);
+  const copyMs = (COPY_PENALTY_LOADS + 1) * state.coldMs;
+  const costMs = crowding.costMs(announced + own, copyMs, summary.hasAdapter);
+  return { ...e, crowding: announced + own, penaltyMs: e.penaltyMs + costMs };
+}
+
+/** Prompt tokens of this host's other requests that the state of an engine does not include. */
+function pendingTokensOf(view: View, need: Need): number {
+  // Where the request already waits, the engine's backlog includes its tokens.
+  return view.pendingTokens - (need.waitsAt === view.endpoint.id ? need.promptTokens : 0);
 }
 
 /** Whether an adapter is resident, warm or absent on an engine, by the last holdings received. */
@@ -178,23 +210,19 @@
     Math.max(view.failureRate, state?.failing ?? 0) ** 2 * FAILURE_PENALTY_MS;
   const penaltyMs = domainPenaltyMs + failurePenaltyMs;
   if (!state) return estimateWithoutState(view, need, penaltyMs);
-  const serviceMs = state.firstMs + need.promptTokens * state.msPerToken;
+  const speed = idleSpeed.expected(state, view.idleMs, summary.meanSpeed);
+  const serviceMs = speed.firstMs + need.promptTokens * speed.msPerToken;
   if (state.instance === "" || !holdings?.models.includes(need.model)) {
     return { view, firstMs: Infinity, serviceMs, penaltyMs };
   }
-  // Where the request already waits, the engine's backlog includes its tokens.
-  const countedTokens = need.waitsAt === view.endpoint.id ? need.promptTokens : 0;
-  const ownQueueMs = (view.pendingTokens - countedTokens) * state.msPerToken;
-  const reportedMs = decayedWaitMs(
-    reportedWaitMs(state, need.rank),
-    view.stateAgeMs,
-    summary.meanWaitMs,
-  );
+  const ownQueueMs = pendingTokensOf(view, need) * state.msPerToken;
+  const reportedMs = decayed(reportedWaitMs(state, need.rank), view.stateAgeMs, summary.meanWaitMs);
   const limitedMs = need.waitsAt === view.endpoint.id ? 0 : view.limitWaitMs;
   const queueMs = Math.max(0, reportedMs + ownQueueMs, limitedMs);
   const latePenaltyMs = (firstMs: number): number =>
     firstMs > need.targetMs ? LATE_PENALTY_LOADS * state.coldMs : 0;
-  // The same holds for the slot it waits for. Otherwise the request would move to another engine at each comparison.
+  // Where the request already waits, the state includes its slot too. Otherwise it would move to another engine at each
+  // comparison.
   const countedSlotMs = need.waitsAt === view.endpoint.id ? state.eachSlotMs : 0;
   const slotMs = Math.max(0, state.slotMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
   switch (adapterState(view, need.key)) {
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -121,6 +121,8 @@
       runs: p.runs,
       targetMs: req.route.targetMs,
       expectedMs: p.expectedMs,
+      crowding: p.crowding?.chosen,
+      firstCrowding: p.crowding?.first,
       newsMs: p.catalogAgeMs,
       sentMs: p.firstSentAt === undefined ? undefined : Math.round(p.firstSentAt - req.arrivedAt),
       firstMs,
--- a/src/serving/endpoint-registry.ts
+++ b/src/serving/endpoint-registry.ts
@@ -211,6 +211,7 @@
       isStarting: availableInMs < Infinity && (conn?.isStarting ?? false),
       orderIndex,
       stateAgeMs: conn?.stateAgeMs ?? 0,
+      idleMs: conn?.idleMs,
       limitWaitMs: this.deps.limitWaitMs(endpoint.id),
       availableInMs,
     };
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -108,6 +108,8 @@
   private lastInstance = "";
   private lastHeardAt = -Infinity;
   private stateReceivedAt = -Infinity;
+  /** Monotonic ms of the last state with an open seat, or of the first one of the engine. */
+  private seatOpenAt = -Infinity;
   /** Monotonic ms of the first seat request sent since the last message received; undefined where there is none. */
   private unansweredSince: number | undefined;
   private tokensSinceState = 0;
@@ -147,6 +149,11 @@
     return this.deps.clock.mono() - this.stateReceivedAt;
   }
 
+  /** Milliseconds since a seat was open on the engine, by the states received. */
+  get idleMs(): number {
+    return this.deps.clock.mono() - this.seatOpenAt;
+  }
+
   /** The last holdings received; they are kept when the connection is lost. */
   get holdings(): choice.Holdings | undefined {
     return this.lastHoldings;
@@ -344,6 +351,7 @@
     this.lastState = m;
     this.deps.onEntryCount(m.entries);
     this.stateReceivedAt = this.lastHeardAt;
+    if (m.seats > 0 || !isSameEngine) this.seatOpenAt = this.lastHeardAt;
     this.tokensSinceState = 0;
     this.slotsSinceState = 0;
     if (!isSameEngine && m.instance !== "") this.deps.onAvailable();
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -6,6 +6,7 @@
 import type * as callerRequest from "./caller-request.js";
 import type * as headers from "./headers.js";
 import type * as metrics from "./metrics.js";
+import type * as crowding from "./spread/crowding.js";
 
 /** The response to the caller of a request. Nothing is passed on before {@link CallerResponse.writeHead}. */
 export interface CallerResponse {
@@ -74,6 +75,8 @@
   firstSentAt: number | undefined;
   /** Expected ms to the first event from the endpoint chosen first. */
   expectedMs: number | undefined;
+  /** Crowding by which the engine of the last choice was chosen; undefined where none is announced. */
+  crowding: crowding.Comparison | undefined;
   /** Milliseconds, at the last send, since the host's catalog was last known to be up to date with the store. */
   catalogAgeMs: number | undefined;
   /** Id of the endpoint of the last send; empty before the first. */
@@ -105,6 +108,7 @@
     writeMs: 0,
     firstSentAt: undefined,
     expectedMs: undefined,
+    crowding: undefined,
     catalogAgeMs: undefined,
     endpoint: "",
   };
--- a/src/serving/search.ts
+++ b/src/serving/search.ts
@@ -5,10 +5,11 @@
  * the fleet, and would send all hosts with equally old states to the engine that was the idlest then. So only the
  * engines known to have the adapter are compared, and a few in the adapter's own order. That order is the same on all
  * hosts, so a request for an adapter that no engine has goes to the same few engines from any host. More engines are
- * compared only while the best would be late. This combines consistent hashing with the power of a few choices.
+ * compared only while the best would be late or is crowded. This combines consistent hashing with the power of a few choices.
  * @module
  */
 import * as choice from "./choice.js";
+import * as crowding from "./spread/crowding.js";
 
 /** Access to the views of the engines of one service. */
 export interface EngineViews {
@@ -19,8 +20,8 @@
 }
 
 /**
- * Number of engines that are compared in an adapter's own order: at first, then if the best of those would be late,
- * then if none of those is usable. Sixteen cover a small fleet completely.
+ * Number of engines that are compared in an adapter's own order: at first, then if the best of those would be late
+ * or is crowded, then if none of those is usable. Sixteen cover a small fleet completely.
  */
 const WIDTHS: readonly number[] = [4, 16, Infinity];
 /**
@@ -47,12 +48,17 @@
     found = choice.rankEngines(views, need);
     const [best] = found;
     // All engines are compared only where none of the second width is usable; an engine that would be late is usable.
-    if (best && (best.firstMs <= need.targetMs || width === WIDTHS[1])) break;
+    if (best && (isGood(best, need) || width === WIDTHS[1])) break;
     if (!best && isWorthWaiting(views, width)) break;
   }
   return found;
 }
 
+/** Whether an engine would be on time and is not crowded, so that no more engines are compared. */
+function isGood(best: choice.Estimate, need: choice.Need): boolean {
+  return best.firstMs <= need.targetMs && !crowding.isCrowded(best.crowding);
+}
+
 /**
  * Whether to wait for engines that are starting instead of comparing more engines. An entry host that has just started
  * is connected to no engine; if its first requests compared all engines, it would connect to the whole fleet before it
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -11,6 +11,7 @@
 import type * as link from "./link.js";
 import type * as progress from "./progress.js";
 import * as search from "./search.js";
+import * as crowding from "./spread/crowding.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** What a seat finder needs of the entry daemon. */
@@ -79,7 +80,9 @@
     signal: AbortSignal,
   ): Promise<choice.Estimate | undefined> {
     for (;;) {
-      const best = this.candidates(a, p)[0];
+      const ranking = this.candidates(a, p);
+      const [best] = ranking;
+      p.crowding = crowding.compare(ranking) ?? p.crowding;
       if (best || signal.aborted) return best;
       const isStarting = this.deps.endpoints.hasStartingEngine(a.service);
       const waitsUntil =
--- /dev/null
+++ b/src/serving/spread/idle-speed.ts
@@ -0,0 +1,52 @@
+/**
+ * Estimates the speed of an engine that has run nothing for some time. An engine's estimate changes only with its runs,
+ * so one that a slow spell made bad would otherwise keep all requests away, and with them the runs that correct it.
+ * Pure functions.
+ * @module
+ */
+import type * as choice from "../choice.js";
+import type * as seatMessages from "../seat-messages.js";
+
+/** How fast an engine is, as in its state. */
+export interface Speed {
+  /** Milliseconds to read one prompt token. */
+  readonly msPerToken: number;
+  /** Milliseconds from the last prompt token to the first event. */
+  readonly firstMs: number;
+}
+
+/**
+ * Half-life, in milliseconds without a seat, of the difference between an engine's estimate and the mean of the engines
+ * compared. Slow spells last under a second, and an engine in use has a seat open nearly all the time.
+ */
+const HALF_LIFE_MS = 10_000;
+
+/** Mean speed of the engines that announce crowding; undefined if none does. */
+export function meanOf(views: readonly choice.View[]): Speed | undefined {
+  let count = 0;
+  let [msPerToken, firstMs] = [0, 0];
+  for (const { state } of views) {
+    if (state?.crowding === undefined || state.instance === "") continue;
+    msPerToken += state.msPerToken;
+    firstMs += state.firstMs;
+    count++;
+  }
+  return count === 0 ? undefined : { msPerToken: msPerToken / count, firstMs: firstMs / count };
+}
+
+/**
+ * The speed expected of an engine by its state and the mean of the engines compared. `idleMs` is the time since a seat
+ * was open on it; undefined where that is unknown.
+ */
+export function expected(
+  state: Speed & Pick<seatMessages.State, "crowding">,
+  idleMs: number | undefined,
+  mean: Speed | undefined,
+): Speed {
+  if (!mean || idleMs === undefined || state.crowding === undefined) return state;
+  const weight = 2 ** (-idleMs / HALF_LIFE_MS);
+  return {
+    msPerToken: mean.msPerToken + (state.msPerToken - mean.msPerToken) * weight,
+    firstMs: mean.firstMs + (state.firstMs - mean.firstMs) * weight,
+  };
+}
