--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -9,6 +9,7 @@
 import * as limiterSwitches from "./limiter-switches.js";
 import * as servingSwitches from "./serving-switches.js";
 import * as soakSwitches from "./soak-switches.js";
+import * as spreadSwitches from "./spread-switches.js";
 import * as storeSwitches from "./store-switches.js";
 import * as switches from "./switches.js";
 
@@ -89,6 +90,7 @@
   ...limiterSwitches.LIMITER_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
+  ...spreadSwitches.SPREAD_SWITCHES,
 ];
 const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
 const queue = [...wanted.entries()];
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -121,7 +121,7 @@
     hasAdapter: usable.some((v) => adapterState(v, need.key) !== "absent"),
     meanWaitMs: meanWaitMsOf(usable, need.rank),
     meanCrowding: crowding.meanOf(usable),
-    meanSpeed: idleSpeed.meanOf(usable),
+    usualSpeed: idleSpeed.medianOf(usable),
   };
   return usable
     .map((view) => addCrowding(estimate(view, need, summary), need, summary))
@@ -146,8 +146,8 @@
   readonly meanWaitMs: number;
   /** Mean of the crowding that they announced; undefined if none did. */
   readonly meanCrowding: number | undefined;
-  /** Mean speed of the candidates that announced crowding; undefined if none did. */
-  readonly meanSpeed: idleSpeed.Speed | undefined;
+  /** Median speed of the candidates that announced crowding; undefined if none did. */
+  readonly usualSpeed: idleSpeed.Speed | undefined;
 }
 
 /**
@@ -210,7 +210,7 @@
     Math.max(view.failureRate, state?.failing ?? 0) ** 2 * FAILURE_PENALTY_MS;
   const penaltyMs = domainPenaltyMs + failurePenaltyMs;
   if (!state) return estimateWithoutState(view, need, penaltyMs);
-  const speed = idleSpeed.expected(state, view.idleMs, summary.meanSpeed);
+  const speed = idleSpeed.expected(state, view.idleMs, summary.usualSpeed);
   const serviceMs = speed.firstMs + need.promptTokens * speed.msPerToken;
   if (state.instance === "" || !holdings?.models.includes(need.model)) {
     return { view, firstMs: Infinity, serviceMs, penaltyMs };
--- a/src/serving/spread/idle-speed.ts
+++ b/src/serving/spread/idle-speed.ts
@@ -16,37 +16,40 @@
 }
 
 /**
- * Half-life, in milliseconds without a seat, of the difference between an engine's estimate and the mean of the engines
+ * Half-life, in milliseconds without a seat, of the difference between an engine's estimate and the median of the engines
  * compared. Slow spells last under a second, and an engine in use has a seat open nearly all the time.
  */
 const HALF_LIFE_MS = 10_000;
 
-/** Mean speed of the engines that announce crowding; undefined if none does. */
-export function meanOf(views: readonly choice.View[]): Speed | undefined {
-  let count = 0;
-  let [msPerToken, firstMs] = [0, 0];
-  for (const { state } of views) {
-    if (state?.crowding === undefined || state.instance === "") continue;
-    msPerToken += state.msPerToken;
-    firstMs += state.firstMs;
-    count++;
-  }
-  return count === 0 ? undefined : { msPerToken: msPerToken / count, firstMs: firstMs / count };
+/** Median speed of the engines that announce crowding; undefined if none does. */
+export function medianOf(views: readonly choice.View[]): Speed | undefined {
+  const speeds = views.flatMap(({ state }) =>
+    state?.crowding === undefined || state.instance === "" ? [] : [state],
+  );
+  if (speeds.length === 0) return undefined;
+  return {
+    msPerToken: median(speeds.map((s) => s.msPerToken)),
+    firstMs: median(speeds.map((s) => s.firstMs)),
+  };
+}
+
+function median(list: readonly number[]): number {
+  return [...list].sort((a, b) => a - b)[list.length >> 1] ?? 0;
 }
 
 /**
- * The speed expected of an engine by its state and the mean of the engines compared. `idleMs` is the time since a seat
+ * The speed expected of an engine by its state and the median of the engines compared. `idleMs` is the time since a seat
  * was open on it; undefined where that is unknown.
  */
 export function expected(
   state: Speed & Pick<seatMessages.State, "crowding">,
   idleMs: number | undefined,
-  mean: Speed | undefined,
+  usual: Speed | undefined,
 ): Speed {
-  if (!mean || idleMs === undefined || state.crowding === undefined) return state;
+  if (!usual || idleMs === undefined || state.crowding === undefined) return state;
   const weight = 2 ** (-idleMs / HALF_LIFE_MS);
   return {
-    msPerToken: mean.msPerToken + (state.msPerToken - mean.msPerToken) * weight,
-    firstMs: mean.firstMs + (state.firstMs - mean.firstMs) * weight,
+    msPerToken: usual.msPerToken + (state.msPerToken - usual.msPerToken) * weight,
+    firstMs: usual.firstMs + (state.firstMs - usual.firstMs) * weight,
   };
 }
--- a/test/serving/fleet-simulation.ts
+++ b/test/serving/fleet-simulation.ts
@@ -265,7 +265,7 @@
 }
 
 /** Draws numbers from 1 to `n` by a Zipf distribution, in which small ones are far likelier. */
-function zipf(n: number, random: () => number): () => number {
+export function zipf(n: number, random: () => number): () => number {
   const sums = new Float64Array(n + 1);
   for (let k = 1; k <= n; k++) sums[k] = (sums[k - 1] ?? 0) + k ** -SKEW;
   return () => {
