--- a/bench/red/spread-switches.ts
+++ b/bench/red/spread-switches.ts
@@ -8,7 +8,7 @@
   {
     name: "spread: crowding costs as much as copies of the adapter",
     file: "serving/spread/crowding.js",
-    find: "return copyMs * (COPIES_TO_FULL * within + rise + COPIES_BEYOND_FULL * beyond);",
+    find: "return copyMs * (COPIES_TO_FULL * within + rise ** 2 + COPIES_BEYOND_FULL * beyond);",
     put: "return 0;",
     proof:
       "gives a hot adapter a second engine before its queue is long, and not before half of the room is used",
--- a/src/serving/spread/crowding.ts
+++ b/src/serving/spread/crowding.ts
@@ -13,7 +13,7 @@
  * engines that have the adapter share its requests evenly.
  */
 const COPIES_TO_FULL = 2;
-/** Crowding from which the cost rises by one more copy until the engine is full. */
+/** Crowding from which the cost rises by one more copy until the engine is full, by the square of the excess. */
 const RISES_FROM = 0.5;
 /**
  * Cost of crowding beyond 1, in copies for each 1. It is low because where most engines are full, further copies make
@@ -64,7 +64,7 @@
   const within = Math.min(1, crowding);
   const beyond = Math.max(0, crowding - 1);
   const rise = Math.max(0, within - RISES_FROM) / (1 - RISES_FROM);
-  return copyMs * (COPIES_TO_FULL * within + rise + COPIES_BEYOND_FULL * beyond);
+  return copyMs * (COPIES_TO_FULL * within + rise ** 2 + COPIES_BEYOND_FULL * beyond);
 }
 
 /** The crowding of the engine that was chosen and of the first in the adapter's order, for the log. */
