--- a/src/serving/backlog.ts
+++ b/src/serving/backlog.ts
@@ -49,7 +49,7 @@
  * Milliseconds after its grant for which a seat without a first event counts as one that the engine reads.
  * Its entry host may be frozen or gone, and must not keep the engine from serving others.
  */
-const FIRST_EVENT_TIMEOUT_MS = 1500;
+export const FIRST_EVENT_TIMEOUT_MS = 1500;
 
 /** Number of requests whose seats were granted lately and that have no first event yet. */
 export function unstarted(b: Backlog, now: number): number {
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -77,6 +77,11 @@
   });
   await metrics.tryServe(registry, deps.metricsAddress, deps.log("metrics"));
   registry.addGauge("sumacfield_seats", "Seats given or asked for.", () => manager.seatCount());
+  registry.addGauge(
+    "sumacfield_crowding",
+    "Share of the batch or of the allowed prefill in use; 1 is full.",
+    () => manager.crowding(),
+  );
   registry.addGauge(
     "sumacfield_totals_kept",
     "Totals over all hosts kept here.",
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -26,6 +26,8 @@
 import * as slotOptions from "./slot-options.js";
 import * as seatQueue from "./seat-queue.js";
 import * as loadHistory from "./load-history.js";
+import * as steady from "./pacing/steady.js";
+import * as steadyAdmission from "./pacing/steady-admission.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -50,6 +52,9 @@
 export class EngineManager {
   private state = residency.empty();
   private readonly seatTable = new seatTable.SeatTable();
+  private readonly steadyAdmission = new steadyAdmission.SteadyAdmission();
+  /** Why the requests that wait for a seat waited when last decided, by seat; only with steady streams. */
+  private readonly waitReasons = new Map<string, residency.WaitReason>();
   private readonly announcer: announcer.Announcer;
   private loadHistory = loadHistory.INITIAL;
   private readonly modelLoader = new baseModelLoader.BaseModelLoader();
@@ -162,6 +167,7 @@
     // nobody's wait.
     const rank = seatQueue.isLate(waiter, now) ? backlog.RANK_COUNT : m.rank;
     this.seatTable.add(id, seatTable.newSeat(c, key, m, now), m.promptTokens, rank);
+    this.steadyAdmission.add(id, m, rank);
     this.state = residency.addWaiter(this.state, waiter, now);
     if (this.instance === "") this.deny(id, "out");
     else this.settleSeats();
@@ -203,13 +209,23 @@
   /** Records that the first event of a run came, `ms` after its request was sent. */
   recordFirstEvent(c: announcer.Client, n: number, ms: number): void {
     this.seatTable.recordFirstEvent(`${c.host}#${n}`, ms, this.deps.clock.mono());
+    this.steadyAdmission.recordFirstEvent(`${c.host}#${n}`);
     this.waker.wake();
     this.announcer.stateChanged();
   }
 
-  /** Ends a seat that its entry daemon does not need any more. */
-  endSeat(c: announcer.Client, n: number, how: seatTable.SeatOutcome): void {
-    this.removeSeat(`${c.host}#${n}`, how);
+  /** Ends a seat that its entry daemon does not need any more; `stream` is the timing of its answer. */
+  endSeat(
+    c: announcer.Client,
+    n: number,
+    how: seatTable.SeatOutcome,
+    stream?: seatMessages.StreamTiming,
+  ): void {
+    const id = `${c.host}#${n}`;
+    const eventTokens = this.spec()?.batch?.eventTokens;
+    if (stream && eventTokens !== undefined)
+      this.steadyAdmission.recordStream(id, stream, eventTokens, this.deps.clock.mono());
+    this.removeSeat(id, how);
     if (how === "absent") this.probe.makeDue();
     this.waker.wake();
     this.announcer.stateChanged();
@@ -220,9 +236,15 @@
     return this.seatTable.count;
   }
 
+  /** How full an engine with steady streams is, 1 if full; 0 for others. */
+  crowding(): number {
+    return this.steadyView(this.deps.clock.mono())?.crowding ?? 0;
+  }
+
   /** Removes a seat that ended, whether it was granted or not. */
   private removeSeat(id: string, how: seatTable.SeatOutcome): void {
     const s = this.seatTable.remove(id);
+    this.forgetSeat(id);
     if (!s) return;
     if (s.grantedAt === undefined) {
       this.state = residency.removeWaiter(this.state, id);
@@ -232,6 +254,12 @@
     this.seatTable.recordEnd(s, how, this.deps.clock.mono());
   }
 
+  /** Removes an ended or denied seat from the admission control. */
+  private forgetSeat(id: string): void {
+    this.steadyAdmission.remove(id);
+    this.waitReasons.delete(id);
+  }
+
   private options(): residency.Options {
     return slotOptions.optionsFor(this.spec(), this.loadHistory, this.deps.versionMs);
   }
@@ -243,7 +271,14 @@
   /** Grants the seats that the state allows, and denies the expired ones. */
   private settleSeats(): void {
     const now = this.deps.clock.mono();
-    for (const a of residency.seatActions(this.state, now, this.options(), this.prefillLoad(now))) {
+    const actions = residency.seatActions(
+      this.state,
+      now,
+      this.options(),
+      this.prefillLoad(now),
+      this.admission(now),
+    );
+    for (const a of actions) {
       switch (a.kind) {
         case "grant":
           this.grant(a.waiter, a.version);
@@ -251,6 +286,9 @@
         case "expire":
           this.deny(a.waiter.seat, "full");
           break;
+        case "wait":
+          this.waitReasons.set(a.waiter.seat, a.why);
+          break;
         case "load":
         case "unload":
         case "close":
@@ -261,6 +299,9 @@
 
   private grant(w: seatQueue.Waiter, version: number | undefined): void {
     const now = this.deps.clock.mono();
+    const waitedFor = this.waitReasons.get(w.seat);
+    this.waitReasons.delete(w.seat);
+    this.steadyAdmission.grant(w.seat, now);
     const s = this.seatTable.grant(w.seat, now);
     this.state = residency.removeWaiter(this.state, w.seat);
     if (!s) return;
@@ -273,12 +314,14 @@
       version,
       instance: this.instance,
       waitedMs,
+      ...(waitedFor && { waitedFor }),
     });
     this.announcer.stateChanged();
   }
 
   private deny(id: string, reason: seatMessages.DenyReason): void {
     const s = this.seatTable.remove(id);
+    this.forgetSeat(id);
     this.state = residency.removeWaiter(this.state, id);
     if (!s) return;
     s.client.send({ kind: "deny", seat: s.seatNumber, reason });
@@ -295,11 +338,40 @@
     const now = this.deps.clock.mono();
     const timeoutMs = residency.nextTimeoutMs(this.state, now, this.options()) ?? Infinity;
     const roomMs =
-      residency.prefillRoomInMs(this.state, now, this.options(), this.prefillLoad(now)) ?? Infinity;
+      residency.prefillRoomInMs(
+        this.state,
+        now,
+        this.options(),
+        this.prefillLoad(now),
+        this.admission(now),
+      ) ?? Infinity;
     const busyMs = this.orders.busyMs(now) || Infinity;
     return Math.max(1, Math.min(this.pollInMs(), timeoutMs, roomMs, busyMs));
   }
 
+  /** The engine as its admission control sees it; undefined without steady streams. */
+  private steadyEngine(now: number): steadyAdmission.EngineAt | undefined {
+    const { config } = this.deps.catalog();
+    const service = config?.services.get(this.deps.service);
+    const batch = service?.engine?.batch;
+    if (!config || !batch || !steady.isSteady(config, service)) return undefined;
+    return { batch, holdMs: this.seatTable.holdMs, now };
+  }
+
+  private admission(now: number): residency.Admission | undefined {
+    const at = this.steadyEngine(now);
+    return at && this.steadyAdmission.admission(at);
+  }
+
+  private steadyView(now: number): engineView.SteadyView | undefined {
+    const at = this.steadyEngine(now);
+    if (!at) return undefined;
+    return {
+      waitsByRank: this.steadyAdmission.waitsByRank(at),
+      crowding: this.steadyAdmission.crowding(at),
+    };
+  }
+
   private prefillLoad(now: number): residency.PrefillLoad {
     return { ms: this.seatTable.prefillMs(now), unstarted: this.seatTable.unstarted(now) };
   }
@@ -403,6 +475,7 @@
     switch (a.kind) {
       case "grant":
       case "expire":
+      case "wait":
         return;
       case "close":
         this.state = residency.putSlot(this.state, {
@@ -470,6 +543,7 @@
 
   private view(now: number): engineView.EngineView {
     const { instance, seatTable: seats, state: held, loadHistory } = this;
-    return { instance, seats, held, loadHistory, slots: this.options().slots, now };
+    const { slots } = this.options();
+    return { instance, seats, held, loadHistory, slots, steady: this.steadyView(now), now };
   }
 }
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -12,9 +12,10 @@
 import type * as seatMessages from "./seat-messages.js";
 import type * as loadHistory from "./load-history.js";
 
-/** Decimals of `msPerToken` and of `failing` in state messages. */
+/** Decimals of `msPerToken`, `failing` and `crowding` in state messages. */
 const TOKEN_DECIMALS = 4;
 const FAILING_DECIMALS = 2;
+const CROWDING_DECIMALS = 2;
 
 function listed(
   model: string,
@@ -43,6 +44,14 @@
   return { kind: "holdings", models: s.models, resident: available.map((p) => p.key), reach };
 }
 
+/** What the admission control of an engine with steady streams estimates. */
+export interface SteadyView {
+  /** Estimated ms until a request that arrives now is granted a seat, by rank. */
+  readonly waitsByRank: readonly number[];
+  /** How full the engine is; 1 is full. */
+  readonly crowding: number;
+}
+
 /** All that an endpoint daemon knows about its engine, at one time. */
 export interface EngineView {
   readonly instance: string;
@@ -51,6 +60,8 @@
   readonly loadHistory: loadHistory.LoadHistory;
   /** Number of adapters that the engine can hold. */
   readonly slots: number;
+  /** Estimates of an engine with steady streams; undefined for others. */
+  readonly steady?: SteadyView | undefined;
   /** Monotonic ms of this view. */
   readonly now: number;
 }
@@ -61,12 +72,18 @@
   return free > wanted ? 0 : (wanted - free + 1) * eachMs;
 }
 
+/** Estimated ms until the engine starts to read a prompt that arrives now, by rank. */
+function waitsByRank(k: EngineView): readonly number[] {
+  const queueMs = k.seats.waitsByRank(k.now);
+  return queueMs.map((ms, rank) => Math.max(ms, k.steady?.waitsByRank[rank] ?? 0));
+}
+
 /**
  * Estimated ms until the engine starts on a prompt of rank `rank` that arrives now; `isHeld` says whether its
  * adapter is in a slot.
  */
 export function waitMs(k: EngineView, rank: number, isHeld: boolean): number {
-  const queueMs = k.seats.waitsByRank(k.now)[backlog.rankIndex(rank)] ?? 0;
+  const queueMs = waitsByRank(k)[backlog.rankIndex(rank)] ?? 0;
   return isHeld ? queueMs : Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots));
 }
 
@@ -84,7 +101,7 @@
   return {
     kind: "state",
     instance: k.instance,
-    waitMs: k.seats.waitsByRank(k.now),
+    waitMs: waitsByRank(k),
     msPerToken: Number(prefillSpeed.msPerToken(estimate).toFixed(TOKEN_DECIMALS)),
     firstMs: Math.round(prefillSpeed.firstMs(estimate)),
     slotMs: Math.round(slotMs(k.held, k.slots, eachSlotMs)),
@@ -95,5 +112,6 @@
     failing: Number(k.seats.failureShare.toFixed(FAILING_DECIMALS)),
     entries,
     silenceMs,
+    ...(k.steady && { crowding: Number(k.steady.crowding.toFixed(CROWDING_DECIMALS)) }),
   };
 }
--- /dev/null
+++ b/src/serving/pacing/steady-admission.ts
@@ -0,0 +1,181 @@
+/**
+ * Admission control of an engine with steady streams: keeps what room and pace need to know of its seats, and tells the
+ * engine manager whether a seat may be granted, how long requests wait, and how crowded the engine is.
+ * @module
+ */
+import * as backlog from "../backlog.js";
+import type * as catalog from "../catalog.js";
+import type * as residency from "../residency.js";
+import type * as seatMessages from "../seat-messages.js";
+import type * as seatQueue from "../seat-queue.js";
+import * as pace from "./pace.js";
+import * as room from "./room.js";
+
+/** A seat that is asked for or granted. */
+interface Entry {
+  readonly need: room.Need;
+  readonly rank: number;
+  /** Longest pause on time of its stream, in ms; Infinity if its route sets none. */
+  readonly gapMs: number;
+  /** Monotonic ms of the grant; undefined until then. */
+  readonly grantedAt: number | undefined;
+  /** Prompt tokens granted on the engine until its first event; undefined until that. */
+  readonly totalAtFirst: number | undefined;
+}
+
+/** The engine as it is when seats are decided. */
+export interface EngineAt {
+  readonly batch: catalog.Batch;
+  /** Smoothed ms that a seat is held. */
+  readonly holdMs: number;
+  /** Monotonic ms. */
+  readonly now: number;
+}
+
+/**
+ * Milliseconds for which smaller requests are served before one that lacks tokens in the KV cache. After that, the
+ * tokens that become free are kept for it. It is about as long as a fast target for the first event, so that a large
+ * request neither stops a batch with room for others at once, nor waits until no small one comes.
+ */
+const OVERTAKE_MS = 500;
+/** Tokens assumed of a request that arrives next, before any was asked for. */
+const TYPICAL_NEED: room.Need = { promptTokens: 1000, answerTokens: 200 };
+
+export class SteadyAdmission {
+  private readonly entries = new Map<string, Entry>();
+  private pace = pace.INITIAL;
+
+  /** Adds a seat that is asked for; `rank` is {@link backlog.RANK_COUNT} if it will be late in any case. */
+  add(id: string, m: seatMessages.Ask, rank: number): void {
+    const need = { promptTokens: m.promptTokens, answerTokens: m.answerTokens };
+    const gapMs = m.gapMs ?? Infinity;
+    this.entries.set(id, { need, rank, gapMs, grantedAt: undefined, totalAtFirst: undefined });
+  }
+
+  grant(id: string, now: number): void {
+    const e = this.entries.get(id);
+    if (!e) return;
+    this.entries.set(id, { ...e, grantedAt: now });
+    this.pace = pace.withGrant(this.pace, id, e.need.promptTokens, now);
+  }
+
+  recordFirstEvent(id: string): void {
+    const e = this.entries.get(id);
+    if (e?.grantedAt === undefined || e.totalAtFirst !== undefined) return;
+    this.entries.set(id, { ...e, totalAtFirst: this.pace.totalTokens });
+    this.pace = pace.withoutRead(this.pace, id);
+  }
+
+  /** Learns from the timing of a stream that ends; called before {@link remove}. */
+  recordStream(id: string, t: seatMessages.StreamTiming, eventTokens: number, now: number): void {
+    const totalAtFirst = this.entries.get(id)?.totalAtFirst;
+    if (totalAtFirst === undefined) return;
+    const tokens = this.pace.totalTokens - totalAtFirst;
+    this.pace = pace.withStream(this.pace, t, tokens, eventTokens, now);
+  }
+
+  /** Removes a seat that ended, was denied or was given up. */
+  remove(id: string): void {
+    this.entries.delete(id);
+    this.pace = pace.withoutRead(this.pace, id);
+  }
+
+  /** Number of granted seats that count as open at `now`. */
+  openCount(now: number): number {
+    return room.usageOf(this.granted(), now).requests;
+  }
+
+  /** Decides on the seats that wait. */
+  admission(at: EngineAt): residency.Admission {
+    return this.admissionOf(at, room.usageOf(this.granted(), at.now), this.pace);
+  }
+
+  private admissionOf(at: EngineAt, usage: room.Usage, p: pace.Pace): residency.Admission {
+    const allowance = this.allowance(at);
+    const needOf = (w: seatQueue.Waiter) => this.entries.get(w.seat)?.need ?? TYPICAL_NEED;
+    const paceMs = (w: seatQueue.Waiter) =>
+      allowance ? pace.readyInMs(p, needOf(w).promptTokens, allowance, at.now) : 0;
+    return {
+      check: (w) => {
+        const lack = room.lackOf(usage, needOf(w), at.batch);
+        if (lack) {
+          const holdsOthers = lack === "batch" || at.now - w.askedAt >= OVERTAKE_MS;
+          return { why: "room", holdsOthers, inMs: room.freeInMs(this.granted(), at.now) };
+        }
+        const inMs = paceMs(w);
+        return inMs > 0 ? { why: "pace", holdsOthers: true, inMs } : undefined;
+      },
+      granted: (w) =>
+        this.admissionOf(
+          at,
+          room.plus(usage, needOf(w)),
+          pace.withGrant(p, w.seat, needOf(w).promptTokens, at.now),
+        ),
+    };
+  }
+
+  /** Estimated ms until a request that arrives now is granted a seat, by rank, rounded. */
+  waitsByRank(at: EngineAt): readonly number[] {
+    const usage = room.usageOf(this.granted(), at.now);
+    const allowance = this.allowance(at);
+    const typical = this.typicalNeed();
+    let ahead: room.Usage = { requests: 0, tokens: 0 };
+    let aheadTokens = 0;
+    return this.waitingByRank().map((needs) => {
+      for (const n of needs) {
+        ahead = room.plus(ahead, n);
+        aheadTokens += n.promptTokens;
+      }
+      const roomMs = room.waitMs(usage, ahead, typical, at.batch, at.holdMs);
+      const paceMs = allowance
+        ? pace.waitMs(this.pace, allowance, typical.promptTokens, aheadTokens, at.now)
+        : 0;
+      return Math.round(Math.max(roomMs, paceMs));
+    });
+  }
+
+  /** Prefill granted lately or seats open, whichever is the larger share of what the engine allows; 1 is full. */
+  crowding(at: EngineAt): number {
+    const open = this.openCount(at.now) / at.batch.requests;
+    const { promptTokens } = this.typicalNeed();
+    return Math.max(open, pace.load(this.pace, this.allowance(at), promptTokens, at.now));
+  }
+
+  /** Prefill allowed beside the running streams; undefined if none runs. */
+  private allowance(at: EngineAt): pace.Allowance | undefined {
+    let gapMs = Infinity;
+    for (const e of this.entries.values()) {
+      if (e.totalAtFirst !== undefined) gapMs = Math.min(gapMs, e.gapMs);
+    }
+    if (gapMs === Infinity) return undefined;
+    return pace.allowance(this.pace, gapMs, at.batch.eventTokens, at.now);
+  }
+
+  private *granted(): Generator<room.GrantedSeat> {
+    for (const { need, grantedAt, totalAtFirst } of this.entries.values()) {
+      if (grantedAt === undefined) continue;
+      yield { need, grantedAt, hasBegun: totalAtFirst !== undefined };
+    }
+  }
+
+  /** Mean of the requests that are asked for or granted. */
+  private typicalNeed(): room.Need {
+    const n = this.entries.size;
+    if (n === 0) return TYPICAL_NEED;
+    let [promptTokens, answerTokens] = [0, 0];
+    for (const { need } of this.entries.values()) {
+      promptTokens += need.promptTokens / n;
+      answerTokens += need.answerTokens / n;
+    }
+    return { promptTokens, answerTokens };
+  }
+
+  /** The requests that wait for a seat, by rank. */
+  private waitingByRank(): readonly (readonly room.Need[])[] {
+    const out = Array.from({ length: backlog.RANK_COUNT }, (): room.Need[] => []);
+    for (const e of this.entries.values()) {
+      if (e.grantedAt === undefined) out[backlog.rankIndex(e.rank)]?.push(e.need);
+    }
+    return out;
+  }
+}
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -54,6 +54,26 @@
 /** The prefill load of an idle engine. */
 export const NO_PREFILL: PrefillLoad = { ms: 0, unstarted: 0 };
 
+/** Why a request waits for a seat. */
+export type WaitReason = "adapter" | "prefill" | "room" | "pace";
+
+/** What keeps a request from a seat that it could have otherwise. */
+export interface Hindrance {
+  readonly why: WaitReason;
+  /** Whether the requests behind it in the serving order wait as well. */
+  readonly holdsOthers: boolean;
+  /** Milliseconds until it may be over; Infinity if only the end of a seat ends it. */
+  readonly inMs: number;
+}
+
+/** Admission control beyond the prefill load, for engines that need it. */
+export interface Admission {
+  /** What keeps a request from a seat; undefined if nothing does. */
+  readonly check: (w: seatQueue.Waiter) => Hindrance | undefined;
+  /** The admission control after one more grant. */
+  readonly granted: (w: seatQueue.Waiter) => Admission;
+}
+
 /**
  * The next seat is granted this many ms before the engine has read all its prompts. That is about the time
  * that the grant takes to the entry daemon and the request to the engine, so the engine is never idle while
@@ -102,6 +122,8 @@
       readonly version: number | undefined;
     }
   | { readonly kind: "expire"; readonly waiter: seatQueue.Waiter }
+  /** The request goes on waiting; only with admission control. */
+  | { readonly kind: "wait"; readonly waiter: seatQueue.Waiter; readonly why: WaitReason }
   | {
       readonly kind: "load";
       readonly model: string;
@@ -132,39 +154,70 @@
 
 /**
  * Returns the seats to grant and the ones to deny as expired at `now`; `prefill` is what the engine
- * still has to read.
+ * still has to read, `admission` what else a seat needs.
  */
 export function seatActions(
   s: State,
   now: number,
   opts: Options,
   prefill: PrefillLoad = NO_PREFILL,
+  admission?: Admission,
 ): readonly Action[] {
   const out: Action[] = [];
   let { ms, unstarted } = prefill;
+  let rest = admission;
+  let holding: Hindrance | undefined;
   for (const w of seatQueue.servingOrder(s.waiting, now)) {
     const ready = isReady(s, w, now, opts);
-    if (ready && ms <= GRANT_AHEAD_MS && unstarted < MAX_UNSTARTED) {
+    const hasPrefillRoom = ms <= GRANT_AHEAD_MS && unstarted < MAX_UNSTARTED;
+    const hindrance = ready && hasPrefillRoom ? (holding ?? rest?.check(w)) : undefined;
+    if (hindrance?.holdsOthers) holding = hindrance;
+    if (ready && hasPrefillRoom && !hindrance) {
       ms += w.serviceMs;
       unstarted++;
+      rest = rest?.granted(w);
       const version = w.adapter === undefined ? undefined : s.slots.get(w.key)?.version;
       out.push({ kind: "grant", waiter: w, version });
     } else if (now >= w.expiresAt) {
       out.push({ kind: "expire", waiter: w });
+    } else if (admission) {
+      const why = hindrance?.why ?? (ready ? "prefill" : "adapter");
+      out.push({ kind: "wait", waiter: w, why });
     }
   }
   return out;
 }
 
-/** Milliseconds until the engine has room for another prompt; undefined if no waiter is ready for it. */
+/**
+ * Milliseconds until the engine has room for another prompt, Infinity if only the end of a seat makes it; undefined if
+ * no waiter is ready for it.
+ */
 export function prefillRoomInMs(
   s: State,
   now: number,
   opts: Options,
   prefill: PrefillLoad,
+  admission?: Admission,
 ): number | undefined {
-  if (!s.waiting.some((w) => isReady(s, w, now, opts))) return undefined;
-  return Math.max(1, prefill.ms - GRANT_AHEAD_MS);
+  const ready = s.waiting.filter((w) => isReady(s, w, now, opts));
+  if (ready.length === 0) return undefined;
+  const admittedMs = admission ? admittedInMs(ready, now, admission) : 0;
+  return Math.max(1, prefill.ms - GRANT_AHEAD_MS, admittedMs);
+}
+
+/** Milliseconds until the admission control may let one of these requests pass. */
+function admittedInMs(
+  ready: readonly seatQueue.Waiter[],
+  now: number,
+  admission: Admission,
+): number {
+  let inMs = Infinity;
+  for (const w of seatQueue.servingOrder(ready, now)) {
+    const hindrance = admission.check(w);
+    inMs = Math.min(inMs, hindrance?.inMs ?? 0);
+    if (hindrance?.holdsOthers ?? true) break;
+  }
+  return inMs;
 }
 
 /** Returns the next order for the engine, or slot to close, at `now`; orders are sent one at a time. */
--- a/src/serving/seat-server.ts
+++ b/src/serving/seat-server.ts
@@ -68,7 +68,7 @@
             if (client) deps.engineManager.recordFirstEvent(client, m.seat, m.ms);
             break;
           case "over":
-            if (client) deps.engineManager.endSeat(client, m.seat, m.how);
+            if (client) deps.engineManager.endSeat(client, m.seat, m.how, m.stream);
             break;
           case "suspicion":
             if (client) deps.relay.receive(client, m);
