--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -208,8 +208,9 @@
 
   /** Records that the first event of a run came, `ms` after its request was sent. */
   recordFirstEvent(c: announcer.Client, n: number, ms: number): void {
-    this.seatTable.recordFirstEvent(`${c.host}#${n}`, ms, this.deps.clock.mono());
-    this.steadyAdmission.recordFirstEvent(`${c.host}#${n}`);
+    const id = `${c.host}#${n}`;
+    this.seatTable.recordFirstEvent(id, ms, this.deps.clock.mono());
+    this.steadyAdmission.recordFirstEvent(id);
     this.waker.wake();
     this.announcer.stateChanged();
   }
--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -1,7 +1,7 @@
 /**
  * Decides how much prefill may be granted while streams run. An event of a stream takes a base time, plus the time for
- * the prompts that the engine reads meanwhile. Prefill is limited to what keeps an event within half of the longest
- * pause that is on time; the other half is reserved for slow spells of the engine.
+ * the prompts that the engine reads meanwhile. Prefill is limited to what keeps an event within a share of the
+ * longest pause that is on time; the rest is reserved for slow spells of the engine.
  *
  * A prompt counts from the grant of its seat until its first event. That event ends as many steps after the prompt is
  * read as an event of any other stream has, so by then no event is in progress that the prompt has lengthened. The
@@ -44,18 +44,6 @@
   readonly recentAt: number;
 }
 
-const NOTHING: Sums = { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
-
-/** The pace of an engine that has not run anything yet. */
-export const INITIAL: Pace = {
-  sums: NOTHING,
-  learnedAt: 0,
-  totalTokens: 0,
-  reads: [],
-  recentTokens: 0,
-  recentAt: 0,
-};
-
 /** Time of an engine's events, in ms. */
 export interface EventTime {
   /** Of one event without prefill. */
@@ -72,15 +60,21 @@
   readonly readMs: number;
 }
 
-/** Share of the longest pause that an event may take while the engine runs at its usual speed. */
-const PAUSE_SHARE = 0.5;
-/** Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. */
+/**
+ * Share of the longest pause that an event may take by the estimate. A slow spell takes 2.5 times as long as usual; the
+ * estimate is a mean that includes the spells, and is some 1.1 times the usual time.
+ */
+const PAUSE_SHARE = 0.45;
+/**
+ * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
+ * less between engines than their speed.
+ */
 const GUESS_STEP_MS = 10;
 const GUESS_MS_PER_TOKEN = 0.05;
 /**
- * The guesses stay in the estimate as two streams of this weight, one without prefill and one beside this many prompt
- * tokens per event. While all events see about the same prefill, which is usual under high load, the measurements
- * determine the sum of both times but not the two apart.
+ * The guesses, scaled by how fast the engine is on the whole, stay in the estimate as two streams of this weight: one
+ * without prefill and one beside this many prompt tokens per event. While all events see about the same prefill, which
+ * is usual under high load, the measurements determine the sum of both times but not the two apart.
  */
 const GUESS_WEIGHT = 40;
 const GUESS_TOKENS = 4000;
@@ -101,6 +95,18 @@
 /** Time constant in ms of the decay of the prefill that counts as recent. */
 const RECENT_MS = 1000;
 
+const NOTHING: Sums = { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
+
+/** The pace of an engine that has not run anything yet. */
+export const INITIAL: Pace = {
+  sums: NOTHING,
+  learnedAt: 0,
+  totalTokens: 0,
+  reads: [],
+  recentTokens: 0,
+  recentAt: 0,
+};
+
 function add(s: Sums, weight: number, x: number, y: number): Sums {
   return {
     weight: s.weight + weight,
@@ -122,9 +128,12 @@
 
 /** Estimates the time of events of `eventTokens` tokens, by a linear regression over streams and guesses. */
 export function eventTime(p: Pace, eventTokens: number, now: number): EventTime {
+  const aged = agedSums(p, now);
   const guessMs = GUESS_STEP_MS * eventTokens;
-  const idle = add(agedSums(p, now), GUESS_WEIGHT, 0, guessMs);
-  const busyMs = guessMs + GUESS_TOKENS * GUESS_MS_PER_TOKEN;
+  const guessedMs = guessMs * aged.weight + GUESS_MS_PER_TOKEN * aged.x;
+  const scale = (aged.y + GUESS_WEIGHT * guessMs) / (guessedMs + GUESS_WEIGHT * guessMs);
+  const idle = add(aged, GUESS_WEIGHT, 0, scale * guessMs);
+  const busyMs = scale * (guessMs + GUESS_TOKENS * GUESS_MS_PER_TOKEN);
   const s = add(idle, GUESS_WEIGHT, GUESS_TOKENS, busyMs);
   const slope = (s.weight * s.xy - s.x * s.y) / (s.weight * s.xx - s.x * s.x);
   const msPerToken = Math.min(MAX_MS_PER_TOKEN, Math.max(MIN_MS_PER_TOKEN, slope));
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -68,9 +68,9 @@
 
   /** Learns from the timing of a stream that ends; called before {@link remove}. */
   recordStream(id: string, t: seatMessages.StreamTiming, eventTokens: number, now: number): void {
-    const totalAtFirst = this.entries.get(id)?.totalAtFirst;
-    if (totalAtFirst === undefined) return;
-    const tokens = this.pace.totalTokens - totalAtFirst;
+    const e = this.entries.get(id);
+    if (e?.totalAtFirst === undefined) return;
+    const tokens = this.pace.totalTokens - e.totalAtFirst;
     this.pace = pace.withStream(this.pace, t, tokens, eventTokens, now);
   }
 
@@ -93,8 +93,6 @@
   private admissionOf(at: EngineAt, usage: room.Usage, p: pace.Pace): residency.Admission {
     const allowance = this.allowance(at);
     const needOf = (w: seatQueue.Waiter) => this.entries.get(w.seat)?.need ?? TYPICAL_NEED;
-    const paceMs = (w: seatQueue.Waiter) =>
-      allowance ? pace.readyInMs(p, needOf(w).promptTokens, allowance, at.now) : 0;
     return {
       check: (w) => {
         const lack = room.lackOf(usage, needOf(w), at.batch);
@@ -102,7 +100,8 @@
           const holdsOthers = lack === "batch" || at.now - w.askedAt >= OVERTAKE_MS;
           return { why: "room", holdsOthers, inMs: room.freeInMs(this.granted(), at.now) };
         }
-        const inMs = paceMs(w);
+        if (!allowance) return undefined;
+        const inMs = pace.readyInMs(p, needOf(w).promptTokens, allowance, at.now);
         return inMs > 0 ? { why: "pace", holdsOthers: true, inMs } : undefined;
       },
       granted: (w) =>
