--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -92,13 +92,14 @@
 
   private admissionOf(at: EngineAt, usage: room.Usage, p: pace.Pace): residency.Admission {
     const allowance = this.allowance(at);
+    const freeInMs = room.freeInMs(this.granted(), at.now);
     const needOf = (w: seatQueue.Waiter) => this.entries.get(w.seat)?.need ?? TYPICAL_NEED;
     return {
       check: (w) => {
         const lack = room.lackOf(usage, needOf(w), at.batch);
         if (lack) {
           const holdsOthers = lack === "batch" || at.now - w.askedAt >= OVERTAKE_MS;
-          return { why: "room", holdsOthers, inMs: room.freeInMs(this.granted(), at.now) };
+          return { why: "room", holdsOthers, inMs: freeInMs };
         }
         if (!allowance) return undefined;
         const inMs = pace.readyInMs(p, needOf(w).promptTokens, allowance, at.now);
