--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -8,6 +8,7 @@
 import * as prefillSpeed from "./prefill-speed.js";
 import type * as seatMessages from "./seat-messages.js";
 import * as crowding from "./spread/crowding.js";
+import * as pauses from "./spread/pauses.js";
 import * as idleSpeed from "./spread/idle-speed.js";
 
 /** The models and adapters of an engine, as last reported to an entry daemon. */
@@ -178,7 +179,7 @@
   return mean + (reported - mean) * 2 ** (-ageMs / WAIT_HALF_LIFE_MS);
 }
 
-/** Adds the cost of the crowding that is expected on an engine now. */
+/** Adds the cost of the crowding that is expected on an engine now, and of its late streams. */
 function addCrowding(e: Estimate, need: Need, summary: FleetSummary): Estimate {
   const { state, stateAgeMs } = e.view;
   const { meanCrowding: mean } = summary;
@@ -188,7 +189,8 @@
   const own = crowding.ofReading(pendingTokensOf(e.view, need) * state.msPerToken);
   const copyMs = (COPY_PENALTY_LOADS + 1) * state.coldMs;
   const costMs = crowding.costMs(announced + own, copyMs, summary.hasAdapter);
-  return { ...e, crowding: announced + own, penaltyMs: e.penaltyMs + costMs };
+  const pauseMs = pauses.costMs(state.lateStreams ?? 0, state.coldMs);
+  return { ...e, crowding: announced + own, penaltyMs: e.penaltyMs + costMs + pauseMs };
 }
 
 /** Prompt tokens of this host's other requests that the state of an engine does not include. */
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -370,6 +370,7 @@
     return {
       waitsByRank: this.steadyAdmission.waitsByRank(at),
       crowding: this.steadyAdmission.crowding(at),
+      lateStreams: this.steadyAdmission.lateStreams(now),
     };
   }
 
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -12,7 +12,7 @@
 import type * as seatMessages from "./seat-messages.js";
 import type * as loadHistory from "./load-history.js";
 
-/** Decimals of `msPerToken`, `failing` and `crowding` in state messages. */
+/** Decimals of `msPerToken`, of `failing`, and of `crowding` and `lateStreams` in state messages. */
 const TOKEN_DECIMALS = 4;
 const FAILING_DECIMALS = 2;
 const CROWDING_DECIMALS = 2;
@@ -50,6 +50,8 @@
   readonly waitsByRank: readonly number[];
   /** How full the engine is; 1 is full. */
   readonly crowding: number;
+  /** Share of the latest streams that were late by a pause, 0 to 1. */
+  readonly lateStreams: number;
 }
 
 /** All that an endpoint daemon knows about its engine, at one time. */
@@ -112,6 +114,9 @@
     failing: Number(k.seats.failureShare.toFixed(FAILING_DECIMALS)),
     entries,
     silenceMs,
-    ...(k.steady && { crowding: Number(k.steady.crowding.toFixed(CROWDING_DECIMALS)) }),
+    ...(k.steady && {
+      crowding: Number(k.steady.crowding.toFixed(CROWDING_DECIMALS)),
+      lateStreams: Number(k.steady.lateStreams.toFixed(CROWDING_DECIMALS)),
+    }),
   };
 }
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -8,6 +8,7 @@
 import type * as residency from "../residency.js";
 import type * as seatMessages from "../seat-messages.js";
 import type * as seatQueue from "../seat-queue.js";
+import * as lateStreams from "./late-streams.js";
 import * as pace from "./pace.js";
 import * as room from "./room.js";
 
@@ -44,6 +45,7 @@
 export class SteadyAdmission {
   private readonly entries = new Map<string, Entry>();
   private pace = pace.INITIAL;
+  private late = lateStreams.NONE;
 
   /** Adds a seat that is asked for; `rank` is {@link backlog.RANK_COUNT} if it will be late in any case. */
   add(id: string, m: seatMessages.Ask, rank: number): void {
@@ -70,10 +72,16 @@
   recordStream(id: string, t: seatMessages.StreamTiming, eventTokens: number, now: number): void {
     const e = this.entries.get(id);
     if (e?.totalAtFirst === undefined) return;
+    this.late = lateStreams.recordStream(this.late, t.pauseMs > e.gapMs, now);
     const tokens = this.pace.totalTokens - e.totalAtFirst;
     this.pace = pace.withStream(this.pace, t, tokens, eventTokens, now);
   }
 
+  /** Share of the latest streams that were late by a pause. */
+  lateStreams(now: number): number {
+    return lateStreams.shareAt(this.late, now);
+  }
+
   /** Removes a seat that ended, was denied or was given up. */
   remove(id: string): void {
     this.entries.delete(id);
@@ -95,6 +103,7 @@
     const freeInMs = room.freeInMs(this.granted(), at.now);
     const needOf = (w: seatQueue.Waiter) => this.entries.get(w.seat)?.need ?? TYPICAL_NEED;
     return {
+      limitsPrefill: allowance !== undefined,
       check: (w) => {
         const lack = room.lackOf(usage, needOf(w), at.batch);
         if (lack) {
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -70,6 +70,8 @@
 export interface Admission {
   /** What keeps a request from a seat; undefined if nothing does. */
   readonly check: (w: seatQueue.Waiter) => Hindrance | undefined;
+  /** Whether it limits prefill by itself, so that the estimated prefill load does not count. */
+  readonly limitsPrefill: boolean;
   /** The admission control after one more grant. */
   readonly granted: (w: seatQueue.Waiter) => Admission;
 }
@@ -169,7 +171,8 @@
   let holding: Hindrance | undefined;
   for (const w of seatQueue.servingOrder(s.waiting, now)) {
     const ready = isReady(s, w, now, opts);
-    const hasPrefillRoom = ms <= GRANT_AHEAD_MS && unstarted < MAX_UNSTARTED;
+    const hasPrefillRoom =
+      rest?.limitsPrefill === true || (ms <= GRANT_AHEAD_MS && unstarted < MAX_UNSTARTED);
     const hindrance = ready && hasPrefillRoom ? (holding ?? rest?.check(w)) : undefined;
     if (hindrance?.holdsOthers) holding = hindrance;
     if (ready && hasPrefillRoom && !hindrance) {
@@ -202,7 +205,8 @@
   const ready = s.waiting.filter((w) => isReady(s, w, now, opts));
   if (ready.length === 0) return undefined;
   const admittedMs = admission ? admittedInMs(ready, now, admission) : 0;
-  return Math.max(1, prefill.ms - GRANT_AHEAD_MS, admittedMs);
+  const prefillMs = admission?.limitsPrefill ? 0 : prefill.ms - GRANT_AHEAD_MS;
+  return Math.max(1, prefillMs, admittedMs);
 }
 
 /** Milliseconds until the admission control may let one of these requests pass. */
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -110,6 +110,8 @@
      * engines without steady streams.
      */
     crowding: zod.number().nonnegative().optional(),
+    /** Share of the latest streams that were late by a pause, 0 to 1; left out by engines without steady streams. */
+    lateStreams: zod.number().min(0).max(1).optional(),
     /** Like `waitMs`, for a team within its share; left out where the configuration has no teams. */
     fairWaitMs: zod.array(zod.number()).readonly().optional(),
     /** Teams beyond their share of the engine while others wait, the furthest beyond first. */
--- a/test/serving/pacing/steady-admission.test.ts
+++ b/test/serving/pacing/steady-admission.test.ts
@@ -259,7 +259,7 @@
             );
         expect(texts()).deep.equal(expected);
         // Admission control that hinders nothing changes nothing either.
-        const open: residency.Admission = { check: () => undefined, granted: () => open };
+        const open: residency.Admission = { limitsPrefill: false, check: () => undefined, granted: () => open };
         expect(texts(open)).deep.equal(expected);
       }),
     );
