--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -7,6 +7,7 @@
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
 import * as limiterSwitches from "./limiter-switches.js";
+import * as pacingSwitches from "./pacing-switches.js";
 import * as servingSwitches from "./serving-switches.js";
 import * as soakSwitches from "./soak-switches.js";
 import * as storeSwitches from "./store-switches.js";
@@ -86,6 +87,7 @@
 const all = [
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
+  ...pacingSwitches.PACING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
--- /dev/null
+++ b/bench/red/pacing-switches.ts
@@ -0,0 +1,89 @@
+/**
+ * Mechanisms of room and pace on engines with steady streams, each with the test that fails without it.
+ * @module
+ */
+import type * as switches from "./switches.js";
+
+export const PACING_SWITCHES: readonly switches.Switch[] = [
+  {
+    name: "steady: seats are granted only while the batch has a place",
+    file: "serving/pacing/room.js",
+    find: "if (u.requests >= batch.requests)",
+    put: "if (false)",
+    proof: "is never exceeded, whatever comes and goes",
+  },
+  {
+    name: "steady: seats are granted only while the KV cache has room",
+    file: "serving/pacing/room.js",
+    find: "u.tokens + tokensOf(need) > batch.cacheTokens",
+    put: "false",
+    proof:
+      "lets small requests pass a large one for a while, and then keeps what becomes free for it",
+  },
+  {
+    name: "steady: small requests pass a large one for a limited time",
+    file: "serving/pacing/steady-admission.js",
+    find: "at.now - w.askedAt >= OVERTAKE_MS",
+    put: "false",
+    proof:
+      "lets small requests pass a large one for a while, and then keeps what becomes free for it",
+  },
+  {
+    name: "steady: a seat without a first event stops counting",
+    file: "serving/pacing/room.js",
+    find: "return s.hasBegun || now - s.grantedAt < backlog.FIRST_EVENT_TIMEOUT_MS;",
+    put: "return true;",
+    proof: "ends with the batch, and comes back with a seat's end or with a seat that stays silent",
+  },
+  {
+    name: "steady: the engine manager wakes when a seat stops counting",
+    file: "serving/residency.js",
+    find: "Math.max(1, prefill.ms - GRANT_AHEAD_MS, admittedMs)",
+    put: "Math.max(1, prefill.ms - GRANT_AHEAD_MS)",
+    proof: "ends with the batch, and comes back with a seat's end or with a seat that stays silent",
+  },
+  {
+    name: "steady: prefill is limited while streams run",
+    file: "serving/pacing/steady-admission.js",
+    find: 'return inMs > 0 ? { why: "pace", holdsOthers: true, inMs } : undefined;',
+    put: "return undefined;",
+    proof: "are on time at twice what the engine can do, slow spells: true",
+  },
+  {
+    name: "steady: a prompt counts until its first event",
+    file: "serving/pacing/pace.js",
+    find: "reads: p.reads.filter((r) => r.seat !== seat)",
+    put: "reads: p.reads",
+    proof: "counts prompts until their first event, and reads one per event however long it is",
+  },
+  {
+    name: "steady: a prompt whose entry host is frozen stops counting",
+    file: "serving/pacing/pace.js",
+    find: "const LOST_FACTOR = 3;",
+    put: "const LOST_FACTOR = Infinity;",
+    proof: "goes on without the first event of a prompt whose entry host is frozen",
+  },
+  {
+    name: "steady: the time of events is learned",
+    file: "serving/pacing/pace.js",
+    find: "return { ...p, sums: add(older, count, x, y), learnedAt: now };",
+    put: "return p;",
+    proof:
+      "learns the time of events, also where all have about the same prefill, and forgets it with time",
+  },
+  {
+    name: "steady: announced waiting times include the wait for a place",
+    file: "serving/engine-view.js",
+    find: "Math.max(ms, k.steady?.waitsByRank[rank] ?? 0)",
+    put: "ms",
+    proof: "tell that the engine is full, and a seat is granted as soon as one ends",
+  },
+  {
+    name: "steady: only engines whose streams must be steady have admission control",
+    file: "serving/pacing/steady.js",
+    find: 'r.kind === "stream" &&',
+    put: "",
+    proof:
+      "is one whose events leave time for a prompt, whose routes stream not, or whose batch is unknown",
+  },
+];
