--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -10,6 +10,7 @@
 import * as pacingSwitches from "./pacing-switches.js";
 import * as servingSwitches from "./serving-switches.js";
 import * as soakSwitches from "./soak-switches.js";
+import * as spreadSwitches from "./spread-switches.js";
 import * as storeSwitches from "./store-switches.js";
 import * as switches from "./switches.js";
 
@@ -91,6 +92,7 @@
   ...limiterSwitches.LIMITER_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
+  ...spreadSwitches.SPREAD_SWITCHES,
 ];
 const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
 const queue = [...wanted.entries()];
