--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -209,8 +209,9 @@
   /** Records that the first event of a run came, `ms` after its request was sent. */
   recordFirstEvent(c: announcer.Client, n: number, ms: number): void {
     const id = `${c.host}#${n}`;
-    this.seatTable.recordFirstEvent(id, ms, this.deps.clock.mono());
-    this.steadyAdmission.recordFirstEvent(id);
+    const now = this.deps.clock.mono();
+    this.seatTable.recordFirstEvent(id, ms, now);
+    this.steadyAdmission.recordFirstEvent(id, now);
     this.waker.wake();
     this.announcer.stateChanged();
   }
--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -3,19 +3,21 @@
  * the prompts that the engine reads meanwhile. Prefill is limited to what keeps an event within a share of the
  * longest pause that is on time; the rest is reserved for slow spells of the engine.
  *
- * A prompt counts from the grant of its seat until its first event. That event ends as many steps after the prompt is
- * read as an event of any other stream has, so by then no event is in progress that the prompt has lengthened. The
+ * A prompt counts from the grant of its seat until the time of one event after its own first event. The engine has read it
+ * by its first event, and by then each event in progress that it has lengthened has ended. The
  * limit thus holds for each event, and an engine that is slower than estimated is granted less. Pure.
  * @module
  */
 import type * as seatMessages from "../seat-messages.js";
 
-/** A granted prompt without a first event. */
+/** A granted prompt. */
 export interface Read {
   readonly seat: string;
   readonly tokens: number;
   /** Monotonic ms of the grant. */
   readonly at: number;
+  /** Monotonic ms of its first event; undefined until then. */
+  readonly firstAt?: number;
 }
 
 /**
@@ -37,7 +39,7 @@
   readonly learnedAt: number;
   /** Prompt tokens granted so far. */
   readonly totalTokens: number;
-  /** Prompts that count as being read. */
+  /** Prompts that count as being read, and some that no longer do. */
   readonly reads: readonly Read[];
   /** Exponentially decaying sum of the prompt tokens granted, at `recentAt`. */
   readonly recentTokens: number;
@@ -64,7 +66,7 @@
  * Share of the longest pause that an event may take by the estimate. A slow spell takes 2.5 times as long as usual; the
  * estimate is a mean that includes the spells, and is some 1.1 times the usual time.
  */
-const PAUSE_SHARE = 0.45;
+const PAUSE_SHARE = 0.4;
 /**
  * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
  * less between engines than their speed.
@@ -92,6 +94,8 @@
  * its entry host may be frozen. It is more than the factor of slow spells, which is about 2.5.
  */
 const LOST_FACTOR = 3;
+/** Milliseconds for which a prompt can count at most, several times the longest event on time. */
+const MAX_COUNT_MS = 5000;
 /** Time constant in ms of the decay of the prefill that counts as recent. */
 const RECENT_MS = 1000;
 
@@ -164,8 +168,9 @@
   return { ...time, windowMs, readMs: windowMs - time.baseMs };
 }
 
-/** Monotonic ms after which a prompt without a first event stops counting. */
-function lostAt(r: Read, a: Allowance): number {
+/** Monotonic ms after which a prompt stops counting. */
+function countsUntil(r: Read, a: Allowance): number {
+  if (r.firstAt !== undefined) return r.firstAt + a.windowMs;
   return r.at + LOST_FACTOR * Math.max(a.windowMs, a.baseMs + r.tokens * a.msPerToken);
 }
 
@@ -175,7 +180,7 @@
  */
 export function readyInMs(p: Pace, tokens: number, a: Allowance, now: number): number {
   const counted = p.reads
-    .map((r) => ({ ms: r.tokens * a.msPerToken, until: lostAt(r, a) }))
+    .map((r) => ({ ms: r.tokens * a.msPerToken, until: countsUntil(r, a) }))
     .filter((r) => r.until > now)
     .sort((x, y) => y.until - x.until);
   let sumMs = tokens * a.msPerToken;
@@ -192,25 +197,34 @@
   return {
     ...p,
     totalTokens: p.totalTokens + tokens,
-    reads: [...p.reads, { seat, at: now, tokens }],
+    reads: [...p.reads.filter((r) => now - r.at < MAX_COUNT_MS), { seat, at: now, tokens }],
     recentTokens: recentTokens(p, now) + tokens,
     recentAt: now,
   };
 }
 
-/** Records that the first event of a seat has come, or that the seat has ended. */
-export function withoutRead(p: Pace, seat: string): Pace {
-  return { ...p, reads: p.reads.filter((r) => r.seat !== seat) };
+/** Records that the first event of a seat came at `now`. */
+export function withFirstEvent(p: Pace, seat: string, now: number): Pace {
+  const reads = p.reads.map((r) => (r.seat === seat ? { ...r, firstAt: now } : r));
+  return { ...p, reads };
+}
+
+/** Records that a seat has ended; a prompt that was read still counts. */
+export function withoutSeat(p: Pace, seat: string): Pace {
+  return { ...p, reads: p.reads.filter((r) => r.seat !== seat || r.firstAt !== undefined) };
 }
 
 function recentTokens(p: Pace, now: number): number {
   return p.recentTokens * Math.exp(-Math.max(0, now - p.recentAt) / RECENT_MS);
 }
 
-/** Share of the time that may be spent on prefill; one prompt of `tokens` may always be read per event. */
+/**
+ * Share of the time that may be spent on prefill. What is allowed beside one event is read, and counts for another event
+ * after that. One prompt of `tokens` may always be read.
+ */
 function allowedShare(a: Allowance, tokens: number): number {
-  const promptMs = tokens * a.msPerToken;
-  return Math.max(a.readMs / a.windowMs, promptMs / (a.baseMs + promptMs));
+  const readMs = Math.max(a.readMs, tokens * a.msPerToken);
+  return readMs / (a.windowMs + readMs);
 }
 
 /**
@@ -231,7 +245,7 @@
   now: number,
 ): number {
   const pendingTokens = p.reads
-    .filter((r) => lostAt(r, a) > now)
+    .filter((r) => countsUntil(r, a) > now)
     .reduce((sum, r) => sum + r.tokens, 0);
   const firstMs = readyInMs(p, tokens, a, now) > 0 ? pendingTokens * a.msPerToken : 0;
   return firstMs + (aheadTokens * a.msPerToken) / allowedShare(a, tokens);
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -61,11 +61,11 @@
     this.pace = pace.withGrant(this.pace, id, e.need.promptTokens, now);
   }
 
-  recordFirstEvent(id: string): void {
+  recordFirstEvent(id: string, now: number): void {
     const e = this.entries.get(id);
     if (e?.grantedAt === undefined || e.totalAtFirst !== undefined) return;
     this.entries.set(id, { ...e, totalAtFirst: this.pace.totalTokens });
-    this.pace = pace.withoutRead(this.pace, id);
+    this.pace = pace.withFirstEvent(this.pace, id, now);
   }
 
   /** Learns from the timing of a stream that ends; called before {@link remove}. */
@@ -85,7 +85,7 @@
   /** Removes a seat that ended, was denied or was given up. */
   remove(id: string): void {
     this.entries.delete(id);
-    this.pace = pace.withoutRead(this.pace, id);
+    this.pace = pace.withoutSeat(this.pace, id);
   }
 
   /** Number of granted seats that count as open at `now`. */
--- a/test/serving/pacing/engine-model.ts
+++ b/test/serving/pacing/engine-model.ts
@@ -80,10 +80,10 @@
     return order.slice(0, this.batch).sort((a, b) => a.arrivedAt - b.arrivedAt);
   }
 
-  /** Makes one token; returns whether it ends an event. */
+  /** Makes one token; returns whether it ends an event. The first event holds the first token alone. */
   private makeToken(r: Run): boolean {
     r.made++;
-    if (r.made % EVENT_TOKENS !== 0) return false;
+    if (r.made > 1 && (r.made - 1) % EVENT_TOKENS !== 0 && r.made < r.answerTokens) return false;
     if (r.firstAt < 0) r.firstAt = this.now;
     else r.pauseMs = Math.max(r.pauseMs, this.now - r.lastAt);
     r.lastAt = this.now;
--- a/test/serving/pacing/steady-admission.test.ts
+++ b/test/serving/pacing/steady-admission.test.ts
@@ -65,7 +65,7 @@
     const e = new Engine();
     for (const id of ["a", "b", "c", "d", "e"]) e.ask(id, 100);
     expect(e.settle()).deep.equal(["a", "b", "c", "d", "e: room"]);
-    for (const id of ["a", "b", "c"]) e.admission.recordFirstEvent(id);
+    for (const id of ["a", "b", "c"]) e.admission.recordFirstEvent(id, e.now);
     e.now = 1000;
     expect(e.settle()).deep.equal(["e: room"]);
     expect(e.wakeInMs()).equal(500);
@@ -81,7 +81,7 @@
     const e = new Engine();
     e.ask("a", 6000);
     e.settle();
-    e.admission.recordFirstEvent("a");
+    e.admission.recordFirstEvent("a", e.now);
     e.ask("large", 6000);
     e.ask("b", 1000);
     expect(e.settle()).deep.equal(["large: room", "b"]);
@@ -116,7 +116,7 @@
           if (s.kind === "ask") e.ask(`${i}`, s.tokens);
           else for (const id of open.splice(s.index, 1)) e.admission.remove(id);
           for (const id of e.settle().filter((text) => /^\d+$/.test(text))) {
-            e.admission.recordFirstEvent(id);
+            e.admission.recordFirstEvent(id, e.now);
             open.push(id);
           }
           expect(open.length).most(BATCH.requests);
@@ -131,14 +131,19 @@
 describe("pace of prefill", () => {
   const allowed: pace.Allowance = { baseMs: 50, msPerToken: 0.05, windowMs: 150, readMs: 100 };
 
-  it("counts prompts until their first event, and reads one per event however long it is", () => {
+  it("counts prompts until one event after their first one, and reads one per event however long it is", () => {
     let p = pace.withGrant(pace.INITIAL, "a", 1000, 0);
     expect(pace.readyInMs(p, 1000, allowed, 0)).equal(0);
     p = pace.withGrant(p, "b", 1000, 0);
     expect(pace.readyInMs(p, 100, allowed, 100)).above(0);
-    expect(pace.readyInMs(pace.withoutRead(p, "a"), 1000, allowed, 100)).equal(0);
-    const none = pace.withoutRead(pace.withoutRead(p, "a"), "b");
-    expect(pace.readyInMs(none, 50_000, allowed, 100)).equal(0);
+    p = pace.withFirstEvent(p, "a", 100);
+    expect(pace.readyInMs(p, 1000, allowed, 100)).equal(150);
+    expect(pace.readyInMs(p, 1000, allowed, 250)).equal(0);
+    // The end of a short answer does not undo that its prompt was read.
+    expect(pace.readyInMs(pace.withoutSeat(p, "a"), 1000, allowed, 100)).equal(150);
+    p = pace.withFirstEvent(p, "b", 150);
+    expect(pace.readyInMs(p, 50_000, allowed, 299)).equal(1);
+    expect(pace.readyInMs(p, 50_000, allowed, 300)).equal(0);
   });
 
   it("goes on without the first event of a prompt whose entry host is frozen", () => {
@@ -152,12 +157,14 @@
     const e = new Engine();
     for (const id of ["a", "b", "c"]) e.ask(id, 2000, 300);
     expect(e.settle()).deep.equal(["a", "b", "c"]);
-    e.admission.recordFirstEvent("a");
+    e.admission.recordFirstEvent("a", e.now);
     e.ask("d", 1000);
     expect(e.settle()).deep.equal(["d: pace"]);
     expect(e.wakeInMs()).within(1, 1500);
-    e.admission.recordFirstEvent("b");
-    e.admission.recordFirstEvent("c");
+    e.admission.recordFirstEvent("b", e.now);
+    e.admission.recordFirstEvent("c", e.now);
+    expect(e.settle()).deep.equal(["d: pace"]);
+    e.now += e.wakeInMs() ?? 0;
     expect(e.settle()).deep.equal(["d"]);
   });
 
@@ -194,7 +201,7 @@
     expect(e.admission.waitsByRank(e.at)[0]).equal(250);
     e.ask("waiting", 100);
     expect(e.admission.waitsByRank(e.at).slice(0, 2)).deep.equal([250, 500]);
-    for (const id of ["a", "b", "c", "d"]) e.admission.recordFirstEvent(id);
+    for (const id of ["a", "b", "c", "d"]) e.admission.recordFirstEvent(id, e.now);
     for (const id of ["b", "c", "d", "waiting"]) e.admission.remove(id);
     e.ask("long", 9000, 300);
     e.admission.grant("long", e.now);
@@ -266,7 +273,11 @@
             );
         expect(texts()).deep.equal(expected);
         // Admission control that hinders nothing changes nothing either.
-        const open: residency.Admission = { limitsPrefill: false, check: () => undefined, granted: () => open };
+        const open: residency.Admission = {
+          limitsPrefill: false,
+          check: () => undefined,
+          granted: () => open,
+        };
         expect(texts(open)).deep.equal(expected);
       }),
     );
