--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -44,6 +44,8 @@
   /** Exponentially decaying sum of the prompt tokens granted, at `recentAt`. */
   readonly recentTokens: number;
   readonly recentAt: number;
+  /** Share of the longest pause that an event may take by the estimate. */
+  readonly pauseShare: number;
 }
 
 /** Time of an engine's events, in ms. */
@@ -63,10 +65,20 @@
 }
 
 /**
- * Share of the longest pause that an event may take by the estimate. A slow spell takes 2.5 times as long as usual; the
- * estimate is a mean that includes the spells, and is some 1.1 times the usual time.
+ * Bounds of the share of the longest pause that an event may take by the estimate, and its first value. At the lower bound, an
+ * event is on time in a spell in which everything takes 2.5 times as long. The upper one leaves time for the network.
  */
-const PAUSE_SHARE = 0.4;
+const MIN_PAUSE_SHARE = 0.4;
+const MAX_PAUSE_SHARE = 0.85;
+const FIRST_PAUSE_SHARE = 0.6;
+/**
+ * Changes of the share at the end of a stream that was late by a pause, and of one that was not. The share rises while fewer than
+ * one stream in twenty is late, and falls while more are. A few late streams bring it down to its lower bound.
+ */
+const LATE_STEP = 0.1;
+const ON_TIME_STEP = 0.005;
+/** Milliseconds from a grant until the engine begins to read the prompt: two trips, and the step that is under way. */
+const LEAD_MS = 15;
 /**
  * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
  * less between engines than their speed.
@@ -109,6 +121,7 @@
   reads: [],
   recentTokens: 0,
   recentAt: 0,
+  pauseShare: FIRST_PAUSE_SHARE,
 };
 
 function add(s: Sums, weight: number, x: number, y: number): Sums {
@@ -144,10 +157,20 @@
   return { baseMs: Math.max(0, (s.y - msPerToken * s.x) / s.weight), msPerToken };
 }
 
-/** Adds the timing of a stream that ended at `now`, during which `tokens` prompt tokens were granted. */
+/** The share of the pause after a stream that was or was not late by one. */
+function nextPauseShare(share: number, isLate: boolean): number {
+  const next = share + (isLate ? -LATE_STEP : ON_TIME_STEP);
+  return Math.min(MAX_PAUSE_SHARE, Math.max(MIN_PAUSE_SHARE, next));
+}
+
+/**
+ * Adds the timing of a stream that ended at `now`, during which `tokens` prompt tokens were granted. A pause over `gapMs` is
+ * late.
+ */
 export function withStream(
   p: Pace,
   t: seatMessages.StreamTiming,
+  gapMs: number,
   tokens: number,
   eventTokens: number,
   now: number,
@@ -158,19 +181,20 @@
   const { baseMs, msPerToken } = eventTime(p, eventTokens, now);
   const y = Math.min(t.spanMs / count, OUTLIER_FACTOR * (baseMs + x * msPerToken));
   const older = scaled(agedSums(p, now), 2 ** (-count / HALF_LIFE_EVENTS));
-  return { ...p, sums: add(older, count, x, y), learnedAt: now };
+  const pauseShare = nextPauseShare(p.pauseShare, t.pauseMs > gapMs);
+  return { ...p, sums: add(older, count, x, y), learnedAt: now, pauseShare };
 }
 
 /** The prefill that is allowed beside streams whose longest pause on time is `gapMs`. */
 export function allowance(p: Pace, gapMs: number, eventTokens: number, now: number): Allowance {
   const time = eventTime(p, eventTokens, now);
-  const windowMs = PAUSE_SHARE * gapMs;
+  const windowMs = p.pauseShare * gapMs;
   return { ...time, windowMs, readMs: windowMs - time.baseMs };
 }
 
 /** Monotonic ms after which a prompt stops counting. */
 function countsUntil(r: Read, a: Allowance): number {
-  if (r.firstAt !== undefined) return r.firstAt + a.windowMs;
+  if (r.firstAt !== undefined) return r.firstAt + Math.max(0, a.windowMs - LEAD_MS);
   return r.at + LOST_FACTOR * Math.max(a.windowMs, a.baseMs + r.tokens * a.msPerToken);
 }
 
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -74,7 +74,7 @@
     if (e?.totalAtFirst === undefined) return;
     this.late = lateStreams.recordStream(this.late, t.pauseMs > e.gapMs, now);
     const tokens = this.pace.totalTokens - e.totalAtFirst;
-    this.pace = pace.withStream(this.pace, t, tokens, eventTokens, now);
+    this.pace = pace.withStream(this.pace, t, e.gapMs, tokens, eventTokens, now);
   }
 
   /** Share of the latest streams that were late by a pause. */
--- a/test/serving/pacing/steady-admission.test.ts
+++ b/test/serving/pacing/steady-admission.test.ts
@@ -179,7 +179,7 @@
           const y = baseMs + msPerToken * x * (i % 2 === 0 ? 0.95 : 1.05);
           const odd = i % 50 === 7 ? 100 : 1;
           const t = { events: 42, spanMs: 41 * y * odd, pauseMs: y };
-          p = pace.withStream(p, t, 41 * x * (i % 2 === 0 ? 0.95 : 1.05), 7, i * 100);
+          p = pace.withStream(p, t, Infinity, 41 * x * (i % 2 === 0 ? 0.95 : 1.05), 7, i * 100);
         }
         const learned = pace.eventTime(p, 7, 20_000);
         const expectedMs = baseMs + msPerToken * x;
