--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -78,7 +78,7 @@
 const LATE_STEP = 0.1;
 const ON_TIME_STEP = 0.005;
 /** Milliseconds from a grant until the engine begins to read the prompt: two trips, and the step that is under way. */
-const LEAD_MS = 15;
+export const LEAD_MS = 15;
 /**
  * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
  * less between engines than their speed.
--- a/test/serving/pacing/steady-admission.test.ts
+++ b/test/serving/pacing/steady-admission.test.ts
@@ -137,13 +137,14 @@
     p = pace.withGrant(p, "b", 1000, 0);
     expect(pace.readyInMs(p, 100, allowed, 100)).above(0);
     p = pace.withFirstEvent(p, "a", 100);
-    expect(pace.readyInMs(p, 1000, allowed, 100)).equal(150);
-    expect(pace.readyInMs(p, 1000, allowed, 250)).equal(0);
+    const countedMs = allowed.windowMs - pace.LEAD_MS;
+    expect(pace.readyInMs(p, 1000, allowed, 100)).equal(countedMs);
+    expect(pace.readyInMs(p, 1000, allowed, 100 + countedMs)).equal(0);
     // The end of a short answer does not undo that its prompt was read.
-    expect(pace.readyInMs(pace.withoutSeat(p, "a"), 1000, allowed, 100)).equal(150);
+    expect(pace.readyInMs(pace.withoutSeat(p, "a"), 1000, allowed, 100)).equal(countedMs);
     p = pace.withFirstEvent(p, "b", 150);
-    expect(pace.readyInMs(p, 50_000, allowed, 299)).equal(1);
-    expect(pace.readyInMs(p, 50_000, allowed, 300)).equal(0);
+    expect(pace.readyInMs(p, 50_000, allowed, 149 + countedMs)).equal(1);
+    expect(pace.readyInMs(p, 50_000, allowed, 150 + countedMs)).equal(0);
   });
 
   it("goes on without the first event of a prompt whose entry host is frozen", () => {
