Count the wait for the accept queue in all load shedding

Cause: refusals close connections, so that callers come back on new ones. Only those were refused because of the accept queue; requests on open connections were served at once, made turns long, and the queue got one accept in each.

Change: the share refused follows the larger of the loop's lag and the accept queue's wait. Beats run on until a lag has ended, so that its end is logged once.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -384,8 +384,8 @@
   {
     name: "lag: a request on a connection that waited to be accepted counts as late",
     file: "serving/overload/lag-monitor.js",
-    find: "return this.note({ lag, isOld: true }, now);",
-    put: "return this.note({ lag, isOld: false }, now);",
+    find: "larger(lag, ofAccepts), isOld: true }",
+    put: "larger(lag, ofAccepts), isOld: false }",
     proof: "sends no request whose caller has left",
   },
   {
@@ -433,7 +433,7 @@
   {
     name: "lag: a single long turn is no overload",
     file: "serving/overload/shedding.js",
-    find: "if (lag.isSingle)",
+    find: "if (host.isSingle)",
     put: "if (false)",
     proof: "refuses after a single long turn only what would be late in any case",
   },
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -150,7 +150,7 @@
     const config = await this.waitForConfig();
     const matched = config ? this.match(req, config) : UNCONFIGURED;
     const verdict =
-      matched.kind === "matched" ? this.shed(req, res, matched, reading.lag, arrivedAt) : matched;
+      matched.kind === "matched" ? this.shed(req, res, matched, reading, arrivedAt) : matched;
     // The end of the caller's connection may wait behind the request, so nothing is charged or sent before the next poll.
     if (reading.isOld && verdict.kind === "matched") await response.presence?.confirm();
     const isBodyRead = req.complete;
@@ -180,18 +180,18 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
     m: match.Matched,
-    lag: loopLag.Lag,
+    { lag, hostLag }: lagMonitor.Reading,
     arrivedAt: number,
   ): match.Matched | match.Refusal {
-    if (lag.ms <= loopLag.NORMAL_MS) return m;
-    const why = shedding.refusalReason(lag, m.route, this.deps.random());
+    if (hostLag.ms <= loopLag.NORMAL_MS) return m;
+    const why = shedding.refusalReason(lag.ms, hostLag, m.route, this.deps.random());
     if (why === undefined) return m;
     this.lagMonitor.recordRefusal();
     this.deps.metrics.recordLagRefusal(m.route.rank);
     // Closing while a body arrives would reset the connection, and the caller could not read the refusal.
     if (req.complete) res.setHeader("connection", "close");
     const leftMs = arrivedAt + Math.min(m.meta.waitMs, m.route.timeoutMs) - this.deps.clock.mono();
-    const retryAfterMs = admission.retryAfterMs(lag.ms, leftMs);
+    const retryAfterMs = admission.retryAfterMs(hostLag.ms, leftMs);
     return { kind: "refused", status: 503, why, team: m.caller?.team.name, retryAfterMs };
   }
 
--- a/src/serving/overload/lag-monitor.ts
+++ b/src/serving/overload/lag-monitor.ts
@@ -34,10 +34,16 @@
 /** What is known of a request when it is read. */
 export interface Reading {
   readonly lag: loopLag.Lag;
+  /** The larger of that lag and the one of connections that wait to be accepted. */
+  readonly hostLag: loopLag.Lag;
   /** The request may have waited so long that its caller has left. */
   readonly isOld: boolean;
 }
 
+function larger(a: loopLag.Lag, b: loopLag.Lag): loopLag.Lag {
+  return a.ms >= b.ms ? a : b;
+}
+
 /** Measures the lag of the event loop. */
 export class LagMonitor {
   private beats: loopLag.Beats;
@@ -54,7 +60,7 @@
 
   constructor(private readonly deps: Deps) {}
 
-  /** To be called when a request is read; beats run from then until no request is open. */
+  /** To be called when a request is read; beats run from then until no request is open and no lag lasts. */
   requestOpened(): void {
     this.openRequests++;
     if (this.beats) return;
@@ -98,10 +104,16 @@
     const now = this.deps.clock.mono();
     const ofLoop = loopLag.lagAt(this.beats, now);
     const accepted = this.accepted.get(socket);
-    if (!accepted) return this.note({ lag: ofLoop, isOld: ofLoop.ms > loopLag.NORMAL_MS }, now);
+    const ofAccepts = this.run ? acceptQueue.lagAt(this.run, now) : loopLag.NO_LAG;
+    if (!accepted) {
+      const hostLag = larger(ofLoop, ofAccepts);
+      this.note(hostLag.ms, now);
+      return { lag: ofLoop, hostLag, isOld: ofLoop.ms > loopLag.NORMAL_MS };
+    }
     const ms = accepted.lag.ms + (now - accepted.at);
-    const lag = ms > ofLoop.ms ? { ms, isSingle: accepted.lag.isSingle } : ofLoop;
-    return this.note({ lag, isOld: true }, now);
+    const lag = larger(ofLoop, { ms, isSingle: accepted.lag.isSingle });
+    this.note(lag.ms, now);
+    return { lag, hostLag: larger(lag, ofAccepts), isOld: true };
   }
 
   /** Records that a request was refused because of the lag. */
@@ -133,14 +145,14 @@
 
   private beat(): void {
     const now = this.deps.clock.mono();
-    if (this.openRequests === 0) {
+    if (this.openRequests === 0 && !this.episode) {
       this.beats = undefined;
-      this.endEpisode(now);
       return;
     }
     this.beats = loopLag.recordBeat(this.beats, now);
-    const { lag } = this.note({ lag: loopLag.lagAt(this.beats, now), isOld: false }, now);
-    if (lag.ms > 0) {
+    const { ms } = loopLag.lagAt(this.beats, now);
+    this.note(ms, now);
+    if (ms > 0) {
       setImmediate(() => {
         this.beats = loopLag.recordPoll(this.beats);
       });
@@ -162,16 +174,14 @@
   }
 
   /** Keeps the highest lag, and logs when it begins. */
-  private note(reading: Reading, now: number): Reading {
-    const { ms } = reading.lag;
-    if (ms <= loopLag.NORMAL_MS) return reading;
+  private note(ms: number, now: number): void {
+    if (ms <= loopLag.NORMAL_MS) return;
     if (!this.episode) {
       this.episode = { beganAt: now, lastSeenAt: now, highestMs: ms, refused: 0 };
       this.deps.log.warn("The event loop is behind.", { lagMs: Math.round(ms) });
     }
     this.episode.lastSeenAt = now;
     this.episode.highestMs = Math.max(this.episode.highestMs, ms);
-    return reading;
   }
 
   private endEpisode(now: number): void {
--- a/src/serving/overload/shedding.ts
+++ b/src/serving/overload/shedding.ts
@@ -39,17 +39,24 @@
 const FROM_TARGETS = 0.05;
 
 /**
- * Why a request is refused because of the lag, or undefined if it is served; `random` is 0 or more and less than 1. After a
- * single long turn, only requests that would be late in any case are refused, because the loop is not overloaded.
+ * Why a request is refused because of the lag, or undefined if it is served; `random` is 0 or more and less than 1. The
+ * request's own wait decides whether it would be late in any case, `host` which share is refused: otherwise requests on open
+ * connections would take all the time, and those that wait to be accepted would be refused. After a single long turn, only
+ * requests that would be late in any case are refused, because the loop is not overloaded.
  */
-export function refusalReason(lag: loopLag.Lag, r: Request, random: number): string | undefined {
-  if (lag.ms <= loopLag.NORMAL_MS) return undefined;
+export function refusalReason(
+  ownMs: number,
+  host: loopLag.Lag,
+  r: Request,
+  random: number,
+): string | undefined {
+  if (host.ms <= loopLag.NORMAL_MS) return undefined;
   const tolerance: Tolerance = TOLERANCE_BY_RANK[r.rank] ?? TOLERANCE_BY_RANK[2];
-  if (lag.ms < tolerance.late * r.targetMs) {
-    if (lag.isSingle) return undefined;
+  if (ownMs < tolerance.late * r.targetMs) {
+    if (host.isSingle) return undefined;
     const fromMs = Math.max(loopLag.NORMAL_MS, FROM_TARGETS * r.targetMs);
     const toMs = Math.max(fromMs + tolerance.riseMs, tolerance.to * r.targetMs);
-    if ((lag.ms - fromMs) / (toMs - fromMs) <= random) return undefined;
+    if ((host.ms - fromMs) / (toMs - fromMs) <= random) return undefined;
   }
-  return `this host is overloaded: its event loop is ${Math.round(lag.ms)} ms behind`;
+  return `this host is overloaded: its event loop is ${Math.round(host.ms)} ms behind`;
 }
--- a/test/serving/shedding.test.ts
+++ b/test/serving/shedding.test.ts
@@ -59,7 +59,8 @@
       const rank = ended.length % 3;
       const targetMs = [1000, 1500, 2000][Math.floor(random() * 3)] ?? 0;
       const lag = run ? acceptQueue.lagAt(run, now) : loopLag.lagAt(beats, now);
-      const isRefused = shedding.refusalReason(lag, { rank, targetMs }, random()) !== undefined;
+      const isRefused =
+        shedding.refusalReason(lag.ms, lag, { rank, targetMs }, random()) !== undefined;
       ended.push({ rank, targetMs, arrivedAt, readAt: now, isRefused });
       now += isRefused ? REFUSE_MS : SERVE_MS;
     }
@@ -97,7 +98,9 @@
   it("refuses nothing up to the normal lag", () => {
     const request = fc.record({ rank: fc.nat(9), targetMs: fc.integer({ min: 1, max: 9000 }) });
     const lag = fc.record({ ms: fc.integer({ min: 0, max: 100 }), isSingle: fc.boolean() });
-    fc.assert(fc.property(lag, request, (l, r) => shedding.refusalReason(l, r, 0) === undefined));
+    fc.assert(
+      fc.property(lag, request, (l, r) => shedding.refusalReason(l.ms, l, r, 0) === undefined),
+    );
   });
 
   /* Guards against refusing what a process reads after it was stopped once, though it can be served in time. */
@@ -105,10 +108,14 @@
     const beats = loopLag.recordBeat(loopLag.recordBeat(loopLag.start(0), 50), 450);
     const lag = loopLag.lagAt(beats, 460);
     expect(lag).deep.equal({ ms: 350, isSingle: true });
-    expect(shedding.refusalReason(lag, { rank: 1, targetMs: 500 }, 0)).equal(undefined);
-    expect(shedding.refusalReason(lag, { rank: 1, targetMs: 450 }, 1)).contain("350 ms behind");
+    expect(shedding.refusalReason(lag.ms, lag, { rank: 1, targetMs: 500 }, 0)).equal(undefined);
+    expect(shedding.refusalReason(lag.ms, lag, { rank: 1, targetMs: 450 }, 1)).contain(
+      "350 ms behind",
+    );
     const lasting = loopLag.lagAt(loopLag.recordBeat(beats, 850), 860);
-    expect(shedding.refusalReason(lasting, { rank: 1, targetMs: 500 }, 0)).not.equal(undefined);
+    expect(shedding.refusalReason(lasting.ms, lasting, { rank: 1, targetMs: 500 }, 0)).not.equal(
+      undefined,
+    );
   });
 });
 
