Shares among teams: serve teams within their share of an engine first

One team at several times its usual load took the seats and slots of an engine, and the waits that it caused made entry daemons refuse the requests of other teams.

An endpoint daemon now keeps the tokens granted to each team lately, and serves teams beyond their max-min share after the others while requests queue up. It announces waits without the requests of these teams, and entry daemons estimate other teams' requests by them. Nothing changes where the configuration has no teams. Not measured yet.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -32,16 +32,27 @@
  */
 const MAX_WAIT_RATIO_BY_RANK = [1.4, 1.3, 1.0] as const;
 
-/** Decides whether a request is admitted, by the estimate of its best endpoint. */
-export function decide(r: RequestTimes, best: choice.Estimate): Decision {
+/**
+ * The same for a team that exceeds its share where others ask too, as a fraction of the ratios above. Requests of other
+ * teams that arrive later are served before its own, so it waits longer than estimated.
+ */
+const OVER_SHARE_RATIO = 0.7;
+
+/**
+ * Decides whether a request is admitted, by the estimate of its best endpoint. `givesWay` says that its team exceeds its
+ * share there and others ask too.
+ */
+export function decide(r: RequestTimes, best: choice.Estimate, givesWay = false): Decision {
   if (best.firstMs > r.leftMs) {
     const why = `the first event would come in ${Math.round(best.firstMs)} ms, after the deadline`;
     return { kind: "refuse", why, retryAfterMs: best.firstMs - best.serviceMs };
   }
   const waitMs = best.firstMs - best.serviceMs;
   const maxRatio = MAX_WAIT_RATIO_BY_RANK[r.rank] ?? MAX_WAIT_RATIO_BY_RANK[2];
-  if (waitMs <= r.targetMs * maxRatio) return { kind: "serve" };
-  const why = `it would wait ${Math.round(waitMs)} ms before it is begun`;
+  const shareRatio = givesWay ? OVER_SHARE_RATIO : 1;
+  if (waitMs <= r.targetMs * maxRatio * shareRatio) return { kind: "serve" };
+  const share = givesWay ? ", and its team exceeds its share" : "";
+  const why = `it would wait ${Math.round(waitMs)} ms before it is begun${share}`;
   return { kind: "refuse", why, retryAfterMs: waitMs };
 }
 
--- a/src/serving/backlog.ts
+++ b/src/serving/backlog.ts
@@ -5,11 +5,14 @@
  * @module
  */
 import * as prefillSpeed from "./prefill-speed.js";
+import * as fairShares from "./sharing/fair-shares.js";
 
 /** The load of one seat that is asked for or granted. */
 export interface SeatLoad {
   readonly tokens: number;
   readonly rank: number;
+  /** Team of the caller, if any. */
+  readonly team: string | undefined;
   /** Monotonic ms at which the seat was granted; undefined until then. */
   readonly grantedAt: number | undefined;
   /** Prompt tokens that the engine had to read before its first event when it was granted, its own included. */
@@ -60,11 +63,18 @@
   return n;
 }
 
-/** Estimated ms until the engine starts to read a prompt that arrives now, by rank, rounded. */
-export function waitsByRank(b: Backlog, now: number): readonly number[] {
+/**
+ * Estimated ms until the engine starts to read a prompt that arrives now, by rank, rounded. Requests of the teams `over`
+ * their share that wait for a seat are left out, as a request of another team is served before them.
+ */
+export function waitsByRank(
+  b: Backlog,
+  now: number,
+  over: ReadonlySet<string> = fairShares.NO_TEAMS,
+): readonly number[] {
   const tokens = new Array<number>(RANK_COUNT).fill(0);
   for (const l of b.loads.values()) {
-    if (l.grantedAt === undefined)
+    if (l.grantedAt === undefined && !fairShares.isOver(over, l))
       tokens[rankIndex(l.rank)] = (tokens[rankIndex(l.rank)] ?? 0) + l.tokens;
   }
   const perToken = prefillSpeed.msPerToken(b.speed);
@@ -76,10 +86,17 @@
 }
 
 /** Adds a seat that is asked for. */
-export function addSeat(b: Backlog, seat: string, tokens: number, rank: number): Backlog {
+export function addSeat(
+  b: Backlog,
+  seat: string,
+  tokens: number,
+  rank: number,
+  team?: string,
+): Backlog {
   return put(b, seat, {
     tokens,
     rank,
+    team,
     grantedAt: undefined,
     tokensUntilFirst: tokens,
     hasBegun: false,
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -7,6 +7,7 @@
 import type * as catalog from "./catalog.js";
 import * as prefillSpeed from "./prefill-speed.js";
 import type * as seatMessages from "./seat-messages.js";
+import * as announcedShares from "./sharing/announced-shares.js";
 
 /** The models and adapters of an engine, as last reported to an entry daemon. */
 export interface Holdings {
@@ -53,6 +54,8 @@
   readonly key: string | undefined;
   readonly promptTokens: number;
   readonly rank: number;
+  /** Team of the caller, if any. */
+  readonly team?: string | undefined;
   readonly domain: string;
   /** Ids of the endpoints that this request has already tried. */
   readonly tried: ReadonlySet<string>;
@@ -113,7 +116,7 @@
   const usable = views.filter((v) => isUsable(v, need));
   const summary: FleetSummary = {
     hasAdapter: usable.some((v) => adapterState(v, need.key) !== "absent"),
-    meanWaitMs: meanWaitMsOf(usable, need.rank),
+    meanWaitMs: meanWaitMsOf(usable, need),
   };
   return usable
     .map((view) => estimate(view, need, summary))
@@ -145,16 +148,19 @@
  */
 const WAIT_HALF_LIFE_MS = 500;
 
-function reportedWaitMs(state: seatMessages.State, rank: number): number {
-  return state.waitMs[backlog.rankIndex(rank)] ?? 0;
+function reportedWaitMs(
+  state: seatMessages.State,
+  { rank, team }: Pick<Need, "rank" | "team">,
+): number {
+  return announcedShares.waitsFor(state, team)[backlog.rankIndex(rank)] ?? 0;
 }
 
-function meanWaitMsOf(views: readonly View[], rank: number): number {
+function meanWaitMsOf(views: readonly View[], need: Pick<Need, "rank" | "team">): number {
   let sum = 0;
   let count = 0;
   for (const { state } of views) {
     if (!state || state.instance === "") continue;
-    sum += reportedWaitMs(state, rank);
+    sum += reportedWaitMs(state, need);
     count++;
   }
   return count === 0 ? 0 : sum / count;
@@ -186,7 +192,7 @@
   const countedTokens = need.waitsAt === view.endpoint.id ? need.promptTokens : 0;
   const ownQueueMs = (view.pendingTokens - countedTokens) * state.msPerToken;
   const reportedMs = decayedWaitMs(
-    reportedWaitMs(state, need.rank),
+    reportedWaitMs(state, need),
     view.stateAgeMs,
     summary.meanWaitMs,
   );
@@ -196,7 +202,8 @@
     firstMs > need.targetMs ? LATE_PENALTY_LOADS * state.coldMs : 0;
   // The same holds for the slot it waits for. Otherwise the request would move to another engine at each comparison.
   const countedSlotMs = need.waitsAt === view.endpoint.id ? state.eachSlotMs : 0;
-  const slotMs = Math.max(0, state.slotMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
+  const freeMs = announcedShares.slotMsFor(state, need.team);
+  const slotMs = Math.max(0, freeMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
   switch (adapterState(view, need.key)) {
     case "resident":
       return {
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -15,6 +15,7 @@
 import * as metrics from "./metrics.js";
 import * as modelTurns from "./model-turns.js";
 import * as suspicionRelay from "./suspicion-relay.js";
+import * as fairShares from "./sharing/fair-shares.js";
 
 export interface Options {
   /** `ip:port` to listen at for entry daemons. */
@@ -23,6 +24,8 @@
   readonly service: string;
   /** Milliseconds after its declaration from which a version must be the only one in use. */
   readonly versionMs: number;
+  /** Weights of the teams' shares of the engine, 0.01 to 100; 1 for a team that is not listed. */
+  readonly teamWeights?: fairShares.Weights | undefined;
 }
 
 export interface Deps extends daemonBase.Deps {
@@ -32,11 +35,12 @@
 /** Milliseconds between checks for the first configuration. */
 const CONFIG_POLL_MS = 20;
 
-/** Starts the daemon; resolves when it listens. */
+/** Starts the daemon; resolves when it listens. Throws a RangeError if a team's weight is out of range. */
 export async function start(
   opts: Options,
   deps: Deps,
 ): Promise<{ readonly stop: () => Promise<void> }> {
+  const teamWeights = fairShares.checkWeights(opts.teamWeights ?? new Map());
   const registry = metrics.create();
   const lg = deps.log("keeper");
   const notices = new noticeRelay.NoticeRelay(deps.clock, () => {
@@ -66,6 +70,8 @@
     modelTurn: () =>
       turns.take(opts.service, fed.catalog.config?.services.get(opts.service)?.engine?.loadsPerS),
     notices,
+    teamWeights,
+    onGrant: registry.recordGrant,
   });
   const limiter = new limiterOwner.LimiterOwner({ clock: deps.clock, log: deps.log("limiter") });
   const server = await seatServer.listen(opts.seatsAddress, {
@@ -82,6 +88,11 @@
     "Totals over all hosts kept here.",
     () => limiter.size,
   );
+  registry.addGauge(
+    "sumacfield_teams_over_share",
+    "Teams that exceed their share of the engine while others ask.",
+    () => manager.overTeamCount(),
+  );
   void fed.run();
   void waitForConfig(deps, fed).then(() => manager.run());
   return {
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -26,6 +26,8 @@
 import * as slotOptions from "./slot-options.js";
 import * as seatQueue from "./seat-queue.js";
 import * as loadHistory from "./load-history.js";
+import * as fairShares from "./sharing/fair-shares.js";
+import * as teamShares from "./sharing/team-shares.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -44,6 +46,10 @@
   readonly modelTurn: () => Promise<boolean>;
   /** What workers have announced about themselves, such as that they leave. */
   readonly notices: Pick<noticeRelay.NoticeRelay, "isLeaving" | "observe">;
+  /** Weights of the teams' shares; equal where left out. */
+  readonly teamWeights?: fairShares.Weights | undefined;
+  /** Called with the tokens of each granted seat, if the configuration has teams. */
+  readonly onGrant?: teamShares.Deps["onGrant"] | undefined;
 }
 
 /** Runs the engine on this host and serves the seats that entry daemons ask for. */
@@ -58,11 +64,18 @@
   private readonly orders: orderSender.OrderSender;
   private readonly probe: probe.Probe;
   private readonly waker: waker.Waker;
+  private readonly shares: teamShares.TeamShares;
   private stopped = false;
 
   constructor(private readonly deps: Deps) {
     this.waker = new waker.Waker(deps.clock);
     this.probe = new probe.Probe(deps.clock, deps.engine);
+    this.shares = new teamShares.TeamShares({
+      log: deps.log,
+      config: () => deps.catalog().config,
+      weights: deps.teamWeights ?? new Map(),
+      onGrant: deps.onGrant ?? (() => undefined),
+    });
     this.orders = new orderSender.OrderSender(deps.clock, deps.log, deps.engine);
     this.announcer = new announcer.Announcer(
       deps.clock,
@@ -172,7 +185,7 @@
   /** Whether a request should go to another engine, as it would be late here because of the wait. */
   private isDiverted(m: seatMessages.Ask, key: string, ownMs: number, now: number): boolean {
     const isHeld = m.adapter === undefined || this.state.slots.has(key);
-    const waitMs = engineView.waitMs(this.view(now), m.rank, isHeld);
+    const waitMs = engineView.waitMs(this.view(now), m.rank, isHeld, m.team);
     return diversion.isDiverted({ waitMs, ownMs, targetMs: m.targetMs });
   }
 
@@ -188,16 +201,17 @@
   ): void {
     this.announcer.announceNow(c);
     c.send({ kind: "deny", seat: m.seat, reason });
-    this.logDenied(m.request, adapter, reason, 0);
+    this.logDenied({ request: m.request, key: adapter, team: m.team }, reason, 0);
   }
 
   private logDenied(
-    request: string,
-    adapter: string,
+    { request, key: adapter, team }: Pick<seatTable.Seat, "request" | "key" | "team">,
     reason: seatMessages.DenyReason,
     waitedMs: number,
   ): void {
-    this.deps.log.info("A seat was denied.", { request, adapter, reason, waitedMs });
+    const overShare = this.standing(this.deps.clock.mono())?.over.has(team ?? fairShares.NO_TEAM);
+    const shares = overShare === undefined ? {} : { team, overShare };
+    this.deps.log.info("A seat was denied.", { request, adapter, reason, waitedMs, ...shares });
   }
 
   /** Records that the first event of a run came, `ms` after its request was sent. */
@@ -232,8 +246,19 @@
     this.seatTable.recordEnd(s, how, this.deps.clock.mono());
   }
 
+  /** Number of teams that exceed their share of the engine while others ask. */
+  overTeamCount(): number {
+    return this.shares.overCount;
+  }
+
+  private standing(now: number): fairShares.Standing | undefined {
+    return this.shares.standing(this.state.waiting, now);
+  }
+
   private options(): residency.Options {
-    return slotOptions.optionsFor(this.spec(), this.loadHistory, this.deps.versionMs);
+    const overTeams = this.standing(this.deps.clock.mono())?.over;
+    const opts = slotOptions.optionsFor(this.spec(), this.loadHistory, this.deps.versionMs);
+    return { ...opts, overTeams };
   }
 
   private spec(): catalog.EngineSpec | undefined {
@@ -243,6 +268,7 @@
   /** Grants the seats that the state allows, and denies the expired ones. */
   private settleSeats(): void {
     const now = this.deps.clock.mono();
+    this.shares.logChanges(this.standing(now), now);
     for (const a of residency.seatActions(this.state, now, this.options(), this.prefillLoad(now))) {
       switch (a.kind) {
         case "grant":
@@ -264,6 +290,7 @@
     const s = this.seatTable.grant(w.seat, now);
     this.state = residency.removeWaiter(this.state, w.seat);
     if (!s) return;
+    this.shares.recordGrant(w, now);
     this.state = residency.addPin(this.state, w.key, 1);
     s.client.send({ kind: "grant", seat: s.seatNumber, instance: this.instance, version });
     const waitedMs = now - s.askedAt;
@@ -282,7 +309,7 @@
     this.state = residency.removeWaiter(this.state, id);
     if (!s) return;
     s.client.send({ kind: "deny", seat: s.seatNumber, reason });
-    this.logDenied(s.request, s.key, reason, this.deps.clock.mono() - s.askedAt);
+    this.logDenied(s, reason, this.deps.clock.mono() - s.askedAt);
     this.announcer.stateChanged();
   }
 
@@ -470,6 +497,7 @@
 
   private view(now: number): engineView.EngineView {
     const { instance, seatTable: seats, state: held, loadHistory } = this;
-    return { instance, seats, held, loadHistory, slots: this.options().slots, now };
+    const standing = this.standing(now);
+    return { instance, seats, held, loadHistory, slots: this.options().slots, standing, now };
   }
 }
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -11,6 +11,7 @@
 import * as residency from "./residency.js";
 import type * as seatMessages from "./seat-messages.js";
 import type * as loadHistory from "./load-history.js";
+import * as fairShares from "./sharing/fair-shares.js";
 
 /** Decimals of `msPerToken` and of `failing` in state messages. */
 const TOKEN_DECIMALS = 4;
@@ -51,23 +52,50 @@
   readonly loadHistory: loadHistory.LoadHistory;
   /** Number of adapters that the engine can hold. */
   readonly slots: number;
+  /** How the teams stand; undefined where the configuration has no teams. */
+  readonly standing: fairShares.Standing | undefined;
   /** Monotonic ms of this view. */
   readonly now: number;
 }
 
-/** Estimated ms until a slot for another adapter is free, if a slot becomes free every `eachMs`. */
-export function slotMs(held: residency.State, slots: number, eachMs: number): number {
-  const { free, wanted } = residency.slotDemand(held, slots);
+/**
+ * Estimated ms until a slot for another adapter is free, if a slot becomes free every `eachMs`; for a request that comes
+ * before those of the teams `over` their share.
+ */
+export function slotMs(
+  held: residency.State,
+  slots: number,
+  eachMs: number,
+  over?: ReadonlySet<string>,
+): number {
+  const { free, wanted } = residency.slotDemand(held, slots, over);
   return free > wanted ? 0 : (wanted - free + 1) * eachMs;
 }
 
 /**
- * Estimated ms until the engine starts on a prompt of rank `rank` that arrives now; `isHeld` says whether its
- * adapter is in a slot.
+ * Estimated ms until the engine starts on a prompt of rank `rank` and of `team`, if it has one, that arrives now;
+ * `isHeld` says whether its adapter is in a slot.
  */
-export function waitMs(k: EngineView, rank: number, isHeld: boolean): number {
-  const queueMs = k.seats.waitsByRank(k.now)[backlog.rankIndex(rank)] ?? 0;
-  return isHeld ? queueMs : Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots));
+export function waitMs(k: EngineView, rank: number, isHeld: boolean, team?: string): number {
+  const over =
+    k.standing && !fairShares.isOver(k.standing.over, { team }) ? k.standing.over : undefined;
+  const queueMs = k.seats.waitsByRank(k.now, over)[backlog.rankIndex(rank)] ?? 0;
+  if (isHeld) return queueMs;
+  return Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots, over));
+}
+
+/** The part of the state message about shares among teams; empty where the configuration has no teams. */
+function sharesMessage(
+  k: EngineView,
+): Pick<seatMessages.State, "fairWaitMs" | "fairSlotMs" | "overTeams" | "contended"> {
+  if (!k.standing) return {};
+  const { over, isContended } = k.standing;
+  return {
+    fairWaitMs: k.seats.waitsByRank(k.now, over),
+    fairSlotMs: Math.round(slotMs(k.held, k.slots, k.seats.holdMs / k.slots, over)),
+    overTeams: [...over],
+    contended: isContended,
+  };
 }
 
 /**
@@ -95,5 +123,6 @@
     failing: Number(k.seats.failureShare.toFixed(FAILING_DECIMALS)),
     entries,
     silenceMs,
+    ...sharesMessage(k),
   };
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -39,6 +39,8 @@
   readonly recordRefusal: (team: string | undefined, status: number) => void;
   /** A team used some units of its cap. */
   readonly recordUsage: (team: string, units: number) => void;
+  /** A seat was granted to a team for a request of some tokens. `team` is undefined if the request has none. */
+  readonly recordGrant: (team: string | undefined, tokens: number) => void;
   /** A request could have gone to a worker that announced to take only some requests, or none for now. */
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
   /** Adds a gauge whose value `read` returns. */
@@ -94,6 +96,11 @@
     "reason",
     "outcome",
   );
+  const grants = counter(
+    "sumacfield_team_granted_tokens_total",
+    "Prompt and expected answer tokens of the seats granted to a team on this engine.",
+    "team",
+  );
   const routeLabel = boundedLabel(MAX_ROUTE_LABELS);
   const teamLabel = boundedLabel(MAX_TEAM_LABELS);
   return {
@@ -112,6 +119,9 @@
     recordUsage: (team, n) => {
       units.inc({ team: teamLabel(team) }, n);
     },
+    recordGrant: (team, n) => {
+      grants.inc({ team: team === undefined ? NO_TEAM_LABEL : teamLabel(team) }, n);
+    },
     recordNotice: (service, reason, outcome) => {
       noticed.inc({ service, reason, outcome });
     },
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -5,6 +5,7 @@
  */
 import * as popularity from "../endpoint/popularity.js";
 import * as seatQueue from "./seat-queue.js";
+import * as fairShares from "./sharing/fair-shares.js";
 
 /** An adapter in one of the engine's slots. */
 export interface Slot {
@@ -41,6 +42,8 @@
   readonly closeAfterMs: number;
   /** Milliseconds for which seats on an outdated version are still granted after the newer one is known. */
   readonly outdatedUseMs: number;
+  /** Teams that exceed their share; undefined or empty if none does. */
+  readonly overTeams?: ReadonlySet<string> | undefined;
 }
 
 /** Prompts with granted seats that an engine still has to read. */
@@ -142,7 +145,7 @@
 ): readonly Action[] {
   const out: Action[] = [];
   let { ms, unstarted } = prefill;
-  for (const w of seatQueue.servingOrder(s.waiting, now)) {
+  for (const w of seatQueue.servingOrder(s.waiting, now, opts.overTeams)) {
     const ready = isReady(s, w, now, opts);
     if (ready && ms <= GRANT_AHEAD_MS && unstarted < MAX_UNSTARTED) {
       ms += w.serviceMs;
@@ -169,7 +172,7 @@
 
 /** Returns the next order for the engine, or slot to close, at `now`; orders are sent one at a time. */
 export function nextOrder(s: State, now: number, opts: Options): Action | undefined {
-  const wanted = wantedKeys(s, now);
+  const wanted = wantedKeys(s, now, opts.overTeams);
   const stale = staleIdle(s);
   // Adapters that requests wait for go first; otherwise an unused outdated adapter is replaced before
   // its next use.
@@ -180,9 +183,18 @@
   const [first] = allowed;
   if (!first || loading.length >= opts.maxLoads) return undefined;
   if (s.slots.size < opts.slots) return load(s, first);
-  const victim = slotToEvict(s, now);
+  const rivals = first.isOver ? s.waiting : waitingWithin(s, opts.overTeams);
+  const victim = slotToEvict(s, s.waiting, now) ?? slotToEvict(s, rivals, now);
   if (victim) return { kind: "unload", slot: victim };
-  return slotToClose(s, allowed, now, opts);
+  return slotToClose(s, allowed, rivals, now, opts);
+}
+
+/** The waiters whose teams do not exceed their share. */
+function waitingWithin(
+  s: State,
+  over: ReadonlySet<string> = fairShares.NO_TEAMS,
+): readonly seatQueue.Waiter[] {
+  return over.size === 0 ? s.waiting : s.waiting.filter((w) => !fairShares.isOver(over, w));
 }
 
 function isWaitedFor(s: State, key: string): boolean {
@@ -209,25 +221,36 @@
   readonly adapter: string;
   /** Monotonic ms at which its first waiter asked for a seat. */
   readonly askedAt: number;
+  /** Whether its first waiter's team exceeds its share. */
+  readonly isOver: boolean;
 }
 
 /** Adapters that requests wait for and that are in no slot, in the serving order of their first waiter. */
-function wantedKeys(s: State, now: number): readonly Wanted[] {
+function wantedKeys(
+  s: State,
+  now: number,
+  over: ReadonlySet<string> = fairShares.NO_TEAMS,
+): readonly Wanted[] {
   const out = new Map<string, Wanted>();
-  for (const w of seatQueue.servingOrder(s.waiting, now)) {
+  for (const w of seatQueue.servingOrder(s.waiting, now, over)) {
     if (w.adapter === undefined || s.slots.has(w.key) || out.has(w.key)) continue;
     if (!s.models.includes(w.model)) continue;
-    out.set(w.key, { key: w.key, model: w.model, adapter: w.adapter, askedAt: w.askedAt });
+    const { key, model, adapter, askedAt } = w;
+    out.set(key, { key, model, adapter, askedAt, isOver: fairShares.isOver(over, w) });
   }
   return [...out.values()];
 }
 
-/** Counts the slots that are free or could be emptied at once, and the adapters that wait for one. */
+/**
+ * Counts the slots that are free or could be emptied at once, and the adapters that wait for one; for a request that
+ * comes before those of the teams `over` their share.
+ */
 export function slotDemand(
   s: State,
   slots: number,
+  over?: ReadonlySet<string>,
 ): { readonly free: number; readonly wanted: number } {
-  const waited = new Set(s.waiting.map((w) => w.key));
+  const waited = new Set(waitingWithin(s, over).map((w) => w.key));
   const wanted = [...waited].filter((key) => !s.slots.has(key)).length;
   const idle = [...s.slots.values()].filter((p) => isIdle(p, waited)).length;
   return { free: slots - s.slots.size + idle, wanted };
@@ -239,9 +262,9 @@
   return p.phase === "closing" || (p.phase === "resident" && !waited.has(p.key));
 }
 
-/** The slot to evict first among those that no seat uses and no request waits for. */
-function slotToEvict(s: State, now: number): Slot | undefined {
-  const waited = new Set(s.waiting.map((w) => w.key));
+/** The slot to evict first among those that no seat uses and no request of `rivals` waits for. */
+function slotToEvict(s: State, rivals: readonly seatQueue.Waiter[], now: number): Slot | undefined {
+  const waited = new Set(rivals.map((w) => w.key));
   const free = [...s.slots.values()].filter((p) => isIdle(p, waited));
   const closed = free.find((p) => p.phase === "closing");
   return closed ?? leastPopular(s, free, now);
@@ -257,10 +280,11 @@
   return key === undefined ? undefined : s.slots.get(key);
 }
 
-/** Chooses an adapter in use to close if requests have waited too long for a slot. */
+/** Chooses an adapter in use that no request of `rivals` waits for, to close it if requests have waited too long for a slot. */
 function slotToClose(
   s: State,
   wanted: readonly Wanted[],
+  rivals: readonly seatQueue.Waiter[],
   now: number,
   opts: Options,
 ): Action | undefined {
@@ -268,7 +292,7 @@
   const slots = [...s.slots.values()];
   const emptying = slots.filter((p) => p.phase === "closing" || p.phase === "unsure").length;
   if (emptying >= overdue) return undefined;
-  const waited = new Set(s.waiting.map((w) => w.key));
+  const waited = new Set(rivals.map((w) => w.key));
   const open = slots.filter((p) => p.phase === "resident" && p.pins > 0 && !waited.has(p.key));
   const slot = leastPopular(s, open, now);
   return slot && { kind: "close", slot };
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -11,6 +11,7 @@
 import type * as link from "./link.js";
 import type * as progress from "./progress.js";
 import * as search from "./search.js";
+import * as announcedShares from "./sharing/announced-shares.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** What a seat finder needs of the entry daemon. */
@@ -69,7 +70,8 @@
   /** Decides whether a request is admitted, by the estimate of its best endpoint. */
   admit(a: callerRequest.CallerRequest, best: choice.Estimate): admission.Decision {
     if (!a.service.engine) return { kind: "serve" };
-    return admission.decide(timesOf(a, this.deps.clock.mono()), best);
+    const givesWay = announcedShares.givesWay(best.view.state, a.caller?.team.name);
+    return admission.decide(timesOf(a, this.deps.clock.mono()), best, givesWay);
   }
 
   /** Picks the best endpoint. Where none is usable, waits for a limited time until one is. */
@@ -130,6 +132,7 @@
       key: target.adapter && catalog.adapterKey(target.model, target.adapter),
       promptTokens: a.meta.promptTokens,
       rank: a.route.rank,
+      team: a.caller?.team.name,
       domain,
       tried: p.triedEndpoints,
       targetMs: a.arrivedAt + a.route.targetMs - this.deps.clock.mono(),
--- a/src/serving/seat-queue.ts
+++ b/src/serving/seat-queue.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type * as seatMessages from "./seat-messages.js";
+import * as fairShares from "./sharing/fair-shares.js";
 
 /** A request for a seat that is neither granted nor denied yet. */
 export interface Waiter {
@@ -23,6 +24,10 @@
   readonly targetAt: number;
   /** Monotonic ms after which the seat is of no use, and is denied. */
   readonly expiresAt: number;
+  /** Team of the caller, if any. */
+  readonly team?: string | undefined;
+  /** Prompt tokens and expected answer tokens. */
+  readonly tokens?: number | undefined;
 }
 
 /**
@@ -39,9 +44,10 @@
   serviceMs: number,
   now: number,
 ): Waiter {
-  const { model, adapter, rank } = m;
+  const { model, adapter, rank, team } = m;
+  const tokens = m.promptTokens + m.answerTokens;
   const times = { askedAt: now, targetAt: now + m.targetMs, expiresAt: now + m.leftMs };
-  return { seat: seatId, key, model, adapter, rank, serviceMs, ...times };
+  return { seat: seatId, key, model, adapter, rank, serviceMs, ...times, team, tokens };
 }
 
 /** Latest monotonic ms at which the engine must start on a request for its first event to be on time. */
@@ -52,12 +58,19 @@
 /**
  * Sorts waiters into the order in which they are served: first those that can still be on time, by their
  * latest start and rank; then the others, by the time at which their seat is of no use any more. Under
- * overload, a late answer loses little by coming later still, so it yields to those that it would make late.
+ * overload, a late answer loses little by coming later still, so it yields to those that it would make late. Among
+ * both, requests of the teams `over` their share come after the others, whatever their rank: otherwise a team could
+ * take the shares of others by sending urgent requests only.
  */
-export function servingOrder(waiting: readonly Waiter[], now: number): readonly Waiter[] {
+export function servingOrder(
+  waiting: readonly Waiter[],
+  now: number,
+  over: ReadonlySet<string> = fairShares.NO_TEAMS,
+): readonly Waiter[] {
   const late = (w: Waiter): number => (isLate(w, now) ? 1 : 0);
   const key = (w: Waiter): number => (late(w) ? w.expiresAt : startBy(w) + w.rank * RANK_MS);
-  return [...waiting].sort((a, b) => late(a) - late(b) || key(a) - key(b));
+  const behind = (w: Waiter): number => (fairShares.isOver(over, w) ? 1 : 0);
+  return [...waiting].sort((a, b) => late(a) - late(b) || behind(a) - behind(b) || key(a) - key(b));
 }
 
 /** Whether a waiter's first event would be late even if the engine started on it at `now`. */
--- a/src/serving/seat-table.ts
+++ b/src/serving/seat-table.ts
@@ -28,6 +28,8 @@
   /** Monotonic ms at which it was asked for, and at which it was granted; undefined until then. */
   readonly askedAt: number;
   readonly grantedAt: number | undefined;
+  /** Team of the caller, if any. */
+  readonly team: string | undefined;
 }
 
 /** Creates a seat that a client asks for at `now`; `key` is its adapter's. */
@@ -37,8 +39,8 @@
   m: seatMessages.Ask,
   now: number,
 ): Seat {
-  const { seat: seatNumber, request } = m;
-  return { client, seatNumber, request, key, askedAt: now, grantedAt: undefined };
+  const { seat: seatNumber, request, team } = m;
+  return { client, seatNumber, request, key, askedAt: now, grantedAt: undefined, team };
 }
 
 export class SeatTable {
@@ -77,14 +79,17 @@
     return backlog.unstarted(this.load, now);
   }
 
-  /** Estimated ms until the engine starts to read a prompt that arrives at `now`, by rank. */
-  waitsByRank(now: number): readonly number[] {
-    return backlog.waitsByRank(this.load, now);
+  /**
+   * Estimated ms until the engine starts to read a prompt that arrives at `now`, by rank, if it is served before the
+   * waiting requests of the teams `over` their share.
+   */
+  waitsByRank(now: number, over?: ReadonlySet<string>): readonly number[] {
+    return backlog.waitsByRank(this.load, now, over);
   }
 
   add(id: string, s: Seat, promptTokens: number, rank: number): void {
     this.seats.set(id, s);
-    this.load = backlog.addSeat(this.load, id, promptTokens, rank);
+    this.load = backlog.addSeat(this.load, id, promptTokens, rank, s.team);
   }
 
   /** Marks a seat as granted at `now`; returns undefined if it is not asked for any more. */
