Shares among teams: defer only where another team's request would be late

Their requests are now deferred only where a request of another team would wait more than half of its slack behind them; slots are still filled for the others first.

--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -232,7 +232,7 @@
   over: ReadonlySet<string> = fairShares.NO_TEAMS,
 ): readonly Wanted[] {
   const out = new Map<string, Wanted>();
-  for (const w of seatQueue.servingOrder(s.waiting, now, over)) {
+  for (const w of seatQueue.slotOrder(s.waiting, now, over)) {
     if (w.adapter === undefined || s.slots.has(w.key) || out.has(w.key)) continue;
     if (!s.models.includes(w.model)) continue;
     const { key, model, adapter, askedAt } = w;
--- a/src/serving/seat-queue.ts
+++ b/src/serving/seat-queue.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type * as seatMessages from "./seat-messages.js";
+import * as deferral from "./sharing/deferral.js";
 import * as fairShares from "./sharing/fair-shares.js";
 
 /** A request for a seat that is neither granted nor denied yet. */
@@ -58,19 +59,39 @@
 /**
  * Sorts waiters into the order in which they are served: first those that can still be on time, by their
  * latest start and rank; then the others, by the time at which their seat is of no use any more. Under
- * overload, a late answer loses little by coming later still, so it yields to those that it would make late. Among
- * both, requests of the teams `over` their share come after the others, whatever their rank: otherwise a team could
- * take the shares of others by sending urgent requests only.
+ * overload, a late answer loses little by coming later still, so it yields to those that it would make late.
+ * Requests of the teams `over` their share give way to those of other teams that would be late behind them,
+ * whatever their rank: otherwise a team could take the shares of others by sending urgent requests only.
  */
 export function servingOrder(
   waiting: readonly Waiter[],
   now: number,
   over: ReadonlySet<string> = fairShares.NO_TEAMS,
+): readonly Waiter[] {
+  const inTime = waiting.filter((w) => !isLate(w, now));
+  inTime.sort((a, b) => startBy(a) + a.rank * RANK_MS - (startBy(b) + b.rank * RANK_MS));
+  const late = waiting.filter((w) => isLate(w, now));
+  late.sort((a, b) => behind(over, a) - behind(over, b) || a.expiresAt - b.expiresAt);
+  return [...deferral.deferOver(inTime, over, (w) => startBy(w) - now), ...late];
+}
+
+/**
+ * Sorts waiters into the order in which slots are filled for them: like {@link servingOrder}, but all requests of the
+ * teams `over` their share come after the others that are as much in time. An adapter takes its slot for seconds, so
+ * a deferral by the time that prompts take would come too late.
+ */
+export function slotOrder(
+  waiting: readonly Waiter[],
+  now: number,
+  over: ReadonlySet<string> = fairShares.NO_TEAMS,
 ): readonly Waiter[] {
   const late = (w: Waiter): number => (isLate(w, now) ? 1 : 0);
-  const key = (w: Waiter): number => (late(w) ? w.expiresAt : startBy(w) + w.rank * RANK_MS);
-  const behind = (w: Waiter): number => (fairShares.isOver(over, w) ? 1 : 0);
-  return [...waiting].sort((a, b) => late(a) - late(b) || behind(a) - behind(b) || key(a) - key(b));
+  const order = [...servingOrder(waiting, now, over)];
+  return order.sort((a, b) => late(a) - late(b) || behind(over, a) - behind(over, b));
+}
+
+function behind(over: ReadonlySet<string>, w: Waiter): number {
+  return fairShares.isOver(over, w) ? 1 : 0;
 }
 
 /** Whether a waiter's first event would be late even if the engine started on it at `now`. */
--- a/src/serving/sharing/fair-shares.ts
+++ b/src/serving/sharing/fair-shares.ts
@@ -1,7 +1,7 @@
 /**
  * Decides which teams exceed their share of one engine, by max-min fairness over the tokens that were granted to each
  * team lately: a team that wants less than an equal share gets all it wants, and what it leaves is shared by the
- * others. Teams that exceed their share are served after the others, and only while requests queue up. Pure.
+ * others. Teams that exceed their share give way to the others while requests queue up. Pure.
  * @module
  */
 import * as popularity from "../../endpoint/popularity.js";
