--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -8,6 +8,7 @@
 import * as path from "node:path";
 import * as limiterSwitches from "./limiter-switches.js";
 import * as servingSwitches from "./serving-switches.js";
+import * as sharingSwitches from "./sharing-switches.js";
 import * as soakSwitches from "./soak-switches.js";
 import * as storeSwitches from "./store-switches.js";
 import * as switches from "./switches.js";
@@ -87,6 +88,7 @@
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
+  ...sharingSwitches.SHARING_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
 ];
--- a/src/serving/seat-queue.ts
+++ b/src/serving/seat-queue.ts
@@ -72,7 +72,7 @@
   inTime.sort((a, b) => startBy(a) + a.rank * RANK_MS - (startBy(b) + b.rank * RANK_MS));
   const late = waiting.filter((w) => isLate(w, now));
   late.sort((a, b) => behind(over, a) - behind(over, b) || a.expiresAt - b.expiresAt);
-  return [...deferral.deferOver(inTime, over, (w) => startBy(w) - now), ...late];
+  return [...deferral.deferOver(inTime, over, now), ...late];
 }
 
 /**
--- a/test/red.test.ts
+++ b/test/red.test.ts
@@ -2,6 +2,7 @@
 import * as chai from "chai";
 import * as limiterSwitches from "../bench/red/limiter-switches.js";
 import * as servingSwitches from "../bench/red/serving-switches.js";
+import * as sharingSwitches from "../bench/red/sharing-switches.js";
 import * as soakSwitches from "../bench/red/soak-switches.js";
 import * as storeSwitches from "../bench/red/store-switches.js";
 import * as switches from "../bench/red/switches.js";
@@ -12,6 +13,7 @@
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
+  ...sharingSwitches.SHARING_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
 ];
