--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -84,17 +84,17 @@
   return Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots, over));
 }
 
-/** The part of the state message about shares among teams; empty where the configuration has no teams. */
+/** The part of the state message about shares among teams; empty where no team exceeds its share. */
 function sharesMessage(
   k: EngineView,
 ): Pick<seatMessages.State, "fairWaitMs" | "fairSlotMs" | "overTeams" | "contended"> {
-  if (!k.standing) return {};
+  if (!k.standing || k.standing.over.size === 0) return {};
   const { over, isContended } = k.standing;
   return {
     fairWaitMs: k.seats.waitsByRank(k.now, over),
     fairSlotMs: Math.round(slotMs(k.held, k.slots, k.seats.holdMs / k.slots, over)),
     overTeams: [...over],
-    contended: isContended,
+    ...(isContended && { contended: true }),
   };
 }
 
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -110,15 +110,15 @@
      * engines without steady streams.
      */
     crowding: zod.number().nonnegative().optional(),
-    /** Like `waitMs` and `slotMs`, for a team within its share; left out where the configuration has no teams. */
+    /** Like `waitMs` and `slotMs`, for a team within its share; left out where no team is beyond it. */
     fairWaitMs: zod.array(zod.number()).readonly().optional(),
     fairSlotMs: zod.number().optional(),
     /**
-     * Teams beyond their share of the engine while requests queue up, the furthest beyond first; empty for requests
-     * without a team. `fairWaitMs` leaves out their requests.
+     * Teams beyond their share of the engine while requests queue up, the furthest beyond first; the empty name stands for
+     * requests without a team. `fairWaitMs` leaves out their requests.
      */
     overTeams: zod.array(zod.string()).max(MAX_OVER_TEAMS).readonly().optional(),
-    /** Whether teams within their share ask for seats too; left out where the configuration has no teams. */
+    /** True if teams within their share ask for seats too. */
     contended: zod.boolean().optional(),
   })
   .readonly();
--- a/test/serving/managed-engines.ts
+++ b/test/serving/managed-engines.ts
@@ -48,13 +48,13 @@
 }
 
 /** Starts an engine manager on a fake engine, with its server and one entry daemon's link to it. */
-export async function start(instance = "i1", slots = 2) {
+export async function start(instance = "i1", slots = 2, teams?: catalog.Teams) {
   const engine = new fakes.FakeEngine();
   engine.instance = instance;
   let turns = 0;
   let at: catalog.Catalog = {
     ...catalog.EMPTY,
-    config: configOf(slots),
+    config: { ...configOf(slots), teams },
   };
   const notices = new noticeRelay.NoticeRelay(clock.system, () => {
     manager.noticesChanged();
--- a/test/serving/sharing/fair-shares.test.ts
+++ b/test/serving/sharing/fair-shares.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
+import * as clock from "../../../src/host/clock.js";
 import * as structuredLog from "../../../src/host/structured-log.js";
 import * as choice from "../../../src/serving/choice.js";
 import * as admission from "../../../src/serving/admission.js";
@@ -12,11 +13,13 @@
 import * as fairShares from "../../../src/serving/sharing/fair-shares.js";
 import * as teamShares from "../../../src/serving/sharing/team-shares.js";
 import * as fixtures from "../fixtures.js";
+import * as managedEngines from "../managed-engines.js";
 
 const { expect } = chai;
 
 const EQUAL: fairShares.Weights = new Map();
 const OVER = new Set(["hot"]);
+const TEAMS = { all: [], byDigest: new Map(), malformedCount: 0 };
 
 function waiter(n: number, over: Partial<seatQueue.Waiter> = {}): seatQueue.Waiter {
   const times = { askedAt: 0, serviceMs: 100, targetAt: 800, expiresAt: 1200 };
@@ -175,9 +178,11 @@
     expect(announcedShares.givesWay({ ...state, contended: false }, "hot")).equal(false);
   });
 
-  it("are left out where the configuration has no teams", () => {
-    const state = engineView.stateMessage({ ...view, standing: undefined }, 1, 1000);
-    expect(state).not.have.any.keys("fairWaitMs", "fairSlotMs", "overTeams", "contended");
+  it("are left out where the configuration has no teams, and where none exceeds its share", () => {
+    for (const calm of [undefined, fairShares.CALM]) {
+      const state = engineView.stateMessage({ ...view, standing: calm }, 1, 1000);
+      expect(state).not.have.any.keys("fairWaitMs", "fairSlotMs", "overTeams", "contended");
+    }
   });
 });
 
@@ -185,10 +190,7 @@
   it("has one line when a team goes beyond its share and one when it is back", () => {
     const lines: string[] = [];
     const log = { ...structuredLog.silent, info: (msg: string) => lines.push(msg) };
-    const config = {
-      ...fixtures.CONFIG,
-      teams: { all: [], byDigest: new Map(), malformedCount: 0 },
-    };
+    const config = { ...fixtures.CONFIG, teams: TEAMS };
     const shares = new teamShares.TeamShares({
       log,
       config: () => config,
@@ -207,3 +209,30 @@
     ]);
   });
 });
+
+describe("an endpoint daemon of an engine with one slot", () => {
+  afterEach(managedEngines.endAll);
+
+  it("grants a team within its share a seat although another team's queue never ends", async () => {
+    const s = await managedEngines.start("i1", 1, TEAMS);
+    const ask = (team: string) =>
+      s.link.ask({ ...managedEngines.seatRequest(team), promptTokens: 4000, team });
+    let isOver = false;
+    const keepAsking = async (): Promise<void> => {
+      while (!isOver) {
+        const seat = ask("hot");
+        await seat.answer;
+        seat.began(50);
+        await clock.sleep(clock.system, 20);
+        seat.release("whole");
+      }
+    };
+    const queue = Promise.all(Array.from({ length: 8 }, keepAsking));
+    await managedEngines.eventually(() => s.link.state?.overTeams?.includes("hot") ?? false);
+    const small = ask("small");
+    expect((await small.answer).kind).equal("grant");
+    isOver = true;
+    small.release("whole");
+    await queue;
+  });
+});
