--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -9,6 +9,7 @@
 import * as limiterSwitches from "./limiter-switches.js";
 import * as pacingSwitches from "./pacing-switches.js";
 import * as servingSwitches from "./serving-switches.js";
+import * as sharingSwitches from "./sharing-switches.js";
 import * as soakSwitches from "./soak-switches.js";
 import * as spreadSwitches from "./spread-switches.js";
 import * as storeSwitches from "./store-switches.js";
@@ -90,6 +91,7 @@
   ...servingSwitches.SERVING_SWITCHES,
   ...pacingSwitches.PACING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
+  ...sharingSwitches.SHARING_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
   ...spreadSwitches.SPREAD_SWITCHES,
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -10,6 +10,7 @@
 import * as crowding from "./spread/crowding.js";
 import * as pauses from "./spread/pauses.js";
 import * as idleSpeed from "./spread/idle-speed.js";
+import * as announcedShares from "./sharing/announced-shares.js";
 
 /** The models and adapters of an engine, as last reported to an entry daemon. */
 export interface Holdings {
@@ -58,6 +59,8 @@
   readonly key: string | undefined;
   readonly promptTokens: number;
   readonly rank: number;
+  /** Team of the caller, if any. */
+  readonly team?: string | undefined;
   readonly domain: string;
   /** Ids of the endpoints that this request has already tried. */
   readonly tried: ReadonlySet<string>;
@@ -120,7 +123,7 @@
   const usable = views.filter((v) => isUsable(v, need));
   const summary: FleetSummary = {
     hasAdapter: usable.some((v) => adapterState(v, need.key) !== "absent"),
-    meanWaitMs: meanWaitMsOf(usable, need.rank),
+    meanWaitMs: meanWaitMsOf(usable, need),
     meanCrowding: crowding.meanOf(usable),
     usualSpeed: idleSpeed.medianOf(usable),
   };
@@ -159,16 +162,19 @@
  */
 const WAIT_HALF_LIFE_MS = 500;
 
-function reportedWaitMs(state: seatMessages.State, rank: number): number {
-  return state.waitMs[backlog.rankIndex(rank)] ?? 0;
+function reportedWaitMs(
+  state: seatMessages.State,
+  { rank, team }: Pick<Need, "rank" | "team">,
+): number {
+  return announcedShares.waitsFor(state, team)[backlog.rankIndex(rank)] ?? 0;
 }
 
-function meanWaitMsOf(views: readonly View[], rank: number): number {
+function meanWaitMsOf(views: readonly View[], need: Pick<Need, "rank" | "team">): number {
   let sum = 0;
   let count = 0;
   for (const { state } of views) {
     if (!state || state.instance === "") continue;
-    sum += reportedWaitMs(state, rank);
+    sum += reportedWaitMs(state, need);
     count++;
   }
   return count === 0 ? 0 : sum / count;
@@ -218,7 +224,7 @@
     return { view, firstMs: Infinity, serviceMs, penaltyMs };
   }
   const ownQueueMs = pendingTokensOf(view, need) * state.msPerToken;
-  const reportedMs = decayed(reportedWaitMs(state, need.rank), view.stateAgeMs, summary.meanWaitMs);
+  const reportedMs = decayed(reportedWaitMs(state, need), view.stateAgeMs, summary.meanWaitMs);
   const limitedMs = need.waitsAt === view.endpoint.id ? 0 : view.limitWaitMs;
   const queueMs = Math.max(0, reportedMs + ownQueueMs, limitedMs);
   const latePenaltyMs = (firstMs: number): number =>
@@ -226,7 +232,8 @@
   // Where the request already waits, the state includes its slot too. Otherwise it would move to another engine at each
   // comparison.
   const countedSlotMs = need.waitsAt === view.endpoint.id ? state.eachSlotMs : 0;
-  const slotMs = Math.max(0, state.slotMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
+  const freeMs = announcedShares.slotMsFor(state, need.team);
+  const slotMs = Math.max(0, freeMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
   switch (adapterState(view, need.key)) {
     case "resident":
       return {
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -11,6 +11,7 @@
 import * as residency from "./residency.js";
 import type * as seatMessages from "./seat-messages.js";
 import type * as loadHistory from "./load-history.js";
+import * as fairShares from "./sharing/fair-shares.js";
 
 /** Decimals of `msPerToken`, of `failing`, and of `crowding` and `lateStreams` in state messages. */
 const TOKEN_DECIMALS = 4;
@@ -48,6 +49,8 @@
 export interface SteadyView {
   /** Estimated ms until a request that arrives now is granted a seat, by rank. */
   readonly waitsByRank: readonly number[];
+  /** The same for a team that does not exceed its share. */
+  readonly fairWaitsByRank: readonly number[];
   /** How full the engine is; 1 is full. */
   readonly crowding: number;
   /** Share of the latest streams that were late by a pause, 0 to 1. */
@@ -64,29 +67,60 @@
   readonly slots: number;
   /** Estimates of an engine with steady streams; undefined for others. */
   readonly steady?: SteadyView | undefined;
+  /** How the teams stand; undefined where the configuration has no teams. */
+  readonly standing: fairShares.Standing | undefined;
   /** Monotonic ms of this view. */
   readonly now: number;
 }
 
-/** Estimated ms until a slot for another adapter is free, if a slot becomes free every `eachMs`. */
-export function slotMs(held: residency.State, slots: number, eachMs: number): number {
-  const { free, wanted } = residency.slotDemand(held, slots);
+/**
+ * Estimated ms until a slot for another adapter is free, if a slot becomes free every `eachMs`; for a request that comes
+ * before those of the teams `over` their share.
+ */
+export function slotMs(
+  held: residency.State,
+  slots: number,
+  eachMs: number,
+  over?: ReadonlySet<string>,
+): number {
+  const { free, wanted } = residency.slotDemand(held, slots, over);
   return free > wanted ? 0 : (wanted - free + 1) * eachMs;
 }
 
-/** Estimated ms until the engine starts to read a prompt that arrives now, by rank. */
-function waitsByRank(k: EngineView): readonly number[] {
-  const queueMs = k.seats.waitsByRank(k.now);
-  return queueMs.map((ms, rank) => Math.max(ms, k.steady?.waitsByRank[rank] ?? 0));
+/**
+ * Estimated ms until the engine starts to read a prompt that arrives now, by rank; with `over`, of a team that is served
+ * before the teams in it.
+ */
+function waitsByRank(k: EngineView, over?: ReadonlySet<string>): readonly number[] {
+  const queueMs = k.seats.waitsByRank(k.now, over);
+  const steadyMs = over ? k.steady?.fairWaitsByRank : k.steady?.waitsByRank;
+  return queueMs.map((ms, rank) => Math.max(ms, steadyMs?.[rank] ?? 0));
 }
 
 /**
- * Estimated ms until the engine starts on a prompt of rank `rank` that arrives now; `isHeld` says whether its
- * adapter is in a slot.
+ * Estimated ms until the engine starts on a prompt of rank `rank` and of `team`, if it has one, that arrives now;
+ * `isHeld` says whether its adapter is in a slot.
  */
-export function waitMs(k: EngineView, rank: number, isHeld: boolean): number {
-  const queueMs = waitsByRank(k)[backlog.rankIndex(rank)] ?? 0;
-  return isHeld ? queueMs : Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots));
+export function waitMs(k: EngineView, rank: number, isHeld: boolean, team?: string): number {
+  const over =
+    k.standing && !fairShares.isOver(k.standing.over, { team }) ? k.standing.over : undefined;
+  const queueMs = waitsByRank(k, over)[backlog.rankIndex(rank)] ?? 0;
+  if (isHeld) return queueMs;
+  return Math.max(queueMs, slotMs(k.held, k.slots, k.seats.holdMs / k.slots, over));
+}
+
+/** The part of the state message about shares among teams; empty where no team exceeds its share. */
+function sharesMessage(
+  k: EngineView,
+): Pick<seatMessages.State, "fairWaitMs" | "fairSlotMs" | "overTeams" | "contended"> {
+  if (!k.standing || k.standing.over.size === 0) return {};
+  const { over, isContended } = k.standing;
+  return {
+    fairWaitMs: waitsByRank(k, over),
+    fairSlotMs: Math.round(slotMs(k.held, k.slots, k.seats.holdMs / k.slots, over)),
+    overTeams: [...over],
+    ...(isContended && { contended: true }),
+  };
 }
 
 /**
@@ -118,5 +152,6 @@
       crowding: Number(k.steady.crowding.toFixed(CROWDING_DECIMALS)),
       lateStreams: Number(k.steady.lateStreams.toFixed(CROWDING_DECIMALS)),
     }),
+    ...sharesMessage(k),
   };
 }
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -8,12 +8,15 @@
 import type * as residency from "../residency.js";
 import type * as seatMessages from "../seat-messages.js";
 import type * as seatQueue from "../seat-queue.js";
+import * as fairShares from "../sharing/fair-shares.js";
 import * as lateStreams from "./late-streams.js";
 import * as pace from "./pace.js";
 import * as room from "./room.js";
 
 /** A seat that is asked for or granted. */
 interface Entry {
+  /** Team of the caller, if any. */
+  readonly team: string | undefined;
   readonly need: room.Need;
   readonly rank: number;
   /** Longest pause on time of its stream, in ms; Infinity if its route sets none. */
@@ -51,7 +54,14 @@
   add(id: string, m: seatMessages.Ask, rank: number): void {
     const need = { promptTokens: m.promptTokens, answerTokens: m.answerTokens };
     const gapMs = m.gapMs ?? Infinity;
-    this.entries.set(id, { need, rank, gapMs, grantedAt: undefined, totalAtFirst: undefined });
+    this.entries.set(id, {
+      team: m.team,
+      need,
+      rank,
+      gapMs,
+      grantedAt: undefined,
+      totalAtFirst: undefined,
+    });
   }
 
   grant(id: string, now: number): void {
@@ -123,14 +133,17 @@
     };
   }
 
-  /** Estimated ms until a request that arrives now is granted a seat, by rank, rounded. */
-  waitsByRank(at: EngineAt): readonly number[] {
+  /**
+   * Estimated ms until a request that arrives now is granted a seat, by rank, rounded; with `over`, one that is served before
+   * the waiting requests of the teams in it.
+   */
+  waitsByRank(at: EngineAt, over: ReadonlySet<string> = fairShares.NO_TEAMS): readonly number[] {
     const usage = room.usageOf(this.granted(), at.now);
     const allowance = this.allowance(at);
     const typical = this.typicalNeed();
     let ahead: room.Usage = { requests: 0, tokens: 0 };
     let aheadTokens = 0;
-    return this.waitingByRank().map((needs) => {
+    return this.waitingByRank(over).map((needs) => {
       for (const n of needs) {
         ahead = room.plus(ahead, n);
         aheadTokens += n.promptTokens;
@@ -180,10 +193,11 @@
   }
 
   /** The requests that wait for a seat, by rank. */
-  private waitingByRank(): readonly (readonly room.Need[])[] {
+  private waitingByRank(over: ReadonlySet<string>): readonly (readonly room.Need[])[] {
     const out = Array.from({ length: backlog.RANK_COUNT }, (): room.Need[] => []);
     for (const e of this.entries.values()) {
-      if (e.grantedAt === undefined) out[backlog.rankIndex(e.rank)]?.push(e.need);
+      if (e.grantedAt === undefined && !fairShares.isOver(over, e))
+        out[backlog.rankIndex(e.rank)]?.push(e.need);
     }
     return out;
   }
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -112,10 +112,16 @@
     crowding: zod.number().nonnegative().optional(),
     /** Share of the latest streams that were late by a pause, 0 to 1; left out by engines without steady streams. */
     lateStreams: zod.number().min(0).max(1).optional(),
-    /** Like `waitMs`, for a team within its share; left out where the configuration has no teams. */
+    /** Like `waitMs` and `slotMs`, for a team within its share; left out where no team is beyond it. */
     fairWaitMs: zod.array(zod.number()).readonly().optional(),
-    /** Teams beyond their share of the engine while others wait, the furthest beyond first. */
+    fairSlotMs: zod.number().optional(),
+    /**
+     * Teams beyond their share of the engine while requests queue up, the furthest beyond first; the empty name stands for
+     * requests without a team. `fairWaitMs` leaves out their requests.
+     */
     overTeams: zod.array(zod.string()).max(MAX_OVER_TEAMS).readonly().optional(),
+    /** True if teams within their share ask for seats too. */
+    contended: zod.boolean().optional(),
   })
   .readonly();
 export type State = zod.infer<typeof state>;
--- a/test/serving/managed-engines.ts
+++ b/test/serving/managed-engines.ts
@@ -48,7 +48,7 @@
 }
 
 /** Starts an engine manager on a fake engine, with its server and one entry daemon's link to it. */
-export async function start(instance = "i1", slots = 2, config = configOf(slots)) {
+export async function start(instance = "i1", slots = 2, config: catalog.Config = configOf(slots)) {
   const engine = new fakes.FakeEngine();
   engine.instance = instance;
   let turns = 0;
