Bound what an entry daemon buffers for its callers

Cause: a caller that reads slowly paused its worker's connection for as long as the request lasted, and nothing bounded what request bodies, whole answers and write buffers hold together. Change: each request has a hold; a budget over all of them decides who pauses, who is ended and which bodies are refused.

--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import type * as hold from "./buffering/hold.js";
 import * as headers from "./headers.js";
 import type * as progress from "./progress.js";
 import type * as protocol from "./protocol.js";
@@ -27,11 +28,12 @@
   return true;
 }
 
-/** Wraps a caller's request and response for the dispatcher. */
+/** Wraps a caller's request and response for the dispatcher; `held` buffers what the caller does not take at once. */
 export function open(
   req: http.IncomingMessage,
   res: http.ServerResponse,
   wire: protocol.Protocol,
+  held: hold.Hold,
 ): progress.CallerResponse {
   const disconnect = new AbortController();
   res.once("close", () => {
@@ -42,20 +44,14 @@
     writeHead: (status, received) => {
       res.writeHead(status, headers.forAnswer(received) as http.OutgoingHttpHeaders);
     },
-    write: (bytes) => {
-      if (res.destroyed || res.write(bytes)) return undefined;
-      return new Promise((resolve) => {
-        const resume = (): void => {
-          res.off("drain", resume);
-          res.off("close", resume);
-          resolve();
-        };
-        res.on("drain", resume);
-        res.on("close", resume);
-      });
+    write: (bytes) => held.write(bytes),
+    readAnswer: (bytes) => held.readAnswer(bytes),
+    dropAnswer: () => {
+      held.dropAnswer();
     },
+    wasReset: () => held.wasReset,
     end: () => {
-      res.end();
+      held.end();
     },
     abort: () => {
       res.destroy();
@@ -66,7 +62,7 @@
         ...(headers.forAnswer(received) as http.OutgoingHttpHeaders),
         ...length,
       });
-      res.end(body);
+      held.sendWhole(body);
     },
     refuse: (status, message, comeBackMs) => {
       if (res.headersSent || res.destroyed) {
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -6,9 +6,10 @@
 import type * as http from "node:http";
 import * as clock from "../host/clock.js";
 import type * as structuredLog from "../host/structured-log.js";
-import * as bodies from "../link/body.js";
-import * as outcome from "../request/outcome.js";
 import type * as authentication from "./authentication.js";
+import * as bodyReader from "./buffering/body-reader.js";
+import * as hold from "./buffering/hold.js";
+import type * as memory from "./buffering/memory.js";
 import type * as caps from "./caps.js";
 import type * as catalog from "./catalog.js";
 import type * as dispatch from "./dispatch.js";
@@ -29,6 +30,7 @@
   readonly dispatcher: dispatch.Dispatcher;
   readonly caps: caps.Caps;
   readonly metrics: metrics.Metrics;
+  readonly memory: memory.Memory;
   /** Milliseconds since the catalog was last known to be as new as the store. */
   readonly catalogAgeMs: () => number;
   /** How old the catalog may be for accepting or rejecting a key by it. */
@@ -42,8 +44,8 @@
 const FIRST_CONFIG_WAIT_MS = 200;
 /** Milliseconds between two checks for the first configuration. */
 const CONFIG_POLL_MS = 10;
-/** Name of the peer in errors of reading a body. */
-const CALLER = "caller";
+/** Retry-after time, in ms, of a refused body: its caller's next connection reaches another host. */
+const BODY_RETRY_MS = 300;
 
 const UNCONFIGURED: match.Refusal = {
   kind: "refused",
@@ -52,6 +54,33 @@
   retryAfterMs: UNCONFIGURED_RETRY_MS,
 };
 
+/** Refusals of bodies that were not read to their end. */
+const BODY_REFUSALS: Readonly<Record<"too_large" | "no_room" | "late", match.Refusal>> = {
+  too_large: { kind: "refused", status: 413, why: "the body is too large" },
+  no_room: {
+    kind: "refused",
+    status: 503,
+    why: "the host has no memory for the body",
+    retryAfterMs: BODY_RETRY_MS,
+  },
+  late: {
+    kind: "refused",
+    status: 503,
+    why: "the body did not arrive before the deadline",
+    retryAfterMs: BODY_RETRY_MS,
+  },
+};
+
+/** A request that has arrived, with what it holds. */
+interface Arrival {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly response: progress.CallerResponse;
+  readonly held: hold.Hold;
+  /** Monotonic ms. */
+  readonly arrivedAt: number;
+}
+
 /** Serves callers' requests on a listening server. */
 export class CallerServer {
   private readonly server: http.Server;
@@ -128,7 +157,8 @@
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const arrivedAt = this.deps.clock.mono();
-    const response = callerResponse.open(req, res, this.deps.protocol);
+    const held = new hold.Hold(this.deps.memory, req, res);
+    const response = callerResponse.open(req, res, this.deps.protocol, held);
     const config = await this.waitForConfig();
     const verdict = config ? this.match(req, config) : UNCONFIGURED;
     const admitted = verdict.kind === "matched" ? await this.admit(verdict) : verdict;
@@ -136,7 +166,9 @@
       this.refuse(req, response, admitted);
       return;
     }
-    const mayHaveRun = await this.serve(req, res, response, admitted, arrivedAt);
+    held.identify(admitted.meta.id, admitted.route.rank);
+    const mayHaveRun = await this.serve({ req, res, response, held, arrivedAt }, admitted);
+    held.releaseBody();
     const { caller } = admitted;
     if (!mayHaveRun && caller) this.deps.caps.refund(caller.team, caller.units);
   }
@@ -195,26 +227,28 @@
 
   /** Reads the body of an admitted request and serves it. Returns whether the request may have run. */
   private async serve(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    response: progress.CallerResponse,
+    { req, res, response, held, arrivedAt }: Arrival,
     m: match.Matched,
-    arrivedAt: number,
   ): Promise<boolean> {
     const { meta, route, service, config } = m;
-    let body: Buffer;
-    try {
-      body = await bodies.read(req, config.limits.bodyBytes, CALLER);
-    } catch (err) {
-      if (err instanceof outcome.StepError && err.failure.code === "too_large") {
-        this.refuse(req, response, { kind: "refused", status: 413, why: "the body is too large" });
-        return false;
-      }
+    const dueAt = arrivedAt + Math.min(meta.waitMs, route.timeoutMs);
+    const bounds = {
+      limitBytes: config.limits.bodyBytes,
+      withinMs: dueAt - this.deps.clock.mono(),
+    };
+    const result = await bodyReader.read(req, held, bounds, this.deps.clock);
+    if (result.kind === "broke") {
       // The caller closed the connection, so there is nobody to respond to.
-      this.deps.log.info("A request body was not received completely.", { why: String(err) });
+      this.deps.log.info("A request body was not received completely.", { request: meta.id });
       res.destroy();
       return false;
     }
+    if (result.kind !== "read") {
+      // The rest of the body is not read, so the connection cannot be used for another request.
+      if (result.kind !== "too_large" || req.isPaused()) res.setHeader("connection", "close");
+      this.refuse(req, response, BODY_REFUSALS[result.kind]);
+      return false;
+    }
     const { reserved, credentials } = this.deps.protocol;
     const stripped = config.teams ? [reserved, credentials] : [reserved];
     return this.deps.dispatcher.serve(
@@ -226,9 +260,9 @@
         method: req.method ?? "GET",
         path: req.url ?? "",
         headers: headers.forRequest(req.headersDistinct, ...stripped),
-        body,
+        body: result.body,
         arrivedAt,
-        dueAt: arrivedAt + Math.min(meta.waitMs, route.timeoutMs),
+        dueAt,
       },
       response,
     );
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -88,6 +88,10 @@
     let outcome: progress.Ending = "failed";
     try {
       outcome = await this.tryEndpoints(req, res, p, stopping.signal);
+      if (outcome === "left" && res.wasReset?.()) {
+        outcome = "broken";
+        p.why = "the connection was ended to free memory";
+      }
     } finally {
       timer.cancel();
       res.disconnected.removeEventListener("abort", stop);
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -5,6 +5,7 @@
  */
 import * as http from "node:http";
 import * as addresses from "../host/address.js";
+import * as memory from "./buffering/memory.js";
 import * as authentication from "./authentication.js";
 import * as crashCheck from "./crash-check.js";
 import * as caps from "./caps.js";
@@ -41,6 +42,8 @@
   /** Milliseconds from the stop signal until the process is killed. */
   readonly graceMs: number;
   readonly retries: retryBudget.Options;
+  /** Bytes buffered for callers over all connections, from 1 MB to 1 GB. */
+  readonly memoryBudgetBytes: number;
   /** Address of the endpoint daemon that manages an endpoint. */
   readonly daemonOf: (e: catalog.Endpoint) => string;
 }
@@ -183,6 +186,11 @@
       random: deps.random,
     },
   );
+  const buffered = new memory.Memory(opts.memoryBudgetBytes, {
+    clock: deps.clock,
+    log: deps.log("memory"),
+    metrics: daemonMetrics,
+  });
   const callers = new callerServer.CallerServer(deps.listener, {
     clock: deps.clock,
     log: deps.log("front"),
@@ -191,6 +199,7 @@
     dispatcher: requestDispatcher,
     caps: teamCaps,
     metrics: daemonMetrics,
+    memory: buffered,
     catalogAgeMs: () => catalogFeed.catalogAgeMs,
     bounds,
     random: deps.random,
@@ -248,6 +257,16 @@
     "Requests under which workers ended lately.",
     () => suspectTracker.size,
   );
+  daemonMetrics.addGauge(
+    "sumacfield_memory_held_bytes",
+    "Bytes buffered for callers.",
+    () => buffered.heldBytes,
+  );
+  daemonMetrics.addGauge(
+    "sumacfield_memory_budget_bytes",
+    "Most bytes to be buffered for callers.",
+    () => buffered.budgetBytes,
+  );
   const readiness = await answerReadiness(
     opts.readiness,
     () => catalogFeed.catalog.config !== undefined && !draining,
@@ -264,6 +283,7 @@
       const deadline = clock.sleep(deps.clock, abortAt - deps.clock.mono());
       await Promise.race([callers.close(), deadline]);
       readiness.close();
+      buffered.close();
       catalogFeed.stop();
       sharedLimiter.close();
       requestDispatcher.close();
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -163,15 +163,23 @@
   }
 }
 
-/** Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes`. */
-export async function readAll(body: Body, maxBytes: number): Promise<Buffer> {
+/**
+ * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes`. `onSize` is called with the
+ * number of bytes read so far, and may return a promise that pauses the sender.
+ */
+export async function readAll(
+  body: Body,
+  maxBytes: number,
+  onSize: (bytes: number) => Promise<void> | undefined = () => undefined,
+): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
   await body
     .pump((chunk) => {
       size += chunk.length;
       chunks.push(chunk);
-      if (size > maxBytes) body.abort();
+      if (size <= maxBytes) return onSize(size);
+      body.abort();
       return undefined;
     })
     .catch((err: unknown) => {
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -8,6 +8,7 @@
 import * as addresses from "../host/address.js";
 import * as errors from "../host/errors.js";
 import type * as structuredLog from "../host/structured-log.js";
+import type * as memoryBudget from "./buffering/memory-budget.js";
 
 /** Upper bounds of the histogram buckets, in ms; they lie around the latency targets of 150 to 1,000 ms. */
 const BUCKETS_MS = [10, 25, 50, 100, 150, 250, 400, 600, 1000, 1500, 2500, 5000, 10_000];
@@ -41,6 +42,11 @@
   readonly recordUsage: (team: string, units: number) => void;
   /** A request could have gone to a worker that announced to take only some requests, or none for now. */
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
+  /** A request was ended, or its body refused, to keep to the memory budget. */
+  readonly recordMemory: (
+    outcome: "ended" | "refused",
+    reason: memoryBudget.EndReason | memoryBudget.RefusalReason,
+  ) => void;
   /** Adds a gauge whose value `read` returns. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** The metrics in the Prometheus text format. */
@@ -94,6 +100,12 @@
     "reason",
     "outcome",
   );
+  const memory = counter(
+    "sumacfield_memory_total",
+    "Requests ended, and bodies refused, to keep to the memory budget, by reason.",
+    "outcome",
+    "reason",
+  );
   const routeLabel = boundedLabel(MAX_ROUTE_LABELS);
   const teamLabel = boundedLabel(MAX_TEAM_LABELS);
   return {
@@ -115,6 +127,9 @@
     recordNotice: (service, reason, outcome) => {
       noticed.inc({ service, reason, outcome });
     },
+    recordMemory: (outcome, reason) => {
+      memory.inc({ outcome, reason });
+    },
     addGauge: (name, help, read) => {
       new prom.Gauge({
         name,
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -13,8 +13,17 @@
   readonly disconnected: AbortSignal;
   /** Sends the status and the headers of an answer that is passed on in parts. */
   readonly writeHead: (status: number, headers: headers.Headers) => void;
-  /** Passes bytes on; a returned promise resolves when the caller can take more. */
+  /** Passes bytes on; a returned promise resolves when more may be read from the worker. */
   readonly write: (bytes: Buffer) => Promise<void> | undefined;
+  /**
+   * Counts the bytes read so far of an answer that is passed on whole; a returned promise resolves when more may be read.
+   * Like the next two, undefined where nothing is counted.
+   */
+  readonly readAnswer?: (bytes: number) => Promise<void> | undefined;
+  /** The answer read so far is given up. */
+  readonly dropAnswer?: () => void;
+  /** Whether the daemon reset the caller's connection to free memory. */
+  readonly wasReset?: () => boolean;
   readonly end: () => void;
   /** Breaks off an answer that has begun, so that the caller does not take it for complete. */
   readonly abort: () => void;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -283,12 +283,15 @@
     const { req, res, p } = send;
     let body: Buffer;
     try {
-      body = await exchange.readAll(result.body, MAX_ANSWER_BYTES);
+      body = await exchange.readAll(result.body, MAX_ANSWER_BYTES, res.readAnswer);
     } catch (err) {
+      res.dropAnswer?.();
       return this.handleLostConnection(send, errors.messageOf(err));
     }
-    if (p.hasResponseBegun)
+    if (p.hasResponseBegun) {
+      res.dropAnswer?.();
       return this.handleBroken(send, `status ${result.status} instead of the rest of a stream`);
+    }
     p.firstByteAt = this.deps.clock.mono();
     const isFailure = result.status >= FIRST_FAILURE_STATUS;
     this.settle(send, isFailure ? "failed" : "whole", !isFailure);
--- a/test/platform/callers.test.ts
+++ b/test/platform/callers.test.ts
@@ -7,6 +7,8 @@
 import * as clock from "../../src/host/clock.js";
 import * as structuredLog from "../../src/host/structured-log.js";
 import * as authentication from "../../src/serving/authentication.js";
+import * as memory from "../../src/serving/buffering/memory.js";
+import * as memoryBudget from "../../src/serving/buffering/memory-budget.js";
 import * as caps from "../../src/serving/caps.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as limiter from "../../src/serving/limiter.js";
@@ -110,6 +112,11 @@
     dispatcher: testDispatcher.dispatcher,
     caps: teamCaps,
     metrics: metrics.create(),
+    memory: new memory.Memory(memoryBudget.MAX_BUDGET_BYTES, {
+      clock: clock.system,
+      log: structuredLog.silent,
+      metrics: metrics.create(),
+    }),
     catalogAgeMs: () => ageMs,
     bounds: BOUNDS,
     random: () => 0,
