--- a/src/serving/buffering/body-reader.ts
+++ b/src/serving/buffering/body-reader.ts
@@ -25,7 +25,7 @@
   readonly withinMs: number;
 }
 
-/** Reads a body. Once the result is other than `read`, nothing more is read from the connection. */
+/** Reads a body. If there is no room for it or it is late, the request is paused, and its rest must not be read. */
 export function read(
   req: http.IncomingMessage,
   held: hold.Hold,
@@ -34,14 +34,17 @@
 ): Promise<Result> {
   const announced = Number(req.headers["content-length"] ?? 0);
   if (announced > bounds.limitBytes) return Promise.resolve({ kind: "too_large" });
-  if (!held.reserveBody(announced)) return Promise.resolve({ kind: "no_room" });
+  if (!held.reserveBody(announced)) {
+    req.pause();
+    return Promise.resolve({ kind: "no_room" });
+  }
   const received = new byteQueue.ByteQueue();
   return new Promise((resolve) => {
     const finish = (result: Result): void => {
       timer.cancel();
       req.off("data", onData).off("end", onEnd).off("close", onClose).off("error", onClose);
-      if (result.kind === "read") held.bodyRead();
-      else req.pause();
+      held.bodyEnded();
+      if (result.kind !== "read") req.pause();
       resolve(result);
     };
     const onData = (chunk: Buffer): void => {
@@ -60,6 +63,9 @@
     const timer = clk.after(Math.max(0, bounds.withinMs), () => {
       finish({ kind: "late" });
     });
+    held.bodyBegins(() => {
+      finish({ kind: "no_room" });
+    });
     req.on("data", onData).on("end", onEnd).on("close", onClose).on("error", onClose);
   });
 }
--- a/src/serving/buffering/hold.ts
+++ b/src/serving/buffering/hold.ts
@@ -12,6 +12,8 @@
 const SLICE_BYTES = 65_536;
 /** Milliseconds after which a paused worker is read once more if the caller takes bytes; less than workers wait for a reader. */
 const TRICKLE_MS = 1000;
+/** Milliseconds for which a caller can read a refusal before the connection is closed: some round trips. */
+const LINGER_MS = 1000;
 /** Rank of a request whose route is not known yet. */
 const UNKNOWN_RANK = 9;
 
@@ -22,7 +24,6 @@
   stage: memoryBudget.Stage = "receiving";
   bytes = 0;
   progressAt: number;
-  pausedAt: number | undefined;
   /** Whether the connection was reset to free memory. */
   wasReset = false;
 
@@ -48,6 +49,10 @@
   private isEnding = false;
   private isClosed = false;
   private unpause: (() => void) | undefined;
+  /** Monotonic ms of the first pause since the last progress, and of the latest pause. */
+  private heldUpSince: number | undefined;
+  private pauseBeganAt = 0;
+  private giveUpBody: (() => void) | undefined;
 
   constructor(
     private readonly owner: memory.Memory,
@@ -65,6 +70,10 @@
     return this.bytes - this.bodyBytes;
   }
 
+  get pausedAt(): number | undefined {
+    return this.unpause && this.heldUpSince;
+  }
+
   /** Names the request for the log, with its urgency. */
   identify(request: string, rank: number): void {
     this.request = request;
@@ -79,13 +88,19 @@
     return true;
   }
 
+  /** The body is being read; `giveUp` stops that, so that the request is refused. */
+  bodyBegins(giveUp: () => void): void {
+    this.giveUpBody = giveUp;
+  }
+
   /** The caller sent some bytes of its body. */
   receivedBody(bytes: number): void {
     this.receivedBytes += bytes;
   }
 
-  /** The body was read completely; nothing depends on the caller until the answer comes. */
-  bodyRead(): void {
+  /** The body is read no further; nothing depends on the caller until there is an answer. */
+  bodyEnded(): void {
+    this.giveUpBody = undefined;
     this.stage = "waiting";
   }
 
@@ -147,26 +162,44 @@
     this.flush();
   }
 
+  /**
+   * Sends the whole text of a response to a request whose body is not read. Ends the response somewhat later, because that
+   * resets the connection, and the caller could lose what it has not read.
+   */
+  endLater(text: string): void {
+    this.res.write(text);
+    this.owner.clock.after(LINGER_MS, () => {
+      if (!this.res.destroyed) this.res.end();
+    });
+  }
+
   sample(now: number): void {
     this.sampleSocket();
     const doneBytes = this.receivedBytes + this.writtenBytes - this.socketBytes;
-    if (doneBytes > this.sampledDoneBytes || !this.wasHolding) this.progressAt = now;
+    if (doneBytes > this.sampledDoneBytes || !this.wasHolding) {
+      this.progressAt = now;
+      this.heldUpSince = this.unpause && now;
+    }
     this.sampledDoneBytes = Math.max(this.sampledDoneBytes, doneBytes);
     this.wasHolding = this.bytes > 0;
   }
 
   resume(now: number): void {
-    if (this.pausedAt === undefined) return;
+    if (!this.unpause) return;
     const isDrained = this.stage === "answering" && !this.isBlocked;
     if (isDrained || this.owner.mayResume(this, now)) {
       this.pauseLevel = Infinity;
       this.release();
-    } else if (now - this.pausedAt >= TRICKLE_MS && this.readBytes < this.pauseLevel) {
+    } else if (now - this.pauseBeganAt >= TRICKLE_MS && this.readBytes < this.pauseLevel) {
       this.release();
     }
   }
 
-  reset(): void {
+  evict(): void {
+    if (this.giveUpBody) {
+      this.giveUpBody();
+      return;
+    }
     this.wasReset = true;
     const { socket } = this.req;
     // A normal close would look like the end of an answer without a length. A socket whose writing side was ended has
@@ -219,7 +252,8 @@
     if (this.isClosed || this.readBytes <= memoryBudget.FLOOR_BYTES) return undefined;
     const now = this.owner.clock.mono();
     if (!this.owner.mustPause(this, now)) return undefined;
-    this.pausedAt = now;
+    this.heldUpSince ??= now;
+    this.pauseBeganAt = now;
     this.pauseLevel = Math.min(this.pauseLevel, this.readBytes);
     return new Promise((resolve) => {
       this.unpause = resolve;
@@ -227,7 +261,6 @@
   }
 
   private release(): void {
-    this.pausedAt = undefined;
     this.unpause?.();
     this.unpause = undefined;
   }
--- a/src/serving/buffering/memory-budget.ts
+++ b/src/serving/buffering/memory-budget.ts
@@ -26,7 +26,10 @@
   /** Urgency; 0 is served first. */
   readonly rank: number;
   readonly stage: Stage;
-  /** Monotonic ms since which reading from its worker is paused; undefined if it is not. */
+  /**
+   * Monotonic ms since which reading from its worker is paused, or paused again without progress in between; undefined if it
+   * is not paused now.
+   */
   readonly pausedAt: number | undefined;
   /** Monotonic ms at which it last made progress: the caller sent or took bytes, or an answer's bytes were read. */
   readonly progressAt: number;
@@ -51,7 +54,7 @@
 export const PATIENCE_MS = 2000;
 /** Milliseconds without progress after which a holder's share is smaller: several round trips of a caller that reads. */
 export const SLOW_MS = 500;
-/** Share of the budget above which it counts as used up; the rest is for new bodies and for bytes already on their way. */
+/** Share of the budget above which it counts as used up; the rest is for bodies and whole answers. */
 export const USED_UP_SHARE = 0.75;
 /** Bytes that any holder may hold: what a connection's write buffer takes before it reports that it is full. */
 export const FLOOR_BYTES = 16_384;
@@ -75,10 +78,11 @@
 
 /** Bytes that may be read from the holder's worker and held, as things are now. */
 export function limitOf(h: Holder, sum: number, budget: number, now: number): number {
+  // A whole answer's caller is not the reason why it is held, so all that is free is for it.
+  if (h.stage === "fetching") return Math.max(FLOOR_BYTES, budget - sum);
   const isSlow = now - h.progressAt >= SLOW_MS;
   const part = (isSlow ? SLOW_PART : 1) / (1 + RANK_REDUCTION * h.rank);
-  const most = h.stage === "fetching" ? Infinity : STREAM_BYTES;
-  return Math.max(FLOOR_BYTES, Math.min(most, part * (budget - sum)));
+  return Math.max(FLOOR_BYTES, Math.min(STREAM_BYTES, part * (USED_UP_SHARE * budget - sum)));
 }
 
 /** Whether reading from the holder's worker must pause. */
@@ -91,9 +95,9 @@
   return h.readBytes <= Math.max(FLOOR_BYTES, RESUME_PART * limitOf(h, sum, budget, now));
 }
 
-/** Whether a body of `bytes` may be read; `sum` is without this body. */
+/** Whether a body of `bytes` may be read; `sum` is without this body. Small ones always may, as any holder's floor. */
 export function mayReadBody(bytes: number, sum: number, budget: number): boolean {
-  return bytes <= BODY_PART * (budget - sum);
+  return bytes <= Math.max(FLOOR_BYTES, BODY_PART * (budget - sum));
 }
 
 /** Why a holder would be ended if the budget required it; undefined if it makes progress or nothing depends on its caller. */
@@ -111,9 +115,13 @@
   }
 }
 
-/** Order in which holders are ended: those worth it, the least urgent, the largest, the longest without progress. */
+/**
+ * Order in which holders are ended: those whose callers are slow, those worth it, the least urgent, the largest, the longest
+ * without progress.
+ */
 function endOrder(a: Holder, b: Holder): number {
   return (
+    Number(a.stage === "fetching") - Number(b.stage === "fetching") ||
     Number(a.bytes < SMALL_BYTES) - Number(b.bytes < SMALL_BYTES) ||
     b.rank - a.rank ||
     b.bytes - a.bytes ||
--- a/src/serving/buffering/memory.ts
+++ b/src/serving/buffering/memory.ts
@@ -16,8 +16,8 @@
   readonly sample: (now: number) => void;
   /** Resumes reading from its worker if there is room. */
   readonly resume: (now: number) => void;
-  /** Resets the connection to its caller. */
-  readonly reset: () => void;
+  /** Refuses the request if its body is still being read, and otherwise resets the connection to its caller. */
+  readonly evict: () => void;
 }
 
 export interface Deps {
@@ -39,6 +39,11 @@
   private sum = 0;
   private timer: clock.Timer | undefined;
   private sampledAt = -Infinity;
+  /**
+   * A request whose whole answer is read regardless of the budget. Without it, answers that are read together could all pause,
+   * each holding what the others need.
+   */
+  private exempt: Member | undefined;
   /** Monotonic ms since which the budget is used up. */
   private usedUpSince: number | undefined;
 
@@ -65,6 +70,7 @@
 
   remove(m: Member): void {
     this.members.delete(m);
+    if (this.exempt === m) this.exempt = undefined;
   }
 
   /** Adds `bytes`, which may be negative, to the sum. Called for each write, so it does no more than that. */
@@ -90,13 +96,20 @@
     const isOver = (): boolean => memoryBudget.mustPause(m, this.sum, this.budgetBytes, now);
     if (!isOver()) return false;
     m.sample(now);
-    if (!isOver()) return false;
+    if (!isOver() || this.isExempt(m)) return false;
     this.watch();
     return true;
   }
 
   mayResume(m: Member, now: number): boolean {
-    return memoryBudget.mayResume(m, this.sum, this.budgetBytes, now);
+    return memoryBudget.mayResume(m, this.sum, this.budgetBytes, now) || this.isExempt(m);
+  }
+
+  /** Whether a request's whole answer is read regardless of the budget: the first that asks, until it is read. */
+  private isExempt(m: Member): boolean {
+    if (m.stage !== "fetching") return false;
+    if (this.exempt?.stage !== "fetching") this.exempt = m;
+    return this.exempt === m;
   }
 
   close(): void {
@@ -136,7 +149,7 @@
   private end(m: Member, now: number): void {
     const reason = memoryBudget.endReason(m, now) ?? "no_room";
     this.deps.metrics.recordMemory("ended", reason);
-    this.deps.log.warn("A connection was ended to free memory.", {
+    this.deps.log.warn("A request was ended to free memory.", {
       request: m.request,
       reason,
       bytes: m.bytes,
@@ -145,6 +158,6 @@
       heldBytes: this.sum,
       budgetBytes: this.budgetBytes,
     });
-    m.reset();
+    m.evict();
   }
 }
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -14,11 +14,12 @@
 
 /**
  * Reads and discards the rest of a request's body, because closing a connection with unread bytes resets it, and the
- * caller could not read the response. Returns false if the announced length exceeds MAX_DISCARD_BYTES. A body that
- * exceeds it without announcing so has its connection destroyed.
+ * caller could not read the response. Returns false if the announced length exceeds MAX_DISCARD_BYTES, or the body must not
+ * be read further. A body that exceeds it without announcing so has its connection destroyed.
  */
 function discard(req: http.IncomingMessage): boolean {
   if (req.complete) return true;
+  if (req.isPaused()) return false;
   if (Number(req.headers["content-length"] ?? 0) > MAX_DISCARD_BYTES) return false;
   let size = 0;
   req.on("data", (chunk: Buffer) => {
@@ -70,14 +71,15 @@
         return;
       }
       const text = JSON.stringify({ error: message });
-      const close = discard(req) ? {} : { connection: "close" };
+      const isRead = discard(req);
       res.writeHead(status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
         ...(comeBackMs === undefined ? {} : wire.retryAfterHeaders(comeBackMs)),
-        ...close,
+        ...(isRead ? {} : { connection: "close" }),
       });
-      res.end(text);
+      if (isRead) res.end(text);
+      else held.endLater(text);
     },
   };
 }
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -244,8 +244,6 @@
       return false;
     }
     if (result.kind !== "read") {
-      // The rest of the body is not read, so the connection cannot be used for another request.
-      if (result.kind !== "too_large" || req.isPaused()) res.setHeader("connection", "close");
       this.refuse(req, response, BODY_REFUSALS[result.kind]);
       return false;
     }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -90,7 +90,7 @@
       outcome = await this.tryEndpoints(req, res, p, stopping.signal);
       if (outcome === "left" && res.wasReset?.()) {
         outcome = "broken";
-        p.why = "the connection was ended to free memory";
+        p.why = "the connection was reset to free memory";
       }
     } finally {
       timer.cancel();
