Memory budget: settings, red switches, and tests of bodies

Change: limits.memoryMb and SUMACFIELD_MEMORY_BUDGET_MB set the budget; a switch for each mechanism.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -374,4 +374,56 @@
     put: "!l.hasBegun",
     proof: "do not block an engine for other hosts permanently",
   },
+  {
+    name: "memory: reading from a worker pauses at the request's limit",
+    file: "serving/buffering/memory-budget.js",
+    find: "return h.readBytes > limitOf(h, sum, budget, now);",
+    put: "return false;",
+    proof: "is exceeded by one chunk for each open request at most, whatever arrives and leaves",
+  },
+  {
+    name: "memory: the limit falls as the budget fills up",
+    file: "serving/buffering/memory-budget.js",
+    find: "part * (USED_UP_SHARE * budget - sum)",
+    put: "part * budget",
+    proof: "is exceeded by one chunk for each open request at most, whatever arrives and leaves",
+  },
+  {
+    name: "memory: a request that makes progress is not ended",
+    file: "serving/buffering/memory-budget.js",
+    find: "now - h.progressAt < PATIENCE_MS || ",
+    put: "",
+    proof:
+      "ends the least urgent first, then the largest, none that makes progress, and no more than needed",
+  },
+  {
+    name: "memory: the least urgent is ended first",
+    file: "serving/buffering/memory-budget.js",
+    find: "b.rank - a.rank ||",
+    put: "",
+    proof:
+      "ends the least urgent first, then the largest, none that makes progress, and no more than needed",
+  },
+  {
+    name: "memory: a body without room is refused",
+    file: "serving/buffering/memory-budget.js",
+    find: "return bytes <= Math.max(FLOOR_BYTES, BODY_PART * (budget - sum));",
+    put: "return true;",
+    proof:
+      "that the memory budget has no room for is refused with 503, a retry time and the end of the connection",
+  },
+  {
+    name: "memory: a body is given up at its deadline",
+    file: "serving/buffering/body-reader.js",
+    find: 'finish({ kind: "late" });',
+    put: "",
+    proof: "that has not arrived by the request's deadline is refused",
+  },
+  {
+    name: "memory: a connection is reset to free memory, and its worker does not stay unread",
+    file: "serving/buffering/memory.js",
+    find: "m.evict();",
+    put: "",
+    proof: "stays under the bound while 500 callers stop reading and 8 send large bodies slowly",
+  },
 ];
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -109,6 +109,19 @@
     expect(() => withBounds("  quotaSlack: -1")).throw(/bounds\.quotaSlack/);
   });
 
+  it("set the memory budget to a quarter of the host's memory, or as named, and only within its range", () => {
+    const ofHost = (limits: string): number =>
+      settings.parse(`${SETTINGS}${limits}`, "file").memoryBudgetBytes / 1_048_576;
+    expect(ofHost("")).equal(64);
+    expect(ofHost("limits:\n  memoryMb: 210\n")).equal(52.5);
+    expect(ofHost("limits:\n  memoryMb: 2\n")).equal(1);
+    expect(ofHost("limits:\n  memoryMb: 64000\n")).equal(1024);
+    expect(() => ofHost("limits:\n  memoryMb: much\n")).throw(/limits\.memoryMb/);
+    expect(settings.parseMemoryBudget("32", "BUDGET")).equal(33_554_432);
+    for (const text of ["", "0.5", "1025", "many"])
+      expect(() => settings.parseMemoryBudget(text, "BUDGET")).throw(/BUDGET.*1 to 1024/);
+  });
+
   it("are rejected with a SettingsError for any other text", () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
