Memory budget: prove ended streams and the order of ending without the bundle

Cause: the process test runs the bundled daemon, so a switch in a module does not reach it; short arrays never used up the budget. Change: a test over real sockets in one process, and longer arrays.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -420,10 +420,17 @@
     proof: "that has not arrived by the request's deadline is refused",
   },
   {
-    name: "memory: a connection is reset to free memory, and its worker does not stay unread",
+    name: "memory: a caller that takes nothing is ended, so that its worker does not stay unread",
     file: "serving/buffering/memory.js",
     find: "m.evict();",
     put: "",
-    proof: "stays under the bound while 500 callers stop reading and 8 send large bodies slowly",
+    proof: "that stops reading for longer has its connection reset, and what it held is free",
+  },
+  {
+    name: "memory: an ended stream is reset",
+    file: "serving/buffering/hold.js",
+    find: "socket.resetAndDestroy();",
+    put: "this.res.end();",
+    proof: "that stops reading for longer has its connection reset, and what it held is free",
   },
 ];
--- a/test/serving/memory.test.ts
+++ b/test/serving/memory.test.ts
@@ -1,6 +1,12 @@
+import * as http from "node:http";
+import type * as net from "node:net";
 import * as chai from "chai";
 import * as fc from "fast-check";
+import * as clock from "../../src/host/clock.js";
+import * as structuredLog from "../../src/host/structured-log.js";
 import * as byteQueue from "../../src/serving/buffering/byte-queue.js";
+import * as hold from "../../src/serving/buffering/hold.js";
+import * as memory from "../../src/serving/buffering/memory.js";
 import * as memoryBudget from "../../src/serving/buffering/memory-budget.js";
 
 const { expect } = chai;
@@ -89,7 +95,7 @@
     const stalled = (h: memoryBudget.Holder): boolean =>
       h.stage === "answering" && NOW - h.progressAt >= memoryBudget.PATIENCE_MS;
     fc.assert(
-      fc.property(fc.array(holderArb, { maxLength: 40 }), (all) => {
+      fc.property(fc.array(holderArb, { minLength: 25, maxLength: 40 }), (all) => {
         const holders = all.map((h) => ({ ...h, pausedAt: undefined }));
         const ended = memoryBudget.toEnd(holders, BUDGET, memoryBudget.PATIENCE_MS, NOW);
         const left = holders.filter((h) => !ended.includes(h));
@@ -144,3 +150,60 @@
     );
   });
 });
+
+describe("a caller", () => {
+  const recorded: string[] = [];
+  const buffered = new memory.Memory(BUDGET, {
+    clock: clock.system,
+    log: structuredLog.silent,
+    metrics: { recordMemory: (outcome, reason) => recorded.push(`${outcome} ${reason}`) },
+  });
+  const body = Buffer.from("0123456789abcdef".repeat(1_000_000));
+  const server = http.createServer((req, res) => {
+    const held = new hold.Hold(buffered, req, res);
+    void (async () => {
+      for (let at = 0; at < body.length && !held.wasReset; at += CHUNK)
+        await held.write(body.subarray(at, at + CHUNK));
+      held.end();
+    })();
+  });
+  before((done) => {
+    server.listen(0, "127.0.0.1", done);
+  });
+  after(() => {
+    buffered.close();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  /** Gets the stream, and reads it after `waitMs`. */
+  function get(waitMs: number): Promise<{ readonly whole: boolean; readonly text: Buffer }> {
+    const { port } = server.address() as net.AddressInfo;
+    return new Promise((resolve, reject) => {
+      const req = http.get({ port, agent: false }, (res) => {
+        const chunks: Buffer[] = [];
+        const end = (): void => {
+          resolve({ whole: res.complete, text: Buffer.concat(chunks) });
+        };
+        res.on("end", end).on("error", end);
+        setTimeout(() => res.on("data", (chunk: Buffer) => chunks.push(chunk)), waitMs);
+      });
+      req.on("error", reject);
+    });
+  }
+
+  it("that reads late, but within 2 s, gets the whole stream", async () => {
+    const { whole, text } = await get(1000);
+    expect(whole && text.equals(body)).equal(true);
+    expect(recorded).deep.equal([]);
+  });
+
+  // Guards against a broken stream that its caller takes for a whole one, and a worker that stays unread.
+  it("that stops reading for longer has its connection reset, and what it held is free", async () => {
+    const { whole, text } = await get(2600);
+    expect(whole).equal(false);
+    expect(text.equals(body.subarray(0, text.length))).equal(true);
+    expect(recorded).deep.equal(["ended unread_answer"]);
+    expect(buffered.heldBytes).equal(0);
+  });
+});
