--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -444,4 +444,63 @@
     put: "sinceAt: s.sinceAt }",
     proof: "is none after a time without beats, and once a poll has read what waited",
   },
+  {
+    name: "memory: reading from a worker pauses at the request's limit",
+    file: "serving/buffering/memory-budget.js",
+    find: "return h.readBytes > limitOf(h, sum, budget, now);",
+    put: "return false;",
+    proof: "is exceeded by one chunk for each open request at most, whatever arrives and leaves",
+  },
+  {
+    name: "memory: the limit falls as the budget fills up",
+    file: "serving/buffering/memory-budget.js",
+    find: "part * (USED_UP_SHARE * budget - sum)",
+    put: "part * budget",
+    proof: "is exceeded by one chunk for each open request at most, whatever arrives and leaves",
+  },
+  {
+    name: "memory: a request that makes progress is not ended",
+    file: "serving/buffering/memory-budget.js",
+    find: "now - h.progressAt < PATIENCE_MS || ",
+    put: "",
+    proof:
+      "ends the least urgent first, then the largest, none that makes progress, and no more than needed",
+  },
+  {
+    name: "memory: the least urgent is ended first",
+    file: "serving/buffering/memory-budget.js",
+    find: "b.rank - a.rank ||",
+    put: "",
+    proof:
+      "ends the least urgent first, then the largest, none that makes progress, and no more than needed",
+  },
+  {
+    name: "memory: a body without room is refused",
+    file: "serving/buffering/memory-budget.js",
+    find: "return bytes <= Math.max(FLOOR_BYTES, BODY_PART * (budget - sum));",
+    put: "return true;",
+    proof:
+      "that the memory budget has no room for is refused with 503, a retry time and the end of the connection",
+  },
+  {
+    name: "memory: a body is given up at its deadline",
+    file: "serving/buffering/body-reader.js",
+    find: 'finish({ kind: "late" });',
+    put: "",
+    proof: "that has not arrived by the request's deadline is refused",
+  },
+  {
+    name: "memory: a caller that takes nothing is ended, so that its worker does not stay unread",
+    file: "serving/buffering/memory.js",
+    find: "m.evict();",
+    put: "",
+    proof: "that stops reading for longer has its connection reset, and what it held is free",
+  },
+  {
+    name: "memory: an ended stream is reset",
+    file: "serving/buffering/hold.js",
+    find: "socket.resetAndDestroy();",
+    put: "this.res.end();",
+    proof: "that stops reading for longer has its connection reset, and what it held is free",
+  },
 ];
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as clock from "../host/clock.js";
+import type * as hold from "./buffering/hold.js";
 import * as headers from "./headers.js";
 import type * as lagMonitor from "./overload/lag-monitor.js";
 import * as presence from "./overload/presence.js";
@@ -16,11 +17,12 @@
 
 /**
  * Reads and discards the rest of a request's body, because closing a connection with unread bytes resets it, and the
- * caller could not read the response. Returns false if the announced length exceeds MAX_DISCARD_BYTES. A body that
- * exceeds it without announcing so has its connection destroyed.
+ * caller could not read the response. Returns false if the announced length exceeds MAX_DISCARD_BYTES, or the body must not
+ * be read further. A body that exceeds it without announcing so has its connection destroyed.
  */
 function discard(req: http.IncomingMessage): boolean {
   if (req.complete) return true;
+  if (req.isPaused()) return false;
   if (Number(req.headers["content-length"] ?? 0) > MAX_DISCARD_BYTES) return false;
   let size = 0;
   req.on("data", (chunk: Buffer) => {
@@ -31,14 +33,15 @@
 }
 
 /**
- * Wraps a caller's request and response for the dispatcher. A caller that ends its side of the connection has left: Node.js
- * closes the other side then, so no answer can reach it.
+ * Wraps a caller's request and response for the dispatcher; `held` buffers what the caller does not take at once. A caller that
+ * ends its side of the connection has left: Node.js closes the other side then, so no answer can reach it.
  */
 export function open(
   req: http.IncomingMessage,
   res: http.ServerResponse,
   deps: { readonly protocol: protocol.Protocol; readonly clock: clock.Clock },
   lag: lagMonitor.LagMonitor,
+  held: hold.Hold,
 ): progress.CallerResponse {
   const disconnect = new AbortController();
   const leave = (): void => {
@@ -55,20 +58,14 @@
     writeHead: (status, received) => {
       res.writeHead(status, headers.forAnswer(received) as http.OutgoingHttpHeaders);
     },
-    write: (bytes) => {
-      if (res.destroyed || res.write(bytes)) return undefined;
-      return new Promise((resolve) => {
-        const resume = (): void => {
-          res.off("drain", resume);
-          res.off("close", resume);
-          resolve();
-        };
-        res.on("drain", resume);
-        res.on("close", resume);
-      });
+    write: (bytes) => held.write(bytes),
+    readAnswer: (bytes) => held.readAnswer(bytes),
+    dropAnswer: () => {
+      held.dropAnswer();
     },
+    wasReset: () => held.wasReset,
     end: () => {
-      res.end();
+      held.end();
     },
     abort: () => {
       res.destroy();
@@ -79,7 +76,7 @@
         ...(headers.forAnswer(received) as http.OutgoingHttpHeaders),
         ...length,
       });
-      res.end(body);
+      held.sendWhole(body);
     },
     refuse: (status, message, comeBackMs) => {
       if (res.headersSent || res.destroyed) {
@@ -87,14 +84,15 @@
         return;
       }
       const text = JSON.stringify({ error: message });
-      const close = discard(req) ? {} : { connection: "close" };
+      const isRead = discard(req);
       res.writeHead(status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
         ...(comeBackMs === undefined ? {} : deps.protocol.retryAfterHeaders(comeBackMs)),
-        ...close,
+        ...(isRead ? {} : { connection: "close" }),
       });
-      res.end(text);
+      if (isRead) res.end(text);
+      else held.endLater(text);
     },
   };
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -8,6 +8,7 @@
 import * as addresses from "../host/address.js";
 import * as errors from "../host/errors.js";
 import type * as structuredLog from "../host/structured-log.js";
+import type * as memoryBudget from "./buffering/memory-budget.js";
 
 /** Upper bounds of the histogram buckets, in ms; they lie around the latency targets of 150 to 1,000 ms. */
 const BUCKETS_MS = [10, 25, 50, 100, 150, 250, 400, 600, 1000, 1500, 2500, 5000, 10_000];
@@ -45,6 +46,11 @@
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
   /** A request of a route with this rank was refused because the host's event loop was behind. */
   readonly recordLagRefusal: (rank: number) => void;
+  /** A request was ended, or its body refused, to keep to the memory budget. */
+  readonly recordMemory: (
+    outcome: "ended" | "refused",
+    reason: memoryBudget.EndReason | memoryBudget.RefusalReason,
+  ) => void;
   /** Adds a gauge whose value `read` returns. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** The metrics in the Prometheus text format. */
@@ -108,6 +114,12 @@
     "Prompt and expected answer tokens of the seats granted to a team on this engine.",
     "team",
   );
+  const memory = counter(
+    "sumacfield_memory_total",
+    "Requests ended, and bodies refused, to keep to the memory budget, by reason.",
+    "outcome",
+    "reason",
+  );
   const routeLabel = boundedLabel(MAX_ROUTE_LABELS);
   const teamLabel = boundedLabel(MAX_TEAM_LABELS);
   return {
@@ -135,6 +147,9 @@
     recordLagRefusal: (rank) => {
       lagRefusals.inc({ rank });
     },
+    recordMemory: (outcome, reason) => {
+      memory.inc({ outcome, reason });
+    },
     addGauge: (name, help, read) => {
       new prom.Gauge({
         name,
--- a/test/serving/blocked-loop.ts
+++ b/test/serving/blocked-loop.ts
@@ -7,6 +7,8 @@
 import * as workerThreads from "node:worker_threads";
 import * as clock from "../../src/host/clock.js";
 import * as structuredLog from "../../src/host/structured-log.js";
+import * as memory from "../../src/serving/buffering/memory.js";
+import * as memoryBudget from "../../src/serving/buffering/memory-budget.js";
 import * as authentication from "../../src/serving/authentication.js";
 import * as callerServer from "../../src/serving/caller-server.js";
 import * as caps from "../../src/serving/caps.js";
@@ -87,6 +89,7 @@
     dispatcher: setup.dispatcher,
     caps: new caps.Caps({ limiter: sharedLimiter, catalog: () => current, overdraft: 0 }),
     metrics: counted,
+    memory: new memory.Memory(memoryBudget.MAX_BUDGET_BYTES, { ...deps, metrics: counted }),
     catalogAgeMs: () => 0,
     bounds: authentication.freshnessBounds(3000, 5000),
     random: () => 0,
