Measure the cost of crowding by the load time of all engines compared

Cause: with each engine's own load time, an engine whose loads are slow seemed more crowded than another that is as full.

Change: the mean load time of the engines compared.

--- a/bench/red/spread-switches.ts
+++ b/bench/red/spread-switches.ts
@@ -44,8 +44,8 @@
   {
     name: "spread: engines that announce no crowding are ranked without it",
     file: "serving/spread/crowding.js",
-    find: "return count === 0 ? undefined : sum / count;",
-    put: "return count === 0 ? 0.9 : sum / count;",
+    find: "count === 0 ? undefined",
+    put: "count === 0 ? { crowding: 0.9, coldMs: 250 }",
     proof: "changes nothing where no engine announces it",
   },
   {
@@ -56,6 +56,13 @@
     proof:
       "does not let an estimate that is out of date keep requests away, or draw them, for ever",
   },
+  {
+    name: "spread: the cost of crowding is the same whatever loads take on an engine",
+    file: "serving/choice.js",
+    find: "(COPY_PENALTY_LOADS + 1) * means.coldMs",
+    put: "(COPY_PENALTY_LOADS + 1) * state.coldMs",
+    proof: "costs the same on an engine whose loads are slow",
+  },
   {
     name: "spread: an open seat ends the time without one",
     file: "serving/link.js",
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -120,7 +120,7 @@
   const summary: FleetSummary = {
     hasAdapter: usable.some((v) => adapterState(v, need.key) !== "absent"),
     meanWaitMs: meanWaitMsOf(usable, need.rank),
-    meanCrowding: crowding.meanOf(usable),
+    crowdingMeans: crowding.meansOf(usable),
     usualSpeed: idleSpeed.medianOf(usable),
   };
   return usable
@@ -144,8 +144,8 @@
   readonly hasAdapter: boolean;
   /** Mean of the waiting times that the candidates reported. */
   readonly meanWaitMs: number;
-  /** Mean of the crowding that they announced; undefined if none did. */
-  readonly meanCrowding: number | undefined;
+  /** Means over the candidates that announced crowding; undefined if none did. */
+  readonly crowdingMeans: crowding.Means | undefined;
   /** Median speed of the candidates that announced crowding; undefined if none did. */
   readonly usualSpeed: idleSpeed.Speed | undefined;
 }
@@ -181,12 +181,13 @@
 /** Adds the cost of the crowding that is expected on an engine now. */
 function addCrowding(e: Estimate, need: Need, summary: FleetSummary): Estimate {
   const { state, stateAgeMs } = e.view;
-  const { meanCrowding: mean } = summary;
-  if (!state || mean === undefined) return e;
+  const { crowdingMeans: means } = summary;
+  if (!state || !means) return e;
   // An engine that announces none, as before an update of its daemon, counts as the mean.
-  const announced = decayed(state.crowding ?? mean, stateAgeMs, mean);
+  const announced = decayed(state.crowding ?? means.crowding, stateAgeMs, means.crowding);
   const own = crowding.ofReading(pendingTokensOf(e.view, need) * state.msPerToken);
-  const copyMs = (COPY_PENALTY_LOADS + 1) * state.coldMs;
+  // Load times are learned by each engine. With its own, an engine of slow loads would seem more crowded than others.
+  const copyMs = (COPY_PENALTY_LOADS + 1) * means.coldMs;
   const costMs = crowding.costMs(announced + own, copyMs, summary.hasAdapter);
   return { ...e, crowding: announced + own, penaltyMs: e.penaltyMs + costMs };
 }
--- a/src/serving/spread/crowding.ts
+++ b/src/serving/spread/crowding.ts
@@ -30,16 +30,23 @@
 /** Period in milliseconds over which endpoint daemons measure crowding. */
 const PERIOD_MS = 1000;
 
-/** Mean of the crowding that the engines of `views` announced; undefined if none did. */
-export function meanOf(views: readonly choice.View[]): number | undefined {
-  let sum = 0;
-  let count = 0;
+/** What the cost of one engine takes from all engines compared. */
+export interface Means {
+  readonly crowding: number;
+  /** Milliseconds of a load from the weight store. */
+  readonly coldMs: number;
+}
+
+/** Means over the engines of `views` that announced their crowding; undefined if none did. */
+export function meansOf(views: readonly choice.View[]): Means | undefined {
+  let [crowding, coldMs, count] = [0, 0, 0];
   for (const { state } of views) {
     if (state?.crowding === undefined || state.instance === "") continue;
-    sum += state.crowding;
+    crowding += state.crowding;
+    coldMs += state.coldMs;
     count++;
   }
-  return count === 0 ? undefined : sum / count;
+  return count === 0 ? undefined : { crowding: crowding / count, coldMs: coldMs / count };
 }
 
 /** What prompts that are read in `readMs` add to an engine's crowding, at least. */
--- a/test/serving/spread/spread.test.ts
+++ b/test/serving/spread/spread.test.ts
@@ -110,6 +110,12 @@
     expect(best([sent, engine("2", 0.4, { holdings: HELD, orderIndex: 8 })])).equal("2");
   });
 
+  it("costs the same on an engine whose loads are slow", () => {
+    const state = { ...fixtures.STATE, instance: "1", crowding: 0.4, coldMs: 600 };
+    const slow = engine("1", 0.4, { holdings: HELD, state });
+    expect(best([slow, engine("2", 0.4, { holdings: HELD, orderIndex: 1 })])).equal("1");
+  });
+
   it("gives an adapter that no engine has to the same engine whatever the age of the states", () => {
     const age = fc.integer({ min: 0, max: 200 });
     const crowded = fc.double({ min: 0, max: 0.75, noNaN: true });
