--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -3,21 +3,20 @@
  * the prompts that the engine reads meanwhile. Prefill is limited to what keeps an event within a share of the
  * longest pause that is on time; the rest is reserved for slow spells of the engine.
  *
- * A prompt counts from the grant of its seat until the time of one event after its own first event. The engine has read it
- * by its first event, and by then each event in progress that it has lengthened has ended. The
- * limit thus holds for each event, and an engine that is slower than estimated is granted less. Pure.
+ * A prompt counts from the grant of its seat until its first event, which comes with its first token. Prompts that are read one
+ * after the other can still lengthen the same event; counting them for a whole event would leave half of a slow engine's
+ * capacity unused, and then more requests are refused than streams come on time. An engine that is slower than estimated is
+ * granted less. Pure.
  * @module
  */
 import type * as seatMessages from "../seat-messages.js";
 
-/** A granted prompt. */
+/** A granted prompt without a first event. */
 export interface Read {
   readonly seat: string;
   readonly tokens: number;
   /** Monotonic ms of the grant. */
   readonly at: number;
-  /** Monotonic ms of its first event; undefined until then. */
-  readonly firstAt?: number;
 }
 
 /**
@@ -39,13 +38,11 @@
   readonly learnedAt: number;
   /** Prompt tokens granted so far. */
   readonly totalTokens: number;
-  /** Prompts that count as being read, and some that no longer do. */
+  /** Prompts that count as being read. */
   readonly reads: readonly Read[];
   /** Exponentially decaying sum of the prompt tokens granted, at `recentAt`. */
   readonly recentTokens: number;
   readonly recentAt: number;
-  /** Share of the longest pause that an event may take by the estimate. */
-  readonly pauseShare: number;
 }
 
 /** Time of an engine's events, in ms. */
@@ -65,20 +62,10 @@
 }
 
 /**
- * Bounds of the share of the longest pause that an event may take by the estimate, and its first value. At the lower bound, an
- * event is on time in a spell in which everything takes 2.5 times as long. The upper one leaves time for the network.
+ * Share of the longest pause that an event may take by the estimate. A slow spell takes 2.5 times as long as usual; the
+ * estimate is a mean that includes the spells, and is some 1.1 times the usual time.
  */
-const MIN_PAUSE_SHARE = 0.4;
-const MAX_PAUSE_SHARE = 0.85;
-const FIRST_PAUSE_SHARE = 0.6;
-/**
- * Changes of the share at the end of a stream that was late by a pause, and of one that was not. The share rises while fewer than
- * one stream in twenty is late, and falls while more are. A few late streams bring it down to its lower bound.
- */
-const LATE_STEP = 0.1;
-const ON_TIME_STEP = 0.005;
-/** Milliseconds from a grant until the engine begins to read the prompt: two trips, and the step that is under way. */
-export const LEAD_MS = 15;
+const PAUSE_SHARE = 0.45;
 /**
  * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
  * less between engines than their speed.
@@ -106,8 +93,6 @@
  * its entry host may be frozen. It is more than the factor of slow spells, which is about 2.5.
  */
 const LOST_FACTOR = 3;
-/** Milliseconds for which a prompt can count at most, several times the longest event on time. */
-const MAX_COUNT_MS = 5000;
 /** Time constant in ms of the decay of the prefill that counts as recent. */
 const RECENT_MS = 1000;
 
@@ -121,7 +106,6 @@
   reads: [],
   recentTokens: 0,
   recentAt: 0,
-  pauseShare: FIRST_PAUSE_SHARE,
 };
 
 function add(s: Sums, weight: number, x: number, y: number): Sums {
@@ -157,20 +141,10 @@
   return { baseMs: Math.max(0, (s.y - msPerToken * s.x) / s.weight), msPerToken };
 }
 
-/** The share of the pause after a stream that was or was not late by one. */
-function nextPauseShare(share: number, isLate: boolean): number {
-  const next = share + (isLate ? -LATE_STEP : ON_TIME_STEP);
-  return Math.min(MAX_PAUSE_SHARE, Math.max(MIN_PAUSE_SHARE, next));
-}
-
-/**
- * Adds the timing of a stream that ended at `now`, during which `tokens` prompt tokens were granted. A pause over `gapMs` is
- * late.
- */
+/** Adds the timing of a stream that ended at `now`, during which `tokens` prompt tokens were granted. */
 export function withStream(
   p: Pace,
   t: seatMessages.StreamTiming,
-  gapMs: number,
   tokens: number,
   eventTokens: number,
   now: number,
@@ -181,20 +155,18 @@
   const { baseMs, msPerToken } = eventTime(p, eventTokens, now);
   const y = Math.min(t.spanMs / count, OUTLIER_FACTOR * (baseMs + x * msPerToken));
   const older = scaled(agedSums(p, now), 2 ** (-count / HALF_LIFE_EVENTS));
-  const pauseShare = nextPauseShare(p.pauseShare, t.pauseMs > gapMs);
-  return { ...p, sums: add(older, count, x, y), learnedAt: now, pauseShare };
+  return { ...p, sums: add(older, count, x, y), learnedAt: now };
 }
 
 /** The prefill that is allowed beside streams whose longest pause on time is `gapMs`. */
 export function allowance(p: Pace, gapMs: number, eventTokens: number, now: number): Allowance {
   const time = eventTime(p, eventTokens, now);
-  const windowMs = p.pauseShare * gapMs;
+  const windowMs = PAUSE_SHARE * gapMs;
   return { ...time, windowMs, readMs: windowMs - time.baseMs };
 }
 
-/** Monotonic ms after which a prompt stops counting. */
-function countsUntil(r: Read, a: Allowance): number {
-  if (r.firstAt !== undefined) return r.firstAt + Math.max(0, a.windowMs - LEAD_MS);
+/** Monotonic ms after which a prompt without a first event stops counting. */
+function lostAt(r: Read, a: Allowance): number {
   return r.at + LOST_FACTOR * Math.max(a.windowMs, a.baseMs + r.tokens * a.msPerToken);
 }
 
@@ -204,7 +176,7 @@
  */
 export function readyInMs(p: Pace, tokens: number, a: Allowance, now: number): number {
   const counted = p.reads
-    .map((r) => ({ ms: r.tokens * a.msPerToken, until: countsUntil(r, a) }))
+    .map((r) => ({ ms: r.tokens * a.msPerToken, until: lostAt(r, a) }))
     .filter((r) => r.until > now)
     .sort((x, y) => y.until - x.until);
   let sumMs = tokens * a.msPerToken;
@@ -221,34 +193,25 @@
   return {
     ...p,
     totalTokens: p.totalTokens + tokens,
-    reads: [...p.reads.filter((r) => now - r.at < MAX_COUNT_MS), { seat, at: now, tokens }],
+    reads: [...p.reads, { seat, at: now, tokens }],
     recentTokens: recentTokens(p, now) + tokens,
     recentAt: now,
   };
 }
 
-/** Records that the first event of a seat came at `now`. */
-export function withFirstEvent(p: Pace, seat: string, now: number): Pace {
-  const reads = p.reads.map((r) => (r.seat === seat ? { ...r, firstAt: now } : r));
-  return { ...p, reads };
-}
-
-/** Records that a seat has ended; a prompt that was read still counts. */
-export function withoutSeat(p: Pace, seat: string): Pace {
-  return { ...p, reads: p.reads.filter((r) => r.seat !== seat || r.firstAt !== undefined) };
+/** Records that the first event of a seat has come, or that the seat has ended. */
+export function withoutRead(p: Pace, seat: string): Pace {
+  return { ...p, reads: p.reads.filter((r) => r.seat !== seat) };
 }
 
 function recentTokens(p: Pace, now: number): number {
   return p.recentTokens * Math.exp(-Math.max(0, now - p.recentAt) / RECENT_MS);
 }
 
-/**
- * Share of the time that may be spent on prefill. What is allowed beside one event is read, and counts for another event
- * after that. One prompt of `tokens` may always be read.
- */
+/** Share of the time that may be spent on prefill; one prompt of `tokens` may always be read per event. */
 function allowedShare(a: Allowance, tokens: number): number {
-  const readMs = Math.max(a.readMs, tokens * a.msPerToken);
-  return readMs / (a.windowMs + readMs);
+  const promptMs = tokens * a.msPerToken;
+  return Math.max(a.readMs / a.windowMs, promptMs / (a.baseMs + promptMs));
 }
 
 /**
@@ -269,7 +232,7 @@
   now: number,
 ): number {
   const pendingTokens = p.reads
-    .filter((r) => countsUntil(r, a) > now)
+    .filter((r) => lostAt(r, a) > now)
     .reduce((sum, r) => sum + r.tokens, 0);
   const firstMs = readyInMs(p, tokens, a, now) > 0 ? pendingTokens * a.msPerToken : 0;
   return firstMs + (aheadTokens * a.msPerToken) / allowedShare(a, tokens);
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -71,11 +71,11 @@
     this.pace = pace.withGrant(this.pace, id, e.need.promptTokens, now);
   }
 
-  recordFirstEvent(id: string, now: number): void {
+  recordFirstEvent(id: string): void {
     const e = this.entries.get(id);
     if (e?.grantedAt === undefined || e.totalAtFirst !== undefined) return;
     this.entries.set(id, { ...e, totalAtFirst: this.pace.totalTokens });
-    this.pace = pace.withFirstEvent(this.pace, id, now);
+    this.pace = pace.withoutRead(this.pace, id);
   }
 
   /** Learns from the timing of a stream that ends; called before {@link remove}. */
@@ -84,7 +84,7 @@
     if (e?.totalAtFirst === undefined) return;
     this.late = lateStreams.recordStream(this.late, t.pauseMs > e.gapMs, now);
     const tokens = this.pace.totalTokens - e.totalAtFirst;
-    this.pace = pace.withStream(this.pace, t, e.gapMs, tokens, eventTokens, now);
+    this.pace = pace.withStream(this.pace, t, tokens, eventTokens, now);
   }
 
   /** Share of the latest streams that were late by a pause. */
@@ -95,7 +95,7 @@
   /** Removes a seat that ended, was denied or was given up. */
   remove(id: string): void {
     this.entries.delete(id);
-    this.pace = pace.withoutSeat(this.pace, id);
+    this.pace = pace.withoutRead(this.pace, id);
   }
 
   /** Number of granted seats that count as open at `now`. */
