--- a/test/serving/sharing/fair-shares.test.ts
+++ b/test/serving/sharing/fair-shares.test.ts
@@ -222,17 +222,19 @@
       while (!isOver) {
         const seat = ask("hot");
         await seat.answer;
-        seat.began(50);
         await clock.sleep(clock.system, 20);
         seat.release("whole");
       }
     };
     const queue = Promise.all(Array.from({ length: 8 }, keepAsking));
-    await managedEngines.eventually(() => s.link.state?.overTeams?.includes("hot") ?? false);
-    const small = ask("small");
-    expect((await small.answer).kind).equal("grant");
-    isOver = true;
-    small.release("whole");
+    try {
+      await managedEngines.eventually(() => s.link.state?.overTeams?.includes("hot") ?? false);
+      const small = ask("small");
+      expect((await small.answer).kind).equal("grant");
+      small.release("whole");
+    } finally {
+      isOver = true;
+    }
     await queue;
   });
 });
