--- a/bench/red/pacing-switches.ts
+++ b/bench/red/pacing-switches.ts
@@ -38,8 +38,8 @@
   {
     name: "steady: the engine manager wakes when a seat stops counting",
     file: "serving/residency.js",
-    find: "Math.max(1, prefill.ms - GRANT_AHEAD_MS, admittedMs)",
-    put: "Math.max(1, prefill.ms - GRANT_AHEAD_MS)",
+    find: "Math.max(1, prefillMs, admittedMs)",
+    put: "Math.max(1, prefillMs)",
     proof: "ends with the batch, and comes back with a seat's end or with a seat that stays silent",
   },
   {
@@ -74,7 +74,7 @@
   {
     name: "steady: announced waiting times include the wait for a place",
     file: "serving/engine-view.js",
-    find: "Math.max(ms, k.steady?.waitsByRank[rank] ?? 0)",
+    find: "Math.max(ms, steadyMs?.[rank] ?? 0)",
     put: "ms",
     proof: "tell that the engine is full, and a seat is granted as soon as one ends",
   },
@@ -86,4 +86,11 @@
     proof:
       "is one whose events leave time for a prompt, whose routes stream not, or whose batch is unknown",
   },
+  {
+    name: "steady: late streams cost an engine requests",
+    file: "serving/choice.js",
+    find: "penaltyMs: e.penaltyMs + costMs + pauseMs",
+    put: "penaltyMs: e.penaltyMs + costMs",
+    proof: "send an adapter elsewhere if most are late, even to an engine that must load it",
+  },
 ];
