--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -281,7 +281,9 @@
     return this.shares.overCount;
   }
 
+  /** How the teams stand; undefined without steady streams, as there is no limited room to share then. */
   private standing(now: number): fairShares.Standing | undefined {
+    if (!this.steadyEngine(now)) return undefined;
     return this.shares.standing(this.state.waiting, now);
   }
 
