Keep streams on time when several prompts are read within one event, and in slow spells

Callers saw streams pause for over 300 ms on slow engines and in slow spells: the pace counted a prompt until its first event, which comes with its first token, so the next one was read within the same event of all running streams.

Change: a prompt counts for as long as an event may take (0.42 of the pause, so that an event in which a slow spell begins is still on time). An engine with little load may exceed the limit. First events that are overdue show a slow spell; then the limit follows the slowness, and a prompt that would make all streams late by itself waits.

--- a/bench/red/pacing-switches.ts
+++ b/bench/red/pacing-switches.ts
@@ -45,16 +45,39 @@
   {
     name: "steady: prefill is limited while streams run",
     file: "serving/pacing/steady-admission.js",
-    find: 'return inMs > 0 ? { why: "pace", holdsOthers: true, inMs } : undefined;',
+    find: 'return hold && { why: "pace", holdsOthers: !hold.isTooLarge, inMs: hold.inMs };',
     put: "return undefined;",
     proof: "are on time at twice what the engine can do, slow spells: true",
   },
   {
-    name: "steady: a prompt counts until its first event",
+    name: "steady: a prompt counts for as long as an event may take",
     file: "serving/pacing/pace.js",
-    find: "reads: p.reads.filter((r) => r.seat !== seat)",
-    put: "reads: p.reads",
-    proof: "counts prompts until their first event, and reads one per event however long it is",
+    find: "Math.max(r.tookMs, a.windowMs * factor)",
+    put: "r.tookMs",
+    proof: "counts prompts for as long as an event may take, also after their first event",
+  },
+  {
+    name: "steady: a slow spell is noticed by first events that are overdue",
+    file: "serving/pacing/pace.js",
+    find: "factor > SLOW_ABOVE && sinceMs < MAX_SLOW_MS",
+    put: "false",
+    proof:
+      "grants no prompt in a slow spell that makes an event late, but small ones, and all once it lasts",
+  },
+  {
+    name: "steady: an engine that stays slow counts as usual again",
+    file: "serving/pacing/pace.js",
+    find: "const MAX_SLOW_MS = 1500;",
+    put: "const MAX_SLOW_MS = Infinity;",
+    proof:
+      "grants no prompt in a slow spell that makes an event late, but small ones, and all once it lasts",
+  },
+  {
+    name: "steady: a late report of one entry host is no slow spell",
+    file: "serving/pacing/pace.js",
+    find: "(latest && r.at <= latest.at)",
+    put: "false",
+    proof: "does not take an engine for slow because one entry host reports late",
   },
   {
     name: "steady: a prompt whose entry host is frozen stops counting",
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -225,7 +225,7 @@
     const id = `${c.host}#${n}`;
     const now = this.deps.clock.mono();
     this.seatTable.recordFirstEvent(id, ms, now);
-    this.steadyAdmission.recordFirstEvent(id);
+    this.steadyAdmission.recordFirstEvent(id, now);
     this.waker.wake();
     this.announcer.stateChanged();
   }
--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -1,22 +1,24 @@
 /**
  * Decides how much prefill may be granted while streams run. An event of a stream takes a base time, plus the time for
  * the prompts that the engine reads meanwhile. Prefill is limited to what keeps an event within a share of the
- * longest pause that is on time; the rest is reserved for slow spells of the engine.
+ * longest pause that is on time; the rest is reserved for slow spells of the engine, which begin without notice.
  *
- * A prompt counts from the grant of its seat until its first event, which comes with its first token. Prompts that are read one
- * after the other can still lengthen the same event; counting them for a whole event would leave half of a slow engine's
- * capacity unused, and then more requests are refused than streams come on time. An engine that is slower than estimated is
- * granted less. Pure.
+ * A prompt counts from the grant of its seat for as long as such an event may take, and until its first event, which comes with
+ * its first token. Prompts that are read one after the other lengthen the same event. Pure.
  * @module
  */
 import type * as seatMessages from "../seat-messages.js";
 
-/** A granted prompt without a first event. */
+/** A granted prompt. */
 export interface Read {
   readonly seat: string;
   readonly tokens: number;
   /** Monotonic ms of the grant. */
   readonly at: number;
+  /** Prompt tokens granted without a first event when it was granted, its own included. */
+  readonly tokensUntilFirst: number;
+  /** Milliseconds from the grant until its first event; undefined until that. */
+  readonly tookMs: number | undefined;
 }
 
 /**
@@ -55,17 +57,21 @@
 
 /** Prefill that is allowed while streams run. */
 export interface Allowance extends EventTime {
+  /** Longest pause that is on time, in ms. */
+  readonly gapMs: number;
   /** Time that an event may take, in ms. */
   readonly windowMs: number;
   /** Part of that for prefill, in ms; negative if events are too slow for any. */
   readonly readMs: number;
+  /** Time of one step without prefill, in ms. */
+  readonly stepMs: number;
 }
 
 /**
  * Share of the longest pause that an event may take by the estimate. A slow spell takes 2.5 times as long as usual; the
  * estimate is a mean that includes the spells, and is some 1.1 times the usual time.
  */
-const PAUSE_SHARE = 0.45;
+const PAUSE_SHARE = 0.42;
 /**
  * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
  * less between engines than their speed.
@@ -93,6 +99,33 @@
  * its entry host may be frozen. It is more than the factor of slow spells, which is about 2.5.
  */
 const LOST_FACTOR = 3;
+/** Steps, besides the reading itself, from a grant to the first event: the step that runs, and the one that makes the token. */
+const STEPS_TO_FIRST = 2;
+/**
+ * How far an engine that has been granted little lately may exceed the limit, as a multiple of it; a full one may not. Under
+ * moderate load prompts come close together by chance, and a wait for each of them would cost more than a spell just then.
+ */
+const BURST = 1.5;
+/** Share of the longest pause that an event may take while the engine is slow; the slowness is an estimate. */
+const SLOW_SHARE = 0.8;
+/**
+ * Factor on the time for which a prompt counts while the engine is slow: an event with a prompt takes nearly the longest pause
+ * then, so a second one must not fall into it.
+ */
+const SLOW_WINDOW = 1.2;
+/** Slowness above which an engine counts as slow. */
+const SLOW_ABOVE = 1.4;
+/**
+ * Milliseconds after which an engine that stays slow counts as usual again: a slow spell is over by then, or the engine is slower
+ * than before and the estimate of its times follows.
+ */
+const MAX_SLOW_MS = 1500;
+/** Milliseconds that grant and first event may take on their way to and from a busy entry host, together. */
+const REPORT_DELAY_MS = 10;
+/** Factor of a slow spell that is counted at most. */
+const MAX_SLOWNESS = 5;
+/** Milliseconds after which no prompt counts any more. */
+const MAX_COUNTED_MS = 3000;
 /** Time constant in ms of the decay of the prefill that counts as recent. */
 const RECENT_MS = 1000;
 
@@ -162,46 +195,138 @@
 export function allowance(p: Pace, gapMs: number, eventTokens: number, now: number): Allowance {
   const time = eventTime(p, eventTokens, now);
   const windowMs = PAUSE_SHARE * gapMs;
-  return { ...time, windowMs, readMs: windowMs - time.baseMs };
+  return {
+    ...time,
+    gapMs,
+    windowMs,
+    readMs: windowMs - time.baseMs,
+    stepMs: time.baseMs / eventTokens,
+  };
+}
+
+/** How many times as long as usual the engine took, or takes so far, to read a prompt. */
+function slownessOf(r: Read, a: Allowance, now: number): number {
+  const usualMs = r.tokensUntilFirst * a.msPerToken + a.stepMs * STEPS_TO_FIRST;
+  return ((r.tookMs ?? now - r.at) - REPORT_DELAY_MS) / usualMs;
 }
 
-/** Monotonic ms after which a prompt without a first event stops counting. */
-function lostAt(r: Read, a: Allowance): number {
+/** How slow an engine is now. */
+export interface Slowness {
+  /** How many times as long as usual it takes, at least 1. */
+  readonly factor: number;
+  /** Milliseconds for which it has been slow; 0 if it is not. */
+  readonly sinceMs: number;
+}
+
+/**
+ * How slow the engine is, by the prompts read last. A prompt whose first event is overdue does not count if one that was
+ * granted later has its own: then the report of its entry host is late, not the engine.
+ */
+export function slowness(p: Pace, a: Allowance, now: number): Slowness {
+  const done = p.reads.filter((r) => r.tookMs !== undefined);
+  const latest = done.at(-1);
+  let factor = latest ? slownessOf(latest, a, now) : 1;
+  let since = now;
+  for (const r of p.reads) {
+    if (r.tookMs !== undefined || (latest && r.at <= latest.at)) continue;
+    const own = slownessOf(r, a, now);
+    if (own > SLOW_ABOVE) since = Math.min(since, r.at);
+    factor = Math.max(factor, own);
+  }
+  if (factor <= SLOW_ABOVE) return { factor: Math.max(1, factor), sinceMs: 0 };
+  for (const r of done.reverse()) {
+    if (slownessOf(r, a, now) <= SLOW_ABOVE) break;
+    since = Math.min(since, r.at);
+  }
+  return { factor: Math.min(MAX_SLOWNESS, factor), sinceMs: now - since };
+}
+
+/** Monotonic ms after which a prompt stops counting; `factor` is how many times as long as usual the engine takes. */
+function countsUntil(r: Read, a: Allowance, factor: number): number {
+  if (r.tookMs !== undefined) return r.at + Math.max(r.tookMs, a.windowMs * factor);
   return r.at + LOST_FACTOR * Math.max(a.windowMs, a.baseMs + r.tokens * a.msPerToken);
 }
 
+/** What keeps a prompt from being granted. */
+export interface Hold {
+  /** Milliseconds until it may be granted even if nothing happens until then. */
+  readonly inMs: number;
+  /** Whether it is held back for its size alone, so that smaller prompts may be granted before it. */
+  readonly isTooLarge: boolean;
+}
+
 /**
- * Milliseconds until a prompt may be granted even if none of those before it has its first event; 0 if it may be now.
- * A prompt that exceeds the allowance is granted once no other counts, so at least one is read per event.
+ * What keeps a prompt from being granted; undefined if nothing does. At least one prompt is read per event, unless it is
+ * too large: one that exceeds the limit is granted once no other counts.
+ *
+ * A prompt is granted if half of it is within the limit, so that the limit holds on average also where it is a few prompts
+ * only. While the engine is slow, all of it must be, and one that would make all streams late by itself waits.
  */
-export function readyInMs(p: Pace, tokens: number, a: Allowance, now: number): number {
+export function holdOf(p: Pace, tokens: number, a: Allowance, now: number): Hold | undefined {
+  const ownMs = tokens * a.msPerToken;
+  const { factor, sinceMs } = slowness(p, a, now);
+  if (factor > SLOW_ABOVE && sinceMs < MAX_SLOW_MS) {
+    const limitMs = (SLOW_SHARE * a.gapMs) / factor - a.baseMs;
+    if ((a.baseMs + ownMs) * factor > a.gapMs)
+      return { inMs: Math.min(a.windowMs, MAX_SLOW_MS - sinceMs), isTooLarge: true };
+    return blockingOf(p, ownMs, limitMs, factor * SLOW_WINDOW, a, now);
+  }
+  const burst = 1 + BURST * (1 - Math.min(1, load(p, a, tokens, now)));
+  const limitMs = Math.min(burst * a.readMs, SLOW_SHARE * a.gapMs - a.baseMs - ownMs / 2);
+  return blockingOf(p, ownMs / 2, limitMs, 1, a, now);
+}
+
+/** What keeps a prompt of `ownMs` waiting among those that count, for `factor` times their usual time, under a limit in ms. */
+function blockingOf(
+  p: Pace,
+  ownMs: number,
+  limitMs: number,
+  factor: number,
+  a: Allowance,
+  now: number,
+): Hold | undefined {
   const counted = p.reads
-    .map((r) => ({ ms: r.tokens * a.msPerToken, until: lostAt(r, a) }))
+    .map((r) => ({ ms: r.tokens * a.msPerToken, until: countsUntil(r, a, factor) }))
     .filter((r) => r.until > now)
     .sort((x, y) => y.until - x.until);
-  let sumMs = tokens * a.msPerToken;
+  let sumMs = ownMs;
   // Those that stop counting last are added first: the one that exceeds the allowance must stop counting.
   const blocking = counted.find((r) => {
     sumMs += r.ms;
-    return sumMs > a.readMs;
+    return sumMs > limitMs;
   });
-  return blocking ? blocking.until - now : 0;
+  return blocking && { inMs: blocking.until - now, isTooLarge: false };
 }
 
 /** Records that a seat was granted at `now` for a prompt of `tokens`. */
 export function withGrant(p: Pace, seat: string, tokens: number, now: number): Pace {
+  const kept = p.reads.filter((r) => now - r.at < MAX_COUNTED_MS);
+  const unread = kept.reduce((sum, r) => sum + (r.tookMs === undefined ? r.tokens : 0), 0);
+  const read: Read = {
+    seat,
+    at: now,
+    tokens,
+    tokensUntilFirst: unread + tokens,
+    tookMs: undefined,
+  };
   return {
     ...p,
     totalTokens: p.totalTokens + tokens,
-    reads: [...p.reads, { seat, at: now, tokens }],
+    reads: [...kept, read],
     recentTokens: recentTokens(p, now) + tokens,
     recentAt: now,
   };
 }
 
-/** Records that the first event of a seat has come, or that the seat has ended. */
+/** Records that the first event of a seat has come. */
+export function withFirstEvent(p: Pace, seat: string, now: number): Pace {
+  const reads = p.reads.map((r) => (r.seat === seat ? { ...r, tookMs: now - r.at } : r));
+  return { ...p, reads };
+}
+
+/** Records that a seat has ended; its prompt counts on if the engine has read it. */
 export function withoutRead(p: Pace, seat: string): Pace {
-  return { ...p, reads: p.reads.filter((r) => r.seat !== seat) };
+  return { ...p, reads: p.reads.filter((r) => r.seat !== seat || r.tookMs !== undefined) };
 }
 
 function recentTokens(p: Pace, now: number): number {
@@ -232,8 +357,8 @@
   now: number,
 ): number {
   const pendingTokens = p.reads
-    .filter((r) => lostAt(r, a) > now)
+    .filter((r) => countsUntil(r, a, 1) > now)
     .reduce((sum, r) => sum + r.tokens, 0);
-  const firstMs = readyInMs(p, tokens, a, now) > 0 ? pendingTokens * a.msPerToken : 0;
+  const firstMs = holdOf(p, tokens, a, now) ? pendingTokens * a.msPerToken : 0;
   return firstMs + (aheadTokens * a.msPerToken) / allowedShare(a, tokens);
 }
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -71,11 +71,11 @@
     this.pace = pace.withGrant(this.pace, id, e.need.promptTokens, now);
   }
 
-  recordFirstEvent(id: string): void {
+  recordFirstEvent(id: string, now: number): void {
     const e = this.entries.get(id);
     if (e?.grantedAt === undefined || e.totalAtFirst !== undefined) return;
     this.entries.set(id, { ...e, totalAtFirst: this.pace.totalTokens });
-    this.pace = pace.withoutRead(this.pace, id);
+    this.pace = pace.withFirstEvent(this.pace, id, now);
   }
 
   /** Learns from the timing of a stream that ends; called before {@link remove}. */
@@ -121,8 +121,8 @@
           return { why: "room", holdsOthers, inMs: freeInMs };
         }
         if (!allowance) return undefined;
-        const inMs = pace.readyInMs(p, needOf(w).promptTokens, allowance, at.now);
-        return inMs > 0 ? { why: "pace", holdsOthers: true, inMs } : undefined;
+        const hold = pace.holdOf(p, needOf(w).promptTokens, allowance, at.now);
+        return hold && { why: "pace", holdsOthers: !hold.isTooLarge, inMs: hold.inMs };
       },
       granted: (w) =>
         this.admissionOf(
--- a/test/serving/pacing/load-run.ts
+++ b/test/serving/pacing/load-run.ts
@@ -122,7 +122,7 @@
     if (!arrival) return;
     if (run.firstAt === now) {
       this.seats.recordFirstEvent(run.id, now - arrival.sentAt, now);
-      this.admission.recordFirstEvent(run.id);
+      this.admission.recordFirstEvent(run.id, now);
     }
     if (run.made < run.answerTokens) return;
     const events = run.made / engineModel.EVENT_TOKENS;
--- a/test/serving/pacing/steady-admission.test.ts
+++ b/test/serving/pacing/steady-admission.test.ts
@@ -65,7 +65,7 @@
     const e = new Engine();
     for (const id of ["a", "b", "c", "d", "e"]) e.ask(id, 100);
     expect(e.settle()).deep.equal(["a", "b", "c", "d", "e: room"]);
-    for (const id of ["a", "b", "c"]) e.admission.recordFirstEvent(id);
+    for (const id of ["a", "b", "c"]) e.admission.recordFirstEvent(id, e.now);
     e.now = 1000;
     expect(e.settle()).deep.equal(["e: room"]);
     expect(e.wakeInMs()).equal(500);
@@ -81,7 +81,7 @@
     const e = new Engine();
     e.ask("a", 6000);
     e.settle();
-    e.admission.recordFirstEvent("a");
+    e.admission.recordFirstEvent("a", e.now);
     e.ask("large", 6000);
     e.ask("b", 1000);
     expect(e.settle()).deep.equal(["large: room", "b"]);
@@ -116,7 +116,7 @@
           if (s.kind === "ask") e.ask(`${i}`, s.tokens);
           else for (const id of open.splice(s.index, 1)) e.admission.remove(id);
           for (const id of e.settle().filter((text) => /^\d+$/.test(text))) {
-            e.admission.recordFirstEvent(id);
+            e.admission.recordFirstEvent(id, e.now);
             open.push(id);
           }
           expect(open.length).most(BATCH.requests);
@@ -129,35 +129,89 @@
 });
 
 describe("pace of prefill", () => {
-  const allowed: pace.Allowance = { baseMs: 50, msPerToken: 0.05, windowMs: 150, readMs: 100 };
+  const allowed: pace.Allowance = {
+    ...{ baseMs: 50, stepMs: 7, msPerToken: 0.05 },
+    ...{ gapMs: 300, windowMs: 150, readMs: 100 },
+  };
+  const inMs = (p: pace.Pace, tokens: number, now: number) =>
+    pace.holdOf(p, tokens, allowed, now)?.inMs ?? 0;
+  /** Prompts of 1,000 tokens, each granted at one of the times and with its first event `tookMs` later. */
+  const withReads = (times: readonly number[], tookMs: number) =>
+    times.reduce(
+      (p, at) => pace.withFirstEvent(pace.withGrant(p, `${at}`, 1000, at), `${at}`, at + tookMs),
+      pace.INITIAL,
+    );
+
+  it("counts prompts for as long as an event may take, also after their first event", () => {
+    const busy = withReads([0, 60, 120, 180, 240, 300, 360, 420, 480], 50);
+    expect(inMs(busy, 1000, 490)).within(1, 150);
+    expect(inMs(busy, 1000, 480 + 150)).equal(0);
+    expect(inMs(pace.INITIAL, 50_000, 490)).equal(0);
+  });
+
+  it("reads one prompt per event however long it is", () => {
+    const p = withReads([0], 50);
+    expect(inMs(p, 50_000, 60)).within(1, 150);
+    expect(inMs(p, 50_000, 150)).equal(0);
+  });
+
+  it("grants no prompt in a slow spell that makes an event late, but small ones, and all once it lasts", () => {
+    const usual = withReads([0, 1000], 60);
+    const slow = pace.withFirstEvent(pace.withGrant(usual, "slow", 1000, 2000), "slow", 2160);
+    expect(pace.slowness(usual, allowed, 2160).sinceMs).equal(0);
+    expect(pace.slowness(slow, allowed, 2160)).deep.equal({ factor: 150 / 64, sinceMs: 160 });
+    expect(pace.holdOf(slow, 2000, allowed, 2500)).deep.include({ isTooLarge: true });
+    expect(pace.holdOf(slow, 800, allowed, 2500)).equal(undefined);
+    expect(pace.holdOf(slow, 800, allowed, 2200)).deep.include({ isTooLarge: false });
+    expect(pace.holdOf(slow, 2000, allowed, 2000 + 1500)).equal(undefined);
+  });
 
-  it("counts prompts until their first event, and reads one per event however long it is", () => {
-    let p = pace.withGrant(pace.INITIAL, "a", 1000, 0);
-    expect(pace.readyInMs(p, 1000, allowed, 0)).equal(0);
-    p = pace.withGrant(p, "b", 1000, 0);
-    expect(pace.readyInMs(p, 100, allowed, 100)).above(0);
-    expect(pace.readyInMs(pace.withoutRead(p, "a"), 1000, allowed, 100)).equal(0);
-    const none = pace.withoutRead(pace.withoutRead(p, "a"), "b");
-    expect(pace.readyInMs(none, 50_000, allowed, 100)).equal(0);
+  it("does not take an engine for slow because one entry host reports late", () => {
+    const p = pace.withGrant(pace.withGrant(pace.INITIAL, "late", 1000, 0), "other", 1000, 100);
+    expect(pace.slowness(p, allowed, 400).factor).above(2);
+    const reported = pace.withFirstEvent(p, "other", 190);
+    expect(pace.slowness(reported, allowed, 400).factor).equal(1);
   });
 
   it("goes on without the first event of a prompt whose entry host is frozen", () => {
     const p = pace.withGrant(pace.INITIAL, "a", 2000, 0);
-    const inMs = pace.readyInMs(p, 2000, allowed, 0);
-    expect(inMs).within(1, 1000);
-    expect(pace.readyInMs(p, 2000, allowed, inMs)).equal(0);
+    const waitMs = inMs(p, 4000, 0);
+    expect(waitMs).within(1, 1000);
+    expect(inMs(p, 4000, 2000)).equal(0);
+  });
+
+  it("lets every prompt pass in time, whatever was read before", () => {
+    const read = fc.record({ tokens: fc.nat(9000), at: fc.nat(3000), tookMs: fc.nat(2000) });
+    fc.assert(
+      fc.property(fc.array(read, { maxLength: 20 }), fc.nat(9000), (reads, tokens) => {
+        const p = [...reads]
+          .sort((x, y) => x.at - y.at)
+          .reduce((q, r, i) => {
+            const granted = pace.withGrant(q, `${i}`, r.tokens, r.at);
+            return r.tookMs > 1500
+              ? granted
+              : pace.withFirstEvent(granted, `${i}`, r.at + r.tookMs);
+          }, pace.INITIAL);
+        let now = 3000;
+        for (let n = 0; n < 50; n++) now += inMs(p, tokens, now);
+        expect(inMs(p, tokens, now)).equal(0);
+        expect(now).below(3000 + 1500 + 3 * (50 + 9000 * 0.05) + 150);
+      }),
+    );
   });
 
   it("has no limit while no stream runs", () => {
     const e = new Engine();
     for (const id of ["a", "b", "c"]) e.ask(id, 2000, 300);
     expect(e.settle()).deep.equal(["a", "b", "c"]);
-    e.admission.recordFirstEvent("a");
+    e.admission.recordFirstEvent("a", e.now);
     e.ask("d", 1000);
     expect(e.settle()).deep.equal(["d: pace"]);
     expect(e.wakeInMs()).within(1, 1500);
-    e.admission.recordFirstEvent("b");
-    e.admission.recordFirstEvent("c");
+    e.admission.recordFirstEvent("b", e.now);
+    e.admission.recordFirstEvent("c", e.now);
+    expect(e.settle()).deep.equal(["d: pace"]);
+    e.now += 300;
     expect(e.settle()).deep.equal(["d"]);
   });
 
@@ -194,7 +248,7 @@
     expect(e.admission.waitsByRank(e.at)[0]).equal(250);
     e.ask("waiting", 100);
     expect(e.admission.waitsByRank(e.at).slice(0, 2)).deep.equal([250, 500]);
-    for (const id of ["a", "b", "c", "d"]) e.admission.recordFirstEvent(id);
+    for (const id of ["a", "b", "c", "d"]) e.admission.recordFirstEvent(id, e.now);
     for (const id of ["b", "c", "d", "waiting"]) e.admission.remove(id);
     e.ask("long", 9000, 300);
     e.admission.grant("long", e.now);
