Refuse nothing because of the event loop's lag in a daemon's first three seconds

After a power cut of all hosts 623 requests were refused within two seconds, by 20 of 28 entry hosts that were each 130 to 600 ms behind: their code was not compiled yet and they connected to all engines. Refusals did not shorten that, and their callers, who retry once, came back to hosts that were starting as well.

Change: until 3 s after its start a daemon serves late what it would refuse later. Deadlines and callers who have left are checked as before. The new test fails without the change (the request is refused); the other tests of overload pass unchanged.

--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -40,6 +40,8 @@
   /** How old the catalog may be for accepting or rejecting a key by it. */
   readonly bounds: authentication.FreshnessBounds;
   readonly random: () => number;
+  /** Monotonic ms until which no request is refused because of the event loop's lag. */
+  readonly toleratesLagUntil: number;
 }
 
 /** Retry-after time, in ms, that callers get while this host has no configuration yet. */
@@ -219,6 +221,7 @@
     arrivedAt: number,
   ): match.Matched | match.Refusal {
     if (hostLag.ms <= loopLag.NORMAL_MS) return m;
+    if (this.deps.clock.mono() < this.deps.toleratesLagUntil) return m;
     const why = shedding.refusalReason(lag.ms, hostLag, m.route, this.deps.random());
     if (why === undefined) return m;
     this.lagMonitor.recordRefusal();
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -26,6 +26,7 @@
 import * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as workerNotices from "./worker-notices.js";
+import * as shedding from "./overload/shedding.js";
 
 /** Settings of an entry daemon. */
 export interface Options {
@@ -203,6 +204,7 @@
     catalogAgeMs: () => catalogFeed.catalogAgeMs,
     bounds,
     random: deps.random,
+    toleratesLagUntil: deps.clock.mono() + shedding.STARTUP_MS,
   });
   daemonMetrics.addGauge("sumacfield_requests_open", "Requests under way.", () =>
     callers.inFlight(),
--- a/src/serving/overload/shedding.ts
+++ b/src/serving/overload/shedding.ts
@@ -38,6 +38,13 @@
 /** Fraction of the target at which refusals begin, if that is more than the normal lag. */
 const FROM_TARGETS = 0.05;
 
+/**
+ * Milliseconds from a daemon's start during which no request is refused because of the lag. Its code is not compiled yet and
+ * it connects to all engines, so refusals would not end the lag. After a power cut, their callers would return to hosts that are
+ * starting as well.
+ */
+export const STARTUP_MS = 3000;
+
 /**
  * Why a request is refused because of the lag, or undefined if it is served; `random` is 0 or more and less than 1. The
  * request's own wait decides whether it would be late in any case, `host` which share is refused: otherwise requests on open
--- a/test/platform/callers.test.ts
+++ b/test/platform/callers.test.ts
@@ -120,6 +120,7 @@
     catalogAgeMs: () => ageMs,
     bounds: BOUNDS,
     random: () => 0,
+    toleratesLagUntil: 0,
   });
   return {
     seen,
--- a/test/serving/blocked-loop.ts
+++ b/test/serving/blocked-loop.ts
@@ -59,7 +59,7 @@
 }
 
 /** Starts the server, the worker and the callers' thread. The worker answers at once, but never a request for /c/held. */
-export async function open(route: Partial<catalog.Route> = {}) {
+export async function open(route: Partial<catalog.Route> = {}, toleratesLagMs = 0) {
   const arrivals: { readonly path: string; readonly leftMs: number }[] = [];
   const worker = await fixtures.worker((req, res) => {
     const path = req.url ?? "";
@@ -93,6 +93,7 @@
     catalogAgeMs: () => 0,
     bounds: authentication.freshnessBounds(3000, 5000),
     random: () => 0,
+    toleratesLagUntil: clock.system.mono() + toleratesLagMs,
   });
   const flag = new Int32Array(new SharedArrayBuffer(4));
   const { port } = listener.server.address() as net.AddressInfo;
--- a/test/serving/overload.test.ts
+++ b/test/serving/overload.test.ts
@@ -37,8 +37,12 @@
    * A site that serves one request already, and has the idle connections `kept`. By default, no request is refused because
    * of the lag.
    */
-  async function busySite(kept: readonly string[], targetMs = 2000): Promise<Site> {
-    site = await blockedLoop.open({ targetMs });
+  async function busySite(
+    kept: readonly string[],
+    targetMs = 2000,
+    toleratesLagMs = 0,
+  ): Promise<Site> {
+    site = await blockedLoop.open({ targetMs }, toleratesLagMs);
     site.act([stays("held"), ...kept.map((name) => stays(name, "/c/before"))]);
     await timers.setTimeout(SETTLE_MS);
     return site;
@@ -89,6 +93,17 @@
     expect(arrivals.map((a) => a.path)).not.include("/c/kept");
     expect(await metrics.text()).contain('sumacfield_lag_refusals_total{rank="1"} 1');
   });
+
+  /* Guards against hosts that all start at once and send each other's callers away. */
+  it("serves late what it would refuse, while it starts, but nothing whose caller has left", async () => {
+    const { arrivals, received, actBlocked } = await busySite(["kept", "gone"], 200, 60_000);
+    actBlocked([stays("kept"), leaves("gone")], BLOCK_MS);
+    await timers.setTimeout(SETTLE_MS);
+    expect(received.get("kept")).match(/200 OK[^]*200 OK/);
+    expect(arrivals.map((a) => a.path))
+      .include("/c/kept")
+      .and.not.include("/c/gone");
+  });
 });
 
 describe("a request that waited while the event loop was blocked", () => {
