Reserve a scarce retry budget for more urgent retries

Cause: retries were allowed first come, first served. Where engines fail 45 of 100 requests for 4 s, retries of less urgent ranks used up the budget that the most urgent ones needed.

Change: in configurations with steady streams, a retry leaves alone what more urgent classes are expected to request in the next 2 s, less what the account earns meanwhile. The class is the rank, or one step less urgent for a retry whose first event would come after its target. Each entry daemon decides from its own account and from the decaying rates of the retries requested from it; the budget itself is unchanged. "A retry exceeds the budget." has rank, priority and reserve, and sumacfield_retries_by_rank_total counts by rank and outcome.

--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -299,4 +299,33 @@
     put: "for (const key of [])",
     proof: "a grant is revoked",
   },
+  {
+    name: "retries: a scarce budget is reserved for more urgent retries",
+    file: "serving/overload/retry-priority.js",
+    find: "left.retries - 1 < reserve - ROUNDING_TOLERANCE",
+    put: "false",
+    proof: "allows the most urgent rank 1.3 times as many retries, and as many in total",
+  },
+  {
+    name: "retries: a single rank is first come, first served",
+    file: "serving/overload/retry-priority.js",
+    find: "current.every((e) => e.rank === r.rank)",
+    put: "false",
+    proof: "decides as first come, first served with a single rank, or without steady streams",
+  },
+  {
+    name: "retries: priority applies where streams must be steady",
+    file: "serving/send-checks.js",
+    find: "steady.hasSteadyStreams(cfg)",
+    put: "true",
+    proof: "decides as first come, first served with a single rank, or without steady streams",
+  },
+  {
+    name: "retries: a retry that is late is a step less urgent",
+    file: "serving/overload/retry-priority.js",
+    find: "r.isLate ? r.rank + 1 : r.rank",
+    put: "r.rank",
+    proof:
+      "reserves for more urgent classes only, beyond what is earned, and while they request retries",
+  },
 ];
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -160,6 +160,7 @@
         return this.giveUp(req, res, p, false);
       }
       p.expectedMs ??= Math.round(best.firstMs);
+      p.serviceMs = best.serviceMs;
       // Admission is decided once: a request that was admitted and has waited is not refused because of later arrivals.
       const verdict = p.isAdmissionDecided ? SERVE : this.seatFinder.admit(req, best);
       if (verdict.kind === "refuse") {
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -25,6 +25,9 @@
 /** What became of a request for such a worker: sent to it, sent to another, or refused because no other took it. */
 export type NoticeOutcome = "sent" | "elsewhere" | "refused";
 
+/** What became of a retry: the budget allowed it, was used up, or was reserved for more urgent ones. */
+export type RetryOutcome = "allowed" | "exhausted" | "reserved";
+
 /** Records the metrics of one daemon. */
 export interface Metrics {
   /** A request ended. `firstMs` is the time to the first byte of the response, if there was one. */
@@ -36,6 +39,8 @@
   ) => void;
   /** A request of a service needed a retry. `from` is the budget that was charged; undefined if the retry was denied. */
   readonly recordRetry: (service: string, from: string | undefined) => void;
+  /** A request of a route with this rank needed a retry. */
+  readonly recordRetryByRank: (rank: number, outcome: RetryOutcome) => void;
   /** A request was refused before it was dispatched. `team` is undefined if it is not known. */
   readonly recordRefusal: (team: string | undefined, status: number) => void;
   /** A team used some units of its cap. */
@@ -92,6 +97,12 @@
     "service",
     "from",
   );
+  const retriesByRank = counter(
+    "sumacfield_retries_by_rank_total",
+    "Retries that were wanted, by rank and whether the budget allowed them.",
+    "rank",
+    "outcome",
+  );
   const units = counter(
     "sumacfield_team_units_total",
     "Units of its cap that a team used at this host, requests or tokens.",
@@ -132,6 +143,9 @@
     recordRetry: (service, from = "denied") => {
       retries.inc({ service, from });
     },
+    recordRetryByRank: (rank, outcome) => {
+      retriesByRank.inc({ rank, outcome });
+    },
     recordRefusal: (team, status) => {
       refusals.inc({ team: team === undefined ? NO_TEAM_LABEL : teamLabel(team), status });
     },
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -87,6 +87,8 @@
   firstSentAt: number | undefined;
   /** Expected ms to the first event from the endpoint chosen first. */
   expectedMs: number | undefined;
+  /** Expected ms from a send to the first event, at the endpoint chosen last; 0 before the first choice. */
+  serviceMs: number;
   /** Crowding by which the engine of the last choice was chosen; undefined where none is announced. */
   crowding: crowding.Comparison | undefined;
   /** Milliseconds, at the last send, since the host's catalog was last known to be up to date with the store. */
@@ -120,6 +122,7 @@
     writeMs: 0,
     firstSentAt: undefined,
     expectedMs: undefined,
+    serviceMs: 0,
     crowding: undefined,
     catalogAgeMs: undefined,
     endpoint: "",
--- a/src/serving/retry-budget.ts
+++ b/src/serving/retry-budget.ts
@@ -13,6 +13,7 @@
  * @module
  */
 import type * as clock from "../host/clock.js";
+import * as decayingRate from "./overload/decaying-rate.js";
 import * as stallDetector from "./stall-detector.js";
 
 /** The retry budget that all hosts share for one service. */
@@ -32,6 +33,8 @@
 const MAX_ARRIVAL_MS = 800;
 /** Slices that a token's lifetime is divided into; tokens earned within one slice expire together. */
 const EXPIRY_SLICES = 32;
+/** Time constant in ms of the mean rate at which requests earn tokens. */
+const EARNING_RATE_MS = 1000;
 /** Rounding error allowed in a sum of fractions of tokens. */
 const ROUNDING_TOLERANCE = 1e-9;
 
@@ -47,10 +50,12 @@
   readonly earned: readonly Earned[];
   /** Steady-clock ms of each retry charged to the slack, oldest first. */
   readonly fromSlack: readonly number[];
+  /** Rate of the requests that earn tokens. */
+  readonly earningRate: decayingRate.Rate;
 }
 
 /** Account of a process that has just started. */
-export const EMPTY: Account = { earned: [], fromSlack: [] };
+export const EMPTY: Account = { earned: [], fromSlack: [], earningRate: decayingRate.NONE };
 
 /** Milliseconds until a token expires. */
 function lifetimeMs(opts: Options): number {
@@ -79,6 +84,7 @@
   const isSameSlice = last && now - last.earnedAt < lifetimeMs(opts) / EXPIRY_SLICES;
   return {
     ...a,
+    earningRate: decayingRate.record(a.earningRate, now, EARNING_RATE_MS),
     earned: isSameSlice
       ? [...earned.slice(0, -1), { earnedAt: last.earnedAt, tokens: last.tokens + tokens }]
       : [...earned, { earnedAt: now, tokens }],
@@ -98,6 +104,17 @@
   return { ...a, earned: reduced.filter((e) => e.tokens > 0) };
 }
 
+/** Retries charged to the slack, at the steady ms `now`, that count against the share of this host. */
+function slackUses(a: Account, now: number, opts: Options): readonly number[] {
+  return a.fromSlack.filter((t) => now - t < separationMs(opts));
+}
+
+/** Retries that the share of one of `hosts` hosts in the slack still allows, at the steady ms `now`. */
+function slackLeft(a: Account, now: number, hosts: number, opts: Options): number {
+  const hostShare = (SLACK_FRACTION * opts.slack) / Math.max(1, hosts);
+  return Math.max(0, Math.floor(hostShare) - slackUses(a, now, opts).length);
+}
+
 /** Charges one retry to the slack, at the steady ms `now`; undefined if the share of one of `hosts` hosts is used up. */
 export function useSlack(
   a: Account,
@@ -105,10 +122,8 @@
   hosts: number,
   opts: Options,
 ): Account | undefined {
-  const usedAt = a.fromSlack.filter((t) => now - t < separationMs(opts));
-  const hostShare = (SLACK_FRACTION * opts.slack) / Math.max(1, hosts);
-  if (usedAt.length + 1 > hostShare) return undefined;
-  return { ...a, fromSlack: [...usedAt, now] };
+  if (slackLeft(a, now, hosts, opts) < 1) return undefined;
+  return { ...a, fromSlack: [...slackUses(a, now, opts), now] };
 }
 
 /** Whether a retry was allowed, with the figures that decided it. */
@@ -123,6 +138,15 @@
   readonly hosts: number | undefined;
 }
 
+/** What remains of the budget for one service. */
+export interface Balance {
+  readonly tokens: number;
+  /** Retries that may still be charged to the slack. */
+  readonly slack: number;
+  /** Tokens earned per second, by a mean over the latest requests. */
+  readonly earnedPerS: number;
+}
+
 /** One process's share of the retry budget of each service. */
 export class Budget {
   private readonly accounts = new Map<string, Account>();
@@ -162,6 +186,25 @@
     };
   }
 
+  /** What remains for a service, where at most `hosts` hosts share the slack. */
+  balance(service: string, hosts: number | undefined): Balance {
+    const account = this.accounts.get(service) ?? EMPTY;
+    const now = this.clk.mono();
+    const requestsPerS = decayingRate.at(account.earningRate, now, EARNING_RATE_MS);
+    return {
+      tokens: totalTokens(unexpired(account.earned, now, this.opts)),
+      slack: this.mayUseSlack(hosts) ? slackLeft(account, this.clk.steady(), hosts, this.opts) : 0,
+      earnedPerS: (requestsPerS * this.opts.ratio) / EARNING_WINDOWS,
+    };
+  }
+
+  /** Returns the verdict on a retry that is denied although the budget may allow it. */
+  deny(service: string, hosts: number | undefined): Verdict {
+    const account = this.accounts.get(service) ?? EMPTY;
+    const { tokens } = this.balance(service, hosts);
+    return { from: undefined, tokens, fromSlack: account.fromSlack.length, hosts };
+  }
+
   /** Stops using the slack because the process is shutting down: its successor on the host uses it from now on. */
   startDraining(): void {
     this.isDraining = true;
@@ -179,9 +222,13 @@
   }
 
   private useSlack(a: Account, hosts: number | undefined): Account | undefined {
-    const now = this.clk.steady();
-    if (hosts === undefined || this.isDraining) return undefined;
-    if (now - this.startedAt < separationMs(this.opts)) return undefined;
-    return useSlack(a, now, hosts, this.opts);
+    if (!this.mayUseSlack(hosts)) return undefined;
+    return useSlack(a, this.clk.steady(), hosts, this.opts);
+  }
+
+  /** Whether this process may use the slack: its number of hosts is known, and no other process may use the host's share. */
+  private mayUseSlack(hosts: number | undefined): hosts is number {
+    if (hosts === undefined || this.isDraining) return false;
+    return this.clk.steady() - this.startedAt >= separationMs(this.opts);
   }
 }
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -11,6 +11,8 @@
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as identity from "./identity.js";
 import type * as metrics from "./metrics.js";
+import * as retryPriority from "./overload/retry-priority.js";
+import * as steady from "./pacing/steady.js";
 import type * as progress from "./progress.js";
 import type * as retryBudget from "./retry-budget.js";
 import type * as suspects from "./suspects.js";
@@ -38,6 +40,11 @@
 
 /** Decides whether a request may be sent, and records why not. */
 export class SendChecks {
+  /** Retries requested lately, by service. */
+  private readonly requestedRetries = new Map<string, retryPriority.Requested>();
+  /** Whether scarce retries go by priority under a configuration. */
+  private prioritized: { readonly cfg: catalog.Config; readonly holds: boolean } | undefined;
+
   constructor(
     private readonly budget: retryBudget.Budget,
     private readonly deps: Deps,
@@ -101,21 +108,58 @@
   chargeRetry(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
     if (p.isRetryCharged) return true;
     const service = req.service.name;
-    const verdict = this.budget.takeRetry(service, this.deps.endpoints.mostHosts());
-    this.deps.metrics.recordRetry(service, verdict.from);
-    const message = verdict.from ? "A retry is allowed." : "A retry exceeds the budget.";
-    this.deps.log.info(message, {
+    const hosts = this.deps.endpoints.mostHosts();
+    const decision = this.usesPriority() ? this.prioritize(req, p, hosts) : undefined;
+    const isReserved = decision?.kind === "reserved";
+    const verdict = isReserved
+      ? this.budget.deny(service, hosts)
+      : this.budget.takeRetry(service, hosts);
+    const { metrics, log } = this.deps;
+    metrics.recordRetry(service, verdict.from);
+    metrics.recordRetryByRank(req.route.rank, retryOutcome(verdict, isReserved));
+    log.info(verdict.from ? "A retry is allowed." : "A retry exceeds the budget.", {
       request: req.meta.id,
       service,
       send: p.sends + 1,
       ...verdict,
       tokens: Number(verdict.tokens.toFixed(1)),
+      rank: req.route.rank,
+      priority: decision?.priority,
+      reserve: decision && Number(decision.reserve.toFixed(1)),
     });
     p.isRetryCharged = verdict.from !== undefined;
-    if (!p.isRetryCharged) p.why = "the retry budget is used up";
+    if (isReserved) p.why = "the rest of the retry budget is reserved for more urgent requests";
+    else if (!p.isRetryCharged) p.why = "the retry budget is used up";
     return p.isRetryCharged;
   }
 
+  /** Whether scarce retries go by priority under the configuration in force, evaluated once for each configuration. */
+  private usesPriority(): boolean {
+    const cfg = this.deps.catalog().config;
+    if (!cfg) return false;
+    if (this.prioritized?.cfg !== cfg)
+      this.prioritized = { cfg, holds: steady.hasSteadyStreams(cfg) };
+    return this.prioritized.holds;
+  }
+
+  /** Records that a retry is requested, and decides whether it may use the budget. */
+  private prioritize(
+    req: callerRequest.CallerRequest,
+    p: progress.Progress,
+    hosts: number | undefined,
+  ): retryPriority.Decision {
+    const now = this.deps.clock.mono();
+    const service = req.service.name;
+    const firstAt = p.firstByteAt ?? now + p.serviceMs;
+    const isLate = firstAt - req.arrivedAt > req.route.targetMs;
+    const retry = { rank: req.route.rank, isLate };
+    const before = this.requestedRetries.get(service) ?? retryPriority.NONE;
+    const requested = retryPriority.record(before, retry, now);
+    this.requestedRetries.set(service, requested);
+    const { tokens, slack, earnedPerS } = this.budget.balance(service, hosts);
+    return retryPriority.decide(requested, retry, { retries: tokens + slack, earnedPerS }, now);
+  }
+
   /** Whether a request is quarantined because workers crash while running it, as found by all hosts together. */
   isQuarantined(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
     const verdict = this.deps.suspects.evaluate(req);
@@ -142,3 +186,8 @@
     }
   }
 }
+
+function retryOutcome(v: retryBudget.Verdict, isReserved: boolean): metrics.RetryOutcome {
+  if (v.from) return "allowed";
+  return isReserved ? "reserved" : "exhausted";
+}
