Measure a request on a loaded engine manager and a choice among crowded engines

The cost of the daemons' decisions under demanding load had no benchmark. `npm run cost -- serving` measures one request at an endpoint daemon with 30 open and 20 waiting seats of 16 teams and 26 entry daemons, in virtual time, and one choice of an engine among 32 and 300 engines without crowding, at 0.3 and at 0.9.

--- a/bench/cost/main.ts
+++ b/bench/cost/main.ts
@@ -4,13 +4,21 @@
  */
 import * as command from "../../src/cli/command.js";
 import * as decision from "./decision.js";
+import * as engineChoice from "./engine-choice.js";
+import * as engineStep from "./engine-step.js";
 import * as link from "./link.js";
 import * as memory from "./memory.js";
 import * as throughput from "./throughput.js";
 
 const out = command.printLine;
 const n = (v: number, digits = 1): string => v.toFixed(digits);
-const parts = process.argv[2]?.split(",") ?? ["decision", "link", "memory", "throughput"];
+const parts = process.argv[2]?.split(",") ?? [
+  "decision",
+  "serving",
+  "link",
+  "memory",
+  "throughput",
+];
 
 if (parts.includes("decision")) {
   const rows = [["ENDPOINTS", "ADAPTERS", "ROUTING US", "BYTES"]];
@@ -35,6 +43,26 @@
   const news = decision.news();
   out(`news: ${news.wire} bytes, ${n(news.us)} us to write and read`);
 }
+if (parts.includes("serving")) {
+  const rows = [["OPEN SEATS", "WAITING", "STEADY STREAMS", "REQUEST US"]];
+  for (const load of [
+    engineStep.CROWDED,
+    { ...engineStep.CROWDED, isSteady: false },
+    { ...engineStep.CROWDED, waiting: 0 },
+  ]) {
+    const us = await engineStep.request(load);
+    rows.push([String(load.open), String(load.waiting), load.isSteady ? "yes" : "no", n(us, 0)]);
+  }
+  out(command.formatTable(rows));
+  const choices = [["ENGINES", "CROWDING", "CHOICE US", "BYTES"]];
+  for (const engines of [32, 300]) {
+    for (const crowding of [undefined, 0.3, 0.9]) {
+      const c = engineChoice.choosing(engines, crowding);
+      choices.push([String(engines), String(crowding ?? "none"), n(c.us), n(c.bytes, 0)]);
+    }
+  }
+  out(command.formatTable(choices));
+}
 if (parts.includes("link")) {
   out(`signing and checking: ${n(link.signing().us)} us`);
   const costs = await link.calls();
