Derive an engine's standing, options, admission and estimates once in each step of its manager

In one step, the engine manager computed the standing of the teams up to six times, the steady engine (a scan of all routes) as often, the options four times and the admission twice, and it decided on the seats twice for each request: in `ask`, and in the loop that `ask` wakes.

Change: `engine-state` holds what is known of the engine. If nothing changed since a settlement that neither granted nor denied a seat, it is not repeated.

--- a/bench/red/limiter-switches.ts
+++ b/bench/red/limiter-switches.ts
@@ -67,7 +67,7 @@
   {
     name: "an endpoint daemon gives no seat on an engine that leaves",
     file: "serving/engine-manager.js",
-    find: "return this.deps.notices.isLeaving(this.instance);",
+    find: "return this.deps.notices.isLeaving(this.state.instance);",
     put: "return false;",
     proof: "grants no more seats, sends no more orders, and tells entry daemons",
   },
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -16,6 +16,7 @@
 import type * as engine from "./engine.js";
 import * as incarnation from "./incarnation.js";
 import * as seatTable from "./seat-table.js";
+import * as engineState from "./engine-state.js";
 import * as engineView from "./engine-view.js";
 import * as probe from "./probe.js";
 import * as prefillSpeed from "./prefill-speed.js";
@@ -23,13 +24,10 @@
 import * as orderSender from "./order-sender.js";
 import * as residency from "./residency.js";
 import type * as seatMessages from "./seat-messages.js";
-import * as slotOptions from "./slot-options.js";
 import * as seatQueue from "./seat-queue.js";
 import * as loadHistory from "./load-history.js";
-import * as steady from "./pacing/steady.js";
-import * as steadyAdmission from "./pacing/steady-admission.js";
 import * as fairShares from "./sharing/fair-shares.js";
-import * as teamShares from "./sharing/team-shares.js";
+import type * as teamShares from "./sharing/team-shares.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -56,28 +54,27 @@
 
 /** Runs the engine on this host and serves the seats that entry daemons ask for. */
 export class EngineManager {
-  private state = residency.empty();
-  private readonly seatTable = new seatTable.SeatTable();
-  private readonly steadyAdmission = new steadyAdmission.SteadyAdmission();
+  private readonly state: engineState.EngineState;
+  /** The snapshot by which nothing is left to grant or deny. */
+  private settled: engineState.Snapshot | undefined;
   /** Why the requests that wait for a seat waited when last decided, by seat; only with steady streams. */
   private readonly waitReasons = new Map<string, residency.WaitReason>();
   private readonly announcer: announcer.Announcer;
-  private loadHistory = loadHistory.INITIAL;
   private readonly modelLoader = new baseModelLoader.BaseModelLoader();
-  /** Incarnation of the engine; empty while it is out or not yet known. */
-  private instance = "";
   private readonly orders: orderSender.OrderSender;
   private readonly probe: probe.Probe;
   private readonly waker: waker.Waker;
-  private readonly shares: teamShares.TeamShares;
   private stopped = false;
 
   constructor(private readonly deps: Deps) {
     this.waker = new waker.Waker(deps.clock);
     this.probe = new probe.Probe(deps.clock, deps.engine);
-    this.shares = new teamShares.TeamShares({
+    this.state = new engineState.EngineState({
+      clock: deps.clock,
       log: deps.log,
       config: () => deps.catalog().config,
+      service: deps.service,
+      versionMs: deps.versionMs,
       weights: deps.teamWeights ?? new Map(),
       onGrant: deps.onGrant ?? (() => undefined),
     });
@@ -85,13 +82,9 @@
     this.announcer = new announcer.Announcer(
       deps.clock,
       (silenceMs) =>
-        engineView.stateMessage(
-          this.view(deps.clock.mono()),
-          this.announcer.clientCount(),
-          silenceMs,
-        ),
-      () => engineView.holdingsMessage(this.state, this.loadHistory.reach),
-      () => loadHistory.warmAdapters(this.loadHistory),
+        engineView.stateMessage(this.state.snapshot(), this.announcer.clientCount(), silenceMs),
+      () => engineView.holdingsMessage(this.state.held, this.state.loadHistory.reach),
+      () => loadHistory.warmAdapters(this.state.loadHistory),
     );
   }
 
@@ -99,7 +92,7 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       if (this.pollInMs() === 0) await this.poll();
-      if (this.instance === "") {
+      if (this.state.instance === "") {
         this.denyAll("out");
         await this.waker.pause(this.probe.retryMs);
         continue;
@@ -118,9 +111,9 @@
 
   /** The next order, unless the engine is busy with another one. */
   private nextOrder(): residency.Action | undefined {
-    const now = this.deps.clock.mono();
-    if (this.orders.busyMs(now) > 0) return undefined;
-    return residency.nextOrder(this.state, now, this.options());
+    if (this.orders.busyMs(this.deps.clock.mono()) > 0) return undefined;
+    const { held, now, options } = this.state.snapshot();
+    return residency.nextOrder(held, now, options);
   }
 
   /** Stops {@link run} and the announcements. */
@@ -134,7 +127,7 @@
   catalogChanged(): void {
     const now = this.deps.clock.mono();
     for (const [key, version] of this.deps.catalog().versions) {
-      this.state = residency.declareVersion(this.state, key, version, now);
+      this.state.set({ held: residency.declareVersion(this.state.held, key, version, now) });
     }
     this.waker.wake();
   }
@@ -146,7 +139,7 @@
 
   /** Whether the worker has announced that it leaves. */
   private isLeaving(): boolean {
-    return this.deps.notices.isLeaving(this.instance);
+    return this.deps.notices.isLeaving(this.state.instance);
   }
 
   /** Adds an entry daemon's connection. */
@@ -156,7 +149,7 @@
 
   /** Removes a connection that closed, and ends its seats. */
   leave(c: announcer.Client): void {
-    for (const id of this.seatTable.idsOf(c)) this.removeSeat(id, "left");
+    for (const id of this.state.seats.idsOf(c)) this.removeSeat(id, "left");
     this.announcer.leave(c);
   }
 
@@ -165,13 +158,14 @@
     const now = this.deps.clock.mono();
     const key = m.adapter === undefined ? m.model : catalog.adapterKey(m.model, m.adapter);
     const id = `${c.host}#${m.seat}`;
-    if (m.version > 0) this.state = residency.declareVersion(this.state, key, m.version, now);
-    const ownMs = prefillSpeed.firstEventMs(this.seatTable.speed, m.promptTokens);
+    if (m.version > 0)
+      this.state.set({ held: residency.declareVersion(this.state.held, key, m.version, now) });
+    const ownMs = prefillSpeed.firstEventMs(this.state.seats.speed, m.promptTokens);
     if (this.isLeaving()) {
       this.denyAtOnce(c, m, key, "leaving");
       return;
     }
-    if (!m.firm && this.instance !== "" && this.isDiverted(m, key, ownMs, now)) {
+    if (!m.firm && this.state.instance !== "" && this.isDiverted(m, key, ownMs)) {
       this.denyAtOnce(c, m, key, "busy");
       return;
     }
@@ -179,19 +173,19 @@
     // A request that will be late in any case yields to others, so it gets the last rank and adds to
     // nobody's wait.
     const rank = seatQueue.isLate(waiter, now) ? backlog.RANK_COUNT : m.rank;
-    this.seatTable.add(id, seatTable.newSeat(c, key, m, now), m.promptTokens, rank);
-    this.steadyAdmission.add(id, m, rank);
-    this.state = residency.addWaiter(this.state, waiter, now);
-    if (this.instance === "") this.deny(id, "out");
+    this.state.seats.add(id, seatTable.newSeat(c, key, m, now), m.promptTokens, rank);
+    this.state.admission.add(id, m, rank);
+    this.state.set({ held: residency.addWaiter(this.state.held, waiter, now) });
+    if (this.state.instance === "") this.deny(id, "out");
     else this.settleSeats();
     this.waker.wake();
     this.announcer.announceSoon(c);
   }
 
   /** Whether a request should go to another engine, as it would be late here because of the wait. */
-  private isDiverted(m: seatMessages.Ask, key: string, ownMs: number, now: number): boolean {
-    const isHeld = m.adapter === undefined || this.state.slots.has(key);
-    const waitMs = engineView.waitMs(this.view(now), m.rank, isHeld, m.team);
+  private isDiverted(m: seatMessages.Ask, key: string, ownMs: number): boolean {
+    const isHeld = m.adapter === undefined || this.state.held.slots.has(key);
+    const waitMs = engineView.waitMs(this.state.snapshot(), m.rank, isHeld, m.team);
     return diversion.isDiverted({ waitMs, ownMs, targetMs: m.targetMs });
   }
 
@@ -215,7 +209,7 @@
     reason: seatMessages.DenyReason,
     waitedMs: number,
   ): void {
-    const overShare = this.standing(this.deps.clock.mono())?.over.has(team ?? fairShares.NO_TEAM);
+    const overShare = this.state.snapshot().standing?.over.has(team ?? fairShares.NO_TEAM);
     const shares = overShare === undefined ? {} : { team, overShare };
     this.deps.log.info("A seat was denied.", { request, adapter, reason, waitedMs, ...shares });
   }
@@ -224,8 +218,9 @@
   recordFirstEvent(c: announcer.Client, n: number, ms: number): void {
     const id = `${c.host}#${n}`;
     const now = this.deps.clock.mono();
-    this.seatTable.recordFirstEvent(id, ms, now);
-    this.steadyAdmission.recordFirstEvent(id);
+    this.state.seats.recordFirstEvent(id, ms, now);
+    this.state.admission.recordFirstEvent(id);
+    this.state.changed();
     this.waker.wake();
     this.announcer.stateChanged();
   }
@@ -238,9 +233,9 @@
     stream?: seatMessages.StreamTiming,
   ): void {
     const id = `${c.host}#${n}`;
-    const eventTokens = this.spec()?.batch?.eventTokens;
+    const eventTokens = this.state.spec()?.batch?.eventTokens;
     if (stream && eventTokens !== undefined)
-      this.steadyAdmission.recordStream(id, stream, eventTokens, this.deps.clock.mono());
+      this.state.admission.recordStream(id, stream, eventTokens, this.deps.clock.mono());
     this.removeSeat(id, how);
     if (how === "absent") this.probe.makeDue();
     this.waker.wake();
@@ -249,66 +244,47 @@
 
   /** Number of seats asked for or granted. */
   seatCount(): number {
-    return this.seatTable.count;
+    return this.state.seats.count;
   }
 
   /** How full an engine with steady streams is, 1 if full; 0 for others. */
   crowding(): number {
-    return this.steadyView(this.deps.clock.mono(), undefined)?.crowding ?? 0;
+    return this.state.snapshot().steady?.crowding ?? 0;
   }
 
   /** Removes a seat that ended, whether it was granted or not. */
   private removeSeat(id: string, how: seatTable.SeatOutcome): void {
-    const s = this.seatTable.remove(id);
+    const s = this.state.seats.remove(id);
     this.forgetSeat(id);
+    this.state.changed();
     if (!s) return;
     if (s.grantedAt === undefined) {
-      this.state = residency.removeWaiter(this.state, id);
+      this.state.set({ held: residency.removeWaiter(this.state.held, id) });
       return;
     }
-    this.state = residency.addPin(this.state, s.key, -1);
-    this.seatTable.recordEnd(s, how, this.deps.clock.mono());
+    this.state.set({ held: residency.addPin(this.state.held, s.key, -1) });
+    this.state.seats.recordEnd(s, how, this.deps.clock.mono());
+    this.state.changed();
   }
 
   /** Removes an ended or denied seat from the admission control. */
   private forgetSeat(id: string): void {
-    this.steadyAdmission.remove(id);
+    this.state.admission.remove(id);
     this.waitReasons.delete(id);
   }
 
   /** Number of teams that exceed their share of the engine while others ask. */
   overTeamCount(): number {
-    return this.shares.overCount;
-  }
-
-  /** How the teams stand; undefined without steady streams, as there is no limited room to share then. */
-  private standing(now: number): fairShares.Standing | undefined {
-    if (!this.steadyEngine(now)) return undefined;
-    return this.shares.standing(this.state.waiting, now);
-  }
-
-  private options(): residency.Options {
-    const overTeams = this.standing(this.deps.clock.mono())?.over;
-    const opts = slotOptions.optionsFor(this.spec(), this.loadHistory, this.deps.versionMs);
-    return { ...opts, overTeams };
-  }
-
-  private spec(): catalog.EngineSpec | undefined {
-    return this.deps.catalog().config?.services.get(this.deps.service)?.engine;
+    return this.state.shares.overCount;
   }
 
   /** Grants the seats that the state allows, and denies the expired ones. */
   private settleSeats(): void {
-    const now = this.deps.clock.mono();
-    this.shares.logChanges(this.standing(now), now);
-    const actions = residency.seatActions(
-      this.state,
-      now,
-      this.options(),
-      this.prefillLoad(now),
-      this.admission(now),
-    );
-    for (const a of actions) {
+    const at = this.state.snapshot();
+    if (at === this.settled) return;
+    const { held, now, options, prefill, admission } = at;
+    this.state.shares.logChanges(at.standing, now);
+    for (const a of residency.seatActions(held, now, options, prefill, admission)) {
       switch (a.kind) {
         case "grant":
           this.grant(a.waiter, a.version);
@@ -325,25 +301,26 @@
           break;
       }
     }
+    this.settled = this.state.isLatest(at) ? at : undefined;
   }
 
   private grant(w: seatQueue.Waiter, version: number | undefined): void {
     const now = this.deps.clock.mono();
     const waitedFor = this.waitReasons.get(w.seat);
     this.waitReasons.delete(w.seat);
-    this.steadyAdmission.grant(w.seat, now);
-    const s = this.seatTable.grant(w.seat, now);
-    this.state = residency.removeWaiter(this.state, w.seat);
+    this.state.admission.grant(w.seat, now);
+    const s = this.state.seats.grant(w.seat, now);
+    this.state.set({ held: residency.removeWaiter(this.state.held, w.seat) });
     if (!s) return;
-    this.shares.recordGrant(w, now);
-    this.state = residency.addPin(this.state, w.key, 1);
-    s.client.send({ kind: "grant", seat: s.seatNumber, instance: this.instance, version });
+    this.state.shares.recordGrant(w, now);
+    this.state.set({ held: residency.addPin(this.state.held, w.key, 1) });
+    s.client.send({ kind: "grant", seat: s.seatNumber, instance: this.state.instance, version });
     const waitedMs = now - s.askedAt;
     this.deps.log.info("A seat was granted.", {
       request: s.request,
       adapter: w.key,
       version,
-      instance: this.instance,
+      instance: this.state.instance,
       waitedMs,
       ...(waitedFor && { waitedFor }),
     });
@@ -351,9 +328,9 @@
   }
 
   private deny(id: string, reason: seatMessages.DenyReason): void {
-    const s = this.seatTable.remove(id);
+    const s = this.state.seats.remove(id);
     this.forgetSeat(id);
-    this.state = residency.removeWaiter(this.state, id);
+    this.state.set({ held: residency.removeWaiter(this.state.held, id) });
     if (!s) return;
     s.client.send({ kind: "deny", seat: s.seatNumber, reason });
     this.logDenied(s, reason, this.deps.clock.mono() - s.askedAt);
@@ -361,65 +338,26 @@
   }
 
   private denyAll(reason: seatMessages.DenyReason): void {
-    for (const w of this.state.waiting) this.deny(w.seat, reason);
+    for (const w of this.state.held.waiting) this.deny(w.seat, reason);
   }
 
   /** Milliseconds until the next poll or timeout, that is, how long to sleep unless something happens. */
   private idleMs(): number {
-    const now = this.deps.clock.mono();
-    const timeoutMs = residency.nextTimeoutMs(this.state, now, this.options()) ?? Infinity;
-    const roomMs =
-      residency.prefillRoomInMs(
-        this.state,
-        now,
-        this.options(),
-        this.prefillLoad(now),
-        this.admission(now),
-      ) ?? Infinity;
+    const { held, now, options, prefill, admission } = this.state.snapshot();
+    const timeoutMs = residency.nextTimeoutMs(held, now, options) ?? Infinity;
+    const roomMs = residency.prefillRoomInMs(held, now, options, prefill, admission) ?? Infinity;
     const busyMs = this.orders.busyMs(now) || Infinity;
     return Math.max(1, Math.min(this.pollInMs(), timeoutMs, roomMs, busyMs));
   }
 
-  /** The engine as its admission control sees it; undefined without steady streams. */
-  private steadyEngine(now: number): steadyAdmission.EngineAt | undefined {
-    const { config } = this.deps.catalog();
-    const service = config?.services.get(this.deps.service);
-    const batch = service?.engine?.batch;
-    if (!config || !batch || !steady.isSteady(config, service)) return undefined;
-    return { batch, holdMs: this.seatTable.holdMs, now };
-  }
-
-  private admission(now: number): residency.Admission | undefined {
-    const at = this.steadyEngine(now);
-    return at && this.steadyAdmission.admission(at);
-  }
-
-  private steadyView(
-    now: number,
-    standing: fairShares.Standing | undefined,
-  ): engineView.SteadyView | undefined {
-    const at = this.steadyEngine(now);
-    if (!at) return undefined;
-    return {
-      waitsByRank: this.steadyAdmission.waitsByRank(at),
-      fairWaitsByRank: this.steadyAdmission.waitsByRank(at, standing?.over),
-      crowding: this.steadyAdmission.crowding(at),
-      lateStreams: this.steadyAdmission.lateStreams(now),
-    };
-  }
-
-  private prefillLoad(now: number): residency.PrefillLoad {
-    return { ms: this.seatTable.prefillMs(now), unstarted: this.seatTable.unstarted(now) };
-  }
-
   /** Milliseconds until the next poll of the engine is due. */
   private pollInMs(): number {
-    return this.probe.dueInMs(this.instance !== "", this.state, this.loadHistory);
+    return this.probe.dueInMs(this.state.instance !== "", this.state.held, this.state.loadHistory);
   }
 
   /** Polls the engine and updates the state. */
   private async poll(): Promise<void> {
-    const isKnown = this.instance !== "";
+    const isKnown = this.state.instance !== "";
     const result = await this.probe.run(isKnown ? undefined : () => this.identify());
     switch (result.kind) {
       case "paused":
@@ -440,13 +378,13 @@
     answer,
   }: Extract<probe.ProbeResult, { kind: "report" }>): void {
     if (name !== undefined) this.engineFound(incarnation.idOf(name, report.born));
-    const isRestarted = incarnation.startOf(this.instance) !== report.born;
+    const isRestarted = incarnation.startOf(this.state.instance) !== report.born;
     if (isRestarted || !this.orders.syncSequence(report.sequence)) {
-      this.deps.log.warn("The engine restarted.", { instance: this.instance });
+      this.deps.log.warn("The engine restarted.", { instance: this.state.instance });
       this.engineLost();
       return;
     }
-    this.deps.notices.observe(this.instance, answer);
+    this.deps.notices.observe(this.state.instance, answer);
     this.applyReport(report, askedAt);
   }
 
@@ -459,24 +397,24 @@
 
   /** Starts to manage an incarnation of the engine that was found. */
   private engineFound(instance: string): void {
-    this.instance = instance;
+    this.state.set({ instance });
     this.orders.reset();
     this.announcer.announceSoonToAll();
     this.deps.log.info("The engine answers.", { instance });
   }
 
   private handleNoAnswer(why: string): void {
-    this.deps.log.warn("The engine does not answer.", { instance: this.instance, why });
+    this.deps.log.warn("The engine does not answer.", { instance: this.state.instance, why });
     this.engineLost();
   }
 
   /** Resets the state of an engine that is out or was restarted, and denies all seats that wait for it. */
   private engineLost(): void {
-    this.instance = "";
+    this.state.set({ instance: "" });
     this.orders.reset();
-    this.loadHistory = loadHistory.afterRestart(this.loadHistory);
-    const { newest, adapterPopularity, waiting } = this.state;
-    this.state = { ...residency.empty(), newest, adapterPopularity, waiting };
+    this.state.set({ loadHistory: loadHistory.afterRestart(this.state.loadHistory) });
+    const { newest, adapterPopularity, waiting } = this.state.held;
+    this.state.set({ held: { ...residency.empty(), newest, adapterPopularity, waiting } });
     this.denyAll("out");
     this.announcer.announceSoonToAll();
   }
@@ -484,24 +422,23 @@
   /** Updates the state from a report that was requested at `askedAt`. */
   private applyReport(report: engine.Report, askedAt: number): void {
     const models = report.models.map((m) => m.name);
-    const before = this.state;
+    const before = this.state.held;
     this.modelLoader.setLocalModels(report.localModels);
-    this.state = residency.reconcile(
-      this.state,
-      models,
-      engineView.listedAdapters(report),
-      askedAt,
-    );
-    for (const { key, phaseSince } of residency.finishedLoads(before, this.state)) {
-      this.loadHistory = loadHistory.recordLoad(this.loadHistory, key, askedAt - phaseSince);
+    const listed = engineView.listedAdapters(report);
+    this.state.set({ held: residency.reconcile(before, models, listed, askedAt) });
+    for (const { key, phaseSince } of residency.finishedLoads(before, this.state.held)) {
+      this.state.set({
+        loadHistory: loadHistory.recordLoad(this.state.loadHistory, key, askedAt - phaseSince),
+      });
     }
-    for (const key of before.slots.keys()) if (!this.state.slots.has(key)) this.adapterLeft(key);
+    for (const key of before.slots.keys())
+      if (!this.state.held.slots.has(key)) this.adapterLeft(key);
     this.announcer.stateChanged();
   }
 
   /** Records that an adapter is in no slot any more; the engine's host keeps it in memory for a while. */
   private adapterLeft(key: string): void {
-    this.loadHistory = loadHistory.recordHeld(this.loadHistory, key);
+    this.state.set({ loadHistory: loadHistory.recordHeld(this.state.loadHistory, key) });
     this.announcer.adapterLeft(key);
   }
 
@@ -514,10 +451,12 @@
       case "wait":
         return;
       case "close":
-        this.state = residency.putSlot(this.state, {
-          ...a.slot,
-          phase: "closing",
-          phaseSince: now,
+        this.state.set({
+          held: residency.putSlot(this.state.held, {
+            ...a.slot,
+            phase: "closing",
+            phaseSince: now,
+          }),
         });
         this.deps.log.info("An adapter in use is closed to new requests.", {
           adapter: a.slot.key,
@@ -526,12 +465,14 @@
         return;
       case "load": {
         const { model, adapter, version } = a;
-        this.state = residency.startLoad(this.state, a, now);
+        this.state.set({ held: residency.startLoad(this.state.held, a, now) });
         await this.sendOrder({ kind: "load", model, adapter, version });
         return;
       }
       case "unload":
-        this.state = residency.putSlot(this.state, { ...a.slot, phase: "unsure", phaseSince: now });
+        this.state.set({
+          held: residency.putSlot(this.state.held, { ...a.slot, phase: "unsure", phaseSince: now }),
+        });
         await this.sendOrder({ kind: "unload", model: a.slot.model, adapter: a.slot.adapter });
         return;
     }
@@ -541,7 +482,7 @@
   private async sendOrder(o: orderSender.Change): Promise<void> {
     const { sequence } = this.orders;
     const { fencingNumber } = this.deps.catalog().position;
-    const result = await this.orders.send(o, this.instance, fencingNumber);
+    const result = await this.orders.send(o, this.state.instance, fencingNumber);
     if (result.kind === "moved") {
       this.engineLost();
       return;
@@ -553,7 +494,7 @@
     }
     const key = catalog.adapterKey(o.model, o.adapter);
     if (o.kind === "load") {
-      this.state = residency.acceptLoad(this.state, key);
+      this.state.set({ held: residency.acceptLoad(this.state.held, key) });
       if (result.done) await this.poll();
       else this.orders.recordAccepted();
       return;
@@ -566,8 +507,8 @@
   /** Orders the base model for an engine that has none; returns whether an order was sent. */
   private async loadModel(): Promise<boolean> {
     const wanted = this.modelLoader.modelToLoad(
-      this.spec(),
-      this.state.models,
+      this.state.spec(),
+      this.state.held.models,
       this.deps.clock.mono(),
     );
     if (!wanted) return false;
@@ -576,12 +517,4 @@
     await this.sendOrder({ kind: "load", model: wanted.name });
     return true;
   }
-
-  private view(now: number): engineView.EngineView {
-    const { instance, seatTable: seats, state: held, loadHistory } = this;
-    const { slots } = this.options();
-    const standing = this.standing(now);
-    const steadyNow = this.steadyView(now, standing);
-    return { instance, seats, held, loadHistory, slots, steady: steadyNow, standing, now };
-  }
 }
