Remember which services of a configuration have steady streams

isSteady and hasSteadyStreams scanned all routes at each call, though the result changes only with the configuration, which is replaced as a whole.

Change: the result is kept by configuration and service object, as long as these are in use.

--- a/src/serving/pacing/steady.ts
+++ b/src/serving/pacing/steady.ts
@@ -12,8 +12,23 @@
  */
 const STEADY_TOKEN_MS = 50;
 
+/**
+ * The steady services of each configuration. Configurations do not change once they are built, and a scan of all routes
+ * for each decision would be one of its largest costs.
+ */
+const known = new WeakMap<catalog.Config, WeakMap<catalog.Service, boolean>>();
+
 /** Whether a route of a service asks for steady streams of its engines. */
 export function isSteady(cfg: catalog.Config, service: catalog.Service): boolean {
+  const services = known.get(cfg) ?? new WeakMap<catalog.Service, boolean>();
+  const cached = services.get(service);
+  if (cached !== undefined) return cached;
+  const result = asksForSteady(cfg, service);
+  known.set(cfg, services.set(service, result));
+  return result;
+}
+
+function asksForSteady(cfg: catalog.Config, service: catalog.Service): boolean {
   const batch = service.engine?.batch;
   if (!batch) return false;
   return cfg.routes.some(
@@ -26,5 +41,6 @@
 
 /** Whether any service of a configuration has steady streams, so that it calls for the decisions under demanding load. */
 export function hasSteadyStreams(cfg: catalog.Config): boolean {
-  return [...cfg.services.values()].some((service) => isSteady(cfg, service));
+  for (const service of cfg.services.values()) if (isSteady(cfg, service)) return true;
+  return false;
 }
