Split the engine manager into admission of seats and orders

Change: `seat-admission` handles requests for seats, grants, denials and ends; `engine-orders` carries out what residency decides and loads base models; the manager polls the engine and runs the loop. The behaviour does not change.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -220,7 +220,7 @@
   },
   {
     name: "a full engine's daemon sends a request back",
-    file: "serving/engine-manager.js",
+    file: "serving/seat-admission.js",
     find: 'if (!m.firm && this.state.instance !== "" && ',
     put: "if (false && ",
     proof: "denies a seat at once if the wait would make the request late, unless it is firm",
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -1,32 +1,26 @@
 /**
- * Manages the engine on the endpoint daemon's host. The manager alone orders what the engine loads and
- * unloads, and grants seats on it to entry daemons. It sends one order at a time, bound to the engine's
- * incarnation and to the sequence number that the engine last reported, so that an order that arrives
- * late cannot undo a later decision.
+ * Manages the engine on the endpoint daemon's host: polls it, and has its seats granted to entry daemons and orders sent
+ * to it.
  * @module
  */
 import type * as clock from "../host/clock.js";
 import type * as structuredLog from "../host/structured-log.js";
 import * as waker from "../host/waker.js";
 import * as announcer from "./announcer.js";
-import * as backlog from "./backlog.js";
-import * as baseModelLoader from "./base-model-loader.js";
-import * as catalog from "./catalog.js";
-import * as diversion from "./diversion.js";
+import type * as catalog from "./catalog.js";
 import type * as engine from "./engine.js";
 import * as incarnation from "./incarnation.js";
-import * as seatTable from "./seat-table.js";
+import type * as seatTable from "./seat-table.js";
+import * as engineOrders from "./engine-orders.js";
 import * as engineState from "./engine-state.js";
 import * as engineView from "./engine-view.js";
 import * as probe from "./probe.js";
-import * as prefillSpeed from "./prefill-speed.js";
 import type * as noticeRelay from "./notice-relay.js";
-import * as orderSender from "./order-sender.js";
 import * as residency from "./residency.js";
+import * as seatAdmission from "./seat-admission.js";
 import type * as seatMessages from "./seat-messages.js";
-import * as seatQueue from "./seat-queue.js";
 import * as loadHistory from "./load-history.js";
-import * as fairShares from "./sharing/fair-shares.js";
+import type * as fairShares from "./sharing/fair-shares.js";
 import type * as teamShares from "./sharing/team-shares.js";
 
 export interface Deps {
@@ -55,13 +49,9 @@
 /** Runs the engine on this host and serves the seats that entry daemons ask for. */
 export class EngineManager {
   private readonly state: engineState.EngineState;
-  /** The snapshot by which nothing is left to grant or deny. */
-  private settled: engineState.Snapshot | undefined;
-  /** Why the requests that wait for a seat waited when last decided, by seat; only with steady streams. */
-  private readonly waitReasons = new Map<string, residency.WaitReason>();
   private readonly announcer: announcer.Announcer;
-  private readonly modelLoader = new baseModelLoader.BaseModelLoader();
-  private readonly orders: orderSender.OrderSender;
+  private readonly seats: seatAdmission.SeatAdmission;
+  private readonly orders: engineOrders.EngineOrders;
   private readonly probe: probe.Probe;
   private readonly waker: waker.Waker;
   private stopped = false;
@@ -78,7 +68,6 @@
       weights: deps.teamWeights ?? new Map(),
       onGrant: deps.onGrant ?? (() => undefined),
     });
-    this.orders = new orderSender.OrderSender(deps.clock, deps.log, deps.engine);
     this.announcer = new announcer.Announcer(
       deps.clock,
       (silenceMs) =>
@@ -86,6 +75,25 @@
       () => engineView.holdingsMessage(this.state.held, this.state.loadHistory.reach),
       () => loadHistory.warmAdapters(this.state.loadHistory),
     );
+    this.seats = new seatAdmission.SeatAdmission({
+      clock: deps.clock,
+      log: deps.log,
+      state: this.state,
+      announcer: this.announcer,
+      isLeaving: () => this.isLeaving(),
+    });
+    this.orders = new engineOrders.EngineOrders({
+      clock: deps.clock,
+      log: deps.log,
+      engine: deps.engine,
+      state: this.state,
+      fencingNumber: () => deps.catalog().position.fencingNumber,
+      modelTurn: deps.modelTurn,
+      poll: () => this.poll(),
+      onLost: () => {
+        this.engineLost();
+      },
+    });
   }
 
   /** Polls the engine, grants seats and sends orders until {@link stop} is called. */
@@ -93,29 +101,20 @@
     while (!this.stopped) {
       if (this.pollInMs() === 0) await this.poll();
       if (this.state.instance === "") {
-        this.denyAll("out");
+        this.seats.denyAll("out");
         await this.waker.pause(this.probe.retryMs);
         continue;
       }
       if (this.isLeaving()) {
-        this.denyAll("leaving");
+        this.seats.denyAll("leaving");
         await this.waker.pause(this.idleMs());
         continue;
       }
-      this.settleSeats();
-      const next = this.nextOrder();
-      if (next) await this.carryOut(next);
-      else if (!(await this.loadModel())) await this.waker.pause(this.idleMs());
+      this.seats.settle();
+      if (!(await this.orders.sendNext())) await this.waker.pause(this.idleMs());
     }
   }
 
-  /** The next order, unless the engine is busy with another one. */
-  private nextOrder(): residency.Action | undefined {
-    if (this.orders.busyMs(this.deps.clock.mono()) > 0) return undefined;
-    const { held, now, options } = this.state.snapshot();
-    return residency.nextOrder(held, now, options);
-  }
-
   /** Stops {@link run} and the announcements. */
   stop(): void {
     this.stopped = true;
@@ -149,78 +148,20 @@
 
   /** Removes a connection that closed, and ends its seats. */
   leave(c: announcer.Client): void {
-    for (const id of this.state.seats.idsOf(c)) this.removeSeat(id, "left");
+    this.seats.endAll(c);
     this.announcer.leave(c);
   }
 
   /** Handles a request for a seat. */
   ask(c: announcer.Client, m: seatMessages.Ask): void {
-    const now = this.deps.clock.mono();
-    const key = m.adapter === undefined ? m.model : catalog.adapterKey(m.model, m.adapter);
-    const id = `${c.host}#${m.seat}`;
-    if (m.version > 0)
-      this.state.set({ held: residency.declareVersion(this.state.held, key, m.version, now) });
-    const ownMs = prefillSpeed.firstEventMs(this.state.seats.speed, m.promptTokens);
-    if (this.isLeaving()) {
-      this.denyAtOnce(c, m, key, "leaving");
-      return;
-    }
-    if (!m.firm && this.state.instance !== "" && this.isDiverted(m, key, ownMs)) {
-      this.denyAtOnce(c, m, key, "busy");
-      return;
-    }
-    const waiter = seatQueue.waiterFor(id, key, m, ownMs, now);
-    // A request that will be late in any case yields to others, so it gets the last rank and adds to
-    // nobody's wait.
-    const rank = seatQueue.isLate(waiter, now) ? backlog.RANK_COUNT : m.rank;
-    this.state.seats.add(id, seatTable.newSeat(c, key, m, now), m.promptTokens, rank);
-    this.state.admission.add(id, m, rank);
-    this.state.set({ held: residency.addWaiter(this.state.held, waiter, now) });
-    if (this.state.instance === "") this.deny(id, "out");
-    else this.settleSeats();
+    if (!this.seats.ask(c, m)) return;
     this.waker.wake();
     this.announcer.announceSoon(c);
   }
 
-  /** Whether a request should go to another engine, as it would be late here because of the wait. */
-  private isDiverted(m: seatMessages.Ask, key: string, ownMs: number): boolean {
-    const isHeld = m.adapter === undefined || this.state.held.slots.has(key);
-    const waitMs = engineView.waitMs(this.state.snapshot(), m.rank, isHeld, m.team);
-    return diversion.isDiverted({ waitMs, ownMs, targetMs: m.targetMs });
-  }
-
-  /**
-   * Denies a seat at once, and sends the current state first, so that the entry daemon can find a better
-   * engine.
-   */
-  private denyAtOnce(
-    c: announcer.Client,
-    m: seatMessages.Ask,
-    adapter: string,
-    reason: seatMessages.DenyReason,
-  ): void {
-    this.announcer.announceNow(c);
-    c.send({ kind: "deny", seat: m.seat, reason });
-    this.logDenied({ request: m.request, key: adapter, team: m.team }, reason, 0);
-  }
-
-  private logDenied(
-    { request, key: adapter, team }: Pick<seatTable.Seat, "request" | "key" | "team">,
-    reason: seatMessages.DenyReason,
-    waitedMs: number,
-  ): void {
-    const overShare = this.state.snapshot().standing?.over.has(team ?? fairShares.NO_TEAM);
-    const shares = overShare === undefined ? {} : { team, overShare };
-    this.deps.log.info("A seat was denied.", { request, adapter, reason, waitedMs, ...shares });
-  }
-
   /** Records that the first event of a run came, `ms` after its request was sent. */
   recordFirstEvent(c: announcer.Client, n: number, ms: number): void {
-    const id = `${c.host}#${n}`;
-    const now = this.deps.clock.mono();
-    this.state.seats.recordFirstEvent(id, ms, now);
-    this.state.admission.recordFirstEvent(id);
-    this.state.changed();
+    this.seats.recordFirstEvent(c, n, ms);
     this.waker.wake();
     this.announcer.stateChanged();
   }
@@ -232,11 +173,7 @@
     how: seatTable.SeatOutcome,
     stream?: seatMessages.StreamTiming,
   ): void {
-    const id = `${c.host}#${n}`;
-    const eventTokens = this.state.spec()?.batch?.eventTokens;
-    if (stream && eventTokens !== undefined)
-      this.state.admission.recordStream(id, stream, eventTokens, this.deps.clock.mono());
-    this.removeSeat(id, how);
+    this.seats.end(c, n, how, stream);
     if (how === "absent") this.probe.makeDue();
     this.waker.wake();
     this.announcer.stateChanged();
@@ -252,95 +189,11 @@
     return this.state.snapshot().steady?.crowding ?? 0;
   }
 
-  /** Removes a seat that ended, whether it was granted or not. */
-  private removeSeat(id: string, how: seatTable.SeatOutcome): void {
-    const s = this.state.seats.remove(id);
-    this.forgetSeat(id);
-    this.state.changed();
-    if (!s) return;
-    if (s.grantedAt === undefined) {
-      this.state.set({ held: residency.removeWaiter(this.state.held, id) });
-      return;
-    }
-    this.state.set({ held: residency.addPin(this.state.held, s.key, -1) });
-    this.state.seats.recordEnd(s, how, this.deps.clock.mono());
-    this.state.changed();
-  }
-
-  /** Removes an ended or denied seat from the admission control. */
-  private forgetSeat(id: string): void {
-    this.state.admission.remove(id);
-    this.waitReasons.delete(id);
-  }
-
   /** Number of teams that exceed their share of the engine while others ask. */
   overTeamCount(): number {
     return this.state.shares.overCount;
   }
 
-  /** Grants the seats that the state allows, and denies the expired ones. */
-  private settleSeats(): void {
-    const at = this.state.snapshot();
-    if (at === this.settled) return;
-    const { held, now, options, prefill, admission } = at;
-    this.state.shares.logChanges(at.standing, now);
-    for (const a of residency.seatActions(held, now, options, prefill, admission)) {
-      switch (a.kind) {
-        case "grant":
-          this.grant(a.waiter, a.version);
-          break;
-        case "expire":
-          this.deny(a.waiter.seat, "full");
-          break;
-        case "wait":
-          this.waitReasons.set(a.waiter.seat, a.why);
-          break;
-        case "load":
-        case "unload":
-        case "close":
-          break;
-      }
-    }
-    this.settled = this.state.isLatest(at) ? at : undefined;
-  }
-
-  private grant(w: seatQueue.Waiter, version: number | undefined): void {
-    const now = this.deps.clock.mono();
-    const waitedFor = this.waitReasons.get(w.seat);
-    this.waitReasons.delete(w.seat);
-    this.state.admission.grant(w.seat, now);
-    const s = this.state.seats.grant(w.seat, now);
-    this.state.set({ held: residency.removeWaiter(this.state.held, w.seat) });
-    if (!s) return;
-    this.state.shares.recordGrant(w, now);
-    this.state.set({ held: residency.addPin(this.state.held, w.key, 1) });
-    s.client.send({ kind: "grant", seat: s.seatNumber, instance: this.state.instance, version });
-    const waitedMs = now - s.askedAt;
-    this.deps.log.info("A seat was granted.", {
-      request: s.request,
-      adapter: w.key,
-      version,
-      instance: this.state.instance,
-      waitedMs,
-      ...(waitedFor && { waitedFor }),
-    });
-    this.announcer.stateChanged();
-  }
-
-  private deny(id: string, reason: seatMessages.DenyReason): void {
-    const s = this.state.seats.remove(id);
-    this.forgetSeat(id);
-    this.state.set({ held: residency.removeWaiter(this.state.held, id) });
-    if (!s) return;
-    s.client.send({ kind: "deny", seat: s.seatNumber, reason });
-    this.logDenied(s, reason, this.deps.clock.mono() - s.askedAt);
-    this.announcer.stateChanged();
-  }
-
-  private denyAll(reason: seatMessages.DenyReason): void {
-    for (const w of this.state.held.waiting) this.deny(w.seat, reason);
-  }
-
   /** Milliseconds until the next poll or timeout, that is, how long to sleep unless something happens. */
   private idleMs(): number {
     const { held, now, options, prefill, admission } = this.state.snapshot();
@@ -390,7 +243,7 @@
 
   /** Asks for the name of the worker that runs now. */
   private identify(): Promise<string> {
-    const service = this.deps.catalog().config?.services.get(this.deps.service);
+    const service = this.state.service();
     if (!service) throw new Error(`the configuration has no service ${this.deps.service}`);
     return this.deps.engine.identify(service.healthPath);
   }
@@ -415,7 +268,7 @@
     this.state.set({ loadHistory: loadHistory.afterRestart(this.state.loadHistory) });
     const { newest, adapterPopularity, waiting } = this.state.held;
     this.state.set({ held: { ...residency.empty(), newest, adapterPopularity, waiting } });
-    this.denyAll("out");
+    this.seats.denyAll("out");
     this.announcer.announceSoonToAll();
   }
 
@@ -423,7 +276,7 @@
   private applyReport(report: engine.Report, askedAt: number): void {
     const models = report.models.map((m) => m.name);
     const before = this.state.held;
-    this.modelLoader.setLocalModels(report.localModels);
+    this.orders.setLocalModels(report.localModels);
     const listed = engineView.listedAdapters(report);
     this.state.set({ held: residency.reconcile(before, models, listed, askedAt) });
     for (const { key, phaseSince } of residency.finishedLoads(before, this.state.held)) {
@@ -441,80 +294,4 @@
     this.state.set({ loadHistory: loadHistory.recordHeld(this.state.loadHistory, key) });
     this.announcer.adapterLeft(key);
   }
-
-  /** Carries out one action on the engine. */
-  private async carryOut(a: residency.Action): Promise<void> {
-    const now = this.deps.clock.mono();
-    switch (a.kind) {
-      case "grant":
-      case "expire":
-      case "wait":
-        return;
-      case "close":
-        this.state.set({
-          held: residency.putSlot(this.state.held, {
-            ...a.slot,
-            phase: "closing",
-            phaseSince: now,
-          }),
-        });
-        this.deps.log.info("An adapter in use is closed to new requests.", {
-          adapter: a.slot.key,
-          pins: a.slot.pins,
-        });
-        return;
-      case "load": {
-        const { model, adapter, version } = a;
-        this.state.set({ held: residency.startLoad(this.state.held, a, now) });
-        await this.sendOrder({ kind: "load", model, adapter, version });
-        return;
-      }
-      case "unload":
-        this.state.set({
-          held: residency.putSlot(this.state.held, { ...a.slot, phase: "unsure", phaseSince: now }),
-        });
-        await this.sendOrder({ kind: "unload", model: a.slot.model, adapter: a.slot.adapter });
-        return;
-    }
-  }
-
-  /** Sends one order, and records its result or polls the engine for it. */
-  private async sendOrder(o: orderSender.Change): Promise<void> {
-    const { sequence } = this.orders;
-    const { fencingNumber } = this.deps.catalog().position;
-    const result = await this.orders.send(o, this.state.instance, fencingNumber);
-    if (result.kind === "moved") {
-      this.engineLost();
-      return;
-    }
-    if (result.kind !== "accepted" || o.adapter === undefined) {
-      await this.poll();
-      if (result.kind === "conflict") this.orders.recordConflict(sequence);
-      return;
-    }
-    const key = catalog.adapterKey(o.model, o.adapter);
-    if (o.kind === "load") {
-      this.state.set({ held: residency.acceptLoad(this.state.held, key) });
-      if (result.done) await this.poll();
-      else this.orders.recordAccepted();
-      return;
-    }
-    // A slot counts as empty only when a report shows it: the engine may still run a request that its
-    // caller abandoned.
-    await this.poll();
-  }
-
-  /** Orders the base model for an engine that has none; returns whether an order was sent. */
-  private async loadModel(): Promise<boolean> {
-    const wanted = this.modelLoader.modelToLoad(
-      this.state.spec(),
-      this.state.held.models,
-      this.deps.clock.mono(),
-    );
-    if (!wanted) return false;
-    if (this.modelLoader.needsTurn(wanted) && !(await this.deps.modelTurn())) return false;
-    this.modelLoader.recordLoadOrder(this.deps.clock.mono());
-    await this.sendOrder({ kind: "load", model: wanted.name });
-    return true;
-  }
 }
