Send long prompts to engines that read them without making their streams late

Change: an endpoint daemon announces the longest prompt that leaves its running streams on time (optional field, so old and new daemons interoperate), and a longer one costs up to four cold loads in the choice. Where no engine announces it, as in deployments without steady streams, choices are as before.

--- a/bench/red/pacing-switches.ts
+++ b/bench/red/pacing-switches.ts
@@ -116,4 +116,12 @@
     put: "penaltyMs: e.penaltyMs + costMs",
     proof: "send an adapter elsewhere if most are late, even to an engine that must load it",
   },
+  {
+    name: "steady: a long prompt costs a slow engine requests",
+    file: "serving/spread/pauses.js",
+    find: "return LOADS_IF_TWICE * excess * coldMs;",
+    put: "return 0;",
+    proof:
+      "goes to an engine that reads it without making its streams late, even to one that must load the adapter",
+  },
 ];
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -128,7 +128,7 @@
     usualSpeed: idleSpeed.medianOf(usable),
   };
   return usable
-    .map((view) => addCrowding(estimate(view, need, summary), need, summary))
+    .map((view) => addSteadyCosts(estimate(view, need, summary), need, summary))
     .filter((e) => Number.isFinite(e.firstMs))
     .sort((a, b) => a.firstMs + a.penaltyMs - (b.firstMs + b.penaltyMs));
 }
@@ -185,8 +185,11 @@
   return mean + (reported - mean) * 2 ** (-ageMs / WAIT_HALF_LIFE_MS);
 }
 
-/** Adds the cost of the crowding that is expected on an engine now, and of its late streams. */
-function addCrowding(e: Estimate, need: Need, summary: FleetSummary): Estimate {
+/**
+ * Adds the costs of an engine with steady streams: the crowding expected on it now, its late streams, and those that the
+ * prompt may make late.
+ */
+function addSteadyCosts(e: Estimate, need: Need, summary: FleetSummary): Estimate {
   const { state, stateAgeMs } = e.view;
   const { crowdingMeans: means } = summary;
   if (!state || !means) return e;
@@ -196,7 +199,9 @@
   // Load times are learned by each engine. With its own, an engine of slow loads would seem more crowded than others.
   const copyMs = (COPY_PENALTY_LOADS + 1) * means.coldMs;
   const costMs = crowding.costMs(announced + own, copyMs, summary.hasAdapter);
-  const pauseMs = pauses.costMs(state.lateStreams ?? 0, state.coldMs);
+  const pauseMs =
+    pauses.costMs(state.lateStreams ?? 0, means.coldMs) +
+    pauses.longPromptMs(need.promptTokens, state.steadyPromptTokens, means.coldMs);
   return { ...e, crowding: announced + own, penaltyMs: e.penaltyMs + costMs + pauseMs };
 }
 
--- a/src/serving/engine-state.ts
+++ b/src/serving/engine-state.ts
@@ -218,6 +218,10 @@
     return (this.crowdingNow ??= this.admission.crowding(this.at));
   }
 
+  get steadyPromptTokens(): number | undefined {
+    return this.admission.steadyPromptTokens(this.at);
+  }
+
   get lateStreams(): number {
     return this.admission.lateStreams(this.at.now);
   }
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -55,6 +55,8 @@
   readonly crowding: number;
   /** Share of the latest streams that were late by a pause, 0 to 1. */
   readonly lateStreams: number;
+  /** Tokens of the longest prompt that leaves running streams on time in a slow spell; undefined if none runs. */
+  readonly steadyPromptTokens: number | undefined;
 }
 
 /** All that an endpoint daemon knows about its engine, at one time. */
@@ -123,6 +125,10 @@
   };
 }
 
+function longestPrompt(tokens: number | undefined): Pick<seatMessages.State, "steadyPromptTokens"> {
+  return tokens === undefined ? {} : { steadyPromptTokens: Math.round(tokens) };
+}
+
 /**
  * Builds the state message. `entries` is the number of connected entry daemons; the next announcement follows
  * within `silenceMs`.
@@ -151,6 +157,7 @@
     ...(k.steady && {
       crowding: Number(k.steady.crowding.toFixed(CROWDING_DECIMALS)),
       lateStreams: Number(k.steady.lateStreams.toFixed(CROWDING_DECIMALS)),
+      ...longestPrompt(k.steady.steadyPromptTokens),
     }),
     ...sharesMessage(k),
   };
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -163,6 +163,15 @@
     return Math.max(open, pace.load(this.pace, this.allowance(at), promptTokens, at.now));
   }
 
+  /**
+   * Tokens of the longest prompt that leaves the running streams on time even if a slow spell begins while it is read;
+   * undefined if none runs.
+   */
+  steadyPromptTokens(at: EngineAt): number | undefined {
+    const allowance = this.allowance(at);
+    return allowance && Math.max(0, allowance.readMs / allowance.msPerToken);
+  }
+
   /** Prefill allowed beside the running streams; undefined if none runs. */
   private allowance(at: EngineAt): pace.Allowance | undefined {
     let gapMs = Infinity;
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -112,6 +112,11 @@
     crowding: zod.number().nonnegative().optional(),
     /** Share of the latest streams that were late by a pause, 0 to 1; left out by engines without steady streams. */
     lateStreams: zod.number().min(0).max(1).optional(),
+    /**
+     * Tokens of the longest prompt that leaves the running streams on time even if a slow spell begins while it is read;
+     * left out if no steady stream runs.
+     */
+    steadyPromptTokens: zod.number().nonnegative().optional(),
     /** Like `waitMs` and `slotMs`, for a team within its share; left out where no team is beyond it. */
     fairWaitMs: zod.array(zod.number()).readonly().optional(),
     fairSlotMs: zod.number().optional(),
--- a/test/serving/pacing/late-streams.test.ts
+++ b/test/serving/pacing/late-streams.test.ts
@@ -2,11 +2,14 @@
 import * as fc from "fast-check";
 import * as choice from "../../../src/serving/choice.js";
 import * as lateStreams from "../../../src/serving/pacing/late-streams.js";
+import * as steadyAdmission from "../../../src/serving/pacing/steady-admission.js";
 import * as pauses from "../../../src/serving/spread/pauses.js";
 import * as fixtures from "../fixtures.js";
 
 const { expect } = chai;
 
+const BATCH = { requests: 48, cacheTokens: 100_000, eventTokens: 7 };
+
 const NEED: choice.Need = {
   model: "m",
   key: "m/a",
@@ -64,3 +67,46 @@
     expect(pauses.costMs(1, 300)).equal(1200);
   });
 });
+
+describe("a long prompt", () => {
+  const at = (id: string, isResident: boolean, steadyPromptTokens?: number): choice.View => {
+    const view = engine(id, isResident, 0);
+    return { ...view, state: view.state && { ...view.state, steadyPromptTokens } };
+  };
+
+  // Guards against summaries that are read on slow engines between the tokens of all their streams.
+  it("goes to an engine that reads it without making its streams late, even to one that must load the adapter", () => {
+    expect(best(at("1", true, 900), at("2", false, 6000))).equal("1");
+    expect(best(at("1", true, 700), at("2", true, 6000))).equal("2");
+    expect(best(at("1", true, 400), at("2", false, 6000))).equal("2");
+  });
+
+  it("costs nothing where no stream runs, and no more than a few loads anywhere", () => {
+    expect(best(at("1", true), at("2", false, 6000))).equal("1");
+    expect(pauses.longPromptMs(800, undefined, 300)).equal(0);
+    expect(pauses.longPromptMs(800, 800, 300)).equal(0);
+    expect(pauses.longPromptMs(9000, 0, 300)).equal(1200);
+  });
+
+  it("is measured by the pace of the engine", () => {
+    const e = new steadyAdmission.SteadyAdmission();
+    const engineAt = { batch: BATCH, holdMs: 1000, now: 0 };
+    expect(e.steadyPromptTokens(engineAt)).equal(undefined);
+    const ask = { kind: "ask", seat: 0, request: "r", model: "m", version: 0, firm: true } as const;
+    const need = { targetMs: 1000, leftMs: 4000, promptTokens: 100, answerTokens: 100, rank: 1 };
+    e.add("a", { ...ask, ...need, gapMs: 300 }, 1);
+    e.grant("a", 0);
+    e.recordFirstEvent("a", 50);
+    const tokens = e.steadyPromptTokens(engineAt);
+    expect(tokens).within(500, 2000);
+    expect(steadyTokensOf(900)).above(3 * (tokens ?? 0));
+
+    function steadyTokensOf(gapMs: number): number | undefined {
+      e.remove("a");
+      e.add("b", { ...ask, ...need, gapMs }, 1);
+      e.grant("b", 0);
+      e.recordFirstEvent("b", 50);
+      return e.steadyPromptTokens(engineAt);
+    }
+  });
+});
