Take over an endpoint daemon's declared versions with one copy of the map

When the catalog changed, the engine manager recorded each declared version by itself, and each new one copied the map of all known versions. At its start, an endpoint daemon reads them all at once: 14,000 versions took 16.4 s of processor time, in which it served nothing.

Change: `residency.declareVersions` records all with one copy, and the manager does so only if the catalog's versions changed.

--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -54,6 +54,8 @@
   private readonly orders: engineOrders.EngineOrders;
   private readonly probe: probe.Probe;
   private readonly waker: waker.Waker;
+  /** The declared versions that were taken over last. */
+  private versions: catalog.Catalog["versions"] | undefined;
   private stopped = false;
 
   constructor(private readonly deps: Deps) {
@@ -124,9 +126,11 @@
 
   /** Takes over declared versions after the catalog changed. */
   catalogChanged(): void {
-    const now = this.deps.clock.mono();
-    for (const [key, version] of this.deps.catalog().versions) {
-      this.state.set({ held: residency.declareVersion(this.state.held, key, version, now) });
+    const { versions } = this.deps.catalog();
+    if (versions !== this.versions) {
+      this.versions = versions;
+      const now = this.deps.clock.mono();
+      this.state.set({ held: residency.declareVersions(this.state.held, versions, now) });
     }
     this.waker.wake();
   }
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -418,8 +418,23 @@
 
 /** Records that a version was declared; ignored unless it is newer than the known one. */
 export function declareVersion(s: State, key: string, version: number, now: number): State {
-  if ((s.newest.get(key)?.version ?? 0) >= version) return s;
-  return { ...s, newest: new Map(s.newest).set(key, { version, at: now }) };
+  return declareVersions(s, [[key, version]], now);
+}
+
+/** Records the declared versions of adapters by key; each is ignored unless it is newer than the known one. */
+export function declareVersions(
+  s: State,
+  versions: Iterable<readonly [string, number]>,
+  now: number,
+): State {
+  // All are added to one copy: a copy for each would take minutes where tens of thousands are new.
+  let newest: Map<string, { readonly version: number; readonly at: number }> | undefined;
+  for (const [key, version] of versions) {
+    if (((newest ?? s.newest).get(key)?.version ?? 0) >= version) continue;
+    newest ??= new Map(s.newest);
+    newest.set(key, { version, at: now });
+  }
+  return newest ? { ...s, newest } : s;
 }
 
 /** An adapter that an engine's report lists. */
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -208,6 +208,18 @@
     });
   });
 
+  // Guards against an endpoint daemon that blocks for a minute when it reads tens of thousands of versions at its start.
+  it("records many declared versions at once, of which outdated ones change nothing", () => {
+    const declared = Array.from({ length: 28_000 }, (_, i) => [`m/a${i}`, 2] as const);
+    const known = residency.declareVersion(residency.empty(), "m/a1", 3, 0);
+    const s = residency.declareVersions(known, declared, 10);
+    expect(s.newest.size).equal(28_000);
+    expect(s.newest.get("m/a0")).deep.equal({ version: 2, at: 10 });
+    expect(s.newest.get("m/a1")).deep.equal({ version: 3, at: 0 });
+    expect(known.newest.size).equal(1);
+    expect(residency.declareVersions(s, declared, 20)).equal(s);
+  }).timeout(2000);
+
   it("keeps slots that changed after a report was requested", () => {
     const s = holding(
       slot("a", { phase: "loading", phaseSince: 100 }),
