Call a plain worker again after its calls were slow

Callers: a plain worker that had withdrawn its limit got no requests; its peer got them all.

Cause: rankPlain compares the mean latencies that the host measured; chance adds up to 6 ms to each. A mean changed only with a call, and the first call was the whole mean. A worker whose calls were slow for a while, or whose first call was, got no further call that could correct its mean. Such a worker's limit did not end either, since only an answer withdraws it.

Fix: a mean is weighted by its age, with a half-life of 1 s without calls. It decays towards that of the peers which are called, so the worker is called again, and the call then counts for more the older the mean is, so that it settles the matter either way.

--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -7,6 +7,7 @@
 import type * as catalog from "./catalog.js";
 import * as prefillSpeed from "./prefill-speed.js";
 import type * as seatMessages from "./seat-messages.js";
+import * as callLatency from "./spread/call-latency.js";
 import * as crowding from "./spread/crowding.js";
 import * as pauses from "./spread/pauses.js";
 import * as idleSpeed from "./spread/idle-speed.js";
@@ -38,6 +39,8 @@
   readonly failureRate: number;
   /** Average latency of this host's latest requests there, in milliseconds; 0 before the first. */
   readonly latencyMs: number;
+  /** Milliseconds since the last of these requests ended; undefined before the first. */
+  readonly latencyAgeMs?: number | undefined;
   /** Whether its engine is starting: it runs without its base model yet, or its daemon was not connected yet. */
   readonly isStarting: boolean;
   /** Its index in the order in which all hosts try engines for the adapter; 0 is tried first. */
@@ -266,21 +269,18 @@
   }
 }
 
-/** Latency assumed for the endpoints of a plain service until the first call has ended, in milliseconds. */
-const DEFAULT_CALL_MS = 50;
-
 /** The endpoints of a plain service that can serve a request, best first. `random` breaks ties. */
 export function rankPlain(
   views: readonly View[],
   need: Pick<Need, "domain" | "tried">,
   random: () => number,
 ): readonly Estimate[] {
-  const meanMs = meanCallMs(views);
+  const expectedMs = callLatency.expectation(views);
   return views
     .filter((v) => isUsable(v, need))
     .map((view) => {
       const domainPenaltyMs = view.endpoint.domain === need.domain ? 0 : DOMAIN_PENALTY_MS;
-      const serviceMs = view.latencyMs > 0 ? view.latencyMs : meanMs;
+      const serviceMs = expectedMs(view);
       const busyMs = serviceMs * (1 + (2 * view.inFlight) / Math.max(1, view.endpoint.seats));
       const firstMs = view.limitWaitMs + busyMs;
       const failurePenaltyMs = view.failureRate ** 2 * FAILURE_PENALTY_MS;
@@ -293,10 +293,3 @@
     })
     .sort((a, b) => a.firstMs + a.penaltyMs - (b.firstMs + b.penaltyMs));
 }
-
-/** Mean latency of the endpoints that were called. */
-function meanCallMs(views: readonly View[]): number {
-  const latencies = views.filter((v) => v.latencyMs > 0).map((v) => v.latencyMs);
-  if (latencies.length === 0) return DEFAULT_CALL_MS;
-  return latencies.reduce((sum, ms) => sum + ms, 0) / latencies.length;
-}
--- a/src/serving/endpoint-registry.ts
+++ b/src/serving/endpoint-registry.ts
@@ -17,9 +17,10 @@
 import type * as metrics from "./metrics.js";
 import * as peak from "./peak.js";
 import type * as search from "./search.js";
+import * as callLatency from "./spread/call-latency.js";
 
-/** Weight of the latest request in an endpoint's average latency; it weighs twice as much in the failure rate. */
-const LATEST_WEIGHT = 0.12;
+/** Weight of the latest request in an endpoint's failure rate. */
+const LATEST_FAILURE_WEIGHT = 0.24;
 /** Half-life of an endpoint's failure rate, in milliseconds; it decays so that the endpoint is tried again. */
 const FAILURE_HALF_LIFE_MS = 3000;
 
@@ -32,6 +33,8 @@
   readonly failedAt: number;
   /** Moving average of the latencies; 0 before the first. */
   readonly latencyMs: number;
+  /** Monotonic ms at which it was last updated. */
+  readonly measuredAt: number;
 }
 
 /** The failure rate, decayed to the time `now`. */
@@ -39,7 +42,13 @@
   return stats.failureRate * 2 ** (-(now - stats.failedAt) / FAILURE_HALF_LIFE_MS);
 }
 
-const NO_STATS: LocalStats = { inFlight: 0, failureRate: 0, failedAt: 0, latencyMs: 0 };
+const NO_STATS: LocalStats = {
+  inFlight: 0,
+  failureRate: 0,
+  failedAt: 0,
+  latencyMs: 0,
+  measuredAt: 0,
+};
 
 /**
  * Number of connections to endpoint daemons that are opened at a time where no request needs them, and the
@@ -208,6 +217,7 @@
       pendingSlots: conn?.pendingSlots ?? 0,
       failureRate: failureRateNow(stats, this.clk.mono()),
       latencyMs: stats.latencyMs,
+      latencyAgeMs: stats.latencyMs > 0 ? this.clk.mono() - stats.measuredAt : undefined,
       isStarting: availableInMs < Infinity && (conn?.isStarting ?? false),
       orderIndex,
       stateAgeMs: conn?.stateAgeMs ?? 0,
@@ -375,16 +385,16 @@
     const failureRate =
       good === undefined
         ? stats.failureRate
-        : decayed + ((good ? 0 : 1) - decayed) * (LATEST_WEIGHT * 2);
-    const latencyMs = tookMs ?? stats.latencyMs;
+        : decayed + ((good ? 0 : 1) - decayed) * LATEST_FAILURE_WEIGHT;
     this.stats.set(id, {
       inFlight: Math.max(0, stats.inFlight - 1),
       failureRate,
       failedAt: good === undefined ? stats.failedAt : now,
       latencyMs:
-        stats.latencyMs === 0
-          ? latencyMs
-          : stats.latencyMs + (latencyMs - stats.latencyMs) * LATEST_WEIGHT,
+        tookMs === undefined
+          ? stats.latencyMs
+          : callLatency.meanAfter(stats.latencyMs, now - stats.measuredAt, tookMs),
+      measuredAt: tookMs === undefined ? stats.measuredAt : now,
     });
   }
 
