--- a/test/serving/avoided-worker.test.ts
+++ b/test/serving/avoided-worker.test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as fc from "fast-check";
 import * as uniform from "pure-rand/distribution/uniformFloat64";
 import * as generators from "pure-rand/generator/xoroshiro128plus";
 import * as time from "../../bench/measure/time.js";
@@ -127,6 +128,21 @@
     for (const ms of others) expect(ms).closeTo(20, 0.1);
   });
 
+  it("lies between those measured, whatever their ages", () => {
+    const measured = fc.record({
+      latencyMs: fc.double({ min: 0.1, max: 10_000, noNaN: true }),
+      latencyAgeMs: fc.double({ min: 0, max: 1e9, noNaN: true }),
+    });
+    fc.assert(
+      fc.property(fc.array(measured, { minLength: 1, maxLength: 6 }), (views) => {
+        const all = views.map((v) => v.latencyMs);
+        const [least, most] = [Math.min(...all), Math.max(...all)];
+        for (const ms of views.map(callLatency.expectation(views)))
+          expect(ms).within(least * (1 - 1e-9), most * (1 + 1e-9));
+      }),
+    );
+  });
+
   it("is that of the peers for an endpoint that was not called", () => {
     const unknown = { latencyMs: 0 };
     expect(callLatency.expectation([at(20, 0), at(40, 0), unknown])(unknown)).equal(30);
