Book the retry times of callers refused because of the wait

Cause: callers refused in a burst were told the estimated wait, so they retried together, and mostly while the burst lasted.

Change: where the configuration has steady streams, each entry daemon keeps a schedule of the retry times that it has announced for a service. A retry is booked after twice the wait, if that leaves half of the time up to the caller's latest retry, and apart from those booked for its rank and more urgent ones, one for two admissions of the host. The log line of a refusal has returnMs and returnsBefore; sumacfield_returns_total counts by rank and outcome. hasSteadyStreams keeps its result for each configuration object.

Run: return-schedule, admission, dispatch, limited, paused, seat-waiting, leaving, shedding, overload, fair-shares and steady-admission tests, all passing; not the whole suite.

--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -299,4 +299,25 @@
     put: "for (const key of [])",
     proof: "a grant is revoked",
   },
+  {
+    name: "returns: retries are booked apart",
+    file: "serving/overload/return-schedule.js",
+    find: "b.at + intervalMs(s, now)",
+    put: "b.at",
+    proof: "are admitted after a burst of 2.5 times the capacity, and do not come together: seed 1",
+  },
+  {
+    name: "returns: the booked time is told",
+    file: "serving/ending.js",
+    find: "p.booked?.inMs ??",
+    put: "",
+    proof: "is told a time of its own where streams must be steady",
+  },
+  {
+    name: "returns: nothing is booked without steady streams",
+    file: "serving/overload/returns.js",
+    find: "config !== undefined && steady.hasSteadyStreams(config)",
+    put: "config !== undefined",
+    proof: "is told its estimated wait elsewhere",
+  },
 ];
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -23,7 +23,13 @@
 /** Whether a request is admitted; if not, why, and after how many milliseconds it should be retried. */
 export type Decision =
   | { readonly kind: "serve" }
-  | { readonly kind: "refuse"; readonly why: string; readonly retryAfterMs: number };
+  | {
+      readonly kind: "refuse";
+      readonly why: string;
+      readonly retryAfterMs: number;
+      /** Whether the wait is the cause: the request could be served if it did not wait. */
+      readonly isForWait: boolean;
+    };
 
 /**
  * Longest admitted waiting time by rank, as a fraction of the target. At 1, an answer is late even if it took no time
@@ -43,17 +49,17 @@
  * share there and others ask too.
  */
 export function decide(r: RequestTimes, best: choice.Estimate, givesWay = false): Decision {
+  const waitMs = best.firstMs - best.serviceMs;
   if (best.firstMs > r.leftMs) {
     const why = `the first event would come in ${Math.round(best.firstMs)} ms, after the deadline`;
-    return { kind: "refuse", why, retryAfterMs: best.firstMs - best.serviceMs };
+    return { kind: "refuse", why, retryAfterMs: waitMs, isForWait: best.serviceMs <= r.leftMs };
   }
-  const waitMs = best.firstMs - best.serviceMs;
   const maxRatio = MAX_WAIT_RATIO_BY_RANK[r.rank] ?? MAX_WAIT_RATIO_BY_RANK[2];
   const shareRatio = givesWay ? OVER_SHARE_RATIO : 1;
   if (waitMs <= r.targetMs * maxRatio * shareRatio) return { kind: "serve" };
   const share = givesWay ? ", and its team exceeds its share" : "";
   const why = `it would wait ${Math.round(waitMs)} ms before it is begun${share}`;
-  return { kind: "refuse", why, retryAfterMs: waitMs };
+  return { kind: "refuse", why, retryAfterMs: waitMs, isForWait: true };
 }
 
 /** Longest wait in milliseconds until a worker's limit admits a request; above it, the request goes elsewhere. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -10,6 +10,7 @@
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
 import type * as metrics from "./metrics.js";
+import * as overloadReturns from "./overload/returns.js";
 import * as sendChecks from "./send-checks.js";
 import * as progress from "./progress.js";
 import * as retryBudget from "./retry-budget.js";
@@ -54,6 +55,7 @@
   private readonly checks: sendChecks.SendChecks;
   private readonly seatFinder: seatFinder.SeatFinder;
   private readonly sender: sending.Sender;
+  private readonly returns: overloadReturns.Returns;
 
   constructor(
     opts: Options,
@@ -62,6 +64,7 @@
     this.budget = new retryBudget.Budget(opts.retries, deps.clock);
     this.checks = new sendChecks.SendChecks(this.budget, deps);
     this.seatFinder = new seatFinder.SeatFinder(opts.domain, deps);
+    this.returns = new overloadReturns.Returns(deps);
     this.sender = new sending.Sender({ ...deps, checks: this.checks });
   }
 
@@ -133,6 +136,8 @@
       pauseMs: p.pauseMs,
       writeMs: p.writeMs,
       tookMs,
+      returnMs: p.booked && Math.round(p.booked.inMs),
+      returnsBefore: p.booked?.before,
       why: outcome === "whole" ? undefined : p.why,
     });
   }
@@ -157,6 +162,7 @@
       // With so little time left to wait for a seat, each engine would deny it at once.
       if (req.service.engine && this.seatFinder.seatWaitLeftMs(req, p) < MIN_REMAINING_MS) {
         p.retryAfterMs = best.firstMs - best.serviceMs;
+        p.isRefusedForWait = true;
         return this.giveUp(req, res, p, false);
       }
       p.expectedMs ??= Math.round(best.firstMs);
@@ -164,6 +170,7 @@
       const verdict = p.isAdmissionDecided ? SERVE : this.seatFinder.admit(req, best);
       if (verdict.kind === "refuse") {
         p.retryAfterMs = verdict.retryAfterMs;
+        p.isRefusedForWait = verdict.isForWait;
         p.why = verdict.why;
         return this.giveUp(req, res, p, false);
       }
@@ -179,6 +186,7 @@
           this.checks.recordDeclined(req, p, best.view.endpoint);
         continue;
       }
+      if (req.service.engine && p.sends === 0) this.returns.recordAdmission(req);
       const seat = found.kind === "seat" ? found.seat : undefined;
       const outcome = await this.sender.send(req, res, p, best, { seat, permit }, stopSignal);
       if (outcome) return outcome;
@@ -215,6 +223,6 @@
     p: progress.Progress,
     deadlinePassed: boolean,
   ): progress.Ending {
-    return ending.giveUp(this.deps.clock, req, res, p, deadlinePassed);
+    return ending.giveUp(this.deps.clock, req, res, p, deadlinePassed, this.returns);
   }
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -46,6 +46,8 @@
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
   /** A request of a route with this rank was refused because the host's event loop was behind. */
   readonly recordLagRefusal: (rank: number) => void;
+  /** The caller of a request of a route with this rank was told when to retry; `limited`: at its latest time, not a free one. */
+  readonly recordReturn: (rank: number, outcome: "booked" | "limited") => void;
   /** A request was ended, or its body refused, to keep to the memory budget. */
   readonly recordMemory: (
     outcome: "ended" | "refused",
@@ -109,6 +111,12 @@
     "Requests refused because the event loop was behind, by rank.",
     "rank",
   );
+  const returns = counter(
+    "sumacfield_returns_total",
+    "Retry times told to refused callers, by rank, and whether one was free before their latest time.",
+    "rank",
+    "outcome",
+  );
   const grants = counter(
     "sumacfield_team_granted_tokens_total",
     "Prompt and expected answer tokens of the seats granted to a team on this engine.",
@@ -147,6 +155,9 @@
     recordLagRefusal: (rank) => {
       lagRefusals.inc({ rank });
     },
+    recordReturn: (rank, outcome) => {
+      returns.inc({ rank, outcome });
+    },
     recordMemory: (outcome, reason) => {
       memory.inc({ outcome, reason });
     },
--- a/src/serving/pacing/steady.ts
+++ b/src/serving/pacing/steady.ts
@@ -24,7 +24,14 @@
   );
 }
 
+/** Results of {@link hasSteadyStreams}, which is asked for each request and scans all routes. */
+const steadyConfigs = new WeakMap<catalog.Config, boolean>();
+
 /** Whether any service of a configuration has steady streams, so that it calls for the decisions under demanding load. */
 export function hasSteadyStreams(cfg: catalog.Config): boolean {
-  return [...cfg.services.values()].some((service) => isSteady(cfg, service));
+  const known = steadyConfigs.get(cfg);
+  if (known !== undefined) return known;
+  const found = [...cfg.services.values()].some((service) => isSteady(cfg, service));
+  steadyConfigs.set(cfg, found);
+  return found;
 }
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -7,6 +7,7 @@
 import type * as headers from "./headers.js";
 import type * as metrics from "./metrics.js";
 import type * as presence from "./overload/presence.js";
+import type * as returnSchedule from "./overload/return-schedule.js";
 import type * as crowding from "./spread/crowding.js";
 
 /** The response to the caller of a request. Nothing is passed on before {@link CallerResponse.writeHead}. */
@@ -75,6 +76,10 @@
   refusalStatus: 401 | 503;
   /** Milliseconds after which a refused caller should retry, as far as known. */
   retryAfterMs: number;
+  /** Whether it is refused because of the time that it would wait on engines, which is then `retryAfterMs`. */
+  isRefusedForWait: boolean;
+  /** The retry that was booked for its refused caller. */
+  booked: returnSchedule.Booked | undefined;
   /** Milliseconds until a quarantined request may be sent again; undefined for all others. */
   releaseMs: number | undefined;
   /** Monotonic ms at which the first event or the whole answer was passed on. */
@@ -114,6 +119,8 @@
     why: "no endpoint is available",
     refusalStatus: 503,
     retryAfterMs: admission.DEFAULT_RETRY_AFTER_MS,
+    isRefusedForWait: false,
+    booked: undefined,
     releaseMs: undefined,
     firstByteAt: undefined,
     pauseMs: 0,
