Refuse a share of requests that rises with the estimated wait

Cause: states are up to some hundred ms old, so with a threshold on the estimated wait all hosts admit, and then refuse, at the same time.

Change: where the configuration has steady streams, the refused share rises from none at 0.8 of the longest admitted wait to all at 1.2 of it. decide() takes the random number, which is drawn once for each request. The log line has waitRatio; sumacfield_wait_refusals_total counts by rank and by whether the wait was within the longest one.

The scheduled-retry tests now also grade.

--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -320,4 +320,25 @@
     put: "config !== undefined",
     proof: "is told its estimated wait elsewhere",
   },
+  {
+    name: "grades: refusals are graded",
+    file: "serving/admission.js",
+    find: "if (draw === undefined)",
+    put: "if (true)",
+    proof: "halves the swing of admissions by a threshold: seed 1",
+  },
+  {
+    name: "grades: a number is drawn where streams must be steady",
+    file: "serving/seat-finder.js",
+    find: "if (config && steady.hasSteadyStreams(config))",
+    put: "if (false)",
+    proof: "is used where streams must be steady, and only there",
+  },
+  {
+    name: "grades: none is drawn elsewhere",
+    file: "serving/seat-finder.js",
+    find: "if (config && steady.hasSteadyStreams(config))",
+    put: "if (true)",
+    proof: "is used where streams must be steady, and only there",
+  },
 ];
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -22,11 +22,13 @@
 
 /** Whether a request is admitted; if not, why, and after how many milliseconds it should be retried. */
 export type Decision =
-  | { readonly kind: "serve" }
+  | { readonly kind: "serve"; readonly waitRatio: number | undefined }
   | {
       readonly kind: "refuse";
       readonly why: string;
       readonly retryAfterMs: number;
+      /** The estimated wait as a fraction of the longest admitted one; undefined where something else decided. */
+      readonly waitRatio: number | undefined;
       /** Whether the wait is the cause: the request could be served if it did not wait. */
       readonly isForWait: boolean;
     };
@@ -44,22 +46,47 @@
  */
 const OVER_SHARE_RATIO = 0.7;
 
+/** The decision for a request that no wait was estimated for. */
+export const SERVE: Decision = { kind: "serve", waitRatio: undefined };
+
+/**
+ * Waits, as fractions of the longest admitted one, between which the share of refused requests rises from none to all where
+ * refusals are graded. The state of an engine is up to some hundred ms old, so with a threshold all hosts admit everything
+ * until the queue is too long, and then refuse everything until it is short.
+ */
+const GRADED_FROM = 0.8;
+const GRADED_TO = 1.2;
+
+/** Whether a request is refused because of its wait; `draw` as for {@link decide}. */
+function isWaitTooLong(waitRatio: number, draw: number | undefined): boolean {
+  if (draw === undefined) return waitRatio > 1;
+  return draw < (waitRatio - GRADED_FROM) / (GRADED_TO - GRADED_FROM);
+}
+
 /**
  * Decides whether a request is admitted, by the estimate of its best endpoint. `givesWay` says that its team exceeds its
- * share there and others ask too.
+ * share there and others ask too. `draw` is a random number, 0 or more and less than 1, by which refusals are graded; where
+ * undefined, all requests are refused whose wait exceeds the longest admitted one.
  */
-export function decide(r: RequestTimes, best: choice.Estimate, givesWay = false): Decision {
+export function decide(
+  r: RequestTimes,
+  best: choice.Estimate,
+  givesWay = false,
+  draw?: number,
+): Decision {
   const waitMs = best.firstMs - best.serviceMs;
   if (best.firstMs > r.leftMs) {
     const why = `the first event would come in ${Math.round(best.firstMs)} ms, after the deadline`;
-    return { kind: "refuse", why, retryAfterMs: waitMs, isForWait: best.serviceMs <= r.leftMs };
+    const isForWait = best.serviceMs <= r.leftMs;
+    return { kind: "refuse", why, retryAfterMs: waitMs, waitRatio: undefined, isForWait };
   }
   const maxRatio = MAX_WAIT_RATIO_BY_RANK[r.rank] ?? MAX_WAIT_RATIO_BY_RANK[2];
   const shareRatio = givesWay ? OVER_SHARE_RATIO : 1;
-  if (waitMs <= r.targetMs * maxRatio * shareRatio) return { kind: "serve" };
+  const waitRatio = waitMs / (r.targetMs * maxRatio * shareRatio);
+  if (!isWaitTooLong(waitRatio, draw)) return { kind: "serve", waitRatio };
   const share = givesWay ? ", and its team exceeds its share" : "";
   const why = `it would wait ${Math.round(waitMs)} ms before it is begun${share}`;
-  return { kind: "refuse", why, retryAfterMs: waitMs, isForWait: true };
+  return { kind: "refuse", why, retryAfterMs: waitMs, waitRatio, isForWait: true };
 }
 
 /** Longest wait in milliseconds until a worker's limit admits a request; above it, the request goes elsewhere. */
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -5,7 +5,7 @@
  */
 import type * as structuredLog from "../host/structured-log.js";
 import * as clock from "../host/clock.js";
-import type * as admission from "./admission.js";
+import * as admission from "./admission.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
@@ -44,8 +44,6 @@
 const MIN_REMAINING_MS = 20;
 /** Times that one request may be withheld from a worker chosen for it; beyond that it is given up. */
 const MAX_WITHHELD = 6;
-/** Verdict for a request that was admitted earlier. */
-const SERVE: admission.Decision = { kind: "serve" };
 /** Result of the search for a seat where the service has no engines and so needs none. */
 const SEATLESS: seatFinder.SeatResult = { kind: "seatless" };
 
@@ -128,6 +126,7 @@
       runs: p.runs,
       targetMs: req.route.targetMs,
       expectedMs: p.expectedMs,
+      waitRatio: p.waitRatio && Math.round(p.waitRatio * 100) / 100,
       crowding: p.crowding?.chosen,
       firstCrowding: p.crowding?.first,
       newsMs: p.catalogAgeMs,
@@ -167,8 +166,11 @@
       }
       p.expectedMs ??= Math.round(best.firstMs);
       // Admission is decided once: a request that was admitted and has waited is not refused because of later arrivals.
-      const verdict = p.isAdmissionDecided ? SERVE : this.seatFinder.admit(req, best);
+      const verdict = p.isAdmissionDecided ? admission.SERVE : this.seatFinder.admit(req, p, best);
+      p.waitRatio = verdict.waitRatio ?? p.waitRatio;
       if (verdict.kind === "refuse") {
+        if (verdict.waitRatio !== undefined)
+          this.deps.metrics.recordWaitRefusal(req.route.rank, verdict.waitRatio);
         p.retryAfterMs = verdict.retryAfterMs;
         p.isRefusedForWait = verdict.isForWait;
         p.why = verdict.why;
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -46,6 +46,8 @@
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
   /** A request of a route with this rank was refused because the host's event loop was behind. */
   readonly recordLagRefusal: (rank: number) => void;
+  /** A request was refused because of its wait; `waitRatio` is that wait as a fraction of the longest admitted one. */
+  readonly recordWaitRefusal: (rank: number, waitRatio: number) => void;
   /** The caller of a request of a route with this rank was told when to retry; `limited`: at its latest time, not a free one. */
   readonly recordReturn: (rank: number, outcome: "booked" | "limited") => void;
   /** A request was ended, or its body refused, to keep to the memory budget. */
@@ -111,6 +113,12 @@
     "Requests refused because the event loop was behind, by rank.",
     "rank",
   );
+  const waitRefusals = counter(
+    "sumacfield_wait_refusals_total",
+    "Requests refused because of their wait, by rank, and whether it was within the longest admitted one.",
+    "rank",
+    "wait",
+  );
   const returns = counter(
     "sumacfield_returns_total",
     "Retry times told to refused callers, by rank, and whether one was free before their latest time.",
@@ -155,6 +163,9 @@
     recordLagRefusal: (rank) => {
       lagRefusals.inc({ rank });
     },
+    recordWaitRefusal: (rank, waitRatio) => {
+      waitRefusals.inc({ rank, wait: waitRatio > 1 ? "above" : "within" });
+    },
     recordReturn: (rank, outcome) => {
       returns.inc({ rank, outcome });
     },
--- a/src/serving/overload/return-schedule.ts
+++ b/src/serving/overload/return-schedule.ts
@@ -56,7 +56,7 @@
  * Earliest retry, as a multiple of the estimated wait: an overload that has caused a wait mostly lasts longer than it, and
  * a retry that meets the same overload is refused again.
  */
-const EARLIEST_WAITS = 2;
+const EARLIEST_WAITS = 3;
 /** Largest part of the time up to the latest retry that is left free for this, so that the rest can be booked. */
 const EARLIEST_PART = 0.5;
 
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -68,6 +68,10 @@
   hasResponseBegun: boolean;
   /** Whether admission has been decided. */
   isAdmissionDecided: boolean;
+  /** Random number by which admission is graded; undefined where it is not. */
+  admissionDraw: number | undefined;
+  /** The estimated wait at the last decision on admission, as a fraction of the longest admitted one. */
+  waitRatio: number | undefined;
   /** Id of the last event that was passed on, or that the caller has from an earlier attempt. */
   lastEventId: string | undefined;
   /** Reason of the last failure, for the caller and the log. */
@@ -115,6 +119,8 @@
     isRetryCharged: false,
     hasResponseBegun: false,
     isAdmissionDecided: false,
+    admissionDraw: undefined,
+    waitRatio: undefined,
     lastEventId: a.meta.resumeAfter,
     why: "no endpoint is available",
     refusalStatus: 503,
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -9,6 +9,7 @@
 import * as choice from "./choice.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import type * as link from "./link.js";
+import * as steady from "./pacing/steady.js";
 import type * as progress from "./progress.js";
 import * as search from "./search.js";
 import * as crowding from "./spread/crowding.js";
@@ -69,10 +70,18 @@
   ) {}
 
   /** Decides whether a request is admitted, by the estimate of its best endpoint. */
-  admit(a: callerRequest.CallerRequest, best: choice.Estimate): admission.Decision {
-    if (!a.service.engine) return { kind: "serve" };
+  admit(
+    a: callerRequest.CallerRequest,
+    p: progress.Progress,
+    best: choice.Estimate,
+  ): admission.Decision {
+    if (!a.service.engine) return admission.SERVE;
     const givesWay = announcedShares.givesWay(best.view.state, a.caller?.team.name);
-    return admission.decide(timesOf(a, this.deps.clock.mono()), best, givesWay);
+    const { config } = this.deps.catalog();
+    // One number for all decisions on a request, so that one that engines send back is not refused more often.
+    if (config && steady.hasSteadyStreams(config)) p.admissionDraw ??= this.deps.random();
+    const times = timesOf(a, this.deps.clock.mono());
+    return admission.decide(times, best, givesWay, p.admissionDraw);
   }
 
   /** Picks the best endpoint. Where none is usable, waits for a limited time until one is. */
--- a/test/serving/overload/overload-run.ts
+++ b/test/serving/overload/overload-run.ts
@@ -20,6 +20,10 @@
   readonly deadlineMs: number;
   /** Whether retries are booked; otherwise refused callers are told their estimated wait. */
   readonly isBooked: boolean;
+  /** Whether refusals are graded; otherwise a threshold decides. */
+  readonly isGraded: boolean;
+  /** Whether all requests are of the middle rank. */
+  readonly isOneRank?: boolean;
   readonly seed: number;
 }
 
@@ -30,9 +34,12 @@
   readonly arrivedAt: number;
   readonly dueAt: number;
   readonly isRetry: boolean;
+  /** Random number by which its admission is graded. */
+  readonly draw: number;
   /** The wait in its engine's queue when it joined, as a fraction of the longest admitted one. */
   joinedRatio?: number;
-  isServed?: boolean;
+  /** Its wait until its engine began it, likewise; undefined if that was never. */
+  servedRatio?: number;
 }
 
 /** A fourth of the requests are most urgent, half are of the middle rank; both have shorter targets than the rest. */
@@ -62,6 +69,19 @@
   readonly host: Host;
 }
 
+/** The time of the overload, in ms from the start. */
+export function periodOf(o: Pick<Options, "overloadMs">): {
+  readonly fromMs: number;
+  readonly toMs: number;
+} {
+  return { fromMs: BEFORE_MS, toMs: BEFORE_MS + o.overloadMs };
+}
+
+/** The longest admitted wait of a request. */
+function longestMs(r: Request): number {
+  return r.targetMs * (LIMIT_RATIOS[r.rank] ?? 1);
+}
+
 /** Plays an overload; the same options give the same requests. */
 export function play(o: Options): {
   readonly requests: readonly Request[];
@@ -112,7 +132,7 @@
     const [next] = seatQueue.servingOrder(e.waiting, now) as readonly Waiter[];
     if (now < e.freeAt || !next) return;
     e.waiting = e.waiting.filter((w) => w !== next);
-    next.req.isServed = true;
+    next.req.servedRatio = (now - next.req.arrivedAt) / longestMs(next.req);
     next.host.schedule = returnSchedule.recordAdmission(next.host.schedule, now);
     e.freeAt = now + e.readMs;
     if (now >= busyFrom && now < endAt) busyMs += e.readMs;
@@ -129,7 +149,7 @@
     host.schedule = booked.schedule;
     if (req.isRetry) return;
     after(o.isBooked ? booked.inMs : estimateMs, () => {
-      arrive({ ...req, arrivedAt: now, isRetry: true });
+      arrive({ ...req, arrivedAt: now, isRetry: true, draw: random() });
     });
   };
   const dispatch = (req: Request, h: Host, diverted: ReadonlySet<string>): void => {
@@ -140,7 +160,7 @@
     const e = engines.find((x) => x.id === best?.view.endpoint.id);
     if (!best || !e) return;
     const times = { rank, targetMs, gapMs: 300, leftMs: req.dueAt - now };
-    const verdict = admission.decide(times, best);
+    const verdict = admission.decide(times, best, false, o.isGraded ? req.draw : undefined);
     if (verdict.kind === "refuse") {
       refuse(req, h, verdict.retryAfterMs);
       return;
@@ -154,7 +174,7 @@
       dispatch(req, h, new Set([...diverted, e.id]));
       return;
     }
-    req.joinedRatio = waitMs / targetMs / (LIMIT_RATIOS[rank] ?? 1);
+    req.joinedRatio = waitMs / longestMs(req);
     const seat = { seat: "", key: "m", model: "m", rank, askedAt: now, serviceMs: best.serviceMs };
     const until = { targetAt: now + targetMs, expiresAt: now + admission.maxSeatWaitMs(times) };
     e.waiting = [...e.waiting, { ...seat, ...until, req, host: h }];
@@ -166,9 +186,9 @@
     if (host) dispatch(req, host, new Set());
   };
   const arriveNew = (): void => {
-    const i = Math.floor(random() * RANKS.length);
+    const i = o.isOneRank ? 1 : Math.floor(random() * RANKS.length);
     const kind = { rank: RANKS[i] ?? 0, targetMs: TARGETS_MS[i] ?? 0 };
-    arrive({ ...kind, arrivedAt: now, dueAt: now + o.deadlineMs, isRetry: false });
+    arrive({ ...kind, arrivedAt: now, dueAt: now + o.deadlineMs, isRetry: false, draw: random() });
     const load = now >= BEFORE_MS && now < endAt ? o.load : CALM_LOAD;
     after(-Math.log(1 - random()) / (perMs * load), arriveNew);
   };
--- a/test/serving/overload/return-schedule.test.ts
+++ b/test/serving/overload/return-schedule.test.ts
@@ -1,11 +1,7 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
-import type * as catalog from "../../../src/serving/catalog.js";
 import * as returnSchedule from "../../../src/serving/overload/return-schedule.js";
-import * as dispatcherFixture from "../dispatcher-fixture.js";
-import * as fakeEndpointDaemon from "../fake-endpoint-daemon.js";
-import * as fixtures from "../fixtures.js";
-import * as managedEngines from "../managed-engines.js";
+import * as entryHost from "./entry-host.js";
 import * as overloadRun from "./overload-run.js";
 
 const { expect } = chai;
@@ -66,7 +62,7 @@
   /* Guards against callers that are all told the same time, meet the same overload, and are refused again. */
   for (const seed of [1, 2, 3]) {
     it(`are admitted after a burst of 2.5 times the capacity, and do not come together: seed ${seed}`, () => {
-      const burst = { load: 2.5, overloadMs: 3500, deadlineMs: 20_000, seed };
+      const burst = { load: 2.5, overloadMs: 3500, deadlineMs: 20_000, isGraded: true, seed };
       const { requests } = overloadRun.play({ ...burst, isBooked: true });
       const retries = requests.filter((r) => r.isRetry);
       const admitted = retries.filter((r) => r.joinedRatio !== undefined);
@@ -86,45 +82,20 @@
 describe("a caller that is refused because of the wait", () => {
   /** The retry times, in ms, that two callers are told who are refused at the same time. */
   async function toldTwice(gapMs: number): Promise<readonly number[]> {
-    const busy = { waitMs: new Array<number>(10).fill(1500), crowding: 1 };
-    const engine = await fakeEndpointDaemon.open(
-      { ...fakeEndpointDaemon.state("i1"), ...busy },
-      fakeEndpointDaemon.holdings("m/a"),
-    );
-    const { at, service } = managedEngines.catalogOf([fixtures.endpoint("i1", engine.address)]);
-    const batch = { requests: 32, cacheTokens: 100_000, eventTokens: 7 };
-    const spec = service.engine && { ...service, engine: { ...service.engine, batch } };
-    const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream", gapMs, timeoutMs: 9000 };
-    const config = {
-      ...fixtures.CONFIG,
-      routes: [route],
-      services: new Map([["guide", spec ?? service]]),
-    };
-    const made = dispatcherFixture.create({ ...at, config });
-    made.known.refresh();
-    await managedEngines.eventually(() => made.known.views(service).every((v) => v.state));
-    const told: number[] = [];
-    for (let i = 0; i < 2; i++) {
-      const req = dispatcherFixture.streamRequest(service, route, 9000);
-      const { response } = dispatcherFixture.recorded();
-      await made.dispatcher.serve(req, {
-        ...response,
-        refuse: (_status, _why, retryAfterMs) => told.push(retryAfterMs ?? NaN),
-      });
-    }
-    made.close();
-    engine.close();
-    return told;
+    const entry = await entryHost.open(1500, gapMs);
+    const told = [await entry.refusedAfterMs(9000), await entry.refusedAfterMs(9000)];
+    entry.close();
+    return told.map((ms) => ms ?? NaN);
   }
 
   it("is told a time of its own where streams must be steady", async () => {
-    const [first = 0, second = 0] = await toldTwice(300);
+    const [first = 0, second = 0] = await toldTwice(entryHost.STEADY_GAP_MS);
     expect(first).within(1300, 1500);
     expect(second).above(first + 500);
   });
 
   /* Guards against changed decisions where the configuration has no steady streams. */
   it("is told its estimated wait elsewhere", async () => {
-    for (const toldMs of await toldTwice(400)) expect(toldMs).within(1400, 1500);
+    for (const ms of await toldTwice(entryHost.OTHER_GAP_MS)) expect(ms).within(1400, 1500);
   });
 });
