--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -328,4 +328,46 @@
     proof:
       "reserves for more urgent classes only, beyond what is earned, and while they request retries",
   },
+  {
+    name: "returns: retries are booked apart",
+    file: "serving/overload/return-schedule.js",
+    find: "b.at + intervalMs(s, now)",
+    put: "b.at",
+    proof: "are admitted after a burst of 2.5 times the capacity, and do not come together: seed 1",
+  },
+  {
+    name: "returns: the booked time is told",
+    file: "serving/ending.js",
+    find: "p.booked?.inMs ??",
+    put: "",
+    proof: "is told a time of its own where streams must be steady",
+  },
+  {
+    name: "returns: nothing is booked without steady streams",
+    file: "serving/overload/returns.js",
+    find: "config !== undefined && steady.hasSteadyStreams(config)",
+    put: "config !== undefined",
+    proof: "is told its estimated wait elsewhere",
+  },
+  {
+    name: "grades: refusals are graded",
+    file: "serving/admission.js",
+    find: "if (draw === undefined)",
+    put: "if (true)",
+    proof: "halves the swing of admissions by a threshold: seed 1",
+  },
+  {
+    name: "grades: a number is drawn where streams must be steady",
+    file: "serving/seat-finder.js",
+    find: "if (config && steady.hasSteadyStreams(config))",
+    put: "if (false)",
+    proof: "is used where streams must be steady, and only there",
+  },
+  {
+    name: "grades: none is drawn elsewhere",
+    file: "serving/seat-finder.js",
+    find: "if (config && steady.hasSteadyStreams(config))",
+    put: "if (true)",
+    proof: "is used where streams must be steady, and only there",
+  },
 ];
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -5,11 +5,12 @@
  */
 import type * as structuredLog from "../host/structured-log.js";
 import * as clock from "../host/clock.js";
-import type * as admission from "./admission.js";
+import * as admission from "./admission.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
 import type * as metrics from "./metrics.js";
+import * as overloadReturns from "./overload/returns.js";
 import * as sendChecks from "./send-checks.js";
 import * as progress from "./progress.js";
 import * as retryBudget from "./retry-budget.js";
@@ -43,8 +44,6 @@
 const MIN_REMAINING_MS = 20;
 /** Times that one request may be withheld from a worker chosen for it; beyond that it is given up. */
 const MAX_WITHHELD = 6;
-/** Verdict for a request that was admitted earlier. */
-const SERVE: admission.Decision = { kind: "serve" };
 /** Result of the search for a seat where the service has no engines and so needs none. */
 const SEATLESS: seatFinder.SeatResult = { kind: "seatless" };
 
@@ -54,6 +53,7 @@
   private readonly checks: sendChecks.SendChecks;
   private readonly seatFinder: seatFinder.SeatFinder;
   private readonly sender: sending.Sender;
+  private readonly returns: overloadReturns.Returns;
 
   constructor(
     opts: Options,
@@ -62,6 +62,7 @@
     this.budget = new retryBudget.Budget(opts.retries, deps.clock);
     this.checks = new sendChecks.SendChecks(this.budget, deps);
     this.seatFinder = new seatFinder.SeatFinder(opts.domain, deps);
+    this.returns = new overloadReturns.Returns(deps);
     this.sender = new sending.Sender({ ...deps, checks: this.checks });
   }
 
@@ -125,6 +126,7 @@
       runs: p.runs,
       targetMs: req.route.targetMs,
       expectedMs: p.expectedMs,
+      waitRatio: p.waitRatio && Math.round(p.waitRatio * 100) / 100,
       crowding: p.crowding?.chosen,
       firstCrowding: p.crowding?.first,
       newsMs: p.catalogAgeMs,
@@ -133,6 +135,8 @@
       pauseMs: p.pauseMs,
       writeMs: p.writeMs,
       tookMs,
+      returnMs: p.booked && Math.round(p.booked.inMs),
+      returnsBefore: p.booked?.before,
       why: outcome === "whole" ? undefined : p.why,
     });
   }
@@ -157,14 +161,19 @@
       // With so little time left to wait for a seat, each engine would deny it at once.
       if (req.service.engine && this.seatFinder.seatWaitLeftMs(req, p) < MIN_REMAINING_MS) {
         p.retryAfterMs = best.firstMs - best.serviceMs;
+        p.isRefusedForWait = true;
         return this.giveUp(req, res, p, false);
       }
       p.expectedMs ??= Math.round(best.firstMs);
       p.serviceMs = best.serviceMs;
       // Admission is decided once: a request that was admitted and has waited is not refused because of later arrivals.
-      const verdict = p.isAdmissionDecided ? SERVE : this.seatFinder.admit(req, best);
+      const verdict = p.isAdmissionDecided ? admission.SERVE : this.seatFinder.admit(req, p, best);
+      p.waitRatio = verdict.waitRatio ?? p.waitRatio;
       if (verdict.kind === "refuse") {
+        if (verdict.waitRatio !== undefined)
+          this.deps.metrics.recordWaitRefusal(req.route.rank, verdict.waitRatio);
         p.retryAfterMs = verdict.retryAfterMs;
+        p.isRefusedForWait = verdict.isForWait;
         p.why = verdict.why;
         return this.giveUp(req, res, p, false);
       }
@@ -180,6 +189,7 @@
           this.checks.recordDeclined(req, p, best.view.endpoint);
         continue;
       }
+      if (req.service.engine && p.sends === 0) this.returns.recordAdmission(req);
       const seat = found.kind === "seat" ? found.seat : undefined;
       const outcome = await this.sender.send(req, res, p, best, { seat, permit }, stopSignal);
       if (outcome) return outcome;
@@ -216,6 +226,6 @@
     p: progress.Progress,
     deadlinePassed: boolean,
   ): progress.Ending {
-    return ending.giveUp(this.deps.clock, req, res, p, deadlinePassed);
+    return ending.giveUp(this.deps.clock, req, res, p, deadlinePassed, this.returns);
   }
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -51,6 +51,10 @@
   readonly recordNotice: (service: string, reason: NoticeReason, outcome: NoticeOutcome) => void;
   /** A request of a route with this rank was refused because the host's event loop was behind. */
   readonly recordLagRefusal: (rank: number) => void;
+  /** A request was refused because of its wait; `waitRatio` is that wait as a fraction of the longest admitted one. */
+  readonly recordWaitRefusal: (rank: number, waitRatio: number) => void;
+  /** The caller of a request of a route with this rank was told when to retry; `limited`: at its latest time, not a free one. */
+  readonly recordReturn: (rank: number, outcome: "booked" | "limited") => void;
   /** A request was ended, or its body refused, to keep to the memory budget. */
   readonly recordMemory: (
     outcome: "ended" | "refused",
@@ -120,6 +124,18 @@
     "Requests refused because the event loop was behind, by rank.",
     "rank",
   );
+  const waitRefusals = counter(
+    "sumacfield_wait_refusals_total",
+    "Requests refused because of their wait, by rank, and whether it was within the longest admitted one.",
+    "rank",
+    "wait",
+  );
+  const returns = counter(
+    "sumacfield_returns_total",
+    "Retry times told to refused callers, by rank, and whether one was free before their latest time.",
+    "rank",
+    "outcome",
+  );
   const grants = counter(
     "sumacfield_team_granted_tokens_total",
     "Prompt and expected answer tokens of the seats granted to a team on this engine.",
@@ -161,6 +177,12 @@
     recordLagRefusal: (rank) => {
       lagRefusals.inc({ rank });
     },
+    recordWaitRefusal: (rank, waitRatio) => {
+      waitRefusals.inc({ rank, wait: waitRatio > 1 ? "above" : "within" });
+    },
+    recordReturn: (rank, outcome) => {
+      returns.inc({ rank, outcome });
+    },
     recordMemory: (outcome, reason) => {
       memory.inc({ outcome, reason });
     },
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -7,6 +7,7 @@
 import type * as headers from "./headers.js";
 import type * as metrics from "./metrics.js";
 import type * as presence from "./overload/presence.js";
+import type * as returnSchedule from "./overload/return-schedule.js";
 import type * as crowding from "./spread/crowding.js";
 
 /** The response to the caller of a request. Nothing is passed on before {@link CallerResponse.writeHead}. */
@@ -67,6 +68,10 @@
   hasResponseBegun: boolean;
   /** Whether admission has been decided. */
   isAdmissionDecided: boolean;
+  /** Random number by which admission is graded; undefined where it is not. */
+  admissionDraw: number | undefined;
+  /** The estimated wait at the last decision on admission, as a fraction of the longest admitted one. */
+  waitRatio: number | undefined;
   /** Id of the last event that was passed on, or that the caller has from an earlier attempt. */
   lastEventId: string | undefined;
   /** Reason of the last failure, for the caller and the log. */
@@ -75,6 +80,10 @@
   refusalStatus: 401 | 503;
   /** Milliseconds after which a refused caller should retry, as far as known. */
   retryAfterMs: number;
+  /** Whether it is refused because of the time that it would wait on engines, which is then `retryAfterMs`. */
+  isRefusedForWait: boolean;
+  /** The retry that was booked for its refused caller. */
+  booked: returnSchedule.Booked | undefined;
   /** Milliseconds until a quarantined request may be sent again; undefined for all others. */
   releaseMs: number | undefined;
   /** Monotonic ms at which the first event or the whole answer was passed on. */
@@ -112,10 +121,14 @@
     isRetryCharged: false,
     hasResponseBegun: false,
     isAdmissionDecided: false,
+    admissionDraw: undefined,
+    waitRatio: undefined,
     lastEventId: a.meta.resumeAfter,
     why: "no endpoint is available",
     refusalStatus: 503,
     retryAfterMs: admission.DEFAULT_RETRY_AFTER_MS,
+    isRefusedForWait: false,
+    booked: undefined,
     releaseMs: undefined,
     firstByteAt: undefined,
     pauseMs: 0,
