--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -8,8 +8,8 @@
   {
     name: "a process that starts leaves the retry budget's slack alone for a window",
     file: "serving/retry-budget.js",
-    find: "if (now - this.startedAt < separationMs(this.opts))",
-    put: "if (false)",
+    find: "return this.clk.steady() - this.startedAt >= separationMs(this.opts);",
+    put: "return true;",
     proof: "while all hosts are killed again and again: 4 hosts",
   },
   {
