--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -102,10 +102,11 @@
 /** Steps, besides the reading itself, from a grant to the first event: the step that runs, and the one that makes the token. */
 const STEPS_TO_FIRST = 2;
 /**
- * How far an engine that has been granted little lately may exceed the limit, as a multiple of it; a full one may not. Under
- * moderate load prompts come close together by chance, and a wait for each of them would cost more than a spell just then.
+ * Share of the longest pause by which events of an engine that has been granted little lately may exceed that; none of a full
+ * one. Under moderate load prompts come close together by chance, and a wait for each of them would cost more than a spell just
+ * then.
  */
-const BURST = 1.5;
+const BURST_SHARE = 0.3;
 /** Share of the longest pause that an event may take while the engine is slow; the slowness is an estimate. */
 const SLOW_SHARE = 0.8;
 /**
@@ -271,8 +272,8 @@
       return { inMs: Math.min(a.windowMs, MAX_SLOW_MS - sinceMs), isTooLarge: true };
     return blockingOf(p, ownMs, limitMs, factor * SLOW_WINDOW, a, now);
   }
-  const burst = 1 + BURST * (1 - Math.min(1, load(p, a, tokens, now)));
-  const limitMs = Math.min(burst * a.readMs, SLOW_SHARE * a.gapMs - a.baseMs - ownMs / 2);
+  const burstMs = BURST_SHARE * a.gapMs * (1 - Math.min(1, load(p, a, tokens, now)));
+  const limitMs = Math.min(a.readMs + burstMs, SLOW_SHARE * a.gapMs - a.baseMs - ownMs / 2);
   return blockingOf(p, ownMs / 2, limitMs, 1, a, now);
 }
 
