Keep the admission control of steady streams only where streams are steady

Every endpoint daemon kept an entry for each seat, and learned the time of events and the share of late streams, also where nothing reads them.

Change: the engine's state has the admission control only while the configuration asks for steady streams. When it begins to, the admission control starts from the open seats, which the seat table knows: they count for the batch, the cache and the pace at once. Streams that had begun before count as running, but the pace is not learned from them, as the prompts granted beside them are unknown. What was learned is forgotten when streams no longer need to be steady.

A test compares the decisions after such a change with those of an engine whose streams were steady all along.

--- a/src/serving/engine-state.ts
+++ b/src/serving/engine-state.ts
@@ -42,7 +42,6 @@
 /** The state of one engine. Whoever changes `seats`, `admission` or `shares` must call {@link EngineState.changed}. */
 export class EngineState {
   readonly seats = new seatTable.SeatTable();
-  readonly admission = new steadyAdmission.SteadyAdmission();
   readonly shares: teamShares.TeamShares;
   private values: Values = {
     instance: "",
@@ -50,6 +49,9 @@
     loadHistory: loadHistory.INITIAL,
   };
   private latest: Snapshot | undefined;
+  private steadyAdmission: steadyAdmission.SteadyAdmission | undefined;
+  /** The configuration that {@link steadyAdmission} was last compared with. */
+  private cfg: catalog.Config | undefined;
 
   constructor(private readonly deps: Deps) {
     this.shares = new teamShares.TeamShares(deps);
@@ -67,6 +69,23 @@
     return this.values.loadHistory;
   }
 
+  /**
+   * Admission control of an engine with steady streams; undefined for others, where nothing is kept for it. Where a
+   * configuration begins to ask for steady streams, it starts from the open seats.
+   */
+  get admission(): steadyAdmission.SteadyAdmission | undefined {
+    const cfg = this.deps.config();
+    if (cfg === this.cfg) return this.steadyAdmission;
+    this.cfg = cfg;
+    const service = this.service();
+    if (!cfg || !service || !steady.isSteady(cfg, service)) this.steadyAdmission = undefined;
+    else if (!this.steadyAdmission) {
+      this.steadyAdmission = new steadyAdmission.SteadyAdmission();
+      this.steadyAdmission.addOpen(this.seats.open());
+    }
+    return this.steadyAdmission;
+  }
+
   /** Replaces parts of the state. */
   set(values: Partial<Values>): void {
     this.values = { ...this.values, ...values };
@@ -106,6 +125,12 @@
   }
 }
 
+/** An engine with steady streams, as its admission control sees it. */
+interface SteadyEngine {
+  readonly admission: steadyAdmission.SteadyAdmission;
+  readonly at: steadyAdmission.EngineAt;
+}
+
 /** The configuration and the time of a snapshot. */
 interface Setting {
   readonly cfg: catalog.Config | undefined;
@@ -123,7 +148,7 @@
   readonly seats: seatTable.SeatTable;
   readonly now: number;
   readonly cfg: catalog.Config | undefined;
-  private readonly steadyEngine: steadyAdmission.EngineAt | undefined;
+  private readonly steadyEngine: SteadyEngine | undefined;
   private standingNow: fairShares.Standing | undefined;
   private optionsNow: residency.Options | undefined;
   private prefillNow: residency.PrefillLoad | undefined;
@@ -143,8 +168,9 @@
     this.now = now;
     this.cfg = cfg;
     const batch = service?.engine?.batch;
-    if (cfg && batch && steady.isSteady(cfg, service))
-      this.steadyEngine = { batch, holdMs: state.seats.holdMs, now };
+    const { admission } = state;
+    if (batch && admission)
+      this.steadyEngine = { admission, at: { batch, holdMs: state.seats.holdMs, now } };
   }
 
   /** How the teams stand; undefined without steady streams, as there is no limited room to share then. */
@@ -179,17 +205,14 @@
   /** Admission control; undefined without steady streams. */
   get admission(): residency.Admission | undefined {
     if (!this.steadyEngine) return undefined;
-    return (this.admissionNow ??= this.state.admission.admission(this.steadyEngine));
+    const { admission, at } = this.steadyEngine;
+    return (this.admissionNow ??= admission.admission(at));
   }
 
   /** Estimates of the admission control; undefined without steady streams. */
   get steady(): engineView.SteadyView | undefined {
     if (!this.steadyEngine) return undefined;
-    return (this.steadyNow ??= new SteadyEstimates(
-      this.state.admission,
-      this.steadyEngine,
-      this.standing?.over,
-    ));
+    return (this.steadyNow ??= new SteadyEstimates(this.steadyEngine, this.standing?.over));
   }
 }
 
@@ -200,25 +223,24 @@
   private crowdingNow: number | undefined;
 
   constructor(
-    private readonly admission: steadyAdmission.SteadyAdmission,
-    private readonly at: steadyAdmission.EngineAt,
+    private readonly engine: SteadyEngine,
     private readonly over: ReadonlySet<string> | undefined,
   ) {}
 
   get waitsByRank(): readonly number[] {
-    return (this.waits ??= this.admission.waitsByRank(this.at));
+    return (this.waits ??= this.engine.admission.waitsByRank(this.engine.at));
   }
 
   get fairWaitsByRank(): readonly number[] {
     if (!this.over || this.over.size === 0) return this.waitsByRank;
-    return (this.fairWaits ??= this.admission.waitsByRank(this.at, this.over));
+    return (this.fairWaits ??= this.engine.admission.waitsByRank(this.engine.at, this.over));
   }
 
   get crowding(): number {
-    return (this.crowdingNow ??= this.admission.crowding(this.at));
+    return (this.crowdingNow ??= this.engine.admission.crowding(this.engine.at));
   }
 
   get lateStreams(): number {
-    return this.admission.lateStreams(this.at.now);
+    return this.engine.admission.lateStreams(this.engine.at.now);
   }
 }
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -8,6 +8,7 @@
 import type * as residency from "../residency.js";
 import type * as seatMessages from "../seat-messages.js";
 import type * as seatQueue from "../seat-queue.js";
+import type * as seatTable from "../seat-table.js";
 import * as fairShares from "../sharing/fair-shares.js";
 import * as lateStreams from "./late-streams.js";
 import * as pace from "./pace.js";
@@ -25,6 +26,8 @@
   readonly grantedAt: number | undefined;
   /** Prompt tokens granted on the engine until its first event; undefined until that. */
   readonly totalAtFirst: number | undefined;
+  /** Whether the prompts granted during its whole stream are known, so that the pace is learned from it. */
+  readonly isTracked: boolean;
 }
 
 /** The engine as it is when seats are decided. */
@@ -61,9 +64,30 @@
       gapMs,
       grantedAt: undefined,
       totalAtFirst: undefined,
+      isTracked: true,
     });
   }
 
+  /** Adds the seats that are open when a configuration begins to ask for steady streams. */
+  addOpen(seats: Iterable<seatTable.OpenSeat>): void {
+    const reading: { readonly id: string; readonly tokens: number; readonly at: number }[] = [];
+    for (const { id, seat, load } of seats) {
+      const { tokens, rank, team, grantedAt, hasBegun } = load;
+      this.entries.set(id, {
+        team,
+        need: { promptTokens: tokens, answerTokens: seat.answerTokens ?? 0 },
+        rank,
+        gapMs: seat.gapMs ?? Infinity,
+        grantedAt,
+        totalAtFirst: hasBegun ? 0 : undefined,
+        isTracked: !hasBegun,
+      });
+      if (grantedAt !== undefined && !hasBegun) reading.push({ id, tokens, at: grantedAt });
+    }
+    reading.sort((a, b) => a.at - b.at);
+    for (const { id, tokens, at } of reading) this.pace = pace.withGrant(this.pace, id, tokens, at);
+  }
+
   grant(id: string, now: number): void {
     const e = this.entries.get(id);
     if (!e) return;
@@ -83,6 +107,7 @@
     const e = this.entries.get(id);
     if (e?.totalAtFirst === undefined) return;
     this.late = lateStreams.recordStream(this.late, t.pauseMs > e.gapMs, now);
+    if (!e.isTracked) return;
     const tokens = this.pace.totalTokens - e.totalAtFirst;
     this.pace = pace.withStream(this.pace, t, tokens, eventTokens, now);
   }
--- a/src/serving/seat-admission.ts
+++ b/src/serving/seat-admission.ts
@@ -65,7 +65,7 @@
     // nobody's wait.
     const rank = seatQueue.isLate(waiter, now) ? backlog.RANK_COUNT : m.rank;
     this.state.seats.add(id, seatTable.newSeat(c, key, m, now), m.promptTokens, rank);
-    this.state.admission.add(id, m, rank);
+    this.state.admission?.add(id, m, rank);
     this.state.set({ held: residency.addWaiter(this.state.held, waiter, now) });
     if (this.state.instance === "") this.deny(id, "out");
     else this.settle();
@@ -108,7 +108,7 @@
   recordFirstEvent(c: announcer.Client, n: number, ms: number): void {
     const id = idOf(c, n);
     this.state.seats.recordFirstEvent(id, ms, this.deps.clock.mono());
-    this.state.admission.recordFirstEvent(id);
+    this.state.admission?.recordFirstEvent(id);
     this.state.changed();
   }
 
@@ -122,7 +122,7 @@
     const id = idOf(c, n);
     const eventTokens = this.state.spec()?.batch?.eventTokens;
     if (stream && eventTokens !== undefined)
-      this.state.admission.recordStream(id, stream, eventTokens, this.deps.clock.mono());
+      this.state.admission?.recordStream(id, stream, eventTokens, this.deps.clock.mono());
     this.remove(id, how);
   }
 
@@ -148,7 +148,7 @@
 
   /** Removes an ended or denied seat from the admission control. */
   private forget(id: string): void {
-    this.state.admission.remove(id);
+    this.state.admission?.remove(id);
     this.waitReasons.delete(id);
   }
 
@@ -182,7 +182,7 @@
     const now = this.deps.clock.mono();
     const waitedFor = this.waitReasons.get(w.seat);
     this.waitReasons.delete(w.seat);
-    this.state.admission.grant(w.seat, now);
+    this.state.admission?.grant(w.seat, now);
     const s = this.state.seats.grant(w.seat, now);
     this.state.set({ held: residency.removeWaiter(this.state.held, w.seat) });
     if (!s) return;
--- a/src/serving/seat-table.ts
+++ b/src/serving/seat-table.ts
@@ -30,6 +30,17 @@
   readonly grantedAt: number | undefined;
   /** Team of the caller, if any. */
   readonly team: string | undefined;
+  /** Expected answer tokens; 0 if left out. */
+  readonly answerTokens?: number | undefined;
+  /** Longest pause on time of its stream, in ms; left out if its route sets none. */
+  readonly gapMs?: number | undefined;
+}
+
+/** A seat, and the load that it puts on the engine. */
+export interface OpenSeat {
+  readonly id: string;
+  readonly seat: Seat;
+  readonly load: backlog.SeatLoad;
 }
 
 /** Creates a seat that a client asks for at `now`; `key` is its adapter's. */
@@ -39,8 +50,9 @@
   m: seatMessages.Ask,
   now: number,
 ): Seat {
-  const { seat: seatNumber, request, team } = m;
-  return { client, seatNumber, request, key, askedAt: now, grantedAt: undefined, team };
+  const { seat: seatNumber, request, team, answerTokens, gapMs } = m;
+  const times = { askedAt: now, grantedAt: undefined };
+  return { client, seatNumber, request, key, ...times, team, answerTokens, gapMs };
 }
 
 export class SeatTable {
@@ -122,6 +134,14 @@
     if (how === "whole") this.failedShare -= this.failedShare * FAILURE_WEIGHT;
   }
 
+  /** The seats that are asked for or granted, and not ended, in the order in which they were asked for. */
+  *open(): Generator<OpenSeat> {
+    for (const [id, seat] of this.seats) {
+      const load = this.load.loads.get(id);
+      if (load) yield { id, seat, load };
+    }
+  }
+
   /** Returns the ids of a client's seats. */
   idsOf(c: announcer.Client): readonly string[] {
     return [...this.seats].filter(([, s]) => s.client === c).map(([id]) => id);
--- a/test/serving/engine-state.test.ts
+++ b/test/serving/engine-state.test.ts
@@ -46,13 +46,13 @@
     const now = clk.mono();
     const waiter = seatQueue.waiterFor(id, "m", m, 200, now);
     state.seats.add(id, seatTable.newSeat(CLIENT, "m", m, now), m.promptTokens, m.rank);
-    state.admission.add(id, m, m.rank);
+    state.admission?.add(id, m, m.rank);
     state.set({ held: residency.addWaiter(state.held, waiter, now) });
   };
   const grant = (id: string): void => {
     const w = state.held.waiting.find((x) => x.seat === id);
     state.seats.grant(id, clk.mono());
-    state.admission.grant(id, clk.mono());
+    state.admission?.grant(id, clk.mono());
     if (w) state.shares.recordGrant(w, clk.mono());
     state.set({ held: residency.removeWaiter(state.held, id) });
   };
@@ -109,7 +109,7 @@
     expect(at.steady?.waitsByRank).equal(at.steady?.waitsByRank);
     expect(at.steady?.fairWaitsByRank[1]).below(at.steady?.waitsByRank[1] ?? 0);
     expect(at.steady?.crowding).equal(1);
-    state.admission.remove("a");
+    state.admission?.remove("a");
     state.changed();
     expect(state.snapshot().steady?.crowding).equal(0.5);
   });
@@ -122,6 +122,40 @@
     expect(steady?.fairWaitsByRank).equal(steady?.waitsByRank);
   });
 
+  // Guards against seats beyond the batch, and against streams without a pace, after a change of the configuration.
+  it("counts the seats that are open when streams become steady, and forgets them when they no longer are", () => {
+    const changed = setup();
+    changed.configure(configOf(400));
+    const always = setup();
+    for (const { state, ask, grant } of [changed, always]) {
+      ask("a", "small");
+      ask("b", "small");
+      ask("c", "small");
+      grant("a");
+      state.seats.recordFirstEvent("a", 100, 0);
+      state.admission?.recordFirstEvent("a");
+      state.changed();
+      grant("b");
+    }
+    expect(changed.state.admission).equal(undefined);
+    changed.configure(configOf(300));
+    const waiting = always.state.held.waiting[0];
+    const seen = [changed, always].map(({ state }) => {
+      const at = state.snapshot();
+      const hindrance = waiting && at.admission?.check(waiting);
+      const { waitsByRank, crowding } = at.steady ?? {};
+      return { hindrance, waitsByRank, crowding };
+    });
+    expect(seen[0]).deep.equal(seen[1]);
+    expect(seen[0]?.hindrance?.why).equal("room");
+    changed.state.seats.remove("b");
+    changed.state.admission?.remove("b");
+    changed.state.changed();
+    expect(waiting && changed.state.snapshot().admission?.check(waiting)?.why).equal(undefined);
+    changed.configure(configOf(400));
+    expect(changed.state.admission).equal(undefined);
+  });
+
   it("tells nothing of room, pace or shares without steady streams", () => {
     const { state, ask, configure } = setup();
     configure(configOf(400));
