Sum up the seats of an engine with steady streams once for all its estimates

The waits by rank, the waits for teams within their share, the crowding and the admission each went through all seats for the usage, the prefill allowed beside the streams and the typical request; the admission did so again after each grant.

Change: a summary for one engine and time is kept until a seat or the pace changes. The time until a seat stops counting is computed only for a request that lacks room.

--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -48,15 +48,28 @@
 /** Tokens assumed of a request that arrives next, before any was asked for. */
 const TYPICAL_NEED: room.Need = { promptTokens: 1000, answerTokens: 200 };
 
+/** What several estimates for an engine at one time take from all seats. */
+interface Summary {
+  readonly at: EngineAt;
+  readonly usage: room.Usage;
+  /** Prefill allowed beside the running streams; undefined if none runs. */
+  readonly allowance: pace.Allowance | undefined;
+  /** Mean of the requests that are asked for or granted. */
+  readonly typical: room.Need;
+}
+
 export class SteadyAdmission {
   private readonly entries = new Map<string, Entry>();
   private pace = pace.INITIAL;
   private late = lateStreams.NONE;
+  /** The latest summary; undefined after a change. */
+  private latest: Summary | undefined;
 
   /** Adds a seat that is asked for; `rank` is {@link backlog.RANK_COUNT} if it will be late in any case. */
   add(id: string, m: seatMessages.Ask, rank: number): void {
     const need = { promptTokens: m.promptTokens, answerTokens: m.answerTokens };
     const gapMs = m.gapMs ?? Infinity;
+    this.latest = undefined;
     this.entries.set(id, {
       team: m.team,
       need,
@@ -84,6 +97,7 @@
       });
       if (grantedAt !== undefined && !hasBegun) reading.push({ id, tokens, at: grantedAt });
     }
+    this.latest = undefined;
     reading.sort((a, b) => a.at - b.at);
     for (const { id, tokens, at } of reading) this.pace = pace.withGrant(this.pace, id, tokens, at);
   }
@@ -91,6 +105,7 @@
   grant(id: string, now: number): void {
     const e = this.entries.get(id);
     if (!e) return;
+    this.latest = undefined;
     this.entries.set(id, { ...e, grantedAt: now });
     this.pace = pace.withGrant(this.pace, id, e.need.promptTokens, now);
   }
@@ -98,6 +113,7 @@
   recordFirstEvent(id: string): void {
     const e = this.entries.get(id);
     if (e?.grantedAt === undefined || e.totalAtFirst !== undefined) return;
+    this.latest = undefined;
     this.entries.set(id, { ...e, totalAtFirst: this.pace.totalTokens });
     this.pace = pace.withoutRead(this.pace, id);
   }
@@ -106,6 +122,7 @@
   recordStream(id: string, t: seatMessages.StreamTiming, eventTokens: number, now: number): void {
     const e = this.entries.get(id);
     if (e?.totalAtFirst === undefined) return;
+    this.latest = undefined;
     this.late = lateStreams.recordStream(this.late, t.pauseMs > e.gapMs, now);
     if (!e.isTracked) return;
     const tokens = this.pace.totalTokens - e.totalAtFirst;
@@ -119,23 +136,18 @@
 
   /** Removes a seat that ended, was denied or was given up. */
   remove(id: string): void {
+    this.latest = undefined;
     this.entries.delete(id);
     this.pace = pace.withoutRead(this.pace, id);
   }
 
-  /** Number of granted seats that count as open at `now`. */
-  openCount(now: number): number {
-    return room.usageOf(this.granted(), now).requests;
-  }
-
   /** Decides on the seats that wait. */
   admission(at: EngineAt): residency.Admission {
-    return this.admissionOf(at, room.usageOf(this.granted(), at.now), this.pace);
+    return this.admissionOf(this.summary(at), this.summary(at).usage, this.pace);
   }
 
-  private admissionOf(at: EngineAt, usage: room.Usage, p: pace.Pace): residency.Admission {
-    const allowance = this.allowance(at);
-    const freeInMs = room.freeInMs(this.granted(), at.now);
+  private admissionOf(of: Summary, usage: room.Usage, p: pace.Pace): residency.Admission {
+    const { at, allowance } = of;
     const needOf = (w: seatQueue.Waiter) => this.entries.get(w.seat)?.need ?? TYPICAL_NEED;
     return {
       limitsPrefill: allowance !== undefined,
@@ -143,7 +155,7 @@
         const lack = room.lackOf(usage, needOf(w), at.batch);
         if (lack) {
           const holdsOthers = lack === "batch" || at.now - w.askedAt >= OVERTAKE_MS;
-          return { why: "room", holdsOthers, inMs: freeInMs };
+          return { why: "room", holdsOthers, inMs: room.freeInMs(this.granted(), at.now) };
         }
         if (!allowance) return undefined;
         const inMs = pace.readyInMs(p, needOf(w).promptTokens, allowance, at.now);
@@ -151,7 +163,7 @@
       },
       granted: (w) =>
         this.admissionOf(
-          at,
+          of,
           room.plus(usage, needOf(w)),
           pace.withGrant(p, w.seat, needOf(w).promptTokens, at.now),
         ),
@@ -163,9 +175,7 @@
    * the waiting requests of the teams in it.
    */
   waitsByRank(at: EngineAt, over: ReadonlySet<string> = fairShares.NO_TEAMS): readonly number[] {
-    const usage = room.usageOf(this.granted(), at.now);
-    const allowance = this.allowance(at);
-    const typical = this.typicalNeed();
+    const { usage, allowance, typical } = this.summary(at);
     let ahead: room.Usage = { requests: 0, tokens: 0 };
     let aheadTokens = 0;
     return this.waitingByRank(over).map((needs) => {
@@ -183,9 +193,18 @@
 
   /** Prefill granted lately or seats open, whichever is the larger share of what the engine allows; 1 is full. */
   crowding(at: EngineAt): number {
-    const open = this.openCount(at.now) / at.batch.requests;
-    const { promptTokens } = this.typicalNeed();
-    return Math.max(open, pace.load(this.pace, this.allowance(at), promptTokens, at.now));
+    const { usage, allowance, typical } = this.summary(at);
+    const open = usage.requests / at.batch.requests;
+    return Math.max(open, pace.load(this.pace, allowance, typical.promptTokens, at.now));
+  }
+
+  /** The summary for `at`; one is kept, for the estimates of one step. */
+  private summary(at: EngineAt): Summary {
+    if (this.latest?.at !== at) {
+      const usage = room.usageOf(this.granted(), at.now);
+      this.latest = { at, usage, allowance: this.allowance(at), typical: this.typicalNeed() };
+    }
+    return this.latest;
   }
 
   /** Prefill allowed beside the running streams; undefined if none runs. */
