Send a denial and the state before it in one write, and encode a state once

An endpoint daemon that turns a request away sends the state and then the denial: two writes to the socket, and in the profile of a daemon at 40 requests/s, writes to sockets were its largest single cost. Each message was built and encoded anew, also where several entry daemons got the same one.

Change: the denial follows the state in the same write.

--- a/src/serving/announcer.ts
+++ b/src/serving/announcer.ts
@@ -64,6 +64,8 @@
   private readonly clients = new Map<Client, Sent>();
   private changes = 0;
   private heldChanges = 0;
+  /** The latest state, and its encoding. */
+  private latestState: { readonly message: seatMessages.State; readonly text: string } | undefined;
   /** The latest holdings, encoded. */
   private heldText = "";
   private departures: readonly Departure[] = [];
@@ -73,6 +75,7 @@
 
   constructor(
     private readonly clk: clock.Clock,
+    /** Returns the state; the same object while that is still valid. */
     private readonly state: (silenceMs: number) => seatMessages.State,
     private readonly holdings: () => engineView.Holdings,
     /** Adapters that are probably in the memory of the engine's host, the latest first. */
@@ -120,10 +123,12 @@
     this.departures = [...this.departures.slice(1 - MAX_DEPARTURES), departure];
   }
 
-  /** Sends one entry daemon the current state, and the holdings if they changed, at once. */
-  announceNow(c: Client): void {
+  /** Sends one entry daemon the current state, the holdings if they changed, and a message after them, in one write. */
+  announceNow(c: Client, m: seatMessages.FromEndpoint): void {
     const sent = this.clients.get(c);
-    if (sent) this.announce(c, sent, this.compose());
+    const line = jsonLines.encode(m);
+    if (sent) this.announce(c, sent, this.compose(), line);
+    else c.sendLine(line);
   }
 
   close(): void {
@@ -198,12 +203,21 @@
       this.heldText = heldText;
       this.heldChanges++;
     }
-    return { held, heldLines: new Map(), state: jsonLines.encode(this.state(this.silenceMs())) };
+    return { held, heldLines: new Map(), state: this.encodedState() };
   }
 
-  private announce(c: Client, sent: Sent, announcement: Announcement): void {
+  /** Encodes the current state; one that is still valid is encoded once. */
+  private encodedState(): string {
+    const message = this.state(this.silenceMs());
+    if (this.latestState?.message !== message)
+      this.latestState = { message, text: jsonLines.encode(message) };
+    return this.latestState.text;
+  }
+
+  /** Sends an announcement, and the encoded messages in `more` after it. */
+  private announce(c: Client, sent: Sent, announcement: Announcement, more = ""): void {
     const held = sent.held < this.heldChanges ? this.heldLine(sent.held, announcement) : "";
-    c.sendLine(held + announcement.state);
+    c.sendLine(held + announcement.state + more);
     const at = this.clk.mono();
     const { changes, heldChanges } = this;
     this.clients.set(c, { changes, held: heldChanges, at, soon: false, state: announcement.state });
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -54,6 +54,9 @@
   private readonly orders: engineOrders.EngineOrders;
   private readonly probe: probe.Probe;
   private readonly waker: waker.Waker;
+  /** The latest state message, and the snapshot that it was built from. */
+  private announced:
+    { readonly at: engineState.Snapshot; readonly message: seatMessages.State } | undefined;
   /** The declared versions that were taken over last. */
   private versions: catalog.Catalog["versions"] | undefined;
   private stopped = false;
@@ -72,8 +75,7 @@
     });
     this.announcer = new announcer.Announcer(
       deps.clock,
-      (silenceMs) =>
-        engineView.stateMessage(this.state.snapshot(), this.announcer.clientCount(), silenceMs),
+      (silenceMs) => this.stateMessage(silenceMs),
       () => engineView.holdingsMessage(this.state.held, this.state.loadHistory.reach),
       () => loadHistory.warmAdapters(this.state.loadHistory),
     );
@@ -98,6 +100,15 @@
     });
   }
 
+  /** The state message; built once for a snapshot and a number of entry daemons, which `silenceMs` depends on. */
+  private stateMessage(silenceMs: number): seatMessages.State {
+    const at = this.state.snapshot();
+    const entries = this.announcer.clientCount();
+    if (this.announced?.at !== at || this.announced.message.entries !== entries)
+      this.announced = { at, message: engineView.stateMessage(at, entries, silenceMs) };
+    return this.announced.message;
+  }
+
   /** Polls the engine, grants seats and sends orders until {@link stop} is called. */
   async run(): Promise<void> {
     while (!this.stopped) {
--- a/src/serving/seat-admission.ts
+++ b/src/serving/seat-admission.ts
@@ -89,8 +89,7 @@
     adapter: string,
     reason: seatMessages.DenyReason,
   ): void {
-    this.deps.announcer.announceNow(c);
-    c.send({ kind: "deny", seat: m.seat, reason });
+    this.deps.announcer.announceNow(c, { kind: "deny", seat: m.seat, reason });
     this.logDenied({ request: m.request, key: adapter, team: m.team }, reason, 0);
   }
 
