--- a/src/contract/ring.ts
+++ b/src/contract/ring.ts
@@ -69,7 +69,7 @@
 export function successors(ring: Ring, key: string, n: number, domains: number): readonly Place[] {
   const { points, owners, places } = ring;
   const found: Place[] = [];
-  const visited = new Set<number>();
+  const visited = new Uint8Array(places.length);
   const start = firstPointFrom(points, hash.hash32(key));
   const wanted = Math.min(n, places.length);
   // A small ring is scanned whole, a large one only as far as the answer requires.
@@ -77,10 +77,10 @@
     points.length,
     Math.max(wanted * SCAN_PER_ENDPOINT, 4 * POINTS_PER_ENDPOINT),
   );
-  for (let i = 0; i < steps && visited.size < wanted + domains * SCAN_PER_ENDPOINT; i++) {
+  for (let i = 0; i < steps && found.length < wanted + domains * SCAN_PER_ENDPOINT; i++) {
     const owner = owners[(start + i) % points.length] ?? 0;
-    if (visited.has(owner)) continue;
-    visited.add(owner);
+    if (visited[owner] === 1) continue;
+    visited[owner] = 1;
     const place = places[owner];
     if (place) found.push(place);
   }
--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -106,9 +106,9 @@
  * Estimate for an engine whose endpoint daemon is not connected or is unresponsive. It is usable only for adapters that
  * were resident by the last holdings received.
  */
-function estimateWithoutState(view: View, need: Need, basePenaltyMs: number): Estimate {
-  const usable =
-    view.holdings?.models.includes(need.model) && adapterState(view, need.key) === "resident";
+function estimateWithoutState(c: Candidate, need: Need, basePenaltyMs: number): Estimate {
+  const { view } = c;
+  const usable = view.holdings?.models.includes(need.model) && c.adapter === "resident";
   const serviceMs = prefillSpeed.firstEventMs(prefillSpeed.INITIAL, need.promptTokens);
   return {
     view,
@@ -121,14 +121,15 @@
 /** The engines that can serve a request, best first. */
 export function rankEngines(views: readonly View[], need: Need): readonly Estimate[] {
   const usable = views.filter((v) => isUsable(v, need));
+  const candidates = usable.map((view) => candidateOf(view, need));
   const summary: FleetSummary = {
-    hasAdapter: usable.some((v) => adapterState(v, need.key) !== "absent"),
+    hasAdapter: candidates.some((c) => c.adapter !== "absent"),
     meanWaitMs: meanWaitMsOf(usable, need),
     crowdingMeans: crowding.meansOf(usable),
     usualSpeed: idleSpeed.medianOf(usable),
   };
-  return usable
-    .map((view) => addCrowding(estimate(view, need, summary), need, summary))
+  return candidates
+    .map((c) => addCrowding(estimate(c, need, summary), c, need, summary))
     .filter((e) => Number.isFinite(e.firstMs))
     .sort((a, b) => a.firstMs + a.penaltyMs - (b.firstMs + b.penaltyMs));
 }
@@ -142,6 +143,20 @@
   return v.limitWaitMs <= admission.MAX_LIMIT_WAIT_MS || need.waitsAt === v.endpoint.id;
 }
 
+/** An engine that is compared, with what several parts of its estimate need. */
+interface Candidate {
+  readonly view: View;
+  /** Whether it has the adapter, by the last holdings received. */
+  readonly adapter: AdapterState;
+  /** Weight of its state by age, 0 to 1. */
+  readonly stateWeight: number;
+}
+
+function candidateOf(view: View, need: Need): Candidate {
+  const stateWeight = weightAt(view.stateAgeMs);
+  return { view, adapter: adapterState(view, need.key), stateWeight };
+}
+
 /** What the estimate of one candidate takes from all candidates. */
 interface FleetSummary {
   /** Whether the adapter is resident or warm on some candidate. */
@@ -180,24 +195,36 @@
   return count === 0 ? 0 : sum / count;
 }
 
-/** The value expected now, from one reported `ageMs` ago: it decays towards the mean of all engines. */
-function decayed(reported: number, ageMs: number, mean: number): number {
-  return mean + (reported - mean) * 2 ** (-ageMs / WAIT_HALF_LIFE_MS);
+/** Weight of a state reported `ageMs` ago. */
+function weightAt(ageMs: number): number {
+  return 2 ** (-ageMs / WAIT_HALF_LIFE_MS);
+}
+
+/** The value expected now, from one reported in a state of this weight: it decays towards the mean of all engines. */
+function decayed(reported: number, stateWeight: number, mean: number): number {
+  return mean + (reported - mean) * stateWeight;
 }
 
 /** Adds the cost of the crowding that is expected on an engine now, and of its late streams. */
-function addCrowding(e: Estimate, need: Need, summary: FleetSummary): Estimate {
-  const { state, stateAgeMs } = e.view;
+function addCrowding(e: Estimate, c: Candidate, need: Need, summary: FleetSummary): Estimate {
+  const { state } = c.view;
   const { crowdingMeans: means } = summary;
   if (!state || !means) return e;
   // An engine that announces none, as before an update of its daemon, counts as the mean.
-  const announced = decayed(state.crowding ?? means.crowding, stateAgeMs, means.crowding);
+  const announced = decayed(state.crowding ?? means.crowding, c.stateWeight, means.crowding);
   const own = crowding.ofReading(pendingTokensOf(e.view, need) * state.msPerToken);
   // Load times are learned by each engine. With its own, an engine of slow loads would seem more crowded than others.
   const copyMs = (COPY_PENALTY_LOADS + 1) * means.coldMs;
   const costMs = crowding.costMs(announced + own, copyMs, summary.hasAdapter);
   const pauseMs = pauses.costMs(state.lateStreams ?? 0, state.coldMs);
-  return { ...e, crowding: announced + own, penaltyMs: e.penaltyMs + costMs + pauseMs };
+  // Listing the fields is several times as fast as a spread, and this runs for each engine compared.
+  return {
+    view: e.view,
+    firstMs: e.firstMs,
+    serviceMs: e.serviceMs,
+    penaltyMs: e.penaltyMs + costMs + pauseMs,
+    crowding: announced + own,
+  };
 }
 
 /** Prompt tokens of this host's other requests that the state of an engine does not include. */
@@ -206,26 +233,30 @@
   return view.pendingTokens - (need.waitsAt === view.endpoint.id ? need.promptTokens : 0);
 }
 
+/** Where an engine has an adapter: in a slot, in its host's memory, or nowhere. */
+type AdapterState = "resident" | "warm" | "absent";
+
 /** Whether an adapter is resident, warm or absent on an engine, by the last holdings received. */
-export function adapterState(v: View, key: string | undefined): "resident" | "warm" | "absent" {
+export function adapterState(v: View, key: string | undefined): AdapterState {
   if (key === undefined || v.holdings?.resident.includes(key)) return "resident";
   return v.holdings?.warm.includes(key) ? "warm" : "absent";
 }
 
-function estimate(view: View, need: Need, summary: FleetSummary): Estimate {
+function estimate(c: Candidate, need: Need, summary: FleetSummary): Estimate {
+  const { view } = c;
   const { state, holdings, orderIndex } = view;
   const domainPenaltyMs = view.endpoint.domain === need.domain ? 0 : DOMAIN_PENALTY_MS;
   const failurePenaltyMs =
     Math.max(view.failureRate, state?.failing ?? 0) ** 2 * FAILURE_PENALTY_MS;
   const penaltyMs = domainPenaltyMs + failurePenaltyMs;
-  if (!state) return estimateWithoutState(view, need, penaltyMs);
+  if (!state) return estimateWithoutState(c, need, penaltyMs);
   const speed = idleSpeed.expected(state, view.idleMs, summary.usualSpeed);
   const serviceMs = speed.firstMs + need.promptTokens * speed.msPerToken;
   if (state.instance === "" || !holdings?.models.includes(need.model)) {
     return { view, firstMs: Infinity, serviceMs, penaltyMs };
   }
   const ownQueueMs = pendingTokensOf(view, need) * state.msPerToken;
-  const reportedMs = decayed(reportedWaitMs(state, need), view.stateAgeMs, summary.meanWaitMs);
+  const reportedMs = decayed(reportedWaitMs(state, need), c.stateWeight, summary.meanWaitMs);
   const limitedMs = need.waitsAt === view.endpoint.id ? 0 : view.limitWaitMs;
   const queueMs = Math.max(0, reportedMs + ownQueueMs, limitedMs);
   const latePenaltyMs = (firstMs: number): number =>
@@ -235,7 +266,7 @@
   const countedSlotMs = need.waitsAt === view.endpoint.id ? state.eachSlotMs : 0;
   const freeMs = announcedShares.slotMsFor(state, need.team);
   const slotMs = Math.max(0, freeMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
-  switch (adapterState(view, need.key)) {
+  switch (c.adapter) {
     case "resident":
       return {
         view,
--- a/src/serving/spread/idle-speed.ts
+++ b/src/serving/spread/idle-speed.ts
@@ -34,7 +34,8 @@
 }
 
 function median(list: readonly number[]): number {
-  return [...list].sort((a, b) => a - b)[list.length >> 1] ?? 0;
+  // A typed array sorts numbers without a call for each comparison.
+  return Float64Array.from(list).sort()[list.length >> 1] ?? 0;
 }
 
 /**
