Hedge late idempotent calls to plain services

Cause: a plain worker in a slow spell makes calls late that another worker would answer in time. The first retry comes only after a silence of three quarters of the target, and breaks the first run off.

Change: where a configuration has steady streams, a call on an idempotent route with two attempts or more is sent once more, to another worker, if no answer has arrived after the target less the 0.9 quantile of the service's latest response times, but not before that quantile. The first complete answer is passed on; the other send is read to its end, and one that is not written yet is never written. A failure waits for the other send. A hedge counts as a run and as a retry. A worker that has not answered by the deadline while another one has counts as failing. The state of a send moves to a module of its own.

Changed tests: the fake presence of overload.test.ts has the new isBehind.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -9,6 +9,7 @@
 import type * as callerRequest from "./caller-request.js";
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
+import * as hedgedCalls from "./overload/hedged-calls.js";
 import type * as metrics from "./metrics.js";
 import * as overloadReturns from "./overload/returns.js";
 import * as sendChecks from "./send-checks.js";
@@ -52,8 +53,8 @@
   private readonly budget: retryBudget.Budget;
   private readonly checks: sendChecks.SendChecks;
   private readonly seatFinder: seatFinder.SeatFinder;
-  private readonly sender: sending.Sender;
   private readonly returns: overloadReturns.Returns;
+  private readonly calls: hedgedCalls.HedgedCalls;
 
   constructor(
     opts: Options,
@@ -63,7 +64,12 @@
     this.checks = new sendChecks.SendChecks(this.budget, deps);
     this.seatFinder = new seatFinder.SeatFinder(opts.domain, deps);
     this.returns = new overloadReturns.Returns(deps);
-    this.sender = new sending.Sender({ ...deps, checks: this.checks });
+    this.calls = new hedgedCalls.HedgedCalls({
+      ...deps,
+      sender: new sending.Sender({ ...deps, checks: this.checks }),
+      pickOther: (req, p, besides) => this.seatFinder.pickOther(req, p, besides),
+      acquirePermit: (req, p, view, signal) => this.acquirePermit(req, p, view, signal),
+    });
   }
 
   /** Prepares for a graceful shutdown: requests in flight are still served to their end. */
@@ -124,6 +130,7 @@
       endpoint: p.endpoint,
       sends: p.sends,
       runs: p.runs,
+      hedge: p.hedge,
       targetMs: req.route.targetMs,
       expectedMs: p.expectedMs,
       waitRatio: p.waitRatio && Math.round(p.waitRatio * 100) / 100,
@@ -191,7 +198,7 @@
       }
       if (req.service.engine && p.sends === 0) this.returns.recordAdmission(req);
       const seat = found.kind === "seat" ? found.seat : undefined;
-      const outcome = await this.sender.send(req, res, p, best, { seat, permit }, stopSignal);
+      const outcome = await this.calls.send(req, res, p, best, { seat, permit }, stopSignal);
       if (outcome) return outcome;
     }
   }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -165,17 +165,23 @@
 
 /**
  * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes`. `onSize` is called with the
- * number of bytes read so far, and may return a promise that pauses the sender.
+ * number of bytes read so far, and may return a promise that pauses the sender. Once `isUnwanted` holds, the body is read to
+ * its end and nothing of it is kept.
  */
 export async function readAll(
   body: Body,
   maxBytes: number,
   onSize: (bytes: number) => Promise<void> | undefined = () => undefined,
+  isUnwanted: () => boolean = () => false,
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
   await body
     .pump((chunk) => {
+      if (isUnwanted()) {
+        chunks.length = 0;
+        return undefined;
+      }
       size += chunk.length;
       chunks.push(chunk);
       if (size <= maxBytes) return onSize(size);
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -27,6 +27,11 @@
 
 /** What became of a retry: the budget allowed it, was used up, or was reserved for more urgent ones. */
 export type RetryOutcome = "allowed" | "exhausted" | "reserved";
+/**
+ * What became of the hedge of a call: its answer was passed on (`won`), that of the first send was (`lost`), neither send
+ * was answered well (`failed`), or the hedge was due but not sent (`unsent`).
+ */
+export type HedgeOutcome = "won" | "lost" | "failed" | "unsent";
 
 /** Records the metrics of one daemon. */
 export interface Metrics {
@@ -55,6 +60,8 @@
   readonly recordWaitRefusal: (rank: number, waitRatio: number) => void;
   /** The caller of a request of a route with this rank was told when to retry; `limited`: at its latest time, not a free one. */
   readonly recordReturn: (rank: number, outcome: "booked" | "limited") => void;
+  /** The hedge of a call was due. */
+  readonly recordHedge: (service: string, outcome: HedgeOutcome) => void;
   /** A request was ended, or its body refused, to keep to the memory budget. */
   readonly recordMemory: (
     outcome: "ended" | "refused",
@@ -136,6 +143,12 @@
     "rank",
     "outcome",
   );
+  const hedges = counter(
+    "sumacfield_hedges_total",
+    "Hedges of calls that were due, by service and what became of them.",
+    "service",
+    "outcome",
+  );
   const grants = counter(
     "sumacfield_team_granted_tokens_total",
     "Prompt and expected answer tokens of the seats granted to a team on this engine.",
@@ -183,6 +196,9 @@
     recordReturn: (rank, outcome) => {
       returns.inc({ rank, outcome });
     },
+    recordHedge: (service, outcome) => {
+      hedges.inc({ service, outcome });
+    },
     recordMemory: (outcome, reason) => {
       memory.inc({ outcome, reason });
     },
--- a/src/serving/overload/presence.ts
+++ b/src/serving/overload/presence.ts
@@ -14,6 +14,8 @@
   readonly hasLeft: () => boolean;
   /** Whether the event loop is so far behind that it must poll before `hasLeft` is certain enough for a send. */
   readonly isStale: () => boolean;
+  /** Whether the event loop is behind. */
+  readonly isBehind: () => boolean;
   /** Resolves once the event loop has polled. */
   readonly confirm: () => Promise<void>;
 }
@@ -45,6 +47,7 @@
   onLeft: () => void,
 ): Presence {
   let confirmedAt = -Infinity;
+  const isBehind = (): boolean => lag.lag().ms > loopLag.NORMAL_MS;
   return {
     hasLeft: () => {
       // The stream's state changes before its events are emitted.
@@ -53,7 +56,8 @@
       return hasLeft;
     },
     // What was confirmed in this turn stays certain enough for a while; otherwise long turns would never let it be sent.
-    isStale: () => lag.lag().ms > loopLag.NORMAL_MS && clk.mono() - confirmedAt > loopLag.NORMAL_MS,
+    isStale: () => isBehind() && clk.mono() - confirmedAt > loopLag.NORMAL_MS,
+    isBehind,
     confirm: async () => {
       confirmedAt = await lag.afterPoll();
     },
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -27,6 +27,8 @@
   readonly readAnswer?: (bytes: number) => Promise<void> | undefined;
   /** The answer read so far is given up. */
   readonly dropAnswer?: () => void;
+  /** Whether another send has been answered, so that nothing of this send's answer is kept. */
+  readonly isSuperseded?: () => boolean;
   /** Whether the daemon reset the caller's connection to free memory. */
   readonly wasReset?: () => boolean;
   readonly end: () => void;
@@ -52,6 +54,10 @@
   readonly triedEndpoints: Set<string>;
   /** Ids of the engines that sent the request back at once because of their queue. */
   readonly divertedBy: Set<string>;
+  /** Runs, or possible runs, of the other send of a hedged call; they count towards the route's attempts. */
+  sideRuns: number;
+  /** What became of the request's hedge, if one was sent. */
+  hedge: metrics.HedgeOutcome | undefined;
   /** Times that the request got no permit for a worker, or was withheld despite one. */
   withheld: number;
   /** Why no worker that could run the request accepts it now, according to the workers' notices. */
@@ -111,6 +117,8 @@
   return {
     sends: 0,
     runs: 0,
+    sideRuns: 0,
+    hedge: undefined,
     triedEndpoints: new Set(),
     divertedBy: new Set(),
     withheld: 0,
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -113,6 +113,15 @@
     }
   }
 
+  /** Picks the best endpoint other than `besides` that is usable now; undefined if there is none. */
+  pickOther(
+    a: callerRequest.CallerRequest,
+    p: progress.Progress,
+    besides: string,
+  ): choice.Estimate | undefined {
+    return this.candidates(a, p).find((e) => e.view.endpoint.id !== besides);
+  }
+
   /** Resolves when an endpoint may have become usable, after `ms`, or when `signal` aborts. */
   private untilAvailable(ms: number, signal: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
--- /dev/null
+++ b/src/serving/send-state.ts
@@ -0,0 +1,44 @@
+/**
+ * State of one send of a request to an endpoint.
+ * @module
+ */
+import type * as callerRequest from "./caller-request.js";
+import type * as catalog from "./catalog.js";
+import type * as streamClock from "./pacing/stream-clock.js";
+import type * as progress from "./progress.js";
+import type * as seatFinder from "./seat-finder.js";
+import type * as sendChecks from "./send-checks.js";
+import type * as sendWatchdog from "./send-watchdog.js";
+import type * as workerNotices from "./worker-notices.js";
+
+/** Reason of a stop signal that aborts because the endpoint has not answered by the deadline, while another one has. */
+export const UNANSWERED = new Error("the endpoint has not answered by the deadline");
+
+/** The seat and the permit that a request holds for one send. */
+export interface SendGrants {
+  /** Seat in the engine's batch; undefined for plain services, whose endpoints grant no seats. */
+  readonly seat: seatFinder.GrantedSeat | undefined;
+  readonly permit: workerNotices.Granted;
+  /** Called right before the request is written to its connection. */
+  readonly onWritten?: () => void;
+}
+
+/** State of one send in flight. */
+export interface SendState {
+  readonly req: callerRequest.CallerRequest;
+  readonly res: progress.CallerResponse;
+  readonly p: progress.Progress;
+  readonly endpoint: catalog.Endpoint;
+  readonly grants: SendGrants;
+  /** Monotonic ms at which the send was requested; once the request is written, the ms at which that began. */
+  sentAt: number;
+  /** Steady-clock ms at which writing the request began. */
+  startedAt?: number;
+  /** Aborts when the caller goes away or the deadline passes. */
+  readonly stopSignal: AbortSignal;
+  readonly watchdog: sendWatchdog.Watchdog;
+  /** Timing of the answer, if it is a stream. */
+  readonly stream: streamClock.StreamClock;
+  /** Why the request was withheld, if it was. */
+  withholdReason: sendChecks.WithholdReason | undefined;
+}
--- a/src/serving/send-watchdog.ts
+++ b/src/serving/send-watchdog.ts
@@ -70,14 +70,16 @@
     SILENT_EXPECTED_FACTOR * best.firstMs,
   );
   const onSilence = (): void => {
-    if (!deps.mayGoOn()) return;
+    // A hedged call is read to its end, and only the connections for other calls are replaced.
+    const isHedged = p.sideRuns > 0;
+    if (!isHedged && !deps.mayGoOn()) return;
     deps.log.warn("An endpoint does not answer; its connections are replaced.", {
       request: req.meta.id,
       endpoint: id,
       silentMs: Math.round(silentMs),
     });
     deps.upstream.replaceConnections(id);
-    stop();
+    if (!isHedged) stop();
   };
   const isRetryAllowed = p.runs + 1 < req.route.attempts && !p.hasResponseBegun;
   const timer = isRetryAllowed ? deps.clock.after(silentMs, onSilence) : undefined;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -18,8 +18,8 @@
 import type * as metrics from "./metrics.js";
 import type * as notices from "./notices.js";
 import type * as sendChecks from "./send-checks.js";
+import * as sendState from "./send-state.js";
 import type * as progress from "./progress.js";
-import type * as seatFinder from "./seat-finder.js";
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as sendWatchdog from "./send-watchdog.js";
@@ -59,7 +59,7 @@
     res: progress.CallerResponse,
     p: progress.Progress,
     best: choice.Estimate,
-    grants: SendGrants,
+    grants: sendState.SendGrants,
     stopSignal: AbortSignal,
   ): Promise<progress.Ending | undefined> {
     for (;;) {
@@ -75,7 +75,7 @@
     res: progress.CallerResponse,
     p: progress.Progress,
     best: choice.Estimate,
-    grants: SendGrants,
+    grants: sendState.SendGrants,
     stopSignal: AbortSignal,
   ): Promise<progress.Ending | "stale" | undefined> {
     const { endpoint } = best.view;
@@ -92,7 +92,8 @@
       resumeAfter: p.lastEventId,
       team: req.caller?.team.name,
     };
-    const mayGoOn = (): boolean => this.mayResend(req, p) && this.deps.checks.chargeRetry(req, p);
+    const mayGoOn = (): boolean =>
+      !p.sideRuns && this.mayResend(req, p) && this.deps.checks.chargeRetry(req, p);
     const watchdog = sendWatchdog.start(req, p, best, stopSignal, { ...this.deps, mayGoOn });
     const send: SendState = {
       req,
@@ -141,6 +142,7 @@
     p.firstSentAt ??= send.sentAt;
     p.catalogAgeMs = Math.round(this.deps.catalogAgeMs());
     p.isRetryCharged = false;
+    send.grants.onWritten?.();
     const { notices } = this.deps;
     notices.recordSend(endpoint);
     if (notices.of(endpoint.id) !== undefined) {
@@ -256,7 +258,8 @@
     const { req, res, p } = send;
     p.why = `${send.endpoint.id} broke off: ${why}`;
     if (res.disconnected.aborted || send.stopSignal.aborted) {
-      this.settle(send, "left", undefined);
+      const succeeded = send.stopSignal.reason === sendState.UNANSWERED ? false : undefined;
+      this.settle(send, "left", succeeded);
       return res.disconnected.aborted ? "left" : ending.giveUp(this.deps.clock, req, res, p, true);
     }
     p.triedEndpoints.add(send.endpoint.id);
@@ -299,7 +302,7 @@
 
   /** Whether the route's attempts and the limit on sends allow another send after one that ran. */
   private mayResend(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
-    return p.runs < req.route.attempts && p.sends < MAX_SENDS;
+    return p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
   }
 
   /** Reads an answer whole before any of it is passed on. */
@@ -307,7 +310,8 @@
     const { req, res, p } = send;
     let body: Buffer;
     try {
-      body = await exchange.readAll(result.body, MAX_ANSWER_BYTES, res.readAnswer);
+      const { readAnswer, isSuperseded } = res;
+      body = await exchange.readAll(result.body, MAX_ANSWER_BYTES, readAnswer, isSuperseded);
     } catch (err) {
       res.dropAnswer?.();
       return this.handleLostConnection(send, errors.messageOf(err));
@@ -373,36 +377,10 @@
   }
 }
 
+type SendState = sendState.SendState;
 /** A send's result that carries an answer. */
 type Answer = Extract<upstream.SendResult, { kind: "answer" }>;
 
-/** The seat and the permit that a request holds for one send. */
-export interface SendGrants {
-  /** Seat in the engine's batch; undefined for plain services, whose endpoints grant no seats. */
-  readonly seat: seatFinder.GrantedSeat | undefined;
-  readonly permit: workerNotices.Granted;
-}
-
-/** State of one send in flight. */
-interface SendState {
-  readonly req: callerRequest.CallerRequest;
-  readonly res: progress.CallerResponse;
-  readonly p: progress.Progress;
-  readonly endpoint: catalog.Endpoint;
-  readonly grants: SendGrants;
-  /** Monotonic ms at which the send was requested; once the request is written, the ms at which that began. */
-  sentAt: number;
-  /** Steady-clock ms at which writing the request began. */
-  startedAt?: number;
-  /** Aborts when the caller goes away or the deadline passes. */
-  readonly stopSignal: AbortSignal;
-  readonly watchdog: sendWatchdog.Watchdog;
-  /** Timing of the answer, if it is a stream. */
-  readonly stream: streamClock.StreamClock;
-  /** Why the request was withheld, if it was. */
-  withholdReason: sendChecks.WithholdReason | undefined;
-}
-
 /** Whether an event of a resumed stream was already passed on, by comparing its id with the last one passed on. */
 function wasPassedOn(id: string | undefined, resumedAfter: string): boolean {
   return id !== undefined && Number(id) <= Number(resumedAfter);
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -36,6 +36,7 @@
     kind: "open",
   }),
   budget: retryBudget.Options = RETRIES,
+  over: Partial<dispatch.Deps> = {},
 ) {
   const currentCatalog = typeof current === "function" ? current : () => current;
   const known = new endpointRegistry.EndpointRegistry(
@@ -97,6 +98,7 @@
       notices,
       authenticate,
       random: () => 0,
+      ...over,
     },
   );
   return {
--- a/test/serving/overload.test.ts
+++ b/test/serving/overload.test.ts
@@ -128,6 +128,7 @@
       const caller: presence.Presence = {
         hasLeft: () => gone.signal.aborted,
         isStale: () => stale.shift() ?? false,
+        isBehind: () => false,
         confirm: () => {
           if (left && stale.length === 0) gone.abort();
           return Promise.resolve();
