--- a/test/serving/overload/hedged-calls.test.ts
+++ b/test/serving/overload/hedged-calls.test.ts
@@ -126,6 +126,8 @@
     await rig.pass(799);
     expect(call.seen[0]).match(/^200/);
     expect(rig.arrivals.map((a) => a.end)).deep.equal([undefined, "answered"]);
+    // Its connections may be dead, so that other calls need new ones; a hedged call is not sent a third time.
+    expect(rig.replaced).deep.equal([rig.arrivals[0]?.worker]);
     await rig.pass(2);
     expect(rig.arrivals[0]?.end).equal("aborted");
     const rates = rig.setup.known.views(fixtures.SERVICE);
--- a/test/serving/overload/plain-workers.ts
+++ b/test/serving/overload/plain-workers.ts
@@ -74,6 +74,8 @@
 export class Rig {
   now = 0;
   readonly arrivals: Arrival[] = [];
+  /** Workers whose connections were replaced. */
+  readonly replaced: string[] = [];
   readonly lines: (structuredLog.Fields & { readonly msg: string })[] = [];
   readonly metrics = metrics.create();
   readonly catalog: catalog.Catalog;
@@ -99,7 +101,7 @@
     };
     const pools = {
       send: this.send.bind(this),
-      replaceConnections: () => undefined,
+      replaceConnections: (id: string) => this.replaced.push(id),
     } as unknown as upstream.Upstream;
     // Nothing crashes here; the real ones would connect to the workers.
     const unsuspecting = {
