--- a/test/serving/overload/hedged-calls.test.ts
+++ b/test/serving/overload/hedged-calls.test.ts
@@ -1,4 +1,6 @@
+import type * as http from "node:http";
 import * as chai from "chai";
+import * as clock from "../../../src/host/clock.js";
 import * as catalog from "../../../src/serving/catalog.js";
 import type * as choice from "../../../src/serving/choice.js";
 import * as notices from "../../../src/serving/notices.js";
@@ -239,6 +241,43 @@
   });
 });
 
+describe("a hedged call over connections", () => {
+  /* Guards against an answer whose connection is closed, or whose bytes get into the other answer. */
+  it("is answered by the hedge, and the other answer is read to its end", async () => {
+    const size = 300_000;
+    let arrivals = 0;
+    const finished: string[] = [];
+    const answer = (name: string) => (_req: http.IncomingMessage, res: http.ServerResponse) => {
+      const end = (): void => {
+        res.writeHead(200, fixtures.good()).end(name.repeat(size));
+      };
+      res.once("finish", () => finished.push(name));
+      setTimeout(end, ++arrivals === 7 ? 250 : 40);
+    };
+    const workers = await Promise.all(["a", "b"].map((n) => fixtures.worker(answer(n))));
+    const endpoints = workers.map((w, i) => fixtures.endpoint(`w${i}`, w.address));
+    const { config } = new plainWorkers.Rig({ treat: () => ({ ms: 1 }) }).catalog;
+    const byId = new Map(endpoints.map((e) => [e.id, e]));
+    const setup = dispatcherFixture.create({ ...catalog.EMPTY, config, endpoints: byId });
+    const answers: string[] = [];
+    const { response } = dispatcherFixture.recorded();
+    for (let i = 0; i < 12; i++) {
+      const req = fixtures.request({ route: plainWorkers.CALL });
+      await setup.dispatcher.serve(req, {
+        ...response,
+        sendWhole: (_status, _headers, body) => answers.push(body.toString()),
+      });
+    }
+    await clock.sleep(clock.system, 300);
+    setup.close();
+    for (const w of workers) w.close();
+    expect(answers.every((text) => text === "a".repeat(size) || text === "b".repeat(size))).equal(
+      true,
+    );
+    expect([answers.length, arrivals, finished.length]).deep.equal([12, 13, 13]);
+  });
+});
+
 describe("a request that is no call to a plain service under demanding load", () => {
   /* Guards against a system that decides differently where nothing asks for it. */
   it("is sent as if there were no hedges", async () => {
