Test hedged calls with workers that do anything

Guards against two answers, a failure passed on in place of a good answer, a run too many, and a send after the caller has left, with random delays and failures of each send.

Without the rule that a failure waits, or that an unwritten send is dropped, the test fails.

--- a/test/serving/overload/hedged-calls.test.ts
+++ b/test/serving/overload/hedged-calls.test.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as chai from "chai";
+import * as fc from "fast-check";
 import * as clock from "../../../src/host/clock.js";
 import * as catalog from "../../../src/serving/catalog.js";
 import type * as choice from "../../../src/serving/choice.js";
@@ -241,6 +242,47 @@
   });
 });
 
+describe("a call under demanding load, whatever its workers do", () => {
+  const treatment = fc.record({
+    connectMs: fc.constantFrom(0, 0, 30, 150),
+    ms: fc.integer({ min: 1, max: 900 }),
+    status: fc.constantFrom(200, 200, 500, 0, 421),
+  });
+  const cases = fc.record({
+    treatments: fc.array(treatment, { minLength: 4, maxLength: 4 }),
+    leavesAfterMs: fc.option(fc.integer({ min: 1, max: 800 }), { nil: Infinity }),
+    kind: fc.constantFrom("idempotent", "idempotent", "once"),
+  });
+
+  it("gets one whole answer, a good one if there is any, and keeps to its attempts", async () => {
+    const property = fc.asyncProperty(cases, async ({ treatments, leavesAfterMs, kind }) => {
+      const rig = await rigOf((nth) => treatments[nth] ?? { ms: 1 }, { workers: 3 });
+      const gone = new AbortController();
+      const call = rig.call("x", { route: { ...plainWorkers.CALL, kind } }, { gone: gone.signal });
+      const from = rig.now;
+      await rig.pass(Math.min(leavesAfterMs, 2000));
+      gone.abort();
+      await rig.pass(2000);
+      const sends = rig.arrivals.filter((a) => a.request === "x");
+      const mayHaveRun = sends.filter((a) => a.status !== 421);
+      expect(mayHaveRun.length).at.most(kind === "once" ? 1 : 2);
+      expect(sends.every((a) => a.at <= from + Math.min(leavesAfterMs, 800))).equal(true);
+      const good = sends
+        .filter((a) => a.status === 200 && (a.endAt ?? Infinity) < from + leavesAfterMs)
+        .filter((a) => a.end === "answered" && (a.endAt ?? Infinity) < from + 800)
+        .sort((a, b) => (a.endAt ?? 0) - (b.endAt ?? 0));
+      const [first] = good;
+      if (first) {
+        const winners = good.filter((a) => a.endAt === first.endAt).map((a) => a.worker);
+        expect(winners.map((w) => `200 ${w} ${w}`)).contain(call.seen[0]);
+      }
+      if (leavesAfterMs > 800) expect(call.seen.length).equal(1);
+      else expect(call.seen.length).at.most(1);
+    });
+    await fc.assert(property, { numRuns: 150 });
+  });
+});
+
 describe("a hedged call over connections", () => {
   /* Guards against an answer whose connection is closed, or whose bytes get into the other answer. */
   it("is answered by the hedge, and the other answer is read to its end", async () => {
--- a/test/serving/overload/plain-workers.ts
+++ b/test/serving/overload/plain-workers.ts
@@ -31,7 +31,9 @@
   readonly worker: string;
   readonly request: string;
   readonly at: number;
+  readonly status: number;
   end?: "answered" | "aborted";
+  endAt?: number;
 }
 
 export const CALL: catalog.Route = {
@@ -191,9 +193,10 @@
     const isAborted = (): boolean => signal.aborted;
     if (isAborted()) return { kind: "unsent", why: "given up" };
     if (!gate.mayStart()) return { kind: "withheld" };
-    const arrival: Arrival = { worker: e.id, request: req.meta.id, at: this.now };
+    const arrival: Arrival = { worker: e.id, request: req.meta.id, at: this.now, status };
     this.arrivals.push(arrival);
     await clock.sleep(this.clk, ms, signal);
+    arrival.endAt = this.now;
     arrival.end = isAborted() ? "aborted" : "answered";
     if (isAborted() || status === 0) return { kind: "unknown", why: "broken" };
     const notice = notices.EMPTY;
