Log the learned times of an engine and its slowness with seats that waited

A seat that waited for the pace did not tell why: the line now has the learned time of an event, the time per prompt token, and how many times as long as usual the engine took. No decision changes.

--- a/src/serving/engine-state.ts
+++ b/src/serving/engine-state.ts
@@ -209,6 +209,11 @@
     return (this.admissionNow ??= admission.admission(at));
   }
 
+  /** What the pace is decided from; undefined without steady streams, or if none runs. */
+  get paceInputs(): steadyAdmission.PaceInputs | undefined {
+    return this.steadyEngine?.admission.paceInputs(this.steadyEngine.at);
+  }
+
   /** Estimates of the admission control; undefined without steady streams. */
   get steady(): engineView.SteadyView | undefined {
     if (!this.steadyEngine) return undefined;
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -48,6 +48,12 @@
 /** Tokens assumed of a request that arrives next, before any was asked for. */
 const TYPICAL_NEED: room.Need = { promptTokens: 1000, answerTokens: 200 };
 
+/** Learned times of an engine, and how slow it is now. */
+export interface PaceInputs extends pace.EventTime {
+  /** How many times as long as usual it takes, at least 1. */
+  readonly slowness: number;
+}
+
 /** What several estimates for an engine at one time take from all seats. */
 interface Summary {
   readonly at: EngineAt;
@@ -207,6 +213,14 @@
     return this.latest;
   }
 
+  /** What the pace is decided from, for the log; undefined if no stream runs. */
+  paceInputs(at: EngineAt): PaceInputs | undefined {
+    const { allowance } = this.summary(at);
+    if (!allowance) return undefined;
+    const { baseMs, msPerToken } = allowance;
+    return { baseMs, msPerToken, slowness: pace.slowness(this.pace, allowance, at.now).factor };
+  }
+
   /**
    * Tokens of the longest prompt that leaves the running streams on time even if a slow spell begins while it is read;
    * undefined if none runs.
--- a/src/serving/seat-admission.ts
+++ b/src/serving/seat-admission.ts
@@ -196,11 +196,23 @@
       version,
       instance: this.state.instance,
       waitedMs,
-      ...(waitedFor && { waitedFor }),
+      ...(waitedFor && { waitedFor, ...this.loggedPace() }),
     });
     this.deps.announcer.stateChanged();
   }
 
+  /** Learned times of the engine and its slowness, rounded, for the log. */
+  private loggedPace(): structuredLog.Fields {
+    const inputs = this.state.snapshot().paceInputs;
+    if (!inputs) return {};
+    const { baseMs, msPerToken, slowness } = inputs;
+    return {
+      baseMs: Math.round(baseMs),
+      msPerToken: Number(msPerToken.toFixed(4)),
+      slowness: Number(slowness.toFixed(1)),
+    };
+  }
+
   private deny(id: string, reason: seatMessages.DenyReason): void {
     const s = this.state.seats.remove(id);
     this.forget(id);
