Take the median of the last seconds for the usual time of a first event, and keep 0.4 of the pause

Change: an engine is slow by the median ratio of the prompts granted in the last 5 s, which includes the error of the estimate and the delay of reports; the slowness is computed once for each step. Share of the pause .42 to .4.

The test of a slow spell expects the factor without 10 ms taken off.

--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -71,7 +71,7 @@
  * Share of the longest pause that an event may take by the estimate. A slow spell takes 2.5 times as long as usual; the
  * estimate is a mean that includes the spells, and is some 1.1 times the usual time.
  */
-const PAUSE_SHARE = 0.42;
+const PAUSE_SHARE = 0.4;
 /**
  * Initial guesses of the ms of a step and of reading one prompt token; slow for current engines. Their ratio differs
  * less between engines than their speed.
@@ -121,12 +121,12 @@
  * than before and the estimate of its times follows.
  */
 const MAX_SLOW_MS = 1500;
-/** Milliseconds that grant and first event may take on their way to and from a busy entry host, together. */
-const REPORT_DELAY_MS = 10;
+/** Fewest prompts of the last seconds whose median is taken for usual. */
+const MIN_READS = 8;
 /** Factor of a slow spell that is counted at most. */
 const MAX_SLOWNESS = 5;
-/** Milliseconds after which no prompt counts any more. */
-const MAX_COUNTED_MS = 3000;
+/** Milliseconds for which prompts are kept; a slow spell is a small part of that. */
+const KEPT_MS = 5000;
 /** Time constant in ms of the decay of the prefill that counts as recent. */
 const RECENT_MS = 1000;
 
@@ -205,10 +205,10 @@
   };
 }
 
-/** How many times as long as usual the engine took, or takes so far, to read a prompt. */
-function slownessOf(r: Read, a: Allowance, now: number): number {
-  const usualMs = r.tokensUntilFirst * a.msPerToken + a.stepMs * STEPS_TO_FIRST;
-  return ((r.tookMs ?? now - r.at) - REPORT_DELAY_MS) / usualMs;
+/** How many times as long as estimated the engine took, or takes so far, from the grant of a prompt to its first event. */
+function ratioOf(r: Read, a: Allowance, now: number): number {
+  const estimatedMs = r.tokensUntilFirst * a.msPerToken + a.stepMs * STEPS_TO_FIRST;
+  return (r.tookMs ?? now - r.at) / estimatedMs;
 }
 
 /** How slow an engine is now. */
@@ -219,25 +219,31 @@
   readonly sinceMs: number;
 }
 
+const NOT_SLOW: Slowness = { factor: 1, sinceMs: 0 };
+
 /**
- * How slow the engine is, by the prompts read last. A prompt whose first event is overdue does not count if one that was
- * granted later has its own: then the report of its entry host is late, not the engine.
+ * How slow the engine is, by the prompts read last. Usual is the median of those that were granted in the last seconds: it
+ * includes what the estimate errs by, and the delay of entry hosts' reports. A prompt whose first event is overdue does not count
+ * if one that was granted later has its own: then the report of its entry host is late, not the engine.
  */
 export function slowness(p: Pace, a: Allowance, now: number): Slowness {
   const done = p.reads.filter((r) => r.tookMs !== undefined);
   const latest = done.at(-1);
-  let factor = latest ? slownessOf(latest, a, now) : 1;
+  const ratios = done.map((r) => ratioOf(r, a, now));
+  const sorted = [...ratios].sort((x, y) => x - y);
+  const usual = done.length < MIN_READS ? 1 : (sorted[sorted.length >> 1] ?? 1);
+  let factor = (ratios.at(-1) ?? usual) / usual;
   let since = now;
   for (const r of p.reads) {
     if (r.tookMs !== undefined || (latest && r.at <= latest.at)) continue;
-    const own = slownessOf(r, a, now);
+    const own = ratioOf(r, a, now) / usual;
     if (own > SLOW_ABOVE) since = Math.min(since, r.at);
     factor = Math.max(factor, own);
   }
-  if (factor <= SLOW_ABOVE) return { factor: Math.max(1, factor), sinceMs: 0 };
-  for (const r of done.reverse()) {
-    if (slownessOf(r, a, now) <= SLOW_ABOVE) break;
-    since = Math.min(since, r.at);
+  if (factor <= SLOW_ABOVE) return NOT_SLOW;
+  for (let i = done.length - 1; i >= 0; i--) {
+    if ((ratios[i] ?? 0) <= SLOW_ABOVE * usual) break;
+    since = Math.min(since, done[i]?.at ?? now);
   }
   return { factor: Math.min(MAX_SLOWNESS, factor), sinceMs: now - since };
 }
@@ -263,9 +269,14 @@
  * A prompt is granted if half of it is within the limit, so that the limit holds on average also where it is a few prompts
  * only. While the engine is slow, all of it must be, and one that would make all streams late by itself waits.
  */
-export function holdOf(p: Pace, tokens: number, a: Allowance, now: number): Hold | undefined {
+export function holdOf(
+  p: Pace,
+  tokens: number,
+  a: Allowance,
+  { factor, sinceMs }: Slowness,
+  now: number,
+): Hold | undefined {
   const ownMs = tokens * a.msPerToken;
-  const { factor, sinceMs } = slowness(p, a, now);
   if (factor > SLOW_ABOVE && sinceMs < MAX_SLOW_MS) {
     const limitMs = (SLOW_SHARE * a.gapMs) / factor - a.baseMs;
     if ((a.baseMs + ownMs) * factor > a.gapMs)
@@ -301,7 +312,7 @@
 
 /** Records that a seat was granted at `now` for a prompt of `tokens`. */
 export function withGrant(p: Pace, seat: string, tokens: number, now: number): Pace {
-  const kept = p.reads.filter((r) => now - r.at < MAX_COUNTED_MS);
+  const kept = p.reads.filter((r) => now - r.at < KEPT_MS);
   const unread = kept.reduce((sum, r) => sum + (r.tookMs === undefined ? r.tokens : 0), 0);
   const read: Read = {
     seat,
@@ -360,6 +371,6 @@
   const pendingTokens = p.reads
     .filter((r) => countsUntil(r, a, 1) > now)
     .reduce((sum, r) => sum + r.tokens, 0);
-  const firstMs = holdOf(p, tokens, a, now) ? pendingTokens * a.msPerToken : 0;
+  const firstMs = holdOf(p, tokens, a, NOT_SLOW, now) ? pendingTokens * a.msPerToken : 0;
   return firstMs + (aheadTokens * a.msPerToken) / allowedShare(a, tokens);
 }
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -60,6 +60,8 @@
   readonly usage: room.Usage;
   /** Prefill allowed beside the running streams; undefined if none runs. */
   readonly allowance: pace.Allowance | undefined;
+  /** How slow the engine is; undefined if no stream runs. */
+  readonly slowness: pace.Slowness | undefined;
   /** Mean of the requests that are asked for or granted. */
   readonly typical: room.Need;
 }
@@ -153,7 +155,7 @@
   }
 
   private admissionOf(of: Summary, usage: room.Usage, p: pace.Pace): residency.Admission {
-    const { at, allowance } = of;
+    const { at, allowance, slowness } = of;
     const needOf = (w: seatQueue.Waiter) => this.entries.get(w.seat)?.need ?? TYPICAL_NEED;
     return {
       limitsPrefill: allowance !== undefined,
@@ -163,8 +165,8 @@
           const holdsOthers = lack === "batch" || at.now - w.askedAt >= OVERTAKE_MS;
           return { why: "room", holdsOthers, inMs: room.freeInMs(this.granted(), at.now) };
         }
-        if (!allowance) return undefined;
-        const hold = pace.holdOf(p, needOf(w).promptTokens, allowance, at.now);
+        if (!allowance || !slowness) return undefined;
+        const hold = pace.holdOf(p, needOf(w).promptTokens, allowance, slowness, at.now);
         return hold && { why: "pace", holdsOthers: !hold.isTooLarge, inMs: hold.inMs };
       },
       granted: (w) =>
@@ -208,7 +210,9 @@
   private summary(at: EngineAt): Summary {
     if (this.latest?.at !== at) {
       const usage = room.usageOf(this.granted(), at.now);
-      this.latest = { at, usage, allowance: this.allowance(at), typical: this.typicalNeed() };
+      const allowance = this.allowance(at);
+      const slowness = allowance && pace.slowness(this.pace, allowance, at.now);
+      this.latest = { at, usage, allowance, slowness, typical: this.typicalNeed() };
     }
     return this.latest;
   }
@@ -218,7 +222,7 @@
     const { allowance } = this.summary(at);
     if (!allowance) return undefined;
     const { baseMs, msPerToken } = allowance;
-    return { baseMs, msPerToken, slowness: pace.slowness(this.pace, allowance, at.now).factor };
+    return { baseMs, msPerToken, slowness: this.summary(at).slowness?.factor ?? 1 };
   }
 
   /**
--- a/test/serving/pacing/steady-admission.test.ts
+++ b/test/serving/pacing/steady-admission.test.ts
@@ -133,8 +133,9 @@
     ...{ baseMs: 50, stepMs: 7, msPerToken: 0.05 },
     ...{ gapMs: 300, windowMs: 150, readMs: 100 },
   };
-  const inMs = (p: pace.Pace, tokens: number, now: number) =>
-    pace.holdOf(p, tokens, allowed, now)?.inMs ?? 0;
+  const holdOf = (p: pace.Pace, tokens: number, now: number) =>
+    pace.holdOf(p, tokens, allowed, pace.slowness(p, allowed, now), now);
+  const inMs = (p: pace.Pace, tokens: number, now: number) => holdOf(p, tokens, now)?.inMs ?? 0;
   /** Prompts of 1,000 tokens, each granted at one of the times and with its first event `tookMs` later. */
   const withReads = (times: readonly number[], tookMs: number) =>
     times.reduce(
@@ -159,11 +160,11 @@
     const usual = withReads([0, 1000], 60);
     const slow = pace.withFirstEvent(pace.withGrant(usual, "slow", 1000, 2000), "slow", 2160);
     expect(pace.slowness(usual, allowed, 2160).sinceMs).equal(0);
-    expect(pace.slowness(slow, allowed, 2160)).deep.equal({ factor: 150 / 64, sinceMs: 160 });
-    expect(pace.holdOf(slow, 2000, allowed, 2500)).deep.include({ isTooLarge: true });
-    expect(pace.holdOf(slow, 800, allowed, 2500)).equal(undefined);
-    expect(pace.holdOf(slow, 800, allowed, 2200)).deep.include({ isTooLarge: false });
-    expect(pace.holdOf(slow, 2000, allowed, 2000 + 1500)).equal(undefined);
+    expect(pace.slowness(slow, allowed, 2160)).deep.equal({ factor: 160 / 64, sinceMs: 160 });
+    expect(holdOf(slow, 2000, 2500)).deep.include({ isTooLarge: true });
+    expect(holdOf(slow, 800, 2500)).equal(undefined);
+    expect(holdOf(slow, 800, 2200)).deep.include({ isTooLarge: false });
+    expect(holdOf(slow, 2000, 2000 + 1500)).equal(undefined);
   });
 
   it("does not take an engine for slow because one entry host reports late", () => {
