Split residency into seats, orders and reports

Change: `slot-orders` decides on the next order to the engine, `slot-reports` takes over the engine's reports, and `residency` keeps the state, its changes and the decision on seats. The behaviour does not change.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -284,7 +284,7 @@
   },
   {
     name: "a place on its way in counts as taken",
-    file: "serving/residency.js",
+    file: "serving/slot-orders.js",
     find: "if (s.slots.size < opts.slots)",
     put: 'if ([...s.slots.values()].filter((p) => p.phase !== "loading").length < opts.slots)',
     proof:
@@ -334,7 +334,7 @@
   },
   {
     name: "an adapter's replacement is ordered once",
-    file: "serving/residency.js",
+    file: "serving/slot-reports.js",
     find: "const REPLACE_TIMEOUT_MS = 3000;",
     put: "const REPLACE_TIMEOUT_MS = 60;",
     proof: "orders the new version of an outdated adapter once, however long the replacement takes",
--- a/bench/red/sharing-switches.ts
+++ b/bench/red/sharing-switches.ts
@@ -22,7 +22,7 @@
   },
   {
     name: "slots: a team beyond its share keeps no adapter from others",
-    file: "serving/residency.js",
+    file: "serving/slot-orders.js",
     find: "?? slotToEvict(s, rivals, now)",
     put: "",
     proof: SLOTS,
--- a/bench/red/soak-switches.ts
+++ b/bench/red/soak-switches.ts
@@ -47,7 +47,7 @@
   },
   {
     name: "soak: a place on its way in counts as taken",
-    file: "serving/residency.js",
+    file: "serving/slot-orders.js",
     find: "if (s.slots.size < opts.slots)",
     put: 'if ([...s.slots.values()].filter((p) => p.phase !== "loading").length < opts.slots)',
     proof: "engine-",
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -18,6 +18,7 @@
 import type * as noticeRelay from "./notice-relay.js";
 import * as residency from "./residency.js";
 import * as seatAdmission from "./seat-admission.js";
+import * as slotReports from "./slot-reports.js";
 import type * as seatMessages from "./seat-messages.js";
 import * as loadHistory from "./load-history.js";
 import type * as fairShares from "./sharing/fair-shares.js";
@@ -293,8 +294,8 @@
     const before = this.state.held;
     this.orders.setLocalModels(report.localModels);
     const listed = engineView.listedAdapters(report);
-    this.state.set({ held: residency.reconcile(before, models, listed, askedAt) });
-    for (const { key, phaseSince } of residency.finishedLoads(before, this.state.held)) {
+    this.state.set({ held: slotReports.reconcile(before, models, listed, askedAt) });
+    for (const { key, phaseSince } of slotReports.finishedLoads(before, this.state.held)) {
       this.state.set({
         loadHistory: loadHistory.recordLoad(this.state.loadHistory, key, askedAt - phaseSince),
       });
--- a/src/serving/engine-orders.ts
+++ b/src/serving/engine-orders.ts
@@ -12,6 +12,7 @@
 import type * as engineState from "./engine-state.js";
 import * as orderSender from "./order-sender.js";
 import * as residency from "./residency.js";
+import * as slotOrders from "./slot-orders.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
@@ -77,7 +78,7 @@
   private next(): residency.Action | undefined {
     if (this.sender.busyMs(this.deps.clock.mono()) > 0) return undefined;
     const { held, now, options } = this.state.snapshot();
-    return residency.nextOrder(held, now, options);
+    return slotOrders.nextOrder(held, now, options);
   }
 
   /** Carries out one action on the engine. */
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -10,6 +10,7 @@
 import * as prefillSpeed from "./prefill-speed.js";
 import * as residency from "./residency.js";
 import type * as seatMessages from "./seat-messages.js";
+import type * as slotReports from "./slot-reports.js";
 import type * as loadHistory from "./load-history.js";
 import * as fairShares from "./sharing/fair-shares.js";
 
@@ -22,13 +23,13 @@
   model: string,
   held: engine.HeldAdapter,
   pending: boolean,
-): residency.ListedAdapter {
+): slotReports.ListedAdapter {
   const { adapter, version } = held;
   return { key: catalog.adapterKey(model, adapter), model, adapter, version, pending };
 }
 
 /** Returns the adapters that a report lists, including those that are being loaded. */
-export function listedAdapters(report: engine.Report): readonly residency.ListedAdapter[] {
+export function listedAdapters(report: engine.Report): readonly slotReports.ListedAdapter[] {
   const held = report.models.flatMap((m) => m.adapters.map((a) => listed(m.name, a, false)));
   const loading = report.pending.map((p) => listed(p.model, p, true));
   return [...held, ...loading];
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -1,6 +1,6 @@
 /**
- * State of an engine's slots and of the requests that wait for them, and the decisions made from it: which
- * seat to grant and which order to send next. Pure; the engine manager carries the actions out.
+ * State of an engine's slots and of the requests that wait for them, and the decision made from it which seats to grant.
+ * Pure; `slot-orders` decides on orders from the same state, and the endpoint daemon carries the actions out.
  * @module
  */
 import * as popularity from "../endpoint/popularity.js";
@@ -139,7 +139,8 @@
   | { readonly kind: "unload"; readonly slot: Slot }
   | { readonly kind: "close"; readonly slot: Slot };
 
-function isOutdated(s: State, p: Slot): boolean {
+/** Whether a newer version of a slot's adapter is known. */
+export function isOutdated(s: State, p: Slot): boolean {
   return (s.newest.get(p.key)?.version ?? 0) > p.version;
 }
 
@@ -227,77 +228,14 @@
   return inMs;
 }
 
-/** Returns the next order for the engine, or slot to close, at `now`; orders are sent one at a time. */
-export function nextOrder(s: State, now: number, opts: Options): Action | undefined {
-  const wanted = wantedKeys(s, now, opts.overTeams);
-  const stale = staleIdle(s);
-  // Adapters that requests wait for go first; otherwise an unused outdated adapter is replaced before
-  // its next use.
-  if (stale && (wanted.length === 0 || isWaitedFor(s, stale.key))) return load(s, stale);
-  const loading = [...s.slots.values()].filter((p) => p.phase === "loading");
-  const cold = loading.filter((p) => !opts.isWarm(p.key)).length;
-  const allowed = cold < opts.maxColdLoads ? wanted : wanted.filter((w) => opts.isWarm(w.key));
-  const [first] = allowed;
-  if (!first || loading.length >= opts.maxLoads) return undefined;
-  if (s.slots.size < opts.slots) return load(s, first);
-  const rivals = first.isOver ? s.waiting : waitingWithin(s, opts.overTeams);
-  const victim = slotToEvict(s, s.waiting, now) ?? slotToEvict(s, rivals, now);
-  if (victim) return { kind: "unload", slot: victim };
-  return slotToClose(s, allowed, rivals, now, opts);
-}
-
 /** The waiters whose teams do not exceed their share. */
-function waitingWithin(
+export function waitingWithin(
   s: State,
   over: ReadonlySet<string> = fairShares.NO_TEAMS,
 ): readonly seatQueue.Waiter[] {
   return over.size === 0 ? s.waiting : s.waiting.filter((w) => !fairShares.isOver(over, w));
 }
 
-function isWaitedFor(s: State, key: string): boolean {
-  return s.waiting.some((w) => w.key === key);
-}
-
-function load(s: State, of: Pick<Slot, "key" | "model" | "adapter">): Action {
-  const version = s.newest.get(of.key)?.version;
-  return { kind: "load", model: of.model, adapter: of.adapter, key: of.key, version };
-}
-
-/** Finds an outdated adapter that no seat uses. */
-function staleIdle(s: State): Slot | undefined {
-  for (const p of s.slots.values()) {
-    if (p.phase !== "loading" && p.phase !== "unsure" && p.pins === 0 && isOutdated(s, p)) return p;
-  }
-  return undefined;
-}
-
-/** An adapter that requests wait for and that is in no slot. */
-interface Wanted {
-  readonly key: string;
-  readonly model: string;
-  readonly adapter: string;
-  /** Monotonic ms at which its first waiter asked for a seat. */
-  readonly askedAt: number;
-  /** Whether its first waiter's team exceeds its share. */
-  readonly isOver: boolean;
-}
-
-/** Adapters that requests wait for and that are in no slot, in the serving order of their first waiter. */
-function wantedKeys(
-  s: State,
-  now: number,
-  over: ReadonlySet<string> = fairShares.NO_TEAMS,
-): readonly Wanted[] {
-  const out = new Map<string, Wanted>();
-  for (const w of seatQueue.slotOrder(s.waiting, now, over)) {
-    if (w.adapter === undefined || s.slots.has(w.key) || out.has(w.key)) continue;
-    if (!s.models.includes(w.model)) continue;
-    const { key, model, adapter, askedAt } = w;
-    out.set(key, { key, model, adapter, askedAt, isOver: fairShares.isOver(over, w) });
-  }
-  return [...out.values()];
-}
-
 /**
  * Counts the slots that are free or could be emptied at once, and the adapters that wait for one; for a request that
  * comes before those of the teams `over` their share.
@@ -313,48 +251,13 @@
   return { free: slots - s.slots.size + idle, wanted };
 }
 
-function isIdle(p: Slot, waited: ReadonlySet<string>): boolean {
+/** Whether a slot could be emptied at once, as nobody uses it and no adapter in `waited` is in it. */
+export function isIdle(p: Slot, waited: ReadonlySet<string>): boolean {
   if (p.pins > 0) return false;
   // A closing adapter is unloaded even if requests wait for it; it is then loaded again for them.
   return p.phase === "closing" || (p.phase === "resident" && !waited.has(p.key));
 }
 
-/** The slot to evict first among those that no seat uses and no request of `rivals` waits for. */
-function slotToEvict(s: State, rivals: readonly seatQueue.Waiter[], now: number): Slot | undefined {
-  const waited = new Set(rivals.map((w) => w.key));
-  const free = [...s.slots.values()].filter((p) => isIdle(p, waited));
-  const closed = free.find((p) => p.phase === "closing");
-  return closed ?? leastPopular(s, free, now);
-}
-
-/** The slot of the least popular adapter among `of`. */
-function leastPopular(s: State, of: readonly Slot[], now: number): Slot | undefined {
-  const key = popularity.coldest(
-    s.adapterPopularity,
-    of.map((p) => p.key),
-    now,
-  );
-  return key === undefined ? undefined : s.slots.get(key);
-}
-
-/** Chooses an adapter in use that no request of `rivals` waits for, to close it if requests have waited too long for a slot. */
-function slotToClose(
-  s: State,
-  wanted: readonly Wanted[],
-  rivals: readonly seatQueue.Waiter[],
-  now: number,
-  opts: Options,
-): Action | undefined {
-  const overdue = wanted.filter((w) => now - w.askedAt >= opts.closeAfterMs).length;
-  const slots = [...s.slots.values()];
-  const emptying = slots.filter((p) => p.phase === "closing" || p.phase === "unsure").length;
-  if (emptying >= overdue) return undefined;
-  const waited = new Set(rivals.map((w) => w.key));
-  const open = slots.filter((p) => p.phase === "resident" && p.pins > 0 && !waited.has(p.key));
-  const slot = leastPopular(s, open, now);
-  return slot && { kind: "close", slot };
-}
-
 /**
  * Milliseconds from `now` until the next timeout of a waiter or an outdated version; undefined if there
  * is none.
@@ -436,72 +339,3 @@
   }
   return newest ? { ...s, newest } : s;
 }
-
-/** An adapter that an engine's report lists. */
-export interface ListedAdapter {
-  readonly key: string;
-  readonly model: string;
-  readonly adapter: string;
-  readonly version: number;
-  /** Whether it is still loading and cannot be used yet. */
-  readonly pending: boolean;
-}
-
-/**
- * Updates the state from a report that was requested at `askedAt`. A slot that changed after the request stays
- * as it is; all others are set to what the report lists, and removed if it does not list them.
- */
-export function reconcile(
-  s: State,
-  models: readonly string[],
-  listed: readonly ListedAdapter[],
-  askedAt: number,
-): State {
-  let next: State = { ...s, models };
-  const seen = new Set(listed.map((l) => l.key));
-  for (const p of s.slots.values()) {
-    if (!seen.has(p.key) && p.phaseSince < askedAt) next = removeSlot(next, p.key);
-  }
-  for (const l of listed) {
-    const p = s.slots.get(l.key);
-    if (p && p.phaseSince >= askedAt) continue;
-    next = putSlot(next, slotOf(l, p, askedAt));
-  }
-  return next;
-}
-
-/** Returns the slots that were loading in `before` and are resident in `now`, as they were in `before`. */
-export function finishedLoads(before: State, now: State): readonly Slot[] {
-  return [...before.slots.values()].filter(
-    (p) => p.phase === "loading" && now.slots.get(p.key)?.phase === "resident",
-  );
-}
-
-/**
- * Milliseconds for which an engine may list an adapter's old version after it accepted the order for the new
- * one. It first finishes the runs of the old version and loads the new one from the weight store; this is a few
- * times as long as both take.
- */
-const REPLACE_TIMEOUT_MS = 3000;
-
-/** Whether an engine lists an old version that it is about to replace. */
-function isBeingReplaced(l: ListedAdapter, p: Slot, now: number): boolean {
-  if (p.phase !== "loading" || !p.accepted || l.version >= p.version) return false;
-  return now - p.phaseSince < REPLACE_TIMEOUT_MS;
-}
-
-/** Builds the slot for a listed adapter; `p` is the slot as known before. */
-function slotOf(l: ListedAdapter, p: Slot | undefined, now: number): Slot {
-  if (p && isBeingReplaced(l, p, now)) return p;
-  const phase = l.pending ? "loading" : p?.phase === "closing" ? "closing" : "resident";
-  const { key, model, adapter, version } = l;
-  return {
-    key,
-    model,
-    adapter,
-    version,
-    phase,
-    pins: p?.pins ?? 0,
-    phaseSince: p?.phaseSince ?? now,
-  };
-}
--- a/test/serving/cold-start.test.ts
+++ b/test/serving/cold-start.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as residency from "../../src/serving/residency.js";
+import * as slotOrders from "../../src/serving/slot-orders.js";
 import * as seatQueue from "../../src/serving/seat-queue.js";
 import * as loadHistory from "../../src/serving/load-history.js";
 
@@ -44,7 +45,7 @@
     outdatedUseMs: 500,
   };
   for (;;) {
-    const a = residency.nextOrder(e.state, now, opts);
+    const a = slotOrders.nextOrder(e.state, now, opts);
     if (a?.kind !== "load") return;
     e.state = residency.startLoad(e.state, a, now);
     e.loads.set(a.key, { leftMs: LOAD_MS, since: now });
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -2,6 +2,8 @@
 import * as fc from "fast-check";
 import * as polling from "../../src/serving/polling.js";
 import * as residency from "../../src/serving/residency.js";
+import * as slotOrders from "../../src/serving/slot-orders.js";
+import * as slotReports from "../../src/serving/slot-reports.js";
 import type * as seatQueue from "../../src/serving/seat-queue.js";
 import * as loadHistory from "../../src/serving/load-history.js";
 import * as fixtures from "./fixtures.js";
@@ -77,7 +79,7 @@
 
 /** Carries out the next order; returns false if there is none. */
 function carryOutOrder(sim: Simulation): boolean {
-  const a = residency.nextOrder(sim.state, sim.now, OPTS);
+  const a = slotOrders.nextOrder(sim.state, sim.now, OPTS);
   if (!a) return false;
   switch (a.kind) {
     case "load":
@@ -171,7 +173,7 @@
     const early = waiter("early", "b", 50);
     let s = residency.addWaiter(holding(slot("x", { phase: "loading" })), late, 0);
     s = residency.addWaiter(s, early, 50);
-    const a = residency.nextOrder(s, 60, OPTS);
+    const a = slotOrders.nextOrder(s, 60, OPTS);
     expect(a).include({ kind: "load", adapter: "b" });
   });
 
@@ -181,14 +183,14 @@
       s = residency.removeWaiter(residency.addWaiter(s, waiter("s", adapter, 0), 0), "s");
     }
     s = residency.addWaiter(s, waiter("w", "d", 10), 10);
-    expect(residency.nextOrder(s, 10, OPTS)).deep.include({ kind: "unload", slot: slot("b") });
+    expect(slotOrders.nextOrder(s, 10, OPTS)).deep.include({ kind: "unload", slot: slot("b") });
   });
 
   it("closes a slot in use only for a request that has waited long enough", () => {
     const used = [slot("a", { pins: 1 }), slot("b", { pins: 1 }), slot("c", { pins: 1 })];
     const s = residency.addWaiter(holding(...used), waiter("w", "d", 0), 0);
-    expect(residency.nextOrder(s, 50, OPTS)).equal(undefined);
-    expect(residency.nextOrder(s, 150, OPTS)?.kind).equal("close");
+    expect(slotOrders.nextOrder(s, 50, OPTS)).equal(undefined);
+    expect(slotOrders.nextOrder(s, 150, OPTS)?.kind).equal("close");
   });
 
   it("grants seats on an outdated version for a limited time, then waits for the new one", () => {
@@ -201,7 +203,7 @@
     expect(residency.seatActions(s, 100, OPTS).map((a) => a.kind)).deep.equal(["grant"]);
     expect(residency.seatActions(s, 600, OPTS)).deep.equal([]);
     const idle = residency.addPin(s, old.key, -1);
-    expect(residency.nextOrder(idle, 100, OPTS)).include({
+    expect(slotOrders.nextOrder(idle, 100, OPTS)).include({
       kind: "load",
       adapter: "a",
       version: 2,
@@ -225,7 +227,7 @@
       slot("a", { phase: "loading", phaseSince: 100 }),
       slot("b", { phaseSince: 0 }),
     );
-    const at = residency.reconcile(s, [MODEL], [], 50);
+    const at = slotReports.reconcile(s, [MODEL], [], 50);
     expect([...at.slots.keys()]).deep.equal([`${MODEL}/a`]);
   });
 
--- a/test/serving/sharing/fair-shares.test.ts
+++ b/test/serving/sharing/fair-shares.test.ts
@@ -8,6 +8,7 @@
 import * as engineView from "../../../src/serving/engine-view.js";
 import * as loadHistory from "../../../src/serving/load-history.js";
 import * as residency from "../../../src/serving/residency.js";
+import * as slotOrders from "../../../src/serving/slot-orders.js";
 import * as seatQueue from "../../../src/serving/seat-queue.js";
 import * as seatTable from "../../../src/serving/seat-table.js";
 import * as announcedShares from "../../../src/serving/sharing/announced-shares.js";
@@ -120,8 +121,8 @@
     const waiting = [ask("x", "hot"), ask("y", "other"), ask("w", "hot"), ask("z", "other")];
     const s = { ...residency.empty(), models: ["m"], slots: new Map(slots), waiting };
     const opts = fixtures.residencyOf(2);
-    expect(residency.nextOrder(s, 0, opts)).equal(undefined);
-    const freed = residency.nextOrder(s, 0, { ...opts, overTeams: OVER });
+    expect(slotOrders.nextOrder(s, 0, opts)).equal(undefined);
+    const freed = slotOrders.nextOrder(s, 0, { ...opts, overTeams: OVER });
     expect(freed).deep.include({ kind: "unload", slot: slots[0]?.[1] });
     expect(residency.slotDemand(s, 2, OVER)).deep.equal({ free: 1, wanted: 1 });
   });
