Find the next timeout of an engine's requests without lists of all of them

Whenever the engine manager goes to sleep, it built lists of all timeouts, filtered them and spread them into Math.min.

Change: one pass keeps the earliest.

--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -263,13 +263,19 @@
  * is none.
  */
 export function nextTimeoutMs(s: State, now: number, opts: Options): number | undefined {
-  const times = s.waiting.flatMap((w) => [w.expiresAt - now, w.askedAt + opts.closeAfterMs - now]);
+  let nextMs = Infinity;
+  const add = (at: number): void => {
+    if (at > now) nextMs = Math.min(nextMs, at - now);
+  };
+  for (const w of s.waiting) {
+    add(w.expiresAt);
+    add(w.askedAt + opts.closeAfterMs);
+  }
   for (const p of s.slots.values()) {
     const newest = s.newest.get(p.key);
-    if (newest && newest.version > p.version) times.push(newest.at + opts.outdatedUseMs - now);
+    if (newest && newest.version > p.version) add(newest.at + opts.outdatedUseMs);
   }
-  const ahead = times.filter((t) => t > 0);
-  return ahead.length === 0 ? undefined : Math.min(...ahead);
+  return nextMs === Infinity ? undefined : nextMs;
 }
 
 /** Adds a request that waits for a seat. */
