List the granted seats of an engine in an array instead of a generator

The sum over the granted seats runs several times for each request on an engine with steady streams, and resuming a generator for each seat took most of its time.

Measured (scratch program, 30 granted and 20 waiting seats, one summary and the crowding, the least of nine runs, twice in turn): 6.4 and 5.8 us before, 4.3 and 4.2 us after. 16 random histories give the same messages, orders and log lines.

--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -217,11 +217,13 @@
     return pace.allowance(this.pace, gapMs, at.batch.eventTokens, at.now);
   }
 
-  private *granted(): Generator<room.GrantedSeat> {
+  private granted(): readonly room.GrantedSeat[] {
+    const out: room.GrantedSeat[] = [];
     for (const { need, grantedAt, totalAtFirst } of this.entries.values()) {
-      if (grantedAt === undefined) continue;
-      yield { need, grantedAt, hasBegun: totalAtFirst !== undefined };
+      if (grantedAt !== undefined)
+        out.push({ need, grantedAt, hasBegun: totalAtFirst !== undefined });
     }
+    return out;
   }
 
   /** Mean of the requests that are asked for or granted. */
