Hedge a call at half of its target at the latest

Change: the hedge is due after the quantile or half of the target, whichever is less, if that is later than what leaves time for an answer.

--- a/src/serving/overload/hedging.ts
+++ b/src/serving/overload/hedging.ts
@@ -11,6 +11,11 @@
 const WINDOW = 64;
 /** Fewest response times that a quantile is taken of; a host gets about one call a second for each service. */
 const MIN_TIMES = 5;
+/**
+ * Share of the target after which a hedge may be sent although answers usually take longer. Where they take most of the target,
+ * a hedge would otherwise come too late.
+ */
+const LATEST_START = 0.5;
 /** Runs that a hedged call uses: the first send and the hedge. */
 const HEDGED_RUNS = 2;
 
@@ -49,11 +54,14 @@
 
 /**
  * Milliseconds after which a call that is sent now is hedged if no answer has arrived; undefined if it is not hedged. A hedge
- * is sent early enough to be answered by the target, but not before an answer of usual duration has had time to arrive.
+ * is sent early enough to be answered by the target, but not before an answer of usual duration has had time to arrive, or
+ * half of the target has passed.
  * `responseMs` is the {@link quantileMs} of the service.
  */
 export function hedgeInMs(c: Call, responseMs: number | undefined): number | undefined {
   if (responseMs === undefined || !mayHedge(c)) return undefined;
-  const delayMs = Math.max(c.route.targetMs - c.waitedMs - responseMs, responseMs);
+  const { targetMs } = c.route;
+  const leastMs = Math.min(responseMs, LATEST_START * targetMs);
+  const delayMs = Math.max(targetMs - c.waitedMs - responseMs, leastMs);
   return delayMs < c.leftMs ? delayMs : undefined;
 }
