--- a/src/serving/buffering/memory.ts
+++ b/src/serving/buffering/memory.ts
@@ -30,7 +30,7 @@
 const CHECK_MS = 100;
 /** Share of the budget above which the sum is checked periodically. */
 const WATCH_SHARE = 0.5;
-/** Milliseconds for which a sum over fresh figures is used to refuse bodies. */
+/** Milliseconds for which a sum over fresh figures decides on bodies. */
 const FRESH_MS = 10;
 
 /** The bytes held for all requests of a daemon. */
--- a/src/serving/overload/retry-priority.ts
+++ b/src/serving/overload/retry-priority.ts
@@ -50,8 +50,8 @@
  */
 const RATE_MS = 500;
 /**
- * Time ahead in s for which retries are kept for more urgent classes. With 1 s, the most urgent rank is allowed 1.26 times as
- * many retries as with first come, first served; with 2 s, 1.36 times. Longer, more of what is kept is never used.
+ * Time ahead in s for which retries are kept for more urgent classes. A shorter one leaves the most urgent too little of a budget
+ * that is nearly used up; with a longer one, more of what is kept is never used.
  */
 const AHEAD_S = 2;
 /** Rate per second below which retries count as not requested, since a decaying mean never reaches 0. */
--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -40,7 +40,7 @@
   readonly learnedAt: number;
   /** Prompt tokens granted so far. */
   readonly totalTokens: number;
-  /** Prompts that count as being read. */
+  /** Prompts granted in the last {@link KEPT_MS}. */
   readonly reads: readonly Read[];
   /** Exponentially decaying sum of the prompt tokens granted, at `recentAt`. */
   readonly recentTokens: number;
@@ -125,7 +125,7 @@
 const MIN_READS = 8;
 /** Factor of a slow spell that is counted at most. */
 const MAX_SLOWNESS = 5;
-/** Milliseconds for which prompts are kept; a slow spell is a small part of that. */
+/** Milliseconds for which granted prompts are kept; a slow spell is a small part of that. */
 const KEPT_MS = 5000;
 /** Time constant in ms of the decay of the prefill that counts as recent. */
 const RECENT_MS = 1000;
--- a/src/serving/spread/call-latency.ts
+++ b/src/serving/spread/call-latency.ts
@@ -17,7 +17,7 @@
 /** Latency assumed where no endpoint of the service was called, in milliseconds. */
 const DEFAULT_CALL_MS = 50;
 
-/** The latencies that this host measured at an endpoint. */
+/** The latencies of this host's calls to an endpoint. */
 type Measured = Pick<choice.View, "latencyMs" | "latencyAgeMs">;
 
 /** Part of a mean latency that still holds `ageMs` after the last call. */
