Log how each answer's end is marked, and what a stream has left after its last event

Cause: three hypotheses for streams that reached their callers as complete though they were cut can't be told apart; the log of a request that ended as whole says neither how its answer was framed nor whether bytes of an unfinished event were left. Change: 'framing' and 'restBytes' in 'A request has ended.' and 'A send failed.'; sumacfield_answer_ends_total by framing and end. No logic changes.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -139,6 +139,8 @@
       newsMs: p.catalogAgeMs,
       sentMs: p.firstSentAt === undefined ? undefined : Math.round(p.firstSentAt - req.arrivedAt),
       firstMs,
+      framing: p.framing,
+      restBytes: p.restBytes,
       pauseMs: p.pauseMs,
       writeMs: p.writeMs,
       tookMs,
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as admission from "./admission.js";
+import type * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as headers from "./headers.js";
 import type * as metrics from "./metrics.js";
@@ -94,6 +95,10 @@
   releaseMs: number | undefined;
   /** Monotonic ms at which the first event or the whole answer was passed on. */
   firstByteAt: number | undefined;
+  /** How the end of the latest answer is marked; undefined before the first answer. */
+  framing: framings.Framing | undefined;
+  /** Bytes that the latest stream has after its last whole event, once it has ended. */
+  restBytes: number | undefined;
   /** Longest pause in ms between two events as they arrived; 0 before the second one. */
   pauseMs: number;
   /** Longest time in ms that the caller's connection took to accept what had arrived. */
@@ -139,6 +144,8 @@
     booked: undefined,
     releaseMs: undefined,
     firstByteAt: undefined,
+    framing: undefined,
+    restBytes: undefined,
     pauseMs: 0,
     writeMs: 0,
     firstSentAt: undefined,
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -173,6 +173,8 @@
       case "answer":
         this.recordNotice(send, result.notice, result.status < FIRST_FAILURE_STATUS);
         p.runs++;
+        p.framing = result.framing;
+        p.restBytes = undefined;
         return this.relay(send, result);
     }
   }
@@ -272,6 +274,8 @@
       endpoint: send.endpoint.id,
       send: p.sends,
       underWayMs: Math.round(p.queuedAt - send.sentAt),
+      framing: p.framing,
+      restBytes: p.restBytes,
       why: p.why,
     });
     if (catalog.isRepeatable(req.route)) return undefined;
@@ -314,8 +318,10 @@
       body = await exchange.readAll(result.body, MAX_ANSWER_BYTES, readAnswer, isSuperseded);
     } catch (err) {
       res.dropAnswer?.();
+      this.deps.metrics.recordAnswerEnd(result.framing, "broken");
       return this.handleLostConnection(send, errors.messageOf(err));
     }
+    this.deps.metrics.recordAnswerEnd(result.framing, "ended");
     if (p.hasResponseBegun) {
       res.dropAnswer?.();
       return this.handleBroken(send, `status ${result.status} instead of the rest of a stream`);
@@ -365,9 +371,16 @@
       });
     } catch (err) {
       this.recordTiming(send);
+      p.restBytes = splitter.remainder().length;
+      this.deps.metrics.recordAnswerEnd(result.framing, "broken");
       return this.handleLostConnection(send, errors.messageOf(err));
     }
     this.recordTiming(send);
+    p.restBytes = splitter.remainder().length;
+    this.deps.metrics.recordAnswerEnd(
+      result.framing,
+      p.restBytes > 0 ? "ended_within_event" : "ended",
+    );
     if (!p.hasResponseBegun) res.writeHead(result.status, result.headers);
     if (splitter.remainder().length > 0) void res.write(splitter.remainder());
     this.settle(send, "whole", true);
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -5,6 +5,7 @@
 import type * as net from "node:net";
 import * as undici from "undici";
 import * as errors from "../host/errors.js";
+import * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
 import * as exchange from "./exchange.js";
@@ -19,6 +20,7 @@
       readonly kind: "answer";
       readonly status: number;
       readonly headers: headers.Headers;
+      readonly framing: framings.Framing;
       readonly body: exchange.Body;
       readonly notice: notices.Notice;
     }
@@ -174,7 +176,8 @@
       body.abort();
       return { kind: "unknown", why: "the answer carries no signature" };
     }
-    return { kind: "answer", status, headers, body, notice };
+    const framing = framings.framingOf(req.method, status, headers);
+    return { kind: "answer", status, headers, framing, body, notice };
   }
 
   /**
--- a/test/serving/overload/plain-workers.ts
+++ b/test/serving/overload/plain-workers.ts
@@ -208,6 +208,7 @@
       },
       abort: () => undefined,
     };
-    return { kind: "answer", status, headers: { "test-signed": e.id }, body, notice };
+    const headers = { "test-signed": e.id };
+    return { kind: "answer", status, headers, framing: "length", body, notice };
   }
 }
