Test that a stream which ends with its connection is never passed on as complete when it is cut

Real daemons before two stand-in engines whose answers have neither a length nor chunks: 7 of 12 resumable streams and all that must not be resumed reached their callers as complete though they were cut inside an event; so did all of 12 to callers with HTTP/1.0; and a request that crashes its workers with a normal close got 200 in four of eight tries, and was not quarantined.

The stand-in workers can send such answers, and crash or break off in the middle of them.

--- a/bench/platform/worker-base.ts
+++ b/bench/platform/worker-base.ts
@@ -27,7 +27,7 @@
   /** Leaves some orders unanswered and carries them out later. */
   | "late";
 
-/** Share of its requests or orders that a faulty worker treats wrongly. */
+/** Share of its requests or orders that a faulty worker treats wrongly, unless set otherwise. */
 const FAULTY_SHARE = 0.4;
 /** Share of its requests that a worker rejects while it sheds load, unless set otherwise. */
 const DEFAULT_SHED_SHARE = 0.9;
@@ -56,6 +56,10 @@
   leaving = false;
   /** Pause in seconds that it asks for when it sheds a request; undefined for none. */
   pauseS: number | undefined;
+  /** Share of its requests or orders that it treats wrongly while it has a fault. */
+  faultyShare = FAULTY_SHARE;
+  /** How the end of its answers is marked: as Node.js does by default, or by the end of the connection alone. */
+  framing: "default" | "close" = "default";
   /** Share of its requests that it rejects while it sheds load. */
   shedPart = DEFAULT_SHED_SHARE;
   /** Instance id that it reports; a worker that restarts may keep the id that it had before. */
@@ -91,7 +95,7 @@
   protected abstract answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void>;
 
   protected isFaultyTurn(): boolean {
-    return Math.random() < FAULTY_SHARE;
+    return Math.random() < this.faultyShare;
   }
 
   protected reject(res: http.ServerResponse, status: number, id: string): void {
@@ -173,8 +177,13 @@
   }
 
   /** Crashes the worker if the body contains {@link CRASH_MARKER}. Returns whether it crashed. */
-  protected async crashIfFatal(run: journals.Run, body: string): Promise<boolean> {
+  protected async crashIfFatal(
+    run: journals.Run,
+    body: string,
+    res: http.ServerResponse,
+  ): Promise<boolean> {
     if (!body.includes(CRASH_MARKER)) return false;
+    if (this.framing === "close") this.beginAnswer(res, run);
     await timers.setTimeout(CRASH_DELAY_MS);
     if (this.hasCrashed) return true;
     this.hasCrashed = true;
@@ -184,6 +193,25 @@
     return true;
   }
 
+  /** Sends the beginning of an answer that the crash of its worker will break off. */
+  protected beginAnswer(res: http.ServerResponse, run: journals.Run): void {
+    this.writeHead(res, 200, this.signatureHeaders(run.id));
+    res.write("x");
+  }
+
+  /** Sends the head of an answer whose length is not known, in the framing of this worker. */
+  protected writeHead(
+    res: http.ServerResponse,
+    status: number,
+    headers: http.OutgoingHttpHeaders,
+  ): void {
+    if (this.framing === "close") {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+    }
+    res.writeHead(status, headers);
+  }
+
   /** Sends a second response, which belongs to no request, after this one. */
   protected sendExtraResponse(res: http.ServerResponse): void {
     const { socket } = res;
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -169,7 +169,7 @@
       h.runs--;
       this.unloadIfIdle(adapter);
     });
-    if (await this.crashIfFatal(run, body)) return;
+    if (await this.crashIfFatal(run, body, res)) return;
     await this.stream(run, req, res);
   }
 
@@ -192,7 +192,10 @@
       return;
     }
     if (behavior === "doubling" && bad) this.sendExtraResponse(res);
-    res.writeHead(200, { ...this.signatureHeaders(run.id), "content-type": "text/event-stream" });
+    this.writeHead(res, 200, {
+      ...this.signatureHeaders(run.id),
+      "content-type": "text/event-stream",
+    });
     const usual =
       run.adapter === this.slowAdapter?.adapter ? this.slowAdapter.eventMs : this.eventMs;
     const ms = usual * (behavior === "slow" ? SLOW_FACTOR : 1);
@@ -238,7 +241,7 @@
       return;
     }
     const run = this.recordRun(req, res, "", 0);
-    if (await this.crashIfFatal(run, body)) return;
+    if (await this.crashIfFatal(run, body, res)) return;
     const { behavior } = this;
     const bad = behavior !== "well" && this.isFaultyTurn();
     if (behavior === "hanging" && bad) return;
@@ -251,11 +254,14 @@
     const status = behavior === "failing" && bad ? 500 : 200;
     const text = answerText(run.id, body);
     if (behavior === "doubling" && bad) this.sendExtraResponse(res);
-    res.writeHead(status, { ...this.signatureHeaders(id), "content-length": text.length });
+    const length = this.framing === "close" ? {} : { "content-length": text.length };
+    this.writeHead(res, status, { ...this.signatureHeaders(id), ...length });
     if (behavior === "breaking" && bad) {
       res.write(text.slice(0, 3));
       await timers.setTimeout(1);
-      res.destroy();
+      // Without a length, only a reset tells a plain answer that is broken off from a complete one.
+      if (this.framing === "close") res.socket?.resetAndDestroy();
+      else res.destroy();
       return;
     }
     res.end(text);
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -76,6 +76,8 @@
   private readonly leaving = new Set<string>();
   private hosts = 0;
   private stopped = false;
+  /** How new workers mark the end of their answers. */
+  framing: workers.Engine["framing"] = "default";
   /** Called when a request has crashed a worker. */
   onWorkerCrash: (instance: string) => void = () => undefined;
 
@@ -240,8 +242,13 @@
   }
 
   private createInstance(instance: string, engine: boolean): workers.Engine | workers.Plain {
-    if (!engine) return new workers.Plain(PLAIN, instance, this.journal);
+    if (!engine) {
+      const plain = new workers.Plain(PLAIN, instance, this.journal);
+      plain.framing = this.framing;
+      return plain;
+    }
     const worker = new workers.Engine(ENGINES, instance, this.journal, SLOTS, this.newest);
+    worker.framing = this.framing;
     worker.eventMs = EVENT_MS;
     worker.slowAdapter = { adapter: SLOW_ADAPTER, eventMs: SLOW_EVENT_MS };
     return worker;
--- /dev/null
+++ b/test/platform/stream-ends.test.ts
@@ -0,0 +1,185 @@
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as documents from "../../bench/platform/documents.js";
+import * as bases from "../../bench/platform/worker-base.js";
+import * as workers from "../../bench/platform/worker.js";
+import * as soak from "../../bench/soak/site.js";
+import * as asking from "./asking.js";
+
+const { expect } = chai;
+
+const MAIN = path.join(import.meta.dirname, "../../deploy/launch.cjs");
+const REQUESTS = 12;
+
+/** What the caller of a stream received, and how its connection ended; the body is decoded if it came in chunks. */
+interface Received {
+  readonly status: number;
+  readonly body: string;
+  readonly end: "complete" | "cut";
+}
+
+/** Sends a stream request over a raw connection, so that the framing and the end of the answer show. */
+function receive(
+  address: string,
+  version: "1.0" | "1.1",
+  prefix: string,
+  id: string,
+): Promise<Received> {
+  const at = address.lastIndexOf(":");
+  const socket = net.connect(Number(address.slice(at + 1)), address.slice(0, at));
+  const head = [
+    `POST ${prefix}x HTTP/${version}`,
+    `host: ${documents.HOST}`,
+    `x-sumacfield-attempt-id: ${id}`,
+    "x-sumacfield-deadline-ms: 3000",
+    "x-sumacfield-model: m/a1",
+    "x-sumacfield-token-usage: 100,10",
+    "connection: close",
+    "content-length: 1",
+  ];
+  socket.write(`${head.join("\r\n")}\r\n\r\nx`);
+  return new Promise((resolve) => {
+    let text = "";
+    socket.on("data", (chunk) => (text += chunk.toString()));
+    socket.on("error", () => undefined);
+    socket.on("close", (hadError) => {
+      const split = text.indexOf("\r\n\r\n");
+      const head = text.slice(0, split).toLowerCase();
+      const rest = text.slice(split + 4);
+      const status = Number(/^http\/1\.1 (\d+)/.exec(head)?.[1] ?? 0);
+      if (!head.includes("transfer-encoding: chunked")) {
+        const length = Number(/content-length: (\d+)/.exec(head)?.[1] ?? rest.length);
+        const isCut = hadError || rest.length < length;
+        resolve({ status, body: rest, end: isCut ? "cut" : "complete" });
+        return;
+      }
+      const end = rest.endsWith("0\r\n\r\n") ? "complete" : "cut";
+      resolve({ status, body: rest.replaceAll(/[0-9a-f]+\r\n((?:.|\n)*?)\r\n/g, "$1"), end });
+    });
+  });
+}
+
+function wholeStream(id: string): string {
+  const ids = Array.from({ length: workers.EVENTS_PER_STREAM }, (_, i) => i + 1);
+  return ids.map((n) => workers.eventText(id, "a1", 1, n)).join("");
+}
+
+describe("a stream that ends with its connection", () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
+  const faults: string[] = [];
+  const site = new soak.Site({ entries: 2, engines: 2, plain: 1 }, MAIN, folder, (what) =>
+    faults.push(what),
+  );
+  const engines = (): readonly workers.Engine[] =>
+    site.places.flatMap(({ worker }) => (worker instanceof workers.Engine ? [worker] : []));
+
+  /** Sends requests one after the other to the entry hosts in turn; returns what each received. */
+  async function receiveAll(version: "1.0" | "1.1", prefix: string): Promise<readonly Received[]> {
+    const all: Received[] = [];
+    for (let n = 0; n < REQUESTS; n++) {
+      const address = site.entries[n % site.entries.length]?.callers ?? "";
+      all.push(await receive(address, version, prefix, `r${version}${prefix}${n}`));
+    }
+    return all;
+  }
+
+  /** Indices of the answers that look complete but are not. */
+  function falselyComplete(
+    all: readonly Received[],
+    version: "1.0" | "1.1",
+    prefix: string,
+  ): readonly number[] {
+    return all.flatMap(({ status, body, end }, n) =>
+      status === 200 && end === "complete" && body !== wholeStream(`r${version}${prefix}${n}`)
+        ? [n]
+        : [],
+    );
+  }
+
+  function setBehavior(behavior: bases.Behavior, faultyShare: number): void {
+    for (const e of engines()) Object.assign(e, { behavior, faultyShare });
+  }
+
+  async function untilServed(): Promise<void> {
+    for (let n = 0, served = 0; served < 4; n++) {
+      if (n > 200) throw new Error("it was not served");
+      const id = `ordinary${performance.now()}`;
+      const status = await asking.requestStatus(site, {
+        id,
+        entry: n,
+        prefix: "/s/",
+        body: "x",
+        adapter: "a1",
+      });
+      served = status === 200 ? served + 1 : 0;
+      await timers.setTimeout(20);
+    }
+  }
+
+  before(async () => {
+    site.framing = "close";
+    await site.start();
+    await untilServed();
+  });
+
+  afterEach(() => {
+    setBehavior("well", 1);
+  });
+
+  after(async () => {
+    await site.stop();
+    fs.rmSync(folder, { recursive: true });
+  });
+
+  it("reaches its caller complete when the connection closes between two events", async () => {
+    const all = await receiveAll("1.1", "/o/");
+    expect(all.map((a) => a.end)).deep.equal(all.map(() => "complete"));
+    expect(falselyComplete(all, "1.1", "/o/")).deep.equal([]);
+  });
+
+  it("reaches no caller as complete when a normal close cuts it inside an event", async () => {
+    setBehavior("breaking", 0.5);
+    const resumable = await receiveAll("1.1", "/s/");
+    setBehavior("breaking", 1);
+    const single = await receiveAll("1.1", "/o/");
+    expect(falselyComplete(resumable, "1.1", "/s/")).deep.equal([]);
+    expect(falselyComplete(single, "1.1", "/o/")).deep.equal([]);
+    expect(single.map((a) => a.end)).deep.equal(single.map(() => "cut"));
+  }).timeout(30_000);
+
+  it("reaches no HTTP/1.0 caller as complete when it is cut", async () => {
+    setBehavior("breaking", 1);
+    const all = await receiveAll("1.0", "/o/");
+    expect(falselyComplete(all, "1.0", "/o/")).deep.equal([]);
+    expect(all.map((a) => a.end)).deep.equal(all.map(() => "cut"));
+  }).timeout(30_000);
+
+  it("is sent to no worker after three that it crashed closed their connections normally", async () => {
+    const statuses: number[] = [];
+    const askFatal = async (n: number): Promise<number> =>
+      asking
+        .requestStatus(site, {
+          id: `fatal${n}`,
+          entry: n,
+          prefix: "/s/",
+          body: bases.CRASH_MARKER,
+          adapter: "a1",
+        })
+        // A stream that is visibly broken off has no status of its own here.
+        .catch(() => 0);
+    for (let n = 0; n < 8; n++) {
+      statuses.push(await askFatal(n));
+      await timers.setTimeout(soak.BACK_MS / 4);
+    }
+    await timers.setTimeout(soak.BACK_MS);
+    await untilServed();
+    expect(statuses).not.include(200);
+    expect([await askFatal(8), await askFatal(9)]).deep.equal([503, 503]);
+    expect(site.journal.crashes.length).within(1, 3);
+    expect(faults).deep.equal([]);
+  }).timeout(40_000);
+});
