--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -10,7 +10,7 @@
 import type * as choice from "./choice.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as ending from "./ending.js";
-import * as eventSplitter from "./event-splitter.js";
+import * as eventSplitter from "./answers/event-splitter.js";
 import * as streamClock from "./pacing/stream-clock.js";
 import * as exchange from "./exchange.js";
 import * as identity from "./identity.js";
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -5,7 +5,7 @@
 import * as backlog from "../../src/serving/backlog.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as choice from "../../src/serving/choice.js";
-import * as eventSplitter from "../../src/serving/event-splitter.js";
+import * as eventSplitter from "../../src/serving/answers/event-splitter.js";
 import * as retryBudget from "../../src/serving/retry-budget.js";
 import * as loadHistory from "../../src/serving/load-history.js";
 import * as prefillSpeed from "../../src/serving/prefill-speed.js";
