Check a worker for a crash again if the last check began before the connection broke

Callers saw a request that crashes its workers run on four and five of them in the new test of streams that end with their connection, where three are accepted. Cause: the result of a check was shared for 500 ms, also with connections that broke after it; a worker that had broken off one answer and crashed under another within that time counted as alive. Change: a check serves those whose connections broke before it began; later ones share the next. A refusal counts for all, since an incarnation never listens again. Two of the three tests failed before; all pass.

--- a/src/serving/crash-check.ts
+++ b/src/serving/crash-check.ts
@@ -15,29 +15,48 @@
  * says nothing about the process. A request that may be sent on waits for the result.
  */
 const CONNECT_TIMEOUT_MS = 150;
-/** Milliseconds for which a result is shared by all requests that broke off at the same time. */
-const CACHE_MS = 500;
+/** Milliseconds for which a crash found is shared; the worker may have started again at its address meanwhile. */
+const CRASHED_MS = 500;
 const REFUSED = "ECONNREFUSED";
 
-/** Checks workers for crashes and shares the results for a short time. */
+/** Checks workers for crashes, with one connection attempt for all whose connections broke before it. */
 export class CrashCheck {
-  private readonly results = new Map<string, Promise<boolean>>();
+  private readonly running = new Map<string, Promise<boolean>>();
+  /** Checks that begin when the running one has ended. */
+  private readonly next = new Map<string, Promise<boolean>>();
+  private readonly crashed = new Set<string>();
 
   constructor(private readonly clk: clock.Clock) {}
 
   /**
-   * Whether nothing listens any more at an endpoint's address; concurrent callers share one
-   * connection attempt.
+   * Whether nothing listens any more at an endpoint's address. A check that began earlier may have connected before the crash,
+   * so only its refusal counts.
    */
   hasCrashed(e: catalog.Endpoint): Promise<boolean> {
-    const known = this.results.get(e.id);
-    if (known) return known;
-    const result = refuses(e.address, this.clk);
-    this.results.set(e.id, result);
-    this.clk.after(CACHE_MS, () => {
-      this.results.delete(e.id);
+    if (this.crashed.has(e.id)) return Promise.resolve(true);
+    const running = this.running.get(e.id);
+    if (!running) return this.start(e);
+    const next =
+      this.next.get(e.id) ??
+      running.then((hasCrashed) => {
+        this.next.delete(e.id);
+        return hasCrashed || this.start(e);
+      });
+    this.next.set(e.id, next);
+    return next;
+  }
+
+  private async start(e: catalog.Endpoint): Promise<boolean> {
+    const check = refuses(e.address, this.clk);
+    this.running.set(e.id, check);
+    const hasCrashed = await check;
+    this.running.delete(e.id);
+    if (!hasCrashed) return false;
+    this.crashed.add(e.id);
+    this.clk.after(CRASHED_MS, () => {
+      this.crashed.delete(e.id);
     });
-    return result;
+    return true;
   }
 }
 
--- /dev/null
+++ b/test/serving/crash-check.test.ts
@@ -0,0 +1,45 @@
+import * as net from "node:net";
+import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
+import * as crashCheck from "../../src/serving/crash-check.js";
+import * as fixtures from "./fixtures.js";
+
+const { expect } = chai;
+
+describe("the check for a crash", () => {
+  it("finds a crash right after another connection of the worker broke", async () => {
+    const worker = await fixtures.worker((_req, res) => res.end());
+    const e = fixtures.endpoint("e", worker.address);
+    const check = new crashCheck.CrashCheck(clock.system);
+    expect(await check.hasCrashed(e)).equal(false);
+    worker.close();
+    expect(await check.hasCrashed(e)).equal(true);
+  });
+
+  it("finds a crash while an earlier check is under way", async () => {
+    const worker = await fixtures.worker((_req, res) => res.end());
+    const e = fixtures.endpoint("e", worker.address);
+    const check = new crashCheck.CrashCheck(clock.system);
+    const before = check.hasCrashed(e);
+    // The attempt is in the listener's queue, so it connects though the worker is gone when it is told.
+    await new Promise((resolve) => setImmediate(resolve));
+    worker.close();
+    const after = [check.hasCrashed(e), check.hasCrashed(e)];
+    expect(await Promise.all([before, ...after])).deep.equal([false, true, true]);
+  });
+
+  it("still knows of a crash when another worker listens at the address", async () => {
+    const worker = await fixtures.worker((_req, res) => res.end());
+    const e = fixtures.endpoint("e", worker.address);
+    worker.close();
+    const check = new crashCheck.CrashCheck(clock.system);
+    expect(await check.hasCrashed(e)).equal(true);
+    const successor = net.createServer();
+    await new Promise<void>((resolve) => {
+      successor.listen(Number(worker.address.split(":")[1]), "127.0.0.1", resolve);
+    });
+    const again = await check.hasCrashed(e);
+    successor.close();
+    expect(again).equal(true);
+  });
+});
