Take a stream that ends inside an event as cut, whatever framed its end

Callers saw 200, the worker's signature and a properly ended response with a short body: a stream of a worker that had been broken off reached them as complete. Cause: the sender took the end of the connection for the end of the answer. An answer with neither a length nor chunks ends with its connection, and a worker that breaks off closes it normally; what was left after the last whole event was passed on, and the response ended. The run was settled as whole, and cleared a request that crashes its workers of suspicion. Change: whether an answer is complete is a value of its own, with its evidence (answers/completeness). A stream must end between two events in any framing; one that closes before its first event proves nothing. Only 'whole' can end a caller's response: 'end' takes the proof as its argument. Nothing of an unfinished event is passed on, so a run that continues the stream joins without a seam; where a part of an event too long to be held back was passed on, no run continues it. Lines may end with CR, LF or CRLF.

--- /dev/null
+++ b/bench/red/answer-switches.ts
@@ -0,0 +1,36 @@
+/**
+ * Mechanisms that tell a complete answer from one that is cut, each with the test that fails without it.
+ * @module
+ */
+import type * as switches from "./switches.js";
+
+export const ANSWER_SWITCHES: readonly switches.Switch[] = [
+  {
+    name: "answers: a stream that ends inside an event is cut",
+    file: "serving/answers/completeness.js",
+    find: "if (end.isInsideEvent)",
+    put: "if (false)",
+    proof: "without length or chunks whose connection closes inside an event",
+  },
+  {
+    name: "answers: a connection closed before the first event proves nothing",
+    file: "serving/answers/completeness.js",
+    find: "!end.hasEvent",
+    put: "false",
+    proof: "does not take a connection closed before the first event for a whole stream",
+  },
+  {
+    name: "answers: no run continues an event of which a part was passed on",
+    file: "serving/sending.js",
+    find: "p.isEventOpen = e.isPartial;",
+    put: "",
+    proof: "joins no other run to an event of which only a part was passed on",
+  },
+  {
+    name: "answers: a worker is checked for a crash after its connection broke, not before",
+    file: "serving/crash-check.js",
+    find: "return hasCrashed || this.start(e);",
+    put: "return hasCrashed;",
+    proof: "finds a crash while an earlier check is under way",
+  },
+];
--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -6,6 +6,7 @@
 import * as child from "node:child_process";
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
+import * as answerSwitches from "./answer-switches.js";
 import * as hedgingSwitches from "./hedging-switches.js";
 import * as limiterSwitches from "./limiter-switches.js";
 import * as pacingSwitches from "./pacing-switches.js";
@@ -90,6 +91,7 @@
 const all = [
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
+  ...answerSwitches.ANSWER_SWITCHES,
   ...hedgingSwitches.HEDGING_SWITCHES,
   ...pacingSwitches.PACING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -7,6 +7,7 @@
 import * as prom from "prom-client";
 import * as addresses from "../host/address.js";
 import * as errors from "../host/errors.js";
+import type * as completeness from "./answers/completeness.js";
 import type * as framings from "./answers/framing.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as memoryBudget from "./buffering/memory-budget.js";
@@ -34,9 +35,6 @@
  */
 export type HedgeOutcome = "won" | "lost" | "failed" | "unsent";
 
-/** How the body of an answer came to its end: as its framing says, within an event of a stream, or by a broken connection. */
-export type AnswerEnd = "ended" | "ended_within_event" | "broken";
-
 /** Records the metrics of one daemon. */
 export interface Metrics {
   /** A request ended. `firstMs` is the time to the first byte of the response, if there was one. */
@@ -47,7 +45,10 @@
     tookMs: number,
   ) => void;
   /** The body of a worker's answer has come to its end. */
-  readonly recordAnswerEnd: (framing: framings.Framing, end: AnswerEnd) => void;
+  readonly recordAnswerEnd: (
+    framing: framings.Framing,
+    end: completeness.Completeness["kind"],
+  ) => void;
   /** A request of a service needed a retry. `from` is the budget that was charged; undefined if the retry was denied. */
   readonly recordRetry: (service: string, from: string | undefined) => void;
   /** A request of a route with this rank needed a retry. */
@@ -104,7 +105,7 @@
   );
   const answerEnds = counter(
     "sumacfield_answer_ends_total",
-    "Bodies of workers' answers, by how their end is marked and how they ended.",
+    "Bodies of workers' answers, by how their end is marked and whether they are complete.",
     "framing",
     "end",
   );
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as admission from "./admission.js";
+import type * as completeness from "./answers/completeness.js";
 import type * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as headers from "./headers.js";
@@ -32,7 +33,8 @@
   readonly isSuperseded?: () => boolean;
   /** Whether the daemon reset the caller's connection to free memory. */
   readonly wasReset?: () => boolean;
-  readonly end: () => void;
+  /** Ends the answer as complete, which `proof` shows it to be. */
+  readonly end: (proof: completeness.Whole) => void;
   /** Breaks off an answer that has begun, so that the caller does not take it for complete. */
   readonly abort: () => void;
   /** Sends a whole answer. */
@@ -81,6 +83,8 @@
   waitRatio: number | undefined;
   /** Id of the last event that was passed on, or that the caller has from an earlier attempt. */
   lastEventId: string | undefined;
+  /** Whether only a part of the last event was passed on, so that no other run can continue the stream. */
+  isEventOpen: boolean;
   /** Reason of the last failure, for the caller and the log. */
   why: string;
   /** Status of a refusal if the request did not run. */
@@ -137,6 +141,7 @@
     admissionDraw: undefined,
     waitRatio: undefined,
     lastEventId: a.meta.resumeAfter,
+    isEventOpen: false,
     why: "no endpoint is available",
     refusalStatus: 503,
     retryAfterMs: admission.DEFAULT_RETRY_AFTER_MS,
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -10,6 +10,7 @@
 import type * as choice from "./choice.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as ending from "./ending.js";
+import * as completeness from "./answers/completeness.js";
 import * as eventSplitter from "./answers/event-splitter.js";
 import * as streamClock from "./pacing/stream-clock.js";
 import * as exchange from "./exchange.js";
@@ -278,7 +279,7 @@
       restBytes: p.restBytes,
       why: p.why,
     });
-    if (catalog.isRepeatable(req.route)) return undefined;
+    if (catalog.isRepeatable(req.route) && !p.isEventOpen) return undefined;
     return ending.giveUp(this.deps.clock, req, res, p, false);
   }
 
@@ -304,9 +305,9 @@
     p.writeMs = Math.max(p.writeMs, Math.round(stream.writeMs));
   }
 
-  /** Whether the route's attempts and the limit on sends allow another send after one that ran. */
+  /** Whether the response so far, the route's attempts and the limit on sends allow another send after one that ran. */
   private mayResend(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
-    return p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
+    return !p.isEventOpen && p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
   }
 
   /** Reads an answer whole before any of it is passed on. */
@@ -318,10 +319,10 @@
       body = await exchange.readAll(result.body, MAX_ANSWER_BYTES, readAnswer, isSuperseded);
     } catch (err) {
       res.dropAnswer?.();
-      this.deps.metrics.recordAnswerEnd(result.framing, "broken");
+      this.deps.metrics.recordAnswerEnd(result.framing, "cut");
       return this.handleLostConnection(send, errors.messageOf(err));
     }
-    this.deps.metrics.recordAnswerEnd(result.framing, "ended");
+    this.deps.metrics.recordAnswerEnd(result.framing, "whole");
     if (p.hasResponseBegun) {
       res.dropAnswer?.();
       return this.handleBroken(send, `status ${result.status} instead of the rest of a stream`);
@@ -336,10 +337,30 @@
     return "passed_failure";
   }
 
-  /** Passes a stream on, one whole event at a time, without the events that the caller has already. */
+  /** Passes a stream on, and ends the caller's response if the stream is complete. */
   private async relayStream(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { res, p } = send;
     const splitter = new eventSplitter.EventSplitter();
+    const verdict = await this.passOnEvents(send, result, splitter);
+    p.restBytes = splitter.remainder().length;
+    this.recordTiming(send);
+    this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
+    if (verdict.kind !== "whole") return this.handleLostConnection(send, verdict.why);
+    if (!p.hasResponseBegun) res.writeHead(result.status, result.headers);
+    if (p.restBytes > 0) void res.write(splitter.remainder());
+    this.settle(send, "whole", true);
+    this.deps.suspects.recordCompletion(send.req);
+    res.end(verdict);
+    return "whole";
+  }
+
+  /** Passes on the whole events of a stream, without those that the caller has already. */
+  private async passOnEvents(
+    send: SendState,
+    result: Answer,
+    splitter: eventSplitter.EventSplitter,
+  ): Promise<completeness.Completeness> {
+    const { res, p } = send;
     const resumedAfter = p.lastEventId;
     let isFirst = true;
     try {
@@ -349,7 +370,8 @@
         for (const e of splitter.push(chunk)) {
           if (p.hasResponseBegun && resumedAfter !== undefined && wasPassedOn(e.id, resumedAfter))
             continue;
-          if (e.id !== undefined) p.lastEventId = e.id;
+          if (e.id !== undefined && !e.isPartial) p.lastEventId = e.id;
+          p.isEventOpen = e.isPartial;
           ready.push(e.bytes);
         }
         if (ready.length === 0) return undefined;
@@ -370,23 +392,13 @@
         });
       });
     } catch (err) {
-      this.recordTiming(send);
-      p.restBytes = splitter.remainder().length;
-      this.deps.metrics.recordAnswerEnd(result.framing, "broken");
-      return this.handleLostConnection(send, errors.messageOf(err));
+      return completeness.broken(errors.messageOf(err));
     }
-    this.recordTiming(send);
-    p.restBytes = splitter.remainder().length;
-    this.deps.metrics.recordAnswerEnd(
-      result.framing,
-      p.restBytes > 0 ? "ended_within_event" : "ended",
-    );
-    if (!p.hasResponseBegun) res.writeHead(result.status, result.headers);
-    if (splitter.remainder().length > 0) void res.write(splitter.remainder());
-    this.settle(send, "whole", true);
-    this.deps.suspects.recordCompletion(send.req);
-    res.end();
-    return "whole";
+    return completeness.ofStream(result.framing, {
+      isInsideEvent: splitter.isInsideEvent(),
+      hasEvent: splitter.hasEvent,
+      isResumed: resumedAfter !== undefined,
+    });
   }
 }
 
--- a/test/serving/crash-check.test.ts
+++ b/test/serving/crash-check.test.ts
@@ -21,8 +21,10 @@
     const e = fixtures.endpoint("e", worker.address);
     const check = new crashCheck.CrashCheck(clock.system);
     const before = check.hasCrashed(e);
-    // The attempt is in the listener's queue, so it connects though the worker is gone when it is told.
-    await new Promise((resolve) => setImmediate(resolve));
+    // By then the attempt is in the listener's queue, so it connects although the worker is gone.
+    await new Promise((resolve) => {
+      process.nextTick(resolve);
+    });
     worker.close();
     const after = [check.hasCrashed(e), check.hasCrashed(e)];
     expect(await Promise.all([before, ...after])).deep.equal([false, true, true]);
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -80,6 +80,34 @@
     );
   });
 
+  it("are inside an event at every cut but those between two, in any line ends", () => {
+    const line = fc.stringMatching(/^[a-z0-9 ]{0,9}$/);
+    const one = fc.record({ id: fc.nat(), data: line });
+    const lineEnd = fc.constantFrom("\n", "\r\n", "\r");
+    fc.assert(
+      fc.property(
+        fc.array(one, { minLength: 1, maxLength: 5 }),
+        lineEnd,
+        fc.nat(),
+        (list, end, at) => {
+          const texts = list.map(({ id, data }) => `id: ${id}${end}data: ${data}${end}${end}`);
+          const whole = texts.join("");
+          const cutAt = at % (whole.length + 1);
+          const cutter = new eventSplitter.EventSplitter();
+          const got = [...Buffer.from(whole.slice(0, cutAt))].flatMap((b) => [
+            ...cutter.push(Buffer.from([b])),
+          ]);
+          const lengths = texts.map((_, i) => texts.slice(0, i).join("").length);
+          const isBetween = [...lengths, whole.length].includes(cutAt);
+          expect(cutter.isInsideEvent()).equal(!isBetween);
+          expect(got.map((e) => e.bytes.toString()).join("")).equal(
+            isBetween ? whole.slice(0, cutAt) : texts.slice(0, got.length).join(""),
+          );
+        },
+      ),
+    );
+  });
+
   it("are held back until they are complete", () => {
     const cutter = new eventSplitter.EventSplitter();
     expect(cutter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"))).length(1);
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -81,6 +81,14 @@
 const SILENT_MS = 600;
 const IDEMPOTENT: catalog.Route = { ...fixtures.ROUTE, kind: "idempotent" };
 
+/** Starts a worker whose stream has neither a length nor chunks, and ends with its connection. */
+function rawStream(send: (socket: net.Socket) => void) {
+  return fixtures.rawWorker((socket) => {
+    socket.write("HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signed: 1\r\n\r\n");
+    send(socket);
+  });
+}
+
 function event(id: number): string {
   return `id: ${id}\ndata: x${id}\n\n`;
 }
@@ -248,6 +256,66 @@
     expect(seen.end).equal("whole");
   });
 
+  it("resumes a stream without length or chunks whose connection closes inside an event", async () => {
+    const breaks = await rawStream((s) => s.end(`${event(1)}id: 2\nda`));
+    const other = await rawStream((s) => s.end(`${event(2)}${event(3)}`));
+    const seen = await serve([breaks.address, other.address], { route: STREAM });
+    breaks.close();
+    other.close();
+    expect([seen.body, seen.end]).deep.equal([[1, 2, 3].map(event).join(""), "whole"]);
+  });
+
+  it("breaks off a stream in chunks that end properly inside an event", async () => {
+    const breaks = await fixtures.worker((_req, res) => {
+      res.writeHead(200, fixtures.good());
+      res.end(`${event(1)}id: 2\n`);
+    });
+    const route = { ...STREAM, resumable: false };
+    const seen = await serve([breaks.address], { route });
+    breaks.close();
+    expect([seen.body, seen.end]).deep.equal([event(1), "broken"]);
+  });
+
+  it("does not take a connection closed before the first event for a whole stream", async () => {
+    const breaks = await rawStream((s) => s.end());
+    const route = { ...STREAM, resumable: false };
+    const seen = await serve([breaks.address], { route });
+    breaks.close();
+    expect(seen.status).equal(502);
+  });
+
+  it("ends a resumed stream that has nothing left as complete", async () => {
+    const breaks = await rawStream((s) => {
+      s.write(event(1));
+      setTimeout(() => s.resetAndDestroy(), 20);
+    });
+    const other = await rawStream((s) => s.end());
+    const seen = await serve([breaks.address, other.address], { route: STREAM });
+    breaks.close();
+    other.close();
+    expect([seen.body, seen.end]).deep.equal([event(1), "whole"]);
+  });
+
+  it("joins no other run to an event of which only a part was passed on", async () => {
+    const long = `id: 2\ndata: ${"x".repeat(1_500_000)}`;
+    const breaks = await rawStream((s) => s.end(`${event(1)}${long}`));
+    const other = await rawStream((s) => s.end(`${event(2)}${event(3)}`));
+    const seen = await serve([breaks.address, other.address], { route: STREAM });
+    breaks.close();
+    other.close();
+    expect(`${event(1)}${long}`.startsWith(seen.body)).equal(true);
+    expect(seen.end).equal("broken");
+  });
+
+  it("passes on an event that is too long to be held back, and comments after the last one", async () => {
+    const body = `${event(1)}id: 2\ndata: ${"x".repeat(1_500_000)}\n\n${event(3)}: end\n`;
+    const worker = await rawStream((s) => s.end(body));
+    const seen = await serve([worker.address], { route: { ...STREAM, resumable: false } });
+    worker.close();
+    expect(seen.body === body).equal(true);
+    expect(seen.end).equal("whole");
+  });
+
   it("breaks off a stream that must not be resumed, instead of ending it as if complete", async () => {
     const breaks = await fixtures.worker((_req, res) => {
       res.writeHead(200, fixtures.good());
