Break off a response without chunks by a reset

Cause: a response that had begun was broken off with destroy, which closes the connection normally; where the response has neither a length nor chunks, that is its end. Change: one function breaks off a response (host/response); it resets the connection of one without chunks. Every place that gave up a begun response uses it: the callers' servers of both ways, the endpoint daemon's, and failures after the head. The memory budget's reset shares its lower part.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -33,4 +33,11 @@
     put: "return hasCrashed;",
     proof: "finds a crash while an earlier check is under way",
   },
+  {
+    name: "answers: a response without chunks is broken off by a reset",
+    file: "host/response.js",
+    find: "!res.chunkedEncoding",
+    put: "false",
+    proof: "resets the connection of an HTTP/1.0 client, for which a close would be its end",
+  },
 ];
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -499,7 +499,7 @@
   {
     name: "memory: an ended stream is reset",
     file: "serving/buffering/hold.js",
-    find: "socket.resetAndDestroy();",
+    find: "responses.resetConnection(this.req.socket);",
     put: "this.res.end();",
     proof: "that stops reading for longer has its connection reset, and what it held is free",
   },
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -99,8 +99,8 @@
   {
     name: "an answer cut on the link between daemons is cut for its caller",
     file: "entry/server.js",
-    find: "() => res.destroy());",
-    put: "() => res.end());",
+    find: "() => {\n                responses.breakOff(res);\n            });\n            return;",
+    put: "() => res.end());\n            return;",
     proof: "the endpoint daemon is killed in the middle of a stream",
   },
   {
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -6,6 +6,7 @@
 import type * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
 import * as log from "../host/log.js";
+import * as responses from "../host/response.js";
 import * as body from "../link/body.js";
 import type * as keys from "../link/keys.js";
 import * as pump from "../link/pump.js";
@@ -55,7 +56,7 @@
     }
     handleAttempt(opts, deps, req, res).catch((err: unknown) => {
       deps.log.error(`Handling an attempt failed unexpectedly: ${errors.messageOf(err)}`);
-      res.destroy();
+      responses.breakOff(res);
     });
   });
   server.on("clientError", body.sendUnreadableRequest);
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -11,6 +11,7 @@
 import type * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
 import * as log from "../host/log.js";
+import * as responses from "../host/response.js";
 import type * as statsdMetrics from "../host/statsd-metrics.js";
 import * as body from "../link/body.js";
 import * as keys from "../link/keys.js";
@@ -87,7 +88,7 @@
       });
       handle(opts, deps, req, res, inFlight).catch((err: unknown) => {
         deps.log.error(`Unexpected error while handling a request: ${errors.messageOf(err)}`);
-        res.destroy();
+        responses.breakOff(res);
       });
     },
   );
@@ -380,7 +381,9 @@
     if (work.kind === "model" && work.stream && !res.destroyed) {
       // Send the error event, but not the end of the body, so that no client takes the answer for
       // complete.
-      res.write(`data: ${JSON.stringify(outcome.toBody(f))}\n\n`, () => res.destroy());
+      res.write(`data: ${JSON.stringify(outcome.toBody(f))}\n\n`, () => {
+        responses.breakOff(res);
+      });
       return;
     }
     throw new outcome.StepError(f);
--- a/src/link/body.ts
+++ b/src/link/body.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import type * as stream from "node:stream";
+import * as responses from "../host/response.js";
 import * as outcome from "../request/outcome.js";
 import * as wire from "./wire.js";
 
@@ -75,12 +76,12 @@
 }
 
 /**
- * Answers with a failure. If a response has already begun, destroys the connection, so that the client
- * cannot mistake the partial response for a complete one.
+ * Answers with a failure. If a response has already begun, breaks it off, so that the client cannot mistake the
+ * partial response for a complete one.
  */
 export function sendFailure(res: http.ServerResponse, f: outcome.Failure): void {
   if (res.headersSent) {
-    res.destroy();
+    responses.breakOff(res);
     return;
   }
   const text = JSON.stringify(outcome.toBody(f));
--- a/src/serving/buffering/hold.ts
+++ b/src/serving/buffering/hold.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import * as responses from "../../host/response.js";
 import * as byteQueue from "./byte-queue.js";
 import type * as memory from "./memory.js";
 import * as memoryBudget from "./memory-budget.js";
@@ -201,11 +202,8 @@
       return;
     }
     this.wasReset = true;
-    const { socket } = this.req;
-    // A normal close would look like the end of an answer without a length. A socket whose writing side was ended has
-    // passed everything on, and cannot be reset any more.
-    if (socket.writableEnded) socket.destroy();
-    else socket.resetAndDestroy();
+    // Frees at once what the connection still holds, and looks like no end of an answer without a length.
+    responses.resetConnection(this.req.socket);
     this.close();
   }
 
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as clock from "../host/clock.js";
+import * as responses from "../host/response.js";
 import type * as hold from "./buffering/hold.js";
 import * as headers from "./headers.js";
 import type * as lagMonitor from "./overload/lag-monitor.js";
@@ -68,7 +69,7 @@
       held.end();
     },
     abort: () => {
-      res.destroy();
+      responses.breakOff(res);
     },
     sendWhole: (status, received, body) => {
       const length = req.method === "HEAD" ? {} : { "content-length": body.length };
@@ -80,7 +81,7 @@
     },
     refuse: (status, message, comeBackMs) => {
       if (res.headersSent || res.destroyed) {
-        res.destroy();
+        responses.breakOff(res);
         return;
       }
       const text = JSON.stringify({ error: message });
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import * as clock from "../host/clock.js";
+import * as responses from "../host/response.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as authentication from "./authentication.js";
 import * as bodyReader from "./buffering/body-reader.js";
@@ -161,7 +162,7 @@
       this.deps.log.error("A request handler failed.", {
         why: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
-      res.destroy();
+      responses.breakOff(res);
     });
   }
 
--- /dev/null
+++ b/test/response.test.ts
@@ -0,0 +1,62 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as chai from "chai";
+import * as responses from "../src/host/response.js";
+
+const { expect } = chai;
+
+/** Sends raw bytes to a server with this handler; returns what came back, and whether the connection was reset. */
+async function exchange(
+  handler: http.RequestListener,
+  bytes: string,
+): Promise<{ readonly text: string; readonly isReset: boolean }> {
+  const server = http.createServer(handler);
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const socket = net.connect(port, "127.0.0.1");
+  socket.write(bytes);
+  try {
+    return await new Promise((resolve) => {
+      let text = "";
+      socket.on("data", (part) => (text += part.toString()));
+      socket.on("error", () => undefined);
+      socket.on("close", (isReset) => {
+        resolve({ text, isReset });
+      });
+    });
+  } finally {
+    server.close();
+    server.closeAllConnections();
+  }
+}
+
+describe("a response that is broken off", () => {
+  const breakAfterPart: http.RequestListener = (_req, res) => {
+    res.writeHead(200);
+    res.write("part");
+    // Later than the bytes: Node.js takes a reset that arrives together with them for an end.
+    setTimeout(() => {
+      responses.breakOff(res);
+    }, 20);
+  };
+
+  it("resets the connection of an HTTP/1.0 client, for which a close would be its end", async () => {
+    const { text, isReset } = await exchange(breakAfterPart, "GET / HTTP/1.0\r\n\r\n");
+    expect(text.toLowerCase()).not.include("chunked");
+    expect(isReset).equal(true);
+  });
+
+  it("has no last chunk", async () => {
+    const { text } = await exchange(breakAfterPart, "GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    expect(text).include("4\r\npart\r\n").not.include("\r\n0\r\n");
+  });
+
+  it("closes the connection if it has not begun", async () => {
+    const { text } = await exchange((_req, res) => {
+      responses.breakOff(res);
+    }, "GET / HTTP/1.0\r\n\r\n");
+    expect(text).equal("");
+  });
+});
