Write no refusal of unreadable bytes into a response that has not ended

A caller whose connection carried bytes that are no request, while its answer was under way, got '400 Bad Request' as a part of that answer, and the connection closed normally; an HTTP/1.0 caller's answer then looked complete. Cause: the handler of unreadable bytes wrote its refusal to the socket whatever was open on it. Found by looking for each place that ends a connection an answer may end with. Change: while a response to an earlier, whole request has not ended, the connection ends after it instead. All three servers for callers and peers share this (host/response).

--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -59,7 +59,7 @@
       responses.breakOff(res);
     });
   });
-  server.on("clientError", body.sendUnreadableRequest);
+  responses.onUnreadableRequest(server, body.sendUnreadableRequest);
   return server;
 }
 
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -92,7 +92,7 @@
       });
     },
   );
-  server.on("clientError", body.sendUnreadableRequest);
+  responses.onUnreadableRequest(server, body.sendUnreadableRequest);
   return server;
 }
 
--- a/src/host/response.ts
+++ b/src/host/response.ts
@@ -1,9 +1,11 @@
 /**
- * Breaks off responses so that the client sees it.
+ * Keeps clients from taking a response for something else: breaks responses off so that the client sees it, and lets nothing
+ * be written into one that has not ended.
  * @module
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import type * as stream from "node:stream";
 
 /** Resets a connection. One whose writing side was ended has passed everything on, and can only be closed. */
 export function resetConnection(socket: net.Socket): void {
@@ -20,3 +22,31 @@
   if (socket && res.headersSent && !res.chunkedEncoding) resetConnection(socket);
   res.destroy();
 }
+
+/**
+ * Has `refuse` answer bytes that are not an HTTP request. While a response to an earlier, whole request has not ended, a refusal
+ * would become part of it; the connection then ends after that response instead.
+ */
+export function onUnreadableRequest(
+  server: http.Server,
+  refuse: (err: Error, socket: stream.Duplex) => void,
+): void {
+  const open = new WeakMap<stream.Duplex, Set<http.ServerResponse>>();
+  const ending = new WeakSet<stream.Duplex>();
+  server.on("request", (req, res) => {
+    const { socket } = req;
+    const responses = open.get(socket) ?? new Set();
+    open.set(socket, responses.add(res));
+    res.once("close", () => {
+      responses.delete(res);
+      if (responses.size === 0 && ending.has(socket)) socket.end();
+    });
+  });
+  server.on("clientError", (err, socket) => {
+    const [current] = open.get(socket) ?? [];
+    if (!current || !socket.writable) refuse(err, socket);
+    else if (current.req.complete) ending.add(socket);
+    else if (current.headersSent) breakOff(current);
+    else refuse(err, socket);
+  });
+}
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import * as http from "node:http";
-import type * as net from "node:net";
+import type * as stream from "node:stream";
 import * as addresses from "../host/address.js";
+import * as responses from "../host/response.js";
 
 /** Bytes of headers that the server parses at most; the configuration's limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -46,7 +47,7 @@
       else res.writeHead(503, { "retry-after": "0.5", connection: "close" }).end();
     },
   );
-  server.on("clientError", onClientError);
+  responses.onUnreadableRequest(server, refuseUnreadable);
   await addresses.listen(server, address, BACKLOG);
   return {
     server,
@@ -60,7 +61,7 @@
 }
 
 /** Responds to bytes that are not a valid HTTP request, and closes the connection. */
-function onClientError(err: Error, socket: net.Socket): void {
+function refuseUnreadable(err: Error, socket: stream.Duplex): void {
   if (!socket.writable || socket.destroyed) {
     socket.destroy();
     return;
--- a/test/platform/stream-ends.test.ts
+++ b/test/platform/stream-ends.test.ts
@@ -28,6 +28,7 @@
   version: "1.0" | "1.1",
   prefix: string,
   id: string,
+  afterwards = "",
 ): Promise<Received> {
   const at = address.lastIndexOf(":");
   const socket = net.connect(Number(address.slice(at + 1)), address.slice(0, at));
@@ -44,7 +45,10 @@
   socket.write(`${head.join("\r\n")}\r\n\r\nx`);
   return new Promise((resolve) => {
     let text = "";
-    socket.on("data", (chunk) => (text += chunk.toString()));
+    socket.on("data", (chunk) => {
+      if (text === "") socket.write(afterwards);
+      text += chunk.toString();
+    });
     socket.on("error", () => undefined);
     socket.on("close", (hadError) => {
       const split = text.indexOf("\r\n\r\n");
@@ -158,6 +162,20 @@
     expect(all.map((a) => a.end)).deep.equal(all.map(() => "cut"));
   }).timeout(30_000);
 
+  it("reaches its caller whole though its next bytes are no request", async () => {
+    const id = "before-garbage";
+    const address = site.entries[0]?.callers ?? "";
+    const rest = "\0garbage\r\n\r\n";
+    for (const version of ["1.0", "1.1"] as const) {
+      const received = await receive(address, version, "/o/", id + version, rest);
+      expect(received).deep.equal({
+        status: 200,
+        body: wholeStream(id + version),
+        end: "complete",
+      });
+    }
+  });
+
   it("is sent to no worker after three that it crashed closed their connections normally", async () => {
     const statuses: number[] = [];
     const askFatal = async (n: number): Promise<number> =>
