Tell a reset answer from a complete one beside engines and plain services too

Callers of a plain service, on the system's own way, got an answer without a length that its service had reset as a complete one in chunks. An engine's metrics cut within a line could name another start of the engine. Cause: these two clients had undici's usual connector, which takes a reset for the end of an answer without a length; only the platform's way guarded against it. Change: the connector is shared (host/connector). Metrics that do not end with a line feed count as broken off. A stream there needs its [DONE], other answers of an engine are JSON.

--- a/src/endpoint/service.ts
+++ b/src/endpoint/service.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from "node:http";
 import * as undici from "undici";
+import * as connector from "../host/connector.js";
 import * as outcome from "../request/outcome.js";
 
 /** Hop-by-hop and connection-specific headers, which are not forwarded. */
@@ -55,7 +56,12 @@
 
 /** Creates a client for the service at `url`, with at most `connections` concurrent calls. */
 export function open(url: string, connections: number): Service {
-  const agent = new undici.Agent({ connections, headersTimeout: 0, bodyTimeout: 0 });
+  const agent = new undici.Agent({
+    connections,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: connector.resetAware({}),
+  });
   return {
     run: async (method, path, req, signal) => {
       const hasNoBody = method === "GET" || method === "HEAD";
--- a/src/endpoint/vllm.ts
+++ b/src/endpoint/vllm.ts
@@ -4,6 +4,7 @@
  */
 import * as undici from "undici";
 import * as zod from "zod";
+import * as connector from "../host/connector.js";
 import * as outcome from "../request/outcome.js";
 import type * as engine from "./engine.js";
 
@@ -46,6 +47,7 @@
     connections: opts.connections,
     headersTimeout: 0,
     bodyTimeout: 0,
+    connect: connector.resetAware({}),
   });
 
   function linkBroken(path: string, err: unknown): outcome.StepError {
@@ -107,6 +109,8 @@
     health: async () => {
       await get("/health");
       const text = await get("/metrics");
+      // Each line of this format ends with a line feed, so anything else was cut.
+      if (!text.endsWith("\n")) throw linkBroken("/metrics", new Error("the answer broke off"));
       return {
         startedAt: sumGauge(text, "process_start_time_seconds"),
         running: sumGauge(text, "vllm:num_requests_running"),
--- /dev/null
+++ b/src/host/connector.ts
@@ -0,0 +1,50 @@
+/**
+ * Connects HTTP clients so that an answer without a length that was reset is told from a complete one.
+ * @module
+ */
+import type * as net from "node:net";
+import * as undici from "undici";
+
+/** Error code that replaces those of a reset connection; undici does not know it. */
+const RESET_CODE = "SUMACFIELD_RESET";
+/** Bytes written to find out whether a connection was reset; HTTP servers ignore an empty line. */
+const PROBE = "\r\n";
+
+/**
+ * Returns undici's connector, changed to tell a reset from a normal close. An answer without a length is complete only if
+ * its connection closed normally, and two layers hide a reset: libuv reports a reset that arrives together with the last
+ * bytes as an end, and undici treats a reset as the end of such an answer. So an end is passed on only after a write has
+ * shown that the connection was not reset, and the error of a reset gets a code that undici does not know.
+ */
+export function resetAware(
+  opts: undici.buildConnector.BuildOptions,
+): undici.buildConnector.connector {
+  const connect = undici.buildConnector(opts);
+  return (target, done) => {
+    connect(target, (...[err, socket]) => {
+      if (err) {
+        done(err, null);
+        return;
+      }
+      socket.prependListener("error", (e: NodeJS.ErrnoException) => {
+        if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
+      });
+      probeAtEnd(socket);
+      done(null, socket);
+    });
+  };
+}
+
+/** Delays a socket's `end` event until a write has succeeded; a failed write destroys the socket. */
+function probeAtEnd(socket: net.Socket): void {
+  const emit = socket.emit.bind(socket);
+  let endSeen = false;
+  socket.emit = (name: string | symbol, ...args: unknown[]): boolean => {
+    if (name !== "end" || endSeen || socket.destroyed) return emit(name, ...args);
+    endSeen = true;
+    socket.write(PROBE, (err) => {
+      if (!err) emit("end");
+    });
+    return true;
+  };
+}
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -2,8 +2,8 @@
  * Sends a request over HTTP to one endpoint and classifies the result by what is certain about whether the request ran.
  * @module
  */
-import type * as net from "node:net";
 import * as undici from "undici";
+import * as connector from "../host/connector.js";
 import * as errors from "../host/errors.js";
 import * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
@@ -52,48 +52,6 @@
 const MAX_HEADER_BYTES = 65_536;
 const MISDIRECTED = 421;
 
-/** Error code that replaces those of a reset connection; undici does not know it. */
-const RESET_CODE = "SUMACFIELD_RESET";
-/** Bytes written to find out whether a connection was reset; HTTP servers ignore an empty line. */
-const PROBE = "\r\n";
-
-/**
- * Returns undici's connector, changed to tell a reset from a normal close. An answer without a length is complete only if
- * its connection closed normally, and two layers hide a reset: libuv reports a reset that arrives together with the last
- * bytes as an end, and undici treats a reset as the end of such an answer. So an end is passed on only after a write has
- * shown that the connection was not reset, and the error of a reset gets a code that undici does not know.
- */
-function resetAwareConnector(): undici.buildConnector.connector {
-  const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false });
-  return (opts, done) => {
-    connect(opts, (...[err, socket]) => {
-      if (err) {
-        done(err, null);
-        return;
-      }
-      socket.prependListener("error", (e: NodeJS.ErrnoException) => {
-        if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
-      });
-      probeAtEnd(socket);
-      done(null, socket);
-    });
-  };
-}
-
-/** Delays a socket's `end` event until a write has succeeded; a failed write destroys the socket. */
-function probeAtEnd(socket: net.Socket): void {
-  const emit = socket.emit.bind(socket);
-  let endSeen = false;
-  socket.emit = (name: string | symbol, ...args: unknown[]): boolean => {
-    if (name !== "end" || endSeen || socket.destroyed) return emit(name, ...args);
-    endSeen = true;
-    socket.write(PROBE, (err) => {
-      if (!err) emit("end");
-    });
-    return true;
-  };
-}
-
 /** Connections to the endpoints, in one pool for each incarnation of an endpoint. */
 export class Upstream {
   private readonly pools = new Map<string, undici.Pool>();
@@ -106,7 +64,7 @@
     const pool = new undici.Pool(`http://${e.address}`, {
       connections: Math.max(2, Math.floor(connections / CONNECTION_SHARES)),
       pipelining: 1,
-      connect: resetAwareConnector(),
+      connect: connector.resetAware({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- /dev/null
+++ b/test/answer-ends.test.ts
@@ -0,0 +1,77 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as chai from "chai";
+import * as service from "../src/endpoint/service.js";
+import * as vllm from "../src/endpoint/vllm.js";
+import * as fixtures from "./serving/fixtures.js";
+
+const { expect } = chai;
+
+const HEAD = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+const CUTS = {
+  "together with its last bytes": (s: net.Socket): void => {
+    s.write(`${HEAD}abc`);
+    s.resetAndDestroy();
+  },
+  "after its last bytes": (s: net.Socket): void => {
+    s.write(`${HEAD}abc`);
+    setTimeout(() => s.resetAndDestroy(), 20);
+  },
+};
+
+/** The body of a plain service's answer, or the message of the error that broke it off. */
+async function serviceBody(answer: (socket: net.Socket) => void): Promise<string> {
+  const server = await fixtures.rawWorker(answer);
+  const client = service.open(`http://${server.address}`, 1);
+  const req = new http.IncomingMessage(new net.Socket());
+  try {
+    const res = await client.run("GET", "/", req, AbortSignal.timeout(1000));
+    return await res.body.text();
+  } catch (err) {
+    return `error: ${String(err)}`;
+  } finally {
+    server.close();
+  }
+}
+
+describe("an answer of a plain service without a length", () => {
+  it("is complete when its connection closes normally", async () => {
+    expect(await serviceBody((s) => s.end(`${HEAD}abc`))).equal("abc");
+  });
+
+  for (const [when, cut] of Object.entries(CUTS)) {
+    it(`is broken off when its connection is reset ${when}`, async () => {
+      expect(await serviceBody(cut)).match(/^error/);
+    });
+  }
+});
+
+describe("an engine's metrics", () => {
+  const METRICS = "process_start_time_seconds 1234.5\nvllm:num_requests_running 3\n";
+
+  async function startedAt(metrics: string): Promise<number | undefined> {
+    const server = await fixtures.rawWorker((s) => {
+      s.end(`${HEAD}${metrics}`);
+    });
+    const engine = vllm.open({
+      url: `http://${server.address}`,
+      timeoutMs: 1000,
+      orderTimeoutMs: 1000,
+      connections: 1,
+    });
+    try {
+      return (await engine.health()).startedAt;
+    } finally {
+      server.close();
+    }
+  }
+
+  it("are read when their connection closes after the last line", async () => {
+    expect(await startedAt(METRICS)).equal(1234.5);
+  });
+
+  it("are not read when their connection closes within a line, as that would name another start", async () => {
+    const failed = await startedAt(METRICS.slice(0, 30)).catch((err: unknown) => String(err));
+    expect(failed).match(/broke off/);
+  });
+});
