Believe an end that only a normal close shows if the worker still runs

Callers could get a part of an answer as complete: a worker that crashes closes its connections normally, and with neither a length nor chunks that is how a complete answer ends too. A stream is between two events most of the time, so a crash mostly cuts it there. Change: before such an answer counts as whole, of a plain call too, it is checked that the worker still listens, unless it had announced that it leaves. That costs one connection attempt for each answer of this framing and none for others; nothing that was passed on waits for it. What ends with a crash may be resumed, or is broken off. Open: a worker that stops a stream between two events, closes normally and runs on can't be told from one that ended it; its answer says nothing of it. The stand-in of hedged calls now answers a stream with an event; bytes that are none count as cut.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -26,6 +26,13 @@
     put: "",
     proof: "joins no other run to an event of which only a part was passed on",
   },
+  {
+    name: "answers: an end that only a close shows is believed if the worker still runs",
+    file: "serving/sending.js",
+    find: "if (!completeness.restsOnClose(found))",
+    put: "if (true)",
+    proof: "whose worker crashes between two events and so closes the connection",
+  },
   {
     name: "answers: a worker is checked for a crash after its connection broke, not before",
     file: "serving/crash-check.js",
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -99,7 +99,7 @@
   {
     name: "a cut connection is no worker's end",
     file: "serving/suspects.js",
-    find: "if (!(await this.deps.crashCheck.hasCrashed(worker)))",
+    find: "if (!(await this.hasCrashed(worker)))",
     put: "if (false)",
     proof: "is not suspected if only its connection was cut",
   },
@@ -263,7 +263,7 @@
   },
   {
     name: "a reset is told from an end of an answer without a length",
-    file: "serving/upstream.js",
+    file: "host/connector.js",
     find: "e.code = RESET_CODE;",
     put: "void e;",
     proof: "takes an answer without a length as cut off at a later reset",
--- a/src/serving/answers/completeness.ts
+++ b/src/serving/answers/completeness.ts
@@ -1,8 +1,9 @@
 /**
  * Decides whether an answer that has come to its end is complete, and by which evidence. Pure.
  *
- * A length or a last chunk proves that all bytes arrived, the normal end of a connection only that the worker sent no more.
- * A stream must in addition end between two events, because a worker may stop within one in any framing.
+ * A length or a last chunk proves that all bytes arrived. The normal end of a connection proves that the worker sent no more,
+ * which is also how a crash of the worker ends it. A stream must in addition end between two events, because a worker may stop
+ * within one in any framing.
  * @module
  */
 import type * as framings from "./framing.js";
@@ -26,6 +27,16 @@
   readonly isResumed: boolean;
 }
 
+/** Whether the answer's end is shown by a normal close alone, so that it matters whether the worker still runs. */
+export function restsOnClose(found: Completeness): boolean {
+  return found.kind === "whole" && found.evidence === "close";
+}
+
+/** Judges an answer, other than a stream, whose connection or framing ended it without an error. */
+export function ofWhole(framing: framings.Framing): Completeness {
+  return { kind: "whole", evidence: framing };
+}
+
 /** Judges a stream whose connection or framing ended it without an error. */
 export function ofStream(framing: framings.Framing, end: StreamEnd): Completeness {
   if (end.isInsideEvent) return { kind: "cut", why: "the stream ended within an event" };
@@ -34,6 +45,12 @@
   return { kind: "whole", evidence: framing };
 }
 
+/** The answer of a worker that crashed as its connection was closed. */
+export const CRASHED: Completeness = {
+  kind: "unknown",
+  why: "the worker crashed as the connection was closed",
+};
+
 /** Judges an answer whose connection broke, or that was given up. */
 export function broken(why: string): Completeness {
   return { kind: "cut", why };
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -313,16 +313,12 @@
   /** Reads an answer whole before any of it is passed on. */
   private async relayWhole(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { req, res, p } = send;
-    let body: Buffer;
-    try {
-      const { readAnswer, isSuperseded } = res;
-      body = await exchange.readAll(result.body, MAX_ANSWER_BYTES, readAnswer, isSuperseded);
-    } catch (err) {
+    const { body, verdict } = await this.readWhole(send, result);
+    this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
+    if (verdict.kind !== "whole") {
       res.dropAnswer?.();
-      this.deps.metrics.recordAnswerEnd(result.framing, "cut");
-      return this.handleLostConnection(send, errors.messageOf(err));
+      return this.handleLostConnection(send, verdict.why);
     }
-    this.deps.metrics.recordAnswerEnd(result.framing, "whole");
     if (p.hasResponseBegun) {
       res.dropAnswer?.();
       return this.handleBroken(send, `status ${result.status} instead of the rest of a stream`);
@@ -337,11 +333,25 @@
     return "passed_failure";
   }
 
+  /** Reads an answer to its end; the body is empty if it broke off. */
+  private async readWhole(
+    send: SendState,
+    { framing, body }: Answer,
+  ): Promise<{ readonly body: Buffer; readonly verdict: completeness.Completeness }> {
+    const { readAnswer, isSuperseded } = send.res;
+    try {
+      const bytes = await exchange.readAll(body, MAX_ANSWER_BYTES, readAnswer, isSuperseded);
+      return { body: bytes, verdict: await this.confirm(send, completeness.ofWhole(framing)) };
+    } catch (err) {
+      return { body: Buffer.alloc(0), verdict: completeness.broken(errors.messageOf(err)) };
+    }
+  }
+
   /** Passes a stream on, and ends the caller's response if the stream is complete. */
   private async relayStream(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { res, p } = send;
     const splitter = new eventSplitter.EventSplitter();
-    const verdict = await this.passOnEvents(send, result, splitter);
+    const verdict = await this.confirm(send, await this.passOnEvents(send, result, splitter));
     p.restBytes = splitter.remainder().length;
     this.recordTiming(send);
     this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
@@ -354,6 +364,15 @@
     return "whole";
   }
 
+  /** Checks that the worker did not crash, if only that tells the end of its answer from a cut. */
+  private async confirm(
+    send: SendState,
+    found: completeness.Completeness,
+  ): Promise<completeness.Completeness> {
+    if (!completeness.restsOnClose(found)) return found;
+    return (await this.deps.suspects.hasCrashed(send.endpoint)) ? completeness.CRASHED : found;
+  }
+
   /** Passes on the whole events of a stream, without those that the caller has already. */
   private async passOnEvents(
     send: SendState,
--- a/src/serving/suspects.ts
+++ b/src/serving/suspects.ts
@@ -74,6 +74,13 @@
       this.publish({ kind: "ran", identity: id, workers: [...crashes.keys()], ageMs: 0 });
   }
 
+  /** Whether a worker has ended without announcing that it leaves. */
+  async hasCrashed(worker: catalog.Endpoint): Promise<boolean> {
+    // A worker that announced that it is leaving ends as planned; that proves nothing.
+    if (!catalog.isUsable(this.deps.catalog(), worker)) return false;
+    return this.deps.crashCheck.hasCrashed(worker);
+  }
+
   /**
    * Records that a send broke off after `underWayMs`; resolves once it is known whether the worker
    * crashed.
@@ -83,9 +90,7 @@
     worker: catalog.Endpoint,
     underWayMs: number,
   ): Promise<void> {
-    // A worker that announced that it is leaving ends as planned; that proves nothing.
-    if (!catalog.isUsable(this.deps.catalog(), worker)) return;
-    if (!(await this.deps.crashCheck.hasCrashed(worker))) return;
+    if (!(await this.hasCrashed(worker))) return;
     const id = identity.of(a);
     const peers = Math.max(1, catalog.endpointsOf(this.deps.catalog(), a.service).length);
     this.publish({ kind: "ended", identity: id, worker: worker.id, underWayMs, peers, ageMs: 0 });
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -284,6 +284,26 @@
     expect(seen.status).equal(502);
   });
 
+  it("resumes a stream whose worker crashes between two events and so closes the connection", async () => {
+    const crashes = await rawStream((s) => {
+      crashes.close();
+      s.end(event(1));
+    });
+    const other = await rawStream((s) => s.end(`${event(2)}${event(3)}`));
+    const seen = await serve([crashes.address, other.address], { route: STREAM });
+    other.close();
+    expect([seen.body, seen.end]).deep.equal([[1, 2, 3].map(event).join(""), "whole"]);
+  });
+
+  it("does not pass on a call's answer without a length from a worker that crashed", async () => {
+    const crashes = await rawStream((s) => {
+      crashes.close();
+      s.end("the beginning of an ans");
+    });
+    const seen = await serve([crashes.address]);
+    expect([seen.status, seen.body]).deep.equal([502, ""]);
+  });
+
   it("ends a resumed stream that has nothing left as complete", async () => {
     const breaks = await rawStream((s) => {
       s.write(event(1));
--- a/test/serving/overload/plain-workers.ts
+++ b/test/serving/overload/plain-workers.ts
@@ -203,7 +203,7 @@
     if (status === 421) return { kind: "not_run", why: "status 421", absent: false, notice };
     const body = {
       pump: (onChunk: (chunk: Buffer) => unknown) => {
-        onChunk(Buffer.from(e.id));
+        onChunk(Buffer.from(req.route.kind === "stream" ? `data: ${e.id}\n\n` : e.id));
         return Promise.resolve();
       },
       abort: () => undefined,
