Pass on a JSON document that answers a stream request

A worker may answer a stream request with one JSON document. It has no events, so by the rule that a stream must end between two events it would count as cut; it is relayed as an answer of its own, whole by its framing. The new test fails without this.

--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -14,6 +14,7 @@
 import * as eventSplitter from "./answers/event-splitter.js";
 import * as streamClock from "./pacing/stream-clock.js";
 import * as exchange from "./exchange.js";
+import type * as headers from "./headers.js";
 import * as identity from "./identity.js";
 import type * as link from "./link.js";
 import type * as metrics from "./metrics.js";
@@ -294,7 +295,7 @@
       await upstream.discard(result.body);
       return this.handleBroken(send, `status ${result.status}`);
     }
-    if (req.route.kind === "stream" && result.status === OK_STATUS)
+    if (req.route.kind === "stream" && result.status === OK_STATUS && !isJson(result.headers))
       return this.relayStream(send, result);
     return this.relayWhole(send, result);
   }
@@ -425,6 +426,11 @@
 /** A send's result that carries an answer. */
 type Answer = Extract<upstream.SendResult, { kind: "answer" }>;
 
+/** Whether an answer is a JSON document, which is no stream of events. */
+function isJson(received: headers.Headers): boolean {
+  return String(received["content-type"] ?? "").startsWith("application/json");
+}
+
 /** Whether an event of a resumed stream was already passed on, by comparing its id with the last one passed on. */
 function wasPassedOn(id: string | undefined, resumedAfter: string): boolean {
   return id !== undefined && Number(id) <= Number(resumedAfter);
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -276,6 +276,16 @@
     expect([seen.body, seen.end]).deep.equal([event(1), "broken"]);
   });
 
+  it("passes on a JSON document that answers a stream request", async () => {
+    const worker = await fixtures.worker((_req, res) => {
+      res.writeHead(200, { ...fixtures.good(), "content-type": "application/json" });
+      res.end('{"text":"whole"}');
+    });
+    const seen = await serve([worker.address], { route: STREAM });
+    worker.close();
+    expect([seen.body, seen.end]).deep.equal(['{"text":"whole"}', "whole"]);
+  });
+
   it("does not take a connection closed before the first event for a whole stream", async () => {
     const breaks = await rawStream((s) => s.end());
     const route = { ...STREAM, resumable: false };
