Compute an engine's slowness and its counted prompts only where a seat waits

In each step the summary of the seats computed the engine's slowness, two passes and a sort over the prompts of 5 s, which only a waiting seat reads; and for each waiting seat all those prompts were mapped to objects, of which the few of the last 100 ms count. Both now happen when asked for; no decision changes.

--- a/src/serving/pacing/pace.ts
+++ b/src/serving/pacing/pace.ts
@@ -297,10 +297,13 @@
   a: Allowance,
   now: number,
 ): Hold | undefined {
-  const counted = p.reads
-    .map((r) => ({ ms: r.tokens * a.msPerToken, until: countsUntil(r, a, factor) }))
-    .filter((r) => r.until > now)
-    .sort((x, y) => y.until - x.until);
+  const counted: { readonly ms: number; readonly until: number }[] = [];
+  // Most of the prompts that are kept count no more.
+  for (const r of p.reads) {
+    const until = countsUntil(r, a, factor);
+    if (until > now) counted.push({ ms: r.tokens * a.msPerToken, until });
+  }
+  counted.sort((x, y) => y.until - x.until);
   let sumMs = ownMs;
   // Those that stop counting last are added first: the one that exceeds the allowance must stop counting.
   const blocking = counted.find((r) => {
--- a/src/serving/pacing/steady-admission.ts
+++ b/src/serving/pacing/steady-admission.ts
@@ -60,8 +60,8 @@
   readonly usage: room.Usage;
   /** Prefill allowed beside the running streams; undefined if none runs. */
   readonly allowance: pace.Allowance | undefined;
-  /** How slow the engine is; undefined if no stream runs. */
-  readonly slowness: pace.Slowness | undefined;
+  /** How slow the engine is, computed when first asked for; undefined if no stream runs. */
+  readonly slowness: () => pace.Slowness | undefined;
   /** Mean of the requests that are asked for or granted. */
   readonly typical: room.Need;
 }
@@ -165,8 +165,9 @@
           const holdsOthers = lack === "batch" || at.now - w.askedAt >= OVERTAKE_MS;
           return { why: "room", holdsOthers, inMs: room.freeInMs(this.granted(), at.now) };
         }
-        if (!allowance || !slowness) return undefined;
-        const hold = pace.holdOf(p, needOf(w).promptTokens, allowance, slowness, at.now);
+        const slow = slowness();
+        if (!allowance || !slow) return undefined;
+        const hold = pace.holdOf(p, needOf(w).promptTokens, allowance, slow, at.now);
         return hold && { why: "pace", holdsOthers: !hold.isTooLarge, inMs: hold.inMs };
       },
       granted: (w) =>
@@ -211,7 +212,9 @@
     if (this.latest?.at !== at) {
       const usage = room.usageOf(this.granted(), at.now);
       const allowance = this.allowance(at);
-      const slowness = allowance && pace.slowness(this.pace, allowance, at.now);
+      const { pace: p } = this;
+      let known: pace.Slowness | undefined;
+      const slowness = () => (known ??= allowance && pace.slowness(p, allowance, at.now));
       this.latest = { at, usage, allowance, slowness, typical: this.typicalNeed() };
     }
     return this.latest;
@@ -222,7 +225,7 @@
     const { allowance } = this.summary(at);
     if (!allowance) return undefined;
     const { baseMs, msPerToken } = allowance;
-    return { baseMs, msPerToken, slowness: this.summary(at).slowness?.factor ?? 1 };
+    return { baseMs, msPerToken, slowness: this.summary(at).slowness()?.factor ?? 1 };
   }
 
   /**
