Log and count the software version at which a stream goes on

The incident's hypotheses could not be told apart: no line named a worker's software version, neither at its registration nor where a stream goes on, and the attempt that a caller resumes was not read. No decision changes.

--- a/src/serving/caller-request.ts
+++ b/src/serving/caller-request.ts
@@ -29,6 +29,8 @@
   readonly parts: readonly PromptPart[];
   /** Id of the last event of this stream that the caller already has. */
   readonly resumeAfter?: string | undefined;
+  /** Id of the caller's attempt that brought the first event of this stream. */
+  readonly resumes?: string | undefined;
 }
 
 /** Authenticated sender of a request, on a route that requires a key. */
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -171,6 +171,13 @@
 export const SERVICE_LABEL = "sumacfield/service";
 /** Label with the name of an endpoint's failure domain. */
 export const DOMAIN_LABEL = "sumacfield/failure-domain";
+/** Label of an endpoint: the version of its worker's software; missing if the worker announces none. */
+export const SOFTWARE_LABEL = "sumacfield/software";
+
+/** The version of an endpoint's software; empty if its worker announces none. */
+export function softwareOf(e: Endpoint): string {
+  return e.labels[SOFTWARE_LABEL] ?? "";
+}
 
 /** The key of a model's adapter in {@link Catalog.versions}. */
 export function adapterKey(model: string, adapter: string): string {
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -35,6 +35,11 @@
  */
 export type HedgeOutcome = "won" | "lost" | "failed" | "unsent";
 
+/** How a stream goes on: within the answer that it broke in, or in a new attempt of its caller. */
+export type ContinuationKind = "in_answer" | "new_attempt";
+/** Whether a stream goes on at the software version that began it, as far as this host knows. */
+export type ContinuationMatch = "same" | "other" | "unknown";
+
 /** Records the metrics of one daemon. */
 export interface Metrics {
   /** A request ended. `firstMs` is the time to the first byte of the response, if there was one. */
@@ -67,6 +72,12 @@
   readonly recordWaitRefusal: (rank: number, waitRatio: number) => void;
   /** The caller of a request of a route with this rank was told when to retry; `limited`: at its latest time, not a free one. */
   readonly recordReturn: (rank: number, outcome: "booked" | "limited") => void;
+  /** A stream that broke was sent to a worker to go on. */
+  readonly recordContinuation: (
+    service: string,
+    how: ContinuationKind,
+    match: ContinuationMatch,
+  ) => void;
   /** The hedge of a call was due. */
   readonly recordHedge: (service: string, outcome: HedgeOutcome) => void;
   /** A request was ended, or its body refused, to keep to the memory budget. */
@@ -162,6 +173,13 @@
     "service",
     "outcome",
   );
+  const continuations = counter(
+    "sumacfield_streams_continued_total",
+    "Streams sent to a worker to go on, by service, how, and whether its software is of the version that began them.",
+    "service",
+    "how",
+    "version",
+  );
   const grants = counter(
     "sumacfield_team_granted_tokens_total",
     "Prompt and expected answer tokens of the seats granted to a team on this engine.",
@@ -212,6 +230,9 @@
     recordReturn: (rank, outcome) => {
       returns.inc({ rank, outcome });
     },
+    recordContinuation: (service, how, version) => {
+      continuations.inc({ service, how, version });
+    },
     recordHedge: (service, outcome) => {
       hedges.inc({ service, outcome });
     },
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -6,6 +6,7 @@
 import type * as completeness from "./answers/completeness.js";
 import type * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
+import type * as origin from "./continuation/origin.js";
 import type * as headers from "./headers.js";
 import type * as metrics from "./metrics.js";
 import type * as presence from "./overload/presence.js";
@@ -81,6 +82,8 @@
   admissionDraw: number | undefined;
   /** The estimated wait at the last decision on admission, as a fraction of the longest admitted one. */
   waitRatio: number | undefined;
+  /** What the first event that was passed on came from; undefined before. */
+  origin: origin.Origin | undefined;
   /** Id of the last event that was passed on, or that the caller has from an earlier attempt. */
   lastEventId: string | undefined;
   /** Whether only a part of the last event was passed on, so that no other run can continue the stream. */
@@ -140,6 +143,7 @@
     isAdmissionDecided: false,
     admissionDraw: undefined,
     waitRatio: undefined,
+    origin: undefined,
     lastEventId: a.meta.resumeAfter,
     isEventOpen: false,
     why: "no endpoint is available",
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -9,6 +9,7 @@
 import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
+import * as origin from "./continuation/origin.js";
 import * as ending from "./ending.js";
 import * as completeness from "./answers/completeness.js";
 import * as eventSplitter from "./answers/event-splitter.js";
@@ -145,6 +146,7 @@
     p.catalogAgeMs = Math.round(this.deps.catalogAgeMs());
     p.isRetryCharged = false;
     send.grants.onWritten?.();
+    if (p.lastEventId !== undefined) this.recordContinuation(send, p.lastEventId);
     const { notices } = this.deps;
     notices.recordSend(endpoint);
     if (notices.of(endpoint.id) !== undefined) {
@@ -152,6 +154,24 @@
     }
   }
 
+  /** Records that a stream is sent to a worker to go on after an event. */
+  private recordContinuation({ req, p, endpoint }: SendState, after: string): void {
+    const here = origin.of(req.service, endpoint);
+    const match =
+      p.origin === undefined ? "unknown" : origin.isSame(p.origin, here) ? "same" : "other";
+    const how = p.hasResponseBegun ? "in_answer" : "new_attempt";
+    this.deps.metrics.recordContinuation(req.service.name, how, match);
+    this.deps.log.info("A stream goes on.", {
+      request: req.meta.id,
+      how,
+      after,
+      resumes: req.meta.resumes,
+      endpoint: endpoint.id,
+      software: here.software,
+      begunBy: p.origin?.software,
+    });
+  }
+
   /** Settles a send by its result; undefined if another endpoint is to be tried. */
   private handleResult(
     send: SendState,
@@ -403,6 +423,7 @@
         }
         if (!p.hasResponseBegun) {
           p.hasResponseBegun = true;
+          p.origin ??= origin.of(send.req.service, send.endpoint);
           p.firstByteAt = this.deps.clock.mono();
           res.writeHead(result.status, result.headers);
         }
--- a/src/serving/update-log.ts
+++ b/src/serving/update-log.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type * as structuredLog from "../host/structured-log.js";
-import type * as catalog from "./catalog.js";
+import * as catalog from "./catalog.js";
 
 /** Logs an update that came with an answer of this revision. */
 export function write(log: structuredLog.Log, s: catalog.Update, revision: number): void {
@@ -29,6 +29,7 @@
       log.info("An endpoint is registered.", {
         endpoint: s.endpoint.id,
         address: s.endpoint.address,
+        software: catalog.softwareOf(s.endpoint),
         leaving: s.endpoint.leaving,
         revision,
       });
