--- a/bench/platform/documents.ts
+++ b/bench/platform/documents.ts
@@ -73,12 +73,21 @@
   };
 }
 
-/** The entry by which a worker registers in the store; `born` is the Unix time of its start in ms. */
+/** The entry by which a worker registers in the store; `born` is the Unix time of its start in ms, `version` its software's. */
 export function workerEntry(
   service: string,
   address: string,
   state: "ready" | "draining" = "ready",
   born?: number,
+  version?: string,
 ): object {
-  return { service, address, zone: "a", slots: 8, state, ...(born !== undefined && { born }) };
+  return {
+    service,
+    address,
+    zone: "a",
+    slots: 8,
+    state,
+    ...(born !== undefined && { born }),
+    ...(version !== undefined && { version }),
+  };
 }
--- a/bench/platform/journal.ts
+++ b/bench/platform/journal.ts
@@ -10,6 +10,8 @@
   readonly instance: string;
   readonly adapter: string;
   readonly version: number;
+  /** Version of the worker's software; undefined if it names none. */
+  readonly software: string | undefined;
   /** Milliseconds until the request's deadline, as told to the worker. */
   readonly leftMs: number;
   /** Team named to the worker, and whether the caller's API key was forwarded to it. */
--- a/bench/platform/worker-base.ts
+++ b/bench/platform/worker-base.ts
@@ -64,6 +64,8 @@
   shedPart = DEFAULT_SHED_SHARE;
   /** Instance id that it reports; a worker that restarts may keep the id that it had before. */
   name: string;
+  /** Version of its software, which it registers and names in each event; undefined when it names none. */
+  software: string | undefined;
   /** Start time in Unix ms, which it reports; undefined when it does not report one. */
   born: number | undefined;
   /** Called after a request has crashed the worker. */
@@ -149,6 +151,7 @@
       instance: this.instance,
       adapter,
       version,
+      software: this.software,
       leftMs: Number(firstValue(req.headers["x-sumacfield-deadline-ms"])),
       team: teamOf(req),
       sawKey: req.headers.authorization !== undefined,
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -20,9 +20,21 @@
 /** Number of events in a stream. */
 export const EVENTS_PER_STREAM = 5;
 
-/** The text of a stream's `n`th event; `n` starts at 1. */
-export function eventText(id: string, adapter: string, version: number, n: number): string {
-  return `id: ${n}\ndata: ${id} ${adapter}@${version} ${n} of ${EVENTS_PER_STREAM}\n\n`;
+/** The text of a stream's `n`th event; `n` starts at 1. It names the worker's software version, if there is one. */
+export function eventText(
+  id: string,
+  adapter: string,
+  version: number,
+  n: number,
+  software?: string,
+): string {
+  const by = software === undefined ? "" : ` by ${software}`;
+  return `id: ${n}\ndata: ${id} ${adapter}@${version} ${n} of ${EVENTS_PER_STREAM}${by}\n\n`;
+}
+
+/** The software versions that the events of a text name. */
+export function softwareIn(text: string): ReadonlySet<string> {
+  return new Set([...text.matchAll(/ by (\S+)\n\n/g)].map(([, software = ""]) => software));
 }
 
 /** An adapter that occupies a slot. */
@@ -204,7 +216,7 @@
     for (let n = from; n <= EVENTS_PER_STREAM; n++) {
       await timers.setTimeout(ms);
       if (res.destroyed) return;
-      const text = eventText(run.id, run.adapter, run.version, n);
+      const text = eventText(run.id, run.adapter, run.version, n, run.software);
       if (performance.now() > due || (behavior === "breaking" && bad && n === 3)) {
         res.write(text.slice(0, text.length / 2));
         await timers.setTimeout(1);
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -16,7 +16,7 @@
 export const ENGINES = "llm";
 export const PLAIN = "guide";
 /** Milliseconds between two events of a stream. */
-const EVENT_MS = 20;
+export const EVENT_MS = 20;
 /** An adapter whose streams take long, so that callers have time to disconnect. */
 export const SLOW_ADAPTER = "a14";
 const SLOW_EVENT_MS = 300;
@@ -78,6 +78,8 @@
   private stopped = false;
   /** How a new worker marks the end of its answers. */
   framing: () => workers.Engine["framing"] = () => "default";
+  /** Software version of a new worker at a place; undefined if it names none. */
+  software: (place: string) => string | undefined = () => undefined;
   /** Called when a request has crashed a worker. */
   onWorkerCrash: (instance: string) => void = () => undefined;
 
@@ -185,9 +187,9 @@
 
   /** Writes a worker's entry to the store. */
   register(p: Place): void {
-    const { service, instance, name, born } = p.worker;
+    const { service, instance, name, born, software } = p.worker;
     const state = this.leaving.has(instance) ? "draining" : "ready";
-    this.write(`servers/${name}`, documents.workerEntry(service, p.address, state, born));
+    this.write(`servers/${name}`, documents.workerEntry(service, p.address, state, born, software));
   }
 
   /** Makes a worker announce that it leaves, in its entry and in its answers. */
@@ -235,6 +237,7 @@
   private createWorker(name: string, engine: boolean): workers.Engine | workers.Plain {
     const worker = this.createInstance(`${name}.${this.started++}`, engine);
     if (reportsStart(name)) worker.born = Date.now();
+    worker.software = this.software(name);
     worker.onCrash = () => {
       this.restartLater(worker);
     };
--- /dev/null
+++ b/test/platform/software-versions.test.ts
@@ -0,0 +1,171 @@
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as documents from "../../bench/platform/documents.js";
+import * as rawCaller from "../../bench/platform/raw-caller.js";
+import * as workers from "../../bench/platform/worker.js";
+import * as soak from "../../bench/soak/site.js";
+
+const { expect } = chai;
+
+const MAIN = path.join(import.meta.dirname, "../../deploy/launch.cjs");
+const STREAMS = 32;
+const VERSION_COUNT = 2;
+const WORKERS_EACH = 3;
+const ADAPTERS = 16;
+/** Milliseconds between two events of a stream that its host's end cuts off, and from its sending to that end. */
+const SLOW_EVENT_MS = 350;
+const CUT_AFTER_MS = 1300;
+/** Milliseconds after which all hosts know that a worker leaves. */
+const LEAVING_KNOWN_MS = 1500;
+
+/** One attempt of a caller, and what it received. */
+interface Attempt {
+  readonly id: string;
+  readonly adapter: string;
+  readonly received: rawCaller.Received;
+}
+
+/** What a caller names to go on with a stream. */
+interface Resumed {
+  readonly after: number;
+  readonly resumes?: string;
+}
+
+/** The whole events of a body that may be cut. */
+function wholeEvents(body: string): string {
+  return body.slice(0, body.lastIndexOf("\n\n") + 2 * Number(body.includes("\n\n")));
+}
+
+function lastEventOf({ received }: Attempt): number {
+  return wholeEvents(received.body).split("\n\n").length - 1;
+}
+
+/** The software versions in the events of a caller's attempts at one stream. */
+function versionsOf(...attempts: readonly (Attempt | undefined)[]): ReadonlySet<string> {
+  const events = attempts.map((a) => (a ? wholeEvents(a.received.body) : ""));
+  return workers.softwareIn(events.join(""));
+}
+
+describe("streams before workers of two software versions", () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
+  const faults: string[] = [];
+  const site = new soak.Site(
+    { entries: 3, engines: VERSION_COUNT * WORKERS_EACH, plain: 0 },
+    MAIN,
+    folder,
+    (what) => faults.push(what),
+  );
+  const engines = (): readonly workers.Engine[] =>
+    site.places.flatMap(({ worker }) => (worker instanceof workers.Engine ? [worker] : []));
+  let count = 0;
+
+  async function stream(entry: number, adapter: string, on?: Resumed): Promise<Attempt> {
+    const id = `v${count++}`;
+    const headers = {
+      host: documents.HOST,
+      "x-sumacfield-attempt-id": id,
+      "x-sumacfield-deadline-ms": "4000",
+      "x-sumacfield-model": `${documents.MODEL}/${adapter}`,
+      "x-sumacfield-token-usage": "100,10",
+      ...(on && { "last-event-id": String(on.after) }),
+      ...(on?.resumes !== undefined && { resumes: on.resumes }),
+    };
+    const address = site.entries[entry % site.entries.length]?.callers ?? "";
+    const req = { version: "1.1", path: "/s/x", headers, body: id } as const;
+    return { id, adapter, received: await rawCaller.send(address, req) };
+  }
+
+  /** One worker of each version. */
+  const leavers = (): readonly soak.Place[] =>
+    [0, VERSION_COUNT * WORKERS_EACH - 1].flatMap((i) => site.places[i] ?? []);
+
+  const adapterOf = (n: number): string => `a${n % ADAPTERS}`;
+
+  async function untilServed(): Promise<void> {
+    for (let n = 0, served = 0; served < 2 * site.entries.length; n++) {
+      if (n > 300) throw new Error("it was not served");
+      const { received } = await stream(n, adapterOf(n));
+      served = received.status === 200 && received.end === "complete" ? served + 1 : 0;
+      await timers.setTimeout(20);
+    }
+  }
+
+  /**
+   * Streams of entry host 0, whose process is killed while they run; those that had brought an event. A worker of each version
+   * leaves with it, so that many adapters move to others.
+   */
+  async function cutByKill(): Promise<readonly Attempt[]> {
+    for (const e of engines()) e.eventMs = SLOW_EVENT_MS;
+    const begun = Array.from({ length: STREAMS }, (_, n) => stream(0, adapterOf(n)));
+    await timers.setTimeout(CUT_AFTER_MS);
+    await site.entries[0]?.kill();
+    for (const place of leavers()) site.leave(place);
+    for (const e of engines()) e.eventMs = soak.EVENT_MS;
+    const cut = await Promise.all(begun);
+    await timers.setTimeout(LEAVING_KNOWN_MS);
+    return cut.filter((a) => a.received.end === "cut" && lastEventOf(a) > 0);
+  }
+
+  /** The callers' second attempts at other hosts. */
+  function takeUp(cut: readonly Attempt[]): Promise<readonly Attempt[]> {
+    return Promise.all(
+      cut.map((a, n) => stream(1 + (n % 2), a.adapter, { after: lastEventOf(a), resumes: a.id })),
+    );
+  }
+
+  const wentOn = (all: readonly Attempt[]): number =>
+    all.filter((a) => a.received.status === 200 && a.received.end === "complete").length;
+
+  const mixed = (first: readonly Attempt[], then: readonly Attempt[]): readonly string[] =>
+    first.flatMap((a, n) => (versionsOf(a, then[n]).size > 1 ? [a.id] : []));
+
+  before(async () => {
+    site.software = (place) => (Number(place.split("-")[1]) < WORKERS_EACH ? "v1" : "v1.1");
+    await site.start();
+    await untilServed();
+  });
+
+  afterEach(async () => {
+    for (const e of engines()) e.behavior = "well";
+    for (const place of leavers()) await site.restart(place, place.worker.instance);
+    for (const d of site.entries) d.start();
+    await site.untilReady();
+    await untilServed();
+  });
+
+  after(async () => {
+    await site.stop();
+    fs.rmSync(folder, { recursive: true });
+  });
+
+  it("mix no two versions in one answer when their workers break off", async () => {
+    for (const e of engines()) Object.assign(e, { behavior: "breaking", faultyShare: 0.5 });
+    const all: Attempt[] = [];
+    for (let n = 0; n < 2 * STREAMS; n++) all.push(await stream(n, adapterOf(n)));
+    const runsOf = (id: string): number => site.journal.runs.filter((r) => r.id === id).length;
+    expect(all.filter((a) => versionsOf(a).size > 1).map((a) => a.id)).deep.equal([]);
+    expect(wentOn(all.filter((a) => runsOf(a.id) > 1))).greaterThan(0);
+  }).timeout(40_000);
+
+  it("go on only at the version that began them when their host was killed", async () => {
+    const cut = await cutByKill();
+    const then = await takeUp(cut);
+    expect(cut.length).greaterThan(STREAMS / 2);
+    expect(mixed(cut, then)).deep.equal([]);
+    expect(wentOn(then)).least(cut.length / 2);
+  }).timeout(40_000);
+
+  it("are not run where nobody knows which version began them", async () => {
+    const tries: Attempt[] = [];
+    for (let n = 0; n < ADAPTERS; n++) {
+      tries.push(await stream(n, adapterOf(n), { after: 2 }));
+      tries.push(await stream(n, adapterOf(n), { after: 2, resumes: "nobody" }));
+    }
+    const ids = new Set(tries.map((a) => a.id));
+    expect(site.journal.runs.filter((r) => ids.has(r.id)).map((r) => r.id)).deep.equal([]);
+    expect(tries.map((a) => a.received.status)).deep.equal(tries.map(() => 503));
+  }).timeout(40_000);
+});
