Resume a stream only at the software version that began it

Cause: a stream that goes on inherited its position, the last event's id, and nothing of what that position depends on. The choice of a worker looked at service, model and adapter; the attempt named in `Resumes` was not read.

A stream is now bound to its origin, the service and the software version of the worker that made its first event. The search for a worker, waits and moves are limited to that version; where none is left, a resumed stream is refused at once and one under way breaks off.

An attempt that resumes a stream is bound before a worker is chosen. The origin is what the host itself remembers, or what one of three endpoint daemons keeps, or the only one that is possible: one service and version seen in twice the route's timeout by a daemon that has watched so long, with the host's catalog confirmed since the attempt arrived. Otherwise it is refused with 503 and has not run. Records are made only where more than one origin is possible; when a second one appears, hosts report the streams that they have open.

--- /dev/null
+++ b/src/serving/continuation/origin-history.ts
@@ -0,0 +1,85 @@
+/**
+ * Which services each route has led to, and which software versions have served in each, as far back as a stream may go on.
+ * @module
+ */
+import * as catalog from "../catalog.js";
+import type * as origin from "./origin.js";
+
+/** A stream goes on for at most so many times the timeout of its route: its caller may come back until about once. */
+const TIMEOUTS_PER_STREAM = 2;
+/** Least milliseconds for which a stream counts as able to go on. */
+const MIN_MEMORY_MS = 10_000;
+/** Milliseconds after which what was last seen is dropped; above the longest time for which a stream may go on. */
+const KEEP_MS = 600_000;
+
+/** Milliseconds for which a stream of a route may go on after it began. */
+export function memoryMs(route: Pick<catalog.Route, "timeoutMs">): number {
+  return Math.min(KEEP_MS, Math.max(MIN_MEMORY_MS, TIMEOUTS_PER_STREAM * route.timeoutMs));
+}
+
+/** Names that were seen under a key, with the monotonic ms at which each was last there. */
+class SeenNames {
+  private readonly byKey = new Map<string, Map<string, number>>();
+  private present: ReadonlyMap<string, ReadonlySet<string>> = new Map();
+
+  /** Replaces the names that are there now; those before were there until `now`. */
+  update(present: ReadonlyMap<string, ReadonlySet<string>>, now: number): void {
+    this.touch(now);
+    this.present = present;
+    this.touch(now);
+    for (const [key, names] of this.byKey) {
+      for (const [name, at] of names) if (now - at > KEEP_MS) names.delete(name);
+      if (names.size === 0) this.byKey.delete(key);
+    }
+  }
+
+  /** The names there now, and those that were there at `since` or later. */
+  namesSince(key: string, since: number): readonly string[] {
+    const last = [...(this.byKey.get(key) ?? [])].filter(([, at]) => at >= since);
+    return [...new Set([...(this.present.get(key) ?? []), ...last.map(([name]) => name)])];
+  }
+
+  private touch(now: number): void {
+    for (const [key, names] of this.present) {
+      const seen = this.byKey.get(key) ?? new Map<string, number>();
+      this.byKey.set(key, seen);
+      for (const name of names) seen.set(name, now);
+    }
+  }
+}
+
+/** What one daemon has seen of routes and software versions. */
+export class OriginHistory {
+  private readonly services = new SeenNames();
+  private readonly versions = new SeenNames();
+  private config: catalog.Config | undefined;
+  private endpoints: catalog.Catalog["endpoints"] | undefined;
+
+  /** Takes in a changed catalog. */
+  record(at: catalog.Catalog, now: number): void {
+    const { config, endpoints } = at;
+    if (!config || (config === this.config && endpoints === this.endpoints)) return;
+    if (config !== this.config) {
+      const streams = config.routes.filter((r) => r.kind === "stream");
+      const served = streams.map((r) => [r.name, new Set(r.shares.map((s) => s.service))] as const);
+      this.services.update(new Map(served), now);
+    }
+    this.config = config;
+    this.endpoints = endpoints;
+    const versions = [...config.services.values()].map(
+      (s) =>
+        [s.name, new Set(catalog.endpointsOf(at, s).map((e) => catalog.softwareOf(e)))] as const,
+    );
+    this.versions.update(new Map(versions), now);
+  }
+
+  /** The origins that streams of a route may have that began at most `withinMs` before `now`. */
+  possible(route: string, now: number, withinMs: number): readonly origin.Origin[] {
+    const since = now - withinMs;
+    return this.services
+      .namesSince(route, since)
+      .flatMap((service) =>
+        this.versions.namesSince(service, since).map((software) => ({ service, software })),
+      );
+  }
+}
--- a/src/serving/continuation/origin.ts
+++ b/src/serving/continuation/origin.ts
@@ -1,6 +1,6 @@
 /**
  * What the beginning of a stream was bound to: the service that ran it, and the version of its worker's software. Streams of
- * two software versions do not fit together, so a stream may go on only where both are the same.
+ * two software versions do not fit together, so a stream may go on only where both are the same. Pure.
  * @module
  */
 import * as catalog from "../catalog.js";
@@ -20,3 +20,30 @@
 export function isSame(a: Origin, b: Origin): boolean {
   return a.service === b.service && a.software === b.software;
 }
+
+/** What one daemon can tell of the origins that streams of a route may have. */
+export interface Witness {
+  /** Origins seen within the time for which a stream may go on. */
+  readonly possible: readonly Origin[];
+  /** Milliseconds for which it has seen every change. */
+  readonly watchedMs: number;
+  /** Milliseconds since it last knew itself to be as new as the store. */
+  readonly ageMs: number;
+}
+
+/**
+ * The only origin that a stream can have that goes on for at most `memoryMs`; undefined if there may be several, or if no
+ * witness has watched long enough to exclude others.
+ */
+export function onlyOrigin(witnesses: readonly Witness[], memoryMs: number): Origin | undefined {
+  if (!witnesses.some((w) => w.watchedMs - w.ageMs >= memoryMs)) return undefined;
+  // What a witness has seen is possible, however old its view is.
+  const [first, ...others] = witnesses.flatMap((w) => w.possible);
+  return first && others.every((o) => isSame(o, first)) ? first : undefined;
+}
+
+/** The one origin that all records of a stream agree on; undefined if there is none or they differ. */
+export function agreedOrigin(records: readonly Origin[]): Origin | undefined {
+  const [first, ...others] = records;
+  return first && others.every((o) => isSame(o, first)) ? first : undefined;
+}
--- /dev/null
+++ b/src/serving/continuation/origins.ts
@@ -0,0 +1,193 @@
+/**
+ * The entry daemon's side of the origins of streams: it remembers those of its own, reports them to a few endpoint daemons
+ * where streams may have different ones, and finds the origin of a stream that a caller resumes here.
+ *
+ * While all streams of a route can have only one origin, nothing is reported, and a stream of which no record exists has
+ * that origin. This is decided by what this host and the endpoint daemons have watched, and never assumed.
+ * @module
+ */
+import * as clock from "../../host/clock.js";
+import * as hash from "../../host/hash.js";
+import type * as callerRequest from "../caller-request.js";
+import type * as catalog from "../catalog.js";
+import type * as link from "../link.js";
+import type * as messages from "./messages.js";
+import * as origin from "./origin.js";
+import * as originHistory from "./origin-history.js";
+
+/** Number of endpoint daemons that keep the origin of one stream. */
+export const KEEPERS = 3;
+/** Number of groups of streams; all streams of a group have the same keepers. */
+const KEEPER_GROUPS = 256;
+/** Most streams whose origins one host remembers; the oldest are dropped first. */
+const MAX_STREAMS = 20_000;
+
+/** Age of the catalog in ms beyond which this host does not rely on it alone; above the interval at which it is renewed. */
+const MAX_CATALOG_AGE_MS = 3000;
+/** Milliseconds for which a resumed stream waits at most until the catalog is up to date, and between two checks of that. */
+const UP_TO_DATE_WAIT_MS = 1500;
+const UP_TO_DATE_POLL_MS = 20;
+
+/** A connection to an endpoint daemon that may keep origins. */
+export type Keeper = Pick<link.Link, "address" | "send" | "findOrigin">;
+
+export interface Deps {
+  readonly clock: clock.Clock;
+  /** Connections to the first `n` endpoint daemons in the order for a key. */
+  readonly keepers: (key: string, n: number) => readonly Keeper[];
+  /** Milliseconds for which every change of the catalog has been seen. */
+  readonly watchedMs: () => number;
+  /** Milliseconds since the catalog was last known to be as new as the store. */
+  readonly catalogAgeMs: () => number;
+}
+
+/** Who knew the origin of a stream. */
+export type Source = "own" | "keeper" | "only_one";
+
+/** The origin of a stream that is resumed here, and how it is known. */
+export interface Known {
+  readonly origin: origin.Origin;
+  readonly from: Source;
+  /** Address of the endpoint daemon that told it, if one did. */
+  readonly peer?: string | undefined;
+}
+
+/** A stream that began here. */
+interface OwnStream {
+  readonly origin: origin.Origin;
+  readonly route: string;
+  /** Monotonic ms. */
+  readonly expiresAt: number;
+  isReported: boolean;
+}
+
+function toMessage(attempt: string, s: OwnStream, now: number): messages.Begun {
+  return { kind: "stream_begun", attempt, origin: s.origin, ttlMs: Math.max(1, s.expiresAt - now) };
+}
+
+/** The key by which the endpoint daemons that keep a stream's origin are ordered. */
+function keeperKey(attempt: string): string {
+  return `streams/${hash.hash32(attempt) % KEEPER_GROUPS}`;
+}
+
+/** The origins of the streams of one entry daemon's callers. */
+export class Origins {
+  private readonly own = new Map<string, OwnStream>();
+  private readonly history = new originHistory.OriginHistory();
+
+  constructor(private readonly deps: Deps) {}
+
+  /** Number of streams remembered. */
+  get size(): number {
+    return this.own.size;
+  }
+
+  /** Takes in a changed catalog. Streams that now may have different origins are reported. */
+  catalogChanged(at: catalog.Catalog): void {
+    const now = this.deps.clock.mono();
+    this.history.record(at, now);
+    if (this.own.size === 0) return;
+    const only = (at.config?.routes ?? []).filter((r) => r.resumable && this.isOnlyOne(r));
+    const unambiguous = new Set(only.map((r) => r.name));
+    for (const [attempt, s] of this.own) {
+      if (!s.isReported && !unambiguous.has(s.route) && s.expiresAt > now) this.report(attempt, s);
+    }
+  }
+
+  /** Whether all streams of a route can have only one origin, by what this host has watched. */
+  isOnlyOne(route: catalog.Route): boolean {
+    return this.onlyOrigin(route) !== undefined;
+  }
+
+  /** Records the origin of a stream, before its first event is passed on. */
+  begun(req: callerRequest.CallerRequest, o: origin.Origin): void {
+    const { meta, route } = req;
+    if (!route.resumable || meta.id === "") return;
+    const now = this.deps.clock.mono();
+    for (const [oldest, { expiresAt }] of this.own) {
+      if (expiresAt > now && this.own.size < MAX_STREAMS) break;
+      this.own.delete(oldest);
+    }
+    const expiresAt = now + originHistory.memoryMs(route);
+    const s: OwnStream = { origin: o, route: route.name, expiresAt, isReported: false };
+    this.own.set(meta.id, s);
+    if (!this.isOnlyOne(route)) this.report(meta.id, s);
+  }
+
+  /** The origin of the stream that a request resumes; undefined if nobody that is asked knows it for certain. */
+  async find(req: callerRequest.CallerRequest): Promise<Known | undefined> {
+    const { meta, route } = req;
+    const { resumes } = meta;
+    const now = this.deps.clock.mono();
+    const own = resumes === undefined ? undefined : this.own.get(resumes);
+    if (own && own.expiresAt > now) return { origin: own.origin, from: "own" };
+    const memoryMs = originHistory.memoryMs(route);
+    const question = { ...(resumes !== undefined && { attempt: resumes }), memoryMs };
+    const replies = await this.ask(resumes ?? meta.id, { ...question, route: route.name });
+    const records = replies.flatMap((r) => r.found.origin ?? []);
+    const agreed = origin.agreedOrigin(records);
+    if (agreed) {
+      const peer = replies.find((r) => r.found.origin)?.peer;
+      return { origin: agreed, from: "keeper", peer };
+    }
+    if (records.length > 0) return undefined;
+    // The host that began the stream may have known of a version that this one does not know yet.
+    if (!(await this.isUpToDateBy(now, req.dueAt))) return undefined;
+    const witnesses = [this.witness(route), ...replies.map((r) => r.found)];
+    const only = origin.onlyOrigin(witnesses, memoryMs);
+    return only && { origin: only, from: "only_one" };
+  }
+
+  /** Resolves to whether the catalog is as new as the store was at the monotonic ms `at`, once it is or cannot be in time. */
+  private async isUpToDateBy(at: number, dueAt: number): Promise<boolean> {
+    const { clock: clk, catalogAgeMs } = this.deps;
+    const latest = Math.min(at + UP_TO_DATE_WAIT_MS, dueAt);
+    while (clk.mono() - catalogAgeMs() < at) {
+      if (clk.mono() >= latest) return false;
+      await clock.sleep(clk, UP_TO_DATE_POLL_MS);
+    }
+    return true;
+  }
+
+  /** The messages that a keeper must receive on a new connection: it may have started anew. */
+  messagesFor(address: string): readonly messages.Begun[] {
+    const now = this.deps.clock.mono();
+    return [...this.own].flatMap(([attempt, s]) => {
+      const isKept = s.isReported && s.expiresAt > now;
+      const isKeeper = (k: Keeper): boolean => k.address === address;
+      if (!isKept || !this.deps.keepers(keeperKey(attempt), KEEPERS).some(isKeeper)) return [];
+      return [toMessage(attempt, s, now)];
+    });
+  }
+
+  private witness(route: catalog.Route): origin.Witness {
+    const now = this.deps.clock.mono();
+    return {
+      possible: this.history.possible(route.name, now, originHistory.memoryMs(route)),
+      watchedMs: this.deps.watchedMs(),
+      ageMs: this.deps.catalogAgeMs(),
+    };
+  }
+
+  private onlyOrigin(route: catalog.Route): origin.Origin | undefined {
+    if (this.deps.catalogAgeMs() > MAX_CATALOG_AGE_MS) return undefined;
+    return origin.onlyOrigin([this.witness(route)], originHistory.memoryMs(route));
+  }
+
+  private async ask(
+    key: string,
+    question: Omit<messages.Find, "kind" | "question">,
+  ): Promise<readonly { readonly peer: string; readonly found: messages.Found }[]> {
+    const keepers = this.deps.keepers(keeperKey(key), KEEPERS);
+    const replies = await Promise.all(
+      keepers.map(async (k) => ({ peer: k.address, found: await k.findOrigin(question) })),
+    );
+    return replies.flatMap(({ peer, found }) => (found ? [{ peer, found }] : []));
+  }
+
+  private report(attempt: string, s: OwnStream): void {
+    s.isReported = true;
+    const m = toMessage(attempt, s, this.deps.clock.mono());
+    for (const k of this.deps.keepers(keeperKey(attempt), KEEPERS)) k.send(m);
+  }
+}
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -7,6 +7,7 @@
 import * as clock from "../host/clock.js";
 import * as admission from "./admission.js";
 import type * as callerRequest from "./caller-request.js";
+import type * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import * as ending from "./ending.js";
 import * as hedgedCalls from "./overload/hedged-calls.js";
@@ -82,10 +83,14 @@
   }
 
   /** Serves one request to its end. Resolves to whether it ran, or may have run, at any endpoint. */
-  async serve(req: callerRequest.CallerRequest, res: progress.CallerResponse): Promise<boolean> {
+  async serve(
+    received: callerRequest.CallerRequest,
+    res: progress.CallerResponse,
+  ): Promise<boolean> {
     const now = this.deps.clock.mono();
+    const p = progress.start(received);
+    const req = await this.bindToOrigin(received, p);
     this.budget.recordRequest(req.service.name);
-    const p = progress.start(req);
     const stopping = new AbortController();
     const stop = (): void => {
       stopping.abort();
@@ -107,6 +112,38 @@
     return p.runs > 0;
   }
 
+  /**
+   * Binds a stream that its caller resumes to what it began on. Returns the request for the service that began it; where that
+   * is not known or not allowed any more, the request as it was, which is then refused.
+   */
+  private async bindToOrigin(
+    req: callerRequest.CallerRequest,
+    p: progress.Progress,
+  ): Promise<callerRequest.CallerRequest> {
+    if (req.route.kind !== "stream" || req.meta.resumeAfter === undefined) return req;
+    const known = await this.deps.origins.find(req);
+    const service = known && serviceOf(this.deps.catalog(), req, known.origin.service);
+    const isBound = service !== undefined;
+    this.deps.log.info(isBound ? "A stream is resumed." : "A stream cannot be resumed.", {
+      request: req.meta.id,
+      resumes: req.meta.resumes,
+      after: req.meta.resumeAfter,
+      begunBy: known?.origin.software,
+      service: known?.origin.service,
+      from: known?.from,
+      peer: known?.peer,
+      tookMs: Math.round(this.deps.clock.mono() - req.arrivedAt),
+    });
+    if (!known || !service) {
+      p.cannotResume = known
+        ? `the route no longer leads to the service ${known.origin.service}, which began the stream`
+        : "it is not known which software version began the stream; send it again from its beginning";
+      return req;
+    }
+    p.origin = known.origin;
+    return service === req.service ? req : { ...req, service };
+  }
+
   /** Records the end of a request in the metrics and the log. */
   private reportEnd(
     req: callerRequest.CallerRequest,
@@ -160,6 +197,10 @@
     p: progress.Progress,
     stopSignal: AbortSignal,
   ): Promise<progress.Ending> {
+    if (p.cannotResume !== undefined) {
+      p.why = p.cannotResume;
+      return this.giveUp(req, res, p, false);
+    }
     for (;;) {
       if (res.disconnected.aborted) return "left";
       const remainingMs = req.dueAt - this.deps.clock.mono();
@@ -241,3 +282,13 @@
     return ending.giveUp(this.deps.clock, req, res, p, deadlinePassed, this.returns);
   }
 }
+
+/** The service of this name, if the request's route leads there. */
+function serviceOf(
+  { config }: catalog.Catalog,
+  { route, service }: callerRequest.CallerRequest,
+  name: string,
+): catalog.Service | undefined {
+  if (service.name === name) return service;
+  return route.shares.some((s) => s.service === name) ? config?.services.get(name) : undefined;
+}
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -12,6 +12,7 @@
 import * as engineManager from "./engine-manager.js";
 import * as limiterOwner from "./limiter-owner.js";
 import * as noticeRelay from "./notice-relay.js";
+import * as originKeeper from "./continuation/origin-keeper.js";
 import * as metrics from "./metrics.js";
 import * as modelTurns from "./model-turns.js";
 import * as suspicionRelay from "./suspicion-relay.js";
@@ -47,8 +48,9 @@
     manager.noticesChanged();
   });
   const fed = daemonBase.openFeed(deps, watchPace.RELAXED_PACE, {
-    onChange: () => {
+    onChange: (current) => {
       manager.catalogChanged();
+      origins.catalogChanged(current);
     },
     onRestored: () => {
       turns.storeRestored();
@@ -73,6 +75,11 @@
     teamWeights,
     onGrant: registry.recordGrant,
   });
+  const origins = new originKeeper.OriginKeeper({
+    clock: deps.clock,
+    watchedMs: () => fed.watchedMs,
+    catalogAgeMs: () => fed.catalogAgeMs,
+  });
   const limiter = new limiterOwner.LimiterOwner({ clock: deps.clock, log: deps.log("limiter") });
   const server = await seatServer.listen(opts.seatsAddress, {
     log: deps.log("desk"),
@@ -80,6 +87,7 @@
     relay: new suspicionRelay.SuspicionRelay({ clock: deps.clock, log: deps.log("suspicion") }),
     limiter,
     notices,
+    origins,
   });
   await metrics.tryServe(registry, deps.metricsAddress, deps.log("metrics"));
   registry.addGauge("sumacfield_seats", "Seats given or asked for.", () => manager.seatCount());
@@ -98,6 +106,11 @@
     "Teams that exceed their share of the engine while others ask.",
     () => manager.overTeamCount(),
   );
+  registry.addGauge(
+    "sumacfield_origins_kept",
+    "Streams whose origins are kept here.",
+    () => origins.size,
+  );
   void fed.run();
   void waitForConfig(deps, fed).then(() => manager.run());
   return {
--- a/src/serving/endpoint-registry.ts
+++ b/src/serving/endpoint-registry.ts
@@ -86,6 +86,11 @@
   readonly reason: metrics.NoticeReason;
 }
 
+/** Whether an endpoint's software has a version; any has if it is undefined. */
+function hasSoftware(e: catalog.Endpoint, software: string | undefined): boolean {
+  return software === undefined || catalog.softwareOf(e) === software;
+}
+
 const EMPTY_LAYOUT: fleet.Layout = { ring: ring.build([]), byAddress: new Map() };
 
 /** What the registry needs of the entry daemon. */
@@ -134,26 +139,38 @@
     private readonly clk: clock.Clock,
   ) {}
 
-  /** Views of all endpoints of a service. */
-  views(service: catalog.Service): readonly choice.View[] {
-    const list = catalog.endpointsOf(this.deps.catalog(), service);
-    return list.map((e) => this.view(service, e, 0));
+  /** Views of the endpoints of a service, or of those with a software version. */
+  views(service: catalog.Service, software?: string): readonly choice.View[] {
+    return this.endpointsOf(service, software).map((e) => this.view(service, e, 0));
   }
 
-  /** Views of the engines of a service, created as a search needs them. */
-  engineViews(service: catalog.Service): search.EngineViews {
+  /** Views of the engines of a service, or of those with a software version, created as a search needs them. */
+  engineViews(service: catalog.Service, software?: string): search.EngineViews {
     const layout = this.layoutOf(catalog.endpointsOf(this.deps.catalog(), service));
     const viewOf = (e: catalog.Endpoint, place: number): choice.View =>
       this.view(service, e, place);
-    return fleet.viewsFor(layout, this.holders, viewOf, this.deps.random);
+    const accepts = (e: catalog.Endpoint): boolean => hasSoftware(e, software);
+    return fleet.viewsFor(layout, this.holders, viewOf, this.deps.random, accepts);
+  }
+
+  private endpointsOf(service: catalog.Service, software?: string): readonly catalog.Endpoint[] {
+    const list = catalog.endpointsOf(this.deps.catalog(), service);
+    return software === undefined ? list : list.filter((e) => hasSoftware(e, software));
+  }
+
+  /** Whether an endpoint of a service other than `besides` has a software version and is not leaving. */
+  isServed(service: catalog.Service, software: string, besides?: string): boolean {
+    return this.endpointsOf(service, software).some(
+      (e) => e.id !== besides && this.deps.availableInMs(e) < Infinity,
+    );
   }
 
   /**
-   * When the first endpoint of a service accepts one more request, by what the endpoints announced. Undefined where one
-   * accepts requests now, or where all are leaving or there is none.
+   * When the first endpoint of a service, or of those with a software version, accepts one more request, by what the endpoints
+   * announced. Undefined where one accepts requests now, or where all are leaving or there is none.
    */
-  nextOpening(service: catalog.Service): Opening | undefined {
-    const list = catalog.endpointsOf(this.deps.catalog(), service).map((e): Opening => {
+  nextOpening(service: catalog.Service, software?: string): Opening | undefined {
+    const list = this.endpointsOf(service, software).map((e): Opening => {
       const [opensInMs, limitedMs] = [this.deps.availableInMs(e), this.deps.limitWaitMs(e.id)];
       return limitedMs > opensInMs
         ? { inMs: limitedMs, reason: "limit" }
@@ -166,11 +183,10 @@
     return earliest && earliest.inMs > 0 && Number.isFinite(earliest.inMs) ? earliest : undefined;
   }
 
-  /** Whether an engine of a service is starting and not leaving. */
-  hasStartingEngine(service: catalog.Service): boolean {
+  /** Whether an engine of a service, or one with a software version, is starting and not leaving. */
+  hasStartingEngine(service: catalog.Service, software?: string): boolean {
     if (!service.engine) return false;
-    const list = catalog.endpointsOf(this.deps.catalog(), service);
-    return list.some(
+    return this.endpointsOf(service, software).some(
       (e) =>
         this.deps.availableInMs(e) < Infinity &&
         (this.links.get(this.deps.daemonOf(e))?.isStarting ?? true),
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -17,6 +17,7 @@
 import * as callerServer from "./caller-server.js";
 import * as daemonBase from "./daemon-base.js";
 import * as limiter from "./limiter.js";
+import * as origins from "./continuation/origins.js";
 import * as metrics from "./metrics.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
@@ -83,6 +84,7 @@
       if (!current.quarantined.has(id)) suspectTracker.release(id);
     previous = current;
     registry.refresh();
+    streamOrigins.catalogChanged(current);
     sharedLimiter.refresh();
     const endpointIds = new Set([...current.endpoints.values()].map((e) => e.id));
     upstreams.retain(endpointIds);
@@ -124,6 +126,7 @@
           registry.limitAnnouncers(id).some((l) => l.address === address),
         ),
         ...sharedLimiter.attachMessagesFor(address),
+        ...streamOrigins.messagesFor(address),
       ],
       limitWaitMs: (id) => notices.waitMs(id),
       availableInMs: (e) => notices.opensInMs(e),
@@ -155,6 +158,12 @@
     },
     random: deps.random,
   });
+  const streamOrigins = new origins.Origins({
+    clock: deps.clock,
+    keepers: (key, n) => registry.ownerCandidates(key, n),
+    watchedMs: () => catalogFeed.watchedMs,
+    catalogAgeMs: () => catalogFeed.catalogAgeMs,
+  });
   const teamCaps = new caps.Caps({
     limiter: sharedLimiter,
     catalog: () => catalogFeed.catalog,
@@ -171,6 +180,7 @@
       catalog: () => catalogFeed.catalog,
       catalogAgeMs: () => catalogFeed.catalogAgeMs,
       suspects: suspectTracker,
+      origins: streamOrigins,
       notices,
       authenticate: ({ route, caller }) => {
         const { config } = catalogFeed.catalog;
@@ -244,6 +254,11 @@
     "Deleted documents that are back after the store was restored, and not used.",
     () => catalogFeed.entryGrace.withheldCount,
   );
+  daemonMetrics.addGauge(
+    "sumacfield_origins_remembered",
+    "Streams of this host whose origins it remembers.",
+    () => streamOrigins.size,
+  );
   daemonMetrics.addGauge(
     "sumacfield_workers_limited",
     "Workers that name a limit.",
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -84,6 +84,8 @@
   private callStartedAt = -Infinity;
   /** Monotonic ms at which the catalog was last known to be up to date: the start of the last answered call. */
   private upToDateAt = -Infinity;
+  /** Monotonic ms since which every change was received: the last snapshot, or the end of the last outage of the store. */
+  private watchedSince = Infinity;
   private unreachableSince = 0;
   private failedCalls = 0;
   private hedgeLogged = false;
@@ -125,6 +127,11 @@
     return this.deps.clock.mono() - this.upToDateAt;
   }
 
+  /** Milliseconds for which every change has been received, as far as the store has answered; 0 before the first snapshot. */
+  get watchedMs(): number {
+    return Math.max(0, this.deps.clock.mono() - this.watchedSince);
+  }
+
   /** Keeps the catalog up to date until {@link stop}. */
   async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
@@ -169,6 +176,8 @@
     this.hedgeLogged = false;
     if (!this.unreachable) return;
     this.unreachable = false;
+    // A change that was undone during the outage may have gone unseen.
+    this.watchedSince = this.deps.clock.mono();
     this.grace.storeAnswers();
     this.deps.log.info("The store answers again.", {
       ...this.lastPosition(),
@@ -247,6 +256,7 @@
     );
     this.grace.storeAnswers();
     this.synced = true;
+    this.watchedSince = this.callStartedAt;
     this.era ??= start.era;
     this.deps.log.info("Read a full snapshot of the store.", {
       era: start.era,
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -42,15 +42,16 @@
   return { byAddress, ring: ring.build(places) };
 }
 
-/** The views of the engines in a layout, for a search. `adapters` tells which engines have an adapter. */
+/** The views of the engines in a layout that are accepted, for a search. `adapters` tells which engines have an adapter. */
 export function viewsFor(
   layout: Layout,
   adapters: adapterIndex.AdapterIndex,
   viewOf: (e: catalog.Endpoint, place: number) => choice.View,
   random: () => number,
+  accepts: (e: catalog.Endpoint) => boolean = () => true,
 ): search.EngineViews {
   const viewsAt = (address: string, place: number): readonly choice.View[] =>
-    (layout.byAddress.get(address) ?? []).map((e) => viewOf(e, place));
+    (layout.byAddress.get(address) ?? []).filter(accepts).map((e) => viewOf(e, place));
   return {
     inOrder: (key, n) =>
       ring
@@ -58,7 +59,7 @@
         .flatMap((p, place) => viewsAt(p.name, place)),
     withAdapter: (key) => {
       const addresses = [...adapters.addressesOf(key)].filter((address) =>
-        layout.byAddress.has(address),
+        layout.byAddress.get(address)?.some(accepts),
       );
       return sample(addresses, search.HOLDER_SAMPLE, random).flatMap((address) =>
         viewsAt(address, search.HOLDER_ORDER_INDEX),
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -9,10 +9,11 @@
 import * as catalog from "./catalog.js";
 import type * as tokenBalance from "./token-balance.js";
 import type * as choice from "./choice.js";
-import * as pendingDraws from "./pending-draws.js";
+import * as pendingReplies from "./pending-replies.js";
 import type * as suspicionState from "./suspicion-state.js";
 import type * as limiterMessages from "./limiter-messages.js";
 import type * as noticeMessages from "./notice-messages.js";
+import type * as originMessages from "./continuation/messages.js";
 import * as jsonLines from "./json-lines.js";
 import * as seatMessages from "./seat-messages.js";
 import * as loadHistory from "./load-history.js";
@@ -116,7 +117,10 @@
   private slotsSinceState = 0;
   private nextNumber = 0;
   private readonly waitingSeats = new Map<number, WaitingSeat>();
-  private readonly draws: pendingDraws.PendingDraws;
+  private readonly draws: pendingReplies.PendingReplies<limiterMessages.Drawn>;
+  private readonly origins: pendingReplies.PendingReplies<originMessages.Found>;
+  /** Called once the connection is established. */
+  private readonly connectWatchers = new Set<() => void>();
   private reconnectMs = RECONNECT_MS;
   private reconnectTimer: clock.Timer | undefined;
   private silenceTimer: clock.Timer | undefined;
@@ -135,7 +139,8 @@
     private readonly deps: Deps,
   ) {
     this.createdAt = deps.clock.mono();
-    this.draws = new pendingDraws.PendingDraws(deps.clock);
+    this.draws = new pendingReplies.PendingReplies(deps.clock);
+    this.origins = new pendingReplies.PendingReplies(deps.clock);
     this.connect();
   }
 
@@ -201,7 +206,10 @@
 
   /** Sends a message that has no answer; drops it while the endpoint daemon is not connected. */
   send(
-    m: Exclude<seatMessages.FromEntry, { kind: "hello" | "ask" | "began" | "over" | "draw" }>,
+    m: Exclude<
+      seatMessages.FromEntry,
+      { kind: "hello" | "ask" | "began" | "over" | "draw" | "find_origin" }
+    >,
   ): void {
     this.channel?.send(m);
   }
@@ -222,6 +230,35 @@
     return answer;
   }
 
+  /**
+   * Asks for the origin of a stream. Resolves with undefined where the endpoint daemon does not answer in time, or is not
+   * connected within that time.
+   */
+  async findOrigin(
+    q: Omit<originMessages.Find, "kind" | "question">,
+  ): Promise<originMessages.Found | undefined> {
+    if (!this.channel) await this.untilConnected(ANSWER_TIMEOUT_MS);
+    const { channel } = this;
+    if (!channel) return undefined;
+    const question = this.nextNumber++;
+    const reply = this.origins.wait(question, ANSWER_TIMEOUT_MS, () => undefined);
+    channel.send({ kind: "find_origin", question, ...q });
+    return reply;
+  }
+
+  /** Resolves once the endpoint daemon is connected, or after `ms`. */
+  private untilConnected(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const end = (): void => {
+        timer.cancel();
+        this.connectWatchers.delete(end);
+        resolve();
+      };
+      const timer = this.deps.clock.after(ms, end);
+      this.connectWatchers.add(end);
+    });
+  }
+
   /** Requests a seat. */
   ask(req: SeatRequest): PendingSeat {
     const n = this.nextNumber++;
@@ -278,6 +315,7 @@
       channel.send({ kind: "hello", host: this.deps.host });
       for (const m of this.deps.messagesOnConnect(this.address)) channel.send(m);
       this.deps.log.info("Connected to an endpoint daemon.", { peer: this.address });
+      for (const notify of [...this.connectWatchers]) notify();
       this.scheduleSilenceCheck();
     });
     const channel = jsonLines.openChannel<seatMessages.FromEndpoint, seatMessages.FromEntry>(
@@ -306,6 +344,7 @@
     this.tokensSinceState = 0;
     for (const n of [...this.waitingSeats.keys()]) this.settle(n, { kind: "unreachable" });
     this.draws.failAll();
+    this.origins.failAll();
     if (this.closed) return;
     this.reconnectTimer = this.deps.clock.after(this.reconnectMs, () => {
       this.connect();
@@ -332,6 +371,9 @@
       case "drawn":
         this.draws.settle(m.draw, m);
         break;
+      case "origin_found":
+        this.origins.settle(m.question, m);
+        break;
       case "suspicion":
         this.deps.onSuspicion(m, this.address);
         break;
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -82,7 +82,9 @@
   admissionDraw: number | undefined;
   /** The estimated wait at the last decision on admission, as a fraction of the longest admitted one. */
   waitRatio: number | undefined;
-  /** What the first event that was passed on came from; undefined before. */
+  /** Why a stream that its caller resumes cannot go on anywhere; undefined if it can. */
+  cannotResume: string | undefined;
+  /** What the first event came from, here or in an earlier attempt; undefined before. */
   origin: origin.Origin | undefined;
   /** Id of the last event that was passed on, or that the caller has from an earlier attempt. */
   lastEventId: string | undefined;
@@ -143,6 +145,7 @@
     isAdmissionDecided: false,
     admissionDraw: undefined,
     waitRatio: undefined,
+    cannotResume: undefined,
     origin: undefined,
     lastEventId: a.meta.resumeAfter,
     isEventOpen: false,
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -7,6 +7,7 @@
 import type * as callerRequest from "./caller-request.js";
 import * as catalog from "./catalog.js";
 import * as choice from "./choice.js";
+import type * as origins from "./continuation/origins.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import type * as link from "./link.js";
 import * as steady from "./pacing/steady.js";
@@ -22,6 +23,7 @@
   readonly endpoints: endpointRegistry.EndpointRegistry;
   readonly notices: Pick<workerNotices.WorkerNotices, "whenClosed">;
   readonly catalog: () => catalog.Catalog;
+  readonly origins: Pick<origins.Origins, "isOnlyOne" | "begun" | "find">;
   readonly random: () => number;
 }
 
@@ -95,11 +97,16 @@
       const [best] = ranking;
       p.crowding = crowding.compare(ranking) ?? p.crowding;
       if (best || signal.aborted) return best;
-      const isStarting = this.deps.endpoints.hasStartingEngine(a.service);
+      const software = p.origin?.software;
+      if (software !== undefined && !this.deps.endpoints.isServed(a.service, software)) {
+        p.why = `no worker of software version ${software || "(none)"}, which began the stream, is left`;
+        return undefined;
+      }
+      const isStarting = this.deps.endpoints.hasStartingEngine(a.service, software);
       const waitsUntil =
         p.queuedAt + admission.maxEndpointWaitMs(timesOf(a, p.queuedAt), isStarting);
       const leftMs = Math.min(a.dueAt, waitsUntil) - this.deps.clock.mono();
-      const opening = this.deps.endpoints.nextOpening(a.service);
+      const opening = this.deps.endpoints.nextOpening(a.service, software);
       if (opening && !isStarting && opening.inMs > leftMs) {
         p.opensInMs = admission.retryWhenOpenMs(opening.inMs, this.deps.random());
         p.closedBy = opening.reason;
@@ -144,8 +151,9 @@
   ): readonly choice.Estimate[] {
     const { target } = a.meta;
     const { domain } = this;
+    const software = p.origin?.software;
     if (!a.service.engine || !target) {
-      const views = this.deps.endpoints.views(a.service);
+      const views = this.deps.endpoints.views(a.service, software);
       return choice.rankPlain(views, { domain, tried: p.triedEndpoints }, this.deps.random);
     }
     const need: choice.Need = {
@@ -159,7 +167,7 @@
       targetMs: a.arrivedAt + a.route.targetMs - this.deps.clock.mono(),
       waitsAt,
     };
-    return search.find(this.deps.endpoints.engineViews(a.service), need, a.meta.id);
+    return search.find(this.deps.endpoints.engineViews(a.service, software), need, a.meta.id);
   }
 
   /** Milliseconds for which a request may still wait for a seat. */
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -9,6 +9,7 @@
 import * as suspicionState from "./suspicion-state.js";
 import * as limiterMessages from "./limiter-messages.js";
 import * as noticeMessages from "./notice-messages.js";
+import * as originMessages from "./continuation/messages.js";
 
 /** Timing of a stream's events as they arrived from the engine, in ms. */
 const streamTiming = zod
@@ -70,6 +71,7 @@
   suspicionState.wire,
   noticeMessages.notice,
   ...limiterMessages.fromEntry,
+  ...originMessages.fromEntry,
 ]);
 export type FromEntry = zod.infer<typeof fromEntry>;
 export type Ask = Extract<FromEntry, { kind: "ask" }>;
@@ -153,6 +155,7 @@
   suspicionState.wire,
   noticeMessages.notice,
   limiterMessages.drawn,
+  originMessages.found,
   zod
     .object({
       kind: zod.literal("grant"),
--- a/src/serving/seat-server.ts
+++ b/src/serving/seat-server.ts
@@ -10,6 +10,7 @@
 import type * as engineManager from "./engine-manager.js";
 import type * as limiterOwner from "./limiter-owner.js";
 import type * as noticeRelay from "./notice-relay.js";
+import type * as originKeeper from "./continuation/origin-keeper.js";
 import * as jsonLines from "./json-lines.js";
 import type * as suspicionRelay from "./suspicion-relay.js";
 import * as seatMessages from "./seat-messages.js";
@@ -20,6 +21,7 @@
   readonly relay: suspicionRelay.SuspicionRelay;
   readonly limiter: limiterOwner.LimiterOwner;
   readonly notices: noticeRelay.NoticeRelay;
+  readonly origins: originKeeper.OriginKeeper;
 }
 
 /** Listens at `ip:port` until `close` is called; `close` also ends all open connections. */
@@ -85,6 +87,12 @@
           case "refund":
             if (client) deps.limiter.refund(client, m);
             break;
+          case "stream_begun":
+            deps.origins.record(m);
+            break;
+          case "find_origin":
+            channel.send(deps.origins.find(m));
+            break;
           case "notice":
             if (client) deps.notices.receive(client, m);
             break;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -10,6 +10,7 @@
 import type * as choice from "./choice.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as origin from "./continuation/origin.js";
+import type * as origins from "./continuation/origins.js";
 import * as ending from "./ending.js";
 import * as completeness from "./answers/completeness.js";
 import * as eventSplitter from "./answers/event-splitter.js";
@@ -33,6 +34,7 @@
   readonly log: structuredLog.Log;
   readonly metrics: metrics.Metrics;
   readonly endpoints: endpointRegistry.EndpointRegistry;
+  readonly origins: Pick<origins.Origins, "begun">;
   readonly upstream: upstream.Upstream;
   readonly suspects: suspects.Suspects;
   readonly notices: workerNotices.WorkerNotices;
@@ -96,7 +98,10 @@
       team: req.caller?.team.name,
     };
     const mayGoOn = (): boolean =>
-      !p.sideRuns && this.mayResend(req, p) && this.deps.checks.chargeRetry(req, p);
+      !p.sideRuns &&
+      this.mayResend(req, p) &&
+      this.mayContinueElsewhere(req, p, endpoint) &&
+      this.deps.checks.chargeRetry(req, p);
     const watchdog = sendWatchdog.start(req, p, best, stopSignal, { ...this.deps, mayGoOn });
     const send: SendState = {
       req,
@@ -154,6 +159,13 @@
     }
   }
 
+  /** Records what a stream that begins is bound to, before its first event is passed on. */
+  private recordOrigin({ req, p, endpoint }: SendState): void {
+    if (p.origin) return;
+    p.origin = origin.of(req.service, endpoint);
+    this.deps.origins.begun(req, p.origin);
+  }
+
   /** Records that a stream is sent to a worker to go on after an event. */
   private recordContinuation({ req, p, endpoint }: SendState, after: string): void {
     const here = origin.of(req.service, endpoint);
@@ -331,6 +343,15 @@
     return !p.isEventOpen && p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
   }
 
+  /** Whether a worker other than `e` could continue the stream that has begun, or none has begun. */
+  private mayContinueElsewhere(
+    req: callerRequest.CallerRequest,
+    p: progress.Progress,
+    e: catalog.Endpoint,
+  ): boolean {
+    return !p.origin || this.deps.endpoints.isServed(req.service, p.origin.software, e.id);
+  }
+
   /** Reads an answer whole before any of it is passed on. */
   private async relayWhole(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { req, res, p } = send;
@@ -423,7 +444,7 @@
         }
         if (!p.hasResponseBegun) {
           p.hasResponseBegun = true;
-          p.origin ??= origin.of(send.req.service, send.endpoint);
+          this.recordOrigin(send);
           p.firstByteAt = this.deps.clock.mono();
           res.writeHead(result.status, result.headers);
         }
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -95,6 +95,12 @@
       catalog: currentCatalog,
       catalogAgeMs: () => 0,
       suspects: suspectList,
+      origins: {
+        isOnlyOne: () => true,
+        begun: () => undefined,
+        find: ({ service }) =>
+          Promise.resolve({ origin: { service: service.name, software: "" }, from: "only_one" }),
+      },
       notices,
       authenticate,
       random: () => 0,
--- a/test/serving/managed-engines.ts
+++ b/test/serving/managed-engines.ts
@@ -4,6 +4,7 @@
  */
 import * as clock from "../../src/host/clock.js";
 import * as structuredLog from "../../src/host/structured-log.js";
+import * as originKeeper from "../../src/serving/continuation/origin-keeper.js";
 import * as limiterOwner from "../../src/serving/limiter-owner.js";
 import * as noticeRelay from "../../src/serving/notice-relay.js";
 import * as catalog from "../../src/serving/catalog.js";
@@ -81,6 +82,11 @@
     relay: suspicions,
     limiter: new limiterOwner.LimiterOwner({ clock: clock.system, log: structuredLog.silent }),
     notices,
+    origins: new originKeeper.OriginKeeper({
+      clock: clock.system,
+      watchedMs: () => 0,
+      catalogAgeMs: () => 0,
+    }),
   };
   const open = () => seatServer.listen(address, parts);
   let server = await open();
