Send a request only to the start of a worker that its choice was made for

A worker may start again at its address under its name with other software while a host still has the old entry, the store being behind. A seat names the start that gave it, and nothing compared that with the start that was chosen; an entry rewritten with another version under the same id did not count as a change either.

A seat of another start is given back, an entry with other software makes the chosen endpoint unusable, and where versions are mixed a stream goes to a worker that keeps its name over restarts only with a seat. The three tests failed before.

--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -284,10 +284,10 @@
   return names.every((name) => a.labels[name] === b.labels[name]);
 }
 
-/** Whether this incarnation of an endpoint is the registered one and is not leaving. */
+/** Whether this incarnation of an endpoint is the registered one, with the same software, and is not leaving. */
 export function isUsable(catalog: Catalog, e: Endpoint): boolean {
   const current = catalog.endpoints.get(incarnation.workerOf(e.id));
-  return current?.id === e.id && !current.leaving;
+  return current?.id === e.id && !current.leaving && softwareOf(current) === softwareOf(e);
 }
 
 /** Cache of the endpoints that each service's selector selects, for each value of {@link Catalog.endpoints}. */
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -9,6 +9,7 @@
 import * as choice from "./choice.js";
 import type * as origins from "./continuation/origins.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
+import * as incarnation from "./incarnation.js";
 import type * as link from "./link.js";
 import * as steady from "./pacing/steady.js";
 import type * as progress from "./progress.js";
@@ -211,6 +212,12 @@
       case "moved":
         return { kind: "elsewhere" };
       case "grant":
+        if (!incarnation.mayBeSame(answer.instance, endpoint.id)) {
+          pending.release("not_run");
+          p.why = `another start of the worker runs at ${endpoint.id}`;
+          p.triedEndpoints.add(endpoint.id);
+          return { kind: "elsewhere" };
+        }
         return {
           kind: "seat",
           seat: { ...pending, version: answer.version, instance: answer.instance },
@@ -227,12 +234,22 @@
         if (signal.aborted) return { kind: "elsewhere" };
         p.why = "the endpoint daemon is unreachable";
         // The engine may still have the adapter, and refuses a request for one that it does not have.
-        if (choice.adapterState(best.view, key) === "resident") return { kind: "seatless" };
+        if (choice.adapterState(best.view, key) === "resident" && this.isCertainStart(a, endpoint))
+          return { kind: "seatless" };
         p.triedEndpoints.add(endpoint.id);
         return { kind: "elsewhere" };
     }
   }
 
+  /**
+   * Whether only the start of a worker that its entry describes can run a request without a seat. A worker that keeps its name
+   * may have started again with other software, which matters to a stream that may go on.
+   */
+  private isCertainStart(a: callerRequest.CallerRequest, e: catalog.Endpoint): boolean {
+    if (!a.route.resumable || incarnation.startOf(e.id) === undefined) return true;
+    return this.deps.origins.isOnlyOne(a.route);
+  }
+
   /**
    * Waits for the answer to a seat request. Withdraws it when the worker stops accepting requests, or when another
    * engine could serve the request sooner.
--- a/test/serving/incarnation.test.ts
+++ b/test/serving/incarnation.test.ts
@@ -73,6 +73,19 @@
     expect(catalog.applyUpdate(updated, entry(1, true))).equal(updated);
   });
 
+  it("does not use a worker that is registered under the same id with other software", () => {
+    const registered = (software: string): catalog.Update => {
+      const endpoint = fixtures.endpoint("w", "10.0.0.1:1");
+      const labels = { ...endpoint.labels, [catalog.SOFTWARE_LABEL]: software };
+      return { kind: "endpoint", endpoint: { ...endpoint, labels } };
+    };
+    const before = catalog.applyUpdate(catalog.EMPTY, registered("v1"));
+    const old = before.endpoints.get("w");
+    const at = catalog.applyUpdate(before, registered("v2"));
+    expect(old && catalog.isUsable(before, old)).equal(true);
+    expect(old && catalog.isUsable(at, old)).equal(false);
+  });
+
   it("does not use an incarnation whose entry was removed", () => {
     const there = catalog.applyUpdate(catalog.EMPTY, entry(1));
     const old = there.endpoints.get("w");
@@ -154,4 +167,71 @@
       daemon.close();
     }
   });
+
+  /** Serves a stream by a worker whose daemon gives `reply` to a request for a seat; returns how many requests reached it. */
+  async function runsAfter(reply: (daemon: FakeDaemon) => void): Promise<number> {
+    let runs = 0;
+    const worker = await fixtures.worker((_req, res) => {
+      runs++;
+      res.writeHead(200, fixtures.good());
+      res.end("id: 1\ndata: x\n\n");
+    });
+    const id = incarnation.idOf("i1", 1);
+    const daemon = await fakeEndpointDaemon.open(
+      fakeEndpointDaemon.state(id),
+      fakeEndpointDaemon.holdings("m/a"),
+    );
+    const { at, service } = managedEngines.catalogOf([fixtures.endpoint(id, worker.address)]);
+    const origins = {
+      isOnlyOne: () => false,
+      begun: () => undefined,
+      find: () => Promise.resolve(undefined),
+    };
+    const made = dispatcherFixture.create(
+      at,
+      () => daemon.address,
+      undefined,
+      undefined,
+      undefined,
+      undefined,
+      { origins },
+    );
+    try {
+      made.known.refresh();
+      await managedEngines.eventually(() =>
+        made.known.views(service).every((v) => v.holdings !== undefined),
+      );
+      const route = { ...fixtures.ROUTE, kind: "stream", resumable: true } as const;
+      const served = made.dispatcher.serve(
+        dispatcherFixture.streamRequest(service, route, 3000),
+        dispatcherFixture.recorded().response,
+      );
+      await managedEngines.eventually(() => daemon.heard.includes("ask"));
+      reply(daemon);
+      await served;
+    } finally {
+      made.close();
+      daemon.close();
+      worker.close();
+    }
+    return runs;
+  }
+
+  it("sends nothing to a worker whose seat another start gave", async () => {
+    const grant = (instance: string) => (d: FakeDaemon) => {
+      d.tell({ kind: "grant", seat: 0, instance });
+    };
+    expect(await runsAfter(grant(incarnation.idOf("i1", 1)))).equal(1);
+    expect(await runsAfter(grant(incarnation.idOf("i1", 2)))).equal(0);
+  });
+
+  it("sends no stream without a seat where the worker may have started again with other software", async () => {
+    expect(
+      await runsAfter((d) => {
+        d.close();
+      }),
+    ).equal(0);
+  });
 });
+
+type FakeDaemon = Awaited<ReturnType<typeof fakeEndpointDaemon.open>>;
--- a/test/serving/managed-engines.ts
+++ b/test/serving/managed-engines.ts
@@ -6,6 +6,7 @@
 import * as structuredLog from "../../src/host/structured-log.js";
 import * as originKeeper from "../../src/serving/continuation/origin-keeper.js";
 import * as limiterOwner from "../../src/serving/limiter-owner.js";
+import * as incarnation from "../../src/serving/incarnation.js";
 import * as noticeRelay from "../../src/serving/notice-relay.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as seatServer from "../../src/serving/seat-server.js";
@@ -44,7 +45,7 @@
 } {
   const config = configOf(1);
   const service = config.services.get(fixtures.SERVICE.name) ?? fixtures.SERVICE;
-  const endpoints = new Map(list.map((e) => [e.id, e]));
+  const endpoints = new Map(list.map((e) => [incarnation.workerOf(e.id), e]));
   return { at: { ...catalog.EMPTY, config, endpoints }, service };
 }
 
