Soak: tell a failed connect of an HTTP/1.0 caller from a request that was cut at once

It now goes by whether the connection was established, so that such a request is checked like all others.

--- a/bench/platform/raw-caller.ts
+++ b/bench/platform/raw-caller.ts
@@ -24,6 +24,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string;
   readonly end: "complete" | "cut";
+  /** Whether a connection was established. */
+  readonly isConnected: boolean;
 }
 
 const CHUNK = /([0-9a-f]+)\r\n/gy;
@@ -41,9 +43,13 @@
   socket.write(`POST ${r.path} HTTP/${r.version}\r\n${lines.join("\r\n")}\r\n\r\n${r.body}`);
   return new Promise((resolve) => {
     let text = "";
+    let isConnected = false;
+    socket.once("connect", () => {
+      isConnected = true;
+    });
     const finish = (wasReset: boolean): void => {
       socket.destroy();
-      resolve(parse(text, wasReset));
+      resolve({ ...parse(text, wasReset), isConnected });
     };
     signal?.addEventListener("abort", () => {
       finish(true);
@@ -64,7 +70,7 @@
   });
 }
 
-function parse(text: string, wasReset: boolean): Received {
+function parse(text: string, wasReset: boolean): Omit<Received, "isConnected"> {
   const split = text.indexOf("\r\n\r\n");
   const [statusLine = "", ...lines] = (split < 0 ? "" : text.slice(0, split)).split("\r\n");
   const headers: Record<string, string> = {};
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -39,8 +39,6 @@
 
 /** Milliseconds until a caller that got no entry daemon asks for one again. */
 const ENTRY_RETRY_MS = 50;
-/** Milliseconds within which a connection to a daemon that does not listen fails. */
-const CONNECT_MS = 20;
 /** Milliseconds after a request's deadline at which its caller stops waiting for the answer. */
 const GIVE_UP_MS = 4000;
 
@@ -115,7 +113,7 @@
         ? { kind: "left" }
         : { kind: "broken", text, why: `cut after status ${status}` };
   // A failed connect is left to the load balancer and does not count as a request.
-  if (status === 0 && end.kind === "broken" && endedAt - sentAt < CONNECT_MS) return;
+  if (!received.isConnected && end.kind === "broken") return;
   w.record({
     id,
     kind,
