Soak: workers of several software versions, and callers that resume their streams

In 7 of 10 runs each start of a worker draws one of three versions, so that addresses and names change versions over restarts; in 6 of 10 entry daemons are killed in series, and streams take up to 0.6 s. Callers resume a stream that breaks at another host, with the event that they have and the attempt that brought its first one. No stream may have events of two versions, over all attempts; where one version serves, resumed streams must go on at least half as often as new ones begin.

--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -7,6 +7,7 @@
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
 import * as answerSwitches from "./answer-switches.js";
+import * as continuationSwitches from "./continuation-switches.js";
 import * as hedgingSwitches from "./hedging-switches.js";
 import * as limiterSwitches from "./limiter-switches.js";
 import * as pacingSwitches from "./pacing-switches.js";
@@ -92,6 +93,7 @@
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
   ...answerSwitches.ANSWER_SWITCHES,
+  ...continuationSwitches.CONTINUATION_SWITCHES,
   ...hedgingSwitches.HEDGING_SWITCHES,
   ...pacingSwitches.PACING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -8,7 +8,7 @@
 import * as documents from "../platform/documents.js";
 import * as rawCaller from "../platform/raw-caller.js";
 import * as bases from "../platform/worker-base.js";
-import type * as history from "./history.js";
+import * as history from "./history.js";
 import * as teams from "./teams.js";
 
 /** A request to send. */
@@ -24,6 +24,8 @@
   readonly leaveMs: number | undefined;
   /** Name of a request that is sent repeatedly and crashes its workers; undefined for all others. */
   readonly fatal?: string;
+  /** API key to send; left out for any. */
+  readonly key?: string;
 }
 
 /** What callers need from the run: what to send, where to, and where to record the result. */
@@ -42,6 +44,10 @@
 /** Milliseconds after a request's deadline at which its caller stops waiting for the answer. */
 const GIVE_UP_MS = 4000;
 
+/** Most times that a caller resumes one stream, and milliseconds that must be left of its deadline for that. */
+const MAX_RESUMPTIONS = 2;
+const MIN_LEFT_MS = 200;
+
 /** Sends one request on a new connection. */
 export async function sendOne(w: Environment): Promise<void> {
   const to = w.entry();
@@ -161,13 +167,38 @@
   };
 }
 
-/** Sends one request. Returns whether its connection can be used again. */
+/** Sends one request, and resumes it elsewhere if it is a stream that breaks. Returns whether its connection can be used again. */
 async function sendRequest(w: Environment, client: undici.Client, entry: string): Promise<boolean> {
-  const wish = w.nextRequest();
+  const first = await sendAttempt(w, client, entry, w.nextRequest(), undefined);
+  let last = first;
+  for (let n = 0; n < MAX_RESUMPTIONS && first.kind === "stream"; n++) {
+    const after = (first.resumed?.after ?? 0) + history.wholeEvents(last).length;
+    const leftMs = Math.round(first.sentAt + first.waitMs - performance.now());
+    if (last.end.kind !== "broken" || after === 0 || leftMs < MIN_LEFT_MS) break;
+    const to = w.entry();
+    if (!to) break;
+    const { kind, path, adapter, version, key } = first;
+    const plan = { kind, path, adapter, version, key, waitMs: leftMs, leaveMs: undefined };
+    const other = new undici.Client(`http://${to.address}`, { connect: { timeout: 1000 } });
+    last = await sendAttempt(w, other, to.name, plan, { first: first.id, after });
+    await other.destroy();
+  }
+  return first.end.kind === "answer";
+}
+
+/** Sends one attempt of a request; `resumed` names the stream that it goes on with. */
+async function sendAttempt(
+  w: Environment,
+  client: undici.Client,
+  entry: string,
+  wish: RequestPlan,
+  resumed: history.RequestRecord["resumed"],
+): Promise<history.RequestRecord> {
   const id = w.nextId();
-  const key = w.key();
+  const key = wish.key ?? w.key();
   const { fatal } = wish;
-  const body = fatal === undefined ? `body of ${id}` : `${fatal} ${bases.CRASH_MARKER}`;
+  const name = resumed?.first ?? id;
+  const body = fatal === undefined ? `body of ${name}` : `${fatal} ${bases.CRASH_MARKER}`;
   const sentAt = performance.now();
   const cancel = new AbortController();
   const leaveMs = wish.leaveMs ?? wish.waitMs + GIVE_UP_MS;
@@ -180,8 +211,11 @@
   try {
     const res = await client.request({
       method: "POST",
-      path: `${wish.path}${fatal ?? id}`,
-      headers: headersOf(wish, id, key),
+      path: `${wish.path}${fatal ?? name}`,
+      headers: {
+        ...headersOf(wish, id, key),
+        ...(resumed && { "last-event-id": String(resumed.after), resumes: resumed.first }),
+      },
       body,
       signal: cancel.signal,
     });
@@ -196,11 +230,11 @@
   clearTimeout(timer);
   const endedAt = performance.now();
   const { kind, path, adapter, waitMs, version } = wish;
+  const sent = { id, kind, key, entry, path, adapter, body, waitMs, sentAt, endedAt, version };
+  const record: history.RequestRecord = { ...sent, end, ...(resumed && { resumed }) };
   // A failed connect is left to the load balancer and does not count as a request.
-  if (isConnected) {
-    w.record({ id, kind, key, entry, path, adapter, body, waitMs, sentAt, endedAt, version, end });
-  }
-  return end.kind === "answer";
+  if (isConnected) w.record(record);
+  return record;
 }
 
 function isConnectionRefused(err: unknown): boolean {
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -252,6 +252,9 @@
   worker.limitPerS = undefined;
 }
 
+/** The end of an entry daemon, after which callers resume its streams elsewhere. */
+export const ENTRY_KILL = killFault("entry daemon", entries);
+
 const storeIsBusy = storeFault("is busy", (d) => {
   d.site.store.faults.mode = "busy";
 });
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -9,6 +9,7 @@
 import * as notices from "./notices.js";
 import * as retries from "./retries.js";
 import * as site from "./site.js";
+import * as software from "./software.js";
 import * as teams from "./teams.js";
 
 /** Kinds of requests: streams and plain calls; those named `_once` may run at most once. */
@@ -31,6 +32,8 @@
   readonly endedAt: number;
   /** Newest version of the adapter that was declared at least {@link VERSION_MS} before it was sent. */
   readonly version: number;
+  /** The attempt that brought the first event of a stream, and the last event that its caller has, if it resumes one. */
+  readonly resumed?: { readonly first: string; readonly after: number };
   readonly end:
     | {
         readonly kind: "answer";
@@ -98,7 +101,7 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Whether an entry daemon may have been unable to read the store or to run at some time in the interval. */
-function outOfTouch(h: History, entry: string, from: number, to: number): boolean {
+export function outOfTouch(h: History, entry: string, from: number, to: number): boolean {
   const parts = new Set(["store", entry, storeLink(entry)]);
   return disturbances.anyDisturbed(h.disturbances, from, to, (d) => parts.has(d.on));
 }
@@ -112,10 +115,11 @@
 function isWhole(s: RequestRecord, text: string): boolean {
   if (s.adapter === "") return text === workers.answerText(s.id, s.body);
   const version = Number(/@(\d+) /.exec(text)?.[1]);
-  const events = Array.from({ length: workers.EVENTS_PER_STREAM }, (_, i) => i + 1);
+  const ids = Array.from({ length: workers.EVENTS_PER_STREAM }, (_, i) => i + 1);
+  const events = ids.slice(s.resumed?.after ?? 0);
   const pattern = events.map((n) => workers.eventText(s.id, s.adapter, version, n)).join("");
-  // A resumed stream may continue with a newer version of the adapter.
-  const plain = (t: string): string => t.replaceAll(/@\d+ /g, "@ ");
+  // A resumed stream may continue with a newer version of the adapter. Software versions are checked apart.
+  const plain = (t: string): string => t.replaceAll(/@\d+ /g, "@ ").replaceAll(/ by \S+\n/g, "\n");
   return plain(text) === plain(pattern);
 }
 
@@ -123,7 +127,14 @@
 function isBeginning(s: RequestRecord, text: string): boolean {
   if (s.adapter === "") return workers.answerText(s.id, s.body).startsWith(text);
   const events = text.split("\n\n").slice(0, -1);
-  return events.every((e, i) => e.startsWith(`id: ${i + 1}\ndata: ${s.id} ${s.adapter}@`));
+  const next = (s.resumed?.after ?? 0) + 1;
+  return events.every((e, i) => e.startsWith(`id: ${i + next}\ndata: ${s.id} ${s.adapter}@`));
+}
+
+/** The whole events that a request brought its caller. */
+export function wholeEvents(s: RequestRecord): readonly string[] {
+  if (s.end.kind === "left" || s.adapter === "") return [];
+  return s.end.text.split("\n\n").slice(0, -1);
 }
 
 /** Returns what is wrong with a request, or undefined. The function's name is the rule's name in the output. */
@@ -283,6 +294,7 @@
     ...beyond,
     ...retried,
     ...notices.violations(h),
+    ...software.violations(h),
     ...found,
   ];
 }
@@ -307,7 +319,12 @@
 /** Share of the requests sent after `from` that were served, of those that should be. */
 export function servedShare(h: History, from: number): number {
   const late = h.seen.filter(
-    (s) => s.sentAt > from && s.end.kind !== "left" && s.path !== "/x/" && mustBeServed(h, s),
+    (s) =>
+      s.sentAt > from &&
+      s.end.kind !== "left" &&
+      s.resumed === undefined &&
+      s.path !== "/x/" &&
+      mustBeServed(h, s),
   );
   return late.filter((s) => ending(s) === "200").length / Math.max(1, late.length);
 }
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -95,7 +95,9 @@
   fs.writeFileSync(path.join(folder, "history.json"), JSON.stringify(h));
   const found = history.violations(h);
   violationCount += found.length;
-  endings.push(...h.seen.map((s) => `${s.kind} ${history.ending(s)}`));
+  endings.push(
+    ...h.seen.map((s) => `${s.resumed ? "resumed " : ""}${s.kind} ${history.ending(s)}`),
+  );
   faultKinds.push(...h.disturbances.map((d) => d.kind));
   command.printLine(
     `seed ${seed}: ${h.seen.length} requests, ${h.disturbances.length} disturbances, ` +
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -70,6 +70,15 @@
 /** Share of the workers whose answers have neither a length nor chunks, and number of the random sequence for it. */
 const CLOSE_FRAMING_SHARE = 0.4;
 const FRAMING_DRAWS = 11;
+/** Share of the runs in which workers of several software versions serve, the versions, and the number of the sequence. */
+const MIXED_SHARE = 0.7;
+const VERSIONS = ["v1", "v1.1", "v1.2"] as const;
+const VERSION_DRAWS = 12;
+/** The same for entry daemons that are killed one after the other, with the range of a stream's ms between two events. */
+const KILL_SHARE = 0.6;
+const KILL_INTERVAL_MS: readonly [number, number] = [300, 3000];
+const KILL_DRAWS = 13;
+const EVENT_MS: readonly [number, number] = [20, 120];
 /** One in so many callers speaks HTTP/1.0. */
 const OLD_CALLER_INTERVAL = 6;
 /** Numbers of the random sequences for the API keys of requests, and for the operator's changes of keys and caps. */
@@ -110,6 +119,11 @@
   };
   const framing = plan.draw(FRAMING_DRAWS);
   s.framing = () => (framing.part() < CLOSE_FRAMING_SHARE ? "close" : "default");
+  const version = plan.draw(VERSION_DRAWS);
+  for (let i = 0; i < SKIPPED_DRAWS; i++) version.part();
+  const isMixed = version.part() < MIXED_SHARE;
+  s.eventMs = version.between(...EVENT_MS);
+  s.software = () => (isMixed ? version.one(VERSIONS) : VERSIONS[0]);
   await s.start();
   const stopCallers = new AbortController();
   const world = createEnvironment(s, plan.draw(0), plan.draw(KEY_DRAWS), h, declared);
@@ -129,6 +143,7 @@
     pauseRepeatedly(deps(PAUSE_DRAWS), until),
     leaveRepeatedly(deps(OUTAGE_LEAVE_DRAWS), until),
     restoreRepeatedly(deps(RESTORE_DRAWS), until),
+    killRepeatedly(deps(KILL_DRAWS), until),
     changeTeams(s, teamState, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
@@ -284,6 +299,17 @@
   }
 }
 
+/** In some runs, kills entry daemons, repeatedly until `until`; they may be down at the same time. */
+async function killRepeatedly(d: faults.Deps, until: number): Promise<void> {
+  if (!isInShare(d, KILL_SHARE)) return;
+  const going: Promise<void>[] = [];
+  while (performance.now() < until) {
+    await timers.setTimeout(d.draw.between(...KILL_INTERVAL_MS));
+    going.push(inject(d, faults.ENTRY_KILL) ?? Promise.resolve());
+  }
+  await Promise.all(going);
+}
+
 /** In some runs, lets the store be restored from a backup, repeatedly until `until`. */
 async function restoreRepeatedly(d: faults.Deps, until: number): Promise<void> {
   if (!isInShare(d, RESTORE_SHARE)) return;
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -78,6 +78,8 @@
   private stopped = false;
   /** How a new worker marks the end of its answers. */
   framing: () => workers.Engine["framing"] = () => "default";
+  /** Milliseconds between two events of a new worker's streams. */
+  eventMs = EVENT_MS;
   /** Software version of a new worker at a place; undefined if it names none. */
   software: (place: string) => string | undefined = () => undefined;
   /** Called when a request has crashed a worker. */
@@ -252,7 +254,7 @@
     }
     const worker = new workers.Engine(ENGINES, instance, this.journal, SLOTS, this.newest);
     worker.framing = this.framing();
-    worker.eventMs = EVENT_MS;
+    worker.eventMs = this.eventMs;
     worker.slowAdapter = { adapter: SLOW_ADAPTER, eventMs: SLOW_EVENT_MS };
     return worker;
   }
--- /dev/null
+++ b/bench/soak/software.ts
@@ -0,0 +1,44 @@
+/**
+ * Checks that no stream has events of two software versions, over all attempts of its caller, and that streams mostly go on
+ * where their callers resume them.
+ * @module
+ */
+import * as workers from "../platform/worker.js";
+import * as history from "./history.js";
+
+/** Resumed streams from which on their share that goes on counts, and the least it may be of that of new streams that begin. */
+const MIN_RESUMED = 12;
+const MIN_SHARE = 0.5;
+/** Milliseconds without a disturbance after which a host counts as in touch. */
+const CONTACT_MS = 3000;
+
+/** One line for each stream with events of two versions, and one if too few resumed streams went on. */
+export function violations(h: history.History): readonly string[] {
+  const versions = new Map<string, Set<string>>();
+  for (const s of h.seen) {
+    const stream = s.resumed?.first ?? s.id;
+    const text = history.wholeEvents(s).map((e) => `${e}\n\n`);
+    const found = versions.get(stream) ?? new Set();
+    for (const v of workers.softwareIn(text.join(""))) found.add(v);
+    versions.set(stream, found);
+  }
+  const mixed = [...versions].filter(([, found]) => found.size > 1);
+  return [
+    ...mixed.map(([id, found]) => `software: ${id} has events of ${[...found].sort().join(", ")}`),
+    ...resumptionViolations(h),
+  ];
+}
+
+/** Where only one version served all the time, resumed streams must go on about as often as new ones begin. */
+function resumptionViolations(h: history.History): readonly string[] {
+  if (new Set(h.kept.runs.flatMap((r) => r.software ?? [])).size > 1) return [];
+  const inTouch = h.seen.filter(
+    (s) => s.kind === "stream" && !history.outOfTouch(h, s.entry, s.sentAt - CONTACT_MS, s.endedAt),
+  );
+  const resumed = inTouch.filter((s) => s.resumed !== undefined);
+  const share = (of: readonly history.RequestRecord[]): number =>
+    of.filter((s) => history.wholeEvents(s).length > 0).length / Math.max(1, of.length);
+  const least = MIN_SHARE * share(inTouch.filter((s) => s.resumed === undefined));
+  if (resumed.length < MIN_RESUMED || share(resumed) >= least) return [];
+  return [`software: of ${resumed.length} resumed streams ${share(resumed).toFixed(2)} went on`];
+}
--- a/test/red.test.ts
+++ b/test/red.test.ts
@@ -1,6 +1,7 @@
 import * as fs from "node:fs";
 import * as chai from "chai";
 import * as answerSwitches from "../bench/red/answer-switches.js";
+import * as continuationSwitches from "../bench/red/continuation-switches.js";
 import * as limiterSwitches from "../bench/red/limiter-switches.js";
 import * as servingSwitches from "../bench/red/serving-switches.js";
 import * as sharingSwitches from "../bench/red/sharing-switches.js";
@@ -14,6 +15,7 @@
   ...switches.SWITCHES,
   ...servingSwitches.SERVING_SWITCHES,
   ...answerSwitches.ANSWER_SWITCHES,
+  ...continuationSwitches.CONTINUATION_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
   ...sharingSwitches.SHARING_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -157,6 +157,18 @@
     expect(await fleet.resume(behind, fleet.stream(0))).equal(undefined);
   });
 
+  it("are known after all keepers have started again", async () => {
+    const fleet = new fleets.Fleet([100, 1000], [200, 900, 1900]);
+    const [first, second] = fleet.hosts;
+    if (!first || !second) throw new Error("no hosts");
+    fleet.register({ add: "v2" });
+    await fleet.pass(15_000);
+    fleet.begin(first, 1);
+    for (let n = 0; n < origins.KEEPERS; n++) fleet.restartKeeper(n);
+    fleet.restartHost(first);
+    expect(await fleet.resume(second, fleet.stream(0))).equal("v2");
+  });
+
   it("are known of streams that had begun when a second version appeared", async () => {
     const fleet = new fleets.Fleet([100, 1000], [200, 900, 1900]);
     const [first, second] = fleet.hosts;
