Infer the origin of a stream from how long its caller still waits

A stream is as old at most as the time that its caller has used: the longest wait of the route's callers less what is left. Daemons need to have watched for that long only, 4 s instead of 30 for a stream resumed after 3 s.

The new test (no attempt named, 4 s after all daemons started) failed before; the property now holds with callers that name none in a quarter of the cases.

--- a/src/serving/continuation/messages.ts
+++ b/src/serving/continuation/messages.ts
@@ -24,8 +24,8 @@
     /** Left out if the caller named no attempt. */
     attempt: zod.string().min(1).optional(),
     route: zod.string(),
-    /** Milliseconds for which a stream of the route may go on. */
-    memoryMs: zod.number().positive(),
+    /** Most milliseconds since the stream began. */
+    maxAgeMs: zod.number().positive(),
   })
   .readonly();
 
@@ -41,7 +41,7 @@
     question: zod.int(),
     /** The origin of the attempt's stream; left out if it is not kept here. */
     origin: origin.optional(),
-    /** What streams of the route may have begun on in the last `memoryMs`, as far as this daemon has seen. */
+    /** What streams of the route may have begun on in the last `maxAgeMs`, as far as this daemon has seen. */
     possible: zod.array(origin).readonly(),
     /** Milliseconds for which this daemon has seen every change of workers and routes. */
     watchedMs: zod.number().nonnegative(),
--- a/src/serving/continuation/origin-history.ts
+++ b/src/serving/continuation/origin-history.ts
@@ -2,13 +2,16 @@
  * Which services each route has led to, and which software versions have served in each, as far back as a stream may go on.
  * @module
  */
+import * as selector from "../../contract/selector.js";
 import * as catalog from "../catalog.js";
 import type * as origin from "./origin.js";
 
-/** A stream goes on for at most so many times the timeout of its route: its caller may come back until about once. */
+/** A stream may go on for so many times the timeout of its route where nothing else is known of its caller. */
 const TIMEOUTS_PER_STREAM = 2;
 /** Least milliseconds for which a stream counts as able to go on. */
 const MIN_MEMORY_MS = 10_000;
+/** Milliseconds added to the age of a stream for the way from its first worker to the host that resumes it. */
+const AGE_MARGIN_MS = 1000;
 /** Milliseconds after which what was last seen is dropped; above the longest time for which a stream may go on. */
 const KEEP_MS = 600_000;
 
@@ -17,6 +20,19 @@
   return Math.min(KEEP_MS, Math.max(MIN_MEMORY_MS, TIMEOUTS_PER_STREAM * route.timeoutMs));
 }
 
+/**
+ * Most milliseconds since a stream of a route began, by how long its caller still waits. `longestWaitMs` is the longest that
+ * callers of the route have been found to wait in all.
+ */
+export function maxAgeMs(
+  route: Pick<catalog.Route, "timeoutMs">,
+  waitMs: number,
+  longestWaitMs: number,
+): number {
+  const inAllMs = Math.max(route.timeoutMs, longestWaitMs);
+  return waitMs > inAllMs ? memoryMs(route) : inAllMs - waitMs + AGE_MARGIN_MS;
+}
+
 /** Names that were seen under a key, with the monotonic ms at which each was last there. */
 class SeenNames {
   private readonly byKey = new Map<string, Map<string, number>>();
@@ -33,6 +49,12 @@
     }
   }
 
+  /** Adds a name that was there for a moment. */
+  add(key: string, name: string, now: number): void {
+    const seen = this.byKey.get(key) ?? new Map<string, number>();
+    this.byKey.set(key, seen.set(name, now));
+  }
+
   /** The names there now, and those that were there at `since` or later. */
   namesSince(key: string, since: number): readonly string[] {
     const last = [...(this.byKey.get(key) ?? [])].filter(([, at]) => at >= since);
@@ -40,11 +62,7 @@
   }
 
   private touch(now: number): void {
-    for (const [key, names] of this.present) {
-      const seen = this.byKey.get(key) ?? new Map<string, number>();
-      this.byKey.set(key, seen);
-      for (const name of names) seen.set(name, now);
-    }
+    for (const [key, names] of this.present) for (const name of names) this.add(key, name, now);
   }
 }
 
@@ -73,6 +91,14 @@
     this.versions.update(new Map(versions), now);
   }
 
+  /** Takes in an endpoint whose entry has been replaced or deleted before it came into the catalog. */
+  recordSuperseded(e: catalog.Endpoint, now: number): void {
+    for (const s of this.config?.services.values() ?? []) {
+      if (selector.matches(s.endpoints, e.labels))
+        this.versions.add(s.name, catalog.softwareOf(e), now);
+    }
+  }
+
   /** The origins that streams of a route may have that began at most `withinMs` before `now`. */
   possible(route: string, now: number, withinMs: number): readonly origin.Origin[] {
     const since = now - withinMs;
--- a/src/serving/continuation/origin-keeper.ts
+++ b/src/serving/continuation/origin-keeper.ts
@@ -43,6 +43,11 @@
     this.history.record(at, this.deps.clock.mono());
   }
 
+  /** Takes in an endpoint whose entry did not last until it came into the catalog. */
+  endpointSuperseded(e: catalog.Endpoint): void {
+    this.history.recordSuperseded(e, this.deps.clock.mono());
+  }
+
   /** Keeps the origin of a stream. */
   record({ attempt, origin, ttlMs }: messages.Begun): void {
     const now = this.deps.clock.mono();
@@ -54,14 +59,14 @@
   }
 
   /** Answers an entry daemon's question. */
-  find({ question, attempt, route, memoryMs }: messages.Find): messages.Found {
+  find({ question, attempt, route, maxAgeMs }: messages.Find): messages.Found {
     const now = this.deps.clock.mono();
     const kept = attempt === undefined ? undefined : this.kept.get(attempt);
     return {
       kind: "origin_found",
       question,
       ...(kept && kept.expiresAt > now && { origin: kept.origin }),
-      possible: this.history.possible(route, now, memoryMs),
+      possible: this.history.possible(route, now, maxAgeMs),
       watchedMs: this.deps.watchedMs(),
       ageMs: this.deps.catalogAgeMs(),
     };
--- a/src/serving/continuation/origin.ts
+++ b/src/serving/continuation/origin.ts
@@ -32,11 +32,11 @@
 }
 
 /**
- * The only origin that a stream can have that goes on for at most `memoryMs`; undefined if there may be several, or if no
+ * The only origin that a stream can have that began at most `maxAgeMs` ago; undefined if there may be several, or if no
  * witness has watched long enough to exclude others.
  */
-export function onlyOrigin(witnesses: readonly Witness[], memoryMs: number): Origin | undefined {
-  if (!witnesses.some((w) => w.watchedMs - w.ageMs >= memoryMs)) return undefined;
+export function onlyOrigin(witnesses: readonly Witness[], maxAgeMs: number): Origin | undefined {
+  if (!witnesses.some((w) => w.watchedMs - w.ageMs >= maxAgeMs)) return undefined;
   // What a witness has seen is possible, however old its view is.
   const [first, ...others] = witnesses.flatMap((w) => w.possible);
   return first && others.every((o) => isSame(o, first)) ? first : undefined;
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -73,6 +73,8 @@
 /** The origins of the streams of one entry daemon's callers. */
 export class Origins {
   private readonly own = new Map<string, OwnStream>();
+  /** The longest wait that a caller of each route has told at the beginning of a stream. */
+  private readonly longestWaitMs = new Map<string, number>();
   private readonly history = new originHistory.OriginHistory();
 
   constructor(private readonly deps: Deps) {}
@@ -86,6 +88,9 @@
   catalogChanged(at: catalog.Catalog): void {
     const now = this.deps.clock.mono();
     this.history.record(at, now);
+    const names = new Set(at.config?.routes.map((r) => r.name));
+    for (const name of this.longestWaitMs.keys())
+      if (!names.has(name)) this.longestWaitMs.delete(name);
     if (this.own.size === 0) return;
     const only = (at.config?.routes ?? []).filter((r) => r.resumable && this.isOnlyOne(r));
     const unambiguous = new Set(only.map((r) => r.name));
@@ -94,6 +99,11 @@
     }
   }
 
+  /** Takes in an endpoint whose entry did not last until it came into the catalog. */
+  endpointSuperseded(e: catalog.Endpoint): void {
+    this.history.recordSuperseded(e, this.deps.clock.mono());
+  }
+
   /** Whether all streams of a route can have only one origin, by what this host has watched. */
   isOnlyOne(route: catalog.Route): boolean {
     return this.onlyOrigin(route) !== undefined;
@@ -102,7 +112,12 @@
   /** Records the origin of a stream, before its first event is passed on. */
   begun(req: callerRequest.CallerRequest, o: origin.Origin): void {
     const { meta, route } = req;
-    if (!route.resumable || meta.id === "") return;
+    if (!route.resumable) return;
+    if (Number.isFinite(meta.waitMs)) {
+      const longestMs = Math.max(meta.waitMs, this.longestWaitMs.get(route.name) ?? 0);
+      this.longestWaitMs.set(route.name, longestMs);
+    }
+    if (meta.id === "") return;
     const now = this.deps.clock.mono();
     for (const [oldest, { expiresAt }] of this.own) {
       if (expiresAt > now && this.own.size < MAX_STREAMS) break;
@@ -121,8 +136,9 @@
     const now = this.deps.clock.mono();
     const own = resumes === undefined ? undefined : this.own.get(resumes);
     if (own && own.expiresAt > now) return { origin: own.origin, from: "own" };
-    const memoryMs = originHistory.memoryMs(route);
-    const question = { ...(resumes !== undefined && { attempt: resumes }), memoryMs };
+    const longestMs = this.longestWaitMs.get(route.name) ?? 0;
+    const maxAgeMs = originHistory.maxAgeMs(route, meta.waitMs, longestMs);
+    const question = { ...(resumes !== undefined && { attempt: resumes }), maxAgeMs };
     const replies = await this.ask(resumes ?? meta.id, { ...question, route: route.name });
     const records = replies.flatMap((r) => r.found.origin ?? []);
     const agreed = origin.agreedOrigin(records);
@@ -133,8 +149,9 @@
     if (records.length > 0) return undefined;
     // The host that began the stream may have known of a version that this one does not know yet.
     if (!(await this.isUpToDateBy(now, req.dueAt))) return undefined;
-    const witnesses = [this.witness(route), ...replies.map((r) => r.found)];
-    const only = origin.onlyOrigin(witnesses, memoryMs);
+    const waitedMs = this.deps.clock.mono() - now;
+    const witnesses = [this.witness(route, maxAgeMs + waitedMs), ...replies.map((r) => r.found)];
+    const only = origin.onlyOrigin(witnesses, maxAgeMs);
     return only && { origin: only, from: "only_one" };
   }
 
@@ -160,10 +177,10 @@
     });
   }
 
-  private witness(route: catalog.Route): origin.Witness {
+  private witness(route: catalog.Route, maxAgeMs: number): origin.Witness {
     const now = this.deps.clock.mono();
     return {
-      possible: this.history.possible(route.name, now, originHistory.memoryMs(route)),
+      possible: this.history.possible(route.name, now, maxAgeMs),
       watchedMs: this.deps.watchedMs(),
       ageMs: this.deps.catalogAgeMs(),
     };
@@ -171,7 +188,8 @@
 
   private onlyOrigin(route: catalog.Route): origin.Origin | undefined {
     if (this.deps.catalogAgeMs() > MAX_CATALOG_AGE_MS) return undefined;
-    return origin.onlyOrigin([this.witness(route)], originHistory.memoryMs(route));
+    const memoryMs = originHistory.memoryMs(route);
+    return origin.onlyOrigin([this.witness(route, memoryMs)], memoryMs);
   }
 
   private async ask(
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -52,6 +52,9 @@
       manager.catalogChanged();
       origins.catalogChanged(current);
     },
+    onSuperseded: (e) => {
+      origins.endpointSuperseded(e);
+    },
     onRestored: () => {
       turns.storeRestored();
     },
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -92,6 +92,9 @@
   };
   const catalogFeed = daemonBase.openFeed({ ...deps, decoder }, pace, {
     onChange,
+    onSuperseded: (e) => {
+      streamOrigins.endpointSuperseded(e);
+    },
     onRestored: () => {
       restorer.restore();
       suspectTracker.persistObserved();
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -29,6 +29,8 @@
 
 /** Number of unreadable documents remembered, so that each is logged once. */
 const UNREADABLE_KEPT = 256;
+/** Milliseconds between two answers of the store in which no endpoint is registered and removed again that serves. */
+const MAX_UNWATCHED_MS = 3000;
 /** Characters of a decoding error that are logged at most. */
 const REASON_LENGTH = 300;
 
@@ -48,6 +50,8 @@
 export interface Listeners {
   /** Called after each change of the catalog. */
   readonly onChange: (at: catalog.Catalog) => void;
+  /** Called with an endpoint whose entry was replaced or deleted in the same answer of the store that brought it. */
+  readonly onSuperseded?: (e: catalog.Endpoint) => void;
   /** Called once a snapshot has been read after the store was restored from a backup. */
   readonly onRestored: () => void;
 }
@@ -84,7 +88,7 @@
   private callStartedAt = -Infinity;
   /** Monotonic ms at which the catalog was last known to be up to date: the start of the last answered call. */
   private upToDateAt = -Infinity;
-  /** Monotonic ms since which every change was received: the last snapshot, or the end of the last outage of the store. */
+  /** Monotonic ms since which every change was received: that of the last snapshot before which some may have been missed. */
   private watchedSince = Infinity;
   private unreachableSince = 0;
   private failedCalls = 0;
@@ -176,8 +180,6 @@
     this.hedgeLogged = false;
     if (!this.unreachable) return;
     this.unreachable = false;
-    // A change that was undone during the outage may have gone unseen.
-    this.watchedSince = this.deps.clock.mono();
     this.grace.storeAnswers();
     this.deps.log.info("The store answers again.", {
       ...this.lastPosition(),
@@ -256,7 +258,9 @@
     );
     this.grace.storeAnswers();
     this.synced = true;
-    this.watchedSince = this.callStartedAt;
+    // What was undone again between the last answer and a snapshot is in neither.
+    const gapMs = this.callStartedAt - this.upToDateAt;
+    if (gapMs > MAX_UNWATCHED_MS) this.watchedSince = this.callStartedAt;
     this.era ??= start.era;
     this.deps.log.info("Read a full snapshot of the store.", {
       era: start.era,
@@ -313,11 +317,23 @@
       return false;
     }
     if (result.position.era !== after.era) return false;
-    const updates = lastPerKey(result.changes).flatMap((l) => this.updatesOf(l));
+    const last = lastPerKey(result.changes);
+    const updates = last.flatMap((l) => this.updatesOf(l));
     this.apply(updates, result.position);
+    if (last.length < result.changes.length) this.reportSuperseded(result.changes, last);
     return true;
   }
 
+  /** Reports the endpoints in changes that are not the last of their documents. */
+  private reportSuperseded(changes: readonly source.Change[], last: readonly LastChange[]): void {
+    const kept = new Set(last.map((l) => l.change));
+    for (const change of changes) {
+      if (kept.has(change) || change.kind !== "written") continue;
+      const update = this.decode(change.document.key, change.document.text);
+      if (update?.kind === "endpoint") this.deps.onSuperseded?.(update.endpoint);
+    }
+  }
+
   /** Minimum milliseconds from the start of the last watch call to the next. */
   private watchIntervalMs(now: number): number {
     const { pace } = this.deps;
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -12,13 +12,15 @@
 import * as fixtures from "../fixtures.js";
 
 const STEP_MS = 20;
+/** Milliseconds that a caller waits for a stream in all. */
+export const WAIT_MS = 10_000;
 /** Milliseconds for which a version is registered at least, longer than any daemon takes to learn of it. */
 const MIN_LIFE_MS = 3000;
 const ROUTE: catalog.Route = {
   ...fixtures.ROUTE,
   kind: "stream",
   resumable: true,
-  timeoutMs: 5000,
+  timeoutMs: WAIT_MS,
 };
 const CONFIG: catalog.Config = { ...fixtures.CONFIG, routes: [ROUTE] };
 
@@ -191,16 +193,18 @@
     const known = [...host.follower.view];
     const software = known[choice % known.length] ?? "v1";
     const attempt = `s${this.streams.length}`;
-    const meta = { ...fixtures.request().meta, id: attempt };
+    const meta = { ...fixtures.request().meta, id: attempt, waitMs: WAIT_MS };
     const req = fixtures.request({ route: ROUTE, meta });
     host.part.begun(req, { service: fixtures.SERVICE.name, software });
     this.streams.push({ attempt, software, at: this.now });
   }
 
-  /** Resumes a stream at a host; returns the version that it goes on at, or undefined if it is refused. */
-  async resume(host: Host, s: Begun): Promise<string | undefined> {
-    const meta = { ...fixtures.request().meta, id: "next", resumeAfter: "1", resumes: s.attempt };
-    const req = fixtures.request({ route: ROUTE, meta, dueAt: this.now + 5000 });
+  /** Resumes a stream at a host, by its attempt's name if the caller tells it; returns the version that it goes on at, or undefined if it is refused. */
+  async resume(host: Host, s: Begun, isNamed = true): Promise<string | undefined> {
+    const waitMs = s.at + WAIT_MS - this.now;
+    const named = isNamed ? { resumes: s.attempt } : {};
+    const meta = { ...fixtures.request().meta, id: "next", waitMs, resumeAfter: "1", ...named };
+    const req = fixtures.request({ route: ROUTE, meta, dueAt: this.now + waitMs });
     const found: { readonly software: string | undefined }[] = [];
     void host.part.find(req).then((k) => found.push({ software: k?.origin.software }));
     while (found.length === 0) await this.pass(STEP_MS);
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -8,8 +8,6 @@
 
 const of = (software: string): origin.Origin => ({ service: "s", software });
 const MEMORY_MS = 10_000;
-/** Milliseconds for which a stream may go on after it began, as the route of the fleet sets it. */
-const RESUMABLE_MS = 10_000;
 /** Milliseconds that the origin of a stream is waited for at most. */
 const MAX_WAIT_MS = 1600;
 
@@ -83,7 +81,7 @@
 async function play(lags: readonly number[], list: readonly Step[], maxPauseMs: number) {
   const fleet = new fleets.Fleet(lags, [200, 900, 1900]);
   let [tried, wentOn, wrong] = [0, 0, 0];
-  await fleet.pass(15_000);
+  await fleet.pass(25_000);
   for (const [kind, a, b] of list) {
     const host = fleet.hosts[a % fleet.hosts.length];
     if (!host) break;
@@ -92,11 +90,11 @@
         fleet.begin(host, b);
         break;
       case "resume": {
-        const open = fleet.streams.filter((s) => fleet.now - s.at < RESUMABLE_MS - MAX_WAIT_MS);
+        const open = fleet.streams.filter((s) => fleet.now - s.at < fleets.WAIT_MS - MAX_WAIT_MS);
         const s = open[b % Math.max(1, open.length)];
         if (!s) break;
         tried++;
-        const software = await fleet.resume(host, s);
+        const software = await fleet.resume(host, s, b % 4 > 0);
         if (software !== undefined) wentOn++;
         if (software !== undefined && software !== s.software) wrong++;
         break;
@@ -149,7 +147,7 @@
     const fleet = new fleets.Fleet([0, 1000], [200, 900, 1900]);
     const [ahead, behind] = fleet.hosts;
     if (!ahead || !behind) throw new Error("no hosts");
-    await fleet.pass(15_000);
+    await fleet.pass(25_000);
     fleet.register({ add: "v2" });
     await fleet.pass(40);
     fleet.begin(ahead, 1);
@@ -162,7 +160,7 @@
     const [first, second] = fleet.hosts;
     if (!first || !second) throw new Error("no hosts");
     fleet.register({ add: "v2" });
-    await fleet.pass(15_000);
+    await fleet.pass(25_000);
     fleet.begin(first, 1);
     for (let n = 0; n < origins.KEEPERS; n++) fleet.restartKeeper(n);
     fleet.restartHost(first);
@@ -173,7 +171,7 @@
     const fleet = new fleets.Fleet([100, 1000], [200, 900, 1900]);
     const [first, second] = fleet.hosts;
     if (!first || !second) throw new Error("no hosts");
-    await fleet.pass(15_000);
+    await fleet.pass(25_000);
     fleet.begin(first, 0);
     fleet.register({ add: "v2" });
     await fleet.pass(1500);
@@ -188,8 +186,8 @@
         ["begin", n, n],
         ["begin", n, n + 1],
         ["host", n, 0],
-        ["resume", n + 1, 2 * n],
-        ["resume", n, 2 * n + 1],
+        ["resume", n + 1, 4 * n + 1],
+        ["resume", n, 4 * n + 2],
       );
     }
     const { tried, wentOn, wrong } = await play([50, 300, 900], list, 200);
@@ -197,6 +195,19 @@
     expect(wentOn / tried).greaterThan(0.9);
   });
 
+  it("are known of streams whose callers name no attempt, soon after all daemons started beside one version", async () => {
+    const fleet = new fleets.Fleet([100, 900], [200, 900, 1900]);
+    const [first, second] = fleet.hosts;
+    if (!first || !second) throw new Error("no hosts");
+    await fleet.pass(4000);
+    fleet.begin(first, 0);
+    await fleet.pass(500);
+    expect(await fleet.resume(second, fleet.stream(0), false)).equal("v1");
+    fleet.register({ add: "v2" });
+    await fleet.pass(1000);
+    expect(await fleet.resume(second, fleet.stream(0), false)).equal(undefined);
+  });
+
   it("are mostly known while hosts and keepers restart beside one version", async () => {
     const list: Step[] = [];
     for (let n = 0; n < 40; n++) {
