Begin no stream without event ids again after some of its events

The caller of a resumable stream whose events have no ids got the events again from the beginning, in the same answer, when its worker broke off: the next run was not told where to go on, and nothing of it was left out. A run now continues an answer only after a whole event with an id, else the answer breaks off. Comments may be lost or repeated.

The test failed before (ran at two workers, ended as complete).

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -271,7 +271,7 @@
   {
     name: "what may have run and must not be repeated is not sent again",
     file: "serving/sending.js",
-    find: "if (catalog.isRepeatable(req.route) && !p.isEventOpen)\n            return undefined;",
+    find: "if (catalog.isRepeatable(req.route) && progress.canContinue(p))\n            return undefined;",
     put: "if (true)\n            return undefined;",
     proof: "does not resend a request that may have run and must not be repeated",
   },
--- a/bench/red/soak-switches.ts
+++ b/bench/red/soak-switches.ts
@@ -8,7 +8,7 @@
   {
     name: "soak: what must not be repeated is sent once",
     file: "serving/sending.js",
-    find: "if (catalog.isRepeatable(req.route) && !p.isEventOpen)\n            return undefined;",
+    find: "if (catalog.isRepeatable(req.route) && progress.canContinue(p))\n            return undefined;",
     put: "if (true)\n            return undefined;",
     proof: "once",
     bySoak: true,
--- a/src/serving/answers/event-splitter.ts
+++ b/src/serving/answers/event-splitter.ts
@@ -16,6 +16,8 @@
 export interface Event {
   readonly bytes: Buffer;
   readonly id: string | undefined;
+  /** Whether it has no id and consists of comments, which may be lost or repeated. */
+  readonly isComment: boolean;
   /** Whether more of the same event follows. */
   readonly isPartial: boolean;
 }
@@ -40,14 +42,15 @@
       const bytes = unread.subarray(0, end);
       const id = this.open ? this.open.id : idOf(bytes);
       this.open = undefined;
-      events.push({ bytes, id, isPartial: false });
-      this.eventSeen ||= !isCommentary(bytes);
+      const isComment = id === undefined && isCommentary(bytes);
+      events.push({ bytes, id, isComment, isPartial: false });
+      this.eventSeen ||= !isComment && !isCommentary(bytes);
       unread = unread.subarray(end);
     }
     if (unread.length > MAX_EVENT_BYTES || (this.open && unread.length > HELD_END_BYTES)) {
       const bytes = unread.subarray(0, -HELD_END_BYTES);
       this.open ??= { id: idOf(bytes) };
-      events.push({ bytes, id: this.open.id, isPartial: true });
+      events.push({ bytes, id: this.open.id, isComment: false, isPartial: true });
       unread = unread.subarray(-HELD_END_BYTES);
     }
     this.rest = unread;
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -126,6 +126,14 @@
   endpoint: string;
 }
 
+/**
+ * Whether another run can continue the response so far: nothing was passed on, or whole events, the last of which the run can
+ * be told to continue after.
+ */
+export function canContinue(p: Progress): boolean {
+  return !p.hasResponseBegun || (!p.isEventOpen && p.lastEventId !== undefined);
+}
+
 /** Progress of a request that has just arrived. */
 export function start(a: callerRequest.CallerRequest): Progress {
   return {
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -23,7 +23,7 @@
 import type * as notices from "./notices.js";
 import type * as sendChecks from "./send-checks.js";
 import * as sendState from "./send-state.js";
-import type * as progress from "./progress.js";
+import * as progress from "./progress.js";
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as sendWatchdog from "./send-watchdog.js";
@@ -312,7 +312,7 @@
       restBytes: p.restBytes,
       why: p.why,
     });
-    if (catalog.isRepeatable(req.route) && !p.isEventOpen) return undefined;
+    if (catalog.isRepeatable(req.route) && progress.canContinue(p)) return undefined;
     return ending.giveUp(this.deps.clock, req, res, p, false);
   }
 
@@ -340,7 +340,8 @@
 
   /** Whether the response so far, the route's attempts and the limit on sends allow another send after one that ran. */
   private mayResend(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
-    return !p.isEventOpen && p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
+    const isWithinLimits = p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
+    return isWithinLimits && progress.canContinue(p);
   }
 
   /** Whether a worker other than `e` could continue the stream that has begun, or none has begun. */
@@ -431,7 +432,8 @@
         for (const e of splitter.push(chunk)) {
           if (p.hasResponseBegun && resumedAfter !== undefined && wasPassedOn(e.id, resumedAfter))
             continue;
-          if (e.id !== undefined && !e.isPartial) p.lastEventId = e.id;
+          // After an event without an id, no other run can be told where to go on.
+          if (!e.isPartial && !e.isComment) p.lastEventId = e.id;
           p.isEventOpen = e.isPartial;
           ready.push(e.bytes);
         }
--- a/test/serving/continuation/bound-streams.test.ts
+++ b/test/serving/continuation/bound-streams.test.ts
@@ -128,4 +128,13 @@
       expect([ran, seen]).deep.equal([[], ["refuse 503"]]);
     }
   });
+
+  it("whose events have no ids is not begun again after some of them", async () => {
+    const { ran, seen } = await serve([
+      ["v1", answers("data: x1\n\n", false)],
+      ["v1", answers("data: x1\n\ndata: x2\n\n")],
+    ]);
+    expect(ran).deep.equal(["v1.0"]);
+    expect(seen).deep.equal(["begin 200", "broken"]);
+  });
 });
