Let a stream that has begun wait for a worker for as long as its caller does

It now waits for the whole patience, for a seat as well as for an endpoint. The test failed before (2,400 of 4,000 ms).

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -18,6 +18,8 @@
   readonly gapMs: number;
   /** Time left until its deadline. */
   readonly leftMs: number;
+  /** Whether its answer has begun, so that its caller can't be told to retry. */
+  readonly hasBegun?: boolean;
 }
 
 /** Whether a request is admitted; if not, why, and after how many milliseconds it should be retried. */
@@ -104,16 +106,19 @@
 /** Longest wait for a seat, as a fraction of the time before the caller leaves; the rest must suffice for a retry. */
 const SEAT_WAIT_RATIO = 0.6;
 
-/** Milliseconds for which a request may wait while no endpoint is usable; longer if an engine is starting. */
+/** Milliseconds for which a request may wait while no endpoint is usable; longer if an engine is starting or it has begun. */
 export function maxEndpointWaitMs(r: RequestTimes, isStarting: boolean): number {
-  return isStarting ? maxSeatWaitMs(r) : r.targetMs * ENDPOINT_WAIT_RATIO;
+  return isStarting || r.hasBegun ? maxSeatWaitMs(r) : r.targetMs * ENDPOINT_WAIT_RATIO;
 }
 
-/** Milliseconds for which a request may wait for a seat; after that it is better that its caller is told to retry. */
+/**
+ * Milliseconds for which a request may wait for a seat; after that it is better that its caller is told to retry. One that has
+ * begun waits for as long as its caller does.
+ */
 export function maxSeatWaitMs(r: RequestTimes): number {
   const gapsMs = Number.isFinite(r.gapMs) ? PATIENCE_GAPS * r.gapMs : 0;
   const patienceMs = Math.max(PATIENCE_MS, PATIENCE_TARGETS * r.targetMs, gapsMs);
-  return SEAT_WAIT_RATIO * Math.min(r.leftMs, patienceMs);
+  return (r.hasBegun ? 1 : SEAT_WAIT_RATIO) * Math.min(r.leftMs, patienceMs);
 }
 
 /** Milliseconds over which retries are spread at random after a worker accepts requests again. */
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -83,7 +83,7 @@
     const { config } = this.deps.catalog();
     // One number for all decisions on a request, so that one that engines send back is not refused more often.
     if (config && steady.hasSteadyStreams(config)) p.admissionDraw ??= this.deps.random();
-    const times = timesOf(a, this.deps.clock.mono());
+    const times = timesOf(a, p, this.deps.clock.mono());
     return admission.decide(times, best, givesWay, p.admissionDraw);
   }
 
@@ -105,7 +105,7 @@
       }
       const isStarting = this.deps.endpoints.hasStartingEngine(a.service, software);
       const waitsUntil =
-        p.queuedAt + admission.maxEndpointWaitMs(timesOf(a, p.queuedAt), isStarting);
+        p.queuedAt + admission.maxEndpointWaitMs(timesOf(a, p, p.queuedAt), isStarting);
       const leftMs = Math.min(a.dueAt, waitsUntil) - this.deps.clock.mono();
       const opening = this.deps.endpoints.nextOpening(a.service, software);
       if (opening && !isStarting && opening.inMs > leftMs) {
@@ -173,7 +173,7 @@
 
   /** Milliseconds for which a request may still wait for a seat. */
   seatWaitLeftMs(a: callerRequest.CallerRequest, p: progress.Progress): number {
-    return p.queuedAt + admission.maxSeatWaitMs(timesOf(a, p.queuedAt)) - this.deps.clock.mono();
+    return p.queuedAt + admission.maxSeatWaitMs(timesOf(a, p, p.queuedAt)) - this.deps.clock.mono();
   }
 
   /** Requests a seat on an engine and waits for the answer, or until the request should move to another engine. */
@@ -303,8 +303,12 @@
   }
 }
 
-/** The rank, target and remaining time of a request at the monotonic ms `now`. */
-function timesOf(a: callerRequest.CallerRequest, now: number): admission.RequestTimes {
+/** What limits the waits of a request at the monotonic ms `now`. */
+function timesOf(
+  a: callerRequest.CallerRequest,
+  p: progress.Progress,
+  now: number,
+): admission.RequestTimes {
   const { rank, targetMs, gapMs } = a.route;
-  return { rank, targetMs, gapMs, leftMs: a.dueAt - now };
+  return { rank, targetMs, gapMs, leftMs: a.dueAt - now, hasBegun: p.hasResponseBegun };
 }
--- a/test/serving/continuation/bound-streams.test.ts
+++ b/test/serving/continuation/bound-streams.test.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as chai from "chai";
+import * as admission from "../../../src/serving/admission.js";
 import type * as callerRequest from "../../../src/serving/caller-request.js";
 import * as catalog from "../../../src/serving/catalog.js";
 import type * as origins from "../../../src/serving/continuation/origins.js";
@@ -137,4 +138,14 @@
     expect(ran).deep.equal(["v1.0"]);
     expect(seen).deep.equal(["begin 200", "broken"]);
   });
+
+  it("that has begun waits for a worker for as long as its caller does", () => {
+    const times = { rank: 1, targetMs: 1000, gapMs: 400, leftMs: 9000 };
+    const begun = { ...times, hasBegun: true };
+    expect(admission.maxSeatWaitMs(times)).equal(2400);
+    expect(admission.maxSeatWaitMs(begun)).equal(4000);
+    expect(admission.maxEndpointWaitMs(times, false)).equal(200);
+    expect(admission.maxEndpointWaitMs(begun, false)).equal(4000);
+    expect(admission.maxSeatWaitMs({ ...begun, leftMs: 300 })).equal(300);
+  });
 });
