--- a/bench/cost/main.ts
+++ b/bench/cost/main.ts
@@ -8,6 +8,7 @@
 import * as engineStep from "./engine-step.js";
 import * as link from "./link.js";
 import * as memory from "./memory.js";
+import * as origins from "./origins.js";
 import * as throughput from "./throughput.js";
 
 const out = command.printLine;
@@ -62,6 +63,10 @@
     }
   }
   out(command.formatTable(choices));
+  const report = await origins.reporting();
+  out(
+    `reporting a stream's origin to one keeper: ${n(report.us)} us, both ends, ${report.bytes} bytes`,
+  );
 }
 if (parts.includes("link")) {
   out(`signing and checking: ${n(link.signing().us)} us`);
