Hold the connection of a check for a crash for a moment

The check connected while the process still listened, and took that for its answer. It now holds the connection for 40 ms; if the other side closes it, it connects once more, since a worker at its limit of connections closes them too. Sending a broken request on waits that much longer. The first test failed before; the second holds the line for the limit.

--- a/src/serving/crash-check.ts
+++ b/src/serving/crash-check.ts
@@ -1,7 +1,7 @@
 /**
  * Tells whether a worker whose connection broke has crashed. A broken connection alone does not
- * show that: connections are reset and hosts lose power. A worker that still listens has not
- * crashed.
+ * show that: connections are reset and hosts lose power. A worker that still listens a moment
+ * later has not crashed.
  * @module
  */
 import * as net from "node:net";
@@ -15,6 +15,11 @@
  * says nothing about the process. A request that may be sent on waits for the result.
  */
 const CONNECT_TIMEOUT_MS = 150;
+/**
+ * Milliseconds for which a connection that was accepted is held. A process that crashes may close a connection first and end
+ * a little later; its end closes this one too.
+ */
+const HOLD_MS = 40;
 /** Milliseconds for which a crash found is shared; the worker may have started again at its address meanwhile. */
 const CRASHED_MS = 500;
 const REFUSED = "ECONNREFUSED";
@@ -47,7 +52,7 @@
   }
 
   private async start(e: catalog.Endpoint): Promise<boolean> {
-    const check = refuses(e.address, this.clk);
+    const check = hasEnded(e.address, this.clk);
     this.running.set(e.id, check);
     const hasCrashed = await check;
     this.running.delete(e.id);
@@ -60,23 +65,49 @@
   }
 }
 
-/** Whether a connection attempt is refused. */
-function refuses(address: string, clk: clock.Clock): Promise<boolean> {
+/** Whether the process that listens at an address has ended, or ends while a connection to it is held. */
+async function hasEnded(address: string, clk: clock.Clock): Promise<boolean> {
+  switch (await probe(address, clk, HOLD_MS)) {
+    case "refused":
+      return true;
+    case "closed":
+      // A worker at its limit of connections closes them too.
+      return (await probe(address, clk, 0)) === "refused";
+    case "open":
+    case "silent":
+      return false;
+  }
+}
+
+/** What became of a connection: refused, closed by the other side while it was held, still open then, or not answered. */
+type Probe = "refused" | "closed" | "open" | "silent";
+
+/** Connects, and holds the connection for `holdMs`. */
+function probe(address: string, clk: clock.Clock, holdMs: number): Promise<Probe> {
   return new Promise((resolve) => {
     const socket = net.connect(addresses.parse(address));
-    const finish = (result: boolean): void => {
+    const finish = (result: Probe): void => {
       timer.cancel();
       socket.destroy();
       resolve(result);
     };
-    const timer = clk.after(CONNECT_TIMEOUT_MS, () => {
-      finish(false);
+    let isConnected = false;
+    let timer = clk.after(CONNECT_TIMEOUT_MS, () => {
+      finish("silent");
     });
     socket.once("connect", () => {
-      finish(false);
+      isConnected = true;
+      timer.cancel();
+      timer = clk.after(holdMs, () => {
+        finish("open");
+      });
+    });
+    socket.once("end", () => {
+      finish("closed");
     });
     socket.once("error", (err: NodeJS.ErrnoException) => {
-      finish(err.code === REFUSED);
+      finish(isConnected ? "closed" : err.code === REFUSED ? "refused" : "silent");
     });
+    socket.resume();
   });
 }
--- a/test/serving/crash-check.test.ts
+++ b/test/serving/crash-check.test.ts
@@ -16,6 +16,26 @@
     expect(await check.hasCrashed(e)).equal(true);
   });
 
+  it("finds a crash that comes a little later than the end of the connection", async () => {
+    const worker = await fixtures.worker((_req, res) => res.end());
+    const check = new crashCheck.CrashCheck(clock.system);
+    const found = check.hasCrashed(fixtures.endpoint("e", worker.address));
+    await clock.sleep(clock.system, 15);
+    worker.close();
+    expect(await found).equal(true);
+  });
+
+  it("does not take a worker at its limit of connections for crashed", async () => {
+    const worker = net.createServer((socket) => socket.resetAndDestroy());
+    await new Promise<void>((resolve) => {
+      worker.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = worker.address() as net.AddressInfo;
+    const check = new crashCheck.CrashCheck(clock.system);
+    expect(await check.hasCrashed(fixtures.endpoint("e", `127.0.0.1:${port}`))).equal(false);
+    worker.close();
+  });
+
   it("finds a crash while an earlier check is under way", async () => {
     const worker = await fixtures.worker((_req, res) => res.end());
     const e = fixtures.endpoint("e", worker.address);
