--- a/bench/red/continuation-switches.ts
+++ b/bench/red/continuation-switches.ts
@@ -51,8 +51,8 @@
   {
     name: "continuation: open streams are reported when a second version appears",
     file: "serving/continuation/origins.js",
-    find: "if (!s.isReported && ",
-    put: "if (false && ",
+    find: "if (!unambiguous.has(s.route))",
+    put: "if (false)",
     proof: "are known of streams that had begun when a second version appeared",
   },
   {
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -91,12 +91,11 @@
     const names = new Set(at.config?.routes.map((r) => r.name));
     for (const name of this.longestWaitMs.keys())
       if (!names.has(name)) this.longestWaitMs.delete(name);
-    if (this.own.size === 0) return;
-    const only = (at.config?.routes ?? []).filter((r) => r.resumable && this.isOnlyOne(r));
-    const unambiguous = new Set(only.map((r) => r.name));
-    for (const [attempt, s] of this.own) {
-      if (!s.isReported && !unambiguous.has(s.route) && s.expiresAt > now) this.report(attempt, s);
-    }
+    const unreported = [...this.own].filter(([, s]) => !s.isReported && s.expiresAt > now);
+    const open = new Set(unreported.map(([, s]) => s.route));
+    const routes = at.config?.routes.filter((r) => open.has(r.name)) ?? [];
+    const unambiguous = new Set(routes.filter((r) => this.isOnlyOne(r)).map((r) => r.name));
+    for (const [attempt, s] of unreported) if (!unambiguous.has(s.route)) this.report(attempt, s);
   }
 
   /** Takes in an endpoint whose entry did not last until it came into the catalog. */
