Take the rest of an event that was passed on in parts for no comment

A stream whose oversized event has no id and ends with a comment line would have gone on after the event before it, so that its caller got that event again: the rest that ends such an event looked like a comment, after which the last known id stays in force.

--- a/src/serving/answers/event-splitter.ts
+++ b/src/serving/answers/event-splitter.ts
@@ -41,10 +41,11 @@
     for (let end = eventEnd(unread); end > 0; end = eventEnd(unread)) {
       const bytes = unread.subarray(0, end);
       const id = this.open ? this.open.id : idOf(bytes);
+      // What remains of an event that was passed on in parts may look like a comment.
+      const isComment = !this.open && id === undefined && isCommentary(bytes);
       this.open = undefined;
-      const isComment = id === undefined && isCommentary(bytes);
       events.push({ bytes, id, isComment, isPartial: false });
-      this.eventSeen ||= !isComment && !isCommentary(bytes);
+      this.eventSeen ||= !isCommentary(bytes);
       unread = unread.subarray(end);
     }
     if (unread.length > MAX_EVENT_BYTES || (this.open && unread.length > HELD_END_BYTES)) {
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -80,6 +80,17 @@
     );
   });
 
+  it("tell comments from the rest of an event that was passed on in parts", () => {
+    const isComment = (text: string): readonly boolean[] =>
+      new eventSplitter.EventSplitter().push(Buffer.from(text)).map((e) => e.isComment);
+    expect(isComment(": ping\n\ndata: x\n\nid: 1\n\n")).deep.equal([true, false, false]);
+    const cutter = new eventSplitter.EventSplitter();
+    const parts = [...cutter.push(Buffer.from(`data: ${"x".repeat(1_100_000)}\n: c`))];
+    parts.push(...cutter.push(Buffer.from("\n\n")));
+    expect(parts.map((e) => e.isComment)).deep.equal(parts.map(() => false));
+    expect(parts.at(-1)?.isPartial).equal(false);
+  });
+
   it("are inside an event at every cut but those between two, in any line ends", () => {
     const line = fc.stringMatching(/^[a-z0-9 ]{0,9}$/);
     const one = fc.record({ id: fc.nat(), data: line });
