Soak: resume a stream a second time after all events that its caller has

The position of a second resumption counted the events of the last attempt alone, so a caller asked for events again that it had. Only streams that broke twice were concerned; no check saw it, since each attempt is checked against the position that it asked for.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -172,7 +172,7 @@
   const first = await sendAttempt(w, client, entry, w.nextRequest(), undefined);
   let last = first;
   for (let n = 0; n < MAX_RESUMPTIONS && first.kind === "stream"; n++) {
-    const after = (first.resumed?.after ?? 0) + history.wholeEvents(last).length;
+    const after = (last.resumed?.after ?? 0) + history.wholeEvents(last).length;
     const leftMs = Math.round(first.sentAt + first.waitMs - performance.now());
     if (last.end.kind !== "broken" || after === 0 || leftMs < MIN_LEFT_MS) break;
     const to = w.entry();
