--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -32,9 +32,17 @@
   return `id: ${n}\ndata: ${id} ${adapter}@${version} ${n} of ${EVENTS_PER_STREAM}${by}\n\n`;
 }
 
-/** The software versions that the events of a text name. */
-export function softwareIn(text: string): ReadonlySet<string> {
-  return new Set([...text.matchAll(/ by (\S+)\n\n/g)].map(([, software = ""]) => software));
+/** The whole events of a text that may be cut inside one. */
+export function wholeEvents(text: string): readonly string[] {
+  return text
+    .split("\n\n")
+    .slice(0, -1)
+    .map((e) => `${e}\n\n`);
+}
+
+/** The software versions that some events name. */
+export function softwareIn(events: readonly string[]): ReadonlySet<string> {
+  return new Set(events.flatMap((e) => / by (\S+)\n\n$/.exec(e)?.[1] ?? []));
 }
 
 /** An adapter that occupies a slot. */
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -126,7 +126,7 @@
 /** Whether the text is the beginning of the answer to this request. */
 function isBeginning(s: RequestRecord, text: string): boolean {
   if (s.adapter === "") return workers.answerText(s.id, s.body).startsWith(text);
-  const events = text.split("\n\n").slice(0, -1);
+  const events = workers.wholeEvents(text);
   const next = (s.resumed?.after ?? 0) + 1;
   return events.every((e, i) => e.startsWith(`id: ${i + next}\ndata: ${s.id} ${s.adapter}@`));
 }
@@ -134,7 +134,7 @@
 /** The whole events that a request brought its caller. */
 export function wholeEvents(s: RequestRecord): readonly string[] {
   if (s.end.kind === "left" || s.adapter === "") return [];
-  return s.end.text.split("\n\n").slice(0, -1);
+  return workers.wholeEvents(s.end.text);
 }
 
 /** Returns what is wrong with a request, or undefined. The function's name is the rule's name in the output. */
--- a/bench/soak/software.ts
+++ b/bench/soak/software.ts
@@ -17,9 +17,8 @@
   const versions = new Map<string, Set<string>>();
   for (const s of h.seen) {
     const stream = s.resumed?.first ?? s.id;
-    const text = history.wholeEvents(s).map((e) => `${e}\n\n`);
     const found = versions.get(stream) ?? new Set();
-    for (const v of workers.softwareIn(text.join(""))) found.add(v);
+    for (const v of workers.softwareIn(history.wholeEvents(s))) found.add(v);
     versions.set(stream, found);
   }
   const mixed = [...versions].filter(([, found]) => found.size > 1);
--- a/test/platform/software-versions.test.ts
+++ b/test/platform/software-versions.test.ts
@@ -36,19 +36,13 @@
   readonly resumes?: string;
 }
 
-/** The whole events of a body that may be cut. */
-function wholeEvents(body: string): string {
-  return body.slice(0, body.lastIndexOf("\n\n") + 2 * Number(body.includes("\n\n")));
-}
-
 function lastEventOf({ received }: Attempt): number {
-  return wholeEvents(received.body).split("\n\n").length - 1;
+  return workers.wholeEvents(received.body).length;
 }
 
 /** The software versions in the events of a caller's attempts at one stream. */
 function versionsOf(...attempts: readonly (Attempt | undefined)[]): ReadonlySet<string> {
-  const events = attempts.map((a) => (a ? wholeEvents(a.received.body) : ""));
-  return workers.softwareIn(events.join(""));
+  return workers.softwareIn(attempts.flatMap((a) => workers.wholeEvents(a?.received.body ?? "")));
 }
 
 describe("streams before workers of two software versions", () => {
