Keep what both daemons do about origins in one place

The entry and the endpoint daemon each had a bounded map whose entries expire, and each put together what its daemon has watched, how long and how new. These are an ExpiringMap and OriginHistory.witness now, and one function decides whether a list of origins agrees.

--- a/bench/red/continuation-switches.ts
+++ b/bench/red/continuation-switches.ts
@@ -58,8 +58,8 @@
   {
     name: "continuation: keepers that start again are told again",
     file: "serving/continuation/origins.js",
-    find: "const isKept = s.isReported && s.expiresAt > now;",
-    put: "const isKept = false;",
+    find: ".filter(([, s]) => s.isReported)",
+    put: ".filter(() => false)",
     proof: "are known after all keepers have started again",
   },
   {
--- a/src/serving/continuation/origin-history.ts
+++ b/src/serving/continuation/origin-history.ts
@@ -2,6 +2,7 @@
  * Which services each route has led to, and which software versions have served in each, as far back as a stream may go on.
  * @module
  */
+import type * as clock from "../../host/clock.js";
 import * as selector from "../../contract/selector.js";
 import * as catalog from "../catalog.js";
 import type * as origin from "./origin.js";
@@ -66,6 +67,15 @@
   }
 }
 
+/** How far a daemon's catalog can be relied on. */
+export interface Deps {
+  readonly clock: clock.Clock;
+  /** Milliseconds for which every change of the catalog has been seen. */
+  readonly watchedMs: () => number;
+  /** Milliseconds since the catalog was last known to be as new as the store. */
+  readonly catalogAgeMs: () => number;
+}
+
 /** What one daemon has seen of routes and software versions. */
 export class OriginHistory {
   private readonly services = new SeenNames();
@@ -73,9 +83,12 @@
   private config: catalog.Config | undefined;
   private endpoints: catalog.Catalog["endpoints"] | undefined;
 
+  constructor(private readonly deps: Deps) {}
+
   /** Takes in a changed catalog. */
-  record(at: catalog.Catalog, now: number): void {
+  catalogChanged(at: catalog.Catalog): void {
     const { config, endpoints } = at;
+    const now = this.deps.clock.mono();
     if (!config || (config === this.config && endpoints === this.endpoints)) return;
     if (config !== this.config) {
       const streams = config.routes.filter((r) => r.kind === "stream");
@@ -92,20 +105,22 @@
   }
 
   /** Takes in an endpoint whose entry has been replaced or deleted before it came into the catalog. */
-  recordSuperseded(e: catalog.Endpoint, now: number): void {
+  endpointSuperseded(e: catalog.Endpoint): void {
+    const now = this.deps.clock.mono();
     for (const s of this.config?.services.values() ?? []) {
       if (selector.matches(s.endpoints, e.labels))
         this.versions.add(s.name, catalog.softwareOf(e), now);
     }
   }
 
-  /** The origins that streams of a route may have that began at most `withinMs` before `now`. */
-  possible(route: string, now: number, withinMs: number): readonly origin.Origin[] {
-    const since = now - withinMs;
-    return this.services
+  /** What this daemon can tell of streams of a route that began at most `maxAgeMs` ago. */
+  witness(route: string, maxAgeMs: number): origin.Witness {
+    const since = this.deps.clock.mono() - maxAgeMs;
+    const possible = this.services
       .namesSince(route, since)
       .flatMap((service) =>
         this.versions.namesSince(service, since).map((software) => ({ service, software })),
       );
+    return { possible, watchedMs: this.deps.watchedMs(), ageMs: this.deps.catalogAgeMs() };
   }
 }
--- a/src/serving/continuation/origin.ts
+++ b/src/serving/continuation/origin.ts
@@ -38,12 +38,11 @@
 export function onlyOrigin(witnesses: readonly Witness[], maxAgeMs: number): Origin | undefined {
   if (!witnesses.some((w) => w.watchedMs - w.ageMs >= maxAgeMs)) return undefined;
   // What a witness has seen is possible, however old its view is.
-  const [first, ...others] = witnesses.flatMap((w) => w.possible);
-  return first && others.every((o) => isSame(o, first)) ? first : undefined;
+  return agreedOrigin(witnesses.flatMap((w) => w.possible));
 }
 
-/** The one origin that all records of a stream agree on; undefined if there is none or they differ. */
-export function agreedOrigin(records: readonly Origin[]): Origin | undefined {
-  const [first, ...others] = records;
+/** The one origin that all of a list are; undefined if it is empty or they differ. */
+export function agreedOrigin(list: readonly Origin[]): Origin | undefined {
+  const [first, ...others] = list;
   return first && others.every((o) => isSame(o, first)) ? first : undefined;
 }
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -11,6 +11,7 @@
 import type * as callerRequest from "../caller-request.js";
 import type * as catalog from "../catalog.js";
 import type * as link from "../link.js";
+import * as expiringMap from "./expiring-map.js";
 import type * as messages from "./messages.js";
 import * as origin from "./origin.js";
 import * as originHistory from "./origin-history.js";
@@ -31,14 +32,9 @@
 /** A connection to an endpoint daemon that may keep origins. */
 export type Keeper = Pick<link.Link, "address" | "send" | "findOrigin">;
 
-export interface Deps {
-  readonly clock: clock.Clock;
+export interface Deps extends originHistory.Deps {
   /** Connections to the first `n` endpoint daemons in the order for a key. */
   readonly keepers: (key: string, n: number) => readonly Keeper[];
-  /** Milliseconds for which every change of the catalog has been seen. */
-  readonly watchedMs: () => number;
-  /** Milliseconds since the catalog was last known to be as new as the store. */
-  readonly catalogAgeMs: () => number;
 }
 
 /** Who knew the origin of a stream. */
@@ -53,11 +49,9 @@
 }
 
 /** A stream that began here. */
-interface OwnStream {
+interface OwnStream extends expiringMap.Expiring {
   readonly origin: origin.Origin;
   readonly route: string;
-  /** Monotonic ms. */
-  readonly expiresAt: number;
   isReported: boolean;
 }
 
@@ -72,12 +66,14 @@
 
 /** The origins of the streams of one entry daemon's callers. */
 export class Origins {
-  private readonly own = new Map<string, OwnStream>();
+  private readonly own = new expiringMap.ExpiringMap<OwnStream>(MAX_STREAMS);
   /** The longest wait that a caller of each route has told at the beginning of a stream. */
   private readonly longestWaitMs = new Map<string, number>();
-  private readonly history = new originHistory.OriginHistory();
+  private readonly history: originHistory.OriginHistory;
 
-  constructor(private readonly deps: Deps) {}
+  constructor(private readonly deps: Deps) {
+    this.history = new originHistory.OriginHistory(deps);
+  }
 
   /** Number of streams remembered. */
   get size(): number {
@@ -86,12 +82,11 @@
 
   /** Takes in a changed catalog. Streams that now may have different origins are reported. */
   catalogChanged(at: catalog.Catalog): void {
-    const now = this.deps.clock.mono();
-    this.history.record(at, now);
+    this.history.catalogChanged(at);
     const names = new Set(at.config?.routes.map((r) => r.name));
     for (const name of this.longestWaitMs.keys())
       if (!names.has(name)) this.longestWaitMs.delete(name);
-    const unreported = [...this.own].filter(([, s]) => !s.isReported && s.expiresAt > now);
+    const unreported = this.own.live(this.deps.clock.mono()).filter(([, s]) => !s.isReported);
     const open = new Set(unreported.map(([, s]) => s.route));
     const routes = at.config?.routes.filter((r) => open.has(r.name)) ?? [];
     const unambiguous = new Set(routes.filter((r) => this.isOnlyOne(r)).map((r) => r.name));
@@ -100,7 +95,7 @@
 
   /** Takes in an endpoint whose entry did not last until it came into the catalog. */
   endpointSuperseded(e: catalog.Endpoint): void {
-    this.history.recordSuperseded(e, this.deps.clock.mono());
+    this.history.endpointSuperseded(e);
   }
 
   /** Whether all streams of a route can have only one origin, by what this host has watched. */
@@ -118,13 +113,9 @@
     }
     if (meta.id === "") return;
     const now = this.deps.clock.mono();
-    for (const [oldest, { expiresAt }] of this.own) {
-      if (expiresAt > now && this.own.size < MAX_STREAMS) break;
-      this.own.delete(oldest);
-    }
     const expiresAt = now + originHistory.memoryMs(route);
     const s: OwnStream = { origin: o, route: route.name, expiresAt, isReported: false };
-    this.own.set(meta.id, s);
+    this.own.set(meta.id, s, now);
     if (!this.isOnlyOne(route)) this.report(meta.id, s);
   }
 
@@ -133,8 +124,8 @@
     const { meta, route } = req;
     const { resumes } = meta;
     const now = this.deps.clock.mono();
-    const own = resumes === undefined ? undefined : this.own.get(resumes);
-    if (own && own.expiresAt > now) return { origin: own.origin, from: "own" };
+    const own = resumes === undefined ? undefined : this.own.get(resumes, now);
+    if (own) return { origin: own.origin, from: "own" };
     const longestMs = this.longestWaitMs.get(route.name) ?? 0;
     const maxAgeMs = originHistory.maxAgeMs(route, meta.waitMs, longestMs);
     const question = { ...(resumes !== undefined && { attempt: resumes }), maxAgeMs };
@@ -148,7 +139,8 @@
     if (records.length > 0) return undefined;
     const infer = (): origin.Origin | undefined => {
       const ageMs = maxAgeMs + this.deps.clock.mono() - now;
-      return origin.onlyOrigin([this.witness(route, ageMs), ...replies.map((r) => r.found)], ageMs);
+      const here = this.history.witness(route.name, ageMs);
+      return origin.onlyOrigin([here, ...replies.map((r) => r.found)], ageMs);
     };
     if (!infer()) return undefined;
     // The host that began the stream may have known of a version that this one does not know yet.
@@ -171,36 +163,33 @@
   /** The messages that a keeper must receive on a new connection: it may have started anew. */
   messagesFor(address: string): readonly messages.Begun[] {
     const now = this.deps.clock.mono();
-    return [...this.own].flatMap(([attempt, s]) => {
-      const isKept = s.isReported && s.expiresAt > now;
-      const isKeeper = (k: Keeper): boolean => k.address === address;
-      if (!isKept || !this.deps.keepers(keeperKey(attempt), KEEPERS).some(isKeeper)) return [];
-      return [toMessage(attempt, s, now)];
-    });
+    const isKeeper = (k: Keeper): boolean => k.address === address;
+    const reported = this.own.live(now).filter(([, s]) => s.isReported);
+    return reported.flatMap(([attempt, s]) =>
+      this.keepersOf(attempt).some(isKeeper) ? [toMessage(attempt, s, now)] : [],
+    );
   }
 
-  private witness(route: catalog.Route, maxAgeMs: number): origin.Witness {
-    const now = this.deps.clock.mono();
-    return {
-      possible: this.history.possible(route.name, now, maxAgeMs),
-      watchedMs: this.deps.watchedMs(),
-      ageMs: this.deps.catalogAgeMs(),
-    };
+  /** Connections to the endpoint daemons that keep the origin of an attempt's stream. */
+  private keepersOf(attempt: string): readonly Keeper[] {
+    return this.deps.keepers(keeperKey(attempt), KEEPERS);
   }
 
   private onlyOrigin(route: catalog.Route): origin.Origin | undefined {
     if (this.deps.catalogAgeMs() > MAX_CATALOG_AGE_MS) return undefined;
     const memoryMs = originHistory.memoryMs(route);
-    return origin.onlyOrigin([this.witness(route, memoryMs)], memoryMs);
+    return origin.onlyOrigin([this.history.witness(route.name, memoryMs)], memoryMs);
   }
 
   private async ask(
-    key: string,
+    attempt: string,
     question: Omit<messages.Find, "kind" | "question">,
   ): Promise<readonly { readonly peer: string; readonly found: messages.Found }[]> {
-    const keepers = this.deps.keepers(keeperKey(key), KEEPERS);
     const replies = await Promise.all(
-      keepers.map(async (k) => ({ peer: k.address, found: await k.findOrigin(question) })),
+      this.keepersOf(attempt).map(async (k) => ({
+        peer: k.address,
+        found: await k.findOrigin(question),
+      })),
     );
     return replies.flatMap(({ peer, found }) => (found ? [{ peer, found }] : []));
   }
@@ -208,6 +197,6 @@
   private report(attempt: string, s: OwnStream): void {
     s.isReported = true;
     const m = toMessage(attempt, s, this.deps.clock.mono());
-    for (const k of this.deps.keepers(keeperKey(attempt), KEEPERS)) k.send(m);
+    for (const k of this.keepersOf(attempt)) k.send(m);
   }
 }
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -50,10 +50,10 @@
   const fed = daemonBase.openFeed(deps, watchPace.RELAXED_PACE, {
     onChange: (current) => {
       manager.catalogChanged();
-      origins.catalogChanged(current);
+      origins.history.catalogChanged(current);
     },
     onSuperseded: (e) => {
-      origins.endpointSuperseded(e);
+      origins.history.endpointSuperseded(e);
     },
     onRestored: () => {
       turns.storeRestored();
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -131,7 +131,7 @@
     const { watchedMs, catalogAgeMs } = follower;
     const part = new originKeeper.OriginKeeper({ clock: this.clock, watchedMs, catalogAgeMs });
     follower.onChange = (at) => {
-      part.catalogChanged(at);
+      part.history.catalogChanged(at);
     };
     return part;
   }
