--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -165,6 +165,9 @@
 const entries = (s: site.Site): readonly daemons.Daemon[] => s.entries;
 const endpoints = (s: site.Site): readonly daemons.Daemon[] => s.endpoints;
 
+/** The end of an entry daemon, after which callers resume its streams elsewhere. */
+export const ENTRY_KILL = killFault("entry daemon", entries);
+
 /** Names of the adapters that callers request. */
 export const ADAPTERS = Array.from({ length: 14 }, (_, i) => `a${i + 1}`);
 /** Paths of the routes that the operator adds and removes. */
@@ -220,7 +223,7 @@
 /** Number of faults that end entry daemons while a service sheds load, and range of the milliseconds between them. */
 const RESTARTS = 6;
 const RESTART_INTERVAL_MS: readonly [number, number] = [200, 1500];
-const RESTART_FAULTS = [killFault("entry daemon", entries), stopFault("entry daemon", entries)];
+const RESTART_FAULTS = [ENTRY_KILL, stopFault("entry daemon", entries)];
 
 /** Lets all workers of one service shed load while entry daemons are killed or asked to stop, one after the other. */
 export async function shedDuringRestarts(
@@ -252,9 +255,6 @@
   worker.limitPerS = undefined;
 }
 
-/** The end of an entry daemon, after which callers resume its streams elsewhere. */
-export const ENTRY_KILL = killFault("entry daemon", entries);
-
 const storeIsBusy = storeFault("is busy", (d) => {
   d.site.store.faults.mode = "busy";
 });
@@ -304,7 +304,7 @@
   workerLeaves,
   workerLeaves,
   workerLeaves,
-  killFault("entry daemon", entries),
+  ENTRY_KILL,
   killFault("endpoint daemon", endpoints),
   freezeFault("entry daemon", entries),
   freezeFault("endpoint daemon", endpoints),
