Log the prompt parts of requests under which workers crashed, and count these by verdict

Callers saw worker after worker crash under requests that have one prompt part in common. The lines named a request by its identity alone, so they could not tell a shared part from any other cause. "A worker crashed while running a request." names the prompt's shared parts now, and sumacfield_crashed_sends_total counts by service and verdict.

--- a/src/serving/caller-request.ts
+++ b/src/serving/caller-request.ts
@@ -33,6 +33,11 @@
   readonly resumes?: string | undefined;
 }
 
+/** The parts of a prompt that other requests may share: all but the last, which is the request's or its session's own. */
+export function sharedParts(meta: Meta): readonly PromptPart[] {
+  return meta.parts.slice(0, -1);
+}
+
 /** Authenticated sender of a request, on a route that requires a key. */
 export interface Caller {
   readonly team: catalog.Team;
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -105,6 +105,7 @@
     log: deps.log("suspicion"),
     catalog: () => catalogFeed.catalog,
     crashCheck: new crashCheck.CrashCheck(deps.clock),
+    metrics: daemonMetrics,
     send: (key, m) => {
       registry.relay(key, m);
     },
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -11,6 +11,7 @@
 import type * as framings from "./answers/framing.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as memoryBudget from "./buffering/memory-budget.js";
+import type * as suspicion from "./suspicion.js";
 
 /** Upper bounds of the histogram buckets, in ms; they lie around the latency targets of 150 to 1,000 ms. */
 const BUCKETS_MS = [10, 25, 50, 100, 150, 250, 400, 600, 1000, 1500, 2500, 5000, 10_000];
@@ -85,6 +86,8 @@
     outcome: "ended" | "refused",
     reason: memoryBudget.EndReason | memoryBudget.RefusalReason,
   ) => void;
+  /** A worker crashed while it ran a request of a service; `verdict` is the one on the request after that crash. */
+  readonly recordCrash: (service: string, verdict: suspicion.Verdict["kind"]) => void;
   /** Adds a gauge whose value `read` returns. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** The metrics in the Prometheus text format. */
@@ -191,6 +194,12 @@
     "outcome",
     "reason",
   );
+  const crashes = counter(
+    "sumacfield_crashed_sends_total",
+    "Sends under which a worker crashed, by service and the verdict on the request after the crash.",
+    "service",
+    "verdict",
+  );
   const routeLabel = boundedLabel(MAX_ROUTE_LABELS);
   const teamLabel = boundedLabel(MAX_TEAM_LABELS);
   return {
@@ -239,6 +248,9 @@
     recordMemory: (outcome, reason) => {
       memory.inc({ outcome, reason });
     },
+    recordCrash: (service, verdict) => {
+      crashes.inc({ service, verdict });
+    },
     addGauge: (name, help, read) => {
       new prom.Gauge({
         name,
--- a/src/serving/suspects.ts
+++ b/src/serving/suspects.ts
@@ -7,11 +7,12 @@
 import * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
 import type * as structuredLog from "../host/structured-log.js";
-import type * as callerRequest from "./caller-request.js";
+import * as callerRequest from "./caller-request.js";
 import type * as crashCheck from "./crash-check.js";
 import * as catalog from "./catalog.js";
 import * as suspicionState from "./suspicion-state.js";
 import * as identity from "./identity.js";
+import type * as metrics from "./metrics.js";
 import * as quarantine from "./quarantine.js";
 import * as suspicion from "./suspicion.js";
 
@@ -20,6 +21,7 @@
   readonly log: structuredLog.Log;
   readonly catalog: () => catalog.Catalog;
   readonly crashCheck: crashCheck.CrashCheck;
+  readonly metrics: Pick<metrics.Metrics, "recordCrash">;
   /**
    * Sends a message to some endpoint daemons: always the same ones for a key, as long as they are
    * connected.
@@ -38,6 +40,8 @@
  * proved.
  */
 const CONFIRM_MS = 2500;
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 16;
 
 /** Tracks requests that crash their workers: one per entry daemon. */
 export class Suspects {
@@ -102,7 +106,12 @@
       underWayMs: Math.round(underWayMs),
       peers,
       verdict: verdict.kind,
+      parts: callerRequest
+        .sharedParts(a.meta)
+        .slice(0, MAX_LOGGED_PARTS)
+        .map((part) => part.id),
     });
+    this.deps.metrics.recordCrash(a.service.name, verdict.kind);
     if (verdict.kind === "quarantined") void this.persist(id);
   }
 
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -78,6 +78,7 @@
     log: structuredLog.silent,
     catalog: currentCatalog,
     crashCheck: new crashCheck.CrashCheck(clk),
+    metrics: metrics.create(),
     send: (key, m) => {
       known.relay(key, m);
     },
