Soak: remove a proxy's error listener once it listens

A proxy that is started again and again kept one listener for each start, so Node warned of a leak in tests whose workers crash more than ten times.

--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -36,7 +36,10 @@
   async start(host: string, port = 0): Promise<string> {
     await new Promise<void>((resolve, reject) => {
       this.server.once("error", reject);
-      this.server.listen(port, host, resolve);
+      this.server.listen(port, host, () => {
+        this.server.off("error", reject);
+        resolve();
+      });
     });
     return `${host}:${(this.server.address() as net.AddressInfo).port}`;
   }
