--- a/bench/platform/journal.ts
+++ b/bench/platform/journal.ts
@@ -44,6 +44,8 @@
   readonly id: string;
   /** Body of the request, which is the same in each of its attempts. */
   readonly body: string;
+  /** The part of its prompt that crashes workers; undefined if its body does. */
+  readonly part: string | undefined;
   readonly instance: string;
   readonly at: number;
 }
--- a/bench/platform/worker-base.ts
+++ b/bench/platform/worker-base.ts
@@ -36,6 +36,7 @@
 const MS_PER_S = 1000;
 /** A request whose body contains this text crashes its worker. */
 export const CRASH_MARKER = "ends its worker";
+const PROMPT_PARTS_HEADER = "x-sumacfield-prompt-prefix";
 /** Milliseconds from the start of such a request to the crash. */
 const CRASH_DELAY_MS = 10;
 
@@ -70,6 +71,8 @@
   born: number | undefined;
   /** Called after a request has crashed the worker. */
   onCrash: () => void = () => undefined;
+  /** Ids of parts that crash the worker when it begins to answer a prompt that holds one of them, unless as its last part. */
+  fatalParts: ReadonlySet<string> = new Set();
   private hasCrashed = false;
   protected readonly listener = new servers.Listener((req, res) => this.answer(req, res));
 
@@ -179,18 +182,31 @@
     };
   }
 
-  /** Crashes the worker if the body contains {@link CRASH_MARKER}. Returns whether it crashed. */
+  /** The first fatal part of a request's prompt, not counting the last part; undefined if it has none. */
+  private fatalPartOf(req: http.IncomingMessage): string | undefined {
+    const parts = firstValue(req.headers[PROMPT_PARTS_HEADER]).split(",");
+    const ids = parts.slice(0, -1).map((part) => part.split(":")[0] ?? "");
+    return ids.find((id) => this.fatalParts.has(id));
+  }
+
+  /**
+   * Crashes the worker if the body contains {@link CRASH_MARKER} or the prompt holds one of the {@link fatalParts}. Returns
+   * whether it crashed.
+   */
   protected async crashIfFatal(
     run: journals.Run,
+    req: http.IncomingMessage,
     body: string,
     res: http.ServerResponse,
   ): Promise<boolean> {
-    if (!body.includes(CRASH_MARKER)) return false;
+    const part = this.fatalPartOf(req);
+    if (part === undefined && !body.includes(CRASH_MARKER)) return false;
     if (this.framing === "close") this.beginAnswer(res, run);
     await timers.setTimeout(CRASH_DELAY_MS);
     if (this.hasCrashed) return true;
     this.hasCrashed = true;
-    this.journal.crashes.push({ id: run.id, body, instance: this.instance, at: performance.now() });
+    const at = performance.now();
+    this.journal.crashes.push({ id: run.id, body, part, instance: this.instance, at });
     this.stop();
     this.onCrash();
     return true;
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -189,7 +189,7 @@
       h.runs--;
       this.unloadIfIdle(adapter);
     });
-    if (await this.crashIfFatal(run, body, res)) return;
+    if (await this.crashIfFatal(run, req, body, res)) return;
     await this.stream(run, req, res);
   }
 
@@ -261,7 +261,7 @@
       return;
     }
     const run = this.recordRun(req, res, "", 0);
-    if (await this.crashIfFatal(run, body, res)) return;
+    if (await this.crashIfFatal(run, req, body, res)) return;
     const { behavior } = this;
     const bad = behavior !== "well" && this.isFaultyTurn();
     if (behavior === "hanging" && bad) return;
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -247,8 +247,9 @@
   h: History,
   runs: ReadonlyMap<string, readonly journals.Run[]>,
 ): readonly string[] {
-  return [...new Set(h.kept.crashes.map((c) => c.body))].flatMap((body) => {
-    const crashes = h.kept.crashes.filter((c) => c.body === body);
+  const byBody = h.kept.crashes.filter((c) => c.part === undefined);
+  return [...new Set(byBody.map((c) => c.body))].flatMap((body) => {
+    const crashes = byBody.filter((c) => c.body === body);
     const lastNeeded = crashes[CRASHES_UNTIL_KNOWN - 1];
     if (!lastNeeded) return [];
     const knownAt = lastNeeded.at + CONTACT_MS;
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -84,6 +84,8 @@
   eventMs = EVENT_MS;
   /** Software version of a new worker at a place; undefined if it names none. */
   software: (place: string) => string | undefined = () => undefined;
+  /** Ids of prompt parts that crash the workers. */
+  readonly fatalParts = new Set<string>();
   /** Called when a request has crashed a worker. */
   onWorkerCrash: (instance: string) => void = () => undefined;
 
@@ -245,6 +247,7 @@
     const worker = this.createInstance(`${name}.${this.started++}`, engine);
     if (reportsStart(name)) worker.born = Date.now();
     worker.software = this.software(name);
+    worker.fatalParts = this.fatalParts;
     worker.onCrash = () => {
       this.restartLater(worker);
     };
--- a/test/platform/asking.ts
+++ b/test/platform/asking.ts
@@ -9,6 +9,8 @@
 /** Deadline of the requests, in milliseconds. */
 const WAIT_MS = 3000;
 const MS_PER_S = 1000;
+/** Tokens of each part of a prompt. */
+const PART_TOKENS = 25;
 
 export interface RequestOptions {
   readonly id: string;
@@ -19,6 +21,8 @@
   readonly body: string;
   /** Adapter; used on routes to engines only. */
   readonly adapter: string;
+  /** Ids of the parts of the prompt, in order; left out if the request names none. */
+  readonly parts?: readonly string[];
 }
 
 /** An answer as its caller received it. */
@@ -56,6 +60,9 @@
         "x-sumacfield-model": `m/${w.adapter}`,
         "x-sumacfield-token-usage": "100,10",
       }),
+      ...(w.parts && {
+        "x-sumacfield-prompt-prefix": w.parts.map((id) => `${id}:${PART_TOKENS}`).join(","),
+      }),
     },
     body: w.body,
   });
