Quarantine command: list, mark and release prompt parts

Operators could not see which prompt parts are in quarantine, nor put one there by hand. "list" names the parts, "mark-parts" puts all requests that hold some parts into quarantine and prints the identity by which "release" lets them through.

--- a/test/platform/quarantines.test.ts
+++ b/test/platform/quarantines.test.ts
@@ -36,6 +36,15 @@
     expect(store.items.size).equal(0);
   });
 
+  it("marks, lists and releases all requests that hold some prompt parts", async () => {
+    const marked = await run("mark-parts", "5c1e07a2", "91bd3f06");
+    expect(marked.code).equal(0);
+    const identity = marked.text.trim();
+    expect((await run("list")).text).match(new RegExp(`^${identity} .* 5c1e07a2 91bd3f06`, "m"));
+    expect((await run("release", identity)).code).equal(0);
+    expect(store.items.size).equal(0);
+  });
+
   it("lists the workers that crashed, and keys with other values", async () => {
     const at = new Date(0);
     store.put(quarantine.keyOf(IDENTITY), { workers: ["i-1", "i-2"], at });
@@ -51,6 +60,8 @@
       ["release", "short"],
       ["mark"],
       ["list", "--odd"],
+      ["mark-parts"],
+      ["mark-parts", "x".repeat(65)],
     ]) {
       expect((await run(...args)).code, args.join(" ")).equal(2);
     }
