--- a/bench/cost/main.ts
+++ b/bench/cost/main.ts
@@ -8,6 +8,7 @@
 import * as engineStep from "./engine-step.js";
 import * as link from "./link.js";
 import * as memory from "./memory.js";
+import * as crashes from "./crashes.js";
 import * as origins from "./origins.js";
 import * as throughput from "./throughput.js";
 
@@ -68,6 +69,15 @@
     `reporting a stream's origin to one keeper: ${n(report.us)} us, both ends, ${report.bytes} bytes`,
   );
 }
+if (parts.includes("crashes")) {
+  const rows = [["CRASHED WORKERS", "CHECK US", "RUN US", "RUN BYTES", "FINDING US"]];
+  for (const crashed of [0, 3, 30, 100]) {
+    const run = crashes.recordingRun(crashed);
+    const [check, find] = [crashes.checking(crashed), crashes.finding(crashed)];
+    rows.push([String(crashed), n(check.us, 2), n(run.us, 2), n(run.bytes, 0), n(find.us, 0)]);
+  }
+  out(command.formatTable(rows));
+}
 if (parts.includes("link")) {
   out(`signing and checking: ${n(link.signing().us)} us`);
   const costs = await link.calls();
--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -8,6 +8,7 @@
 import * as path from "node:path";
 import * as answerSwitches from "./answer-switches.js";
 import * as continuationSwitches from "./continuation-switches.js";
+import * as crashSwitches from "./crash-switches.js";
 import * as hedgingSwitches from "./hedging-switches.js";
 import * as limiterSwitches from "./limiter-switches.js";
 import * as pacingSwitches from "./pacing-switches.js";
@@ -94,6 +95,7 @@
   ...servingSwitches.SERVING_SWITCHES,
   ...answerSwitches.ANSWER_SWITCHES,
   ...continuationSwitches.CONTINUATION_SWITCHES,
+  ...crashSwitches.CRASH_SWITCHES,
   ...hedgingSwitches.HEDGING_SWITCHES,
   ...pacingSwitches.PACING_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
--- a/src/serving/crashes/part-quarantine.ts
+++ b/src/serving/crashes/part-quarantine.ts
@@ -79,6 +79,7 @@
   /** Records that a request ran to its end, which shows that none of its parts crashes workers. */
   recordRun(meta: callerRequest.Meta): void {
     this.runs.record(meta);
+    if (this.deps.known().crashes.size === 0 && this.deps.catalog().quarantined.size === 0) return;
     this.refresh();
     if (this.found.suspects.size === 0 && this.stored.length === 0) return;
     const parts = promptParts.idsOf(meta);
--- a/test/serving/crashes/part-sets.test.ts
+++ b/test/serving/crashes/part-sets.test.ts
@@ -60,7 +60,7 @@
   });
 
   it("is not a part of requests whose answers had begun before", () => {
-    const others = [1, 2, 3].map((w) => crash(w, ["c"], 10_000, 900));
+    const others = [1, 2, 3, 4].map((w) => crash(w, ["c"], 10_000, 900));
     expect(setsOf([...others, ...three])).deep.equal(["a+f"]);
     expect(setsOf(others)).deep.equal(["c"]);
   });
--- a/test/serving/crashes/part-simulation.ts
+++ b/test/serving/crashes/part-simulation.ts
@@ -143,7 +143,7 @@
       after(Math.min(...delays, BOUND_MS), () => {
         h.news += RELAYS;
         h.known = records.apply(h.known, { ...n, ageMs: clk.mono() - seenAt }, clk.mono());
-        h.parts.refresh();
+        if (plan.way === "sets") h.parts.refresh();
       });
     }
   };
@@ -225,7 +225,7 @@
         return;
       }
       w.running.delete(key);
-      h.parts.recordRun(meta);
+      if (plan.way === "sets") h.parts.recordRun(meta);
       if (plan.way === "counts")
         for (const part of parts)
           if (crashesSince(h.known, part) > 0)
--- a/test/serving/quarantine.test.ts
+++ b/test/serving/quarantine.test.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as chai from "chai";
+import type * as callerRequest from "../../src/serving/caller-request.js";
 import * as catalog from "../../src/serving/catalog.js";
 import * as suspicionState from "../../src/serving/suspicion-state.js";
 import * as identity from "../../src/serving/identity.js";
@@ -87,6 +88,21 @@
   return { kind: "suspicion", news };
 }
 
+/** The same under requests that are not alike, but for one part of their prompts. */
+function toldOfPart(part: string, workers: readonly string[]): suspicionState.Message {
+  const measured = { underWayMs: 100, answeringMs: 0, peers: 13 };
+  const news = workers.map((worker, n): crashRecords.News => {
+    const id = identity.of(fixtures.request({ route: CALL, path: `/c/${n}` }));
+    return { kind: "ended", identity: id, worker, ...measured, parts: [part], ageMs: 0 };
+  });
+  return { kind: "suspicion", news };
+}
+
+function metaOf(...parts: readonly string[]): callerRequest.Meta {
+  const all = parts.map((id) => ({ id, tokens: 1 }));
+  return { id: "r1", waitMs: 1000, promptTokens: 0, answerTokens: 0, parts: all };
+}
+
 describe("a request in quarantine", () => {
   const inner = {
     prefixes: ["op/"],
@@ -154,4 +170,15 @@
     expect((await s.ask()).seen).deep.equal(["refuse 502"]);
     expect([s.runs(), s.suspects.size]).deep.equal([1, 0]);
   });
+
+  it("is refused at once by all hosts that hear of three crashes under a part", async () => {
+    const s = await site(WHOLE);
+    s.suspects.receive(toldOfPart("f", ["a", "b", "c"]), "peer");
+    const { seen, retryAfterMs } = await s.ask({ meta: metaOf("x", "f", "own") });
+    expect(seen).deep.equal(["refuse 503"]);
+    expect(retryAfterMs).within(59_000, 60_000);
+    expect(s.runs()).equal(0);
+    // The part is the last one of this prompt, and so not the same.
+    expect((await s.ask({ meta: metaOf("x", "f") })).seen).deep.equal(["answer 200"]);
+  });
 });
