Soak: requests whose prompts hold a part that crashes workers, among sound ones

All requests of a run hold one part in common and one of four others; in half of the runs some hold a part that crashes their workers too.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -24,6 +24,8 @@
   readonly leaveMs: number | undefined;
   /** Name of a request that is sent repeatedly and crashes its workers; undefined for all others. */
   readonly fatal?: string;
+  /** Ids of the parts of its prompt before the last one, which is its own. */
+  readonly parts: readonly string[];
   /** API key to send; left out for any. */
   readonly key?: string;
 }
@@ -44,6 +46,8 @@
 /** Milliseconds after a request's deadline at which its caller stops waiting for the answer. */
 const GIVE_UP_MS = 4000;
 
+/** Tokens of each part of a prompt. */
+const PART_TOKENS = 20;
 /** Most times that a caller resumes one stream, and milliseconds that must be left of its deadline for that. */
 const MAX_RESUMPTIONS = 2;
 const MIN_LEFT_MS = 200;
@@ -100,7 +104,7 @@
   const wish = w.nextRequest();
   const id = w.nextId();
   const key = w.key();
-  const { kind, path, adapter, waitMs, version } = wish;
+  const { kind, path, adapter, parts, waitMs, version } = wish;
   const body = `body of ${id}`;
   const sentAt = performance.now();
   const leaving = AbortSignal.timeout(Math.round(wish.leaveMs ?? waitMs + GIVE_UP_MS));
@@ -127,6 +131,7 @@
     entry: to.name,
     path,
     adapter,
+    parts,
     body,
     waitMs,
     sentAt,
@@ -142,6 +147,9 @@
     authorization: `Token ${key}`,
     "x-sumacfield-attempt-id": id,
     "x-sumacfield-deadline-ms": String(wish.waitMs),
+    "x-sumacfield-prompt-prefix": [...wish.parts, id]
+      .map((part) => `${part}:${PART_TOKENS}`)
+      .join(","),
     ...(wish.adapter !== "" && {
       "x-sumacfield-model": `${documents.MODEL}/${wish.adapter}`,
       "x-sumacfield-token-usage": teams.STREAM_USAGE,
@@ -177,8 +185,8 @@
     if (last.end.kind !== "broken" || after === 0 || leftMs < MIN_LEFT_MS) break;
     const to = w.entry();
     if (!to) break;
-    const { kind, path, adapter, version, key } = first;
-    const plan = { kind, path, adapter, version, key, waitMs: leftMs, leaveMs: undefined };
+    const { kind, path, adapter, parts, version, key } = first;
+    const plan = { kind, path, adapter, parts, version, key, waitMs: leftMs, leaveMs: undefined };
     const other = new undici.Client(`http://${to.address}`, { connect: { timeout: 1000 } });
     last = await sendAttempt(w, other, to.name, plan, { first: first.id, after });
     await other.destroy();
@@ -229,8 +237,21 @@
   }
   clearTimeout(timer);
   const endedAt = performance.now();
-  const { kind, path, adapter, waitMs, version } = wish;
-  const sent = { id, kind, key, entry, path, adapter, body, waitMs, sentAt, endedAt, version };
+  const { kind, path, adapter, parts, waitMs, version } = wish;
+  const sent = {
+    id,
+    kind,
+    key,
+    entry,
+    path,
+    adapter,
+    parts,
+    body,
+    waitMs,
+    sentAt,
+    endedAt,
+    version,
+  };
   const record: history.RequestRecord = { ...sent, end, ...(resumed && { resumed }) };
   // A failed connect is left to the load balancer and does not count as a request.
   if (isConnected) w.record(record);
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -209,6 +209,7 @@
     waitMs: 2500,
     version: 0,
     leaveMs: undefined,
+    parts: [],
     fatal: `fatal-${Math.floor(d.draw.part() * 1e9)}`,
   };
   const until = performance.now() + d.draw.between(...REPEAT_FOR_MS);
@@ -220,6 +221,41 @@
   await Promise.all(attempts);
 }
 
+/** The prompts of a run: all hold the first of these parts, and each one of the others. */
+const SHARED_PART = "a";
+const OTHER_PARTS = ["b1", "b2", "b3", "b4"] as const;
+
+/** Draws the parts of a prompt that other prompts share. */
+export function drawParts(draw: Draw): readonly string[] {
+  return [SHARED_PART, draw.one(OTHER_PARTS)];
+}
+
+/** Sends requests that have one part in common, which crashes their workers, for a while, to any entry host. */
+export async function sendFatalPart(d: Deps): Promise<void> {
+  const kind = d.draw.one(FATAL_KINDS);
+  const part = `f${Math.floor(d.draw.part() * 1e9).toString(16)}`;
+  d.site.fatalParts.add(part);
+  const nextRequest = (): caller.RequestPlan => {
+    const [shared = "", ...others] = drawParts(d.draw);
+    return {
+      kind,
+      path: FATAL_PATHS[kind],
+      adapter: kind === "stream" ? d.draw.one(ADAPTERS) : "",
+      waitMs: 2500,
+      version: 0,
+      leaveMs: undefined,
+      parts: [shared, part, ...others],
+    };
+  };
+  const until = performance.now() + d.draw.between(...REPEAT_FOR_MS);
+  const attempts: Promise<void>[] = [];
+  while (performance.now() < until) {
+    attempts.push(caller.sendOne({ ...d.world, nextRequest }));
+    await timers.setTimeout(d.draw.between(...REPEAT_INTERVAL_MS));
+  }
+  await Promise.all(attempts);
+}
+
 /** Number of faults that end entry daemons while a service sheds load, and range of the milliseconds between them. */
 const RESTARTS = 6;
 const RESTART_INTERVAL_MS: readonly [number, number] = [200, 1500];
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -25,6 +25,8 @@
   readonly adapter: string;
   /** API key that it carried. */
   readonly key: string;
+  /** Ids of the parts of its prompt before the last one. */
+  readonly parts: readonly string[];
   readonly body: string;
   /** Milliseconds from its sending to its deadline. */
   readonly waitMs: number;
@@ -89,8 +91,9 @@
 const EARLY_TOLERANCE_MS = 60;
 /** Milliseconds after a caller's disconnect within which its worker must stop. */
 const CANCEL_MS = 900;
-/** Worker crashes after which all hosts must know that a request is fatal, as documented. */
+/** Worker crashes after which all hosts must know that a request, or a part of prompts, is fatal, as documented. */
 const CRASHES_UNTIL_KNOWN = 3;
+const PART_CRASHES_UNTIL_KNOWN = 5;
 /** Further sends of such a request that are tolerated, as documented. */
 const TOLERATED_SENDS = 3;
 /** Milliseconds after the last of those crashes until all hosts must know of it. */
@@ -242,24 +245,47 @@
   },
 ];
 
-/** One line for each request that crashed its workers and was still sent too often once this was known. */
+/** What crashed workers: one request, or a part of several prompts. */
+interface Cause {
+  readonly name: string;
+  readonly crashes: readonly journals.Crash[];
+  readonly crashesUntilKnown: number;
+  readonly isIn: (s: RequestRecord) => boolean;
+}
+
+function causesOf({ crashes }: journals.Journal): readonly Cause[] {
+  const parts = new Set(crashes.flatMap((c) => c.part ?? []));
+  const bodies = new Set(crashes.flatMap((c) => (c.part === undefined ? c.body : [])));
+  return [
+    ...[...bodies].map((body): Cause => {
+      const own = crashes.filter((c) => c.part === undefined && c.body === body);
+      const crashesUntilKnown = CRASHES_UNTIL_KNOWN;
+      return { name: body, crashes: own, crashesUntilKnown, isIn: (s) => s.body === body };
+    }),
+    ...[...parts].map((part): Cause => {
+      const own = crashes.filter((c) => c.part === part);
+      const crashesUntilKnown = PART_CRASHES_UNTIL_KNOWN;
+      return { name: part, crashes: own, crashesUntilKnown, isIn: (s) => s.parts.includes(part) };
+    }),
+  ];
+}
+
+/** One line for each cause of crashes whose requests were still sent too often once it was known. */
 function fatalViolations(
   h: History,
   runs: ReadonlyMap<string, readonly journals.Run[]>,
 ): readonly string[] {
-  const byBody = h.kept.crashes.filter((c) => c.part === undefined);
-  return [...new Set(byBody.map((c) => c.body))].flatMap((body) => {
-    const crashes = byBody.filter((c) => c.body === body);
-    const lastNeeded = crashes[CRASHES_UNTIL_KNOWN - 1];
+  return causesOf(h.kept).flatMap(({ name, crashes, crashesUntilKnown, isIn }) => {
+    const lastNeeded = crashes[crashesUntilKnown - 1];
     if (!lastNeeded) return [];
     const knownAt = lastNeeded.at + CONTACT_MS;
     const late = h.seen.filter(
-      (s) => s.body === body && !outOfTouch(h, s.entry, s.sentAt - CONTACT_MS, s.endedAt),
+      (s) => isIn(s) && !outOfTouch(h, s.entry, s.sentAt - CONTACT_MS, s.endedAt),
     );
     const extraSends = late.flatMap((s) => runs.get(s.id) ?? []).filter((r) => r.at > knownAt);
     if (extraSends.length <= TOLERATED_SENDS) return [];
     return [
-      `fatal: ${body} was sent ${extraSends.length} more times; it crashed ${crashes.length} workers`,
+      `fatal: ${name} was sent ${extraSends.length} more times; it crashed ${crashes.length} workers`,
     ];
   });
 }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -46,6 +46,11 @@
 const FATAL_SHARE = 0.5;
 const FATAL_INTERVAL_MS: readonly [number, number] = [500, 4000];
 const FATAL_DRAWS = 3;
+/** The same for requests that have a part in common which crashes their workers, and the sequence for the parts of all prompts. */
+const FATAL_PART_SHARE = 0.5;
+const FATAL_PART_INTERVAL_MS: readonly [number, number] = [500, 4000];
+const FATAL_PART_DRAWS = 14;
+const PART_DRAWS = 15;
 /** The same for services that shed load. */
 const SHED_SHARE = 0.4;
 const SHED_INTERVAL_MS: readonly [number, number] = [500, 4000];
@@ -126,7 +131,7 @@
   s.software = () => (isMixed ? version.one(VERSIONS) : VERSIONS[0]);
   await s.start();
   const stopCallers = new AbortController();
-  const world = createEnvironment(s, plan.draw(0), plan.draw(KEY_DRAWS), h, declared);
+  const world = createEnvironment(s, plan.draw, h, declared);
   const deps = (n: number): faults.Deps => ({ site: s, draw: plan.draw(n), history: h, world });
   const callers = Array.from({ length: plan.callers }, (_, i) =>
     i % OLD_CALLER_INTERVAL === 0
@@ -138,6 +143,7 @@
   await Promise.all([
     ...all,
     sendFatalRequests(deps(FATAL_DRAWS), until),
+    sendFatalParts(deps(FATAL_PART_DRAWS), until),
     shedRepeatedly(deps(SHED_DRAWS), until),
     limitRepeatedly(deps(LIMIT_DRAWS), until),
     pauseRepeatedly(deps(PAUSE_DRAWS), until),
@@ -159,11 +165,11 @@
 
 function createEnvironment(
   s: site.Site,
-  draw: Draw,
-  keys: Draw,
+  drawOf: Plan["draw"],
   h: history.History,
   declared: readonly { adapter: string; version: number; at: number }[],
 ): caller.Environment {
+  const [draw, keys, parts] = [drawOf(0), drawOf(KEY_DRAWS), drawOf(PART_DRAWS)];
   let count = 0;
   const nextRequest = (): caller.RequestPlan => {
     const kind = draw.one(["stream", "stream", "stream_once", "call", "call_once"] as const);
@@ -180,6 +186,7 @@
       waitMs: Math.round(draw.between(1500, 4000)),
       version: Math.max(0, ...versions.map((d) => d.version)),
       leaveMs: draw.part() < leaving ? draw.between(10, 200) : undefined,
+      parts: faults.drawParts(parts),
     };
   };
   return {
@@ -269,6 +276,15 @@
   }
 }
 
+/** In some runs, sends requests with parts that crash their workers, one part after the other until `until`. */
+async function sendFatalParts(d: faults.Deps, until: number): Promise<void> {
+  if (!isInShare(d, FATAL_PART_SHARE)) return;
+  while (performance.now() < until) {
+    await timers.setTimeout(d.draw.between(...FATAL_PART_INTERVAL_MS));
+    await faults.sendFatalPart(d);
+  }
+}
+
 /** In some runs, lets workers announce limits until `until`, in several loops at once. */
 async function limitRepeatedly(d: faults.Deps, until: number): Promise<void> {
   if (!isInShare(d, LIMIT_SHARE)) return;
