Let an entry daemon use a third of an engine's connections instead of an eighth

Cause: each host uses an eighth of an engine's connections, whatever the number of hosts, here 12 streams of 100 ms. Further requests had their seats and waited in the host's pool, so the engine's daemon saw a full queue and denied others after 1.8 s.

Change: seats, which one endpoint daemon grants, bound what all hosts use of an engine together, so a host may use a third. Plain services have no seats, and keep an eighth.

--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -46,8 +46,12 @@
 const DEFAULT_KEEP_ALIVE_MS = 3000;
 /** Most milliseconds that an idle connection is kept. */
 const MAX_KEEP_ALIVE_MS = 60_000;
-/** Shares that an endpoint's connections are divided into; each host uses one, as it does not know the number of hosts. */
-const CONNECTION_SHARES = 8;
+/**
+ * Shares that an endpoint's connections are divided into, of which each host may use one, since a worker resets connections
+ * beyond its limit. What all hosts use of an engine together is bounded by the seats that its endpoint daemon grants, so a
+ * host may use more of an engine: most callers of an adapter may come to one host.
+ */
+const CONNECTION_SHARES = { service: 8, engine: 3 } as const;
 /** Most bytes of headers accepted from an endpoint. */
 const MAX_HEADER_BYTES = 65_536;
 const MISDIRECTED = 421;
@@ -58,11 +62,12 @@
 
   constructor(private readonly wire: protocol.Protocol) {}
 
-  private poolOf(e: catalog.Endpoint, connections: number): undici.Pool {
+  private poolOf(e: catalog.Endpoint, service: catalog.Service): undici.Pool {
     const existing = this.pools.get(e.id);
     if (existing) return existing;
+    const shares = CONNECTION_SHARES[service.engine ? "engine" : "service"];
     const pool = new undici.Pool(`http://${e.address}`, {
-      connections: Math.max(2, Math.floor(connections / CONNECTION_SHARES)),
+      connections: Math.max(2, Math.floor(service.connections / shares)),
       pipelining: 1,
       connect: connector.resetAware({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
@@ -90,7 +95,7 @@
     const transfer = new exchange.Exchange(signal, gate);
     let head: exchange.Head;
     try {
-      this.poolOf(e, req.service.connections).dispatch(
+      this.poolOf(e, req.service).dispatch(
         {
           method: req.method,
           path: req.path,
