--- a/test/platform/software-versions.test.ts
+++ b/test/platform/software-versions.test.ts
@@ -20,6 +20,8 @@
 /** Milliseconds between two events of a stream that its host's end cuts off, and from its sending to that end. */
 const SLOW_EVENT_MS = 350;
 const CUT_AFTER_MS = 1300;
+/** Milliseconds from the resumption of such a stream to the end of the next host. */
+const CUT_AGAIN_AFTER_MS = 550;
 /** Milliseconds after which all hosts know that a worker leaves. */
 const LEAVING_KNOWN_MS = 1500;
 
@@ -94,17 +96,29 @@
    * leaves with it, so that many adapters move to others.
    */
   async function cutByKill(): Promise<readonly Attempt[]> {
-    for (const e of engines()) e.eventMs = SLOW_EVENT_MS;
-    const begun = Array.from({ length: STREAMS }, (_, n) => stream(0, adapterOf(n)));
-    await timers.setTimeout(CUT_AFTER_MS);
-    await site.entries[0]?.kill();
+    const begun = await killDuring(0, CUT_AFTER_MS, () =>
+      Array.from({ length: STREAMS }, (_, n) => stream(0, adapterOf(n))),
+    );
     for (const place of leavers()) site.leave(place);
-    for (const e of engines()) e.eventMs = soak.EVENT_MS;
     const cut = await Promise.all(begun);
     await timers.setTimeout(LEAVING_KNOWN_MS);
     return cut.filter((a) => a.received.end === "cut" && lastEventOf(a) > 0);
   }
 
+  /** Starts slow streams, and kills an entry host `ms` later. */
+  async function killDuring(
+    entry: number,
+    ms: number,
+    begin: () => readonly Promise<Attempt>[],
+  ): Promise<readonly Promise<Attempt>[]> {
+    for (const e of engines()) e.eventMs = SLOW_EVENT_MS;
+    const begun = begin();
+    await timers.setTimeout(ms);
+    await site.entries[entry]?.kill();
+    for (const e of engines()) e.eventMs = soak.EVENT_MS;
+    return begun;
+  }
+
   /** The callers' second attempts at other hosts. */
   function takeUp(cut: readonly Attempt[]): Promise<readonly Attempt[]> {
     return Promise.all(
@@ -157,6 +171,25 @@
     expect(wentOn(then)).least(cut.length / 2);
   }).timeout(40_000);
 
+  it("go on at the version that began them when two hosts are killed, one after the other", async () => {
+    const cut = await cutByKill();
+    const resumed = await killDuring(1, CUT_AGAIN_AFTER_MS, () =>
+      cut.map((a) => stream(1, a.adapter, { after: lastEventOf(a), resumes: a.id })),
+    );
+    const second = await Promise.all(resumed);
+    const then = await Promise.all(
+      cut.map((a, n) => {
+        const middle = second[n];
+        const after = lastEventOf(a) + (middle ? lastEventOf(middle) : 0);
+        return stream(2, a.adapter, { after, resumes: a.id });
+      }),
+    );
+    const brought = second.filter((a) => a.received.end === "cut" && lastEventOf(a) > 0);
+    expect(brought.length).greaterThan(0);
+    expect(cut.filter((a, n) => versionsOf(a, second[n], then[n]).size > 1)).deep.equal([]);
+    expect(wentOn(then)).least(cut.length / 2);
+  }).timeout(40_000);
+
   it("are not run where nobody knows which version began them", async () => {
     const tries: Attempt[] = [];
     for (let n = 0; n < ADAPTERS; n++) {
