Clear nothing of a request that its worker only failed

A request that crashes its workers, or its prompt parts, was cleared of three crashes once any worker answered it with an error of its own: a worker that fails part of its requests at once did not run it. Callers would see further workers crash. Cause: each answer that was relayed whole counted as a run to the end, whatever its status. Now only a success does. Two tests failed before (a 500 between the second crash and the third), found by reading.

--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -48,6 +48,8 @@
 /** Most sends of one request, including sends to endpoints that did not run it. */
 export const MAX_SENDS = 4;
 const OK_STATUS = 200;
+/** Lowest HTTP status above those that mean success. */
+const FIRST_OTHER_STATUS = 300;
 /** Lowest HTTP status that means that a request failed at its worker. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -372,7 +374,8 @@
     p.firstByteAt = this.deps.clock.mono();
     const isFailure = result.status >= FIRST_FAILURE_STATUS;
     this.settle(send, isFailure ? "failed" : "whole", !isFailure);
-    this.deps.suspects.recordCompletion(req);
+    // A worker may fail or reject a request before it begins to run it.
+    if (isSuccess(result.status)) this.deps.suspects.recordCompletion(req);
     res.sendWhole(result.status, result.headers, body);
     if (!isFailure) return "whole";
     p.why = `${send.endpoint.id} answered with status ${result.status}`;
@@ -473,6 +476,10 @@
 /** A send's result that carries an answer. */
 type Answer = Extract<upstream.SendResult, { kind: "answer" }>;
 
+function isSuccess(status: number): boolean {
+  return status >= OK_STATUS && status < FIRST_OTHER_STATUS;
+}
+
 /** Whether an answer is a JSON document, which is no stream of events. */
 function isJson(received: headers.Headers): boolean {
   return String(received["content-type"] ?? "").startsWith("application/json");
--- a/test/serving/quarantine.test.ts
+++ b/test/serving/quarantine.test.ts
@@ -14,7 +14,9 @@
 type Served = (res: http.ServerResponse, end: () => void) => void;
 
 const CALL: catalog.Route = { ...fixtures.ROUTE, kind: "idempotent", attempts: 4 };
+const ONCE: catalog.Route = { ...CALL, kind: "once" };
 const WHOLE: Served = (res) => res.writeHead(200, fixtures.good()).end("x");
+const FAIL: Served = (res) => res.writeHead(500, fixtures.good()).end("x");
 const RESET: Served = (res) => res.socket?.resetAndDestroy();
 const CRASH: Served = (_res, end) => {
   end();
@@ -171,6 +173,23 @@
     expect([s.runs(), s.suspects.size]).deep.equal([1, 0]);
   });
 
+  it("stays under suspicion if a worker only failed it", async () => {
+    const s = await site(FAIL);
+    s.suspects.receive(told(["a", "b"]), "peer");
+    expect((await s.ask({ route: ONCE })).seen).deep.equal(["answer 500"]);
+    s.suspects.receive(told(["c"]), "peer");
+    expect((await s.ask()).seen).deep.equal(["refuse 503"]);
+  });
+
+  it("leaves the parts of its prompt under suspicion if a worker only failed it", async () => {
+    const s = await site(FAIL);
+    const failed = { route: ONCE, meta: metaOf("f", "own"), path: "/c/y" };
+    s.suspects.receive(toldOfPart("f", ["a", "b"]), "peer");
+    expect((await s.ask(failed)).seen).deep.equal(["answer 500"]);
+    s.suspects.receive(toldOfPart("f", ["c"]), "peer");
+    expect((await s.ask(failed)).seen).deep.equal(["refuse 503"]);
+  });
+
   it("is refused at once by all hosts that hear of three crashes under a part", async () => {
     const s = await site(WHOLE);
     s.suspects.receive(toldOfPart("f", ["a", "b", "c"]), "peer");
