--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -212,10 +212,15 @@
     parts: [],
     fatal: `fatal-${Math.floor(d.draw.part() * 1e9)}`,
   };
+  await sendRepeatedly(d, () => wish);
+}
+
+/** Sends requests for a while, each on a connection of its own to any entry host. */
+async function sendRepeatedly(d: Deps, nextRequest: () => caller.RequestPlan): Promise<void> {
   const until = performance.now() + d.draw.between(...REPEAT_FOR_MS);
   const attempts: Promise<void>[] = [];
   while (performance.now() < until) {
-    attempts.push(caller.sendOne({ ...d.world, nextRequest: () => wish }));
+    attempts.push(caller.sendOne({ ...d.world, nextRequest }));
     await timers.setTimeout(d.draw.between(...REPEAT_INTERVAL_MS));
   }
   await Promise.all(attempts);
@@ -235,7 +240,7 @@
   const kind = d.draw.one(FATAL_KINDS);
   const part = `f${Math.floor(d.draw.part() * 1e9).toString(16)}`;
   d.site.fatalParts.add(part);
-  const nextRequest = (): caller.RequestPlan => {
+  await sendRepeatedly(d, () => {
     const [shared = "", ...others] = drawParts(d.draw);
     return {
       kind,
@@ -246,14 +251,7 @@
       leaveMs: undefined,
       parts: [shared, part, ...others],
     };
-  };
-  const until = performance.now() + d.draw.between(...REPEAT_FOR_MS);
-  const attempts: Promise<void>[] = [];
-  while (performance.now() < until) {
-    attempts.push(caller.sendOne({ ...d.world, nextRequest }));
-    await timers.setTimeout(d.draw.between(...REPEAT_INTERVAL_MS));
-  }
-  await Promise.all(attempts);
+  });
 }
 
 /** Number of faults that end entry daemons while a service sheds load, and range of the milliseconds between them. */
