--- a/src/serving/crashes/part-sets.ts
+++ b/src/serving/crashes/part-sets.ts
@@ -42,7 +42,7 @@
 /** Findings without any crash. */
 export const NONE: Findings = { sets: [], suspects: new Map(), recheckAt: Infinity };
 
-/** Minimum number of crashed workers that prove a set. One or two may be coincidence; the users accept five. */
+/** Minimum number of crashed workers that prove a set. One or two may be coincidence. */
 export const MIN_CRASHES = 3;
 /**
  * Milliseconds from the crash that proves a set until all hosts know of it and the requests on their way have reached their
@@ -62,13 +62,13 @@
 const ANSWER_BEGINS_MS = 250;
 
 /**
- * Weight of the crashes under a part against the number of requests with it, when parts are compared. A worker runs few
+ * Exponent of the number of crashes under a part, which is weighed against the number of requests with it when parts are compared. A worker runs few
  * requests with a part that crashes it, and many with a part that most requests hold; but such requests queue up too.
  */
 const CRASH_WEIGHT = 3;
 
 /** A request under which a worker crashed, with those of its parts that may be the cause. */
-interface Suspicion {
+interface CrashedRequest {
   readonly worker: string;
   readonly at: number;
   /** Whether its answer had not begun, or had only just. */
@@ -77,7 +77,7 @@
 }
 
 /** What is known of one part. */
-interface Count {
+interface PartCount {
   readonly workers: Set<string>;
   /** Number of requests with the part under which a worker crashed. */
   requests: number;
@@ -86,18 +86,11 @@
 
 /** Finds the sets that the records prove at `now`. `ranLately` tells whether a part was in a run to the end on this host. */
 export function find(
-  { crashes, cleared }: records.CrashRecords,
+  known: records.CrashRecords,
   ranLately: (part: string) => boolean,
   now: number,
 ): Findings {
-  const all = [...crashes.values()].flatMap((byWorker) =>
-    [...byWorker.values()].flatMap(({ worker, at, answeringMs, parts }): readonly Suspicion[] => {
-      const open = parts.filter((part) => at > (cleared.get(part) ?? -Infinity));
-      return open.length === 0
-        ? []
-        : [{ worker, at, isBeginning: answeringMs < ANSWER_BEGINS_MS, parts: open }];
-    }),
-  );
+  const all = crashedRequests(known);
   if (all.length === 0) return NONE;
   const counts = countParts(all);
   const inGrace = [...counts].filter(([part, c]) => now < c.firstAt + GRACE_MS && ranLately(part));
@@ -107,8 +100,19 @@
   return { sets: explain(all, excused), suspects, recheckAt };
 }
 
-function countParts(all: readonly Suspicion[]): ReadonlyMap<string, Count> {
-  const counts = new Map<string, Count>();
+/** The requests under which workers crashed, without the parts that were cleared since. */
+function crashedRequests({ crashes, cleared }: records.CrashRecords): readonly CrashedRequest[] {
+  const all = [...crashes.values()].flatMap((byWorker) => [...byWorker.values()]);
+  return all
+    .map(({ worker, at, answeringMs, parts }): CrashedRequest => {
+      const suspects = parts.filter((part) => at > (cleared.get(part) ?? -Infinity));
+      return { worker, at, isBeginning: answeringMs < ANSWER_BEGINS_MS, parts: suspects };
+    })
+    .filter((r) => r.parts.length > 0);
+}
+
+function countParts(all: readonly CrashedRequest[]): ReadonlyMap<string, PartCount> {
+  const counts = new Map<string, PartCount>();
   for (const { worker, at, parts } of all) {
     for (const part of parts) {
       const c = counts.get(part) ?? { workers: new Set(), requests: 0, firstAt: at };
@@ -122,9 +126,9 @@
 }
 
 /** Explains the crashes by sets of parts, each of which accounts for all crashes under its requests. */
-function explain(all: readonly Suspicion[], excused: ReadonlySet<string>): readonly PartSet[] {
+function explain(all: readonly CrashedRequest[], excused: ReadonlySet<string>): readonly PartSet[] {
   const sets: PartSet[] = [];
-  let open = likelyOnes(
+  let open = likelyCauses(
     all
       .map((s) => ({ ...s, parts: s.parts.filter((part) => !excused.has(part)) }))
       .filter((s) => s.parts.length > 0),
@@ -140,13 +144,13 @@
 }
 
 /** Of the requests on each worker those whose answers were beginning, if there are any. */
-function likelyOnes(all: readonly Suspicion[]): readonly Suspicion[] {
+function likelyCauses(all: readonly CrashedRequest[]): readonly CrashedRequest[] {
   const workers = new Set(all.filter((s) => s.isBeginning).map((s) => s.worker));
   return all.filter((s) => s.isBeginning || !workers.has(s.worker));
 }
 
 /** The part that explains the crashes best; undefined if none has enough of them. */
-function likeliest(counts: ReadonlyMap<string, Count>): string | undefined {
+function likeliest(counts: ReadonlyMap<string, PartCount>): string | undefined {
   let best: string | undefined;
   let bestScore = 0;
   for (const [part, { workers, requests }] of counts) {
@@ -161,7 +165,7 @@
 }
 
 /** The set of the parts that all requests with `part` hold. */
-function setAround(part: string, all: readonly Suspicion[]): PartSet {
+function setAround(part: string, all: readonly CrashedRequest[]): PartSet {
   const own = all.filter((s) => s.parts.includes(part)).sort((a, b) => b.at - a.at);
   const [first] = own;
   const shared = new Set(first?.parts);
