Let the request that claims the test of a quarantine be the test itself

Callers of a part that no longer crashes workers could be refused for longer than meant where many hosts get few requests with it: a host claimed the test in the background and kept it for its next such request, however late that came, so several hosts could let one through each. Cause: the claim in the store lapses, the host's turn did not. Now the first withheld request that comes when a test is due waits for the store's answer and is the test, so no turn is kept.

--- a/bench/red/crash-switches.ts
+++ b/bench/red/crash-switches.ts
@@ -50,8 +50,8 @@
   {
     name: "crashing parts: one request of all hosts tests them",
     file: "serving/crashes/probes.js",
-    find: 'if (await this.deps.claim(PREFIX + id, pauseMs, ""))',
-    put: "if (true)",
+    find: 'isClaimed = await this.deps.claim(PREFIX + id, pauseMs, "");',
+    put: "isClaimed = true;",
     proof: "is put to the test by one request of all hosts, and ends once that ran to its end",
   },
   {
--- a/src/serving/crashes/part-quarantine.ts
+++ b/src/serving/crashes/part-quarantine.ts
@@ -76,6 +76,11 @@
     return { parts: set.parts, workers: set.workers, releaseMs: this.releaseMs(set) };
   }
 
+  /** Resolves once it is known whether a withheld request may test a quarantine; undefined if it may not. */
+  pendingProbe(meta: callerRequest.Meta): Promise<void> | undefined {
+    return this.probes.pending(meta.id);
+  }
+
   /** Records that a request ran to its end, which shows that none of its parts crashes workers. */
   recordRun(meta: callerRequest.Meta): void {
     this.runs.record(meta);
--- a/src/serving/crashes/probes.ts
+++ b/src/serving/crashes/probes.ts
@@ -31,10 +31,10 @@
   readonly random: () => number;
 }
 
-/** This host's turn to probe a set: it has none, it has one, or a request has used it. */
+/** This host's turn to probe a set: it has none, a request waits for one, or a request has it. */
 type Turn =
   | { readonly kind: "none" }
-  | { readonly kind: "claimed" }
+  | { readonly kind: "claiming"; readonly request: string; readonly claimed: Promise<void> }
   | { readonly kind: "used"; readonly request: string };
 
 interface State {
@@ -53,31 +53,27 @@
   constructor(private readonly deps: Deps) {}
 
   /**
-   * Whether a request may probe a set. A request that may once still may until another worker crashes under the set. `risk`
-   * is the number of workers that crashed under another part of the request.
+   * Whether a request may probe a set. A request that may once still may until another worker crashes under the set. One that
+   * may not yet may have begun to claim a probe; see {@link pending}. `risk` is the number of workers that crashed under
+   * another part of the request.
    */
   take(request: string, id: string, set: partSets.PartSet, risk: number): boolean {
     const s = this.stateOf(id, set);
-    const isEligible = this.deps.clock.mono() >= s.openAt + risk * RISK_DELAY_MS;
-    switch (s.turn.kind) {
-      case "claimed":
-        if (!isEligible) return false;
-        s.turn = { kind: "used", request };
-        this.deps.log.info("A request tests a quarantine of prompt parts.", {
-          request,
-          identity: id,
-        });
-        return true;
-      case "used":
-        if (s.turn.request === request) return true;
-        break;
-      case "none":
-        break;
-    }
-    if (isEligible && this.deps.clock.mono() >= s.claimAt) void this.claim(id, set, s);
+    if (s.turn.kind === "used" && s.turn.request === request) return true;
+    const now = this.deps.clock.mono();
+    const isEligible = now >= s.openAt + risk * RISK_DELAY_MS && now >= s.claimAt;
+    if (isEligible && s.turn.kind !== "claiming")
+      s.turn = { kind: "claiming", request, claimed: this.claim(request, id, set, s) };
     return false;
   }
 
+  /** Resolves once it is known whether a request got the probe that it claimed; undefined if it claims none. */
+  pending(request: string): Promise<void> | undefined {
+    for (const { turn } of this.states.values())
+      if (turn.kind === "claiming" && turn.request === request) return turn.claimed;
+    return undefined;
+  }
+
   /** Milliseconds until this host may claim the next probe of a set. */
   dueInMs(id: string, set: partSets.PartSet): number {
     return Math.max(0, this.stateOf(id, set).claimAt - this.deps.clock.mono());
@@ -103,18 +99,19 @@
     return state;
   }
 
-  /** Claims a probe in the background, so that no request waits for the store. */
-  private async claim(id: string, set: partSets.PartSet, s: State): Promise<void> {
+  private async claim(request: string, id: string, set: partSets.PartSet, s: State): Promise<void> {
     const pauseMs = Math.max(MIN_CLAIM_MS, probePause.pauseMs(set));
     s.claimAt = this.deps.clock.mono() + pauseMs;
+    const { log } = this.deps;
+    let isClaimed = false;
     try {
-      if (await this.deps.claim(PREFIX + id, pauseMs, "")) s.turn = { kind: "claimed" };
+      isClaimed = await this.deps.claim(PREFIX + id, pauseMs, "");
     } catch (err) {
       const why = errors.messageOf(err);
-      this.deps.log.warn("Could not claim a probe of quarantined prompt parts.", {
-        identity: id,
-        why,
-      });
+      log.warn("Could not claim a probe of quarantined prompt parts.", { identity: id, why });
     }
+    s.turn = isClaimed ? { kind: "used", request } : { kind: "none" };
+    if (isClaimed)
+      log.info("A request tests a quarantine of prompt parts.", { request, identity: id });
   }
 }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -208,7 +208,11 @@
       if (p.runs > 0 && p.runs >= req.route.attempts) return this.giveUp(req, res, p, false);
       if (p.withheld > MAX_WITHHELD) return this.giveUp(req, res, p, false);
       if (p.sends >= sending.MAX_SENDS) return this.giveUp(req, res, p, false);
-      if (this.checks.isQuarantined(req, p)) return this.giveUp(req, res, p, false);
+      if (this.checks.isQuarantined(req, p)) {
+        await this.deps.suspects.pendingProbe(req);
+        if (this.checks.isQuarantined(req, p)) return this.giveUp(req, res, p, false);
+        p.releaseMs = undefined;
+      }
       const best = await this.seatFinder.pick(req, p, stopSignal);
       if (!best) return this.giveUp(req, res, p, false);
       // With so little time left to wait for a seat, each engine would deny it at once.
--- a/src/serving/suspects.ts
+++ b/src/serving/suspects.ts
@@ -76,6 +76,14 @@
     return { kind: "quarantined", workers: [], releaseMs: crashRecords.EXPIRY_MS };
   }
 
+  /**
+   * Resolves once it is known whether a quarantined request may be sent all the same, to test whether it still crashes workers;
+   * its verdict then tells. Undefined if it may not.
+   */
+  pendingProbe(a: callerRequest.CallerRequest): Promise<void> | undefined {
+    return this.parts.pendingProbe(a.meta);
+  }
+
   /** Discards the evidence behind a quarantine that an operator released or that expired; `evidence` is what was stored. */
   release(id: string, evidence: string): void {
     this.parts.release(evidence);
--- a/test/serving/crashes/part-quarantine.test.ts
+++ b/test/serving/crashes/part-quarantine.test.ts
@@ -67,10 +67,14 @@
     stored.set(quarantine.keyOf(part), text);
     readStore();
   };
+  /** Lets the leases of all keys in the store expire. */
+  const lapse = (): void => {
+    stored.clear();
+  };
   const forget = (): void => {
     known = records.EMPTY;
   };
-  return { pass, stored, create, crash, mark, forget, hosts: [create(), create()] as const };
+  return { pass, stored, create, crash, mark, lapse, forget, hosts: [create(), create()] as const };
 }
 
 let count = 0;
@@ -82,6 +86,16 @@
   return { id, waitMs: 1000, promptTokens: 1, answerTokens: 1, parts: all };
 }
 
+/** Whether a host sends a request to a worker, if need be as the test of a quarantine. */
+async function mayRun(
+  h: partQuarantine.PartQuarantine,
+  meta: callerRequest.Meta,
+): Promise<boolean> {
+  if (!h.withheld(meta)) return true;
+  await h.pendingProbe(meta);
+  return !h.withheld(meta);
+}
+
 describe("a quarantine of prompt parts", () => {
   it("withholds requests with the parts at all hosts, and no others", () => {
     const { hosts, crash } = site();
@@ -122,8 +136,7 @@
     for (let n = 0; n < 10; n++) {
       for (const h of hosts) {
         const req = request("f");
-        if (!h.withheld(req)) probes.push(req);
-        await settle();
+        if (await mayRun(h, req)) probes.push(req);
       }
     }
     expect(probes).length(1);
@@ -138,17 +151,26 @@
     const { pass, hosts, crash } = site();
     for (const w of ["w1", "w2", "w3"]) crash(w, ["f"]);
     await pass(61_000);
-    hosts[0].withheld(request("f"));
-    await settle();
     const probe = request("f");
-    expect(hosts[0].withheld(probe)).equal(undefined);
-    // It may be withheld again before it is written to its connection, and then still is the probe.
+    expect(await mayRun(hosts[0], probe)).equal(true);
+    // It may be checked again before it is written to its connection, and then still is the probe.
     expect(hosts[0].withheld(probe)).equal(undefined);
     crash("w4", ["f"]);
     expect(hosts[0].withheld(probe)).not.equal(undefined);
     expect(hosts[0].withheld(request("f"))?.releaseMs).equal(240_000);
   });
 
+  it("is tested by another host's request where the one that had the turn was not sent", async () => {
+    const { pass, hosts, crash, lapse } = site();
+    for (const w of ["w1", "w2", "w3"]) crash(w, ["f"]);
+    await pass(61_000);
+    expect(await mayRun(hosts[0], request("f"))).equal(true);
+    await pass(61_000);
+    lapse();
+    expect(await mayRun(hosts[1], request("f"))).equal(true);
+    expect(await mayRun(hosts[0], request("f"))).equal(false);
+  });
+
   it("that an operator set is not put to the test", async () => {
     const { pass, create, mark } = site();
     mark("f");
--- a/test/serving/crashes/part-simulation.ts
+++ b/test/serving/crashes/part-simulation.ts
@@ -246,10 +246,21 @@
     const all = [...parts, id].map((p) => ({ id: p, tokens: 1 }));
     const meta = { id, waitMs: 5000, promptTokens: 1, answerTokens: 1, parts: all };
     const attempt = (n: number): void => {
-      if (n > ATTEMPTS || isWithheld(h, meta)) {
+      if (n > ATTEMPTS) {
         onEnd(0);
         return;
       }
+      if (!isWithheld(h, meta)) {
+        run(n);
+        return;
+      }
+      void (async () => {
+        await h.parts.pendingProbe(meta);
+        if (isWithheld(h, meta)) onEnd(0);
+        else run(n);
+      })();
+    };
+    const run = (n: number): void => {
       send(h, meta, fault, (isWhole) => {
         if (isWhole) onEnd(n);
         else
