Forget the pools of a daemon that is closed

An entry daemon that had stopped in good order ended with status 1: callers saw nothing, but the platform counts a process that ends by itself. Cause: closing destroys the pools of all endpoints and kept them; an answer of the store that was still under way then removed an endpoint, and closing its destroyed pool is an unhandled rejection. Now closing forgets the pools, so there is none to close again.

--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -166,6 +166,8 @@
 
   close(): void {
     for (const pool of this.pools.values()) void pool.destroy();
+    // An answer of the store that is under way may still change the endpoints to retain.
+    this.pools.clear();
   }
 }
 
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -99,4 +99,22 @@
   it("reports an unknown outcome after bytes that are no HTTP answer", async () => {
     expect(await outcomeOf((s) => s.end("rubbish\r\n\r\n"))).equal("unknown");
   });
+
+  it("does not fail a daemon that hears of a lost endpoint after it was closed", async () => {
+    const worker = await fixtures.rawWorker((s) => s.end("rubbish\r\n\r\n"));
+    const upstreamPools = new upstream.Upstream(fixtures.WIRE);
+    const e = fixtures.endpoint("e", worker.address);
+    await upstreamPools.send(fixtures.request(), e, MARKS, new AbortController().signal);
+    const rejected: unknown[] = [];
+    const listeners = process.listeners("unhandledRejection");
+    process.removeAllListeners("unhandledRejection");
+    process.once("unhandledRejection", (err) => rejected.push(err));
+    upstreamPools.close();
+    upstreamPools.retain(new Set());
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    process.removeAllListeners("unhandledRejection");
+    for (const listener of listeners) process.on("unhandledRejection", listener);
+    worker.close();
+    expect(rejected).deep.equal([]);
+  });
 });
