Judge no news of crashes before a host that starts has heard all relays

Callers of a host that had just started could get 503 for a part that most prompts hold: it had heard of crashes from one endpoint daemon, and not yet from the others that the part had been cleared since. Now a host judges the news once it is connected to all endpoint daemons that it can reach, or after 3 s; until then the store's quarantines hold. The test fails without the change, which it names in its deps.

--- a/bench/cost/crashes.ts
+++ b/bench/cost/crashes.ts
@@ -46,6 +46,7 @@
     publish: () => undefined,
     claim: () => Promise.resolve(false),
     remove: () => Promise.resolve(),
+    hearsAll: () => true,
     hostCount: () => 360,
     random: Math.random,
   };
--- a/src/serving/crashes/part-quarantine.ts
+++ b/src/serving/crashes/part-quarantine.ts
@@ -23,8 +23,16 @@
   readonly publish: (key: string, n: records.News) => void;
   /** Deletes a key from the store; does nothing if it does not exist. */
   readonly remove: (key: string) => Promise<void>;
+  /** Whether this host is connected to all endpoint daemons that relay news, as far as they can be reached. */
+  readonly hearsAll: () => boolean;
 }
 
+/**
+ * Most milliseconds from this host's start for which it waits for all relays before it judges their news. Each of them knows
+ * some of the crashes and of the cleared parts.
+ */
+const MAX_CATCH_UP_MS = 3000;
+
 /** Why a request is withheld. */
 export interface Withheld {
   readonly parts: readonly string[];
@@ -42,6 +50,9 @@
 export class PartQuarantine {
   private readonly runs = new recentRuns.RecentRuns();
   private readonly probes: probes.Probes;
+  /** Monotonic ms at which this host has caught up with the others at the latest. */
+  private readonly catchUpBy: number;
+  private hasCaughtUp = false;
   private found: partSets.Findings = partSets.NONE;
   private foundSets: readonly IdentifiedSet[] = [];
   private foundIn: records.CrashRecords | undefined;
@@ -53,6 +64,7 @@
     private readonly writer: quarantineWriter.QuarantineWriter,
   ) {
     this.probes = new probes.Probes(deps);
+    this.catchUpBy = deps.clock.mono() + MAX_CATCH_UP_MS;
   }
 
   /** Number of sets of parts in quarantine. */
@@ -106,6 +118,8 @@
     this.readStored();
     const known = this.deps.known();
     const now = this.deps.clock.mono();
+    this.hasCaughtUp ||= now >= this.catchUpBy || this.deps.hearsAll();
+    if (!this.hasCaughtUp) return;
     if (known === this.foundIn && now < this.found.recheckAt) return;
     this.foundIn = known;
     this.found = partSets.find(known, (part) => this.runs.hold(part), now);
--- a/src/serving/endpoint-registry.ts
+++ b/src/serving/endpoint-registry.ts
@@ -367,6 +367,13 @@
     return [...new Set([...owners, ...(besideWorker ? [besideWorker] : [])])];
   }
 
+  /** Whether this host is connected to all endpoint daemons, apart from those that cannot be reached. */
+  get isLinked(): boolean {
+    const { config } = this.deps.catalog();
+    if (!config || this.unlinked.size > 0) return false;
+    return [...this.links.values()].every((l) => l.isConnected || !l.isStarting);
+  }
+
   /** Sends a message to a few of the connected endpoint daemons, for the same key to the same ones. */
   relay(key: string, m: suspicionState.Message): void {
     const connected = [...this.links.values()].filter((l) => l.isConnected);
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -113,6 +113,7 @@
     },
     claim: (key, ttlMs, text) => deps.source.claim(key, ttlMs, text),
     remove: (key) => deps.source.remove(key),
+    hearsAll: () => registry.isLinked,
     hostCount: () => registry.mostHosts(),
     random: deps.random,
   });
--- a/test/serving/crashes/part-quarantine.test.ts
+++ b/test/serving/crashes/part-quarantine.test.ts
@@ -16,6 +16,7 @@
 /** Two entry hosts that share all news, and a store. */
 function site() {
   const clk = new time.Time();
+  let isLinked = true;
   const pass = async (ms: number): Promise<void> => {
     const until = clk.mono() + ms;
     clk.after(ms, () => undefined);
@@ -51,6 +52,7 @@
       readStore();
       return Promise.resolve();
     },
+    hearsAll: () => isLinked,
     hostCount: () => 2,
     random: () => 0,
   };
@@ -71,10 +73,23 @@
   const lapse = (): void => {
     stored.clear();
   };
+  const setLinked = (to: boolean): void => {
+    isLinked = to;
+  };
   const forget = (): void => {
     known = records.EMPTY;
   };
-  return { pass, stored, create, crash, mark, lapse, forget, hosts: [create(), create()] as const };
+  return {
+    pass,
+    stored,
+    create,
+    crash,
+    mark,
+    lapse,
+    setLinked,
+    forget,
+    hosts: [create(), create()] as const,
+  };
 }
 
 let count = 0;
@@ -125,6 +140,20 @@
     expect(create().withheld(request("a", "f"))?.workers).deep.equal(["w1", "w2", "w3"]);
   });
 
+  it("is not judged by a host that started and has not heard all relays yet, for 3 s at most", async () => {
+    const { pass, create, crash, setLinked } = site();
+    for (const w of ["w1", "w2", "w3"]) crash(w, ["a"]);
+    setLinked(false);
+    const [host, other] = [create(), create()];
+    expect(host.withheld(request("a"))).equal(undefined);
+    setLinked(true);
+    expect(host.withheld(request("a"))).not.equal(undefined);
+    setLinked(false);
+    expect(other.withheld(request("a"))).equal(undefined);
+    await pass(3000);
+    expect(other.withheld(request("a"))).not.equal(undefined);
+  });
+
   it("is put to the test by one request of all hosts, and ends once that ran to its end", async () => {
     const { pass, hosts, crash, stored } = site();
     for (const w of ["w1", "w2", "w3"]) crash(w, ["f"]);
--- a/test/serving/crashes/part-simulation.ts
+++ b/test/serving/crashes/part-simulation.ts
@@ -160,6 +160,7 @@
       },
       claim,
       remove,
+      hearsAll: () => true,
       hostCount: () => plan.hosts,
       random,
     };
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -84,6 +84,7 @@
     },
     claim: () => Promise.resolve(true),
     remove: () => Promise.resolve(),
+    hearsAll: () => true,
     hostCount: () => 1,
     random: () => 0,
   });
