Crashes: one list of all crashes, one way to clear parts, one least number of crashes

Read again after the change: the records were flattened in four places, the news that clears parts was built in two, and the least number of crashes that prove a quarantine stood twice.

--- a/bench/red/crash-switches.ts
+++ b/bench/red/crash-switches.ts
@@ -8,7 +8,7 @@
   {
     name: "crashing parts: a run to the end clears parts",
     file: "serving/crashes/part-sets.js",
-    find: "at > (cleared.get(part) ?? -Infinity)",
+    find: "at > (known.cleared.get(part) ?? -Infinity)",
     put: "true",
     proof: "leaves out the parts of requests that ran to their end since",
   },
--- a/src/serving/crashes/part-quarantine.ts
+++ b/src/serving/crashes/part-quarantine.ts
@@ -101,16 +101,13 @@
     if (this.found.suspects.size === 0 && this.stored.length === 0) return;
     const parts = promptParts.idsOf(meta);
     const refuted = this.stored.filter((s) => partSets.holds(parts, s));
-    const cleared = parts.filter((p) => this.found.suspects.has(p));
-    for (const part of cleared)
-      this.deps.publish(part, { kind: "cleared", parts: [part], ageMs: 0 });
+    this.clear(parts.filter((p) => this.found.suspects.has(p)));
     for (const set of refuted) void this.remove(set, meta.id);
   }
 
   /** Discards the evidence against the parts of a quarantine that was deleted from the store. */
   release(evidence: string): void {
-    for (const part of quarantine.decode(evidence)?.parts ?? [])
-      this.deps.publish(part, { kind: "cleared", parts: [part], ageMs: 0 });
+    this.clear(quarantine.decode(evidence)?.parts ?? []);
   }
 
   /** Brings what was found up to date with the records and the store, and reports what has changed. */
@@ -135,6 +132,11 @@
     for (const s of this.foundSets) this.persist(s);
   }
 
+  /** Discards the evidence against some parts at all hosts; the news of each part has its own relays. */
+  private clear(parts: readonly string[]): void {
+    for (const part of parts) this.deps.publish(part, { kind: "cleared", parts: [part], ageMs: 0 });
+  }
+
   private readStored(): void {
     const { quarantined } = this.deps.catalog();
     if (quarantined === this.storedIn) return;
@@ -166,10 +168,8 @@
 
   private reportNew(set: IdentifiedSet): void {
     const { id, parts, workers, isCertain } = set;
-    const { cleared } = this.deps.known();
-    const held = [...this.deps.known().crashes.values()].flatMap((byWorker) =>
-      [...byWorker.values()].filter((c) => partSets.holds(c.parts, set)).flatMap((c) => c.parts),
-    );
+    const known = this.deps.known();
+    const held = crashesUnder(known, set).flatMap((c) => c.parts);
     this.deps.log.warn(
       "Requests with some prompt parts are in quarantine: they crashed their workers.",
       {
@@ -177,7 +177,7 @@
         parts,
         workers,
         isCertain,
-        cleared: [...new Set(held)].filter((p) => cleared.has(p)),
+        cleared: [...new Set(held)].filter((p) => known.cleared.has(p)),
       },
     );
     this.persist(set);
@@ -194,10 +194,7 @@
    * Has a set written to the store if this host has observed one of its crashes: possibly no host has observed all of them.
    */
   private persist(set: IdentifiedSet): void {
-    const isObserved = [...this.deps.observed().crashes.values()].some((byWorker) =>
-      [...byWorker.values()].some((c) => partSets.holds(c.parts, set)),
-    );
-    if (!isObserved) return;
+    if (crashesUnder(this.deps.observed(), set).length === 0) return;
     void this.writer.write(set.id, () => {
       this.refresh();
       return this.foundSets.find((s) => s.id === set.id);
@@ -224,3 +221,11 @@
     }
   }
 }
+
+/** The crashes under requests that hold all parts of a set. */
+function crashesUnder(
+  known: records.CrashRecords,
+  set: partSets.PartSet,
+): readonly records.RecordedCrash[] {
+  return records.crashesOf(known).filter((c) => partSets.holds(c.parts, set));
+}
--- a/src/serving/crashes/part-sets.ts
+++ b/src/serving/crashes/part-sets.ts
@@ -11,7 +11,8 @@
  * and requests without one of them are still served. Pure.
  * @module
  */
-import type * as records from "./records.js";
+import * as suspicion from "../suspicion.js";
+import * as records from "./records.js";
 
 /** A set of prompt parts; requests that hold all of them crash their workers. */
 export interface PartSet {
@@ -42,8 +43,6 @@
 /** Findings without any crash. */
 export const NONE: Findings = { sets: [], suspects: new Map(), recheckAt: Infinity };
 
-/** Minimum number of crashed workers that prove a set. One or two may be coincidence. */
-export const MIN_CRASHES = 3;
 /**
  * Milliseconds from the crash that proves a set until all hosts know of it and the requests on their way have reached their
  * workers.
@@ -62,8 +61,9 @@
 const ANSWER_BEGINS_MS = 250;
 
 /**
- * Exponent of the number of crashes under a part, which is weighed against the number of requests with it when parts are compared. A worker runs few
- * requests with a part that crashes it, and many with a part that most requests hold; but such requests queue up too.
+ * Exponent of the number of crashes under a part, which is weighed against the number of requests with it when parts are
+ * compared. A worker runs few requests with a part that crashes it, and many with a part that most requests hold; but such
+ * requests queue up too.
  */
 const CRASH_WEIGHT = 3;
 
@@ -84,7 +84,7 @@
   firstAt: number;
 }
 
-/** Finds the sets that the records prove at `now`. `ranLately` tells whether a part was in a run to the end on this host. */
+/** Finds the sets that the records prove at `now`. `ranLately` tells whether a request with a part ended well here lately. */
 export function find(
   known: records.CrashRecords,
   ranLately: (part: string) => boolean,
@@ -101,11 +101,11 @@
 }
 
 /** The requests under which workers crashed, without the parts that were cleared since. */
-function crashedRequests({ crashes, cleared }: records.CrashRecords): readonly CrashedRequest[] {
-  const all = [...crashes.values()].flatMap((byWorker) => [...byWorker.values()]);
-  return all
+function crashedRequests(known: records.CrashRecords): readonly CrashedRequest[] {
+  return records
+    .crashesOf(known)
     .map(({ worker, at, answeringMs, parts }): CrashedRequest => {
-      const suspects = parts.filter((part) => at > (cleared.get(part) ?? -Infinity));
+      const suspects = parts.filter((part) => at > (known.cleared.get(part) ?? -Infinity));
       return { worker, at, isBeginning: answeringMs < ANSWER_BEGINS_MS, parts: suspects };
     })
     .filter((r) => r.parts.length > 0);
@@ -154,7 +154,7 @@
   let best: string | undefined;
   let bestScore = 0;
   for (const [part, { workers, requests }] of counts) {
-    if (workers.size < MIN_CRASHES) continue;
+    if (workers.size < suspicion.MIN_CRASHES) continue;
     const score = workers.size ** CRASH_WEIGHT / requests;
     const isBetter = score > bestScore || (score === bestScore && part < (best ?? ""));
     if (!isBetter) continue;
@@ -171,7 +171,7 @@
   const shared = new Set(first?.parts);
   for (const s of own) for (const p of shared) if (!s.parts.includes(p)) shared.delete(p);
   const crashedAt = new Map(own.map((s) => [s.worker, s.at]));
-  const provedAt = [...crashedAt.values()].at(-MIN_CRASHES) ?? Infinity;
+  const provedAt = [...crashedAt.values()].at(-suspicion.MIN_CRASHES) ?? Infinity;
   return {
     parts: [...shared].sort(),
     workers: [...crashedAt.keys()],
--- a/src/serving/crashes/probe-pause.ts
+++ b/src/serving/crashes/probe-pause.ts
@@ -10,7 +10,10 @@
  */
 const UNCERTAIN_MS = 2000;
 const CERTAIN_MS = 60_000;
-/** Factor by which the pause grows with each crash after the set was proved, so that a part that keeps crashing workers costs few of them. */
+/**
+ * Factor by which the pause grows with each crash after the set was proved, so that a part that keeps crashing workers costs
+ * few of them.
+ */
 const GROWTH = 4;
 const MAX_MS = 600_000;
 
--- a/src/serving/crashes/records.ts
+++ b/src/serving/crashes/records.ts
@@ -84,6 +84,11 @@
   return key.slice(key.indexOf(" ") + 1);
 }
 
+/** All crashes, of all requests. */
+export function crashesOf({ crashes }: CrashRecords): readonly RecordedCrash[] {
+  return [...crashes.values()].flatMap((byWorker) => [...byWorker.values()]);
+}
+
 /** The records after one piece of news; the same object if it changes nothing. */
 export function apply(records: CrashRecords, news: News, now: number): CrashRecords {
   const at = now - news.ageMs;
@@ -180,13 +185,9 @@
 
 /** All records as news, for a newly connected host. */
 export function snapshot(records: CrashRecords, now: number): readonly News[] {
-  const ended = [...records.crashes.values()].flatMap((crashes) =>
-    [...crashes.values()].map(({ at, ...e }): News => ({
-      kind: "ended",
-      ...e,
-      ageMs: Math.max(0, now - at),
-    })),
-  );
+  const ended = crashesOf(records).map(({ at, ...e }): News => {
+    return { kind: "ended", ...e, ageMs: Math.max(0, now - at) };
+  });
   const ran = [...records.voided].map(([key, at]): News => {
     const identity = key.slice(0, key.indexOf(" "));
     return { kind: "ran", identity, workers: [workerOf(key)], ageMs: Math.max(0, now - at) };
--- a/src/serving/suspicion.ts
+++ b/src/serving/suspicion.ts
@@ -31,7 +31,8 @@
 export const FREE: Verdict = { kind: "free", workers: [] };
 
 /**
- * Minimum number of crashes for quarantine. One or two may be coincidence; the users accept three.
+ * Minimum number of crashes for quarantine, of a request or of a set of prompt parts. One or two may
+ * be coincidence; the users accept three.
  */
 export const MIN_CRASHES = 3;
 /**
--- a/test/serving/crashes/part-simulation.ts
+++ b/test/serving/crashes/part-simulation.ts
@@ -329,9 +329,8 @@
 }
 
 /** Number of workers that crashed under requests with a part since such a request last ran to its end. */
-function crashesSince({ crashes, cleared }: records.CrashRecords, part: string): number {
-  const since = cleared.get(part) ?? -Infinity;
-  const all = [...crashes.values()].flatMap((byWorker) => [...byWorker.values()]);
-  return new Set(all.filter((c) => c.at > since && c.parts.includes(part)).map((c) => c.worker))
-    .size;
+function crashesSince(known: records.CrashRecords, part: string): number {
+  const since = known.cleared.get(part) ?? -Infinity;
+  const own = records.crashesOf(known).filter((c) => c.at > since && c.parts.includes(part));
+  return new Set(own.map((c) => c.worker)).size;
 }
