Soak: one plan of a fatal request, and one record of what was planned

The plans of a repeated fatal request and of requests with a fatal part shared their fields, and so did the records of both kinds of caller. The draws keep their order.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -104,7 +104,7 @@
   const wish = w.nextRequest();
   const id = w.nextId();
   const key = w.key();
-  const { kind, path, adapter, parts, waitMs, version } = wish;
+  const { path, waitMs } = wish;
   const body = `body of ${id}`;
   const sentAt = performance.now();
   const leaving = AbortSignal.timeout(Math.round(wish.leaveMs ?? waitMs + GIVE_UP_MS));
@@ -124,21 +124,12 @@
         : { kind: "broken", text, why: `cut after status ${status}` };
   // A failed connect is left to the load balancer and does not count as a request.
   if (!received.isConnected && end.kind === "broken") return;
-  w.record({
-    id,
-    kind,
-    key,
-    entry: to.name,
-    path,
-    adapter,
-    parts,
-    body,
-    waitMs,
-    sentAt,
-    endedAt,
-    version,
-    end,
-  });
+  w.record({ ...plannedOf(wish), id, key, entry: to.name, body, sentAt, endedAt, end });
+}
+
+/** What the record of a request has in common with its plan. */
+function plannedOf({ kind, path, adapter, parts, waitMs, version }: RequestPlan) {
+  return { kind, path, adapter, parts, waitMs, version };
 }
 
 function headersOf(wish: RequestPlan, id: string, key: string): Record<string, string> {
@@ -237,21 +228,7 @@
   }
   clearTimeout(timer);
   const endedAt = performance.now();
-  const { kind, path, adapter, parts, waitMs, version } = wish;
-  const sent = {
-    id,
-    kind,
-    key,
-    entry,
-    path,
-    adapter,
-    parts,
-    body,
-    waitMs,
-    sentAt,
-    endedAt,
-    version,
-  };
+  const sent = { ...plannedOf(wish), id, key, entry, body, sentAt, endedAt };
   const record: history.RequestRecord = { ...sent, end, ...(resumed && { resumed }) };
   // A failed connect is left to the load balancer and does not count as a request.
   if (isConnected) w.record(record);
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -199,19 +199,20 @@
 const FATAL_KINDS = ["stream", "call", "call_once"] as const;
 const FATAL_PATHS = { stream: "/s/", call: "/c/", call_once: "/n/" } as const;
 
+/** The plan of a request that crashes its workers, without what makes it do so. */
+function fatalPlan(
+  d: Deps,
+  kind: (typeof FATAL_KINDS)[number],
+): Omit<caller.RequestPlan, "parts" | "fatal"> {
+  const adapter = kind === "stream" ? d.draw.one(ADAPTERS) : "";
+  return { kind, path: FATAL_PATHS[kind], adapter, waitMs: 2500, version: 0, leaveMs: undefined };
+}
+
 /** Sends one request that crashes its workers repeatedly for a while, to any entry host. */
 export async function repeatFatalRequest(d: Deps): Promise<void> {
   const kind = d.draw.one(FATAL_KINDS);
-  const wish: caller.RequestPlan = {
-    kind,
-    path: FATAL_PATHS[kind],
-    adapter: kind === "stream" ? d.draw.one(ADAPTERS) : "",
-    waitMs: 2500,
-    version: 0,
-    leaveMs: undefined,
-    parts: [],
-    fatal: `fatal-${Math.floor(d.draw.part() * 1e9)}`,
-  };
+  const fatal = { ...fatalPlan(d, kind), parts: [] };
+  const wish = { ...fatal, fatal: `fatal-${Math.floor(d.draw.part() * 1e9)}` };
   await sendRepeatedly(d, () => wish);
 }
 
@@ -242,15 +243,7 @@
   d.site.fatalParts.add(part);
   await sendRepeatedly(d, () => {
     const [shared = "", ...others] = drawParts(d.draw);
-    return {
-      kind,
-      path: FATAL_PATHS[kind],
-      adapter: kind === "stream" ? d.draw.one(ADAPTERS) : "",
-      waitMs: 2500,
-      version: 0,
-      leaveMs: undefined,
-      parts: [shared, part, ...others],
-    };
+    return { ...fatalPlan(d, kind), parts: [shared, part, ...others] };
   });
 }
 
