Say why the origin of a resumed stream is not known

Callers that resumed streams after restarts were refused with 'it is not known which software version began the stream', and no line told whether the keepers of its origin were asked, replied, or had been running for long enough to have it.

'A stream cannot be resumed.' names the reason, the number of keepers asked, and each reply with the time since that keeper started; sumacfield_streams_resumed_total counts resumed streams by how their origin was known or why not. No change of logic.

--- a/src/serving/continuation/messages.ts
+++ b/src/serving/continuation/messages.ts
@@ -47,6 +47,8 @@
     watchedMs: zod.number().nonnegative(),
     /** Milliseconds since it last knew itself to be as new as the store. */
     ageMs: zod.number().nonnegative(),
+    /** Milliseconds since this daemon started, before which it can keep no origin. */
+    upMs: zod.number().nonnegative(),
   })
   .readonly();
 export type Found = zod.infer<typeof found>;
--- a/src/serving/continuation/origin-keeper.ts
+++ b/src/serving/continuation/origin-keeper.ts
@@ -18,11 +18,13 @@
 /** The origins of streams that one endpoint daemon keeps. */
 export class OriginKeeper {
   private readonly kept = new expiringMap.ExpiringMap<KeptOrigin>(MAX_STREAMS);
+  private readonly startedAt: number;
   /** What this daemon has seen, which takes in the changes of the catalog. */
   readonly history: originHistory.OriginHistory;
 
   constructor(private readonly deps: originHistory.Deps) {
     this.history = new originHistory.OriginHistory(deps);
+    this.startedAt = deps.clock.mono();
   }
 
   /** Number of streams whose origins are kept. */
@@ -39,12 +41,14 @@
 
   /** Answers an entry daemon's question. */
   find({ question, attempt, route, maxAgeMs }: messages.Find): messages.Found {
-    const kept = attempt === undefined ? undefined : this.kept.get(attempt, this.deps.clock.mono());
+    const now = this.deps.clock.mono();
+    const kept = attempt === undefined ? undefined : this.kept.get(attempt, now);
     return {
       kind: "origin_found",
       question,
       ...(kept && { origin: kept.origin }),
       ...this.history.witness(route, maxAgeMs),
+      upMs: now - this.startedAt,
     };
   }
 }
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -48,6 +48,34 @@
   readonly peer?: string | undefined;
 }
 
+/** Why the origin of a stream is not known. */
+export type UnknownReason =
+  /** Its caller does not name the attempt that began it, and several origins are possible. */
+  | "unnamed"
+  /** No endpoint daemon that may keep it replied. */
+  | "unanswered"
+  /** Those that replied have no record of it. */
+  | "unrecorded"
+  /** Two records of it differ. */
+  | "contradictory";
+
+/** The reply of an endpoint daemon that may keep the origin of a stream. */
+export interface Reply {
+  readonly peer: string;
+  readonly found: messages.Found;
+}
+
+/** What was found out about the origin of a stream that is resumed here. */
+export type Lookup =
+  | (Known & { readonly kind: "known" })
+  | {
+      readonly kind: "unknown";
+      readonly reason: UnknownReason;
+      readonly replies: readonly Reply[];
+      /** Number of endpoint daemons that were asked. */
+      readonly asked: number;
+    };
+
 /** A stream that began here. */
 interface OwnStream extends expiringMap.Expiring {
   readonly origin: origin.Origin;
@@ -119,34 +147,41 @@
     if (!this.isOnlyOne(route)) this.report(meta.id, s);
   }
 
-  /** The origin of the stream that a request resumes; undefined if nobody that is asked knows it for certain. */
-  async find(req: callerRequest.CallerRequest): Promise<Known | undefined> {
+  /** Finds the origin of the stream that a request resumes; unknown if nobody that is asked knows it for certain. */
+  async find(req: callerRequest.CallerRequest): Promise<Lookup> {
     const { meta, route } = req;
     const { resumes } = meta;
     const now = this.deps.clock.mono();
     const own = resumes === undefined ? undefined : this.own.get(resumes, now);
-    if (own) return { origin: own.origin, from: "own" };
+    if (own) return { kind: "known", origin: own.origin, from: "own" };
     const longestMs = this.longestWaitMs.get(route.name) ?? 0;
     const maxAgeMs = originHistory.maxAgeMs(route, meta.waitMs, longestMs);
     const question = { ...(resumes !== undefined && { attempt: resumes }), maxAgeMs };
-    const replies = await this.ask(resumes ?? meta.id, { ...question, route: route.name });
+    const keepers = this.keepersOf(resumes ?? meta.id);
+    const replies = await ask(keepers, { ...question, route: route.name });
     const records = replies.flatMap((r) => r.found.origin ?? []);
     const agreed = origin.agreedOrigin(records);
     if (agreed) {
       const peer = replies.find((r) => r.found.origin)?.peer;
-      return { origin: agreed, from: "keeper", peer };
+      return { kind: "known", origin: agreed, from: "keeper", peer };
     }
-    if (records.length > 0) return undefined;
+    const unknown = (reason: UnknownReason): Lookup => {
+      return { kind: "unknown", reason, replies, asked: keepers.length };
+    };
+    if (records.length > 0) return unknown("contradictory");
+    const missing = unknown(
+      resumes === undefined ? "unnamed" : replies.length > 0 ? "unrecorded" : "unanswered",
+    );
     const infer = (): origin.Origin | undefined => {
       const ageMs = maxAgeMs + this.deps.clock.mono() - now;
       const here = this.history.witness(route.name, ageMs);
       return origin.onlyOrigin([here, ...replies.map((r) => r.found)], ageMs);
     };
-    if (!infer()) return undefined;
+    if (!infer()) return missing;
     // The host that began the stream may have known of a version that this one does not know yet.
-    if (!(await this.isUpToDateBy(now, req.dueAt))) return undefined;
+    if (!(await this.isUpToDateBy(now, req.dueAt))) return missing;
     const only = infer();
-    return only && { origin: only, from: "only_one" };
+    return only ? { kind: "known", origin: only, from: "only_one" } : missing;
   }
 
   /** Resolves to whether the catalog is as new as the store was at the monotonic ms `at`, once it is or cannot be in time. */
@@ -181,22 +216,20 @@
     return origin.onlyOrigin([this.history.witness(route.name, memoryMs)], memoryMs);
   }
 
-  private async ask(
-    attempt: string,
-    question: Omit<messages.Find, "kind" | "question">,
-  ): Promise<readonly { readonly peer: string; readonly found: messages.Found }[]> {
-    const replies = await Promise.all(
-      this.keepersOf(attempt).map(async (k) => ({
-        peer: k.address,
-        found: await k.findOrigin(question),
-      })),
-    );
-    return replies.flatMap(({ peer, found }) => (found ? [{ peer, found }] : []));
-  }
-
   private report(attempt: string, s: OwnStream): void {
     s.isReported = true;
     const m = toMessage(attempt, s, this.deps.clock.mono());
     for (const k of this.keepersOf(attempt)) k.send(m);
   }
 }
+
+/** The replies of those keepers that answer a question. */
+async function ask(
+  keepers: readonly Keeper[],
+  question: Omit<messages.Find, "kind" | "question">,
+): Promise<readonly Reply[]> {
+  const replies = await Promise.all(
+    keepers.map(async (k) => ({ peer: k.address, found: await k.findOrigin(question) })),
+  );
+  return replies.flatMap(({ peer, found }) => (found ? [{ peer, found }] : []));
+}
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -9,6 +9,7 @@
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
+import type * as origins from "./continuation/origins.js";
 import * as ending from "./ending.js";
 import * as hedgedCalls from "./overload/hedged-calls.js";
 import type * as metrics from "./metrics.js";
@@ -121,9 +122,12 @@
     p: progress.Progress,
   ): Promise<callerRequest.CallerRequest> {
     if (req.route.kind !== "stream" || req.meta.resumeAfter === undefined) return req;
-    const known = await this.deps.origins.find(req);
+    const lookup = await this.deps.origins.find(req);
+    const known = lookup.kind === "known" ? lookup : undefined;
     const service = known && serviceOf(this.deps.catalog(), req, known.origin.service);
     const isBound = service !== undefined;
+    const outcome = lookup.kind === "unknown" ? lookup.reason : isBound ? lookup.from : "moved";
+    this.deps.metrics.recordResumption(req.service.name, outcome);
     this.deps.log.info(isBound ? "A stream is resumed." : "A stream cannot be resumed.", {
       request: req.meta.id,
       resumes: req.meta.resumes,
@@ -132,6 +136,7 @@
       service: known?.origin.service,
       from: known?.from,
       peer: known?.peer,
+      ...(lookup.kind === "unknown" && unknownFields(lookup)),
       tookMs: Math.round(this.deps.clock.mono() - req.arrivedAt),
     });
     if (!known || !service) {
@@ -287,6 +292,19 @@
   }
 }
 
+/** Log fields that say why the origin of a stream is not known. */
+function unknownFields({
+  reason,
+  asked,
+  replies,
+}: Extract<origins.Lookup, { kind: "unknown" }>): structuredLog.Fields {
+  return {
+    reason,
+    asked,
+    replies: replies.map(({ peer, found }) => `${peer}, up ${Math.round(found.upMs)} ms`),
+  };
+}
+
 /** The service of this name, if the request's route leads there. */
 function serviceOf(
   { config }: catalog.Catalog,
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -9,6 +9,7 @@
 import * as errors from "../host/errors.js";
 import type * as completeness from "./answers/completeness.js";
 import type * as framings from "./answers/framing.js";
+import type * as origins from "./continuation/origins.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as memoryBudget from "./buffering/memory-budget.js";
 import type * as suspicion from "./suspicion.js";
@@ -38,6 +39,8 @@
 
 /** How a stream goes on: within the answer that it broke in, or in a new attempt of its caller. */
 export type ContinuationKind = "in_answer" | "new_attempt";
+/** How the origin of a stream that a caller resumes was known, or why it goes on nowhere. */
+export type ResumptionOutcome = origins.Source | origins.UnknownReason | "moved";
 /** Whether a stream goes on at the software version that began it, as far as this host knows. */
 export type ContinuationMatch = "same" | "other" | "unknown";
 
@@ -79,6 +82,8 @@
     how: ContinuationKind,
     match: ContinuationMatch,
   ) => void;
+  /** A caller resumed a stream of a service. */
+  readonly recordResumption: (service: string, outcome: ResumptionOutcome) => void;
   /** The hedge of a call was due. */
   readonly recordHedge: (service: string, outcome: HedgeOutcome) => void;
   /** A request was ended, or its body refused, to keep to the memory budget. */
@@ -183,6 +188,12 @@
     "how",
     "version",
   );
+  const resumptions = counter(
+    "sumacfield_streams_resumed_total",
+    "Streams that callers resumed, by service, and how their origin was known or why they cannot go on.",
+    "service",
+    "outcome",
+  );
   const grants = counter(
     "sumacfield_team_granted_tokens_total",
     "Prompt and expected answer tokens of the seats granted to a team on this engine.",
@@ -242,6 +253,9 @@
     recordContinuation: (service, how, version) => {
       continuations.inc({ service, how, version });
     },
+    recordResumption: (service, outcome) => {
+      resumptions.inc({ service, outcome });
+    },
     recordHedge: (service, outcome) => {
       hedges.inc({ service, outcome });
     },
--- a/test/platform/software-versions.test.ts
+++ b/test/platform/software-versions.test.ts
@@ -3,10 +3,9 @@
 import * as path from "node:path";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
-import * as documents from "../../bench/platform/documents.js";
-import * as rawCaller from "../../bench/platform/raw-caller.js";
 import * as workers from "../../bench/platform/worker.js";
 import * as soak from "../../bench/soak/site.js";
+import * as streamCaller from "./stream-caller.js";
 
 const { expect } = chai;
 
@@ -25,28 +24,6 @@
 /** Milliseconds after which all hosts know that a worker leaves. */
 const LEAVING_KNOWN_MS = 1500;
 
-/** One attempt of a caller, and what it received. */
-interface Attempt {
-  readonly id: string;
-  readonly adapter: string;
-  readonly received: rawCaller.Received;
-}
-
-/** What a caller names to go on with a stream. */
-interface Resumed {
-  readonly after: number;
-  readonly resumes?: string;
-}
-
-function lastEventOf({ received }: Attempt): number {
-  return workers.wholeEvents(received.body).length;
-}
-
-/** The software versions in the events of a caller's attempts at one stream. */
-function versionsOf(...attempts: readonly (Attempt | undefined)[]): ReadonlySet<string> {
-  return workers.softwareIn(attempts.flatMap((a) => workers.wholeEvents(a?.received.body ?? "")));
-}
-
 describe("streams before workers of two software versions", () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
   const faults: string[] = [];
@@ -58,23 +35,7 @@
   );
   const engines = (): readonly workers.Engine[] =>
     site.places.flatMap(({ worker }) => (worker instanceof workers.Engine ? [worker] : []));
-  let count = 0;
-
-  async function stream(entry: number, adapter: string, on?: Resumed): Promise<Attempt> {
-    const id = `v${count++}`;
-    const headers = {
-      host: documents.HOST,
-      "x-sumacfield-attempt-id": id,
-      "x-sumacfield-deadline-ms": "4000",
-      "x-sumacfield-model": `${documents.MODEL}/${adapter}`,
-      "x-sumacfield-token-usage": "100,10",
-      ...(on && { "last-event-id": String(on.after) }),
-      ...(on?.resumes !== undefined && { resumes: on.resumes }),
-    };
-    const address = site.entries[entry % site.entries.length]?.callers ?? "";
-    const req = { version: "1.1", path: "/s/x", headers, body: id } as const;
-    return { id, adapter, received: await rawCaller.send(address, req) };
-  }
+  const caller = new streamCaller.StreamCaller(site, { prefix: "/s/", waitMs: 4000, name: "v" });
 
   /** One worker of each version. */
   const leavers = (): readonly soak.Place[] =>
@@ -85,8 +46,8 @@
   async function untilServed(): Promise<void> {
     for (let n = 0, served = 0; served < 2 * site.entries.length; n++) {
       if (n > 300) throw new Error("it was not served");
-      const { received } = await stream(n, adapterOf(n));
-      served = received.status === 200 && received.end === "complete" ? served + 1 : 0;
+      const a = await caller.send(n, adapterOf(n));
+      served = streamCaller.isComplete(a) ? served + 1 : 0;
       await timers.setTimeout(20);
     }
   }
@@ -95,22 +56,22 @@
    * Streams of entry host 0, whose process is killed while they run; those that had brought an event. A worker of each version
    * leaves with it, so that many adapters move to others.
    */
-  async function cutByKill(): Promise<readonly Attempt[]> {
+  async function cutByKill(): Promise<readonly streamCaller.Attempt[]> {
     const begun = await killDuring(0, CUT_AFTER_MS, () =>
-      Array.from({ length: STREAMS }, (_, n) => stream(0, adapterOf(n))),
+      Array.from({ length: STREAMS }, (_, n) => caller.send(0, adapterOf(n))),
     );
     for (const place of leavers()) site.leave(place);
     const cut = await Promise.all(begun);
     await timers.setTimeout(LEAVING_KNOWN_MS);
-    return cut.filter((a) => a.received.end === "cut" && lastEventOf(a) > 0);
+    return cut.filter((a) => streamCaller.isCut(a));
   }
 
   /** Starts slow streams, and kills an entry host `ms` later. */
   async function killDuring(
     entry: number,
     ms: number,
-    begin: () => readonly Promise<Attempt>[],
-  ): Promise<readonly Promise<Attempt>[]> {
+    begin: () => readonly Promise<streamCaller.Attempt>[],
+  ): Promise<readonly Promise<streamCaller.Attempt>[]> {
     for (const e of engines()) e.eventMs = SLOW_EVENT_MS;
     const begun = begin();
     await timers.setTimeout(ms);
@@ -120,17 +81,22 @@
   }
 
   /** The callers' second attempts at other hosts. */
-  function takeUp(cut: readonly Attempt[]): Promise<readonly Attempt[]> {
+  function takeUp(cut: readonly streamCaller.Attempt[]): Promise<readonly streamCaller.Attempt[]> {
     return Promise.all(
-      cut.map((a, n) => stream(1 + (n % 2), a.adapter, { after: lastEventOf(a), resumes: a.id })),
+      cut.map((a, n) =>
+        caller.send(1 + (n % 2), a.adapter, { after: streamCaller.eventCount(a), resumes: a.id }),
+      ),
     );
   }
 
-  const wentOn = (all: readonly Attempt[]): number =>
-    all.filter((a) => a.received.status === 200 && a.received.end === "complete").length;
+  const wentOn = (all: readonly streamCaller.Attempt[]): number =>
+    all.filter(streamCaller.isComplete).length;
 
-  const mixed = (first: readonly Attempt[], then: readonly Attempt[]): readonly string[] =>
-    first.flatMap((a, n) => (versionsOf(a, then[n]).size > 1 ? [a.id] : []));
+  const mixed = (
+    first: readonly streamCaller.Attempt[],
+    then: readonly streamCaller.Attempt[],
+  ): readonly string[] =>
+    first.flatMap((a, n) => (streamCaller.versionsOf(a, then[n]).size > 1 ? [a.id] : []));
 
   before(async () => {
     site.software = (place) => (Number(place.split("-")[1]) < WORKERS_EACH ? "v1" : "v1.1");
@@ -153,13 +119,13 @@
 
   it("mix no two versions in one answer when their workers break off", async () => {
     for (const e of engines()) Object.assign(e, { behavior: "breaking", faultyShare: 0.5 });
-    const all: Attempt[] = [];
+    const all: streamCaller.Attempt[] = [];
     for (let n = 0; n < 2 * STREAMS; n += AT_ONCE) {
-      const batch = Array.from({ length: AT_ONCE }, (_, i) => stream(n + i, adapterOf(n + i)));
+      const batch = Array.from({ length: AT_ONCE }, (_, i) => caller.send(n + i, adapterOf(n + i)));
       all.push(...(await Promise.all(batch)));
     }
     const runsOf = (id: string): number => site.journal.runs.filter((r) => r.id === id).length;
-    expect(all.filter((a) => versionsOf(a).size > 1).map((a) => a.id)).deep.equal([]);
+    expect(all.filter((a) => streamCaller.versionsOf(a).size > 1).map((a) => a.id)).deep.equal([]);
     expect(wentOn(all.filter((a) => runsOf(a.id) > 1))).greaterThan(0);
   }).timeout(40_000);
 
@@ -174,27 +140,31 @@
   it("go on at the version that began them when two hosts are killed, one after the other", async () => {
     const cut = await cutByKill();
     const resumed = await killDuring(1, CUT_AGAIN_AFTER_MS, () =>
-      cut.map((a) => stream(1, a.adapter, { after: lastEventOf(a), resumes: a.id })),
+      cut.map((a) =>
+        caller.send(1, a.adapter, { after: streamCaller.eventCount(a), resumes: a.id }),
+      ),
     );
     const second = await Promise.all(resumed);
     const then = await Promise.all(
       cut.map((a, n) => {
         const middle = second[n];
-        const after = lastEventOf(a) + (middle ? lastEventOf(middle) : 0);
-        return stream(2, a.adapter, { after, resumes: a.id });
+        const after = streamCaller.eventCount(a) + (middle ? streamCaller.eventCount(middle) : 0);
+        return caller.send(2, a.adapter, { after, resumes: a.id });
       }),
     );
-    const brought = second.filter((a) => a.received.end === "cut" && lastEventOf(a) > 0);
+    const brought = second.filter((a) => streamCaller.isCut(a));
     expect(brought.length).greaterThan(0);
-    expect(cut.filter((a, n) => versionsOf(a, second[n], then[n]).size > 1)).deep.equal([]);
+    expect(
+      cut.filter((a, n) => streamCaller.versionsOf(a, second[n], then[n]).size > 1),
+    ).deep.equal([]);
     expect(wentOn(then)).least(cut.length / 2);
   }).timeout(40_000);
 
   it("are not run where nobody knows which version began them", async () => {
-    const tries: Attempt[] = [];
+    const tries: streamCaller.Attempt[] = [];
     for (let n = 0; n < ADAPTERS; n++) {
-      tries.push(await stream(n, adapterOf(n), { after: 2 }));
-      tries.push(await stream(n, adapterOf(n), { after: 2, resumes: "nobody" }));
+      tries.push(await caller.send(n, adapterOf(n), { after: 2 }));
+      tries.push(await caller.send(n, adapterOf(n), { after: 2, resumes: "nobody" }));
     }
     const ids = new Set(tries.map((a) => a.id));
     expect(site.journal.runs.filter((r) => ids.has(r.id)).map((r) => r.id)).deep.equal([]);
--- a/test/serving/continuation/bound-streams.test.ts
+++ b/test/serving/continuation/bound-streams.test.ts
@@ -68,7 +68,8 @@
         origins: {
           isOnlyOne: () => false,
           begun: () => undefined,
-          find: () => Promise.resolve(known),
+          find: () =>
+            Promise.resolve(known ? { kind: "known", ...known } : fixtures.UNKNOWN_ORIGIN),
         },
       },
     );
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -206,7 +206,9 @@
     const meta = { ...fixtures.request().meta, id: "next", waitMs, resumeAfter: "1", ...named };
     const req = fixtures.request({ route: ROUTE, meta, dueAt: this.now + waitMs });
     const found: { readonly software: string | undefined }[] = [];
-    void host.part.find(req).then((k) => found.push({ software: k?.origin.software }));
+    void host.part.find(req).then((k) => {
+      found.push({ software: k.kind === "known" ? k.origin.software : undefined });
+    });
     while (found.length === 0) await this.pass(STEP_MS);
     return found[0]?.software;
   }
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -104,7 +104,11 @@
         isOnlyOne: () => true,
         begun: () => undefined,
         find: ({ service }) =>
-          Promise.resolve({ origin: { service: service.name, software: "" }, from: "only_one" }),
+          Promise.resolve({
+            kind: "known",
+            origin: { service: service.name, software: "" },
+            from: "only_one",
+          }),
       },
       notices,
       authenticate,
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -7,11 +7,20 @@
 import type * as callerRequest from "../../src/serving/caller-request.js";
 import type * as catalog from "../../src/serving/catalog.js";
 import type * as choice from "../../src/serving/choice.js";
+import type * as origins from "../../src/serving/continuation/origins.js";
 import * as notices from "../../src/serving/notices.js";
 import type * as protocol from "../../src/serving/protocol.js";
 import type * as residency from "../../src/serving/residency.js";
 import type * as seatMessages from "../../src/serving/seat-messages.js";
 
+/** The result of a lookup that found no origin of a stream. */
+export const UNKNOWN_ORIGIN: origins.Lookup = {
+  kind: "unknown",
+  reason: "unrecorded",
+  replies: [],
+  asked: 0,
+};
+
 export const ROUTE: catalog.Route = {
   name: "captions",
   host: "a.example",
--- a/test/serving/incarnation.test.ts
+++ b/test/serving/incarnation.test.ts
@@ -185,7 +185,7 @@
     const origins = {
       isOnlyOne: () => false,
       begun: () => undefined,
-      find: () => Promise.resolve(undefined),
+      find: () => Promise.resolve(fixtures.UNKNOWN_ORIGIN),
     };
     const made = dispatcherFixture.create(
       at,
