Keep in the store which software versions streams may have begun on

Cause: that only one version was possible was inferred by daemons that had watched for longer than the stream is old, and what was watched is in processes alone. After a kill of all, no daemon has watched for long enough. Endpoint daemons were asked as well, though on the platform they follow no workers' entries and so could not see a version.

A document in the store, the register, lists the services of each route of resumable streams and the software versions of each service. Streams begin only at versions that it lists, so it is complete whatever has restarted; a resumed stream reads it anew and goes on if one origin is possible. Entries are dropped once none of the streams that may have them can go on. After a restore of the store from a backup it is not relied on until hosts have listed again what was lost. Watching, ages of streams, and the catalog's superseded entries are not needed for it any more. A stream whose host's catalog gets old is reported to its keepers.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -143,6 +143,9 @@
     }
     const url = new URL(req.url ?? "/", "http://store");
     switch (url.pathname) {
+      case "/-/kv-key":
+        this.readKey(url.searchParams.get("key") ?? "", res);
+        return;
       case "/-/kv-range":
         this.range(url.searchParams, res);
         return;
@@ -166,6 +169,12 @@
     servers.sendJson(res, status, body);
   }
 
+  private readKey(key: string, res: http.ServerResponse): void {
+    const item = this.items.get(key);
+    if (item) this.send(res, 200, { ...item, currentRev: this.revision });
+    else this.send(res, 404, {});
+  }
+
   private range(query: URLSearchParams, res: http.ServerResponse): void {
     const prefix = query.get("prefix") ?? "";
     const after = query.get("after") ?? "";
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as selector from "../contract/selector.js";
+import * as register from "./continuation/register.js";
 import * as position from "../store/position.js";
 import type * as tokenBalance from "./token-balance.js";
 import * as incarnation from "./incarnation.js";
@@ -153,6 +154,8 @@
   readonly departed: ReadonlySet<string>;
   /** Evidence against the requests that must not be sent to any worker, by the request's identity. */
   readonly quarantined: ReadonlyMap<string, string>;
+  /** The register of the origins that resumable streams may have. */
+  readonly origins: register.Register;
   /** The store's position at this snapshot. */
   readonly position: position.Position;
 }
@@ -164,6 +167,7 @@
   endpoints: new Map(),
   departed: new Set(),
   quarantined: new Map(),
+  origins: register.EMPTY,
   position: position.Position.START,
 };
 
@@ -192,7 +196,8 @@
   | { readonly kind: "endpoint_gone"; readonly worker: string }
   /** Requests with this {@link identity.of | identity} must not be sent to any worker. */
   | { readonly kind: "quarantine"; readonly identity: string; readonly evidence: string }
-  | { readonly kind: "release"; readonly identity: string };
+  | { readonly kind: "release"; readonly identity: string }
+  | { readonly kind: "origins"; readonly register: register.Register };
 
 /** Number of departed incarnations that are remembered. */
 const MAX_DEPARTED = 1024;
@@ -213,7 +218,7 @@
 ): { readonly updated: Catalog; readonly applied: readonly Update[] } {
   const versions = copyOnWrite(from.versions);
   const endpoints = copyOnWrite(from.endpoints);
-  let { config, departed, quarantined } = from;
+  let { config, departed, quarantined, origins } = from;
   const applied = updates.filter((c) => {
     switch (c.kind) {
       case "config":
@@ -250,6 +255,10 @@
         if (!quarantined.has(c.identity)) return false;
         quarantined = new Map([...quarantined].filter(([identity]) => identity !== c.identity));
         return true;
+      case "origins":
+        if (register.format(origins) === register.format(c.register)) return false;
+        origins = c.register;
+        return true;
     }
   });
   if (applied.length === 0) return { updated: from, applied };
@@ -261,6 +270,7 @@
       endpoints: endpoints.read(),
       departed,
       quarantined,
+      origins,
     },
     applied,
   };
--- a/src/serving/continuation/messages.ts
+++ b/src/serving/continuation/messages.ts
@@ -15,17 +15,13 @@
     ttlMs: zod.number().positive(),
   })
   .readonly();
-/** Asks for the origin of the stream that an attempt began on a route. */
+/** Asks for the origin of the stream that an attempt began. */
 const find = zod
   .object({
     kind: zod.literal("find_origin"),
     /** Id of the question, unique on its connection. */
     question: zod.int(),
-    /** Left out if the caller named no attempt. */
-    attempt: zod.string().min(1).optional(),
-    route: zod.string(),
-    /** Most milliseconds since the stream began. */
-    maxAgeMs: zod.number().positive(),
+    attempt: zod.string().min(1),
   })
   .readonly();
 
@@ -41,12 +37,6 @@
     question: zod.int(),
     /** The origin of the attempt's stream; left out if it is not kept here. */
     origin: origin.optional(),
-    /** What streams of the route may have begun on in the last `maxAgeMs`, as far as this daemon has seen. */
-    possible: zod.array(origin).readonly(),
-    /** Milliseconds for which this daemon has seen every change of workers and routes. */
-    watchedMs: zod.number().nonnegative(),
-    /** Milliseconds since it last knew itself to be as new as the store. */
-    ageMs: zod.number().nonnegative(),
     /** Milliseconds since this daemon started, before which it can keep no origin. */
     upMs: zod.number().nonnegative(),
   })
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -1,20 +1,23 @@
 /**
- * The entry daemon's side of the origins of streams: it remembers those of its own, reports them to a few endpoint daemons
- * where streams may have different ones, and finds the origin of a stream that a caller resumes here.
+ * The entry daemon's side of the origins of streams: it remembers those of its own, makes them known to others where streams may have
+ * different ones, and finds the origin of a stream that a caller resumes here.
  *
- * While all streams of a route can have only one origin, nothing is reported, and a stream of which no record exists has
- * that origin. This is decided by what this host and the endpoint daemons have watched, and never assumed.
+ * While all streams of a route can have only one origin, as the register tells, nothing is made known, and a stream has that origin.
+ * Otherwise a few endpoint daemons keep the origin of each stream.
  * @module
  */
-import * as clock from "../../host/clock.js";
+import type * as clock from "../../host/clock.js";
+import * as errors from "../../host/errors.js";
 import * as hash from "../../host/hash.js";
+import type * as structuredLog from "../../host/structured-log.js";
 import type * as callerRequest from "../caller-request.js";
 import type * as catalog from "../catalog.js";
 import type * as link from "../link.js";
 import * as expiringMap from "./expiring-map.js";
 import type * as messages from "./messages.js";
 import * as origin from "./origin.js";
-import * as originHistory from "./origin-history.js";
+import type * as originRegister from "./origin-register.js";
+import * as streamAge from "./stream-age.js";
 
 /** Number of endpoint daemons that keep the origin of one stream. */
 export const KEEPERS = 3;
@@ -25,16 +28,22 @@
 
 /** Age of the catalog in ms beyond which this host does not rely on it alone; above the interval at which it is renewed. */
 const MAX_CATALOG_AGE_MS = 3000;
-/** Milliseconds for which a resumed stream waits at most until the catalog is up to date, and between two checks of that. */
-const UP_TO_DATE_WAIT_MS = 1500;
-const UP_TO_DATE_POLL_MS = 20;
+/** Milliseconds between two checks whether streams that nobody else knows still have the only possible origin. */
+const REVIEW_MS = 1000;
 
 /** A connection to an endpoint daemon that may keep origins. */
 export type Keeper = Pick<link.Link, "address" | "send" | "findOrigin">;
 
-export interface Deps extends originHistory.Deps {
+export interface Deps {
+  readonly clock: clock.Clock;
+  readonly log: structuredLog.Log;
   /** Connections to the first `n` endpoint daemons in the order for a key. */
   readonly keepers: (key: string, n: number) => readonly Keeper[];
+  readonly register: Pick<originRegister.OriginRegister, "lists" | "onlyOrigin" | "readOnlyOrigin">;
+  /** The configuration in force. */
+  readonly config: () => catalog.Config | undefined;
+  /** Milliseconds since the catalog was last known to be as new as the store. */
+  readonly catalogAgeMs: () => number;
 }
 
 /** Who knew the origin of a stream. */
@@ -52,7 +61,7 @@
 export type UnknownReason =
   /** Its caller does not name the attempt that began it, and several origins are possible. */
   | "unnamed"
-  /** No endpoint daemon that may keep it replied. */
+  /** Neither the endpoint daemons that may keep it nor the store replied. */
   | "unanswered"
   /** Those that replied have no record of it. */
   | "unrecorded"
@@ -74,6 +83,8 @@
       readonly replies: readonly Reply[];
       /** Number of endpoint daemons that were asked. */
       readonly asked: number;
+      /** Whether the store could be read. */
+      readonly isStoreRead: boolean;
     };
 
 /** A stream that began here. */
@@ -95,104 +106,98 @@
 /** The origins of the streams of one entry daemon's callers. */
 export class Origins {
   private readonly own = new expiringMap.ExpiringMap<OwnStream>(MAX_STREAMS);
-  /** The longest wait that a caller of each route has told at the beginning of a stream. */
-  private readonly longestWaitMs = new Map<string, number>();
-  private readonly history: originHistory.OriginHistory;
+  /** Streams that nobody else knows and that may go on, by attempt. */
+  private readonly unreported = new Map<string, OwnStream>();
+  private timer: clock.Timer | undefined;
 
-  constructor(private readonly deps: Deps) {
-    this.history = new originHistory.OriginHistory(deps);
-  }
+  constructor(private readonly deps: Deps) {}
 
   /** Number of streams remembered. */
   get size(): number {
     return this.own.size;
   }
 
-  /** Takes in a changed catalog. Streams that now may have different origins are reported. */
-  catalogChanged(at: catalog.Catalog): void {
-    this.history.catalogChanged(at);
-    const names = new Set(at.config?.routes.map((r) => r.name));
-    for (const name of this.longestWaitMs.keys())
-      if (!names.has(name)) this.longestWaitMs.delete(name);
-    const unreported = this.own.live(this.deps.clock.mono()).filter(([, s]) => !s.isReported);
-    const open = new Set(unreported.map(([, s]) => s.route));
-    const routes = at.config?.routes.filter((r) => open.has(r.name)) ?? [];
-    const unambiguous = new Set(routes.filter((r) => this.isOnlyOne(r)).map((r) => r.name));
-    for (const [attempt, s] of unreported) if (!unambiguous.has(s.route)) this.report(attempt, s);
-  }
-
-  /** Takes in an endpoint whose entry did not last until it came into the catalog. */
-  endpointSuperseded(e: catalog.Endpoint): void {
-    this.history.endpointSuperseded(e);
+  /** Whether resumable streams may begin at an origin: it is listed, so that all hosts take it into account. */
+  mayBegin(o: origin.Origin): boolean {
+    return this.deps.register.lists(o);
   }
 
-  /** Whether all streams of a route can have only one origin, by what this host has watched. */
+  /** Whether all streams of a route can have only one origin, by what this host knows. */
   isOnlyOne(route: catalog.Route): boolean {
-    return this.onlyOrigin(route) !== undefined;
+    const isFresh = this.deps.catalogAgeMs() <= MAX_CATALOG_AGE_MS;
+    return isFresh && this.deps.register.onlyOrigin(route) !== undefined;
   }
 
   /** Records the origin of a stream, before its first event is passed on. */
-  begun(req: callerRequest.CallerRequest, o: origin.Origin): void {
-    const { meta, route } = req;
-    if (!route.resumable) return;
-    if (Number.isFinite(meta.waitMs)) {
-      const longestMs = Math.max(meta.waitMs, this.longestWaitMs.get(route.name) ?? 0);
-      this.longestWaitMs.set(route.name, longestMs);
-    }
-    if (meta.id === "") return;
+  begun({ meta, route }: callerRequest.CallerRequest, o: origin.Origin): void {
+    if (!route.resumable || meta.id === "") return;
     const now = this.deps.clock.mono();
-    const expiresAt = now + originHistory.memoryMs(route);
-    const s: OwnStream = { origin: o, route: route.name, expiresAt, isReported: false };
+    const expiresAt = now + streamAge.maxMs(route);
+    const s = { origin: o, route: route.name, expiresAt, isReported: false };
     this.own.set(meta.id, s, now);
-    if (!this.isOnlyOne(route)) this.report(meta.id, s);
+    if (!this.isOnlyOne(route)) {
+      this.report(meta.id, s);
+      return;
+    }
+    this.unreported.set(meta.id, s);
+    this.scheduleReview();
+  }
+
+  /** Records that a request has ended; `isWhole` says that its caller received a stream to its end. */
+  ended({ meta }: callerRequest.CallerRequest, isWhole: boolean): void {
+    const s = this.own.get(meta.id, this.deps.clock.mono());
+    if (!s) return;
+    if (isWhole) this.unreported.delete(meta.id);
+  }
+
+  /** Makes streams known that now may have different origins. */
+  review(): void {
+    const now = this.deps.clock.mono();
+    for (const [attempt, s] of this.unreported)
+      if (s.expiresAt <= now) this.unreported.delete(attempt);
+    const open = new Set([...this.unreported.values()].map((s) => s.route));
+    const routes = this.deps.config()?.routes.filter((r) => open.has(r.name)) ?? [];
+    const unambiguous = new Set(routes.filter((r) => this.isOnlyOne(r)).map((r) => r.name));
+    for (const [attempt, s] of this.unreported)
+      if (!unambiguous.has(s.route)) this.report(attempt, s);
+    if (this.unreported.size > 0) this.scheduleReview();
+  }
+
+  private scheduleReview(): void {
+    this.timer ??= this.deps.clock.after(REVIEW_MS, () => {
+      this.timer = undefined;
+      this.review();
+    });
   }
 
   /** Finds the origin of the stream that a request resumes; unknown if nobody that is asked knows it for certain. */
-  async find(req: callerRequest.CallerRequest): Promise<Lookup> {
-    const { meta, route } = req;
+  async find({ meta, route }: callerRequest.CallerRequest): Promise<Lookup> {
     const { resumes } = meta;
-    const now = this.deps.clock.mono();
-    const own = resumes === undefined ? undefined : this.own.get(resumes, now);
+    const own = resumes === undefined ? undefined : this.own.get(resumes, this.deps.clock.mono());
     if (own) return { kind: "known", origin: own.origin, from: "own" };
-    const longestMs = this.longestWaitMs.get(route.name) ?? 0;
-    const maxAgeMs = originHistory.maxAgeMs(route, meta.waitMs, longestMs);
-    const question = { ...(resumes !== undefined && { attempt: resumes }), maxAgeMs };
-    const keepers = this.keepersOf(resumes ?? meta.id);
-    const replies = await ask(keepers, { ...question, route: route.name });
+    const reading = this.deps.register.readOnlyOrigin(route);
+    const keepers = resumes === undefined ? [] : this.keepersOf(resumes);
+    const replies = resumes === undefined ? [] : await ask(keepers, resumes);
     const records = replies.flatMap((r) => r.found.origin ?? []);
     const agreed = origin.agreedOrigin(records);
     if (agreed) {
       const peer = replies.find((r) => r.found.origin)?.peer;
       return { kind: "known", origin: agreed, from: "keeper", peer };
     }
-    const unknown = (reason: UnknownReason): Lookup => {
-      return { kind: "unknown", reason, replies, asked: keepers.length };
-    };
-    if (records.length > 0) return unknown("contradictory");
-    const missing = unknown(
-      resumes === undefined ? "unnamed" : replies.length > 0 ? "unrecorded" : "unanswered",
-    );
-    const infer = (): origin.Origin | undefined => {
-      const ageMs = maxAgeMs + this.deps.clock.mono() - now;
-      const here = this.history.witness(route.name, ageMs);
-      return origin.onlyOrigin([here, ...replies.map((r) => r.found)], ageMs);
+    const unknown = (reason: UnknownReason, isStoreRead: boolean): Lookup => {
+      return { kind: "unknown", reason, replies, asked: keepers.length, isStoreRead };
     };
-    if (!infer()) return missing;
-    // The host that began the stream may have known of a version that this one does not know yet.
-    if (!(await this.isUpToDateBy(now, req.dueAt))) return missing;
-    const only = infer();
-    return only ? { kind: "known", origin: only, from: "only_one" } : missing;
-  }
-
-  /** Resolves to whether the catalog is as new as the store was at the monotonic ms `at`, once it is or cannot be in time. */
-  private async isUpToDateBy(at: number, dueAt: number): Promise<boolean> {
-    const { clock: clk, catalogAgeMs } = this.deps;
-    const latest = Math.min(at + UP_TO_DATE_WAIT_MS, dueAt);
-    while (clk.mono() - catalogAgeMs() < at) {
-      if (clk.mono() >= latest) return false;
-      await clock.sleep(clk, UP_TO_DATE_POLL_MS);
+    if (records.length > 0) return unknown("contradictory", false);
+    try {
+      const only = await reading;
+      if (only) return { kind: "known", origin: only, from: "only_one" };
+      if (resumes === undefined) return unknown("unnamed", true);
+      return unknown("unrecorded", true);
+    } catch (err) {
+      const why = errors.messageOf(err);
+      this.deps.log.warn("The store could not be read for the origin of a stream.", { why });
+      return unknown(replies.length > 0 ? "unrecorded" : "unanswered", false);
     }
-    return true;
   }
 
   /** The messages that a keeper must receive on a new connection: it may have started anew. */
@@ -210,26 +215,19 @@
     return this.deps.keepers(keeperKey(attempt), KEEPERS);
   }
 
-  private onlyOrigin(route: catalog.Route): origin.Origin | undefined {
-    if (this.deps.catalogAgeMs() > MAX_CATALOG_AGE_MS) return undefined;
-    const memoryMs = originHistory.memoryMs(route);
-    return origin.onlyOrigin([this.history.witness(route.name, memoryMs)], memoryMs);
-  }
-
+  /** Makes the origin of a stream known to its keepers. */
   private report(attempt: string, s: OwnStream): void {
     s.isReported = true;
+    this.unreported.delete(attempt);
     const m = toMessage(attempt, s, this.deps.clock.mono());
     for (const k of this.keepersOf(attempt)) k.send(m);
   }
 }
 
-/** The replies of those keepers that answer a question. */
-async function ask(
-  keepers: readonly Keeper[],
-  question: Omit<messages.Find, "kind" | "question">,
-): Promise<readonly Reply[]> {
+/** The replies of those keepers that answer the question for the origin of an attempt's stream. */
+async function ask(keepers: readonly Keeper[], attempt: string): Promise<readonly Reply[]> {
   const replies = await Promise.all(
-    keepers.map(async (k) => ({ peer: k.address, found: await k.findOrigin(question) })),
+    keepers.map(async (k) => ({ peer: k.address, found: await k.findOrigin({ attempt }) })),
   );
   return replies.flatMap(({ peer, found }) => (found ? [{ peer, found }] : []));
 }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -160,6 +160,7 @@
       p.firstByteAt === undefined ? undefined : Math.round(p.firstByteAt - req.arrivedAt);
     const tookMs = Math.round(now - req.arrivedAt);
     this.deps.metrics.recordRequest(req.route.name, outcome, firstMs, tookMs);
+    this.deps.origins.ended(req, outcome === "whole");
     if (p.closedBy && outcome === "refused") {
       this.deps.metrics.recordNotice(req.service.name, p.closedBy, "refused");
     }
@@ -297,10 +298,12 @@
   reason,
   asked,
   replies,
+  isStoreRead,
 }: Extract<origins.Lookup, { kind: "unknown" }>): structuredLog.Fields {
   return {
     reason,
     asked,
+    isStoreRead,
     replies: replies.map(({ peer, found }) => `${peer}, up ${Math.round(found.upMs)} ms`),
   };
 }
--- a/src/serving/endpoint-daemon.ts
+++ b/src/serving/endpoint-daemon.ts
@@ -48,12 +48,8 @@
     manager.noticesChanged();
   });
   const fed = daemonBase.openFeed(deps, watchPace.RELAXED_PACE, {
-    onChange: (current) => {
+    onChange: () => {
       manager.catalogChanged();
-      origins.history.catalogChanged(current);
-    },
-    onSuperseded: (e) => {
-      origins.history.endpointSuperseded(e);
     },
     onRestored: () => {
       turns.storeRestored();
@@ -78,11 +74,7 @@
     teamWeights,
     onGrant: registry.recordGrant,
   });
-  const origins = new originKeeper.OriginKeeper({
-    clock: deps.clock,
-    watchedMs: () => fed.watchedMs,
-    catalogAgeMs: () => fed.catalogAgeMs,
-  });
+  const origins = new originKeeper.OriginKeeper(deps.clock);
   const limiter = new limiterOwner.LimiterOwner({ clock: deps.clock, log: deps.log("limiter") });
   const server = await seatServer.listen(opts.seatsAddress, {
     log: deps.log("desk"),
--- a/src/serving/endpoint-registry.ts
+++ b/src/serving/endpoint-registry.ts
@@ -86,10 +86,9 @@
   readonly reason: metrics.NoticeReason;
 }
 
-/** Whether an endpoint's software has a version; any has if it is undefined. */
-function hasSoftware(e: catalog.Endpoint, software: string | undefined): boolean {
-  return software === undefined || catalog.softwareOf(e) === software;
-}
+/** Selects endpoints by the version of their software. */
+export type SoftwareFilter = (software: string) => boolean;
+const ANY_SOFTWARE: SoftwareFilter = () => true;
 
 const EMPTY_LAYOUT: fleet.Layout = { ring: ring.build([]), byAddress: new Map() };
 
@@ -139,38 +138,42 @@
     private readonly clk: clock.Clock,
   ) {}
 
-  /** Views of the endpoints of a service, or of those with a software version. */
-  views(service: catalog.Service, software?: string): readonly choice.View[] {
-    return this.endpointsOf(service, software).map((e) => this.view(service, e, 0));
+  /** Views of the endpoints of a service whose software is accepted. */
+  views(service: catalog.Service, accepts = ANY_SOFTWARE): readonly choice.View[] {
+    return this.endpointsOf(service, accepts).map((e) => this.view(service, e, 0));
   }
 
-  /** Views of the engines of a service, or of those with a software version, created as a search needs them. */
-  engineViews(service: catalog.Service, software?: string): search.EngineViews {
+  /** Views of the engines of a service whose software is accepted, created as a search needs them. */
+  engineViews(service: catalog.Service, accepts = ANY_SOFTWARE): search.EngineViews {
     const layout = this.layoutOf(catalog.endpointsOf(this.deps.catalog(), service));
     const viewOf = (e: catalog.Endpoint, place: number): choice.View =>
       this.view(service, e, place);
-    const accepts = (e: catalog.Endpoint): boolean => hasSoftware(e, software);
-    return fleet.viewsFor(layout, this.holders, viewOf, this.deps.random, accepts);
+    return fleet.viewsFor(layout, this.holders, viewOf, this.deps.random, (e) =>
+      accepts(catalog.softwareOf(e)),
+    );
   }
 
-  private endpointsOf(service: catalog.Service, software?: string): readonly catalog.Endpoint[] {
+  private endpointsOf(
+    service: catalog.Service,
+    accepts: SoftwareFilter,
+  ): readonly catalog.Endpoint[] {
     const list = catalog.endpointsOf(this.deps.catalog(), service);
-    return software === undefined ? list : list.filter((e) => hasSoftware(e, software));
+    return accepts === ANY_SOFTWARE ? list : list.filter((e) => accepts(catalog.softwareOf(e)));
   }
 
   /** Whether an endpoint of a service other than `besides` has a software version and is not leaving. */
   isServed(service: catalog.Service, software: string, besides?: string): boolean {
-    return this.endpointsOf(service, software).some(
+    return this.endpointsOf(service, (s) => s === software).some(
       (e) => e.id !== besides && this.deps.availableInMs(e) < Infinity,
     );
   }
 
   /**
-   * When the first endpoint of a service, or of those with a software version, accepts one more request, by what the endpoints
-   * announced. Undefined where one accepts requests now, or where all are leaving or there is none.
+   * When the first endpoint of a service whose software is accepted takes one more request, by what the endpoints announced.
+   * Undefined where one takes requests now, or where all are leaving or there is none.
    */
-  nextOpening(service: catalog.Service, software?: string): Opening | undefined {
-    const list = this.endpointsOf(service, software).map((e): Opening => {
+  nextOpening(service: catalog.Service, accepts = ANY_SOFTWARE): Opening | undefined {
+    const list = this.endpointsOf(service, accepts).map((e): Opening => {
       const [opensInMs, limitedMs] = [this.deps.availableInMs(e), this.deps.limitWaitMs(e.id)];
       return limitedMs > opensInMs
         ? { inMs: limitedMs, reason: "limit" }
@@ -183,10 +186,10 @@
     return earliest && earliest.inMs > 0 && Number.isFinite(earliest.inMs) ? earliest : undefined;
   }
 
-  /** Whether an engine of a service, or one with a software version, is starting and not leaving. */
-  hasStartingEngine(service: catalog.Service, software?: string): boolean {
+  /** Whether an engine of a service whose software is accepted is starting and not leaving. */
+  hasStartingEngine(service: catalog.Service, accepts = ANY_SOFTWARE): boolean {
     if (!service.engine) return false;
-    return this.endpointsOf(service, software).some(
+    return this.endpointsOf(service, accepts).some(
       (e) =>
         this.deps.availableInMs(e) < Infinity &&
         (this.links.get(this.deps.daemonOf(e))?.isStarting ?? true),
@@ -199,7 +202,8 @@
     return () => this.availabilityWatchers.delete(callback);
   }
 
-  private notifyAvailable(): void {
+  /** Notifies those who wait for an endpoint that one may have become usable. */
+  notifyAvailable(): void {
     for (const callback of this.availabilityWatchers) callback();
   }
 
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -18,6 +18,8 @@
 import * as daemonBase from "./daemon-base.js";
 import * as limiter from "./limiter.js";
 import * as origins from "./continuation/origins.js";
+import * as originRegister from "./continuation/origin-register.js";
+import * as registerDecoder from "./continuation/register-decoder.js";
 import * as metrics from "./metrics.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
@@ -75,7 +77,7 @@
   const daemonMetrics = metrics.create();
   const upstreams = new upstream.Upstream(deps.protocol);
   let draining = false;
-  const decoder = quarantine.wrapDecoder(deps.decoder);
+  const decoder = registerDecoder.wrapDecoder(quarantine.wrapDecoder(deps.decoder));
   let previous = catalog.EMPTY;
   const bounds = authentication.freshnessBounds(opts.inForceMs, opts.revokedMs);
   // Fast enough that keys can be accepted and rejected as long as the store answers.
@@ -86,7 +88,8 @@
       if (!current.quarantined.has(id)) suspectTracker.release(id, evidence);
     previous = current;
     registry.refresh();
-    streamOrigins.catalogChanged(current);
+    register.catalogChanged(current);
+    streamOrigins.review();
     sharedLimiter.refresh();
     const endpointIds = new Set([...current.endpoints.values()].map((e) => e.id));
     upstreams.retain(endpointIds);
@@ -94,9 +97,6 @@
   };
   const catalogFeed = daemonBase.openFeed({ ...deps, decoder }, pace, {
     onChange,
-    onSuperseded: (e) => {
-      streamOrigins.endpointSuperseded(e);
-    },
     onRestored: () => {
       restorer.restore();
       suspectTracker.persistObserved();
@@ -168,10 +168,24 @@
     },
     random: deps.random,
   });
+  const register = new originRegister.OriginRegister({
+    clock: deps.clock,
+    log: deps.log("origins"),
+    store: deps.source,
+    catalog: () => catalogFeed.catalog,
+    watchedMs: () => catalogFeed.watchedMs,
+    hostCount: () => registry.mostHosts(),
+    random: deps.random,
+    onListed: () => {
+      registry.notifyAvailable();
+    },
+  });
   const streamOrigins = new origins.Origins({
     clock: deps.clock,
+    log: deps.log("origins"),
     keepers: (key, n) => registry.ownerCandidates(key, n),
-    watchedMs: () => catalogFeed.watchedMs,
+    register,
+    config: () => catalogFeed.catalog.config,
     catalogAgeMs: () => catalogFeed.catalogAgeMs,
   });
   const teamCaps = new caps.Caps({
@@ -310,6 +324,7 @@
   );
   await metrics.tryServe(daemonMetrics, deps.metricsAddress, deps.log("metrics"));
   void catalogFeed.run();
+  void register.run();
   return {
     stop: async () => {
       draining = true;
@@ -322,6 +337,7 @@
       readiness.close();
       buffered.close();
       catalogFeed.stop();
+      register.close();
       sharedLimiter.close();
       requestDispatcher.close();
       registry.close();
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -12,6 +12,7 @@
 import type * as position from "../store/position.js";
 import type * as source from "../store/source.js";
 import * as catalog from "./catalog.js";
+import * as register from "./continuation/register.js";
 import * as entryGrace from "./entry-grace.js";
 import * as incarnation from "./incarnation.js";
 import * as updateLog from "./update-log.js";
@@ -31,6 +32,8 @@
 const UNREADABLE_KEPT = 256;
 /** Milliseconds between two answers of the store in which no endpoint is registered and removed again that serves. */
 const MAX_UNWATCHED_MS = 3000;
+/** The update for a store that has no register of origins. */
+const NO_ORIGINS: catalog.Update = { kind: "origins", register: register.EMPTY };
 /** Characters of a decoding error that are logged at most. */
 const REASON_LENGTH = 300;
 
@@ -50,8 +53,6 @@
 export interface Listeners {
   /** Called after each change of the catalog. */
   readonly onChange: (at: catalog.Catalog) => void;
-  /** Called with an endpoint whose entry was replaced or deleted in the same answer of the store that brought it. */
-  readonly onSuperseded?: (e: catalog.Endpoint) => void;
   /** Called once a snapshot has been read after the store was restored from a backup. */
   readonly onRestored: () => void;
 }
@@ -274,6 +275,7 @@
         ...updates,
         ...missing.flatMap((worker) => this.grace.absent(worker)),
         ...released.map(([identity]): catalog.Update => ({ kind: "release", identity })),
+        ...(updates.some((u) => u.kind === "origins") ? [] : [NO_ORIGINS]),
       ],
       start,
     );
@@ -317,23 +319,11 @@
       return false;
     }
     if (result.position.era !== after.era) return false;
-    const last = lastPerKey(result.changes);
-    const updates = last.flatMap((l) => this.updatesOf(l));
+    const updates = lastPerKey(result.changes).flatMap((last) => this.updatesOf(last));
     this.apply(updates, result.position);
-    if (last.length < result.changes.length) this.reportSuperseded(result.changes, last);
     return true;
   }
 
-  /** Reports the endpoints in changes that are not the last of their documents. */
-  private reportSuperseded(changes: readonly source.Change[], last: readonly LastChange[]): void {
-    const kept = new Set(last.map((l) => l.change));
-    for (const change of changes) {
-      if (kept.has(change) || change.kind !== "written") continue;
-      const update = this.decode(change.document.key, change.document.text);
-      if (update?.kind === "endpoint") this.deps.onSuperseded?.(update.endpoint);
-    }
-  }
-
   /** Minimum milliseconds from the start of the last watch call to the next. */
   private watchIntervalMs(now: number): number {
     const { pace } = this.deps;
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -24,7 +24,7 @@
   readonly endpoints: endpointRegistry.EndpointRegistry;
   readonly notices: Pick<workerNotices.WorkerNotices, "whenClosed">;
   readonly catalog: () => catalog.Catalog;
-  readonly origins: Pick<origins.Origins, "isOnlyOne" | "begun" | "find">;
+  readonly origins: Pick<origins.Origins, "isOnlyOne" | "mayBegin" | "begun" | "ended" | "find">;
   readonly random: () => number;
 }
 
@@ -103,11 +103,12 @@
         p.why = `no worker of software version ${software || "(none)"}, which began the stream, is left`;
         return undefined;
       }
-      const isStarting = this.deps.endpoints.hasStartingEngine(a.service, software);
+      const accepts = this.softwareFilter(a, p);
+      const isStarting = this.deps.endpoints.hasStartingEngine(a.service, accepts);
       const waitsUntil =
         p.queuedAt + admission.maxEndpointWaitMs(timesOf(a, p, p.queuedAt), isStarting);
       const leftMs = Math.min(a.dueAt, waitsUntil) - this.deps.clock.mono();
-      const opening = this.deps.endpoints.nextOpening(a.service, software);
+      const opening = this.deps.endpoints.nextOpening(a.service, accepts);
       if (opening && !isStarting && opening.inMs > leftMs) {
         p.opensInMs = admission.retryWhenOpenMs(opening.inMs, this.deps.random());
         p.closedBy = opening.reason;
@@ -152,9 +153,9 @@
   ): readonly choice.Estimate[] {
     const { target } = a.meta;
     const { domain } = this;
-    const software = p.origin?.software;
+    const accepts = this.softwareFilter(a, p);
     if (!a.service.engine || !target) {
-      const views = this.deps.endpoints.views(a.service, software);
+      const views = this.deps.endpoints.views(a.service, accepts);
       return choice.rankPlain(views, { domain, tried: p.triedEndpoints }, this.deps.random);
     }
     const need: choice.Need = {
@@ -168,7 +169,17 @@
       targetMs: a.arrivedAt + a.route.targetMs - this.deps.clock.mono(),
       waitsAt,
     };
-    return search.find(this.deps.endpoints.engineViews(a.service, software), need, a.meta.id);
+    return search.find(this.deps.endpoints.engineViews(a.service, accepts), need, a.meta.id);
+  }
+
+  /** The software versions on which a request may run; undefined if it may run on any. */
+  private softwareFilter(
+    { route, service }: callerRequest.CallerRequest,
+    { origin }: progress.Progress,
+  ): endpointRegistry.SoftwareFilter | undefined {
+    if (origin) return (software) => software === origin.software;
+    if (route.kind !== "stream" || !route.resumable) return undefined;
+    return (software) => this.deps.origins.mayBegin({ service: service.name, software });
   }
 
   /** Milliseconds for which a request may still wait for a seat. */
--- a/src/serving/update-log.ts
+++ b/src/serving/update-log.ts
@@ -4,6 +4,7 @@
  */
 import type * as structuredLog from "../host/structured-log.js";
 import * as catalog from "./catalog.js";
+import * as register from "./continuation/register.js";
 
 /** Logs an update that came with an answer of this revision. */
 export function write(log: structuredLog.Log, s: catalog.Update, revision: number): void {
@@ -43,5 +44,11 @@
     case "release":
       log.info("A request was released from quarantine.", { identity: s.identity });
       break;
+    case "origins":
+      log.info("The register of origins has changed.", {
+        register: register.format(s.register),
+        revision,
+      });
+      break;
   }
 }
--- a/src/store/source.ts
+++ b/src/store/source.ts
@@ -59,8 +59,27 @@
   readonly claim: (key: string, ttlMs: number, text?: string) => Promise<boolean>;
 }
 
-/** A store from which keys can be deleted too. */
+/** What a store holds under one key. */
+export interface Reading {
+  /** Undefined if the key does not exist. */
+  readonly text: string | undefined;
+  /** The position of the last write to the key; if it does not exist, the start of the era in which it did not. */
+  readonly position: position.Position;
+}
+
+/** A store that can be written to as well. All calls throw like those of {@link Source}. */
 export interface WritableSource extends Source {
-  /** Deletes a key; does nothing if it does not exist. Throws like the calls of {@link Source}. */
+  /** Deletes a key; does nothing if it does not exist. */
   readonly remove: (key: string) => Promise<void>;
+  /** Reads one key, as new as the store when the call arrives there. */
+  readonly read: (key: string) => Promise<Reading>;
+  /**
+   * Writes a key if it is still as it was read. Returns the position of the write, or undefined if the key has changed. Throws
+   * when the result is uncertain; the key may then be written.
+   */
+  readonly replace: (
+    key: string,
+    text: string,
+    was: Reading,
+  ) => Promise<position.Position | undefined>;
 }
--- a/test/serving/continuation/bound-streams.test.ts
+++ b/test/serving/continuation/bound-streams.test.ts
@@ -67,7 +67,9 @@
       {
         origins: {
           isOnlyOne: () => false,
+          mayBegin: () => true,
           begun: () => undefined,
+          ended: () => undefined,
           find: () =>
             Promise.resolve(known ? { kind: "known", ...known } : fixtures.UNKNOWN_ORIGIN),
         },
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -102,7 +102,9 @@
       suspects: suspectList,
       origins: {
         isOnlyOne: () => true,
+        mayBegin: () => true,
         begun: () => undefined,
+        ended: () => undefined,
         find: ({ service }) =>
           Promise.resolve({
             kind: "known",
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -19,6 +19,7 @@
   reason: "unrecorded",
   replies: [],
   asked: 0,
+  isStoreRead: true,
 };
 
 export const ROUTE: catalog.Route = {
--- a/test/serving/incarnation.test.ts
+++ b/test/serving/incarnation.test.ts
@@ -184,7 +184,9 @@
     const { at, service } = managedEngines.catalogOf([fixtures.endpoint(id, worker.address)]);
     const origins = {
       isOnlyOne: () => false,
+      mayBegin: () => true,
       begun: () => undefined,
+      ended: () => undefined,
       find: () => Promise.resolve(fixtures.UNKNOWN_ORIGIN),
     };
     const made = dispatcherFixture.create(
