Log the origins of open streams in the store where several are possible

Cause: the origin of a stream is known to the host that began it and to three endpoint daemons, in their memory alone, and a copy that is lost is never made again.

Entry hosts write the streams that are open and may have several origins to the store, a key each, in batches that use at most a twentieth of the store's write rate (each 250 ms at 4 hosts), under leases that outlast the streams. A host asks the keepers first, as before, and the store where none of them knows. An origin that was written never changes, so a late or repeated write is harmless. What began within the last batch before all daemons end is still refused. With one origin nothing is written.

--- a/bench/red/continuation-switches.ts
+++ b/bench/red/continuation-switches.ts
@@ -55,6 +55,13 @@
     put: "isUsed: () => true",
     proof: "are dropped once no stream that has them can go on",
   },
+  {
+    name: "continuation: open streams of several origins are logged in the store",
+    file: "serving/continuation/origins.js",
+    find: "this.deps.streamLog.add(attempt, s.origin, !s.hasEnded);",
+    put: "",
+    proof: "are known after their host was killed and each keeper restarted",
+  },
   {
     name: "continuation: streams are reported when the catalog gets old",
     file: "serving/continuation/origins.js",
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -3,7 +3,7 @@
  * different ones, and finds the origin of a stream that a caller resumes here.
  *
  * While all streams of a route can have only one origin, as the register tells, nothing is made known, and a stream has that origin.
- * Otherwise a few endpoint daemons keep the origin of each stream.
+ * Otherwise a few endpoint daemons keep the origin of each stream, and the store holds those of streams that stay open for some time.
  * @module
  */
 import type * as clock from "../../host/clock.js";
@@ -18,6 +18,7 @@
 import * as origin from "./origin.js";
 import type * as originRegister from "./origin-register.js";
 import * as streamAge from "./stream-age.js";
+import type * as streamLog from "./stream-log.js";
 
 /** Number of endpoint daemons that keep the origin of one stream. */
 export const KEEPERS = 3;
@@ -40,6 +41,7 @@
   /** Connections to the first `n` endpoint daemons in the order for a key. */
   readonly keepers: (key: string, n: number) => readonly Keeper[];
   readonly register: Pick<originRegister.OriginRegister, "lists" | "onlyOrigin" | "readOnlyOrigin">;
+  readonly streamLog: Pick<streamLog.StreamLog, "add" | "remove" | "find">;
   /** The configuration in force. */
   readonly config: () => catalog.Config | undefined;
   /** Milliseconds since the catalog was last known to be as new as the store. */
@@ -47,7 +49,7 @@
 }
 
 /** Who knew the origin of a stream. */
-export type Source = "own" | "keeper" | "only_one";
+export type Source = "own" | "keeper" | "only_one" | "log";
 
 /** The origin of a stream that is resumed here, and how it is known. */
 export interface Known {
@@ -92,6 +94,8 @@
   readonly origin: origin.Origin;
   readonly route: string;
   isReported: boolean;
+  /** Whether its caller's connection has ended; the caller may resume it elsewhere. */
+  hasEnded: boolean;
 }
 
 function toMessage(attempt: string, s: OwnStream, now: number): messages.Begun {
@@ -133,7 +137,7 @@
     if (!route.resumable || meta.id === "") return;
     const now = this.deps.clock.mono();
     const expiresAt = now + streamAge.maxMs(route);
-    const s = { origin: o, route: route.name, expiresAt, isReported: false };
+    const s = { origin: o, route: route.name, expiresAt, isReported: false, hasEnded: false };
     this.own.set(meta.id, s, now);
     if (!this.isOnlyOne(route)) {
       this.report(meta.id, s);
@@ -147,7 +151,9 @@
   ended({ meta }: callerRequest.CallerRequest, isWhole: boolean): void {
     const s = this.own.get(meta.id, this.deps.clock.mono());
     if (!s) return;
+    s.hasEnded = true;
     if (isWhole) this.unreported.delete(meta.id);
+    this.deps.streamLog.remove(meta.id, isWhole);
   }
 
   /** Makes streams known that now may have different origins. */
@@ -192,6 +198,8 @@
       const only = await reading;
       if (only) return { kind: "known", origin: only, from: "only_one" };
       if (resumes === undefined) return unknown("unnamed", true);
+      const logged = await this.deps.streamLog.find(resumes);
+      if (logged) return { kind: "known", origin: logged, from: "log" };
       return unknown("unrecorded", true);
     } catch (err) {
       const why = errors.messageOf(err);
@@ -215,12 +223,13 @@
     return this.deps.keepers(keeperKey(attempt), KEEPERS);
   }
 
-  /** Makes the origin of a stream known to its keepers. */
+  /** Makes the origin of an open stream known to its keepers, and has it written to the store. */
   private report(attempt: string, s: OwnStream): void {
     s.isReported = true;
     this.unreported.delete(attempt);
     const m = toMessage(attempt, s, this.deps.clock.mono());
     for (const k of this.keepersOf(attempt)) k.send(m);
+    this.deps.streamLog.add(attempt, s.origin, !s.hasEnded);
   }
 }
 
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -20,6 +20,8 @@
 import * as origins from "./continuation/origins.js";
 import * as originRegister from "./continuation/origin-register.js";
 import * as registerDecoder from "./continuation/register-decoder.js";
+import * as streamAge from "./continuation/stream-age.js";
+import * as streamLog from "./continuation/stream-log.js";
 import * as metrics from "./metrics.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
@@ -49,6 +51,8 @@
   readonly retries: retryBudget.Options;
   /** Bytes buffered for callers over all connections, from 1 MB to 1 GB. */
   readonly memoryBudgetBytes: number;
+  /** Write calls that the store takes a second from all daemons together. */
+  readonly storeWritesPerS: number;
   /** Address of the endpoint daemon that manages an endpoint. */
   readonly daemonOf: (e: catalog.Endpoint) => string;
 }
@@ -99,6 +103,7 @@
     onChange,
     onRestored: () => {
       restorer.restore();
+      openStreams.rewrite();
       suspectTracker.persistObserved();
     },
   });
@@ -180,11 +185,20 @@
       registry.notifyAvailable();
     },
   });
+  const openStreams = new streamLog.StreamLog({
+    clock: deps.clock,
+    log: deps.log("origins"),
+    store: deps.source,
+    writesPerS: opts.storeWritesPerS,
+    hostCount: () => registry.mostHosts(),
+    streamMs: () => streamAge.longestMs(catalogFeed.catalog.config),
+  });
   const streamOrigins = new origins.Origins({
     clock: deps.clock,
     log: deps.log("origins"),
     keepers: (key, n) => registry.ownerCandidates(key, n),
     register,
+    streamLog: openStreams,
     config: () => catalogFeed.catalog.config,
     catalogAgeMs: () => catalogFeed.catalogAgeMs,
   });
@@ -283,6 +297,11 @@
     "Streams of this host whose origins it remembers.",
     () => streamOrigins.size,
   );
+  daemonMetrics.addGauge(
+    "sumacfield_streams_unlogged",
+    "Streams whose origins wait to be written to the store.",
+    () => openStreams.waitingCount,
+  );
   daemonMetrics.addGauge(
     "sumacfield_workers_limited",
     "Workers that name a limit.",
@@ -338,6 +357,7 @@
       buffered.close();
       catalogFeed.stop();
       register.close();
+      openStreams.close();
       sharedLimiter.close();
       requestDispatcher.close();
       registry.close();
--- a/src/store/source.ts
+++ b/src/store/source.ts
@@ -67,6 +67,13 @@
   readonly position: position.Position;
 }
 
+/** A time span that the store granted; documents written under it are deleted when it ends. */
+export interface Lease {
+  readonly id: number;
+  /** The era in which it was granted, and in which alone it means anything. */
+  readonly era: eras.Era;
+}
+
 /** A store that can be written to as well. All calls throw like those of {@link Source}. */
 export interface WritableSource extends Source {
   /** Deletes a key; does nothing if it does not exist. */
@@ -82,4 +89,14 @@
     text: string,
     was: Reading,
   ) => Promise<position.Position | undefined>;
+  /** Takes out a lease that ends after `ttlMs`. */
+  readonly lease: (ttlMs: number) => Promise<Lease>;
+  /**
+   * Writes up to {@link MAX_WRITES} documents at once, which are deleted when the lease ends. Returns false if it has ended
+   * already; they may then not be written, or be deleted at any time.
+   */
+  readonly writeLeased: (documents: readonly Document[], lease: Lease) => Promise<boolean>;
 }
+
+/** Most documents that one call writes. */
+export const MAX_WRITES = 32;
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -155,6 +155,16 @@
   it("go on after all daemons were stopped and started in turn", () =>
     play(() => restartInTurn(all(), "SIGTERM", 300))).timeout(60_000);
 
+  it("go on after all daemons were killed in turn", () =>
+    play(() => restartInTurn(all(), "SIGKILL", 300))).timeout(60_000);
+
+  it("go on after all endpoint daemons were killed at once, and their host soon after", () =>
+    play(async () => {
+      await killAll(site.endpoints, 300);
+      await timers.setTimeout(100);
+      await killAll(site.entries.slice(0, 1), 400);
+    }, 0)).timeout(60_000);
+
   it("go on after half of the endpoint daemons were paused while their host was killed", () =>
     play(async () => {
       const half = site.endpoints.slice(0, SIZE.engines / 2);
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -11,6 +11,8 @@
 import * as originRegister from "../../../src/serving/continuation/origin-register.js";
 import * as origins from "../../../src/serving/continuation/origins.js";
 import * as registerDecoder from "../../../src/serving/continuation/register-decoder.js";
+import * as streamAge from "../../../src/serving/continuation/stream-age.js";
+import * as streamLog from "../../../src/serving/continuation/stream-log.js";
 import * as feeds from "../../../src/serving/feed.js";
 import * as watchPace from "../../../src/serving/watch-pace.js";
 import * as fakeSource from "../fake-source.js";
@@ -23,6 +25,7 @@
 /** Most milliseconds after a restore of the store until workers register again. */
 const REREGISTER_MS = 2000;
 const IN_FORCE_MS = 2000;
+const WRITES_PER_S = 400;
 const ROUTE: catalogs.Route = {
   ...fixtures.ROUTE,
   kind: "stream",
@@ -162,7 +165,9 @@
         register.catalogChanged(at);
         part.review();
       },
-      onRestored: () => undefined,
+      onRestored: () => {
+        openStreams.rewrite();
+      },
       random: this.random,
     });
     const register = new originRegister.OriginRegister({
@@ -175,11 +180,20 @@
       random: this.random,
       onListed: () => undefined,
     });
+    const openStreams = new streamLog.StreamLog({
+      clock: this.time,
+      log,
+      store: source,
+      writesPerS: WRITES_PER_S,
+      hostCount,
+      streamMs: () => streamAge.longestMs(feed.catalog.config),
+    });
     const part = new origins.Origins({
       clock: this.time,
       log,
       keepers: () => this.keepers.map((k, n) => this.linkTo(k, n, host, () => process)),
       register,
+      streamLog: openStreams,
       config: () => feed.catalog.config,
       catalogAgeMs: () => feed.catalogAgeMs,
     });
@@ -190,6 +204,7 @@
       kill: () => {
         feed.stop();
         register.close();
+        openStreams.close();
         source.isCutOff = true;
       },
     };
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -171,6 +171,26 @@
     expect(await fleet.resume(second, s, false)).equal("v1");
   });
 
+  it("are known beside two versions after all daemons were killed at once, once they are in the log", async () => {
+    const { fleet, second, begin } = await start(["v2"]);
+    const logged = begin(1);
+    await fleet.pass(400);
+    const late = begin(1);
+    await fleet.killAll(400);
+    await fleet.pass(100);
+    expect(await fleet.resume(second, logged)).equal("v2");
+    expect(await fleet.resume(second, late)).equal(undefined);
+  });
+
+  it("are known after their host was killed and each keeper restarted", async () => {
+    const { fleet, first, second, begin } = await start(["v2"]);
+    const s = begin(1);
+    await fleet.pass(400);
+    await fleet.restartHost(first);
+    for (let n = 0; n < origins.KEEPERS; n++) fleet.restartKeeper(n);
+    expect(await fleet.resume(second, s)).equal("v2");
+  });
+
   it("are known of a stream that its host had not logged, after its keepers restarted", async () => {
     const { fleet, first, second, begin } = await start(["v2"]);
     const s = begin(1);
@@ -262,4 +282,20 @@
     expect(wrong).equal(0);
     expect(wentOn / tried).greaterThan(0.9);
   });
+
+  it("are mostly known while all daemons are killed again and again beside two versions", async () => {
+    const list: Step[] = [["add", 0, 1]];
+    for (let n = 0; n < 40; n++) {
+      list.push(
+        ["begin", n, n],
+        ["begin", n + 1, 399],
+        ["all", 0, 400],
+        ["resume", n, 4 * n + 1],
+        ["resume", n, 4 * n + 2],
+      );
+    }
+    const { tried, wentOn, wrong } = await play(list, 400);
+    expect(wrong).equal(0);
+    expect(wentOn / tried).greaterThan(0.8);
+  });
 });
--- a/test/serving/fake-source.ts
+++ b/test/serving/fake-source.ts
@@ -87,7 +87,11 @@
 }
 
 /** A client of the store, as a daemon has one. */
-export class FakeSource implements source.Source, Pick<source.WritableSource, "read" | "replace"> {
+export class FakeSource
+  implements
+    source.Source,
+    Pick<source.WritableSource, "read" | "replace" | "lease" | "writeLeased">
+{
   private readonly tracker = new eras.EraTracker();
   /** Whether this client cannot reach the store. */
   isCutOff = false;
@@ -189,6 +193,17 @@
     return this.answer(() => (isMet ? at : undefined));
   };
 
+  lease = (): Promise<source.Lease> => {
+    this.accept();
+    return this.answer(() => ({ id: 1, era: this.store.position().era }));
+  };
+
+  writeLeased = (documents: readonly source.Document[], lease: source.Lease): Promise<boolean> => {
+    this.accept();
+    for (const { key, text } of documents) this.put(key, text);
+    return this.answer(() => lease.era === this.store.position().era);
+  };
+
   private accept(): void {
     this.calls++;
     if (this.store.unavailable || this.isCutOff) throw new Error("unavailable");
