End no entry daemon when the store fails while keepers are asked for an origin

Cause: the register of origins is read while the keepers are asked, and a read that failed before they had replied was a rejection that nothing handled yet.

What the store says is a value now, read or unread, and never a rejection. The test failed before: two rejections unhandled. The keepers of the simulated fleet take some milliseconds to reply, without which the order could not occur.

--- a/src/serving/continuation/origin-register.ts
+++ b/src/serving/continuation/origin-register.ts
@@ -43,6 +43,13 @@
   readonly onListed: () => void;
 }
 
+/** What the store says of the origins of a route's streams. */
+export type Read =
+  /** `only` is undefined if several are possible. */
+  | { readonly kind: "read"; readonly only: origin.Origin | undefined }
+  /** The store cannot be read. */
+  | { readonly kind: "unread"; readonly why: string };
+
 /** Follows and writes the register. */
 export class OriginRegister {
   private readonly usage: registerUsage.RegisterUsage;
@@ -80,13 +87,14 @@
     return register.onlyOrigin(this.current, route, this.deps.store.era);
   }
 
-  /**
-   * The same by a register that is as new as the store when this is called. Throws a `StepError` of step `store` if the store
-   * cannot be read.
-   */
-  async readOnlyOrigin(route: catalog.Route): Promise<origin.Origin | undefined> {
-    const r = await this.readFresh();
-    return register.onlyOrigin(r, route, this.deps.store.era);
+  /** The same by a register that is as new as the store when this is called. Never rejects. */
+  async readOnlyOrigin(route: catalog.Route): Promise<Read> {
+    try {
+      const r = await this.readFresh();
+      return { kind: "read", only: register.onlyOrigin(r, route, this.deps.store.era) };
+    } catch (err) {
+      return { kind: "unread", why: errors.messageOf(err) };
+    }
   }
 
   /** Takes in a changed catalog. */
@@ -150,7 +158,7 @@
     }
     const at = await this.deps.store.replace(register.KEY, text, was);
     if (!at) return;
-    this.deps.log.info("The register of origins was written.", { register: text });
+    this.deps.log.info("The register of origins was written.", register.fields(wanted));
     this.adopt(wanted, at);
   }
 
--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -194,20 +194,28 @@
       return { kind: "unknown", reason, replies, asked: keepers.length, isStoreRead };
     };
     if (records.length > 0) return unknown("contradictory", false);
+    const unrecorded = replies.length > 0 ? "unrecorded" : "unanswered";
+    const read = await reading;
+    if (read.kind === "unread") {
+      this.logUnread(read.why);
+      return unknown(resumes === undefined ? "unnamed" : unrecorded, false);
+    }
+    if (read.only) return { kind: "known", origin: read.only, from: "only_one" };
+    if (resumes === undefined) return unknown("unnamed", true);
     try {
-      const only = await reading;
-      if (only) return { kind: "known", origin: only, from: "only_one" };
-      if (resumes === undefined) return unknown("unnamed", true);
       const logged = await this.deps.streamLog.find(resumes);
       if (logged) return { kind: "known", origin: logged, from: "log" };
       return unknown("unrecorded", true);
     } catch (err) {
-      const why = errors.messageOf(err);
-      this.deps.log.warn("The store could not be read for the origin of a stream.", { why });
-      return unknown(replies.length > 0 ? "unrecorded" : "unanswered", false);
+      this.logUnread(errors.messageOf(err));
+      return unknown(unrecorded, false);
     }
   }
 
+  private logUnread(why: string): void {
+    this.deps.log.warn("The store could not be read for the origin of a stream.", { why });
+  }
+
   /** The messages that a keeper must receive on a new connection: it may have started anew. */
   messagesFor(address: string): readonly messages.Begun[] {
     const now = this.deps.clock.mono();
--- a/src/serving/continuation/register.ts
+++ b/src/serving/continuation/register.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import * as zod from "zod";
+import type * as structuredLog from "../../host/structured-log.js";
 import * as eras from "../../store/era.js";
 import type * as catalog from "../catalog.js";
 import type * as origin from "./origin.js";
@@ -98,6 +99,12 @@
   return withRows([...rows(a), ...rows(b)], a.completeIn);
 }
 
+/** Log fields that describe a register. */
+export function fields(r: Register): structuredLog.Fields {
+  const software = [...r.software].map(([service, set]) => `${service}: ${[...set].join(", ")}`);
+  return { completeIn: r.completeIn, routes: r.service.size, software };
+}
+
 /** Whether all entries of `part` are listed. */
 export function includes(whole: Register, part: Register): boolean {
   return rows(part).every((row) => hasRow(whole, row));
--- a/src/serving/update-log.ts
+++ b/src/serving/update-log.ts
@@ -46,7 +46,7 @@
       break;
     case "origins":
       log.info("The register of origins has changed.", {
-        register: register.format(s.register),
+        ...register.fields(s.register),
         revision,
       });
       break;
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -24,6 +24,8 @@
 const START_MS = 300;
 /** Most milliseconds after a restore of the store until workers register again. */
 const REREGISTER_MS = 2000;
+/** Milliseconds that a keeper takes to reply. */
+const REPLY_MS = 5;
 const IN_FORCE_MS = 2000;
 const WRITES_PER_S = 400;
 const ROUTE: catalogs.Route = {
@@ -221,8 +223,10 @@
       send: (m) => {
         if (m.kind === "stream_begun") reached()?.record(m);
       },
-      findOrigin: (q): Promise<messages.Found | undefined> =>
-        Promise.resolve(reached()?.find({ kind: "find_origin", question: 0, ...q })),
+      findOrigin: async (q): Promise<messages.Found | undefined> => {
+        await this.time.wait(REPLY_MS);
+        return reached()?.find({ kind: "find_origin", question: 0, ...q });
+      },
     };
   }
 
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -218,6 +218,21 @@
     expect(await fleet.resume(second, s, false)).equal(undefined);
   });
 
+  it("leave no rejection unhandled if the store fails while keepers are asked", async () => {
+    const { fleet, first, second, begin } = await start(["v2"]);
+    const s = begin(1);
+    await fleet.restartHost(first);
+    fleet.store.unavailable = true;
+    const unhandled: unknown[] = [];
+    const listener = (err: unknown): void => {
+      unhandled.push(err);
+    };
+    process.on("unhandledRejection", listener);
+    expect(await fleet.resume(second, s)).equal("v2");
+    process.off("unhandledRejection", listener);
+    expect(unhandled).deep.equal([]);
+  });
+
   it("are not taken for the only version known here while another host uses a second one", async () => {
     const { fleet, first, second } = await start([]);
     fleet.cutFromStore(second, true);
