Soak: restarts of all daemons, at once and in turn, and callers that resume

The soak killed single entry daemons beside two software versions, but never all daemons, nor each endpoint daemon in turn, and its callers used up their attempts to resume on hosts that did not listen yet. Callers pause before they resume, and a refused connection is no attempt. A check reports when more than half of twelve or more resumed streams have no known origin though the store was reached.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -48,8 +48,9 @@
 
 /** Tokens of each part of a prompt. */
 const PART_TOKENS = 20;
-/** Most times that a caller resumes one stream, and milliseconds that must be left of its deadline for that. */
+/** Most times that a caller resumes one stream, milliseconds before each, and those that must be left of its deadline for that. */
 const MAX_RESUMPTIONS = 2;
+const RESUME_PAUSE_MS = 200;
 const MIN_LEFT_MS = 200;
 
 /** Sends one request on a new connection. */
@@ -168,31 +169,35 @@
 
 /** Sends one request, and resumes it elsewhere if it is a stream that breaks. Returns whether its connection can be used again. */
 async function sendRequest(w: Environment, client: undici.Client, entry: string): Promise<boolean> {
-  const first = await sendAttempt(w, client, entry, w.nextRequest(), undefined);
+  const { record: first } = await sendAttempt(w, client, entry, w.nextRequest(), undefined);
   let last = first;
-  for (let n = 0; n < MAX_RESUMPTIONS && first.kind === "stream"; n++) {
+  for (let n = 0; n < MAX_RESUMPTIONS && first.kind === "stream";) {
     const after = (last.resumed?.after ?? 0) + history.wholeEvents(last).length;
+    if (last.end.kind !== "broken" || after === 0) break;
+    await timers.setTimeout(RESUME_PAUSE_MS);
     const leftMs = Math.round(first.sentAt + first.waitMs - performance.now());
-    if (last.end.kind !== "broken" || after === 0 || leftMs < MIN_LEFT_MS) break;
     const to = w.entry();
-    if (!to) break;
+    if (!to || leftMs < MIN_LEFT_MS) break;
     const { kind, path, adapter, parts, version, key } = first;
     const plan = { kind, path, adapter, parts, version, key, waitMs: leftMs, leaveMs: undefined };
     const other = new undici.Client(`http://${to.address}`, { connect: { timeout: 1000 } });
-    last = await sendAttempt(w, other, to.name, plan, { first: first.id, after });
+    const next = await sendAttempt(w, other, to.name, plan, { first: first.id, after });
     await other.destroy();
+    if (!next.isConnected) continue;
+    n++;
+    last = next.record;
   }
   return first.end.kind === "answer";
 }
 
-/** Sends one attempt of a request; `resumed` names the stream that it goes on with. */
+/** Sends one attempt of a request, and whether it was connected; `resumed` names the stream that it goes on with. */
 async function sendAttempt(
   w: Environment,
   client: undici.Client,
   entry: string,
   wish: RequestPlan,
   resumed: history.RequestRecord["resumed"],
-): Promise<history.RequestRecord> {
+): Promise<{ readonly record: history.RequestRecord; readonly isConnected: boolean }> {
   const id = w.nextId();
   const key = wish.key ?? w.key();
   const { fatal } = wish;
@@ -232,7 +237,7 @@
   const record: history.RequestRecord = { ...sent, end, ...(resumed && { resumed }) };
   // A failed connect is left to the load balancer and does not count as a request.
   if (isConnected) w.record(record);
-  return record;
+  return { record, isConnected };
 }
 
 function isConnectionRefused(err: unknown): boolean {
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -109,9 +109,18 @@
   return disturbances.anyDisturbed(h.disturbances, from, to, (d) => parts.has(d.on));
 }
 
+/** Whether the store, or a link to it, may have failed at some time in the interval. */
+export function storeDisturbed(h: History, from: number, to: number): boolean {
+  const isStore = (name: string): boolean => name === "store" || name.endsWith(STORE_LINK);
+  return disturbances.anyDisturbed(h.disturbances, from, to, (d) => isStore(d.on));
+}
+
+/** End of the names under which disturbances of links to the store are recorded. */
+const STORE_LINK = " to the store";
+
 /** Name under which disturbances of the link between a daemon and the store are recorded. */
 export function storeLink(daemon: string): string {
-  return `${daemon} to the store`;
+  return `${daemon}${STORE_LINK}`;
 }
 
 /** Whether the text is the complete answer to the request. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -3,10 +3,12 @@
  * @module
  */
 import * as timers from "node:timers/promises";
+import * as workers from "../platform/worker.js";
 import * as caller from "./caller.js";
 import * as faults from "./faults.js";
 import * as history from "./history.js";
 import * as site from "./site.js";
+import * as restarts from "./restarts.js";
 import * as storeRestore from "./store-restore.js";
 import * as teams from "./teams.js";
 
@@ -84,6 +86,11 @@
 const KILL_INTERVAL_MS: readonly [number, number] = [300, 3000];
 const KILL_DRAWS = 13;
 const EVENT_MS: readonly [number, number] = [20, 120];
+/** The same for restarts of all daemons, with the ms between two events of a stream, so that many are open at a restart. */
+const RESTART_ALL_SHARE = 0.5;
+const RESTART_ALL_INTERVAL_MS: readonly [number, number] = [1500, 5000];
+const RESTART_ALL_DRAWS = 16;
+const LONG_EVENT_MS = 300;
 /** One in so many callers speaks HTTP/1.0. */
 const OLD_CALLER_INTERVAL = 6;
 /** Numbers of the random sequences for the API keys of requests, and for the operator's changes of keys and caps. */
@@ -150,6 +157,7 @@
     leaveRepeatedly(deps(OUTAGE_LEAVE_DRAWS), until),
     restoreRepeatedly(deps(RESTORE_DRAWS), until),
     killRepeatedly(deps(KILL_DRAWS), until),
+    restartAllRepeatedly(deps(RESTART_ALL_DRAWS), until),
     changeTeams(s, teamState, plan.draw(TEAM_DRAWS), until),
   ]);
   await timers.setTimeout(CALM_MS);
@@ -326,6 +334,18 @@
   await Promise.all(going);
 }
 
+/** In some runs, restarts all daemons, repeatedly until `until`. */
+async function restartAllRepeatedly(d: faults.Deps, until: number): Promise<void> {
+  if (!isInShare(d, RESTART_ALL_SHARE)) return;
+  d.site.eventMs = LONG_EVENT_MS;
+  for (const { worker } of d.site.places)
+    if (worker instanceof workers.Engine) worker.eventMs = LONG_EVENT_MS;
+  while (performance.now() < until) {
+    await timers.setTimeout(d.draw.between(...RESTART_ALL_INTERVAL_MS));
+    await restarts.restartAll(d);
+  }
+}
+
 /** In some runs, lets the store be restored from a backup, repeatedly until `until`. */
 async function restoreRepeatedly(d: faults.Deps, until: number): Promise<void> {
   if (!isInShare(d, RESTORE_SHARE)) return;
--- a/bench/soak/software.ts
+++ b/bench/soak/software.ts
@@ -25,9 +25,31 @@
   return [
     ...mixed.map(([id, found]) => `software: ${id} has events of ${[...found].sort().join(", ")}`),
     ...resumptionViolations(h),
+    ...unknownViolations(h),
   ];
 }
 
+/** Text of a refusal of a stream whose origin is not known. */
+const UNKNOWN_ORIGIN = "not known which software version";
+/** Largest share of the resumed streams whose origin may be unknown. */
+const MAX_UNKNOWN_SHARE = 0.5;
+
+/** Whatever daemons ended, the origins of most resumed streams must be known where the store was reached all the while. */
+function unknownViolations(h: history.History): readonly string[] {
+  const begun = new Map(h.seen.map((s) => [s.id, s.sentAt]));
+  const resumed = h.seen.filter(
+    (s) =>
+      s.resumed !== undefined &&
+      !history.storeDisturbed(h, begun.get(s.resumed.first) ?? s.sentAt, s.endedAt),
+  );
+  const unknown = resumed.filter(
+    (s) => s.end.kind === "answer" && s.end.status === 503 && s.end.text.includes(UNKNOWN_ORIGIN),
+  );
+  const share = unknown.length / Math.max(1, resumed.length);
+  if (resumed.length < MIN_RESUMED || share <= MAX_UNKNOWN_SHARE) return [];
+  return [`software: of ${resumed.length} resumed streams ${unknown.length} had no known origin`];
+}
+
 /** Where only one version served all the time, resumed streams must go on about as often as new ones begin. */
 function resumptionViolations(h: history.History): readonly string[] {
   if (new Set(h.kept.runs.flatMap((r) => r.software ?? [])).size > 1) return [];
