Record the origin of a stream again at the host where it goes on

A stream that its caller resumed at a second host was recorded by the host that began it alone. When its keepers restarted afterwards and the second host ended too, nobody knew its origin, though a host that knew it had served it all the while.

A host that passes on events of a resumed stream now remembers, reports and logs its origin under the attempt that began it.

--- a/src/serving/continuation/origins.ts
+++ b/src/serving/continuation/origins.ts
@@ -132,28 +132,30 @@
     return isFresh && this.deps.register.onlyOrigin(route) !== undefined;
   }
 
-  /** Records the origin of a stream, before its first event is passed on. */
+  /** Records the origin of a stream that begins or goes on here, before its first event is passed on. */
   begun({ meta, route }: callerRequest.CallerRequest, o: origin.Origin): void {
-    if (!route.resumable || meta.id === "") return;
+    const attempt = meta.resumes ?? meta.id;
+    if (!route.resumable || attempt === "") return;
     const now = this.deps.clock.mono();
     const expiresAt = now + streamAge.maxMs(route);
     const s = { origin: o, route: route.name, expiresAt, isReported: false, hasEnded: false };
-    this.own.set(meta.id, s, now);
+    this.own.set(attempt, s, now);
     if (!this.isOnlyOne(route)) {
-      this.report(meta.id, s);
+      this.report(attempt, s);
       return;
     }
-    this.unreported.set(meta.id, s);
+    this.unreported.set(attempt, s);
     this.scheduleReview();
   }
 
   /** Records that a request has ended; `isWhole` says that its caller received a stream to its end. */
   ended({ meta }: callerRequest.CallerRequest, isWhole: boolean): void {
-    const s = this.own.get(meta.id, this.deps.clock.mono());
+    const attempt = meta.resumes ?? meta.id;
+    const s = this.own.get(attempt, this.deps.clock.mono());
     if (!s) return;
     s.hasEnded = true;
-    if (isWhole) this.unreported.delete(meta.id);
-    this.deps.streamLog.remove(meta.id, isWhole);
+    if (isWhole) this.unreported.delete(attempt);
+    this.deps.streamLog.remove(attempt, isWhole);
   }
 
   /** Makes streams known that now may have different origins. */
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -161,10 +161,9 @@
     }
   }
 
-  /** Records what a stream that begins is bound to, before its first event is passed on. */
+  /** Records what a stream that begins, or goes on here, is bound to, before its first event is passed on. */
   private recordOrigin({ req, p, endpoint }: SendState): void {
-    if (p.origin) return;
-    p.origin = origin.of(req.service, endpoint);
+    p.origin ??= origin.of(req.service, endpoint);
     this.deps.origins.begun(req, p.origin);
   }
 
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -265,6 +265,13 @@
     return found[0]?.software;
   }
 
+  /** A stream that was resumed at a host goes on there. */
+  goOn(host: Host, { attempt, software }: Begun): void {
+    const meta = { ...fixtures.request().meta, id: `${attempt}.next`, resumes: attempt };
+    const req = fixtures.request({ route: ROUTE, meta });
+    host.process?.origins.begun(req, { service: fixtures.SERVICE.name, software });
+  }
+
   /** A host's process is killed and starts again `downMs` later. */
   async restartHost(host: Host, downMs = 0): Promise<void> {
     host.process?.kill();
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -199,6 +199,17 @@
     expect(await fleet.resume(second, s)).equal("v2");
   });
 
+  it("are known of a stream that went on at another host, after its keepers and that host ended", async () => {
+    const { fleet, first, second, begin } = await start(["v2"]);
+    const s = begin(1);
+    await fleet.restartHost(first);
+    expect(await fleet.resume(second, s)).equal("v2");
+    fleet.goOn(second, s);
+    for (let n = 0; n < origins.KEEPERS; n++) fleet.restartKeeper(n);
+    await fleet.restartHost(second);
+    expect(await fleet.resume(first, s)).equal("v2");
+  });
+
   it("are known of streams that had begun when a second version appeared", async () => {
     const { fleet, first, second, begin } = await start([]);
     const s = begin(0);
