Watch each prefix by itself while the store has many changes of no interest

Entry daemons watch the store by one call on the prefix that all their documents have in common, which is empty, so each key that any daemon writes reaches all of them. With several software versions side by side, the origins of open streams are written: 6 KB a second to each entry daemon at 4 hosts, but 310 KB a second at 360, of the 17 that a daemon may use (worked out with the origins' rates).

When the changes that a host has no use for exceed 8 KB a second, it watches each of its prefixes by a call of its own for a minute; a position is then the earliest of the answers', and changes after it come again. Otherwise the number of calls stays as it was.

--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -17,6 +17,7 @@
 }
 
 interface Event {
+  readonly key: string;
   readonly revision: number;
   readonly body: object;
 }
@@ -87,13 +88,13 @@
     const created = this.items.get(key)?.created ?? revision;
     const item: Item = { key, value: text, revision, created, lease: 0 };
     this.items.set(key, item);
-    this.appendEvent({ revision, body: item });
+    this.appendEvent({ key, revision, body: item });
   }
 
   remove(key: string): void {
     if (!this.items.delete(key)) return;
     const revision = ++this.revision;
-    this.appendEvent({ revision, body: { key, revision, tombstone: true } });
+    this.appendEvent({ key, revision, body: { key, revision, tombstone: true } });
   }
 
   /** Drops the history of all changes so far, and wakes the waiting watches, which then answer 410. */
@@ -213,7 +214,10 @@
       this.send(res, 410, {});
       return;
     }
-    const events = this.history.filter((e) => e.revision > after).map((e) => e.body);
+    const prefix = query.get("prefix") ?? "";
+    const events = this.history
+      .filter((e) => e.revision > after && e.key.startsWith(prefix))
+      .map((e) => e.body);
     this.send(res, 200, { events, currentRev: this.revision });
   }
 }
--- a/bench/red/store-switches.ts
+++ b/bench/red/store-switches.ts
@@ -104,4 +104,12 @@
     put: "",
     proof: "is not claimed while turns may be held that the store has lost",
   },
+  {
+    name: "store: prefixes are watched by themselves while changes of no interest are many",
+    file: "serving/watching/watch-scope.js",
+    find: "unused * MS_PER_S > MAX_UNUSED_BYTES_PER_S * ms",
+    put: "false",
+    proof:
+      "is the common prefix until changes of no interest are many, and then each prefix for a while",
+  },
 ];
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -17,6 +17,7 @@
 import * as incarnation from "./incarnation.js";
 import * as updateLog from "./update-log.js";
 import * as watchPace from "./watch-pace.js";
+import * as watchScope from "./watching/watch-scope.js";
 
 /**
  * Maximum number of calls in flight. With one hanging call, changes still arrive in time, with two they arrive late; more calls
@@ -81,6 +82,7 @@
   private readonly unreadableTexts = new Map<string, string>();
   private unreadableTotal = 0;
   private readonly grace: entryGrace.EntryGrace;
+  private readonly scope: watchScope.WatchScope;
   /** Evidence of the quarantines that the store lost when it was restored from a backup, by identity. */
   private readonly lostQuarantine = new Map<string, string>();
   /** Monotonic ms at which the last watch call began. */
@@ -97,6 +99,7 @@
   private readonly abort = new AbortController();
 
   constructor(private readonly deps: Deps) {
+    this.scope = new watchScope.WatchScope(deps.decoder.prefixes, deps.decoder.common);
     this.grace = new entryGrace.EntryGrace({
       clock: deps.clock,
       log: deps.log,
@@ -304,11 +307,14 @@
       this.watchStartedAt + this.watchIntervalMs(now) - now,
       this.abort.signal,
     );
-    this.watchStartedAt = this.deps.clock.mono();
-    const { source, decoder, pace } = this.deps;
+    const startedAt = this.deps.clock.mono();
+    const sinceLastMs = startedAt - this.watchStartedAt;
+    this.watchStartedAt = startedAt;
+    const { source, pace } = this.deps;
     const after = this.current.position;
+    const prefixes = this.scope.at(startedAt);
     const result = await this.callStore((signal) =>
-      source.waitForChanges(decoder.common, after, pace.watchMs, signal),
+      watchScope.waitForChanges(source, prefixes, after, pace.watchMs, signal),
     );
     if (result.kind === "compacted") {
       this.synced = false;
@@ -319,6 +325,7 @@
       return false;
     }
     if (result.position.era !== after.era) return false;
+    this.scope.received(result.changes, Math.max(pace.minIntervalMs, sinceLastMs), startedAt);
     const updates = lastPerKey(result.changes).flatMap((last) => this.updatesOf(last));
     this.apply(updates, result.position);
     return true;
--- a/test/serving/fake-source.ts
+++ b/test/serving/fake-source.ts
@@ -23,6 +23,10 @@
   readonly revision: number;
 }
 
+function keyOf(c: source.Change): string {
+  return c.kind === "written" ? c.document.key : c.key;
+}
+
 /** The store. */
 export class FakeStore {
   readonly documents = new Map<string, source.Document>();
@@ -70,15 +74,14 @@
     return revision >= this.compactedRevision && revision <= this.revision;
   }
 
-  changesAfter(revision: number): readonly source.Change[] {
-    return this.log.filter((l) => l.revision > revision).map((l) => l.change);
+  changesAfter(revision: number, prefix: string): readonly source.Change[] {
+    const later = this.log.filter((l) => l.revision > revision).map((l) => l.change);
+    return later.filter((c) => keyOf(c).startsWith(prefix));
   }
 
   /** The revision of the last write to a key. */
   revisionOf(key: string): number {
-    const keyOf = ({ change: c }: LoggedChange): string =>
-      c.kind === "written" ? c.document.key : c.key;
-    return this.log.findLast((l) => keyOf(l) === key)?.revision ?? 0;
+    return this.log.findLast((l) => keyOf(l.change) === key)?.revision ?? 0;
   }
 
   position(revision = this.revision): position.Position {
@@ -148,7 +151,7 @@
   };
 
   waitForChanges = async (
-    _prefix: string,
+    prefix: string,
     after: position.Position,
   ): Promise<source.ChangesResult> => {
     this.accept();
@@ -156,7 +159,7 @@
     await clock.sleep(this.clk, WATCH_MS);
     this.accept();
     if (!this.store.has(after.revision)) return this.answer(() => ({ kind: "compacted" }));
-    const changes = this.store.changesAfter(after.revision);
+    const changes = this.store.changesAfter(after.revision, prefix);
     return this.answer(() => ({ kind: "changes", changes, position: this.store.position() }));
   };
 
