--- a/bench/measure/time.ts
+++ b/bench/measure/time.ts
@@ -51,4 +51,13 @@
       });
     }
   }
+
+  /** Runs events until `ms`; they promise nothing. */
+  runNow(ms: number): void {
+    for (let next = this.queue.peek(); next && next.at <= ms; next = this.queue.peek()) {
+      this.queue.pop();
+      this.at = next.at;
+      next.run?.();
+    }
+  }
 }
