--- a/bench/origins/main.ts
+++ b/bench/origins/main.ts
@@ -63,7 +63,7 @@
   all: readonly fleet.Outcome[],
   read: (o: fleet.Outcome) => number = (o) => o.known / o.resumed,
 ): string {
-  return `${meanOf(all, read).toFixed(3)} (${Math.min(...all.map(read)).toFixed(2)})`;
+  return `${meanOf(all, read).toFixed(3)} (${Math.min(...all.map(read)).toFixed(3)})`;
 }
 
 function print(rows: readonly (readonly string[])[]): void {
