--- a/bench/cost/main.ts
+++ b/bench/cost/main.ts
@@ -68,6 +68,8 @@
   out(
     `reporting a stream's origin to one keeper: ${n(report.us)} us, both ends, ${report.bytes} bytes`,
   );
+  for (const streams of [1, 4, 32])
+    out(`logging ${streams} streams at once: ${n(await origins.logging(streams))} us, both ends`);
 }
 if (parts.includes("crashes")) {
   const rows = [["CRASHED WORKERS", "CHECK US", "RUN US", "RUN BYTES", "FINDING US"]];
--- a/bench/cost/origins.ts
+++ b/bench/cost/origins.ts
@@ -1,13 +1,17 @@
 /**
- * What it costs to report the origin of a stream to one of its keepers.
+ * What it costs to report the origin of a stream to one of its keepers, and to write it to the store.
  * @module
  */
 import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as addresses from "../../src/host/address.js";
+import * as client from "../../platform/store.js";
 import * as clock from "../../src/host/clock.js";
+import * as structuredLog from "../../src/host/structured-log.js";
 import type * as messages from "../../src/serving/continuation/messages.js";
 import * as originKeeper from "../../src/serving/continuation/origin-keeper.js";
+import * as streamLog from "../../src/serving/continuation/stream-log.js";
+import * as stores from "../platform/store.js";
 import * as jsonLines from "../../src/serving/json-lines.js";
 import * as seatMessages from "../../src/serving/seat-messages.js";
 
@@ -62,3 +66,38 @@
   server.close();
   return { us, bytes: jsonLines.encode(begun(1)).length };
 }
+
+const BATCHES = 2000;
+
+/** Writes streams to the stand-in store in batches of `n`; the cost of one batch, both ends in one process. */
+export async function logging(n: number): Promise<number> {
+  const store = new stores.Store();
+  await store.start();
+  const source = new client.Store(store.address);
+  const soon = (run: () => void): clock.Timer => {
+    const timer = setImmediate(run);
+    return {
+      cancel: () => {
+        clearImmediate(timer);
+      },
+    };
+  };
+  const log = new streamLog.StreamLog({
+    clock: { ...clock.system, after: (_ms, run) => soon(run) },
+    log: structuredLog.silent,
+    store: source,
+    writesPerS: 1,
+    hostCount: () => 1,
+    streamMs: () => TTL_MS,
+  });
+  const before = process.cpuUsage();
+  for (let batch = 0; batch < BATCHES; batch++) {
+    for (let i = 0; i < n; i++) log.add(`${batch}.${i}`, ORIGIN, false);
+    while (log.waitingCount > 0) await timers.setImmediate();
+  }
+  const { user, system } = process.cpuUsage(before);
+  log.close();
+  source.close();
+  store.stop();
+  return (user + system) / BATCHES;
+}
