Log which adapter version a request was sent on, and the age of the newest one

Cause: the end of a request did not say whether it had a seat, which version it named, or how old the news of a newer one was, so the three hypotheses could not be told apart. Change: the catalog keeps from when a version may have been declared (the last answer of the store without it); the end of a request and the grant of a seat log it; a counter of sends for adapters by seat and version. No decision looks at it.

--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -5,6 +5,7 @@
  */
 import * as selector from "../contract/selector.js";
 import * as register from "./continuation/register.js";
+import * as declared from "./versions/declared.js";
 import * as position from "../store/position.js";
 import type * as tokenBalance from "./token-balance.js";
 import * as incarnation from "./incarnation.js";
@@ -147,7 +148,7 @@
   /** The configuration in force. Undefined until the first one has been read. */
   readonly config: Config | undefined;
   /** Newest declared version of each adapter, by {@link adapterKey}. */
-  readonly versions: ReadonlyMap<string, number>;
+  readonly versions: ReadonlyMap<string, declared.Declared>;
   /** The newest incarnation of each worker, by the worker's name. */
   readonly endpoints: ReadonlyMap<string, Endpoint>;
   /** Ids of incarnations that announced that they leave, and whose entries are gone. They do not come back. */
@@ -191,7 +192,13 @@
 /** One update of the catalog. */
 export type Update =
   | { readonly kind: "config"; readonly config: Config }
-  | { readonly kind: "version"; readonly key: string; readonly version: number }
+  | {
+      readonly kind: "version";
+      readonly key: string;
+      readonly version: number;
+      /** Monotonic ms before which it was certainly not declared; left out if that is not known. */
+      readonly notBefore?: number;
+    }
   | { readonly kind: "endpoint"; readonly endpoint: Endpoint }
   | { readonly kind: "endpoint_gone"; readonly worker: string }
   /** Requests with this {@link identity.of | identity} must not be sent to any worker. */
@@ -225,10 +232,13 @@
         if (config && config.version >= c.config.version) return false;
         config = c.config;
         return true;
-      case "version":
-        if ((versions.read().get(c.key) ?? 0) >= c.version) return false;
-        versions.write().set(c.key, c.version);
+      case "version": {
+        const known = versions.read().get(c.key);
+        const next = declared.declare(known, c.version, c.notBefore ?? -Infinity);
+        if (!next || next === known) return false;
+        versions.write().set(c.key, next);
         return true;
+      }
       case "endpoint": {
         const worker = incarnation.workerOf(c.endpoint.id);
         const current = endpoints.read().get(worker);
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -174,6 +174,7 @@
       software: p.origin?.software,
       resumes: req.meta.resumes,
       resumeAfter: req.meta.resumeAfter,
+      ...versionFields(p.adapterVersion),
       sends: p.sends,
       runs: p.runs,
       hedge: p.hedge,
@@ -293,6 +294,13 @@
   }
 }
 
+/** Log fields that tell whether a request was sent on an outdated version of its adapter, and on what grounds. */
+function versionFields(v: progress.AdapterVersion | undefined): structuredLog.Fields {
+  if (!v) return {};
+  const { named, newest, maxAgeMs, hasSeat } = v;
+  return { version: named, newest, newestMs: maxAgeMs && Math.round(maxAgeMs), hasSeat };
+}
+
 /** Log fields that say why the origin of a stream is not known. */
 function unknownFields({
   reason,
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -374,17 +374,22 @@
     this.deps.log.error("A document cannot be read.", { key, count, why: reason });
   }
 
+  /** Adds to a declared version that the last answer before did not have it. */
+  private readonly dated = (u: catalog.Update): catalog.Update =>
+    u.kind === "version" ? { ...u, notBefore: this.upToDateAt } : u;
+
   private apply(updates: readonly catalog.Update[], at: position.Position): void {
     for (const s of updates) {
       if (s.kind === "endpoint") this.grace.registered(incarnation.workerOf(s.endpoint.id));
       if (s.kind === "quarantine" || s.kind === "release") this.lostQuarantine.delete(s.identity);
     }
-    const { updated, applied } = catalog.applyUpdates(this.current, updates);
+    const { updated, applied } = catalog.applyUpdates(this.current, updates.map(this.dated));
     // The first snapshot adds all endpoints and versions at once. They are not logged one by one, since the line for the
     // snapshot already has their number.
     const isFirstSnapshot = this.current.config === undefined;
     for (const s of applied) {
-      if (!isFirstSnapshot || s.kind === "config") updateLog.write(this.deps.log, s, at.revision);
+      if (!isFirstSnapshot || s.kind === "config")
+        updateLog.write(this.deps.log, s, at.revision, this.deps.clock.mono());
     }
     const changed = updated !== this.current;
     this.current = at.isAfter(updated.position) ? { ...updated, position: at } : updated;
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -13,6 +13,7 @@
 import type * as structuredLog from "../host/structured-log.js";
 import type * as memoryBudget from "./buffering/memory-budget.js";
 import type * as suspicion from "./suspicion.js";
+import type * as declared from "./versions/declared.js";
 
 /** Upper bounds of the histogram buckets, in ms; they lie around the latency targets of 150 to 1,000 ms. */
 const BUCKETS_MS = [10, 25, 50, 100, 150, 250, 400, 600, 1000, 1500, 2500, 5000, 10_000];
@@ -93,6 +94,12 @@
   ) => void;
   /** A worker crashed while it ran a request of a service; `verdict` is the one on the request after that crash. */
   readonly recordCrash: (service: string, verdict: suspicion.Verdict["kind"]) => void;
+  /** A request for an adapter was sent to an engine of a service, with a granted seat or with none. */
+  readonly recordAdapterSend: (
+    service: string,
+    seat: "granted" | "none",
+    version: declared.Match,
+  ) => void;
   /** Adds a gauge whose value `read` returns. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** The metrics in the Prometheus text format. */
@@ -211,6 +218,13 @@
     "service",
     "verdict",
   );
+  const adapterSends = counter(
+    "sumacfield_adapter_sends_total",
+    "Sends of requests for adapters, by service, whether a seat was granted, and the version named against the newest known.",
+    "service",
+    "seat",
+    "version",
+  );
   const routeLabel = boundedLabel(MAX_ROUTE_LABELS);
   const teamLabel = boundedLabel(MAX_TEAM_LABELS);
   return {
@@ -265,6 +279,9 @@
     recordCrash: (service, verdict) => {
       crashes.inc({ service, verdict });
     },
+    recordAdapterSend: (service, seat, version) => {
+      adapterSends.inc({ service, seat, version });
+    },
     addGauge: (name, help, read) => {
       new prom.Gauge({
         name,
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -48,6 +48,18 @@
 export type Ending =
   "whole" | "late" | "refused" | "failed" | "unknown" | "broken" | "left" | "passed_failure";
 
+/** The adapter version that a send named, and what its host knew of newer ones then. */
+export interface AdapterVersion {
+  /** Version that the worker was told to expect; undefined if none. */
+  readonly named: number | undefined;
+  /** Newest declared version; undefined if none is known. */
+  readonly newest: number | undefined;
+  /** Milliseconds for which the newest one may have been declared at most; Infinity if that is not known. */
+  readonly maxAgeMs: number | undefined;
+  /** Whether the endpoint daemon granted a seat. */
+  readonly hasSeat: boolean;
+}
+
 /** Progress of a request. */
 export interface Progress {
   /** Sends, including those that did not run. */
@@ -122,6 +134,8 @@
   crowding: crowding.Comparison | undefined;
   /** Milliseconds, at the last send, since the host's catalog was last known to be up to date with the store. */
   catalogAgeMs: number | undefined;
+  /** The adapter version of the last send; undefined for a request without an adapter. */
+  adapterVersion: AdapterVersion | undefined;
   /** Id of the endpoint of the last send; empty before the first. */
   endpoint: string;
 }
@@ -173,6 +187,7 @@
     serviceMs: 0,
     crowding: undefined,
     catalogAgeMs: undefined,
+    adapterVersion: undefined,
     endpoint: "",
   };
 }
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -6,6 +6,7 @@
 import * as popularity from "../endpoint/popularity.js";
 import * as seatQueue from "./seat-queue.js";
 import * as fairShares from "./sharing/fair-shares.js";
+import type * as declared from "./versions/declared.js";
 
 /** An adapter in one of the engine's slots. */
 export interface Slot {
@@ -327,18 +328,18 @@
 
 /** Records that a version was declared; ignored unless it is newer than the known one. */
 export function declareVersion(s: State, key: string, version: number, now: number): State {
-  return declareVersions(s, [[key, version]], now);
+  return declareVersions(s, [[key, { version }]], now);
 }
 
 /** Records the declared versions of adapters by key; each is ignored unless it is newer than the known one. */
 export function declareVersions(
   s: State,
-  versions: Iterable<readonly [string, number]>,
+  versions: Iterable<readonly [string, Pick<declared.Declared, "version">]>,
   now: number,
 ): State {
   // All are added to one copy: a copy for each would take minutes where tens of thousands are new.
   let newest: Map<string, { readonly version: number; readonly at: number }> | undefined;
-  for (const [key, version] of versions) {
+  for (const [key, { version }] of versions) {
     if (((newest ?? s.newest).get(key)?.version ?? 0) >= version) continue;
     newest ??= new Map(s.newest);
     newest.set(key, { version, at: now });
--- a/src/serving/seat-admission.ts
+++ b/src/serving/seat-admission.ts
@@ -194,6 +194,7 @@
       request: s.request,
       adapter: w.key,
       version,
+      ...this.newestFields(w.key, now),
       instance: this.state.instance,
       waitedMs,
       ...(waitedFor && { waitedFor, ...this.loggedPace() }),
@@ -201,6 +202,12 @@
     this.deps.announcer.stateChanged();
   }
 
+  /** The newest known version of an adapter and how long it has been known here, for the log. */
+  private newestFields(key: string, now: number): structuredLog.Fields {
+    const newest = this.state.held.newest.get(key);
+    return newest ? { newest: newest.version, newestMs: Math.round(now - newest.at) } : {};
+  }
+
   /** Learned times of the engine and its slowness, rounded, for the log. */
   private loggedPace(): structuredLog.Fields {
     const inputs = this.state.snapshot().paceInputs;
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -203,7 +203,7 @@
       request: a.meta.id,
       model: target.model,
       ...(target.adapter !== undefined && { adapter: target.adapter }),
-      version: key === undefined ? 0 : (this.deps.catalog().versions.get(key) ?? 0),
+      version: key === undefined ? 0 : (this.deps.catalog().versions.get(key)?.version ?? 0),
       promptTokens: a.meta.promptTokens,
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -16,6 +16,7 @@
 import type * as progress from "./progress.js";
 import type * as retryBudget from "./retry-budget.js";
 import type * as suspects from "./suspects.js";
+import type * as declared from "./versions/declared.js";
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
@@ -77,6 +78,13 @@
     return p.sends === 0 || this.chargeRetry(req, p) ? undefined : "refused";
   }
 
+  /** The newest declared version of a request's adapter; undefined if none is known, or it is for no adapter. */
+  newestVersion({ meta }: callerRequest.CallerRequest): declared.Declared | undefined {
+    const { target } = meta;
+    if (target?.adapter === undefined) return undefined;
+    return this.deps.catalog().versions.get(catalog.adapterKey(target.model, target.adapter));
+  }
+
   /** Whether an endpoint accepts requests from this host now, according to its notices. */
   acceptsRequests(e: catalog.Endpoint): boolean {
     return this.deps.notices.opensInMs(e) === 0;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -27,6 +27,7 @@
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as sendWatchdog from "./send-watchdog.js";
+import * as declared from "./versions/declared.js";
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
@@ -153,6 +154,7 @@
     p.catalogAgeMs = Math.round(this.deps.catalogAgeMs());
     p.isRetryCharged = false;
     send.grants.onWritten?.();
+    this.recordVersion(send);
     if (p.lastEventId !== undefined) this.recordContinuation(send, p.lastEventId);
     const { notices } = this.deps;
     notices.recordSend(endpoint);
@@ -161,6 +163,18 @@
     }
   }
 
+  /** Records which version of its adapter a request is sent on, and what is known of newer ones. */
+  private recordVersion({ req, p, grants, sentAt }: SendState): void {
+    if (req.meta.target?.adapter === undefined) return;
+    const newest = this.deps.checks.newestVersion(req);
+    const named = grants.seat?.version;
+    const hasSeat = grants.seat !== undefined;
+    const maxAgeMs = newest && sentAt - newest.notBefore;
+    p.adapterVersion = { named, newest: newest?.version, maxAgeMs, hasSeat };
+    const match = declared.matchOf(newest, named);
+    this.deps.metrics.recordAdapterSend(req.service.name, hasSeat ? "granted" : "none", match);
+  }
+
   /** Records what a stream that begins, or goes on here, is bound to, before its first event is passed on. */
   private recordOrigin({ req, p, endpoint }: SendState): void {
     p.origin ??= origin.of(req.service, endpoint);
--- a/src/serving/update-log.ts
+++ b/src/serving/update-log.ts
@@ -6,8 +6,13 @@
 import * as catalog from "./catalog.js";
 import * as register from "./continuation/register.js";
 
-/** Logs an update that came with an answer of this revision. */
-export function write(log: structuredLog.Log, s: catalog.Update, revision: number): void {
+/** Logs an update that came with an answer of this revision, at the monotonic ms `now`. */
+export function write(
+  log: structuredLog.Log,
+  s: catalog.Update,
+  revision: number,
+  now: number,
+): void {
   switch (s.kind) {
     case "config":
       log.info("A configuration is in force.", {
@@ -23,6 +28,7 @@
       log.info("A version was declared.", {
         adapter: s.key,
         version: s.version,
+        notBeforeMs: s.notBefore === undefined ? undefined : Math.round(now - s.notBefore),
         revision,
       });
       break;
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -134,7 +134,7 @@
     at = catalog.applyUpdate(at, { kind: "version", key: "m/a", version: 3 });
     at = catalog.applyUpdate(at, { kind: "version", key: "m/a", version: 2 });
     expect(at.config?.version).equal(5);
-    expect(at.versions.get("m/a")).equal(3);
+    expect(at.versions.get("m/a")?.version).equal(3);
   });
 
   it("finds the route of the host with the longest matching prefix", () => {
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -212,7 +212,7 @@
 
   // Guards against an endpoint daemon that blocks for a minute when it reads tens of thousands of versions at its start.
   it("records many declared versions at once, of which outdated ones change nothing", () => {
-    const declared = Array.from({ length: 28_000 }, (_, i) => [`m/a${i}`, 2] as const);
+    const declared = Array.from({ length: 28_000 }, (_, i) => [`m/a${i}`, { version: 2 }] as const);
     const known = residency.declareVersion(residency.empty(), "m/a1", 3, 0);
     const s = residency.declareVersions(known, declared, 10);
     expect(s.newest.size).equal(28_000);
