--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -59,6 +59,8 @@
   readonly adapters = new Map<string, LoadedAdapter>();
   /** Milliseconds between two events of a stream. */
   eventMs = 5;
+  /** Milliseconds from the arrival of a request until the engine begins to run it. */
+  beginMs = 0;
   /** Another interval for the streams of one adapter. */
   slowAdapter: { readonly adapter: string; readonly eventMs: number } | undefined;
   /** Number of orders carried out. */
@@ -183,12 +185,15 @@
       this.reject(res, 503, id);
       return;
     }
-    const run = this.recordRun(req, res, adapter, h.version);
+    const { version: held } = h;
     h.runs++;
     res.once("close", () => {
       h.runs--;
       this.unloadIfIdle(adapter);
     });
+    if (this.beginMs > 0) await timers.setTimeout(this.beginMs);
+    if (res.destroyed) return;
+    const run = this.recordRun(req, res, adapter, held);
     if (await this.crashIfFatal(run, req, body, res)) return;
     await this.stream(run, req, res);
   }
