Send requests on a usable version of their adapter alone, seat or none

Callers saw requests answered by an adapter version that had been replaced more than 5 s before. Cause: where an endpoint daemon does not answer, a request goes to its engine without a seat and named no version, so the engine ran what it had for as long as the daemon was away; and a seat that a paused daemon granted late was taken whatever the version. Change: the host that sends decides when it writes, by the newest version that it knows and since when that may have been declared; endpoint daemons tell the versions of the adapters in their engines, a request without a seat names that version, and engines whose version is outdated are not chosen while their daemon is away.

--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -18,6 +18,8 @@
   readonly models: readonly string[];
   /** Keys of the adapters that can be used at once, or soon. */
   readonly resident: readonly string[];
+  /** Versions of these adapters by key, as far as they are known. */
+  readonly versions?: ReadonlyMap<string, number> | undefined;
   /** Keys of the adapters that load fast. */
   readonly warm: readonly string[];
 }
@@ -60,6 +62,8 @@
   readonly model: string;
   /** Key of the adapter; undefined for the base model. */
   readonly key: string | undefined;
+  /** Oldest version of the adapter on which it may be sent; 0 or undefined if there is no limit. */
+  readonly oldestVersion?: number | undefined;
   readonly promptTokens: number;
   readonly rank: number;
   /** Team of the caller, if any. */
@@ -105,13 +109,20 @@
 /** Penalty in milliseconds for an engine whose state is unknown. */
 const UNKNOWN_STATE_PENALTY_MS = 700;
 
+/** Version of the adapter on an engine, by the last holdings received; undefined if that is not known. */
+export function heldVersion(v: View, key: string | undefined): number | undefined {
+  return key === undefined ? undefined : v.holdings?.versions?.get(key);
+}
+
 /**
  * Estimate for an engine whose endpoint daemon is not connected or is unresponsive. It is usable only for adapters that
- * were resident by the last holdings received.
+ * were resident by the last holdings received, in a version that is not outdated: nobody could have a newer one loaded.
  */
 function estimateWithoutState(c: Candidate, need: Need, basePenaltyMs: number): Estimate {
   const { view } = c;
-  const usable = view.holdings?.models.includes(need.model) && c.adapter === "resident";
+  const isOutdated = (heldVersion(view, need.key) ?? Infinity) < (need.oldestVersion ?? 0);
+  const usable =
+    view.holdings?.models.includes(need.model) && c.adapter === "resident" && !isOutdated;
   const serviceMs = prefillSpeed.firstEventMs(prefillSpeed.INITIAL, need.promptTokens);
   return {
     view,
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -48,7 +48,7 @@
 /** Times that one request may be withheld from a worker chosen for it; beyond that it is given up. */
 const MAX_WITHHELD = 6;
 /** Result of the search for a seat where the service has no engines and so needs none. */
-const SEATLESS: seatFinder.SeatResult = { kind: "seatless" };
+const SEATLESS: seatFinder.SeatResult = { kind: "seatless", version: undefined };
 
 /** Dispatches the requests of one entry daemon. */
 export class Dispatcher {
@@ -255,7 +255,9 @@
       }
       if (req.service.engine && p.sends === 0) this.returns.recordAdmission(req);
       const seat = found.kind === "seat" ? found.seat : undefined;
-      const outcome = await this.calls.send(req, res, p, best, { seat, permit }, stopSignal);
+      const version = found.kind === "seat" ? found.seat.version : found.version;
+      const grants = { seat, version, permit };
+      const outcome = await this.calls.send(req, res, p, best, grants, stopSignal);
       if (outcome) return outcome;
     }
   }
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -43,7 +43,13 @@
   const available = [...s.slots.values()].filter(
     (p) => p.phase === "resident" || p.phase === "loading",
   );
-  return { kind: "holdings", models: s.models, resident: available.map((p) => p.key), reach };
+  return {
+    kind: "holdings",
+    models: s.models,
+    resident: available.map((p) => p.key),
+    versions: available.map((p) => p.version),
+    reach,
+  };
 }
 
 /** What the admission control of an engine with steady streams estimates. */
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -33,6 +33,7 @@
 import * as upstream from "./upstream.js";
 import * as workerNotices from "./worker-notices.js";
 import * as shedding from "./overload/shedding.js";
+import * as usage from "./versions/usage.js";
 
 /** Settings of an entry daemon. */
 export interface Options {
@@ -40,6 +41,8 @@
   readonly domain: string;
   /** `ip:port` of the load balancer's readiness check. */
   readonly readiness: string;
+  /** Milliseconds after its declaration from which a version of an adapter must be the only one in use. */
+  readonly versionMs: number;
   /** Milliseconds within which a change in the store must be in force. */
   readonly inForceMs: number;
   /** Milliseconds after which a revoked key is not accepted. Undefined if no time is required. */
@@ -220,6 +223,7 @@
       suspects: suspectTracker,
       origins: streamOrigins,
       notices,
+      versionLimits: usage.limitsOf(opts.versionMs),
       authenticate: ({ route, caller }) => {
         const { config } = catalogFeed.catalog;
         if (!config || !caller) return { kind: "open" };
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -408,7 +408,8 @@
     );
     const { models, resident } = m;
     const hasNewModel = models.some((name) => !this.lastHoldings?.models.includes(name));
-    this.setHoldings({ models, resident, warm: this.recentAdapters.slice(0, m.reach) });
+    const versions = new Map(m.versions?.map((v, i) => [resident[i] ?? "", v]));
+    this.setHoldings({ models, resident, versions, warm: this.recentAdapters.slice(0, m.reach) });
     if (hasNewModel) this.deps.onAvailable();
   }
 
--- a/src/serving/overload/side-by-side.ts
+++ b/src/serving/overload/side-by-side.ts
@@ -158,7 +158,7 @@
       const { view } = best;
       const permit = await this.deps.acquirePermit(req, lane.p, view, lane.stop.signal);
       if (permit) {
-        await this.runLane(lane, best, { seat: undefined, permit }, () => {
+        await this.runLane(lane, best, { seat: undefined, version: undefined, permit }, () => {
           first.p.sideRuns = 1;
           this.deps.log.info("A hedge is sent.", {
             request: req.meta.id,
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -16,6 +16,8 @@
 import * as search from "./search.js";
 import * as crowding from "./spread/crowding.js";
 import * as announcedShares from "./sharing/announced-shares.js";
+import type * as declared from "./versions/declared.js";
+import * as usage from "./versions/usage.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** What a seat finder needs of the entry daemon. */
@@ -26,6 +28,8 @@
   readonly catalog: () => catalog.Catalog;
   readonly origins: Pick<origins.Origins, "isOnlyOne" | "mayBegin" | "begun" | "ended" | "find">;
   readonly random: () => number;
+  /** For how long a version of an adapter may be used once a newer one is declared. */
+  readonly versionLimits: usage.Limits;
 }
 
 /**
@@ -57,8 +61,11 @@
 /** Result of the attempt to get a seat on one engine. */
 export type SeatResult =
   | { readonly kind: "seat"; readonly seat: GrantedSeat }
-  /** The request goes to the engine without a seat: its daemon is unreachable, but it may still have the adapter. */
-  | { readonly kind: "seatless" }
+  /**
+   * The request goes to the engine without a seat: its daemon is unreachable, but it may still have the adapter, in this
+   * version. Undefined if the request is for no adapter, or no version of the adapter is known.
+   */
+  | { readonly kind: "seatless"; readonly version: number | undefined }
   /** No seat on this engine; another engine may have one. */
   | { readonly kind: "elsewhere" }
   /** The engine turned the request away at once because its queue is too long. */
@@ -161,6 +168,11 @@
     const need: choice.Need = {
       model: target.model,
       key: target.adapter && catalog.adapterKey(target.model, target.adapter),
+      oldestVersion: usage.oldestUsable(
+        this.newestOf(a),
+        this.deps.versionLimits,
+        this.deps.clock.mono(),
+      ),
       promptTokens: a.meta.promptTokens,
       rank: a.route.rank,
       team: a.caller?.team.name,
@@ -172,6 +184,11 @@
     return search.find(this.deps.endpoints.engineViews(a.service, accepts), need, a.meta.id);
   }
 
+  /** The newest declared version of a request's adapter; undefined if none is known, or it is for no adapter. */
+  private newestOf({ meta }: callerRequest.CallerRequest): declared.Declared | undefined {
+    return catalog.newestVersion(this.deps.catalog(), meta.target);
+  }
+
   /** The software versions on which a request may run; undefined if it may run on any. */
   private softwareFilter(
     { route, service }: callerRequest.CallerRequest,
@@ -196,14 +213,14 @@
   ): Promise<SeatResult> {
     const { endpoint } = best.view;
     const { target } = a.meta;
-    if (!target) return { kind: "seatless" };
+    if (!target) return { kind: "seatless", version: undefined };
     const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
     const now = this.deps.clock.mono();
     const pending = this.deps.endpoints.link(endpoint).ask({
       request: a.meta.id,
       model: target.model,
       ...(target.adapter !== undefined && { adapter: target.adapter }),
-      version: key === undefined ? 0 : (this.deps.catalog().versions.get(key)?.version ?? 0),
+      version: this.newestOf(a)?.version ?? 0,
       promptTokens: a.meta.promptTokens,
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
@@ -246,12 +263,24 @@
         p.why = "the endpoint daemon is unreachable";
         // The engine may still have the adapter, and refuses a request for one that it does not have.
         if (choice.adapterState(best.view, key) === "resident" && this.isCertainStart(a, endpoint))
-          return { kind: "seatless" };
+          return { kind: "seatless", version: this.versionWithoutSeat(a, best.view, key) };
         p.triedEndpoints.add(endpoint.id);
         return { kind: "elsewhere" };
     }
   }
 
+  /**
+   * The version that a request without a seat expects at an engine: the one that the engine has by its last holdings, or the
+   * newest one if that is not known. The engine runs it on no other.
+   */
+  private versionWithoutSeat(
+    a: callerRequest.CallerRequest,
+    view: choice.View,
+    key: string | undefined,
+  ): number | undefined {
+    return choice.heldVersion(view, key) ?? this.newestOf(a)?.version;
+  }
+
   /**
    * Whether only the start of a worker that its entry describes can run a request without a seat. A worker that keeps its name
    * may have started again with other software, which matters to a stream that may go on.
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -140,6 +140,8 @@
     models: zod.array(zod.string()).readonly(),
     /** Keys of the adapters that are loaded or being loaded. */
     resident: zod.array(zod.string()).readonly(),
+    /** Versions of these adapters, in the same order. */
+    versions: zod.array(zod.int()).readonly().optional(),
     /** Keys of the adapters that left since the last holdings message to this entry daemon, the latest last. */
     gone: zod.array(zod.string()).readonly(),
     /** How many of the adapters that were resident last load fast; entry daemons keep the list of these. */
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -16,7 +16,9 @@
 import type * as progress from "./progress.js";
 import type * as retryBudget from "./retry-budget.js";
 import type * as suspects from "./suspects.js";
+import type * as sendState from "./send-state.js";
 import type * as declared from "./versions/declared.js";
+import * as usage from "./versions/usage.js";
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
@@ -29,6 +31,8 @@
   readonly notices: Pick<workerNotices.WorkerNotices, "of" | "opensInMs" | "reason">;
   /** Checks again whether the key of an admitted request still authorizes it. */
   readonly authenticate: (req: callerRequest.CallerRequest) => authentication.Verdict;
+  /** For how long a version of an adapter may be used once a newer one is declared. */
+  readonly versionLimits: usage.Limits;
 }
 
 const UNAUTHORIZED = 401;
@@ -57,7 +61,7 @@
     res: progress.CallerResponse,
     p: progress.Progress,
     e: catalog.Endpoint,
-    permit: Pick<workerNotices.Granted, "isGood">,
+    { permit, version }: Pick<sendState.SendGrants, "permit" | "version">,
   ): WithholdReason | undefined {
     if (res.presence?.hasLeft()) return "left";
     if (res.presence?.isStale()) return "stale";
@@ -74,15 +78,26 @@
       this.recordDeclined(req, p, e);
       return "elsewhere";
     }
+    if (!this.isVersionUsable(req, version)) {
+      p.triedEndpoints.add(e.id);
+      p.withheld++;
+      p.why = `${e.id} has an outdated version of the adapter`;
+      return "elsewhere";
+    }
     if (!this.isStillAuthorized(req, p) || this.isQuarantined(req, p)) return "refused";
     return p.sends === 0 || this.chargeRetry(req, p) ? undefined : "refused";
   }
 
   /** The newest declared version of a request's adapter; undefined if none is known, or it is for no adapter. */
   newestVersion({ meta }: callerRequest.CallerRequest): declared.Declared | undefined {
-    const { target } = meta;
-    if (target?.adapter === undefined) return undefined;
-    return this.deps.catalog().versions.get(catalog.adapterKey(target.model, target.adapter));
+    return catalog.newestVersion(this.deps.catalog(), meta.target);
+  }
+
+  /** Whether a request may be sent now on a version of its adapter; undefined if it would name none. */
+  private isVersionUsable(req: callerRequest.CallerRequest, version: number | undefined): boolean {
+    const { clock, versionLimits } = this.deps;
+    const newest = this.newestVersion(req);
+    return (version ?? 0) >= usage.oldestUsable(newest, versionLimits, clock.mono());
   }
 
   /** Whether an endpoint accepts requests from this host now, according to its notices. */
--- a/src/serving/send-state.ts
+++ b/src/serving/send-state.ts
@@ -18,6 +18,8 @@
 export interface SendGrants {
   /** Seat in the engine's batch; undefined for plain services, whose endpoints grant no seats. */
   readonly seat: seatFinder.GrantedSeat | undefined;
+  /** Version of its adapter that the worker is told to expect; undefined if it is for none, or no version is known. */
+  readonly version: number | undefined;
   readonly permit: workerNotices.Granted;
   /** Called right before the request is written to its connection. */
   readonly onWritten?: () => void;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -87,14 +87,14 @@
     stopSignal: AbortSignal,
   ): Promise<progress.Ending | "stale" | undefined> {
     const { endpoint } = best.view;
-    const { seat, permit } = grants;
+    const { seat } = grants;
     const sentAt = this.deps.clock.mono();
     const leftMs = Math.max(1, Math.floor(req.dueAt - sentAt));
     p.endpoint = endpoint.id;
     this.deps.endpoints.requestStarted(endpoint.id);
     const attributes = {
       instance: seat?.instance ?? endpoint.id,
-      version: seat?.version,
+      version: grants.version,
       rank: req.route.rank,
       leftMs,
       resumeAfter: p.lastEventId,
@@ -120,7 +120,7 @@
     };
     const gate: exchange.Gate = {
       mayStart: () => {
-        send.withholdReason = this.deps.checks.withholdReason(req, res, p, endpoint, permit);
+        send.withholdReason = this.deps.checks.withholdReason(req, res, p, endpoint, grants);
         if (send.withholdReason === undefined) this.recordStart(send);
         return send.withholdReason === undefined;
       },
@@ -167,7 +167,7 @@
   private recordVersion({ req, p, grants, sentAt }: SendState): void {
     if (req.meta.target?.adapter === undefined) return;
     const newest = this.deps.checks.newestVersion(req);
-    const named = grants.seat?.version;
+    const named = grants.version;
     const hasSeat = grants.seat !== undefined;
     const maxAgeMs = newest && sentAt - newest.notBefore;
     p.adapterVersion = { named, newest: newest?.version, maxAgeMs, hasSeat };
--- a/test/platform/adapter-versions.test.ts
+++ b/test/platform/adapter-versions.test.ts
@@ -122,6 +122,11 @@
     expect(late.filter((s) => s.attempt.received.status !== 503)).deep.equal([]);
   }).timeout(40_000);
 
+  it("go to the newest version where some endpoint daemons are away", async () => {
+    const all = await play(() => killAll(site.endpoints.slice(0, 3)));
+    expect(servedShare(all.filter((s) => s.sentMs > history.VERSION_MS))).least(0.95);
+  }).timeout(40_000);
+
   it("do not follow a pause of the endpoint daemons in which it was declared", async () => {
     const all = await play(async () => {
       for (const d of site.endpoints) d.freeze();
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -115,6 +115,7 @@
       notices,
       authenticate,
       random: () => 0,
+      versionLimits: { sendMs: 2500, beginMs: 4500 },
       ...over,
     },
   );
