Let the sending host say for how long an engine may run it on an older version

Callers waited for seats on an outdated version that their host then did not use, or got an answer of it. Cause: an endpoint daemon granted seats on the version before for 1.5 s from when it heard of the newer one. One that was paused, restarted or cut off hears late, and granted them to hosts that had told it of the newer version in the same question. Change: the question for a seat says on which older version the request may run, and for how long from now, by the age that its host knows; only hosts that have not heard of the newer version get the old one by the daemon's own time.

--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -41,7 +41,7 @@
   readonly isWarm: (key: string) => boolean;
   /** Milliseconds that a request waits for a slot before an adapter in use is closed for it. */
   readonly closeAfterMs: number;
-  /** Milliseconds for which seats on an outdated version are still granted after the newer one is known. */
+  /** Milliseconds for which hosts that do not know the newer version still get seats on an outdated one. */
   readonly outdatedUseMs: number;
   /** Teams that exceed their share; undefined or empty if none does. */
   readonly overTeams?: ReadonlySet<string> | undefined;
@@ -145,18 +145,28 @@
   return (s.newest.get(p.key)?.version ?? 0) > p.version;
 }
 
-/** Whether one more seat may be granted on a slot. */
-function isUsable(s: State, p: Slot, now: number, opts: Options): boolean {
+/**
+ * Whether a waiter may be granted a seat on a slot. Its host decides about a version that is outdated, as it knows since when
+ * that is; one that has not heard of the newer version yet gets the older one for a while.
+ */
+function isUsable(
+  s: State,
+  w: seatQueue.Waiter,
+  p: Slot,
+  { now, outdatedUseMs }: { readonly now: number; readonly outdatedUseMs: number },
+): boolean {
   if (p.phase !== "resident") return false;
   const newest = s.newest.get(p.key);
-  return !newest || newest.version <= p.version || now - newest.at < opts.outdatedUseMs;
+  if (!newest || newest.version <= p.version) return true;
+  if ((w.version ?? 0) < newest.version) return now - newest.at < outdatedUseMs;
+  return w.older !== undefined && p.version >= w.older.version && now < w.older.until;
 }
 
 /** Whether a waiter's adapter, or its base model, can be used now. */
 function isReady(s: State, w: seatQueue.Waiter, now: number, opts: Options): boolean {
   if (w.adapter === undefined) return s.models.includes(w.model);
   const p = s.slots.get(w.key);
-  return p !== undefined && isUsable(s, p, now, opts);
+  return p !== undefined && isUsable(s, w, p, { now, outdatedUseMs: opts.outdatedUseMs });
 }
 
 /**
@@ -270,6 +280,7 @@
   };
   for (const w of s.waiting) {
     add(w.expiresAt);
+    if (w.older) add(w.older.until);
     add(w.askedAt + opts.closeAfterMs);
   }
   for (const p of s.slots.values()) {
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -216,11 +216,14 @@
     if (!target) return { kind: "seatless", version: undefined };
     const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
     const now = this.deps.clock.mono();
+    const newest = this.newestOf(a);
+    const older = usage.olderFor(newest, this.deps.versionLimits, now);
     const pending = this.deps.endpoints.link(endpoint).ask({
       request: a.meta.id,
       model: target.model,
       ...(target.adapter !== undefined && { adapter: target.adapter }),
-      version: this.newestOf(a)?.version ?? 0,
+      version: newest?.version ?? 0,
+      ...(older && { older }),
       promptTokens: a.meta.promptTokens,
       answerTokens: a.meta.answerTokens,
       rank: a.route.rank,
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -38,6 +38,8 @@
       adapter: zod.string().optional(),
       /** Newest version of the adapter that the entry daemon knows; 0 if it knows none. */
       version: zod.int(),
+      /** An older version on which it may run as well, and for how many ms from now; left out where there is none. */
+      older: zod.object({ version: zod.int(), forMs: zod.number() }).readonly().optional(),
       promptTokens: zod.number(),
       answerTokens: zod.number(),
       rank: zod.number(),
--- a/src/serving/seat-queue.ts
+++ b/src/serving/seat-queue.ts
@@ -15,6 +15,10 @@
   readonly model: string;
   /** Undefined if the request is for the base model itself. */
   readonly adapter?: string | undefined;
+  /** Newest version of the adapter that its host knows; 0 or undefined if none is known. */
+  readonly version?: number | undefined;
+  /** An older version on which it may run as well, until a monotonic ms. */
+  readonly older?: { readonly version: number; readonly until: number } | undefined;
   /** Urgency; 0 is the most urgent. */
   readonly rank: number;
   /** Monotonic ms at which the seat was asked for. */
@@ -45,10 +49,23 @@
   serviceMs: number,
   now: number,
 ): Waiter {
-  const { model, adapter, rank, team } = m;
+  const { model, adapter, version, rank, team } = m;
+  const older = m.older && { version: m.older.version, until: now + m.older.forMs };
   const tokens = m.promptTokens + m.answerTokens;
   const times = { askedAt: now, targetAt: now + m.targetMs, expiresAt: now + m.leftMs };
-  return { seat: seatId, key, model, adapter, rank, serviceMs, ...times, team, tokens };
+  return {
+    seat: seatId,
+    key,
+    model,
+    adapter,
+    version,
+    older,
+    rank,
+    serviceMs,
+    ...times,
+    team,
+    tokens,
+  };
 }
 
 /** Latest monotonic ms at which the engine must start on a request for its first event to be on time. */
--- a/src/serving/slot-options.ts
+++ b/src/serving/slot-options.ts
@@ -10,7 +10,7 @@
 const MAX_LOADS = 4;
 /** Milliseconds that a request waits for a slot before an adapter in use is closed for it. */
 const CLOSE_AFTER_MS = 120;
-/** For how long seats on an outdated version are still granted, as a fraction of `versionMs`. */
+/** For how long hosts that do not know a newer version get seats on an outdated one, as a fraction of `versionMs`. */
 const OUTDATED_FRACTION = 0.3;
 
 /**
--- a/src/serving/versions/usage.ts
+++ b/src/serving/versions/usage.ts
@@ -31,6 +31,16 @@
   return d ? Math.max(0, d.notBefore + limits.sendMs - now) : Infinity;
 }
 
+/** What an endpoint daemon is told of the version before the newest one; undefined if it may not be used. */
+export function olderFor(
+  d: declared.Declared | undefined,
+  limits: Limits,
+  now: number,
+): { readonly version: number; readonly forMs: number } | undefined {
+  const forMs = olderForMs(d, limits, now);
+  return d && forMs > 0 ? { version: d.previous, forMs: Math.ceil(forMs) } : undefined;
+}
+
 /** The oldest version on which a request may be sent at `now`; 0 if none is declared. */
 export function oldestUsable(
   d: declared.Declared | undefined,
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -210,6 +210,20 @@
     });
   });
 
+  it("grants no seat on an outdated version to a host that will not send on it, however late the daemon heard", () => {
+    const old = slot("a", { pins: 1 });
+    const known = residency.declareVersion(holding(old), old.key, 2, 1000);
+    const granted = (w: Partial<seatQueue.Waiter>, now: number): number =>
+      residency.seatActions(
+        residency.addWaiter(known, { ...waiter("w", "a", 1000), version: 2, ...w }, 1000),
+        now,
+        OPTS,
+      ).length;
+    expect(granted({}, 1001)).equal(0);
+    expect(granted({ older: { version: 1, until: 1200 } }, 1100)).equal(1);
+    expect(granted({ older: { version: 1, until: 1200 } }, 1200)).equal(0);
+  });
+
   // Guards against an endpoint daemon that blocks for a minute when it reads tens of thousands of versions at its start.
   it("records many declared versions at once, of which outdated ones change nothing", () => {
     const declared = Array.from({ length: 28_000 }, (_, i) => [`m/a${i}`, { version: 2 }] as const);
