Break off a request that does not begin while its version may be used

Callers got answers that had begun on the version before, up to 6.2 s after the newer one was declared, from engines that begin late. Cause: the version was checked when the seat was granted, and takes effect when the engine begins; between them lie the message, the connection and the engine's own queue. A newer version may also become known after the request was sent. Evidence: 19 of 20 late requests had a seat granted .4 to 1.5 s after the daemon had heard, and began 4.6 s later; one was sent before its host knew of the newer version.

--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -78,7 +78,7 @@
       this.recordDeclined(req, p, e);
       return "elsewhere";
     }
-    if (!this.isVersionUsable(req, version)) {
+    if (!this.isVersionUsable(req, version, p.serviceMs)) {
       p.triedEndpoints.add(e.id);
       p.withheld++;
       p.why = `${e.id} has an outdated version of the adapter`;
@@ -94,10 +94,20 @@
   }
 
   /** Whether a request may be sent now on a version of its adapter; undefined if it would name none. */
-  private isVersionUsable(req: callerRequest.CallerRequest, version: number | undefined): boolean {
+  private isVersionUsable(
+    req: callerRequest.CallerRequest,
+    version: number | undefined,
+    expectedMs: number,
+  ): boolean {
     const { clock, versionLimits } = this.deps;
     const newest = this.newestVersion(req);
-    return (version ?? 0) >= usage.oldestUsable(newest, versionLimits, clock.mono());
+    return (version ?? 0) >= usage.oldestUsable(newest, versionLimits, clock.mono(), expectedMs);
+  }
+
+  /** Milliseconds within which a request that was sent on a version of its adapter must begin; Infinity without a limit. */
+  beginsWithinMs(req: callerRequest.CallerRequest, version: number | undefined): number {
+    const { clock, versionLimits } = this.deps;
+    return usage.beginsWithinMs(this.newestVersion(req), version, versionLimits, clock.mono());
   }
 
   /** Whether an endpoint accepts requests from this host now, according to its notices. */
--- a/src/serving/send-state.ts
+++ b/src/serving/send-state.ts
@@ -9,6 +9,7 @@
 import type * as seatFinder from "./seat-finder.js";
 import type * as sendChecks from "./send-checks.js";
 import type * as sendWatchdog from "./send-watchdog.js";
+import type * as beginWatch from "./versions/begin-watch.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** Reason of a stop signal that aborts because the endpoint has not answered by the deadline, while another one has. */
@@ -41,6 +42,10 @@
   readonly watchdog: sendWatchdog.Watchdog;
   /** Timing of the answer, if it is a stream. */
   readonly stream: streamClock.StreamClock;
+  /** Watch over the beginning of the run; undefined before the request is written, and if it is for no adapter. */
+  beginWatch?: beginWatch.BeginWatch;
+  /** Whether the request was broken off because it had not begun while its version could be used. */
+  isTooLate: boolean;
   /** Why the request was withheld, if it was. */
   withholdReason: sendChecks.WithholdReason | undefined;
 }
--- a/src/serving/send-watchdog.ts
+++ b/src/serving/send-watchdog.ts
@@ -26,6 +26,8 @@
 export interface Watchdog {
   /** Aborts when the send is to be broken off. */
   readonly signal: AbortSignal;
+  /** Breaks the send off, whether or not the request may be repeated. */
+  readonly breakOff: () => void;
   /** To be called when the first event arrives; ends the wait for an answer. */
   readonly answerBegan: () => void;
   /** To be called when the send has ended. */
@@ -50,20 +52,23 @@
   deps: Deps,
 ): Watchdog {
   const { id } = best.view.endpoint;
-  if (!catalog.isRepeatable(req.route)) {
-    return { signal: stopSignal, answerBegan: () => undefined, close: () => undefined };
-  }
   const controller = new AbortController();
   const stop = (): void => {
     controller.abort();
   };
+  stopSignal.addEventListener("abort", stop, { once: true });
+  if (stopSignal.aborted) stop();
+  const unsubscribe = (): void => {
+    stopSignal.removeEventListener("abort", stop);
+  };
+  const { signal } = controller;
+  if (!catalog.isRepeatable(req.route))
+    return { signal, breakOff: stop, answerBegan: () => undefined, close: unsubscribe };
   const onEndpointGone = (): void => {
     // If nothing was passed on yet, the send is broken off even without a retry, so that the caller is told at once.
     if (!p.hasResponseBegun || deps.mayGoOn()) stop();
   };
   const unwatch = deps.endpoints.watch(id, onEndpointGone);
-  stopSignal.addEventListener("abort", stop, { once: true });
-  if (stopSignal.aborted) stop();
   const targetFactor = req.service.engine ? SILENT_STREAM_TARGET_FACTOR : SILENT_CALL_TARGET_FACTOR;
   const silentMs = Math.max(
     targetFactor * req.route.targetMs,
@@ -84,11 +89,12 @@
   const isRetryAllowed = p.runs + 1 < req.route.attempts && !p.hasResponseBegun;
   const timer = isRetryAllowed ? deps.clock.after(silentMs, onSilence) : undefined;
   return {
-    signal: controller.signal,
+    signal,
+    breakOff: stop,
     answerBegan: () => timer?.cancel(),
     close: () => {
       timer?.cancel();
-      stopSignal.removeEventListener("abort", stop);
+      unsubscribe();
       unwatch();
     },
   };
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -27,6 +27,7 @@
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as sendWatchdog from "./send-watchdog.js";
+import * as beginWatch from "./versions/begin-watch.js";
 import * as declared from "./versions/declared.js";
 import type * as workerNotices from "./worker-notices.js";
 
@@ -116,6 +117,7 @@
       stopSignal,
       watchdog,
       stream: new streamClock.StreamClock(),
+      isTooLate: false,
       withholdReason: undefined,
     };
     const gate: exchange.Gate = {
@@ -140,6 +142,7 @@
       }
       return await this.handleResult(send, result);
     } finally {
+      send.beginWatch?.close();
       watchdog.close();
     }
   }
@@ -155,6 +158,7 @@
     p.isRetryCharged = false;
     send.grants.onWritten?.();
     this.recordVersion(send);
+    this.watchBegin(send);
     if (p.lastEventId !== undefined) this.recordContinuation(send, p.lastEventId);
     const { notices } = this.deps;
     notices.recordSend(endpoint);
@@ -175,6 +179,24 @@
     this.deps.metrics.recordAdapterSend(req.service.name, hasSeat ? "granted" : "none", match);
   }
 
+  /** Breaks a request off that does not begin while its version of the adapter may be used. */
+  private watchBegin(send: SendState): void {
+    const { req, endpoint, grants } = send;
+    if (req.meta.target?.adapter === undefined) return;
+    const leftMs = (): number => this.deps.checks.beginsWithinMs(req, grants.version);
+    send.beginWatch = beginWatch.start(this.deps.clock, leftMs, () => {
+      send.isTooLate = true;
+      this.deps.log.warn("A request has not begun while its version of the adapter may be used.", {
+        request: req.meta.id,
+        endpoint: endpoint.id,
+        version: grants.version,
+        newest: this.deps.checks.newestVersion(req)?.version,
+        underWayMs: Math.round(this.deps.clock.mono() - send.sentAt),
+      });
+      send.watchdog.breakOff();
+    });
+  }
+
   /** Records what a stream that begins, or goes on here, is bound to, before its first event is passed on. */
   private recordOrigin({ req, p, endpoint }: SendState): void {
     p.origin ??= origin.of(req.service, endpoint);
@@ -294,7 +316,8 @@
     send: SendState,
     why: string,
   ): Promise<progress.Ending | undefined> {
-    const isStoppedHere = send.res.disconnected.aborted || send.stopSignal.aborted;
+    const isStoppedHere =
+      send.res.disconnected.aborted || send.stopSignal.aborted || send.isTooLate;
     if (!isStoppedHere) {
       const now = this.deps.clock.mono();
       const examination = this.deps.suspects.recordBrokenSend(send.req, send.endpoint, {
@@ -374,6 +397,7 @@
   /** Reads an answer whole before any of it is passed on. */
   private async relayWhole(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { req, res, p } = send;
+    send.beginWatch?.close();
     const { body, verdict } = await this.readWhole(send, result);
     this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
     if (verdict.kind !== "whole") {
@@ -460,6 +484,7 @@
         send.stream.recordArrival(ready.length, arrivedAt);
         if (isFirst) {
           isFirst = false;
+          send.beginWatch?.close();
           send.watchdog.answerBegan();
           send.grants.seat?.began(this.deps.clock.mono() - send.sentAt);
         }
--- a/src/serving/versions/usage.ts
+++ b/src/serving/versions/usage.ts
@@ -41,14 +41,18 @@
   return d && forMs > 0 ? { version: d.previous, forMs: Math.ceil(forMs) } : undefined;
 }
 
-/** The oldest version on which a request may be sent at `now`; 0 if none is declared. */
+/**
+ * The oldest version on which a request may be sent at `now` that is expected to begin in `expectedMs`; 0 if none is declared.
+ */
 export function oldestUsable(
   d: declared.Declared | undefined,
   limits: Limits,
   now: number,
+  expectedMs = 0,
 ): number {
   if (!d) return 0;
-  return olderForMs(d, limits, now) > 0 ? d.previous : d.version;
+  const beginsInTime = now + expectedMs < d.notBefore + limits.beginMs;
+  return beginsInTime && olderForMs(d, limits, now) > 0 ? d.previous : d.version;
 }
 
 /**
