Replace outdated adapters within the limit on loads at the same time

Callers of other adapters waited while a burst of declarations had all idle adapters of an engine loaded at once. Cause: an outdated idle adapter was loaded again before the limits on loads were looked at: six at once where four are allowed. Change: the limits come first; until its turn an outdated adapter stays, in use where it may still be. Result: the new test failed before (6 loading, 3 allowed) and passes.

--- a/src/serving/slot-orders.ts
+++ b/src/serving/slot-orders.ts
@@ -18,12 +18,15 @@
   const stale = staleIdle(s);
   // Adapters that requests wait for go first; otherwise an unused outdated adapter is replaced before
   // its next use.
-  if (stale && (wanted.length === 0 || isWaitedFor(s, stale.key))) return load(s, stale);
+  const isNext = stale && (wanted.length === 0 || isWaitedFor(s, stale.key));
   const loading = [...s.slots.values()].filter((p) => p.phase === "loading");
+  if (loading.length >= opts.maxLoads) return undefined;
   const cold = loading.filter((p) => !opts.isWarm(p.key)).length;
+  // A version that the engine has not held before is loaded from the weight store.
+  if (isNext && cold < opts.maxColdLoads) return load(s, stale);
   const allowed = cold < opts.maxColdLoads ? wanted : wanted.filter((w) => opts.isWarm(w.key));
   const [first] = allowed;
-  if (!first || loading.length >= opts.maxLoads) return undefined;
+  if (!first) return undefined;
   if (s.slots.size < opts.slots) return load(s, first);
   const rivals = first.isOver ? s.waiting : residency.waitingWithin(s, opts.overTeams);
   const victim = slotToEvict(s, s.waiting, now) ?? slotToEvict(s, rivals, now);
--- a/test/serving/residency.test.ts
+++ b/test/serving/residency.test.ts
@@ -224,6 +224,15 @@
     expect(granted({ older: { version: 1, until: 1200 } }, 1200)).equal(0);
   });
 
+  it("replaces no more outdated adapters at the same time than may be loaded", () => {
+    const opts = { ...OPTS, slots: 6, maxLoads: 4, maxColdLoads: 3 };
+    let s = holding(...["a", "b", "c", "d", "e", "f"].map((adapter) => slot(adapter)));
+    for (const key of s.slots.keys()) s = residency.declareVersion(s, key, 2, 0);
+    for (let a = slotOrders.nextOrder(s, 10, opts); a?.kind === "load";)
+      a = slotOrders.nextOrder((s = residency.startLoad(s, a, 10)), 10, opts);
+    expect([...s.slots.values()].filter((p) => p.phase === "loading").length).equal(3);
+  });
+
   // Guards against an endpoint daemon that blocks for a minute when it reads tens of thousands of versions at its start.
   it("records many declared versions at once, of which outdated ones change nothing", () => {
     const declared = Array.from({ length: 28_000 }, (_, i) => [`m/a${i}`, { version: 2 }] as const);
