Count a version's age from before a watch that may be silent

Cause: the age of a declared version began at the last answer of the store without it; a watch may report nothing for a second although changes are made, which the freshness of keys allows for and this age did not. Change: one constant for both; the age begins a second earlier. Result: a test holds the bound; with the time of hearing in its place it fails.

--- a/src/serving/authentication.ts
+++ b/src/serving/authentication.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type * as catalog from "./catalog.js";
+import * as watchPace from "./watch-pace.js";
 
 /** The key that a request presents, or why it presents none. */
 export type PresentedKey =
@@ -33,18 +34,13 @@
   readonly rejectWithinMs: number;
 }
 
-/**
- * Milliseconds for which a watch of the store may report nothing although changes are made, by the platform's
- * documentation.
- */
-const SILENT_WATCH_MS = 1000;
 /** Milliseconds allowed from the decision on a request to its arrival at a worker, if it does not wait in between. */
 const FORWARDING_MS = 500;
 
 /** Lower bound of `acceptWithinMs`, in ms: a host needs this long to learn of a change. */
 const MIN_ACCEPT_MS = 300;
 /** The shortest time, in ms, within which the revocation of a key can be guaranteed. */
-export const MIN_REVOKED_MS = SILENT_WATCH_MS + FORWARDING_MS + MIN_ACCEPT_MS;
+export const MIN_REVOKED_MS = watchPace.SILENT_WATCH_MS + FORWARDING_MS + MIN_ACCEPT_MS;
 
 /**
  * The freshness bounds with which all hosts meet the operator's guarantees: a change is in force after `inForceMs`, and
@@ -52,7 +48,7 @@
  */
 export function freshnessBounds(inForceMs: number, revokedMs: number | undefined): FreshnessBounds {
   const acceptWithinMs =
-    revokedMs === undefined ? Infinity : revokedMs - SILENT_WATCH_MS - FORWARDING_MS;
+    revokedMs === undefined ? Infinity : revokedMs - watchPace.SILENT_WATCH_MS - FORWARDING_MS;
   return { acceptWithinMs, rejectWithinMs: inForceMs };
 }
 
--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -374,9 +374,9 @@
     this.deps.log.error("A document cannot be read.", { key, count, why: reason });
   }
 
-  /** Adds to a declared version that the last answer before did not have it. */
+  /** Adds to a declared version since when it may have been declared: the last answer before did not have it. */
   private readonly dated = (u: catalog.Update): catalog.Update =>
-    u.kind === "version" ? { ...u, notBefore: this.upToDateAt } : u;
+    u.kind === "version" ? { ...u, notBefore: this.upToDateAt - watchPace.SILENT_WATCH_MS } : u;
 
   private apply(updates: readonly catalog.Update[], at: position.Position): void {
     for (const s of updates) {
--- a/src/serving/watch-pace.ts
+++ b/src/serving/watch-pace.ts
@@ -43,6 +43,11 @@
 const KEEP_MISSING_FRACTION = 0.35;
 /** The same after the store has been restored from a backup, when the time counts from a deletion that the store had lost. */
 const KEEP_DELETED_FRACTION = 0.1;
+/**
+ * Milliseconds for which a watch of the store may report nothing although changes are made, by the platform's
+ * documentation.
+ */
+export const SILENT_WATCH_MS = 1000;
 /** Milliseconds until the first retry of a call that failed. */
 export const RETRY_MS = 60;
 
--- a/test/serving/feed.test.ts
+++ b/test/serving/feed.test.ts
@@ -19,6 +19,7 @@
   common: "",
   written: (key, text): catalog.Update | undefined => {
     if (text === "torn") throw new Error("not readable");
+    if (key.startsWith("c/")) return { kind: "version", key, version: Number(text) };
     if (key === "c") {
       return { kind: "config", config: { ...fixtures.CONFIG, version: Number(text) } };
     }
@@ -75,6 +76,23 @@
     expect(f.catalog.endpoints.size).equal(0);
   });
 
+  it("dates a declared version by the last answer that did not have it", async () => {
+    const s = new fakeSource.FakeSource();
+    s.put("c", "1");
+    s.put("c/1", "1");
+    const f = follow(s);
+    await until(() => f.catalog.versions.has("c/1"));
+    const before = clock.system.mono() - f.catalogAgeMs;
+    s.put("c/2", "2");
+    const putAt = clock.system.mono();
+    await until(() => f.catalog.versions.has("c/2"));
+    expect(f.catalog.versions.get("c/1")?.notBefore).equal(-Infinity);
+    expect(f.catalog.versions.get("c/2")?.notBefore).within(
+      before - watchPace.SILENT_WATCH_MS,
+      putAt,
+    );
+  });
+
   it("leaves the catalog as it is when an endpoint's entry is rewritten unchanged", async () => {
     const s = new fakeSource.FakeSource();
     s.put("e/a", "10.0.0.1:1");
