Don't take an engine for one that has an adapter if it has an outdated version in use

Callers waited at an engine until the runs on the version before had ended, while others could serve them. Cause: the choice looked at which adapters an engine has, not in which version; one that may no longer be granted counted as resident. Change: it costs the time until its runs end and a load; engines that are away are judged by the same state.

--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -120,9 +120,7 @@
  */
 function estimateWithoutState(c: Candidate, need: Need, basePenaltyMs: number): Estimate {
   const { view } = c;
-  const isOutdated = (heldVersion(view, need.key) ?? Infinity) < (need.oldestVersion ?? 0);
-  const usable =
-    view.holdings?.models.includes(need.model) && c.adapter === "resident" && !isOutdated;
+  const usable = view.holdings?.models.includes(need.model) && c.adapter === "resident";
   const serviceMs = prefillSpeed.firstEventMs(prefillSpeed.INITIAL, need.promptTokens);
   return {
     view,
@@ -137,7 +135,7 @@
   const usable = views.filter((v) => isUsable(v, need));
   const candidates = usable.map((view) => candidateOf(view, need));
   const summary: FleetSummary = {
-    hasAdapter: candidates.some((c) => c.adapter !== "absent"),
+    hasAdapter: candidates.some((c) => c.adapter === "resident" || c.adapter === "warm"),
     meanWaitMs: meanWaitMsOf(usable, need),
     crowdingMeans: crowding.meansOf(usable),
     usualSpeed: idleSpeed.medianOf(usable),
@@ -168,7 +166,7 @@
 
 function candidateOf(view: View, need: Need): Candidate {
   const stateWeight = weightAt(view.stateAgeMs);
-  return { view, adapter: adapterState(view, need.key), stateWeight };
+  return { view, adapter: adapterState(view, need.key, need.oldestVersion), stateWeight };
 }
 
 /** What the estimate of one candidate takes from all candidates. */
@@ -252,12 +250,17 @@
   return view.pendingTokens - (need.waitsAt === view.endpoint.id ? need.promptTokens : 0);
 }
 
-/** Where an engine has an adapter: in a slot, in its host's memory, or nowhere. */
-type AdapterState = "resident" | "warm" | "absent";
+/**
+ * Where an engine has an adapter: in a slot, there in an outdated version that is still in use, in its host's memory, or
+ * nowhere.
+ */
+type AdapterState = "resident" | "outdated" | "warm" | "absent";
 
-/** Whether an adapter is resident, warm or absent on an engine, by the last holdings received. */
-export function adapterState(v: View, key: string | undefined): AdapterState {
-  if (key === undefined || v.holdings?.resident.includes(key)) return "resident";
+/** Where an engine has an adapter, by the last holdings received; versions before `oldestVersion` are outdated. */
+export function adapterState(v: View, key: string | undefined, oldestVersion = 0): AdapterState {
+  if (key === undefined) return "resident";
+  if (v.holdings?.resident.includes(key))
+    return (heldVersion(v, key) ?? Infinity) < oldestVersion ? "outdated" : "resident";
   return v.holdings?.warm.includes(key) ? "warm" : "absent";
 }
 
@@ -293,6 +296,17 @@
         serviceMs,
         penaltyMs: penaltyMs + latePenaltyMs(queueMs + serviceMs) + orderIndex * ORDER_PENALTY_MS,
       };
+    case "outdated": {
+      // The engine replaces it once the runs that use it have ended: about as long as a run of each slot takes.
+      const drainMs = state.eachSlotMs * holdings.resident.length;
+      const firstMs = Math.max(queueMs, drainMs + state.coldMs) + serviceMs;
+      return {
+        view,
+        firstMs,
+        serviceMs,
+        penaltyMs: penaltyMs + latePenaltyMs(firstMs) + orderIndex * ORDER_PENALTY_MS,
+      };
+    }
     case "warm": {
       const firstMs = Math.max(queueMs, slotMs + state.warmMs) + serviceMs;
       return {
--- a/test/serving/decisions.test.ts
+++ b/test/serving/decisions.test.ts
@@ -311,6 +311,34 @@
     expect(best?.view.endpoint.id).equal("2");
   });
 
+  it("is not usable with an outdated version while its daemon is away", () => {
+    const holdings = {
+      models: ["m"],
+      resident: ["m/a"],
+      versions: new Map([["m/a", 1]]),
+      warm: [],
+    };
+    const usable = (oldestVersion: number): number =>
+      choice.rankEngines([withAdapter("1", { holdings, state: undefined })], {
+        ...NEED,
+        oldestVersion,
+      }).length;
+    expect([0, 1, 2].map(usable)).deep.equal([1, 1, 0]);
+  });
+
+  it("prefers the newest version to an outdated one that is in use", () => {
+    const at = (id: string, version: number, orderIndex: number): choice.View => {
+      const versions = new Map([["m/a", version]]);
+      const holdings = { models: ["m"], resident: ["m/a"], versions, warm: [] };
+      const state = { ...fixtures.STATE, instance: id, eachSlotMs: 100 };
+      return withAdapter(id, { holdings, state, orderIndex });
+    };
+    const views = [at("1", 1, 0), at("2", 2, 1)];
+    const best = (oldestVersion: number): string | undefined =>
+      choice.rankEngines(views, { ...NEED, oldestVersion })[0]?.view.endpoint.id;
+    expect([1, 2].map(best)).deep.equal(["1", "2"]);
+  });
+
   it("loads a second copy only if the queue of the engine with the first is long", () => {
     const queued = (ms: number): choice.View =>
       withAdapter("2", {
--- a/test/serving/spread/spread.test.ts
+++ b/test/serving/spread/spread.test.ts
@@ -43,7 +43,7 @@
   const meanMs = views.reduce((sum, v) => sum + waitOf(v), 0) / views.length;
   const cost = (v: choice.View): number => {
     const s = v.state ?? fixtures.STATE;
-    const loadMs = { resident: 0, warm: s.warmMs, absent: s.coldMs }[
+    const loadMs = { resident: 0, outdated: s.coldMs, warm: s.warmMs, absent: s.coldMs }[
       choice.adapterState(v, NEED.key)
     ];
     const agedMs = meanMs + (waitOf(v) - meanMs) * 2 ** (-v.stateAgeMs / 500);
