--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -189,7 +189,7 @@
   return `${model}/${adapter}`;
 }
 
-/** The newest declared version of what a request is for; undefined if none is known, or it is for no adapter. */
+/** The declared versions of what a request is for; undefined if none is known, or it is for no adapter. */
 export function newestVersion(
   at: Pick<Catalog, "versions">,
   target: { readonly model: string; readonly adapter?: string | undefined } | undefined,
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -217,7 +217,7 @@
     const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
     const now = this.deps.clock.mono();
     const newest = this.newestOf(a);
-    const older = usage.olderFor(newest, this.deps.versionLimits, now);
+    const older = usage.olderFor(newest, this.deps.versionLimits, now, best.serviceMs);
     const pending = this.deps.endpoints.link(endpoint).ask({
       request: a.meta.id,
       model: target.model,
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -61,7 +61,7 @@
     res: progress.CallerResponse,
     p: progress.Progress,
     e: catalog.Endpoint,
-    { permit, version }: Pick<sendState.SendGrants, "permit" | "version">,
+    { permit, seat, version }: sendState.SendGrants,
   ): WithholdReason | undefined {
     if (res.presence?.hasLeft()) return "left";
     if (res.presence?.isStale()) return "stale";
@@ -79,7 +79,8 @@
       return "elsewhere";
     }
     if (!this.isVersionUsable(req, version, p.serviceMs)) {
-      p.triedEndpoints.add(e.id);
+      // With its daemon, an engine has the newest version soon.
+      if (!seat) p.triedEndpoints.add(e.id);
       p.withheld++;
       p.why = `${e.id} has an outdated version of the adapter`;
       return "elsewhere";
@@ -88,9 +89,9 @@
     return p.sends === 0 || this.chargeRetry(req, p) ? undefined : "refused";
   }
 
-  /** The newest declared version of a request's adapter; undefined if none is known, or it is for no adapter. */
-  newestVersion({ meta }: callerRequest.CallerRequest): declared.Declared | undefined {
-    return catalog.newestVersion(this.deps.catalog(), meta.target);
+  /** The newest declared version of a request's adapter; undefined if none is known, or no engine serves it. */
+  newestVersion({ meta, service }: callerRequest.CallerRequest): declared.Declared | undefined {
+    return service.engine && catalog.newestVersion(this.deps.catalog(), meta.target);
   }
 
   /** Whether a request may be sent now on a version of its adapter; undefined if it would name none. */
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -169,7 +169,7 @@
 
   /** Records which version of its adapter a request is sent on, and what is known of newer ones. */
   private recordVersion({ req, p, grants, sentAt }: SendState): void {
-    if (req.meta.target?.adapter === undefined) return;
+    if (!req.service.engine || req.meta.target?.adapter === undefined) return;
     const newest = this.deps.checks.newestVersion(req);
     const named = grants.version;
     const hasSeat = grants.seat !== undefined;
@@ -182,7 +182,7 @@
   /** Breaks a request off that does not begin while its version of the adapter may be used. */
   private watchBegin(send: SendState): void {
     const { req, endpoint, grants } = send;
-    if (req.meta.target?.adapter === undefined) return;
+    if (!req.service.engine || req.meta.target?.adapter === undefined) return;
     const leftMs = (): number => this.deps.checks.beginsWithinMs(req, grants.version);
     send.beginWatch = beginWatch.start(this.deps.clock, leftMs, () => {
       send.isTooLate = true;
@@ -341,7 +341,9 @@
     }
     p.triedEndpoints.add(send.endpoint.id);
     p.queuedAt = this.deps.clock.mono();
-    this.settle(send, "failed", false);
+    // How long an engine takes to begin says nothing about failures.
+    if (send.isTooLate) this.settle(send, "left", undefined);
+    else this.settle(send, "failed", false);
     this.deps.log.warn("A send failed.", {
       request: req.meta.id,
       // Each attempt has a new request id; only the identity shows that the same request came again.
@@ -397,7 +399,6 @@
   /** Reads an answer whole before any of it is passed on. */
   private async relayWhole(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { req, res, p } = send;
-    send.beginWatch?.close();
     const { body, verdict } = await this.readWhole(send, result);
     this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
     if (verdict.kind !== "whole") {
@@ -425,8 +426,12 @@
     { framing, body }: Answer,
   ): Promise<{ readonly body: Buffer; readonly verdict: completeness.Completeness }> {
     const { readAnswer, isSuperseded } = send.res;
+    const onSize = (bytes: number): Promise<void> | undefined => {
+      send.beginWatch?.close();
+      return readAnswer?.(bytes);
+    };
     try {
-      const bytes = await exchange.readAll(body, MAX_ANSWER_BYTES, readAnswer, isSuperseded);
+      const bytes = await exchange.readAll(body, MAX_ANSWER_BYTES, onSize, isSuperseded);
       return { body: bytes, verdict: await this.confirm(send, completeness.ofWhole(framing)) };
     } catch (err) {
       return { body: Buffer.alloc(0), verdict: completeness.broken(errors.messageOf(err)) };
@@ -477,6 +482,7 @@
             continue;
           // After an event without an id, no other run can be told where to go on.
           if (!e.isPartial && !e.isComment) p.lastEventId = e.id;
+          if (!e.isComment) send.beginWatch?.close();
           p.isEventOpen = e.isPartial;
           ready.push(e.bytes);
         }
@@ -484,7 +490,6 @@
         send.stream.recordArrival(ready.length, arrivedAt);
         if (isFirst) {
           isFirst = false;
-          send.beginWatch?.close();
           send.watchdog.answerBegan();
           send.grants.seat?.began(this.deps.clock.mono() - send.sentAt);
         }
--- a/src/serving/versions/usage.ts
+++ b/src/serving/versions/usage.ts
@@ -3,7 +3,7 @@
  * what it knows at the time of writing; what was checked before, such as at the grant of a seat, may be outdated by then. Pure.
  * @module
  */
-import type * as declared from "./declared.js";
+import * as declared from "./declared.js";
 
 /** Times in ms after which a newer version may have been declared. */
 export interface Limits {
@@ -26,33 +26,33 @@
   return { sendMs: SEND_FRACTION * versionMs, beginMs: BEGIN_FRACTION * versionMs };
 }
 
-/** Milliseconds from `now` for which a request may be sent on the version before the newest one; 0 if it may not. */
-export function olderForMs(d: declared.Declared | undefined, limits: Limits, now: number): number {
-  return d ? Math.max(0, d.notBefore + limits.sendMs - now) : Infinity;
-}
-
-/** What an endpoint daemon is told of the version before the newest one; undefined if it may not be used. */
-export function olderFor(
-  d: declared.Declared | undefined,
-  limits: Limits,
-  now: number,
-): { readonly version: number; readonly forMs: number } | undefined {
-  const forMs = olderForMs(d, limits, now);
-  return d && forMs > 0 ? { version: d.previous, forMs: Math.ceil(forMs) } : undefined;
-}
-
 /**
  * The oldest version on which a request may be sent at `now` that is expected to begin in `expectedMs`; 0 if none is declared.
  */
 export function oldestUsable(
-  d: declared.Declared | undefined,
+  known: declared.Declared | undefined,
   limits: Limits,
   now: number,
   expectedMs = 0,
 ): number {
-  if (!d) return 0;
-  const beginsInTime = now + expectedMs < d.notBefore + limits.beginMs;
-  return beginsInTime && olderForMs(d, limits, now) > 0 ? d.previous : d.version;
+  return declared.oldestSince(known, now - usableMs(limits, expectedMs));
+}
+
+/** Milliseconds after a newer version for which a request may be sent that is expected to begin in `expectedMs`. */
+function usableMs({ sendMs, beginMs }: Limits, expectedMs: number): number {
+  return Math.max(0, Math.min(sendMs, beginMs - expectedMs));
+}
+
+/** What an endpoint daemon is told of the version before the newest one; undefined if it may not be used. */
+export function olderFor(
+  known: declared.Declared | undefined,
+  limits: Limits,
+  now: number,
+  expectedMs = 0,
+): { readonly version: number; readonly forMs: number } | undefined {
+  if (!known) return undefined;
+  const forMs = Math.ceil(known.notBefore + usableMs(limits, expectedMs) - now);
+  return forMs > 0 ? { version: known.steps.at(-2)?.version ?? known.base, forMs } : undefined;
 }
 
 /**
@@ -60,11 +60,10 @@
  * negative if it is late.
  */
 export function beginsWithinMs(
-  d: declared.Declared | undefined,
+  known: declared.Declared | undefined,
   version: number | undefined,
   limits: Limits,
   now: number,
 ): number {
-  if (!d || (version !== undefined && version >= d.version)) return Infinity;
-  return d.notBefore + limits.beginMs - now;
+  return declared.outdatedSince(known, version ?? 0) + limits.beginMs - now;
 }
--- a/test/red.test.ts
+++ b/test/red.test.ts
@@ -8,6 +8,7 @@
 import * as soakSwitches from "../bench/red/soak-switches.js";
 import * as storeSwitches from "../bench/red/store-switches.js";
 import * as switches from "../bench/red/switches.js";
+import * as versionSwitches from "../bench/red/version-switches.js";
 
 const { expect } = chai;
 
@@ -16,6 +17,7 @@
   ...servingSwitches.SERVING_SWITCHES,
   ...answerSwitches.ANSWER_SWITCHES,
   ...continuationSwitches.CONTINUATION_SWITCHES,
+  ...versionSwitches.VERSION_SWITCHES,
   ...limiterSwitches.LIMITER_SWITCHES,
   ...sharingSwitches.SHARING_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -71,6 +71,7 @@
     "test-left": String(m.leftMs),
     ...(m.resumeAfter !== undefined && { "last-event-id": m.resumeAfter }),
     ...(m.team !== undefined && { "test-team": m.team }),
+    ...(m.version !== undefined && { "test-version": String(m.version) }),
   }),
   answeredRequestId: (h) => text(h["test-id"]),
   saysNotRun: (status, h) => status === 421 || text(h["test-not-run"]) !== undefined,
--- a/test/serving/versions/usage.test.ts
+++ b/test/serving/versions/usage.test.ts
@@ -9,7 +9,7 @@
 const LIMITS = usage.limitsOf(VERSION_MS);
 
 describe("the versions of an adapter that may be used", () => {
-  const known = declared.declare({ version: 1, previous: 0, notBefore: 0 }, 2, 1000);
+  const known = declared.declare(declared.declare(undefined, 1, -Infinity), 2, 1000);
 
   it("include the one before for a while, and begin within the time for a new version", () => {
     const at = (now: number): number => usage.oldestUsable(known, LIMITS, now);
@@ -24,6 +24,19 @@
     expect(usage.oldestUsable(undefined, LIMITS, 0)).equal(0);
   });
 
+  it("are told to an endpoint daemon for as long as a request that takes time to begin may be sent on them", () => {
+    const forMs = (expectedMs: number): number | undefined =>
+      usage.olderFor(known, LIMITS, 1500, expectedMs)?.forMs;
+    expect([0, 3500, 4500].map(forMs)).deep.equal([2000, 500, undefined]);
+    expect(usage.oldestUsable(known, LIMITS, 1500, 4500)).equal(2);
+  });
+
+  it("let a request on the first version begin no later because of a third one", () => {
+    const third = declared.declare(known, 3, 3400);
+    expect(usage.beginsWithinMs(third, 1, LIMITS, 3500)).equal(2000);
+    expect(usage.beginsWithinMs(third, 2, LIMITS, 3500)).equal(4400);
+  });
+
   // Guards against a newer version that starts the time of all older ones again.
   it("never include one that was outdated longer ago than a request may be sent", () => {
     const step = fc.record({
