--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -18,6 +18,7 @@
 import * as spreadSwitches from "./spread-switches.js";
 import * as storeSwitches from "./store-switches.js";
 import * as switches from "./switches.js";
+import * as versionSwitches from "./version-switches.js";
 
 const ROOT = new URL("../../../", import.meta.url).pathname;
 const TOGETHER = 4;
@@ -95,6 +96,7 @@
   ...servingSwitches.SERVING_SWITCHES,
   ...answerSwitches.ANSWER_SWITCHES,
   ...continuationSwitches.CONTINUATION_SWITCHES,
+  ...versionSwitches.VERSION_SWITCHES,
   ...crashSwitches.CRASH_SWITCHES,
   ...hedgingSwitches.HEDGING_SWITCHES,
   ...pacingSwitches.PACING_SWITCHES,
