--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -188,7 +188,9 @@
     const { version: held } = h;
     h.runs++;
     res.once("close", () => {
-      h.runs--;
+      // The adapter may have been replaced since, which took over its runs.
+      const current = this.adapters.get(adapter);
+      if (current) current.runs--;
       this.unloadIfIdle(adapter);
     });
     if (this.beginMs > 0) await timers.setTimeout(this.beginMs);
