--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -18,8 +18,6 @@
   readonly adapter: string;
   /** Milliseconds until its deadline. */
   readonly waitMs: number;
-  /** Newest version of the adapter that must be in force. */
-  readonly version: number;
   /** Milliseconds after which the caller disconnects; undefined if it waits for the answer. */
   readonly leaveMs: number | undefined;
   /** Name of a request that is sent repeatedly and crashes its workers; undefined for all others. */
@@ -129,8 +127,8 @@
 }
 
 /** What the record of a request has in common with its plan. */
-function plannedOf({ kind, path, adapter, parts, waitMs, version }: RequestPlan) {
-  return { kind, path, adapter, parts, waitMs, version };
+function plannedOf({ kind, path, adapter, parts, waitMs }: RequestPlan) {
+  return { kind, path, adapter, parts, waitMs };
 }
 
 function headersOf(wish: RequestPlan, id: string, key: string): Record<string, string> {
@@ -178,8 +176,8 @@
     const leftMs = Math.round(first.sentAt + first.waitMs - performance.now());
     const to = w.entry();
     if (!to || leftMs < MIN_LEFT_MS) break;
-    const { kind, path, adapter, parts, version, key } = first;
-    const plan = { kind, path, adapter, parts, version, key, waitMs: leftMs, leaveMs: undefined };
+    const { kind, path, adapter, parts, key } = first;
+    const plan = { kind, path, adapter, parts, key, waitMs: leftMs, leaveMs: undefined };
     const other = new undici.Client(`http://${to.address}`, { connect: { timeout: 1000 } });
     const next = await sendAttempt(w, other, to.name, plan, { first: first.id, after });
     await other.destroy();
--- a/bench/soak/disturbances.ts
+++ b/bench/soak/disturbances.ts
@@ -15,6 +15,9 @@
 /** Milliseconds for which a fault may show effects after its end: a host is back in contact after three seconds. */
 const AFTER_EFFECT_MS = 3500;
 
+/** End of the names under which disturbances of links to the store are recorded. */
+export const STORE_LINK = " to the store";
+
 /** Whether a disturbance that `which` selects was active, or had ended shortly before, between two times. */
 export function anyDisturbed(
   list: readonly Disturbance[],
@@ -29,3 +32,13 @@
 export function placeOf(instance: string): string {
   return instance.replace(/\.\d+$/, "");
 }
+
+/** Whether a disturbance is of a link between two parts. */
+export function isLink(d: Disturbance): boolean {
+  return d.kind.startsWith("link ") || d.on.endsWith(STORE_LINK);
+}
+
+/** Whether a daemon was only told to read its settings again, which keeps no host from being in touch. */
+export function isReload(d: Disturbance): boolean {
+  return d.kind === "settings changed";
+}
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -52,7 +52,8 @@
   return up.length === 0 ? undefined : d.draw.one(up);
 }
 
-function killFault(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
+/** A fault that kills one of some daemons, and starts it again. */
+export function killFault(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
   return {
     name: `${name} killed`,
     durationMs: [100, 1500],
@@ -71,7 +72,8 @@
   };
 }
 
-function freezeFault(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
+/** A fault that suspends one of some daemons. */
+export function freezeFault(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
   return {
     name: `${name} frozen`,
     durationMs: [200, 3000],
@@ -89,7 +91,8 @@
   };
 }
 
-function stopFault(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
+/** A fault that asks one of some daemons to stop, and starts it again. */
+export function stopFault(name: string, of: (s: site.Site) => readonly daemons.Daemon[]): Fault {
   return {
     name: `${name} asked to stop`,
     durationMs: [100, 500],
@@ -170,6 +173,13 @@
 
 /** Names of the adapters that callers request. */
 export const ADAPTERS = Array.from({ length: 14 }, (_, i) => `a${i + 1}`);
+
+/** Draws an adapter; a few of them get most of the requests. */
+export function drawAdapter(draw: Draw): string {
+  const n = Math.floor(draw.part() ** 3 * ADAPTERS.length);
+  return ADAPTERS[n] ?? "a1";
+}
+
 /** Paths of the routes that the operator adds and removes. */
 export const PATHS = ["/p1/", "/p2/", "/p3/"];
 
@@ -205,7 +215,7 @@
   kind: (typeof FATAL_KINDS)[number],
 ): Omit<caller.RequestPlan, "parts" | "fatal"> {
   const adapter = kind === "stream" ? d.draw.one(ADAPTERS) : "";
-  return { kind, path: FATAL_PATHS[kind], adapter, waitMs: 2500, version: 0, leaveMs: undefined };
+  return { kind, path: FATAL_PATHS[kind], adapter, waitMs: 2500, leaveMs: undefined };
 }
 
 /** Sends one request that crashes its workers repeatedly for a while, to any entry host. */
@@ -421,10 +431,16 @@
   },
 ];
 
+/** Declares a new version of an adapter as an operator does, and records it. */
+export function declare(d: Deps, adapter: string): void {
+  const version = d.site.declare(adapter);
+  d.history.declared.push({ adapter, version, at: performance.now() });
+}
+
 /** Makes a change as an operator does. It is not recorded as a disturbance, so it excuses nothing. */
 export function applyOperatorChange(d: Deps): void {
   if (d.draw.part() < 0.5) {
-    d.site.declare(d.draw.one(ADAPTERS));
+    declare(d, d.draw.one(ADAPTERS));
     return;
   }
   const path = d.draw.one(PATHS);
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -11,6 +11,7 @@
 import * as site from "./site.js";
 import * as software from "./software.js";
 import * as teams from "./teams.js";
+import * as versions from "./versions.js";
 
 /** Kinds of requests: streams and plain calls; those named `_once` may run at most once. */
 export type Kind = "stream" | "stream_once" | "call" | "call_once";
@@ -32,8 +33,6 @@
   readonly waitMs: number;
   readonly sentAt: number;
   readonly endedAt: number;
-  /** Newest version of the adapter that was declared at least {@link VERSION_MS} before it was sent. */
-  readonly version: number;
   /** The attempt that brought the first event of a stream, and the last event that its caller has, if it resumes one. */
   readonly resumed?: { readonly first: string; readonly after: number };
   readonly end:
@@ -66,6 +65,8 @@
   readonly kept: journals.Journal;
   readonly disturbances: disturbances.Disturbance[];
   readonly changes: Change[];
+  /** Versions of adapters that the operator declared, in the order of their declaration. */
+  readonly declared: versions.Declaration[];
   readonly teams: teams.Teams;
   /** Violations that the soak itself noticed, such as a daemon that ended by itself. */
   readonly faults: string[];
@@ -96,8 +97,8 @@
 const PART_CRASHES_UNTIL_KNOWN = 5;
 /** Further sends of such a request that are tolerated, as documented. */
 const TOLERATED_SENDS = 3;
-/** Milliseconds after the last of those crashes until all hosts must know of it. */
-const CONTACT_MS = 3000;
+/** Milliseconds without a disturbance after which a host is in touch, and until which it learns what the others know. */
+export const CONTACT_MS = 3000;
 /** Disturbances that are planned work and so may not interrupt a request. */
 const PLANNED_WORK = /asked to stop|settings changed/;
 /** Statuses that promise that the request did not run. */
@@ -111,16 +112,14 @@
 
 /** Whether the store, or a link to it, may have failed at some time in the interval. */
 export function storeDisturbed(h: History, from: number, to: number): boolean {
-  const isStore = (name: string): boolean => name === "store" || name.endsWith(STORE_LINK);
+  const isStore = (name: string): boolean =>
+    name === "store" || name.endsWith(disturbances.STORE_LINK);
   return disturbances.anyDisturbed(h.disturbances, from, to, (d) => isStore(d.on));
 }
 
-/** End of the names under which disturbances of links to the store are recorded. */
-const STORE_LINK = " to the store";
-
 /** Name under which disturbances of the link between a daemon and the store are recorded. */
 export function storeLink(daemon: string): string {
-  return `${daemon}${STORE_LINK}`;
+  return `${daemon}${disturbances.STORE_LINK}`;
 }
 
 /** Whether the text is the complete answer to the request. */
@@ -184,12 +183,7 @@
     return `was answered ${s.end.status} but ran`;
   },
   function version(s, runs, h) {
-    const old = runs.find((r) => r.adapter !== "" && r.version < s.version);
-    if (!old || outOfTouch(h, s.entry, s.sentAt - VERSION_MS, s.endedAt)) return undefined;
-    const isAtPlace = (d: disturbances.Disturbance): boolean => old.instance.startsWith(`${d.on}.`);
-    if (disturbances.anyDisturbed(h.disturbances, s.sentAt - VERSION_MS, s.endedAt, isAtPlace))
-      return undefined;
-    return `ran on version ${old.version}, though ${s.version} was declared long before`;
+    return versions.violation(h, s, runs);
   },
   function late(s, _runs, h) {
     if (s.end.kind === "left" || s.endedAt - s.sentAt < s.waitMs + LATE_TOLERANCE_MS)
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -47,7 +47,7 @@
 
 const MS_PER_MINUTE = 60_000;
 
-/** Number of random sequences reserved for each seed. */
+/** Distance of the first random sequences of two seeds; the later sequences of a seed are the first ones of the next. */
 const SEQUENCES_PER_SEED = 16;
 
 /** The `n`th random sequence of a seed. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -5,6 +5,7 @@
 import * as timers from "node:timers/promises";
 import * as workers from "../platform/worker.js";
 import * as caller from "./caller.js";
+import * as declarations from "./declarations.js";
 import * as faults from "./faults.js";
 import * as history from "./history.js";
 import * as site from "./site.js";
@@ -91,6 +92,15 @@
 const RESTART_ALL_INTERVAL_MS: readonly [number, number] = [1500, 5000];
 const RESTART_ALL_DRAWS = 16;
 const LONG_EVENT_MS = 300;
+/**
+ * The same for declarations of versions while endpoint daemons are disturbed, with the number of loops, and the milliseconds
+ * for which they go on without other faults: links and the store must be well for longer than a version may take.
+ */
+const DECLARE_SHARE = 0.5;
+const DECLARE_INTERVAL_MS: readonly [number, number] = [500, 3000];
+const DECLARE_LOOPS = 2;
+const DECLARE_DRAWS = 17;
+const DECLARE_ALONE_MS = 13_000;
 /** One in so many callers speaks HTTP/1.0. */
 const OLD_CALLER_INTERVAL = 6;
 /** Numbers of the random sequences for the API keys of requests, and for the operator's changes of keys and caps. */
@@ -121,10 +131,10 @@
     kept: s.journal,
     disturbances: [],
     changes: [],
+    declared: [],
     teams: teamState,
     faults: soakFaults,
   };
-  const declared: { adapter: string; version: number; at: number }[] = [];
   s.onWorkerCrash = (instance) => {
     const now = performance.now();
     h.disturbances.push({ kind: "request ends worker", on: instance, from: now, to: now });
@@ -138,7 +148,7 @@
   s.software = () => (isMixed ? version.one(VERSIONS) : VERSIONS[0]);
   await s.start();
   const stopCallers = new AbortController();
-  const world = createEnvironment(s, plan.draw, h, declared);
+  const world = createEnvironment(s, plan.draw, h);
   const deps = (n: number): faults.Deps => ({ site: s, draw: plan.draw(n), history: h, world });
   const callers = Array.from({ length: plan.callers }, (_, i) =>
     i % OLD_CALLER_INTERVAL === 0
@@ -146,9 +156,12 @@
       : caller.run(world, stopCallers.signal),
   );
   const until = performance.now() + plan.ms;
-  const all = [injectFaults(deps(1), until), changeConfiguration(deps(2), until, declared)];
+  const declaring = deps(DECLARE_DRAWS);
+  const declares = isInShare(declaring, DECLARE_SHARE);
+  const all = [injectFaults(deps(1), until), changeConfiguration(deps(2), until)];
   await Promise.all([
     ...all,
+    declares && declareRepeatedly(declaring, until),
     sendFatalRequests(deps(FATAL_DRAWS), until),
     sendFatalParts(deps(FATAL_PART_DRAWS), until),
     shedRepeatedly(deps(SHED_DRAWS), until),
@@ -160,6 +173,7 @@
     restartAllRepeatedly(deps(RESTART_ALL_DRAWS), until),
     changeTeams(s, teamState, plan.draw(TEAM_DRAWS), until),
   ]);
+  if (declares) await declareRepeatedly(declaring, performance.now() + DECLARE_ALONE_MS);
   await timers.setTimeout(CALM_MS);
   const recoveredAt = performance.now() - RECOVERED_MS;
   stopCallers.abort();
@@ -175,24 +189,20 @@
   s: site.Site,
   drawOf: Plan["draw"],
   h: history.History,
-  declared: readonly { adapter: string; version: number; at: number }[],
 ): caller.Environment {
   const [draw, keys, parts] = [drawOf(0), drawOf(KEY_DRAWS), drawOf(PART_DRAWS)];
   let count = 0;
   const nextRequest = (): caller.RequestPlan => {
     const kind = draw.one(["stream", "stream", "stream_once", "call", "call_once"] as const);
-    const adapter = kind.startsWith("stream") ? drawAdapter(draw) : "";
+    const adapter = kind.startsWith("stream") ? faults.drawAdapter(draw) : "";
     const extra = kind === "call" && draw.part() < 0.3;
     const path = extra ? draw.one(faults.PATHS) : PATH_OF[kind];
     const leaving = adapter === site.SLOW_ADAPTER ? SLOW_DISCONNECT_SHARE : DISCONNECT_SHARE;
-    const inForceBefore = performance.now() - history.VERSION_MS;
-    const versions = declared.filter((d) => d.adapter === adapter && d.at < inForceBefore);
     return {
       kind,
       adapter,
       path,
       waitMs: Math.round(draw.between(1500, 4000)),
-      version: Math.max(0, ...versions.map((d) => d.version)),
       leaveMs: draw.part() < leaving ? draw.between(10, 200) : undefined,
       parts: faults.drawParts(parts),
     };
@@ -217,12 +227,6 @@
   call_once: "/n/",
 };
 
-/** Draws an adapter; a few of them get most of the requests. */
-function drawAdapter(draw: Draw): string {
-  const n = Math.floor(draw.part() ** 3 * faults.ADAPTERS.length);
-  return faults.ADAPTERS[n] ?? "a1";
-}
-
 /** Starts faults until `until`, and resolves once the last one has ended. */
 async function injectFaults(d: faults.Deps, until: number): Promise<void> {
   const activeFaults = new Map<string, Promise<void>>();
@@ -346,6 +350,17 @@
   }
 }
 
+/** Declares versions while endpoint daemons are disturbed, repeatedly until `until`, in several loops at once. */
+async function declareRepeatedly(d: faults.Deps, until: number): Promise<void> {
+  const one = async (): Promise<void> => {
+    while (performance.now() < until) {
+      await declarations.declareUnderDisturbance(d, (fault) => inject(d, fault), until);
+      await timers.setTimeout(d.draw.between(...DECLARE_INTERVAL_MS));
+    }
+  };
+  await Promise.all(Array.from({ length: DECLARE_LOOPS }, one));
+}
+
 /** In some runs, lets the store be restored from a backup, repeatedly until `until`. */
 async function restoreRepeatedly(d: faults.Deps, until: number): Promise<void> {
   if (!isInShare(d, RESTORE_SHARE)) return;
@@ -371,19 +386,10 @@
   }
 }
 
-/** Makes the operator's other changes until `until`, and records the declared versions. */
-async function changeConfiguration(
-  d: faults.Deps,
-  until: number,
-  declared: { adapter: string; version: number; at: number }[],
-): Promise<void> {
+/** Makes the operator's other changes until `until`. */
+async function changeConfiguration(d: faults.Deps, until: number): Promise<void> {
   while (performance.now() < until) {
     await timers.setTimeout(d.draw.between(...OPERATOR_INTERVAL_MS));
-    const before = new Map(d.site.newest);
     faults.applyOperatorChange(d);
-    for (const [adapter, version] of d.site.newest) {
-      if (before.get(adapter) !== version)
-        declared.push({ adapter, version, at: performance.now() });
-    }
   }
 }
