--- a/bench/soak/disturbances.ts
+++ b/bench/soak/disturbances.ts
@@ -12,8 +12,8 @@
   to: number;
 }
 
-/** Milliseconds for which a fault may show effects after its end: a host is back in contact after three seconds. */
-const AFTER_EFFECT_MS = 3500;
+/** Milliseconds without a disturbance after which a host is in touch again, and until which it learns what the others know. */
+export const CONTACT_MS = 3000;
 
 /** End of the names under which disturbances of links to the store are recorded. */
 export const STORE_LINK = " to the store";
@@ -25,7 +25,7 @@
   to: number,
   which: (d: Disturbance) => boolean,
 ): boolean {
-  return list.some((d) => d.from < to && d.to + AFTER_EFFECT_MS > from && which(d));
+  return list.some((d) => d.from < to && d.to + CONTACT_MS > from && which(d));
 }
 
 /** The place of a worker: its instance name without the `.N` that counts the starts of workers. */
@@ -42,3 +42,13 @@
 export function isReload(d: Disturbance): boolean {
   return d.kind === "settings changed";
 }
+
+/** Whether a disturbance ended a worker or cut it off. */
+export function endsOrCutsOff(d: Disturbance): boolean {
+  return isLink(d) || /crashes|ends/.test(d.kind);
+}
+
+/** Whether a disturbance is of a worker, or of a link to its place. */
+export function isAtWorker(d: Disturbance, instance: string): boolean {
+  return d.on === instance || d.on === placeOf(instance);
+}
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -92,22 +92,42 @@
 const EARLY_TOLERANCE_MS = 60;
 /** Milliseconds after a caller's disconnect within which its worker must stop. */
 const CANCEL_MS = 900;
+/** Milliseconds after a caller's disconnect within which its request may still reach a worker. */
+const GONE_MS = 500;
 /** Worker crashes after which all hosts must know that a request, or a part of prompts, is fatal, as documented. */
 const CRASHES_UNTIL_KNOWN = 3;
 const PART_CRASHES_UNTIL_KNOWN = 5;
-/** Further sends of such a request that are tolerated, as documented. */
+/** Sends that are tolerated, as documented: of such a request, and after callers have disconnected. */
 const TOLERATED_SENDS = 3;
-/** Milliseconds without a disturbance after which a host is in touch, and until which it learns what the others know. */
-export const CONTACT_MS = 3000;
 /** Disturbances that are planned work and so may not interrupt a request. */
 const PLANNED_WORK = /asked to stop|settings changed/;
+/** Statuses that workers sign. */
+const SIGNED_STATUSES = new Set([200, 500]);
+/** Statuses with which a proper request may be refused; those of routes and keys have checks of their own. */
+const REFUSALS = new Set([401, 404, 408, 421, 429]);
 /** Statuses that promise that the request did not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
-/** Whether an entry daemon may have been unable to read the store or to run at some time in the interval. */
-export function outOfTouch(h: History, entry: string, from: number, to: number): boolean {
+/** Whether an entry daemon may have been unable to read the store or to run for some time before the interval, or in it. */
+export function outOfTouch(h: History, entry: string, from: number, to = from): boolean {
   const parts = new Set(["store", entry, storeLink(entry)]);
-  return disturbances.anyDisturbed(h.disturbances, from, to, (d) => parts.has(d.on));
+  const keepsOut = (d: disturbances.Disturbance): boolean =>
+    parts.has(d.on) && !disturbances.isReload(d);
+  return disturbances.anyDisturbed(h.disturbances, from, to, keepsOut);
+}
+
+/** Whether an entry daemon's process may not have run for some time before the interval, or in it. */
+function wasDisturbed(h: History, entry: string, from: number, to: number): boolean {
+  const keepsOut = (d: disturbances.Disturbance): boolean =>
+    d.on === entry && !disturbances.isReload(d);
+  return disturbances.anyDisturbed(h.disturbances, from, to, keepsOut);
+}
+
+/** Whether a link to a worker may have been harmed shortly before the interval, or in it. */
+function linkDisturbed(h: History, instance: string, from: number, to = from): boolean {
+  const harms = (d: disturbances.Disturbance): boolean =>
+    disturbances.isLink(d) && disturbances.isAtWorker(d, instance);
+  return disturbances.anyDisturbed(h.disturbances, from, to, harms);
 }
 
 /** Whether the store, or a link to it, may have failed at some time in the interval. */
@@ -155,7 +175,10 @@
   function whole(s, _runs, h) {
     if (s.end.kind === "broken" && !isBeginning(s, s.end.text))
       return "got bytes of another answer";
-    if (s.end.kind !== "answer" || s.end.status !== 200) return undefined;
+    if (s.end.kind !== "answer") return undefined;
+    if (s.end.by !== "" && !SIGNED_STATUSES.has(s.end.status))
+      return `got status ${s.end.status} with the signature of ${s.end.by}, which never gave it`;
+    if (s.end.status !== 200) return undefined;
     if (s.end.by === "") return "got status 200 without a worker's signature";
     // The connections of a killed process are closed normally, which an HTTP/1.0 caller can't tell from an end.
     const entryKilled = h.disturbances.some(
@@ -172,10 +195,17 @@
     return only && runs.length > 1 ? `ran ${runs.length} times` : undefined;
   },
   function attempts(s, runs, h) {
-    const ends = runs.some((r) =>
-      disturbances.anyDisturbed(h.disturbances, r.at, r.at + s.waitMs, (d) => d.on === r.instance),
+    const counted = runs.filter(
+      (r) =>
+        !h.disturbances.some(
+          (d) =>
+            disturbances.endsOrCutsOff(d) &&
+            disturbances.isAtWorker(d, r.instance) &&
+            d.from < s.endedAt &&
+            d.to > r.at,
+        ),
     );
-    return !ends && runs.length > ATTEMPTS[s.kind] ? `ran on ${runs.length} workers` : undefined;
+    return counted.length > ATTEMPTS[s.kind] ? `ran on ${counted.length} workers` : undefined;
   },
   function notRun(s, runs) {
     if (s.end.kind !== "answer" || !NOT_RUN_STATUSES.has(s.end.status) || runs.length === 0)
@@ -188,8 +218,7 @@
   function late(s, _runs, h) {
     if (s.end.kind === "left" || s.endedAt - s.sentAt < s.waitMs + LATE_TOLERANCE_MS)
       return undefined;
-    if (disturbances.anyDisturbed(h.disturbances, s.sentAt, s.endedAt, (d) => d.on === s.entry))
-      return undefined;
+    if (wasDisturbed(h, s.entry, s.sentAt, s.endedAt)) return undefined;
     return `ended after ${Math.round(s.endedAt - s.sentAt)} ms, with a deadline of ${s.waitMs} ms`;
   },
   function broken(s, runs, h) {
@@ -199,7 +228,8 @@
     // A stream is broken off at its deadline, since it must not look complete.
     if (s.endedAt - s.sentAt >= s.waitMs - EARLY_TOLERANCE_MS) return undefined;
     const struck = (d: disturbances.Disturbance): boolean =>
-      (d.on === s.entry && !PLANNED_WORK.test(d.kind)) || runs.some((r) => r.instance === d.on);
+      (d.on === s.entry && !PLANNED_WORK.test(d.kind)) ||
+      runs.some((r) => disturbances.isAtWorker(d, r.instance));
     return disturbances.anyDisturbed(h.disturbances, s.sentAt, s.endedAt, struck)
       ? undefined
       : `was interrupted: ${s.end.why}`;
@@ -209,7 +239,7 @@
     if (STATIC_PATHS.has(s.path)) return refused ? "got 404 for a static route" : undefined;
     const changes = h.changes.filter((c) => c.kind !== "leaving" && c.path === s.path);
     const pending = changes.some((c) => c.at >= s.sentAt - IN_FORCE_MS && c.at < s.endedAt);
-    if (pending || outOfTouch(h, s.entry, s.sentAt - IN_FORCE_MS, s.endedAt)) return undefined;
+    if (pending || outOfTouch(h, s.entry, s.sentAt, s.endedAt)) return undefined;
     const added = changes.filter((c) => c.at < s.sentAt).at(-1)?.kind === "route_added";
     if (added) return refused ? "got 404 for an added route" : undefined;
     return runs.length > 0 ? "ran on a route that does not exist" : undefined;
@@ -220,14 +250,25 @@
       ? `a worker was told a deadline of ${over.leftMs} ms instead of at most ${s.waitMs} ms`
       : undefined;
   },
-  function leaving(s, runs, h) {
-    for (const c of h.changes) {
-      if (c.kind !== "leaving") continue;
-      const late = runs.find((r) => r.instance === c.instance && r.at > c.at + IN_FORCE_MS);
-      if (late && !outOfTouch(h, s.entry, c.at, late.at))
-        return `ran on ${c.instance}, which was leaving`;
-    }
-    return undefined;
+  function denied(s) {
+    if (s.end.kind !== "answer" || s.end.by !== "") return undefined;
+    const { status } = s.end;
+    return status >= 300 && status < 500 && !REFUSALS.has(status) ? `got ${status}` : undefined;
+  },
+  function leaving(s, _runs, h) {
+    const late = h.kept.arrivals.find((a) => {
+      const told = h.changes.find((c) => c.kind === "leaving" && c.instance === a.instance);
+      return (
+        a.id === s.id &&
+        !a.isMisdirected &&
+        told !== undefined &&
+        a.at > told.at + IN_FORCE_MS &&
+        !storeDisturbed(h, told.at, told.at) &&
+        !linkDisturbed(h, a.instance, a.at) &&
+        !outOfTouch(h, s.entry, s.sentAt, a.at)
+      );
+    });
+    return late && `reached ${late.instance}, which was leaving`;
   },
   function key(s, runs, h) {
     return teams.keyViolation(h.teams, s, runs);
@@ -235,13 +276,12 @@
   function gone(s, runs, h) {
     if (s.end.kind !== "left") return undefined;
     const on = runs.find((r) => (r.endedAt ?? Infinity) > s.endedAt + CANCEL_MS);
+    const until = s.endedAt + CANCEL_MS;
     // A link that is cut in one direction delivers the bytes it held when the cut ends, to the worker then at that place.
-    const parts = new Set([s.entry, on?.instance, on && disturbances.placeOf(on.instance)]);
     if (
       !on ||
-      disturbances.anyDisturbed(h.disturbances, s.sentAt, s.endedAt + CANCEL_MS, (d) =>
-        parts.has(d.on),
-      )
+      wasDisturbed(h, s.entry, s.sentAt, until) ||
+      linkDisturbed(h, on.instance, s.sentAt, until)
     )
       return undefined;
     return `caller disconnected, but ${on.instance} kept working`;
@@ -281,10 +321,8 @@
   return causesOf(h.kept).flatMap(({ name, crashes, crashesUntilKnown, isIn }) => {
     const lastNeeded = crashes[crashesUntilKnown - 1];
     if (!lastNeeded) return [];
-    const knownAt = lastNeeded.at + CONTACT_MS;
-    const late = h.seen.filter(
-      (s) => isIn(s) && !outOfTouch(h, s.entry, s.sentAt - CONTACT_MS, s.endedAt),
-    );
+    const knownAt = lastNeeded.at + disturbances.CONTACT_MS;
+    const late = h.seen.filter((s) => isIn(s) && !outOfTouch(h, s.entry, s.sentAt, s.endedAt));
     const extraSends = late.flatMap((s) => runs.get(s.id) ?? []).filter((r) => r.at > knownAt);
     if (extraSends.length <= TOLERATED_SENDS) return [];
     return [
@@ -293,6 +331,22 @@
   });
 }
 
+/** One line if more than a few requests reached workers long after their callers had disconnected. */
+function sentAfterLeaving(h: History): readonly string[] {
+  const left = new Map(h.seen.flatMap((s) => (s.end.kind === "left" ? [[s.id, s]] : [])));
+  const late = h.kept.arrivals.filter((a) => {
+    const s = left.get(a.id);
+    return (
+      s !== undefined &&
+      a.at > s.endedAt + GONE_MS &&
+      !wasDisturbed(h, s.entry, s.sentAt, a.at) &&
+      !linkDisturbed(h, a.instance, a.at)
+    );
+  });
+  if (late.length <= TOLERATED_SENDS) return [];
+  return [`gone: ${late.length} requests reached workers after their callers had disconnected`];
+}
+
 /** One line for each broken promise; empty when all held. */
 export function violations(h: History): readonly string[] {
   const runs = new Map<string, journals.Run[]>();
@@ -311,16 +365,19 @@
       h.disturbances,
       from,
       to,
-      (d) => d.on === "store" || d.on.startsWith("entry"),
+      (d) => !disturbances.isReload(d) && (d.on === "store" || d.on.startsWith("entry")),
     );
   const beyond = teams.capViolations(h.teams, h.seen, runs, anyOutOfTouch);
-  const sent = h.seen.map((s) => ({ service: serviceOf(s), at: s.sentAt }));
+  // Requests without a route earn no retries.
+  const routed = h.seen.filter((s) => ending(s) !== "404");
+  const sent = routed.map((s) => ({ service: serviceOf(s), at: s.sentAt }));
   const retried = retries.budgetViolations(sent, h.kept.arrivals);
   return [
     ...h.faults,
     ...h.kept.faults,
     ...ran,
     ...fatalViolations(h, runs),
+    ...sentAfterLeaving(h),
     ...beyond,
     ...retried,
     ...notices.violations(h),
--- a/bench/soak/notices.ts
+++ b/bench/soak/notices.ts
@@ -26,14 +26,21 @@
     ),
     ...notices.pauseViolations(arrivals, sent, (entry, by, from, to) => {
       const parts = new Set([entry, disturbances.placeOf(by)]);
-      return !disturbances.anyDisturbed(h.disturbances, from, to, (d) => parts.has(d.on));
+      return !disturbances.anyDisturbed(
+        h.disturbances,
+        from,
+        to,
+        (d) => parts.has(d.on) && !disturbances.isReload(d),
+      );
     }),
   ];
 }
 
 /** Whether an entry daemon's process ran without interruption between two times: it was not ended or frozen. */
 function ranThroughout(h: history.History, entry: string, from: number, to: number): boolean {
-  return !h.disturbances.some((d) => d.on === entry && d.from < to && d.to > from);
+  return !h.disturbances.some(
+    (d) => d.on === entry && !disturbances.isReload(d) && d.from < to && d.to > from,
+  );
 }
 
 /** Whether an arrival counts against its worker's limit: its entry host had passed the limit on, and nothing excuses it. */
@@ -42,12 +49,17 @@
   if (entry === undefined) return false;
   const parts = new Set([entry, disturbances.placeOf(a.instance)]);
   if (
-    disturbances.anyDisturbed(h.disturbances, a.at - limits.LIMIT_GRACE_MS, a.at, (d) =>
-      parts.has(d.on),
+    disturbances.anyDisturbed(
+      h.disturbances,
+      a.at - limits.LIMIT_GRACE_MS,
+      a.at,
+      (d) => parts.has(d.on) && !disturbances.isReload(d),
     )
   )
     return false;
-  const before = h.disturbances.filter((d) => d.on === entry && d.to <= a.at).map((d) => d.to);
+  const before = h.disturbances
+    .filter((d) => d.on === entry && !disturbances.isReload(d) && d.to <= a.at)
+    .map((d) => d.to);
   const since = Math.max(0, ...before);
   return h.seen.some(
     (s) =>
--- a/bench/soak/software.ts
+++ b/bench/soak/software.ts
@@ -9,8 +9,6 @@
 /** Resumed streams from which on their share that goes on counts, and the least it may be of that of new streams that begin. */
 const MIN_RESUMED = 12;
 const MIN_SHARE = 0.5;
-/** Milliseconds without a disturbance after which a host counts as in touch. */
-const CONTACT_MS = 3000;
 
 /** One line for each stream with events of two versions, and one if too few resumed streams went on. */
 export function violations(h: history.History): readonly string[] {
@@ -54,7 +52,7 @@
 function resumptionViolations(h: history.History): readonly string[] {
   if (new Set(h.kept.runs.flatMap((r) => r.software ?? [])).size > 1) return [];
   const inTouch = h.seen.filter(
-    (s) => s.kind === "stream" && !history.outOfTouch(h, s.entry, s.sentAt - CONTACT_MS, s.endedAt),
+    (s) => s.kind === "stream" && !history.outOfTouch(h, s.entry, s.sentAt, s.endedAt),
   );
   const resumed = inTouch.filter((s) => s.resumed !== undefined);
   const share = (of: readonly history.RequestRecord[]): number =>
--- a/bench/soak/versions.ts
+++ b/bench/soak/versions.ts
@@ -25,7 +25,10 @@
     const sentOn = h.kept.arrivals.findLast(
       (a) => a.id === r.id && a.instance === r.instance && a.at <= r.at,
     );
-    if (!wasCalm(h, r.at - history.VERSION_MS, r.at) || !wasInTouch(h, s.entry, sentOn?.at ?? r.at))
+    if (
+      !wasCalm(h, r.at - history.VERSION_MS, r.at) ||
+      history.outOfTouch(h, s.entry, sentOn?.at ?? r.at)
+    )
       return [];
     return [
       `began on version ${r.version} of ${r.adapter} at ${r.instance}, ${Math.round(r.at - newer.at)} ms after ` +
@@ -41,15 +44,6 @@
     if (d.from >= to) return false;
     return disturbances.isLink(d)
       ? d.to > from
-      : d.on === "store" && d.to + history.CONTACT_MS > from;
+      : d.on === "store" && d.to + disturbances.CONTACT_MS > from;
   });
 }
-
-/** Whether an entry daemon ran undisturbed and reached the store for long enough before a moment. */
-function wasInTouch(h: history.History, entry: string, at: number): boolean {
-  const parts = new Set(["store", entry, history.storeLink(entry)]);
-  return !h.disturbances.some(
-    (d) =>
-      parts.has(d.on) && !disturbances.isReload(d) && d.from < at && d.to + history.CONTACT_MS > at,
-  );
-}
