--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -5,6 +5,7 @@
  */
 import type * as journals from "../platform/journal.js";
 import * as workers from "../platform/worker.js";
+import * as daemons from "./daemon.js";
 import * as disturbances from "./disturbances.js";
 import * as notices from "./notices.js";
 import * as retries from "./retries.js";
@@ -99,6 +100,10 @@
 const PART_CRASHES_UNTIL_KNOWN = 5;
 /** Sends that are tolerated, as documented: of such a request, and after callers have disconnected. */
 const TOLERATED_SENDS = 3;
+/** Milliseconds after SIGTERM up to which requests must be sent to be excused by the end of the grace period. */
+const SENT_IN_GRACE_MS = 3000;
+/** Part of the grace period after which a daemon may end what workers are still at work on. */
+const GRACE_PART = 5 / 6;
 /** Disturbances that are planned work and so may not interrupt a request. */
 const PLANNED_WORK = /asked to stop|settings changed/;
 /** Statuses that workers sign. */
@@ -168,6 +173,18 @@
   return workers.wholeEvents(s.end.text);
 }
 
+/** Whether a worker was still at work on a request at the end of the grace period of its entry daemon, which may then end it. */
+function outlastedGrace(h: History, s: RequestRecord, runs: readonly journals.Run[]): boolean {
+  return h.disturbances.some((d) => {
+    if (d.on !== s.entry || !d.kind.includes("asked to stop")) return false;
+    const mayEndAt = d.from + daemons.GRACE_MS * GRACE_PART;
+    return (
+      s.sentAt <= d.from + SENT_IN_GRACE_MS &&
+      runs.some((r) => (r.endedAt ?? Infinity) >= mayEndAt && s.endedAt >= mayEndAt)
+    );
+  });
+}
+
 /** Returns what is wrong with a request, or undefined. The function's name is the rule's name in the output. */
 type Check = (s: RequestRecord, runs: readonly journals.Run[], h: History) => string | undefined;
 
@@ -227,6 +244,7 @@
     if (runs.length === 0 && s.end.text === "") return undefined;
     // A stream is broken off at its deadline, since it must not look complete.
     if (s.endedAt - s.sentAt >= s.waitMs - EARLY_TOLERANCE_MS) return undefined;
+    if (outlastedGrace(h, s, runs)) return undefined;
     const struck = (d: disturbances.Disturbance): boolean =>
       (d.on === s.entry && !PLANNED_WORK.test(d.kind)) ||
       runs.some((r) => disturbances.isAtWorker(d, r.instance));
