--- a/bench/soak/disturbances.ts
+++ b/bench/soak/disturbances.ts
@@ -12,8 +12,11 @@
   to: number;
 }
 
-/** Milliseconds for which a fault may show effects after its end: a host is back in contact after three seconds. */
-const AFTER_EFFECT_MS = 3500;
+/** Milliseconds without a disturbance after which a host is in touch again, and until which it learns what the others know. */
+export const CONTACT_MS = 3000;
+
+/** End of the names under which disturbances of links to the store are recorded. */
+export const STORE_LINK = " to the store";
 
 /** Whether a disturbance that `which` selects was active, or had ended shortly before, between two times. */
 export function anyDisturbed(
@@ -22,10 +25,30 @@
   to: number,
   which: (d: Disturbance) => boolean,
 ): boolean {
-  return list.some((d) => d.from < to && d.to + AFTER_EFFECT_MS > from && which(d));
+  return list.some((d) => d.from < to && d.to + CONTACT_MS > from && which(d));
 }
 
 /** The place of a worker: its instance name without the `.N` that counts the starts of workers. */
 export function placeOf(instance: string): string {
   return instance.replace(/\.\d+$/, "");
 }
+
+/** Whether a disturbance is of a link between two parts. */
+export function isLink(d: Disturbance): boolean {
+  return d.kind.startsWith("link ") || d.on.endsWith(STORE_LINK);
+}
+
+/** Whether a daemon was only told to read its settings again, which keeps no host from being in touch. */
+export function isReload(d: Disturbance): boolean {
+  return d.kind === "settings changed";
+}
+
+/** Whether a disturbance ended a worker or cut it off. */
+export function endsOrCutsOff(d: Disturbance): boolean {
+  return isLink(d) || /crashes|ends/.test(d.kind);
+}
+
+/** Whether a disturbance is of a worker, or of a link to its place. */
+export function isAtWorker(d: Disturbance, instance: string): boolean {
+  return d.on === instance || d.on === placeOf(instance);
+}
