--- a/bench/origins/disturbances.ts
+++ b/bench/origins/disturbances.ts
@@ -41,6 +41,15 @@
   writesPerS: 3200 * (960 / 146),
   batch: 20,
 };
+/** About the site of `test/platform/resumed-streams.test.ts`. */
+export const FIXTURE: Site = {
+  ...SMALL,
+  name: "fixture",
+  entries: 3,
+  endpoints: 8,
+  perS: 18,
+  kinds: [{ part: 1, meanMs: 2080 }],
+};
 export const SITES: readonly Site[] = [
   SMALL,
   LARGE,
--- a/bench/origins/main.ts
+++ b/bench/origins/main.ts
@@ -5,6 +5,7 @@
  */
 import * as meow from "meow";
 import * as command from "../../src/cli/command.js";
+import * as batches from "./batches.js";
 import * as cost from "./cost.js";
 import * as disturbances from "./disturbances.js";
 import * as fleet from "./fleet.js";
@@ -115,3 +116,43 @@
   }
 }
 print(rows);
+
+/** Ways to write batches, and milliseconds to the first event. */
+const BATCH_WAYS: readonly batches.Way[] = [
+  { pace: "ticks", share: 0.05, from: "event", by: "entry" },
+  { pace: "delayed", share: 0.05, from: "event", by: "entry" },
+  { pace: "prompt", share: 0.05, from: "event", by: "entry" },
+  { pace: "saved", share: 0.05, from: "event", by: "entry" },
+  { pace: "saved", share: 0.1, from: "event", by: "entry" },
+  { pace: "saved", share: 0.2, from: "event", by: "entry" },
+  { pace: "delayed", share: 0.05, from: "send", by: "entry" },
+  { pace: "saved", share: 0.05, from: "send", by: "entry" },
+  { pace: "saved", share: 0.1, from: "send", by: "entry" },
+  { pace: "saved", share: 0.1, from: "send", by: "endpoint" },
+];
+const FIRST_EVENT_MS = [100, 300];
+
+const byWay = [
+  ["batches", "pace", "share", "from", "by", "event ms", "known", "ms", "batches/s", "keys/s"],
+];
+for (const s of [disturbances.FIXTURE, ...sites])
+  for (const way of BATCH_WAYS)
+    for (const ms of way.from === "send" ? FIRST_EVENT_MS : FIRST_EVENT_MS.slice(0, 1)) {
+      const load = batches.loadOf(s, way, ms);
+      const all = seeds.map((seed) => batches.play(load, way, seed));
+      const mean = (read: (o: batches.Outcome) => number): number =>
+        all.reduce((sum, o) => sum + read(o), 0) / all.length;
+      byWay.push([
+        s.name,
+        way.pace,
+        String(way.share),
+        way.from,
+        way.by,
+        String(ms),
+        mean((o) => o.known).toFixed(3),
+        mean((o) => o.meanMs).toFixed(0),
+        mean((o) => o.batches).toFixed(1),
+        mean((o) => o.keys).toFixed(1),
+      ]);
+    }
+print(byWay);
--- a/test/serving/continuation/origins-weighed.test.ts
+++ b/test/serving/continuation/origins-weighed.test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as batches from "../../../bench/origins/batches.js";
 import * as disturbances from "../../../bench/origins/disturbances.js";
 import * as fleet from "../../../bench/origins/fleet.js";
 
@@ -57,4 +58,17 @@
     const { share } = play("all daemons killed, resumed at once", { writeMs });
     expect(share).closeTo(written / open, 0.05);
   });
+
+  it("write by then what daemons as processes had written when all were killed", () => {
+    const share = 0.05;
+    const seen = [
+      [{ pace: "delayed", share, from: "event", by: "entry" }, 0.938],
+      [{ pace: "saved", share: 2 * share, from: "event", by: "entry" }, 1],
+    ] as const;
+    for (const [way, part] of seen) {
+      const load = batches.loadOf(disturbances.FIXTURE, way, 500);
+      const known = SEEDS.map((seed) => batches.play(load, way, seed).known);
+      expect(known.reduce((sum, k) => sum + k, 0) / SEEDS.length).closeTo(part, 0.03);
+    }
+  });
 });
