Test streams that go on after SIGTERM, and while their host is frozen

That streams go on at their version was tested with processes for hosts that were killed alone. The tests stop a host by SIGTERM and kill it 200 ms later, before its streams have ended, and freeze one whose callers hang up. At least half of the streams must go on at other hosts, none at another version.

--- a/test/platform/software-versions.test.ts
+++ b/test/platform/software-versions.test.ts
@@ -4,6 +4,7 @@
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
 import * as workers from "../../bench/platform/worker.js";
+import type * as daemons from "../../bench/soak/daemon.js";
 import * as soak from "../../bench/soak/site.js";
 import * as streamCaller from "./stream-caller.js";
 
@@ -23,6 +24,9 @@
 const CUT_AGAIN_AFTER_MS = 550;
 /** Milliseconds after which all hosts know that a worker leaves. */
 const LEAVING_KNOWN_MS = 1500;
+/** Milliseconds from SIGTERM to the kill of a host, and from its freeze until its callers hang up. */
+const STOPPED_MS = 200;
+const FROZEN_MS = 400;
 
 describe("streams before workers of two software versions", () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
@@ -52,30 +56,34 @@
     }
   }
 
+  /** Begins streams at entry host 0, whose callers may hang up. */
+  const beginAtFirst = (hangsUp?: AbortSignal): readonly Promise<streamCaller.Attempt>[] =>
+    Array.from({ length: STREAMS }, (_, n) => caller.send(0, adapterOf(n), undefined, hangsUp));
+
   /**
    * Streams of entry host 0, whose process is killed while they run; those that had brought an event. A worker of each version
    * leaves with it, so that many adapters move to others.
    */
   async function cutByKill(): Promise<readonly streamCaller.Attempt[]> {
-    const begun = await killDuring(0, CUT_AFTER_MS, () =>
-      Array.from({ length: STREAMS }, (_, n) => caller.send(0, adapterOf(n))),
-    );
+    const begun = await killDuring(0, CUT_AFTER_MS, beginAtFirst);
     for (const place of leavers()) site.leave(place);
     const cut = await Promise.all(begun);
     await timers.setTimeout(LEAVING_KNOWN_MS);
     return cut.filter((a) => streamCaller.isCut(a));
   }
 
-  /** Starts slow streams, and kills an entry host `ms` later. */
+  /** Starts slow streams, and kills an entry host `ms` later, or ends it otherwise. */
   async function killDuring(
     entry: number,
     ms: number,
     begin: () => readonly Promise<streamCaller.Attempt>[],
+    end = (d: daemons.Daemon): Promise<void> => d.kill(),
   ): Promise<readonly Promise<streamCaller.Attempt>[]> {
     for (const e of engines()) e.eventMs = SLOW_EVENT_MS;
     const begun = begin();
     await timers.setTimeout(ms);
-    await site.entries[entry]?.kill();
+    const host = site.entries[entry];
+    if (host) await end(host);
     for (const e of engines()) e.eventMs = soak.EVENT_MS;
     return begun;
   }
@@ -107,7 +115,10 @@
   afterEach(async () => {
     for (const e of engines()) e.behavior = "well";
     for (const place of leavers()) await site.restart(place, place.worker.instance);
-    for (const d of site.entries) d.start();
+    for (const d of site.entries) {
+      d.thaw();
+      d.start();
+    }
     await site.untilReady();
     await untilServed();
   });
@@ -160,6 +171,39 @@
     expect(wentOn(then)).least(cut.length / 2);
   }).timeout(40_000);
 
+  it("go on at the version that began them when their host was stopped and killed before they ended", async () => {
+    const begun = await killDuring(0, CUT_AFTER_MS, beginAtFirst, async (d) => {
+      const stopped = d.stop();
+      await timers.setTimeout(STOPPED_MS);
+      await d.kill();
+      await stopped;
+    });
+    const cut = (await Promise.all(begun)).filter(streamCaller.isCut);
+    const then = await takeUp(cut);
+    expect(cut.length).greaterThan(STREAMS / 2);
+    expect(mixed(cut, then)).deep.equal([]);
+    expect(wentOn(then)).least(cut.length / 2);
+  }).timeout(40_000);
+
+  it("go on at the version that began them while their host is frozen", async () => {
+    const callers = new AbortController();
+    const begun = await killDuring(
+      0,
+      CUT_AFTER_MS,
+      () => beginAtFirst(callers.signal),
+      async (d) => {
+        d.freeze();
+        await timers.setTimeout(FROZEN_MS);
+        callers.abort();
+      },
+    );
+    const cut = (await Promise.all(begun)).filter(streamCaller.isCut);
+    const then = await takeUp(cut);
+    expect(cut.length).greaterThan(STREAMS / 2);
+    expect(mixed(cut, then)).deep.equal([]);
+    expect(wentOn(then)).least(cut.length / 2);
+  }).timeout(40_000);
+
   it("are not run where nobody knows which version began them", async () => {
     const tries: streamCaller.Attempt[] = [];
     for (let n = 0; n < ADAPTERS; n++) {
--- a/test/platform/stream-caller.ts
+++ b/test/platform/stream-caller.ts
@@ -60,8 +60,13 @@
     private readonly opts: Options,
   ) {}
 
-  /** Sends one attempt to the `entry`th entry daemon; resolves when its connection has ended. */
-  async send(entry: number, adapter: string, on?: Resumed): Promise<Attempt> {
+  /** Sends one attempt to the `entry`th entry daemon; resolves when its connection has ended, or its caller hangs up. */
+  async send(
+    entry: number,
+    adapter: string,
+    on?: Resumed,
+    hangsUp?: AbortSignal,
+  ): Promise<Attempt> {
     const { prefix, waitMs, name } = this.opts;
     const id = `${name}${this.count++}`;
     const headers = {
@@ -76,6 +81,8 @@
     const { entries } = this.site;
     const address = entries[entry % entries.length]?.callers ?? "";
     const req = { version: "1.1", path: `${prefix}x`, headers, body: id } as const;
-    return { id, adapter, received: await rawCaller.send(address, req) };
+    // Node.js warns of many listeners to one signal.
+    const signal = hangsUp && AbortSignal.any([hangsUp]);
+    return { id, adapter, received: await rawCaller.send(address, req, signal) };
   }
 }
