Log a request's fields without spreading them

A line of the log spread two objects into one, which V8 does slowly: the line that ends each request, with its 28 fields, took 85 us of processor time, a twelfth of a call's. The fields are now assigned one by one, undefined ones left out as JSON leaves them out.

--- a/src/host/structured-log.ts
+++ b/src/host/structured-log.ts
@@ -40,14 +40,17 @@
       {
         log: (o) => {
           const [sentence, fields] = o.args as [string, Fields | undefined];
-          const line: Line = {
+          const line: Line & Record<string, unknown> = {
             at: clk.now().toISOString(),
             level: o.type,
             daemon,
             part: o.tag,
             msg: sentence,
           };
-          output.writeLine(JSON.stringify({ ...line, ...fields }));
+          // Spreading a second object with this many fields is slow in V8.
+          for (const [name, value] of Object.entries(fields ?? {}))
+            if (value !== undefined) line[name] = value;
+          output.writeLine(JSON.stringify(line));
         },
       },
     ],
