Make no error of an exchange that goes well

The end of each complete answer made an error for its head's promise, which had been resolved long before. Capturing the stack took about a twentieth of the processor time of a call (4.9 in 100 samples of a profile).

The new test fails on the old code: the error "the answer ended before its head" is made for a complete answer.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -56,6 +56,7 @@
   private rejectHead: (err: Error) => void = () => undefined;
   private settlePump: ((err: Error | undefined) => void) | undefined;
   private started = false;
+  private hasHead = false;
   private readonly onAbort = (): void => {
     this.abort();
   };
@@ -104,6 +105,7 @@
     if (!isFinal) return;
     // Nothing more is read until the head has been checked, so that a connection in doubt can still be closed.
     controller.pause();
+    this.hasHead = true;
     this.resolveHead({ status, headers: received });
   }
 
@@ -158,7 +160,8 @@
     this.ended = { err };
     this.signal.removeEventListener("abort", this.onAbort);
     this.unsubscribe();
-    this.rejectHead(err ?? new Error("the answer ended before its head"));
+    // An error captures its stack, too dear for each request that goes well.
+    if (!this.hasHead) this.rejectHead(err ?? new Error("the answer ended before its head"));
     this.settlePump?.(err);
   }
 }
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -32,6 +32,25 @@
 }
 
 describe("upstream", () => {
+  /* Guards against the cost of a stack trace for each request that goes well. */
+  it("makes no error of an answer that is complete", async () => {
+    const made: string[] = [];
+    const { Error: original } = globalThis;
+    class Counted extends original {
+      constructor(message?: string) {
+        super(message);
+        made.push(message ?? "");
+      }
+    }
+    globalThis.Error = Counted as ErrorConstructor;
+    try {
+      expect(await outcomeOf((s) => s.end(`${HEAD}content-length: 3\r\n\r\nabc`))).equal("abc");
+    } finally {
+      globalThis.Error = original;
+    }
+    expect(made).not.include("the answer ended before its head");
+  });
+
   it("takes an answer without a length as complete when its connection closes normally", async () => {
     expect(await outcomeOf((s) => s.end(`${HEAD}connection: close\r\n\r\nabc`))).equal("abc");
   });
