Close a connection whose answer's head or framing never ends

A worker in trouble may send a reason phrase, the size or the extension of a chunk, or informational answers without end. Callers got 504 at their deadline, and the entry daemon read on at full speed until then.

Cause: undici's parser passes over these bytes without a limit, and without an event that a limit could be kept by.

Change: `read-meter` counts at the socket what is read from a connection, and gives an allowance of 128 KiB anew after each request and each final head; each byte of a body gives back its own and 32 of framing. A connection beyond that is destroyed, which counts as the worker's failure like any connection that breaks. More than 64 informational answers end the answer as well.

--- a/src/host/connector.ts
+++ b/src/host/connector.ts
@@ -4,17 +4,22 @@
  */
 import type * as net from "node:net";
 import * as undici from "undici";
+import * as readMeter from "./read-meter.js";
 
 /** Error code that replaces those of a reset connection; undici does not know it. */
 const RESET_CODE = "SUMACFIELD_RESET";
 /** Bytes written to find out whether a connection was reset; HTTP servers ignore an empty line. */
 const PROBE = "\r\n";
+/** Most bytes of an answer's head with the informational answers before it, and of framing beyond that of its body. */
+const MAX_BARE_BYTES = 131_072;
 
 /**
  * Returns undici's connector, changed to tell a reset from a normal close. An answer without a length is complete only if
  * its connection closed normally, and two layers hide a reset: libuv reports a reset that arrives together with the last
  * bytes as an end, and undici treats a reset as the end of such an answer. So an end is passed on only after a write has
  * shown that the connection was not reset, and the error of a reset gets a code that undici does not know.
+ *
+ * A connection on which bytes arrive without end that are no body is destroyed; see {@link readMeter.ReadMeter}.
  */
 export function resetAware(
   opts: undici.buildConnector.BuildOptions,
@@ -30,6 +35,7 @@
         if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
       });
       probeAtEnd(socket);
+      new readMeter.ReadMeter(socket, MAX_BARE_BYTES);
       done(null, socket);
     });
   };
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type * as undici from "undici";
+import * as readMeter from "../host/read-meter.js";
 import type * as headers from "./headers.js";
 
 /** Consumes one chunk of a body; a returned promise pauses the sender until it resolves. */
@@ -20,13 +21,16 @@
 export interface Body {
   /** Passes each chunk on as it arrives; resolves at the end, and rejects if the answer breaks off. */
   readonly pump: (onChunk: ChunkHandler) => Promise<void>;
-  /** Gives the answer up and closes its connection. */
-  readonly abort: () => void;
+  /** Gives the answer up and closes its connection; `why` is the message of the error that `pump` then rejects with. */
+  readonly abort: (why?: string) => void;
 }
 
 /** Error message of an exchange that this side gave up. */
 const GIVEN_UP = "the request was given up";
 
+/** Most informational answers (1xx) before the final one. */
+const MAX_INFORMATIONAL = 64;
+
 /** Decides whether a request is withheld; it can be until its first byte is written. */
 export interface Gate {
   /** Whether the request may be written; called right before that, when a connection is ready. */
@@ -56,6 +60,8 @@
   private rejectHead: (err: Error) => void = () => undefined;
   private settlePump: ((err: Error | undefined) => void) | undefined;
   private started = false;
+  private informational = 0;
+  private meter: readMeter.ReadMeter | undefined;
   private readonly onAbort = (): void => {
     this.abort();
   };
@@ -101,13 +107,19 @@
     received: headers.Headers,
   ): void {
     const isFinal = status >= 200;
-    if (!isFinal) return;
+    if (!isFinal) {
+      if (++this.informational > MAX_INFORMATIONAL) this.abort("too many informational answers");
+      return;
+    }
+    this.meter = readMeter.current();
+    this.meter?.recordHead();
     // Nothing more is read until the head has been checked, so that a connection in doubt can still be closed.
     controller.pause();
     this.resolveHead({ status, headers: received });
   }
 
   onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.meter?.recordBody(chunk.length);
     if (this.onChunk) this.deliver(this.onChunk, chunk, controller);
     else this.buffered.push(chunk);
   }
@@ -133,9 +145,10 @@
     });
   }
 
-  abort(): void {
-    this.settle(new Error(GIVEN_UP));
-    this.controller?.abort(new Error(GIVEN_UP));
+  abort(why = GIVEN_UP): void {
+    const err = new Error(why);
+    this.settle(err);
+    this.controller?.abort(err);
   }
 
   /** Passes a chunk on, and pauses the connection while the consumer is busy. */
