Split a stream into events in one pass over its bytes

An event that never ends took up to 1 MB of held bytes, all of which were copied, and with a CR in them scanned, at each chunk; in chunks of a byte that is quadratic. A chunk of many small events was searched for a CR to its end at each event.

Change: `event-end` keeps what it needs across chunks (whether a line has just ended, and whether a CR is pending), so that each byte is looked at once. Held bytes lie in a buffer that doubles. Whether an event consists of comments is seen at its first other line.

--- a/src/serving/answers/event-splitter.ts
+++ b/src/serving/answers/event-splitter.ts
@@ -3,11 +3,13 @@
  * at another endpoint without lost or repeated events.
  * @module
  */
+import * as eventEnds from "./event-end.js";
 
 /** Most bytes of one event that are held back; a longer one is passed on in parts. */
 const MAX_EVENT_BYTES = 1_048_576;
 const LF = 0x0a;
 const CR = 0x0d;
+const COLON = 0x3a;
 const ID_LINE = "id:";
 /** Bytes that are held back of a longer event: all but the last byte of the longest end of an event, two CRLF. */
 const HELD_END_BYTES = 3;
@@ -24,7 +26,10 @@
 
 /** Splits chunks into events; keeps the beginning of an event that is still incomplete. */
 export class EventSplitter {
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly eventEnd = new eventEnds.EventEnd();
+  /** Bytes of an incomplete event, at the beginning of a buffer that grows with them. */
+  private held: Buffer = Buffer.alloc(0);
+  private heldBytes = 0;
   /** The event that is being passed on in parts. */
   private open: { readonly id: string | undefined } | undefined;
   private eventSeen = false;
@@ -36,72 +41,83 @@
 
   /** Adds a chunk and returns the events that it completes. */
   push(chunk: Buffer): readonly Event[] {
-    let unread = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const events: Event[] = [];
-    for (let end = eventEnd(unread); end > 0; end = eventEnd(unread)) {
-      const bytes = unread.subarray(0, end);
+    const lastCr = chunk.lastIndexOf(CR);
+    let start = 0;
+    for (;;) {
+      const end = this.eventEnd.find(chunk, start, lastCr >= start);
+      if (end < 0) break;
+      const bytes = this.take(chunk.subarray(start, end));
       const id = this.open ? this.open.id : idOf(bytes);
       // What remains of an event that was passed on in parts may look like a comment.
       const isComment = !this.open && id === undefined && isCommentary(bytes);
       this.open = undefined;
       events.push({ bytes, id, isComment, isPartial: false });
       this.eventSeen ||= !isCommentary(bytes);
-      unread = unread.subarray(end);
+      start = end;
     }
-    if (unread.length > MAX_EVENT_BYTES || (this.open && unread.length > HELD_END_BYTES)) {
+    if (start < chunk.length) this.hold(chunk.subarray(start));
+    if (this.heldBytes > (this.open ? HELD_END_BYTES : MAX_EVENT_BYTES)) {
+      const unread = this.take(Buffer.alloc(0));
       const bytes = unread.subarray(0, -HELD_END_BYTES);
       this.open ??= { id: idOf(bytes) };
       events.push({ bytes, id: this.open.id, isComment: false, isPartial: true });
-      unread = unread.subarray(-HELD_END_BYTES);
+      this.hold(unread.subarray(-HELD_END_BYTES));
     }
-    this.rest = unread;
     return events;
   }
 
+  /** Keeps bytes of an incomplete event. */
+  private hold(bytes: Buffer): void {
+    const size = this.heldBytes + bytes.length;
+    if (this.heldBytes === 0) {
+      this.held = bytes;
+    } else {
+      if (size > this.held.length) {
+        // Twice as large, so that each byte is copied a few times at most.
+        const larger = Buffer.allocUnsafe(2 * size);
+        this.held.copy(larger, 0, 0, this.heldBytes);
+        this.held = larger;
+      }
+      bytes.copy(this.held, this.heldBytes);
+    }
+    this.heldBytes = size;
+  }
+
+  /** Returns what was held, with `last` after it, and holds nothing any more. */
+  private take(last: Buffer): Buffer {
+    if (this.heldBytes === 0) return last;
+    if (last.length > 0) this.hold(last);
+    const bytes = this.remainder();
+    this.held = last.subarray(0, 0);
+    this.heldBytes = 0;
+    return bytes;
+  }
+
   /** Bytes after the last whole event, or after the last part of one. */
   remainder(): Buffer {
-    return this.rest;
+    return this.held.subarray(0, this.heldBytes);
   }
 
   /** Whether the stream would be cut if it ended now. Complete comments and blank lines may follow its last event. */
   isInsideEvent(): boolean {
     if (this.open) return true;
-    const last = this.rest.at(-1);
+    const rest = this.remainder();
+    const last = rest.at(-1);
     if (last === undefined) return false;
-    return (last !== LF && last !== CR) || !isCommentary(this.rest);
+    return (last !== LF && last !== CR) || !isCommentary(rest);
   }
 }
 
 /** Whether all lines are blank or comments. */
 function isCommentary(bytes: Buffer): boolean {
-  const lines = bytes.toString("latin1").split(/\r\n|\r|\n/);
-  return lines.every((line) => line === "" || line.startsWith(":"));
-}
-
-/** Offset after the first event and the blank line that ends it; 0 if the event is incomplete. */
-function eventEnd(bytes: Buffer): number {
-  if (bytes.includes(CR)) return eventEndOfAnyLines(bytes);
-  const at = bytes.indexOf("\n\n");
-  return at < 0 ? 0 : at + 2;
-}
-
-/** The same for lines that end with CR, LF or CRLF. */
-function eventEndOfAnyLines(bytes: Buffer): number {
-  let lineStart = 0;
-  let hasLoneCr = false;
-  for (let i = 0; i < bytes.length; i++) {
-    if (bytes[i] !== LF && bytes[i] !== CR) continue;
-    const isCrLf = bytes[i] === CR && bytes[i + 1] === LF;
-    const isLoneCr = bytes[i] === CR && !isCrLf;
-    // The LF of a CRLF may be in the next chunk, unless earlier lines have none.
-    if (isLoneCr && i === bytes.length - 1 && !hasLoneCr) return 0;
-    hasLoneCr ||= isLoneCr;
-    const next = isCrLf ? i + 2 : i + 1;
-    if (i === lineStart && lineStart > 0) return next;
-    lineStart = next;
-    i = next - 1;
+  for (let start = 0; start < bytes.length; start++) {
+    const first = bytes[start];
+    if (first === LF || first === CR) continue;
+    if (first !== COLON) return false;
+    while (start < bytes.length && bytes[start] !== LF && bytes[start] !== CR) start++;
   }
-  return 0;
+  return true;
 }
 
 /** Id of an event. Most events have it in their first line, so that line is read without parsing the others. */
