Break off streams that no sound worker sends

A worker in trouble may send one event, small events, comments, blank lines or chunks of a byte without end. Callers got these until the deadline, and calls to other services waited for seconds behind them.

Cause: all that comes was split and passed on, whatever its amount.

Change: `stream-bounds` (pure) knows the request's output tokens. A stream may have 4 events a token and 1,024 at once (4,096 if the tokens are not known), then 2,000 a second; 16,384 and 4 a token in all; 16 MiB and 4 KiB a token at once, then 4 MiB a second; and events of 8 MiB. Beyond that it is broken off, which counts as the worker's failure, and no more of its bytes are split. The connection is examined like any that breaks: a worker that still listens has not crashed, so nothing is suspected or quarantined.

A sound run has about one event a token, so it never has more than 4 a token at once, however long it was held back; one test sends runs of up to 100,000 tokens at once, and 1,500 events a second of unknown length.

--- a/src/serving/answers/event-splitter.ts
+++ b/src/serving/answers/event-splitter.ts
@@ -39,12 +39,15 @@
     return this.eventSeen;
   }
 
-  /** Adds a chunk and returns the events that it completes. */
-  push(chunk: Buffer): readonly Event[] {
+  /**
+   * Adds a chunk and returns the events that it completes. Stops after `maxEvents` events; a stream that has as many must be
+   * broken off.
+   */
+  push(chunk: Buffer, maxEvents = Infinity): readonly Event[] {
     const events: Event[] = [];
     const lastCr = chunk.lastIndexOf(CR);
     let start = 0;
-    for (;;) {
+    while (events.length < maxEvents) {
       const end = this.eventEnd.find(chunk, start, lastCr >= start);
       if (end < 0) break;
       const bytes = this.take(chunk.subarray(start, end));
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -14,6 +14,7 @@
 import * as ending from "./ending.js";
 import * as completeness from "./answers/completeness.js";
 import * as eventSplitter from "./answers/event-splitter.js";
+import * as streamBounds from "./answers/stream-bounds.js";
 import * as streamClock from "./pacing/stream-clock.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
@@ -429,12 +430,19 @@
   ): Promise<completeness.Completeness> {
     const { res, p } = send;
     const resumedAfter = p.lastEventId;
+    const bounds = new streamBounds.StreamBounds(send.req.meta.answerTokens, send.sentAt);
     let isFirst = true;
     try {
       await result.body.pump((chunk) => {
         const ready: Buffer[] = [];
         const arrivedAt = this.deps.clock.mono();
-        for (const e of splitter.push(chunk)) {
+        const events = splitter.push(chunk, bounds.maxEvents(arrivedAt));
+        const excess = bounds.receive(chunk.length, events, arrivedAt);
+        if (excess !== undefined) {
+          result.body.abort(excess);
+          return undefined;
+        }
+        for (const e of events) {
           if (p.hasResponseBegun && resumedAfter !== undefined && wasPassedOn(e.id, resumedAfter))
             continue;
           // After an event without an id, no other run can be told where to go on.
