End calls' answers in endless small chunks, and refusals and failures without end

A call whose worker sends chunks of a byte without end was answered 504 at its deadline, and the entry daemon kept a buffer for each chunk (12 such calls: 730 MB). A refusal or a failure whose body never ends held its request until the deadline too, though it may go elsewhere at once.

Cause: whole answers were bounded by their bytes alone, what is discarded and what a hedged call no longer needs by nothing.

Change: a body may come in 16,384 chunks and one more for each 16 bytes. Small chunks are copied into blocks. An answer that is discarded is read for at most 256 KiB, each chunk with 64 bytes of its own, and then its connection is closed. Unneeded answers of hedged calls have the bound of the others.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -6,6 +6,7 @@
  */
 import type * as undici from "undici";
 import * as readMeter from "../host/read-meter.js";
+import * as byteQueue from "./buffering/byte-queue.js";
 import type * as headers from "./headers.js";
 
 /** Consumes one chunk of a body; a returned promise pauses the sender until it resolves. */
@@ -31,6 +32,10 @@
 /** Most informational answers (1xx) before the final one. */
 const MAX_INFORMATIONAL = 64;
 
+/** Chunks of any size that a body may come in, and bytes of a body for each further one. */
+const SMALL_CHUNKS = 16_384;
+const TYPICAL_CHUNK_BYTES = 16;
+
 /** Decides whether a request is withheld; it can be until its first byte is written. */
 export interface Gate {
   /** Whether the request may be written; called right before that, when a connection is ready. */
@@ -177,9 +182,9 @@
 }
 
 /**
- * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes`. `onSize` is called with the
- * number of bytes read so far, and may return a promise that pauses the sender. Once `isUnwanted` holds, the body is read to
- * its end and nothing of it is kept.
+ * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes` or comes in too many small
+ * chunks. `onSize` is called with the number of bytes read so far, and may return a promise that pauses the sender. Once
+ * `isUnwanted` holds, the body is read to its end and nothing of it is kept.
  */
 export async function readAll(
   body: Body,
@@ -187,23 +192,31 @@
   onSize: (bytes: number) => Promise<void> | undefined = () => undefined,
   isUnwanted: () => boolean = () => false,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
+  const received = new byteQueue.ByteQueue();
   let size = 0;
+  let chunks = 0;
+  let excess: string | undefined;
   await body
     .pump((chunk) => {
+      size += chunk.length;
+      chunks++;
+      if (size > maxBytes) excess = `the answer is longer than ${maxBytes} bytes`;
+      else if (chunks > SMALL_CHUNKS + size / TYPICAL_CHUNK_BYTES)
+        excess = "the answer comes in too many small chunks";
+      if (excess !== undefined) {
+        body.abort(excess);
+        return undefined;
+      }
       if (isUnwanted()) {
-        chunks.length = 0;
+        received.takeAll();
         return undefined;
       }
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size <= maxBytes) return onSize(size);
-      body.abort();
-      return undefined;
+      received.push(chunk);
+      return onSize(size);
     })
     .catch((err: unknown) => {
-      if (size > maxBytes) throw new RangeError(`the answer is longer than ${maxBytes} bytes`);
+      if (excess !== undefined) throw new RangeError(excess);
       throw err;
     });
-  return Buffer.concat(chunks);
+  return received.takeAll();
 }
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -54,6 +54,9 @@
 const CONNECTION_SHARES = { service: 8, engine: 3 } as const;
 /** Most bytes of headers accepted from an endpoint. */
 const MAX_HEADER_BYTES = 65_536;
+/** Most bytes that are read of an answer which nobody needs, and what a chunk counts beside its own. */
+const MAX_DISCARD_BYTES = 262_144;
+const DISCARD_CHUNK_COST_BYTES = 64;
 const MISDIRECTED = 421;
 
 /** Connections to the endpoints, in one pool for each incarnation of an endpoint. */
@@ -171,10 +174,15 @@
   }
 }
 
-/** Reads and discards an answer, so that its connection can be reused. */
+/** Reads and discards an answer, so that its connection can be reused; a longer one has its connection closed. */
 export async function discard(body: exchange.Body): Promise<void> {
+  let size = 0;
   try {
-    await body.pump(() => undefined);
+    await body.pump((chunk) => {
+      size += chunk.length + DISCARD_CHUNK_COST_BYTES;
+      if (size > MAX_DISCARD_BYTES) body.abort();
+      return undefined;
+    });
   } catch {
     // The rest of the answer is not needed, and the error has closed the connection.
   }
--- a/test/serving/answers/endless-streams.test.ts
+++ b/test/serving/answers/endless-streams.test.ts
@@ -22,6 +22,7 @@
 const TOKENS = 80;
 
 const STREAMING = { ...fixtures.ROUTE, name: "streams", prefix: "/s/", kind: "stream" } as const;
+const CALLS = { ...fixtures.ROUTE, name: "calls", kind: "idempotent" } as const;
 const BAD = { ...fixtures.SERVICE, name: "bad" };
 
 /** A request with a deadline of its own. */
@@ -35,7 +36,7 @@
 }
 
 /** Sends requests to a worker in trouble, and calls to a sound service beside them. */
-async function serveBeside(answer: endless.Answer) {
+async function serveBeside(answer: endless.Answer, route: catalog.Route) {
   const bad = await endlessThread.start(answer);
   const sound = await fixtures.worker((_req, res) => res.writeHead(200, fixtures.good()).end("x"));
   const services = new Map([fixtures.SERVICE, BAD].map((s) => [s.name, s]));
@@ -54,7 +55,7 @@
   const sendBad = async (): Promise<void> => {
     const { response, seen } = dispatcherFixture.recorded();
     const sentAt = performance.now();
-    await setup.dispatcher.serve(request({ service, route: STREAMING }), response);
+    await setup.dispatcher.serve(request({ service, route }), response);
     badMs.push(performance.now() - sentAt);
     endings.push(seen.at(-1) ?? "");
   };
@@ -93,7 +94,7 @@
 describe("a stream without end", () => {
   for (const [name, answer] of Object.entries(endless.STREAMS)) {
     it(`is broken off as its worker's failure, and others are served, when it repeats ${name}`, async () => {
-      const got = await serveBeside(answer);
+      const got = await serveBeside(answer, STREAMING);
       expect(new Set(got.endings)).not.include("end");
       expect(got.longestMs).below(DEADLINE_MS / 2);
       expect(Math.min(...got.failures)).above(0.5);
@@ -102,6 +103,17 @@
   }
 });
 
+describe("a call's answer without end", () => {
+  for (const [name, answer] of Object.entries(endless.BODIES)) {
+    it(`is not read until the deadline, and others are served, when it repeats ${name}`, async () => {
+      const got = await serveBeside(answer, CALLS);
+      expect(new Set(got.endings)).not.include("answer 200");
+      expect(got.longestMs).below(DEADLINE_MS / 2);
+      expect([got.served, got.p99Ms < SOUND_P99_MS]).deep.equal([SOUND_CALLS, true]);
+    }).timeout(20_000);
+  }
+});
+
 describe("the bounds of a stream", () => {
   const event = (bytes: number, isPartial = false): eventSplitter.Event => ({
     bytes: Buffer.alloc(bytes),
--- a/test/serving/endless.ts
+++ b/test/serving/endless.ts
@@ -38,6 +38,17 @@
   "chunks of one byte": { first: CHUNKED, then: "1\r\nx\r\n" },
 };
 
+const NOT_RUN = "HTTP/1.1 503 Full\r\ntest-id: r1\r\ntest-not-run: 1\r\nconnection: close\r\n\r\n";
+const FAILED = "HTTP/1.1 500 Failed\r\ntest-id: r1\r\nconnection: close\r\n\r\n";
+
+/** Answers to calls whose body never ends. */
+export const BODIES: Readonly<Record<string, Answer>> = {
+  "the body of a success": { first: EVENTS, then: "x" },
+  "chunks of one byte": { first: CHUNKED, then: "1\r\nx\r\n" },
+  "the body of a refusal": { first: NOT_RUN, then: "x" },
+  "the body of a failure": { first: FAILED, then: "x" },
+};
+
 /** Starts a worker that answers without end until its connection is closed; counts the connections that are open. */
 export async function worker({ first, then }: Answer) {
   const open = new Set<net.Socket>();
