--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -5,6 +5,8 @@
  * @module
  */
 import type * as undici from "undici";
+import * as readMeter from "../host/read-meter.js";
+import * as byteQueue from "./buffering/byte-queue.js";
 import type * as headers from "./headers.js";
 
 /** Consumes one chunk of a body; a returned promise pauses the sender until it resolves. */
@@ -20,13 +22,24 @@
 export interface Body {
   /** Passes each chunk on as it arrives; resolves at the end, and rejects if the answer breaks off. */
   readonly pump: (onChunk: ChunkHandler) => Promise<void>;
-  /** Gives the answer up and closes its connection. */
-  readonly abort: () => void;
+  /** Gives the answer up and closes its connection; `why` is the message of the error that `pump` then rejects with. */
+  readonly abort: (why?: string) => void;
 }
 
 /** Error message of an exchange that this side gave up. */
 const GIVEN_UP = "the request was given up";
 
+/** Most informational answers (1xx) before the final one. */
+const MAX_INFORMATIONAL = 64;
+
+/** Bytes of an answer after which other connections get their turn, and what a chunk counts beside its own. */
+const TURN_BYTES = 32_768;
+const CHUNK_COST_BYTES = 128;
+
+/** Chunks of any size that a body may come in, and bytes of a body for each further one. */
+const SMALL_CHUNKS = 16_384;
+const TYPICAL_CHUNK_BYTES = 16;
+
 /** Decides whether a request is withheld; it can be until its first byte is written. */
 export interface Gate {
   /** Whether the request may be written; called right before that, when a connection is ready. */
@@ -57,6 +70,12 @@
   private settlePump: ((err: Error | undefined) => void) | undefined;
   private started = false;
   private hasHead = false;
+  private informational = 0;
+  /** Bytes delivered since the last pause for others. */
+  private burstBytes = 0;
+  /** Reasons for which the connection is paused. */
+  private holds = 0;
+  private meter: readMeter.ReadMeter | undefined;
   private readonly onAbort = (): void => {
     this.abort();
   };
@@ -102,7 +121,12 @@
     received: headers.Headers,
   ): void {
     const isFinal = status >= 200;
-    if (!isFinal) return;
+    if (!isFinal) {
+      if (++this.informational > MAX_INFORMATIONAL) this.abort("too many informational answers");
+      return;
+    }
+    this.meter = readMeter.current();
+    this.meter?.recordHead();
     // Nothing more is read until the head has been checked, so that a connection in doubt can still be closed.
     controller.pause();
     this.hasHead = true;
@@ -110,6 +134,7 @@
   }
 
   onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.meter?.recordBody(chunk.length);
     if (this.onChunk) this.deliver(this.onChunk, chunk, controller);
     else this.buffered.push(chunk);
   }
@@ -135,22 +160,38 @@
     });
   }
 
-  abort(): void {
-    this.settle(new Error(GIVEN_UP));
-    this.controller?.abort(new Error(GIVEN_UP));
+  abort(why = GIVEN_UP): void {
+    const err = new Error(why);
+    this.settle(err);
+    this.controller?.abort(err);
   }
 
-  /** Passes a chunk on, and pauses the connection while the consumer is busy. */
+  /**
+   * Passes a chunk on, and pauses the connection while the consumer is busy. A fast answer is also paused until the event loop has
+   * turned, so that it takes no more of a turn than others.
+   */
   private deliver(
     onChunk: ChunkHandler,
     chunk: Buffer,
     controller: undici.Dispatcher.DispatchController | undefined,
   ): void {
     const drained = onChunk(chunk);
-    if (!drained) return;
+    if (drained) this.hold(drained, controller);
+    this.burstBytes += chunk.length + CHUNK_COST_BYTES;
+    if (this.burstBytes < TURN_BYTES) return;
+    this.burstBytes = 0;
+    this.hold(new Promise((resolve) => setImmediate(resolve)), controller);
+  }
+
+  /** Pauses the connection until `until` resolves. */
+  private hold(
+    until: Promise<void>,
+    controller: undici.Dispatcher.DispatchController | undefined,
+  ): void {
+    this.holds++;
     controller?.pause();
-    void drained.then(() => {
-      controller?.resume();
+    void until.then(() => {
+      if (--this.holds === 0) controller?.resume();
     });
   }
 
@@ -167,9 +208,9 @@
 }
 
 /**
- * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes`. `onSize` is called with the
- * number of bytes read so far, and may return a promise that pauses the sender. Once `isUnwanted` holds, the body is read to
- * its end and nothing of it is kept.
+ * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes` or comes in too many small
+ * chunks. `onSize` is called with the number of bytes read so far, and may return a promise that pauses the sender. Once
+ * `isUnwanted` holds, the body is read to its end and nothing of it is kept.
  */
 export async function readAll(
   body: Body,
@@ -177,23 +218,31 @@
   onSize: (bytes: number) => Promise<void> | undefined = () => undefined,
   isUnwanted: () => boolean = () => false,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
+  const received = new byteQueue.ByteQueue();
   let size = 0;
+  let chunks = 0;
+  let excess: string | undefined;
   await body
     .pump((chunk) => {
+      size += chunk.length;
+      chunks++;
+      if (size > maxBytes) excess = `the answer is longer than ${maxBytes} bytes`;
+      else if (chunks > SMALL_CHUNKS + size / TYPICAL_CHUNK_BYTES)
+        excess = "the answer comes in too many small chunks";
+      if (excess !== undefined) {
+        body.abort(excess);
+        return undefined;
+      }
       if (isUnwanted()) {
-        chunks.length = 0;
+        received.takeAll();
         return undefined;
       }
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size <= maxBytes) return onSize(size);
-      body.abort();
-      return undefined;
+      received.push(chunk);
+      return onSize(size);
     })
     .catch((err: unknown) => {
-      if (size > maxBytes) throw new RangeError(`the answer is longer than ${maxBytes} bytes`);
+      if (excess !== undefined) throw new RangeError(excess);
       throw err;
     });
-  return Buffer.concat(chunks);
+  return received.takeAll();
 }
