Bound what hosts send to an engine without seats by its connections

A host may use a third of an engine's connections because seats bound what all hosts send; with the endpoint daemon away nothing did, so from four hosts on an engine could reset connections, which ends requests that may not be repeated with 502. Change: without a seat, a host keeps to its part of the engine's connections in flight; the rest goes elsewhere.

--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -11,6 +11,7 @@
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as incarnation from "./incarnation.js";
 import type * as link from "./link.js";
+import * as seatless from "./overload/seatless.js";
 import * as steady from "./pacing/steady.js";
 import type * as progress from "./progress.js";
 import * as search from "./search.js";
@@ -264,6 +265,12 @@
       case "unreachable":
         if (signal.aborted) return { kind: "elsewhere" };
         p.why = "the endpoint daemon is unreachable";
+        if (best.view.inFlight >= this.maxSeatless(a)) {
+          p.why =
+            "the endpoint daemon is unreachable, and enough was sent to its engine without a seat";
+          p.triedEndpoints.add(endpoint.id);
+          return { kind: "elsewhere" };
+        }
         // The engine may still have the adapter, and refuses a request for one that it does not have.
         if (choice.adapterState(best.view, key) === "resident" && this.isCertainStart(a, endpoint))
           return { kind: "seatless", version: this.versionWithoutSeat(a, best.view, key) };
@@ -272,6 +279,11 @@
     }
   }
 
+  /** Requests that this host may have in flight to an engine whose daemon is away. */
+  private maxSeatless({ service }: callerRequest.CallerRequest): number {
+    return seatless.maxInFlight(service.connections, this.deps.endpoints.mostHosts());
+  }
+
   /**
    * The version that a request without a seat expects at an engine: the one that the engine has by its last holdings, or the
    * newest one if that is not known. The engine runs it on no other.
