--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -32,10 +32,6 @@
 /** Most informational answers (1xx) before the final one. */
 const MAX_INFORMATIONAL = 64;
 
-/** Bytes of an answer after which other connections get their turn, and what a chunk counts beside its own. */
-const TURN_BYTES = 32_768;
-const CHUNK_COST_BYTES = 128;
-
 /** Chunks of any size that a body may come in, and bytes of a body for each further one. */
 const SMALL_CHUNKS = 16_384;
 const TYPICAL_CHUNK_BYTES = 16;
@@ -71,10 +67,6 @@
   private started = false;
   private hasHead = false;
   private informational = 0;
-  /** Bytes delivered since the last pause for others. */
-  private burstBytes = 0;
-  /** Reasons for which the connection is paused. */
-  private holds = 0;
   private meter: readMeter.ReadMeter | undefined;
   private readonly onAbort = (): void => {
     this.abort();
@@ -166,32 +158,17 @@
     this.controller?.abort(err);
   }
 
-  /**
-   * Passes a chunk on, and pauses the connection while the consumer is busy. A fast answer is also paused until the event loop has
-   * turned, so that it takes no more of a turn than others.
-   */
+  /** Passes a chunk on, and pauses the connection while the consumer is busy. */
   private deliver(
     onChunk: ChunkHandler,
     chunk: Buffer,
     controller: undici.Dispatcher.DispatchController | undefined,
   ): void {
     const drained = onChunk(chunk);
-    if (drained) this.hold(drained, controller);
-    this.burstBytes += chunk.length + CHUNK_COST_BYTES;
-    if (this.burstBytes < TURN_BYTES) return;
-    this.burstBytes = 0;
-    this.hold(new Promise((resolve) => setImmediate(resolve)), controller);
-  }
-
-  /** Pauses the connection until `until` resolves. */
-  private hold(
-    until: Promise<void>,
-    controller: undici.Dispatcher.DispatchController | undefined,
-  ): void {
-    this.holds++;
+    if (!drained) return;
     controller?.pause();
-    void until.then(() => {
-      if (--this.holds === 0) controller?.resume();
+    void drained.then(() => {
+      controller?.resume();
     });
   }
 
