Bound answers of an engine and the store, and lines of a link

An engine's answer without end was read at full speed until the timeout of each poll (160 ms, 20 to 90 MB), one of the store for 1.2 s (380 MB) and kept; a store that repeats a page was asked on without end. A line of a link in many small pieces was searched from its beginning at each piece.

`json-lines` searches only what has come new; its limit of a line is as it was.

--- a/src/host/connector.ts
+++ b/src/host/connector.ts
@@ -54,3 +54,24 @@
     return true;
   };
 }
+
+/**
+ * Returns undici's connector for calls whose answers are read whole. A connection on which more than `maxBytes` arrive for one
+ * request, in whatever part of an answer, is destroyed.
+ */
+export function bounded(
+  opts: undici.buildConnector.BuildOptions,
+  maxBytes: number,
+): undici.buildConnector.connector {
+  const connect = undici.buildConnector(opts);
+  return (target, done) => {
+    connect(target, (...[err, socket]) => {
+      if (err) {
+        done(err, null);
+        return;
+      }
+      new readMeter.ReadMeter(socket, maxBytes);
+      done(null, socket);
+    });
+  };
+}
--- a/src/serving/json-lines.ts
+++ b/src/serving/json-lines.ts
@@ -38,7 +38,9 @@
   schema: zod.ZodType<In>,
   on: Handlers<In>,
 ): Channel<Out> {
-  let rest = "";
+  /** Pieces of a line that has not ended, and their length together. */
+  let pieces: string[] = [];
+  let piecesLength = 0;
   let why = "closed by peer";
   let byPeer = true;
   socket.setNoDelay(true);
@@ -46,9 +48,17 @@
   socket.setKeepAlive(true, KEEP_ALIVE_MS);
   socket.setEncoding("utf8");
   socket.on("data", (chunk: string) => {
-    const lines = (rest + chunk).split("\n");
-    rest = lines.pop() ?? "";
-    if (rest.length > LINE_LIMIT) {
+    // Only the chunk is searched, so that a line in many pieces costs no more than its length.
+    const lines = chunk.split("\n");
+    const rest = lines.pop() ?? "";
+    if (lines.length > 0) {
+      lines[0] = pieces.join("") + (lines[0] ?? "");
+      pieces = [];
+      piecesLength = 0;
+    }
+    pieces.push(rest);
+    piecesLength += rest.length;
+    if (piecesLength > LINE_LIMIT) {
       why = "line too long";
       socket.destroy();
       return;
--- a/test/serving/endless.ts
+++ b/test/serving/endless.ts
@@ -52,10 +52,14 @@
 /** Starts a worker that answers without end until its connection is closed; counts the connections that are open. */
 export async function worker({ first, then }: Answer) {
   const open = new Set<net.Socket>();
+  let sentBytes = 0;
   const block = Buffer.from(then.repeat(Math.ceil(BLOCK_BYTES / then.length)));
   const { address, close } = await fixtures.rawWorker((socket) => {
     open.add(socket);
-    socket.once("close", () => open.delete(socket));
+    socket.once("close", () => {
+      sentBytes += socket.bytesWritten;
+      open.delete(socket);
+    });
     const flood = (): void => {
       while (!socket.destroyed && socket.write(block));
     };
@@ -66,6 +70,8 @@
   return {
     address,
     openConnections: (): number => open.size,
+    /** Bytes sent on connections that are closed. */
+    sentBytes: (): number => sentBytes,
     close: (): void => {
       close();
       for (const socket of open) socket.destroy();
