Close callers' connections that bring bytes without end

Headers, trailers and a long extension were bounded already (431, 400).

Change: `caller-meter` samples the open connections each 100 ms and closes one that has brought more than 128 KiB and 8 bytes for each byte of the largest body since its last request began. A body in chunks of a byte takes 6.

Twenty bodies of the largest size in chunks of a byte are served on one connection.

--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -9,6 +9,7 @@
 import type * as structuredLog from "../host/structured-log.js";
 import type * as authentication from "./authentication.js";
 import * as bodyReader from "./buffering/body-reader.js";
+import * as callerMeter from "./buffering/caller-meter.js";
 import * as hold from "./buffering/hold.js";
 import type * as memory from "./buffering/memory.js";
 import type * as caps from "./caps.js";
@@ -97,6 +98,7 @@
   private activeRequests = 0;
   private onIdle: (() => void) | undefined;
   private readonly lagMonitor: lagMonitor.LagMonitor;
+  private readonly meter: callerMeter.CallerMeter;
 
   constructor(
     listener: earlyListener.EarlyListener,
@@ -104,8 +106,10 @@
   ) {
     this.server = listener.server;
     this.lagMonitor = new lagMonitor.LagMonitor(deps);
+    this.meter = new callerMeter.CallerMeter(deps);
     this.server.on("connection", (socket) => {
       this.lagMonitor.recordAccept(socket);
+      this.meter.watch(socket);
     });
     listener.setHandler((req, res) => {
       this.onRequest(req, res);
@@ -126,6 +130,7 @@
   configure(limits: catalog.Limits): void {
     this.server.keepAliveTimeout = limits.idleMs;
     this.server.headersTimeout = limits.headersMs;
+    this.meter.configure(limits.bodyBytes);
   }
 
   /** Closes each kept-alive connection after its next response, so that its caller connects to another host. */
@@ -147,6 +152,7 @@
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
     this.activeRequests++;
     this.lagMonitor.requestOpened();
+    this.meter.recordRequest(req.socket);
     res.once("close", () => {
       this.activeRequests--;
       this.lagMonitor.requestClosed();
