Name the pace of the log of streams by its unit

Cause: its name was one of the platform's field names, which nothing outside platform/ may use. Change: a rename, by the compiler.

--- a/bench/origins/batches.ts
+++ b/bench/origins/batches.ts
@@ -93,7 +93,7 @@
     case "prompt":
       return { next: (now, last) => Math.max(now, last + 1000 / shared), take };
     case "saved": {
-      const rate = logPace.ratePerS(l.hosts, l.writesPerS, way.share);
+      const rate = logPace.batchesPerS(l.hosts, l.writesPerS, way.share);
       let left: tokenBucket.Bucket | undefined;
       return {
         next: (now) => {
--- a/src/serving/continuation/log-pace.ts
+++ b/src/serving/continuation/log-pace.ts
@@ -18,7 +18,7 @@
 const RETRY_S = 0.25;
 
 /** Batches a second of one host, by the number of entry hosts and the calls that the store takes a second. */
-export function ratePerS(
+export function batchesPerS(
   hosts: number | undefined,
   writesPerS: number,
   share = WRITE_SHARE,
--- a/src/serving/continuation/stream-log.ts
+++ b/src/serving/continuation/stream-log.ts
@@ -118,7 +118,7 @@
 
   private takeBatch(): logPace.Taken {
     const { clock: clk, hostCount, writesPerS } = this.deps;
-    return logPace.take(this.left, logPace.ratePerS(hostCount(), writesPerS), clk.steady());
+    return logPace.take(this.left, logPace.batchesPerS(hostCount(), writesPerS), clk.steady());
   }
 
   private async writeBatch(): Promise<void> {
--- a/test/serving/continuation/stream-log.test.ts
+++ b/test/serving/continuation/stream-log.test.ts
@@ -36,7 +36,7 @@
       [undefined, 20_000, 4],
     ] as const;
     for (const [hosts, writesPerS, perS] of rows)
-      expect(logPace.ratePerS(hosts, writesPerS)).closeTo(perS, 0.005);
+      expect(logPace.batchesPerS(hosts, writesPerS)).closeTo(perS, 0.005);
   });
 
   it("is written at once where few streams begin", async () => {
