Prove the check before a send and the watch over the begin in the process of the test

Cause: two switches named tests of processes, which run the bundle that a switch does not reach; without the check before a send the named test still passed (the engines are not chosen either). Change: a test in which an endpoint daemon grants a seat on an outdated version; the switches name tests of this process.

--- a/bench/red/version-switches.ts
+++ b/bench/red/version-switches.ts
@@ -10,7 +10,7 @@
     file: "serving/send-checks.js",
     find: "if (!this.isVersionUsable(req, version, p.serviceMs))",
     put: "if (false)",
-    proof: "are refused at once while all endpoint daemons are away",
+    proof: "is not sent, whatever its endpoint daemon granted",
   },
   {
     name: "versions: a request without a seat names its version",
@@ -39,7 +39,7 @@
     file: "serving/sending.js",
     find: "this.watchBegin(send);",
     put: "",
-    proof: "are not left with engines that have not begun them in time",
+    proof: "is broken off if nothing but the head and a comment has come in time",
   },
   {
     name: "versions: the last answer without a version bounds its age",
--- a/test/serving/versions/sends.test.ts
+++ b/test/serving/versions/sends.test.ts
@@ -94,6 +94,43 @@
   });
 });
 
+describe("a request with a seat on an outdated version", () => {
+  it("is not sent, whatever its endpoint daemon granted", async () => {
+    let arrivals = 0;
+    const worker = await fixtures.worker((_req, res) => {
+      arrivals++;
+      res.writeHead(200, fixtures.good());
+      res.end(EVENT);
+    });
+    const held = { ...fakeEndpointDaemon.holdings("m/a"), versions: [1] };
+    const daemon = await fakeEndpointDaemon.open(fakeEndpointDaemon.state("i1"), held);
+    const { at, service } = managedEngines.catalogOf([fixtures.endpoint("i1", worker.address)]);
+    const known = declared.declare(undefined, 2, -Infinity);
+    const setup = dispatcherFixture.create(
+      { ...at, versions: new Map(known ? [["m/a", known]] : []) },
+      () => daemon.address,
+    );
+    const { response, seen } = dispatcherFixture.recorded();
+    const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream" };
+    setup.known.refresh();
+    await managedEngines.eventually(() =>
+      setup.known.views(service).every((v) => v.state !== undefined),
+    );
+    const served = setup.dispatcher.serve(
+      dispatcherFixture.streamRequest(service, route, 1000),
+      response,
+    );
+    await managedEngines.eventually(() => daemon.heard.includes("ask"));
+    daemon.tell({ kind: "grant", seat: 0, instance: "i1", version: 1 });
+    await served;
+    setup.close();
+    daemon.close();
+    worker.close();
+    expect(arrivals).equal(0);
+    expect(seen[0]).match(/503/);
+  });
+});
+
 describe("a request that was sent before a newer version was declared", () => {
   it("is broken off if nothing but the head and a comment has come in time", async () => {
     for (const comment of ["", ": waiting\n\n"]) {
