Decide on the versions of adapters in one place of the entry daemon

Cause: three parts looked up the declared versions of a request's adapter, each with its own condition on engines and adapters, and passed the clock and the limits to the same functions; the last one with an extra condition had been mended in one of them alone. Change: AdapterVersions answers for the choice of a seat, the check before a send and the watch over the begin. A slot is looked up once for a waiter, and the daemon no longer wakes when a waiter's time on an older version ends, as nothing is to be done then.

--- a/bench/red/version-switches.ts
+++ b/bench/red/version-switches.ts
@@ -8,14 +8,14 @@
   {
     name: "versions: a request is sent on a usable version alone",
     file: "serving/send-checks.js",
-    find: "if (!this.isVersionUsable(req, version, p.serviceMs))",
+    find: "if ((version ?? 0) < this.deps.versions.oldestUsable(req, p.serviceMs))",
     put: "if (false)",
     proof: "is not sent, whatever its endpoint daemon granted",
   },
   {
     name: "versions: a request without a seat names its version",
     file: "serving/seat-finder.js",
-    find: "return choice.heldVersion(view, key) ?? this.newestOf(a)?.version;",
+    find: "return choice.heldVersion(view, key) ?? this.deps.versions.declaredFor(a)?.version;",
     put: "return undefined;",
     proof: "names the version of the engine where its daemon is away",
   },
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -189,15 +189,6 @@
   return `${model}/${adapter}`;
 }
 
-/** The declared versions of what a request is for; undefined if none is known, or it is for no adapter. */
-export function newestVersion(
-  at: Pick<Catalog, "versions">,
-  target: { readonly model: string; readonly adapter?: string | undefined } | undefined,
-): declared.Declared | undefined {
-  if (target?.adapter === undefined) return undefined;
-  return at.versions.get(adapterKey(target.model, target.adapter));
-}
-
 /** One update of the catalog. */
 export type Update =
   | { readonly kind: "config"; readonly config: Config }
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -21,6 +21,8 @@
 import * as sending from "./sending.js";
 import type * as suspects from "./suspects.js";
 import type * as upstream from "./upstream.js";
+import * as adapterVersions from "./versions/adapter-versions.js";
+import type * as usage from "./versions/usage.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** Settings of a dispatcher. */
@@ -31,7 +33,7 @@
   readonly retries: retryBudget.Options;
 }
 
-export interface Deps extends seatFinder.Deps {
+export interface Deps extends Omit<seatFinder.Deps, "versions"> {
   readonly log: structuredLog.Log;
   readonly metrics: metrics.Metrics;
   readonly upstream: upstream.Upstream;
@@ -41,6 +43,8 @@
   readonly notices: workerNotices.WorkerNotices;
   /** Checks again whether the key of an admitted request still authorizes it. */
   readonly authenticate: sendChecks.Deps["authenticate"];
+  /** For how long a version of an adapter may be used once a newer one is declared. */
+  readonly versionLimits: usage.Limits;
 }
 
 /** Least milliseconds that must remain for another send to be tried, and for a seat to be waited for. */
@@ -63,12 +67,14 @@
     private readonly deps: Deps,
   ) {
     this.budget = new retryBudget.Budget(opts.retries, deps.clock);
-    this.checks = new sendChecks.SendChecks(this.budget, deps);
-    this.seatFinder = new seatFinder.SeatFinder(opts.domain, deps);
+    const limits = deps.versionLimits;
+    const versions = new adapterVersions.AdapterVersions({ ...deps, limits });
+    this.checks = new sendChecks.SendChecks(this.budget, { ...deps, versions });
+    this.seatFinder = new seatFinder.SeatFinder(opts.domain, { ...deps, versions });
     this.returns = new overloadReturns.Returns(deps);
     this.calls = new hedgedCalls.HedgedCalls({
       ...deps,
-      sender: new sending.Sender({ ...deps, checks: this.checks }),
+      sender: new sending.Sender({ ...deps, versions, checks: this.checks }),
       pickOther: (req, p, besides) => this.seatFinder.pickOther(req, p, besides),
       acquirePermit: (req, p, view, signal) => this.acquirePermit(req, p, view, signal),
     });
--- a/src/serving/residency.ts
+++ b/src/serving/residency.ts
@@ -146,27 +146,22 @@
 }
 
 /**
- * Whether a waiter may be granted a seat on a slot. Its host decides about a version that is outdated, as it knows since when
+ * Whether a waiter may be granted a seat on the slot of its adapter. Its host decides about a version that is outdated, as it knows since when
  * that is; one that has not heard of the newer version yet gets the older one for a while.
  */
-function isUsable(
-  s: State,
-  w: seatQueue.Waiter,
-  p: Slot,
-  { now, outdatedUseMs }: { readonly now: number; readonly outdatedUseMs: number },
-): boolean {
-  if (p.phase !== "resident") return false;
+function isUsable(s: State, w: seatQueue.Waiter, now: number, opts: Options): boolean {
+  const p = s.slots.get(w.key);
+  if (p?.phase !== "resident") return false;
   const newest = s.newest.get(p.key);
   if (!newest || newest.version <= p.version) return true;
-  if ((w.version ?? 0) < newest.version) return now - newest.at < outdatedUseMs;
+  if ((w.version ?? 0) < newest.version) return now - newest.at < opts.outdatedUseMs;
   return w.older !== undefined && p.version >= w.older.version && now < w.older.until;
 }
 
 /** Whether a waiter's adapter, or its base model, can be used now. */
 function isReady(s: State, w: seatQueue.Waiter, now: number, opts: Options): boolean {
   if (w.adapter === undefined) return s.models.includes(w.model);
-  const p = s.slots.get(w.key);
-  return p !== undefined && isUsable(s, w, p, { now, outdatedUseMs: opts.outdatedUseMs });
+  return isUsable(s, w, now, opts);
 }
 
 /**
@@ -280,7 +275,6 @@
   };
   for (const w of s.waiting) {
     add(w.expiresAt);
-    if (w.older) add(w.older.until);
     add(w.askedAt + opts.closeAfterMs);
   }
   for (const p of s.slots.values()) {
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -17,8 +17,7 @@
 import * as search from "./search.js";
 import * as crowding from "./spread/crowding.js";
 import * as announcedShares from "./sharing/announced-shares.js";
-import type * as declared from "./versions/declared.js";
-import * as usage from "./versions/usage.js";
+import type * as adapterVersions from "./versions/adapter-versions.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** What a seat finder needs of the entry daemon. */
@@ -29,8 +28,7 @@
   readonly catalog: () => catalog.Catalog;
   readonly origins: Pick<origins.Origins, "isOnlyOne" | "mayBegin" | "begun" | "ended" | "find">;
   readonly random: () => number;
-  /** For how long a version of an adapter may be used once a newer one is declared. */
-  readonly versionLimits: usage.Limits;
+  readonly versions: adapterVersions.AdapterVersions;
 }
 
 /**
@@ -169,11 +167,7 @@
     const need: choice.Need = {
       model: target.model,
       key: target.adapter && catalog.adapterKey(target.model, target.adapter),
-      oldestVersion: usage.oldestUsable(
-        this.newestOf(a),
-        this.deps.versionLimits,
-        this.deps.clock.mono(),
-      ),
+      oldestVersion: this.deps.versions.oldestUsable(a),
       promptTokens: a.meta.promptTokens,
       rank: a.route.rank,
       team: a.caller?.team.name,
@@ -185,11 +179,6 @@
     return search.find(this.deps.endpoints.engineViews(a.service, accepts), need, a.meta.id);
   }
 
-  /** The newest declared version of a request's adapter; undefined if none is known, or it is for no adapter. */
-  private newestOf({ meta }: callerRequest.CallerRequest): declared.Declared | undefined {
-    return catalog.newestVersion(this.deps.catalog(), meta.target);
-  }
-
   /** The software versions on which a request may run; undefined if it may run on any. */
   private softwareFilter(
     { route, service }: callerRequest.CallerRequest,
@@ -217,13 +206,12 @@
     if (!target) return { kind: "seatless", version: undefined };
     const key = target.adapter && catalog.adapterKey(target.model, target.adapter);
     const now = this.deps.clock.mono();
-    const newest = this.newestOf(a);
-    const older = usage.olderFor(newest, this.deps.versionLimits, now, best.serviceMs);
+    const older = this.deps.versions.olderFor(a, best.serviceMs);
     const pending = this.deps.endpoints.link(endpoint).ask({
       request: a.meta.id,
       model: target.model,
       ...(target.adapter !== undefined && { adapter: target.adapter }),
-      version: newest?.version ?? 0,
+      version: this.deps.versions.declaredFor(a)?.version ?? 0,
       ...(older && { older }),
       promptTokens: a.meta.promptTokens,
       answerTokens: a.meta.answerTokens,
@@ -293,7 +281,7 @@
     view: choice.View,
     key: string | undefined,
   ): number | undefined {
-    return choice.heldVersion(view, key) ?? this.newestOf(a)?.version;
+    return choice.heldVersion(view, key) ?? this.deps.versions.declaredFor(a)?.version;
   }
 
   /**
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -17,8 +17,7 @@
 import type * as retryBudget from "./retry-budget.js";
 import type * as suspects from "./suspects.js";
 import type * as sendState from "./send-state.js";
-import type * as declared from "./versions/declared.js";
-import * as usage from "./versions/usage.js";
+import type * as adapterVersions from "./versions/adapter-versions.js";
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
@@ -31,8 +30,7 @@
   readonly notices: Pick<workerNotices.WorkerNotices, "of" | "opensInMs" | "reason">;
   /** Checks again whether the key of an admitted request still authorizes it. */
   readonly authenticate: (req: callerRequest.CallerRequest) => authentication.Verdict;
-  /** For how long a version of an adapter may be used once a newer one is declared. */
-  readonly versionLimits: usage.Limits;
+  readonly versions: Pick<adapterVersions.AdapterVersions, "oldestUsable">;
 }
 
 const UNAUTHORIZED = 401;
@@ -78,7 +76,7 @@
       this.recordDeclined(req, p, e);
       return "elsewhere";
     }
-    if (!this.isVersionUsable(req, version, p.serviceMs)) {
+    if ((version ?? 0) < this.deps.versions.oldestUsable(req, p.serviceMs)) {
       // With its daemon, an engine has the newest version soon.
       if (!seat) p.triedEndpoints.add(e.id);
       p.withheld++;
@@ -89,28 +87,6 @@
     return p.sends === 0 || this.chargeRetry(req, p) ? undefined : "refused";
   }
 
-  /** The newest declared version of a request's adapter; undefined if none is known, or no engine serves it. */
-  newestVersion({ meta, service }: callerRequest.CallerRequest): declared.Declared | undefined {
-    return service.engine && catalog.newestVersion(this.deps.catalog(), meta.target);
-  }
-
-  /** Whether a request may be sent now on a version of its adapter; undefined if it would name none. */
-  private isVersionUsable(
-    req: callerRequest.CallerRequest,
-    version: number | undefined,
-    expectedMs: number,
-  ): boolean {
-    const { clock, versionLimits } = this.deps;
-    const newest = this.newestVersion(req);
-    return (version ?? 0) >= usage.oldestUsable(newest, versionLimits, clock.mono(), expectedMs);
-  }
-
-  /** Milliseconds within which a request that was sent on a version of its adapter must begin; Infinity without a limit. */
-  beginsWithinMs(req: callerRequest.CallerRequest, version: number | undefined): number {
-    const { clock, versionLimits } = this.deps;
-    return usage.beginsWithinMs(this.newestVersion(req), version, versionLimits, clock.mono());
-  }
-
   /** Whether an endpoint accepts requests from this host now, according to its notices. */
   acceptsRequests(e: catalog.Endpoint): boolean {
     return this.deps.notices.opensInMs(e) === 0;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -28,6 +28,7 @@
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as sendWatchdog from "./send-watchdog.js";
+import * as adapterVersions from "./versions/adapter-versions.js";
 import * as beginWatch from "./versions/begin-watch.js";
 import * as declared from "./versions/declared.js";
 import type * as workerNotices from "./worker-notices.js";
@@ -42,6 +43,7 @@
   readonly suspects: suspects.Suspects;
   readonly notices: workerNotices.WorkerNotices;
   readonly checks: sendChecks.SendChecks;
+  readonly versions: adapterVersions.AdapterVersions;
   /** Milliseconds since the catalog was last known to be up to date with the store. */
   readonly catalogAgeMs: () => number;
 }
@@ -158,8 +160,10 @@
     p.catalogAgeMs = Math.round(this.deps.catalogAgeMs());
     p.isRetryCharged = false;
     send.grants.onWritten?.();
-    this.recordVersion(send);
-    this.watchBegin(send);
+    if (adapterVersions.isForAdapter(req)) {
+      this.recordVersion(send);
+      this.watchBegin(send);
+    }
     if (p.lastEventId !== undefined) this.recordContinuation(send, p.lastEventId);
     const { notices } = this.deps;
     notices.recordSend(endpoint);
@@ -170,8 +174,7 @@
 
   /** Records which version of its adapter a request is sent on, and what is known of newer ones. */
   private recordVersion({ req, p, grants, sentAt }: SendState): void {
-    if (!req.service.engine || req.meta.target?.adapter === undefined) return;
-    const newest = this.deps.checks.newestVersion(req);
+    const newest = this.deps.versions.declaredFor(req);
     const named = grants.version;
     const hasSeat = grants.seat !== undefined;
     const maxAgeMs = newest && sentAt - newest.notBefore;
@@ -183,15 +186,14 @@
   /** Breaks a request off that does not begin while its version of the adapter may be used. */
   private watchBegin(send: SendState): void {
     const { req, endpoint, grants } = send;
-    if (!req.service.engine || req.meta.target?.adapter === undefined) return;
-    const leftMs = (): number => this.deps.checks.beginsWithinMs(req, grants.version);
+    const leftMs = (): number => this.deps.versions.beginsWithinMs(req, grants.version);
     send.beginWatch = beginWatch.start(this.deps.clock, leftMs, () => {
       send.isTooLate = true;
       this.deps.log.warn("A request has not begun while its version of the adapter may be used.", {
         request: req.meta.id,
         endpoint: endpoint.id,
         version: grants.version,
-        newest: this.deps.checks.newestVersion(req)?.version,
+        newest: this.deps.versions.declaredFor(req)?.version,
         underWayMs: Math.round(this.deps.clock.mono() - send.sentAt),
       });
       send.watchdog.breakOff();
