Build an engine's estimate once, whatever the state of its adapter

Cause: four cases of a switch built the same estimate, which differed only in the time until the adapter can be used. Change: that time is a function of its own, with the exhaustive switch. Result: the same estimates.

--- a/src/serving/choice.ts
+++ b/src/serving/choice.ts
@@ -281,52 +281,41 @@
   const reportedMs = decayed(reportedWaitMs(state, need), c.stateWeight, summary.meanWaitMs);
   const limitedMs = need.waitsAt === view.endpoint.id ? 0 : view.limitWaitMs;
   const queueMs = Math.max(0, reportedMs + ownQueueMs, limitedMs);
-  const latePenaltyMs = (firstMs: number): number =>
-    firstMs > need.targetMs ? LATE_PENALTY_LOADS * state.coldMs : 0;
   // Where the request already waits, the state includes its slot too. Otherwise it would move to another engine at each
   // comparison.
   const countedSlotMs = need.waitsAt === view.endpoint.id ? state.eachSlotMs : 0;
   const freeMs = announcedShares.slotMsFor(state, need.team);
   const slotMs = Math.max(0, freeMs + view.pendingSlots * state.eachSlotMs - countedSlotMs);
-  switch (c.adapter) {
+  const firstMs = Math.max(queueMs, adapterMs(c.adapter, state, holdings, slotMs)) + serviceMs;
+  const isCopy = c.adapter === "absent" && summary.hasAdapter;
+  const copyPenaltyMs = isCopy ? COPY_PENALTY_LOADS * state.coldMs : 0;
+  const latePenaltyMs = firstMs > need.targetMs ? LATE_PENALTY_LOADS * state.coldMs : 0;
+  const orderPenaltyMs = orderIndex * ORDER_PENALTY_MS;
+  return {
+    view,
+    firstMs,
+    serviceMs,
+    penaltyMs: penaltyMs + latePenaltyMs + copyPenaltyMs + orderPenaltyMs,
+  };
+}
+
+/** Milliseconds until an engine can use an adapter; `slotMs` is the time until a slot for it is free. */
+function adapterMs(
+  adapter: AdapterState,
+  state: seatMessages.State,
+  holdings: Holdings,
+  slotMs: number,
+): number {
+  switch (adapter) {
     case "resident":
-      return {
-        view,
-        firstMs: queueMs + serviceMs,
-        serviceMs,
-        penaltyMs: penaltyMs + latePenaltyMs(queueMs + serviceMs) + orderIndex * ORDER_PENALTY_MS,
-      };
-    case "outdated": {
+      return 0;
+    case "outdated":
       // The engine replaces it once the runs that use it have ended: about as long as a run of each slot takes.
-      const drainMs = state.eachSlotMs * holdings.resident.length;
-      const firstMs = Math.max(queueMs, drainMs + state.coldMs) + serviceMs;
-      return {
-        view,
-        firstMs,
-        serviceMs,
-        penaltyMs: penaltyMs + latePenaltyMs(firstMs) + orderIndex * ORDER_PENALTY_MS,
-      };
-    }
-    case "warm": {
-      const firstMs = Math.max(queueMs, slotMs + state.warmMs) + serviceMs;
-      return {
-        view,
-        firstMs,
-        serviceMs,
-        penaltyMs: penaltyMs + latePenaltyMs(firstMs) + orderIndex * ORDER_PENALTY_MS,
-      };
-    }
-    case "absent": {
-      const firstMs = Math.max(queueMs, slotMs + state.coldMs) + serviceMs;
-      const copyPenaltyMs = summary.hasAdapter ? COPY_PENALTY_LOADS * state.coldMs : 0;
-      return {
-        view,
-        firstMs,
-        serviceMs,
-        penaltyMs:
-          penaltyMs + latePenaltyMs(firstMs) + copyPenaltyMs + orderIndex * ORDER_PENALTY_MS,
-      };
-    }
+      return state.eachSlotMs * holdings.resident.length + state.coldMs;
+    case "warm":
+      return slotMs + state.warmMs;
+    case "absent":
+      return slotMs + state.coldMs;
   }
 }
 
