Prepare new connections of both connectors in one place

Cause: two connectors had the same lines around undici's own. Change: one function that calls what prepares a connection. Result: behavior as before.

--- a/src/host/connector.ts
+++ b/src/host/connector.ts
@@ -24,21 +24,13 @@
 export function resetAware(
   opts: undici.buildConnector.BuildOptions,
 ): undici.buildConnector.connector {
-  const connect = undici.buildConnector(opts);
-  return (target, done) => {
-    connect(target, (...[err, socket]) => {
-      if (err) {
-        done(err, null);
-        return;
-      }
-      socket.prependListener("error", (e: NodeJS.ErrnoException) => {
-        if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
-      });
-      probeAtEnd(socket);
-      new readMeter.ReadMeter(socket, MAX_BARE_BYTES);
-      done(null, socket);
+  return preparing(opts, (socket) => {
+    socket.prependListener("error", (e: NodeJS.ErrnoException) => {
+      if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
     });
-  };
+    probeAtEnd(socket);
+    new readMeter.ReadMeter(socket, MAX_BARE_BYTES);
+  });
 }
 
 /** Delays a socket's `end` event until a write has succeeded; a failed write destroys the socket. */
@@ -62,6 +54,16 @@
 export function bounded(
   opts: undici.buildConnector.BuildOptions,
   maxBytes: number,
+): undici.buildConnector.connector {
+  return preparing(opts, (socket) => {
+    new readMeter.ReadMeter(socket, maxBytes);
+  });
+}
+
+/** Returns undici's connector, with `prepare` called for each new connection before it is used. */
+function preparing(
+  opts: undici.buildConnector.BuildOptions,
+  prepare: (socket: net.Socket) => void,
 ): undici.buildConnector.connector {
   const connect = undici.buildConnector(opts);
   return (target, done) => {
@@ -70,7 +72,7 @@
         done(err, null);
         return;
       }
-      new readMeter.ReadMeter(socket, maxBytes);
+      prepare(socket);
       done(null, socket);
     });
   };
