--- a/src/serving/answers/stream-bounds.ts
+++ b/src/serving/answers/stream-bounds.ts
@@ -5,7 +5,6 @@
  * them, with no more than the whole run at once. So a stream may have a burst of its whole run, and beyond that a rate.
  * @module
  */
-import * as tokenBucket from "../../store/token-bucket.js";
 import type * as eventSplitter from "./event-splitter.js";
 
 /** Longest event in bytes, as long as the longest answer to a call. */
@@ -27,11 +26,35 @@
 const CHUNK_COST_BYTES = 512;
 /** Output tokens of a request beyond which no more is allowed. */
 const MAX_TOKENS = 262_144;
+const MS_PER_S = 1000;
+
+/** An amount that may be used at once, and that comes back at a rate. */
+class Bucket {
+  private left: number;
+  private filledAt: number;
+
+  constructor(
+    private readonly size: number,
+    private readonly perMs: number,
+    now: number,
+  ) {
+    this.left = size;
+    this.filledAt = now;
+  }
+
+  /** Takes `amount` at `now`, in monotonic ms; returns what is left, which is negative if that was too much. */
+  take(amount: number, now: number): number {
+    const filled = this.left + Math.max(0, now - this.filledAt) * this.perMs;
+    this.left = Math.min(this.size, filled) - amount;
+    this.filledAt = now;
+    return this.left;
+  }
+}
 
 /** The bounds of one stream from one worker. */
 export class StreamBounds {
-  private events: tokenBucket.Bucket;
-  private bytes: tokenBucket.Bucket;
+  private readonly events: Bucket;
+  private readonly bytes: Bucket;
   /** Events that may still come; infinite where the tokens are not known. */
   private eventsLeft: number;
   /** Bytes so far of the event that is being received in parts. */
@@ -42,14 +65,14 @@
     const tokens = Math.min(MAX_TOKENS, answerTokens);
     const ofTokens = EVENTS_PER_TOKEN * tokens;
     const burst = tokens > 0 ? BURST_EVENTS + ofTokens : UNKNOWN_BURST_EVENTS;
-    this.events = tokenBucket.fullBucket(EVENTS_PER_S, burst, now);
-    this.bytes = tokenBucket.fullBucket(BYTES_PER_S, BURST_BYTES + BYTES_PER_TOKEN * tokens, now);
+    this.events = new Bucket(burst, EVENTS_PER_S / MS_PER_S, now);
+    this.bytes = new Bucket(BURST_BYTES + BYTES_PER_TOKEN * tokens, BYTES_PER_S / MS_PER_S, now);
     this.eventsLeft = tokens > 0 ? SPARE_EVENTS + ofTokens : Infinity;
   }
 
   /** Most events that the next chunk may have at `now`, and one more. */
   maxEvents(now: number): number {
-    return Math.floor(tokenBucket.refill(this.events, now).tokens) + 1;
+    return Math.floor(this.events.take(0, now)) + 1;
   }
 
   /** Counts a chunk and the events that it completed; returns why the stream is to be broken off, if it is. */
@@ -63,12 +86,9 @@
       if (this.openBytes > MAX_EVENT_BYTES) return `an event has over ${MAX_EVENT_BYTES} bytes`;
       if (!e.isPartial) this.openBytes = 0;
     }
-    const ofEvents = tokenBucket.take(this.events, now, events.length);
-    if (!ofEvents.ok) return "the stream's events come too fast";
-    const ofBytes = tokenBucket.take(this.bytes, now, chunkBytes + CHUNK_COST_BYTES);
-    if (!ofBytes.ok) return "the stream's bytes come too fast";
-    this.events = ofEvents.bucket;
-    this.bytes = ofBytes.bucket;
+    if (this.events.take(events.length, now) < 0) return "the stream's events come too fast";
+    if (this.bytes.take(chunkBytes + CHUNK_COST_BYTES, now) < 0)
+      return "the stream's bytes come too fast";
     this.eventsLeft -= events.filter((e) => !e.isComment).length;
     return this.eventsLeft < 0 ? "the stream has more events than its tokens allow" : undefined;
   }
