--- a/bench/soak/disturbances.ts
+++ b/bench/soak/disturbances.ts
@@ -18,14 +18,17 @@
 /** End of the names under which disturbances of links to the store are recorded. */
 export const STORE_LINK = " to the store";
 
-/** Whether a disturbance that `which` selects was active, or had ended shortly before, between two times. */
+/**
+ * Whether a disturbance that `which` selects was active, or had ended shortly before, between two times. A reload of settings
+ * disturbs nothing.
+ */
 export function anyDisturbed(
   list: readonly Disturbance[],
   from: number,
   to: number,
   which: (d: Disturbance) => boolean,
 ): boolean {
-  return list.some((d) => d.from < to && d.to + CONTACT_MS > from && which(d));
+  return list.some((d) => !isReload(d) && d.from < to && d.to + CONTACT_MS > from && which(d));
 }
 
 /** The place of a worker: its instance name without the `.N` that counts the starts of workers. */
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -104,8 +104,8 @@
 const SENT_IN_GRACE_MS = 3000;
 /** Part of the grace period after which a daemon may end what workers are still at work on. */
 const GRACE_PART = 5 / 6;
-/** Disturbances that are planned work and so may not interrupt a request. */
-const PLANNED_WORK = /asked to stop|settings changed/;
+/** Part of the kinds of disturbances that are planned work and so may not interrupt a request. */
+const PLANNED_WORK = "asked to stop";
 /** Statuses that workers sign. */
 const SIGNED_STATUSES = new Set([200, 500]);
 /** Statuses with which a proper request may be refused; those of routes and keys have checks of their own. */
@@ -116,16 +116,12 @@
 /** Whether an entry daemon may have been unable to read the store or to run for some time before the interval, or in it. */
 export function outOfTouch(h: History, entry: string, from: number, to = from): boolean {
   const parts = new Set(["store", entry, storeLink(entry)]);
-  const keepsOut = (d: disturbances.Disturbance): boolean =>
-    parts.has(d.on) && !disturbances.isReload(d);
-  return disturbances.anyDisturbed(h.disturbances, from, to, keepsOut);
+  return disturbances.anyDisturbed(h.disturbances, from, to, (d) => parts.has(d.on));
 }
 
 /** Whether an entry daemon's process may not have run for some time before the interval, or in it. */
 function wasDisturbed(h: History, entry: string, from: number, to: number): boolean {
-  const keepsOut = (d: disturbances.Disturbance): boolean =>
-    d.on === entry && !disturbances.isReload(d);
-  return disturbances.anyDisturbed(h.disturbances, from, to, keepsOut);
+  return disturbances.anyDisturbed(h.disturbances, from, to, (d) => d.on === entry);
 }
 
 /** Whether a link to a worker may have been harmed shortly before the interval, or in it. */
@@ -246,7 +242,7 @@
     if (s.endedAt - s.sentAt >= s.waitMs - EARLY_TOLERANCE_MS) return undefined;
     if (outlastedGrace(h, s, runs)) return undefined;
     const struck = (d: disturbances.Disturbance): boolean =>
-      (d.on === s.entry && !PLANNED_WORK.test(d.kind)) ||
+      (d.on === s.entry && !d.kind.includes(PLANNED_WORK)) ||
       runs.some((r) => disturbances.isAtWorker(d, r.instance));
     return disturbances.anyDisturbed(h.disturbances, s.sentAt, s.endedAt, struck)
       ? undefined
@@ -383,7 +379,7 @@
       h.disturbances,
       from,
       to,
-      (d) => !disturbances.isReload(d) && (d.on === "store" || d.on.startsWith("entry")),
+      (d) => d.on === "store" || d.on.startsWith("entry"),
     );
   const beyond = teams.capViolations(h.teams, h.seen, runs, anyOutOfTouch);
   // Requests without a route earn no retries.
--- a/bench/soak/notices.ts
+++ b/bench/soak/notices.ts
@@ -26,12 +26,7 @@
     ),
     ...notices.pauseViolations(arrivals, sent, (entry, by, from, to) => {
       const parts = new Set([entry, disturbances.placeOf(by)]);
-      return !disturbances.anyDisturbed(
-        h.disturbances,
-        from,
-        to,
-        (d) => parts.has(d.on) && !disturbances.isReload(d),
-      );
+      return !disturbances.anyDisturbed(h.disturbances, from, to, (d) => parts.has(d.on));
     }),
   ];
 }
@@ -49,11 +44,8 @@
   if (entry === undefined) return false;
   const parts = new Set([entry, disturbances.placeOf(a.instance)]);
   if (
-    disturbances.anyDisturbed(
-      h.disturbances,
-      a.at - limits.LIMIT_GRACE_MS,
-      a.at,
-      (d) => parts.has(d.on) && !disturbances.isReload(d),
+    disturbances.anyDisturbed(h.disturbances, a.at - limits.LIMIT_GRACE_MS, a.at, (d) =>
+      parts.has(d.on),
     )
   )
     return false;
