--- a/test/serving/versions/sends.test.ts
+++ b/test/serving/versions/sends.test.ts
@@ -16,21 +16,12 @@
 const VERSION_LIMITS = { sendMs: 500, beginMs: 800 };
 const EVENT = "id: 1\ndata: x\n\n";
 
-/** What a stream met that was sent without a seat to an engine with version 1, whose daemon is away. */
-interface Result {
-  readonly seen: readonly string[];
-  /** Versions that the engine was told to expect. */
-  readonly versions: readonly unknown[];
-  /** Milliseconds from the arrival at the engine to the close of its connection. */
-  readonly closedMs: number;
-}
-
-/** Serves a stream of which the engine sends `answer`; `late` is a version that is declared meanwhile. */
-async function serve(
+/** A host before one engine; `held` is the version in it by its endpoint daemon. */
+async function openHost(
   answer: (res: http.ServerResponse) => void,
-  versions: readonly declared.Declared[],
-  late?: number,
-): Promise<Result> {
+  held: number,
+  declaredFirst: declared.Declared | undefined,
+) {
   const received: http.IncomingHttpHeaders[] = [];
   let closedMs = Infinity;
   const worker = await fixtures.worker((req, res) => {
@@ -41,10 +32,14 @@
     res.flushHeaders();
     answer(res);
   });
-  const held = { ...fakeEndpointDaemon.holdings("m/a"), versions: [1] };
-  const daemon = await fakeEndpointDaemon.open(fakeEndpointDaemon.state("i1"), held);
+  const holdings = { ...fakeEndpointDaemon.holdings("m/a"), versions: [held] };
+  const daemon = await fakeEndpointDaemon.open(fakeEndpointDaemon.state("i1"), holdings);
   const { at, service } = managedEngines.catalogOf([fixtures.endpoint("i1", worker.address)]);
-  let current = { ...at, versions: new Map(versions.map((v) => ["m/a", v])) };
+  let current: catalog.Catalog = at;
+  const declare = (known: declared.Declared | undefined): void => {
+    current = { ...at, versions: new Map(known && [["m/a", known]]) };
+  };
+  declare(declaredFirst);
   const setup = dispatcherFixture.create(
     () => current,
     () => daemon.address,
@@ -58,24 +53,50 @@
     managedEngines.eventually(() =>
       setup.known.views(service).every((v) => (v[view] !== undefined) === is),
     );
+  setup.known.refresh();
+  await isSeen("holdings", true);
+  const { response, seen } = dispatcherFixture.recorded();
+  const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream", attempts: 1 };
+  return {
+    daemon,
+    declare,
+    seen,
+    /** Ends the endpoint daemon, and resolves once the host knows. */
+    endDaemon: (): Promise<void> => {
+      daemon.close();
+      return isSeen("state", false);
+    },
+    serve: (): Promise<boolean> =>
+      setup.dispatcher.serve(dispatcherFixture.streamRequest(service, route, WAIT_MS), response),
+    /** Versions that the engine was told to expect. */
+    versions: (): readonly unknown[] => received.map((h) => h["test-version"]),
+    /** Milliseconds from the arrival at the engine to the close of its connection. */
+    closedMs: (): number => closedMs,
+    close: (): void => {
+      setup.close();
+      daemon.close();
+      worker.close();
+    },
+  };
+}
+
+/** Serves a stream without a seat at an engine with version 1, while `late` is declared. */
+async function serveWithoutSeat(
+  answer: (res: http.ServerResponse) => void,
+  known?: declared.Declared,
+  late?: number,
+) {
+  const host = await openHost(answer, 1, known);
   try {
-    setup.known.refresh();
-    await isSeen("holdings", true);
-    daemon.close();
-    await isSeen("state", false);
-    const { response, seen } = dispatcherFixture.recorded();
-    const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream", attempts: 1 };
-    const req = dispatcherFixture.streamRequest(service, route, WAIT_MS);
-    const served = setup.dispatcher.serve(req, response);
+    await host.endDaemon();
+    const served = host.serve();
     await timers.setTimeout(100);
-    const newer = late && declared.declare(undefined, late, clock.system.mono());
-    if (newer) current = { ...current, versions: new Map([["m/a", newer]]) };
+    if (late !== undefined) host.declare(declared.declare(known, late, clock.system.mono()));
     await served;
     await timers.setTimeout(50);
-    return { seen, versions: received.map((h) => h["test-version"]), closedMs };
+    return { seen: host.seen, versions: host.versions(), closedMs: host.closedMs() };
   } finally {
-    setup.close();
-    worker.close();
+    host.close();
   }
 }
 
@@ -83,12 +104,12 @@
   const end = (res: http.ServerResponse): unknown => res.end(EVENT);
 
   it("names the version of the engine where its daemon is away", async () => {
-    expect((await serve(end, [])).versions).deep.equal(["1"]);
+    expect((await serveWithoutSeat(end)).versions).deep.equal(["1"]);
   });
 
   it("is refused where that version is outdated", async () => {
     const known = declared.declare(undefined, 2, clock.system.mono() - 10_000);
-    const { seen, versions } = await serve(end, known ? [known] : []);
+    const { seen, versions } = await serveWithoutSeat(end, known);
     expect(versions).deep.equal([]);
     expect(seen[0]).match(/503/);
   });
@@ -96,46 +117,26 @@
 
 describe("a request with a seat on an outdated version", () => {
   it("is not sent, whatever its endpoint daemon granted", async () => {
-    let arrivals = 0;
-    const worker = await fixtures.worker((_req, res) => {
-      arrivals++;
-      res.writeHead(200, fixtures.good());
-      res.end(EVENT);
-    });
-    const held = { ...fakeEndpointDaemon.holdings("m/a"), versions: [1] };
-    const daemon = await fakeEndpointDaemon.open(fakeEndpointDaemon.state("i1"), held);
-    const { at, service } = managedEngines.catalogOf([fixtures.endpoint("i1", worker.address)]);
     const known = declared.declare(undefined, 2, -Infinity);
-    const setup = dispatcherFixture.create(
-      { ...at, versions: new Map(known ? [["m/a", known]] : []) },
-      () => daemon.address,
-    );
-    const { response, seen } = dispatcherFixture.recorded();
-    const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream" };
-    setup.known.refresh();
-    await managedEngines.eventually(() =>
-      setup.known.views(service).every((v) => v.state !== undefined),
-    );
-    const served = setup.dispatcher.serve(
-      dispatcherFixture.streamRequest(service, route, 1000),
-      response,
-    );
-    await managedEngines.eventually(() => daemon.heard.includes("ask"));
-    daemon.tell({ kind: "grant", seat: 0, instance: "i1", version: 1 });
-    await served;
-    setup.close();
-    daemon.close();
-    worker.close();
-    expect(arrivals).equal(0);
-    expect(seen[0]).match(/503/);
-  });
+    const host = await openHost((res) => res.end(EVENT), 1, known);
+    try {
+      const served = host.serve();
+      await managedEngines.eventually(() => host.daemon.heard.includes("ask"));
+      host.daemon.tell({ kind: "grant", seat: 0, instance: "i1", version: 1 });
+      await served;
+      expect(host.versions()).deep.equal([]);
+      expect(host.seen[0]).match(/503/);
+    } finally {
+      host.close();
+    }
+  }).timeout(5000);
 });
 
 describe("a request that was sent before a newer version was declared", () => {
   it("is broken off if nothing but the head and a comment has come in time", async () => {
     for (const comment of ["", ": waiting\n\n"]) {
       const write = (res: http.ServerResponse): unknown => comment && res.write(comment);
-      expect((await serve(write, [], 2)).closedMs).within(600, 1500);
+      expect((await serveWithoutSeat(write, undefined, 2)).closedMs).within(600, 1500);
     }
   }).timeout(10_000);
 
@@ -144,7 +145,7 @@
       res.write(EVENT);
       setTimeout(() => res.end(EVENT), 1500);
     };
-    expect((await serve(begin, [], 2)).seen.at(-1)).equal("end");
+    expect((await serveWithoutSeat(begin, undefined, 2)).seen.at(-1)).equal("end");
   });
 });
 
