--- a/test/platform/adapter-versions.test.ts
+++ b/test/platform/adapter-versions.test.ts
@@ -14,16 +14,7 @@
 const MAIN = path.join(import.meta.dirname, "../../deploy/launch.cjs");
 const ADAPTERS = 6;
 const SIZE = { entries: 3, engines: 8, plain: 0, slots: ADAPTERS } as const;
-/** A route whose callers wait longer than a slow engine needs to begin. */
-const ROUTE = {
-  name: "l",
-  prefix: "/l/",
-  kind: "streaming",
-  service: soak.ENGINES,
-  attempts: 2,
-  resumable: true,
-  timeoutMs: 15_000,
-} as const;
+const ROUTE = streamCaller.LONG_ROUTE;
 /** The same for streams that may be sent to one worker alone, which no silence of the worker ends. */
 const ONCE_ROUTE = { ...ROUTE, name: "k", prefix: "/k/", attempts: 1, resumable: false } as const;
 /** Milliseconds between two events of a stream, and from one stream to the next. */
@@ -32,7 +23,7 @@
 /** Milliseconds from the first request to the declaration, and from there to the last request. */
 const BEFORE_MS = 1000;
 const PLAY_MS = 9500;
-/** Milliseconds after the last request in which requests count as late ones. */
+/** Milliseconds within which a request that can't be served is refused. */
 const REFUSED_WITHIN_MS = 500;
 /** Milliseconds until the slow engines begin, after which a request can't begin in time on the version before. */
 const LATE_BEGIN_MS = 4600;
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -14,16 +14,7 @@
 const ADAPTERS = 10;
 /** Engines of the first software version; the others have the second one. */
 const FIRST_VERSION_ENGINES = 4;
-/** A route whose callers wait longer than its streams take and its daemons need to start again. */
-const ROUTE = {
-  name: "l",
-  prefix: "/l/",
-  kind: "streaming",
-  service: soak.ENGINES,
-  attempts: 2,
-  resumable: true,
-  timeoutMs: 15_000,
-} as const;
+const ROUTE = streamCaller.LONG_ROUTE;
 const EVENT_MS = 520;
 /** Streams that begin before the disturbance, and new ones after it, with the milliseconds from one to the next. */
 const STREAMS = 36;
--- a/test/platform/software-versions.test.ts
+++ b/test/platform/software-versions.test.ts
@@ -106,6 +106,15 @@
   ): readonly string[] =>
     first.flatMap((a, n) => (streamCaller.versionsOf(a, then[n]).size > 1 ? [a.id] : []));
 
+  /** Resumes the streams that were cut, of some that began, at other hosts, and expects most to go on at their version. */
+  async function expectToGoOn(begun: readonly streamCaller.Attempt[]): Promise<void> {
+    const cut = begun.filter(streamCaller.isCut);
+    const then = await takeUp(cut);
+    expect(cut.length).greaterThan(STREAMS / 2);
+    expect(mixed(cut, then)).deep.equal([]);
+    expect(wentOn(then)).least(cut.length / 2);
+  }
+
   before(async () => {
     site.software = (place) => (Number(place.split("-")[1]) < WORKERS_EACH ? "v1" : "v1.1");
     await site.start();
@@ -141,11 +150,7 @@
   }).timeout(40_000);
 
   it("go on only at the version that began them when their host was killed", async () => {
-    const cut = await cutByKill();
-    const then = await takeUp(cut);
-    expect(cut.length).greaterThan(STREAMS / 2);
-    expect(mixed(cut, then)).deep.equal([]);
-    expect(wentOn(then)).least(cut.length / 2);
+    await expectToGoOn(await cutByKill());
   }).timeout(40_000);
 
   it("go on at the version that began them when two hosts are killed, one after the other", async () => {
@@ -178,11 +183,7 @@
       await d.kill();
       await stopped;
     });
-    const cut = (await Promise.all(begun)).filter(streamCaller.isCut);
-    const then = await takeUp(cut);
-    expect(cut.length).greaterThan(STREAMS / 2);
-    expect(mixed(cut, then)).deep.equal([]);
-    expect(wentOn(then)).least(cut.length / 2);
+    await expectToGoOn(await Promise.all(begun));
   }).timeout(40_000);
 
   it("go on at the version that began them while their host is frozen", async () => {
@@ -197,11 +198,7 @@
         callers.abort();
       },
     );
-    const cut = (await Promise.all(begun)).filter(streamCaller.isCut);
-    const then = await takeUp(cut);
-    expect(cut.length).greaterThan(STREAMS / 2);
-    expect(mixed(cut, then)).deep.equal([]);
-    expect(wentOn(then)).least(cut.length / 2);
+    await expectToGoOn(await Promise.all(begun));
   }).timeout(40_000);
 
   it("are not run where nobody knows which version began them", async () => {
--- a/test/platform/stream-caller.ts
+++ b/test/platform/stream-caller.ts
@@ -5,7 +5,18 @@
 import * as documents from "../../bench/platform/documents.js";
 import * as rawCaller from "../../bench/platform/raw-caller.js";
 import * as workers from "../../bench/platform/worker.js";
-import type * as soak from "../../bench/soak/site.js";
+import * as soak from "../../bench/soak/site.js";
+
+/** A route whose callers wait longer than slow streams take and daemons need to start again. */
+export const LONG_ROUTE = {
+  name: "l",
+  prefix: "/l/",
+  kind: "streaming",
+  service: soak.ENGINES,
+  attempts: 2,
+  resumable: true,
+  timeoutMs: 15_000,
+} as const;
 
 /** One attempt of a caller, and what it received. */
 export interface Attempt {
