Search streams with CRLF lines by a regular expression, and count chunks by their time

Callers of sound workers waited over 300 ms beside streams without end of many CRLF lines or one-byte chunks, where the machine was busy: the tests of both failed at a load of 2 and more. A profile showed 1.7 s in the loop over bytes that finds the ends of events, and a chunk cost as much time as some 2 KiB but counted as 512 bytes.

A chunk counts 2 KiB: with that, 8,192 chunks at once and 2 a token, then 2,048 a second, more than the events that are allowed.

Test: lines that end with CR alone.

--- a/src/serving/answers/event-splitter.ts
+++ b/src/serving/answers/event-splitter.ts
@@ -46,9 +46,10 @@
   push(chunk: Buffer, maxEvents = Infinity): readonly Event[] {
     const events: Event[] = [];
     const lastCr = chunk.lastIndexOf(CR);
+    const text = lastCr < 0 ? undefined : chunk.toString("latin1");
     let start = 0;
     while (events.length < maxEvents) {
-      const end = this.eventEnd.find(chunk, start, lastCr >= start);
+      const end = this.eventEnd.find(chunk, start, lastCr < start ? undefined : text);
       if (end < 0) break;
       const bytes = this.take(chunk.subarray(start, end));
       const id = this.open ? this.open.id : idOf(bytes);
--- a/src/serving/answers/stream-bounds.ts
+++ b/src/serving/answers/stream-bounds.ts
@@ -23,7 +23,7 @@
 const BYTES_PER_TOKEN = 4096;
 const BYTES_PER_S = 4_194_304;
 /** Bytes that a chunk counts beside its own. */
-const CHUNK_COST_BYTES = 512;
+const CHUNK_COST_BYTES = 2048;
 /** Output tokens of a request beyond which no more is allowed. */
 const MAX_TOKENS = 262_144;
 const MS_PER_S = 1000;
--- a/test/serving/answers/event-splitter.test.ts
+++ b/test/serving/answers/event-splitter.test.ts
@@ -27,6 +27,17 @@
     );
   });
 
+  it("finds the same events however it is cut, in lines that end with CR alone", () => {
+    const line = fc.constantFrom("", ": c", "id: 7", "data: x", "data:");
+    fc.assert(
+      fc.property(fc.array(line), fc.integer({ min: 1, max: 9 }), (lines, chunkBytes) => {
+        const bytes = Buffer.from(lines.map((l) => `${l}\r`).join(""));
+        expect(split(bytes, chunkBytes)).deep.equal(split(bytes, bytes.length + 1));
+      }),
+    );
+    expect(split(Buffer.from("id: 7\rdata: x\r\r"), 99)).deep.equal(["id: 7\rdata: x\r\r", ""]);
+  });
+
   for (const lineEnd of ["\n", "\r\n"]) {
     it(`takes time in proportion to an event without end of ${lineEnd.length}-byte line ends`, () => {
       const bytes = Buffer.from(`data: xxxxxxxxxxxxxx${lineEnd}`.repeat(12_000));
