Tests: give a site time, not a number of tries, to serve after its start

The whole script failed once in the set-up of resumed-streams.test.ts ("streams were not served"): it sent 20 batches without a pause, and as long as the new route is not known at any host, each is answered 404 at once.

No check of a test changed.

--- a/test/platform/adapter-versions.test.ts
+++ b/test/platform/adapter-versions.test.ts
@@ -61,6 +61,7 @@
     for (const e of engines()) e.beginMs = 0;
     for (let n = 0, served = 0; served < 4 * ADAPTERS; n++) {
       if (n > 300) throw new Error("it was not served");
+      await timers.setTimeout(20);
       const a = await Promise.all(
         Array.from({ length: ADAPTERS }, (_, i) => caller.send(n, adapterOf(i))),
       );
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -5,6 +5,7 @@
 import * as chai from "chai";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -30,8 +31,7 @@
 
   before(async () => {
     await site.start();
-    for (let served = 0; served < 9;)
-      served = (await ask(-served - 1, served)).status === 200 ? served + 1 : 0;
+    await startup.untilServed(9, async (n, inRow) => (await ask(-n - 1, inRow)).status === 200);
   });
 
   after(async () => {
--- a/test/platform/crashing-parts.test.ts
+++ b/test/platform/crashing-parts.test.ts
@@ -5,6 +5,7 @@
 import * as chai from "chai";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -137,10 +138,7 @@
       others: () => ({ before: ["a"], after: [] }),
       calmMs: CALM_MS,
     };
-    for (let served = 0; served < 12;) {
-      served = (await send(t, served, false)).status === 200 ? served + 1 : 0;
-      await timers.setTimeout(10);
-    }
+    await startup.untilServed(12, async (_, inRow) => (await send(t, inRow, false)).status === 200);
   });
 
   after(async () => {
--- a/test/platform/crashing.test.ts
+++ b/test/platform/crashing.test.ts
@@ -7,6 +7,7 @@
 import * as quarantine from "../../src/serving/quarantine.js";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -49,11 +50,10 @@
 
   /** Waits until an ordinary request is served by both entry hosts. */
   async function untilServed(at: string): Promise<void> {
-    for (let n = 0, served = 0; served < 4; n++) {
-      if (n > 200) throw new Error("it was not served");
-      served = (await ask(`ordinary${at}${n}`, n, at, "ordinary")) === 200 ? served + 1 : 0;
-      await timers.setTimeout(20);
-    }
+    await startup.untilServed(
+      4,
+      async (n) => (await ask(`ordinary${at}${n}`, n, at, "ordinary")) === 200,
+    );
   }
 
   before(async () => {
--- a/test/platform/notices.test.ts
+++ b/test/platform/notices.test.ts
@@ -7,6 +7,7 @@
 import * as daemons from "../../bench/soak/daemon.js";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -37,10 +38,10 @@
     });
 
   async function untilServed(at: string): Promise<void> {
-    for (let n = 0, served = 0; served < 2 * ENTRIES; n++) {
-      if (n > 200) throw new Error("it was not served");
-      served = (await ask(`first${at}${n}`, n, at)).status === 200 ? served + 1 : 0;
-    }
+    await startup.untilServed(
+      2 * ENTRIES,
+      async (n) => (await ask(`first${at}${n}`, n, at)).status === 200,
+    );
   }
 
   /** One engine and one plain worker. */
--- a/test/platform/resumed-streams.test.ts
+++ b/test/platform/resumed-streams.test.ts
@@ -6,6 +6,7 @@
 import type * as daemons from "../../bench/soak/daemon.js";
 import * as soak from "../../bench/soak/site.js";
 import * as streamCaller from "./stream-caller.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -52,7 +53,7 @@
     site.eventMs = EVENT_MS;
     await site.start();
     site.configure([ROUTE]);
-    await untilServed();
+    await startup.untilServed(1, areAllServed);
   });
 
   after(async () => {
@@ -60,12 +61,10 @@
     fs.rmSync(folder, { recursive: true });
   });
 
-  async function untilServed(): Promise<void> {
-    for (let n = 0; n < 20; n++) {
-      const batch = Array.from({ length: ADAPTERS }, (_, i) => caller.send(i, adapterOf(i)));
-      if (share(await Promise.all(batch)) === 1) return;
-    }
-    throw new Error("streams were not served");
+  /** Sends a stream for each adapter; resolves to whether all were served. */
+  async function areAllServed(): Promise<boolean> {
+    const batch = Array.from({ length: ADAPTERS }, (_, i) => caller.send(i, adapterOf(i)));
+    return share(await Promise.all(batch)) === 1;
   }
 
   /** Begins streams at an entry daemon, or at all in turn, one each {@link INTERVAL_MS}. */
--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -6,6 +6,7 @@
 import * as limits from "../../bench/platform/limits.js";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -43,10 +44,10 @@
     });
 
   async function untilServed(at: string): Promise<void> {
-    for (let n = 0, served = 0; served < 2 * ENTRIES; n++) {
-      if (n > 200) throw new Error("it was not served");
-      served = (await ask(`first${at}${n}`, n, at)) === 200 ? served + 1 : 0;
-    }
+    await startup.untilServed(
+      2 * ENTRIES,
+      async (n) => (await ask(`first${at}${n}`, n, at)) === 200,
+    );
   }
 
   /** One engine and one plain worker. */
--- a/test/platform/software-versions.test.ts
+++ b/test/platform/software-versions.test.ts
@@ -7,6 +7,7 @@
 import type * as daemons from "../../bench/soak/daemon.js";
 import * as soak from "../../bench/soak/site.js";
 import * as streamCaller from "./stream-caller.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -48,12 +49,9 @@
   const adapterOf = (n: number): string => `a${n % ADAPTERS}`;
 
   async function untilServed(): Promise<void> {
-    for (let n = 0, served = 0; served < 2 * site.entries.length; n++) {
-      if (n > 300) throw new Error("it was not served");
-      const a = await caller.send(n, adapterOf(n));
-      served = streamCaller.isComplete(a) ? served + 1 : 0;
-      await timers.setTimeout(20);
-    }
+    await startup.untilServed(2 * site.entries.length, async (n) =>
+      streamCaller.isComplete(await caller.send(n, adapterOf(n))),
+    );
   }
 
   /** Begins streams at entry host 0, whose callers may hang up. */
--- a/test/platform/stream-ends.test.ts
+++ b/test/platform/stream-ends.test.ts
@@ -9,6 +9,7 @@
 import * as workers from "../../bench/platform/worker.js";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -78,19 +79,11 @@
   }
 
   async function untilServed(): Promise<void> {
-    for (let n = 0, served = 0; served < 4; n++) {
-      if (n > 200) throw new Error("it was not served");
+    await startup.untilServed(4, async (n) => {
       const id = `ordinary${performance.now()}`;
-      const status = await asking.requestStatus(site, {
-        id,
-        entry: n,
-        prefix: "/s/",
-        body: "x",
-        adapter: "a1",
-      });
-      served = status === 200 ? served + 1 : 0;
-      await timers.setTimeout(20);
-    }
+      const req = { id, entry: n, prefix: "/s/", body: "x", adapter: "a1" };
+      return (await asking.requestStatus(site, req)) === 200;
+    });
   }
 
   before(async () => {
