Reject nothing by a configuration older than one that other daemons have

Cause: it judged by the age of its configuration alone, which was as new as the store.

Endpoint daemons name their configuration's version with their engine's holdings, in a new optional field, and an entry daemon rejects for good only by a configuration that is no older than any it heard of; for up to a second after its first one it waits for a word. Otherwise such requests get 503 with Retry-After. Accepting keys is unchanged.

store-restore-processes.test.ts: a daemon is started between a restore and the rewrite; on the code before, no request for the lost route got 503 from it and the test failed; now none gets 404, and the route is served once it is back.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -50,14 +50,14 @@
   {
     name: "keys are judged by knowledge that is young enough",
     file: "serving/authentication.js",
-    find: "if (team && catalogAgeMs <= freshness.acceptWithinMs)",
+    find: "if (team && freshness.ageMs <= bounds.acceptWithinMs)",
     put: "if (team)",
     proof: "accepts no request sent too long after its key was revoked, in any order of events",
   },
   {
     name: "keys are refused for good only while a newer configuration can't be in force",
     file: "serving/authentication.js",
-    find: "if (team || !mayReject(catalogAgeMs, freshness))",
+    find: "if (team || !mayReject(freshness, bounds))",
     put: "if (team)",
     proof: "rejects for good only while no newer configuration can be in force",
   },
--- a/src/serving/announcer.ts
+++ b/src/serving/announcer.ts
@@ -80,6 +80,8 @@
     private readonly holdings: () => engineView.Holdings,
     /** Adapters that are probably in the memory of the engine's host, the latest first. */
     private readonly recent: () => readonly string[],
+    /** Version of the configuration, sent with the holdings but no reason to send them. */
+    private readonly configVersion: () => number | undefined = () => undefined,
   ) {}
 
   /** Number of connected entry daemons. */
@@ -232,7 +234,7 @@
         ? [...this.recent()].reverse()
         : this.departures.filter((d) => d.held > since).map((d) => d.key);
     const gone = [...new Set(departed)].filter((key) => !announcement.held.resident.includes(key));
-    const line = jsonLines.encode({ ...announcement.held, gone });
+    const line = jsonLines.encode({ ...announcement.held, gone, config: this.configVersion() });
     announcement.heldLines.set(since, line);
     return line;
   }
--- a/src/serving/authentication.ts
+++ b/src/serving/authentication.ts
@@ -23,7 +23,7 @@
   | { readonly kind: "team"; readonly team: catalog.Team }
   /** Rejected for good: no configuration that may be in force has the key. */
   | { readonly kind: "unknown"; readonly why: string }
-  /** Undecided: this host's configuration is too old, since the store has not answered for too long. */
+  /** Undecided: this host's configuration may be older than the one in force. */
   | { readonly kind: "unsure"; readonly why: string };
 
 /** How old the configuration may be: milliseconds since it was last known to be as new as the store. */
@@ -34,6 +34,14 @@
   readonly rejectWithinMs: number;
 }
 
+/** How far a host's configuration may be behind the one in force. */
+export interface Freshness {
+  /** Milliseconds since it was last known to be as new as the store. */
+  readonly ageMs: number;
+  /** Whether no newer one is known to exist that the store may have lost. */
+  readonly isNewest: boolean;
+}
+
 /** Milliseconds allowed from the decision on a request to its arrival at a worker, if it does not wait in between. */
 const FORWARDING_MS = 500;
 
@@ -53,8 +61,8 @@
 }
 
 /** Whether the configuration is fresh enough to reject a request for a key or route that it does not have. */
-export function mayReject(catalogAgeMs: number, freshness: FreshnessBounds): boolean {
-  return catalogAgeMs <= freshness.rejectWithinMs;
+export function mayReject(freshness: Freshness, bounds: FreshnessBounds): boolean {
+  return freshness.isNewest && freshness.ageMs <= bounds.rejectWithinMs;
 }
 
 /** Decides whether a request on `route` that presents `presented` is accepted. */
@@ -62,15 +70,17 @@
   config: catalog.Config,
   route: catalog.Route,
   presented: PresentedKey,
-  catalogAgeMs: number,
-  freshness: FreshnessBounds,
+  freshness: Freshness,
+  bounds: FreshnessBounds,
 ): Verdict {
   if (!config.teams || route.allowsAnonymous) return { kind: "open" };
   const team = presented.kind === "key" ? config.teams.byDigest.get(presented.digest) : undefined;
-  if (team && catalogAgeMs <= freshness.acceptWithinMs) return { kind: "team", team };
-  const ageMs = Math.round(catalogAgeMs);
-  if (team || !mayReject(catalogAgeMs, freshness)) {
-    return { kind: "unsure", why: `the keys in force were last confirmed ${ageMs} ms ago` };
+  if (team && freshness.ageMs <= bounds.acceptWithinMs) return { kind: "team", team };
+  if (team || !mayReject(freshness, bounds)) {
+    const why = freshness.isNewest
+      ? `the keys in force were last confirmed ${Math.round(freshness.ageMs)} ms ago`
+      : "a newer configuration may be in force";
+    return { kind: "unsure", why };
   }
   return { kind: "unknown", why: presented.kind === "key" ? "the key is unknown" : presented.why };
 }
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -37,8 +37,8 @@
   readonly caps: caps.Caps;
   readonly metrics: metrics.Metrics;
   readonly memory: memory.Memory;
-  /** Milliseconds since the catalog was last known to be as new as the store. */
-  readonly catalogAgeMs: () => number;
+  /** How far a configuration of this host may be behind the one in force. */
+  readonly freshness: (config: catalog.Config) => authentication.Freshness;
   /** How old the catalog may be for accepting or rejecting a key by it. */
   readonly bounds: authentication.FreshnessBounds;
   readonly random: () => number;
@@ -215,8 +215,8 @@
 
   private match(req: http.IncomingMessage, config: catalog.Config): match.Matched | match.Refusal {
     const { protocol, bounds, random } = this.deps;
-    const catalogAgeMs = this.deps.catalogAgeMs();
-    return match.matchRequest(req, { config, catalogAgeMs, bounds, protocol, random });
+    const freshness = this.deps.freshness(config);
+    return match.matchRequest(req, { config, freshness, bounds, protocol, random });
   }
 
   /** Refuses a request because this host's event loop is behind, so that its caller connects to another host. */
--- a/src/serving/engine-manager.ts
+++ b/src/serving/engine-manager.ts
@@ -79,6 +79,7 @@
       (silenceMs) => this.stateMessage(silenceMs),
       () => engineView.holdingsMessage(this.state.held, this.state.loadHistory.reach),
       () => loadHistory.warmAdapters(this.state.loadHistory),
+      () => deps.catalog().config?.version,
     );
     this.seats = new seatAdmission.SeatAdmission({
       clock: deps.clock,
--- a/src/serving/engine-view.ts
+++ b/src/serving/engine-view.ts
@@ -35,8 +35,8 @@
   return [...held, ...loading];
 }
 
-/** What an engine holds, as in the message to entry daemons but without the adapters that left. */
-export type Holdings = Omit<seatMessages.Holdings, "gone">;
+/** What an engine holds, as in the message to entry daemons but without the adapters that left and the configuration. */
+export type Holdings = Omit<seatMessages.Holdings, "gone" | "config">;
 
 /** Builds the holdings message; `reach` is how many of the latest adapters load fast. */
 export function holdingsMessage(s: residency.State, reach: number): Holdings {
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -9,6 +9,7 @@
 import * as authentication from "./authentication.js";
 import * as crashCheck from "./crash-check.js";
 import * as caps from "./caps.js";
+import * as peerVersion from "./configuration/peer-versions.js";
 import * as clock from "../host/clock.js";
 import type * as earlyListener from "./early-listener.js";
 import * as dispatch from "./dispatch.js";
@@ -90,7 +91,10 @@
   // Fast enough that keys can be accepted and rejected as long as the store answers.
   const pace = watchPace.promptPace(Math.min(opts.inForceMs, bounds.acceptWithinMs));
   const onChange = (current: catalog.Catalog): void => {
-    if (current.config) callers.configure(current.config.limits);
+    if (current.config) {
+      callers.configure(current.config.limits);
+      peerVersions.configured();
+    }
     for (const [id, evidence] of previous.quarantined)
       if (!current.quarantined.has(id)) suspectTracker.release(id, evidence);
     previous = current;
@@ -110,6 +114,11 @@
       suspectTracker.persistObserved();
     },
   });
+  const peerVersions = new peerVersion.PeerVersions(deps.clock);
+  const freshness = ({ version }: catalog.Config): authentication.Freshness => ({
+    ageMs: catalogFeed.catalogAgeMs,
+    isNewest: peerVersions.isNewest(version),
+  });
   const suspectTracker = new suspects.Suspects({
     clock: deps.clock,
     log: deps.log("suspicion"),
@@ -138,6 +147,9 @@
       onNotice: (m, peer) => {
         notices.merge(m, peer);
       },
+      onConfigVersion: (version) => {
+        peerVersions.announced(version);
+      },
       messagesOnConnect: (address) => [
         ...suspectTracker.snapshot(),
         ...notices.snapshot((id) =>
@@ -228,13 +240,7 @@
         const { config } = catalogFeed.catalog;
         if (!config || !caller) return { kind: "open" };
         const presented = { kind: "key", digest: caller.digest } as const;
-        return authentication.authenticate(
-          config,
-          route,
-          presented,
-          catalogFeed.catalogAgeMs,
-          bounds,
-        );
+        return authentication.authenticate(config, route, presented, freshness(config), bounds);
       },
       random: deps.random,
     },
@@ -253,7 +259,7 @@
     caps: teamCaps,
     metrics: daemonMetrics,
     memory: buffered,
-    catalogAgeMs: () => catalogFeed.catalogAgeMs,
+    freshness,
     bounds,
     random: deps.random,
     toleratesLagUntil: deps.clock.mono() + shedding.STARTUP_MS,
--- a/src/serving/link.ts
+++ b/src/serving/link.ts
@@ -87,6 +87,8 @@
   readonly onSuspicion: (m: suspicionState.Message, peer: string) => void;
   /** Called with a message that relays what a worker announced about itself. */
   readonly onNotice: (m: noticeMessages.Notice, peer: string) => void;
+  /** Called with a version of the configuration that the endpoint daemon has. */
+  readonly onConfigVersion: (version: number) => void;
   /** The messages to send to the endpoint daemon at an address once it is connected. */
   readonly messagesOnConnect: (address: string) => readonly seatMessages.FromEntry[];
 }
@@ -401,6 +403,7 @@
 
   /** Takes in the engine's holdings, and remembers the adapters that are no longer resident. */
   private updateHoldings(m: seatMessages.Holdings): void {
+    if (m.config !== undefined) this.deps.onConfigVersion(m.config);
     const gone = (this.lastHoldings?.resident ?? []).filter((key) => !m.resident.includes(key));
     this.recentAdapters = [...m.gone, ...gone.filter((key) => !m.gone.includes(key))].reduce(
       loadHistory.moveToFront,
--- a/src/serving/match.ts
+++ b/src/serving/match.ts
@@ -43,8 +43,7 @@
 /** What a request is matched against. */
 export interface Context {
   readonly config: catalog.Config;
-  /** Milliseconds since the configuration was last known to be as new as the store. */
-  readonly catalogAgeMs: number;
+  readonly freshness: authentication.Freshness;
   readonly bounds: authentication.FreshnessBounds;
   readonly protocol: protocol.Protocol;
   /** Returns a number in [0, 1). */
@@ -63,7 +62,7 @@
 
 /** Finds the route, service and team of a request by its headers. */
 export function matchRequest(req: RequestHead, ctx: Context): Matched | Refusal {
-  const { config, catalogAgeMs, bounds } = ctx;
+  const { config, freshness, bounds } = ctx;
   const path = req.url ?? "";
   if (headerBytes(req) > config.limits.headerBytes) {
     return refused(431, "the headers are too large");
@@ -74,7 +73,7 @@
   if (!route || !service) return noRoute(ctx);
   const presented = presentedKey(req, ctx);
   const digest = presented.kind === "key" ? shortDigest(presented.digest) : undefined;
-  const verdict = authentication.authenticate(config, route, presented, catalogAgeMs, bounds);
+  const verdict = authentication.authenticate(config, route, presented, freshness, bounds);
   switch (verdict.kind) {
     case "unknown":
       return { ...refused(401, verdict.why), digest };
@@ -112,9 +111,9 @@
   return { kind: "refused", status, why };
 }
 
-function noRoute({ catalogAgeMs, bounds }: Context): Refusal {
-  if (authentication.mayReject(catalogAgeMs, bounds)) return refused(404, "no route matches");
-  const why = `no route matches in a configuration that is ${Math.round(catalogAgeMs)} ms old`;
+function noRoute({ freshness, bounds }: Context): Refusal {
+  if (authentication.mayReject(freshness, bounds)) return refused(404, "no route matches");
+  const why = `no route matches in a configuration that is ${Math.round(freshness.ageMs)} ms old or not the newest`;
   return { ...refused(503, why), retryAfterMs: STALE_RETRY_MS };
 }
 
--- a/src/serving/seat-messages.ts
+++ b/src/serving/seat-messages.ts
@@ -148,6 +148,8 @@
     gone: zod.array(zod.string()).readonly(),
     /** How many of the adapters that were resident last load fast; entry daemons keep the list of these. */
     reach: zod.int(),
+    /** Version of the configuration that the endpoint daemon has; left out while it has none. */
+    config: zod.int().optional(),
   })
   .readonly();
 export type Holdings = zod.infer<typeof holdings>;
--- a/test/platform/callers.test.ts
+++ b/test/platform/callers.test.ts
@@ -117,7 +117,7 @@
       log: structuredLog.silent,
       metrics: metrics.create(),
     }),
-    catalogAgeMs: () => ageMs,
+    freshness: () => ({ ageMs, isNewest: true }),
     bounds: BOUNDS,
     random: () => 0,
     toleratesLagUntil: 0,
--- a/test/platform/store-restore-processes.test.ts
+++ b/test/platform/store-restore-processes.test.ts
@@ -6,6 +6,7 @@
 import * as stores from "../../bench/platform/store.js";
 import * as soak from "../../bench/soak/site.js";
 import * as asking from "./asking.js";
+import * as startup from "./startup.js";
 
 const { expect } = chai;
 
@@ -68,8 +69,7 @@
     const size = { entries: ENTRIES, engines: 1, plain: 2 };
     site = new soak.Site(size, MAIN, folder, (what) => faults.push(what));
     await site.start();
-    for (let served = 0; served < 2 * ENTRIES;)
-      served = (await ask("/c/")).status === 200 ? served + 1 : 0;
+    await startup.untilServed(2 * ENTRIES, async () => (await ask("/c/")).status === 200);
   });
 
   after(async () => {
@@ -99,4 +99,24 @@
     expect(answers.map((a) => a.by)).not.include(place.worker.instance);
     expect(new Set(answers.map((a) => a.status))).deep.equal(new Set([200]));
   }).timeout(20_000);
+
+  it("reject no request for a route that was lost while an entry daemon started, and serve it once it is back", async () => {
+    const backup = site.store.backup();
+    site.toggle("/p2/");
+    await timers.setTimeout(IN_FORCE_MS);
+    site.store.restore(backup);
+    const [started] = site.entries;
+    if (!started) throw new Error("there is no entry daemon");
+    await started.kill();
+    started.start();
+    await site.untilReady();
+    const lost = await askFor(FOR_MS, "/p2/");
+    site.writeAgain();
+    await timers.setTimeout(IN_FORCE_MS);
+    const added = await askFor(FOR_MS, "/p2/");
+    const fromStarted = lost.filter((a) => a.entry === started.plan.name);
+    expect(fromStarted.some((a) => a.status === 503)).equal(true);
+    expect(lost.map((a) => a.status)).not.include(404);
+    expect(new Set(added.map((a) => a.status))).deep.equal(new Set([200]));
+  }).timeout(20_000);
 });
--- a/test/serving/announcer.test.ts
+++ b/test/serving/announcer.test.ts
@@ -11,6 +11,7 @@
   const clk = new time.Time();
   let resident: readonly string[] = [];
   let seats = 0;
+  let config: number | undefined;
   const news = new announcer.Announcer(
     clk,
     (silenceMs): seatMessages.State => ({
@@ -22,9 +23,10 @@
     }),
     () => ({ kind: "holdings", models: ["m"], resident, reach: 0 }),
     () => [],
+    () => config,
   );
   const received = Array.from({ length: entries }, () => {
-    return { states: [] as number[], holdings: 0, gone: [] as string[] };
+    return { states: [] as number[], holdings: 0, gone: [] as string[], configs: [] as unknown[] };
   });
   const clients = received.map((r, i): announcer.Client => {
     return {
@@ -34,8 +36,10 @@
         for (const line of text.trimEnd().split("\n")) {
           if (line.includes('"state"')) r.states.push(clk.mono());
           else {
+            const held = JSON.parse(line) as seatMessages.Holdings;
             r.holdings++;
-            r.gone.push(...(JSON.parse(line) as seatMessages.Holdings).gone);
+            r.gone.push(...held.gone);
+            r.configs.push(held.config);
           }
         }
       },
@@ -60,7 +64,10 @@
     resident = [...resident, key];
     news.stateChanged();
   };
-  return { clk, news, clients, received, changeUntil, hold, leave };
+  const configure = (version: number): void => {
+    config = version;
+  };
+  return { clk, news, clients, received, changeUntil, hold, leave, configure };
 }
 
 const sum = (list: readonly number[]): number => list.reduce((a, b) => a + b, 0);
@@ -131,4 +138,16 @@
     await s.clk.runUntil(600);
     expect(s.received.map((r) => r.holdings)).deep.equal([2, 2]);
   });
+
+  it("tells an entry daemon that connects which configuration is in force, and sends nothing to others for it", async () => {
+    const s = setUp(2);
+    const [first, second] = s.clients;
+    if (!first || !second) throw new Error("there are no entry daemons");
+    await s.changeUntil(1000);
+    s.configure(7);
+    s.news.leave(second);
+    s.news.join(second);
+    await s.changeUntil(2000);
+    expect(s.received.map((r) => r.configs)).deep.equal([[undefined], [undefined, 7]]);
+  });
 });
--- a/test/serving/authentication.test.ts
+++ b/test/serving/authentication.test.ts
@@ -22,9 +22,11 @@
   shown: authentication.PresentedKey,
   ageMs: number,
   overrides: Partial<catalog.Route> = {},
+  isNewest = true,
 ) {
   const route = { ...fixtures.ROUTE, ...overrides };
-  return authentication.authenticate(withKeys("d1"), route, shown, ageMs, BOUNDS).kind;
+  const freshness = { ageMs, isNewest };
+  return authentication.authenticate(withKeys("d1"), route, shown, freshness, BOUNDS).kind;
 }
 
 describe("authentication", () => {
@@ -37,7 +39,8 @@
   it("requires no key on an open route, or if no teams are configured", () => {
     expect(kind(NONE, 60_000, { allowsAnonymous: true })).equal("open");
     const { ROUTE, CONFIG } = fixtures;
-    expect(authentication.authenticate(CONFIG, ROUTE, NONE, 60_000, BOUNDS).kind).equal("open");
+    const old = { ageMs: 60_000, isNewest: true };
+    expect(authentication.authenticate(CONFIG, ROUTE, NONE, old, BOUNDS).kind).equal("open");
   });
 
   it("accepts a key only while the configuration is fresh enough", () => {
@@ -52,10 +55,17 @@
     expect(kind(NONE, IN_FORCE_MS + 1)).equal("unsure");
   });
 
+  it("rejects nothing for good while a newer configuration may be in force that the store has lost", () => {
+    expect(kind(OTHER, 0, {}, false)).equal("unsure");
+    expect(kind(NONE, 0, {}, false)).equal("unsure");
+    expect(kind(KEY, 0, {}, false)).equal("team");
+  });
+
   it("accepts a key by a configuration of any age if no revocation time is required", () => {
     const unbounded = authentication.freshnessBounds(IN_FORCE_MS, undefined);
+    const old = { ageMs: 1e9, isNewest: true };
     expect(
-      authentication.authenticate(withKeys("d1"), fixtures.ROUTE, KEY, 1e9, unbounded).kind,
+      authentication.authenticate(withKeys("d1"), fixtures.ROUTE, KEY, old, unbounded).kind,
     ).equal("team");
   });
 
@@ -96,12 +106,12 @@
             const now = sentAt + suspendedMs;
             const latest = [second, first].find((a) => a.comesAt <= now);
             if (!latest) continue;
-            const age = now - latest.askedAt;
+            const freshness = { ageMs: now - latest.askedAt, isNewest: true };
             const { kind } = authentication.authenticate(
               latest.config,
               fixtures.ROUTE,
               KEY,
-              age,
+              freshness,
               BOUNDS,
             );
             decisions++;
--- a/test/serving/blocked-loop.ts
+++ b/test/serving/blocked-loop.ts
@@ -90,7 +90,7 @@
     caps: new caps.Caps({ limiter: sharedLimiter, catalog: () => current, overdraft: 0 }),
     metrics: counted,
     memory: new memory.Memory(memoryBudget.MAX_BUDGET_BYTES, { ...deps, metrics: counted }),
-    catalogAgeMs: () => 0,
+    freshness: () => ({ ageMs: 0, isNewest: true }),
     bounds: authentication.freshnessBounds(3000, 5000),
     random: () => 0,
     toleratesLagUntil: clock.system.mono() + toleratesLagMs,
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -54,6 +54,7 @@
       onNotice: (m, peer) => {
         notices.merge(m, peer);
       },
+      onConfigVersion: () => undefined,
       limitWaitMs: (id) => notices.waitMs(id),
       availableInMs: (e) => notices.opensInMs(e),
     },
--- a/test/serving/links.ts
+++ b/test/serving/links.ts
@@ -21,6 +21,7 @@
     onEntryCount: () => undefined,
     onSuspicion: () => undefined,
     onNotice: (m) => told.push(m),
+    onConfigVersion: () => undefined,
     messagesOnConnect: () => greeting,
   });
   return { made, lost, told };
