Entry daemon: break off the responses that a stop doesn't see to their end

Its entry daemon had got SIGTERM, and the grace ended before the stream did: the stop closed the connections to the workers and the process ended with the response open, so that the kernel closed the caller's connection normally. The request's own end, which breaks such a response off by a reset, comes later than the end of the process, since it first checks the worker for a crash.

The stop now breaks off all responses that are not complete, by the function that resets a connection whose response has no chunks, before it closes anything else. A response whose last bytes the kernel has taken is left alone: the kernel still delivers them. One that was ended while part of its bytes waits in the process counts as incomplete, since that part would be lost.

The new test in stream-ends.test.ts stops a daemon 1.5 s before an HTTP/1.0 caller sends its request, with an event a second. The new test in response.test.ts has a client that reads nothing until the responses are broken off: a complete answer of 400 kB arrives whole, an open one and an ended one of 40 MB, which the kernel can't hold, are reset.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -47,4 +47,11 @@
     put: "false",
     proof: "resets the connection of an HTTP/1.0 client, for which a close would be its end",
   },
+  {
+    name: "answers: a process that ends breaks off the responses that are not complete",
+    file: "host/response.js",
+    find: "if (!res.writableFinished)",
+    put: "if (false)",
+    proof: "are broken off unless the kernel has all their bytes",
+  },
 ];
--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -89,4 +89,12 @@
       "store was unavailable, and reported that it knew no engine, which was taken for an engine that is gone. Fixed in the " +
       "link; test/serving/endpoint-daemon-restart.test.ts covers the case.",
   },
+  {
+    seed: 18,
+    minutes: 0.2,
+    cause:
+      "an HTTP/1.0 caller took one of five events for its whole stream, in one of several runs: its entry daemon's grace ended " +
+      "first, and the kernel closed the connections of the ended process normally. Fixed in the entry daemon, which resets them; " +
+      "test/platform/stream-ends.test.ts covers the case.",
+  },
 ];
--- a/src/host/response.ts
+++ b/src/host/response.ts
@@ -23,6 +23,14 @@
   res.destroy();
 }
 
+/**
+ * Breaks off those of a server's responses that are not complete, before its process ends and the kernel closes their connections
+ * normally. A response whose last bytes the kernel has taken is complete, and still reaches its client.
+ */
+export function breakOffAll(open: Iterable<http.ServerResponse>): void {
+  for (const res of open) if (!res.writableFinished) breakOff(res);
+}
+
 /**
  * Has `refuse` answer bytes that are not an HTTP request. While a response to an earlier, whole request has not ended, a refusal
  * would become part of it; the connection then ends after that response instead.
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -95,7 +95,8 @@
 export class CallerServer {
   private readonly server: http.Server;
   private draining = false;
-  private activeRequests = 0;
+  /** Responses to the requests in flight. */
+  private readonly open = new Set<http.ServerResponse>();
   private onIdle: (() => void) | undefined;
   private readonly lagMonitor: lagMonitor.LagMonitor;
   private readonly meter: callerMeter.CallerMeter;
@@ -118,7 +119,7 @@
 
   /** Number of requests in flight. */
   inFlight(): number {
-    return this.activeRequests;
+    return this.open.size;
   }
 
   /** Lag of this host's event loop in ms, 0 while no request is open. */
@@ -143,21 +144,25 @@
     this.draining = true;
     this.server.close();
     this.server.closeIdleConnections();
-    if (this.activeRequests === 0) return;
+    if (this.open.size === 0) return;
     await new Promise<void>((resolve) => {
       this.onIdle = resolve;
     });
   }
 
+  /** Breaks off all responses that are not complete. */
+  breakOff(): void {
+    responses.breakOffAll(this.open);
+  }
+
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
-    this.activeRequests++;
+    this.open.add(res);
     this.lagMonitor.requestOpened();
     this.meter.recordRequest(req.socket);
     res.once("close", () => {
-      this.activeRequests--;
+      this.open.delete(res);
       this.lagMonitor.requestClosed();
-      if (this.activeRequests > 0) return;
-      this.onIdle?.();
+      if (this.open.size === 0) this.onIdle?.();
     });
     if (this.draining) res.setHeader("connection", "close");
     res.once("finish", () => {
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -363,6 +363,7 @@
       await clock.sleep(deps.clock, Math.min(READINESS_NOTICE_MS, opts.graceMs / 2));
       const deadline = clock.sleep(deps.clock, abortAt - deps.clock.mono());
       await Promise.race([callers.close(), deadline]);
+      callers.breakOff();
       readiness.close();
       buffered.close();
       catalogFeed.stop();
--- a/test/platform/stream-ends.test.ts
+++ b/test/platform/stream-ends.test.ts
@@ -15,6 +15,8 @@
 
 const MAIN = path.join(import.meta.dirname, "../../deploy/launch.cjs");
 const REQUESTS = 12;
+/** Milliseconds that callers wait for their streams. */
+const WAIT_MS = 3000;
 
 /** Sends a stream request over a connection of its own. */
 function receive(
@@ -23,11 +25,12 @@
   prefix: string,
   id: string,
   afterwards = "",
+  waitMs = WAIT_MS,
 ): Promise<rawCaller.Received> {
   const headers = {
     host: documents.HOST,
     "x-sumacfield-attempt-id": id,
-    "x-sumacfield-deadline-ms": "3000",
+    "x-sumacfield-deadline-ms": String(waitMs),
     "x-sumacfield-model": "m/a1",
     "x-sumacfield-token-usage": "100,10",
   };
@@ -124,6 +127,21 @@
     expect(all.map((a) => a.end)).deep.equal(all.map(() => "cut"));
   }).timeout(30_000);
 
+  it("reaches no HTTP/1.0 caller as complete when its daemon stops before it ends", async () => {
+    const [entry] = site.entries;
+    for (const e of engines()) e.eventMs = 1000;
+    const stopped = entry?.stop();
+    // So late that its caller still waits when the grace ends, while the daemon still accepts connections.
+    await timers.setTimeout(1500);
+    const { body, end } = await receive(entry?.callers ?? "", "1.0", "/o/", "stopped", "", 4000);
+    await stopped;
+    entry?.start();
+    for (const e of engines()) e.eventMs = soak.EVENT_MS;
+    await site.untilReady();
+    expect(body).match(/^id: 1\ndata: stopped /);
+    expect([body === wholeStream("stopped"), end]).deep.equal([false, "cut"]);
+  }).timeout(30_000);
+
   it("reaches its caller whole though its next bytes are no request", async () => {
     const id = "before-garbage";
     const address = site.entries[0]?.callers ?? "";
--- a/test/response.test.ts
+++ b/test/response.test.ts
@@ -60,3 +60,54 @@
     expect(text).equal("");
   });
 });
+
+describe("the responses of a process that ends", () => {
+  /** Bytes that the sockets' buffers hold, and more than they hold. */
+  const HELD_BYTES = 400_000;
+  const LONGER_BYTES = 40_000_000;
+
+  /** What an HTTP/1.0 client gets that reads nothing until the responses of its server were broken off. */
+  async function receivedOf(size: number, end: boolean) {
+    const open = new Set<http.ServerResponse>();
+    const server = http.createServer((_req, res) => {
+      open.add(res);
+      res.writeHead(200);
+      res.write(Buffer.alloc(size));
+      if (end) res.end();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    const socket = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true }).pause();
+    socket.write("GET / HTTP/1.0\r\n\r\n");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    responses.breakOffAll(open);
+    server.close();
+    return new Promise<{ readonly bytes: number; readonly isReset: boolean }>((resolve) => {
+      let bytes = 0;
+      const finish = (isReset: boolean): void => {
+        resolve({ bytes, isReset });
+        socket.destroy();
+      };
+      socket.on("data", (part) => (bytes += part.length)).resume();
+      socket.once("error", () => {
+        finish(true);
+      });
+      // Node.js takes a reset that arrives together with the last bytes for an end; a write shows it.
+      socket.once("end", () => {
+        socket.write("\r\n", (err) => {
+          finish(Boolean(err));
+        });
+      });
+    });
+  }
+
+  it("are broken off unless the kernel has all their bytes", async () => {
+    const complete = await receivedOf(HELD_BYTES, true);
+    expect(complete.isReset).equal(false);
+    expect(complete.bytes).above(HELD_BYTES);
+    expect(await receivedOf(HELD_BYTES, false)).include({ isReset: true });
+    expect(await receivedOf(LONGER_BYTES, true)).include({ isReset: true });
+  });
+});
