Check a worker for a crash although its next incarnation is registered

Where only a close shows the end of an answer, the worker is checked for a crash, unless it had announced that it leaves. That was read off "is not the registered incarnation, or leaves". So a worker that had started again under its name was not checked: the request was sent by the old entry, reached the new process at the same address, and the new entry arrived before the answer ended. The same held back crashes of requests whose connections broke in that moment.

Now a worker counts as leaving if the entry under its name says so, or is gone. The entry of a later incarnation says nothing about this one, and what listens at the address decides.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -54,4 +54,12 @@
     put: "if (false)",
     proof: "are broken off unless the kernel has all their bytes",
   },
+  {
+    name: "answers: the entry of a worker's next incarnation doesn't announce that it leaves",
+    file: "serving/catalog.js",
+    find: "return catalog.endpoints.get(incarnation.workerOf(e.id))?.leaving ?? true;",
+    put: "return !isUsable(catalog, e);",
+    proof:
+      "does not pass on such an answer where the worker's next incarnation is registered meanwhile",
+  },
 ];
--- a/src/serving/catalog.ts
+++ b/src/serving/catalog.ts
@@ -310,6 +310,14 @@
   return current?.id === e.id && !current.leaving && softwareOf(current) === softwareOf(e);
 }
 
+/**
+ * Whether an endpoint's worker has announced that it leaves: by its entry, or by the entry's removal. An entry of a later
+ * incarnation announces nothing about this one.
+ */
+export function isLeaving(catalog: Catalog, e: Endpoint): boolean {
+  return catalog.endpoints.get(incarnation.workerOf(e.id))?.leaving ?? true;
+}
+
 /** Cache of the endpoints that each service's selector selects, for each value of {@link Catalog.endpoints}. */
 const selectedEndpoints = new WeakMap<
   Catalog["endpoints"],
--- a/src/serving/suspects.ts
+++ b/src/serving/suspects.ts
@@ -95,7 +95,7 @@
   /** Whether a worker has ended without announcing that it leaves. */
   async hasCrashed(worker: catalog.Endpoint): Promise<boolean> {
     // A worker that announced that it is leaving ends as planned; that proves nothing.
-    if (!catalog.isUsable(this.deps.catalog(), worker)) return false;
+    if (catalog.isLeaving(this.deps.catalog(), worker)) return false;
     return this.deps.crashCheck.hasCrashed(worker);
   }
 
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -314,6 +314,26 @@
     expect([seen.status, seen.body]).deep.equal([502, ""]);
   });
 
+  it("does not pass on such an answer where the worker's next incarnation is registered meanwhile", async () => {
+    let current = catalogOf([]);
+    const register = (startedAt: number): void => {
+      const e = fixtures.endpoint(`w#${startedAt}`, crashes.address);
+      current = { ...current, endpoints: new Map([["w", e]]) };
+    };
+    const crashes = await rawStream((s) => {
+      register(2);
+      crashes.close();
+      s.end("the beginning of an ans");
+    });
+    register(1);
+    const setup = dispatcherFixture.create(() => current);
+    const seen = nothingSeen();
+    const res = callerResponse(new AbortController().signal, seen);
+    await setup.dispatcher.serve(fixtures.request({}), res);
+    setup.close();
+    expect([seen.status, seen.body]).deep.equal([502, ""]);
+  });
+
   it("ends a resumed stream that has nothing left as complete", async () => {
     const breaks = await rawStream((s) => {
       s.write(event(1));
