Entry daemon: break off open responses when an uncaught error ends the process

An HTTP/1.0 caller would take the events that it has for a whole stream when an uncaught error ends its entry daemon: Node.js exits, and the kernel closes the connections normally.

The platform's daemon now breaks off, as its process exits, the responses that are not complete. A process that is killed by a signal has no such moment: SIGKILL, and SIGINT, which the platform doesn't send.

--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -77,11 +77,16 @@
 /** Milliseconds before the kill at which the remaining requests are aborted. */
 const ABORT_BEFORE_KILL_MS = 300;
 
+/** A running daemon. */
+export interface Running {
+  /** Shuts down gracefully, within the grace period. */
+  readonly stop: () => Promise<void>;
+  /** Breaks off the responses that are not complete; to be called before the process ends in any other way. */
+  readonly breakOff: () => void;
+}
+
 /** Starts the daemon. Resolves once it listens. */
-export async function start(
-  opts: Options,
-  deps: Deps,
-): Promise<{ readonly stop: () => Promise<void> }> {
+export async function start(opts: Options, deps: Deps): Promise<Running> {
   const daemonMetrics = metrics.create();
   const upstreams = new upstream.Upstream(deps.protocol);
   let draining = false;
@@ -355,6 +360,9 @@
   void catalogFeed.run();
   void register.run();
   return {
+    breakOff: () => {
+      callers.breakOff();
+    },
     stop: async () => {
       draining = true;
       callers.startDraining();
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -7,6 +7,7 @@
 import * as yaml from "yaml";
 import * as freePorts from "../../bench/platform/ports.js";
 import * as documents from "../../bench/platform/documents.js";
+import * as rawCaller from "../../bench/platform/raw-caller.js";
 import * as stores from "../../bench/platform/store.js";
 import * as journals from "../../bench/platform/journal.js";
 import * as workers from "../../bench/platform/worker.js";
@@ -31,6 +32,16 @@
   return documents.config(version, [route], [documents.engineService("llm", 2)]);
 }
 
+function headersOf(id: string, adapter: string): Readonly<Record<string, string>> {
+  return {
+    host: documents.HOST,
+    "x-sumacfield-attempt-id": id,
+    "x-sumacfield-model": `m/${adapter}`,
+    "x-sumacfield-token-usage": "100,10",
+    "x-sumacfield-deadline-ms": "4000",
+  };
+}
+
 /** A daemon that runs as a process of its own, with the log lines it wrote. */
 interface Daemon {
   readonly process: child.ChildProcess;
@@ -38,9 +49,10 @@
   readonly exited: Promise<number | null>;
 }
 
-function startDaemon(role: string, file: string): Daemon {
+function startDaemon(role: string, file: string, flags: readonly string[] = []): Daemon {
   const env = { ...process.env, SUMACFIELD_CONFIG: file, SUMACFIELD_METRICS_PORT: "0" };
-  const started = child.spawn(process.execPath, [...script.FLAGS, MAIN, role], { env });
+  const args = [...script.FLAGS, ...flags, MAIN, role];
+  const started = child.spawn(process.execPath, args, { env });
   let text = "";
   started.stdout.on("data", (part: Buffer) => {
     text += part.toString();
@@ -94,13 +106,7 @@
   function ask(id: string, adapter: string, urlPath = "/c/x") {
     return undici.request(`http://127.0.0.1:${ports[0]}${urlPath}`, {
       method: "POST",
-      headers: {
-        host: "a.example",
-        "x-sumacfield-attempt-id": id,
-        "x-sumacfield-model": `m/${adapter}`,
-        "x-sumacfield-token-usage": "100,10",
-        "x-sumacfield-deadline-ms": "4000",
-      },
+      headers: headersOf(id, adapter),
       body: "prompt",
     });
   }
@@ -250,6 +256,23 @@
     expect(text.match(/data: again a1@1 \d/g)).length(5);
     expect(await entry.exited).equal(0);
   }).timeout(10_000);
+
+  it("show an HTTP/1.0 caller that its answer is cut when an uncaught error ends them", async () => {
+    const hook = path.join(import.meta.dirname, "uncaught.cjs");
+    entry = startDaemon("entry", path.join(folder, "entry-1.yaml"), ["--require", hook]);
+    await untilServed();
+    worker.eventMs = 400;
+    const headers = headersOf("cut", "a1");
+    const req = { version: "1.0", path: route, headers, body: "prompt" } as const;
+    const received = rawCaller.send(`127.0.0.1:${ports[0]}`, req);
+    await eventually(() => journal.runs.some((r) => r.id === "cut"));
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    entry.process.kill("SIGUSR2");
+    const { body, end } = await received;
+    expect(await entry.exited).equal(1);
+    expect(body).match(/^id: 1\ndata: cut a1/);
+    expect(end).equal("cut");
+  }).timeout(10_000);
 });
 
 describe("the bundle", () => {
