Hold the end of a connection back while its answer is paused

What callers saw: an entry daemon ended, and all its callers were cut off, when a worker closed its connection after an answer that was to end so ("connection: close", whether the close, a length or cut chunks mark the end) while a slow caller had the answer paused. On a connection that was to be kept, an answer with a length, of which all bytes had arrived, was broken off as "other side closed".

Cause: undici handles the socket's `end`, and a reset that it knows as such, by `Parser.finish`, which asserts that the parser is not paused. The event comes from the socket, outside of any call, and nothing catches it. `end` comes while the parser is paused whenever the last chunk that was read is the one that paused it, since nothing is left in the socket's buffer then. Reached by: answers to callers in `serving` (streams that wait for a slow caller, whole answers that wait for room in the memory budget), answers of plain services and engines that an endpoint daemon forwards to a slow reader, and those that the entry daemon of `src/entry` forwards. Not reached by reports, orders, store calls and watches, which read an answer without a pause, as tried with `text`, iteration without waiting, and a blocked event loop; seat links don't use undici.

Change: each connection of our connectors delays `end` until the parser has resumed. undici shows no state of its parser, so it is inferred from the calls to the socket by which a parser pauses (`unshift`) and resumes (`read`). The socket allows half-open connections, since Node.js would otherwise close it after the delayed event, and the close too calls `finish`. The probe for a reset is sent when the end arrives, as before, and the code of a reset is now replaced on all connectors. A parser that resumes at the end of what it has read begins with an empty chunk; it is dropped, as it would pause a reader that always pauses again and again. No byte more is buffered. docs/design/endless-answers.md weighs this against reading on into a buffer.

The cost of a read was not measured.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -268,6 +268,13 @@
     put: "void e;",
     proof: "takes an answer without a length as cut off at a later reset",
   },
+  {
+    name: "the end of a connection is held back while its answer is paused",
+    file: "host/connector.js",
+    find: "isEndHeld = isPaused;",
+    put: "isEndHeld = false;",
+    proof: "survives the end of an answer that is marked by the close while its reader pauses",
+  },
   {
     name: "what may have run and must not be repeated is not sent again",
     file: "serving/sending.js",
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -7,6 +7,7 @@
 import * as undici from "undici";
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
+import * as connector from "../host/connector.js";
 import * as daemon from "../host/daemon.js";
 import * as errors from "../host/errors.js";
 import * as settings from "../host/settings.js";
@@ -169,7 +170,7 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: { timeout: cfg.controlTimeoutMs },
+    connect: connector.pausable({ timeout: cfg.controlTimeoutMs }),
   });
   const routing: route.Options = {
     policy: cfg.route,
--- a/src/host/connector.ts
+++ b/src/host/connector.ts
@@ -1,5 +1,6 @@
 /**
- * Connects HTTP clients so that an answer without a length that was reset is told from a complete one.
+ * Connects HTTP clients so that an answer without a length that was reset is told from a complete one, and that an answer may
+ * end while its reader has it paused.
  * @module
  */
 import type * as net from "node:net";
@@ -25,14 +26,53 @@
   opts: undici.buildConnector.BuildOptions,
 ): undici.buildConnector.connector {
   return preparing(opts, (socket) => {
-    socket.prependListener("error", (e: NodeJS.ErrnoException) => {
-      if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
-    });
     probeAtEnd(socket);
     new readMeter.ReadMeter(socket, MAX_BARE_BYTES);
   });
 }
 
+/**
+ * Delays a socket's `end` event while undici's parser is paused. undici would take the end of the connection for the end of
+ * the answer and fail an assertion, outside of any call, or give up an answer of which all bytes have arrived.
+ *
+ * A parser that pauses puts back what it has not parsed, even if that is nothing, and reads again once it resumes; the reads of
+ * Node.js itself have a size. The socket must allow half-open connections, as it is otherwise closed after the delayed event.
+ */
+function holdEndWhilePaused(socket: net.Socket): void {
+  const emit = socket.emit.bind(socket);
+  const read = socket.read.bind(socket);
+  const unshift = socket.unshift.bind(socket);
+  let isPaused = false;
+  let isEndHeld = false;
+  const end = (): boolean => {
+    const hasListeners = emit("end");
+    socket.end();
+    return hasListeners;
+  };
+  const endIfResumed = (): void => {
+    if (isPaused || !isEndHeld || socket.destroyed) return;
+    isEndHeld = false;
+    end();
+  };
+  socket.unshift = (chunk: unknown, encoding?: BufferEncoding): void => {
+    isPaused = true;
+    unshift(chunk, encoding);
+  };
+  socket.read = (size?: number): unknown => {
+    if (size === undefined) {
+      isPaused = false;
+      // The parser first parses what has been read.
+      if (isEndHeld) process.nextTick(endIfResumed);
+    }
+    return read(size);
+  };
+  socket.emit = (name: string | symbol, ...args: unknown[]): boolean => {
+    if (name !== "end") return emit(name, ...args);
+    isEndHeld = isPaused;
+    return isEndHeld || end();
+  };
+}
+
 /** Delays a socket's `end` event until a write has succeeded; a failed write destroys the socket. */
 function probeAtEnd(socket: net.Socket): void {
   const emit = socket.emit.bind(socket);
@@ -60,18 +100,29 @@
   });
 }
 
-/** Returns undici's connector, with `prepare` called for each new connection before it is used. */
+/** Returns undici's connector, changed so that an answer may end, or be reset, while its reader has it paused. */
+export function pausable(
+  opts: undici.buildConnector.BuildOptions,
+): undici.buildConnector.connector {
+  return preparing(opts, () => undefined);
+}
+
+/** Returns what {@link pausable} does, with `prepare` called for each new connection before it is used. */
 function preparing(
   opts: undici.buildConnector.BuildOptions,
   prepare: (socket: net.Socket) => void,
 ): undici.buildConnector.connector {
-  const connect = undici.buildConnector(opts);
+  const connect = undici.buildConnector({ ...opts, allowHalfOpen: true });
   return (target, done) => {
     connect(target, (...[err, socket]) => {
       if (err) {
         done(err, null);
         return;
       }
+      socket.prependListener("error", (e: NodeJS.ErrnoException) => {
+        if (e.code === "ECONNRESET" || e.code === "EPIPE") e.code = RESET_CODE;
+      });
+      holdEndWhilePaused(socket);
       prepare(socket);
       done(null, socket);
     });
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -126,6 +126,8 @@
   }
 
   onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    // A parser that resumes where a read ended begins with an empty chunk, which must not pause it again.
+    if (chunk.length === 0) return;
     this.meter?.recordBody(chunk.length);
     if (this.onChunk) this.deliver(this.onChunk, chunk, controller);
     else this.buffered.push(chunk);
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as exchange from "../../src/serving/exchange.js";
 import * as upstream from "../../src/serving/upstream.js";
 import * as fixtures from "./fixtures.js";
@@ -9,8 +10,26 @@
 const MARKS = { instance: "e", rank: 1, leftMs: 500 };
 const HEAD = "HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signed: 1\r\n";
 
-/** Sends one request to a worker that answers with raw bytes; resolves to the body, or to the kind of failure. */
-async function outcomeOf(answer: (socket: net.Socket) => void): Promise<string> {
+/** Milliseconds from a part of an answer to the end of its connection, and for which a slow reader then pauses. */
+const END_MS = 10;
+const PAUSE_MS = 40;
+
+/** The rest of answers whose connection ends, by what marks the end of the body, and what a reader gets of them. */
+const ENDED = {
+  "the close": { head: "connection: close\r\n\r\nabc", outcome: "abc" },
+  "a length": { head: "connection: close\r\ncontent-length: 3\r\n\r\nabc", outcome: "abc" },
+  "a length on a kept connection": { head: "content-length: 3\r\n\r\nabc", outcome: "abc" },
+  "chunks that are cut": {
+    head: "connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc",
+    outcome: "broke off",
+  },
+};
+
+/**
+ * Sends one request to a worker that answers with raw bytes; resolves to the body, or to the kind of failure. The body is read
+ * with a pause of `pauseMs` after each chunk.
+ */
+async function outcomeOf(answer: (socket: net.Socket) => void, pauseMs = 0): Promise<string> {
   const worker = await fixtures.rawWorker(answer);
   const upstreamPools = new upstream.Upstream(fixtures.WIRE);
   try {
@@ -22,7 +41,9 @@
       new AbortController().signal,
     );
     if (sent.kind !== "answer") return sent.kind;
-    return (await exchange.readAll(sent.body, 1000)).toString();
+    const pause = (): Promise<void> | undefined =>
+      pauseMs > 0 ? timers.setTimeout(pauseMs) : undefined;
+    return (await exchange.readAll(sent.body, 1000, pause)).toString();
   } catch {
     return "broke off";
   } finally {
@@ -80,6 +101,24 @@
     expect(await outcomeOf((s) => s.end(`${HEAD}content-length: 9\r\n\r\nabc`))).equal("broke off");
   });
 
+  for (const [mark, { head, outcome }] of Object.entries(ENDED)) {
+    it(`survives the end of an answer that is marked by ${mark} while its reader pauses`, async () => {
+      const ending = (s: net.Socket): void => {
+        s.write(HEAD + head);
+        setTimeout(() => s.end(), END_MS);
+      };
+      expect(await outcomeOf(ending, PAUSE_MS)).equal(outcome);
+    });
+  }
+
+  it("takes an answer without a length as cut off at a reset while its reader pauses", async () => {
+    const reset = (s: net.Socket): void => {
+      s.write(`${HEAD}connection: close\r\n\r\nabc`);
+      setTimeout(() => s.resetAndDestroy(), END_MS);
+    };
+    expect(await outcomeOf(reset, PAUSE_MS)).equal("broke off");
+  });
+
   it("does not trust an answer to another request", async () => {
     const other = HEAD.replace("r1", "r2");
     expect(await outcomeOf((s) => s.end(`${other}content-length: 3\r\n\r\nabc`))).equal("unknown");
