Endpoint daemons: do not take the body of an answer for framing without end

An endpoint daemon of the own way broke off each answer of its service or engine beyond 131,072 bytes. Cause: its connector counts the bytes that are read against what the client records of heads and bodies, and only the entry daemon's exchange records them.

The bound is a connector of its own now, which the entry daemon's client uses. answer-ends.test.ts, "is complete though it has many bytes": 300,000 bytes; failed before ("the answer goes on beyond 131072 bytes"). upstream, endless-heads, endless-callers, endpoint and answer-ends tests pass.

--- a/src/host/connector.ts
+++ b/src/host/connector.ts
@@ -19,12 +19,18 @@
  * its connection closed normally, and two layers hide a reset: libuv reports a reset that arrives together with the last
  * bytes as an end, and undici treats a reset as the end of such an answer. So an end is passed on only after a write has
  * shown that the connection was not reset, and the error of a reset gets a code that undici does not know.
- *
- * A connection on which bytes arrive without end that are no body is destroyed; see {@link readMeter.ReadMeter}.
  */
 export function resetAware(
   opts: undici.buildConnector.BuildOptions,
 ): undici.buildConnector.connector {
+  return preparing(opts, probeAtEnd);
+}
+
+/**
+ * Returns what {@link resetAware} does, for clients that record each head and body on {@link readMeter.current}: a connection on
+ * which other bytes arrive without end is destroyed.
+ */
+export function metered(opts: undici.buildConnector.BuildOptions): undici.buildConnector.connector {
   return preparing(opts, (socket) => {
     probeAtEnd(socket);
     new readMeter.ReadMeter(socket, MAX_BARE_BYTES);
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -72,7 +72,7 @@
     const pool = new undici.Pool(`http://${e.address}`, {
       connections: Math.max(2, Math.floor(service.connections / shares)),
       pipelining: 1,
-      connect: connector.resetAware({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false }),
+      connect: connector.metered({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/test/answer-ends.test.ts
+++ b/test/answer-ends.test.ts
@@ -46,6 +46,11 @@
     expect(await serviceBody((s) => s.end(`${HEAD}abc`))).equal("abc");
   });
 
+  it("is complete though it has many bytes", async () => {
+    const body = "a".repeat(300_000);
+    expect((await serviceBody((s) => s.end(HEAD + body))).length).equal(body.length);
+  });
+
   it("is complete when its connection closes before a slow reader begins", async () => {
     const body = "a".repeat(PAUSING_BYTES);
     expect(await serviceBody((s) => s.end(HEAD + body), 20)).equal(body);
