Tell a worker the time left when its request is written

A worker was told more time than its caller had left, by as long as the request had waited for a connection: up to the whole wait for a connection in use, or 700 ms for one that is set up. It worked on for a caller that had gone.

Cause: the headers of a send were computed before the request was handed to the HTTP client, which may keep it until a connection is free. The checks before a send are made at the write, but what the headers say was not.

The headers are now read when a connection takes the request. A connection may then still have to be set up; if more than 100 ms pass meanwhile, the request is withheld at the write and sent again, as one whose caller's presence has to be confirmed is, with its seat, its permit and its charge to the retry budget kept.

--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -37,7 +37,8 @@
 
 /**
  * Why a request is withheld: this endpoint cannot serve it but another may (`elsewhere`), none may (`refused`), its caller
- * has left (`left`), or whether it has left is only known after the next poll of the event loop (`stale`).
+ * has left (`left`), or what is known of the caller or was told of the time left is outdated, so that it is to be sent again
+ * (`stale`).
  */
 export type WithholdReason = "elsewhere" | "refused" | "left" | "stale";
 
--- a/src/serving/send-state.ts
+++ b/src/serving/send-state.ts
@@ -6,6 +6,7 @@
 import type * as catalog from "./catalog.js";
 import type * as streamClock from "./pacing/stream-clock.js";
 import type * as progress from "./progress.js";
+import type * as protocol from "./protocol.js";
 import type * as seatFinder from "./seat-finder.js";
 import type * as sendChecks from "./send-checks.js";
 import type * as sendWatchdog from "./send-watchdog.js";
@@ -49,3 +50,18 @@
   /** Why the request was withheld, if it was. */
   withholdReason: sendChecks.WithholdReason | undefined;
 }
+
+/** The fields that are added to a request that is sent with `leftMs` left until its deadline. */
+export function attributesOf(
+  { req, p, endpoint, grants }: SendState,
+  leftMs: number,
+): protocol.SendAttributes {
+  return {
+    instance: grants.seat?.instance ?? endpoint.id,
+    version: grants.version,
+    rank: req.route.rank,
+    leftMs,
+    resumeAfter: p.lastEventId,
+    team: req.caller?.team.name,
+  };
+}
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -12,6 +12,7 @@
 import * as origin from "./continuation/origin.js";
 import type * as origins from "./continuation/origins.js";
 import * as ending from "./ending.js";
+import * as told from "./deadlines/told-time.js";
 import * as completeness from "./answers/completeness.js";
 import * as eventSplitter from "./answers/event-splitter.js";
 import * as streamBounds from "./answers/stream-bounds.js";
@@ -81,7 +82,7 @@
     }
   }
 
-  /** Sends a request; `stale` if it was withheld until the event loop has polled, with the seat and the permit kept. */
+  /** Sends a request; `stale` if it was withheld and is to be sent again there, with the seat and the permit kept. */
   private async trySend(
     req: callerRequest.CallerRequest,
     res: progress.CallerResponse,
@@ -91,19 +92,10 @@
     stopSignal: AbortSignal,
   ): Promise<progress.Ending | "stale" | undefined> {
     const { endpoint } = best.view;
-    const { seat } = grants;
     const sentAt = this.deps.clock.mono();
-    const leftMs = Math.max(1, Math.floor(req.dueAt - sentAt));
+    const toldTime = new told.ToldTime(this.deps.clock, req.dueAt);
     p.endpoint = endpoint.id;
     this.deps.endpoints.requestStarted(endpoint.id);
-    const attributes = {
-      instance: seat?.instance ?? endpoint.id,
-      version: grants.version,
-      rank: req.route.rank,
-      leftMs,
-      resumeAfter: p.lastEventId,
-      team: req.caller?.team.name,
-    };
     const mayGoOn = (): boolean =>
       !p.sideRuns &&
       this.mayResend(req, p) &&
@@ -125,7 +117,9 @@
     };
     const gate: exchange.Gate = {
       mayStart: () => {
-        send.withholdReason = this.deps.checks.withholdReason(req, res, p, endpoint, grants);
+        send.withholdReason =
+          this.deps.checks.withholdReason(req, res, p, endpoint, grants) ??
+          (toldTime.isOutdated() ? "stale" : undefined);
         if (send.withholdReason === undefined) this.recordStart(send);
         return send.withholdReason === undefined;
       },
@@ -135,7 +129,7 @@
       const result = await this.deps.upstream.send(
         req,
         endpoint,
-        attributes,
+        () => sendState.attributesOf(send, toldTime.tell()),
         watchdog.signal,
         gate,
       );
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -85,13 +85,13 @@
   }
 
   /**
-   * Sends `req` to `e`, unless `gate` withholds it before it is written. An abort of `signal` closes the connection, so that
-   * the endpoint stops.
+   * Sends `req` to `e`, unless `gate` withholds it before it is written. `attributes` is called when a connection takes the
+   * request, which may wait for one. An abort of `signal` closes the connection, so that the endpoint stops.
    */
   async send(
     req: callerRequest.CallerRequest,
     e: catalog.Endpoint,
-    attributes: protocol.SendAttributes,
+    attributes: () => protocol.SendAttributes,
     signal: AbortSignal,
     gate: exchange.Gate = exchange.ALWAYS_OPEN,
   ): Promise<SendResult> {
@@ -102,10 +102,7 @@
         {
           method: req.method,
           path: req.path,
-          headers: { ...req.headers, ...this.wire.sendHeaders(attributes) } as Record<
-            string,
-            string | string[]
-          >,
+          headers: lazily(() => ({ ...req.headers, ...this.wire.sendHeaders(attributes()) })),
           body: req.body.length > 0 ? req.body : null,
         },
         transfer,
@@ -174,6 +171,14 @@
   }
 }
 
+/** Headers that are computed when the HTTP client reads them, which it does when a connection takes their request. */
+function lazily(compute: () => headers.Headers): Iterable<Header> {
+  return { [Symbol.iterator]: () => (Object.entries(compute()) as Header[])[Symbol.iterator]() };
+}
+
+/** Name and value of a header. */
+type Header = [string, string | string[] | undefined];
+
 /** Reads and discards an answer, so that its connection can be reused; a longer one has its connection closed. */
 export async function discard(body: exchange.Body): Promise<void> {
   let size = 0;
--- a/test/serving/answers/endless-heads.test.ts
+++ b/test/serving/answers/endless-heads.test.ts
@@ -7,7 +7,7 @@
 
 const { expect } = chai;
 
-const MARKS = { instance: "e", rank: 1, leftMs: 2000 };
+const MARKS = () => ({ instance: "e", rank: 1, leftMs: 2000 });
 /** Milliseconds until the request is given up, as at its deadline. */
 const DEADLINE_MS = 2000;
 /** Milliseconds until the worker has seen that its connection was closed. */
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -7,7 +7,7 @@
 
 const { expect } = chai;
 
-const MARKS = { instance: "e", rank: 1, leftMs: 500 };
+const MARKS = () => ({ instance: "e", rank: 1, leftMs: 500 });
 const HEAD = "HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signed: 1\r\n";
 
 /** Milliseconds from a part of an answer to the end of its connection, and for which a slow reader then pauses. */
--- a/test/serving/withheld.test.ts
+++ b/test/serving/withheld.test.ts
@@ -1,8 +1,10 @@
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
 import type * as callerRequest from "../../src/serving/caller-request.js";
 import type * as authentication from "../../src/serving/authentication.js";
 import * as catalog from "../../src/serving/catalog.js";
+import type * as protocol from "../../src/serving/protocol.js";
 import * as dispatcherFixture from "./dispatcher-fixture.js";
 import * as fixtures from "./fixtures.js";
 
@@ -21,12 +23,14 @@
 
 /** A worker that answers after a delay and counts the requests that arrive. */
 async function slowWorker(id: string) {
-  const seen = { arrivals: 0 };
+  const seen = { arrivals: 0, toldMs: [] as number[], answeredAt: [] as number[] };
   const worker = await fixtures.worker((req, res) => {
     seen.arrivals++;
+    seen.toldMs.push(Number(req.headers["test-left"]));
     setTimeout(() => {
       res.writeHead(200, fixtures.good(String(req.headers["test-id"])));
       res.end("whole");
+      seen.answeredAt.push(performance.now());
     }, WORK_MS);
   });
   cleanups.push(worker.close);
@@ -121,6 +125,45 @@
     expect(setup.first.seen.arrivals).equal(CONNECTIONS);
   });
 
+  it("is told the time left when it gets one, not when it began to wait", async () => {
+    const setup = await openWithBusyConnections();
+    const dueAt = performance.now() + 1000;
+    const { end } = await setup.wait("r", { dueAt });
+    expect(await end).deep.equal(["answer 200"]);
+    const { toldMs, answeredAt } = setup.first.seen;
+    expect(toldMs.at(-1)).within(1, dueAt - (answeredAt[0] ?? Infinity));
+  });
+
+  it("is told the time left again after a connection that was set up slowly", async () => {
+    const worker = await slowWorker("w1");
+    let connectMs = 0;
+    const clk: clock.Clock = {
+      ...clock.system,
+      mono: () => clock.system.mono() + connectMs,
+    };
+    const wire: protocol.Protocol = {
+      ...fixtures.WIRE,
+      sendHeaders: (m) => {
+        const told = fixtures.WIRE.sendHeaders(m);
+        connectMs = 600;
+        return told;
+      },
+    };
+    const cfg = { ...fixtures.CONFIG, services: new Map([[SERVICE.name, SERVICE]]) };
+    const current = catalog.applyUpdates(catalog.EMPTY, [
+      { kind: "config", config: cfg },
+      { kind: "endpoint", endpoint: worker.endpoint },
+    ]).updated;
+    const setup = dispatcherFixture.create(() => current, undefined, clk, wire);
+    cleanups.push(setup.close);
+    const { response, seen } = dispatcherFixture.recorded();
+    const req = fixtures.request({ service: SERVICE, dueAt: clk.mono() + 1000 });
+    await setup.dispatcher.serve(req, response);
+    expect(seen).deep.equal(["answer 200"]);
+    expect(worker.seen.toldMs).lengthOf(1);
+    expect(worker.seen.toldMs[0]).within(1, 400);
+  });
+
   it("leaves its connection to the next request if it is not sent", async () => {
     const setup = await openWithBusyConnections();
     const { end } = await setup.wait("r");
