Cut no stream before its caller's time has passed

Cause: a request that is read while the loop is behind counts as arrived earlier, by the lag that is estimated. The estimate is the most that the request may have waited, or half the age of a run of accepts; most requests waited less. The deadline was derived from it for good, so that what was fit to refuse a request by cut its stream seconds later, here or at the worker, which stops at what it was told.

A request now has two deadlines (deadlines/deadline.ts). The one by the estimate holds until an answer begins, as before: refusals, calls, what the worker of a call is told. A stream that has begun goes on until its caller's time has passed since it was read, and its worker is told that. The route's timeout still counts from the estimated arrival, but at most 200 ms later, since a caller must not be held for long beyond it. The timer of the deadline goes by the clock, so that the look-up of a resumed stream's origin no longer delays it.

"cuts no stream before the time that its caller waits" in overload.test.ts failed before: closed 359 ms early.

--- a/src/serving/caller-request.ts
+++ b/src/serving/caller-request.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type * as catalog from "./catalog.js";
+import type * as deadline from "./deadlines/deadline.js";
 
 /** The model and adapter that a request names. */
 export interface Target {
@@ -48,7 +49,7 @@
 }
 
 /** A request that was read completely and matched to a route. */
-export interface CallerRequest {
+export interface CallerRequest extends deadline.Deadlines {
   readonly meta: Meta;
   readonly route: catalog.Route;
   readonly service: catalog.Service;
@@ -60,8 +61,6 @@
   /** Headers to forward, in their order, without hop-by-hop headers. */
   readonly headers: Readonly<Record<string, string | readonly string[]>>;
   readonly body: Buffer;
-  /** Monotonic ms at which the request arrived. */
+  /** Monotonic ms at which the request arrived, by an estimate if it waited to be read. */
   readonly arrivedAt: number;
-  /** Monotonic ms of the deadline for the answer. */
-  readonly dueAt: number;
 }
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -14,6 +14,7 @@
 import type * as memory from "./buffering/memory.js";
 import type * as caps from "./caps.js";
 import type * as catalog from "./catalog.js";
+import * as deadline from "./deadlines/deadline.js";
 import type * as dispatch from "./dispatch.js";
 import type * as earlyListener from "./early-listener.js";
 import * as headers from "./headers.js";
@@ -80,13 +81,11 @@
 };
 
 /** A request that has arrived, with what it holds. */
-interface Arrival {
+interface Arrival extends deadline.Arrival {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly response: progress.CallerResponse;
   readonly held: hold.Hold;
-  /** Monotonic ms. */
-  readonly arrivedAt: number;
   /** Whether the event loop must poll once more, after the body, before it is known that the caller is still there. */
   readonly isPollDue: boolean;
 }
@@ -190,7 +189,8 @@
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const reading = this.lagMonitor.read(req.socket);
     const waitedMs = reading.lag.ms > loopLag.NORMAL_MS ? reading.lag.ms : 0;
-    const arrivedAt = this.deps.clock.mono() - waitedMs;
+    const readAt = this.deps.clock.mono();
+    const arrivedAt = readAt - waitedMs;
     const held = new hold.Hold(this.deps.memory, req, res);
     const response = callerResponse.open(req, res, this.deps, this.lagMonitor, held);
     const config = await this.waitForConfig();
@@ -211,7 +211,7 @@
     }
     held.identify(admitted.meta.id, admitted.route.rank);
     const isPollDue = reading.isOld && !isBodyRead;
-    const arrival = { req, res, response, held, arrivedAt, isPollDue };
+    const arrival = { req, res, response, held, arrivedAt, readAt, isPollDue };
     const mayHaveRun = await this.serve(arrival, admitted);
     held.releaseBody();
     const { caller } = admitted;
@@ -307,14 +307,14 @@
    * run.
    */
   private async serve(
-    { req, res, response, held, arrivedAt, isPollDue }: Arrival,
+    { req, res, response, held, arrivedAt, readAt, isPollDue }: Arrival,
     m: match.Matched,
   ): Promise<boolean> {
     const { meta, route, service, config } = m;
-    const dueAt = arrivedAt + Math.min(meta.waitMs, route.timeoutMs);
+    const due = deadline.deadlinesOf({ arrivedAt, readAt }, meta.waitMs, route.timeoutMs);
     const bounds = {
       limitBytes: config.limits.bodyBytes,
-      withinMs: dueAt - this.deps.clock.mono(),
+      withinMs: due.dueAt - this.deps.clock.mono(),
     };
     const result = await bodyReader.read(req, held, bounds, this.deps.clock);
     if (result.kind === "broke") {
@@ -341,7 +341,7 @@
         headers: headers.forRequest(req.headersDistinct, ...stripped),
         body: result.body,
         arrivedAt,
-        dueAt,
+        ...due,
       },
       response,
     );
--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -10,6 +10,7 @@
 import type * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import type * as origins from "./continuation/origins.js";
+import * as deadline from "./deadlines/deadline.js";
 import * as ending from "./ending.js";
 import * as hedgedCalls from "./overload/hedged-calls.js";
 import type * as metrics from "./metrics.js";
@@ -94,7 +95,6 @@
     received: callerRequest.CallerRequest,
     res: progress.CallerResponse,
   ): Promise<boolean> {
-    const now = this.deps.clock.mono();
     const p = progress.start(received);
     const req = await this.bindToOrigin(received, p);
     this.budget.recordRequest(req.service.name);
@@ -103,7 +103,7 @@
       stopping.abort();
     };
     res.disconnected.addEventListener("abort", stop, { once: true });
-    const timer = this.deps.clock.after(Math.max(0, req.dueAt - now), stop);
+    const timer = deadline.onPassed(this.deps.clock, req, p, stop);
     let outcome: progress.Ending = "failed";
     try {
       outcome = await this.tryEndpoints(req, res, p, stopping.signal);
@@ -216,7 +216,7 @@
     }
     for (;;) {
       if (res.disconnected.aborted) return "left";
-      const remainingMs = req.dueAt - this.deps.clock.mono();
+      const remainingMs = deadline.dueAt(req, p) - this.deps.clock.mono();
       if (remainingMs < MIN_REMAINING_MS) return this.giveUp(req, res, p, true);
       if (p.runs > 0 && p.runs >= req.route.attempts) return this.giveUp(req, res, p, false);
       if (p.withheld > MAX_WITHHELD) return this.giveUp(req, res, p, false);
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -8,6 +8,7 @@
 import * as catalog from "./catalog.js";
 import * as choice from "./choice.js";
 import type * as origins from "./continuation/origins.js";
+import * as deadline from "./deadlines/deadline.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as incarnation from "./incarnation.js";
 import type * as link from "./link.js";
@@ -113,7 +114,7 @@
       const isStarting = this.deps.endpoints.hasStartingEngine(a.service, accepts);
       const waitsUntil =
         p.queuedAt + admission.maxEndpointWaitMs(timesOf(a, p, p.queuedAt), isStarting);
-      const leftMs = Math.min(a.dueAt, waitsUntil) - this.deps.clock.mono();
+      const leftMs = Math.min(deadline.dueAt(a, p), waitsUntil) - this.deps.clock.mono();
       const opening = this.deps.endpoints.nextOpening(a.service, accepts);
       if (opening && !isStarting && opening.inMs > leftMs) {
         p.opensInMs = admission.retryWhenOpenMs(opening.inMs, this.deps.random());
@@ -353,5 +354,6 @@
   now: number,
 ): admission.RequestTimes {
   const { rank, targetMs, gapMs } = a.route;
-  return { rank, targetMs, gapMs, leftMs: a.dueAt - now, hasBegun: p.hasResponseBegun };
+  const leftMs = deadline.dueAt(a, p) - now;
+  return { rank, targetMs, gapMs, leftMs, hasBegun: p.hasResponseBegun };
 }
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -8,6 +8,7 @@
 import type * as callerRequest from "./caller-request.js";
 import type * as authentication from "./authentication.js";
 import * as catalog from "./catalog.js";
+import * as deadline from "./deadlines/deadline.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as identity from "./identity.js";
 import type * as metrics from "./metrics.js";
@@ -64,7 +65,7 @@
   ): WithholdReason | undefined {
     if (res.presence?.hasLeft()) return "left";
     if (res.presence?.isStale()) return "stale";
-    if (req.dueAt <= this.deps.clock.mono()) {
+    if (deadline.dueAt(req, p) <= this.deps.clock.mono()) {
       p.why = "the deadline passed before it could be sent";
       return "refused";
     }
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -12,6 +12,7 @@
 import * as origin from "./continuation/origin.js";
 import type * as origins from "./continuation/origins.js";
 import * as ending from "./ending.js";
+import * as deadline from "./deadlines/deadline.js";
 import * as told from "./deadlines/told-time.js";
 import * as completeness from "./answers/completeness.js";
 import * as eventSplitter from "./answers/event-splitter.js";
@@ -93,7 +94,7 @@
   ): Promise<progress.Ending | "stale" | undefined> {
     const { endpoint } = best.view;
     const sentAt = this.deps.clock.mono();
-    const toldTime = new told.ToldTime(this.deps.clock, req.dueAt);
+    const toldTime = new told.ToldTime(this.deps.clock, deadline.workUntil(req));
     p.endpoint = endpoint.id;
     this.deps.endpoints.requestStarted(endpoint.id);
     const mayGoOn = (): boolean =>
--- a/test/serving/blocked-loop.ts
+++ b/test/serving/blocked-loop.ts
@@ -58,13 +58,20 @@
   return `GET ${path} HTTP/1.1\r\nHost: a.example\r\nTest-Id: ${path}\r\nTest-Wait: ${waitMs}\r\n\r\n`;
 }
 
-/** Starts the server, the worker and the callers' thread. The worker answers at once, but never a request for /c/held. */
+/** Starts the server, the worker and the callers' thread. The worker answers at once, but never a request for /c/held,
+ * and never ends the stream /c/stream. */
 export async function open(route: Partial<catalog.Route> = {}, toleratesLagMs = 0) {
-  const arrivals: { readonly path: string; readonly leftMs: number }[] = [];
+  const arrivals: { readonly path: string; readonly leftMs: number; closedAt?: number }[] = [];
   const worker = await fixtures.worker((req, res) => {
     const path = req.url ?? "";
-    arrivals.push({ path, leftMs: Number(req.headers["test-left"]) });
+    const arrival: (typeof arrivals)[number] = { path, leftMs: Number(req.headers["test-left"]) };
+    arrivals.push(arrival);
+    res.once("close", () => (arrival.closedAt = performance.now()));
     if (path === "/c/held") return;
+    if (path === "/c/stream") {
+      res.writeHead(200, fixtures.good(path)).write("id: 1\ndata: a\n\n");
+      return;
+    }
     res.writeHead(200, fixtures.good(path)).end("whole");
   });
   const limits = { ...fixtures.CONFIG.limits, bodyBytes: MAX_BODY_BYTES };
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -172,6 +172,7 @@
     body: Buffer.from("body"),
     arrivedAt: now,
     dueAt: now + 1000,
+    streamDueAt: over.dueAt ?? now + 1000,
     ...over,
   };
 }
--- a/test/serving/overload.test.ts
+++ b/test/serving/overload.test.ts
@@ -41,8 +41,9 @@
     kept: readonly string[],
     targetMs = 2000,
     toleratesLagMs = 0,
+    kind: catalog.Route["kind"] = "once",
   ): Promise<Site> {
-    site = await blockedLoop.open({ targetMs }, toleratesLagMs);
+    site = await blockedLoop.open({ targetMs, kind }, toleratesLagMs);
     site.act([stays("held"), ...kept.map((name) => stays(name, "/c/before"))]);
     await timers.setTimeout(SETTLE_MS);
     return site;
@@ -82,6 +83,19 @@
     expect(sent?.leftMs).within(1, 2000 - BLOCK_MS + 100);
   });
 
+  /* Guards against a stream that is cut, here or by its worker, since the estimated wait counts as time that has passed. */
+  it("cuts no stream before the time that its caller waits has passed since it was read", async () => {
+    const waitMs = 700;
+    const { arrivals, actBlocked } = await busySite(["kept"], 2000, 0, "stream");
+    const text = blockedLoop.get("/c/stream", waitMs);
+    actBlocked([{ name: "kept", text, leaves: false }], BLOCK_MS);
+    const unblockedAt = performance.now();
+    await timers.setTimeout(waitMs + SETTLE_MS);
+    const stream = arrivals.find((a) => a.path === "/c/stream");
+    expect(stream?.closedAt).least(unblockedAt + waitMs);
+    expect(stream?.leftMs).within(waitMs - BLOCK_MS + 100, waitMs);
+  });
+
   /* Guards against a request that is served late instead of by another host, and a caller that comes back. */
   it("refuses at once what would be late, unsent, and closes its connection", async () => {
     const { arrivals, received, metrics, actBlocked } = await busySite(["kept"], 200);
