Check the software of a resumable stream again when it is written

A resumable stream could begin, or go on, on a software version that its host no longer counted as possible. Callers would have got a stream that another host then continues on another version, or refuses to.

Cause: whether a version is listed, and whether only one start of a worker without a seat is possible, was checked at the choice. The request may then wait for a permit, a seat, a connection or the next poll, while the store is restored, a second version is listed or the catalog grows too old to tell.

Both decisions are now in versions/software-versions.ts, which the choice and the check before a write share. A request that may no longer run there goes elsewhere, as one on an outdated version of its adapter does. sending.ts is unchanged; seat-finder.ts is shorter.

"is not sent on a software version that is no longer listed" and "is not sent without a seat where another software version may run by now" in sends.test.ts failed before (both ran); a third test shows that the stream is sent if nothing changes. 93 tests in and around the changed modules pass, among them all on origins of streams.

--- a/src/serving/dispatch.ts
+++ b/src/serving/dispatch.ts
@@ -23,6 +23,7 @@
 import type * as suspects from "./suspects.js";
 import type * as upstream from "./upstream.js";
 import * as adapterVersions from "./versions/adapter-versions.js";
+import * as softwareVersions from "./versions/software-versions.js";
 import type * as usage from "./versions/usage.js";
 import type * as workerNotices from "./worker-notices.js";
 
@@ -34,10 +35,11 @@
   readonly retries: retryBudget.Options;
 }
 
-export interface Deps extends Omit<seatFinder.Deps, "versions"> {
+export interface Deps extends Omit<seatFinder.Deps, "versions" | "software"> {
   readonly log: structuredLog.Log;
   readonly metrics: metrics.Metrics;
   readonly upstream: upstream.Upstream;
+  readonly origins: Pick<origins.Origins, "isOnlyOne" | "mayBegin" | "begun" | "ended" | "find">;
   /** Milliseconds since the catalog was last known to be up to date with the store. */
   readonly catalogAgeMs: () => number;
   readonly suspects: suspects.Suspects;
@@ -70,8 +72,9 @@
     this.budget = new retryBudget.Budget(opts.retries, deps.clock);
     const limits = deps.versionLimits;
     const versions = new adapterVersions.AdapterVersions({ ...deps, limits });
-    this.checks = new sendChecks.SendChecks(this.budget, { ...deps, versions });
-    this.seatFinder = new seatFinder.SeatFinder(opts.domain, { ...deps, versions });
+    const software = new softwareVersions.SoftwareVersions(deps.origins);
+    this.checks = new sendChecks.SendChecks(this.budget, { ...deps, versions, software });
+    this.seatFinder = new seatFinder.SeatFinder(opts.domain, { ...deps, versions, software });
     this.returns = new overloadReturns.Returns(deps);
     this.calls = new hedgedCalls.HedgedCalls({
       ...deps,
--- a/src/serving/seat-finder.ts
+++ b/src/serving/seat-finder.ts
@@ -7,7 +7,6 @@
 import type * as callerRequest from "./caller-request.js";
 import * as catalog from "./catalog.js";
 import * as choice from "./choice.js";
-import type * as origins from "./continuation/origins.js";
 import * as deadline from "./deadlines/deadline.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
 import * as incarnation from "./incarnation.js";
@@ -19,6 +18,7 @@
 import * as crowding from "./spread/crowding.js";
 import * as announcedShares from "./sharing/announced-shares.js";
 import type * as adapterVersions from "./versions/adapter-versions.js";
+import type * as softwareVersions from "./versions/software-versions.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** What a seat finder needs of the entry daemon. */
@@ -27,9 +27,9 @@
   readonly endpoints: endpointRegistry.EndpointRegistry;
   readonly notices: Pick<workerNotices.WorkerNotices, "whenClosed">;
   readonly catalog: () => catalog.Catalog;
-  readonly origins: Pick<origins.Origins, "isOnlyOne" | "mayBegin" | "begun" | "ended" | "find">;
   readonly random: () => number;
   readonly versions: adapterVersions.AdapterVersions;
+  readonly software: softwareVersions.SoftwareVersions;
 }
 
 /**
@@ -110,7 +110,7 @@
         p.why = `no worker of software version ${software || "(none)"}, which began the stream, is left`;
         return undefined;
       }
-      const accepts = this.softwareFilter(a, p);
+      const accepts = this.deps.software.filter(a, p);
       const isStarting = this.deps.endpoints.hasStartingEngine(a.service, accepts);
       const waitsUntil =
         p.queuedAt + admission.maxEndpointWaitMs(timesOf(a, p, p.queuedAt), isStarting);
@@ -160,7 +160,7 @@
   ): readonly choice.Estimate[] {
     const { target } = a.meta;
     const { domain } = this;
-    const accepts = this.softwareFilter(a, p);
+    const accepts = this.deps.software.filter(a, p);
     if (!a.service.engine || !target) {
       const views = this.deps.endpoints.views(a.service, accepts);
       return choice.rankPlain(views, { domain, tried: p.triedEndpoints }, this.deps.random);
@@ -180,16 +180,6 @@
     return search.find(this.deps.endpoints.engineViews(a.service, accepts), need, a.meta.id);
   }
 
-  /** The software versions on which a request may run; undefined if it may run on any. */
-  private softwareFilter(
-    { route, service }: callerRequest.CallerRequest,
-    { origin }: progress.Progress,
-  ): endpointRegistry.SoftwareFilter | undefined {
-    if (origin) return (software) => software === origin.software;
-    if (route.kind !== "stream" || !route.resumable) return undefined;
-    return (software) => this.deps.origins.mayBegin({ service: service.name, software });
-  }
-
   /** Milliseconds for which a request may still wait for a seat. */
   seatWaitLeftMs(a: callerRequest.CallerRequest, p: progress.Progress): number {
     return p.queuedAt + admission.maxSeatWaitMs(timesOf(a, p, p.queuedAt)) - this.deps.clock.mono();
@@ -261,7 +251,10 @@
           return { kind: "elsewhere" };
         }
         // The engine may still have the adapter, and refuses a request for one that it does not have.
-        if (choice.adapterState(best.view, key) === "resident" && this.isCertainStart(a, endpoint))
+        if (
+          choice.adapterState(best.view, key) === "resident" &&
+          this.deps.software.isCertainStart(a, endpoint)
+        )
           return { kind: "seatless", version: this.versionWithoutSeat(a, best.view, key) };
         p.triedEndpoints.add(endpoint.id);
         return { kind: "elsewhere" };
@@ -285,15 +278,6 @@
     return choice.heldVersion(view, key) ?? this.deps.versions.declaredFor(a)?.version;
   }
 
-  /**
-   * Whether only the start of a worker that its entry describes can run a request without a seat. A worker that keeps its name
-   * may have started again with other software, which matters to a stream that may go on.
-   */
-  private isCertainStart(a: callerRequest.CallerRequest, e: catalog.Endpoint): boolean {
-    if (!a.route.resumable || incarnation.startOf(e.id) === undefined) return true;
-    return this.deps.origins.isOnlyOne(a.route);
-  }
-
   /**
    * Waits for the answer to a seat request. Withdraws it when the worker stops accepting requests, or when another
    * engine could serve the request sooner.
--- a/src/serving/send-checks.ts
+++ b/src/serving/send-checks.ts
@@ -19,6 +19,7 @@
 import type * as suspects from "./suspects.js";
 import type * as sendState from "./send-state.js";
 import type * as adapterVersions from "./versions/adapter-versions.js";
+import type * as softwareVersions from "./versions/software-versions.js";
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
@@ -32,6 +33,7 @@
   /** Checks again whether the key of an admitted request still authorizes it. */
   readonly authenticate: (req: callerRequest.CallerRequest) => authentication.Verdict;
   readonly versions: Pick<adapterVersions.AdapterVersions, "oldestUsable">;
+  readonly software: Pick<softwareVersions.SoftwareVersions, "refusalReason">;
 }
 
 const UNAUTHORIZED = 401;
@@ -85,6 +87,12 @@
       p.why = `${e.id} has an outdated version of the adapter`;
       return "elsewhere";
     }
+    const unfit = this.deps.software.refusalReason(req, p, e, seat !== undefined);
+    if (unfit !== undefined) {
+      p.withheld++;
+      p.why = unfit;
+      return "elsewhere";
+    }
     if (!this.isStillAuthorized(req, p) || this.isQuarantined(req, p)) return "refused";
     return p.sends === 0 || this.chargeRetry(req, p) ? undefined : "refused";
   }
--- a/test/serving/versions/sends.test.ts
+++ b/test/serving/versions/sends.test.ts
@@ -3,6 +3,8 @@
 import * as chai from "chai";
 import * as clock from "../../../src/host/clock.js";
 import type * as catalog from "../../../src/serving/catalog.js";
+import type * as dispatch from "../../../src/serving/dispatch.js";
+import type * as presence from "../../../src/serving/overload/presence.js";
 import * as declared from "../../../src/serving/versions/declared.js";
 import * as dispatcherFixture from "../dispatcher-fixture.js";
 import * as fakeEndpointDaemon from "../fake-endpoint-daemon.js";
@@ -16,11 +18,19 @@
 const VERSION_LIMITS = { sendMs: 500, beginMs: 800 };
 const EVENT = "id: 1\ndata: x\n\n";
 
+interface Setup {
+  /** Id of the engine. */
+  readonly id: string;
+  readonly route: Partial<catalog.Route>;
+  readonly origins: dispatch.Deps["origins"];
+}
+
 /** A host before one engine; `held` is the version in it by its endpoint daemon. */
 async function openHost(
   answer: (res: http.ServerResponse) => void,
   held: number,
   declaredFirst: declared.Declared | undefined,
+  { id = "i1", route: over, origins }: Partial<Setup> = {},
 ) {
   const received: http.IncomingHttpHeaders[] = [];
   let closedMs = Infinity;
@@ -33,8 +43,8 @@
     answer(res);
   });
   const holdings = { ...fakeEndpointDaemon.holdings("m/a"), versions: [held] };
-  const daemon = await fakeEndpointDaemon.open(fakeEndpointDaemon.state("i1"), holdings);
-  const { at, service } = managedEngines.catalogOf([fixtures.endpoint("i1", worker.address)]);
+  const daemon = await fakeEndpointDaemon.open(fakeEndpointDaemon.state(id), holdings);
+  const { at, service } = managedEngines.catalogOf([fixtures.endpoint(id, worker.address)]);
   let current: catalog.Catalog = at;
   const declare = (known: declared.Declared | undefined): void => {
     current = { ...at, versions: new Map(known && [["m/a", known]]) };
@@ -47,7 +57,7 @@
     fixtures.WIRE,
     () => ({ kind: "open" }),
     NO_RETRIES,
-    { versionLimits: VERSION_LIMITS },
+    { versionLimits: VERSION_LIMITS, ...(origins && { origins }) },
   );
   const isSeen = (view: "holdings" | "state", is: boolean): Promise<void> =>
     managedEngines.eventually(() =>
@@ -56,7 +66,7 @@
   setup.known.refresh();
   await isSeen("holdings", true);
   const { response, seen } = dispatcherFixture.recorded();
-  const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream", attempts: 1 };
+  const route: catalog.Route = { ...fixtures.ROUTE, kind: "stream", attempts: 1, ...over };
   return {
     daemon,
     declare,
@@ -66,8 +76,11 @@
       daemon.close();
       return isSeen("state", false);
     },
-    serve: (): Promise<boolean> =>
-      setup.dispatcher.serve(dispatcherFixture.streamRequest(service, route, WAIT_MS), response),
+    serve: (presence?: presence.Presence): Promise<boolean> =>
+      setup.dispatcher.serve(dispatcherFixture.streamRequest(service, route, WAIT_MS), {
+        ...response,
+        presence,
+      }),
     /** Versions that the engine was told to expect. */
     versions: (): readonly unknown[] => received.map((h) => h["test-version"]),
     /** Milliseconds from the arrival at the engine to the close of its connection. */
@@ -115,6 +128,58 @@
   });
 });
 
+describe("a resumable stream that waits to be sent", () => {
+  const end = (res: http.ServerResponse): unknown => res.end(EVENT);
+
+  /** Serves one without a seat at an engine that keeps its name, while `change` changes what its host knows of the software. */
+  async function serveWhile(change: (known: { isOnlyOne: boolean; mayBegin: boolean }) => void) {
+    const known = { isOnlyOne: true, mayBegin: true };
+    const origins: dispatch.Deps["origins"] = {
+      isOnlyOne: () => known.isOnlyOne,
+      mayBegin: () => known.mayBegin,
+      begun: () => undefined,
+      ended: () => undefined,
+      find: () => Promise.resolve(fixtures.UNKNOWN_ORIGIN),
+    };
+    const setup = { id: "i1#7", route: { resumable: true }, origins };
+    const host = await openHost(end, 1, undefined, setup);
+    let waits = true;
+    const caller: presence.Presence = {
+      hasLeft: () => false,
+      isBehind: () => false,
+      isStale: () => waits,
+      confirm: () => {
+        waits = false;
+        change(known);
+        return Promise.resolve();
+      },
+    };
+    try {
+      await host.endDaemon();
+      await host.serve(caller);
+      return { runs: host.versions().length, seen: host.seen };
+    } finally {
+      host.close();
+    }
+  }
+
+  it("is not sent on a software version that is no longer listed", async () => {
+    const { runs, seen } = await serveWhile((known) => (known.mayBegin = false));
+    expect(runs).equal(0);
+    expect(seen).deep.equal(["refuse 503"]);
+  });
+
+  it("is not sent without a seat where another software version may run by now", async () => {
+    const { runs, seen } = await serveWhile((known) => (known.isOnlyOne = false));
+    expect(runs).equal(0);
+    expect(seen).deep.equal(["refuse 503"]);
+  });
+
+  it("is sent if nothing has changed", async () => {
+    expect((await serveWhile(() => undefined)).runs).equal(1);
+  });
+});
+
 describe("a request with a seat on an outdated version", () => {
   it("is not sent, whatever its endpoint daemon granted", async () => {
     const known = declared.declare(undefined, 2, -Infinity);
