Dispatch nothing to an engine that another daemon holds by now

OpenAI API: where two daemons were started on one engine, the one that saw that the other holds it still dispatched what it had admitted, so that the engine got more requests than seats, on adapters that the holder may evict. A request that waited for a load was lost: the load is not allowed any more, and the plan asked for it again at once, until the stack overflowed in a rejection that nobody handles (seen in the test; a daemon's process was not played to its end).

Cause: whether the engine is lost was checked when an attempt is admitted, and takes effect when it is dispatched, after a wait for a seat or a load.

The plan is not carried out while the engine is lost; what waits is refused as not run, as new attempts are, so that the entry daemon sends it to another engine. A load is not ordered if the engine was lost during the eviction before it. Unloads of own names go on, as the design of fencing says.

All three tests of engine-lease.test.ts failed before: a seat instead of a refusal, the overflow, and a second load. 92 tests of the endpoint, the request, the scenarios and this file pass.

--- a/src/endpoint/adapter-manager.ts
+++ b/src/endpoint/adapter-manager.ts
@@ -155,6 +155,7 @@
       return;
     }
     if (evict !== undefined && !(await this.unload(evict))) return;
+    if (this.deps.engineLease.isLost()) return;
     this.nameCount++;
     const name = `${target}${EPOCH_SEPARATOR}${this.opts.epoch}.${this.nameCount}`;
     const began = this.deps.clock.mono();
--- a/src/endpoint/gate.ts
+++ b/src/endpoint/gate.ts
@@ -42,6 +42,8 @@
   readonly reject: (err: outcome.StepError) => void;
 }
 
+const ENGINE_LOST = "Another daemon holds this engine.";
+
 /** `adapter@version` of an attempt for a model; otherwise the service's name. */
 export function targetOf(work: wire.Attempt["work"]): string {
   return work.kind === "model" ? `${work.adapter}@${work.version}` : work.service;
@@ -178,11 +180,7 @@
       );
     }
     if (this.deps.engineLease.isLost()) {
-      return this.notRun(
-        "not_ready",
-        "Another daemon holds this engine.",
-        this.opts.pollIntervalMs,
-      );
+      return this.notRun("not_ready", ENGINE_LOST, this.opts.pollIntervalMs);
     }
     switch (this.lifecycle.state()) {
       case "learning":
@@ -313,6 +311,11 @@
   private runPlan(): void {
     if (this.stopped) return;
     this.deadlineTimer?.cancel();
+    if (this.deps.engineLease.isLost()) {
+      // It may have been lost since these were admitted.
+      this.withdrawAll("not_ready", ENGINE_LOST, this.opts.pollIntervalMs);
+      return;
+    }
     const now = this.deps.clock.mono();
     for (const action of plan.next(this.shared.state, now)) {
       switch (action.kind) {
