Tell a version that is not known yet from one that does not exist

OpenAI API: for up to as long as an endpoint daemon was behind the intent, a request for a new version of an adapter could be answered 404, which callers do not retry, though its entry daemon had accepted it by a newer intent.

Cause: an attempt names the revision by which it was accepted, and nothing read it. The endpoint daemon decided by its own intent, which may be older, that the version does not exist.

Where the attempt's revision is newer, it is refused with not_ready, so that it is tried elsewhere or its caller comes back; otherwise as before.

"is told to come back where the daemon is behind" in gate.test.ts, the renamed engine-lease.test.ts, failed before: not_found. 99 tests of the endpoint, its scenarios and processes pass.

--- a/src/endpoint/adapter-manager.ts
+++ b/src/endpoint/adapter-manager.ts
@@ -29,6 +29,8 @@
   readonly rejectAllWaiting: () => void;
   /** Rejects the attempts that wait for `target`. */
   readonly rejectWaitingFor: (target: string, code: outcome.Code, message: string) => void;
+  /** Rejects the attempts that wait for `target`, which the intent of this daemon does not have. */
+  readonly rejectUnknown: (target: string) => void;
   /** Frees the seat of an attempt. */
   readonly releaseSeat: (id: string) => void;
   /** Called after a change that may lead to new actions of the plan. */
@@ -151,7 +153,7 @@
   private async loadNow(target: string, evict: string | undefined): Promise<void> {
     const source = this.deps.sourceOf(target);
     if (source === undefined) {
-      this.gate.rejectWaitingFor(target, "not_found", `The intent has no ${target}.`);
+      this.gate.rejectUnknown(target);
       return;
     }
     if (evict !== undefined && !(await this.unload(evict))) return;
--- a/src/endpoint/gate.ts
+++ b/src/endpoint/gate.ts
@@ -81,6 +81,9 @@
       rejectWaitingFor: (target, code, message) => {
         this.withdrawTarget(target, code, message);
       },
+      rejectUnknown: (target) => {
+        this.withdrawUnknown(target);
+      },
       releaseSeat: (id) => {
         this.release(id);
       },
@@ -290,6 +293,18 @@
     }
   }
 
+  /** Rejects what waits for a target that is not in this daemon's intent, or not yet, by the intent that admitted it. */
+  private withdrawUnknown(target: string): void {
+    const revision = this.deps.revision();
+    for (const { id } of this.shared.state.waiting.filter((w) => w.target === target)) {
+      const isNewer = (this.pending.get(id)?.attempt.revision ?? 0) > revision;
+      if (isNewer) {
+        const message = `${target} is not known here yet, at revision ${revision}.`;
+        this.withdraw(id, "not_ready", message, this.opts.pollIntervalMs);
+      } else this.withdraw(id, "not_found", `The intent has no ${target}.`, this.opts.retryLoadMs);
+    }
+  }
+
   /** Resolves when no attempt waits or runs. */
   quiet(): Promise<void> {
     if (this.shared.state.running.size === 0 && this.pending.size === 0) return Promise.resolve();
--- a/test/engine-lease.test.ts
+++ b/test/gate.test.ts
@@ -29,7 +29,7 @@
 });
 
 /** A gate with one seat before an engine that loads at once; `lose` gives its lease to another daemon. */
-async function open(unloading?: () => Promise<void>) {
+async function open(unloading?: () => Promise<void>, hasVersions = true) {
   const ordered: string[] = [];
   let isLost = false;
   const backend: engine.Engine = {
@@ -79,7 +79,7 @@
         hasHandedOver: () => false,
         isLost: () => isLost,
       },
-      sourceOf: (target) => `store/${target}`,
+      sourceOf: (target) => (hasVersions ? `store/${target}` : undefined),
       revision: () => 1,
     },
   );
@@ -99,6 +99,19 @@
   };
 }
 
+describe("an attempt for a version that its endpoint daemon does not have", () => {
+  for (const [name, revision, expected] of [
+    ["is told to come back where the daemon is behind", 2, "not_run not_ready"],
+    ["is not found where the daemon is as new", 1, "not_run not_found"],
+  ] as const) {
+    it(name, async () => {
+      const opened = await open(undefined, false);
+      expect(await opened.admit({ ...attempt("new"), revision })).equal(expected);
+      opened.gate.stop();
+    });
+  }
+});
+
 describe("an endpoint daemon whose engine another one holds by now", () => {
   it("dispatches no attempt that it had admitted before", async () => {
     const opened = await open();
