Red: find the line by which the end of a leaving worker proves nothing

The check for a crash asks whether the worker's entry says that it leaves, so the switch had no line to change and red.test.ts failed. With this it passes, and the switch fails its proof.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -106,7 +106,7 @@
   {
     name: "the end of a worker that leaves proves nothing",
     file: "serving/suspects.js",
-    find: "if (!catalog.isUsable(this.deps.catalog(), worker))",
+    find: "if (catalog.isLeaving(this.deps.catalog(), worker))",
     put: "if (false)",
     proof: "is not suspected if its worker had announced that it is leaving",
   },
