Entry command: break off open responses when a second signal ends it at once

An HTTP/1.0 caller of a stream took what it had for the whole answer when its entry daemon got a second SIGTERM or SIGINT: the command exits at once, and the kernel closes the connections normally. The same held for an uncaught error.

The command now breaks off, as its process exits, the responses that are not complete, as the platform's daemon does.

Found by looking for the cause of the last faults wherever a process ends. The new test in processes.test.ts stops an entry daemon twice during a stream; it failed before ("complete" instead of "cut") and passes with the change.

--- a/src/cli/daemons.ts
+++ b/src/cli/daemons.ts
@@ -35,6 +35,7 @@
   settings: entry.SETTINGS,
   run: async ({ flags, env }) => {
     const running = await entry.start(settings.read(entry.SETTINGS, flags, env));
+    process.once("exit", running.breakOff);
     return runUntilSignal(running.stop);
   },
 };
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -10,6 +10,7 @@
 import * as connector from "../host/connector.js";
 import * as daemon from "../host/daemon.js";
 import * as errors from "../host/errors.js";
+import * as responses from "../host/response.js";
 import * as settings from "../host/settings.js";
 import * as body from "../link/body.js";
 import type * as control from "../link/control.js";
@@ -118,6 +119,8 @@
   readonly views: views.EndpointViews;
   /** Shuts down gracefully: requests in flight are completed first. */
   readonly stop: () => Promise<void>;
+  /** Breaks off the responses that are not complete; to be called before the process ends. */
+  readonly breakOff: () => void;
   /** Stops at once, as if the process was killed: open connections are broken. */
   readonly kill: () => void;
 }
@@ -151,7 +154,8 @@
   const lg = parts.logOf("entry");
   const stopController = new AbortController();
   let draining = false;
-  let inFlight = 0;
+  /** Responses to the requests in flight. */
+  const open = new Set<http.ServerResponse>();
 
   const endpointViews = new views.EndpointViews(
     {
@@ -226,9 +230,9 @@
     },
   );
   callerServer.on("request", (_req, res: http.ServerResponse) => {
-    inFlight++;
+    open.add(res);
     res.on("close", () => {
-      inFlight--;
+      open.delete(res);
     });
   });
 
@@ -238,7 +242,7 @@
       ...daemon.commonStatus(parts),
       role: "entry",
       state: draining ? "draining" : parts.feed.ready() ? "serving" : "without intent",
-      running: inFlight,
+      running: open.size,
       waiting: 0,
       loaded: [],
     }),
@@ -298,6 +302,9 @@
       parts.metrics.close();
       lg.info("Stopped after all requests in flight were completed.");
     },
+    breakOff: () => {
+      responses.breakOffAll(open);
+    },
     kill: () => {
       stopController.abort();
       for (const s of [callerServer, linkServer]) {
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,5 +1,7 @@
 import * as chai from "chai";
 import * as undici from "undici";
+import * as declare from "../bench/declare.js";
+import * as rawCaller from "../bench/platform/raw-caller.js";
 import * as site from "../bench/site.js";
 import * as processes from "../src/demo/process.js";
 import * as control from "../src/link/control.js";
@@ -18,16 +20,7 @@
     const engine = await s.engineAlone(i);
     const backendUrl = engine.url;
     const cfg = s.config(`engine-${i}`, s.domainOf(i), { backendUrl });
-    const env = Object.fromEntries(
-      Object.entries(cfg).map(([k, v]) => [
-        `SUMACFIELD_${k.replaceAll(/[A-Z]/g, (c) => `_${c}`).toUpperCase()}`,
-        v,
-      ]),
-    );
-    const daemon = await processes.startDaemon("endpoint", `engine-${i}`, {
-      ...env,
-      SUMACFIELD_LOG_LEVEL: "info",
-    });
+    const daemon = await processes.startDaemon("endpoint", `engine-${i}`, environmentOf(cfg));
     daemons.push(daemon);
     const address = daemon.addresses[0] ?? "";
     const name = `engine-${i}`;
@@ -45,6 +38,14 @@
   return { s, daemons };
 }
 
+/** The environment variables of a daemon's settings. */
+function environmentOf(cfg: Readonly<Record<string, string>>): NodeJS.ProcessEnv {
+  const env: NodeJS.ProcessEnv = {};
+  for (const [k, v] of Object.entries(cfg))
+    env[`SUMACFIELD_${k.replaceAll(/[A-Z]/g, (c) => `_${c}`).toUpperCase()}`] = v;
+  return { ...env, SUMACFIELD_LOG_LEVEL: "info" };
+}
+
 function objects() {
   return [0, 1].flatMap((i) => [
     site.host(`host-${i}`, ["qld-se-a", "qld-se-b"][i] ?? ""),
@@ -116,6 +117,40 @@
     other?.signal("SIGTERM");
     expect(await other?.ended).oneOf([0, 1]);
   });
+
+  it("an entry daemon that a second signal ends shows an HTTP/1.0 caller that its stream is cut", async () => {
+    const cfg = s.config("entry-9", s.domainOf(0), {});
+    const daemon = await processes.startDaemon("entry", "entry-9", environmentOf(cfg));
+    const send = (tokens: number) =>
+      rawCaller.send(daemon.addresses[0] ?? "", {
+        version: "1.0",
+        path: "/v1/completions",
+        headers: { host: "x", authorization: `Bearer ${declare.callerKey("wattle")}` },
+        body: JSON.stringify({
+          model: "captions@1",
+          prompt: "p",
+          max_tokens: tokens,
+          stream: true,
+        }),
+      });
+    for (let n = 0, status = 0; status !== 200; n++) {
+      if (n > 100) throw new Error("the entry daemon does not serve");
+      await new Promise((r) => setTimeout(r, 50));
+      ({ status } = await send(1));
+    }
+    const runs = (): number => s.journal().filter((j) => j.kind === "run").length;
+    const before = runs();
+    const received = send(1500);
+    await site.until(() => runs() > before);
+    await new Promise((r) => setTimeout(r, 200));
+    daemon.signal("SIGTERM");
+    await new Promise((r) => setTimeout(r, 100));
+    daemon.signal("SIGTERM");
+    const { body, end } = await received;
+    expect(await daemon.ended).equal(1);
+    expect(body).include("data: ").not.include("[DONE]");
+    expect(end).equal("cut");
+  });
 });
 
 describe("control calls", () => {
