Count no crash of a quarantined request for the parts beside it

A request that crashes its workers had each crash recorded for the parts of all other requests on the worker, so parts that many prompts hold had crashes under three workers. Where their set looked certain, the first test came after a minute; until then a run clears it only if one is still on its way.

A request that is in quarantine by itself is now weighed as a cause like a part, and what it explains counts for no part. A part that crashed more workers is still the better explanation, so a fatal part that callers repeat in one request is found.

--- a/bench/red/crash-switches.ts
+++ b/bench/red/crash-switches.ts
@@ -33,6 +33,13 @@
     put: "workers.size ** CRASH_WEIGHT",
     proof: "is not a part that many requests on the same workers hold",
   },
+  {
+    name: "crashing parts: a request in quarantine explains its crashes",
+    file: "serving/crashes/part-sets.js",
+    find: "likeliest(countQuarantined(open))",
+    put: "undefined",
+    proof: "is not a part of requests beside one request that crashed the workers",
+  },
   {
     name: "crashing parts: an answer that had begun is no cause",
     file: "serving/crashes/part-sets.js",
--- a/src/serving/crashes/part-sets.ts
+++ b/src/serving/crashes/part-sets.ts
@@ -8,7 +8,10 @@
  *
  * What is left is explained by as few parts as possible. The part with the most crashes is taken first, together with all parts
  * that each request with it holds as well: as long as nothing tells them apart, only the whole set is known to crash workers,
- * and requests without one of them are still served. Pure.
+ * and requests without one of them are still served.
+ *
+ * A request that is in quarantine by itself explains its crashes too, so that they don't count for the parts of all the others
+ * on its workers. It is weighed as a part is: a part that crashed more workers is still the better explanation. Pure.
  * @module
  */
 import * as suspicion from "../suspicion.js";
@@ -70,16 +73,18 @@
 /** A request under which a worker crashed, with those of its parts that may be the cause. */
 interface CrashedRequest {
   readonly worker: string;
+  /** Its identity if it is in quarantine by itself. */
+  readonly quarantined?: string;
   readonly at: number;
   /** Whether its answer had not begun, or had only just. */
   readonly isBeginning: boolean;
   readonly parts: readonly string[];
 }
 
-/** What is known of one part. */
-interface PartCount {
+/** What is known of one part, or of one request. */
+interface CrashCount {
   readonly workers: Set<string>;
-  /** Number of requests with the part under which a worker crashed. */
+  /** Number of requests with the part under which a worker crashed, or of crashes under the request. */
   requests: number;
   firstAt: number;
 }
@@ -97,69 +102,109 @@
   const excused = new Set(inGrace.map(([part]) => part));
   const recheckAt = Math.min(...inGrace.map(([, { firstAt }]) => firstAt + GRACE_MS));
   const suspects = new Map([...counts].map(([part, { workers }]) => [part, workers.size]));
-  return { sets: explain(all, excused), suspects, recheckAt };
+  const isProvable = [...counts.values()].some((c) => c.workers.size >= suspicion.MIN_CRASHES);
+  if (!isProvable) return { sets: [], suspects, recheckAt };
+  const withCauses = crashedRequests(known, quarantinedRequests(known, now));
+  return { sets: explain(withCauses, excused), suspects, recheckAt };
+}
+
+/** Identities of the requests that are in quarantine by themselves. */
+function quarantinedRequests(known: records.CrashRecords, now: number): ReadonlySet<string> {
+  const repeated = [...known.crashes].filter(([, { size }]) => size >= suspicion.MIN_CRASHES);
+  return new Set(
+    repeated.flatMap(([identity]) =>
+      suspicion.evaluate(known, identity, now).kind === "quarantined" ? [identity] : [],
+    ),
+  );
 }
 
 /** The requests under which workers crashed, without the parts that were cleared since. */
-function crashedRequests(known: records.CrashRecords): readonly CrashedRequest[] {
+function crashedRequests(
+  known: records.CrashRecords,
+  quarantined?: ReadonlySet<string>,
+): readonly CrashedRequest[] {
   return records
     .crashesOf(known)
-    .map(({ worker, at, answeringMs, parts }): CrashedRequest => {
+    .map(({ identity, worker, at, answeringMs, parts }): CrashedRequest => {
+      const isBeginning = answeringMs < ANSWER_BEGINS_MS;
       const suspects = parts.filter((part) => at > (known.cleared.get(part) ?? -Infinity));
-      return { worker, at, isBeginning: answeringMs < ANSWER_BEGINS_MS, parts: suspects };
+      const own = quarantined?.has(identity) ? { quarantined: identity } : undefined;
+      return { worker, at, isBeginning, parts: suspects, ...own };
     })
-    .filter((r) => r.parts.length > 0);
+    .filter(hasCause);
+}
+
+function hasCause(s: CrashedRequest): boolean {
+  return s.parts.length > 0 || s.quarantined !== undefined;
 }
 
-function countParts(all: readonly CrashedRequest[]): ReadonlyMap<string, PartCount> {
-  const counts = new Map<string, PartCount>();
-  for (const { worker, at, parts } of all) {
-    for (const part of parts) {
-      const c = counts.get(part) ?? { workers: new Set(), requests: 0, firstAt: at };
-      c.workers.add(worker);
+function countParts(all: readonly CrashedRequest[]): ReadonlyMap<string, CrashCount> {
+  return countBy(all, (s) => s.parts);
+}
+
+function countQuarantined(all: readonly CrashedRequest[]): ReadonlyMap<string, CrashCount> {
+  return countBy(all, (s) => (s.quarantined === undefined ? [] : [s.quarantined]));
+}
+
+function countBy(
+  all: readonly CrashedRequest[],
+  causesOf: (s: CrashedRequest) => readonly string[],
+): ReadonlyMap<string, CrashCount> {
+  const counts = new Map<string, CrashCount>();
+  for (const s of all) {
+    for (const cause of causesOf(s)) {
+      const c = counts.get(cause) ?? { workers: new Set(), requests: 0, firstAt: s.at };
+      c.workers.add(s.worker);
       c.requests++;
-      c.firstAt = Math.min(c.firstAt, at);
-      counts.set(part, c);
+      c.firstAt = Math.min(c.firstAt, s.at);
+      counts.set(cause, c);
     }
   }
   return counts;
 }
 
-/** Explains the crashes by sets of parts, each of which accounts for all crashes under its requests. */
+/**
+ * Explains the crashes by sets of parts and by requests in quarantine, each of which accounts for all crashes of its workers;
+ * returns the sets.
+ */
 function explain(all: readonly CrashedRequest[], excused: ReadonlySet<string>): readonly PartSet[] {
   const sets: PartSet[] = [];
   let open = likelyCauses(
     all
       .map((s) => ({ ...s, parts: s.parts.filter((part) => !excused.has(part)) }))
-      .filter((s) => s.parts.length > 0),
+      .filter(hasCause),
   );
   for (;;) {
     const part = likeliest(countParts(open));
-    if (part === undefined) return sets;
-    const set = setAround(part, open);
-    sets.push(set);
-    const explained = new Set(set.workers);
-    open = open.filter((s) => !explained.has(s.worker));
+    const request = likeliest(countQuarantined(open));
+    const best = request && request.score >= (part?.score ?? 0) ? request : part;
+    if (!best) return sets;
+    if (best === part) sets.push(setAround(part.cause, open));
+    open = open.filter((s) => !best.workers.has(s.worker));
   }
 }
 
-/** Of the requests on each worker those whose answers were beginning, if there are any. */
+/** Of the requests on each worker those whose answers were beginning, if there are any, and those in quarantine. */
 function likelyCauses(all: readonly CrashedRequest[]): readonly CrashedRequest[] {
   const workers = new Set(all.filter((s) => s.isBeginning).map((s) => s.worker));
-  return all.filter((s) => s.isBeginning || !workers.has(s.worker));
+  return all.filter((s) => s.quarantined !== undefined || s.isBeginning || !workers.has(s.worker));
+}
+
+/** A part or a request that may be the cause of crashes. */
+interface Explanation {
+  readonly cause: string;
+  readonly workers: ReadonlySet<string>;
+  readonly score: number;
 }
 
-/** The part that explains the crashes best; undefined if none has enough of them. */
-function likeliest(counts: ReadonlyMap<string, PartCount>): string | undefined {
-  let best: string | undefined;
-  let bestScore = 0;
-  for (const [part, { workers, requests }] of counts) {
+/** The cause that explains the crashes best; undefined if none has enough of them. */
+function likeliest(counts: ReadonlyMap<string, CrashCount>): Explanation | undefined {
+  let best: Explanation | undefined;
+  for (const [cause, { workers, requests }] of counts) {
     if (workers.size < suspicion.MIN_CRASHES) continue;
     const score = workers.size ** CRASH_WEIGHT / requests;
-    const isBetter = score > bestScore || (score === bestScore && part < (best ?? ""));
-    if (!isBetter) continue;
-    best = part;
-    bestScore = score;
+    const isBetter = !best || score > best.score || (score === best.score && cause < best.cause);
+    if (isBetter) best = { cause, workers, score };
   }
   return best;
 }
--- a/test/serving/crashes/part-sets.test.ts
+++ b/test/serving/crashes/part-sets.test.ts
@@ -16,8 +16,8 @@
   parts: readonly string[],
   ageMs = 10_000,
   answeringMs = 0,
+  identity = String(count++).padStart(22, "x"),
 ): records.News {
-  const identity = String(count++).padStart(22, "x");
   return { kind: "ended", ...usual, identity, worker: `w${worker}`, parts, ageMs, answeringMs };
 }
 
@@ -72,6 +72,22 @@
     expect(findings([...three, ...more]).sets[0]?.isCertain).equal(false);
   });
 
+  it("is not a part of requests beside one request that crashed the workers", () => {
+    const fatal = [1, 2, 3].map((w) => crash(w, [], 10_000, 0, "fatal"));
+    const others = [1, 2, 3].flatMap((w) => [crash(w, ["a", "b1"]), crash(w, ["a", `b${w + 1}`])]);
+    expect(setsOf([...fatal, ...others, cleared(["a"], 20_000)])).deep.equal([]);
+    expect(setsOf([...fatal, ...others, cleared(["a"])])).deep.equal([]);
+  });
+
+  it("is not a part of one request that crashed all of the workers", () => {
+    expect(setsOf([1, 2, 3].map((w) => crash(w, ["a", "b1"], 10_000, 0, "fatal")))).deep.equal([]);
+  });
+
+  it("is found though one request with it is in quarantine and explains some of its crashes", () => {
+    const same = [1, 2, 3].map((w) => crash(w, ["a", "f", "b1"], 10_000, 0, "same"));
+    expect(setsOf([...same, crash(4, ["a", "f", "b2"]), cleared(["a"])])).deep.equal(["f"]);
+  });
+
   it("is no part that ran on this host lately while it may still run to its end", () => {
     const young = [1, 2, 3].map((w) => crash(w, ["a"], 100));
     expect(setsOf(young, ["a"])).deep.equal([]);
--- a/test/serving/crashes/part-simulation.test.ts
+++ b/test/serving/crashes/part-simulation.test.ts
@@ -29,6 +29,8 @@
   "workers that crash by themselves": { ...USUAL, crashesPerS: 0.8 },
   "a failure domain lost": { ...USUAL, domainLostAt: 2500 },
   "all daemons restarted": { ...USUAL, restartAt: 8000 },
+  "one fatal request as well": { ...USUAL, sameRequestPerS: 5 },
+  "repeated requests": { ...USUAL, repeated: 3 },
   "two workers": { ...USUAL, workers: 2, soundPerS: 17 },
 };
 
@@ -75,6 +77,11 @@
       expect((await worst(cured, hosts)).curedShare).least(MIN_SOUND_SHARE);
     }).timeout(120_000);
 
+    it(`is not found where one request crashes its workers: ${hosts} hosts`, async () => {
+      const plan = { ...USUAL, fatalPerS: 0, soundPerS: 4, sameRequestPerS: 5 };
+      expect((await worst(plan, hosts)).soundShare).least(0.9);
+    }).timeout(120_000);
+
     it(`is not found where workers crash without one: ${hosts} hosts`, async () => {
       const { soundShare } = await worst({ ...USUAL, fatalPerS: 0, domainLostAt: 9000 }, hosts);
       expect(soundShare).least(0.97);
--- a/test/serving/crashes/part-simulation.ts
+++ b/test/serving/crashes/part-simulation.ts
@@ -13,6 +13,7 @@
 import * as quarantineWriter from "../../../src/serving/crashes/quarantine-writer.js";
 import * as quarantine from "../../../src/serving/quarantine.js";
 import * as records from "../../../src/serving/crashes/records.js";
+import * as suspicion from "../../../src/serving/suspicion.js";
 
 /** How hosts decide: not by parts at all, by the number of crashes under each part, or as the product does. */
 export type Way = "none" | "counts" | "sets";
@@ -27,8 +28,12 @@
   /** Fatal parts, which requests hold in turn, and whether they come first in the prompt. */
   readonly fatalParts: number;
   readonly isFirst?: boolean;
+  /** Number of requests with a fatal part that callers repeat in turn; all differ unless set. */
+  readonly repeated?: number;
   /** Number of other parts of which each prompt holds one, besides the part that all hold. */
   readonly variants: number;
+  /** Sends per second of one request that crashes its workers, whose parts are sound. */
+  readonly sameRequestPerS?: number;
   /** Workers per second that crash by themselves, and milliseconds at which a third of them crashes at once. */
   readonly crashesPerS?: number;
   readonly domainLostAt?: number;
@@ -174,6 +179,7 @@
   });
 
   const isWithheld = (h: Host, meta: callerRequest.Meta): boolean => {
+    if (suspicion.evaluate(h.known, meta.id, clk.mono()).kind === "quarantined") return true;
     switch (plan.way) {
       case "none":
         return false;
@@ -240,10 +246,11 @@
     parts: readonly string[],
     fault: (typeof fatal)[number] | undefined,
     onEnd: (n: number) => void,
+    name = `r${count++}`,
   ): void => {
     const h = pick(hosts);
     if (!h) return;
-    const id = `r${count++}`.padStart(22, "x");
+    const id = name.padStart(22, "x");
     const all = [...parts, id].map((p) => ({ id: p, tokens: 1 }));
     const meta = { id, waitMs: 5000, promptTokens: 1, answerTokens: 1, parts: all };
     const attempt = (n: number): void => {
@@ -298,13 +305,24 @@
       const part = `f${which}`;
       const at = clk.mono();
       const parts = plan.isFirst ? [part, "a", variant()] : ["a", part, variant()];
-      serve(parts, clk.mono() < (plan.curedAt ?? Infinity) ? fatal[which] : undefined, (n) => {
+      const fault = clk.mono() < (plan.curedAt ?? Infinity) ? fatal[which] : undefined;
+      const onEnd = (n: number): void => {
         if (at < (2 * endAt) / 3) return;
         cured.sent++;
         if (n > 0) cured.served++;
-      });
+      };
+      serve(parts, fault, onEnd, `${part}-${count++ % (plan.repeated ?? Infinity)}`);
     });
   });
+  const { sameRequestPerS } = plan;
+  if (sameRequestPerS) {
+    const fault = { crashed: 0, late: 0, fifthAt: Infinity };
+    after(CALM_MS, () => {
+      repeat(sameRequestPerS, () => {
+        serve(["a", "b0"], fault, () => undefined, "same");
+      });
+    });
+  }
   if (plan.crashesPerS) {
     repeat(plan.crashesPerS, () => {
       const w = pick(workers.filter((x) => x.isUp));
