--- a/bench/red/continuation-switches.ts
+++ b/bench/red/continuation-switches.ts
@@ -7,14 +7,14 @@
 export const CONTINUATION_SWITCHES: readonly switches.Switch[] = [
   {
     name: "continuation: a stream is resumed only at its version",
-    file: "serving/seat-finder.js",
+    file: "serving/versions/software-versions.js",
     find: "return (software) => software === origin.software;",
     put: "return undefined;",
     proof: "that breaks is resumed only at the version that began it",
   },
   {
     name: "soak, continuation: a stream is resumed only at its version",
-    file: "serving/seat-finder.js",
+    file: "serving/versions/software-versions.js",
     find: "return (software) => software === origin.software;",
     put: "return undefined;",
     proof: "software",
