Watch two deadlines by one countdown

The deadline of a request and the time within which it must begin on its version were each watched by a timer of their own that asks again when it fires. Both call clock.countdown now; what may change meanwhile, and how often the versions are looked at, is as before. The announcer's version of the configuration has no default any more, which nothing used.

--- a/bench/versions/fleet.ts
+++ b/bench/versions/fleet.ts
@@ -380,7 +380,7 @@
         },
       );
       clk.after(Math.min(beginMs + 15 * e.busy(r.key), r.arrivedAt + DUE_MS - clk.mono()), () => {
-        watch.close();
+        watch.cancel();
         resolve(clk.mono() < r.arrivedAt + DUE_MS);
       });
     });
--- a/src/host/clock.ts
+++ b/src/host/clock.ts
@@ -92,6 +92,30 @@
   });
 }
 
+/**
+ * Calls `callback` once `leftMs` returns 0 or less. It is asked again when the time that it returned has passed, and at least
+ * every `checkMs` milliseconds, as that time may change meanwhile.
+ */
+export function countdown(
+  clock: Clock,
+  leftMs: () => number,
+  callback: () => void,
+  checkMs = Infinity,
+): Timer {
+  const schedule = (ms: number): Timer => clock.after(Math.min(Math.max(0, ms), checkMs), check);
+  const check = (): void => {
+    const ms = leftMs();
+    if (ms <= 0) callback();
+    else timer = schedule(ms);
+  };
+  let timer = schedule(leftMs());
+  return {
+    cancel: () => {
+      timer.cancel();
+    },
+  };
+}
+
 /**
  * Calls `run` repeatedly until `signal` aborts, pausing `ms` milliseconds between the end of one call and
  * the start of the next. An error is passed to `onError` and doesn't stop the repetition.
--- a/src/serving/announcer.ts
+++ b/src/serving/announcer.ts
@@ -81,7 +81,7 @@
     /** Adapters that are probably in the memory of the engine's host, the latest first. */
     private readonly recent: () => readonly string[],
     /** Version of the configuration, sent with the holdings but no reason to send them. */
-    private readonly configVersion: () => number | undefined = () => undefined,
+    private readonly configVersion: () => number | undefined,
   ) {}
 
   /** Number of connected entry daemons. */
--- a/src/serving/deadlines/deadline.ts
+++ b/src/serving/deadlines/deadline.ts
@@ -3,7 +3,7 @@
  * counts while an answer can still be refused, but a stream that has begun is not cut short by it.
  * @module
  */
-import type * as clock from "../../host/clock.js";
+import * as clock from "../../host/clock.js";
 import type * as callerRequest from "../caller-request.js";
 import type * as progress from "../progress.js";
 
@@ -53,16 +53,6 @@
   req: Deadlines,
   p: Pick<progress.Progress, "hasResponseBegun">,
   callback: () => void,
-): Pick<clock.Timer, "cancel"> {
-  const check = (): void => {
-    const leftMs = dueAt(req, p) - clk.mono();
-    if (leftMs <= 0) callback();
-    else timer = clk.after(leftMs, check);
-  };
-  let timer = clk.after(Math.max(0, req.dueAt - clk.mono()), check);
-  return {
-    cancel: () => {
-      timer.cancel();
-    },
-  };
+): clock.Timer {
+  return clock.countdown(clk, () => dueAt(req, p) - clk.mono(), callback);
 }
--- a/src/serving/send-state.ts
+++ b/src/serving/send-state.ts
@@ -2,6 +2,7 @@
  * State of one send of a request to an endpoint.
  * @module
  */
+import type * as clock from "../host/clock.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
 import type * as streamClock from "./pacing/stream-clock.js";
@@ -10,7 +11,6 @@
 import type * as seatFinder from "./seat-finder.js";
 import type * as sendChecks from "./send-checks.js";
 import type * as sendWatchdog from "./send-watchdog.js";
-import type * as beginWatch from "./versions/begin-watch.js";
 import type * as workerNotices from "./worker-notices.js";
 
 /** Reason of a stop signal that aborts because the endpoint has not answered by the deadline, while another one has. */
@@ -44,7 +44,7 @@
   /** Timing of the answer, if it is a stream. */
   readonly stream: streamClock.StreamClock;
   /** Watch over the beginning of the run; undefined before the request is written, and if it is for no adapter. */
-  beginWatch?: beginWatch.BeginWatch;
+  beginWatch?: clock.Timer;
   /** Whether the request was broken off because it had not begun while its version could be used. */
   isTooLate: boolean;
   /** Why the request was withheld, if it was. */
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -140,7 +140,7 @@
       }
       return await this.handleResult(send, result);
     } finally {
-      send.beginWatch?.close();
+      send.beginWatch?.cancel();
       watchdog.close();
     }
   }
@@ -425,7 +425,7 @@
   ): Promise<{ readonly body: Buffer; readonly verdict: completeness.Completeness }> {
     const { readAnswer, isSuperseded } = send.res;
     const onSize = (bytes: number): Promise<void> | undefined => {
-      send.beginWatch?.close();
+      send.beginWatch?.cancel();
       return readAnswer?.(bytes);
     };
     try {
@@ -487,7 +487,7 @@
             continue;
           // After an event without an id, no other run can be told where to go on.
           if (!e.isPartial && !e.isComment) p.lastEventId = e.id;
-          if (!e.isComment) send.beginWatch?.close();
+          if (!e.isComment) send.beginWatch?.cancel();
           p.isEventOpen = e.isPartial;
           ready.push(e.bytes);
         }
