--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -19,6 +19,27 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** All processes and folders of this run, so that none is left whatever ends it. */
+const children = new Set();
+const folders = new Set();
+process.once("exit", () => {
+  for (const c of children) c.kill("SIGKILL");
+  for (const f of folders) fs.rmSync(f, { recursive: true, force: true });
+});
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.once(signal, () => process.exit(2));
+process.once("uncaughtException", (err) => {
+  process.stderr.write(`${err.stack ?? err}\n`);
+  process.exit(2);
+});
+
+/** Starts a process, which is killed at the end of this one at the latest. */
+export function spawn(command, args, opts) {
+  const started = child.spawn(command, args, opts);
+  children.add(started);
+  started.once("exit", () => children.delete(started));
+  return started;
+}
+
 /** Whether the run has its disruption. */
 export const hasTrouble = process.env.TROUBLE !== "0";
 
@@ -71,15 +92,22 @@
 
 /**
  * Starts the store, writes the configuration, and starts `entries` entry daemons. `engines` are the model workers that run
- * already, each on a loopback address of its own, with an endpoint daemon beside it.
+ * already, each on a loopback address of its own, with an endpoint daemon beside it; the first `registered` are in the store.
  */
-export async function start({ routes, services, entries = 1, engines = [] }) {
+export async function start({
+  routes,
+  services,
+  entries = 1,
+  engines = [],
+  registered = engines.length,
+}) {
   const { Store } = await import(url.pathToFileURL(`${ROOT}/target/bench/platform/store.js`).href);
   const store = new Store();
   store.era = undefined;
   await store.start(HOST_ADDRESS);
   store.put("op/config", { version: 3, routes, services, limits: LIMITS });
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-review-"));
+  folders.add(folder);
   const seatPort = await freePort();
   const shared = { store: store.address, seatPort, folder };
   const endpointDaemons = engines.map(({ ip, address, service }, n) =>
@@ -96,7 +124,8 @@
     const entry = { service, address, zone: "zone-a", version: "v1", slots: 6, state };
     store.put(`servers/${id}`, { ...entry, coldRemainingMs: 0, sequence: 1, ...more });
   };
-  for (const { id, address, service } of engines) register(id, service, address);
+  for (const { id, address, service } of engines.slice(0, registered))
+    register(id, service, address);
   for (const d of daemons) await d.untilReady();
   return {
     store,
@@ -170,7 +199,7 @@
     },
     start: () => {
       const env = { PATH: process.env.PATH, HOME: process.env.HOME ?? "/" };
-      running = child.spawn(process.execPath, [...COMMAND, role], {
+      running = spawn(process.execPath, [...COMMAND, role], {
         cwd: ROOT,
         env: { ...env, SUMACFIELD_CONFIG: file, SUMACFIELD_METRICS_PORT: "0" },
         stdio: ["ignore", log, log],
