--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -10,8 +10,8 @@
 import { PlainWorker } from "../lib/plain-worker.mjs";
 
 const SERVICE = "xano55b";
-const ENTRIES = 4;
-const CALLERS_PER_ENTRY = 3;
+const ENTRIES = 5;
+const CALLERS_PER_ENTRY = 2;
 const CYCLES = 13;
 /** Milliseconds of a window in which one of the two workers spoils answers. */
 const WINDOW_MS = 5000;
@@ -21,7 +21,7 @@
 const DRAIN_MS = 2600;
 const CALM_MS = 1500;
 /** Slots are those of the sheets' plain services. */
-const WORKER = { slots: 6, queue: 2, workMs: 43 };
+const WORKER = { slots: 6, queue: 1, workMs: 43 };
 /** The statuses that promise that a request has not run and never will. */
 const PROMISES = new Set([408, 421, 429, 503]);
 
