Log and count by which evidence a send counts as answered, not run or unknown

Cause: a caller's 503 could not be followed to what each of its sends rested on: the log named neither the connection nor what the answer stated. Change: connections are numbered; failed sends name connection, position, an earlier use by the same request, and status, id, claim and signature of the answer; sumacfield_send_evidence_total counts all sends. What the head of an answer proves is a pure module, with the logic as it was.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -163,7 +163,7 @@
   {
     name: "a request that waited for a connection is checked before it is written",
     file: "serving/exchange.js",
-    find: "if (!this.gate.mayStart())",
+    find: "if (!this.gate.mayStart(this.connection?.recordWrite()))",
     put: "if (false)",
     proof: "goes to another worker when the one that it waits for begins to leave",
   },
@@ -256,9 +256,9 @@
   },
   {
     name: "an answer that names another request is not trusted",
-    file: "serving/upstream.js",
-    find: "if (answeredId !== req.meta.id && !(answeredId === undefined && claimsNotRun)) {",
-    put: "if (false) {",
+    file: "serving/answers/evidence.js",
+    find: 'if (subject !== "request" && !(subject === "none" && claimsNotRun))',
+    put: "if (false)",
     proof: "does not trust an answer to another request",
   },
   {
--- a/deploy/bundle.ts
+++ b/deploy/bundle.ts
@@ -17,6 +17,7 @@
   undici: `
     const Dispatcher = require("undici/lib/dispatcher/dispatcher");
     Object.assign(Dispatcher.prototype, { request: require("undici/lib/api/api-request") });
+    exports.Client = require("undici/lib/dispatcher/client");
     exports.Pool = require("undici/lib/dispatcher/pool");
     exports.buildConnector = require("undici/lib/core/connect");`,
   "prom-client": `
--- /dev/null
+++ b/src/serving/answers/evidence.ts
@@ -0,0 +1,57 @@
+/**
+ * Decides what the head of an answer proves about the request that was sent. Pure.
+ * @module
+ */
+import type * as headers from "../headers.js";
+import type * as protocol from "../protocol.js";
+
+/** The request that an answer names: the one that was sent, another one, or none. */
+export type Subject = "request" | "other" | "none";
+
+/** What the head of an answer states. */
+export interface Statement {
+  readonly status: number;
+  readonly subject: Subject;
+  /** Whether it states that the request was not run and never will be. */
+  readonly claimsNotRun: boolean;
+  readonly isSigned: boolean;
+}
+
+/** What an answer proves about a send. */
+export type Proof =
+  /** It is the answer to the request. */
+  | { readonly kind: "answer" }
+  /** The request was not run and will not be. `isAbsent`: another instance runs at the address, or it lacks the adapter. */
+  | { readonly kind: "not_run"; readonly isAbsent: boolean }
+  /** Nothing: the request may have run. */
+  | { readonly kind: "unknown"; readonly why: string };
+
+const MISDIRECTED = 421;
+const FIRST_SUCCESS_STATUS = 200;
+const FIRST_OTHER_STATUS = 300;
+
+/** Reads the statement of an answer to the request `id`. */
+export function read(
+  wire: Pick<protocol.Protocol, "answeredRequestId" | "saysNotRun" | "isSigned">,
+  id: string,
+  status: number,
+  received: headers.Headers,
+): Statement {
+  const named = wire.answeredRequestId(received);
+  return {
+    status,
+    subject: named === id ? "request" : named === undefined ? "none" : "other",
+    claimsNotRun: wire.saysNotRun(status, received),
+    isSigned: wire.isSigned(received),
+  };
+}
+
+/** What a statement proves about the request that was sent. */
+export function prove({ status, subject, claimsNotRun, isSigned }: Statement): Proof {
+  if (subject !== "request" && !(subject === "none" && claimsNotRun))
+    return { kind: "unknown", why: "the answer names another request" };
+  if (claimsNotRun) return { kind: "not_run", isAbsent: status === MISDIRECTED };
+  const isSuccess = status >= FIRST_SUCCESS_STATUS && status < FIRST_OTHER_STATUS;
+  if (isSuccess && !isSigned) return { kind: "unknown", why: "the answer carries no signature" };
+  return { kind: "answer" };
+}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -7,6 +7,7 @@
 import type * as undici from "undici";
 import * as readMeter from "../host/read-meter.js";
 import * as byteQueue from "./buffering/byte-queue.js";
+import type * as connections from "./connections/connection.js";
 import type * as headers from "./headers.js";
 
 /** Consumes one chunk of a body; a returned promise pauses the sender until it resolves. */
@@ -38,8 +39,8 @@
 
 /** Decides whether a request is withheld; it can be until its first byte is written. */
 export interface Gate {
-  /** Whether the request may be written; called right before that, when a connection is ready. */
-  readonly mayStart: () => boolean;
+  /** Whether the request may be written to a connection; called right before that, when it is ready. */
+  readonly mayStart: (use: connections.Use | undefined) => boolean;
   /** Registers `callback` for when the request must no longer be written; returns the function that unregisters it. */
   readonly onClosed: (callback: () => void) => () => void;
 }
@@ -55,7 +56,8 @@
 }
 
 /** A request and its answer, as handler of the HTTP client's events. */
-export class Exchange implements undici.Dispatcher.DispatchHandler, Body {
+export class Exchange implements undici.Dispatcher.DispatchHandler, connections.Assignee, Body {
+  private connection: connections.Connection | undefined;
   private controller: undici.Dispatcher.DispatchController | undefined;
   private onChunk: ChunkHandler | undefined;
   /** Chunks that arrived before the body was read. */
@@ -98,10 +100,14 @@
     return this.started;
   }
 
+  assignTo(connection: connections.Connection): void {
+    this.connection = connection;
+  }
+
   /** Throws if the request must not be written; its connection is then used for the next request. */
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     if (this.ended) throw new Error(GIVEN_UP);
-    if (!this.gate.mayStart()) throw new WithheldError();
+    if (!this.gate.mayStart(this.connection?.recordWrite())) throw new WithheldError();
     this.unsubscribe();
     this.controller = controller;
     this.started = true;
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -7,6 +7,7 @@
 import * as prom from "prom-client";
 import * as addresses from "../host/address.js";
 import * as errors from "../host/errors.js";
+import type * as evidence from "./answers/evidence.js";
 import type * as completeness from "./answers/completeness.js";
 import type * as framings from "./answers/framing.js";
 import type * as origins from "./continuation/origins.js";
@@ -45,6 +46,15 @@
 /** Whether a stream goes on at the software version that began it, as far as this host knows. */
 export type ContinuationMatch = "same" | "other" | "unknown";
 
+/** By what a send counts as answered, not run or unknown. */
+export interface SendEvidence {
+  readonly proof: evidence.Proof["kind"];
+  /** What the head of its answer states; undefined if none arrived. */
+  readonly statement: evidence.Statement | undefined;
+  /** Whether its connection had carried the same request before. */
+  readonly connection: "new" | "repeated";
+}
+
 /** Records the metrics of one daemon. */
 export interface Metrics {
   /** A request ended. `firstMs` is the time to the first byte of the response, if there was one. */
@@ -54,6 +64,8 @@
     firstMs: number | undefined,
     tookMs: number,
   ) => void;
+  /** A request of a service was sent, and it is decided what that proves. */
+  readonly recordEvidence: (service: string, e: SendEvidence) => void;
   /** The body of a worker's answer has come to its end. */
   readonly recordAnswerEnd: (
     framing: framings.Framing,
@@ -135,6 +147,15 @@
     "framing",
     "end",
   );
+  const sends = counter(
+    "sumacfield_send_evidence_total",
+    "Sends, by service, what they prove, by which status and whose answer, and whether the connection had carried the request.",
+    "service",
+    "proof",
+    "status",
+    "names",
+    "connection",
+  );
   const refusals = counter(
     "sumacfield_refusals_total",
     "Requests refused before they were served, by team and status.",
@@ -234,6 +255,10 @@
       if (firstMs !== undefined) first.observe({ route }, firstMs);
       took.observe({ route }, tookMs);
     },
+    recordEvidence: (service, { proof, statement, connection }) => {
+      const { status = "none", subject = "none" } = statement ?? {};
+      sends.inc({ service, proof, status, names: subject, connection });
+    },
     recordAnswerEnd: (framing, end) => {
       answerEnds.inc({ framing, end });
     },
--- a/src/serving/progress.ts
+++ b/src/serving/progress.ts
@@ -68,6 +68,8 @@
   runs: number;
   /** Ids of the endpoints already tried; cleared when none is left to try. */
   readonly triedEndpoints: Set<string>;
+  /** Numbers of the connections that the request was written to. */
+  readonly connections: Set<number>;
   /** Ids of the engines that sent the request back at once because of their queue. */
   readonly divertedBy: Set<string>;
   /** Runs, or possible runs, of the other send of a hedged call; they count towards the route's attempts. */
@@ -156,6 +158,7 @@
     sideRuns: 0,
     hedge: undefined,
     triedEndpoints: new Set(),
+    connections: new Set(),
     divertedBy: new Set(),
     withheld: 0,
     closedBy: undefined,
--- a/src/serving/send-state.ts
+++ b/src/serving/send-state.ts
@@ -3,8 +3,10 @@
  * @module
  */
 import type * as clock from "../host/clock.js";
+import type * as evidence from "./answers/evidence.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
+import type * as connections from "./connections/connection.js";
 import type * as streamClock from "./pacing/stream-clock.js";
 import type * as progress from "./progress.js";
 import type * as protocol from "./protocol.js";
@@ -38,6 +40,12 @@
   sentAt: number;
   /** Steady-clock ms at which writing the request began. */
   startedAt?: number;
+  /** Use of the connection that the request was written to; undefined before, and where it is not known. */
+  use: connections.Use | undefined;
+  /** Whether that connection had carried the same request before. */
+  isRepeatedUse: boolean;
+  /** What the head of the answer states; undefined before it arrived. */
+  statement?: evidence.Statement;
   /** Aborts when the caller goes away or the deadline passes. */
   readonly stopSignal: AbortSignal;
   readonly watchdog: sendWatchdog.Watchdog;
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -26,6 +26,8 @@
 import type * as notices from "./notices.js";
 import type * as sendChecks from "./send-checks.js";
 import * as sendState from "./send-state.js";
+import type * as evidence from "./answers/evidence.js";
+import type * as connections from "./connections/connection.js";
 import * as progress from "./progress.js";
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
@@ -113,15 +115,17 @@
       stopSignal,
       watchdog,
       stream: new streamClock.StreamClock(),
+      use: undefined,
+      isRepeatedUse: false,
       isTooLate: false,
       withholdReason: undefined,
     };
     const gate: exchange.Gate = {
-      mayStart: () => {
+      mayStart: (use) => {
         send.withholdReason =
           this.deps.checks.withholdReason(req, res, p, endpoint, grants) ??
           (toldTime.isOutdated() ? "stale" : undefined);
-        if (send.withholdReason === undefined) this.recordStart(send);
+        if (send.withholdReason === undefined) this.recordStart(send, use);
         return send.withholdReason === undefined;
       },
       onClosed: (callback) => this.deps.notices.whenClosed(endpoint.id, callback),
@@ -146,8 +150,11 @@
   }
 
   /** Records that a request is being written to its connection. */
-  private recordStart(send: SendState): void {
+  private recordStart(send: SendState, use: connections.Use | undefined): void {
     const { req, p, endpoint } = send;
+    send.use = use;
+    send.isRepeatedUse = use !== undefined && p.connections.has(use.connection);
+    if (use) p.connections.add(use.connection);
     send.sentAt = this.deps.clock.mono();
     send.startedAt = this.deps.clock.steady();
     p.sends++;
@@ -225,6 +232,9 @@
     result: upstream.SendResult,
   ): Promise<progress.Ending | undefined> | progress.Ending | undefined {
     const { p } = send;
+    if ("statement" in result) send.statement = result.statement;
+    if (result.kind !== "withheld" && result.kind !== "unsent")
+      this.recordEvidence(send, result.kind);
     switch (result.kind) {
       case "withheld":
         return this.handleWithheld(send);
@@ -234,7 +244,11 @@
       case "not_run":
         this.recordNotice(send, result.notice, false);
         this.recordNotRun(send, result.why);
-        this.settle(send, result.absent ? "absent" : "not_run", result.absent ? undefined : false);
+        this.settle(
+          send,
+          result.isAbsent ? "absent" : "not_run",
+          result.isAbsent ? undefined : false,
+        );
         return undefined;
       case "unknown":
         p.runs++;
@@ -248,6 +262,15 @@
     }
   }
 
+  /** Counts what a send's answer, or the lack of one, proves. */
+  private recordEvidence(
+    { req, statement, isRepeatedUse }: SendState,
+    proof: evidence.Proof["kind"],
+  ): void {
+    const connection = isRepeatedUse ? "repeated" : "new";
+    this.deps.metrics.recordEvidence(req.service.name, { proof, statement, connection });
+  }
+
   /** Handles a request that was withheld before its first byte was written. */
   private handleWithheld(send: SendState): progress.Ending | undefined {
     const { req, res, p } = send;
@@ -294,6 +317,7 @@
       request: send.req.meta.id,
       endpoint: send.endpoint.id,
       send: send.p.sends,
+      ...evidenceFields(send),
       why: send.p.why,
     });
   }
@@ -351,6 +375,7 @@
       underWayMs: Math.round(p.queuedAt - send.sentAt),
       framing: p.framing,
       restBytes: p.restBytes,
+      ...evidenceFields(send),
       why: p.why,
     });
     if (catalog.isRepeatable(req.route) && progress.canContinue(p)) return undefined;
@@ -524,6 +549,19 @@
 /** A send's result that carries an answer. */
 type Answer = Extract<upstream.SendResult, { kind: "answer" }>;
 
+/** Log fields that say on which connection a request was sent, and what its answer states. */
+function evidenceFields({ use, isRepeatedUse, statement }: SendState): structuredLog.Fields {
+  return {
+    connection: use?.connection,
+    position: use?.position,
+    ...(isRepeatedUse && { isRepeatedUse }),
+    status: statement?.status,
+    names: statement?.subject,
+    claimsNotRun: statement?.claimsNotRun,
+    isSigned: statement?.isSigned,
+  };
+}
+
 function isSuccess(status: number): boolean {
   return status >= OK_STATUS && status < FIRST_OTHER_STATUS;
 }
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -5,9 +5,11 @@
 import * as undici from "undici";
 import * as connector from "../host/connector.js";
 import * as errors from "../host/errors.js";
+import * as evidence from "./answers/evidence.js";
 import * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
+import * as connections from "./connections/connection.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
 import type * as notices from "./notices.js";
@@ -23,20 +25,26 @@
       readonly framing: framings.Framing;
       readonly body: exchange.Body;
       readonly notice: notices.Notice;
+      readonly statement: evidence.Statement;
     }
-  /** The request was not run and will not be. `absent`: another instance runs at the address, or it lacks the adapter. */
+  /** The request was not run and will not be. `isAbsent`: another instance runs at the address, or it lacks the adapter. */
   | {
       readonly kind: "not_run";
       readonly why: string;
-      readonly absent: boolean;
+      readonly isAbsent: boolean;
       readonly notice: notices.Notice;
+      readonly statement: evidence.Statement;
     }
   /** Nothing of the request was sent: no connection was made, or the request was given up before. */
   | { readonly kind: "unsent"; readonly why: string }
   /** Nothing of the request was sent: its gate withheld it. */
   | { readonly kind: "withheld" }
-  /** It is unknown whether the request ran. */
-  | { readonly kind: "unknown"; readonly why: string };
+  /** It is unknown whether the request ran; `statement` is that of an answer that does not prove it. */
+  | {
+      readonly kind: "unknown";
+      readonly why: string;
+      readonly statement?: evidence.Statement;
+    };
 
 /** Timeout in milliseconds for connecting to an endpoint; across a failure domain this takes a few. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -57,7 +65,6 @@
 /** Most bytes that are read of an answer which nobody needs, and what a chunk counts beside its own. */
 const MAX_DISCARD_BYTES = 262_144;
 const DISCARD_CHUNK_COST_BYTES = 64;
-const MISDIRECTED = 421;
 
 /** Connections to the endpoints, in one pool for each incarnation of an endpoint. */
 export class Upstream {
@@ -72,6 +79,7 @@
     const pool = new undici.Pool(`http://${e.address}`, {
       connections: Math.max(2, Math.floor(service.connections / shares)),
       pipelining: 1,
+      factory: (origin, opts) => new connections.Connection(origin, opts),
       connect: connector.metered({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false }),
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
@@ -98,15 +106,14 @@
     const transfer = new exchange.Exchange(signal, gate);
     let head: exchange.Head;
     try {
-      this.poolOf(e, req.service).dispatch(
-        {
-          method: req.method,
-          path: req.path,
-          headers: lazily(() => ({ ...req.headers, ...this.wire.sendHeaders(attributes()) })),
-          body: req.body.length > 0 ? req.body : null,
-        },
-        transfer,
-      );
+      const opts: connections.Options = {
+        method: req.method,
+        path: req.path,
+        headers: lazily(() => ({ ...req.headers, ...this.wire.sendHeaders(attributes()) })),
+        body: req.body.length > 0 ? req.body : null,
+        assignee: transfer,
+      };
+      this.poolOf(e, req.service).dispatch(opts, transfer);
       head = await transfer.head;
     } catch (err) {
       if (err instanceof exchange.WithheldError) return { kind: "withheld" };
@@ -122,25 +129,22 @@
     body: exchange.Body,
   ): Promise<SendResult> {
     const { status, headers } = head;
-    const answeredId = this.wire.answeredRequestId(headers);
-    const claimsNotRun = this.wire.saysNotRun(status, headers);
+    const statement = evidence.read(this.wire, req.meta.id, status, headers);
+    const proof = evidence.prove(statement);
     const notice = this.wire.notice(status, headers);
-    if (answeredId !== req.meta.id && !(answeredId === undefined && claimsNotRun)) {
-      // The bytes belong to another request, so the connection can no longer be trusted.
-      body.abort();
-      return { kind: "unknown", why: "the answer names another request" };
-    }
-    if (claimsNotRun) {
-      await discard(body);
-      const why = `status ${status}`;
-      return { kind: "not_run", why, absent: status === MISDIRECTED, notice };
-    }
-    if (status >= 200 && status < 300 && !this.wire.isSigned(headers)) {
-      body.abort();
-      return { kind: "unknown", why: "the answer carries no signature" };
+    switch (proof.kind) {
+      case "unknown":
+        // The bytes may belong to another request, so the connection can no longer be trusted.
+        body.abort();
+        return { ...proof, statement };
+      case "not_run":
+        await discard(body);
+        return { ...proof, why: `status ${status}`, notice, statement };
+      case "answer":
+        break;
     }
     const framing = framings.framingOf(req.method, status, headers);
-    return { kind: "answer", status, headers, framing, body, notice };
+    return { kind: "answer", status, headers, framing, body, notice, statement };
   }
 
   /**
--- a/test/serving/fake-endpoint-daemon.ts
+++ b/test/serving/fake-endpoint-daemon.ts
@@ -56,6 +56,26 @@
   };
 }
 
+/** Starts one with an idle engine that holds some adapters; it grants each seat that it is asked for. */
+export async function openGranting(instance: string, ...resident: readonly string[]) {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => socket.destroy());
+    socket.on("data", (part: Buffer) => {
+      const messages = part.toString().trim().split("\n");
+      for (const m of messages.map((text) => JSON.parse(text) as seatMessages.FromEntry))
+        if (m.kind === "ask") socket.write(encode([{ kind: "grant", seat: m.seat, instance }]));
+    });
+    socket.write(encode([state(instance), holdings(...resident)]));
+  });
+  const address = await addresses.listen(server, "127.0.0.1:0");
+  return {
+    address,
+    close: (): void => {
+      server.close();
+    },
+  };
+}
+
 /** Encodes messages as JSON lines. */
 function encode(messages: readonly seatMessages.FromEndpoint[]): string {
   return messages.map((m) => `${JSON.stringify(m)}\n`).join("");
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -188,6 +188,31 @@
   return listen(server);
 }
 
+/** Starts a worker that answers each request, head and body, through the raw socket. */
+export async function rawServer(answer: (socket: net.Socket) => void) {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => undefined);
+    let received = "";
+    socket.on("data", (part: Buffer) => {
+      received += part.toString();
+      for (let end = endOfRequest(received); end > 0; end = endOfRequest(received)) {
+        received = received.slice(end);
+        answer(socket);
+      }
+    });
+  });
+  return listen(server);
+}
+
+/** Index of the first character after the first whole request of a text; 0 if it has none. */
+function endOfRequest(received: string): number {
+  const headEnd = received.indexOf("\r\n\r\n");
+  if (headEnd < 0) return 0;
+  const length = /content-length: (\d+)/i.exec(received.slice(0, headEnd))?.[1] ?? "0";
+  const end = headEnd + "\r\n\r\n".length + Number(length);
+  return received.length >= end ? end : 0;
+}
+
 /** Starts a worker that answers HTTP requests. */
 export async function worker(
   answer: (req: http.IncomingMessage, res: http.ServerResponse) => void,
--- a/test/serving/overload/plain-workers.ts
+++ b/test/serving/overload/plain-workers.ts
@@ -199,8 +199,14 @@
     arrival.endAt = this.now;
     arrival.end = isAborted() ? "aborted" : "answered";
     if (isAborted() || status === 0) return { kind: "unknown", why: "broken" };
-    const notice = notices.EMPTY;
-    if (status === 421) return { kind: "not_run", why: "status 421", absent: false, notice };
+    const statement = {
+      status,
+      subject: "request",
+      claimsNotRun: status === 421,
+      isSigned: true,
+    } as const;
+    const said = { notice: notices.EMPTY, statement };
+    if (status === 421) return { kind: "not_run", why: "status 421", isAbsent: false, ...said };
     const body = {
       pump: (onChunk: (chunk: Buffer) => unknown) => {
         onChunk(Buffer.from(req.route.kind === "stream" ? `data: ${e.id}\n\n` : e.id));
@@ -209,6 +215,6 @@
       abort: () => undefined,
     };
     const headers = { "test-signed": e.id };
-    return { kind: "answer", status, headers, framing: "length", body, notice };
+    return { kind: "answer", status, headers, framing: "length", body, ...said };
   }
 }
