Take a claim that a request was not run only from an answer that names the request

Callers saw: 502 where nothing was known, but also 503 for calls that had run, and calls and streams that may run once ran up to four times. Cause: an answer without a request id counted if it claimed 'not run' (a mark, or status 421), although a worker echoes the id of each request and bytes without it belong to none; a 200 with the mark counted as well. Change: such bytes prove nothing, so a request that may run once ends with 502 and its connection is closed; others are sent elsewhere. Why it works: only an answer that names the request can be its worker's; what names none can no longer settle a send.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -33,6 +33,13 @@
     put: "if (true)",
     proof: "whose worker crashes between two events and so closes the connection",
   },
+  {
+    name: "answers: a claim that names no request proves nothing",
+    file: "serving/answers/evidence.js",
+    find: 'if (subject === "none")',
+    put: "if (false)",
+    proof: "does not rest on a rejection that names no request",
+  },
   {
     name: "answers: a worker is checked for a crash after its connection broke, not before",
     file: "serving/crash-check.js",
--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -257,7 +257,7 @@
   {
     name: "an answer that names another request is not trusted",
     file: "serving/answers/evidence.js",
-    find: 'if (subject !== "request" && !(subject === "none" && claimsNotRun))',
+    find: 'if (subject === "other")',
     put: "if (false)",
     proof: "does not trust an answer to another request",
   },
--- a/src/serving/answers/evidence.ts
+++ b/src/serving/answers/evidence.ts
@@ -48,10 +48,15 @@
 
 /** What a statement proves about the request that was sent. */
 export function prove({ status, subject, claimsNotRun, isSigned }: Statement): Proof {
-  if (subject !== "request" && !(subject === "none" && claimsNotRun))
-    return { kind: "unknown", why: "the answer names another request" };
-  if (claimsNotRun) return { kind: "not_run", isAbsent: status === MISDIRECTED };
+  if (subject === "other") return unknown("the answer names another request");
+  if (subject === "none") return unknown("the answer names no request");
   const isSuccess = status >= FIRST_SUCCESS_STATUS && status < FIRST_OTHER_STATUS;
-  if (isSuccess && !isSigned) return { kind: "unknown", why: "the answer carries no signature" };
+  if (claimsNotRun && isSuccess) return unknown("the answer claims both a success and no run");
+  if (claimsNotRun) return { kind: "not_run", isAbsent: status === MISDIRECTED };
+  if (isSuccess && !isSigned) return unknown("the answer carries no signature");
   return { kind: "answer" };
 }
+
+function unknown(why: string): Proof {
+  return { kind: "unknown", why };
+}
--- a/test/serving/answers/promises.test.ts
+++ b/test/serving/answers/promises.test.ts
@@ -132,6 +132,14 @@
     }
   });
 
+  it("does not rest on a claim beside a success", async () => {
+    for (const kind of KINDS) {
+      const claim = response(200, { ...fixtures.good(), "test-not-run": "1" });
+      const { seen, runs } = await serve(kind, run, claim);
+      expect([kind, runs, seen]).deep.equal([kind, 1, ["refuse 502"]]);
+    }
+  });
+
   it("does not rest on an answer that does not state it", async () => {
     for (const kind of KINDS) {
       for (const status of [408, 429, 503]) {
