Pass on no status that promises what its worker does not state

Callers saw: 503, 429 or 408 with a worker's signature, or without one, for calls and streams that had run. Cause: a worker's status was returned unchanged, and became a promise to the caller: the protocol says that 408, 421, 429 and 503 mean that the request has not run and never will, and that only a response with the mark (or status 421) states this. An own 502 bears no signature and promises nothing, so it breaks neither rule. Change: an answer with such a status that does not state it counts as a run of unknown result: idempotent requests are sent elsewhere, others end with 502. The test of a 503 without a statement expected that it is no rejection but an answer, with an empty body; it now expects that it is neither, which is stricter: the status can't reach the caller. Why it works: every promise to a caller now rests on a claim that names the request, or on that it was never sent.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -40,6 +40,13 @@
     put: "if (false)",
     proof: "does not rest on a rejection that names no request",
   },
+  {
+    name: "answers: a status that promises something is passed on only if the worker states it",
+    file: "serving/answers/evidence.js",
+    find: "if (PROMISES.has(status))",
+    put: "if (false)",
+    proof: "does not rest on an answer that does not state it",
+  },
   {
     name: "answers: a worker is checked for a crash after its connection broke, not before",
     file: "serving/crash-check.js",
--- a/src/serving/answers/evidence.ts
+++ b/src/serving/answers/evidence.ts
@@ -23,10 +23,14 @@
   | { readonly kind: "answer" }
   /** The request was not run and will not be. `isAbsent`: another instance runs at the address, or it lacks the adapter. */
   | { readonly kind: "not_run"; readonly isAbsent: boolean }
+  /** It answers the request, but with a status that would promise the caller what the worker does not state. */
+  | { readonly kind: "unproved"; readonly why: string }
   /** Nothing: the request may have run. */
   | { readonly kind: "unknown"; readonly why: string };
 
 const MISDIRECTED = 421;
+/** Statuses that promise a caller that its request was not run and never will be. */
+const PROMISES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_OTHER_STATUS = 300;
 
@@ -54,6 +58,8 @@
   if (claimsNotRun && isSuccess) return unknown("the answer claims both a success and no run");
   if (claimsNotRun) return { kind: "not_run", isAbsent: status === MISDIRECTED };
   if (isSuccess && !isSigned) return unknown("the answer carries no signature");
+  if (PROMISES.has(status))
+    return { kind: "unproved", why: `status ${status} without stating that it was not run` };
   return { kind: "answer" };
 }
 
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -250,6 +250,10 @@
           result.isAbsent ? undefined : false,
         );
         return undefined;
+      case "unproved":
+        this.recordNotice(send, result.notice, false);
+        p.runs++;
+        return this.handleBroken(send, result.why);
       case "unknown":
         p.runs++;
         return this.handleLostConnection(send, result.why);
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -39,6 +39,13 @@
   | { readonly kind: "unsent"; readonly why: string }
   /** Nothing of the request was sent: its gate withheld it. */
   | { readonly kind: "withheld" }
+  /** The endpoint answered with a status that must not be passed on, since the request may have run. */
+  | {
+      readonly kind: "unproved";
+      readonly why: string;
+      readonly notice: notices.Notice;
+      readonly statement: evidence.Statement;
+    }
   /** It is unknown whether the request ran; `statement` is that of an answer that does not prove it. */
   | {
       readonly kind: "unknown";
@@ -137,6 +144,9 @@
         // The bytes may belong to another request, so the connection can no longer be trusted.
         body.abort();
         return { ...proof, statement };
+      case "unproved":
+        await discard(body);
+        return { ...proof, notice, statement };
       case "not_run":
         await discard(body);
         return { ...proof, why: `status ${status}`, notice, statement };
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -136,7 +136,7 @@
 
   it("does not believe a 503 that says nothing of the run", async () => {
     const head = "HTTP/1.1 503 Full\r\ntest-id: r1\r\ncontent-length: 0\r\n\r\n";
-    expect(await outcomeOf((s) => s.end(head))).equal("");
+    expect(await outcomeOf((s) => s.end(head))).equal("unproved");
   });
 
   it("reports that nothing was sent if no connection was made", async () => {
