Send no request twice over one connection, so that an answer tells which send it belongs to

Callers saw: calls and streams that may run once got 503 although they had run, or ran twice, before a worker that sends a rejection a second time, late. Cause: an answer was matched to its send by the attempt's id, which all sends of one attempt share. After a rejection the attempt could go to the same worker over the same connection, where the late copy of the first rejection counted as the answer to the second send. Change: a pool of connections of our own over the same HTTP client, with a pure choice: a request goes over no connection that carried it before; an idle one is replaced where no other may be opened. A connection and an id then name one send, for rejections, failures, streams that go on, and hedges alike. Why it works: a late copy arrives on the connection of its send, and nothing else of that request is ever expected there.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -47,6 +47,13 @@
     put: "if (false)",
     proof: "does not rest on an answer that does not state it",
   },
+  {
+    name: "answers: no connection carries a request twice",
+    file: "serving/connections/choose-connection.js",
+    find: "else if (carried.has(c.number))",
+    put: "else if (false)",
+    proof: "does not rest on a late copy of the rejection of an earlier send",
+  },
   {
     name: "answers: a worker is checked for a crash after its connection broke, not before",
     file: "serving/crash-check.js",
--- a/src/serving/connections/connection.ts
+++ b/src/serving/connections/connection.ts
@@ -12,41 +12,70 @@
   readonly position: number;
 }
 
-/** Receives the connection that a request may be written to, before it is. */
-export interface Assignee {
+/** A request on its way to a connection, which receives the events of its answer. */
+export interface Transfer extends undici.Dispatcher.DispatchHandler {
+  /** Tells the client that takes the request, before it is written. */
   readonly assignTo: (connection: Connection) => void;
-}
-
-/** A request for a connection. */
-export interface Options extends undici.Dispatcher.DispatchOptions {
-  readonly assignee: Assignee;
+  /** Ends the request, of which nothing was written. */
+  readonly fail: (err: Error) => void;
 }
 
 let lastNumber = 0;
 
 /** One client of a pool. It connects anew when its connection has ended. */
 export class Connection extends undici.Client {
-  private number = 0;
+  private current = 0;
   private written = 0;
+  private connected = false;
+  private busy = false;
 
-  constructor(origin: string | URL, opts: undici.Client.Options) {
+  /** `onFree` is called when it can take a request, `onFailed` when it could not connect. */
+  constructor(
+    origin: string,
+    opts: undici.Client.Options,
+    onFree: () => void,
+    onFailed: (c: Connection) => void,
+  ) {
     super(origin, opts);
     this.on("connect", () => {
-      this.number = ++lastNumber;
+      this.current = ++lastNumber;
       this.written = 0;
+      this.connected = true;
+    });
+    this.on("disconnect", () => {
+      this.connected = false;
     });
+    this.on("drain", () => {
+      this.busy = false;
+      onFree();
+    });
+    this.on("connectionError", () => {
+      onFailed(this);
+    });
+  }
+
+  /** Number of its current connection, or of its last one; 0 before the first. */
+  get number(): number {
+    return this.current;
+  }
+
+  get isConnected(): boolean {
+    return this.connected;
+  }
+
+  /** Whether it has a request that has not ended. */
+  get isBusy(): boolean {
+    return this.busy;
   }
 
-  override dispatch(
-    opts: undici.Dispatcher.DispatchOptions & Partial<Options>,
-    handler: undici.Dispatcher.DispatchHandler,
-  ): boolean {
-    opts.assignee?.assignTo(this);
-    return super.dispatch(opts, handler);
+  /** Sends a request; its connection is made first if there is none. */
+  send(opts: undici.Dispatcher.DispatchOptions, transfer: Transfer): void {
+    transfer.assignTo(this);
+    this.busy = !this.dispatch(opts, transfer);
   }
 
   /** Counts a request that is about to be written to the current connection. */
   recordWrite(): Use {
-    return { connection: this.number, position: ++this.written };
+    return { connection: this.current, position: ++this.written };
   }
 }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -41,12 +41,18 @@
 export interface Gate {
   /** Whether the request may be written to a connection; called right before that, when it is ready. */
   readonly mayStart: (use: connections.Use | undefined) => boolean;
+  /** Numbers of the connections that carried the request before. */
+  readonly carried: ReadonlySet<number>;
   /** Registers `callback` for when the request must no longer be written; returns the function that unregisters it. */
   readonly onClosed: (callback: () => void) => () => void;
 }
 
 /** Gate of a request that is never withheld. */
-export const ALWAYS_OPEN: Gate = { mayStart: () => true, onClosed: () => () => undefined };
+export const ALWAYS_OPEN: Gate = {
+  mayStart: () => true,
+  carried: new Set(),
+  onClosed: () => () => undefined,
+};
 
 /** Error of a request that its gate withheld before its first byte was written. */
 export class WithheldError extends Error {
@@ -56,7 +62,7 @@
 }
 
 /** A request and its answer, as handler of the HTTP client's events. */
-export class Exchange implements undici.Dispatcher.DispatchHandler, connections.Assignee, Body {
+export class Exchange implements connections.Transfer, Body {
   private connection: connections.Connection | undefined;
   private controller: undici.Dispatcher.DispatchController | undefined;
   private onChunk: ChunkHandler | undefined;
@@ -104,6 +110,10 @@
     this.connection = connection;
   }
 
+  fail(err: Error): void {
+    this.settle(err);
+  }
+
   /** Throws if the request must not be written; its connection is then used for the next request. */
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     if (this.ended) throw new Error(GIVEN_UP);
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -128,6 +128,7 @@
         if (send.withholdReason === undefined) this.recordStart(send, use);
         return send.withholdReason === undefined;
       },
+      carried: p.connections,
       onClosed: (callback) => this.deps.notices.whenClosed(endpoint.id, callback),
     };
     try {
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -2,14 +2,14 @@
  * Sends a request over HTTP to one endpoint and classifies the result by what is certain about whether the request ran.
  * @module
  */
-import * as undici from "undici";
+import type * as undici from "undici";
 import * as connector from "../host/connector.js";
 import * as errors from "../host/errors.js";
 import * as evidence from "./answers/evidence.js";
 import * as framings from "./answers/framing.js";
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
-import * as connections from "./connections/connection.js";
+import * as connectionPool from "./connections/connection-pool.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
 import type * as notices from "./notices.js";
@@ -75,19 +75,23 @@
 
 /** Connections to the endpoints, in one pool for each incarnation of an endpoint. */
 export class Upstream {
-  private readonly pools = new Map<string, undici.Pool>();
+  private readonly pools = new Map<string, connectionPool.ConnectionPool>();
+
+  private readonly connect = connector.metered({
+    timeout: CONNECT_TIMEOUT_MS,
+    autoSelectFamily: false,
+  });
 
   constructor(private readonly wire: protocol.Protocol) {}
 
-  private poolOf(e: catalog.Endpoint, service: catalog.Service): undici.Pool {
+  private poolOf(e: catalog.Endpoint, service: catalog.Service): connectionPool.ConnectionPool {
     const existing = this.pools.get(e.id);
     if (existing) return existing;
     const shares = CONNECTION_SHARES[service.engine ? "engine" : "service"];
-    const pool = new undici.Pool(`http://${e.address}`, {
-      connections: Math.max(2, Math.floor(service.connections / shares)),
+    const limit = Math.max(2, Math.floor(service.connections / shares));
+    const pool = new connectionPool.ConnectionPool(`http://${e.address}`, limit, {
       pipelining: 1,
-      factory: (origin, opts) => new connections.Connection(origin, opts),
-      connect: connector.metered({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false }),
+      connect: this.connect,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -113,14 +117,13 @@
     const transfer = new exchange.Exchange(signal, gate);
     let head: exchange.Head;
     try {
-      const opts: connections.Options = {
+      const opts: undici.Dispatcher.DispatchOptions = {
         method: req.method,
         path: req.path,
         headers: lazily(() => ({ ...req.headers, ...this.wire.sendHeaders(attributes()) })),
         body: req.body.length > 0 ? req.body : null,
-        assignee: transfer,
       };
-      this.poolOf(e, req.service).dispatch(opts, transfer);
+      this.poolOf(e, req.service).dispatch(opts, transfer, gate.carried);
       head = await transfer.head;
     } catch (err) {
       if (err instanceof exchange.WithheldError) return { kind: "withheld" };
