Take no answer for complete whose leaving worker has ended

Callers saw: 200 and a proper end for streams without a length that had some 40 of 86 events, when a worker that had said that it leaves was gone. Cause: where only the close of a connection shows the end of an answer, the worker must still run; that look was left out for workers that leave, since their end blames no request. Whether a request is to blame and whether its answer is complete are two questions, and one function answered both. Change: completeness asks whether the worker's process has ended, leaving or not; blame still asks whether it crashed. A stream that may be resumed goes on at another worker, others are broken off. The test of the next incarnation's entry is now one of the catalog itself. Why it works: the kernel closes the connections of any process that ends, so only a worker that still runs can have closed one by itself.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -81,6 +81,13 @@
     find: "return catalog.endpoints.get(incarnation.workerOf(e.id))?.leaving ?? true;",
     put: "return !isUsable(catalog, e);",
     proof:
-      "does not pass on such an answer where the worker's next incarnation is registered meanwhile",
+      "does not take the entry of a later incarnation for the announcement that a worker leaves",
+  },
+  {
+    name: "answers: the end of a leaving worker is not that of its answer",
+    file: "serving/sending.js",
+    find: "(await this.deps.suspects.hasEnded(send.endpoint))",
+    put: "false",
+    proof: "does not end a stream as complete when its leaving worker has ended",
   },
 ];
--- a/src/serving/answers/completeness.ts
+++ b/src/serving/answers/completeness.ts
@@ -2,7 +2,7 @@
  * Decides whether an answer that has come to its end is complete, and by which evidence. Pure.
  *
  * A length or a last chunk proves that all bytes arrived. The normal end of a connection proves that the worker sent no more,
- * which is also how a crash of the worker ends it. A stream must in addition end between two events, because a worker may stop
+ * which is also how the end of the worker's process ends it. A stream must in addition end between two events, because a worker may stop
  * within one in any framing.
  * @module
  */
@@ -45,10 +45,10 @@
   return { kind: "whole", evidence: framing };
 }
 
-/** The answer of a worker that crashed as its connection was closed. */
-export const CRASHED: Completeness = {
+/** The answer of a worker whose process ended as its connection was closed. */
+export const ENDED: Completeness = {
   kind: "unknown",
-  why: "the worker crashed as the connection was closed",
+  why: "the worker ended as the connection was closed",
 };
 
 /** Judges an answer whose connection broke, or that was given up. */
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -483,13 +483,13 @@
     return "whole";
   }
 
-  /** Checks that the worker did not crash, if only that tells the end of its answer from a cut. */
+  /** Checks that the worker still runs, if only that tells the end of its answer from a cut. */
   private async confirm(
     send: SendState,
     found: completeness.Completeness,
   ): Promise<completeness.Completeness> {
     if (!completeness.restsOnClose(found)) return found;
-    return (await this.deps.suspects.hasCrashed(send.endpoint)) ? completeness.CRASHED : found;
+    return (await this.deps.suspects.hasEnded(send.endpoint)) ? completeness.ENDED : found;
   }
 
   /** Passes on the whole events of a stream, without those that the caller has already. */
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -93,6 +93,32 @@
   return `id: ${id}\ndata: x${id}\n\n`;
 }
 
+/**
+ * Serves a stream without a length whose worker announces that it leaves, and closes the connection between two events; `ends`
+ * says whether its process ends then. Another worker can continue the stream. Resolves to the body and the end that the caller sees.
+ */
+async function streamOfLeaving(
+  { ends }: { readonly ends: boolean },
+  route: catalog.Route,
+): Promise<readonly string[]> {
+  const worker = await rawStream((s) => {
+    const leaving = { ...fixtures.endpoint("e0", worker.address), leaving: true };
+    current = { ...current, endpoints: new Map([...current.endpoints, ["e0", leaving]]) };
+    if (ends) worker.close();
+    s.end(event(1));
+  });
+  const other = await rawStream((s) => s.end(`${event(2)}${event(3)}`));
+  let current = catalogOf([worker.address, other.address]);
+  const setup = dispatcherFixture.create(() => current);
+  const seen = nothingSeen();
+  const res = callerResponse(new AbortController().signal, seen);
+  await setup.dispatcher.serve(fixtures.request({ route }), res);
+  setup.close();
+  worker.close();
+  other.close();
+  return [seen.body, seen.end];
+}
+
 describe("dispatch", () => {
   it("relays a successful answer", async () => {
     const worker = await fixtures.worker((_req, res) => {
@@ -334,6 +360,21 @@
     expect([seen.status, seen.body]).deep.equal([502, ""]);
   });
 
+  it("does not end a stream as complete when its leaving worker has ended", async () => {
+    expect(await streamOfLeaving({ ends: true }, { ...STREAM, resumable: false })).deep.equal([
+      event(1),
+      "broken",
+    ]);
+    expect(await streamOfLeaving({ ends: true }, STREAM)).deep.equal([
+      [1, 2, 3].map(event).join(""),
+      "whole",
+    ]);
+  });
+
+  it("passes on an answer without a length of a leaving worker that still runs", async () => {
+    expect(await streamOfLeaving({ ends: false }, STREAM)).deep.equal([event(1), "whole"]);
+  });
+
   it("ends a resumed stream that has nothing left as complete", async () => {
     const breaks = await rawStream((s) => {
       s.write(event(1));
--- a/test/serving/incarnation.test.ts
+++ b/test/serving/incarnation.test.ts
@@ -34,6 +34,12 @@
     );
   });
 
+  it("does not take the entry of a later incarnation for the announcement that a worker leaves", () => {
+    const later = catalog.applyUpdate(catalog.EMPTY, entry(2));
+    expect(catalog.isLeaving(later, fixtures.endpoint("w#1", "10.0.0.1:1"))).equal(false);
+    expect(catalog.isLeaving(catalog.EMPTY, fixtures.endpoint("w#1", "10.0.0.1:1"))).equal(true);
+  });
+
   it("differs by start time, and may be the same where a start time is not reported", () => {
     const [old, next] = [incarnation.idOf("w", 1), incarnation.idOf("w", 2)];
     expect(incarnation.mayBeSame(old, next)).equal(false);
