Close callers' connections after the responses to all requests that were taken from them

Callers saw, after SIGTERM: calls ran and got no answer. 40 callers lost some 15 calls at each SIGTERM, and of pipelined requests all but the first. Cause, the first: a connection whose last response announced nothing was ended on one side only, and requests that came later were still passed on, though no answer could be written any more. The second: the first response that finished ended the connection, with those of earlier requests behind it. The same held at any time where a host that is behind refuses a request with a close. Change: one module takes requests from connections and closes these. Only the response to the latest request announces the close, also responses under way at the SIGTERM; the connection ends after the last one; a request that crosses the close is not taken, and so is not run. Why it works: a request is either taken while its response can still be sent, or not passed on at all.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -83,6 +83,20 @@
     proof:
       "does not take the entry of a later incarnation for the announcement that a worker leaves",
   },
+  {
+    name: "answers: a request that crosses the close of its connection is not served",
+    file: "serving/connections/closer.js",
+    find: "if (s.isEnded || s.last?.headersSent)",
+    put: "if (false)",
+    proof: "does not serve a request that arrives after its end",
+  },
+  {
+    name: "answers: a connection ends after the last of its pipelined responses",
+    file: "serving/connections/closer.js",
+    find: "const latest = [...s.open].at(-1);",
+    put: "const latest = [...s.open][0];",
+    proof: "ends after the responses to all requests that were pipelined before",
+  },
   {
     name: "answers: the end of a leaving worker is not that of its answer",
     file: "serving/sending.js",
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -14,6 +14,7 @@
 import type * as memory from "./buffering/memory.js";
 import type * as caps from "./caps.js";
 import type * as catalog from "./catalog.js";
+import * as closer from "./connections/closer.js";
 import * as deadline from "./deadlines/deadline.js";
 import type * as dispatch from "./dispatch.js";
 import type * as earlyListener from "./early-listener.js";
@@ -99,6 +100,7 @@
   private onIdle: (() => void) | undefined;
   private readonly lagMonitor: lagMonitor.LagMonitor;
   private readonly meter: callerMeter.CallerMeter;
+  private readonly connections = new closer.Closer();
 
   constructor(
     listener: earlyListener.EarlyListener,
@@ -133,9 +135,10 @@
     this.meter.configure(limits.bodyBytes);
   }
 
-  /** Closes each kept-alive connection after its next response, so that its caller connects to another host. */
+  /** Closes each kept-alive connection after its next responses, so that its caller connects to another host. */
   startDraining(): void {
     this.draining = true;
+    for (const { req } of this.open) this.connections.closeAfterOpen(req.socket);
   }
 
   /** Stops accepting connections, and resolves once the last request has ended. */
@@ -155,6 +158,11 @@
   }
 
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (!this.connections.take(req, res)) {
+      this.deps.log.info("A request crossed the close of its connection; it is not served.");
+      req.resume();
+      return;
+    }
     this.open.add(res);
     this.lagMonitor.requestOpened();
     this.meter.recordRequest(req.socket);
@@ -163,11 +171,7 @@
       this.lagMonitor.requestClosed();
       if (this.open.size === 0) this.onIdle?.();
     });
-    if (this.draining) res.setHeader("connection", "close");
-    res.once("finish", () => {
-      // A response that began before draining was sent without the header `connection: close`.
-      if (this.draining) req.socket.end();
-    });
+    if (this.draining) this.connections.closeAfterOpen(req.socket);
     this.handle(req, res).catch((err: unknown) => {
       this.deps.log.error("A request handler failed.", {
         why: err instanceof Error ? (err.stack ?? err.message) : String(err),
@@ -239,7 +243,7 @@
     this.lagMonitor.recordRefusal();
     this.deps.metrics.recordLagRefusal(m.route.rank);
     // Closing while a body arrives would reset the connection, and the caller could not read the refusal.
-    if (req.complete) res.setHeader("connection", "close");
+    if (req.complete) this.connections.closeAfterOpen(req.socket);
     const leftMs = arrivedAt + Math.min(m.meta.waitMs, m.route.timeoutMs) - this.deps.clock.mono();
     const retryAfterMs = admission.retryAfterMs(hostLag.ms, leftMs);
     return { kind: "refused", status: 503, why, team: m.caller?.team.name, retryAfterMs };
--- /dev/null
+++ b/src/serving/connections/closer.ts
@@ -0,0 +1,70 @@
+/**
+ * Closes callers' connections after the responses to all requests that were taken from them. HTTP/1.1 responses come in the order
+ * of their requests, so that only the last one may announce the close.
+ * @module
+ */
+import type * as http from "node:http";
+import type * as net from "node:net";
+
+/** State of one connection. */
+interface State {
+  /** Responses that have not ended, in the order of their requests. */
+  readonly open: Set<http.ServerResponse>;
+  isClosing: boolean;
+  /** The response that announces the close. */
+  last: http.ServerResponse | undefined;
+  /** Whether this side of the connection has ended. */
+  isEnded: boolean;
+}
+
+/** Takes requests from callers' connections, and closes the connections. */
+export class Closer {
+  private readonly states = new WeakMap<net.Socket, State>();
+
+  /**
+   * Takes a request. Returns false if it crosses the close of its connection: its response could not be sent any more, so it
+   * must not be served.
+   */
+  take(req: http.IncomingMessage, res: http.ServerResponse): boolean {
+    const s = this.stateOf(req.socket);
+    if (s.isEnded || s.last?.headersSent) return false;
+    s.open.add(res);
+    res.once("close", () => s.open.delete(res));
+    res.once("finish", () => {
+      s.open.delete(res);
+      if (s.isClosing && s.open.size === 0) end(s, req.socket);
+    });
+    if (s.isClosing) announce(s);
+    return true;
+  }
+
+  /** Closes a connection once the responses that are open on it have ended. */
+  closeAfterOpen(socket: net.Socket): void {
+    const s = this.stateOf(socket);
+    s.isClosing = true;
+    announce(s);
+  }
+
+  private stateOf(socket: net.Socket): State {
+    const known = this.states.get(socket);
+    if (known) return known;
+    const created = { open: new Set<never>(), isClosing: false, last: undefined, isEnded: false };
+    this.states.set(socket, created);
+    return created;
+  }
+}
+
+/** Has the response to the latest request announce the close, unless its head was sent. */
+function announce(s: State): void {
+  const latest = [...s.open].at(-1);
+  if (!latest || latest.headersSent) return;
+  if (s.last !== latest) s.last?.removeHeader("connection");
+  s.last = latest;
+  latest.setHeader("connection", "close");
+}
+
+/** Ends this side of a connection; a response that announced the close has done so already. */
+function end(s: State, socket: net.Socket): void {
+  s.isEnded = true;
+  if (!socket.writableEnded) socket.end();
+}
--- /dev/null
+++ b/test/serving/connections/closer.test.ts
@@ -0,0 +1,94 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as addresses from "../../../src/host/address.js";
+import * as closer from "../../../src/serving/connections/closer.js";
+
+const { expect } = chai;
+
+const WORK_MS = 40;
+const request = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a.example\r\n\r\n`;
+
+/** A server that takes requests through a closer and answers each after a while, and a caller's raw connection to it. */
+async function open() {
+  const connections = new closer.Closer();
+  const served: string[] = [];
+  const sockets = new Set<net.Socket>();
+  const server = http.createServer((req, res) => {
+    sockets.add(req.socket);
+    if (!connections.take(req, res)) return;
+    served.push(req.url ?? "");
+    setTimeout(() => res.end(`answer to ${req.url ?? ""}`), WORK_MS);
+  });
+  const address = addresses.parse(await addresses.listen(server, "127.0.0.1:0"));
+  const caller = net.connect({ ...address, allowHalfOpen: true });
+  let received = "";
+  let isEnded = false;
+  caller.on("data", (part: Buffer) => (received += part.toString()));
+  caller.on("end", () => (isEnded = true));
+  return {
+    served,
+    send: (...paths: readonly string[]): boolean => caller.write(paths.map(request).join("")),
+    close: (): void => {
+      for (const s of sockets) connections.closeAfterOpen(s);
+    },
+    /** The paths whose responses arrived, each with whether it announced the close. */
+    answers: () => {
+      const heads = received.split("HTTP/1.1 200 OK").slice(1);
+      return heads.map((text) => [
+        /answer to (\S+)/.exec(text)?.[1],
+        /connection: close/i.test(text),
+      ]);
+    },
+    isEnded: (): boolean => isEnded,
+    stop: (): void => {
+      caller.destroy();
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+describe("a caller's connection that is closed", () => {
+  it("ends after the responses to all requests that were pipelined before", async () => {
+    const host = await open();
+    host.send("/1", "/2", "/3");
+    await timers.setTimeout(WORK_MS / 2);
+    host.close();
+    await timers.setTimeout(3 * WORK_MS);
+    expect(host.answers()).deep.equal([
+      ["/1", false],
+      ["/2", false],
+      ["/3", true],
+    ]);
+    expect(host.isEnded()).equal(true);
+    host.stop();
+  });
+
+  it("still serves a request that arrives before the close is announced", async () => {
+    const host = await open();
+    host.send("/1");
+    await timers.setTimeout(WORK_MS / 4);
+    host.close();
+    host.send("/2");
+    await timers.setTimeout(3 * WORK_MS);
+    expect(host.answers()).deep.equal([
+      ["/1", false],
+      ["/2", true],
+    ]);
+    host.stop();
+  });
+
+  it("does not serve a request that arrives after its end", async () => {
+    const host = await open();
+    host.send("/1");
+    await timers.setTimeout(WORK_MS / 2);
+    host.close();
+    await timers.setTimeout(2 * WORK_MS);
+    host.send("/2");
+    await timers.setTimeout(2 * WORK_MS);
+    expect([host.served, host.answers()]).deep.equal([["/1"], [["/1", true]]]);
+    host.stop();
+  });
+});
