Soak: workers send bytes that prove nothing about a request

Cause: the soak checks that nothing runs that was refused with a promise, but its workers never sent the bytes that would break it: second responses only of streams that began, never of rejections, never late, never without an id, and no 503, 429 or 408 of their own. Change: in six of ten runs workers repeat rejections where the next response is expected, send rejections without an id while a request runs, and answer with 503, 429 or 408 after it ran without stating that it was not run.

--- a/bench/platform/worker-base.ts
+++ b/bench/platform/worker-base.ts
@@ -6,6 +6,7 @@
 import type * as http from "node:http";
 import type * as journals from "./journal.js";
 import * as servers from "./http.js";
+import * as strays from "./stray.js";
 
 /** How a worker behaves; every value but `well` is a fault. */
 export type Behavior =
@@ -74,7 +75,12 @@
   /** Ids of parts that crash the worker when it begins to answer a prompt that holds one of them, unless as its last part. */
   fatalParts: ReadonlySet<string> = new Set();
   private hasCrashed = false;
-  protected readonly listener = new servers.Listener((req, res) => this.answer(req, res));
+  /** Bytes that it sends although they prove nothing about a request. */
+  readonly stray = new strays.StrayBytes();
+  protected readonly listener = new servers.Listener((req, res) => {
+    this.stray.sendCopy(req.socket);
+    return this.answer(req, res);
+  });
 
   constructor(
     readonly service: string,
@@ -119,7 +125,9 @@
   /** Records the arrival of a request, and decides whether it is shed. */
   protected recordArrival(id: string): journals.Arrival {
     const { service, instance, limitPerS, leaving, pauseS } = this;
-    const sheds = this.behavior === "shedding" && Math.random() < this.shedPart;
+    const sheds =
+      (this.behavior === "shedding" && Math.random() < this.shedPart) ||
+      this.stray.isTurn("repeated");
     const arrival: journals.Arrival = {
       id,
       service,
@@ -138,6 +146,7 @@
   /** Rejects a request with a 503, asking for a pause if {@link pauseS} is set. */
   protected shed(res: http.ServerResponse, { id }: journals.Arrival): void {
     if (this.pauseS !== undefined) res.setHeader("retry-after", String(this.pauseS));
+    this.stray.keepCopy(res, id);
     this.reject(res, UNAVAILABLE, id);
   }
 
@@ -162,12 +171,19 @@
       endedAt: undefined,
     };
     this.journal.runs.push(run);
+    if (this.stray.isTurn("unnamed")) this.stray.sendUnnamed(req);
     res.once("close", () => {
       run.endedAt = performance.now();
     });
     return run;
   }
 
+  /** Answers a request that ran with a status that promises that it did not, without stating it. */
+  protected answerUnmarked(res: http.ServerResponse, id: string): void {
+    const headers = { ...this.signatureHeaders(id), "content-length": 0 };
+    res.writeHead(this.stray.unmarkedStatus(), headers).end();
+  }
+
   protected signatureHeaders(id: string): Record<string, string> {
     const signature = { "x-sumacfield-server-signature": this.instance };
     return { "x-sumacfield-attempt-id": id, ...signature, ...this.notices() };
--- a/bench/platform/worker.ts
+++ b/bench/platform/worker.ts
@@ -208,6 +208,10 @@
     const { behavior } = this;
     const bad = behavior !== "well" && this.isFaultyTurn();
     if (behavior === "hanging" && bad) return;
+    if (this.stray.isTurn("unmarked")) {
+      this.answerUnmarked(res, run.id);
+      return;
+    }
     if (behavior === "losing" && bad) {
       await timers.setTimeout(this.eventMs * EVENTS_PER_STREAM);
       res.destroy();
@@ -278,6 +282,10 @@
       res.destroy();
       return;
     }
+    if (this.stray.isTurn("unmarked")) {
+      this.answerUnmarked(res, run.id);
+      return;
+    }
     const status = behavior === "failing" && bad ? 500 : 200;
     const text = answerText(run.id, body);
     if (behavior === "doubling" && bad) this.sendExtraResponse(res);
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as timers from "node:timers/promises";
+import type * as strays from "../platform/stray.js";
 import type * as bases from "../platform/worker-base.js";
 import * as workers from "../platform/worker.js";
 import * as caller from "./caller.js";
@@ -130,6 +131,29 @@
   };
 }
 
+/** A fault in which a worker sends bytes that prove nothing about a request. */
+function strayFault(kind: Exclude<strays.Stray, "none">): Fault {
+  return {
+    name: `worker stray ${kind}`,
+    durationMs: [500, 3000],
+    begin: (d) => {
+      const { worker } = d.draw.one(d.site.places);
+      worker.stray.kind = kind;
+      return {
+        on: [worker.instance],
+        end: () => {
+          worker.stray.kind = "none";
+        },
+      };
+    },
+  };
+}
+
+/** The faults in which workers send such bytes. */
+export const STRAY_FAULTS: readonly Fault[] = (["repeated", "unnamed", "unmarked"] as const).map(
+  strayFault,
+);
+
 /** A fault of the links to a worker and to the endpoint daemon beside it. */
 function linkFault(name: string, begin: (d: Deps, p: site.Place) => void): Fault {
   return {
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -101,6 +101,10 @@
 const DECLARE_LOOPS = 2;
 const DECLARE_DRAWS = 17;
 const DECLARE_ALONE_MS = 13_000;
+/** The same for workers that send bytes which prove nothing about a request. */
+const STRAY_SHARE = 0.6;
+const STRAY_INTERVAL_MS: readonly [number, number] = [200, 1500];
+const STRAY_DRAWS = 18;
 /** One in so many callers speaks HTTP/1.0. */
 const OLD_CALLER_INTERVAL = 6;
 /** Numbers of the random sequences for the API keys of requests, and for the operator's changes of keys and caps. */
@@ -171,6 +175,7 @@
     restoreRepeatedly(deps(RESTORE_DRAWS), until),
     killRepeatedly(deps(KILL_DRAWS), until),
     restartAllRepeatedly(deps(RESTART_ALL_DRAWS), until),
+    sendStrayBytes(deps(STRAY_DRAWS), until),
     changeTeams(s, teamState, plan.draw(TEAM_DRAWS), until),
   ]);
   if (declares) await declareRepeatedly(declaring, performance.now() + DECLARE_ALONE_MS);
@@ -338,6 +343,17 @@
   await Promise.all(going);
 }
 
+/** In some runs, lets workers send bytes that prove nothing about a request, repeatedly until `until`. */
+async function sendStrayBytes(d: faults.Deps, until: number): Promise<void> {
+  if (!isInShare(d, STRAY_SHARE)) return;
+  const going: Promise<void>[] = [];
+  while (performance.now() < until) {
+    await timers.setTimeout(d.draw.between(...STRAY_INTERVAL_MS));
+    going.push(inject(d, d.draw.one(faults.STRAY_FAULTS)) ?? Promise.resolve());
+  }
+  await Promise.all(going);
+}
+
 /** In some runs, restarts all daemons, repeatedly until `until`. */
 async function restartAllRepeatedly(d: faults.Deps, until: number): Promise<void> {
   if (!isInShare(d, RESTART_ALL_SHARE)) return;
