Close connections to an endpoint once only

Callers would have seen: all requests of an entry daemon break off, since an unhandled rejection ends its process. Cause: a pool that is closed while requests wait, or while a connection is being made, closes its clients again each time one of them is done, and the HTTP client rejects the close of one that has ended. Evidence: an idle connection and one that is refused after the pool was closed: 'UNHANDLED The client is destroyed'; none now. Change: only clients that are not closed are closed. The test failed before ('The client is destroyed') and passes. Why it works: each client is closed once, and those in use end by themselves.

--- a/src/serving/connections/connection-pool.ts
+++ b/src/serving/connections/connection-pool.ts
@@ -44,7 +44,7 @@
   async close(): Promise<void> {
     this.isClosing = true;
     if (this.waiting.length > 0) return;
-    await Promise.all(this.clients.map((c) => c.close()));
+    await Promise.all(this.clients.filter((c) => !c.closed).map((c) => c.close()));
   }
 
   /** Closes the connections at once; requests in flight break off. */
--- a/test/serving/connections/connection-pool.test.ts
+++ b/test/serving/connections/connection-pool.test.ts
@@ -1,6 +1,7 @@
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
+import * as connectionPool from "../../../src/serving/connections/connection-pool.js";
 import * as exchange from "../../../src/serving/exchange.js";
 import * as upstream from "../../../src/serving/upstream.js";
 import * as fixtures from "../fixtures.js";
@@ -117,6 +118,18 @@
     gone.close();
   });
 
+  it("can be closed again while some of its connections are closed already", async () => {
+    const host = await open();
+    const pool = new connectionPool.ConnectionPool(`http://${host.endpoint.address}`, LIMIT, {});
+    const transfer = new exchange.Exchange(new AbortController().signal, exchange.ALWAYS_OPEN);
+    pool.dispatch({ method: "GET", path: "/" }, transfer, new Set());
+    await transfer.head;
+    await transfer.pump(() => undefined);
+    await pool.close();
+    await pool.close();
+    host.close();
+  });
+
   it("serves the requests that wait when its connections are replaced", async () => {
     const host = await open();
     const sent = Array.from({ length: 4 }, () => host.send(new Set()));
