Close callers' connections in stages, so that the last response is not lost to a reset

Callers saw: a request that had run got no answer around a SIGTERM. A caller that pipelines read neither the last response, which announces the close, nor an end: its next write failed with EPIPE. Cause: after a response with `Connection: close`, Node.js ends and destroys the socket in one step. What the caller had sent by then draws a reset, and the caller's system discards what it has not read. The same held for the refusal of an unreadable request, for refusals before a body was read, and for the servers of the OpenAI API's way; and the process ended while callers were still reading. Change: a connection ends its side, reads and discards what still arrives, and closes at the other side's end or after a second (RFC 9112, section 9.6); one module for all servers. A host that stops waits that long for its callers. Why it works: bytes that arrive meet an open socket, so no reset is sent before the caller has had a second to read.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -86,7 +86,7 @@
   {
     name: "answers: a request that crosses the close of its connection is not served",
     file: "serving/connections/closer.js",
-    find: "if (s.isEnded || s.last?.headersSent)",
+    find: "if (req.socket.writableEnded || s.last?.headersSent)",
     put: "if (false)",
     proof: "does not serve a request that arrives after its end",
   },
@@ -104,4 +104,11 @@
     put: "false",
     proof: "does not end a stream as complete when its leaving worker has ended",
   },
+  {
+    name: "answers: a connection is closed in stages",
+    file: "host/lingering-close.js",
+    find: "clk.after(LINGER_MS,",
+    put: "clk.after(0,",
+    proof: "is not reset by what arrives after a response that announced the close",
+  },
 ];
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
+import * as lingeringClose from "../host/lingering-close.js";
 import * as log from "../host/log.js";
 import * as responses from "../host/response.js";
 import * as body from "../link/body.js";
@@ -59,7 +60,8 @@
       responses.breakOff(res);
     });
   });
-  responses.onUnreadableRequest(server, body.sendUnreadableRequest);
+  lingeringClose.install(server, deps.clock);
+  responses.onUnreadableRequest(server, body.unreadableRefusal);
   return server;
 }
 
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -10,6 +10,7 @@
 import * as service from "../endpoint/service.js";
 import type * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
+import * as lingeringClose from "../host/lingering-close.js";
 import * as log from "../host/log.js";
 import * as responses from "../host/response.js";
 import type * as statsdMetrics from "../host/statsd-metrics.js";
@@ -92,7 +93,8 @@
       });
     },
   );
-  responses.onUnreadableRequest(server, body.sendUnreadableRequest);
+  lingeringClose.install(server, deps.clock);
+  responses.onUnreadableRequest(server, body.unreadableRefusal);
   return server;
 }
 
--- a/src/link/body.ts
+++ b/src/link/body.ts
@@ -3,7 +3,6 @@
  * @module
  */
 import * as http from "node:http";
-import type * as stream from "node:stream";
 import * as responses from "../host/response.js";
 import * as outcome from "../request/outcome.js";
 import * as wire from "./wire.js";
@@ -48,31 +47,25 @@
 };
 
 /**
- * Answers bytes that are not an HTTP request, or a request that arrived too slowly, with a failure in the
- * usual format, and closes the connection.
+ * The response to bytes that are not an HTTP request, or to a request that arrived too slowly: a failure in the
+ * usual format, which announces that the connection closes.
  */
-export function sendUnreadableRequest(err: Error, socket: stream.Duplex): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
+export function unreadableRefusal(err: Error): string {
   const cause = "code" in err ? String(err.code) : "";
   const code = CODE_BY_PARSE_ERROR[cause] ?? "bad_request";
   const message = `The request could not be read: ${err.message}.`;
   const text = JSON.stringify(
     outcome.toBody({ code, outcome: "not_run", step: "read", peer: "caller", message }),
   );
-  socket.end(
-    [
-      `HTTP/1.1 ${outcome.STATUS[code]} ${http.STATUS_CODES[outcome.STATUS[code]] ?? ""}`,
-      "content-type: application/json",
-      `content-length: ${Buffer.byteLength(text)}`,
-      `${wire.HEADER.outcome}: not_run`,
-      "connection: close",
-      "",
-      text,
-    ].join("\r\n"),
-  );
+  return [
+    `HTTP/1.1 ${outcome.STATUS[code]} ${http.STATUS_CODES[outcome.STATUS[code]] ?? ""}`,
+    "content-type: application/json",
+    `content-length: ${Buffer.byteLength(text)}`,
+    `${wire.HEADER.outcome}: not_run`,
+    "connection: close",
+    "",
+    text,
+  ].join("\r\n");
 }
 
 /**
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import * as clock from "../host/clock.js";
+import * as lingeringClose from "../host/lingering-close.js";
 import * as responses from "../host/response.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as authentication from "./authentication.js";
@@ -141,15 +142,20 @@
     for (const { req } of this.open) this.connections.closeAfterOpen(req.socket);
   }
 
-  /** Stops accepting connections, and resolves once the last request has ended. */
+  /** Stops accepting connections, and resolves once the last request has ended and callers could read its response. */
   async close(): Promise<void> {
     this.draining = true;
-    this.server.close();
-    this.server.closeIdleConnections();
-    if (this.open.size === 0) return;
-    await new Promise<void>((resolve) => {
-      this.onIdle = resolve;
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
     });
+    if (this.open.size > 0)
+      await new Promise<void>((resolve) => {
+        this.onIdle = resolve;
+      });
+    // The end of the process resets connections on which more has arrived.
+    await Promise.race([closed, clock.sleep(this.deps.clock, lingeringClose.LINGER_MS)]);
   }
 
   /** Breaks off all responses that are not complete. */
--- a/src/serving/connections/closer.ts
+++ b/src/serving/connections/closer.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import * as lingeringClose from "../../host/lingering-close.js";
 
 /** State of one connection. */
 interface State {
@@ -13,8 +14,6 @@
   isClosing: boolean;
   /** The response that announces the close. */
   last: http.ServerResponse | undefined;
-  /** Whether this side of the connection has ended. */
-  isEnded: boolean;
 }
 
 /** Takes requests from callers' connections, and closes the connections. */
@@ -27,12 +26,12 @@
    */
   take(req: http.IncomingMessage, res: http.ServerResponse): boolean {
     const s = this.stateOf(req.socket);
-    if (s.isEnded || s.last?.headersSent) return false;
+    if (req.socket.writableEnded || s.last?.headersSent) return false;
     s.open.add(res);
     res.once("close", () => s.open.delete(res));
     res.once("finish", () => {
       s.open.delete(res);
-      if (s.isClosing && s.open.size === 0) end(s, req.socket);
+      if (s.isClosing && s.open.size === 0) lingeringClose.close(req.socket);
     });
     if (s.isClosing) announce(s);
     return true;
@@ -48,7 +47,7 @@
   private stateOf(socket: net.Socket): State {
     const known = this.states.get(socket);
     if (known) return known;
-    const created = { open: new Set<never>(), isClosing: false, last: undefined, isEnded: false };
+    const created = { open: new Set<never>(), isClosing: false, last: undefined };
     this.states.set(socket, created);
     return created;
   }
@@ -62,9 +61,3 @@
   s.last = latest;
   latest.setHeader("connection", "close");
 }
-
-/** Ends this side of a connection; a response that announced the close has done so already. */
-function end(s: State, socket: net.Socket): void {
-  s.isEnded = true;
-  if (!socket.writableEnded) socket.end();
-}
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import * as http from "node:http";
-import type * as stream from "node:stream";
 import * as addresses from "../host/address.js";
+import * as lingeringClose from "../host/lingering-close.js";
 import * as responses from "../host/response.js";
 
 /** Bytes of headers that the server parses at most; the configuration's limit is lower. */
@@ -47,7 +47,8 @@
       else res.writeHead(503, { "retry-after": "0.5", connection: "close" }).end();
     },
   );
-  responses.onUnreadableRequest(server, refuseUnreadable);
+  lingeringClose.install(server);
+  responses.onUnreadableRequest(server, unreadableRefusal);
   await addresses.listen(server, address, BACKLOG);
   return {
     server,
@@ -60,14 +61,10 @@
   };
 }
 
-/** Responds to bytes that are not a valid HTTP request, and closes the connection. */
-function refuseUnreadable(err: Error, socket: stream.Duplex): void {
-  if (!socket.writable || socket.destroyed) {
-    socket.destroy();
-    return;
-  }
+/** The response to bytes that are not a valid HTTP request. */
+function unreadableRefusal(err: Error): string {
   const code = "code" in err ? String(err.code) : "";
   const status = code === "HPE_HEADER_OVERFLOW" ? 431 : 400;
   const reason = http.STATUS_CODES[status] ?? "";
-  socket.end(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  return `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
