Write no pipelined response before its turn, so that requests behind it are served until the close is announced

Callers saw, after SIGTERM: of pipelined requests, some were read and never answered, and their connection ended a quarter of a second and more later. Cause: Node.js takes the head of a response into a buffer of its own while earlier responses on the connection are under way. From then on the head counted as sent: it could no longer take the announcement back, and all later requests were dropped though nothing had been announced to their caller. The test failed before: of four requests, the last one was read and not served. Change: the buffer of a request holds its response back, head included, until the earlier ones have ended, and counts it in the memory budget as any other bytes that cannot be written. Why it works: the announcement is made in a head that is written to the connection at once, so whoever sends after it was told, or crosses it on the way.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -111,4 +111,11 @@
     put: "clk.after(0,",
     proof: "is not reset by what arrives after a response that announced the close",
   },
+  {
+    name: "answers: nothing of a pipelined response is written before its turn",
+    file: "serving/buffering/hold.js",
+    find: "this.isBlocked = res.socket === null;",
+    put: "this.isBlocked = false;",
+    proof: "are served while an earlier response is under way, behind which the last one waits",
+  },
 ];
--- a/src/serving/buffering/hold.ts
+++ b/src/serving/buffering/hold.ts
@@ -1,6 +1,7 @@
 /**
  * What one request holds: its body, an answer that is read whole, and the bytes that its caller has not taken. Writes to
- * the caller's connection, and buffers what the connection does not take at once.
+ * the caller's connection, and buffers what the connection does not take at once. Of a response that is behind others on its
+ * connection nothing is written, not even the head, which may still have to announce that the connection closes.
  * @module
  */
 import type * as http from "node:http";
@@ -13,8 +14,6 @@
 const SLICE_BYTES = 65_536;
 /** Milliseconds after which a paused worker is read once more if the caller takes bytes; less than workers wait for a reader. */
 const TRICKLE_MS = 1000;
-/** Milliseconds for which a caller can read a refusal before the connection is closed: some round trips. */
-const LINGER_MS = 1000;
 /** Rank of a request whose route is not known yet. */
 const UNKNOWN_RANK = 9;
 
@@ -46,7 +45,11 @@
   private whole: Buffer | undefined;
   /** Bytes read from the worker when it was first paused. */
   private pauseLevel = Infinity;
-  private isBlocked = false;
+  /** Whether nothing may be written now: the connection is full, or earlier responses on it have not ended. */
+  private isBlocked: boolean;
+  /** Writes the head once the earlier responses have ended. */
+  private delayedHead: (() => void) | undefined;
+  private headGiven = false;
   private isEnding = false;
   private isClosed = false;
   private unpause: (() => void) | undefined;
@@ -65,6 +68,16 @@
     res.once("close", () => {
       this.close();
     });
+    this.isBlocked = res.socket === null;
+    if (this.isBlocked)
+      res.once("socket", () => {
+        this.beFirst();
+      });
+  }
+
+  /** Whether the response has a head, sent or not. */
+  get hasHead(): boolean {
+    return this.headGiven;
   }
 
   get readBytes(): number {
@@ -127,6 +140,16 @@
     this.update();
   }
 
+  /** Gives the response its status and headers. */
+  writeHead(status: number, headers: http.OutgoingHttpHeaders): void {
+    const write = (): void => {
+      this.res.writeHead(status, headers);
+    };
+    this.headGiven = true;
+    if (this.isBlocked) this.delayedHead = write;
+    else write();
+  }
+
   /** Passes bytes of a stream on; a returned promise resolves when more may be read from the worker. */
   write(bytes: Buffer): Promise<void> | undefined {
     if (this.res.destroyed || this.isClosed) return undefined;
@@ -143,7 +166,8 @@
   sendWhole(body: Buffer): void {
     if (this.res.destroyed) return;
     this.stage = "answering";
-    if (body.length <= SLICE_BYTES || this.req.method === "HEAD") {
+    const isShort = body.length <= SLICE_BYTES || this.req.method === "HEAD";
+    if (isShort && !this.isBlocked) {
       this.answerBytes = 0;
       this.writtenBytes += body.length;
       this.res.end(body);
@@ -163,17 +187,6 @@
     this.flush();
   }
 
-  /**
-   * Sends the whole text of a response to a request whose body is not read. Ends the response somewhat later, because that
-   * resets the connection, and the caller could lose what it has not read.
-   */
-  endLater(text: string): void {
-    this.res.write(text);
-    this.owner.clock.after(LINGER_MS, () => {
-      if (!this.res.destroyed) this.res.end();
-    });
-  }
-
   sample(now: number): void {
     this.sampleSocket();
     const doneBytes = this.receivedBytes + this.writtenBytes - this.socketBytes;
@@ -227,13 +240,25 @@
     if (isTaken) return true;
     this.isBlocked = true;
     this.res.once("drain", () => {
-      this.isBlocked = false;
-      this.flush();
-      this.resume(this.owner.clock.mono());
+      this.unblock();
     });
     return false;
   }
 
+  /** The earlier responses on the connection have ended. */
+  private beFirst(): void {
+    if (this.isClosed || this.res.destroyed) return;
+    this.delayedHead?.();
+    this.delayedHead = undefined;
+    this.unblock();
+  }
+
+  private unblock(): void {
+    this.isBlocked = false;
+    this.flush();
+    this.resume(this.owner.clock.mono());
+  }
+
   /** Writes what waits until the connection is full again. */
   private flush(): void {
     while (!this.isBlocked && !this.res.destroyed) {
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -57,7 +57,7 @@
     disconnected: disconnect.signal,
     presence: presence.watch(req.socket, deps.clock, lag, leave),
     writeHead: (status, received) => {
-      res.writeHead(status, headers.forAnswer(received) as http.OutgoingHttpHeaders);
+      held.writeHead(status, headers.forAnswer(received) as http.OutgoingHttpHeaders);
     },
     write: (bytes) => held.write(bytes),
     readAnswer: (bytes) => held.readAnswer(bytes),
@@ -73,27 +73,26 @@
     },
     sendWhole: (status, received, body) => {
       const length = req.method === "HEAD" ? {} : { "content-length": body.length };
-      res.writeHead(status, {
+      held.writeHead(status, {
         ...(headers.forAnswer(received) as http.OutgoingHttpHeaders),
         ...length,
       });
       held.sendWhole(body);
     },
     refuse: (status, message, comeBackMs) => {
-      if (res.headersSent || res.destroyed) {
+      if (held.hasHead || res.destroyed) {
         responses.breakOff(res);
         return;
       }
-      const text = JSON.stringify({ error: message });
+      const text = Buffer.from(JSON.stringify({ error: message }));
       const isRead = discard(req);
-      res.writeHead(status, {
+      held.writeHead(status, {
         "content-type": "application/json",
-        "content-length": Buffer.byteLength(text),
+        "content-length": text.length,
         ...(comeBackMs === undefined ? {} : deps.protocol.retryAfterHeaders(comeBackMs)),
         ...(isRead ? {} : { connection: "close" }),
       });
-      if (isRead) res.end(text);
-      else held.endLater(text);
+      held.sendWhole(text);
     },
   };
 }
