Give up pipelined requests when their caller's connection closes

Seen: after a caller with pipelined requests had reset its connection, the requests behind the first one counted as open for good. Their workers went on, and a host that stopped waited for them until shortly before it would be killed. Cause: Node.js tells only the response that is being sent that its connection has closed, not those that wait behind it. Change: the module that takes requests from connections ends the waiting responses when their connection closes. Why it works: whatever follows the end of a response then follows for these too: the send is broken off, and what is held for it is released.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -118,4 +118,11 @@
     put: "this.isBlocked = false;",
     proof: "are served while an earlier response is under way, behind which the last one waits",
   },
+  {
+    name: "answers: a pipelined request ends with its connection",
+    file: "serving/connections/closer.js",
+    find: "closeQueued(created);",
+    put: "",
+    proof: "are given up when their caller leaves",
+  },
 ];
--- a/src/serving/connections/closer.ts
+++ b/src/serving/connections/closer.ts
@@ -47,8 +47,11 @@
   private stateOf(socket: net.Socket): State {
     const known = this.states.get(socket);
     if (known) return known;
-    const created = { open: new Set<never>(), isClosing: false, last: undefined };
+    const created: State = { open: new Set(), isClosing: false, last: undefined };
     this.states.set(socket, created);
+    socket.once("close", () => {
+      closeQueued(created);
+    });
     return created;
   }
 }
@@ -61,3 +64,12 @@
   s.last = latest;
   latest.setHeader("connection", "close");
 }
+
+/** Ends the responses behind the first one, as Node.js tells only that one that the connection has closed. */
+function closeQueued(s: State): void {
+  for (const res of s.open) {
+    if (res.socket !== null || res.closed) continue;
+    res.destroy();
+    res.emit("close");
+  }
+}
--- a/test/platform/pipelined-callers.test.ts
+++ b/test/platform/pipelined-callers.test.ts
@@ -64,4 +64,14 @@
     expect(isEnded()).equal(true);
     await stop();
   });
+
+  // Guards against responses behind the first one that are never known to have lost their caller.
+  it("are given up when their caller leaves", async () => {
+    const { host, caller, stop } = await open("/open/slow", "/open/slow/2", "/open/slow/3");
+    expect(host.inFlight()).equal(3);
+    caller.resetAndDestroy();
+    await timers.setTimeout(FAST_MS);
+    expect(host.inFlight()).equal(0);
+    await stop();
+  });
 });
