Take an answer without a length for whole only if its worker answers a later request

Cause: where only the close of a connection shows the end of an answer, a connection that could be opened and held for 40 ms counted as proof that the worker ran on. The kernel of a process that ends closes its connections one after the other, and accepts new ones until it comes to the listening socket; how long that takes is a matter of load. No bound on that time proves anything. Evidence: the new test failed before: a worker whose connections stay open for 300 ms after its stream had been cut, "whole" after one of three events. Change: the worker is asked on a new connection (an engine for its report, a plain service for its health). Only an answer to that, whatever it says, unless it comes from another worker at the address, makes the close an end. No answer within a second, or a worker that asked for a pause: not known, so the answer is broken off, or the request goes to another worker where it may be repeated. Why it works: a process answers a request that came after the close only if it still ran after the close.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -100,10 +100,17 @@
   {
     name: "answers: the end of a leaving worker is not that of its answer",
     file: "serving/sending.js",
-    find: "(await this.deps.suspects.hasEnded(send.endpoint))",
-    put: "false",
+    find: "(await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal))",
+    put: "true",
     proof: "does not end a stream as complete when its leaving worker has ended",
   },
+  {
+    name: "answers: only an answer to a later request shows that a worker runs on",
+    file: "serving/sending.js",
+    find: "this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal)",
+    put: "this.deps.suspects.deps.crashCheck.hasCrashed(endpoint).then((ended) => !ended)",
+    proof: "does not end a stream as complete when its worker ends slowly",
+  },
   {
     name: "answers: a connection is closed in stages",
     file: "host/lingering-close.js",
--- a/src/serving/answers/completeness.ts
+++ b/src/serving/answers/completeness.ts
@@ -45,10 +45,10 @@
   return { kind: "whole", evidence: framing };
 }
 
-/** The answer of a worker whose process ended as its connection was closed. */
-export const ENDED: Completeness = {
+/** The answer of a worker that has not shown that it ran on after its connection was closed. */
+export const UNCONFIRMED: Completeness = {
   kind: "unknown",
-  why: "the worker ended as the connection was closed",
+  why: "the connection was closed, and the worker did not answer after that",
 };
 
 /** Judges an answer whose connection broke, or that was given up. */
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -88,7 +88,7 @@
 /** Starts the daemon. Resolves once it listens. */
 export async function start(opts: Options, deps: Deps): Promise<Running> {
   const daemonMetrics = metrics.create();
-  const upstreams = new upstream.Upstream(deps.protocol);
+  const upstreams = new upstream.Upstream(deps.protocol, deps.clock);
   let draining = false;
   const decoder = registerDecoder.wrapDecoder(quarantine.wrapDecoder(deps.decoder));
   let previous = catalog.EMPTY;
--- a/src/serving/protocol.ts
+++ b/src/serving/protocol.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as callerRequest from "./caller-request.js";
+import type * as catalog from "./catalog.js";
 import type * as headers from "./headers.js";
 import type * as notices from "./notices.js";
 
@@ -24,6 +25,12 @@
   readonly resumeAfter?: string | undefined;
 }
 
+/** A request by which a worker shows that it runs. */
+export interface LivenessRequest {
+  readonly path: string;
+  readonly headers: Record<string, string>;
+}
+
 /** API key found in a request. */
 export type Credential =
   | { readonly kind: "key"; readonly key: string }
@@ -48,6 +55,10 @@
   readonly saysNotRun: (status: number, headers: headers.Headers) => boolean;
   /** Whether an answer carries an endpoint's signature. */
   readonly isSigned: (headers: headers.Headers) => boolean;
+  /** The request that asks an incarnation of a worker whether it runs; a worker at the same address may be another one. */
+  readonly livenessRequest: (instance: string, service: catalog.Service) => LivenessRequest;
+  /** Whether an answer to that request comes from this incarnation's worker, whatever it says. */
+  readonly isFromInstance: (instance: string, status: number, headers: headers.Headers) => boolean;
   /** What an answer says about its worker. */
   readonly notice: (status: number, headers: headers.Headers) => notices.Notice;
   /** Headers that tell a refused caller after how many ms to retry. */
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -483,13 +483,18 @@
     return "whole";
   }
 
-  /** Checks that the worker still runs, if only that tells the end of its answer from a cut. */
+  /** Checks that the worker still runs, if only that tells the end of its answer from that of its process. */
   private async confirm(
     send: SendState,
     found: completeness.Completeness,
   ): Promise<completeness.Completeness> {
     if (!completeness.restsOnClose(found)) return found;
-    return (await this.deps.suspects.hasEnded(send.endpoint)) ? completeness.ENDED : found;
+    const { endpoint, req, watchdog } = send;
+    // A worker that asked for a pause is asked nothing.
+    const mayAsk = this.deps.notices.reason(endpoint) !== "pause";
+    const runs =
+      mayAsk && (await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal));
+    return runs ? found : completeness.UNCONFIRMED;
   }
 
   /** Passes on the whole events of a stream, without those that the caller has already. */
--- a/src/serving/suspects.ts
+++ b/src/serving/suspects.ts
@@ -92,15 +92,10 @@
       this.publish(id, { kind: "ran", identity: id, workers: [...crashes.keys()], ageMs: 0 });
   }
 
-  /** Whether a worker's process has ended, whether or not it announced that it leaves. */
-  hasEnded(worker: catalog.Endpoint): Promise<boolean> {
-    return this.deps.crashCheck.hasCrashed(worker);
-  }
-
   /** Whether a worker has ended without announcing that it leaves, so that what it ran may be the cause. */
   private async hasCrashed(worker: catalog.Endpoint): Promise<boolean> {
     if (catalog.isLeaving(this.deps.catalog(), worker)) return false;
-    return this.hasEnded(worker);
+    return this.deps.crashCheck.hasCrashed(worker);
   }
 
   /** Records that a send broke off; resolves once it is known whether the worker crashed. */
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type * as undici from "undici";
+import type * as clock from "../host/clock.js";
 import * as connector from "../host/connector.js";
 import * as errors from "../host/errors.js";
 import * as evidence from "./answers/evidence.js";
@@ -10,6 +11,7 @@
 import type * as callerRequest from "./caller-request.js";
 import type * as catalog from "./catalog.js";
 import * as connectionPool from "./connections/connection-pool.js";
+import * as livenessCheck from "./connections/liveness-check.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
 import type * as notices from "./notices.js";
@@ -82,7 +84,10 @@
     autoSelectFamily: false,
   });
 
-  constructor(private readonly wire: protocol.Protocol) {}
+  constructor(
+    private readonly wire: protocol.Protocol,
+    private readonly clk: clock.Clock,
+  ) {}
 
   private poolOf(e: catalog.Endpoint, service: catalog.Service): connectionPool.ConnectionPool {
     const existing = this.pools.get(e.id);
@@ -160,6 +165,19 @@
     return { kind: "answer", status, headers, framing, body, notice, statement };
   }
 
+  /**
+   * Whether the worker of an endpoint answers to a request that is sent now, so that its process has not ended before; false as well
+   * if that is not known in time, or once `signal` aborts.
+   */
+  isRunning(e: catalog.Endpoint, service: catalog.Service, signal: AbortSignal): Promise<boolean> {
+    const question: livenessCheck.Question = {
+      address: e.address,
+      ...this.wire.livenessRequest(e.id, service),
+      isAnswered: (status, received) => this.wire.isFromInstance(e.id, status, received),
+    };
+    return livenessCheck.isRunning(question, signal, this.clk);
+  }
+
   /**
    * Opens new connections to an endpoint for all requests from now on. The existing ones may be dead without a reset;
    * requests in flight on them end by themselves.
--- a/test/serving/answers/endless-heads.test.ts
+++ b/test/serving/answers/endless-heads.test.ts
@@ -1,5 +1,6 @@
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
+import * as clock from "../../../src/host/clock.js";
 import * as exchange from "../../../src/serving/exchange.js";
 import * as upstream from "../../../src/serving/upstream.js";
 import * as endless from "../endless.js";
@@ -32,7 +33,7 @@
   for (const [name, answer] of Object.entries(endless.HEADS)) {
     it(`is not read until the deadline, when it repeats ${name}`, async () => {
       const worker = await endless.worker(answer);
-      const pools = new upstream.Upstream(fixtures.WIRE);
+      const pools = new upstream.Upstream(fixtures.WIRE, clock.system);
       const outcome = await outcomeOf(worker.address, pools);
       await timers.setTimeout(CLOSED_MS);
       const open = worker.openConnections();
@@ -54,7 +55,7 @@
       for (const c of body) res.write(c);
       res.end();
     });
-    const pools = new upstream.Upstream(fixtures.WIRE);
+    const pools = new upstream.Upstream(fixtures.WIRE, clock.system);
     const e = fixtures.endpoint("e", worker.address);
     for (let n = 0; n < 100; n++) {
       const empty = fixtures.request({ path: "/empty" });
--- a/test/serving/connections/connection-pool.test.ts
+++ b/test/serving/connections/connection-pool.test.ts
@@ -1,6 +1,7 @@
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
+import * as clock from "../../../src/host/clock.js";
 import * as connectionPool from "../../../src/serving/connections/connection-pool.js";
 import * as exchange from "../../../src/serving/exchange.js";
 import * as upstream from "../../../src/serving/upstream.js";
@@ -24,7 +25,7 @@
       answer(socket);
     }, RUN_MS);
   });
-  const pools = new upstream.Upstream(fixtures.WIRE);
+  const pools = new upstream.Upstream(fixtures.WIRE, clock.system);
   const endpoint = fixtures.endpoint("e", worker.address);
   const used: number[] = [];
   const send = async (carried: ReadonlySet<number>, gate: Partial<exchange.Gate> = {}) => {
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as chai from "chai";
 import * as clock from "../../src/host/clock.js";
 import type * as callerRequest from "../../src/serving/caller-request.js";
@@ -77,6 +77,8 @@
 }
 
 const STREAM: catalog.Route = { ...fixtures.ROUTE, kind: "stream", resumable: true };
+/** Milliseconds that the end of a process may take on a busy machine. */
+const ENDING_MS = 300;
 /** Milliseconds well below the silence after which a send is repeated elsewhere, and well above what an answer takes. */
 const SILENT_MS = 600;
 const IDEMPOTENT: catalog.Route = { ...fixtures.ROUTE, kind: "idempotent" };
@@ -371,6 +373,26 @@
     ]);
   });
 
+  // Guards against a stream that looks complete because its worker, which has ended, could still be connected to.
+  it("does not end a stream as complete when its worker ends slowly", async () => {
+    const sockets: net.Socket[] = [];
+    const worker = await fixtures.listen(
+      net.createServer((s) => {
+        // The kernel goes on accepting connections, which no process reads any more.
+        if (sockets.push(s) > 1) return;
+        s.once("data", () => {
+          s.end(`HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signed: 1\r\n\r\n${event(1)}`);
+          setTimeout(() => {
+            for (const each of sockets) each.destroy();
+            worker.close();
+          }, ENDING_MS);
+        });
+      }),
+    );
+    const seen = await serve([worker.address], { route: { ...STREAM, resumable: false } });
+    expect([seen.body, seen.end]).deep.equal([event(1), "broken"]);
+  });
+
   it("passes on an answer without a length of a leaving worker that still runs", async () => {
     expect(await streamOfLeaving({ ends: false }, STREAM)).deep.equal([event(1), "whole"]);
   });
--- a/test/serving/dispatcher-fixture.ts
+++ b/test/serving/dispatcher-fixture.ts
@@ -89,7 +89,7 @@
     hostCount: () => 1,
     random: () => 0,
   });
-  const upstreamPools = new upstream.Upstream(wire);
+  const upstreamPools = new upstream.Upstream(wire, clk);
   const dispatcher = new dispatch.Dispatcher(
     { domain: "d1", retries: budget },
     {
--- a/test/serving/fixtures.ts
+++ b/test/serving/fixtures.ts
@@ -76,6 +76,11 @@
   answeredRequestId: (h) => text(h["test-id"]),
   saysNotRun: (status, h) => status === 421 || text(h["test-not-run"]) !== undefined,
   isSigned: (h) => text(h["test-signed"]) !== undefined,
+  livenessRequest: (instance, { healthPath }) => ({
+    path: healthPath,
+    headers: { "test-instance": instance },
+  }),
+  isFromInstance: (_instance, status) => status !== 421,
   notice: (status, h) => ({
     limit: number(h["test-limit"]),
     leaving: text(h["test-leaving"]) === "1" ? { kind: "said", value: true } : notices.ABSENT,
@@ -230,7 +235,8 @@
   return { "test-id": id, "test-signed": "1" };
 }
 
-async function listen(server: net.Server) {
+/** Listens on a free port. */
+export async function listen(server: net.Server) {
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
   });
--- a/test/serving/upstream.test.ts
+++ b/test/serving/upstream.test.ts
@@ -1,4 +1,5 @@
 import * as chai from "chai";
+import * as clock from "../../src/host/clock.js";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as exchange from "../../src/serving/exchange.js";
@@ -31,7 +32,7 @@
  */
 async function outcomeOf(answer: (socket: net.Socket) => void, pauseMs = 0): Promise<string> {
   const worker = await fixtures.rawWorker(answer);
-  const upstreamPools = new upstream.Upstream(fixtures.WIRE);
+  const upstreamPools = new upstream.Upstream(fixtures.WIRE, clock.system);
   try {
     const e = fixtures.endpoint("e", worker.address);
     const sent = await upstreamPools.send(
@@ -142,7 +143,7 @@
   it("reports that nothing was sent if no connection was made", async () => {
     const worker = await fixtures.rawWorker(() => undefined);
     worker.close();
-    const upstreamPools = new upstream.Upstream(fixtures.WIRE);
+    const upstreamPools = new upstream.Upstream(fixtures.WIRE, clock.system);
     const e = fixtures.endpoint("e", worker.address);
     const sent = await upstreamPools.send(
       fixtures.request(),
@@ -160,7 +161,7 @@
 
   it("does not fail a daemon that hears of a lost endpoint after it was closed", async () => {
     const worker = await fixtures.rawWorker((s) => s.end("rubbish\r\n\r\n"));
-    const upstreamPools = new upstream.Upstream(fixtures.WIRE);
+    const upstreamPools = new upstream.Upstream(fixtures.WIRE, clock.system);
     const e = fixtures.endpoint("e", worker.address);
     await upstreamPools.send(fixtures.request(), e, MARKS, new AbortController().signal);
     const rejected: unknown[] = [];
