Take an answer of neither length, chunks nor body for cut within its head

Here, one place of all shows it: a call whose worker had sent its whole head but for the length, and then closed, got an empty 200 that looked complete. Cause: where neither a length nor chunks mark the end of a body, the close of the connection does, and a body of no bytes is no different from none that was sent. For streams that was so decided already ("before the first event"); for calls it wasn't. Change: such an answer counts as unknown: 502, or another worker where the request may be repeated. A worker says that a body is empty by a length of 0 or a status without a body. Why it works: what can't be told from a cut answer is no longer passed on as whole.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -111,6 +111,13 @@
     put: "this.deps.suspects.deps.crashCheck.hasCrashed(endpoint).then((ended) => !ended)",
     proof: "does not end a stream as complete when its worker ends slowly",
   },
+  {
+    name: "answers: an empty body that only a close ends proves nothing",
+    file: "serving/answers/completeness.js",
+    find: 'if (framing === "close" && bytes === 0)',
+    put: "if (false)",
+    proof: "is a failure of a call or a stream that may run once",
+  },
   {
     name: "answers: a connection is closed in stages",
     file: "host/lingering-close.js",
--- a/src/serving/answers/completeness.ts
+++ b/src/serving/answers/completeness.ts
@@ -32,8 +32,13 @@
   return found.kind === "whole" && found.evidence === "close";
 }
 
-/** Judges an answer, other than a stream, whose connection or framing ended it without an error. */
-export function ofWhole(framing: framings.Framing): Completeness {
+/**
+ * Judges an answer of `bytes` bytes, other than a stream, whose connection or framing ended it without an error. A worker that stops
+ * within the head of its answer may have sent all of it but what marks the end of the body.
+ */
+export function ofWhole(framing: framings.Framing, bytes: number): Completeness {
+  if (framing === "close" && bytes === 0)
+    return { kind: "unknown", why: "the connection was closed before the body" };
   return { kind: "whole", evidence: framing };
 }
 
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -460,7 +460,8 @@
     };
     try {
       const bytes = await exchange.readAll(body, MAX_ANSWER_BYTES, onSize, isSuperseded);
-      return { body: bytes, verdict: await this.confirm(send, completeness.ofWhole(framing)) };
+      const found = completeness.ofWhole(framing, bytes.length);
+      return { body: bytes, verdict: await this.confirm(send, found) };
     } catch (err) {
       return { body: Buffer.alloc(0), verdict: completeness.broken(errors.messageOf(err)) };
     }
