Take no answer that begins with the cut head of another response

Callers could see: 200 with the body of a worker's 500, signature included. Cause: bytes that belong to no request may stand before an answer on a kept connection. A beginning of a response that was cut within its reason phrase or within a header's value joins the status line of the answer: "HTTP/1.1 200 OK" and "HTTP/1.1 500 Failed" read as a 200 whose reason is "OKHTTP/1.1 500 Failed", with all headers of the 500. The id then names the request. Change: a head proves nothing if its reason phrase or the value of one of its headers holds a status line. Why it works: the status line of the answer itself can only come to stand there; in a header's name or a status it is no valid response.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -118,6 +118,13 @@
     put: "if (false)",
     proof: "is a failure of a call or a stream that may run once",
   },
+  {
+    name: "answers: a head that begins with that of another response proves nothing",
+    file: "serving/answers/evidence.js",
+    find: "if (isJoined)",
+    put: "if (false)",
+    proof: "is not joined with the head of the next answer on its connection",
+  },
   {
     name: "answers: a connection is closed in stages",
     file: "host/lingering-close.js",
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -260,7 +260,7 @@
   {
     name: "bytes that are no request get an error of the usual shape",
     file: "entry/server.js",
-    find: "responses.onUnreadableRequest(server, body.sendUnreadableRequest);",
+    find: "responses.onUnreadableRequest(server, body.unreadableRefusal);",
     put: "",
     proof: "refuse headers that could smuggle another request",
   },
--- a/src/serving/answers/evidence.ts
+++ b/src/serving/answers/evidence.ts
@@ -2,7 +2,7 @@
  * Decides what the head of an answer proves about the request that was sent. Pure.
  * @module
  */
-import type * as headers from "../headers.js";
+import type * as exchange from "../exchange.js";
 import type * as protocol from "../protocol.js";
 
 /** The request that an answer names: the one that was sent, another one, or none. */
@@ -15,6 +15,8 @@
   /** Whether it states that the request was not run and never will be. */
   readonly claimsNotRun: boolean;
   readonly isSigned: boolean;
+  /** Whether the beginning of another response precedes it, so that its status is that response's. */
+  readonly isJoined: boolean;
 }
 
 /** What an answer proves about a send. */
@@ -31,6 +33,8 @@
 const MISDIRECTED = 421;
 /** Statuses that promise a caller that its request was not run and never will be. */
 const PROMISES: ReadonlySet<number> = new Set([408, MISDIRECTED, 429, 503]);
+/** The status line of a response within the reason phrase or a header's value of another one that was cut there. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_OTHER_STATUS = 300;
 
@@ -38,8 +42,7 @@
 export function read(
   wire: Pick<protocol.Protocol, "answeredRequestId" | "saysNotRun" | "isSigned">,
   id: string,
-  status: number,
-  received: headers.Headers,
+  { status, reason, headers: received }: exchange.Head,
 ): Statement {
   const named = wire.answeredRequestId(received);
   return {
@@ -47,11 +50,17 @@
     subject: named === id ? "request" : named === undefined ? "none" : "other",
     claimsNotRun: wire.saysNotRun(status, received),
     isSigned: wire.isSigned(received),
+    isJoined: [reason, ...Object.values(received).flat()].some(holdsStatusLine),
   };
 }
 
+function holdsStatusLine(text: string | undefined): boolean {
+  return text !== undefined && STATUS_LINE.test(text);
+}
+
 /** What a statement proves about the request that was sent. */
-export function prove({ status, subject, claimsNotRun, isSigned }: Statement): Proof {
+export function prove({ status, subject, claimsNotRun, isSigned, isJoined }: Statement): Proof {
+  if (isJoined) return unknown("the beginning of another response precedes the answer");
   if (subject === "other") return unknown("the answer names another request");
   if (subject === "none") return unknown("the answer names no request");
   const isSuccess = status >= FIRST_SUCCESS_STATUS && status < FIRST_OTHER_STATUS;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -16,6 +16,8 @@
 /** Status and headers of an answer. */
 export interface Head {
   readonly status: number;
+  /** The reason phrase, empty where there is none. */
+  readonly reason: string;
   readonly headers: headers.Headers;
 }
 
@@ -127,6 +129,7 @@
     controller: undici.Dispatcher.DispatchController,
     status: number,
     received: headers.Headers,
+    reason = "",
   ): void {
     const isFinal = status >= 200;
     if (!isFinal) {
@@ -138,7 +141,7 @@
     // Nothing more is read until the head has been checked, so that a connection in doubt can still be closed.
     controller.pause();
     this.hasHead = true;
-    this.resolveHead({ status, headers: received });
+    this.resolveHead({ status, reason, headers: received });
   }
 
   onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -144,7 +144,7 @@
     body: exchange.Body,
   ): Promise<SendResult> {
     const { status, headers } = head;
-    const statement = evidence.read(this.wire, req.meta.id, status, headers);
+    const statement = evidence.read(this.wire, req.meta.id, head);
     const proof = evidence.prove(statement);
     const notice = this.wire.notice(status, headers);
     switch (proof.kind) {
--- a/test/serving/answers/cut-heads.test.ts
+++ b/test/serving/answers/cut-heads.test.ts
@@ -244,6 +244,18 @@
       }
     }
   }).timeout(60_000);
+
+  it("is not joined with the head of the next answer on its connection", async () => {
+    const stray = "HTTP/1.1 200 OK\r\nx-a: b\r\n";
+    const failure = `HTTP/1.1 500 Failed\r\ntest-id: r1\r\ntest-signed: 1\r\ncontent-length: 3\r\n\r\nbad`;
+    for (const cut of cutsOf(stray)) {
+      const got = await servePlain({ kind: "once" }, (socket) => {
+        socket.write(stray.slice(0, cut));
+        setTimeout(() => socket.write(failure), 5);
+      });
+      expect([cut, got]).deep.equal([cut, FAILED]);
+    }
+  }).timeout(60_000);
 });
 
 describe("an answer of the service beside an endpoint daemon that stops within its head", () => {
--- a/test/serving/overload/plain-workers.ts
+++ b/test/serving/overload/plain-workers.ts
@@ -204,6 +204,7 @@
       subject: "request",
       claimsNotRun: status === 421,
       isSigned: true,
+      isJoined: false,
     } as const;
     const said = { notice: notices.EMPTY, statement };
     if (status === 421) return { kind: "not_run", why: "status 421", isAbsent: false, ...said };
