Keep a worker's pause for its next start, which may have asked for it

Workers got requests that had asked for a pause: after a worker had restarted under its name, one host sent it 11 requests within 1.7 s. Cause: a host that does not know the new start yet sends under the entry of the one before. The new start answers, and the pause that it asks for is kept under the start that was addressed. Once the new entry arrives, nothing is known of a pause. Change: a pause that still runs passes on to the next incarnation of its worker, in whichever order the answer and the entry arrive. Where the start before had asked for it, the next one is spared for the rest of that time. Why it works: an answer cannot tell which start it comes from, so what it asks for holds for both.

--- a/bench/red/limiter-switches.ts
+++ b/bench/red/limiter-switches.ts
@@ -99,4 +99,12 @@
     put: "p.releaseMs",
     proof: "are refused at once if all workers ask for one, with the time until the first is over",
   },
+  {
+    name: "notices: a pause holds for the next start of its worker",
+    file: "serving/worker-notices.js",
+    find: "for (const next of this.registered) {",
+    put: "for (const next of []) {",
+    proof:
+      "are held back from the next start of a worker that was reached under the entry of the one before",
+  },
 ];
--- a/src/serving/worker-notices.ts
+++ b/src/serving/worker-notices.ts
@@ -15,6 +15,7 @@
 import * as admission from "./admission.js";
 import type * as catalog from "./catalog.js";
 import * as limiter from "./limiter.js";
+import * as incarnation from "./incarnation.js";
 import type * as metrics from "./metrics.js";
 import type * as messages from "./limiter-messages.js";
 import * as availability from "./availability.js";
@@ -99,6 +100,8 @@
    * refusal.
    */
   private readonly limitedUntil = new Map<string, number>();
+  /** Ids of the incarnations that are registered. */
+  private registered: ReadonlySet<string> = new Set();
   /** Listeners waiting for something at a worker, called when it stops taking requests. */
   private readonly closedListeners = new Map<string, Set<() => void>>();
 
@@ -257,12 +260,29 @@
    */
   retain(ids: ReadonlySet<string>): void {
     const now = this.deps.clock.steady();
+    this.registered = ids;
+    for (const id of this.workers.keys()) this.passPauseOn(id);
     for (const [id, { heardAt }] of this.workers) {
       if (ids.has(id) || now - heardAt < UNREGISTERED_KEEP_MS) continue;
       for (const byId of [this.workers, this.limitedUntil, this.loggedUnreadable]) byId.delete(id);
     }
   }
 
+  /**
+   * Passes a pause on to the next incarnation of its worker: requests for an incarnation that has ended are answered by the next
+   * one, which may have asked for the pause before its entry was known.
+   */
+  private passPauseOn(id: string): void {
+    const pause = this.announcedBy(id).pause;
+    if (!pause || pause.until <= this.deps.clock.steady() || this.registered.has(id)) return;
+    for (const next of this.registered) {
+      const known = this.announcedBy(next);
+      if (!incarnation.isOlder(id, next) || (known.pause?.until ?? 0) >= pause.until) continue;
+      this.update(next, { ...known, pause });
+      this.deps.log.info("A pause is kept for the worker's next start.", { endpoint: next });
+    }
+  }
+
   private update(id: string, announced: availability.Availability): void {
     const before = this.workers.get(id);
     const heardAt = this.deps.clock.steady();
@@ -272,6 +292,7 @@
       ? heardAt + this.deps.random() * RELEASE_MS
       : (before?.unlimitedAt ?? 0);
     this.workers.set(id, { announced, lastPerS, unlimitedAt, heardAt });
+    this.passPauseOn(id);
     if (isLimitChanged) this.deps.limiter.refresh();
     if (availability.opensInMs(announced, heardAt) > 0)
       for (const listener of this.closedListeners.get(id) ?? []) listener();
--- a/test/serving/paused.test.ts
+++ b/test/serving/paused.test.ts
@@ -158,6 +158,26 @@
     expect(a.seen.arrivals).length(1);
   });
 
+  // Guards against requests to a worker that asked for a pause when its host knew only the start before.
+  it("are held back from the next start of a worker that was reached under the entry of the one before", () => {
+    const [before, next, other] = ["w1#100", "w1#200", "w2#200"].map((id) =>
+      fixtures.endpoint(id, "127.0.0.1:9"),
+    );
+    if (!before || !next || !other) throw new Error("no endpoints");
+    const notice = fixtures.WIRE.notice(503, { "test-retry-after-ms": "1700" });
+    for (const isRegisteredFirst of [false, true]) {
+      const { notices } = open([before]);
+      const register = (): void => {
+        notices.retain(new Set([next.id, other.id]));
+      };
+      if (isRegisteredFirst) register();
+      notices.observe(before, { request: "r1", notice, sentAt: performance.now(), ran: false });
+      if (!isRegisteredFirst) register();
+      expect(notices.opensInMs(next)).within(1600, 1800);
+      expect(notices.opensInMs(other)).equal(0);
+    }
+  });
+
   it("stop waiting for a seat there at once", async () => {
     const waits = await waitingStream.begin({ route: { targetMs: 1000, timeoutMs: 1500 } });
     const began = performance.now();
