Blame no request for a crash after the host had closed its connection

Callers saw: sound requests refused for long as quarantined, with the prompt parts that they share, after workers had sent stray bytes and crashed. Cause: each send without an answer counted as broken off by its worker, also where the host had closed the connection itself because the bytes on it proved nothing, or were too many. If the worker crashed within half a second of that, the request was recorded as one that had run on it to the end. Change: a send whose connection the host closed is not examined for a crash. The error of an exchange that was given up has a class of its own. Why it works: a request that its worker was no longer to run is no cause of what follows, and a fatal one breaks its connection by itself.

--- a/bench/red/crash-switches.ts
+++ b/bench/red/crash-switches.ts
@@ -68,4 +68,11 @@
     put: "if (false)",
     proof: "is refused at once by all hosts that hear of three crashes under a part",
   },
+  {
+    name: "crashes: a connection that the host closed blames no request",
+    file: "serving/sending.js",
+    find: "send.isClosedHere = result.statement !== undefined;",
+    put: "",
+    proof: "blames no request for a crash whose connection the host had closed before",
+  },
 ];
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -29,8 +29,12 @@
   readonly abort: (why?: string) => void;
 }
 
-/** Error message of an exchange that this side gave up. */
-const GIVEN_UP = "the request was given up";
+/** Error of an exchange that this side gave up, so that its end says nothing about the endpoint. */
+export class GivenUpError extends Error {
+  constructor(why = "the request was given up") {
+    super(why);
+  }
+}
 
 /** Most informational answers (1xx) before the final one. */
 const MAX_INFORMATIONAL = 64;
@@ -99,7 +103,7 @@
       this.resolveHead = resolve;
       this.rejectHead = reject;
     });
-    if (signal.aborted) this.settle(new Error(GIVEN_UP));
+    if (signal.aborted) this.settle(new GivenUpError());
     else signal.addEventListener("abort", this.onAbort, { once: true });
   }
 
@@ -118,7 +122,7 @@
 
   /** Throws if the request must not be written; its connection is then used for the next request. */
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-    if (this.ended) throw new Error(GIVEN_UP);
+    if (this.ended) throw new GivenUpError();
     if (!this.gate.mayStart(this.connection?.recordWrite())) throw new WithheldError();
     this.unsubscribe();
     this.controller = controller;
@@ -173,8 +177,8 @@
     });
   }
 
-  abort(why = GIVEN_UP): void {
-    const err = new Error(why);
+  abort(why?: string): void {
+    const err = new GivenUpError(why);
     this.settle(err);
     this.controller?.abort(err);
   }
@@ -206,7 +210,7 @@
 }
 
 /**
- * Reads a whole body. Throws if it breaks off, and a RangeError if it is longer than `maxBytes` or comes in too many small
+ * Reads a whole body. Throws if it breaks off, and a GivenUpError if it is longer than `maxBytes` or comes in too many small
  * chunks. `onSize` is called with the number of bytes read so far, and may return a promise that pauses the sender. Once
  * `isUnwanted` holds, the body is read to its end and nothing of it is kept.
  */
@@ -239,7 +243,7 @@
       return onSize(size);
     })
     .catch((err: unknown) => {
-      if (excess !== undefined) throw new RangeError(excess);
+      if (excess !== undefined) throw new GivenUpError(excess);
       throw err;
     });
   return received.takeAll();
--- a/src/serving/send-state.ts
+++ b/src/serving/send-state.ts
@@ -55,6 +55,8 @@
   beginWatch?: clock.Timer;
   /** Whether the request was broken off because it had not begun while its version could be used. */
   isTooLate: boolean;
+  /** Whether this host closed the connection because of what came on it, so that its end is none of the worker's. */
+  isClosedHere: boolean;
   /** Why the request was withheld, if it was. */
   withholdReason: sendChecks.WithholdReason | undefined;
 }
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -118,6 +118,7 @@
       use: undefined,
       isRepeatedUse: false,
       isTooLate: false,
+      isClosedHere: false,
       withholdReason: undefined,
     };
     const gate: exchange.Gate = {
@@ -257,6 +258,7 @@
         return this.handleBroken(send, result.why);
       case "unknown":
         p.runs++;
+        send.isClosedHere = result.statement !== undefined;
         return this.handleLostConnection(send, result.why);
       case "answer":
         this.recordNotice(send, result.notice, result.status < FIRST_FAILURE_STATUS);
@@ -344,7 +346,10 @@
     why: string,
   ): Promise<progress.Ending | undefined> {
     const isStoppedHere =
-      send.res.disconnected.aborted || send.stopSignal.aborted || send.isTooLate;
+      send.res.disconnected.aborted ||
+      send.stopSignal.aborted ||
+      send.isTooLate ||
+      send.isClosedHere;
     if (!isStoppedHere) {
       const now = this.deps.clock.mono();
       const examination = this.deps.suspects.recordBrokenSend(send.req, send.endpoint, {
@@ -463,10 +468,16 @@
       const found = completeness.ofWhole(framing, bytes.length);
       return { body: bytes, verdict: await this.confirm(send, found) };
     } catch (err) {
-      return { body: Buffer.alloc(0), verdict: completeness.broken(errors.messageOf(err)) };
+      return { body: Buffer.alloc(0), verdict: this.brokenBy(send, err) };
     }
   }
 
+  /** Judges an answer that broke off with an error. */
+  private brokenBy(send: SendState, err: unknown): completeness.Completeness {
+    send.isClosedHere = err instanceof exchange.GivenUpError;
+    return completeness.broken(errors.messageOf(err));
+  }
+
   /** Passes a stream on, and ends the caller's response if the stream is complete. */
   private async relayStream(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { res, p } = send;
@@ -546,7 +557,7 @@
         });
       });
     } catch (err) {
-      return completeness.broken(errors.messageOf(err));
+      return this.brokenBy(send, err);
     }
     return completeness.ofStream(result.framing, {
       isInsideEvent: splitter.isInsideEvent(),
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -397,6 +397,27 @@
     expect(await streamOfLeaving({ ends: false }, STREAM)).deep.equal([event(1), "whole"]);
   });
 
+  // Guards against sound requests in quarantine because their workers sent stray bytes shortly before they crashed.
+  it("blames no request for a crash whose connection the host had closed before", async () => {
+    const stray = "HTTP/1.1 200 OK\r\ntest-id: other\r\ncontent-length: 0\r\n\r\n";
+    for (const [bytes, blamed] of [
+      [stray, 0],
+      ["", 1],
+    ] as const) {
+      const worker = await fixtures.rawWorker((s) => {
+        worker.close();
+        if (bytes === "") s.resetAndDestroy();
+        else s.write(bytes);
+      });
+      const setup = dispatcherFixture.create(catalogOf([worker.address]));
+      const seen = nothingSeen();
+      const res = callerResponse(new AbortController().signal, seen);
+      await setup.dispatcher.serve(fixtures.request({ route: IDEMPOTENT }), res);
+      expect([bytes, setup.suspects.size]).deep.equal([bytes, blamed]);
+      setup.close();
+    }
+  });
+
   it("ends a resumed stream that has nothing left as complete", async () => {
     const breaks = await rawStream((s) => {
       s.write(event(1));
