Part the sending of requests: reading answers and recording sends are modules of their own

`answers/answer-reader` reads an answer, passes on a stream's events and judges whether it is whole; `sends/send-recorder` records sends in the log, the metrics and what is known of workers; `sending` keeps the decisions. No behaviour changes: the statements are the same, but for one log call that two places share now.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -21,14 +21,14 @@
   },
   {
     name: "answers: no run continues an event of which a part was passed on",
-    file: "serving/sending.js",
+    file: "serving/answers/answer-reader.js",
     find: "p.isEventOpen = e.isPartial;",
     put: "",
     proof: "joins no other run to an event of which only a part was passed on",
   },
   {
     name: "answers: an end that only a close shows is believed if the worker still runs",
-    file: "serving/sending.js",
+    file: "serving/answers/answer-reader.js",
     find: "if (!completeness.restsOnClose(found))",
     put: "if (true)",
     proof: "whose worker crashes between two events and so closes the connection",
@@ -99,14 +99,14 @@
   },
   {
     name: "answers: the end of a leaving worker is not that of its answer",
-    file: "serving/sending.js",
+    file: "serving/answers/answer-reader.js",
     find: "(await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal))",
     put: "true",
     proof: "does not end a stream as complete when its leaving worker has ended",
   },
   {
     name: "answers: only an answer to a later request shows that a worker runs on",
-    file: "serving/sending.js",
+    file: "serving/answers/answer-reader.js",
     find: "this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal)",
     put: "this.deps.suspects.deps.crashCheck.hasCrashed(endpoint).then((ended) => !ended)",
     proof: "does not end a stream as complete when its worker ends slowly",
--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -4,37 +4,31 @@
  */
 import type * as clock from "../host/clock.js";
 import type * as structuredLog from "../host/structured-log.js";
-import * as errors from "../host/errors.js";
 import type * as callerRequest from "./caller-request.js";
 import * as catalog from "./catalog.js";
 import type * as choice from "./choice.js";
 import type * as endpointRegistry from "./endpoint-registry.js";
-import * as origin from "./continuation/origin.js";
 import type * as origins from "./continuation/origins.js";
 import * as ending from "./ending.js";
 import * as deadline from "./deadlines/deadline.js";
 import * as told from "./deadlines/told-time.js";
-import * as completeness from "./answers/completeness.js";
+import * as answerReader from "./answers/answer-reader.js";
 import * as eventSplitter from "./answers/event-splitter.js";
-import * as streamBounds from "./answers/stream-bounds.js";
 import * as streamClock from "./pacing/stream-clock.js";
 import * as exchange from "./exchange.js";
 import type * as headers from "./headers.js";
 import * as identity from "./identity.js";
 import type * as link from "./link.js";
 import type * as metrics from "./metrics.js";
-import type * as notices from "./notices.js";
 import type * as sendChecks from "./send-checks.js";
+import * as sendRecorder from "./sends/send-recorder.js";
 import * as sendState from "./send-state.js";
-import type * as evidence from "./answers/evidence.js";
-import type * as connections from "./connections/connection.js";
 import * as progress from "./progress.js";
 import type * as suspects from "./suspects.js";
 import * as upstream from "./upstream.js";
 import * as sendWatchdog from "./send-watchdog.js";
 import * as adapterVersions from "./versions/adapter-versions.js";
 import * as beginWatch from "./versions/begin-watch.js";
-import * as declared from "./versions/declared.js";
 import type * as workerNotices from "./worker-notices.js";
 
 export interface Deps {
@@ -52,8 +46,6 @@
   readonly catalogAgeMs: () => number;
 }
 
-/** Largest answer in bytes, other than a stream, that is held in memory; a larger one counts as broken off. */
-const MAX_ANSWER_BYTES = 8_388_608;
 /** Most sends of one request, including sends to endpoints that did not run it. */
 export const MAX_SENDS = 4;
 const OK_STATUS = 200;
@@ -64,7 +56,13 @@
 
 /** Sends requests to endpoints and relays their answers. */
 export class Sender {
-  constructor(private readonly deps: Deps) {}
+  private readonly reader: answerReader.AnswerReader;
+  private readonly recorder: sendRecorder.SendRecorder;
+
+  constructor(private readonly deps: Deps) {
+    this.reader = new answerReader.AnswerReader(deps);
+    this.recorder = new sendRecorder.SendRecorder(deps);
+  }
 
   /**
    * Sends a request to one endpoint, once it is known that its caller is still there; undefined if another endpoint is to be
@@ -126,7 +124,10 @@
         send.withholdReason =
           this.deps.checks.withholdReason(req, res, p, endpoint, grants) ??
           (toldTime.isOutdated() ? "stale" : undefined);
-        if (send.withholdReason === undefined) this.recordStart(send, use);
+        if (send.withholdReason === undefined) {
+          this.recorder.recordStart(send, use);
+          if (adapterVersions.isForAdapter(req)) this.watchBegin(send);
+        }
         return send.withholdReason === undefined;
       },
       carried: p.connections,
@@ -151,42 +152,6 @@
     }
   }
 
-  /** Records that a request is being written to its connection. */
-  private recordStart(send: SendState, use: connections.Use | undefined): void {
-    const { req, p, endpoint } = send;
-    send.use = use;
-    send.isRepeatedUse = use !== undefined && p.connections.has(use.connection);
-    if (use) p.connections.add(use.connection);
-    send.sentAt = this.deps.clock.mono();
-    send.startedAt = this.deps.clock.steady();
-    p.sends++;
-    p.firstSentAt ??= send.sentAt;
-    p.catalogAgeMs = Math.round(this.deps.catalogAgeMs());
-    p.isRetryCharged = false;
-    send.grants.onWritten?.();
-    if (adapterVersions.isForAdapter(req)) {
-      this.recordVersion(send);
-      this.watchBegin(send);
-    }
-    if (p.lastEventId !== undefined) this.recordContinuation(send, p.lastEventId);
-    const { notices } = this.deps;
-    notices.recordSend(endpoint);
-    if (notices.of(endpoint.id) !== undefined) {
-      this.deps.metrics.recordNotice(req.service.name, "limit", "sent");
-    }
-  }
-
-  /** Records which version of its adapter a request is sent on, and what is known of newer ones. */
-  private recordVersion({ req, p, grants, sentAt }: SendState): void {
-    const newest = this.deps.versions.declaredFor(req);
-    const named = grants.version;
-    const hasSeat = grants.seat !== undefined;
-    const maxAgeMs = newest && sentAt - newest.notBefore;
-    p.adapterVersion = { named, newest: newest?.version, maxAgeMs, hasSeat };
-    const match = declared.matchOf(newest, named);
-    this.deps.metrics.recordAdapterSend(req.service.name, hasSeat ? "granted" : "none", match);
-  }
-
   /** Breaks a request off that does not begin while its version of the adapter may be used. */
   private watchBegin(send: SendState): void {
     const { req, endpoint, grants } = send;
@@ -204,30 +169,6 @@
     });
   }
 
-  /** Records what a stream that begins, or goes on here, is bound to, before its first event is passed on. */
-  private recordOrigin({ req, p, endpoint }: SendState): void {
-    p.origin ??= origin.of(req.service, endpoint);
-    this.deps.origins.begun(req, p.origin);
-  }
-
-  /** Records that a stream is sent to a worker to go on after an event. */
-  private recordContinuation({ req, p, endpoint }: SendState, after: string): void {
-    const here = origin.of(req.service, endpoint);
-    const match =
-      p.origin === undefined ? "unknown" : origin.isSame(p.origin, here) ? "same" : "other";
-    const how = p.hasResponseBegun ? "in_answer" : "new_attempt";
-    this.deps.metrics.recordContinuation(req.service.name, how, match);
-    this.deps.log.info("A stream goes on.", {
-      request: req.meta.id,
-      how,
-      after,
-      resumes: req.meta.resumes,
-      endpoint: endpoint.id,
-      software: here.software,
-      begunBy: p.origin?.software,
-    });
-  }
-
   /** Settles a send by its result; undefined if another endpoint is to be tried. */
   private handleResult(
     send: SendState,
@@ -236,7 +177,7 @@
     const { p } = send;
     if ("statement" in result) send.statement = result.statement;
     if (result.kind !== "withheld" && result.kind !== "unsent")
-      this.recordEvidence(send, result.kind);
+      this.recorder.recordEvidence(send, result.kind);
     switch (result.kind) {
       case "withheld":
         return this.handleWithheld(send);
@@ -244,7 +185,7 @@
         this.handleUnsent(send, result.why);
         return undefined;
       case "not_run":
-        this.recordNotice(send, result.notice, false);
+        this.recorder.recordNotice(send, result.notice, false);
         this.recordNotRun(send, result.why);
         this.settle(
           send,
@@ -253,7 +194,7 @@
         );
         return undefined;
       case "unproved":
-        this.recordNotice(send, result.notice, false);
+        this.recorder.recordNotice(send, result.notice, false);
         p.runs++;
         return this.handleBroken(send, result.why);
       case "unknown":
@@ -261,7 +202,7 @@
         send.isClosedHere = result.statement !== undefined;
         return this.handleLostConnection(send, result.why);
       case "answer":
-        this.recordNotice(send, result.notice, result.status < FIRST_FAILURE_STATUS);
+        this.recorder.recordNotice(send, result.notice, result.status < FIRST_FAILURE_STATUS);
         p.runs++;
         p.framing = result.framing;
         p.restBytes = undefined;
@@ -269,15 +210,6 @@
     }
   }
 
-  /** Counts what a send's answer, or the lack of one, proves. */
-  private recordEvidence(
-    { req, statement, isRepeatedUse }: SendState,
-    proof: evidence.Proof["kind"],
-  ): void {
-    const connection = isRepeatedUse ? "repeated" : "new";
-    this.deps.metrics.recordEvidence(req.service.name, { proof, statement, connection });
-  }
-
   /** Handles a request that was withheld before its first byte was written. */
   private handleWithheld(send: SendState): progress.Ending | undefined {
     const { req, res, p } = send;
@@ -305,28 +237,7 @@
     p.why = `${endpoint.id} did not run the request: ${why}`;
     p.triedEndpoints.add(endpoint.id);
     p.queuedAt = this.deps.clock.mono();
-    this.logFailedSend(send, "An endpoint did not run a request.");
-  }
-
-  /** Records what an answer says about its worker. */
-  private recordNotice(
-    { req, endpoint, startedAt }: SendState,
-    notice: notices.Notice,
-    ran: boolean,
-  ): void {
-    const sentAt = startedAt ?? this.deps.clock.steady();
-    this.deps.notices.observe(endpoint, { request: req.meta.id, notice, sentAt, ran });
-  }
-
-  /** Logs a send that did not lead to an answer. */
-  private logFailedSend(send: SendState, message: string): void {
-    this.deps.log.warn(message, {
-      request: send.req.meta.id,
-      endpoint: send.endpoint.id,
-      send: send.p.sends,
-      ...evidenceFields(send),
-      why: send.p.why,
-    });
+    this.recorder.logFailure(send, "An endpoint did not run a request.");
   }
 
   /** Returns the seat and records the end of a send; `succeeded` is undefined if it tells nothing about the endpoint. */
@@ -376,17 +287,12 @@
     // How long an engine takes to begin says nothing about failures.
     if (send.isTooLate) this.settle(send, "left", undefined);
     else this.settle(send, "failed", false);
-    this.deps.log.warn("A send failed.", {
-      request: req.meta.id,
+    this.recorder.logFailure(send, "A send failed.", {
       // Each attempt has a new request id; only the identity shows that the same request came again.
       identity: identity.of(req),
-      endpoint: send.endpoint.id,
-      send: p.sends,
       underWayMs: Math.round(p.queuedAt - send.sentAt),
       framing: p.framing,
       restBytes: p.restBytes,
-      ...evidenceFields(send),
-      why: p.why,
     });
     if (catalog.isRepeatable(req.route) && progress.canContinue(p)) return undefined;
     return ending.giveUp(this.deps.clock, req, res, p, false);
@@ -408,12 +314,6 @@
     return this.relayWhole(send, result);
   }
 
-  /** Keeps the longest pause and write of a request's streams, for its log line. */
-  private recordTiming({ p, stream }: SendState): void {
-    p.pauseMs = Math.max(p.pauseMs, stream.timing()?.pauseMs ?? 0);
-    p.writeMs = Math.max(p.writeMs, Math.round(stream.writeMs));
-  }
-
   /** Whether the response so far, the route's attempts and the limit on sends allow another send after one that ran. */
   private mayResend(req: callerRequest.CallerRequest, p: progress.Progress): boolean {
     const isWithinLimits = p.runs + p.sideRuns < req.route.attempts && p.sends < MAX_SENDS;
@@ -432,7 +332,7 @@
   /** Reads an answer whole before any of it is passed on. */
   private async relayWhole(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { req, res, p } = send;
-    const { body, verdict } = await this.readWhole(send, result);
+    const { body, verdict } = await this.reader.readWhole(send, result);
     this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
     if (verdict.kind !== "whole") {
       res.dropAnswer?.();
@@ -453,38 +353,13 @@
     return "passed_failure";
   }
 
-  /** Reads an answer to its end; the body is empty if it broke off. */
-  private async readWhole(
-    send: SendState,
-    { framing, body }: Answer,
-  ): Promise<{ readonly body: Buffer; readonly verdict: completeness.Completeness }> {
-    const { readAnswer, isSuperseded } = send.res;
-    const onSize = (bytes: number): Promise<void> | undefined => {
-      send.beginWatch?.cancel();
-      return readAnswer?.(bytes);
-    };
-    try {
-      const bytes = await exchange.readAll(body, MAX_ANSWER_BYTES, onSize, isSuperseded);
-      const found = completeness.ofWhole(framing, bytes.length);
-      return { body: bytes, verdict: await this.confirm(send, found) };
-    } catch (err) {
-      return { body: Buffer.alloc(0), verdict: this.brokenBy(send, err) };
-    }
-  }
-
-  /** Judges an answer that broke off with an error. */
-  private brokenBy(send: SendState, err: unknown): completeness.Completeness {
-    send.isClosedHere = err instanceof exchange.GivenUpError;
-    return completeness.broken(errors.messageOf(err));
-  }
-
   /** Passes a stream on, and ends the caller's response if the stream is complete. */
   private async relayStream(send: SendState, result: Answer): Promise<progress.Ending | undefined> {
     const { res, p } = send;
     const splitter = new eventSplitter.EventSplitter();
-    const verdict = await this.confirm(send, await this.passOnEvents(send, result, splitter));
+    const verdict = await this.reader.passOnEvents(send, result, splitter);
     p.restBytes = splitter.remainder().length;
-    this.recordTiming(send);
+    this.recorder.recordTiming(send);
     this.deps.metrics.recordAnswerEnd(result.framing, verdict.kind);
     if (verdict.kind !== "whole") return this.handleLostConnection(send, verdict.why);
     if (!p.hasResponseBegun) res.writeHead(result.status, result.headers);
@@ -494,95 +369,10 @@
     res.end(verdict);
     return "whole";
   }
-
-  /** Checks that the worker still runs, if only that tells the end of its answer from that of its process. */
-  private async confirm(
-    send: SendState,
-    found: completeness.Completeness,
-  ): Promise<completeness.Completeness> {
-    if (!completeness.restsOnClose(found)) return found;
-    const { endpoint, req, watchdog } = send;
-    // A worker that asked for a pause is asked nothing.
-    const mayAsk = this.deps.notices.reason(endpoint) !== "pause";
-    const runs =
-      mayAsk && (await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal));
-    return runs ? found : completeness.UNCONFIRMED;
-  }
-
-  /** Passes on the whole events of a stream, without those that the caller has already. */
-  private async passOnEvents(
-    send: SendState,
-    result: Answer,
-    splitter: eventSplitter.EventSplitter,
-  ): Promise<completeness.Completeness> {
-    const { res, p } = send;
-    const resumedAfter = p.lastEventId;
-    const bounds = new streamBounds.StreamBounds(send.req.meta.answerTokens, send.sentAt);
-    let isFirst = true;
-    try {
-      await result.body.pump((chunk) => {
-        const ready: Buffer[] = [];
-        const arrivedAt = this.deps.clock.mono();
-        const events = splitter.push(chunk, bounds.maxEvents(arrivedAt));
-        const excess = bounds.receive(chunk.length, events, arrivedAt);
-        if (excess !== undefined) {
-          result.body.abort(excess);
-          return undefined;
-        }
-        for (const e of events) {
-          if (p.hasResponseBegun && resumedAfter !== undefined && wasPassedOn(e.id, resumedAfter))
-            continue;
-          // After an event without an id, no other run can be told where to go on.
-          if (!e.isPartial && !e.isComment) p.lastEventId = e.id;
-          if (!e.isComment) send.beginWatch?.cancel();
-          p.isEventOpen = e.isPartial;
-          ready.push(e.bytes);
-        }
-        if (ready.length === 0) return undefined;
-        send.stream.recordArrival(ready.length, arrivedAt);
-        if (isFirst) {
-          isFirst = false;
-          send.watchdog.answerBegan();
-          send.grants.seat?.began(this.deps.clock.mono() - send.sentAt);
-        }
-        if (!p.hasResponseBegun) {
-          p.hasResponseBegun = true;
-          this.recordOrigin(send);
-          p.firstByteAt = this.deps.clock.mono();
-          res.writeHead(result.status, result.headers);
-        }
-        const drained = res.write(ready.length === 1 && ready[0] ? ready[0] : Buffer.concat(ready));
-        return drained?.then(() => {
-          send.stream.recordWrite(this.deps.clock.mono() - arrivedAt);
-        });
-      });
-    } catch (err) {
-      return this.brokenBy(send, err);
-    }
-    return completeness.ofStream(result.framing, {
-      isInsideEvent: splitter.isInsideEvent(),
-      hasEvent: splitter.hasEvent,
-      isResumed: resumedAfter !== undefined,
-    });
-  }
 }
 
 type SendState = sendState.SendState;
-/** A send's result that carries an answer. */
-type Answer = Extract<upstream.SendResult, { kind: "answer" }>;
-
-/** Log fields that say on which connection a request was sent, and what its answer states. */
-function evidenceFields({ use, isRepeatedUse, statement }: SendState): structuredLog.Fields {
-  return {
-    connection: use?.connection,
-    position: use?.position,
-    ...(isRepeatedUse && { isRepeatedUse }),
-    status: statement?.status,
-    names: statement?.subject,
-    claimsNotRun: statement?.claimsNotRun,
-    isSigned: statement?.isSigned,
-  };
-}
+type Answer = answerReader.Answer;
 
 function isSuccess(status: number): boolean {
   return status >= OK_STATUS && status < FIRST_OTHER_STATUS;
@@ -592,8 +382,3 @@
 function isJson(received: headers.Headers): boolean {
   return String(received["content-type"] ?? "").startsWith("application/json");
 }
-
-/** Whether an event of a resumed stream was already passed on, by comparing its id with the last one passed on. */
-function wasPassedOn(id: string | undefined, resumedAfter: string): boolean {
-  return id !== undefined && Number(id) <= Number(resumedAfter);
-}
