--- a/test/platform/callers-site.ts
+++ b/test/platform/callers-site.ts
@@ -67,13 +67,14 @@
 /** Milliseconds that the worker works on each request. */
 const WORK_MS = 5;
 
-/** Starts an entry daemon's server for callers, on a real port, in front of one plain worker. */
+/** Starts an entry daemon's server for callers, on a real port, in front of one plain worker, which answers by `raw` if it is given. */
 export async function site(
   budgetBytes = memoryBudget.MAX_BUDGET_BYTES,
   workMs: (path: string) => number = () => WORK_MS,
+  raw?: (socket: net.Socket) => void,
 ) {
   const seen: { path: string; headers: http.IncomingHttpHeaders; raw: string[] }[] = [];
-  const worker = await fixtures.worker((req, res) => {
+  const answer = (req: http.IncomingMessage, res: http.ServerResponse): void => {
     seen.push({ path: req.url ?? "", headers: req.headers, raw: req.rawHeaders });
     const id = String(req.headers["x-sumacfield-attempt-id"] ?? "");
     const headers = { "x-sumacfield-attempt-id": id, "x-sumacfield-server-signature": "s" };
@@ -84,7 +85,8 @@
       },
       workMs(req.url ?? ""),
     );
-  });
+  };
+  const worker = await (raw ? fixtures.rawWorker(raw) : fixtures.worker(answer));
   let ageMs = 0;
   const endpoint = {
     ...fixtures.endpoint("w1", worker.address),
