--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -1,5 +1,6 @@
 import * as child from "node:child_process";
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as chai from "chai";
@@ -257,6 +258,27 @@
     expect(await entry.exited).equal(0);
   }).timeout(10_000);
 
+  // Guards against requests that are dropped because their host gets SIGTERM while it starts.
+  it("answer requests that wait for their start when they are stopped meanwhile", async () => {
+    entry = startDaemon("entry", path.join(folder, "entry-1.yaml"));
+    let socket: net.Socket | undefined;
+    await eventually(() => {
+      const next = net.connect(ports[0] ?? 0, "127.0.0.1");
+      next.on("error", () => undefined);
+      next.once("connect", () => (socket ??= next));
+      return socket !== undefined;
+    });
+    const head = Object.entries(headersOf("early", "a1")).map(
+      ([name, value]) => `${name}: ${value}`,
+    );
+    socket?.write(`GET ${route} HTTP/1.1\r\n${head.join("\r\n")}\r\n\r\n`);
+    let text = "";
+    socket?.on("data", (part: Buffer) => (text += part.toString()));
+    entry.process.kill("SIGTERM");
+    expect(await entry.exited).equal(0);
+    expect(text).match(/^HTTP\/1.1 (200|503) /);
+  }).timeout(10_000);
+
   it("show an HTTP/1.0 caller that its answer is cut when an uncaught error ends them", async () => {
     const hook = path.join(import.meta.dirname, "uncaught.cjs");
     entry = startDaemon("entry", path.join(folder, "entry-1.yaml"), ["--require", hook]);
