Tests: the stand-in of an endpoint daemon closes connections that bring no messages

A test of answers cut within their head failed once: the stand-in got "GET /-/kv-", a request for a store, and its JSON parser threw outside of any test. No test of that file has a store: a daemon of another run on the machine, which ran beside it, still asked at a port that had been its store's. Such a connection is closed now, as an endpoint daemon does with what it can't read; messages are checked as before.

--- a/test/serving/fake-endpoint-daemon.ts
+++ b/test/serving/fake-endpoint-daemon.ts
@@ -61,6 +61,11 @@
   const server = net.createServer((socket) => {
     socket.on("error", () => socket.destroy());
     socket.on("data", (part: Buffer) => {
+      // A process that knew another server at this port may still send HTTP requests there.
+      if (!part.toString().startsWith("{")) {
+        socket.destroy();
+        return;
+      }
       const messages = part.toString().trim().split("\n");
       for (const m of messages.map((text) => JSON.parse(text) as seatMessages.FromEntry))
         if (m.kind === "ask") socket.write(encode([{ kind: "grant", seat: m.seat, instance }]));
