Judge a superseded answer without a length as before, though nothing of it was kept

Found by reading the change: a call's answer that another send had overtaken is read and dropped, so that it seemed to have no body. Without a length it then counted as cut, and its sound worker as failed. No caller was told anything wrong by it, since the other answer had been passed on.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -114,7 +114,7 @@
   {
     name: "answers: an empty body that only a close ends proves nothing",
     file: "serving/answers/completeness.js",
-    find: 'if (framing === "close" && bytes === 0)',
+    find: 'if (framing === "close" && !hasBody)',
     put: "if (false)",
     proof: "is a failure of a call or a stream that may run once",
   },
--- a/src/serving/answers/answer-reader.ts
+++ b/src/serving/answers/answer-reader.ts
@@ -44,7 +44,9 @@
     };
     try {
       const bytes = await exchange.readAll(body, MAX_ANSWER_BYTES, onSize, isSuperseded);
-      const found = completeness.ofWhole(framing, bytes.length);
+      // Nothing is kept of an answer that is not needed any more.
+      const hasBody = bytes.length > 0 || isSuperseded?.() === true;
+      const found = completeness.ofWhole(framing, hasBody);
       return { body: bytes, verdict: await this.confirm(send, found) };
     } catch (err) {
       return { body: Buffer.alloc(0), verdict: this.brokenBy(send, err) };
@@ -115,6 +117,7 @@
       isResumed: resumedAfter !== undefined,
     });
   }
+
   /** Checks that the worker still runs, if only that tells the end of its answer from that of its process. */
   private async confirm(
     send: SendState,
--- a/src/serving/answers/completeness.ts
+++ b/src/serving/answers/completeness.ts
@@ -33,11 +33,11 @@
 }
 
 /**
- * Judges an answer of `bytes` bytes, other than a stream, whose connection or framing ended it without an error. A worker that stops
- * within the head of its answer may have sent all of it but what marks the end of the body.
+ * Judges an answer, other than a stream, whose connection or framing ended it without an error. A worker that stops within the head
+ * of its answer may have sent all of it but what marks the end of the body.
  */
-export function ofWhole(framing: framings.Framing, bytes: number): Completeness {
-  if (framing === "close" && bytes === 0)
+export function ofWhole(framing: framings.Framing, hasBody: boolean): Completeness {
+  if (framing === "close" && !hasBody)
     return { kind: "unknown", why: "the connection was closed before the body" };
   return { kind: "whole", evidence: framing };
 }
