Ask a worker in a pause, too, whether it runs on

Callers saw: sound streams without a length broken off at their end, while their worker had asked the host for a pause. Cause: the question whether a worker runs on was not put to one in a pause, so that the end of its answers counted as unknown. All lie within a pause by the hosts' logs, with "the worker did not answer after that" at once. The new test failed before (502 instead of 200). Change: it is asked. The question is no request: it brings no work, and at most one comes for each answer that the worker itself has ended. Why it works: the answer then depends on the worker alone, as for all others.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -100,7 +100,7 @@
   {
     name: "answers: the end of a leaving worker is not that of its answer",
     file: "serving/answers/answer-reader.js",
-    find: "(await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal))",
+    find: "await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal)",
     put: "true",
     proof: "does not end a stream as complete when its leaving worker has ended",
   },
--- a/src/serving/answers/answer-reader.ts
+++ b/src/serving/answers/answer-reader.ts
@@ -9,7 +9,6 @@
 import * as exchange from "../exchange.js";
 import type * as sendState from "../send-state.js";
 import type * as upstream from "../upstream.js";
-import type * as workerNotices from "../worker-notices.js";
 import * as completeness from "./completeness.js";
 import type * as eventSplitter from "./event-splitter.js";
 import * as streamBounds from "./stream-bounds.js";
@@ -18,7 +17,6 @@
   readonly clock: clock.Clock;
   readonly origins: Pick<origins.Origins, "begun">;
   readonly upstream: Pick<upstream.Upstream, "isRunning">;
-  readonly notices: Pick<workerNotices.WorkerNotices, "reason">;
 }
 
 type SendState = sendState.SendState;
@@ -125,10 +123,8 @@
   ): Promise<completeness.Completeness> {
     if (!completeness.restsOnClose(found)) return found;
     const { endpoint, req, watchdog } = send;
-    // A worker that asked for a pause is asked nothing.
-    const mayAsk = this.deps.notices.reason(endpoint) !== "pause";
-    const runs =
-      mayAsk && (await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal));
+    // The question is no request, so a worker that asked for a pause is asked too.
+    const runs = await this.deps.upstream.isRunning(endpoint, req.service, watchdog.signal);
     return runs ? found : completeness.UNCONFIRMED;
   }
 
--- a/test/serving/answers/answer-reader.test.ts
+++ b/test/serving/answers/answer-reader.test.ts
@@ -13,7 +13,6 @@
     clock: clock.system,
     origins: { begun: () => undefined },
     upstream: { isRunning: () => Promise.resolve(true) },
-    notices: { reason: () => undefined },
   });
   const send = {
     req: fixtures.request(),
--- a/test/serving/paused.test.ts
+++ b/test/serving/paused.test.ts
@@ -178,6 +178,30 @@
     }
   });
 
+  // Guards against sound answers that are broken off because their worker has asked for a pause meanwhile.
+  it("leave the answers whole that it is sending, also one that ends with its connection", async () => {
+    const made = await fixtures.worker((req, res) => {
+      const id = String(req.headers["test-id"]);
+      if (req.url === "/healthz") res.end();
+      else if (id === underWay) {
+        res.useChunkedEncodingByDefault = false;
+        res.shouldKeepAlive = false;
+        res.writeHead(200, fixtures.good(id));
+        setTimeout(() => res.end("whole"), 100);
+      } else {
+        const said = { "test-not-run": "1", "test-retry-after-ms": "2000" };
+        res.writeHead(503, { "test-id": id, ...said }).end();
+      }
+    });
+    cleanups.push(made.close);
+    const dispatcher = open([fixtures.endpoint("w1", made.address)]);
+    const underWay = `r${count}`;
+    const first = serve(dispatcher);
+    await timers.setTimeout(30);
+    expect((await serve(dispatcher)).status).equal(503);
+    expect((await first).status).equal(200);
+  });
+
   it("stop waiting for a seat there at once", async () => {
     const waits = await waitingStream.begin({ route: { targetMs: 1000, timeoutMs: 1500 } });
     const began = performance.now();
