Examine a send for a crash, as before, that the watchdog broke off

Found by reading the change: since requests are blamed for no crash after their host had closed the connection, a send that was broken off within its answer because its engine was lost, or was silent, counted as closed by the host, too. A request that crashes its workers could then go unblamed where the news of the lost engine came before the end of the connection. Cause: all exchanges that are given up end with one error, whoever gave them up. Only those that the watchdog did not break off are now taken for closed because of what came on the connection. The new test failed before (true instead of false).

--- a/src/serving/answers/answer-reader.ts
+++ b/src/serving/answers/answer-reader.ts
@@ -130,7 +130,8 @@
 
   /** Judges an answer that broke off with an error. */
   private brokenBy(send: SendState, err: unknown): completeness.Completeness {
-    send.isClosedHere = err instanceof exchange.GivenUpError;
+    // A send that the watchdog broke off may be one whose worker has crashed.
+    send.isClosedHere = err instanceof exchange.GivenUpError && !send.watchdog.signal.aborted;
     return completeness.broken(errors.messageOf(err));
   }
 
