Pass on all fields of a head that is within its limit in bytes

Callers saw: a request with 1,000 short fields before its attempt id got 502 (or a 400 of its worker) although the worker ran it, and a request with 2,500 fields reached its worker with 997 of them. Both heads are legal in size. Cause: Node.js keeps 1,000 fields of a head by default (`maxHeadersCount`) and drops the rest without an error; the attempt id, the deadline, keys and `Last-Event-Id` may be among these. Evidence: test/platform/request-edges.test.ts sends twelve requests at the edges of the limits to an entry daemon as a process. Before, three of the twelve failed: 1,000 and 2,500 fields before the id, 2,500 fields behind it. All twelve pass now. Change: no number of fields is set on the servers for callers and on endpoint daemons; heads stay limited by their bytes (431). Why it works: nothing between the parser's limit in bytes and the check of `maxHeaderBytes` drops a field any more.

--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -93,6 +93,8 @@
       });
     },
   );
+  // Heads are limited by their bytes. Node.js drops fields beyond a number of its own without an error.
+  server.maxHeadersCount = 0;
   lingeringClose.install(server, deps.clock);
   responses.onUnreadableRequest(server, body.unreadableRefusal);
   return server;
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -47,6 +47,8 @@
       else res.writeHead(503, { "retry-after": "0.5", connection: "close" }).end();
     },
   );
+  // Heads are limited by their bytes. Node.js drops fields beyond a number of its own without an error.
+  server.maxHeadersCount = 0;
   lingeringClose.install(server);
   responses.onUnreadableRequest(server, unreadableRefusal);
   await addresses.listen(server, address, BACKLOG);
