Measure how long connections wait to be accepted, and refuse nothing for it where that gains nothing

Callers saw: ordinary requests refused with 503 ("its event loop is N ms behind") for as long as a crowd connects again and again, while the host answered its readiness check within milliseconds. Cause, first: the wait of the accept queue was taken as half the age of an unbroken run of turns that each accept a connection. Node.js accepts one in each turn, so a crowd that begins connections again keeps the run, and the "lag" grows with its age. It is an upper bound, and no evidence that anything waited. Second: where the wait is real but comes from connections that bring no request to be served, refusing the few that do frees no time, and each refusal makes the next connection. Change: in a run that lasts, the host connects to itself every 50 ms at least; what is accepted between two of these probes arrived between them. Requests are refused for the lag only if a twentieth or more of the accepted connections bring a request that is served. Leaving the run out: a real queue is not seen at all. Why it works: connections are accepted in the order in which they arrived, so that a probe that waits bounds the wait of all before it from below and one that was accepted that of all behind it from above. Tests: the lag beside a crowd that is accepted at once was 4 s over the wait before; a real queue is still seen, within half of its wait.

--- a/bench/red/serving-switches.ts
+++ b/bench/red/serving-switches.ts
@@ -391,8 +391,8 @@
   {
     name: "lag: a request on a connection that waited to be accepted counts as late",
     file: "serving/overload/lag-monitor.js",
-    find: "larger(lag, ofAccepts), isOld: true }",
-    put: "larger(lag, ofAccepts), isOld: false }",
+    find: "larger(lag, ofAccepts), isOld: true,",
+    put: "larger(lag, ofAccepts), isOld: false,",
     proof: "sends no request whose caller has left",
   },
   {
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import * as net from "node:net";
 import * as clock from "../host/clock.js";
 import * as lingeringClose from "../host/lingering-close.js";
 import * as responses from "../host/response.js";
@@ -108,7 +109,13 @@
     private readonly deps: Deps,
   ) {
     this.server = listener.server;
-    this.lagMonitor = new lagMonitor.LagMonitor(deps);
+    this.lagMonitor = new lagMonitor.LagMonitor({
+      ...deps,
+      connect: () => {
+        const at = this.server.address() as net.AddressInfo | null;
+        return at ? net.connect({ host: at.address, port: at.port }) : undefined;
+      },
+    });
     this.meter = new callerMeter.CallerMeter(deps);
     this.server.on("connection", (socket) => {
       this.lagMonitor.recordAccept(socket);
@@ -239,10 +246,10 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
     m: match.Matched,
-    { lag, hostLag }: lagMonitor.Reading,
+    { lag, hostLag, doRefusalsHelp }: lagMonitor.Reading,
     arrivedAt: number,
   ): match.Matched | match.Refusal {
-    if (hostLag.ms <= loopLag.NORMAL_MS) return m;
+    if (hostLag.ms <= loopLag.NORMAL_MS || !doRefusalsHelp) return m;
     if (this.deps.clock.mono() < this.deps.toleratesLagUntil) return m;
     const why = shedding.refusalReason(lag.ms, hostLag, m.route, this.deps.random());
     if (why === undefined) return m;
@@ -338,6 +345,7 @@
       return false;
     }
     if (isPollDue) await response.presence?.confirm();
+    this.lagMonitor.recordServed();
     const { reserved, credentials } = this.deps.protocol;
     const stripped = config.teams ? [reserved, credentials] : [reserved];
     return this.deps.dispatcher.serve(
--- a/src/serving/overload/lag-monitor.ts
+++ b/src/serving/overload/lag-monitor.ts
@@ -7,10 +7,13 @@
 import type * as structuredLog from "../../host/structured-log.js";
 import * as acceptQueue from "./accept-queue.js";
 import * as loopLag from "./loop-lag.js";
+import * as servedPart from "./served-part.js";
 
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: structuredLog.Log;
+  /** Connects to the server whose connections are accepted; undefined once it has stopped listening. */
+  readonly connect: () => net.Socket | undefined;
 }
 
 /** Milliseconds without lag after which it has ended, so that a busy loop does not log each of its long turns. */
@@ -38,6 +41,8 @@
   readonly hostLag: loopLag.Lag;
   /** The request may have waited so long that its caller has left. */
   readonly isOld: boolean;
+  /** Whether the host would catch up sooner if it refused requests. */
+  readonly doRefusalsHelp: boolean;
 }
 
 function larger(a: loopLag.Lag, b: loopLag.Lag): loopLag.Lag {
@@ -48,6 +53,7 @@
 export class LagMonitor {
   private beats: loopLag.Beats;
   private run: acceptQueue.Run;
+  private counts = servedPart.NONE;
   private openRequests = 0;
   private episode: Episode | undefined;
   private readonly accepted = new WeakMap<net.Socket, Accepted>();
@@ -57,6 +63,8 @@
   private isWatchingAccepts = false;
   private nextPoll: Promise<void> | undefined;
   private polledAt = -Infinity;
+  /** Connections to this host itself that are not accepted yet, and when they were sent. */
+  private readonly probes = new Map<net.Socket, number>();
 
   constructor(private readonly deps: Deps) {}
 
@@ -84,10 +92,18 @@
     return Math.max(this.lag().ms, this.run ? acceptQueue.lagAt(this.run, now).ms : 0);
   }
 
+  /** To be called when a request is passed on to be served. */
+  recordServed(): void {
+    this.counts = servedPart.record(this.counts, "served", this.deps.clock.mono());
+  }
+
   /** To be called when a connection is accepted. */
   recordAccept(socket: net.Socket): void {
     const now = this.deps.clock.mono();
+    this.counts = servedPart.record(this.counts, "accepted", now);
     this.run = acceptQueue.recordAccept(this.run, now, loopLag.lagAt(this.beats, now));
+    if (this.probes.size > 0) this.recordProbeAccepted(socket);
+    if (acceptQueue.isProbeDue(this.run, now)) this.probe(now);
     this.newSockets.push(socket);
     const mostWaitMs = acceptQueue.mostWaitMs(this.run, now);
     if (mostWaitMs > loopLag.NORMAL_MS) {
@@ -99,21 +115,47 @@
     this.watchAccepts();
   }
 
+  /** Connects to this host itself, to learn how long connections wait. */
+  private probe(now: number): void {
+    const socket = this.deps.connect();
+    if (!this.run || !socket) return;
+    this.probes.set(socket, now);
+    this.run = acceptQueue.recordProbe(this.run, now);
+    socket.on("error", (err) => {
+      this.deps.log.warn("This host could not connect to itself.", { why: err.message });
+      if (this.run) this.run = acceptQueue.recordProbeFailed(this.run, now);
+    });
+    socket.once("close", () => {
+      this.probes.delete(socket);
+    });
+  }
+
+  private recordProbeAccepted({ remotePort }: net.Socket): void {
+    for (const [probe, sentAt] of this.probes) {
+      if (probe.localPort !== remotePort) continue;
+      probe.destroy();
+      this.probes.delete(probe);
+      if (this.run) this.run = acceptQueue.recordProbeAccepted(this.run, sentAt);
+      return;
+    }
+  }
+
   /** What is known of a request that is read from a connection now. */
   read(socket: net.Socket): Reading {
     const now = this.deps.clock.mono();
     const ofLoop = loopLag.lagAt(this.beats, now);
     const accepted = this.accepted.get(socket);
     const ofAccepts = this.run ? acceptQueue.lagAt(this.run, now) : loopLag.NO_LAG;
+    const doRefusalsHelp = servedPart.isEnough(this.counts, now);
     if (!accepted) {
       const hostLag = larger(ofLoop, ofAccepts);
       this.note(hostLag.ms, now);
-      return { lag: ofLoop, hostLag, isOld: ofLoop.ms > loopLag.NORMAL_MS };
+      return { lag: ofLoop, hostLag, isOld: ofLoop.ms > loopLag.NORMAL_MS, doRefusalsHelp };
     }
     const ms = accepted.lag.ms + (now - accepted.at);
     const lag = larger(ofLoop, { ms, isSingle: accepted.lag.isSingle });
     this.note(lag.ms, now);
-    return { lag, hostLag: larger(lag, ofAccepts), isOld: true };
+    return { lag, hostLag: larger(lag, ofAccepts), isOld: true, doRefusalsHelp };
   }
 
   /** Records that a request was refused because of the lag. */
@@ -169,10 +211,16 @@
       this.newSockets = [];
       this.isWatchingAccepts = this.olderSockets.length > 0;
       if (this.isWatchingAccepts) this.watchAccepts();
-      else this.run = undefined;
+      else this.endRun();
     });
   }
 
+  private endRun(): void {
+    this.run = undefined;
+    for (const probe of this.probes.keys()) probe.destroy();
+    this.probes.clear();
+  }
+
   /** Keeps the highest lag, and logs when it begins. */
   private note(ms: number, now: number): void {
     if (ms <= loopLag.NORMAL_MS) return;
