Count the fields of a head in the memory budget

Callers saw: nothing yet. Found by reading: a head of 16 KB may hold 4,000 fields, each of which takes some hundred bytes as parsed and as forwarded, and the budget counted bodies and answers alone. A thousand such requests that wait for a worker take some hundred MB that nothing bounds. Change: a head that takes more than 16 KB by its fields is counted until its request has ended, and refused with 503 and Retry-After if there is no room. Common heads (up to some eighty fields) are neither counted nor refused. The refusal comes before the request is matched or sent, so "not run" is true. `sumacfield_memory_total` counts it with the reason `head`. Test: 1,400 fields at a host with a budget of 100,000 bytes were sent to the worker before (200), and get 503 now; 100 fields pass.

--- a/src/serving/buffering/hold.ts
+++ b/src/serving/buffering/hold.ts
@@ -27,6 +27,8 @@
   /** Whether the connection was reset to free memory. */
   wasReset = false;
 
+  /** Bytes that the fields of its head take, if these are many. */
+  private headBytes = 0;
   private bodyBytes = 0;
   /** Bytes of an answer that is passed on whole. */
   private answerBytes = 0;
@@ -81,7 +83,7 @@
   }
 
   get readBytes(): number {
-    return this.bytes - this.bodyBytes;
+    return this.bytes - this.bodyBytes - this.headBytes;
   }
 
   get pausedAt(): number | undefined {
@@ -94,6 +96,16 @@
     this.rank = rank;
   }
 
+  /** Counts the fields of its head until the request has ended. Returns false, counting nothing, if there is no room. */
+  reserveHead(): boolean {
+    const bytes = memoryBudget.headBytes(this.req.rawHeaders);
+    if (bytes <= memoryBudget.FLOOR_BYTES) return true;
+    if (!this.owner.mayHoldHead(bytes)) return false;
+    this.headBytes = bytes;
+    this.update();
+    return true;
+  }
+
   /** Counts a body that will have, or already has, `bytes`. Returns false, counting nothing more, if there is no room. */
   reserveBody(bytes: number): boolean {
     if (bytes > this.bodyBytes && !this.owner.mayReadBody(bytes, this.bodyBytes)) return false;
@@ -296,7 +308,8 @@
   /** Tells the owner by how much the bytes held have changed. */
   private update(): void {
     const queued = this.queue?.heldBytes ?? 0;
-    const bytes = this.isClosed ? 0 : this.bodyBytes + this.answerBytes + this.socketBytes + queued;
+    const read = this.headBytes + this.bodyBytes + this.answerBytes;
+    const bytes = this.isClosed ? 0 : read + this.socketBytes + queued;
     if (bytes === this.bytes) return;
     this.owner.change(bytes - this.bytes);
     this.bytes = bytes;
--- a/src/serving/buffering/memory-budget.ts
+++ b/src/serving/buffering/memory-budget.ts
@@ -47,8 +47,8 @@
 /** Smallest and largest budget in bytes. A smaller one would refuse common bodies, a larger one exceed what hosts have. */
 export const MIN_BUDGET_BYTES = 1_048_576;
 export const MAX_BUDGET_BYTES = 1_073_741_824;
-/** Why a body is refused: by the length that it announces, or by what has arrived of it. */
-export type RefusalReason = "announced_body" | "growing_body";
+/** Why a request is refused: by the length that its body announces, by what has arrived of it, or by the fields of its head. */
+export type RefusalReason = "announced_body" | "growing_body" | "head";
 
 /** Milliseconds without progress after which a holder may be ended: as long as callers wait for a pause in a stream to end. */
 export const PATIENCE_MS = 2000;
@@ -66,6 +66,8 @@
 const RANK_REDUCTION = 0.1;
 /** Part of the free bytes that a new body may take, so that a few large bodies leave room for small ones. */
 const BODY_PART = 0.5;
+/** Bytes of the objects for a field's name or value, beside its characters. */
+const FIELD_PART_BYTES = 100;
 /** Part of its limit to which a paused holder must fall before reading resumes, so that it does not pause at each chunk. */
 const RESUME_PART = 0.75;
 /** Holders of fewer bytes are ended last; a connection alone costs about as much. */
@@ -95,8 +97,13 @@
   return h.readBytes <= Math.max(FLOOR_BYTES, RESUME_PART * limitOf(h, sum, budget, now));
 }
 
-/** Whether a body of `bytes` may be read; `sum` is without this body. Small ones always may, as any holder's floor. */
-export function mayReadBody(bytes: number, sum: number, budget: number): boolean {
+/** Bytes that the fields of a head take, as parsed and as forwarded; `rawHeaders` are their names and values. */
+export function headBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + FIELD_PART_BYTES + text.length, 0);
+}
+
+/** Whether a body or head of `bytes` may be held; `sum` is without it. Small ones always may, as any holder's floor. */
+export function mayRead(bytes: number, sum: number, budget: number): boolean {
   return bytes <= Math.max(FLOOR_BYTES, BODY_PART * (budget - sum));
 }
 
--- a/src/serving/buffering/memory.ts
+++ b/src/serving/buffering/memory.ts
@@ -81,13 +81,21 @@
 
   /** Whether a body of `bytes` may be read, of which `own` are counted already; counted in the metrics if not. */
   mayReadBody(bytes: number, own: number): boolean {
-    const isAllowed = (): boolean =>
-      memoryBudget.mayReadBody(bytes, this.sum - own, this.budgetBytes);
+    return this.hasRoom(bytes, own, own === 0 ? "announced_body" : "growing_body");
+  }
+
+  /** Whether a head that takes `bytes` may be held; counted in the metrics if not. */
+  mayHoldHead(bytes: number): boolean {
+    return this.hasRoom(bytes, 0, "head");
+  }
+
+  private hasRoom(bytes: number, own: number, reason: memoryBudget.RefusalReason): boolean {
+    const isAllowed = (): boolean => memoryBudget.mayRead(bytes, this.sum - own, this.budgetBytes);
     if (isAllowed()) return true;
     const now = this.deps.clock.mono();
     if (now - this.sampledAt >= FRESH_MS) this.sample(now);
     if (isAllowed()) return true;
-    this.deps.metrics.recordMemory("refused", own === 0 ? "announced_body" : "growing_body");
+    this.deps.metrics.recordMemory("refused", reason);
     return false;
   }
 
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -56,8 +56,8 @@
 const FIRST_CONFIG_WAIT_MS = 200;
 /** Milliseconds between two checks for the first configuration. */
 const CONFIG_POLL_MS = 10;
-/** Retry-after time, in ms, of a refused body: its caller's next connection reaches another host. */
-const BODY_RETRY_MS = 300;
+/** Retry-after time, in ms, of a request that there is no memory for: its caller's next connection reaches another host. */
+const NO_MEMORY_RETRY_MS = 300;
 
 const UNCONFIGURED: match.Refusal = {
   kind: "refused",
@@ -73,16 +73,23 @@
     kind: "refused",
     status: 503,
     why: "the host has no memory for the body",
-    retryAfterMs: BODY_RETRY_MS,
+    retryAfterMs: NO_MEMORY_RETRY_MS,
   },
   late: {
     kind: "refused",
     status: 503,
     why: "the body did not arrive before the deadline",
-    retryAfterMs: BODY_RETRY_MS,
+    retryAfterMs: NO_MEMORY_RETRY_MS,
   },
 };
 
+const NO_ROOM_FOR_HEAD: match.Refusal = {
+  kind: "refused",
+  status: 503,
+  why: "the host has no memory for the headers",
+  retryAfterMs: NO_MEMORY_RETRY_MS,
+};
+
 /** A request that has arrived, with what it holds. */
 interface Arrival extends deadline.Arrival {
   readonly req: http.IncomingMessage;
@@ -210,6 +217,10 @@
     const arrivedAt = readAt - waitedMs;
     const held = new hold.Hold(this.deps.memory, req, res);
     const response = callerResponse.open(req, res, this.deps, this.lagMonitor, held);
+    if (!held.reserveHead()) {
+      this.refuse(req, response, NO_ROOM_FOR_HEAD);
+      return;
+    }
     const config = await this.waitForConfig();
     const matched = config ? this.match(req, config) : UNCONFIGURED;
     const verdict =
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -229,7 +229,7 @@
   );
   const memory = counter(
     "sumacfield_memory_total",
-    "Requests ended, and bodies refused, to keep to the memory budget, by reason.",
+    "Requests ended, and bodies and heads refused, to keep to the memory budget, by reason.",
     "outcome",
     "reason",
   );
--- a/test/platform/callers.test.ts
+++ b/test/platform/callers.test.ts
@@ -203,6 +203,16 @@
     expect(await send(["Content-Length: 40000"], "x".repeat(40_000))).match(/^HTTP\/1.1 200/);
   });
 
+  // Guards against heads of very many fields that fill the host's memory though they are small in bytes.
+  it("comes too late where the memory budget has no room for the fields of its head", async () => {
+    const fields = (count: number): string[] => Array.from({ length: count }, () => "1:");
+    expect(await send(fields(1400)))
+      .match(/^HTTP\/1.1 503 [^]*no memory for the headers/)
+      .match(/retry-after: 0\.3/i);
+    expect(s.seen).deep.equal([]);
+    expect(await send(fields(100))).match(/^HTTP\/1.1 200/);
+  });
+
   // Guards against a body that never ends holding its memory for ever.
   it("that has not arrived by the request's deadline is refused", async () => {
     const answer = await send(["X-Sumacfield-Deadline-Ms: 100", "Content-Length: 1000"], "x");
--- a/test/serving/memory.test.ts
+++ b/test/serving/memory.test.ts
@@ -56,7 +56,7 @@
         if (!h) continue;
         const sum = sumOf(holders);
         const isBlocked = isBody
-          ? !memoryBudget.mayReadBody(bytes * 8, sum, BUDGET)
+          ? !memoryBudget.mayRead(bytes * 8, sum, BUDGET)
           : bytes > 0 && memoryBudget.mustPause(h, sum, BUDGET, NOW);
         if (isBlocked) continue;
         const added = isBody ? Math.max(0, bytes * 8) : Math.max(bytes, -h.readBytes);
@@ -119,7 +119,7 @@
       fc.property(holderArb, fc.integer({ min: 0, max: BUDGET / 4 }), (h, sum) => {
         const small = { ...h, readBytes: h.readBytes / 8, bytes: h.bytes / 8 };
         expect(memoryBudget.mustPause(small, sum, BUDGET, NOW)).equal(false);
-        expect(memoryBudget.mayReadBody(BUDGET / 4, sum, BUDGET)).equal(true);
+        expect(memoryBudget.mayRead(BUDGET / 4, sum, BUDGET)).equal(true);
         const running = { ...small, pausedAt: undefined };
         expect(memoryBudget.toEnd([running], BUDGET, 9000, NOW)).deep.equal([]);
       }),
