Read callers' connections in slices, in turn, and not further than their requests are served

Callers saw: a process that ended, and with it all that it served. A client that sends small requests ahead and doesn't read the answers ended an entry daemon with four connections at a path without a route (SIGABRT, heap used up, 16 MB sent); twenty with requests of one byte on a route, eight with heads of 2,400 short fields on a route as well. Where the process lived, ordinary callers were refused or not answered: chunks of one byte, 20 connections: 2 of 101 served; heads of 2,400 fields, 100: 20 of 153; bodies far over the limit, 40: 48 of 101; small requests at the address that says ready, 20: 2 of 150, and 7 of 10 readiness checks answered. Cause: Node.js parses all that a read has brought, up to 64 KB, and calls the handler for each request of it: some 2,400 from one connection in one turn of the event loop, each with a request, a response, a hold and timers, again and again while the answers aren't read. Nothing bounded what one connection has under way, nor the time that it takes; and the rest of a refused body was read at full speed. Change: what a connection has brought is parsed in slices that hold one head at most. At most eight requests of it are open, and little of a body is parsed before it is wanted; meanwhile it isn't read, which HTTP/1.1 allows, so that nobody is refused. A connection that has used little time lately is read as soon as its bytes arrive; others in turn, by how much they have used, for 2 ms of a turn in all, and one slice in a turn that accepts a connection. Of more than 256 connections with bytes that wait, the one that has waited longest is closed (counted; one log line per episode). Of a connection that is being closed 256 KB are read and discarded. The address that says ready is read by the same reader, and so is the port that is open while the daemon starts. A response announces the close only once the requests that were read are taken, since more of them may wait now than before. Ways weighed: closing a connection that sends many requests ahead (sound callers may; and one read had brought thousands already); a stream between socket and parser (another copy of all bytes and state for each connection); pausing the socket alone (what a read has brought is parsed all the same). Why it works: what a connection can hold and the time that it can take in a turn no longer depend on what it sends.

--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -109,13 +109,16 @@
   private onIdle: (() => void) | undefined;
   private readonly lagMonitor: lagMonitor.LagMonitor;
   private readonly meter: callerMeter.CallerMeter;
-  private readonly connections = new closer.Closer();
+  private readonly connections: closer.Closer;
 
   constructor(
     listener: earlyListener.EarlyListener,
     private readonly deps: Deps,
   ) {
     this.server = listener.server;
+    this.connections = new closer.Closer((socket, then) =>
+      listener.reader.isUnparsed(socket, then),
+    );
     this.lagMonitor = new lagMonitor.LagMonitor({
       ...deps,
       connect: () => {
--- a/src/serving/connections/closer.ts
+++ b/src/serving/connections/closer.ts
@@ -16,10 +16,15 @@
   last: http.ServerResponse | undefined;
 }
 
+/** Whether bytes of a connection were read that may hold further requests; `then` is called once it is known. */
+export type IsUnparsed = (socket: net.Socket, then: () => void) => boolean;
+
 /** Takes requests from callers' connections, and closes the connections. */
 export class Closer {
   private readonly states = new WeakMap<net.Socket, State>();
 
+  constructor(private readonly isUnparsed: IsUnparsed = () => false) {}
+
   /**
    * Takes a request. Returns false if it crosses the close of its connection: its response could not be sent any more, so it
    * must not be served.
@@ -31,9 +36,9 @@
     res.once("close", () => s.open.delete(res));
     res.once("finish", () => {
       s.open.delete(res);
-      if (s.isClosing && s.open.size === 0) lingeringClose.close(req.socket);
+      if (s.isClosing) this.advance(req.socket, s);
     });
-    if (s.isClosing) announce(s);
+    if (s.isClosing) this.advance(req.socket, s);
     return true;
   }
 
@@ -41,7 +46,17 @@
   closeAfterOpen(socket: net.Socket): void {
     const s = this.stateOf(socket);
     s.isClosing = true;
-    announce(s);
+    this.advance(socket, s);
+  }
+
+  /** Announces the close, or closes if no response is open. Requests that were read are taken before. */
+  private advance(socket: net.Socket, s: State): void {
+    const again = (): void => {
+      this.advance(socket, s);
+    };
+    if (socket.writableEnded || this.isUnparsed(socket, again)) return;
+    if (s.open.size === 0) lingeringClose.close(socket);
+    else announce(s);
   }
 
   private stateOf(socket: net.Socket): State {
@@ -59,7 +74,7 @@
 /** Has the response to the latest request announce the close, unless its head was sent. */
 function announce(s: State): void {
   const latest = [...s.open].at(-1);
-  if (!latest || latest.headersSent) return;
+  if (!latest || latest.headersSent || s.last?.headersSent) return;
   if (s.last !== latest) s.last?.removeHeader("connection");
   s.last = latest;
   latest.setHeader("connection", "close");
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -5,8 +5,10 @@
  */
 import * as http from "node:http";
 import * as addresses from "../host/address.js";
+import * as clock from "../host/clock.js";
 import * as lingeringClose from "../host/lingering-close.js";
 import * as responses from "../host/response.js";
+import * as pacedReader from "./reading/paced-reader.js";
 
 /** Bytes of headers that the server parses at most; the configuration's limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -24,6 +26,8 @@
 /** A listening server that holds requests until it has a handler. */
 export interface EarlyListener {
   readonly server: http.Server;
+  /** Reads the server's connections. */
+  readonly reader: pacedReader.PacedReader;
   /** Passes the waiting requests and all later ones to `handler`. */
   readonly setHandler: (handler: Handler) => void;
 }
@@ -49,11 +53,14 @@
   );
   // Heads are limited by their bytes. Node.js drops fields beyond a number of its own without an error.
   server.maxHeadersCount = 0;
+  const reader = new pacedReader.PacedReader(clock.system);
+  reader.install(server);
   lingeringClose.install(server);
   responses.onUnreadableRequest(server, unreadableRefusal);
   await addresses.listen(server, address, BACKLOG);
   return {
     server,
+    reader,
     setHandler: (h) => {
       handler = h;
       // A request whose caller has disconnected must not be served: its work would never be cancelled.
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -16,6 +16,7 @@
 import * as endpointRegistry from "./endpoint-registry.js";
 import * as watchPace from "./watch-pace.js";
 import * as callerServer from "./caller-server.js";
+import * as callerGuard from "./reading/caller-guard.js";
 import * as daemonBase from "./daemon-base.js";
 import * as limiter from "./limiter.js";
 import * as origins from "./continuation/origins.js";
@@ -24,6 +25,7 @@
 import * as streamAge from "./continuation/stream-age.js";
 import * as streamLog from "./continuation/stream-log.js";
 import * as metrics from "./metrics.js";
+import type * as pacedReader from "./reading/paced-reader.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
 import * as quarantine from "./quarantine.js";
@@ -255,6 +257,11 @@
     log: deps.log("memory"),
     metrics: daemonMetrics,
   });
+  callerGuard.install(deps.listener, {
+    clock: deps.clock,
+    log: deps.log("front"),
+    metrics: daemonMetrics,
+  });
   const callers = new callerServer.CallerServer(deps.listener, {
     clock: deps.clock,
     log: deps.log("front"),
@@ -272,6 +279,11 @@
   daemonMetrics.addGauge("sumacfield_requests_open", "Requests under way.", () =>
     callers.inFlight(),
   );
+  daemonMetrics.addGauge(
+    "sumacfield_connections_waiting",
+    "Connections with bytes that were read and wait to be parsed.",
+    () => deps.listener.reader.waitingCount,
+  );
   daemonMetrics.addGauge(
     "sumacfield_loop_lag_ms",
     "Milliseconds by which the event loop is behind.",
@@ -354,6 +366,7 @@
   );
   const readiness = await answerReadiness(
     opts.readiness,
+    deps.listener.reader,
     () => catalogFeed.catalog.config !== undefined && !draining,
   );
   await metrics.tryServe(daemonMetrics, deps.metricsAddress, deps.log("metrics"));
@@ -386,11 +399,16 @@
 }
 
 /** Serves the load balancer's readiness check: 200 if ready, 503 if not. */
-async function answerReadiness(address: string, ready: () => boolean): Promise<http.Server> {
+async function answerReadiness(
+  address: string,
+  reader: pacedReader.PacedReader,
+  ready: () => boolean,
+): Promise<http.Server> {
   const server = http.createServer((_req, res) => {
     res.writeHead(ready() ? 200 : 503, { "content-length": 0 });
     res.end();
   });
+  reader.install(server);
   await addresses.listen(server, address);
   return server;
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -46,6 +46,9 @@
 /** Whether a stream goes on at the software version that began it, as far as this host knows. */
 export type ContinuationMatch = "same" | "other" | "unknown";
 
+/** Why a caller's connection was closed: too many have bytes that wait to be parsed. */
+export type ClosedReason = "waiting";
+
 /** By what a send counts as answered, not run or unknown. */
 export interface SendEvidence {
   readonly proof: evidence.Proof["kind"];
@@ -104,6 +107,8 @@
     outcome: "ended" | "refused",
     reason: memoryBudget.EndReason | memoryBudget.RefusalReason,
   ) => void;
+  /** A caller's connection was closed to keep to a limit. */
+  readonly recordClosedConnection: (reason: ClosedReason) => void;
   /** A worker crashed while it ran a request of a service; `verdict` is the one on the request after that crash. */
   readonly recordCrash: (service: string, verdict: suspicion.Verdict["kind"]) => void;
   /** A request for an adapter was sent to an engine of a service, with a granted seat or with none. */
@@ -233,6 +238,11 @@
     "outcome",
     "reason",
   );
+  const closedConnections = counter(
+    "sumacfield_connections_closed_total",
+    "Connections of callers that were closed to keep to a limit, by reason.",
+    "reason",
+  );
   const crashes = counter(
     "sumacfield_crashed_sends_total",
     "Sends under which a worker crashed, by service and the verdict on the request after the crash.",
@@ -301,6 +311,9 @@
     recordMemory: (outcome, reason) => {
       memory.inc({ outcome, reason });
     },
+    recordClosedConnection: (reason) => {
+      closedConnections.inc({ reason });
+    },
     recordCrash: (service, verdict) => {
       crashes.inc({ service, verdict });
     },
--- /dev/null
+++ b/src/serving/reading/paced-reader.ts
@@ -0,0 +1,316 @@
+/**
+ * Reads callers' connections so that none of them occupies the event loop or grows without bound: in slices, in turn with others once it
+ * has used much time, and not further while its earlier requests or their bodies wait. HTTP/1.1 lets a server leave bytes unread, so
+ * nobody is refused by this.
+ * @module
+ */
+import type * as http from "node:http";
+import type * as net from "node:net";
+import type * as clock from "../../host/clock.js";
+import * as recentUse from "./recent-use.js";
+import * as slices from "./slices.js";
+
+/** Requests of one connection that are open at most; clients that send ahead send fewer. */
+export const MAX_OPEN = 8;
+/** Slices of one connection that are parsed as soon as they arrive; a request takes one or two. */
+const SLICES_AT_ONCE = 4;
+/** Bytes of a body that are parsed before its reader wants them. */
+const UNWANTED_BYTES = 4096;
+/** Milliseconds of one turn of the event loop after which what arrives has to wait its turn, too. */
+const AT_ONCE_MS = 5;
+/** The same in a turn that accepts a connection. Node.js accepts one in each turn, so that others may wait for the next. */
+const AT_ONCE_ACCEPTING_MS = 1;
+/** Slices of waiting connections that are parsed at most in one turn, and in one that accepts a connection. */
+const SLICES_PER_TURN = 16;
+const SLICES_ACCEPTING = 1;
+/** Milliseconds of a turn after which no further slice of them is parsed. */
+const TURN_MS = 2;
+/** Milliseconds that a request costs at least beside the parsing of its bytes. */
+const REQUEST_MS = 0.2;
+/** Connections with bytes that wait; of more, the one that has waited longest is closed. */
+const MAX_WAITING = 256;
+/** Bytes that are read and discarded of a connection of which this side has ended. */
+const MAX_DISCARD_BYTES = 262_144;
+
+type Push = (chunk: Buffer | null) => boolean;
+
+/** One connection. */
+interface Connection {
+  readonly socket: net.Socket;
+  readonly push: Push;
+  /** Has more bytes read. */
+  readonly read: () => void;
+  /** Bytes that were read and are not parsed yet. */
+  held: Buffer | undefined;
+  use: recentUse.Use;
+  /** Requests whose responses have not ended. */
+  open: number;
+  /** Requests seen so far. */
+  requests: number;
+  /** The latest request. */
+  latest: http.IncomingMessage | undefined;
+  /** Bytes, at least, of its body that have not been parsed. */
+  bodyBytes: number;
+  /** Bytes parsed since that request while nobody wanted its body. */
+  unwantedBytes: number;
+  discardedBytes: number;
+  isQueued: boolean;
+  afterParsed: (() => void) | undefined;
+}
+
+/** Reads the connections of one or more servers. */
+export class PacedReader {
+  private readonly connections = new WeakMap<net.Socket, Connection>();
+  /** Connections with bytes that wait, the one without progress for the longest time first. */
+  private readonly waiting = new Set<Connection>();
+  /** Connections to be parsed in turn, by the class of their use. */
+  private readonly queues: readonly Connection[][] = Array.from(
+    { length: recentUse.CLASSES },
+    () => [],
+  );
+  private isTurnDue = false;
+  /** Whether this turn has accepted a connection. */
+  private hasAccepted = false;
+  private turnBeganAt = 0;
+  private hasTurnBegun = false;
+  /** Milliseconds of this turn in which what had just arrived was parsed. */
+  private atOnceMs = 0;
+  /** The connection parsed last in this turn, and when that was done; what it has caused is charged to it. */
+  private last: { readonly connection: Connection; readonly at: number } | undefined;
+  /** Called when a connection is closed because too many others wait as well. */
+  onClosed: (() => void) | undefined;
+
+  constructor(private readonly clk: Pick<clock.Clock, "steady">) {}
+
+  /** Number of connections with bytes that wait. */
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
+  /** Reads all later connections of a server. To be called before other listeners of its requests are added. */
+  install(server: http.Server): void {
+    server.on("connection", (socket) => {
+      this.hasAccepted = true;
+      this.beginTurn();
+      this.attach(socket);
+    });
+    server.prependListener("request", (req, res) => {
+      this.recordRequest(req, res);
+    });
+  }
+
+  /** Whether bytes of a connection were read and not parsed; `then` is called once they are, or it has closed. */
+  isUnparsed(socket: net.Socket, then: () => void): boolean {
+    const c = this.connections.get(socket);
+    if (c?.held === undefined) return false;
+    c.afterParsed = then;
+    return true;
+  }
+
+  private attach(socket: net.Socket): void {
+    const ignore = (): void => undefined;
+    // A listener for data keeps Node.js from parsing in the read itself.
+    socket.on("data", ignore).off("data", ignore);
+    const read = socket._read.bind(socket);
+    const c: Connection = {
+      socket,
+      read: () => {
+        read(socket.readableHighWaterMark);
+      },
+      push: socket.push.bind(socket) as Push,
+      held: undefined,
+      use: recentUse.NONE,
+      open: 0,
+      requests: 0,
+      latest: undefined,
+      bodyBytes: 0,
+      unwantedBytes: 0,
+      discardedBytes: 0,
+      isQueued: false,
+      afterParsed: undefined,
+    };
+    this.connections.set(socket, c);
+    // The two halves of a readable stream's contract: what arrives is held, and more is read once nothing is held.
+    socket.push = (chunk: Buffer | null): boolean => this.arrive(c, chunk);
+    socket._read = (): void => {
+      if (c.held === undefined) c.read();
+    };
+    socket.on("resume", () => {
+      this.continue(c);
+    });
+    socket.once("finish", () => {
+      // This side has ended; reading goes on for the end of the other.
+      this.drop(c);
+      if (!socket.destroyed) c.read();
+    });
+    socket.once("close", () => {
+      this.drop(c);
+    });
+  }
+
+  private recordRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const c = this.connections.get(req.socket);
+    if (!c) return;
+    c.open++;
+    c.requests++;
+    c.latest = req;
+    c.bodyBytes = Number(req.headers["content-length"] ?? 0);
+    c.unwantedBytes = 0;
+    req.on("resume", () => {
+      this.continue(c);
+    });
+    res.once("close", () => {
+      c.open--;
+      this.continue(c);
+    });
+  }
+
+  /** Takes what the connection has brought. Returns whether more may be read. */
+  private arrive(c: Connection, chunk: Buffer | null): boolean {
+    if (chunk === null) {
+      // What waits is of a client that has left.
+      this.drop(c);
+      return c.push(null);
+    }
+    if (c.socket.writableEnded) {
+      c.discardedBytes += chunk.length;
+      return c.discardedBytes < MAX_DISCARD_BYTES;
+    }
+    c.held = c.held ? Buffer.concat([c.held, chunk]) : chunk;
+    this.parseAtOnce(c);
+    return this.isAllParsed(c);
+  }
+
+  /** Whether nothing of a connection waits; otherwise it waits its turn. */
+  private isAllParsed(c: Connection): boolean {
+    if (c.held === undefined) return true;
+    this.wait(c);
+    this.enqueue(c);
+    return false;
+  }
+
+  /** Parses what has just arrived, unless the connection or this turn has used much time. */
+  private parseAtOnce(c: Connection): void {
+    const from = this.clk.steady();
+    if (recentUse.classOf(c.use, from) > 0) return;
+    this.beginTurn();
+    const mostMs = this.hasAccepted ? AT_ONCE_ACCEPTING_MS : AT_ONCE_MS;
+    for (let n = 0; n < SLICES_AT_ONCE && this.atOnceMs < mostMs && this.mayParse(c); n++) {
+      const { requests } = c;
+      const tookMs = this.parse(c, slices.SLICE_BYTES) + REQUEST_MS * (c.requests - requests);
+      this.atOnceMs += tookMs;
+      this.charge(c, tookMs);
+    }
+  }
+
+  private charge(c: Connection, ms: number): void {
+    c.use = recentUse.add(c.use, this.clk.steady(), ms);
+  }
+
+  private wait(c: Connection): void {
+    this.waiting.add(c);
+    if (this.waiting.size <= MAX_WAITING) return;
+    const [longest] = this.waiting;
+    if (!longest) return;
+    this.onClosed?.();
+    longest.socket.destroy();
+    this.drop(longest);
+  }
+
+  private drop(c: Connection): void {
+    c.held = undefined;
+    this.waiting.delete(c);
+    this.notifyParsed(c);
+  }
+
+  /** Whether a slice of a connection may be parsed now. */
+  private mayParse({ held, open, socket, latest, unwantedBytes }: Connection): boolean {
+    if (held === undefined || socket.destroyed || socket.isPaused()) return false;
+    if (latest && !latest.complete)
+      return latest.readableFlowing === true || unwantedBytes < UNWANTED_BYTES;
+    return open < MAX_OPEN;
+  }
+
+  /** Parses one slice, of `mostBytes` unless it lies within a body of known length. Returns the ms that it took. */
+  private parse(c: Connection, mostBytes: number): number {
+    const { held, requests } = c;
+    if (!held) return 0;
+    const size = slices.sliceBytes(held, c.bodyBytes, mostBytes);
+    c.held = size < held.length ? held.subarray(size) : undefined;
+    if (this.waiting.delete(c) && c.held) this.waiting.add(c);
+    const isWanted = c.latest?.readableFlowing === true;
+    const from = this.clk.steady();
+    c.push(held.subarray(0, size));
+    const tookMs = this.clk.steady() - from;
+    c.bodyBytes = Math.max(0, c.bodyBytes - size);
+    if (!isWanted && c.requests === requests) c.unwantedBytes += size;
+    if (c.held === undefined) this.notifyParsed(c);
+    return tookMs;
+  }
+
+  private notifyParsed(c: Connection): void {
+    const { afterParsed } = c;
+    c.afterParsed = undefined;
+    afterParsed?.();
+  }
+
+  /** Parses what waits of a connection in one of the next turns, if it may be parsed now. */
+  private continue(c: Connection): void {
+    if (c.held !== undefined) this.enqueue(c);
+  }
+
+  private enqueue(c: Connection): void {
+    if (c.isQueued || !this.mayParse(c)) return;
+    c.isQueued = true;
+    this.queues[recentUse.classOf(c.use, this.clk.steady())]?.push(c);
+    this.scheduleTurn();
+  }
+
+  /** Notes that something has arrived in this turn, which ends with the next call of immediate callbacks. */
+  private beginTurn(): void {
+    if (this.hasTurnBegun) return;
+    this.hasTurnBegun = true;
+    setImmediate(() => {
+      this.hasTurnBegun = false;
+      this.atOnceMs = 0;
+      if (this.isTurnDue) return;
+      this.hasAccepted = false;
+    });
+  }
+
+  private scheduleTurn(): void {
+    if (this.isTurnDue) return;
+    this.isTurnDue = true;
+    // What a slice has caused runs between two of these callbacks.
+    for (let n = 0; n < SLICES_PER_TURN; n++)
+      setImmediate(() => {
+        this.step(n);
+      });
+  }
+
+  private step(n: number): void {
+    const now = this.clk.steady();
+    if (n === 0) this.turnBeganAt = now;
+    if (this.last) this.charge(this.last.connection, now - this.last.at);
+    this.last = undefined;
+    const most = this.hasAccepted ? SLICES_ACCEPTING : SLICES_PER_TURN;
+    if (n < most && now - this.turnBeganAt < TURN_MS) this.parseNext();
+    if (n < SLICES_PER_TURN - 1) return;
+    this.isTurnDue = false;
+    this.hasAccepted = false;
+    if (this.queues.some((q) => q.length > 0)) this.scheduleTurn();
+  }
+
+  private parseNext(): void {
+    for (;;) {
+      const c = this.queues.find((q) => q.length > 0)?.shift();
+      if (!c) return;
+      c.isQueued = false;
+      if (!this.mayParse(c)) continue;
+      this.charge(c, this.parse(c, slices.SMALL_SLICE_BYTES));
+      this.last = { connection: c, at: this.clk.steady() };
+      this.enqueue(c);
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/test/serving/reading/paced-reader.test.ts
@@ -0,0 +1,129 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
+import * as chai from "chai";
+import * as clock from "../../../src/host/clock.js";
+import * as lingeringClose from "../../../src/host/lingering-close.js";
+import * as pacedReader from "../../../src/serving/reading/paced-reader.js";
+
+const { expect } = chai;
+
+const SETTLED_MS = 100;
+const BODY_BYTES = 4_000_000;
+/** Most bytes that a server may read of a connection that it has closed. */
+const MOST_DISCARDED_BYTES = 400_000;
+
+/** A server that is read by a paced reader, and a raw client of it. */
+async function open(handle: http.RequestListener) {
+  const server = http.createServer(handle);
+  const reader = new pacedReader.PacedReader(clock.system);
+  reader.install(server);
+  lingeringClose.install(server);
+  const accepted: net.Socket[] = [];
+  server.on("connection", (socket) => accepted.push(socket));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const connect = (): net.Socket => net.connect(port, "127.0.0.1").on("error", () => undefined);
+  return {
+    reader,
+    accepted,
+    connect,
+    stop: (): void => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+const call = (n: number): string => `GET /${n} HTTP/1.1\r\nhost: a\r\n\r\n`;
+const calls = (count: number): string => Array.from({ length: count }, (_, n) => call(n)).join("");
+
+describe("a paced reader", () => {
+  // Guards against requests sent ahead that take the memory of the process.
+  it("opens a few requests of a connection at a time, and each of them in the end", async () => {
+    const waiting: http.ServerResponse[] = [];
+    const urls: string[] = [];
+    const { connect, reader, stop } = await open((req, res) => {
+      urls.push(req.url ?? "");
+      waiting.push(res);
+    });
+    const client = connect().resume();
+    client.write(calls(100));
+    await timers.setTimeout(SETTLED_MS);
+    expect(waiting).length(pacedReader.MAX_OPEN);
+    expect(reader.waitingCount).equal(1);
+    while (urls.length < 100 || waiting.length > 0) {
+      waiting.shift()?.end();
+      await timers.setImmediate();
+    }
+    expect(urls).deep.equal(Array.from({ length: 100 }, (_, n) => `/${n}`));
+    expect(reader.waitingCount).equal(0);
+    client.destroy();
+    stop();
+  });
+
+  // Guards against chunks of a byte that are kept as an object each while their request waits.
+  it("parses little of a body before it is wanted, and then all", async () => {
+    const requests: http.IncomingMessage[] = [];
+    const { connect, stop } = await open((req) => requests.push(req));
+    const client = connect();
+    client.write(
+      `POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${"1\r\nx\r\n".repeat(9000)}0\r\n\r\n`,
+    );
+    await timers.setTimeout(SETTLED_MS);
+    const [req] = requests;
+    expect(req?.readableLength).below(2000);
+    let bytes = 0;
+    req?.on("data", (part: Buffer) => (bytes += part.length));
+    await new Promise((resolve) => req?.once("end", resolve));
+    expect(bytes).equal(9000);
+    client.destroy();
+    stop();
+  });
+
+  // Guards against refused bodies that are read at full speed.
+  it("reads little of a connection that is being closed, and still sees its end", async () => {
+    const { connect, accepted, stop } = await open((_req, res) => {
+      res.writeHead(413, { connection: "close" }).end();
+    });
+    const client = connect();
+    let text = "";
+    client.on("data", (part: Buffer) => (text += part.toString()));
+    client.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`);
+    client.write(Buffer.alloc(BODY_BYTES));
+    await timers.setTimeout(SETTLED_MS);
+    const [socket] = accepted;
+    expect(text).match(/^HTTP\/1\.1 413 /);
+    expect(socket?.bytesRead).below(MOST_DISCARDED_BYTES);
+    const small = connect().resume();
+    small.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\n`);
+    await timers.setTimeout(SETTLED_MS);
+    small.end("abcde");
+    await timers.setTimeout(SETTLED_MS);
+    expect(accepted[1]?.destroyed).equal(true);
+    client.destroy();
+    stop();
+  });
+
+  // Guards against one connection that occupies the event loop.
+  it("reads a connection that has used little before one that has used much", async () => {
+    const order: string[] = [];
+    const { connect, stop } = await open((req, res) => {
+      order.push(req.headers.host ?? "");
+      for (const until = performance.now() + 2; performance.now() < until;);
+      res.end();
+    });
+    const busy = connect().resume();
+    busy.write(calls(400));
+    await timers.setTimeout(SETTLED_MS);
+    const before = order.length;
+    const calm = connect().resume();
+    calm.write("GET / HTTP/1.1\r\nhost: calm\r\n\r\n");
+    await new Promise((resolve) => calm.once("data", resolve));
+    expect(order.indexOf("calm") - before).below(20);
+    expect(order.length).below(400);
+    busy.destroy();
+    calm.destroy();
+    stop();
+  });
+});
