Limit callers' connections, so that descriptors are left for the store, workers and other daemons

Callers saw: 70 of 93 ordinary calls served, 23 connections reset, while a client holds 4,300 connections open and sends nothing. In such trials connects to the store failed with EMFILE, readiness failed, and a lease may have lapsed. Cause: callers' connections could take all descriptors of the process. Change: callers' connections are at most three quarters of the descriptors that the settings state (`limits.maxFds`; 3,072 where they don't), readiness checks 64. For a new one the connection is closed that is missed least: one that has brought nothing, then one without a request, then one whose body still arrives, each time the one that has been so for longest. If all wait for responses, the new one is closed. No request that may run is ended. `sumacfield_connections_closed_total` counts them; one log line per episode. Ways weighed: closing the new connection always (ordinary callers can't connect for as long as the crowd stays); a limit per address (all callers of a balancer share one). Why it works: what the process itself needs is out of callers' reach, and new callers take the places of connections that do nothing.

--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -8,6 +8,7 @@
 import * as clock from "../host/clock.js";
 import * as lingeringClose from "../host/lingering-close.js";
 import * as responses from "../host/response.js";
+import * as connectionLimit from "./reading/connection-limit.js";
 import * as pacedReader from "./reading/paced-reader.js";
 
 /** Bytes of headers that the server parses at most; the configuration's limit is lower. */
@@ -18,6 +19,8 @@
 const KEEP_ALIVE_MS = 15_000;
 /** Listen backlog, in connections: as many as all callers of a site open in one second. */
 const BACKLOG = 1024;
+/** Connections that may be open, until the settings are read. */
+const MAX_CONNECTIONS = 1024;
 /** Requests that wait at most for the daemon to start; further ones get a 503 with a retry time. */
 const MAX_WAITING = 512;
 
@@ -28,6 +31,7 @@
   readonly server: http.Server;
   /** Reads the server's connections. */
   readonly reader: pacedReader.PacedReader;
+  readonly connections: connectionLimit.ConnectionLimit;
   /** Passes the waiting requests and all later ones to `handler`. */
   readonly setHandler: (handler: Handler) => void;
 }
@@ -55,12 +59,15 @@
   server.maxHeadersCount = 0;
   const reader = new pacedReader.PacedReader(clock.system);
   reader.install(server);
+  const connections = new connectionLimit.ConnectionLimit(MAX_CONNECTIONS);
+  connections.install(server);
   lingeringClose.install(server);
   responses.onUnreadableRequest(server, unreadableRefusal);
   await addresses.listen(server, address, BACKLOG);
   return {
     server,
     reader,
+    connections,
     setHandler: (h) => {
       handler = h;
       // A request whose caller has disconnected must not be served: its work would never be cancelled.
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -25,6 +25,7 @@
 import * as streamAge from "./continuation/stream-age.js";
 import * as streamLog from "./continuation/stream-log.js";
 import * as metrics from "./metrics.js";
+import * as connectionLimit from "./reading/connection-limit.js";
 import type * as pacedReader from "./reading/paced-reader.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
@@ -57,6 +58,8 @@
   readonly retries: retryBudget.Options;
   /** Bytes buffered for callers over all connections, from 1 MB to 1 GB. */
   readonly memoryBudgetBytes: number;
+  /** Connections of callers that may be open at the same time. */
+  readonly maxConnections: number;
   /** Write calls that the store takes a second from all daemons together. */
   readonly storeWritesPerS: number;
   /** Address of the endpoint daemon that manages an endpoint. */
@@ -79,6 +82,9 @@
 /** Milliseconds before the kill at which the remaining requests are aborted. */
 const ABORT_BEFORE_KILL_MS = 300;
 
+/** Connections of readiness checks that may be open at the same time; the load balancer needs one or two. */
+const MAX_READINESS_CONNECTIONS = 64;
+
 /** A running daemon. */
 export interface Running {
   /** Shuts down gracefully, within the grace period. */
@@ -257,7 +263,7 @@
     log: deps.log("memory"),
     metrics: daemonMetrics,
   });
-  callerGuard.install(deps.listener, {
+  callerGuard.install(deps.listener, opts.maxConnections, {
     clock: deps.clock,
     log: deps.log("front"),
     metrics: daemonMetrics,
@@ -279,6 +285,11 @@
   daemonMetrics.addGauge("sumacfield_requests_open", "Requests under way.", () =>
     callers.inFlight(),
   );
+  daemonMetrics.addGauge(
+    "sumacfield_caller_connections",
+    "Open connections of callers.",
+    () => deps.listener.connections.size,
+  );
   daemonMetrics.addGauge(
     "sumacfield_connections_waiting",
     "Connections with bytes that were read and wait to be parsed.",
@@ -409,6 +420,7 @@
     res.end();
   });
   reader.install(server);
+  new connectionLimit.ConnectionLimit(MAX_READINESS_CONNECTIONS).install(server);
   await addresses.listen(server, address);
   return server;
 }
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -46,8 +46,8 @@
 /** Whether a stream goes on at the software version that began it, as far as this host knows. */
 export type ContinuationMatch = "same" | "other" | "unknown";
 
-/** Why a caller's connection was closed: too many have bytes that wait to be parsed. */
-export type ClosedReason = "waiting";
+/** Why a caller's connection was closed: too many are open, or too many have bytes that wait to be parsed. */
+export type ClosedReason = "connections" | "waiting";
 
 /** By what a send counts as answered, not run or unknown. */
 export interface SendEvidence {
--- a/src/serving/reading/caller-guard.ts
+++ b/src/serving/reading/caller-guard.ts
@@ -1,5 +1,5 @@
 /**
- * Logs and counts what the limits of a listener do.
+ * Sets the limits of a listener by the daemon's settings, and logs and counts what they do.
  * @module
  */
 import type * as earlyListener from "../early-listener.js";
@@ -10,8 +10,20 @@
   readonly metrics: Pick<metrics.Metrics, "recordClosedConnection">;
 }
 
-/** Reports connections of a listener that are closed from now on. */
-export function install({ reader }: Pick<earlyListener.EarlyListener, "reader">, deps: Deps): void {
+/** Limits a listener to `maxConnections`, and reports connections that are closed from now on. */
+export function install(
+  { reader, connections }: Pick<earlyListener.EarlyListener, "reader" | "connections">,
+  maxConnections: number,
+  deps: Deps,
+): void {
+  const overLimit = new episode.Episode(
+    {
+      begins: "Callers have too many connections open; some are closed for new ones.",
+      ends: "Callers no longer have too many connections open.",
+      fields: { maxConnections },
+    },
+    deps,
+  );
   const waiting = new episode.Episode(
     {
       begins: "Too many connections wait to be read; some are closed.",
@@ -19,6 +31,11 @@
     },
     deps,
   );
+  connections.max = maxConnections;
+  connections.onClosed = () => {
+    overLimit.record();
+    deps.metrics.recordClosedConnection("connections");
+  };
   reader.onClosed = () => {
     waiting.record();
     deps.metrics.recordClosedConnection("waiting");
--- /dev/null
+++ b/src/serving/reading/connection-limit.ts
@@ -0,0 +1,101 @@
+/**
+ * Bounds a server's connections, so that descriptors are left for the store, workers and other daemons, and closes the ones that are
+ * missed least when new ones come.
+ * @module
+ */
+import type * as http from "node:http";
+import type * as net from "node:net";
+
+/** What a connection is doing. */
+export type Activity =
+  /** It has brought nothing. */
+  | "silent"
+  /** No request is open on it. */
+  | "idle"
+  /** The body of its latest request arrives. */
+  | "receiving"
+  /** It waits for a response, or takes one. */
+  | "busy";
+
+/** In which order connections are closed for new ones. Busy ones are not: their requests may run. */
+const CLOSED_FIRST: readonly Activity[] = ["silent", "idle", "receiving"];
+
+/**
+ * The connection to be closed for a new one: of the activity that goes first, the one that has had it for the longest time.
+ * `connections` come in that order. Undefined if all are busy.
+ */
+export function toClose<T>(
+  connections: Iterable<T>,
+  activityOf: (connection: T) => Activity,
+): T | undefined {
+  let best: { readonly connection: T; readonly order: number } | undefined;
+  for (const connection of connections) {
+    const order = CLOSED_FIRST.indexOf(activityOf(connection));
+    if (order < 0 || (best && best.order <= order)) continue;
+    best = { connection, order };
+    if (order === 0) break;
+  }
+  return best?.connection;
+}
+
+/** Open requests of one connection, and the latest. */
+interface State {
+  open: number;
+  latest: http.IncomingMessage | undefined;
+}
+
+/** Keeps the number of a server's connections below a limit. */
+export class ConnectionLimit {
+  /** The connections, the one whose activity has changed longest ago first. */
+  private readonly states = new Map<net.Socket, State>();
+  /** Called when a connection is closed for a new one, or a new one because all others are busy. */
+  onClosed: (() => void) | undefined;
+
+  /** Allows `max` connections at the same time. */
+  constructor(public max: number) {}
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.states.size;
+  }
+
+  /** Limits all later connections of a server. */
+  install(server: http.Server): void {
+    server.on("connection", (socket) => {
+      if (this.states.size >= this.max) this.makeRoom(socket);
+      if (socket.destroyed) return;
+      this.states.set(socket, { open: 0, latest: undefined });
+      socket.once("close", () => {
+        this.states.delete(socket);
+      });
+    });
+    server.prependListener("request", (req, res) => {
+      const s = this.states.get(req.socket);
+      if (!s) return;
+      s.open++;
+      s.latest = req;
+      this.renew(req.socket, s);
+      res.once("close", () => {
+        s.open--;
+        this.renew(req.socket, s);
+      });
+    });
+  }
+
+  private makeRoom(newest: net.Socket): void {
+    const closed = toClose(this.states.keys(), (s) => this.activityOf(s)) ?? newest;
+    this.states.delete(closed);
+    closed.destroy();
+    this.onClosed?.();
+  }
+
+  private activityOf(socket: net.Socket): Activity {
+    const s = this.states.get(socket);
+    if (!s || s.open === 0) return socket.bytesRead === 0 ? "silent" : "idle";
+    return s.latest?.complete === false ? "receiving" : "busy";
+  }
+
+  private renew(socket: net.Socket, s: State): void {
+    if (this.states.delete(socket)) this.states.set(socket, s);
+  }
+}
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -109,6 +109,14 @@
     expect(() => withBounds("  quotaSlack: -1")).throw(/bounds\.quotaSlack/);
   });
 
+  it("limit callers' connections to three quarters of the host's descriptors", () => {
+    const ofHost = (limits: string): number =>
+      settings.parse(`${SETTINGS}${limits}`, "file").maxConnections;
+    expect(ofHost("")).equal(3072);
+    expect(ofHost("limits:\n  maxFds: 2212\n")).equal(1659);
+    expect(() => ofHost("limits:\n  maxFds: -1\n")).throw(/limits\.maxFds/);
+  });
+
   it("set the memory budget to a quarter of the host's memory, or as named, and only within its range", () => {
     const ofHost = (limits: string): number =>
       settings.parse(`${SETTINGS}${limits}`, "file").memoryBudgetBytes / 1_048_576;
--- a/test/platform/unruly-clients.test.ts
+++ b/test/platform/unruly-clients.test.ts
@@ -52,6 +52,7 @@
   ["slow bodies", 1500, "a route"],
   ["half a body", 300, "a route"],
   ["answers not read", 200, "a route"],
+  ["no byte", 4300, "no route"],
   ["connections that end at once", 100, "no route"],
 ];
 
