Read and limit callers' connections of the vLLM way's entry daemon likewise

The reader and the limit of connections are moved to src/host/reading, since both ways to run use them, and the entry daemon of the other way (src/entry) uses them too: eight requests of a connection at most are open, its connections are read in turn, and `--caller-connections` (3,072) bounds their number. Found by reading: its server had the same cause as the one that ended (all that a read has brought is parsed and handled). It wasn't played as a process here; its tests are of one process: 500 requests sent ahead are answered each, in order, and 55 tests of requests, connections and daemons pass.

--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -44,6 +44,10 @@
     help: "Largest number of requests in flight on this host.",
     default: "4096",
   }),
+  callerConnections: settings.int("callerConnections", 1, {
+    help: "Largest number of callers' connections; for more, those without a request are closed.",
+    default: "3072",
+  }),
   connections: settings.int("connections", 1, {
     help: "Largest number of connections to one endpoint daemon.",
     default: "512",
@@ -189,6 +193,7 @@
       deadlineMs: cfg.deadlineMs,
       maxRequestBytes: cfg.requestLimit,
       maxInFlight: cfg.requests,
+      maxConnections: cfg.callerConnections,
       headersTimeoutMs: cfg.headersMs,
       requestTimeoutMs: cfg.requestMs,
       retryAfterMs: cfg.retryAfterMs,
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -12,6 +12,8 @@
 import * as errors from "../host/errors.js";
 import * as lingeringClose from "../host/lingering-close.js";
 import * as log from "../host/log.js";
+import * as connectionLimit from "../host/reading/connection-limit.js";
+import * as pacedReader from "../host/reading/paced-reader.js";
 import * as responses from "../host/response.js";
 import type * as statsdMetrics from "../host/statsd-metrics.js";
 import * as body from "../link/body.js";
@@ -34,6 +36,8 @@
   readonly maxRequestBytes: number;
   /** Largest number of requests in flight on this host; bounds its memory. */
   readonly maxInFlight: number;
+  /** Largest number of open connections. */
+  readonly maxConnections: number;
   /** Timeout for receiving the headers of a request, in ms. */
   readonly headersTimeoutMs: number;
   /** Timeout for receiving a whole request, in ms. */
@@ -95,6 +99,8 @@
   );
   // Heads are limited by their bytes. Node.js drops fields beyond a number of its own without an error.
   server.maxHeadersCount = 0;
+  new pacedReader.PacedReader(deps.clock).install(server);
+  new connectionLimit.ConnectionLimit(opts.maxConnections).install(server);
   lingeringClose.install(server, deps.clock);
   responses.onUnreadableRequest(server, body.unreadableRefusal);
   return server;
--- a/src/serving/reading/episode.ts
+++ b/src/host/reading/episode.ts
@@ -2,8 +2,8 @@
  * Logs what happens many times in a row once when it begins, and once when it has ended, with how often it happened.
  * @module
  */
-import type * as clock from "../../host/clock.js";
-import type * as structuredLog from "../../host/structured-log.js";
+import type * as clock from "../clock.js";
+import type * as structuredLog from "../structured-log.js";
 
 /** Milliseconds without an occurrence after which an episode has ended. */
 const CALM_MS = 5000;
--- a/src/serving/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -6,7 +6,7 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
-import type * as clock from "../../host/clock.js";
+import type * as clock from "../clock.js";
 import * as recentUse from "./recent-use.js";
 import * as slices from "./slices.js";
 
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -8,8 +8,8 @@
 import * as clock from "../host/clock.js";
 import * as lingeringClose from "../host/lingering-close.js";
 import * as responses from "../host/response.js";
-import * as connectionLimit from "./reading/connection-limit.js";
-import * as pacedReader from "./reading/paced-reader.js";
+import * as connectionLimit from "../host/reading/connection-limit.js";
+import * as pacedReader from "../host/reading/paced-reader.js";
 
 /** Bytes of headers that the server parses at most; the configuration's limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
--- a/test/malformed-requests.test.ts
+++ b/test/malformed-requests.test.ts
@@ -34,6 +34,15 @@
     expect((await s.ask("captions@1", { tokens: 1 })).status).equal(200);
   };
 
+  // Guards against requests that are lost while those before them on their connection wait.
+  it("answer each of many requests that are sent ahead", async () => {
+    const { callersAddress = "" } = s.entries[0] ?? {};
+    const ahead = Buffer.from("GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n".repeat(500));
+    const text = await sendRaw(callersAddress, ahead, 1000);
+    expect(text.split("HTTP/1.1 200 OK").length - 1).equal(500);
+    await expectHealthy();
+  });
+
   it("answer any body with a complete error object", async () => {
     const body = fc.oneof(
       fc.json(),
--- a/test/serving/reading/connection-limit.test.ts
+++ b/test/reading/connection-limit.test.ts
@@ -3,7 +3,7 @@
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
 import * as fc from "fast-check";
-import * as connectionLimit from "../../../src/serving/reading/connection-limit.js";
+import * as connectionLimit from "../../src/host/reading/connection-limit.js";
 
 const { expect } = chai;
 
--- a/test/serving/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -2,9 +2,9 @@
 import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
-import * as clock from "../../../src/host/clock.js";
-import * as lingeringClose from "../../../src/host/lingering-close.js";
-import * as pacedReader from "../../../src/serving/reading/paced-reader.js";
+import * as clock from "../../src/host/clock.js";
+import * as lingeringClose from "../../src/host/lingering-close.js";
+import * as pacedReader from "../../src/host/reading/paced-reader.js";
 
 const { expect } = chai;
 
--- a/test/serving/reading/recent-use.test.ts
+++ b/test/reading/recent-use.test.ts
@@ -1,6 +1,6 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
-import * as recentUse from "../../../src/serving/reading/recent-use.js";
+import * as recentUse from "../../src/host/reading/recent-use.js";
 
 const { expect } = chai;
 
--- a/test/serving/reading/slices.test.ts
+++ b/test/reading/slices.test.ts
@@ -1,6 +1,6 @@
 import * as chai from "chai";
 import * as fc from "fast-check";
-import * as slices from "../../../src/serving/reading/slices.js";
+import * as slices from "../../src/host/reading/slices.js";
 
 const { expect } = chai;
 
