Charge a request of a caller's connection with more of its cost, and read less of a new connection at once

Callers saw: beside heads of 2,400 fields from 800 connections 58 of 123 ordinary calls served, beside crowds whose connections are new each time. Cause: a new connection had four slices, and so four requests, read at once, and a request was charged with a fifth of a millisecond, less than it takes once it is routed. Change: two slices (a head and its body), and half a millisecond.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -13,7 +13,7 @@
 /** Requests of one connection that are open at most; clients that send ahead send fewer. */
 export const MAX_OPEN = 8;
 /** Slices of one connection that are parsed as soon as they arrive; a request takes one or two. */
-const SLICES_AT_ONCE = 4;
+const SLICES_AT_ONCE = 2;
 /** Bytes of a body that are parsed before its reader wants them. */
 const UNWANTED_BYTES = 4096;
 /** Milliseconds of one turn of the event loop after which what arrives has to wait its turn, too. */
@@ -26,7 +26,7 @@
 /** Milliseconds of a turn after which no further slice of them is parsed. */
 const TURN_MS = 2;
 /** Milliseconds that a request costs at least beside the parsing of its bytes. */
-const REQUEST_MS = 0.2;
+const REQUEST_MS = 0.5;
 /** Connections with bytes that wait; of more, the one that has waited longest is closed. */
 const MAX_WAITING = 256;
 /** Bytes that are read and discarded of a connection of which this side has ended. */
