--- a/bench/red/main.ts
+++ b/bench/red/main.ts
@@ -12,6 +12,7 @@
 import * as hedgingSwitches from "./hedging-switches.js";
 import * as limiterSwitches from "./limiter-switches.js";
 import * as pacingSwitches from "./pacing-switches.js";
+import * as readingSwitches from "./reading-switches.js";
 import * as servingSwitches from "./serving-switches.js";
 import * as sharingSwitches from "./sharing-switches.js";
 import * as soakSwitches from "./soak-switches.js";
@@ -105,6 +106,7 @@
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
   ...spreadSwitches.SPREAD_SWITCHES,
+  ...readingSwitches.READING_SWITCHES,
 ];
 const wanted = all.filter((s) => s.name.includes(process.argv[2] ?? ""));
 const queue = [...wanted.entries()];
--- /dev/null
+++ b/bench/red/reading-switches.ts
@@ -0,0 +1,79 @@
+/**
+ * Mechanisms of reading callers' connections, each with the test that fails without it.
+ * @module
+ */
+import type * as switches from "./switches.js";
+
+export const READING_SWITCHES: readonly switches.Switch[] = [
+  {
+    name: "reading: a slice holds one head at most",
+    file: "host/reading/slices.js",
+    find: "return end < 0 ? window.length : end + HEAD_END.length;",
+    put: "return window.length;",
+    proof: "hold one head at most",
+  },
+  {
+    name: "reading: few requests of a connection are open",
+    file: "host/reading/paced-reader.js",
+    find: "return open < MAX_OPEN;",
+    put: "return true;",
+    proof: "opens a few requests of a connection at a time, and each of them in the end",
+  },
+  {
+    name: "reading: little of a body is parsed before it is wanted",
+    file: "host/reading/paced-reader.js",
+    find: "unwantedBytes < UNWANTED_BYTES",
+    put: "true",
+    proof: "parses little of a body before it is wanted, and then all",
+  },
+  {
+    name: "reading: little is read of a connection that is being closed",
+    file: "host/reading/paced-reader.js",
+    find: "return c.discardedBytes < MAX_DISCARD_BYTES;",
+    put: "return true;",
+    proof: "reads little of a connection that is being closed, and still sees its end",
+  },
+  {
+    name: "reading: connections without a byte are closed for new ones",
+    file: "host/reading/connection-limit.js",
+    find: "if (this.states.size >= this.max)",
+    put: "if (false)",
+    proof:
+      "closes connections that have brought nothing for new ones, and not those with a request",
+  },
+  {
+    name: "reading: no connection that waits for a response is closed",
+    file: "host/reading/connection-limit.js",
+    find: 'const CLOSED_FIRST = ["silent", "idle", "receiving"];',
+    put: 'const CLOSED_FIRST = ["silent", "idle", "receiving", "busy"];',
+    proof: "refuses a new connection if all others wait for responses",
+  },
+  {
+    name: "reading: the fields of heads count as memory",
+    file: "serving/buffering/hold.js",
+    find: "if (!this.owner.mayHoldHead(bytes))",
+    put: "if (false)",
+    proof: "comes too late where the memory budget has no room for the fields of its head",
+  },
+  {
+    name: "reading: all fields of a head are kept",
+    file: "serving/early-listener.js",
+    find: "server.maxHeadersCount = 0;",
+    put: "",
+    proof: "keeps all fields of a head",
+  },
+  {
+    name: "lag: probes bound the wait to be accepted",
+    file: "serving/overload/accept-queue.js",
+    find: "since: Math.max(run.since, sentAt)",
+    put: "since: run.since",
+    proof: "stays small while every turn accepts a connection that has just arrived",
+  },
+  {
+    name: "lag: no refusals that gain nothing",
+    file: "serving/overload/served-part.js",
+    find: "const LEAST_PART = 0.05;",
+    put: "const LEAST_PART = 0;",
+    proof: "do not help if few of the connections bring a request that is served",
+  },
+];
--- a/test/red.test.ts
+++ b/test/red.test.ts
@@ -3,6 +3,7 @@
 import * as answerSwitches from "../bench/red/answer-switches.js";
 import * as continuationSwitches from "../bench/red/continuation-switches.js";
 import * as limiterSwitches from "../bench/red/limiter-switches.js";
+import * as readingSwitches from "../bench/red/reading-switches.js";
 import * as servingSwitches from "../bench/red/serving-switches.js";
 import * as sharingSwitches from "../bench/red/sharing-switches.js";
 import * as soakSwitches from "../bench/red/soak-switches.js";
@@ -22,6 +23,7 @@
   ...sharingSwitches.SHARING_SWITCHES,
   ...storeSwitches.STORE_SWITCHES,
   ...soakSwitches.SOAK_SWITCHES,
+  ...readingSwitches.READING_SWITCHES,
 ];
 
 describe("a switch that turns a mechanism off", () => {
--- a/test/serving/early-listener.test.ts
+++ b/test/serving/early-listener.test.ts
@@ -1,3 +1,4 @@
+import type * as http from "node:http";
 import * as net from "node:net";
 import * as chai from "chai";
 import * as clock from "../../src/host/clock.js";
@@ -32,4 +33,22 @@
     waiting.destroy();
     listener.server.close();
   });
+
+  // Guards against an id, a key or a deadline that is dropped because of the number of fields before it.
+  it("keeps all fields of a head", async () => {
+    const listener = await earlyListener.open("127.0.0.1:0");
+    const seen: http.IncomingMessage[] = [];
+    listener.setHandler((req, res) => {
+      seen.push(req);
+      res.end();
+    });
+    const { port } = listener.server.address() as net.AddressInfo;
+    const socket = net.connect(port, "127.0.0.1");
+    socket.write(`GET /x HTTP/1.1\r\nHost: a\r\n${"1:\r\n".repeat(3000)}Last: field\r\n\r\n`);
+    await clock.sleep(clock.system, 100);
+    expect(seen[0]?.headers.last).equal("field");
+    expect(seen[0]?.rawHeaders).length(2 * 3002);
+    socket.destroy();
+    listener.server.close();
+  });
 });
