Count what waits to be parsed in bytes, not in connections

Found by reading: of more than 256 connections with bytes that wait, the longest waiting was closed. Sound callers meet that where many wait for a host to start, each with a body of more than 4 KB. Change: 16 MB over all connections, at least 16 KB for each since the kernel holds more for it; flooding connections reach that at 256 as before, those with small rests at 1,024. The latest request of a connection is let go once it has ended.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -27,8 +27,10 @@
 const TURN_MS = 2;
 /** Milliseconds that a request costs at least beside the parsing of its bytes. */
 const REQUEST_MS = 0.5;
-/** Connections with bytes that wait; of more, the one that has waited longest is closed. */
-const MAX_WAITING = 256;
+/** Bytes that wait over all connections; while there are more, the connection that has waited longest is closed. */
+const MAX_WAITING_BYTES = 16_777_216;
+/** Bytes that a connection which waits counts for at least, since the kernel holds more for it. */
+const LEAST_WAITING_BYTES = 16_384;
 /** Bytes that are read and discarded of a connection of which this side has ended. */
 const MAX_DISCARD_BYTES = 262_144;
 
@@ -61,8 +63,9 @@
 /** Reads the connections of one or more servers. */
 export class PacedReader {
   private readonly connections = new WeakMap<net.Socket, Connection>();
-  /** Connections with bytes that wait, the one without progress for the longest time first. */
-  private readonly waiting = new Set<Connection>();
+  /** Connections with bytes that wait, the one without progress for the longest time first, and for how many bytes each counts. */
+  private readonly waiting = new Map<Connection, number>();
+  private waitingBytes = 0;
   /** Connections to be parsed in turn, by the class of their use. */
   private readonly queues: readonly Connection[][] = Array.from(
     { length: recentUse.CLASSES },
@@ -161,6 +164,7 @@
     });
     res.once("close", () => {
       c.open--;
+      if (c.latest === req && req.complete) c.latest = undefined;
       this.continue(c);
     });
   }
@@ -208,18 +212,29 @@
   }
 
   private wait(c: Connection): void {
-    this.waiting.add(c);
-    if (this.waiting.size <= MAX_WAITING) return;
-    const [longest] = this.waiting;
-    if (!longest) return;
-    this.onClosed?.();
-    longest.socket.destroy();
-    this.drop(longest);
+    this.recordWaiting(c);
+    while (this.waitingBytes > MAX_WAITING_BYTES) {
+      const [longest] = this.waiting.keys();
+      if (!longest) return;
+      this.onClosed?.();
+      longest.socket.destroy();
+      this.drop(longest);
+    }
+  }
+
+  /** Counts what waits of a connection, which has made progress or begins to wait. */
+  private recordWaiting(c: Connection): void {
+    this.waitingBytes -= this.waiting.get(c) ?? 0;
+    this.waiting.delete(c);
+    if (!c.held) return;
+    const bytes = Math.max(LEAST_WAITING_BYTES, c.held.length);
+    this.waiting.set(c, bytes);
+    this.waitingBytes += bytes;
   }
 
   private drop(c: Connection): void {
     c.held = undefined;
-    this.waiting.delete(c);
+    this.recordWaiting(c);
     this.notifyParsed(c);
   }
 
@@ -237,7 +252,7 @@
     if (!held) return 0;
     const size = slices.sliceBytes(held, c.bodyBytes, mostBytes);
     c.held = size < held.length ? held.subarray(size) : undefined;
-    if (this.waiting.delete(c) && c.held) this.waiting.add(c);
+    if (this.waiting.has(c)) this.recordWaiting(c);
     const isWanted = c.latest?.readableFlowing === true;
     const from = this.clk.steady();
     c.push(held.subarray(0, size));
--- a/test/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -126,4 +126,22 @@
     calm.destroy();
     stop();
   });
+
+  // Guards against the memory of what many connections bring and nobody reads, and against closing those that bring little.
+  it("closes the connections that have waited longest once too many bytes wait", async () => {
+    const { connect, accepted, reader, stop } = await open(() => undefined);
+    let closed = 0;
+    reader.onClosed = () => closed++;
+    const small = connect();
+    small.write(calls(pacedReader.MAX_OPEN + 1));
+    await timers.setTimeout(SETTLED_MS);
+    const clients = Array.from({ length: 400 }, () => connect());
+    for (const client of clients) client.write(calls(8000));
+    for (let i = 0; i < 50 && closed === 0; i++) await timers.setTimeout(SETTLED_MS);
+    expect(accepted[0]?.destroyed).equal(true);
+    expect(closed).above(0);
+    expect(reader.waitingCount).within(100, 400);
+    for (const client of [small, ...clients]) client.destroy();
+    stop();
+  });
 });
