Refuse nothing for the lag either while most requests are refused for another reason

Callers saw: beside other work (load of 15 to 22 on 8 processors), 70 of 97 ordinary calls served next to 20 connections that send small requests ahead at a path without a route; 27 got 503 for the lag. Cause: whether refusals help was judged by accepted connections alone. A client that stays connected brings thousands of requests that are refused with 404; refusing the ordinary ones beside them frees no time. Change: requests read count as well as connections accepted. That the earlier failures come from this alone isn't shown: they didn't recur at a lower load before the change.

--- a/bench/red/reading-switches.ts
+++ b/bench/red/reading-switches.ts
@@ -74,6 +74,6 @@
     file: "serving/overload/served-part.js",
     find: "const LEAST_PART = 0.05;",
     put: "const LEAST_PART = 0;",
-    proof: "do not help if few of the connections bring a request that is served",
+    proof: "do not help if few of what callers bring are requests that are served",
   },
 ];
--- a/src/serving/overload/lag-monitor.ts
+++ b/src/serving/overload/lag-monitor.ts
@@ -100,7 +100,7 @@
   /** To be called when a connection is accepted. */
   recordAccept(socket: net.Socket): void {
     const now = this.deps.clock.mono();
-    this.counts = servedPart.record(this.counts, "accepted", now);
+    this.counts = servedPart.record(this.counts, "brought", now);
     this.run = acceptQueue.recordAccept(this.run, now, loopLag.lagAt(this.beats, now));
     if (this.probes.size > 0) this.recordProbeAccepted(socket);
     if (acceptQueue.isProbeDue(this.run, now)) this.probe(now);
@@ -146,6 +146,7 @@
     const ofLoop = loopLag.lagAt(this.beats, now);
     const accepted = this.accepted.get(socket);
     const ofAccepts = this.run ? acceptQueue.lagAt(this.run, now) : loopLag.NO_LAG;
+    this.counts = servedPart.record(this.counts, "brought", now);
     const doRefusalsHelp = servedPart.isEnough(this.counts, now);
     if (!accepted) {
       const hostLag = larger(ofLoop, ofAccepts);
--- a/test/serving/overload/accept-queue.test.ts
+++ b/test/serving/overload/accept-queue.test.ts
@@ -78,16 +78,16 @@
   });
 });
 
-describe("refusals of a host whose connections wait to be accepted", () => {
-  const counts = (accepted: number, served: number): servedPart.Counts => {
+describe("refusals of a host that is behind", () => {
+  const counts = (brought: number, served: number): servedPart.Counts => {
     let c = servedPart.NONE;
-    for (let i = 0; i < accepted; i++) c = servedPart.record(c, "accepted", 0);
+    for (let i = 0; i < brought; i++) c = servedPart.record(c, "brought", 0);
     for (let i = 0; i < served; i++) c = servedPart.record(c, "served", 0);
     return c;
   };
 
-  // Guards against refusing ordinary requests because of a crowd whose connections bring none.
-  it("do not help if few of the connections bring a request that is served", () => {
+  // Guards against refusing ordinary requests because of a crowd that brings none that is served.
+  it("do not help if few of what callers bring are requests that are served", () => {
     expect(servedPart.isEnough(counts(1000, 20), 0)).equal(false);
     expect(servedPart.isEnough(counts(1000, 300), 0)).equal(true);
     expect(servedPart.isEnough(servedPart.NONE, 0)).equal(true);
