Count the ends of connections among what callers bring

Cause: whether refusals help was judged by connections accepted and requests read. The ends of many connections take the loop's time as well, and refusing requests does not shorten that. Change: the end of a connection counts like its beginning.

--- a/src/serving/overload/lag-monitor.ts
+++ b/src/serving/overload/lag-monitor.ts
@@ -101,6 +101,10 @@
   recordAccept(socket: net.Socket): void {
     const now = this.deps.clock.mono();
     this.counts = servedPart.record(this.counts, "brought", now);
+    // The end of a connection takes time as well, and many may end at once.
+    socket.once("close", () => {
+      this.counts = servedPart.record(this.counts, "brought", this.deps.clock.mono());
+    });
     this.run = acceptQueue.recordAccept(this.run, now, loopLag.lagAt(this.beats, now));
     if (this.probes.size > 0) this.recordProbeAccepted(socket);
     if (acceptQueue.isProbeDue(this.run, now)) this.probe(now);
--- a/src/serving/overload/served-part.ts
+++ b/src/serving/overload/served-part.ts
@@ -5,12 +5,12 @@
  */
 import * as decayingRate from "./decaying-rate.js";
 
-/** Requests served for each connection accepted and request read below which refusals would gain nothing. */
+/** Requests served for each connection accepted or ended and request read below which refusals would gain nothing. */
 const LEAST_PART = 0.05;
 /** Milliseconds over which both are counted. */
 const TIME_CONSTANT_MS = 300;
 
-/** Connections accepted and requests read lately, and requests served. */
+/** Connections accepted and ended and requests read lately, and requests served. */
 export interface Counts {
   readonly brought: decayingRate.Rate;
   readonly served: decayingRate.Rate;
@@ -18,7 +18,7 @@
 
 export const NONE: Counts = { brought: decayingRate.NONE, served: decayingRate.NONE };
 
-/** The counts after a connection is accepted or a request read, or after a request is passed on to be served. */
+/** The counts after a connection is accepted or ended or a request read, or after a request is passed on to be served. */
 export function record(c: Counts, what: keyof Counts, now: number): Counts {
   return { ...c, [what]: decayingRate.record(c[what], now, TIME_CONSTANT_MS) };
 }
