Name what the reader does with the rest of a connection, and tidy what reading the change again found

No behaviour changes. A predicate of the reader enqueued the connection it was asked about; it is named for that now (deferRest). The number of callbacks of a turn used the constant of slices read at once, which is another thing; it has its own, of the same value. A probe of the accept queue takes the run that it belongs to, instead of opening a connection first and then finding that there is none to count it for. A kind of client had a number of which only its presence counted.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -23,6 +23,8 @@
 /** Slices of waiting connections that are parsed at most in one turn, and in one that accepts a connection. */
 const SLICES_PER_TURN = 16;
 const SLICES_ACCEPTING = 1;
+/** Callbacks that a turn schedules for each connection that waits, up to the slices of a turn. */
+const CALLBACKS_PER_CONNECTION = 2;
 /** Milliseconds of a turn after which no further slice of them is parsed. */
 const TURN_MS = 2;
 /** Milliseconds that a request costs at least beside the parsing of its bytes. */
@@ -182,11 +184,11 @@
     }
     c.held = c.held ? Buffer.concat([c.held, chunk]) : chunk;
     this.parseAtOnce(c);
-    return this.isAllParsed(c);
+    return this.deferRest(c);
   }
 
-  /** Whether nothing of a connection waits; otherwise it waits its turn. */
-  private isAllParsed(c: Connection): boolean {
+  /** Lets what is left of a connection wait its turn. Returns whether nothing is. */
+  private deferRest(c: Connection): boolean {
     if (c.held === undefined) return true;
     this.wait(c);
     this.enqueue(c);
@@ -297,7 +299,7 @@
     if (this.isTurnDue) return;
     this.isTurnDue = true;
     const waiting = this.queues.reduce((sum, q) => sum + q.length, 0);
-    const count = Math.min(SLICES_PER_TURN, SLICES_AT_ONCE * waiting);
+    const count = Math.min(SLICES_PER_TURN, CALLBACKS_PER_CONNECTION * waiting);
     // What a slice has caused runs between two of these callbacks.
     for (let n = 0; n < count; n++)
       setImmediate(() => {
--- a/src/serving/caller-guard.ts
+++ b/src/serving/caller-guard.ts
@@ -2,9 +2,9 @@
  * Sets the limits of a listener by the daemon's settings, and logs and counts what they do.
  * @module
  */
+import * as episode from "../host/reading/episode.js";
 import type * as earlyListener from "./early-listener.js";
 import type * as metrics from "./metrics.js";
-import * as episode from "../host/reading/episode.js";
 
 export interface Deps extends episode.Deps {
   readonly metrics: Pick<metrics.Metrics, "recordClosedConnection">;
--- a/src/serving/overload/accept-queue.ts
+++ b/src/serving/overload/accept-queue.ts
@@ -3,7 +3,7 @@
  *
  * Node.js accepts one connection in each turn of the event loop. While every turn accepts one, others may wait behind it;
  * a turn without one shows that none waits. A connection accepted in such an unbroken run arrived after the turn before the
- * run. In a run that lasts, the host connects to itself from time to time: what is accepted between two of these probes arrived between
+ * run. While a run lasts, the host connects to itself from time to time: what is accepted between two of these probes arrived between
  * them, since connections are accepted in the order in which they arrived.
  * @module
  */
--- a/src/serving/overload/lag-monitor.ts
+++ b/src/serving/overload/lag-monitor.ts
@@ -107,7 +107,7 @@
     });
     this.run = acceptQueue.recordAccept(this.run, now, loopLag.lagAt(this.beats, now));
     if (this.probes.size > 0) this.recordProbeAccepted(socket);
-    if (acceptQueue.isProbeDue(this.run, now)) this.probe(now);
+    if (acceptQueue.isProbeDue(this.run, now)) this.probe(this.run, now);
     this.newSockets.push(socket);
     const mostWaitMs = acceptQueue.mostWaitMs(this.run, now);
     if (mostWaitMs > loopLag.NORMAL_MS) {
@@ -120,11 +120,11 @@
   }
 
   /** Connects to this host itself, to learn how long connections wait. */
-  private probe(now: number): void {
+  private probe(run: NonNullable<acceptQueue.Run>, now: number): void {
     const socket = this.deps.connect();
-    if (!this.run || !socket) return;
+    if (!socket) return;
     this.probes.set(socket, now);
-    this.run = acceptQueue.recordProbe(this.run, now);
+    this.run = acceptQueue.recordProbe(run, now);
     socket.on("error", (err) => {
       this.deps.log.warn("This host could not connect to itself.", { why: err.message });
       if (this.run) this.run = acceptQueue.recordProbeFailed(this.run, now);
--- a/test/platform/unruly/client.ts
+++ b/test/platform/unruly/client.ts
@@ -59,7 +59,7 @@
     socket.on("data", (part: Buffer) => {
       for (const [, status = ""] of part.toString("latin1").matchAll(/HTTP\/1\.1 (\d{3}) /g))
         answers[status] = (answers[status] ?? 0) + 1;
-      if (kind.endsAfter !== undefined) socket.destroy();
+      if (kind.endsAtOnce) socket.destroy();
       else if (kind.waits) repeat();
     });
   else socket.pause();
--- a/test/platform/unruly/kinds.ts
+++ b/test/platform/unruly/kinds.ts
@@ -21,8 +21,8 @@
   readonly waits?: true;
   /** Whether it reads the answers. */
   readonly reads: boolean;
-  /** Bytes after which it ends a connection; undefined if it never does. */
-  readonly endsAfter?: number;
+  /** Whether it ends a connection with the first bytes of an answer. */
+  readonly endsAtOnce?: true;
 }
 
 /** Bytes of the largest body, by the configuration of the site. */
@@ -129,7 +129,7 @@
   "connections that end at once": {
     first: (door) => head(door, "GET", ""),
     reads: true,
-    endsAfter: 1,
+    endsAtOnce: true,
   },
 } as const satisfies Readonly<Record<string, Kind>>;
 
