Log and count requests that are cut off when their host ends

On call, nothing told which requests of a stopping host ended without an answer: breaking their responses off was followed by the exit, and the line of a request that ends so is written later or never. Now a line for each is written before the exit, with the attempt, what of its answer was sent, when and why the close of its connection was decided, and what was unparsed and unsent; a counter beside it. No other behaviour changes.

--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -104,8 +104,8 @@
 export class CallerServer {
   private readonly server: http.Server;
   private draining = false;
-  /** Responses to the requests in flight. */
-  private readonly open = new Set<http.ServerResponse>();
+  /** Responses to the requests in flight, with the ids of the attempts that are known. */
+  private readonly open = new Map<http.ServerResponse, string | undefined>();
   private onIdle: (() => void) | undefined;
   private readonly lagMonitor: lagMonitor.LagMonitor;
   private readonly meter: callerMeter.CallerMeter;
@@ -156,7 +156,7 @@
   /** Closes each kept-alive connection after its next responses, so that its caller connects to another host. */
   startDraining(): void {
     this.draining = true;
-    for (const { req } of this.open) this.connections.closeAfterOpen(req.socket);
+    for (const { req } of this.open.keys()) this.connections.closeAfterOpen(req.socket);
   }
 
   /** Stops accepting connections, and resolves once the last request has ended and callers could read its response. */
@@ -175,9 +175,20 @@
     await Promise.race([closed, clock.sleep(this.deps.clock, lingeringClose.LINGER_MS)]);
   }
 
-  /** Breaks off all responses that are not complete. */
+  /** Breaks off all responses that are not complete, because the process ends. */
   breakOff(): void {
-    responses.breakOffAll(this.open);
+    for (const [res, request] of this.open) {
+      if (res.writableFinished) continue;
+      const answer = res.headersSent ? "begun" : "none";
+      this.deps.log.warn("A request was cut off, as the host ends.", {
+        request,
+        path: res.req.url,
+        answer,
+        ...this.connections.describe(res.req.socket),
+      });
+      this.deps.metrics.recordCutOff(answer);
+      responses.breakOff(res);
+    }
   }
 
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
@@ -186,7 +197,7 @@
       req.resume();
       return;
     }
-    this.open.add(res);
+    this.open.set(res, undefined);
     this.lagMonitor.requestOpened();
     this.meter.recordRequest(req.socket);
     res.once("close", () => {
@@ -241,6 +252,7 @@
       return;
     }
     held.identify(admitted.meta.id, admitted.route.rank);
+    if (this.open.has(res)) this.open.set(res, admitted.meta.id);
     const isPollDue = reading.isOld && !isBodyRead;
     const arrival = { req, res, response, held, arrivedAt, readAt, isPollDue };
     const mayHaveRun = await this.serve(arrival, admitted);
@@ -270,7 +282,7 @@
     this.lagMonitor.recordRefusal();
     this.deps.metrics.recordLagRefusal(m.route.rank);
     // Closing while a body arrives would reset the connection, and the caller could not read the refusal.
-    if (req.complete) this.connections.closeAfterOpen(req.socket);
+    if (req.complete) this.connections.closeAfterOpen(req.socket, "overload");
     const leftMs = arrivedAt + Math.min(m.meta.waitMs, m.route.timeoutMs) - this.deps.clock.mono();
     const retryAfterMs = admission.retryAfterMs(hostLag.ms, leftMs);
     return { kind: "refused", status: 503, why, team: m.caller?.team.name, retryAfterMs };
--- a/src/serving/connections/closer.ts
+++ b/src/serving/connections/closer.ts
@@ -5,13 +5,30 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import * as clock from "../../host/clock.js";
 import * as lingeringClose from "../../host/lingering-close.js";
 
+/** Why the close of a connection was decided. */
+export type CloseReason = "stopping" | "overload";
+
+/** How a connection was left, for the log; `unsentBytes` were written and not taken by the kernel. */
+export interface Description {
+  readonly openRequests: number;
+  readonly closeReason: CloseReason | undefined;
+  /** Milliseconds since its close was decided. */
+  readonly closingMs: number | undefined;
+  readonly isAnnounced: boolean;
+  readonly isUnparsed: boolean;
+  readonly unsentBytes: number;
+}
+
 /** State of one connection. */
 interface State {
   /** Responses that have not ended, in the order of their requests. */
   readonly open: Set<http.ServerResponse>;
   isClosing: boolean;
+  /** Monotonic ms at which its close was decided, and why. */
+  closing: { readonly at: number; readonly reason: CloseReason } | undefined;
   /** The response that announces the close. */
   last: http.ServerResponse | undefined;
 }
@@ -23,7 +40,10 @@
 export class Closer {
   private readonly states = new WeakMap<net.Socket, State>();
 
-  constructor(private readonly isUnparsed: IsUnparsed = () => false) {}
+  constructor(
+    private readonly isUnparsed: IsUnparsed = () => false,
+    private readonly clk: Pick<clock.Clock, "mono"> = clock.system,
+  ) {}
 
   /**
    * Takes a request. Returns false if it crosses the close of its connection: its response could not be sent any more, so it
@@ -43,12 +63,26 @@
   }
 
   /** Closes a connection once the responses that are open on it have ended. */
-  closeAfterOpen(socket: net.Socket): void {
+  closeAfterOpen(socket: net.Socket, reason: CloseReason = "stopping"): void {
     const s = this.stateOf(socket);
     s.isClosing = true;
+    s.closing ??= { at: this.clk.mono(), reason };
     this.advance(socket, s);
   }
 
+  /** How a connection stands. */
+  describe(socket: net.Socket): Description {
+    const s = this.stateOf(socket);
+    return {
+      openRequests: s.open.size,
+      closeReason: s.closing?.reason,
+      closingMs: s.closing && Math.round(this.clk.mono() - s.closing.at),
+      isAnnounced: s.last?.headersSent ?? false,
+      isUnparsed: this.isUnparsed(socket, () => undefined),
+      unsentBytes: socket.writableLength,
+    };
+  }
+
   /** Announces the close, or closes if no response is open. Requests that were read are taken before. */
   private advance(socket: net.Socket, s: State): void {
     const again = (): void => {
@@ -62,7 +96,12 @@
   private stateOf(socket: net.Socket): State {
     const known = this.states.get(socket);
     if (known) return known;
-    const created: State = { open: new Set(), isClosing: false, last: undefined };
+    const created: State = {
+      open: new Set(),
+      isClosing: false,
+      closing: undefined,
+      last: undefined,
+    };
     this.states.set(socket, created);
     socket.once("close", () => {
       closeQueued(created);
--- a/src/serving/metrics.ts
+++ b/src/serving/metrics.ts
@@ -109,6 +109,8 @@
   ) => void;
   /** A caller's connection was closed to keep to a limit. */
   readonly recordClosedConnection: (reason: ClosedReason) => void;
+  /** A request was open when the process ended: how much of its answer had been sent. */
+  readonly recordCutOff: (answer: "none" | "begun") => void;
   /** A worker crashed while it ran a request of a service; `verdict` is the one on the request after that crash. */
   readonly recordCrash: (service: string, verdict: suspicion.Verdict["kind"]) => void;
   /** A request for an adapter was sent to an engine of a service, with a granted seat or with none. */
@@ -243,6 +245,11 @@
     "Connections of callers that were closed to keep to a limit, by reason.",
     "reason",
   );
+  const cutOff = counter(
+    "sumacfield_requests_cut_off_total",
+    "Requests that were open when the process ended, by how much of their answer had been sent.",
+    "answer",
+  );
   const crashes = counter(
     "sumacfield_crashed_sends_total",
     "Sends under which a worker crashed, by service and the verdict on the request after the crash.",
@@ -314,6 +321,9 @@
     recordClosedConnection: (reason) => {
       closedConnections.inc({ reason });
     },
+    recordCutOff: (answer) => {
+      cutOff.inc({ answer });
+    },
     recordCrash: (service, verdict) => {
       crashes.inc({ service, verdict });
     },
