Derive reading, taking, announcing and closing of a connection from one state

Callers saw: requests around a SIGTERM ran and their connections ended without an answer. Three ways, each reproduced with a host as a process before this change:

- A stop ended a second after its last open request.
Requests that arrived in that second on connections accepted before, still without a byte or with half a head, were taken, passed on and cut off: 4 of 4 that arrived 2.7 to 3.4 s after the signal, with four seconds of the grace left.
- While bytes of a connection waited to be parsed, a request was taken and the response before it went on announcing the close; Node.js ended the connection behind that one: 9 calls of 40 callers that send three ahead.
- Each further request moved the announcement to itself, without a bound: 3 streams of such callers.

The cause: two modules decided about one connection, each on its own view; the reader what was read and parsed, the closer what was taken and announced, while Node.js decided what was idle. The class: a decision that rests on state which another part changes.

Now there is one state of a connection with explicit steps, pure, from which it follows what is read, which requests are taken, which response announces the close, and when it ends. A stop closes every connection, those without an open request at once, and ends when all have closed, or at the end of the grace. A request of which a part has arrived is refused with 503. After the close is decided a client that sends ahead is read for a second and eight times at most, except for the body that was due. Bytes that are no request, connections that their clients close, both ways to run, and endpoint daemons go through the same state; stops no longer let Node.js destroy connections that close in stages.

The tests of the former modules keep their assertions; only what sets them up has changed.

--- a/bench/red/reading-switches.ts
+++ b/bench/red/reading-switches.ts
@@ -15,7 +15,7 @@
   {
     name: "reading: few requests of a connection are open",
     file: "host/reading/paced-reader.js",
-    find: "return open < MAX_OPEN;",
+    find: "return state.open.length < MAX_OPEN;",
     put: "return true;",
     proof: "opens a few requests of a connection at a time, and each of them in the end",
   },
@@ -29,14 +29,14 @@
   {
     name: "reading: little is read of a connection that is being closed",
     file: "host/reading/paced-reader.js",
-    find: "return c.discardedBytes < MAX_DISCARD_BYTES;",
+    find: "return c.discardedBytes < MAX_DISCARD_BYTES && this.mayRead(c);",
     put: "return true;",
     proof: "reads little of a connection that is being closed, and still sees its end",
   },
   {
     name: "reading: connections without a byte are closed for new ones",
     file: "host/reading/connection-limit.js",
-    find: "if (this.states.size >= this.max)",
+    find: "if (this.sockets.size >= this.max)",
     put: "if (false)",
     proof:
       "closes connections that have brought nothing for new ones, and not those with a request",
--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -260,8 +260,8 @@
   {
     name: "bytes that are no request get an error of the usual shape",
     file: "entry/server.js",
-    find: "responses.onUnreadableRequest(server, body.unreadableRefusal);",
-    put: "",
+    find: "deps.connections.install(server);",
+    put: 'deps.connections.install(server); server.removeAllListeners("clientError");',
     proof: "refuse headers that could smuggle another request",
   },
   {
--- a/src/endpoint/daemon.ts
+++ b/src/endpoint/daemon.ts
@@ -6,9 +6,11 @@
 import type * as objects from "../contract/objects.js";
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
+import * as connections from "../host/connections/connections.js";
 import * as daemon from "../host/daemon.js";
 import * as errors from "../host/errors.js";
 import * as settings from "../host/settings.js";
+import * as body from "../link/body.js";
 import type * as control from "../link/control.js";
 import * as controls from "../link/control.js";
 import * as lease from "../store/lease.js";
@@ -226,11 +228,13 @@
     },
     explain: () => [],
   };
+  const linkConnections = new connections.Connections(clk, body.REFUSALS);
   const link = server.create(
     { name: cfg.name, requestLimit: cfg.requestLimit, answerLimit: cfg.answerLimit },
     {
       clock: clk,
       log: parts.logOf("link"),
+      connections: linkConnections,
       gate: () => current?.gate,
       verify: parts.verify,
       control: controls.serve(cfg.name, handler, parts.verify, parts.traffic),
@@ -291,7 +295,7 @@
       current?.gate.drain();
       await Promise.all([current?.gate.quiet(), clock.sleep(clk, cfg.drainMs)]);
       stop.abort();
-      await daemon.closeServer(link, clk);
+      await linkConnections.stop(link);
       await holder.handOver().catch((err: unknown) => {
         lg.warn(`Handing over the engine failed: ${errors.messageOf(err)}`);
       });
--- a/src/endpoint/server.ts
+++ b/src/endpoint/server.ts
@@ -5,7 +5,7 @@
 import * as http from "node:http";
 import type * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
-import * as lingeringClose from "../host/lingering-close.js";
+import type * as connections from "../host/connections/connections.js";
 import * as log from "../host/log.js";
 import * as responses from "../host/response.js";
 import * as body from "../link/body.js";
@@ -32,6 +32,8 @@
 export interface Deps {
   readonly clock: clock.Clock;
   readonly log: log.Log;
+  /** State of the connections. */
+  readonly connections: connections.Connections;
   /** The admission gate; undefined until the intent with this endpoint is known. */
   readonly gate: () => gate.Gate | undefined;
   readonly verify: ReturnType<typeof keys.createVerifier>;
@@ -49,21 +51,22 @@
 
 /** Creates the server; the caller must call `listen` and `close`. */
 export function create(opts: Options, deps: Deps): http.Server {
-  const server = http.createServer((req, res) => {
-    const path = req.url ?? "";
-    if (path.startsWith(`${wire.CONTROL_PATH}/`)) {
-      void deps.control(req, res);
-      return;
-    }
-    handleAttempt(opts, deps, req, res).catch((err: unknown) => {
-      deps.log.error(`Handling an attempt failed unexpectedly: ${errors.messageOf(err)}`);
-      responses.breakOff(res);
-    });
-  });
+  const server = http.createServer(
+    deps.connections.listener((req, res) => {
+      const path = req.url ?? "";
+      if (path.startsWith(`${wire.CONTROL_PATH}/`)) {
+        void deps.control(req, res);
+        return;
+      }
+      handleAttempt(opts, deps, req, res).catch((err: unknown) => {
+        deps.log.error(`Handling an attempt failed unexpectedly: ${errors.messageOf(err)}`);
+        responses.breakOff(res);
+      });
+    }),
+  );
   // Node.js drops fields beyond a number of its own without an error.
   server.maxHeadersCount = 0;
-  lingeringClose.install(server, deps.clock);
-  responses.onUnreadableRequest(server, body.unreadableRefusal);
+  deps.connections.install(server);
   return server;
 }
 
--- a/src/entry/daemon.ts
+++ b/src/entry/daemon.ts
@@ -7,6 +7,7 @@
 import * as undici from "undici";
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
+import * as connections from "../host/connections/connections.js";
 import * as connector from "../host/connector.js";
 import * as daemon from "../host/daemon.js";
 import * as errors from "../host/errors.js";
@@ -187,6 +188,7 @@
     loadWeight: 1,
     rankMs: cfg.rankMs,
   };
+  const callerConnections = new connections.Connections(clk, body.REFUSALS);
   const callerServer = server.create(
     {
       name: cfg.name,
@@ -212,6 +214,7 @@
       intent: () => parts.feed.intent(),
       ready: () => parts.feed.ready(),
       isDraining: () => draining,
+      connections: callerConnections,
       admission: new admission.Admission(
         { name: cfg.name, retryAfterMs: cfg.retryAfterMs },
         clk,
@@ -297,9 +300,10 @@
     views: endpointViews,
     stop: async () => {
       draining = true;
+      callerConnections.drain("stopping");
       lg.info("Draining: /readyz tells the load balancer to stop sending requests.");
       await clock.sleep(clk, cfg.drainMs);
-      await daemon.closeServer(callerServer, clk);
+      await callerConnections.stop(callerServer);
       stopController.abort();
       await Promise.all(tasks);
       await daemon.closeServer(linkServer, clk);
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -10,7 +10,7 @@
 import * as service from "../endpoint/service.js";
 import type * as clock from "../host/clock.js";
 import * as errors from "../host/errors.js";
-import * as lingeringClose from "../host/lingering-close.js";
+import type * as connections from "../host/connections/connections.js";
 import * as log from "../host/log.js";
 import * as connectionLimit from "../host/reading/connection-limit.js";
 import * as pacedReader from "../host/reading/paced-reader.js";
@@ -56,6 +56,8 @@
   readonly ready: () => boolean;
   /** Whether this daemon is shutting down. */
   readonly isDraining: () => boolean;
+  /** State of the callers' connections. */
+  readonly connections: connections.Connections;
   readonly admission: admission.Admission;
   readonly claims: claims.Claims;
   readonly job: job.Deps;
@@ -85,8 +87,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       requireHostHeader: true,
     },
-    (req, res) => {
-      if (deps.isDraining()) res.setHeader("connection", "close");
+    deps.connections.listener((req, res) => {
       inFlight++;
       res.on("close", () => {
         inFlight--;
@@ -95,14 +96,13 @@
         deps.log.error(`Unexpected error while handling a request: ${errors.messageOf(err)}`);
         responses.breakOff(res);
       });
-    },
+    }),
   );
   // Heads are limited by their bytes. Node.js drops fields beyond a number of its own without an error.
   server.maxHeadersCount = 0;
-  new pacedReader.PacedReader(deps.clock).install(server);
-  new connectionLimit.ConnectionLimit(opts.maxConnections).install(server);
-  lingeringClose.install(server, deps.clock);
-  responses.onUnreadableRequest(server, body.unreadableRefusal);
+  deps.connections.install(server);
+  new pacedReader.PacedReader(deps.clock, deps.connections).install(server);
+  new connectionLimit.ConnectionLimit(opts.maxConnections, deps.connections).install(server);
   return server;
 }
 
--- a/src/host/lingering-close.ts
+++ b/src/host/lingering-close.ts
@@ -4,23 +4,12 @@
  * response that it has not read yet.
  * @module
  */
-import type * as http from "node:http";
 import type * as stream from "node:stream";
 import * as clock from "./clock.js";
 
 /** Milliseconds that a client has to read the last response and to end its side: some round trips. */
 export const LINGER_MS = 1000;
 
-/** Has a server close its connections in stages after their last responses. */
-export function install(server: http.Server, clk: clock.Clock = clock.system): void {
-  server.on("connection", (socket) => {
-    // Node.js calls this after a response that announced the close.
-    socket.destroySoon = () => {
-      close(socket, clk);
-    };
-  });
-}
-
 /** Closes a connection in stages, after what has been written to it. Does nothing if this side has ended. */
 export function close(socket: stream.Duplex, clk: clock.Clock = clock.system): void {
   if (socket.destroyed || socket.writableEnded) return;
--- a/src/host/reading/connection-limit.ts
+++ b/src/host/reading/connection-limit.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import type * as connections from "../connections/connections.js";
 
 /** What a connection is doing. */
 export type Activity =
@@ -12,7 +13,7 @@
   | "silent"
   /** No request is open on it. */
   | "idle"
-  /** The body of its latest request arrives. */
+  /** The body of its only open request arrives. */
   | "receiving"
   /** It waits for a response, or takes one. */
   | "busy";
@@ -38,64 +39,56 @@
   return best?.connection;
 }
 
-/** Open requests of one connection, and the latest. */
-interface State {
-  open: number;
-  latest: http.IncomingMessage | undefined;
-}
-
 /** Keeps the number of a server's connections below a limit. */
 export class ConnectionLimit {
   /** The connections, the one whose activity has changed longest ago first. */
-  private readonly states = new Map<net.Socket, State>();
+  private readonly sockets = new Set<net.Socket>();
   /** Called when a connection is closed for a new one, or a new one because all others are busy. */
   onClosed: (() => void) | undefined;
 
   /** Allows `max` connections at the same time. */
-  constructor(public max: number) {}
+  constructor(
+    public max: number,
+    private readonly connections: connections.Connections,
+  ) {}
 
   /** Number of open connections. */
   get size(): number {
-    return this.states.size;
+    return this.sockets.size;
   }
 
-  /** Limits all later connections of a server. */
+  /** Limits all later connections of a server. To be called after their state is kept. */
   install(server: http.Server): void {
     server.on("connection", (socket) => {
-      if (this.states.size >= this.max) this.makeRoom(socket);
+      if (this.sockets.size >= this.max) this.makeRoom(socket);
       if (socket.destroyed) return;
-      this.states.set(socket, { open: 0, latest: undefined });
+      this.sockets.add(socket);
       socket.once("close", () => {
-        this.states.delete(socket);
+        this.sockets.delete(socket);
       });
     });
-    server.prependListener("request", (req, res) => {
-      const s = this.states.get(req.socket);
-      if (!s) return;
-      s.open++;
-      s.latest = req;
-      this.renew(req.socket, s);
+    server.prependListener("request", ({ socket }, res) => {
+      this.renew(socket);
       res.once("close", () => {
-        s.open--;
-        this.renew(req.socket, s);
+        this.renew(socket);
       });
     });
   }
 
   private makeRoom(newest: net.Socket): void {
-    const closed = toClose(this.states.keys(), (s) => this.activityOf(s)) ?? newest;
-    this.states.delete(closed);
+    const closed = toClose(this.sockets, (s) => this.activityOf(s)) ?? newest;
+    this.sockets.delete(closed);
     closed.destroy();
     this.onClosed?.();
   }
 
   private activityOf(socket: net.Socket): Activity {
-    const s = this.states.get(socket);
-    if (!s || s.open === 0) return socket.bytesRead === 0 ? "silent" : "idle";
-    return s.latest?.complete === false ? "receiving" : "busy";
+    const { open, isReceiving } = this.connections.stateOf(socket);
+    if (open.length === 0) return socket.bytesRead === 0 ? "silent" : "idle";
+    return open.length === 1 && isReceiving ? "receiving" : "busy";
   }
 
-  private renew(socket: net.Socket, s: State): void {
-    if (this.states.delete(socket)) this.states.set(socket, s);
+  private renew(socket: net.Socket): void {
+    if (this.sockets.delete(socket)) this.sockets.add(socket);
   }
 }
--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -1,12 +1,14 @@
 /**
  * Reads callers' connections so that none of them occupies the event loop or grows without bound: in slices, in turn with others once it
- * has used much time, and not further while its earlier requests or their bodies wait. HTTP/1.1 lets a server leave bytes unread, so
- * nobody is refused by this.
+ * has used much time, and not further while its earlier requests or their bodies wait, or once its close is decided. HTTP/1.1 lets a
+ * server leave bytes unread, so nobody is refused by this.
  * @module
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
 import type * as clock from "../clock.js";
+import type * as connections from "../connections/connections.js";
+import * as connectionState from "../connections/state.js";
 import * as recentUse from "./recent-use.js";
 import * as slices from "./slices.js";
 
@@ -47,8 +49,6 @@
   /** Bytes that were read and are not parsed yet. */
   held: Buffer | undefined;
   use: recentUse.Use;
-  /** Requests whose responses have not ended. */
-  open: number;
   /** Requests seen so far. */
   requests: number;
   /** The latest request. */
@@ -59,12 +59,11 @@
   unwantedBytes: number;
   discardedBytes: number;
   isQueued: boolean;
-  afterParsed: (() => void) | undefined;
 }
 
 /** Reads the connections of one or more servers. */
 export class PacedReader {
-  private readonly connections = new WeakMap<net.Socket, Connection>();
+  private readonly readings = new WeakMap<net.Socket, Connection>();
   /** Connections with bytes that wait, the one without progress for the longest time first, and for how many bytes each counts. */
   private readonly waiting = new Map<Connection, number>();
   private waitingBytes = 0;
@@ -85,14 +84,17 @@
   /** Called when a connection is closed because too many others wait as well. */
   onClosed: (() => void) | undefined;
 
-  constructor(private readonly clk: Pick<clock.Clock, "steady">) {}
+  constructor(
+    private readonly clk: Pick<clock.Clock, "steady">,
+    private readonly connections: connections.Connections,
+  ) {}
 
   /** Number of connections with bytes that wait. */
   get waitingCount(): number {
     return this.waiting.size;
   }
 
-  /** Reads all later connections of a server. To be called before other listeners of its requests are added. */
+  /** Reads all later connections of a server. To be called after their state is kept, and before other listeners of its requests are added. */
   install(server: http.Server): void {
     server.on("connection", (socket) => {
       this.hasAccepted = true;
@@ -104,14 +106,6 @@
     });
   }
 
-  /** Whether bytes of a connection were read and not parsed; `then` is called once they are, or it has closed. */
-  isUnparsed(socket: net.Socket, then: () => void): boolean {
-    const c = this.connections.get(socket);
-    if (c?.held === undefined) return false;
-    c.afterParsed = then;
-    return true;
-  }
-
   private attach(socket: net.Socket): void {
     const ignore = (): void => undefined;
     // A listener for data keeps Node.js from parsing in the read itself.
@@ -125,20 +119,21 @@
       push: socket.push.bind(socket) as Push,
       held: undefined,
       use: recentUse.NONE,
-      open: 0,
       requests: 0,
       latest: undefined,
       bodyBytes: 0,
       unwantedBytes: 0,
       discardedBytes: 0,
       isQueued: false,
-      afterParsed: undefined,
     };
-    this.connections.set(socket, c);
+    this.readings.set(socket, c);
+    this.connections.onDropUnparsed(socket, () => {
+      this.drop(c);
+    });
     // The two halves of a readable stream's contract: what arrives is held, and more is read once nothing is held.
     socket.push = (chunk: Buffer | null): boolean => this.arrive(c, chunk);
     socket._read = (): void => {
-      if (c.held === undefined) c.read();
+      if (c.held === undefined && this.mayRead(c)) c.read();
     };
     socket.on("resume", () => {
       this.continue(c);
@@ -146,7 +141,7 @@
     socket.once("finish", () => {
       // This side has ended; reading goes on for the end of the other.
       this.drop(c);
-      if (!socket.destroyed) c.read();
+      if (!socket.destroyed && this.mayRead(c)) c.read();
     });
     socket.once("close", () => {
       this.drop(c);
@@ -154,9 +149,8 @@
   }
 
   private recordRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
-    const c = this.connections.get(req.socket);
+    const c = this.readings.get(req.socket);
     if (!c) return;
-    c.open++;
     c.requests++;
     c.latest = req;
     c.bodyBytes = Number(req.headers["content-length"] ?? 0);
@@ -165,7 +159,6 @@
       this.continue(c);
     });
     res.once("close", () => {
-      c.open--;
       if (c.latest === req && req.complete) c.latest = undefined;
       this.continue(c);
     });
@@ -178,13 +171,22 @@
       this.drop(c);
       return c.push(null);
     }
-    if (c.socket.writableEnded) {
+    this.connections.recordArrived(c.socket);
+    if (!connectionState.mayParse(this.stateOf(c))) {
       c.discardedBytes += chunk.length;
-      return c.discardedBytes < MAX_DISCARD_BYTES;
+      return c.discardedBytes < MAX_DISCARD_BYTES && this.mayRead(c);
     }
     c.held = c.held ? Buffer.concat([c.held, chunk]) : chunk;
     this.parseAtOnce(c);
-    return this.deferRest(c);
+    return this.deferRest(c) && this.mayRead(c);
+  }
+
+  private stateOf({ socket }: Connection): connectionState.State {
+    return this.connections.stateOf(socket);
+  }
+
+  private mayRead(c: Connection): boolean {
+    return this.connections.mayRead(c.socket);
   }
 
   /** Lets what is left of a connection wait its turn. Returns whether nothing is. */
@@ -237,15 +239,17 @@
   private drop(c: Connection): void {
     c.held = undefined;
     this.recordWaiting(c);
-    this.notifyParsed(c);
   }
 
   /** Whether a slice of a connection may be parsed now. */
-  private mayParse({ held, open, socket, latest, unwantedBytes }: Connection): boolean {
+  private mayParse(c: Connection): boolean {
+    const { held, socket, latest, unwantedBytes } = c;
     if (held === undefined || socket.destroyed || socket.isPaused()) return false;
+    const state = this.stateOf(c);
+    if (!connectionState.mayParse(state)) return false;
     if (latest && !latest.complete)
       return latest.readableFlowing === true || unwantedBytes < UNWANTED_BYTES;
-    return open < MAX_OPEN;
+    return state.open.length < MAX_OPEN;
   }
 
   /** Parses one slice, of `mostBytes` unless it lies within a body of known length. Returns the ms that it took. */
@@ -256,21 +260,20 @@
     c.held = size < held.length ? held.subarray(size) : undefined;
     if (this.waiting.has(c)) this.recordWaiting(c);
     const isWanted = c.latest?.readableFlowing === true;
+    const isBody = c.latest?.complete === false;
+    const slice = held.subarray(0, size);
     const from = this.clk.steady();
-    c.push(held.subarray(0, size));
+    c.push(slice);
     const tookMs = this.clk.steady() - from;
     c.bodyBytes = Math.max(0, c.bodyBytes - size);
     if (!isWanted && c.requests === requests) c.unwantedBytes += size;
-    if (c.held === undefined) this.notifyParsed(c);
+    if (c.held === undefined) {
+      const isHeadPartial = !isBody && c.requests === requests && !slices.isBlank(slice);
+      this.connections.recordParsed(c.socket, isHeadPartial);
+    }
     return tookMs;
   }
 
-  private notifyParsed(c: Connection): void {
-    const { afterParsed } = c;
-    c.afterParsed = undefined;
-    afterParsed?.();
-  }
-
   /** Parses what waits of a connection in one of the next turns, if it may be parsed now. */
   private continue(c: Connection): void {
     if (c.held !== undefined) this.enqueue(c);
--- a/src/host/reading/slices.ts
+++ b/src/host/reading/slices.ts
@@ -13,6 +13,11 @@
 const HEAD_END = "\r\n\r\n";
 const [CR, LF] = Buffer.from("\r\n");
 
+/** Whether bytes are empty lines, which may precede a request. */
+export function isBlank(bytes: Buffer): boolean {
+  return bytes.every((byte) => byte === CR || byte === LF);
+}
+
 /**
  * Bytes to be parsed next of those that have arrived: `mostBytes`, or to the end of a head before that. `bodyBytes` of them, at
  * least, are of a body of known length.
--- a/src/link/body.ts
+++ b/src/link/body.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as http from "node:http";
+import type * as connections from "../host/connections/connections.js";
 import * as responses from "../host/response.js";
 import * as outcome from "../request/outcome.js";
 import * as wire from "./wire.js";
@@ -50,15 +51,29 @@
  * The response to bytes that are not an HTTP request, or to a request that arrived too slowly: a failure in the
  * usual format, which announces that the connection closes.
  */
-export function unreadableRefusal(err: Error): string {
+function unreadableRefusal(err: Error): string {
   const cause = "code" in err ? String(err.code) : "";
   const code = CODE_BY_PARSE_ERROR[cause] ?? "bad_request";
   const message = `The request could not be read: ${err.message}.`;
-  const text = JSON.stringify(
-    outcome.toBody({ code, outcome: "not_run", step: "read", peer: "caller", message }),
-  );
+  return rawRefusal({ code, outcome: "not_run", step: "read", peer: "caller", message });
+}
+
+/** The response, likewise, to a request of which only a part has arrived when the host stops. */
+function stoppingRefusal(): string {
+  const message = "This host stops; the request had not arrived whole.";
+  return rawRefusal({
+    code: "leaving",
+    outcome: "not_run",
+    step: "read",
+    peer: "caller",
+    message,
+  });
+}
+
+function rawRefusal(f: outcome.Failure): string {
+  const text = JSON.stringify(outcome.toBody(f));
   return [
-    `HTTP/1.1 ${outcome.STATUS[code]} ${http.STATUS_CODES[outcome.STATUS[code]] ?? ""}`,
+    `HTTP/1.1 ${outcome.STATUS[f.code]} ${http.STATUS_CODES[outcome.STATUS[f.code]] ?? ""}`,
     "content-type: application/json",
     `content-length: ${Buffer.byteLength(text)}`,
     `${wire.HEADER.outcome}: not_run`,
@@ -68,6 +83,12 @@
   ].join("\r\n");
 }
 
+/** What clients get whose requests are not read to their end. */
+export const REFUSALS: connections.Refusals = {
+  unreadable: unreadableRefusal,
+  stopping: stoppingRefusal(),
+};
+
 /**
  * Answers with a failure. If a response has already begun, breaks it off, so that the client cannot mistake the
  * partial response for a complete one.
--- a/src/serving/caller-guard.ts
+++ b/src/serving/caller-guard.ts
@@ -12,7 +12,7 @@
 
 /** Limits a listener to `maxConnections`, and reports connections that are closed from now on. */
 export function install(
-  { reader, connections }: Pick<earlyListener.EarlyListener, "reader" | "connections">,
+  { reader, limit }: Pick<earlyListener.EarlyListener, "reader" | "limit">,
   maxConnections: number,
   deps: Deps,
 ): void {
@@ -31,8 +31,8 @@
     },
     deps,
   );
-  connections.max = maxConnections;
-  connections.onClosed = () => {
+  limit.max = maxConnections;
+  limit.onClosed = () => {
     overLimit.record();
     deps.metrics.recordClosedConnection("connections");
   };
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -6,7 +6,7 @@
 import type * as http from "node:http";
 import * as net from "node:net";
 import * as clock from "../host/clock.js";
-import * as lingeringClose from "../host/lingering-close.js";
+import type * as connections from "../host/connections/connections.js";
 import * as responses from "../host/response.js";
 import type * as structuredLog from "../host/structured-log.js";
 import type * as authentication from "./authentication.js";
@@ -16,7 +16,6 @@
 import type * as memory from "./buffering/memory.js";
 import type * as caps from "./caps.js";
 import type * as catalog from "./catalog.js";
-import * as closer from "./connections/closer.js";
 import * as deadline from "./deadlines/deadline.js";
 import type * as dispatch from "./dispatch.js";
 import type * as earlyListener from "./early-listener.js";
@@ -103,22 +102,21 @@
 /** Serves callers' requests on a listening server. */
 export class CallerServer {
   private readonly server: http.Server;
-  private draining = false;
   /** Responses to the requests in flight, with the ids of the attempts that are known. */
   private readonly open = new Map<http.ServerResponse, string | undefined>();
-  private onIdle: (() => void) | undefined;
   private readonly lagMonitor: lagMonitor.LagMonitor;
   private readonly meter: callerMeter.CallerMeter;
-  private readonly connections: closer.Closer;
+  private readonly connections: connections.Connections;
 
   constructor(
     listener: earlyListener.EarlyListener,
     private readonly deps: Deps,
   ) {
     this.server = listener.server;
-    this.connections = new closer.Closer((socket, then) =>
-      listener.reader.isUnparsed(socket, then),
-    );
+    this.connections = listener.connections;
+    this.connections.onCrossed = () => {
+      deps.log.info("A request crossed the close of its connection; it is not served.");
+    };
     this.lagMonitor = new lagMonitor.LagMonitor({
       ...deps,
       connect: () => {
@@ -155,24 +153,15 @@
 
   /** Closes each kept-alive connection after its next responses, so that its caller connects to another host. */
   startDraining(): void {
-    this.draining = true;
-    for (const { req } of this.open.keys()) this.connections.closeAfterOpen(req.socket);
+    this.connections.drain("stopping");
   }
 
-  /** Stops accepting connections, and resolves once the last request has ended and callers could read its response. */
-  async close(): Promise<void> {
-    this.draining = true;
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => {
-        resolve();
-      });
-    });
-    if (this.open.size > 0)
-      await new Promise<void>((resolve) => {
-        this.onIdle = resolve;
-      });
-    // The end of the process resets connections on which more has arrived.
-    await Promise.race([closed, clock.sleep(this.deps.clock, lingeringClose.LINGER_MS)]);
+  /**
+   * Stops accepting connections and closes them, the ones without open requests at once. Resolves when all are closed: the requests
+   * that were taken have ended, and callers could read the responses.
+   */
+  close(): Promise<void> {
+    return this.connections.stop(this.server);
   }
 
   /** Breaks off all responses that are not complete, because the process ends. */
@@ -192,20 +181,13 @@
   }
 
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
-    if (!this.connections.take(req, res)) {
-      this.deps.log.info("A request crossed the close of its connection; it is not served.");
-      req.resume();
-      return;
-    }
     this.open.set(res, undefined);
     this.lagMonitor.requestOpened();
     this.meter.recordRequest(req.socket);
     res.once("close", () => {
       this.open.delete(res);
       this.lagMonitor.requestClosed();
-      if (this.open.size === 0) this.onIdle?.();
     });
-    if (this.draining) this.connections.closeAfterOpen(req.socket);
     this.handle(req, res).catch((err: unknown) => {
       this.deps.log.error("A request handler failed.", {
         why: err instanceof Error ? (err.stack ?? err.message) : String(err),
@@ -282,7 +264,7 @@
     this.lagMonitor.recordRefusal();
     this.deps.metrics.recordLagRefusal(m.route.rank);
     // Closing while a body arrives would reset the connection, and the caller could not read the refusal.
-    if (req.complete) this.connections.closeAfterOpen(req.socket, "overload");
+    if (req.complete) this.connections.close(req.socket, "overload");
     const leftMs = arrivedAt + Math.min(m.meta.waitMs, m.route.timeoutMs) - this.deps.clock.mono();
     const retryAfterMs = admission.retryAfterMs(hostLag.ms, leftMs);
     return { kind: "refused", status: 503, why, team: m.caller?.team.name, retryAfterMs };
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -6,8 +6,7 @@
 import * as http from "node:http";
 import * as addresses from "../host/address.js";
 import * as clock from "../host/clock.js";
-import * as lingeringClose from "../host/lingering-close.js";
-import * as responses from "../host/response.js";
+import * as connections from "../host/connections/connections.js";
 import * as connectionLimit from "../host/reading/connection-limit.js";
 import * as pacedReader from "../host/reading/paced-reader.js";
 
@@ -23,6 +22,8 @@
 const MAX_CONNECTIONS = 1024;
 /** Requests that wait at most for the daemon to start; further ones get a 503 with a retry time. */
 const MAX_WAITING = 512;
+/** Tells callers whose request had arrived in part that another host serves it. */
+const STOPPING_FIELDS = "Retry-After: 0\r\n";
 
 type Handler = (req: http.IncomingMessage, res: http.ServerResponse) => void;
 
@@ -31,7 +32,9 @@
   readonly server: http.Server;
   /** Reads the server's connections. */
   readonly reader: pacedReader.PacedReader;
-  readonly connections: connectionLimit.ConnectionLimit;
+  readonly limit: connectionLimit.ConnectionLimit;
+  /** State of the server's connections. */
+  readonly connections: connections.Connections;
   /** Passes the waiting requests and all later ones to `handler`. */
   readonly setHandler: (handler: Handler) => void;
 }
@@ -40,6 +43,10 @@
 export async function open(address: string): Promise<EarlyListener> {
   let handler: Handler | undefined;
   let waiting: Parameters<Handler>[] = [];
+  const callers = new connections.Connections(clock.system, {
+    unreadable: unreadableRefusal,
+    stopping: wholeRefusal(503, STOPPING_FIELDS),
+  });
   const server = http.createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -49,25 +56,28 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    (req, res) => {
+    callers.listener((req, res) => {
       if (handler) handler(req, res);
       else if (waiting.length < MAX_WAITING) waiting.push([req, res]);
-      else res.writeHead(503, { "retry-after": "0.5", connection: "close" }).end();
-    },
+      else {
+        callers.close(req.socket, "overload");
+        res.writeHead(503, { "retry-after": "0.5" }).end();
+      }
+    }),
   );
   // Heads are limited by their bytes. Node.js drops fields beyond a number of its own without an error.
   server.maxHeadersCount = 0;
-  const reader = new pacedReader.PacedReader(clock.system);
+  callers.install(server);
+  const reader = new pacedReader.PacedReader(clock.system, callers);
   reader.install(server);
-  const connections = new connectionLimit.ConnectionLimit(MAX_CONNECTIONS);
-  connections.install(server);
-  lingeringClose.install(server);
-  responses.onUnreadableRequest(server, unreadableRefusal);
+  const limit = new connectionLimit.ConnectionLimit(MAX_CONNECTIONS, callers);
+  limit.install(server);
   await addresses.listen(server, address, BACKLOG);
   return {
     server,
     reader,
-    connections,
+    limit,
+    connections: callers,
     setHandler: (h) => {
       handler = h;
       // A request whose caller has disconnected must not be served: its work would never be cancelled.
@@ -80,7 +90,11 @@
 /** The response to bytes that are not a valid HTTP request. */
 function unreadableRefusal(err: Error): string {
   const code = "code" in err ? String(err.code) : "";
-  const status = code === "HPE_HEADER_OVERFLOW" ? 431 : 400;
+  return wholeRefusal(code === "HPE_HEADER_OVERFLOW" ? 431 : 400);
+}
+
+/** A response without a body that announces the close; `fields` are lines of its head. */
+function wholeRefusal(status: number, fields = ""): string {
   const reason = http.STATUS_CODES[status] ?? "";
-  return `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+  return `HTTP/1.1 ${status} ${reason}\r\n${fields}Connection: close\r\nContent-Length: 0\r\n\r\n`;
 }
--- a/src/serving/entry-daemon.ts
+++ b/src/serving/entry-daemon.ts
@@ -26,7 +26,6 @@
 import * as streamLog from "./continuation/stream-log.js";
 import * as metrics from "./metrics.js";
 import * as connectionLimit from "../host/reading/connection-limit.js";
-import type * as pacedReader from "../host/reading/paced-reader.js";
 import * as catalog from "./catalog.js";
 import type * as protocol from "./protocol.js";
 import * as quarantine from "./quarantine.js";
@@ -288,7 +287,7 @@
   daemonMetrics.addGauge(
     "sumacfield_caller_connections",
     "Open connections of callers.",
-    () => deps.listener.connections.size,
+    () => deps.listener.limit.size,
   );
   daemonMetrics.addGauge(
     "sumacfield_connections_waiting",
@@ -377,7 +376,7 @@
   );
   const readiness = await answerReadiness(
     opts.readiness,
-    deps.listener.reader,
+    deps.listener,
     () => catalogFeed.catalog.config !== undefined && !draining,
   );
   await metrics.tryServe(daemonMetrics, deps.metricsAddress, deps.log("metrics"));
@@ -412,15 +411,18 @@
 /** Serves the load balancer's readiness check: 200 if ready, 503 if not. */
 async function answerReadiness(
   address: string,
-  reader: pacedReader.PacedReader,
+  { reader, connections: callers }: Pick<earlyListener.EarlyListener, "reader" | "connections">,
   ready: () => boolean,
 ): Promise<http.Server> {
-  const server = http.createServer((_req, res) => {
-    res.writeHead(ready() ? 200 : 503, { "content-length": 0 });
-    res.end();
-  });
+  const server = http.createServer(
+    callers.listener((_req, res) => {
+      res.writeHead(ready() ? 200 : 503, { "content-length": 0 });
+      res.end();
+    }),
+  );
+  callers.install(server);
   reader.install(server);
-  new connectionLimit.ConnectionLimit(MAX_READINESS_CONNECTIONS).install(server);
+  new connectionLimit.ConnectionLimit(MAX_READINESS_CONNECTIONS, callers).install(server);
   await addresses.listen(server, address);
   return server;
 }
--- a/test/serving/connections/closer.test.ts
+++ b/test/connections/connections.test.ts
@@ -2,8 +2,10 @@
 import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
-import * as addresses from "../../../src/host/address.js";
-import * as closer from "../../../src/serving/connections/closer.js";
+import * as addresses from "../../src/host/address.js";
+import * as clock from "../../src/host/clock.js";
+import * as pacedReader from "../../src/host/reading/paced-reader.js";
+import * as fixture from "./fixture.js";
 
 const { expect } = chai;
 
@@ -12,20 +14,23 @@
 const FLUSHED = "/flushed";
 const request = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a.example\r\n\r\n`;
 
-/** A server that takes requests through a closer and answers each after a while, and a caller's raw connection to it. */
+/** A server that answers each request that it takes after a while, and a caller's raw connection to it. */
 async function open() {
-  const connections = new closer.Closer();
+  const connections = fixture.create();
   const served: string[] = [];
   const sockets = new Set<net.Socket>();
-  const server = http.createServer((req, res) => {
-    sockets.add(req.socket);
-    if (!connections.take(req, res)) return;
-    const path = req.url ?? "";
-    served.push(path);
-    const answer = `answer to ${path}`;
-    if (path === FLUSHED) res.writeHead(200, { "content-length": answer.length }).flushHeaders();
-    setTimeout(() => res.end(answer), WORK_MS);
-  });
+  const server = http.createServer(
+    connections.listener((req, res) => {
+      sockets.add(req.socket);
+      const path = req.url ?? "";
+      served.push(path);
+      const answer = `answer to ${path}`;
+      if (path === FLUSHED) res.writeHead(200, { "content-length": answer.length }).flushHeaders();
+      setTimeout(() => res.end(answer), WORK_MS);
+    }),
+  );
+  connections.install(server);
+  new pacedReader.PacedReader(clock.system, connections).install(server);
   const address = addresses.parse(await addresses.listen(server, "127.0.0.1:0"));
   const caller = net.connect({ ...address, allowHalfOpen: true });
   let received = "";
@@ -35,8 +40,12 @@
   return {
     served,
     send: (...paths: readonly string[]): boolean => caller.write(paths.map(request).join("")),
+    sendText: (text: string): boolean => caller.write(text),
+    received: (): string => received,
+    connect: (): net.Socket => net.connect(address).on("error", () => undefined),
+    stopAll: (): Promise<void> => connections.stop(server),
     close: (): void => {
-      for (const s of sockets) connections.closeAfterOpen(s);
+      for (const s of sockets) connections.close(s, "stopping");
     },
     /** The paths whose responses arrived, each with whether it announced the close. */
     answers: () => {
@@ -55,6 +64,41 @@
   };
 }
 
+describe("a server that stops", () => {
+  // Guards against requests that arrive late in a stop, run and are cut off.
+  it("answers the calls that it has taken before it stops, and takes no more", async () => {
+    const host = await open();
+    const other = host.connect();
+    host.send("/1");
+    await timers.setTimeout(WORK_MS / 2);
+    let isStopped = false;
+    const stopped = host.stopAll().then(() => (isStopped = true));
+    await timers.setTimeout(WORK_MS / 4);
+    other.write(request("/2"));
+    expect(isStopped).equal(false);
+    await stopped;
+    expect([host.served, host.answers(), host.isEnded()]).deep.equal([
+      ["/1"],
+      [["/1", true]],
+      true,
+    ]);
+    other.destroy();
+    host.stop();
+  });
+
+  it("refuses a request of which only a part has arrived", async () => {
+    const host = await open();
+    host.sendText("GET /1 HTTP/1.1\r\nhost: a");
+    await timers.setTimeout(WORK_MS / 2);
+    const stopped = host.stopAll();
+    await timers.setTimeout(WORK_MS / 2);
+    expect(host.received()).match(/^HTTP\/1\.1 503 /);
+    expect([host.served, host.isEnded()]).deep.equal([[], true]);
+    host.stop();
+    await stopped;
+  });
+});
+
 describe("a caller's connection that is closed", () => {
   it("ends after the responses to all requests that were pipelined before", async () => {
     const host = await open();
--- a/test/platform/unruly/site.ts
+++ b/test/platform/unruly/site.ts
@@ -32,8 +32,12 @@
 const LOOK_MS = 50;
 const CALL_EVERY_MS = 33;
 const CHECK_EVERY_MS = 500;
-/** Milliseconds that the worker works on a call, and that an ordinary caller waits. */
+/** Milliseconds that the worker works on a request, unless set otherwise, and that an ordinary caller waits. */
 const WORK_MS = 20;
+/** Seconds from the stop signal until a daemon is killed, unless set otherwise. */
+const GRACE_S = 4;
+/** Events of a stream; the worker's time is spread over them. */
+const EVENTS = 4;
 const CALLER_WAITS_MS = 4000;
 
 /** Statuses of calls that were served, or that the host said were not run. */
@@ -83,6 +87,11 @@
   });
 }
 
+/** Settings of a site. */
+export interface Options {
+  readonly graceS?: number;
+}
+
 /** The site. */
 export class Site {
   readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), "sumacfield-"));
@@ -96,6 +105,8 @@
   peakUnreadMb = 0;
   /** How the daemon ended; undefined while it runs. */
   ended: string | undefined;
+  /** Milliseconds that the worker works on the next request. */
+  workMs = (): number => WORK_MS;
   private readonly store = new stores.Store();
   private readonly worker = http.createServer({ maxHeaderSize: 65_536 }, (req, res) => {
     this.work(req, res);
@@ -106,6 +117,8 @@
   private watching: threads.Worker | undefined;
   private calls = 0;
 
+  constructor(private readonly opts: Options = {}) {}
+
   /** Prepares the store and the worker. */
   async open(): Promise<void> {
     this.worker.maxHeadersCount = 0;
@@ -116,7 +129,10 @@
     const route = { service: "plain", timeoutMs: 15_000 };
     const config = documents.config(
       1,
-      [{ ...route, name: "calls", prefix: "/p/", kind: "idempotent" }],
+      [
+        { ...route, name: "calls", prefix: "/p/", kind: "idempotent" },
+        { ...route, name: "streams", prefix: "/s/", kind: "streaming" },
+      ],
       [{ ...documents.plainService("plain"), maxConnections: 500 }],
     );
     const limits = { maxHeaderBytes: 16_384, maxBodyBytes: kinds.BODY_BYTES };
@@ -124,7 +140,11 @@
     this.store.put("op/config", { ...config, limits: { ...limits, ...timeouts } });
     const at = this.worker.address() as { readonly port: number };
     this.store.put("servers/i-1", documents.workerEntry("plain", `127.0.0.1:${at.port}`));
-    const bounds = { graceS: 4, drainTimeoutMs: 2000, retryBudgetRatio: 0.2 };
+    const bounds = {
+      graceS: this.opts.graceS ?? GRACE_S,
+      drainTimeoutMs: 2000,
+      retryBudgetRatio: 0.2,
+    };
     const settings = {
       nodeName: "entry",
       machineClass: "any",
@@ -266,6 +286,11 @@
       return;
     }
     this.received.set(id, req);
+    const workMs = this.workMs();
+    if (req.url?.startsWith("/s/")) {
+      void stream(id, res, workMs);
+      return;
+    }
     let bytes = 0;
     req.on("data", (part: Buffer) => (bytes += part.length));
     req.on("end", () => {
@@ -278,7 +303,21 @@
               ? Buffer.alloc(3 * bytes, "a")
               : `${id} got ${bytes}`,
           );
-      }, WORK_MS);
+      }, workMs);
     });
   }
 }
+
+/** Answers with a stream of some events. */
+async function stream(id: string, res: http.ServerResponse, workMs: number): Promise<void> {
+  res.writeHead(200, {
+    "content-type": "text/event-stream",
+    "x-sumacfield-attempt-id": id,
+    "x-sumacfield-server-signature": "s",
+  });
+  for (let n = 1; n <= EVENTS; n++) {
+    await timers.setTimeout(workMs / EVENTS);
+    res.write(`id: ${n}\ndata: ${n} of ${EVENTS}\n\n`);
+  }
+  res.end();
+}
--- a/test/reading/connection-limit.test.ts
+++ b/test/reading/connection-limit.test.ts
@@ -3,6 +3,7 @@
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
 import * as fc from "fast-check";
+import * as fixture from "../connections/fixture.js";
 import * as connectionLimit from "../../src/host/reading/connection-limit.js";
 
 const { expect } = chai;
@@ -28,7 +29,9 @@
   /** A server that allows three connections and answers no request, and a way to connect to it. */
   async function open() {
     const server = http.createServer(() => undefined);
-    const limit = new connectionLimit.ConnectionLimit(3);
+    const connections = fixture.create();
+    connections.install(server);
+    const limit = new connectionLimit.ConnectionLimit(3, connections);
     let closed = 0;
     limit.onClosed = () => closed++;
     limit.install(server);
--- a/test/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -3,7 +3,7 @@
 import * as timers from "node:timers/promises";
 import * as chai from "chai";
 import * as clock from "../../src/host/clock.js";
-import * as lingeringClose from "../../src/host/lingering-close.js";
+import * as fixture from "../connections/fixture.js";
 import * as pacedReader from "../../src/host/reading/paced-reader.js";
 
 const { expect } = chai;
@@ -15,10 +15,11 @@
 
 /** A server that is read by a paced reader, and a raw client of it. */
 async function open(handle: http.RequestListener) {
-  const server = http.createServer(handle);
-  const reader = new pacedReader.PacedReader(clock.system);
+  const connections = fixture.create();
+  const server = http.createServer(connections.listener(handle));
+  connections.install(server);
+  const reader = new pacedReader.PacedReader(clock.system, connections);
   reader.install(server);
-  lingeringClose.install(server);
   const accepted: net.Socket[] = [];
   server.on("connection", (socket) => accepted.push(socket));
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
