Test that no connection with a running request is closed for a new one

With more connections than descriptors allow, the ones whose latest request's body arrives are closed for new ones. A connection that had a request running before that one was among them: its caller got no answer to a request that ran.

--- a/test/reading/connection-limit.test.ts
+++ b/test/reading/connection-limit.test.ts
@@ -77,4 +77,16 @@
     expect(limit.size).equal(3);
     stop();
   });
+
+  // Guards against requests that run and are cut off because the body of a later one arrives.
+  it("closes no connection on which a request waits for its response while the body of the next arrives", async () => {
+    const { connect, stop } = await open();
+    const body = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nx";
+    const ahead = await connect(`${CALL}${body}`);
+    const receiving = await connect(body);
+    await connect(CALL);
+    await connect(CALL);
+    expect([ahead, receiving].map((s) => s.destroyed)).deep.equal([false, true]);
+    stop();
+  });
 });
