--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -258,8 +258,8 @@
     expect(await entry.exited).equal(0);
   }).timeout(10_000);
 
-  // Guards against requests that are dropped because their host gets SIGTERM while it starts.
-  it("answer requests that wait for their start when they are stopped meanwhile", async () => {
+  /** Has a request wait for the start of an entry daemon that gets SIGTERM `signals` times meanwhile. */
+  async function checkStopInStart(signals: number): Promise<void> {
     entry = startDaemon("entry", path.join(folder, "entry-1.yaml"));
     let socket: net.Socket | undefined;
     await eventually(() => {
@@ -274,10 +274,20 @@
     socket?.write(`GET ${route} HTTP/1.1\r\n${head.join("\r\n")}\r\n\r\n`);
     let text = "";
     socket?.on("data", (part: Buffer) => (text += part.toString()));
-    entry.process.kill("SIGTERM");
+    for (let n = 0; n < signals; n++) {
+      entry.process.kill("SIGTERM");
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
     expect(await entry.exited).equal(0);
     expect(text).match(/^HTTP\/1.1 (200|503) /);
-  }).timeout(10_000);
+  }
+
+  // Guards against requests that are dropped because their host gets SIGTERM while it starts.
+  it("answer requests that wait for their start when they are stopped meanwhile", () =>
+    checkStopInStart(1)).timeout(10_000);
+
+  it("answer requests that wait for their start when they get SIGTERM again and again meanwhile", () =>
+    checkStopInStart(40)).timeout(10_000);
 
   it("show an HTTP/1.0 caller that its answer is cut when an uncaught error ends them", async () => {
     const hook = path.join(import.meta.dirname, "uncaught.cjs");
