Close connections for every reason through their state, and announce what is sent at once

- A request without a host, or for a tunnel, was answered or dropped by Node.js itself: the request behind it ran and was lost, or the one before it.
- An early refusal of a body in chunks destroyed the connection under an earlier request that ran.
- A response that was sent at once, while its bytes were still being parsed, did not announce the close that followed it.
Handlers run after the parsing now.
- Of a client that had sent ahead nothing was read after the end of this side, so that the rest of a long response was reset after a second (405 KB of 1.5 MB arrived).
What follows the end is read and discarded again.
- Its leaving went unseen once its last request was known; it is read on now where no further request can follow.
- A body that was due on a closing connection might never be read.
The latest one always is; what follows it is not taken once the reading has ended.
- A client that had ended its side and read nothing kept a stop waiting.

--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -85,7 +85,8 @@
       // Node.js checks connections for timeouts every 30 s by default.
       connectionsCheckingInterval: Math.max(1, opts.headersTimeoutMs / 2),
       maxHeaderSize: MAX_HEADER_BYTES,
-      requireHostHeader: true,
+      // A refusal by Node.js would close the connection without regard to its other requests.
+      requireHostHeader: false,
     },
     deps.connections.listener((req, res) => {
       inFlight++;
@@ -159,8 +160,10 @@
       await serveService(opts, deps, authenticated, req, res);
     else throw outcome.notRun("not_found", "read", peer, `There is no ${url.pathname}.`);
   } catch (err) {
+    const failure = outcome.toFailure(err, "serve", opts.name, "unknown");
+    if (failure.code === "too_large") deps.connections.closeBehind(req.socket, "unread_body");
     if (!req.readableEnded) req.resume();
-    body.sendFailure(res, outcome.toFailure(err, "serve", opts.name, "unknown"));
+    body.sendFailure(res, failure);
   }
 }
 
--- a/src/host/connections/connections.ts
+++ b/src/host/connections/connections.ts
@@ -12,6 +12,8 @@
 import * as responses from "../response.js";
 import * as state from "./state.js";
 
+const BAD_REQUEST = 400;
+
 /** What clients get whose request is not read to its end, as whole responses that announce the close. */
 export interface Refusals {
   /** For bytes that are no request. */
@@ -70,17 +72,27 @@
     server.on("clientError", (err, socket) => {
       this.refuseUnreadable(err, socket);
     });
+    server.on("connect", (req, socket) => {
+      this.refuseUnreadable(new Error(`${req.method ?? ""} is not supported`), socket);
+    });
   }
 
-  /** A listener for requests that passes those on which are taken. */
+  /**
+   * A listener for requests that passes those on which are taken, once what was read with them has been parsed: only then is it known
+   * which response announces the close.
+   */
   listener(handler: http.RequestListener): http.RequestListener {
     return (req, res) => {
-      if (this.taken.has(req)) {
-        handler(req, res);
-        return;
-      }
-      req.resume();
-      this.onCrossed?.();
+      if (!this.taken.has(req)) {
+        req.resume();
+        this.onCrossed?.();
+      } else if (req.httpVersion === "1.1" && req.headers.host === undefined) {
+        this.closeBehind(req.socket, "unreadable");
+        res.writeHead(BAD_REQUEST, { "content-length": 0 }).end();
+      } else
+        queueMicrotask(() => {
+          handler(req, res);
+        });
     };
   }
 
@@ -101,14 +113,14 @@
     if (e) e.dropUnparsed = drop;
   }
 
-  /** Notes that bytes were read from a connection. */
-  recordArrived(socket: net.Socket): void {
-    this.step(socket, { kind: "arrived" });
+  /** Notes that bytes were read from a connection; `isBlank`: they are empty lines. */
+  recordArrived(socket: net.Socket, isBlank: boolean): void {
+    this.step(socket, { kind: "arrived", isBlank });
   }
 
   /** Notes that all bytes that were read from a connection have been parsed. */
   recordParsed(socket: net.Socket, isHeadPartial: boolean): void {
-    this.step(socket, { kind: "parsed", isHeadPartial });
+    this.step(socket, { kind: "parsed", isHeadPartial, at: this.clk.mono() });
   }
 
   /** Closes a connection after the responses to the requests that are taken from what was read. */
@@ -116,6 +128,12 @@
     this.step(socket, { kind: "close", reason, at: this.clk.mono() });
   }
 
+  /** The same where what follows the latest request, or the rest of its body, is not needed. */
+  closeBehind(socket: net.Socket, reason: state.CloseReason): void {
+    this.step(socket, { kind: "unneeded" });
+    this.close(socket, reason);
+  }
+
   /** Closes the connections with open requests, and each other one after its next. */
   drain(reason: state.CloseReason): void {
     this.draining ??= reason;
@@ -255,8 +273,7 @@
         return;
       }
     } else if (current) {
-      this.step(e.socket, { kind: "unreadable" });
-      this.close(e.socket, "unreadable");
+      this.closeBehind(e.socket, "unreadable");
       return;
     }
     socket.write(this.refusals.unreadable(err));
--- a/src/host/connections/state.ts
+++ b/src/host/connections/state.ts
@@ -20,6 +20,8 @@
   | "overload"
   /** The connection has brought bytes that are no request. */
   | "unreadable"
+  /** A request was refused whose body is not read to its end. */
+  | "unread_body"
   /** The client closes it after one response: it has said so, or speaks HTTP/1.0. */
   | "client";
 
@@ -30,8 +32,6 @@
   readonly at: number;
   /** Reads since then that no body was due in, if the client sends ahead. */
   readonly reads: number;
-  /** The request whose body is read beyond the limits; undefined until one needs it. */
-  readonly bodyOf: number | undefined;
 }
 
 /** State of a connection. Requests are numbered from 1. */
@@ -71,9 +71,9 @@
 /** What happens on a connection. */
 export type Step =
   /** Bytes were read. */
-  | { readonly kind: "arrived" }
+  | { readonly kind: "arrived"; readonly isBlank: boolean }
   /** All bytes that were read have been parsed. */
-  | { readonly kind: "parsed"; readonly isHeadPartial: boolean }
+  | { readonly kind: "parsed"; readonly isHeadPartial: boolean; readonly at: number }
   /** A request was taken; `isLast`: its client wants the connection closed after the response. */
   | { readonly kind: "taken"; readonly isLast: boolean; readonly at: number }
   /** The body of the latest request has arrived whole. */
@@ -84,16 +84,22 @@
   | { readonly kind: "close"; readonly reason: CloseReason; readonly at: number }
   /** The head of a response that announces the close was written. */
   | { readonly kind: "announced" }
-  /** What was read is no request. */
-  | { readonly kind: "unreadable" }
+  /** What was read is no request, or the rest of one that is not needed. */
+  | { readonly kind: "unneeded" }
   /** This side has ended. */
   | { readonly kind: "ended" };
 
 /** Whether more bytes are to be read, at a monotonic time in ms. */
 export function mayRead(s: State, now: number): boolean {
-  if (!s.close || !s.sendsAhead) return true;
-  if (s.isReceiving && (s.close.bodyOf ?? s.taken) === s.taken) return true;
-  return !s.isFinal && s.close.reads < MAX_READS_CLOSING && now - s.close.at < READ_CLOSING_MS;
+  // What follows cannot hold a request that counts on an answer.
+  const isDiscarded = s.isEnded || s.close?.reason === "client" || s.close?.reason === "unreadable";
+  if (!s.close || !s.sendsAhead || s.isReceiving || isDiscarded) return true;
+  return !s.isFinal && mayReadAhead(s.close, now);
+}
+
+/** Whether requests may still arrive though the close is decided. */
+function mayReadAhead(close: Close, now: number): boolean {
+  return close.reads < MAX_READS_CLOSING && now - close.at < READ_CLOSING_MS;
 }
 
 /** Whether what was read is to be parsed. */
@@ -126,27 +132,23 @@
 }
 
 function decide(s: State, reason: CloseReason, at: number): State {
-  if (s.close) return s;
-  const bodyOf = s.isReceiving ? s.taken : undefined;
-  return { ...s, close: { reason, at, reads: 0, bodyOf } };
-}
-
-/** Notes the request whose body is read though the close is decided: the first that lacks bytes. */
-function chooseBody(s: State): State {
-  if (!s.close || !s.isReceiving || s.close.bodyOf !== undefined) return s;
-  return { ...s, close: { ...s.close, bodyOf: s.taken } };
+  return s.close ? s : { ...s, close: { reason, at, reads: 0 } };
 }
 
 /** The state after a step. */
 export function apply(s: State, step: Step): State {
   switch (step.kind) {
     case "arrived": {
-      const isAhead = s.open.length > 0 && !s.isReceiving;
+      const isAhead = s.open.length > 0 && !s.isReceiving && !step.isBlank;
       const close = s.close && isAhead ? { ...s.close, reads: s.close.reads + 1 } : s.close;
       return { ...s, isUnparsed: mayParse(s), sendsAhead: s.sendsAhead || isAhead, close };
     }
-    case "parsed":
-      return chooseBody({ ...s, isUnparsed: false, isHeadPartial: step.isHeadPartial });
+    case "parsed": {
+      const after = { ...s, isUnparsed: false, isHeadPartial: step.isHeadPartial };
+      // The rest of its body may bring further requests, which would go on without end.
+      const isLast = s.close && s.sendsAhead && s.isReceiving && !mayReadAhead(s.close, step.at);
+      return isLast ? finish(after) : after;
+    }
     case "taken": {
       const taken = s.taken + 1;
       const after: State = {
@@ -167,7 +169,7 @@
       return decide(s, step.reason, step.at);
     case "announced":
       return finish(s);
-    case "unreadable":
+    case "unneeded":
       return finish({ ...s, isReceiving: false });
     case "ended":
       return { ...finish({ ...s, isReceiving: false }), isEnded: true };
--- a/src/host/lingering-close.ts
+++ b/src/host/lingering-close.ts
@@ -10,10 +10,14 @@
 /** Milliseconds that a client has to read the last response and to end its side: some round trips. */
 export const LINGER_MS = 1000;
 
-/** Closes a connection in stages, after what has been written to it. Does nothing if this side has ended. */
+/** Connections that close. */
+const closing = new WeakSet<stream.Duplex>();
+
+/** Closes a connection in stages, after what has been written to it. */
 export function close(socket: stream.Duplex, clk: clock.Clock = clock.system): void {
-  if (socket.destroyed || socket.writableEnded) return;
-  socket.end();
+  if (socket.destroyed || closing.has(socket)) return;
+  closing.add(socket);
+  if (!socket.writableEnded) socket.end();
   const timer = clk.after(LINGER_MS, () => {
     socket.destroy();
   });
--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -171,7 +171,7 @@
       this.drop(c);
       return c.push(null);
     }
-    this.connections.recordArrived(c.socket);
+    this.connections.recordArrived(c.socket, slices.isBlank(chunk));
     if (!connectionState.mayParse(this.stateOf(c))) {
       c.discardedBytes += chunk.length;
       return c.discardedBytes < MAX_DISCARD_BYTES && this.mayRead(c);
@@ -260,6 +260,7 @@
     c.held = size < held.length ? held.subarray(size) : undefined;
     if (this.waiting.has(c)) this.recordWaiting(c);
     const isWanted = c.latest?.readableFlowing === true;
+    const { bodyBytes } = c;
     const isBody = c.latest?.complete === false;
     const slice = held.subarray(0, size);
     const from = this.clk.steady();
@@ -268,7 +269,9 @@
     c.bodyBytes = Math.max(0, c.bodyBytes - size);
     if (!isWanted && c.requests === requests) c.unwantedBytes += size;
     if (c.held === undefined) {
-      const isHeadPartial = !isBody && c.requests === requests && !slices.isBlank(slice);
+      // A slice may begin with the end of a body.
+      const head = isBody ? slice.subarray(bodyBytes || size) : slice;
+      const isHeadPartial = c.requests === requests && !slices.isBlank(head);
       this.connections.recordParsed(c.socket, isHeadPartial);
     }
     return tookMs;
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as clock from "../host/clock.js";
+import type * as connections from "../host/connections/connections.js";
 import * as responses from "../host/response.js";
 import type * as hold from "./buffering/hold.js";
 import * as headers from "./headers.js";
@@ -19,16 +20,16 @@
 /**
  * Reads and discards the rest of a request's body, because closing a connection with unread bytes resets it, and the
  * caller could not read the response. Returns false if the announced length exceeds MAX_DISCARD_BYTES, or the body must not
- * be read further. A body that exceeds it without announcing so has its connection destroyed.
+ * be read further. Nothing more is read of a body that exceeds it without announcing so.
  */
-function discard(req: http.IncomingMessage): boolean {
+function discard(req: http.IncomingMessage, closeBehind: () => void): boolean {
   if (req.complete) return true;
   if (req.isPaused()) return false;
   if (Number(req.headers["content-length"] ?? 0) > MAX_DISCARD_BYTES) return false;
   let size = 0;
   req.on("data", (chunk: Buffer) => {
     size += chunk.length;
-    if (size > MAX_DISCARD_BYTES) req.socket.destroy();
+    if (size > MAX_DISCARD_BYTES) closeBehind();
   });
   return true;
 }
@@ -41,6 +42,7 @@
   req: http.IncomingMessage,
   res: http.ServerResponse,
   deps: { readonly protocol: protocol.Protocol; readonly clock: clock.Clock },
+  connections: Pick<connections.Connections, "closeBehind">,
   lag: lagMonitor.LagMonitor,
   held: hold.Hold,
 ): progress.CallerResponse {
@@ -85,12 +87,14 @@
         return;
       }
       const text = Buffer.from(JSON.stringify({ error: message }));
-      const isRead = discard(req);
+      const closeBehind = (): void => {
+        connections.closeBehind(req.socket, "unread_body");
+      };
+      if (!discard(req, closeBehind)) closeBehind();
       held.writeHead(status, {
         "content-type": "application/json",
         "content-length": text.length,
         ...(comeBackMs === undefined ? {} : deps.protocol.retryAfterHeaders(comeBackMs)),
-        ...(isRead ? {} : { connection: "close" }),
       });
       held.sendWhole(text);
     },
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -212,7 +212,14 @@
     const readAt = this.deps.clock.mono();
     const arrivedAt = readAt - waitedMs;
     const held = new hold.Hold(this.deps.memory, req, res);
-    const response = callerResponse.open(req, res, this.deps, this.lagMonitor, held);
+    const response = callerResponse.open(
+      req,
+      res,
+      this.deps,
+      this.connections,
+      this.lagMonitor,
+      held,
+    );
     if (!held.reserveHead()) {
       this.refuse(req, response, NO_ROOM_FOR_HEAD);
       return;
--- a/src/serving/early-listener.ts
+++ b/src/serving/early-listener.ts
@@ -50,7 +50,8 @@
   const server = http.createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
-      requireHostHeader: true,
+      // A refusal by Node.js would close the connection without regard to its other requests.
+      requireHostHeader: false,
       keepAliveTimeout: KEEP_ALIVE_MS,
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
--- a/test/connections/connections.test.ts
+++ b/test/connections/connections.test.ts
@@ -12,6 +12,8 @@
 const WORK_MS = 40;
 /** The head of the response to this path is sent at once. */
 const FLUSHED = "/flushed";
+/** The response to this path is sent as soon as the request is served. */
+const AT_ONCE = "/at-once";
 const request = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a.example\r\n\r\n`;
 
 /** A server that answers each request that it takes after a while, and a caller's raw connection to it. */
@@ -20,11 +22,16 @@
   const served: string[] = [];
   const sockets = new Set<net.Socket>();
   const server = http.createServer(
+    { requireHostHeader: false },
     connections.listener((req, res) => {
       sockets.add(req.socket);
       const path = req.url ?? "";
       served.push(path);
-      const answer = `answer to ${path}`;
+      const answer = `answer to ${path}\n`;
+      if (path === AT_ONCE) {
+        res.end(answer);
+        return;
+      }
       if (path === FLUSHED) res.writeHead(200, { "content-length": answer.length }).flushHeaders();
       setTimeout(() => res.end(answer), WORK_MS);
     }),
@@ -43,6 +50,13 @@
     sendText: (text: string): boolean => caller.write(text),
     received: (): string => received,
     connect: (): net.Socket => net.connect(address).on("error", () => undefined),
+    drain: (): void => {
+      connections.drain("stopping");
+    },
+    sockets: (): ReadonlySet<net.Socket> => sockets,
+    leave: (): void => {
+      caller.end();
+    },
     stopAll: (): Promise<void> => connections.stop(server),
     close: (): void => {
       for (const s of sockets) connections.close(s, "stopping");
@@ -141,4 +155,46 @@
     expect(host.isEnded()).equal(true);
     host.stop();
   });
+
+  // Guards against responses that say nothing of a close which follows them.
+  it("announces the close in a response that is sent at once", async () => {
+    const host = await open();
+    host.drain();
+    host.send(AT_ONCE);
+    await timers.setTimeout(WORK_MS);
+    expect([host.answers(), host.isEnded()]).deep.equal([[[AT_ONCE, true]], true]);
+    host.stop();
+  });
+
+  // Guards against requests that run and get no answer because of what their client sends behind them.
+  const BEHIND = {
+    "a request without a host": "GET /2 HTTP/1.1\r\n\r\n",
+    "a request for a tunnel": "CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n",
+    "no request": "\0\0\r\n\r\n",
+  };
+  for (const [what, text] of Object.entries(BEHIND))
+    it(`still answers the requests before ${what}, and runs none after it`, async () => {
+      const host = await open();
+      host.sendText(`${request("/1")}${text}${request("/3")}`);
+      await timers.setTimeout(3 * WORK_MS);
+      expect([host.served, host.answers()[0]?.[0], host.isEnded()]).deep.equal([
+        ["/1"],
+        "/1",
+        true,
+      ]);
+      host.stop();
+    });
+
+  // Guards against streams that go on though their caller has left.
+  it("sees that its caller leaves who has sent its last request ahead", async () => {
+    const host = await open();
+    let isGone = false;
+    host.sendText(`${request(FLUSHED)}GET /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n`);
+    await timers.setTimeout(WORK_MS / 4);
+    for (const socket of host.sockets()) socket.once("end", () => (isGone = true));
+    host.leave();
+    await timers.setTimeout(WORK_MS / 4);
+    expect(isGone).equal(true);
+    host.stop();
+  });
 });
--- a/test/connections/state.test.ts
+++ b/test/connections/state.test.ts
@@ -85,7 +85,7 @@
   private arrive(piece: Piece): void {
     if (!state.mayRead(this.state, this.now)) return;
     if (this.state.close && this.state.sendsAhead && piece !== "body") this.readsClosing++;
-    this.step({ kind: "arrived" });
+    this.step({ kind: "arrived", isBlank: false });
     if (state.mayParse(this.state)) this.unparsed.push(piece);
     else this.unparsed = [];
   }
@@ -102,7 +102,11 @@
     }
     if (!state.mayParse(this.state)) this.unparsed = [];
     if (this.unparsed.length === 0)
-      this.step({ kind: "parsed", isHeadPartial: piece === "part of a head" });
+      this.step({
+        kind: "parsed",
+        isHeadPartial: piece === "part of a head",
+        at: this.now,
+      });
   }
 
   private step(step: state.Step): void {
