Drop a software version only after the host has known of it for as long

Callers saw streams that had begun on workers of a new version break, be taken up at a host that had been out of step for a few seconds, and go on at a worker of another version.

A host drops a version from the register of origins once it has not seen it in use for two minutes. A version that it had never seen counted as unused for ever, so a host that had been up for two minutes dropped at once what others had listed while its watch was late, or while the version came and went. Streams that are taken up without the attempt that began them then had a single possible origin, the wrong one.

The time until a version is dropped now also begins when the host finds it listed, and a host takes in the register that it has read before it computes the next one. Whoever listed a version had seen it in use, so that is the latest use that this host cannot rule out.

--- a/src/serving/continuation/origin-register.ts
+++ b/src/serving/continuation/origin-register.ts
@@ -150,6 +150,7 @@
   private async write(): Promise<void> {
     const was = await this.deps.store.read(register.KEY);
     const stored = was.text === undefined ? undefined : parse(was.text);
+    if (stored) this.adopt(stored, was.position);
     const wanted = this.next(stored);
     const text = register.format(wanted);
     if (text === was.text) {
@@ -188,6 +189,7 @@
   private registerChanged(): void {
     const { current } = this;
     this.known = current;
+    this.usage.list(current);
     if (register.includes(current, this.lost)) this.lost = register.EMPTY;
     this.wasComplete ||= current.completeIn !== undefined && current.completeIn === this.era;
   }
--- a/test/serving/continuation/fleet-of-origins.ts
+++ b/test/serving/continuation/fleet-of-origins.ts
@@ -308,4 +308,9 @@
     host.isStoreCut = isCut;
     if (host.process) host.process.source.isCutOff = isCut;
   }
+
+  /** Has the watch calls of a host's process fail while its other calls are answered, or ends that. */
+  blindToStore(host: Host, isBlind: boolean): void {
+    if (host.process) host.process.source.watchingFails = isBlind;
+  }
 }
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -10,6 +10,9 @@
 const of = (software: string): origin.Origin => ({ service: "s", software });
 /** Milliseconds after which all hosts know a change of the store. */
 const KNOWN_MS = 2500;
+/** Milliseconds after which a host drops an entry of the register that it has not seen in use, and between two of its reviews. */
+const UNUSED_MS = 120_000;
+const REVIEW_MS = 5000;
 
 describe("records of an origin", () => {
   it("tell the one on which all of them agree", () => {
@@ -32,6 +35,8 @@
   "heal",
   "store cut",
   "store heal",
+  "watch fails",
+  "watch heals",
   "store down",
   "store up",
   "compact",
@@ -43,6 +48,18 @@
 /** One event of a history; the numbers choose among hosts, keepers, versions and streams. */
 type Step = readonly [(typeof KINDS)[number], number, number];
 
+/** What may happen while versions change and hosts are out of step. */
+const RELEASE_KINDS = [
+  "begin",
+  "resume",
+  "store cut",
+  "store heal",
+  "watch fails",
+  "watch heals",
+  "add",
+  "remove",
+] as const;
+
 const VERSIONS = ["v1", "v2", "v3"];
 
 const steps: fc.Arbitrary<readonly Step[]> = fc.array(
@@ -60,11 +77,11 @@
 async function play(
   list: readonly Step[],
   maxPauseMs: number,
-  { hosts = 3, seed = 0.1, storeMs = 20 } = {},
+  { hosts = 3, seed = 0.1, storeMs = 20, upMs = KNOWN_MS } = {},
 ) {
   const fleet = new fleets.Fleet(hosts, numbers(seed), storeMs);
   let [tried, wentOn, wrong] = [0, 0, 0];
-  await fleet.pass(KNOWN_MS);
+  await fleet.pass(upMs);
   for (const [kind, a, b] of list) {
     const host = fleet.hosts[a % fleet.hosts.length];
     if (!host) break;
@@ -105,6 +122,10 @@
       case "store heal":
         fleet.cutFromStore(host, kind === "store cut");
         break;
+      case "watch fails":
+      case "watch heals":
+        fleet.blindToStore(host, kind === "watch fails");
+        break;
       case "store down":
       case "store up":
         fleet.store.unavailable = kind === "store down";
@@ -147,6 +168,26 @@
     );
   }).timeout(120_000);
 
+  it("are never wrong at hosts that have run for long and are out of step while versions come and go", async () => {
+    const kinds = fc.constantFrom("begin", "begin", "resume", "resume", ...RELEASE_KINDS);
+    const release = fc.array(fc.tuple(kinds, fc.nat(), fc.nat()), {
+      minLength: 30,
+      maxLength: 90,
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        release,
+        fc.constantFrom(100, 400, 1500),
+        fc.double({ min: 0, max: 0.99, noNaN: true }),
+        async (list, maxPauseMs, seed) => {
+          const { wrong } = await play(list, maxPauseMs, { seed, upMs: UNUSED_MS });
+          expect(wrong).equal(0);
+        },
+      ),
+      { numRuns: 150, endOnFailure: true },
+    );
+  }).timeout(60_000);
+
   /** A fleet whose hosts know the versions, and two of the hosts. */
   async function start(versions: readonly string[], storeMs = 20) {
     const fleet = new fleets.Fleet(3, numbers(0.1), storeMs);
@@ -311,6 +352,37 @@
     expect(await fleet.resume(second, begin(0), false)).equal("v2");
   });
 
+  it("are not taken for the only version known to a host whose watch is late", async () => {
+    const { fleet, second, begin } = await start([]);
+    await fleet.pass(UNUSED_MS);
+    fleet.blindToStore(second, true);
+    fleet.register({ add: "v2" });
+    await fleet.pass(KNOWN_MS);
+    const s = begin(1);
+    expect(s.software).equal("v2");
+    const wentOnAt = new Set<string | undefined>();
+    for (let n = 0; n < 40; n++) {
+      wentOnAt.add(await fleet.resume(second, s, false));
+      await fleet.pass(REVIEW_MS / 20);
+    }
+    expect([...wentOnAt]).deep.equal([undefined]);
+  });
+
+  it("are not forgotten by a host that was cut off while a version came and went", async () => {
+    const { fleet, second, begin } = await start([]);
+    await fleet.pass(UNUSED_MS);
+    fleet.cutFromStore(second, true);
+    fleet.register({ add: "v2" });
+    await fleet.pass(KNOWN_MS);
+    const s = begin(1);
+    expect(s.software).equal("v2");
+    fleet.register({ remove: "v2" });
+    await fleet.pass(100);
+    fleet.cutFromStore(second, false);
+    await fleet.pass(REVIEW_MS + KNOWN_MS);
+    expect(await fleet.resume(second, s, false)).equal(undefined);
+  });
+
   it("are mostly known while hosts restart beside two versions", async () => {
     const list: Step[] = [["add", 0, 1]];
     for (let n = 0; n < 40; n++) {
--- a/test/serving/fake-source.ts
+++ b/test/serving/fake-source.ts
@@ -100,6 +100,8 @@
   isCutOff = false;
   /** Whether listing fails while watches are still answered. */
   listingFails = false;
+  /** Whether watches fail while other calls are still answered. */
+  watchingFails = false;
   calls = 0;
   claims = 0;
   /** Milliseconds from the making of an answer to its arrival, which are drawn for each call. */
@@ -155,6 +157,7 @@
     after: position.Position,
   ): Promise<source.ChangesResult> => {
     this.accept();
+    if (this.watchingFails) throw new Error("unavailable");
     if (!this.store.has(after.revision)) return this.answer(() => ({ kind: "compacted" }));
     await clock.sleep(this.clk, WATCH_MS);
     this.accept();
