Name the register complete only after all hosts could list again

After a restore of the store, streams could go on at a worker of another version at a host that had been out of step just before it.

A restore can lose rows of the register of origins, so nothing is inferred until a host names the new era in it, which is to happen 5 s later, when all have listed again what they know. A host that had watched the store for twice a route's timeout did so at once: what it had watched before the restore counted, and so did its older knowledge of the register where an answer to another call had told it of the new era.

Time watched now counts from the restore, and a new era is taken note of with the register's own position, also where a restore changes nothing that the catalog shows.

--- a/src/serving/continuation/origin-register.ts
+++ b/src/serving/continuation/origin-register.ts
@@ -55,7 +55,7 @@
   private readonly usage: registerUsage.RegisterUsage;
   /** The register as this host last read or wrote it by itself. */
   private latest = { register: register.EMPTY, at: position.Position.START };
-  /** The register as last known, the era of the store then, and whether it lacked nothing in any era that this host has seen. */
+  /** The register as last known, its era of the store, and whether it lacked nothing in any era that this host has seen. */
   private known = register.EMPTY;
   private era: eras.Era | undefined;
   private wasComplete = false;
@@ -77,6 +77,12 @@
     return this.latest.at.isAfter(at) ? this.latest.register : origins;
   }
 
+  /** A position at which it was so. */
+  private get currentAt(): position.Position {
+    const { position: at } = this.deps.catalog();
+    return this.latest.at.isAfter(at) ? this.latest.at : at;
+  }
+
   /** Whether resumable streams may begin at an origin. */
   lists(o: origin.Origin): boolean {
     return register.lists(this.current, o) || register.lists(this.lost, o);
@@ -99,12 +105,6 @@
 
   /** Takes in a changed catalog. */
   catalogChanged(at: catalog.Catalog): void {
-    const { era } = at.position;
-    if (this.era !== undefined && era !== this.era) {
-      this.restoredAt = this.deps.clock.mono();
-      this.lost = register.union(this.known, this.lost);
-    }
-    this.era = era;
     this.registerChanged();
     const shown = shownRows.of(at);
     this.usage.update(shown);
@@ -136,8 +136,10 @@
   }
 
   private isWriteDue(): boolean {
-    const { current } = this;
     if (this.deps.catalog().config === undefined) return false;
+    // A restore of the store that changes nothing else is not reported.
+    this.registerChanged();
+    const { current } = this;
     const stored = current === register.EMPTY ? undefined : current;
     return register.format(this.next(stored)) !== register.format(current);
   }
@@ -169,13 +171,14 @@
     const watchedMs = this.deps.watchedMs();
     const streamMs = streamAge.longestMs(at.config);
     const unusedMs = Math.max(MIN_UNUSED_MS, streamMs);
-    const hasRelisted = this.wasComplete && clk.mono() - this.restoredAt >= RELIST_MS;
+    const eraMs = this.era === store.era ? clk.mono() - this.restoredAt : 0;
+    const hasRelisted = this.wasComplete && eraMs >= RELIST_MS;
     return register.next(stored, {
       era: store.era,
       shown: shownRows.of(at),
       lost: this.lost,
       isUsed: (row) => watchedMs < unusedMs || this.usage.isUsed(row, unusedMs),
-      isComplete: watchedMs >= streamMs || hasRelisted,
+      isComplete: Math.min(watchedMs, eraMs) >= streamMs || hasRelisted,
     });
   }
 
@@ -188,6 +191,12 @@
 
   private registerChanged(): void {
     const { current } = this;
+    const { era } = this.currentAt;
+    if (this.era !== undefined && era !== this.era) {
+      this.restoredAt = this.deps.clock.mono();
+      this.lost = register.union(this.known, this.lost);
+    }
+    this.era = era;
     this.known = current;
     this.usage.list(current);
     if (register.includes(current, this.lost)) this.lost = register.EMPTY;
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -330,6 +330,32 @@
     expect(await fleet.resume(second, s, false)).equal(undefined);
   });
 
+  it("are not taken for the only version known to a host that was cut off before the store was restored", async () => {
+    const { fleet, second, begin } = await start([]);
+    await fleet.pass(fleets.WAIT_MS * 3);
+    fleet.backUp();
+    fleet.cutFromStore(second, true);
+    fleet.register({ add: "v2" });
+    await fleet.pass(1000);
+    const s = begin(1);
+    expect(s.software).equal("v2");
+    fleet.register({ remove: "v2" });
+    for (const h of fleet.hosts) fleet.cutFromStore(h, true);
+    await fleet.restore();
+    fleet.cutFromStore(second, false);
+    await fleet.pass(500);
+    expect(await fleet.resume(second, s, false)).equal(undefined);
+  });
+
+  it("are inferred again soon after a restore of the store that changed nothing", async () => {
+    const { fleet, second, begin } = await start([]);
+    await fleet.pass(fleets.WAIT_MS * 3);
+    fleet.backUp();
+    await fleet.restore();
+    await fleet.pass(2 * REVIEW_MS + KNOWN_MS);
+    expect(await fleet.resume(second, begin(0), false)).equal("v1");
+  });
+
   it("are listed before streams begin at them", async () => {
     const { fleet, first } = await start([], 600);
     const began = new Set<string | undefined>();
