--- a/bench/red/continuation-switches.ts
+++ b/bench/red/continuation-switches.ts
@@ -55,6 +55,28 @@
     put: "isUsed: () => true",
     proof: "are dropped once no stream that has them can go on",
   },
+  {
+    name: "continuation: an origin counts as used when it is found to be listed",
+    file: "serving/continuation/origin-register.js",
+    find: "this.usage.list(current);",
+    put: "",
+    proof: "are not forgotten by a host that was cut off while a version came and went",
+  },
+  {
+    name: "continuation: the register is taken in before it is written",
+    file: "serving/continuation/origin-register.js",
+    find: "this.adopt(stored, was.position);",
+    put: ";",
+    proof: "stay listed when a host whose watch is late drops another version",
+  },
+  {
+    name: "continuation: what was watched before a restore does not make the register complete",
+    file: "serving/continuation/origin-register.js",
+    find: "Math.min(watchedMs, eraMs)",
+    put: "watchedMs",
+    proof:
+      "are not taken for the only version known to a host that was cut off before the store was restored",
+  },
   {
     name: "continuation: open streams of several origins are logged in the store",
     file: "serving/continuation/origins.js",
--- a/test/serving/continuation/origins.test.ts
+++ b/test/serving/continuation/origins.test.ts
@@ -394,6 +394,22 @@
     expect([...wentOnAt]).deep.equal([undefined]);
   });
 
+  it("stay listed when a host whose watch is late drops another version", async () => {
+    const { fleet, second } = await start(["v3"]);
+    fleet.register({ remove: "v3" });
+    await fleet.pass(UNUSED_MS - KNOWN_MS);
+    fleet.blindToStore(second, true);
+    fleet.register({ add: "v2" });
+    await fleet.pass(KNOWN_MS);
+    const lacks = new Set<string>();
+    for (let n = 0; n < 2 * REVIEW_MS; n += 20) {
+      const { software } = register.parse(fleet.store.documents.get(register.KEY)?.text ?? "");
+      for (const v of ["v1", "v2"]) if (!software.get("guide")?.has(v)) lacks.add(v);
+      await fleet.pass(20);
+    }
+    expect([...lacks]).deep.equal([]);
+  });
+
   it("are not forgotten by a host that was cut off while a version came and went", async () => {
     const { fleet, second, begin } = await start([]);
     await fleet.pass(UNUSED_MS);
