Do not measure the weight store by a load from the memory of the engine's host

Callers whose adapter an engine did not hold waited longer than needed after a start of the endpoint daemon: the engine loaded adapters from the weight store one after the other, although the store served more at full speed.

Cause: the limit on an engine's concurrent loads from the store halves when a load takes 1.4 times the fastest one. A daemon that starts does not know which adapters the engine's host still has in memory, so the first load of such an adapter, ten times as fast, was recorded as one from the store and became the fastest. From then on each load from the store counted as slowed down. The fastest time grows by 1 % a load, so the limit stayed at one for 200, 143 and 87 more loads after one of 25, 44 and 77 ms (computed with the module, loads of 255 ms); now for none.

Such a load now lowers the usual load time alone. If the store is in fact that fast, the usual time falls within a few loads, and the next ones count in full; the tests of stores of 60 to 2,000 ms pass unchanged. The new test failed before: a limit of 1, not 4.

--- a/src/serving/load-history.ts
+++ b/src/serving/load-history.ts
@@ -94,7 +94,7 @@
 export function recordLoad(w: LoadHistory, key: string, tookMs: number): LoadHistory {
   const pos = w.recent.indexOf(key);
   if (pos < 0) return recordHeld(recordCold(w, tookMs), key);
-  if (tookMs < WARM_FRACTION * w.coldMs) {
+  if (isAsFromMemory(w, tookMs)) {
     const reach = Math.max(w.reach, pos + 1);
     return recordHeld({ ...w, reach, warmMs: smoothed(w.warmMs, tookMs) }, key);
   }
@@ -103,8 +103,13 @@
   return recordHeld({ ...recordCold(w, tookMs), reach }, key);
 }
 
-/** Records a load from the weight store that took `tookMs`, and adjusts the limit on concurrent ones. */
+/**
+ * Records a load from the weight store that took `tookMs`, and adjusts the limit on concurrent ones. One that was as fast
+ * as a load from memory probably was one, of an adapter that the engine held before the daemon started. It says nothing
+ * about the speed of the store, unless many are so fast: it lowers the usual time alone, which the next ones are compared with.
+ */
 function recordCold(w: LoadHistory, tookMs: number): LoadHistory {
+  if (isAsFromMemory(w, tookMs)) return { ...w, coldMs: smoothed(w.coldMs, tookMs) };
   const fastestMs = Math.min(tookMs, FASTEST_GROWTH * (w.fastestMs ?? Infinity));
   const isSlow = tookMs > SLOW_FACTOR * fastestMs;
   const limit = isSlow ? Math.max(1, w.limit / 2) : Math.min(MAX_COLD_LOADS, w.limit + 1 / w.limit);
@@ -124,6 +129,11 @@
   return Math.floor(w.limit);
 }
 
+/** Whether a load was as fast as one from memory. */
+function isAsFromMemory(w: LoadHistory, tookMs: number): boolean {
+  return tookMs < WARM_FRACTION * w.coldMs;
+}
+
 function smoothed(usual: number, latest: number): number {
   return usual + (Math.min(latest, OUTLIER_FACTOR * usual) - usual) * LATEST_WEIGHT;
 }
--- a/test/serving/cold-start.test.ts
+++ b/test/serving/cold-start.test.ts
@@ -105,6 +105,16 @@
     });
   }
 
+  it("do not take a load from memory after a daemon's start for a load from a faster store", () => {
+    for (const warmMs of [LOAD_MS / 10, LOAD_MS / 3]) {
+      let w = loadHistory.recordLoad(loadHistory.INITIAL, "kept", warmMs);
+      for (let i = 0; i < 9; i++) w = loadHistory.recordLoad(w, `a${i}`, LOAD_MS);
+      w = loadHistory.recordLoad(w, "kept too", warmMs);
+      for (let i = 0; i < 4; i++) w = loadHistory.recordLoad(w, `b${i}`, LOAD_MS);
+      expect(loadHistory.coldLoadLimit(w)).equal(4);
+    }
+  });
+
   it("raise their limit on a store that serves all loads at full speed", () => {
     let w = loadHistory.INITIAL;
     for (let i = 0; i < 8; i++) w = loadHistory.recordLoad(w, `a${i}`, LOAD_MS);
