--- a/test/serving/cold-start.test.ts
+++ b/test/serving/cold-start.test.ts
@@ -21,8 +21,14 @@
   readonly loads: Map<string, { leftMs: number; readonly since: number }>;
 }
 
+/** The history of an engine whose loads were all at full speed. */
+const GROWN = Array.from({ length: 8 }, (_, i) => `old${i}`).reduce(
+  (w, key) => loadHistory.recordLoad(w, key, LOAD_MS),
+  loadHistory.INITIAL,
+);
+
 /** Creates engine `n`, with `wanted` requests that each wait for another adapter. */
-function engine(n: number, wanted: number): Engine {
+function engine(n: number, wanted: number, history: loadHistory.LoadHistory): Engine {
   let state: residency.State = { ...residency.empty(), models: [MODEL] };
   for (let i = 0; i < wanted; i++) {
     const adapter = `e${n}a${i}`;
@@ -31,7 +37,7 @@
     const waiter: seatQueue.Waiter = { seat: key, key, model: MODEL, adapter, rank: 1, ...times };
     state = residency.addWaiter(state, waiter, 0);
   }
-  return { state, history: loadHistory.INITIAL, loads: new Map() };
+  return { state, history, loads: new Map() };
 }
 
 /** Starts all loads that the engine should order now. */
@@ -53,15 +59,16 @@
 }
 
 /**
- * Simulates engines that all start at once, on a weight store that serves `atOnce` loads at full speed and
- * slows all of them down beyond that. Returns the times at which the adapters were loaded.
+ * Simulates engines that all load at once, on a weight store that serves `atOnce` loads at full speed and slows all of them
+ * down beyond that. They have just started unless `history` is given. Returns the times at which the adapters were loaded.
  */
 function simulate(
   engines: number,
   atOnce: number,
   coldLoads: (w: loadHistory.LoadHistory) => number,
+  history = loadHistory.INITIAL,
 ): readonly number[] {
-  const all = Array.from({ length: engines }, (_, i) => engine(i, SLOTS));
+  const all = Array.from({ length: engines }, (_, i) => engine(i, SLOTS, history));
   const loadedAt: number[] = [];
   for (let now = 0; now < SIMULATED_MS; now += STEP_MS) {
     for (const e of all) startLoads(e, now, coldLoads(e.history));
@@ -105,6 +112,24 @@
     });
   }
 
+  for (const [engines, atOnce] of [
+    [18, 8],
+    [55, 24],
+  ] as const) {
+    it(`have rare adapters in a burst no later than with as many loads as fit (${engines}, store ${atOnce})`, () => {
+      const fixed = simulate(engines, atOnce, () => 4);
+      const adaptive = simulate(engines, atOnce, loadHistory.coldLoadLimit, GROWN);
+      expect(adaptive.length).equal(engines * SLOTS);
+      expect(mean(adaptive)).most(mean(fixed));
+      expect(Math.max(...adaptive)).below(Math.max(...fixed) * 1.05);
+    });
+  }
+
+  it("have rare adapters in a burst as soon as without a limit while the store serves all at full speed", () => {
+    const fixed = simulate(4, 32, () => 4);
+    expect(simulate(4, 32, loadHistory.coldLoadLimit, GROWN)).deep.equal(fixed);
+  });
+
   it("do not take a load from memory after a daemon's start for a load from a faster store", () => {
     for (const warmMs of [LOAD_MS / 10, LOAD_MS / 3]) {
       let w = loadHistory.recordLoad(loadHistory.INITIAL, "kept", warmMs);
