End the decoding of a document at its first invalid element

A daemon ended by itself, again and again, while one document that it reads held a long list of invalid elements: a register of origins with 450,000 numbers for software versions (900 KB, below the store's limit for a value) used up a heap of 160 MB, as the entry daemon has, before it was rejected.

Cause: the schema library makes an error for each invalid element and a text of all of them, some 170 bytes of text for each two bytes of the document. 20,000 elements gave a text of 3.5 MB.

Teams, of which each is decoded by itself, keep no errors.

The same schema decodes the names in the register into a map. The library's record leaves out a key __proto__ without an error, so a route or service of that name was missing from what was read, and the register written again.

--- a/src/serving/continuation/register.ts
+++ b/src/serving/continuation/register.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import * as zod from "zod";
+import * as decoding from "../../host/decoding.js";
 import type * as structuredLog from "../../host/structured-log.js";
 import * as eras from "../../store/era.js";
 import type * as catalog from "../catalog.js";
@@ -37,7 +38,7 @@
 /** The register that lists nothing. */
 export const EMPTY: Register = { completeIn: undefined, service: new Map(), software: new Map() };
 
-const names = zod.record(zod.string(), zod.array(zod.string()));
+const names = decoding.map(decoding.list(zod.string()));
 const document = zod.object({ completeIn: zod.int().optional(), service: names, software: names });
 
 /** Parses the text of the document. Throws if it cannot be parsed. */
@@ -55,8 +56,8 @@
   return JSON.stringify({ completeIn, service: fromNames(service), software: fromNames(software) });
 }
 
-function toNames(record: Readonly<Record<string, readonly string[]>>): Names {
-  return new Map(Object.entries(record).map(([key, list]) => [key, new Set(list)]));
+function toNames(lists: ReadonlyMap<string, readonly string[]>): Names {
+  return new Map([...lists].map(([key, list]) => [key, new Set(list)]));
 }
 
 function fromNames(from: Names): Record<string, readonly string[]> {
--- a/src/serving/quarantine.ts
+++ b/src/serving/quarantine.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import * as zod from "zod";
+import * as decoding from "../host/decoding.js";
 import type * as feed from "./feed.js";
 
 /** Prefix of the keys; the rest is the request's identity. */
@@ -23,8 +24,8 @@
 }
 
 const evidence = zod.object({
-  workers: zod.array(zod.string()),
-  parts: zod.array(zod.string()).optional(),
+  workers: decoding.list(zod.string()),
+  parts: decoding.list(zod.string()).optional(),
   at: zod.coerce.date(),
 });
 
--- /dev/null
+++ b/test/platform/odd-documents.test.ts
@@ -0,0 +1,60 @@
+import * as chai from "chai";
+import * as documents from "../../platform/documents.js";
+import * as register from "../../src/serving/continuation/register.js";
+import * as registerDecoder from "../../src/serving/continuation/register-decoder.js";
+import * as quarantine from "../../src/serving/quarantine.js";
+
+const { expect } = chai;
+
+/** The decoder of an entry daemon. */
+const decoder = quarantine.wrapDecoder(
+  registerDecoder.wrapDecoder({
+    prefixes: [documents.OPERATOR_PREFIX, documents.WORKERS_PREFIX],
+    common: "",
+    written: documents.updateOf,
+    deleted: documents.deletionUpdateOf,
+  }),
+);
+
+/** JSON of a list of invalid elements. */
+const LIST = `[${"1,".repeat(20_000)}1]`;
+const MANY_KEYS = `{${Array.from({ length: 20_000 }, (_, i) => `"k${i}":1`).join(",")}}`;
+/** Most characters of the reason why a document cannot be decoded. */
+const MAX_REASON = 2000;
+
+describe("a document with many invalid elements gives one short error, and no error for each that uses up the memory", () => {
+  const table: Readonly<Record<string, readonly [string, string]>> = {
+    routes: ["op/config", `{"routes":${LIST}}`],
+    services: ["op/config", `{"services":${LIST}}`],
+    "shares of a route": ["op/config", `{"routes":[{"trafficSplit":${LIST}}]}`],
+    "models of an engine": ["op/config", `{"services":[{"engine":{"models":${LIST}}}]}`],
+    "software versions": [register.KEY, `{"service":{},"software":{"a":${LIST}}}`],
+    "services in the register": [register.KEY, `{"service":${MANY_KEYS},"software":{}}`],
+  };
+  for (const [what, [key, text]] of Object.entries(table)) {
+    it(what, () => {
+      let why = "";
+      try {
+        decoder.written(key, text);
+      } catch (err) {
+        why = (err as Error).message;
+      }
+      expect(why.length).within(1, MAX_REASON);
+    });
+  }
+
+  it("teams are counted", () => {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const tenants = [1, { name: "a", apiKeys: ["k"] }, { name: "b", apiKeys: [1] }];
+    const text = JSON.stringify({ version: 1, routes: [], services: [], limits, tenants });
+    const update = decoder.written("op/config", text);
+    const teams = update?.kind === "config" ? update.config.teams : undefined;
+    expect([teams?.all.map((t) => t.name), teams?.malformedCount]).deep.equal([["a"], 2]);
+  });
+});
+
+it("a name that JavaScript reserves is not lost from the register of origins, which would be written without end", () => {
+  const text =
+    '{"service":{"__proto__":["a"],"constructor":["b"]},"software":{"__proto__":["v1"]}}';
+  expect(register.format(register.parse(text))).equal(text);
+});
