Decode no number from the store that daemons cannot use

An adapter version of 1.5, or a configuration of version 1.5 or 1e300, was taken into the catalog. Daemons tell each other of both as integers, and a message that does not match its schema ends the connection, so each request for that adapter, or each announcement of an endpoint daemon, ended a connection between daemons, again and again. A version of 1e300 also hides all later versions. A negative idle time makes Node throw where it starts the timer of a kept connection, which ends the process; a team's rate and burst of 1e308 add up to infinity, which is null in a message.

Such documents are now rejected like others that cannot be read: the previous configuration stays in force, and an invalid team loses only its own keys. Versions are safe integers, all other numbers 0 to 2^53 - 1.

Seen by reading and by the tests of the decoder; not played on processes.

--- a/test/platform/odd-documents.test.ts
+++ b/test/platform/odd-documents.test.ts
@@ -53,6 +53,40 @@
   });
 });
 
+describe("a number that no daemon can use is not decoded, and does not end connections between daemons or the process", () => {
+  const version = (n: string): string => `{"model":"m","adapter":"a1","version":${n}}`;
+  const config = (more: string): string => {
+    const limits =
+      '"limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1}';
+    return `{"version":1,"routes":[],"services":[],${limits},${more}}`;
+  };
+  const table: Readonly<Record<string, readonly [string, string]>> = {
+    "an adapter version with a fraction": ["op/version/m.a1", version("1.5")],
+    "an adapter version of 2^53": ["op/version/m.a1", version("9007199254740992")],
+    "an adapter version of 1e300": ["op/version/m.a1", version("1e300")],
+    "an adapter version of 1e400": ["op/version/m.a1", version("1e400")],
+    "a configuration's version with a fraction": ["op/config", config('"version":1.5')],
+    "a configuration's version of 1e300": ["op/config", config('"version":1e300')],
+    "a negative idle time": [
+      "op/config",
+      config(
+        '"limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":-5000}',
+      ),
+    ],
+  };
+  for (const [what, [key, text]] of Object.entries(table)) {
+    it(what, () => {
+      expect(() => decoder.written(key, text)).throw();
+    });
+  }
+
+  it("a team's burst of 1e308", () => {
+    const team = '{"name":"a","apiKeys":["k"],"ratePerS":1e308,"burst":1e308}';
+    const update = decoder.written("op/config", config(`"tenants":[${team}]`));
+    expect(update?.kind === "config" && update.config.teams?.malformedCount).equal(1);
+  });
+});
+
 it("a name that JavaScript reserves is not lost from the register of origins, which would be written without end", () => {
   const text =
     '{"service":{"__proto__":["a"],"constructor":["b"]},"software":{"__proto__":["v1"]}}';
