--- a/src/host/clock.ts
+++ b/src/host/clock.ts
@@ -30,7 +30,7 @@
    * callers, so that a jump of the wall clock doesn't add to them.
    */
   readonly steady: () => number;
-  /** Calls `run` once, `ms` milliseconds from now. */
+  /** Calls `run` once, `ms` milliseconds from now, or after some 24 days if `ms` is more. */
   readonly after: (ms: number, run: () => void) => Timer;
 }
 
@@ -61,6 +61,9 @@
   return steadyMs + offset.totalLeapMs;
 }
 
+/** Longest time, in ms, that a timer of Node takes. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** The machine's clocks. In a copy that replaces `now` or `steady`, `mono` is derived from the replacement. */
 export const system: Clock = {
   now: () => new Date(),
@@ -69,7 +72,8 @@
   },
   steady: () => performance.now(),
   after: (ms, run) => {
-    const t = timers.setTimeout(run, ms);
+    // Node runs what is set to a longer time at once.
+    const t = timers.setTimeout(run, Math.min(ms, MAX_TIMER_MS));
     return {
       cancel: () => {
         timers.clearTimeout(t);
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -77,3 +77,11 @@
     );
   });
 });
+
+it("a time beyond the range of Node's timers does not pass at once", async () => {
+  let hasRun = false;
+  const timer = clock.system.after(2 ** 31, () => (hasRun = true));
+  await clock.sleep(clock.system, 20);
+  timer.cancel();
+  expect(hasRun).equal(false);
+});
