--- a/src/host/hedge.ts
+++ b/src/host/hedge.ts
@@ -33,29 +33,32 @@
   deps: Deps,
 ): Promise<T> {
   return new Promise((resolve, reject) => {
-    const settled = new AbortController();
-    let startedCalls = 0;
+    // One for each call: with a signal in common, the listeners of all steps of all calls would be on it.
+    const started: AbortController[] = [];
+    let isSettled = false;
     let failedCalls = 0;
     let timer: clock.Timer | undefined;
     const settle = (): void => {
       timer?.cancel();
-      settled.abort();
+      isSettled = true;
+      for (const controller of started) controller.abort();
     };
     const startCall = (): void => {
-      startedCalls++;
-      call(settled.signal).then(
+      const controller = new AbortController();
+      started.push(controller);
+      call(controller.signal).then(
         (answer) => {
           settle();
           resolve(answer);
         },
         (err: unknown) => {
           failedCalls++;
-          if (failedCalls < startedCalls || settled.signal.aborted) return;
+          if (failedCalls < started.length || isSettled) return;
           settle();
           reject(err instanceof Error ? err : new Error(String(err)));
         },
       );
-      if (startedCalls < opts.maxCalls) timer = deps.clock.after(opts.overdueMs, startHedge);
+      if (started.length < opts.maxCalls) timer = deps.clock.after(opts.overdueMs, startHedge);
     };
     const startHedge = (): void => {
       deps.onOverdue();
--- a/test/hedge.test.ts
+++ b/test/hedge.test.ts
@@ -1,5 +1,6 @@
 import * as chai from "chai";
 import * as time from "../bench/measure/time.js";
+import * as clock from "../src/host/clock.js";
 import * as hedge from "../src/host/hedge.js";
 
 const { expect } = chai;
@@ -80,3 +81,23 @@
     expect(await h.first).equal("b");
   });
 });
+
+it("hedged calls of several steps each do not make Node warn of too many listeners", async () => {
+  const warnings: Error[] = [];
+  const onWarning = (w: Error): void => void warnings.push(w);
+  process.on("warning", onWarning);
+  const clk = new time.Time();
+  const first = hedge.firstAnswer(
+    async (signal) => {
+      const steps = Array.from({ length: 4 }, () => clock.sleep(clk, 250, signal));
+      await Promise.all(steps);
+    },
+    { overdueMs: 100, maxCalls: 3 },
+    { clock: clk, onOverdue: () => undefined },
+  );
+  await clk.runUntil(300);
+  await first;
+  await clock.sleep(clock.system, 1);
+  process.off("warning", onWarning);
+  expect(warnings).deep.equal([]);
+});
