Learn from a plain worker's address that answers 421 to all

Calls of a plain service kept their share of sends to a registered address at which another worker runs: each got 421 and had to be sent again, for good, and beyond the retry budget it was refused.

Cause: a 421 was recorded as telling nothing about the endpoint. That holds for an engine, which answers so for an adapter that it lacks; a plain worker answers so only because it isn't the one that was meant. It now counts as a failure, which decays, so that the address is tried again now and then.

In the new test 40 of 40 calls went to that address first, now at most 4.

--- a/src/serving/sending.ts
+++ b/src/serving/sending.ts
@@ -174,7 +174,7 @@
     send: SendState,
     result: upstream.SendResult,
   ): Promise<progress.Ending | undefined> | progress.Ending | undefined {
-    const { p } = send;
+    const { p, req } = send;
     if ("statement" in result) send.statement = result.statement;
     if (result.kind !== "withheld" && result.kind !== "unsent")
       this.recorder.recordEvidence(send, result.kind);
@@ -190,7 +190,8 @@
         this.settle(
           send,
           result.isAbsent ? "absent" : "not_run",
-          result.isAbsent ? undefined : false,
+          // An engine may lack the adapter alone; a plain worker's address belongs to another instance.
+          result.isAbsent && req.service.engine ? undefined : false,
         );
         return undefined;
       case "unproved":
--- a/test/serving/dispatch.test.ts
+++ b/test/serving/dispatch.test.ts
@@ -149,6 +149,28 @@
     expect([seen.status, runs]).deep.equal([200, 1]);
   });
 
+  it("does not keep sending a share of a plain service's calls to an address that is another worker's", async () => {
+    let refused = 0;
+    const stranger = await fixtures.worker((_req, res) => {
+      refused++;
+      res.writeHead(421, { "test-id": "r1" });
+      res.end();
+    });
+    const own = await fixtures.worker((_req, res) => {
+      res.writeHead(200, fixtures.good());
+      res.end("fine");
+    });
+    const setup = dispatcherFixture.create(catalogOf([stranger.address, own.address]));
+    for (let i = 0; i < 40; i++) {
+      const res = callerResponse(new AbortController().signal, nothingSeen());
+      await setup.dispatcher.serve(fixtures.request(), res);
+    }
+    setup.close();
+    stranger.close();
+    own.close();
+    expect(refused).most(4);
+  });
+
   it("does not resend a request that may have run and must not be repeated", async () => {
     let arrivals = 0;
     const breaks = await fixtures.rawWorker((s) => {
