--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -25,6 +25,14 @@
   null: "null",
   "deeply nested": "[".repeat(100_000),
   "very long": JSON.stringify({ ...GOOD, service: 1, more: "x".repeat(900_000) }),
+  "a software version that fits in no message between daemons": JSON.stringify({
+    ...GOOD,
+    version: "v".repeat(600_000),
+  }),
+  "a service of a thousand characters and one": JSON.stringify({
+    ...GOOD,
+    service: "s".repeat(1001),
+  }),
   "a missing field": JSON.stringify({ ...GOOD, address: undefined }),
   "another type": JSON.stringify({ ...GOOD, slots: "8" }),
   "a number out of range": JSON.stringify({ ...GOOD }).replace('"slots":8', '"slots":1e999'),
