Remember unreadable documents by their digests

The feed kept the whole texts of up to 256 unreadable documents, of up to 1 MiB each, to log each of them once. 60 entries of 500 kB kept the heap 30 MB larger for as long as they were in the store. A digest tells as well whether a text was logged.

The new test failed before, with 30 MB.

--- a/src/serving/feed.ts
+++ b/src/serving/feed.ts
@@ -4,6 +4,7 @@
  * restored from a backup, and so began a new era.
  * @module
  */
+import * as crypto from "node:crypto";
 import * as clock from "../host/clock.js";
 import * as hedge from "../host/hedge.js";
 import * as errors from "../host/errors.js";
@@ -78,8 +79,8 @@
   private era: eras.Era | undefined;
   /** Monotonic ms at which the store was last found to have been restored from a backup. */
   private restoredAt = -Infinity;
-  /** Texts of unreadable documents, by key, so that the same text is logged once. */
-  private readonly unreadableTexts = new Map<string, string>();
+  /** Digests of the texts of unreadable documents, by key, so that the same text is logged once. */
+  private readonly unreadableDigests = new Map<string, string>();
   private unreadableTotal = 0;
   private readonly grace: entryGrace.EntryGrace;
   private readonly scope: watchScope.WatchScope;
@@ -356,7 +357,7 @@
   private decode(key: string, text: string): catalog.Update | undefined {
     try {
       const update = this.deps.decoder.written(key, text);
-      this.unreadableTexts.delete(key);
+      this.unreadableDigests.delete(key);
       return update;
     } catch (err) {
       this.reportUnreadable(key, text, errors.messageOf(err));
@@ -365,9 +366,10 @@
   }
 
   private reportUnreadable(key: string, text: string, why: string): void {
-    if (this.unreadableTexts.get(key) === text) return;
-    if (this.unreadableTexts.size >= UNREADABLE_KEPT) this.unreadableTexts.clear();
-    this.unreadableTexts.set(key, text);
+    const digest = crypto.createHash("sha256").update(text).digest("base64");
+    if (this.unreadableDigests.get(key) === digest) return;
+    if (this.unreadableDigests.size >= UNREADABLE_KEPT) this.unreadableDigests.clear();
+    this.unreadableDigests.set(key, digest);
     this.unreadableTotal++;
     const count = this.unreadableTotal;
     const reason = why.slice(0, REASON_LENGTH);
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -1,3 +1,5 @@
+import * as v8 from "node:v8";
+import * as vm from "node:vm";
 import * as chai from "chai";
 import * as fc from "fast-check";
 import * as standin from "../../bench/platform/documents.js";
@@ -13,6 +15,8 @@
 
 const { expect } = chai;
 
+v8.setFlagsFromString("--expose-gc");
+
 const GOOD = standin.workerEntry("llm", "10.0.0.1:80") as Readonly<Record<string, unknown>>;
 const GOOD_KEY = `${platform.WORKERS_PREFIX}good`;
 const BAD_KEY = `${platform.WORKERS_PREFIX}bad`;
@@ -105,7 +109,7 @@
   f.stop();
   await running;
   expect(lastChange.endpoints).equal(f.catalog.endpoints);
-  return { at: f.catalog, lines, unreadable: f.unreadableCount };
+  return { at: f.catalog, lines, unreadable: f.unreadableCount, feed: f };
 }
 
 describe("an entry by another writer", () => {
@@ -122,6 +126,19 @@
     });
   }
 
+  it("does not take up memory once it was found to be unreadable", async () => {
+    const collect = vm.runInNewContext("gc") as () => void;
+    const entries = (): (readonly [string, string])[] =>
+      Array.from({ length: 60 }, (_, i) => [`${BAD_KEY}-${i}`, `${"x".repeat(500_000)}${i}`]);
+    collect();
+    const before = process.memoryUsage().heapUsed;
+    const followed = await follow([entries()]);
+    collect();
+    const keptBytes = process.memoryUsage().heapUsed - before;
+    expect(followed.feed.unreadableCount).equal(60);
+    expect(keptBytes).below(5_000_000);
+  });
+
   it("is replaced by the next valid one", async () => {
     const { at } = await follow([[[BAD_KEY, "{"]], [[BAD_KEY, JSON.stringify(GOOD)]]]);
     expect([...at.endpoints.keys()]).deep.equal(["good", "bad"]);
