--- a/test/platform/odd-documents.test.ts
+++ b/test/platform/odd-documents.test.ts
@@ -1,8 +1,11 @@
 import * as chai from "chai";
+import * as standin from "../../bench/platform/documents.js";
+import * as stores from "../../bench/platform/store.js";
 import * as documents from "../../platform/documents.js";
 import * as register from "../../src/serving/continuation/register.js";
 import * as registerDecoder from "../../src/serving/continuation/register-decoder.js";
 import * as quarantine from "../../src/serving/quarantine.js";
+import * as followedStore from "./followed-store.js";
 
 const { expect } = chai;
 
@@ -22,6 +25,26 @@
 /** Most characters of the reason why a document cannot be decoded. */
 const MAX_REASON = 2000;
 
+it("a host that starts reads the list of workers though entries too long to hold lie in it", async () => {
+  const store = new stores.Store();
+  await store.start();
+  store.put("servers/good", standin.workerEntry("llm", "10.0.0.1:80"));
+  const value = Buffer.from("x".repeat(750_000)).toString("base64");
+  for (let i = 0; i < 140; i++) {
+    const key = `servers/odd-${i}`;
+    store.items.set(key, { key, value, revision: 1, created: 1, lease: 0 });
+  }
+  store.pageSize = 1;
+  const followed = followedStore.follow(store);
+  try {
+    await followedStore.until(() => followed.feed.catalog.endpoints.has("good"));
+    expect(followed.feed.unreadableCount).equal(140);
+  } finally {
+    followed.close();
+    store.stop();
+  }
+}).timeout(20_000);
+
 describe("a document with many invalid elements gives one short error, and no error for each that uses up the memory", () => {
   const table: Readonly<Record<string, readonly [string, string]>> = {
     routes: ["op/config", `{"routes":${LIST}}`],
