--- a/bench/platform/store.ts
+++ b/bench/platform/store.ts
@@ -83,7 +83,7 @@
   }
 
   /** Writes the value of a key, given as base64. */
-  private write(key: string, text: string): void {
+  write(key: string, text: string): void {
     const revision = ++this.revision;
     const created = this.items.get(key)?.created ?? revision;
     const item: Item = { key, value: text, revision, created, lease: 0 };
--- a/test/platform/followed-store.ts
+++ b/test/platform/followed-store.ts
@@ -7,7 +7,9 @@
 import * as client from "../../platform/store.js";
 import * as clock from "../../src/host/clock.js";
 import * as structuredLog from "../../src/host/structured-log.js";
+import * as registerDecoder from "../../src/serving/continuation/register-decoder.js";
 import * as feed from "../../src/serving/feed.js";
+import * as quarantine from "../../src/serving/quarantine.js";
 import * as watchPace from "../../src/serving/watch-pace.js";
 
 /** Milliseconds within which a change must be in force. */
@@ -20,19 +22,25 @@
   readonly close: () => void;
 }
 
+/** What an entry daemon reads, and what an endpoint daemon does. */
+const ENTRY_PREFIXES = [documents.OPERATOR_PREFIX, documents.WORKERS_PREFIX];
+export const ENDPOINT_PREFIXES = [documents.OPERATOR_PREFIX];
+
 /** Starts a feed that follows `store`. */
-export function follow(store: stores.Store): FollowedStore {
+export function follow(store: stores.Store, prefixes = ENTRY_PREFIXES): FollowedStore {
   const source = new client.Store(store.address);
   const started = new feed.Feed({
     clock: clock.system,
     log: structuredLog.silent,
     source,
-    decoder: {
-      written: documents.updateOf,
-      deleted: documents.deletionUpdateOf,
-      prefixes: [documents.OPERATOR_PREFIX, documents.WORKERS_PREFIX],
-      common: "",
-    },
+    decoder: quarantine.wrapDecoder(
+      registerDecoder.wrapDecoder({
+        written: documents.updateOf,
+        deleted: documents.deletionUpdateOf,
+        prefixes,
+        common: "",
+      }),
+    ),
     pace: watchPace.promptPace(IN_FORCE_MS),
     onChange: () => undefined,
     onRestored: () => undefined,
