Release the fields of requests that have been answered or refused

A connection keeps its latest request, and so its fields, until the next request or its close: Node.js's parser does, the connection limit does, and the reader does while a body is due. A field takes some 200 bytes once both tables of them have been made (measured: 83 as parsed, 160 with the tables, 197 with the table that is forwarded), so that a head of 15 KB keeps half a megabyte. Connections that wait in turn with more sent ahead, some 300 of them here, each kept one that the memory budget counted no more. Refused requests behind others on their connection kept theirs without ever being counted.

The fields are now released once the response has been taken, and at a refusal. The new test of paced-reader.test.ts failed before (204 texts kept).

--- a/bench/red/reading-switches.ts
+++ b/bench/red/reading-switches.ts
@@ -33,6 +33,13 @@
     put: "return true;",
     proof: "reads little of a connection that is being closed, and still sees its end",
   },
+  {
+    name: "reading: the fields of an answered request are released",
+    file: "host/reading/paced-reader.js",
+    find: "if (res.writableFinished)",
+    put: "if (false)",
+    proof: "keeps no fields of a request that has been answered",
+  },
   {
     name: "reading: connections without a byte are closed for new ones",
     file: "host/reading/connection-limit.js",
--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -9,6 +9,7 @@
 import type * as clock from "../clock.js";
 import type * as connections from "../connections/connections.js";
 import * as connectionState from "../connections/state.js";
+import * as requestFields from "../request-fields.js";
 import * as recentUse from "./recent-use.js";
 import * as slices from "./slices.js";
 
@@ -160,6 +161,7 @@
     });
     res.once("close", () => {
       if (c.latest === req && req.complete) c.latest = undefined;
+      if (res.writableFinished) requestFields.release(req);
       this.continue(c);
     });
   }
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as clock from "../host/clock.js";
+import * as requestFields from "../host/request-fields.js";
 import * as responses from "../host/response.js";
 import type * as hold from "./buffering/hold.js";
 import * as headers from "./headers.js";
@@ -93,6 +94,8 @@
         ...(isRead ? {} : { connection: "close" }),
       });
       held.sendWhole(text);
+      // The response may wait long behind others on its connection.
+      requestFields.release(req);
     },
   };
 }
--- a/test/platform/unruly/kinds.ts
+++ b/test/platform/unruly/kinds.ts
@@ -29,6 +29,8 @@
 export const BODY_BYTES = 4_194_304;
 /** Fields of a head that is legal in size. */
 const FIELDS = 2400;
+/** Fields with names of their own of such a head. */
+const EMPTY_FIELDS = 2600;
 /** Requests that are sent ahead at a time. */
 const AHEAD = 40;
 
@@ -39,6 +41,10 @@
 const post = (door: Door, fields: string): string =>
   head(door, "POST", `${id()}x-sumacfield-deadline-ms: 15000\r\n${fields}`);
 const shortFields = Array.from({ length: FIELDS }, (_, i) => `${(i % 9) + 1}:\r\n`).join("");
+/** Fields of names of their own, as many as a legal head has room for. */
+const emptyFields = Array.from({ length: EMPTY_FIELDS }, (_, i) => `${i.toString(36)}:\r\n`).join(
+  "",
+);
 const chunksOfOne = (count: number): string => "1\r\nx\r\n".repeat(count);
 const body = "x".repeat(BODY_BYTES);
 
@@ -70,6 +76,16 @@
     then: (door) => head(door, "GET", shortFields).repeat(AHEAD),
     reads: false,
   },
+  "many empty fields ahead": {
+    first: (door) => `${post(door, `${emptyFields}content-length: 1\r\n`)}x`.repeat(AHEAD),
+    reads: true,
+    endsAtOnce: true,
+  },
+  "heads that do not end": {
+    first: (door) => `POST ${door.path} HTTP/1.1\r\n`,
+    then: () => "k:\r\n".repeat(4000),
+    reads: true,
+  },
   "large bodies": {
     first: () => "",
     then: (door) => post(door, `content-length: ${BODY_BYTES}\r\n`) + body,
--- a/test/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -128,6 +128,24 @@
     stop();
   });
 
+  // Guards against connections that keep thousands of fields of a request that was answered while they wait to be read.
+  it("keeps no fields of a request that has been answered", async () => {
+    const requests: http.IncomingMessage[] = [];
+    const { connect, stop } = await open((req, res) => {
+      expect(req.headersDistinct).property("k99");
+      requests.push(req);
+      res.end();
+    });
+    const client = connect().resume();
+    const fields = Array.from({ length: 100 }, (_, n) => `k${n}:\r\n`).join("");
+    client.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n${fields}\r\n`);
+    await timers.setTimeout(SETTLED_MS);
+    expect(requests.map((r) => r.rawHeaders.length)).deep.equal([0]);
+    expect(requests.map((r) => [r.headers, r.headersDistinct])).deep.equal([[{}, {}]]);
+    client.destroy();
+    stop();
+  });
+
   // Guards against the memory of what many connections bring and nobody reads, and against closing those that bring little.
   it("closes the connections that have waited longest once too many bytes wait", async () => {
     const { connect, accepted, reader, stop } = await open(() => undefined);
