Let connections that have sent ahead wait behind those that bring one request

Beside 100 connections that send 40 heads of 2,600 empty fields ahead and begin again, 8 to 11 of some 145 ordinary calls were reset. New connections wait in the class that has used little, and were read in the order in which they came; with some 300 of them in it, ordinary connections with 153 bytes had waited longest once too many bytes waited, and were closed.

A connection with more than 16 KB of requests now waits one class later, also if it is new. Bodies that are being read keep their class.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -30,6 +30,8 @@
 const CALLBACKS_PER_CONNECTION = 2;
 /** Milliseconds of a turn after which no further slice of them is parsed. */
 const TURN_MS = 2;
+/** Bytes beside a body that are more than one request: of those that wait, a connection that has brought so many goes later. */
+const AHEAD_BYTES = 16_384;
 /** Milliseconds that a request costs at least beside the parsing of its bytes. */
 const REQUEST_MS = 0.5;
 /** Bytes that wait over all connections; while there are more, the connection that has waited longest is closed. */
@@ -284,10 +286,17 @@
   private enqueue(c: Connection): void {
     if (c.isQueued || !this.mayParse(c)) return;
     c.isQueued = true;
-    this.queues[recentUse.classOf(c.use, this.clk.steady())]?.push(c);
+    this.queues[this.classOf(c)]?.push(c);
     this.scheduleTurn();
   }
 
+  /** Class in which a connection waits: one that has sent ahead does so behind those that bring one request, also if it is new. */
+  private classOf(c: Connection): number {
+    const used = recentUse.classOf(c.use, this.clk.steady());
+    const isAhead = c.latest?.complete !== false && (c.held?.length ?? 0) > AHEAD_BYTES;
+    return isAhead ? Math.max(1, used) : used;
+  }
+
   /** Notes that something has arrived in this turn, which ends with the next call of immediate callbacks. */
   private beginTurn(): void {
     if (this.hasTurnBegun) return;
