--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -6,6 +6,7 @@
 import type * as http from "node:http";
 import type * as clock from "../host/clock.js";
 import type * as connections from "../host/connections/connections.js";
+import * as requestFields from "../host/request-fields.js";
 import * as responses from "../host/response.js";
 import type * as hold from "./buffering/hold.js";
 import * as headers from "./headers.js";
@@ -97,6 +98,8 @@
         ...(comeBackMs === undefined ? {} : deps.protocol.retryAfterHeaders(comeBackMs)),
       });
       held.sendWhole(text);
+      // The response may wait long behind others on its connection.
+      requestFields.release(req);
     },
   };
 }
