Log connections that this side closes with requests unanswered, and answer unknown expectations itself

On call, a connection that the host closed under a request left no line of the connection's own: when its close was decided, why, what was unparsed and unsent. Now it does, unless its client has ended or reset it.

A request with an unknown expectation was refused by Node.js without regard to the other requests of its connection; the test failed before.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -88,7 +88,7 @@
     file: "host/connections/state.js",
     find: "return !s.isFinal && !s.isEnded;",
     put: "return true;",
-    proof: "does not serve a request that arrives after its end",
+    proof: "takes nothing once the close is announced",
   },
   {
     name: "answers: a connection ends after the last of its pipelined responses",
@@ -151,12 +151,12 @@
     file: "host/connections/state.js",
     find: "return s.close && !s.isUnparsed && !s.isEnded",
     put: "return s.close && !s.isEnded",
-    proof: "has only the last request that is taken announce the close",
+    proof: "announces the close only once all that was read has been parsed",
   },
   {
     name: "answers: the reading of a connection that closes ends",
     file: "host/connections/state.js",
-    find: "if (!s.close || !s.sendsAhead)",
+    find: "if (!s.close || !s.sendsAhead || s.isReceiving || isDiscarded)",
     put: "if (true)",
     proof: "reads little of a client that sends ahead once the close is decided",
   },
--- a/src/host/connections/connections.ts
+++ b/src/host/connections/connections.ts
@@ -13,6 +13,7 @@
 import * as state from "./state.js";
 
 const BAD_REQUEST = 400;
+const EXPECTATION_FAILED = 417;
 
 /** What clients get whose request is not read to its end, as whole responses that announce the close. */
 export interface Refusals {
@@ -51,6 +52,8 @@
 export class Connections {
   /** Called when a request crosses the close of its connection, so that it is not served. */
   onCrossed: (() => void) | undefined;
+  /** Called when this side has closed a connection before it sent the whole response to a request that was taken. */
+  onUnanswered: ((res: http.ServerResponse, d: Description) => void) | undefined;
   private readonly entries = new Map<stream.Duplex, Entry>();
   private readonly taken = new WeakSet<http.IncomingMessage>();
   /** Why each connection closes after the requests that were taken from it; undefined unless it does. */
@@ -72,6 +75,10 @@
     server.on("clientError", (err, socket) => {
       this.refuseUnreadable(err, socket);
     });
+    // Node.js would refuse it without regard to the other requests.
+    server.on("checkExpectation", (req, res) => {
+      server.emit("request", req, res);
+    });
     server.on("connect", (req, socket) => {
       this.refuseUnreadable(new Error(`${req.method ?? ""} is not supported`), socket);
     });
@@ -89,6 +96,9 @@
       } else if (req.httpVersion === "1.1" && req.headers.host === undefined) {
         this.closeBehind(req.socket, "unreadable");
         res.writeHead(BAD_REQUEST, { "content-length": 0 }).end();
+      } else if (isUnknownExpectation(req)) {
+        this.closeBehind(req.socket, "unread_body");
+        res.writeHead(EXPECTATION_FAILED, { "content-length": 0 }).end();
       } else
         queueMicrotask(() => {
           handler(req, res);
@@ -186,11 +196,17 @@
       this.end(e);
     };
     socket.once("close", () => {
+      if (!socket.readableEnded && !socket.errored) this.reportUnanswered(e);
       this.entries.delete(socket);
       giveUpQueued(e.responses.values());
     });
   }
 
+  private reportUnanswered(e: Entry): void {
+    for (const res of e.responses.values())
+      if (!res.writableFinished) this.onUnanswered?.(res, this.describe(e.socket));
+  }
+
   /** The state, with what the parser has found meanwhile. */
   private current(e: Entry): state.State {
     if (e.receiving?.complete) {
@@ -281,6 +297,10 @@
   }
 }
 
+function isUnknownExpectation({ headers }: http.IncomingMessage): boolean {
+  return headers.expect !== undefined && headers.expect.toLowerCase() !== "100-continue";
+}
+
 /** Ends the responses behind the first one, as Node.js tells only that one that the connection has closed. */
 function giveUpQueued(open: Iterable<http.ServerResponse>): void {
   for (const res of [...open]) {
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -114,6 +114,14 @@
   ) {
     this.server = listener.server;
     this.connections = listener.connections;
+    this.connections.onUnanswered = (res, description) => {
+      deps.log.info("A connection was closed before the whole response was sent.", {
+        request: this.open.get(res),
+        path: res.req.url,
+        answer: res.headersSent ? "begun" : "none",
+        ...description,
+      });
+    };
     this.connections.onCrossed = () => {
       deps.log.info("A request crossed the close of its connection; it is not served.");
     };
--- a/test/connections/connections.test.ts
+++ b/test/connections/connections.test.ts
@@ -20,6 +20,8 @@
 async function open() {
   const connections = fixture.create();
   const served: string[] = [];
+  const unanswered: (string | undefined)[] = [];
+  connections.onUnanswered = (res) => unanswered.push(res.req.url);
   const sockets = new Set<net.Socket>();
   const server = http.createServer(
     { requireHostHeader: false },
@@ -46,6 +48,7 @@
   caller.on("end", () => (isEnded = true));
   return {
     served,
+    unanswered,
     send: (...paths: readonly string[]): boolean => caller.write(paths.map(request).join("")),
     sendText: (text: string): boolean => caller.write(text),
     received: (): string => received,
@@ -156,6 +159,26 @@
     host.stop();
   });
 
+  it("is reported with the requests that are not answered when this side closes it", async () => {
+    const host = await open();
+    host.send("/1");
+    await timers.setTimeout(WORK_MS / 4);
+    for (const socket of host.sockets()) socket.destroy();
+    await timers.setTimeout(WORK_MS / 4);
+    expect(host.unanswered).deep.equal(["/1"]);
+    host.stop();
+  });
+
+  it("is not reported when its client has closed it", async () => {
+    const host = await open();
+    host.send("/1");
+    await timers.setTimeout(WORK_MS / 4);
+    host.leave();
+    await timers.setTimeout(2 * WORK_MS);
+    expect(host.unanswered).deep.equal([]);
+    host.stop();
+  });
+
   // Guards against responses that say nothing of a close which follows them.
   it("announces the close in a response that is sent at once", async () => {
     const host = await open();
@@ -170,6 +193,7 @@
   const BEHIND = {
     "a request without a host": "GET /2 HTTP/1.1\r\n\r\n",
     "a request for a tunnel": "CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n",
+    "one with an unknown expectation": "GET /2 HTTP/1.1\r\nhost: a\r\nexpect: x\r\n\r\n",
     "no request": "\0\0\r\n\r\n",
   };
   for (const [what, text] of Object.entries(BEHIND))
--- a/test/connections/state.test.ts
+++ b/test/connections/state.test.ts
@@ -31,6 +31,8 @@
   /** The request that had announced the close, and what was read since the close was decided. */
   announced: number | undefined;
   readsClosing = 0;
+  /** Pieces that were read and not parsed when the close was announced. */
+  unparsedAnnouncing = 0;
   ended: state.Due = "nothing";
   private unparsed: Piece[] = [];
 
@@ -79,6 +81,7 @@
   private announce(): void {
     if (this.announcer() === undefined) return;
     this.announced ??= this.announcer();
+    this.unparsedAnnouncing += this.unparsed.length;
     this.step({ kind: "announced" });
   }
 
@@ -141,6 +144,10 @@
     checkAll((p) => p.announced === undefined || p.announced === p.taken.at(-1));
   });
 
+  it("announces the close only once all that was read has been parsed", () => {
+    checkAll((p) => p.unparsedAnnouncing === 0);
+  });
+
   it("takes nothing once the close is announced", () => {
     checkAll((p) => p.announced === undefined || !state.mayTake(p.state));
   });
