Name the line that a stop waits on in its switch

The switch that takes the wait out of a stopping entry daemon of the other way named a call that the state of connections replaced, so that the check of all switches failed. Its proof fails without the mechanism.

--- a/bench/red/switches.ts
+++ b/bench/red/switches.ts
@@ -211,7 +211,7 @@
   {
     name: "a stopping entry daemon waits for what runs",
     file: "entry/daemon.js",
-    find: "await daemon.closeServer(callerServer, clk);",
+    find: "await callerConnections.stop(callerServer);",
     put: "callerServer.closeAllConnections();",
     proof: "an entry daemon stops while it streams",
   },
