Charge a connection for what it has caused, not for the time until the next turn

Cause: the reader charges a connection for the time between the slice that it parsed and the next of the callbacks of a turn. For the last slice of a turn that was the first callback of the next turn, so that one slow poll, or all the time in which nothing arrived, was charged to a caller that had sent one call. Its next request then waited behind those of clients that sent ahead.

A turn now ends with a callback of its own, in which the last slice is charged.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -91,7 +91,7 @@
   private hasTurnBegun = false;
   /** Milliseconds of this turn in which what had just arrived was parsed. */
   private atOnceMs = 0;
-  /** The connection parsed last in this turn, and when that was done; what it has caused is charged to it. */
+  /** The connection parsed last in this turn, and when that was done; what it causes until the next callback is charged to it. */
   private last: { readonly connection: Connection; readonly at: number } | undefined;
   /** Called when a connection is closed because too many others wait as well. */
   onClosed: (() => void) | undefined;
@@ -343,23 +343,33 @@
     // What a slice has caused runs between two of these callbacks.
     for (let n = 0; n < count; n++)
       setImmediate(() => {
-        this.step(n, n === count - 1);
+        this.step(n);
       });
+    setImmediate(() => {
+      this.endTurn();
+    });
   }
 
-  private step(n: number, isLast: boolean): void {
+  private step(n: number): void {
     const now = this.clk.steady();
     if (n === 0) this.turnBeganAt = now;
-    if (this.last) this.charge(this.last.connection, now - this.last.at);
-    this.last = undefined;
+    this.chargeLast(now);
     const most = this.hasAccepted ? SLICES_ACCEPTING : SLICES_PER_TURN;
     if (n < most && now - this.turnBeganAt < TURN_MS) this.parseNext();
-    if (!isLast) return;
+  }
+
+  private endTurn(): void {
+    this.chargeLast(this.clk.steady());
     this.isTurnDue = false;
     this.hasAccepted = false;
     if (this.queues.some((q) => q.length > 0)) this.scheduleTurn();
   }
 
+  private chargeLast(now: number): void {
+    if (this.last) this.charge(this.last.connection, now - this.last.at);
+    this.last = undefined;
+  }
+
   private parseNext(): void {
     for (;;) {
       const c = this.queues.find((q) => q.length > 0)?.shift();
--- a/test/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -131,6 +131,32 @@
     stop();
   });
 
+  // Guards against a caller that waits behind all that send ahead because the time in which nothing happened was charged to it.
+  it("charges a connection for what it has caused and not for the time until the next turn", async () => {
+    const order: string[] = [];
+    const { connect, stop } = await open((req, res) => {
+      const host = req.headers.host ?? "";
+      order.push(host);
+      if (host !== "calm") for (const until = performance.now() + 1; performance.now() < until;);
+      res.end();
+    });
+    const calm = connect().resume();
+    const calmCall = "GET / HTTP/1.1\r\nhost: calm\r\n\r\n";
+    // The last two wait for a turn, and end it.
+    calm.write(calmCall.repeat(4));
+    await timers.setTimeout(500);
+    const busy = Array.from({ length: 40 }, () => connect().resume());
+    for (const client of busy) client.write(calls(60));
+    await timers.setTimeout(SETTLED_MS);
+    const before = order.length;
+    calm.write(calmCall);
+    await new Promise((resolve) => calm.once("data", resolve));
+    expect(order.lastIndexOf("calm") - before).below(100);
+    expect(order.length).below(40 * 60);
+    for (const client of [calm, ...busy]) client.destroy();
+    stop();
+  });
+
   // Guards against connections that keep thousands of fields of a request that was answered while they wait to be read.
   it("keeps no fields of a request that has been answered", async () => {
     const requests: http.IncomingMessage[] = [];
