Take no request after the responses have been broken off at the end

Callers saw a request that ran and got no answer, a reset in its place, in the last milliseconds of a stop.

Cause: at the end of its grace the entry daemon breaks off the open responses, and then writes its last log lines before it exits. The event loop runs meanwhile: a request that had been read and waited its turn, or arrived whole then, was taken and sent to a worker.

All connections now take nothing more from then on; a request of which something has been read on a connection without open requests is refused, with the refusal of a host that stops.

--- a/src/host/connections/connections.ts
+++ b/src/host/connections/connections.ts
@@ -168,6 +168,15 @@
     await closed;
   }
 
+  /**
+   * Takes no further request, as the process ends. Refuses those of which something was read on connections without open requests,
+   * and closes these connections.
+   */
+  cutOff(): void {
+    const at = this.clk.mono();
+    for (const { socket } of this.entries.values()) this.step(socket, { kind: "cut_off", at });
+  }
+
   /** How the connection of a request stands. */
   describe(socket: net.Socket): Description {
     const { open, close, isFinal, isUnparsed } = this.stateOf(socket);
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -172,7 +172,7 @@
     return this.connections.stop(this.server);
   }
 
-  /** Breaks off all responses that are not complete, because the process ends. */
+  /** Breaks off all responses that are not complete, because the process ends, and takes no further request. */
   breakOff(): void {
     for (const [res, request] of this.open) {
       if (res.writableFinished) continue;
@@ -186,6 +186,7 @@
       this.deps.metrics.recordCutOff(answer);
       responses.breakOff(res);
     }
+    this.connections.cutOff();
   }
 
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/test/connections/state.test.ts
+++ b/test/connections/state.test.ts
@@ -16,7 +16,9 @@
   "close",
   "wait",
 ] as const;
-type Action = (typeof ACTIONS)[number];
+/** The same with an end of the process. */
+const ACTIONS_CUT_OFF = [...ACTIONS, "cut off"] as const;
+type Action = (typeof ACTIONS_CUT_OFF)[number];
 
 /** Bytes that were read and not parsed, in order. */
 type Piece = "request" | "part of a head" | "head" | "body";
@@ -34,6 +36,7 @@
   /** Pieces that were read and not parsed when the close was announced. */
   unparsedAnnouncing = 0;
   ended: state.Due = "nothing";
+  takenBeforeCutOff: number | undefined;
   private unparsed: Piece[] = [];
 
   act(action: Action): void {
@@ -71,6 +74,10 @@
       case "wait":
         this.now += 300;
         break;
+      case "cut off":
+        this.step({ kind: "cut_off", at: this.now });
+        this.takenBeforeCutOff ??= this.taken.length;
+        break;
     }
   }
 
@@ -187,6 +194,27 @@
     expect(other.ended).equal("end");
   });
 
+  it("takes nothing once the process ends, and refuses what was read if no request is open", () => {
+    const actions = fc.array(fc.constantFrom(...ACTIONS_CUT_OFF), { maxLength: 60 });
+    fc.assert(
+      fc.property(actions, (list) => {
+        const play = new Play();
+        for (const action of list) play.act(action);
+        return (play.takenBeforeCutOff ?? play.taken.length) === play.taken.length;
+      }),
+      { numRuns: 2000 },
+    );
+    const waiting = new Play();
+    for (const action of ["send", "cut off"] as const) waiting.act(action);
+    expect([waiting.ended, waiting.taken]).deep.equal(["refuse", []]);
+    const open = new Play();
+    for (const action of ["send", "parse", "send", "cut off", "parse"] as const) open.act(action);
+    expect([open.ended, open.taken]).deep.equal(["nothing", [1]]);
+    const silent = new Play();
+    silent.act("cut off");
+    expect(silent.ended).equal("end");
+  });
+
   it("goes on reading a client that sends nothing ahead, so that its leaving is seen", () => {
     const play = new Play();
     for (const action of ["send", "parse", "close"] as const) play.act(action);
--- a/test/serving/blocked-loop.ts
+++ b/test/serving/blocked-loop.ts
@@ -126,6 +126,10 @@
       thread.postMessage({ acts, holdMs });
       Atomics.wait(flag, 0, 0, MAX_BLOCK_MS);
     },
+    /** Breaks off all responses, as the process does when it ends. */
+    breakOff: (): void => {
+      callers.breakOff();
+    },
     close: async (): Promise<void> => {
       await thread.terminate();
       listener.server.closeAllConnections();
