Let no connection wait for as long as others send ahead

Callers saw a call on a kept connection wait for 3.7 s, the whole of a stop, while clients sent requests ahead.

Cause: connections that wait were parsed strictly in the order of their classes. One that had used much time waited for as long as any of a lower class had something to parse, which is without end if clients send ahead.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -12,6 +12,7 @@
 import * as requestFields from "../request-fields.js";
 import * as recentUse from "./recent-use.js";
 import * as slices from "./slices.js";
+import * as turnQueue from "./turn-queue.js";
 
 /** Requests of one connection that are open at most; clients that send ahead send fewer. */
 export const MAX_OPEN = 8;
@@ -79,11 +80,8 @@
   /** Connections with bytes that wait, the one without progress for the longest time first, and for how many bytes each counts. */
   private readonly waiting = new Map<Connection, number>();
   private waitingBytes = 0;
-  /** Connections to be parsed in turn, by the class of their use. */
-  private readonly queues: readonly Connection[][] = Array.from(
-    { length: recentUse.CLASSES },
-    () => [],
-  );
+  /** Connections to be parsed in turn. */
+  private readonly queue = new turnQueue.TurnQueue<Connection>(recentUse.CLASSES);
   private isTurnDue = false;
   /** Whether this turn has accepted a connection. */
   private hasAccepted = false;
@@ -312,7 +310,7 @@
   private enqueue(c: Connection): void {
     if (c.isQueued || !this.mayParse(c)) return;
     c.isQueued = true;
-    this.queues[this.classOf(c)]?.push(c);
+    this.queue.push(c, this.classOf(c), this.clk.steady());
     this.scheduleTurn();
   }
 
@@ -338,8 +336,7 @@
   private scheduleTurn(): void {
     if (this.isTurnDue) return;
     this.isTurnDue = true;
-    const waiting = this.queues.reduce((sum, q) => sum + q.length, 0);
-    const count = Math.min(SLICES_PER_TURN, CALLBACKS_PER_CONNECTION * waiting);
+    const count = Math.min(SLICES_PER_TURN, CALLBACKS_PER_CONNECTION * this.queue.size);
     // What a slice has caused runs between two of these callbacks.
     for (let n = 0; n < count; n++)
       setImmediate(() => {
@@ -362,7 +359,7 @@
     this.chargeLast(this.clk.steady());
     this.isTurnDue = false;
     this.hasAccepted = false;
-    if (this.queues.some((q) => q.length > 0)) this.scheduleTurn();
+    if (this.queue.size > 0) this.scheduleTurn();
   }
 
   private chargeLast(now: number): void {
@@ -372,7 +369,7 @@
 
   private parseNext(): void {
     for (;;) {
-      const c = this.queues.find((q) => q.length > 0)?.shift();
+      const c = this.queue.shift();
       if (!c) return;
       c.isQueued = false;
       if (!this.mayParse(c)) continue;
