Read little of large bodies while connections wait to be accepted

Cause: Node.js accepts one connection in each turn of the event loop. The turns in which connections are accepted were meant to be short, but the budget for them was only of parsing: all that large bodies lead to (their copies, the calls, the workers' answers) made a turn 10 to 20 ms long, so that 200 connections took seconds to be accepted, and the lag of those that waited refused others. Also, a body that was read before the accept of the same turn did not see that it accepts.

In a turn that accepts, or the one after, large bodies wait for their turn, one slice each.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -83,8 +83,9 @@
   /** Connections to be parsed in turn. */
   private readonly queue = new turnQueue.TurnQueue<Connection>(recentUse.CLASSES);
   private isTurnDue = false;
-  /** Whether this turn has accepted a connection. */
-  private hasAccepted = false;
+  /** Turns that have ended, and their number when a connection was last accepted. */
+  private turns = 0;
+  private acceptedAt = -Infinity;
   private turnBeganAt = 0;
   private hasTurnBegun = false;
   /** Milliseconds of this turn in which what had just arrived was parsed. */
@@ -107,7 +108,7 @@
   /** Reads all later connections of a server. To be called after their state is kept, and before other listeners of its requests are added. */
   install(server: http.Server): void {
     server.on("connection", (socket) => {
-      this.hasAccepted = true;
+      this.acceptedAt = this.turns;
       this.beginTurn();
       this.attach(server, socket);
     });
@@ -217,8 +218,10 @@
     const from = this.clk.steady();
     if (recentUse.classOf(c.use, from) > 0) return;
     this.beginTurn();
-    const mostMs = this.hasAccepted ? AT_ONCE_ACCEPTING_MS : AT_ONCE_MS;
+    const mostMs = this.isAccepting() ? AT_ONCE_ACCEPTING_MS : AT_ONCE_MS;
     for (let n = 0; n < SLICES_AT_ONCE && this.atOnceMs < mostMs && this.mayParse(c); n++) {
+      // All that a large body leads to would keep others from being accepted.
+      if (c.bodyBytes > slices.SLICE_BYTES && this.isAccepting()) return;
       const { requests } = c;
       const tookMs = this.parse(c, slices.SLICE_BYTES);
       this.atOnceMs += tookMs;
@@ -328,14 +331,19 @@
     setImmediate(() => {
       this.hasTurnBegun = false;
       this.atOnceMs = 0;
-      if (this.isTurnDue) return;
-      this.hasAccepted = false;
+      this.turns++;
     });
   }
 
+  /** Whether this turn or the one before has accepted a connection, so that others may wait to be. */
+  private isAccepting(): boolean {
+    return this.turns - this.acceptedAt <= 1;
+  }
+
   private scheduleTurn(): void {
     if (this.isTurnDue) return;
     this.isTurnDue = true;
+    this.beginTurn();
     const count = Math.min(SLICES_PER_TURN, CALLBACKS_PER_CONNECTION * this.queue.size);
     // What a slice has caused runs between two of these callbacks.
     for (let n = 0; n < count; n++)
@@ -351,14 +359,13 @@
     const now = this.clk.steady();
     if (n === 0) this.turnBeganAt = now;
     this.chargeLast(now);
-    const most = this.hasAccepted ? SLICES_ACCEPTING : SLICES_PER_TURN;
+    const most = this.isAccepting() ? SLICES_ACCEPTING : SLICES_PER_TURN;
     if (n < most && now - this.turnBeganAt < TURN_MS) this.parseNext();
   }
 
   private endTurn(): void {
     this.chargeLast(this.clk.steady());
     this.isTurnDue = false;
-    this.hasAccepted = false;
     if (this.queue.size > 0) this.scheduleTurn();
   }
 
--- a/test/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -131,6 +131,26 @@
     stop();
   });
 
+  // Guards against callers that wait to be accepted, one in a turn, while large bodies make each turn long.
+  it("reads little of large bodies in turns that accept a connection", async () => {
+    const COUNT = 60;
+    let bodyBytes = 0;
+    const { accepted, connect, stop } = await open((req) => {
+      req.on("data", (part: Buffer) => (bodyBytes += part.length));
+    });
+    const clients = Array.from({ length: COUNT }, connect);
+    const body = Buffer.alloc(BODY_BYTES);
+    for (const client of clients) {
+      client.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`);
+      client.write(body);
+    }
+    while (accepted.length < COUNT) await timers.setImmediate();
+    // One read of each turn.
+    expect(bodyBytes).below(COUNT * 65_536);
+    for (const client of clients) client.destroy();
+    stop();
+  });
+
   // Guards against a caller that waits behind all that send ahead because the time in which nothing happened was charged to it.
   it("charges a connection for what it has caused and not for the time until the next turn", async () => {
     const order: string[] = [];
