Close connections that have sent ahead before those with one request, once too many bytes wait

Cause: once 16 MB wait to be read, the connection that had waited longest was closed, however little it had brought. The bytes are those of clients that send ahead.

The longest of those with more than 16 KB that wait is closed now, and the longest of all only if none has that much.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -40,7 +40,7 @@
 const AHEAD_BYTES = 16_384;
 /** Milliseconds that a request costs at least beside the parsing of its bytes. */
 const REQUEST_MS = 0.5;
-/** Bytes that wait over all connections; while there are more, the connection that has waited longest is closed. */
+/** Bytes that wait over all connections; while there are more, connections are closed. */
 const MAX_WAITING_BYTES = 16_777_216;
 /** Bytes that a connection which waits counts for at least, since the kernel holds more for it. */
 const LEAST_WAITING_BYTES = 16_384;
@@ -236,14 +236,21 @@
   private wait(c: Connection): void {
     this.recordWaiting(c);
     while (this.waitingBytes > MAX_WAITING_BYTES) {
-      const [longest] = this.waiting.keys();
-      if (!longest) return;
+      const closed = this.toClose();
+      if (!closed) return;
       this.onClosed?.();
-      longest.socket.destroy();
-      this.drop(longest);
+      closed.socket.destroy();
+      this.drop(closed);
     }
   }
 
+  /** The connection that has waited longest of those with more than one request, or of all if each has no more. */
+  private toClose(): Connection | undefined {
+    for (const [c, bytes] of this.waiting) if (bytes > LEAST_WAITING_BYTES) return c;
+    const [longest] = this.waiting.keys();
+    return longest;
+  }
+
   /** Counts what waits of a connection, which has made progress or begins to wait. */
   private recordWaiting(c: Connection): void {
     this.waitingBytes -= this.waiting.get(c) ?? 0;
