Let what is sent ahead wait while connections wait to be accepted

Cause: a new connection has used no time yet, so that two slices of what it had sent ahead were parsed at once, in the turns that have to be short for the next connection to be accepted.

A connection that waits goes behind others if it has sent ahead; now it does so too with what has just arrived. The test fails without it in three of three runs (896 requests parsed while 300 connections were accepted, below 600 wanted).

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -216,7 +216,7 @@
   /** Parses what has just arrived, unless the connection or this turn has used much time. */
   private parseAtOnce(c: Connection): void {
     const from = this.clk.steady();
-    if (recentUse.classOf(c.use, from) > 0) return;
+    if (this.classOf(c) > 0) return;
     this.beginTurn();
     const mostMs = this.isAccepting() ? AT_ONCE_ACCEPTING_MS : AT_ONCE_MS;
     for (let n = 0; n < SLICES_AT_ONCE && this.atOnceMs < mostMs && this.mayParse(c); n++) {
--- a/test/reading/paced-reader.test.ts
+++ b/test/reading/paced-reader.test.ts
@@ -151,6 +151,22 @@
     stop();
   });
 
+  // Guards against callers that wait to be accepted, one in a turn, while what others have sent ahead is parsed.
+  it("parses little of what is sent ahead in turns that accept a connection", async () => {
+    const COUNT = 300;
+    let served = 0;
+    const { accepted, connect, stop } = await open((_req, res) => {
+      served++;
+      res.end();
+    });
+    const clients = Array.from({ length: COUNT }, () => connect().resume());
+    for (const client of clients) client.write(calls(1500));
+    while (accepted.length < COUNT) await timers.setImmediate();
+    expect(served).below(2 * COUNT);
+    for (const client of clients) client.destroy();
+    stop();
+  });
+
   // Guards against a caller that waits behind all that send ahead because the time in which nothing happened was charged to it.
   it("charges a connection for what it has caused and not for the time until the next turn", async () => {
     const order: string[] = [];
