Refuse no rest of a body at the end of a process

Found by the review, on the pure state: at the end of a process, a connection whose answered request still had unparsed bytes of its body got a 503 that nobody had asked for.

The bytes of a body are no beginning of a request. The step and the method say what they do, take no more; "cut off" is the word for responses.

--- a/bench/red/reading-switches.ts
+++ b/bench/red/reading-switches.ts
@@ -101,7 +101,7 @@
   {
     name: "connections: nothing is taken after the responses are broken off",
     file: "serving/caller-server.js",
-    find: "this.connections.cutOff();",
+    find: "this.connections.takeNoMore();",
     put: "",
     proof: "takes no request that has not arrived whole, and says so",
   },
--- a/src/host/connections/connections.ts
+++ b/src/host/connections/connections.ts
@@ -172,9 +172,9 @@
    * Takes no further request, as the process ends. Refuses those of which something was read on connections without open requests,
    * and closes these connections.
    */
-  cutOff(): void {
+  takeNoMore(): void {
     const at = this.clk.mono();
-    for (const { socket } of this.entries.values()) this.step(socket, { kind: "cut_off", at });
+    for (const { socket } of this.entries.values()) this.step(socket, { kind: "take_no_more", at });
   }
 
   /** How the connection of a request stands. */
--- a/src/host/connections/state.ts
+++ b/src/host/connections/state.ts
@@ -87,7 +87,7 @@
   /** What was read is no request, or the rest of one that is not needed. */
   | { readonly kind: "unneeded" }
   /** The process ends: what has not been taken will not be. */
-  | { readonly kind: "cut_off"; readonly at: number }
+  | { readonly kind: "take_no_more"; readonly at: number }
   /** This side has ended. */
   | { readonly kind: "ended" };
 
@@ -173,10 +173,14 @@
       return finish(s);
     case "unneeded":
       return finish({ ...s, isReceiving: false });
-    case "cut_off": {
+    case "take_no_more": {
       const after = decide({ ...s, isReceiving: false }, "stopping", step.at);
       if (s.isFinal || s.open.length > 0) return finish(after);
-      return { ...after, isUnparsed: false, isHeadPartial: s.isHeadPartial || s.isUnparsed };
+      return {
+        ...after,
+        isUnparsed: false,
+        isHeadPartial: s.isHeadPartial || (s.isUnparsed && !s.isReceiving),
+      };
     }
     case "ended":
       return { ...finish({ ...s, isReceiving: false }), isEnded: true };
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -186,7 +186,7 @@
       this.deps.metrics.recordCutOff(answer);
       responses.breakOff(res);
     }
-    this.connections.cutOff();
+    this.connections.takeNoMore();
   }
 
   private onRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/test/connections/state.test.ts
+++ b/test/connections/state.test.ts
@@ -75,7 +75,7 @@
         this.now += 300;
         break;
       case "cut off":
-        this.step({ kind: "cut_off", at: this.now });
+        this.step({ kind: "take_no_more", at: this.now });
         this.takenBeforeCutOff ??= this.taken.length;
         break;
     }
