Give most turns of the reader to those that have used little

The delay of a class held for each slice, so that all of a higher class were overdue once a round took longer than it.

Of four connections in a row, three are now of the lowest class, and one is the one that has waited longest.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -320,7 +320,7 @@
   private enqueue(c: Connection): void {
     if (c.isQueued || !this.mayParse(c)) return;
     c.isQueued = true;
-    this.queue.push(c, this.classOf(c), this.clk.steady());
+    this.queue.push(c, this.classOf(c));
     this.scheduleTurn();
   }
 
--- a/src/host/reading/turn-queue.ts
+++ b/src/host/reading/turn-queue.ts
@@ -1,21 +1,23 @@
 /**
- * The order in which connections that wait are parsed: those that have used little time go first, and none waits long behind others
- * that go on bringing more. Pure.
+ * The order in which connections that wait are parsed: most turns go to those that have used little time, and the others to the one that
+ * has waited longest, so that none waits for as long as others go on bringing more. Pure.
  * @module
  */
 
-/** Milliseconds by which a connection goes later for each class that it is above another. */
-export const CLASS_DELAY_MS = 250;
+/** Of so many items in a row, one is the one that has waited longest. */
+export const OLDEST_EVERY = 4;
 
 interface Entry<T> {
   readonly item: T;
-  /** Monotonic ms up to which others of class 0 go first. */
-  readonly dueAt: number;
+  /** Number of items that were added before. */
+  readonly order: number;
 }
 
 /** A queue of items of some classes. */
 export class TurnQueue<T> {
   private readonly classes: readonly Entry<T>[][];
+  private added = 0;
+  private taken = 0;
 
   /** A queue for the classes from 0 to below `count`. */
   constructor(count: number) {
@@ -27,16 +29,20 @@
     return this.classes.reduce((sum, entries) => sum + entries.length, 0);
   }
 
-  /** Adds an item of a class at a monotonic time in ms, which is not before that of an earlier call. */
-  push(item: T, itemClass: number, now: number): void {
-    this.classes[itemClass]?.push({ item, dueAt: now + itemClass * CLASS_DELAY_MS });
+  /** Adds an item of a class. */
+  push(item: T, itemClass: number): void {
+    this.classes[itemClass]?.push({ item, order: this.added++ });
   }
 
   /** Removes the item that goes next and returns it. Undefined if there is none. */
   shift(): T | undefined {
-    let next: Entry<T>[] = [];
-    for (const entries of this.classes)
-      if ((entries[0]?.dueAt ?? Infinity) < (next[0]?.dueAt ?? Infinity)) next = entries;
-    return next.shift()?.item;
+    const isOldestNext = ++this.taken % OLDEST_EVERY === 0;
+    const next = isOldestNext ? this.oldest() : this.classes.find((entries) => entries.length > 0);
+    return next?.shift()?.item;
+  }
+
+  private oldest(): Entry<T>[] | undefined {
+    const order = (entries: readonly Entry<T>[]): number => entries[0]?.order ?? Infinity;
+    return [...this.classes].sort((a, b) => order(a) - order(b))[0];
   }
 }
