Let large bodies wait only for a crowd of accepts, and not until they are reset

Cause: bodies waited after any accept, also that of their own connection, one slice in a turn, until 16 MB waited and connections were closed.

Bodies wait only if turns in a row accept, and while less than half of that waits; a turn that accepts parses slices for half a millisecond with all that they cause, and one request. What has just arrived is parsed for one slice before it counts as sent ahead, since a head alone tells what its body is.

--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -22,15 +22,19 @@
 const UNWANTED_BYTES = 4096;
 /** Milliseconds of one turn of the event loop after which what arrives has to wait its turn, too. */
 const AT_ONCE_MS = 5;
-/** The same in a turn that accepts a connection. Node.js accepts one in each turn, so that others may wait for the next. */
+/** The same while connections are accepted. Node.js accepts one in each turn, so that others may wait for the next. */
 const AT_ONCE_ACCEPTING_MS = 2;
-/** Slices of waiting connections that are parsed at most in one turn, and in one that accepts a connection. */
+/** Slices of waiting connections that are parsed at most in one turn. */
 const SLICES_PER_TURN = 16;
-const SLICES_ACCEPTING = 1;
 /** Callbacks that a turn schedules for each connection that waits, up to the slices of a turn. */
 const CALLBACKS_PER_CONNECTION = 2;
-/** Milliseconds of a turn after which no further slice of them is parsed. */
+/** Milliseconds of a turn after which no further slice of them is parsed, and the same while connections are accepted. */
 const TURN_MS = 2;
+const TURN_ACCEPTING_MS = 0.5;
+/** Requests of waiting connections that are parsed in a turn while connections are accepted. */
+const REQUESTS_ACCEPTING = 1;
+/** Connections accepted in turns in a row from which on more are taken to wait. */
+const CROWD = 2;
 /**
  * Bytes of a head that are parsed at most. Node.js limits names and values alone, so that one of thousands of short fields would take
  * megabytes.
@@ -42,6 +46,8 @@
 const REQUEST_MS = 0.5;
 /** Bytes that wait over all connections; while there are more, connections are closed. */
 const MAX_WAITING_BYTES = 16_777_216;
+/** Bytes that wait from which on large bodies are read as if no connections were accepted. */
+const MANY_WAITING_BYTES = MAX_WAITING_BYTES / 2;
 /** Bytes that a connection which waits counts for at least, since the kernel holds more for it. */
 const LEAST_WAITING_BYTES = 16_384;
 /** Bytes that are read and discarded of a connection of which this side has ended. */
@@ -83,10 +89,14 @@
   /** Connections to be parsed in turn. */
   private readonly queue = new turnQueue.TurnQueue<Connection>(recentUse.CLASSES);
   private isTurnDue = false;
-  /** Turns that have ended, and their number when a connection was last accepted. */
+  /** Turns that have ended in which something arrived or waited, and their number when a connection was last accepted. */
   private turns = 0;
   private acceptedAt = -Infinity;
+  /** Connections accepted in turns in a row. */
+  private accepts = 0;
   private turnBeganAt = 0;
+  /** Requests of waiting connections that this turn has parsed. */
+  private turnRequests = 0;
   private hasTurnBegun = false;
   /** Milliseconds of this turn in which what had just arrived was parsed. */
   private atOnceMs = 0;
@@ -108,6 +118,7 @@
   /** Reads all later connections of a server. To be called after their state is kept, and before other listeners of its requests are added. */
   install(server: http.Server): void {
     server.on("connection", (socket) => {
+      this.accepts = this.isAccepting() ? this.accepts + 1 : 1;
       this.acceptedAt = this.turns;
       this.beginTurn();
       this.attach(server, socket);
@@ -216,12 +227,13 @@
   /** Parses what has just arrived, unless the connection or this turn has used much time. */
   private parseAtOnce(c: Connection): void {
     const from = this.clk.steady();
-    if (this.classOf(c) > 0) return;
+    if (recentUse.classOf(c.use, from) > 0) return;
     this.beginTurn();
     const mostMs = this.isAccepting() ? AT_ONCE_ACCEPTING_MS : AT_ONCE_MS;
     for (let n = 0; n < SLICES_AT_ONCE && this.atOnceMs < mostMs && this.mayParse(c); n++) {
-      // All that a large body leads to would keep others from being accepted.
-      if (c.bodyBytes > slices.SLICE_BYTES && this.isAccepting()) return;
+      if (n > 0 && this.classOf(c) > 0) return;
+      // Copies and calls that follow a large body would delay the accepts.
+      if (c.bodyBytes > slices.SLICE_BYTES && this.mustBodiesWait()) return;
       const { requests } = c;
       const tookMs = this.parse(c, slices.SLICE_BYTES);
       this.atOnceMs += tookMs;
@@ -331,7 +343,7 @@
     return isAhead ? Math.max(1, used) : used;
   }
 
-  /** Notes that something has arrived in this turn, which ends with the next call of immediate callbacks. */
+  /** Notes that something has arrived or waits in this turn, which ends with the next call of immediate callbacks. */
   private beginTurn(): void {
     if (this.hasTurnBegun) return;
     this.hasTurnBegun = true;
@@ -347,6 +359,11 @@
     return this.turns - this.acceptedAt <= 1;
   }
 
+  /** Whether large bodies wait for their turn because many connections are accepted. */
+  private mustBodiesWait(): boolean {
+    return this.isAccepting() && this.accepts >= CROWD && this.waitingBytes < MANY_WAITING_BYTES;
+  }
+
   private scheduleTurn(): void {
     if (this.isTurnDue) return;
     this.isTurnDue = true;
@@ -364,10 +381,14 @@
 
   private step(n: number): void {
     const now = this.clk.steady();
-    if (n === 0) this.turnBeganAt = now;
+    if (n === 0) {
+      this.turnBeganAt = now;
+      this.turnRequests = 0;
+    }
     this.chargeLast(now);
-    const most = this.isAccepting() ? SLICES_ACCEPTING : SLICES_PER_TURN;
-    if (n < most && now - this.turnBeganAt < TURN_MS) this.parseNext();
+    const isAccepting = this.isAccepting();
+    if (isAccepting && this.turnRequests >= REQUESTS_ACCEPTING) return;
+    if (now - this.turnBeganAt < (isAccepting ? TURN_ACCEPTING_MS : TURN_MS)) this.parseNext();
   }
 
   private endTurn(): void {
@@ -387,7 +408,9 @@
       if (!c) return;
       c.isQueued = false;
       if (!this.mayParse(c)) continue;
+      const { requests } = c;
       this.charge(c, this.parse(c, slices.SMALL_SLICE_BYTES));
+      this.turnRequests += c.requests - requests;
       this.last = { connection: c, at: this.clk.steady() };
       this.enqueue(c);
       return;
