Break responses off at the end of a process in one place

The server for callers had a copy of the loop of breakOffAll, with a log line for each. The shared loop now calls back before it breaks one off. The switch of that rule finds its new line; its proof fails without it. Behaviour is the same.

--- a/bench/red/answer-switches.ts
+++ b/bench/red/answer-switches.ts
@@ -71,8 +71,8 @@
   {
     name: "answers: a process that ends breaks off the responses that are not complete",
     file: "host/response.js",
-    find: "if (!res.writableFinished)",
-    put: "if (false)",
+    find: "before(res);",
+    put: "continue;",
     proof: "are broken off unless the kernel has all their bytes",
   },
   {
--- a/src/host/response.ts
+++ b/src/host/response.ts
@@ -23,8 +23,16 @@
 
 /**
  * Breaks off those of a server's responses that are not complete, before its process ends and the kernel closes their connections
- * normally. A response whose last bytes the kernel has taken is complete, and still reaches its client.
+ * normally. A response whose last bytes the kernel has taken is complete, and still reaches its client. Calls `before` with each of
+ * the others first.
  */
-export function breakOffAll(open: Iterable<http.ServerResponse>): void {
-  for (const res of open) if (!res.writableFinished) breakOff(res);
+export function breakOffAll(
+  open: Iterable<http.ServerResponse>,
+  before: (res: http.ServerResponse) => void = () => undefined,
+): void {
+  for (const res of open) {
+    if (res.writableFinished) continue;
+    before(res);
+    breakOff(res);
+  }
 }
--- a/src/serving/caller-server.ts
+++ b/src/serving/caller-server.ts
@@ -174,18 +174,16 @@
 
   /** Breaks off all responses that are not complete, because the process ends, and takes no further request. */
   breakOff(): void {
-    for (const [res, request] of this.open) {
-      if (res.writableFinished) continue;
+    responses.breakOffAll(this.open.keys(), (res) => {
       const answer = res.headersSent ? "begun" : "none";
       this.deps.log.warn("A request was cut off, as the host ends.", {
-        request,
+        request: this.open.get(res),
         path: res.req.url,
         answer,
         ...this.connections.describe(res.req.socket),
       });
       this.deps.metrics.recordCutOff(answer);
-      responses.breakOff(res);
-    }
+    });
     this.connections.takeNoMore();
   }
 
