Derive whether a connection closes from its state

The close in stages remembered its connections in a set of its own, although only the keeper of connections calls it, whose state says whether this side has ended. The tests of connections, of the close in stages and of a stopping host (5) pass.

--- a/src/host/connections/connections.ts
+++ b/src/host/connections/connections.ts
@@ -274,6 +274,7 @@
   }
 
   private end(e: Entry): void {
+    if (e.state.isEnded) return;
     e.state = state.apply(e.state, { kind: "ended" });
     e.dropUnparsed();
     lingeringClose.close(e.socket, this.clk);
--- a/src/host/lingering-close.ts
+++ b/src/host/lingering-close.ts
@@ -10,13 +10,9 @@
 /** Milliseconds that a client has to read the last response and to end its side: some round trips. */
 export const LINGER_MS = 1000;
 
-/** Connections that close. */
-const closing = new WeakSet<stream.Duplex>();
-
-/** Closes a connection in stages, after what has been written to it. */
+/** Closes a connection in stages, after what has been written to it; to be called once. */
 export function close(socket: stream.Duplex, clk: clock.Clock = clock.system): void {
-  if (socket.destroyed || closing.has(socket)) return;
-  closing.add(socket);
+  if (socket.destroyed) return;
   if (!socket.writableEnded) socket.end();
   const timer = clk.after(LINGER_MS, () => {
     socket.destroy();
