Name the rule for connections that hold much, and find the oldest in one pass

Which connections are closed first was decided by another constant than which go later, of the same value; both ask one function now. The queue sorted its classes for every fourth connection; it looks for the oldest instead.

--- a/bench/red/reading-switches.ts
+++ b/bench/red/reading-switches.ts
@@ -93,7 +93,7 @@
   {
     name: "reading: connections that have sent ahead are closed first",
     file: "host/reading/paced-reader.js",
-    find: "if (bytes > LEAST_WAITING_BYTES)",
+    find: "if (holdsMuch(c))",
     put: "if (true)",
     proof:
       "closes the connections that have sent ahead and waited longest once too many bytes wait",
--- a/src/host/reading/paced-reader.ts
+++ b/src/host/reading/paced-reader.ts
@@ -258,7 +258,7 @@
 
   /** The connection that has waited longest of those with more than one request, or of all if each has no more. */
   private toClose(): Connection | undefined {
-    for (const [c, bytes] of this.waiting) if (bytes > LEAST_WAITING_BYTES) return c;
+    for (const c of this.waiting.keys()) if (holdsMuch(c)) return c;
     const [longest] = this.waiting.keys();
     return longest;
   }
@@ -339,7 +339,7 @@
   /** Class in which a connection waits: one that has sent ahead does so behind those that bring one request, also if it is new. */
   private classOf(c: Connection): number {
     const used = recentUse.classOf(c.use, this.clk.steady());
-    const isAhead = c.latest?.complete !== false && (c.held?.length ?? 0) > AHEAD_BYTES;
+    const isAhead = c.latest?.complete !== false && holdsMuch(c);
     return isAhead ? Math.max(1, used) : used;
   }
 
@@ -417,3 +417,8 @@
     }
   }
 }
+
+/** Whether more waits of a connection than one request takes beside its body. */
+function holdsMuch({ held }: Connection): boolean {
+  return held !== undefined && held.length > AHEAD_BYTES;
+}
--- a/src/host/reading/turn-queue.ts
+++ b/src/host/reading/turn-queue.ts
@@ -42,7 +42,12 @@
   }
 
   private oldest(): Entry<T>[] | undefined {
-    const order = (entries: readonly Entry<T>[]): number => entries[0]?.order ?? Infinity;
-    return [...this.classes].sort((a, b) => order(a) - order(b))[0];
+    let oldest: Entry<T>[] | undefined;
+    let least = Infinity;
+    for (const entries of this.classes) {
+      const order = entries[0]?.order ?? Infinity;
+      if (order < least) [oldest, least] = [entries, order];
+    }
+    return oldest;
   }
 }
