--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -1,4 +1,4 @@
-/* global performance, setTimeout */
+/* global clearInterval, performance, setInterval, setTimeout */
 /**
  * A stand-in for a plain worker of the platform, by PROTOCOL.md: it names itself, rejects what is meant for another worker,
  * and runs each request for some time. It records what arrives, what it runs and what it answers.
@@ -7,8 +7,13 @@
 import * as http from "node:http";
 import { readBody } from "./store.mjs";
 
+/** Milliseconds between two writes of its entry: `heartbeatMs` of the settings. */
+const HEARTBEAT_MS = 1200;
+
 export class Worker {
   runs = [];
+  state = "ready";
+  sequence = 0;
 
   /** `workMs` is how long a request takes; `record` is called with a line for each event. */
   constructor(service, id, workMs, record, born) {
@@ -24,22 +29,41 @@
     this.address = `127.0.0.1:${this.port}`;
   }
 
+  /** Ends at once, as in a crash or an exit. */
   stop() {
+    clearInterval(this.timer);
     this.server.close();
     this.server.closeAllConnections();
   }
 
-  /** The entry that it keeps in the store. */
-  entry(state = "ready") {
+  /** Keeps its entry in the store from now on. */
+  register(store) {
+    this.store = store;
+    this.writeEntry();
+    this.timer = setInterval(() => this.writeEntry(), HEARTBEAT_MS);
+  }
+
+  /** Reports that it drains; returns once the store has acknowledged that. */
+  drain() {
+    this.state = "draining";
+    this.writeEntry();
+  }
+
+  writeEntry() {
+    this.sequence++;
+    this.store.put(`servers/${this.id}`, this.entry());
+  }
+
+  entry() {
     return {
       service: this.service,
       address: this.address,
       zone: "z",
       version: "1",
       slots: 64,
-      state,
+      state: this.state,
       coldRemainingMs: 0,
-      sequence: 1,
+      sequence: this.sequence,
       ...(this.born !== undefined && { born: this.born }),
     };
   }
