--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -149,6 +149,16 @@
     }
   }
 
+  /** Megabytes of memory that it has resident; 0 once it has ended. */
+  residentMb() {
+    try {
+      const status = fs.readFileSync(`/proc/${this.process.pid}/status`, "utf8");
+      return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024);
+    } catch {
+      return 0;
+    }
+  }
+
   /** The end of its log that is not made of its usual lines. */
   stackTrace() {
     const text = fs.readFileSync(path.join(this.folder, "log"), "utf8");
@@ -231,7 +241,7 @@
     ],
     services: [{ name: service, healthPath: "/healthz", maxConnections: 110 }],
     limits: {
-      maxHeaderBytes: 8192,
+      maxHeaderBytes: 16384,
       maxBodyBytes: 4194304,
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15000,
