--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -165,6 +165,12 @@
     return text.split("\n").filter((line) => line !== "" && !line.startsWith("{"));
   }
 
+  /** The lines of its log that warn. */
+  warnings() {
+    const text = fs.readFileSync(path.join(this.folder, "log"), "utf8");
+    return text.split("\n").filter((line) => line.includes('"level":"warn"'));
+  }
+
   async end() {
     if (this.process && this.isRunning) {
       const ended = new Promise((resolve) => this.process.once("exit", resolve));
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,4 +1,4 @@
-/* global Buffer, URL, setTimeout */
+/* global Buffer, URL, performance, setTimeout */
 /**
  * A stand-in for the platform's key-value store: items, pages, watches, conditional writes and leases, by PROTOCOL.md.
  * Leases do not expire.
@@ -6,12 +6,18 @@
  */
 import * as http from "node:http";
 
+/** Most items of one page, and most characters of their values, at least one item. */
 const PAGE_ITEMS = 500;
+const PAGE_LENGTH = 1_048_576;
+/** Milliseconds for which the store keeps its history: `historyS` of the settings. */
+const HISTORY_MS = 20_000;
 
 export class Store {
   items = new Map();
   events = [];
   revision = 0;
+  /** Changes up to this revision are no longer in the history. */
+  dropped = 0;
   leases = 0;
   waiting = new Set();
 
@@ -49,18 +55,14 @@
   }
 
   changed(event) {
-    this.events.push(event);
+    this.events.push({ ...event, text: JSON.stringify(event.body), at: performance.now() });
     for (const wake of [...this.waiting]) wake();
   }
 
   async answer(req, res) {
     const url = new URL(req.url, "http://store");
     const query = url.searchParams;
-    const send = (status, body) => {
-      const text = JSON.stringify(body);
-      res.writeHead(status, { "content-type": "application/json", "content-length": text.length });
-      res.end(text);
-    };
+    const send = (status, body) => sendText(res, status, JSON.stringify(body));
     switch (url.pathname) {
       case "/-/kv-key": {
         const item = this.items.get(query.get("key"));
@@ -71,7 +73,7 @@
         send(200, this.range(query.get("prefix") ?? "", query.get("after") ?? ""));
         return;
       case "/-/kv-watch":
-        await this.watch(query, send);
+        await this.watch(query, res);
         return;
       case "/-/kv-lease":
         send(200, { lease: ++this.leases, ttlMs: JSON.parse(await readBody(req)).ttlMs });
@@ -86,19 +88,39 @@
 
   range(prefix, after) {
     const keys = [...this.items.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
-    const items = keys.slice(0, PAGE_ITEMS).map((k) => this.items.get(k));
-    return { items, truncated: keys.length > PAGE_ITEMS, currentRev: this.revision };
+    const items = [];
+    let length = 0;
+    for (const key of keys) {
+      const item = this.items.get(key);
+      length += item.value.length;
+      if (items.length > 0 && (items.length >= PAGE_ITEMS || length > PAGE_LENGTH)) break;
+      items.push(item);
+    }
+    return { items, truncated: items.length < keys.length, currentRev: this.revision };
   }
 
-  async watch(query, send) {
+  async watch(query, res) {
     const prefix = query.get("prefix") ?? "";
     const after = Number(query.get("after"));
     const found = () => this.events.filter((e) => e.revision > after && e.key.startsWith(prefix));
-    if (found().length === 0) {
-      const until = Date.now() + Number(query.get("waitMs"));
-      while (found().length === 0 && Date.now() < until) await this.nextChange(until - Date.now());
+    const until = performance.now() + Number(query.get("waitMs"));
+    for (;;) {
+      this.dropHistory();
+      const leftMs = until - performance.now();
+      if (after < this.dropped || found().length > 0 || leftMs <= 0) break;
+      await this.nextChange(leftMs);
+    }
+    if (after < this.dropped) {
+      sendText(res, 410, "{}");
+      return;
     }
-    send(200, { events: found().map((e) => e.body), currentRev: this.revision });
+    const events = found().map((e) => e.text);
+    sendText(res, 200, `{"events":[${events.join(",")}],"currentRev":${this.revision}}`);
+  }
+
+  dropHistory() {
+    const oldest = performance.now() - HISTORY_MS;
+    while (this.events[0]?.at < oldest) this.dropped = this.events.shift().revision;
   }
 
   nextChange(ms) {
@@ -124,6 +146,12 @@
   }
 }
 
+function sendText(res, status, text) {
+  const bytes = Buffer.from(text);
+  res.writeHead(status, { "content-type": "application/json", "content-length": bytes.length });
+  res.end(bytes);
+}
+
 export async function readBody(req) {
   const parts = [];
   for await (const part of req) parts.push(part);
